--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,71 @@
+// Lint rules that follow the Google TypeScript Style Guide: named exports,
+// snake_case files, no `any`, no namespaces, strict equality.
+import checkFile from 'eslint-plugin-check-file';
+import prettier from 'eslint-config-prettier';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  {ignores: ['**/dist/**', '**/node_modules/**']},
+  ...tseslint.configs.recommendedTypeChecked,
+  prettier,
+  {
+    files: ['packages/**/*.ts'],
+    plugins: {'check-file': checkFile},
+    languageOptions: {
+      parserOptions: {
+        projectService: true,
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    rules: {
+      'check-file/filename-naming-convention': [
+        'error',
+        {'**/*.ts': 'SNAKE_CASE'},
+        {ignoreMiddleExtensions: true},
+      ],
+      'no-restricted-syntax': [
+        'error',
+        {selector: 'ExportDefaultDeclaration', message: 'Use named exports.'},
+        {selector: 'TSEnumDeclaration', message: 'Use a string union.'},
+      ],
+      '@typescript-eslint/naming-convention': [
+        'error',
+        {selector: 'typeLike', format: ['PascalCase']},
+        {selector: ['function', 'method'], format: ['camelCase']},
+        {
+          selector: 'variable',
+          format: ['camelCase', 'UPPER_CASE'],
+          leadingUnderscore: 'allow',
+        },
+        {selector: 'variable', modifiers: ['destructured'], format: null},
+      ],
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        {argsIgnorePattern: '^_', varsIgnorePattern: '^_'},
+      ],
+      '@typescript-eslint/consistent-type-imports': [
+        'error',
+        {fixStyle: 'inline-type-imports'},
+      ],
+      '@typescript-eslint/switch-exhaustiveness-check': 'off',
+      '@typescript-eslint/require-await': 'off',
+      curly: ['error', 'multi-line'],
+      eqeqeq: ['error', 'always', {null: 'ignore'}],
+      'no-var': 'error',
+      'prefer-const': 'error',
+      'max-lines': ['error', {max: 500, skipBlankLines: false}],
+      'max-lines-per-function': [
+        'error',
+        {max: 80, skipBlankLines: true, skipComments: true},
+      ],
+    },
+  },
+  {
+    files: ['packages/**/*.test.ts'],
+    rules: {'max-lines-per-function': 'off'},
+  },
+  {
+    files: ['**/*.js', '**/*.mjs'],
+    ...tseslint.configs.disableTypeChecked,
+  },
+);
--- /dev/null
+++ b/packages/errors/src/index.ts
@@ -0,0 +1,14 @@
+export {
+  ERROR_KINDS,
+  type ErrorKind,
+  type KindFacts,
+  type RunOutcome,
+  describeKind,
+} from './kinds.js';
+export {
+  type ErrorBody,
+  type ErrorDetails,
+  TypedError,
+  formatErrorBody,
+  toTypedError,
+} from './typed_error.js';
--- /dev/null
+++ b/packages/errors/src/kinds.ts
@@ -0,0 +1,78 @@
+/** The catalogue of error kinds: what each means to a caller. */
+
+/**
+ * What is known of the work a refused request asked for: `not-run` means it
+ * was never handed to a backend server, `ran` that it was carried out, and
+ * `unknown` that nobody can tell.
+ */
+export type RunOutcome = 'not-run' | 'unknown' | 'ran';
+
+/** Facts that hold for every error of one kind. */
+export interface KindFacts {
+  httpStatus: number;
+  /** Whether the same request may succeed later without being changed. */
+  retryable: boolean;
+  /** The remedy told when the place that raised the error names none. */
+  remedy: string;
+}
+
+const KINDS = {
+  'bad-request': fact(400, false, 'Correct the request as the message says.'),
+  'bad-key': fact(400, false, 'Use a key as docs/callers/idempotency.md says.'),
+  unauthorized: fact(401, false, 'Send a valid bearer token.'),
+  forbidden: fact(403, false, 'Use a token whose role allows this.'),
+  'not-found': fact(404, false, 'Check the name; list what exists first.'),
+  conflict: fact(409, false, 'Read the current version and apply again.'),
+  'key-reused': fact(422, false, 'Use a new key for a different body.'),
+  'body-too-large': fact(413, false, 'Send a smaller body.'),
+  'answer-too-large': fact(502, false, 'Ask for a shorter answer.'),
+  'rate-limited': fact(429, true, 'Wait as long as Retry-After says.'),
+  overloaded: fact(503, true, 'Wait as long as Retry-After says.'),
+  'not-warm': fact(503, true, 'Wait as long as Retry-After says.'),
+  'deadline-unmeetable': fact(
+    503,
+    true,
+    'Allow more time, or come back as Retry-After says.',
+  ),
+  'deadline-exceeded': fact(504, true, 'Allow more time.'),
+  'shutting-down': fact(503, true, 'Ask /v1/entries for another address.'),
+  'log-unavailable': fact(503, true, 'Try again once the log service is back.'),
+  'platform-unavailable': fact(503, true, 'Try again later.'),
+  'backend-unreachable': fact(502, true, 'Try again later.'),
+  'backend-failed': fact(502, true, 'Try again later.'),
+  'outcome-unknown': fact(
+    409,
+    false,
+    'Check at the backend server whether it ran; the key is not run again.',
+  ),
+  'stream-broken': fact(
+    502,
+    true,
+    'Resume with GET /v1/requests/{id} and Last-Event-ID.',
+  ),
+  'stale-fencing-number': fact(409, false, 'Give up the backend server.'),
+  'out-of-memory': fact(409, false, 'Unload a replica first.'),
+  trimmed: fact(410, false, 'Start from a checkpoint.'),
+  'record-invalid': fact(400, false, 'Upgrade the node, or skip the record.'),
+  'peer-message-invalid': fact(400, false, 'Run one release on all nodes.'),
+  internal: fact(500, true, 'Report it with the log lines around it.'),
+} as const satisfies Record<string, KindFacts>;
+
+/** One kind of error; the value appears in answers as `kind`. */
+export type ErrorKind = keyof typeof KINDS;
+
+/** All kinds, in the order of the catalogue. */
+export const ERROR_KINDS = Object.keys(KINDS) as readonly ErrorKind[];
+
+/** Looks a kind up in the catalogue. */
+export function describeKind(kind: ErrorKind): KindFacts {
+  return KINDS[kind];
+}
+
+function fact(
+  httpStatus: number,
+  retryable: boolean,
+  remedy: string,
+): KindFacts {
+  return {httpStatus, retryable, remedy};
+}
--- /dev/null
+++ b/packages/random/src/index.ts
@@ -0,0 +1,1 @@
+export {type RandomSource, SeededRandom, addJitter, pickOne} from './random.js';
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,2 @@
+export * from './identifiers.js';
+export * from './backend.js';
