--- /dev/null
+++ b/packages/agreed-state/src/configuration/configuration.ts
@@ -0,0 +1,337 @@
+/**
+ * The documents that operators publish. A change names the version it was
+ * made against; of two that race, the first in the log wins.
+ */
+import {type BodyOf, type DocumentKind} from '@mimosatack/records';
+import {type z} from 'zod';
+import {type Outcome, VALID, makeVoid} from '../outcome.js';
+import {
+  type EventContent,
+  type ModelContent,
+  type ServiceContent,
+  type TeamContent,
+  type TemplateContent,
+  eventSchema,
+  modelSchema,
+  serviceSchema,
+  teamSchema,
+  templateSchema,
+} from './document_schema.js';
+import {
+  type ResolvedEvent,
+  type ResolveResult,
+  describeIssues,
+  resolveEvent,
+} from './resolve_event.js';
+
+/** The content type of each kind of document. */
+export interface ContentByKind {
+  team: TeamContent;
+  model: ModelContent;
+  service: ServiceContent;
+  template: TemplateContent;
+  event: EventContent;
+}
+
+/** A document in force. */
+export interface Document<K extends DocumentKind = DocumentKind> {
+  kind: K;
+  id: string;
+  version: number;
+  /** The sequence number of the record that put this version in force. */
+  sequence: number;
+  content: ContentByKind[K];
+}
+
+/** A deleted document; its version goes on if it is created again. */
+interface Tombstone {
+  key: string;
+  version: number;
+  sequence: number;
+}
+
+/** The plain form of the aggregate, for checkpoints. */
+export interface ConfigurationSnapshot {
+  documents: Document[];
+  tombstones: Tombstone[];
+  pinnedTemplates: [string, TemplateContent][];
+  events: ResolvedEvent[];
+}
+
+const SCHEMAS: {[K in DocumentKind]: z.ZodType} = {
+  team: teamSchema,
+  model: modelSchema,
+  service: serviceSchema,
+  template: templateSchema,
+  event: eventSchema,
+};
+
+/** The aggregate of all documents and of the events resolved from them. */
+export class Configuration {
+  private readonly documents = new Map<string, Document>();
+  private readonly tombstones = new Map<string, Tombstone>();
+  /** Contents of template versions that a pinned event still names. */
+  private readonly pinnedTemplates = new Map<string, TemplateContent>();
+  private readonly events = new Map<string, ResolvedEvent>();
+
+  static restore(snapshot: ConfigurationSnapshot): Configuration {
+    const restored = new Configuration();
+    snapshot.documents.forEach(document =>
+      restored.documents.set(keyOf(document.kind, document.id), document),
+    );
+    snapshot.tombstones.forEach(stone =>
+      restored.tombstones.set(stone.key, stone),
+    );
+    snapshot.pinnedTemplates.forEach(([key, content]) =>
+      restored.pinnedTemplates.set(key, content),
+    );
+    snapshot.events.forEach(event => restored.events.set(event.eventId, event));
+    return restored;
+  }
+
+  toSnapshot(): ConfigurationSnapshot {
+    return {
+      documents: [...this.documents.values()],
+      tombstones: [...this.tombstones.values()],
+      pinnedTemplates: [...this.pinnedTemplates.entries()],
+      events: [...this.events.values()],
+    };
+  }
+
+  find<K extends DocumentKind>(kind: K, id: string): Document<K> | undefined {
+    return this.documents.get(keyOf(kind, id)) as Document<K> | undefined;
+  }
+
+  list<K extends DocumentKind>(kind: K): Document<K>[] {
+    return [...this.documents.values()].filter(
+      (document): document is Document<K> => document.kind === kind,
+    );
+  }
+
+  findEvent(eventId: string): ResolvedEvent | undefined {
+    return this.events.get(eventId);
+  }
+
+  listEvents(): ResolvedEvent[] {
+    return [...this.events.values()];
+  }
+
+  /** The version that a change must name; 0 for what never existed. */
+  currentVersion(kind: DocumentKind, id: string): number {
+    const key = keyOf(kind, id);
+    return (
+      this.documents.get(key)?.version ?? this.tombstones.get(key)?.version ?? 0
+    );
+  }
+
+  put(body: BodyOf<'put-document'>, sequence: number): Outcome {
+    const conflict = this.checkVersion(body);
+    if (conflict) return conflict;
+    const parsed = SCHEMAS[body.kind].safeParse(body.content);
+    if (!parsed.success) {
+      return makeVoid(
+        'invalid-content',
+        describeIssues(parsed.error).join('; '),
+      );
+    }
+    const document = {
+      kind: body.kind,
+      id: body.id,
+      version: body.expectedVersion + 1,
+      sequence,
+      content: parsed.data,
+    } as Document;
+    return this.putChecked(document, sequence);
+  }
+
+  delete(body: BodyOf<'delete-document'>, sequence: number): Outcome {
+    const key = keyOf(body.kind, body.id);
+    const document = this.documents.get(key);
+    if (!document) {
+      return makeVoid('unknown-reference', `There is no ${key}.`);
+    }
+    const conflict = this.checkVersion(body);
+    if (conflict) return conflict;
+    const users = this.listUsers(document);
+    if (users.length > 0) {
+      return makeVoid('in-use', `${key} is used by ${users.join(', ')}.`);
+    }
+    this.documents.delete(key);
+    this.tombstones.set(key, {
+      key,
+      version: body.expectedVersion + 1,
+      sequence,
+    });
+    if (body.kind === 'event') this.events.delete(body.id);
+    return VALID;
+  }
+
+  /** Drops tombstones that no readable record can contradict any more. */
+  forgetTombstonesBefore(sequence: number): void {
+    [...this.tombstones.values()]
+      .filter(stone => stone.sequence < sequence)
+      .forEach(stone => this.tombstones.delete(stone.key));
+  }
+
+  private checkVersion(body: {
+    kind: DocumentKind;
+    id: string;
+    expectedVersion: number;
+  }): Outcome | null {
+    const current = this.currentVersion(body.kind, body.id);
+    if (current === body.expectedVersion) return null;
+    const key = keyOf(body.kind, body.id);
+    const winner = this.documents.get(key)?.sequence;
+    return makeVoid(
+      'version-conflict',
+      `${key} is at version ${current}, not ${body.expectedVersion}` +
+        (winner === undefined ? '.' : `; record ${winner} put it there.`),
+    );
+  }
+
+  private putChecked(document: Document, sequence: number): Outcome {
+    const key = keyOf(document.kind, document.id);
+    const missing = this.findMissingReference(document);
+    if (missing) return makeVoid('unknown-reference', missing);
+    const previous = this.documents.get(key);
+    this.documents.set(key, document);
+    const resolved = this.resolveAffected(document);
+    const faults = resolved.flatMap(({eventId, result}) =>
+      'faults' in result
+        ? result.faults.map(fault => `event ${eventId}: ${fault}`)
+        : [],
+    );
+    if (faults.length > 0) {
+      if (previous) this.documents.set(key, previous);
+      else this.documents.delete(key);
+      return makeVoid('invalid-content', faults.join('; '));
+    }
+    this.tombstones.delete(key);
+    this.keepPinnedTemplate(previous);
+    resolved.forEach(({result}) => {
+      if ('event' in result) this.storeResolved(result.event, sequence);
+    });
+    return VALID;
+  }
+
+  private findMissingReference(document: Document): string | null {
+    if (document.kind !== 'template' && document.kind !== 'event') return null;
+    const {team} = document.content as {team: string};
+    if (!this.find('team', team)) {
+      return `There is no team ${team}; publish it first.`;
+    }
+    if (document.kind === 'template') return null;
+    const event = document.content as EventContent;
+    const template = this.find('template', event.template);
+    if (!template) {
+      return `There is no template ${event.template}; publish it first.`;
+    }
+    return template.content.team === event.team
+      ? null
+      : `Template ${event.template} belongs to another team.`;
+  }
+
+  private resolveAffected(
+    document: Document,
+  ): {eventId: string; result: ResolveResult}[] {
+    return this.listAffectedEvents(document).map(event => ({
+      eventId: event.id,
+      result: this.resolve(event),
+    }));
+  }
+
+  private listAffectedEvents(document: Document): Document<'event'>[] {
+    switch (document.kind) {
+      case 'event':
+        return [document as Document<'event'>];
+      case 'template':
+        return this.list('event').filter(
+          event => event.content.template === document.id,
+        );
+      case 'model':
+        return this.list('event').filter(event =>
+          this.events
+            .get(event.id)
+            ?.needs.some(need => need.model === document.id),
+        );
+      default:
+        return [];
+    }
+  }
+
+  private resolve(event: Document<'event'>): ResolveResult {
+    const {template: name, templateVersion} = event.content;
+    const latest = this.find('template', name) as Document<'template'>;
+    const version = templateVersion ?? latest.version;
+    const content =
+      version === latest.version
+        ? latest.content
+        : this.pinnedTemplates.get(pinKeyOf(name, version));
+    if (!content) {
+      return {
+        faults: [
+          `templateVersion: version ${version} of ${name} is not kept; ` +
+            `use ${latest.version}`,
+        ],
+      };
+    }
+    return resolveEvent(event.id, event.content, content, version, {
+      findModel: model => this.find('model', model)?.content,
+    });
+  }
+
+  /** Keeps the version that a template leaves behind if an event names it. */
+  private keepPinnedTemplate(previous: Document | undefined): void {
+    if (previous?.kind !== 'template') return;
+    const isPinned = this.list('event').some(
+      event =>
+        event.content.template === previous.id &&
+        event.content.templateVersion === previous.version,
+    );
+    if (!isPinned) return;
+    this.pinnedTemplates.set(
+      pinKeyOf(previous.id, previous.version),
+      previous.content as TemplateContent,
+    );
+  }
+
+  private storeResolved(
+    event: Omit<ResolvedEvent, 'revision'>,
+    sequence: number,
+  ): void {
+    const previous = this.events.get(event.eventId);
+    const isSame =
+      previous !== undefined &&
+      JSON.stringify({...previous, revision: 0}) ===
+        JSON.stringify({...event, revision: 0});
+    if (isSame) return;
+    this.events.set(event.eventId, {...event, revision: sequence});
+  }
+
+  private listUsers(document: Document): string[] {
+    switch (document.kind) {
+      case 'template':
+        return this.list('event')
+          .filter(event => event.content.template === document.id)
+          .map(event => `event ${event.id}`);
+      case 'model':
+        return this.listEvents()
+          .filter(event => event.needs.some(n => n.model === document.id))
+          .map(event => `event ${event.eventId}`);
+      case 'team':
+        return [...this.list('template'), ...this.list('event')]
+          .filter(user => user.content.team === document.id)
+          .map(user => `${user.kind} ${user.id}`);
+      default:
+        return [];
+    }
+  }
+}
+
+function keyOf(kind: DocumentKind, id: string): string {
+  return `${kind} ${id}`;
+}
+
+function pinKeyOf(template: string, version: number): string {
+  return `${template}@${version}`;
+}
--- /dev/null
+++ b/packages/agreed-state/src/placement/placement.ts
@@ -0,0 +1,368 @@
+/**
+ * The decided replicas. A plan is void if it would hold more memory than a
+ * backend server has, or more replicas than the event decided, whatever its
+ * author believed when it wrote the plan.
+ */
+import {type BodyOf, type SlotPlan} from '@mimosatack/records';
+import {type Configuration} from '../configuration/configuration.js';
+import {sumReplicaMemoryMib} from '../configuration/resolve_event.js';
+import {type Outcome, VALID, makeVoid} from '../outcome.js';
+import {type Stewardship} from '../stewardship/stewardship.js';
+import {type MemoryHold, findPeakMib} from './memory_profile.js';
+import {type Slot, formatPurpose, holdsFromMs} from './slot.js';
+
+/** How many plans were accepted for one purpose. */
+interface PlanCount {
+  purpose: string;
+  plans: number;
+}
+
+/** The plain form of the aggregate, for checkpoints. */
+export interface PlacementSnapshot {
+  slots: Slot[];
+  planCounts: PlanCount[];
+}
+
+/** What a purpose allows for one model. */
+interface ReplicaAllowance {
+  version: string;
+  adapters: readonly string[];
+  pool: string;
+  memoryMib: number;
+  replicas: number;
+  maxSurge: number;
+}
+
+/** The aggregate of all slots that are not released. */
+export class Placement {
+  private readonly slots = new Map<string, Slot>();
+  private readonly byBackendServer = new Map<string, Set<Slot>>();
+  private readonly byPurpose = new Map<string, Set<Slot>>();
+  private readonly planCounts = new Map<string, number>();
+
+  constructor(
+    private readonly configuration: Configuration,
+    private readonly stewardship: Stewardship,
+  ) {}
+
+  static restore(
+    snapshot: PlacementSnapshot,
+    configuration: Configuration,
+    stewardship: Stewardship,
+  ): Placement {
+    const restored = new Placement(configuration, stewardship);
+    snapshot.slots.forEach(slot => restored.add(slot));
+    snapshot.planCounts.forEach(count =>
+      restored.planCounts.set(count.purpose, count.plans),
+    );
+    return restored;
+  }
+
+  toSnapshot(): PlacementSnapshot {
+    return {
+      slots: [...this.slots.values()],
+      planCounts: [...this.planCounts.entries()].map(([purpose, plans]) => ({
+        purpose,
+        plans,
+      })),
+    };
+  }
+
+  find(slotId: string): Slot | undefined {
+    return this.slots.get(slotId);
+  }
+
+  list(): Slot[] {
+    return [...this.slots.values()];
+  }
+
+  listOn(backendServerId: string): Slot[] {
+    return [...(this.byBackendServer.get(backendServerId) ?? [])];
+  }
+
+  listFor(purpose: Slot['purpose']): Slot[] {
+    return [...(this.byPurpose.get(formatPurpose(purpose)) ?? [])];
+  }
+
+  /** The number that the next plan for this purpose must name. */
+  countPlans(purpose: Slot['purpose']): number {
+    return this.planCounts.get(formatPurpose(purpose)) ?? 0;
+  }
+
+  /** The memory that is spoken for on a backend server, over time. */
+  listHolds(backendServerId: string): MemoryHold[] {
+    return this.listOn(backendServerId).map(slot => ({
+      fromMs: holdsFromMs(slot),
+      untilMs: this.stewardship.isInDoubt(backendServerId, slot.slotId)
+        ? Infinity
+        : slot.untilMs,
+      memoryMib: slot.memoryMib,
+    }));
+  }
+
+  decide(body: BodyOf<'decide-slots'>, sequence: number): Outcome {
+    const plans = this.countPlans(body.purpose);
+    if (plans !== body.expectedPlan) {
+      return makeVoid(
+        'stale-plan',
+        `${formatPurpose(body.purpose)} has ${plans} plans, ` +
+          `not ${body.expectedPlan}.`,
+      );
+    }
+    const fault =
+      this.checkRevision(body) ??
+      this.checkSlots(body) ??
+      this.checkReplicaCount(body) ??
+      this.checkMemory(body.slots);
+    if (fault) return fault;
+    body.slots.forEach(plan =>
+      this.add({
+        ...plan,
+        purpose: body.purpose,
+        status: 'decided',
+        endReason: null,
+        decidedAt: sequence,
+      }),
+    );
+    this.planCounts.set(formatPurpose(body.purpose), plans + 1);
+    return VALID;
+  }
+
+  end(body: BodyOf<'end-slots'>): Outcome {
+    const missing = body.slotIds.find(slotId => !this.slots.has(slotId));
+    if (missing !== undefined) {
+      return makeVoid('unknown-reference', `There is no slot ${missing}.`);
+    }
+    body.slotIds.forEach(slotId => {
+      const slot = this.slots.get(slotId) as Slot;
+      if (slot.status === 'ending') return;
+      slot.status = 'ending';
+      slot.endReason = body.reason;
+    });
+    return VALID;
+  }
+
+  extend(body: BodyOf<'extend-slots'>): Outcome {
+    const slots = body.slotIds.map(slotId => this.slots.get(slotId));
+    if (slots.some(slot => !slot || slot.status === 'ending')) {
+      return makeVoid('unknown-reference', 'A slot is gone or ending.');
+    }
+    const extensions = (slots as Slot[])
+      .filter(slot => slot.untilMs < body.untilMs)
+      .map(slot => ({slot, hold: {...slot, loadAtMs: slot.untilMs}}));
+    const fault = extensions
+      .map(({hold}) =>
+        this.checkMemory([{...hold, stageAtMs: null, untilMs: body.untilMs}]),
+      )
+      .find(outcome => outcome !== null);
+    if (fault) return fault;
+    extensions.forEach(({slot}) => {
+      slot.untilMs = body.untilMs;
+    });
+    return VALID;
+  }
+
+  release(body: BodyOf<'release-slots'>): Outcome {
+    if (!this.stewardship.isHeld(body.backendServerId, body.epoch)) {
+      return makeVoid(
+        'stale-epoch',
+        `${body.backendServerId} is not held under epoch ${body.epoch}.`,
+      );
+    }
+    const slots = body.slotIds.map(slotId => this.slots.get(slotId));
+    const isForeign = slots.some(
+      slot =>
+        !slot ||
+        slot.backendServerId !== body.backendServerId ||
+        slot.status !== 'ending',
+    );
+    if (isForeign) {
+      return makeVoid('unknown-reference', 'A slot is not ending here.');
+    }
+    const doubtful = body.slotIds.find(slotId =>
+      this.stewardship.isInDoubt(body.backendServerId, slotId),
+    );
+    if (doubtful !== undefined) {
+      return makeVoid(
+        'in-doubt',
+        `An earlier steward may still load slot ${doubtful}.`,
+      );
+    }
+    (slots as Slot[]).forEach(slot => this.remove(slot));
+    return VALID;
+  }
+
+  /** Drops what a backend server held; called when the server is gone. */
+  removeBackendServer(backendServerId: string): void {
+    this.listOn(backendServerId).forEach(slot => this.remove(slot));
+  }
+
+  /** Drops the plan count of an event that is over for good. */
+  forgetPurpose(purpose: Slot['purpose']): void {
+    if (this.listFor(purpose).length > 0) return;
+    this.planCounts.delete(formatPurpose(purpose));
+  }
+
+  private checkRevision(body: BodyOf<'decide-slots'>): Outcome | null {
+    const revision = this.findRevision(body.purpose);
+    if (revision === body.targetRevision) return null;
+    return makeVoid(
+      'stale-plan',
+      revision === undefined
+        ? `${formatPurpose(body.purpose)} does not exist.`
+        : `${formatPurpose(body.purpose)} is at revision ${revision}, ` +
+            `not ${body.targetRevision}.`,
+    );
+  }
+
+  private findRevision(purpose: Slot['purpose']): number | undefined {
+    return purpose.for === 'event'
+      ? this.configuration.findEvent(purpose.eventId)?.revision
+      : this.configuration.find('model', purpose.model)?.version;
+  }
+
+  private checkSlots(body: BodyOf<'decide-slots'>): Outcome | null {
+    const ids = new Set(body.slots.map(plan => plan.slotId));
+    const isRepeated =
+      ids.size < body.slots.length ||
+      body.slots.some(plan => this.slots.has(plan.slotId));
+    if (isRepeated) return makeVoid('invalid-content', 'A slot id repeats.');
+    const faults = body.slots
+      .map(plan => this.findSlotFault(plan, body.purpose))
+      .filter(fault => fault !== null);
+    return faults[0] === undefined
+      ? null
+      : makeVoid('invalid-content', faults[0]);
+  }
+
+  private findSlotFault(
+    plan: SlotPlan,
+    purpose: Slot['purpose'],
+  ): string | null {
+    if (plan.untilMs <= plan.loadAtMs) {
+      return `Slot ${plan.slotId} ends before it is loaded.`;
+    }
+    if (plan.stageAtMs !== null && plan.stageAtMs >= plan.loadAtMs) {
+      return `Slot ${plan.slotId} is staged after it is loaded.`;
+    }
+    const server = this.stewardship.findBackendServer(plan.backendServerId);
+    if (!server) return `There is no backend server ${plan.backendServerId}.`;
+    const allowance = this.findAllowance(purpose, plan);
+    if (!allowance) {
+      return `${formatPurpose(purpose)} needs no ${plan.model}.`;
+    }
+    if (server.pool !== allowance.pool) {
+      return `${plan.model} runs in pool ${allowance.pool}, not ${server.pool}.`;
+    }
+    return plan.memoryMib === allowance.memoryMib
+      ? null
+      : `A replica of ${plan.model} takes ${allowance.memoryMib} MiB.`;
+  }
+
+  private findAllowance(
+    purpose: Slot['purpose'],
+    plan: SlotPlan,
+  ): ReplicaAllowance | undefined {
+    if (purpose.for === 'event') {
+      return this.configuration
+        .findEvent(purpose.eventId)
+        ?.needs.find(need => isSameReplica(need, plan));
+    }
+    const model = this.configuration.find('model', plan.model)?.content;
+    if (!model || plan.model !== purpose.model) return undefined;
+    return {
+      version: model.version,
+      adapters: plan.adapters,
+      pool: model.pool,
+      memoryMib: sumReplicaMemoryMib(model, plan.adapters),
+      replicas: model.onDemand.maxReplicas,
+      maxSurge: 0,
+    };
+  }
+
+  /**
+   * Counts every slot that is not released, ending ones too: what an engine
+   * has not been seen to unload may still be loaded.
+   */
+  private checkReplicaCount(body: BodyOf<'decide-slots'>): Outcome | null {
+    const held = this.listFor(body.purpose);
+    const fault = body.slots
+      .map(plan => {
+        const allowance = this.findAllowance(
+          body.purpose,
+          plan,
+        ) as ReplicaAllowance;
+        const same = [...held, ...body.slots].filter(
+          other => other.model === plan.model,
+        );
+        const firsts = same.filter(other => other.replaces === null);
+        const isTooMany =
+          same.length > allowance.replicas + allowance.maxSurge ||
+          firsts.length > allowance.replicas;
+        return isTooMany
+          ? `${plan.model} may have ${allowance.replicas} replicas ` +
+              `and ${allowance.maxSurge} for lost ones.`
+          : null;
+      })
+      .find(message => message !== null);
+    return fault === undefined ? null : makeVoid('too-many-replicas', fault);
+  }
+
+  private checkMemory(plans: readonly SlotPlan[]): Outcome | null {
+    const overcommitted = plans.find(plan => {
+      const server = this.stewardship.findBackendServer(plan.backendServerId);
+      const planned = plans
+        .filter(other => other.backendServerId === plan.backendServerId)
+        .map(other => ({...other, fromMs: holdsFromMs(other)}));
+      const holds = [...this.listHolds(plan.backendServerId), ...planned];
+      const peakMib = findPeakMib(holds, holdsFromMs(plan), plan.untilMs);
+      return peakMib > (server?.memoryMib ?? 0);
+    });
+    return overcommitted
+      ? makeVoid(
+          'memory-exceeded',
+          `${overcommitted.backendServerId} has no room for ` +
+            `${overcommitted.model} at that time.`,
+        )
+      : null;
+  }
+
+  private add(slot: Slot): void {
+    this.slots.set(slot.slotId, slot);
+    addTo(this.byBackendServer, slot.backendServerId, slot);
+    addTo(this.byPurpose, formatPurpose(slot.purpose), slot);
+  }
+
+  private remove(slot: Slot): void {
+    this.slots.delete(slot.slotId);
+    removeFrom(this.byBackendServer, slot.backendServerId, slot);
+    removeFrom(this.byPurpose, formatPurpose(slot.purpose), slot);
+  }
+}
+
+function isSameReplica(
+  need: {model: string; version: string; adapters: readonly string[]},
+  plan: SlotPlan,
+): boolean {
+  return (
+    need.model === plan.model &&
+    need.version === plan.version &&
+    need.adapters.join(',') === plan.adapters.join(',')
+  );
+}
+
+function addTo(index: Map<string, Set<Slot>>, key: string, slot: Slot): void {
+  const members = index.get(key) ?? new Set<Slot>();
+  members.add(slot);
+  index.set(key, members);
+}
+
+function removeFrom(
+  index: Map<string, Set<Slot>>,
+  key: string,
+  slot: Slot,
+): void {
+  const members = index.get(key);
+  members?.delete(slot);
+  if (members?.size === 0) index.delete(key);
+}
--- /dev/null
+++ b/packages/agreed-state/src/placement/slot.ts
@@ -0,0 +1,33 @@
+/** A decided replica: one model on one backend server for one purpose. */
+import {type SlotPlan, type SlotPurpose} from '@mimosatack/records';
+
+/**
+ * `decided`: may be loaded from its load time on. `ending`: is to be unloaded
+ * and not loaded again. Once released, a slot is gone from the state.
+ */
+export type SlotStatus = 'decided' | 'ending';
+
+/** Why a slot ends. */
+export type EndReason =
+  'event-over' | 'event-changed' | 'lost' | 'idle' | 'moved';
+
+/** A slot as the fold keeps it. */
+export interface Slot extends SlotPlan {
+  purpose: SlotPurpose;
+  status: SlotStatus;
+  endReason: EndReason | null;
+  /** The sequence number of the record that decided it. */
+  decidedAt: number;
+}
+
+/** A stable text for a purpose, for use as a key. */
+export function formatPurpose(purpose: SlotPurpose): string {
+  return purpose.for === 'event'
+    ? `event ${purpose.eventId}`
+    : `demand ${purpose.model}`;
+}
+
+/** When a slot begins to hold accelerator memory. */
+export function holdsFromMs(slot: SlotPlan): number {
+  return Math.min(slot.stageAtMs ?? slot.loadAtMs, slot.loadAtMs);
+}
--- /dev/null
+++ b/packages/agreed-state/src/stewardship/stewardship.ts
@@ -0,0 +1,203 @@
+/**
+ * The backend servers and who may send them orders. The claim with the
+ * highest epoch holds; its epoch is the sequence number of its record, so it
+ * grows with every claim on every backend server.
+ */
+import {type BodyOf} from '@mimosatack/records';
+import {
+  type BackendServerId,
+  type FencingSupport,
+  type NodeIncarnation,
+} from '@mimosatack/types';
+import {type Outcome, VALID, makeVoid} from '../outcome.js';
+
+/** A backend server that requests and orders may be sent to. */
+export interface BackendServer {
+  backendServerId: BackendServerId;
+  hostId: string;
+  baseUrl: string;
+  pool: string;
+  failureDomain: string;
+  region: string;
+  fencing: FencingSupport;
+  accelerators: number;
+  memoryMib: number;
+}
+
+/** Who holds a backend server. */
+export interface StewardClaim {
+  holder: NodeIncarnation;
+  epoch: number;
+  successors: NodeIncarnation[];
+  /** The holder gave it up and has nothing on the way. */
+  isYielded: boolean;
+}
+
+/**
+ * Orders of a former holder that may still arrive, because the engine does
+ * not refuse old fencing numbers. Until the doubt is cleared, its slots count
+ * as loaded.
+ */
+export interface Doubt {
+  formerHolder: NodeIncarnation;
+  epoch: number;
+  slotIds: string[];
+}
+
+interface ServerEntry {
+  server: BackendServer;
+  claim: StewardClaim | null;
+  doubts: Doubt[];
+}
+
+/** The plain form of the aggregate, for checkpoints. */
+export interface StewardshipSnapshot {
+  entries: ServerEntry[];
+}
+
+/** The aggregate of backend servers and their stewards. */
+export class Stewardship {
+  private readonly entries = new Map<BackendServerId, ServerEntry>();
+
+  static restore(snapshot: StewardshipSnapshot): Stewardship {
+    const restored = new Stewardship();
+    snapshot.entries.forEach(entry =>
+      restored.entries.set(entry.server.backendServerId, entry),
+    );
+    return restored;
+  }
+
+  toSnapshot(): StewardshipSnapshot {
+    return {entries: [...this.entries.values()]};
+  }
+
+  findBackendServer(id: BackendServerId): BackendServer | undefined {
+    return this.entries.get(id)?.server;
+  }
+
+  listBackendServers(): BackendServer[] {
+    return [...this.entries.values()].map(entry => entry.server);
+  }
+
+  findClaim(id: BackendServerId): StewardClaim | undefined {
+    return this.entries.get(id)?.claim ?? undefined;
+  }
+
+  listDoubts(id: BackendServerId): Doubt[] {
+    return this.entries.get(id)?.doubts ?? [];
+  }
+
+  isInDoubt(id: BackendServerId, slotId: string): boolean {
+    return this.listDoubts(id).some(doubt => doubt.slotIds.includes(slotId));
+  }
+
+  isHeld(id: BackendServerId, epoch: number): boolean {
+    const claim = this.findClaim(id);
+    return claim !== undefined && claim.epoch === epoch && !claim.isYielded;
+  }
+
+  register(body: BodyOf<'register-backend-server'>): Outcome {
+    const {type: _type, ...server} = body;
+    const entry = this.entries.get(server.backendServerId);
+    if (!entry) {
+      this.entries.set(server.backendServerId, {
+        server,
+        claim: null,
+        doubts: [],
+      });
+      return VALID;
+    }
+    if (JSON.stringify(entry.server) === JSON.stringify(server)) {
+      return makeVoid('duplicate', 'The backend server is registered so.');
+    }
+    entry.server = server;
+    return VALID;
+  }
+
+  remove(body: BodyOf<'remove-backend-server'>): Outcome {
+    return this.entries.delete(body.backendServerId)
+      ? VALID
+      : makeVoid(
+          'unknown-reference',
+          `There is no backend server ${body.backendServerId}.`,
+        );
+  }
+
+  /** @param slotIds the slots that the former holder may have on the way. */
+  claim(
+    body: BodyOf<'claim-steward'>,
+    author: NodeIncarnation,
+    sequence: number,
+    slotIds: string[],
+  ): Outcome {
+    const entry = this.entries.get(body.backendServerId);
+    if (!entry) {
+      return makeVoid(
+        'unknown-reference',
+        `There is no backend server ${body.backendServerId}.`,
+      );
+    }
+    const currentEpoch = entry.claim?.epoch ?? 0;
+    if (currentEpoch !== body.expectedEpoch) {
+      return makeVoid(
+        'stale-epoch',
+        `${body.backendServerId} is held under epoch ${currentEpoch}.`,
+      );
+    }
+    this.noteDoubt(entry, author, slotIds);
+    entry.claim = {
+      holder: author,
+      epoch: sequence,
+      successors: body.successors,
+      isYielded: false,
+    };
+    return VALID;
+  }
+
+  yield(body: BodyOf<'yield-steward'>, author: NodeIncarnation): Outcome {
+    const claim = this.findClaim(body.backendServerId);
+    if (claim?.epoch !== body.epoch || claim.holder !== author) {
+      return makeVoid('stale-epoch', 'The author does not hold this epoch.');
+    }
+    claim.isYielded = true;
+    return VALID;
+  }
+
+  clearDoubt(body: BodyOf<'clear-doubt'>, author: NodeIncarnation): Outcome {
+    const entry = this.entries.get(body.backendServerId);
+    const doubt = entry?.doubts.find(other => other.epoch === body.epoch);
+    if (!entry || !doubt) {
+      return makeVoid('unknown-reference', 'There is no such doubt.');
+    }
+    if (body.evidence === 'acknowledged' && author !== doubt.formerHolder) {
+      return makeVoid('stale-epoch', 'Only the former holder may say so.');
+    }
+    entry.doubts = entry.doubts.filter(other => other !== doubt);
+    return VALID;
+  }
+
+  /**
+   * Guards against a holder that is only frozen: it may send its last order
+   * after the takeover. An engine that refuses old fencing numbers turns that
+   * order down; any other may still load a slot, so those slots stay counted.
+   */
+  private noteDoubt(
+    entry: ServerEntry,
+    author: NodeIncarnation,
+    slotIds: string[],
+  ): void {
+    const former = entry.claim;
+    const cannotArrive =
+      !former ||
+      former.isYielded ||
+      former.holder === author ||
+      entry.server.fencing === 'refuses-old' ||
+      slotIds.length === 0;
+    if (cannotArrive) return;
+    entry.doubts.push({
+      formerHolder: former.holder,
+      epoch: former.epoch,
+      slotIds,
+    });
+  }
+}
--- /dev/null
+++ b/packages/logger/src/bunyan_event_logger.ts
@@ -0,0 +1,66 @@
+import {type Writable} from 'node:stream';
+import {TypedError} from '@mimosatack/errors';
+import bunyan from 'bunyan';
+import {type EventName, describeEvent} from './catalogue.js';
+import {type LogLevel} from './definition.js';
+import {type EventFields, type EventLogger} from './event_logger.js';
+
+/** The standard stream that takes the log lines. */
+export type LogDestination = 'stdout' | 'stderr';
+
+/** All destinations. */
+export const LOG_DESTINATIONS = [
+  'stdout',
+  'stderr',
+] as const satisfies readonly LogDestination[];
+
+/** How a `BunyanEventLogger` writes. */
+export interface BunyanEventLoggerOptions {
+  nodeName: string;
+  /** Events below this level are left out. */
+  level: LogLevel;
+  /** A standard stream by name, or any other stream. */
+  destination: LogDestination | Writable;
+}
+
+const PROGRAM_NAME = 'mimosatackd';
+
+/** Logs events as JSON lines. */
+export class BunyanEventLogger implements EventLogger {
+  private readonly output: bunyan;
+
+  constructor(options: BunyanEventLoggerOptions) {
+    this.output = bunyan.createLogger({
+      name: PROGRAM_NAME,
+      nodeName: options.nodeName,
+      level: options.level,
+      stream: toStream(options.destination),
+      serializers: {error: serializeError},
+    });
+  }
+
+  log<N extends EventName>(name: N, fields: EventFields<N>): void {
+    const {number, level, message} = describeEvent(name);
+    this.output[level](
+      {eventNumber: number, eventName: name, ...fields},
+      // Bunyan would take a % in the message itself for a placeholder.
+      '%s',
+      message,
+    );
+  }
+}
+
+function toStream(destination: LogDestination | Writable): Writable {
+  if (destination === 'stdout') return process.stdout;
+  if (destination === 'stderr') return process.stderr;
+  return destination;
+}
+
+function serializeError(value: unknown): unknown {
+  if (!(value instanceof Error)) return value;
+  const {message, stack} = value;
+  if (!(value instanceof TypedError)) return {message, stack};
+  const {kind, remedy, run, details} = value;
+  const base = {kind, message, remedy, run, info: details.info};
+  return kind === 'internal' ? {...base, stack} : base;
+}
--- /dev/null
+++ b/packages/logger/src/events/operator_events.ts
@@ -0,0 +1,33 @@
+/** Log events from 5000: the operators' interface. */
+import {type EventDefinition} from '../definition.js';
+
+export const OPERATOR_EVENTS = {
+  'operator-command-accepted': {
+    number: 5000,
+    level: 'info',
+    message: "An operator's command was accepted.",
+    fields: {
+      operator: 'who gave it',
+      command: 'the command',
+      subject: 'what it changes',
+    },
+  },
+  'operator-command-refused': {
+    number: 5001,
+    level: 'info',
+    message: "An operator's command was refused.",
+    fields: {
+      operator: 'who gave it',
+      command: 'the command',
+      subject: 'what it would have changed',
+      error: 'why it was refused',
+    },
+  },
+  'operator-unauthenticated': {
+    number: 5002,
+    level: 'warn',
+    message: "A request to the operators' interface had no valid token.",
+    fields: {remoteAddress: 'where it came from', error: 'what was wrong'},
+    remedy: 'Look for a misconfigured client, or for an attack.',
+  },
+} as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/packages/logger/src/events/process_events.ts
@@ -0,0 +1,86 @@
+/** Log events 1000 to 1199: the process and its settings. */
+import {type EventDefinition} from '../definition.js';
+
+export const PROCESS_EVENTS = {
+  'node-started': {
+    number: 1000,
+    level: 'info',
+    message: 'The node has started; it is not ready yet.',
+    fields: {
+      incarnation: 'identifies this run of the node',
+      callerPort: 'port bound for callers',
+      adminPort: 'port bound for operators',
+      peerPort: 'port bound for other nodes',
+    },
+  },
+  'node-ready': {
+    number: 1001,
+    level: 'info',
+    message: 'The node has read its streams and accepts requests.',
+    fields: {startupMs: 'time since the node started'},
+  },
+  'start-failed': {
+    number: 1002,
+    level: 'fatal',
+    message: 'The node could not start.',
+    fields: {error: 'what failed'},
+    remedy: 'Follow the remedy in the error, then start the node again.',
+  },
+  'shutdown-started': {
+    number: 1003,
+    level: 'info',
+    message: 'A graceful shutdown has begun; new requests are refused.',
+    fields: {
+      signal: 'the signal that asked for it',
+      requestsInFlight: 'requests that are still being served',
+      graceMs: 'how long they are given to end',
+    },
+  },
+  'shutdown-finished': {
+    number: 1004,
+    level: 'info',
+    message: 'The shutdown is complete; no request was cut off.',
+    fields: {durationMs: 'time since the shutdown began'},
+  },
+  'shutdown-cut-off': {
+    number: 1005,
+    level: 'error',
+    message: 'The shutdown grace ran out and requests were cut off.',
+    fields: {
+      requestsInFlight: 'requests that were cut off',
+      graceMs: 'the grace they were given',
+    },
+    remedy: 'Raise --shutdown-grace-ms above the longest deadline in use.',
+  },
+  'task-failed': {
+    number: 1006,
+    level: 'error',
+    message: 'A task failed and will be started again.',
+    fields: {
+      task: 'name of the task',
+      error: 'what failed',
+      restartInMs: 'when it starts again',
+    },
+    remedy: 'Report it with the log lines around it.',
+  },
+  'unexpected-error': {
+    number: 1007,
+    level: 'fatal',
+    message: 'An error reached the top of the process, which now exits.',
+    fields: {error: 'what failed'},
+    remedy: 'Report it with the log lines around it.',
+  },
+  'settings-loaded': {
+    number: 1100,
+    level: 'info',
+    message: 'The settings are valid.',
+    fields: {settings: 'every setting in force; secrets are redacted'},
+  },
+  'settings-rejected': {
+    number: 1101,
+    level: 'fatal',
+    message: 'The settings are not valid; the node does not start.',
+    fields: {faults: 'every fault, with its remedy'},
+    remedy: 'Correct all the faults listed, then start the node again.',
+  },
+} as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/packages/logger/src/events/request_events.ts
@@ -0,0 +1,107 @@
+/** Log events 4000 to 4399: what becomes of callers' requests. */
+import {type EventDefinition} from '../definition.js';
+
+export const REQUEST_EVENTS = {
+  'request-answered': {
+    number: 4000,
+    level: 'debug',
+    message: 'A request was answered in full.',
+    fields: {
+      requestId: 'the request',
+      model: 'the model or service it asked for',
+      durationMs: 'time since it arrived',
+    },
+  },
+  'request-refused': {
+    number: 4001,
+    level: 'info',
+    message: 'A request was refused.',
+    fields: {
+      requestId: 'the request',
+      model: 'the model or service it asked for',
+      error: 'why it was refused',
+    },
+  },
+  'request-late': {
+    number: 4002,
+    level: 'warn',
+    message: 'A request was neither answered nor refused by its deadline.',
+    fields: {
+      requestId: 'the request',
+      model: 'the model or service it asked for',
+      lateMs: 'time since its deadline',
+    },
+    remedy: 'Report it with the log lines around it.',
+  },
+  'backend-suspected': {
+    number: 4100,
+    level: 'warn',
+    message: 'A backend server failed and receives less work for a while.',
+    fields: {backendServerId: 'the backend server', error: 'what failed'},
+    remedy: 'Check the backend server.',
+  },
+  'backend-trusted': {
+    number: 4101,
+    level: 'info',
+    message: 'A backend server answers again and receives its share of work.',
+    fields: {backendServerId: 'the backend server'},
+  },
+  'retry-budget-spent': {
+    number: 4102,
+    level: 'warn',
+    message: 'No request is retried until the retry budget has recovered.',
+    fields: {pool: 'the pool of backend servers'},
+    remedy: 'Look for the backend servers that fail (event 4100).',
+  },
+  'answer-replayed': {
+    number: 4200,
+    level: 'debug',
+    message: 'A repeated idempotency key was given the answer already kept.',
+    fields: {requestId: 'the request that first used the key'},
+  },
+  'key-reused': {
+    number: 4201,
+    level: 'info',
+    message: 'An idempotency key came again with a different body.',
+    fields: {requestId: 'the request that first used the key'},
+  },
+  'outcome-unknown': {
+    number: 4202,
+    level: 'warn',
+    message: 'It is unknown whether a non-idempotent request ran.',
+    fields: {
+      requestId: 'the request',
+      backendServerId: 'the backend server it was handed to',
+      error: 'what failed',
+    },
+    remedy: 'Check at the backend server whether it ran.',
+  },
+  'stream-resumed': {
+    number: 4300,
+    level: 'info',
+    message: 'A caller has resumed the stream of an answer.',
+    fields: {
+      requestId: 'the request',
+      lastEventId: 'the last part that the caller had received',
+    },
+  },
+  'stream-broken': {
+    number: 4301,
+    level: 'warn',
+    message: 'The stream of an answer from a backend server broke.',
+    fields: {
+      requestId: 'the request',
+      backendServerId: 'the backend server',
+      error: 'what failed',
+    },
+  },
+  'stream-cancelled': {
+    number: 4302,
+    level: 'info',
+    message: 'A stream was cancelled since nobody reads it any more.',
+    fields: {
+      requestId: 'the request',
+      backendServerId: 'the backend server',
+    },
+  },
+} as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/packages/platform/src/http_platform.ts
@@ -0,0 +1,78 @@
+/** The host list and the weight store over HTTP. */
+import {type HostEntry} from '@mimosatack/types';
+import {z} from 'zod';
+import {exchangeJson} from './http_exchange.js';
+import {
+  type HostList,
+  type WeightStore,
+  type WeightStoreLimits,
+} from './interfaces.js';
+
+const name = z.string().min(1).max(128);
+
+const hostsAnswer = z.object({
+  hosts: z.array(
+    z.object({
+      hostId: name,
+      role: z.enum(['entry', 'runner', 'service']),
+      baseUrl: z.url(),
+      pool: name,
+      failureDomain: name,
+      region: name,
+      state: z.enum(['live', 'leaving']),
+    }),
+  ),
+});
+
+const limitsAnswer = z.object({
+  loadsPerSecond: z.number().positive(),
+  fullSpeedLoads: z.number().int().min(1),
+});
+
+/** Where a platform system is and who asks. */
+export interface HttpPlatformOptions {
+  baseUrl: string;
+  nodeId: string;
+  timeoutMs: number;
+}
+
+/** The platform's host list over HTTP. */
+export class HttpHostList implements HostList {
+  constructor(private readonly options: HttpPlatformOptions) {}
+
+  async listHosts(): Promise<HostEntry[]> {
+    const answer = await exchangeJson(
+      {
+        system: 'host list',
+        baseUrl: this.options.baseUrl,
+        path: '/v1/hosts',
+        method: 'GET',
+        headers: {'x-node-id': this.options.nodeId},
+        timeoutMs: this.options.timeoutMs,
+        unreachableKind: 'platform-unavailable',
+      },
+      hostsAnswer,
+    );
+    return answer.hosts;
+  }
+}
+
+/** The limits of the weight store over HTTP. */
+export class HttpWeightStore implements WeightStore {
+  constructor(private readonly options: HttpPlatformOptions) {}
+
+  readLimits(): Promise<WeightStoreLimits> {
+    return exchangeJson(
+      {
+        system: 'weight store',
+        baseUrl: this.options.baseUrl,
+        path: '/v1/weight-store',
+        method: 'GET',
+        headers: {'x-node-id': this.options.nodeId},
+        timeoutMs: this.options.timeoutMs,
+        unreachableKind: 'platform-unavailable',
+      },
+      limitsAnswer,
+    );
+  }
+}
--- /dev/null
+++ b/packages/settings/src/format_settings.ts
@@ -0,0 +1,123 @@
+/** Shows settings to people without giving away secrets. */
+import {type SettingValue, type SocketAddress} from './definition.js';
+import {
+  type DaemonSettings,
+  SETTING_GROUPS,
+  SETTING_NAMES,
+  type SettingName,
+  describeSetting,
+  toFlag,
+  toKey,
+  toVariable,
+} from './schema.js';
+
+const REDACTED = '(redacted)';
+const NOT_SET = '(not set)';
+
+/** The settings by name, as texts fit for logs; secrets are redacted. */
+export function redactSettings(
+  settings: DaemonSettings,
+): Record<SettingName, string> {
+  const entries = SETTING_NAMES.map(name => [
+    name,
+    formatValue(name, settings[toKey(name)]),
+  ]);
+  return Object.fromEntries(entries) as Record<SettingName, string>;
+}
+
+/** The settings, one a line as `name=value`; secrets are redacted. */
+export function formatSettings(settings: DaemonSettings): string {
+  return Object.entries(redactSettings(settings))
+    .map(([name, text]) => `${name}=${text}`)
+    .join('\n');
+}
+
+/** The help text of the daemon. */
+export function formatUsage(): string {
+  const lines = SETTING_NAMES.map(
+    name => `  ${toFlag(name)}\n      ${describeSetting(name).description}`,
+  );
+  const head = 'Usage: mimosatackd --name value ...';
+  const note = `Each flag can be given as an environment variable instead, such as ${toVariable('log-url')}.`;
+  return [head, '', note, '', ...lines, ''].join('\n');
+}
+
+const PAGE_INTRODUCTION = `# Settings of mimosatackd
+
+Each setting is given by a flag or by an environment variable; the flag wins,
+and an empty variable counts as not given. The daemon starts only when all
+settings are valid, and else tells all faults at once. Give secrets by
+environment variables: flags can be read by other users of the host.
+
+This page is written by \`npm run docs:settings\`; change
+\`packages/settings/src/groups\` instead.`;
+
+/** The text of docs/operators/settings.md. */
+export function formatSettingsAsMarkdown(): string {
+  const groups = SETTING_GROUPS.map(({title, names}) =>
+    [`## ${title}`, ...names.map(formatSection)].join('\n\n'),
+  );
+  return [PAGE_INTRODUCTION, ...groups].join('\n\n') + '\n';
+}
+
+function formatSection(name: SettingName): string {
+  const {description, secret} = describeSetting(name);
+  const items = [
+    `- Variable: \`${toVariable(name)}\``,
+    `- Value: ${describeValues(name)}`,
+    `- ${describePresence(name)}`,
+    ...(secret ? ['- Secret: never printed or logged'] : []),
+  ];
+  return [`### \`${toFlag(name)}\``, description, items.join('\n')].join(
+    '\n\n',
+  );
+}
+
+function describeValues(name: SettingName): string {
+  const definition = describeSetting(name);
+  switch (definition.type) {
+    case 'integer':
+      return `whole number from ${definition.min} to ${definition.max}`;
+    case 'fraction':
+      return `number from ${definition.min} to ${definition.max}`;
+    case 'text':
+      return `text of at least ${definition.minLength} characters`;
+    case 'choice':
+      return definition.choices.map(choice => `\`${choice}\``).join(', ');
+    case 'address-list':
+      return `IP addresses with ports, separated by \`${definition.separator}\``;
+    case 'name':
+      return 'up to 64 letters, digits, dots, hyphens and underscores';
+    case 'url':
+      return 'HTTP URL';
+    case 'ip-address':
+      return 'IP address';
+    case 'sha256-hex':
+      return '64 hexadecimal digits in lower case';
+  }
+}
+
+function describePresence(name: SettingName): string {
+  const definition = describeSetting(name);
+  if (definition.required) return 'Required';
+  if (definition.defaultFrom !== undefined) {
+    return `Default: the value of \`--${definition.defaultFrom}\``;
+  }
+  if (definition.default === undefined) return 'Optional';
+  return `Default: ${definition.default === '' ? 'none' : `\`${definition.default}\``}`;
+}
+
+function formatValue(
+  name: SettingName,
+  value: SettingValue | undefined,
+): string {
+  if (value === undefined) return NOT_SET;
+  if (describeSetting(name).secret) return REDACTED;
+  return typeof value === 'object'
+    ? value.map(formatAddress).join(',')
+    : String(value);
+}
+
+function formatAddress({host, port}: SocketAddress): string {
+  return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform/platform_core.ts
@@ -0,0 +1,86 @@
+/** The three platform services that run in one program. */
+import {type Clock, SystemClock} from '@mimosatack/clock';
+import {type ControlTarget} from '../shared/http_server.js';
+import {type JsonObject, badRequest} from '../shared/input.js';
+import {HostListStandIn} from './host_list.js';
+import {LogServiceStandIn} from './log_service.js';
+import {WeightStoreStandIn} from './weight_store.js';
+
+/** Settings of the platform stand-in; the flags have the same names. */
+export interface PlatformOptions {
+  port: number;
+  /** How many records each stream keeps. */
+  keepRecords: number;
+  hostListLagMs: number;
+  loadsPerSecond: number;
+  fullSpeedLoads: number;
+}
+
+/** Settings used where none are given. */
+export const DEFAULT_PLATFORM_OPTIONS: PlatformOptions = {
+  port: 0,
+  keepRecords: 1_000_000,
+  hostListLagMs: 0,
+  loadsPerSecond: 7.5,
+  fullSpeedLoads: 4,
+};
+
+/** Log service, host list and weight store side by side. */
+export class PlatformStandIn implements ControlTarget {
+  readonly log: LogServiceStandIn;
+  readonly hosts: HostListStandIn;
+  readonly weightStore: WeightStoreStandIn;
+
+  constructor(
+    options: PlatformOptions = DEFAULT_PLATFORM_OPTIONS,
+    readonly clock: Clock = new SystemClock(),
+  ) {
+    const {keepRecords, hostListLagMs, loadsPerSecond, fullSpeedLoads} =
+      options;
+    this.log = new LogServiceStandIn(clock, keepRecords);
+    this.hosts = new HostListStandIn(clock, hostListLagMs);
+    this.weightStore = new WeightStoreStandIn(clock, {
+      loadsPerSecond,
+      fullSpeedLoads,
+    });
+  }
+
+  observe(): object {
+    return {
+      log: this.log.observe(),
+      hosts: this.hosts.observe(),
+      weightStore: this.weightStore.observe(),
+    };
+  }
+
+  /** Takes `{"log":{…},"hosts":{…},"weightStore":{…}}`, each optional. */
+  setFaults(input: JsonObject): void {
+    Object.entries(input).forEach(([service, faults]) =>
+      this.findFaults(service).setFromJson(faults as JsonObject),
+    );
+    this.applyFaults();
+  }
+
+  reset(): void {
+    const services = [this.log, this.hosts, this.weightStore];
+    services.forEach(service => service.faults.clear());
+    services.forEach(service => service.resetObservation());
+    this.applyFaults();
+  }
+
+  /** Puts faults into force that were set on the parts directly. */
+  applyFaults(): void {
+    this.weightStore.applyFaults();
+    this.log.wakeReaders();
+  }
+
+  private findFaults(service: string) {
+    const found = {
+      log: this.log.faults,
+      hosts: this.hosts.faults,
+      weightStore: this.weightStore.faults,
+    }[service];
+    if (!found) throw badRequest(`There is no service ${service}.`);
+    return found;
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform/weight_store.ts
@@ -0,0 +1,91 @@
+/** The weight store without its HTTP server. */
+import {type Clock} from '@mimosatack/clock';
+import {type WeightStoreLimits} from '../shared/platform_types.js';
+import {type ModelRef, formatModelRef} from '@mimosatack/types';
+import {FaultSet} from '../shared/fault_set.js';
+import {NO_PLATFORM_FAULTS, type PlatformFaults} from './log_service.js';
+import {type Transfer, TransferModel} from './transfer_model.js';
+
+/** Faults of the weight store. */
+export interface WeightStoreFaults extends PlatformFaults {
+  /** How many times slower than usual transfers are, also those under way. */
+  slowdownFactor: number;
+}
+
+/** One transfer as it truly went. */
+export interface TransferObservation {
+  checkpoint: string;
+  nodeId: string | null;
+  startedMs: number;
+  endedMs: number | null;
+  status: 'active' | 'done' | 'cancelled';
+}
+
+/** What an engine asks for. */
+export interface FetchRequest {
+  ref: ModelRef;
+  sizeFactor: number;
+  nodeId: string | null;
+}
+
+/** A store that many engines load from at once. */
+export class WeightStoreStandIn {
+  readonly faults = new FaultSet<WeightStoreFaults>({
+    ...NO_PLATFORM_FAULTS,
+    slowdownFactor: 1,
+  });
+  private readonly model: TransferModel;
+  private transfers: TransferObservation[] = [];
+
+  constructor(
+    private readonly clock: Clock,
+    readonly limits: WeightStoreLimits,
+  ) {
+    this.model = new TransferModel(clock, limits);
+  }
+
+  /** Starts a transfer; `onDone` is not called when it is cancelled. */
+  fetch(request: FetchRequest, onDone: () => void): Transfer {
+    const observation: TransferObservation = {
+      checkpoint: formatModelRef(request.ref),
+      nodeId: request.nodeId,
+      startedMs: this.clock.wallMs(),
+      endedMs: null,
+      status: 'active',
+    };
+    this.transfers.push(observation);
+    const transfer = this.model.start(request.sizeFactor, () => {
+      this.end(observation, 'done');
+      onDone();
+    });
+    return {
+      cancel: () => {
+        transfer.cancel();
+        this.end(observation, 'cancelled');
+      },
+    };
+  }
+
+  /** Puts changed faults into force for the transfers under way. */
+  applyFaults(): void {
+    this.model.setSlowdown(this.faults.values.slowdownFactor);
+  }
+
+  observe(): {activeTransfers: number; transfers: TransferObservation[]} {
+    const {activeTransfers} = this.model;
+    return {activeTransfers, transfers: this.transfers};
+  }
+
+  resetObservation(): void {
+    this.transfers = this.transfers.filter(each => each.status === 'active');
+  }
+
+  private end(
+    observation: TransferObservation,
+    status: 'done' | 'cancelled',
+  ): void {
+    if (observation.status !== 'active') return;
+    observation.status = status;
+    observation.endedMs = this.clock.wallMs();
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/shared/input.ts
@@ -0,0 +1,69 @@
+/** Small checks for the JSON that callers and tests send. */
+import {HttpProblem} from './http_problem.js';
+
+/** A JSON object whose fields are not checked yet. */
+export type JsonObject = Readonly<Record<string, unknown>>;
+
+/** Parses a request body; an absent or empty one counts as `{}`. */
+export function parseJsonObject(body: unknown): JsonObject {
+  const text = Buffer.isBuffer(body) ? body.toString('utf8') : '';
+  const value = text === '' ? {} : parseJson(text);
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    throw badRequest('The body must be a JSON object.');
+  }
+  return value as JsonObject;
+}
+
+/** Reads a required string field. */
+export function readString(object: JsonObject, field: string): string {
+  const value = object[field];
+  if (typeof value !== 'string') throw badRequest(`${field} must be a string.`);
+  return value;
+}
+
+/** Reads a string field that may be null or left out. */
+export function readNullableString(
+  object: JsonObject,
+  field: string,
+): string | null {
+  return object[field] == null ? null : readString(object, field);
+}
+
+/** Reads a finite number, or `fallback` when the field is left out. */
+export function readNumber(
+  object: JsonObject,
+  field: string,
+  fallback?: number,
+): number {
+  const value = object[field] ?? fallback;
+  if (typeof value !== 'number' || !Number.isFinite(value)) {
+    throw badRequest(`${field} must be a number.`);
+  }
+  return value;
+}
+
+/** Reads a field that must hold one of the given words. */
+export function readChoice<T extends string>(
+  object: JsonObject,
+  field: string,
+  choices: readonly T[],
+): T {
+  const found = choices.find(choice => choice === object[field]);
+  if (found === undefined) {
+    throw badRequest(`${field} must be one of ${choices.join(', ')}.`);
+  }
+  return found;
+}
+
+/** The error for input that does not fit. */
+export function badRequest(message: string): HttpProblem {
+  return new HttpProblem(400, 'bad-request', message);
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    throw badRequest('The body must be JSON.');
+  }
+}
--- /dev/null
+++ b/packages/tasks/src/index.ts
@@ -0,0 +1,2 @@
+export {type Periodic, startPeriodic} from './periodic.js';
+export {Task, type TaskErrorHandler} from './task.js';
