Serve a request from end to end through separate processes

A template and an event published through the tool make the planner decide replicas, the stewards stage and load them, and the callers' interface routes to them.

--- /dev/null
+++ b/.ci/summarize_main.js
@@ -0,0 +1,34 @@
+/**
+ * Prints the summary of a test run, `N passed, N failed` on its last line.
+ *
+ * Usage: summarize_main.js OUTPUT_FILE EXIT_CODE_OF_TESTS [FAILED_STEP...]
+ */
+import {existsSync, readFileSync, readdirSync} from 'node:fs';
+import {summarize} from './summary.js';
+
+const [outputPath, status, ...failedSteps] = process.argv.slice(2);
+
+const {passed, failed, notes} = summarize({
+  output: readFileSync(outputPath, 'utf8'),
+  status: Number(status),
+  testFiles: listTestFiles(),
+  knownRedText: existsSync('KNOWN-RED.txt')
+    ? readFileSync('KNOWN-RED.txt', 'utf8')
+    : '',
+  failedSteps,
+});
+
+console.log(['== summary', ...notes].join('\n'));
+console.log(`${passed} passed, ${failed} failed`);
+process.exitCode = failed === 0 ? 0 : 1;
+
+/** The built files that uvu should run, as it names them. */
+function listTestFiles() {
+  return readdirSync('packages').flatMap(name => {
+    const directory = `packages/${name}/src`;
+    if (!existsSync(directory)) return [];
+    return readdirSync(directory, {recursive: true})
+      .filter(file => file.endsWith('.test.ts'))
+      .map(file => `${name}/dist/${file.replace(/\.ts$/, '.js')}`);
+  });
+}
--- a/packages/agreed-state/src/index.ts
+++ b/packages/agreed-state/src/index.ts
@@ -31,6 +31,8 @@
   type Slot,
   formatPurpose,
   holdsFromMs,
+  isServing,
+  listSlotHolds,
 } from './placement/slot.js';
 export {
   type BackendServer,
--- a/packages/agreed-state/src/placement/placement.ts
+++ b/packages/agreed-state/src/placement/placement.ts
@@ -9,7 +9,7 @@
 import {type Outcome, VALID, makeVoid} from '../outcome.js';
 import {type Stewardship} from '../stewardship/stewardship.js';
 import {type MemoryHold, findPeakMib} from './memory_profile.js';
-import {type Slot, formatPurpose, holdsFromMs} from './slot.js';
+import {type Slot, formatPurpose, holdsFromMs, listSlotHolds} from './slot.js';
 
 /** How many plans were accepted for one purpose. */
 interface PlanCount {
@@ -91,13 +91,17 @@
 
   /** The memory that is spoken for on a backend server, over time. */
   listHolds(backendServerId: string): MemoryHold[] {
-    return this.listOn(backendServerId).map(slot => ({
-      fromMs: holdsFromMs(slot),
-      untilMs: this.stewardship.isInDoubt(backendServerId, slot.slotId)
-        ? Infinity
-        : slot.untilMs,
-      memoryMib: slot.memoryMib,
-    }));
+    return this.listOn(backendServerId).flatMap(slot =>
+      this.stewardship.isInDoubt(backendServerId, slot.slotId)
+        ? [
+            {
+              fromMs: holdsFromMs(slot),
+              untilMs: Infinity,
+              memoryMib: slot.memoryMib,
+            },
+          ]
+        : listSlotHolds(slot),
+    );
   }
 
   decide(body: BodyOf<'decide-slots'>, sequence: number): Outcome {
@@ -147,16 +151,19 @@
     if (slots.some(slot => !slot || slot.status === 'ending')) {
       return makeVoid('unknown-reference', 'A slot is gone or ending.');
     }
-    const extensions = (slots as Slot[])
-      .filter(slot => slot.untilMs < body.untilMs)
-      .map(slot => ({slot, hold: {...slot, loadAtMs: slot.untilMs}}));
-    const fault = extensions
-      .map(({hold}) =>
-        this.checkMemory([{...hold, stageAtMs: null, untilMs: body.untilMs}]),
-      )
-      .find(outcome => outcome !== null);
+    const extended = (slots as Slot[]).filter(
+      slot => slot.untilMs < body.untilMs,
+    );
+    const fault = this.checkMemory(
+      extended.map(slot => ({
+        ...slot,
+        stage: null,
+        loadAtMs: slot.untilMs,
+        untilMs: body.untilMs,
+      })),
+    );
     if (fault) return fault;
-    extensions.forEach(({slot}) => {
+    extended.forEach(slot => {
       slot.untilMs = body.untilMs;
     });
     return VALID;
@@ -242,7 +249,7 @@
     if (plan.untilMs <= plan.loadAtMs) {
       return `Slot ${plan.slotId} ends before it is loaded.`;
     }
-    if (plan.stageAtMs !== null && plan.stageAtMs >= plan.loadAtMs) {
+    if (plan.stage && plan.stage.untilMs > plan.loadAtMs) {
       return `Slot ${plan.slotId} is staged after it is loaded.`;
     }
     const server = this.stewardship.findBackendServer(plan.backendServerId);
@@ -311,10 +318,12 @@
   private checkMemory(plans: readonly SlotPlan[]): Outcome | null {
     const overcommitted = plans.find(plan => {
       const server = this.stewardship.findBackendServer(plan.backendServerId);
-      const planned = plans
-        .filter(other => other.backendServerId === plan.backendServerId)
-        .map(other => ({...other, fromMs: holdsFromMs(other)}));
-      const holds = [...this.listHolds(plan.backendServerId), ...planned];
+      const holds = [
+        ...this.listHolds(plan.backendServerId),
+        ...plans
+          .filter(other => other.backendServerId === plan.backendServerId)
+          .flatMap(listSlotHolds),
+      ];
       const peakMib = findPeakMib(holds, holdsFromMs(plan), plan.untilMs);
       return peakMib > (server?.memoryMib ?? 0);
     });
--- a/packages/agreed-state/src/placement/slot.ts
+++ b/packages/agreed-state/src/placement/slot.ts
@@ -1,5 +1,6 @@
 /** A decided replica: one model on one backend server for one purpose. */
 import {type SlotPlan, type SlotPurpose} from '@mimosatack/records';
+import {type MemoryHold} from './memory_profile.js';
 
 /**
  * `decided`: may be loaded from its load time on. `ending`: is to be unloaded
@@ -27,7 +28,21 @@
     : `demand ${purpose.model}`;
 }
 
-/** When a slot begins to hold accelerator memory. */
+/** Whether requests may be sent to a slot's replica once it is warm. */
+export function isServing(slot: Slot, nowMs: number): boolean {
+  return (
+    slot.status === 'decided' && nowMs >= slot.loadAtMs && nowMs < slot.untilMs
+  );
+}
+
+/** When a slot first holds accelerator memory. */
 export function holdsFromMs(slot: SlotPlan): number {
-  return Math.min(slot.stageAtMs ?? slot.loadAtMs, slot.loadAtMs);
+  return slot.stage?.fromMs ?? slot.loadAtMs;
+}
+
+/** The stretches of time in which a slot holds accelerator memory. */
+export function listSlotHolds(slot: SlotPlan): MemoryHold[] {
+  const {memoryMib} = slot;
+  const loaded = {fromMs: slot.loadAtMs, untilMs: slot.untilMs, memoryMib};
+  return slot.stage ? [{...slot.stage, memoryMib}, loaded] : [loaded];
 }
--- /dev/null
+++ b/packages/dispatch-requests/src/index.ts
@@ -0,0 +1,5 @@
+export {
+  type OwnConnectionAnswer,
+  type OwnConnectionRequest,
+  sendOnce,
+} from './own_connection.js';
--- /dev/null
+++ b/packages/engine-board/src/index.ts
@@ -0,0 +1,5 @@
+export {
+  type BackendReport,
+  EngineBoard,
+  type WarmReplica,
+} from './engine_board.js';
--- /dev/null
+++ b/packages/errors/src/errors.test.ts
@@ -0,0 +1,70 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  ERROR_KINDS,
+  TypedError,
+  describeKind,
+  formatErrorBody,
+  toTypedError,
+} from './index.js';
+
+const errors = suite('typed errors');
+
+errors('every kind names a remedy and an HTTP error status', () => {
+  ERROR_KINDS.forEach(kind => {
+    const {remedy, httpStatus} = describeKind(kind);
+    assert.match(remedy, /\.$/, kind);
+    assert.ok(httpStatus >= 400 && httpStatus < 600, kind);
+  });
+});
+
+errors("the kind's remedy is told unless the error names its own", () => {
+  const general = new TypedError('conflict', 'Version 3 is gone.');
+  const own = new TypedError('conflict', 'Gone.', {remedy: 'Use version 4.'});
+  assert.is(general.remedy, describeKind('conflict').remedy);
+  assert.is(own.remedy, 'Use version 4.');
+  assert.is(general.name, 'conflict');
+});
+
+errors('the message ends with the message of the cause', () => {
+  const cause = new Error('connection reset');
+  const error = new TypedError('backend-failed', 'No answer', {cause});
+  assert.is(error.message, 'No answer: connection reset');
+  assert.is(error.summary, 'No answer');
+});
+
+errors('a percent sign in the summary stays as it is', () => {
+  assert.is(new TypedError('overloaded', '90%s full').message, '90%s full');
+});
+
+errors('withRun keeps everything else', () => {
+  const details = {retryAfterMs: 50, info: {pool: 'sage-llm'}};
+  const error = new TypedError('overloaded', 'Full.', details);
+  const told = error.withRun('not-run');
+  assert.is(told.run, 'not-run');
+  assert.is(error.run, undefined);
+  assert.equal(formatErrorBody(told), {
+    error: {
+      kind: 'overloaded',
+      message: 'Full.',
+      remedy: describeKind('overloaded').remedy,
+      run: 'not-run',
+      retryAfterMs: 50,
+      info: {pool: 'sage-llm'},
+    },
+  });
+});
+
+errors('toTypedError leaves typed errors and makes others internal', () => {
+  const error = new TypedError('trimmed', 'Too old.');
+  assert.is(toTypedError(error), error);
+  assert.is(toTypedError('boom').kind, 'internal');
+});
+
+errors('toTypedError tells the message once', () => {
+  const message = 'Something unexpected failed: boom';
+  assert.is(toTypedError(new Error('boom')).message, message);
+  assert.is(toTypedError('boom').message, message);
+});
+
+errors.run();
--- a/packages/errors/src/typed_error.ts
+++ b/packages/errors/src/typed_error.ts
@@ -1,4 +1,4 @@
-import {VError} from 'verror';
+import VError from 'verror';
 import {type ErrorKind, type RunOutcome, describeKind} from './kinds.js';
 
 /** What the place that raises an error may say beyond its kind. */
@@ -58,7 +58,7 @@
 export function toTypedError(thrown: unknown): TypedError {
   if (thrown instanceof TypedError) return thrown;
   const cause = thrown instanceof Error ? thrown : new Error(String(thrown));
-  return new TypedError('internal', cause.message, {cause});
+  return new TypedError('internal', 'Something unexpected failed', {cause});
 }
 
 /** The JSON body in which an error is told. */
--- a/packages/logger/src/bunyan_event_logger.ts
+++ b/packages/logger/src/bunyan_event_logger.ts
@@ -62,5 +62,8 @@
   if (!(value instanceof TypedError)) return {message, stack};
   const {kind, remedy, run, details} = value;
   const base = {kind, message, remedy, run, info: details.info};
-  return kind === 'internal' ? {...base, stack} : base;
+  // An internal error only wraps the one whose stack leads to the fault.
+  return kind === 'internal'
+    ? {...base, stack: details.cause?.stack ?? stack}
+    : base;
 }
--- a/packages/logger/src/logger.test.ts
+++ b/packages/logger/src/logger.test.ts
@@ -95,6 +95,15 @@
   });
 });
 
+loggers('an internal error is told with the stack of its cause', () => {
+  const {logger, readLines} = createLogger('debug');
+  const cause = new Error('boom');
+  const error = new TypedError('internal', 'Failed', {cause});
+  logger.log('unexpected-error', {error});
+  const told = readLines()[0]?.error as {stack: string};
+  assert.is(told.stack, cause.stack);
+});
+
 loggers('the memory logger gives back the fields by event', () => {
   const logger = new MemoryEventLogger();
   logger.log('node-ready', {startupMs: 12});
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,1 @@
+export {MimosatackNode, type NodeAddresses, type NodeOptions} from './node.js';
--- /dev/null
+++ b/packages/node/src/peer_messages.ts
@@ -0,0 +1,69 @@
+/** What nodes say to each other; every message is checked on arrival. */
+import {membershipMessageSchema} from '@mimosatack/membership';
+import {z} from 'zod';
+
+const bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array);
+const offset = z.number().int().min(0);
+const name = z.string().min(1).max(256);
+
+const loadSchema = z.object({
+  runningRequests: z.number(),
+  queuedRequests: z.number(),
+  maxRunningRequests: z.number(),
+  tokensPerSecond: z.number(),
+  ageMs: z.number(),
+});
+
+const modelRefShape = {model: name, adapter: name.nullable(), version: name};
+
+const engineSchema = z.object({
+  backendServerId: name,
+  incarnation: name,
+  fencing: z.enum(['refuses-old', 'ignores']),
+  highestFencingNumber: z.number(),
+  accelerators: z.number(),
+  memoryMib: z.number(),
+  replicas: z.array(
+    z.object({
+      ...modelRefShape,
+      slotId: name,
+      memoryMib: z.number(),
+      status: z.enum(['loading', 'warm', 'unloading']),
+      loadMs: z.number(),
+      activeRequests: z.number(),
+    }),
+  ),
+  cached: z.array(
+    z.object({...modelRefShape, tier: z.enum(['memory', 'disk'])}),
+  ),
+  load: loadSchema,
+});
+
+export const backendReportSchema = z.object({
+  backendServerId: name,
+  reportedAtMs: z.number(),
+  engine: engineSchema.nullable(),
+  load: loadSchema,
+  isReachable: z.boolean(),
+});
+
+export const peerMessageSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('membership'),
+    message: membershipMessageSchema,
+    /** How far the sender has folded the log. */
+    nextOffset: offset,
+  }),
+  z.object({type: z.literal('pull-appends'), from: offset}),
+  z.object({
+    type: z.literal('appends'),
+    records: z.array(z.object({offset, data: bytes})),
+  }),
+  z.object({type: z.literal('pull-state')}),
+  z.object({type: z.literal('state'), data: bytes.nullable()}),
+  z.object({type: z.literal('report'), report: backendReportSchema}),
+  z.object({type: z.literal('demand'), model: name}),
+]);
+
+/** One message between nodes. */
+export type PeerMessage = z.infer<typeof peerMessageSchema>;
--- /dev/null
+++ b/packages/node/src/peer_task.ts
@@ -0,0 +1,206 @@
+/**
+ * Talks to the other nodes: membership, reports on backend servers, and
+ * appends for nodes that can't read the log themselves.
+ */
+import {AgreedState} from '@mimosatack/agreed-state';
+import {type Clock} from '@mimosatack/clock';
+import {type BackendReport, type EngineBoard} from '@mimosatack/engine-board';
+import {type TypedError} from '@mimosatack/errors';
+import {type LogFollower, type LogSource} from '@mimosatack/follow-log';
+import {
+  type Member,
+  type MemberInfo,
+  Membership,
+  type OutgoingMessage,
+} from '@mimosatack/membership';
+import {PeerTransport} from '@mimosatack/peer-transport';
+import {type LogRecord} from '@mimosatack/platform';
+import {type RandomSource, pickOne} from '@mimosatack/random';
+import {type Periodic, startPeriodic} from '@mimosatack/tasks';
+import {type LogOffset} from '@mimosatack/types';
+import {type PeerMessage, peerMessageSchema} from './peer_messages.js';
+
+/** What the task needs of the node. */
+export interface PeerTaskOptions {
+  clock: Clock;
+  random: RandomSource;
+  follower: LogFollower;
+  board: EngineBoard;
+  nodeName: string;
+  listenHost: string;
+  listenPort: number;
+  /** The host that peers reach this node at. */
+  advertiseHost: string;
+  clusterSecret: string;
+  seeds: readonly string[];
+  onDemand(model: string): void;
+  onFault(error: TypedError): void;
+}
+
+const TICK_MS = 100;
+const MAX_CONNECTIONS = 64;
+const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
+const REQUEST_TIMEOUT_MS = 3_000;
+const PULL_LIMIT = 200;
+
+/** The task that owns the connections to the other nodes. */
+export class PeerTask implements LogSource {
+  private readonly transport: PeerTransport<PeerMessage>;
+  private readonly nextOffsets = new Map<string, LogOffset>();
+  private membership: Membership | null = null;
+  private ticking: Periodic | null = null;
+
+  constructor(private readonly options: PeerTaskOptions) {
+    this.transport = new PeerTransport<PeerMessage>({
+      nodeName: options.nodeName,
+      listenHost: options.listenHost,
+      selfAddress:
+        options.listenPort === 0
+          ? undefined
+          : `${options.advertiseHost}:${options.listenPort}`,
+      listenPort: options.listenPort,
+      clusterSecret: options.clusterSecret,
+      clock: options.clock,
+      maxConnections: MAX_CONNECTIONS,
+      maxMessageBytes: MAX_MESSAGE_BYTES,
+      requestTimeoutMs: REQUEST_TIMEOUT_MS,
+      schema: peerMessageSchema,
+      onMessage: (from, message) => this.receive(from.address, message),
+      onFault: error => options.onFault(error),
+    });
+  }
+
+  /** Opens the port; the address goes into `MemberInfo`. */
+  async listen(): Promise<{port: number}> {
+    return this.transport.start();
+  }
+
+  join(self: MemberInfo): void {
+    const {clock, random, seeds} = this.options;
+    this.membership = new Membership(self, {}, random);
+    this.sendAll(this.membership.join(seeds, clock.monotonicMs()));
+    this.ticking = startPeriodic(clock, TICK_MS, () => {
+      this.sendAll(this.membership?.tick(clock.monotonicMs()) ?? []);
+    });
+  }
+
+  async stop(): Promise<void> {
+    this.ticking?.stop();
+    await this.transport.stop();
+  }
+
+  listMembers(): Member[] {
+    return this.membership?.list() ?? [];
+  }
+
+  listUsable(): Member[] {
+    return this.membership?.listUsable() ?? [];
+  }
+
+  findNextOffset(peerAddress: string): LogOffset | null {
+    return this.nextOffsets.get(peerAddress) ?? null;
+  }
+
+  leave(): void {
+    this.sendAll(
+      this.membership?.leave(this.options.clock.monotonicMs()) ?? [],
+    );
+  }
+
+  /** Tells every other node of a report that this node read itself. */
+  broadcastReport(report: BackendReport): void {
+    this.listPeers().forEach(peer =>
+      this.transport.send(peer.peerAddress, {type: 'report', report}),
+    );
+  }
+
+  sendDemand(nodeName: string, model: string): void {
+    const peer = this.listPeers().find(other => other.nodeName === nodeName);
+    if (peer) this.transport.send(peer.peerAddress, {type: 'demand', model});
+  }
+
+  async pullAppends(from: LogOffset): Promise<LogRecord[]> {
+    const peer = pickOne(
+      this.options.random,
+      this.listPeers().filter(
+        other => (this.nextOffsets.get(other.peerAddress) ?? 0) > from,
+      ),
+    );
+    if (!peer) return [];
+    try {
+      const reply = await this.transport.request(peer.peerAddress, {
+        type: 'pull-appends',
+        from,
+      });
+      return reply.type === 'appends' ? reply.records : [];
+    } catch {
+      return [];
+    }
+  }
+
+  async pullState(): Promise<AgreedState | null> {
+    const peer = pickOne(this.options.random, this.listPeers());
+    if (!peer) return null;
+    try {
+      const reply = await this.transport.request(peer.peerAddress, {
+        type: 'pull-state',
+      });
+      return reply.type === 'state' && reply.data
+        ? AgreedState.fromBytes(reply.data)
+        : null;
+    } catch {
+      return null;
+    }
+  }
+
+  private listPeers(): Member[] {
+    return this.listUsable().filter(
+      member => member.nodeName !== this.options.nodeName,
+    );
+  }
+
+  private sendAll(messages: readonly OutgoingMessage[]): void {
+    const {nextOffset} = this.options.follower.state;
+    messages.forEach(({toAddress, message}) =>
+      this.transport.send(toAddress, {
+        type: 'membership',
+        message,
+        nextOffset,
+      }),
+    );
+  }
+
+  private receive(
+    fromAddress: string,
+    message: PeerMessage,
+  ): PeerMessage | void {
+    switch (message.type) {
+      case 'membership':
+        this.nextOffsets.set(fromAddress, message.nextOffset);
+        this.sendAll(
+          this.membership?.receive(
+            fromAddress,
+            message.message,
+            this.options.clock.monotonicMs(),
+          ) ?? [],
+        );
+        return;
+      case 'pull-appends':
+        return {
+          type: 'appends',
+          records: this.options.follower.listAppends(message.from, PULL_LIMIT),
+        };
+      case 'pull-state':
+        return {type: 'state', data: this.options.follower.state.toBytes()};
+      case 'report':
+        this.options.board.note(message.report);
+        return;
+      case 'demand':
+        this.options.onDemand(message.model);
+        return;
+      case 'appends':
+      case 'state':
+        return;
+    }
+  }
+}
--- a/packages/peer-transport/src/index.ts
+++ b/packages/peer-transport/src/index.ts
@@ -1,1 +1,7 @@
-export {};
+export {
+  PEER_UNREACHABLE,
+  type PeerCounters,
+  type PeerOrigin,
+  type PeerTransportOptions,
+} from './options.js';
+export {PeerTransport} from './peer_transport.js';
--- /dev/null
+++ b/packages/peer-transport/src/peer_server.ts
@@ -0,0 +1,88 @@
+/** Takes the connections of peers that prove who they are. */
+import {
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+  createServer,
+} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {type Duplex} from 'node:stream';
+import {type TypedError, toTypedError} from '@mimosatack/errors';
+import {type WebSocket, WebSocketServer} from 'ws';
+import {type ConnectionVerifier, writeNodeName} from './authentication.js';
+import {type PeerOrigin} from './options.js';
+
+/** What a server is built from. */
+export interface PeerServerOptions {
+  listenHost: string;
+  listenPort: number;
+  nodeName: string;
+  maxMessageBytes: number;
+  verifier: ConnectionVerifier;
+  onConnection(peer: PeerOrigin, socket: WebSocket): void;
+  onFault(error: TypedError): void;
+}
+
+const STATUS_UPGRADE_REQUIRED = 426;
+const UNAUTHORIZED_RESPONSE =
+  'HTTP/1.1 401 Unauthorized\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+
+/** Owns the listening socket. */
+export class PeerServer {
+  private readonly httpServer: Server;
+  private readonly webSocketServer: WebSocketServer;
+
+  constructor(private readonly options: PeerServerOptions) {
+    this.httpServer = createServer(refusePlainRequest);
+    this.webSocketServer = new WebSocketServer({
+      noServer: true,
+      maxPayload: options.maxMessageBytes,
+      perMessageDeflate: false,
+    });
+    const [nameHeader] = Object.entries(writeNodeName(options.nodeName));
+    this.webSocketServer.on('headers', headers =>
+      headers.push(nameHeader!.join(': ')),
+    );
+    this.httpServer.on('upgrade', (request, socket, head) =>
+      this.upgrade(request, socket, head),
+    );
+  }
+
+  /** Listens; resolves with the port. */
+  start(): Promise<number> {
+    const {listenHost, listenPort} = this.options;
+    return new Promise((resolve, reject) => {
+      this.httpServer.once('error', reject);
+      this.httpServer.listen(listenPort, listenHost, () => {
+        this.httpServer.off('error', reject);
+        resolve((this.httpServer.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Stops to listen; open connections are the transport's to close. */
+  stop(): Promise<void> {
+    return new Promise(resolve => {
+      this.httpServer.close(() => resolve());
+      this.httpServer.closeAllConnections();
+    });
+  }
+
+  private upgrade(request: IncomingMessage, socket: Duplex, head: Buffer) {
+    /** Without a listener, a reset by the peer would end the process. */
+    socket.on('error', () => socket.destroy());
+    try {
+      const peer = this.options.verifier.verify(request.headers);
+      this.webSocketServer.handleUpgrade(request, socket, head, webSocket =>
+        this.options.onConnection(peer, webSocket),
+      );
+    } catch (thrown) {
+      socket.end(UNAUTHORIZED_RESPONSE);
+      this.options.onFault(toTypedError(thrown));
+    }
+  }
+}
+
+function refusePlainRequest(_: IncomingMessage, response: ServerResponse) {
+  response.writeHead(STATUS_UPGRADE_REQUIRED).end();
+}
--- a/packages/platform/src/http_backend.ts
+++ b/packages/platform/src/http_backend.ts
@@ -40,6 +40,7 @@
       memoryMib: count,
       status: z.enum(['loading', 'warm', 'unloading']),
       loadMs: count,
+      activeRequests: count,
     }),
   ),
   cached: z.array(
--- a/packages/platform/src/http_log_service.ts
+++ b/packages/platform/src/http_log_service.ts
@@ -36,7 +36,7 @@
     const answer = await exchangeJson(
       {
         ...this.base(),
-        path: `/v1/streams/${stream}/records`,
+        path: `/v1/streams/${encodeURIComponent(stream)}/records`,
         method: 'POST',
         body: data,
         contentType: 'application/octet-stream',
@@ -51,7 +51,7 @@
     const page = await exchangeJson(
       {
         ...this.base(),
-        path: `/v1/streams/${request.stream}/records?${query}`,
+        path: `/v1/streams/${encodeURIComponent(request.stream)}/records?${query}`,
         method: 'GET',
         timeoutMs: this.options.timeoutMs + request.waitMs,
         signal: request.signal,
--- a/packages/records/src/record_schema.ts
+++ b/packages/records/src/record_schema.ts
@@ -66,10 +66,15 @@
   adapters: z.array(name).max(64),
   backendServerId: name,
   memoryMib,
-  /** When the checkpoint is loaded once and unloaded to fill near caches. */
-  stageAtMs: timeMs.nullable(),
+  /**
+   * When the model is loaded once and unloaded again, so that its checkpoint
+   * lies in a near cache before it is needed; null to leave that out.
+   */
+  stage: z.object({fromMs: timeMs, untilMs: timeMs}).nullable(),
   /** When the load that makes the replica warm begins. */
   loadAtMs: timeMs,
+  /** How long the transfer from the weight store is expected to take. */
+  storeMs: z.number().min(0),
   /** When the replica is unloaded again. */
   untilMs: timeMs,
   /** The lost slot that this one stands in for, if any. */
--- /dev/null
+++ b/packages/route-requests/src/index.ts
@@ -0,0 +1,1 @@
+export {type RouteRequest, Router} from './router.js';
--- a/packages/settings/src/parse_settings.ts
+++ b/packages/settings/src/parse_settings.ts
@@ -59,8 +59,11 @@
   const source = findText(name, given);
   if (!source) return definition.required ? lacksSetting(name) : {name};
   const result = createReader(definition).read(source.text);
-  return 'value' in result
-    ? {name, value: result.value}
+  if ('value' in result) return {name, value: result.value};
+  // A value taken from another setting is told as that setting's fault only.
+  const isInherited = !given.has(name) && definition.defaultFrom !== undefined;
+  return isInherited
+    ? {name}
     : {name, fault: describeRejection(name, source, result.rejection)};
 }
 
--- a/packages/settings/src/sources.ts
+++ b/packages/settings/src/sources.ts
@@ -5,6 +5,7 @@
 import {
   SETTING_NAMES,
   type SettingName,
+  describeSetting,
   isOwnVariable,
   toFlag,
   toVariable,
@@ -90,8 +91,16 @@
   ];
 }
 
+/** A secret may begin with hyphens, and would be printed as unknown flag. */
 function hasSwallowedFlag(option: OptionToken): boolean {
-  return option.inlineValue === false && option.value.startsWith('--');
+  if (option.inlineValue !== false) return false;
+  if (!option.value.startsWith('--')) return false;
+  const [name = ''] = option.value.slice(2).split('=');
+  return isSettingName(name) || !isSecret(option.name);
+}
+
+function isSecret(name: string): boolean {
+  return isSettingName(name) && describeSetting(name).secret === true;
 }
 
 function isSettingName(name: string): name is SettingName {
--- a/packages/stand-ins/src/engine/checkpoint_source.ts
+++ b/packages/stand-ins/src/engine/checkpoint_source.ts
@@ -53,13 +53,19 @@
 
   private async tryFetch(body: string, signal: AbortSignal): Promise<boolean> {
     try {
-      const answer = await request(`${this.platformUrl}/v1/weight-store/fetch`, {
-        method: 'POST',
-        headers: {'content-type': 'application/json', 'x-node-id': this.nodeId},
-        body,
-        signal,
-        dispatcher: this.agent,
-      });
+      const answer = await request(
+        `${this.platformUrl}/v1/weight-store/fetch`,
+        {
+          method: 'POST',
+          headers: {
+            'content-type': 'application/json',
+            'x-node-id': this.nodeId,
+          },
+          body,
+          signal,
+          dispatcher: this.agent,
+        },
+      );
       await answer.body.dump();
       return answer.statusCode === 200;
     } catch {
--- a/packages/stand-ins/src/engine/completion.ts
+++ b/packages/stand-ins/src/engine/completion.ts
@@ -72,7 +72,8 @@
     model: readString(body, 'model'),
     prompt: body['prompt'],
     messages: body['messages'],
-    max_tokens: body['max_tokens'] == null ? null : readNumber(body, 'max_tokens'),
+    max_tokens:
+      body['max_tokens'] == null ? null : readNumber(body, 'max_tokens'),
   };
 }
 
--- a/packages/stand-ins/src/engine/engine_observer.ts
+++ b/packages/stand-ins/src/engine/engine_observer.ts
@@ -1,7 +1,7 @@
 /** What truly happened on one engine, for tests to judge the system by. */
 import {type Clock} from '@mimosatack/clock';
+import {type EngineOrder} from '@mimosatack/platform';
 import {type CacheTier, type SlotId} from '@mimosatack/types';
-import {type EngineOrder} from '../shared/platform_types.js';
 
 /** One order as it arrived. */
 export interface OrderObservation {
--- a/packages/stand-ins/src/engine/engine_options.ts
+++ b/packages/stand-ins/src/engine/engine_options.ts
@@ -1,18 +1,10 @@
 /** Settings and faults of the model engine stand-in. */
 import {type FencingSupport} from '@mimosatack/types';
+import {type BackendOptions} from '../shared/backend_server.js';
 import {type WorkFaults} from '../shared/http_server.js';
 
 /** Settings of one engine; the flags have the same names. */
-export interface EngineOptions {
-  port: number;
-  backendServerId: string;
-  /** The backend server's id when left empty. */
-  hostId: string;
-  pool: string;
-  failureDomain: string;
-  region: string;
-  /** Base URL of the platform stand-in; empty: no store and no host list. */
-  platform: string;
+export interface EngineOptions extends BackendOptions {
   fencing: FencingSupport;
   accelerators: number;
   memoryMib: number;
--- a/packages/stand-ins/src/engine/replica_table.ts
+++ b/packages/stand-ins/src/engine/replica_table.ts
@@ -1,15 +1,16 @@
 /** The replicas of one engine: loading, warm, unloading. */
 import {type Clock} from '@mimosatack/clock';
+import {type EngineOrder} from '@mimosatack/platform';
 import {
   type CacheTier,
   type LoadedReplica,
+  type ModelRef,
   type SlotId,
   formatModelRef,
 } from '@mimosatack/types';
 import {type Transfer} from '../platform/transfer_model.js';
 import {type FreezeGate} from '../shared/freeze_gate.js';
 import {HttpProblem} from '../shared/http_problem.js';
-import {type LoadOrder} from '../shared/platform_types.js';
 import {type CheckpointCache} from './checkpoint_cache.js';
 import {type CheckpointSource} from './checkpoint_source.js';
 import {
@@ -18,8 +19,14 @@
 } from './engine_observer.js';
 import {type EngineOptions} from './engine_options.js';
 
+/** An order to load a replica. */
+export type LoadOrder = Extract<EngineOrder, {order: 'load'}>;
+
+/** A replica without the requests on it, which the batch knows. */
+export type ReplicaSummary = Omit<LoadedReplica, 'activeRequests'>;
+
 /** One replica as the engine keeps it. */
-export interface Replica extends LoadedReplica {
+export interface Replica extends ReplicaSummary {
   runningRequests: number;
   observation: ReplicaObservation;
 }
@@ -30,8 +37,6 @@
   idleSinceMs: number | null;
   /** The step of loading or unloading that is under way. */
   step: Transfer | undefined;
-  /** A load order that came while the replica was still being unloaded. */
-  reload: LoadOrder | undefined;
 }
 
 /** What a replica table works with. */
@@ -52,7 +57,7 @@
 
   constructor(private readonly parts: ReplicaTableParts) {}
 
-  list(): LoadedReplica[] {
+  list(): ReplicaSummary[] {
     return [...this.entries.values()].map(entry => {
       const {slotId, model, adapter, version} = entry;
       const {memoryMib, status, loadMs} = entry;
@@ -61,7 +66,7 @@
   }
 
   /** The replicas of `name` or `name:adapter` with the given status. */
-  find(name: string, status: LoadedReplica['status']): Replica[] {
+  find(name: string, status: ReplicaSummary['status']): Replica[] {
     return [...this.entries.values()].filter(
       entry => entry.status === status && formatRequestModel(entry) === name,
     );
@@ -70,10 +75,11 @@
   /** Carries a load order out; throws `out-of-memory`. */
   load(order: LoadOrder): void {
     const present = this.entries.get(order.slotId);
-    if (present) {
-      if (present.status === 'unloading') present.reload = order;
-      return;
+    if (present?.status === 'unloading') {
+      const message = `${order.slotId} still holds its memory.`;
+      throw new HttpProblem(409, 'out-of-memory', message);
     }
+    if (present) return;
     const {memoryMib, checksMemory} = this.parts.options;
     const usedMib = this.usedMib() + order.memoryMib;
     if (checksMemory && usedMib > memoryMib) {
@@ -115,19 +121,19 @@
     }, 0);
   }
 
-  /** Begins a new observation with the stretches of rest that still last. */
-  restartIdle(): void {
+  /** Begins a new observation with what is loaded now. */
+  restartObservation(): void {
     const nowMs = this.parts.clock.monotonicMs();
     [...this.entries.values()]
       .filter(entry => entry.idleSinceMs !== null)
       .forEach(entry => (entry.idleSinceMs = nowMs));
+    this.parts.observer.noteMemory(this.usedMib());
   }
 
   /** Ends everything at once, as when the process dies. */
   stop(): void {
     [...this.entries.values()].forEach(entry => {
       entry.step?.cancel();
-      entry.reload = undefined;
       this.parts.onUnload(entry.slotId);
       this.endIdle(entry);
       this.remove(entry);
@@ -157,7 +163,6 @@
       startedMs: clock.monotonicMs(),
       idleSinceMs: null,
       step: undefined,
-      reload: undefined,
     };
     this.entries.set(slotId, entry);
     observer.replicas.push(observation);
@@ -196,7 +201,6 @@
   private remove(entry: ReplicaEntry): void {
     this.entries.delete(entry.slotId);
     entry.observation.unloadedMs = this.parts.clock.wallMs();
-    if (entry.reload) this.begin(entry.reload);
   }
 
   private after(entry: ReplicaEntry, delayMs: number, next: () => void): void {
@@ -228,6 +232,6 @@
   }
 }
 
-function formatRequestModel({model, adapter}: LoadedReplica): string {
+function formatRequestModel({model, adapter}: ModelRef): string {
   return adapter === null ? model : `${model}:${adapter}`;
 }
--- /dev/null
+++ b/packages/stand-ins/src/engine_main.ts
@@ -0,0 +1,6 @@
+/** Program: one model engine. */
+import {DEFAULT_ENGINE_OPTIONS} from './engine/engine_options.js';
+import {startEngineStandIn} from './engine/engine_server.js';
+import {parseFlags, runProgram} from './shared/program.js';
+
+await runProgram(() => startEngineStandIn(parseFlags(DEFAULT_ENGINE_OPTIONS)));
--- a/packages/stand-ins/src/platform/host_list.ts
+++ b/packages/stand-ins/src/platform/host_list.ts
@@ -65,7 +65,11 @@
     return [...this.visible.values()];
   }
 
-  observe(): {actual: HostEntry[]; visible: HostEntry[]; changes: HostChange[]} {
+  observe(): {
+    actual: HostEntry[];
+    visible: HostEntry[];
+    changes: HostChange[];
+  } {
     return {
       actual: [...this.actual.values()],
       visible: this.listHosts(),
--- a/packages/stand-ins/src/platform/log_service.ts
+++ b/packages/stand-ins/src/platform/log_service.ts
@@ -1,9 +1,9 @@
 /** The log service without its HTTP server. */
 import {type Clock} from '@mimosatack/clock';
+import {type LogPage} from '@mimosatack/platform';
 import {type LogOffset} from '@mimosatack/types';
 import {type ConnectionFaults, FaultSet} from '../shared/fault_set.js';
 import {HttpProblem} from '../shared/http_problem.js';
-import {type LogPage} from '../shared/platform_types.js';
 
 /** Faults of one platform service. */
 export interface PlatformFaults extends ConnectionFaults {
@@ -68,11 +68,10 @@
 
 /** Streams that only grow at the end and are trimmed at the start. */
 export class LogServiceStandIn {
-  readonly faults = new FaultSet<LogFaults>({
-    ...NO_PLATFORM_FAULTS,
-    loseAppendAnswers: 0,
-    refuseAppends: 0,
-  });
+  readonly faults = new FaultSet<LogFaults>(
+    {...NO_PLATFORM_FAULTS, loseAppendAnswers: 0, refuseAppends: 0},
+    () => this.wakeReaders(),
+  );
   private readonly streams = new Map<string, LogStream>();
   private waiting: Array<() => void> = [];
 
@@ -122,11 +121,6 @@
     });
   }
 
-  /** Wakes long polls, so that they see new records and new faults. */
-  wakeReaders(): void {
-    [...this.waiting].forEach(wake => wake());
-  }
-
   /** Forgets records before `firstOffset`. */
   trim(stream: string, firstOffset: LogOffset): void {
     const log = this.openStream(stream);
@@ -163,6 +157,11 @@
     });
   }
 
+  /** Wakes long polls, so that they see new records and new faults. */
+  private wakeReaders(): void {
+    [...this.waiting].forEach(wake => wake());
+  }
+
   private openStream(stream: string): LogStream {
     const known = this.streams.get(stream);
     if (known) return known;
--- a/packages/stand-ins/src/platform/platform_core.ts
+++ b/packages/stand-ins/src/platform/platform_core.ts
@@ -58,20 +58,12 @@
     Object.entries(input).forEach(([service, faults]) =>
       this.findFaults(service).setFromJson(faults as JsonObject),
     );
-    this.applyFaults();
   }
 
   reset(): void {
     const services = [this.log, this.hosts, this.weightStore];
     services.forEach(service => service.faults.clear());
     services.forEach(service => service.resetObservation());
-    this.applyFaults();
-  }
-
-  /** Puts faults into force that were set on the parts directly. */
-  applyFaults(): void {
-    this.weightStore.applyFaults();
-    this.log.wakeReaders();
   }
 
   private findFaults(service: string) {
--- a/packages/stand-ins/src/platform/platform_server.ts
+++ b/packages/stand-ins/src/platform/platform_server.ts
@@ -1,7 +1,11 @@
 /** The HTTP server of the platform stand-in. */
-import {sleep} from '@mimosatack/clock';
+import {type Clock, SystemClock, sleep} from '@mimosatack/clock';
 import {type HostEntry} from '@mimosatack/types';
-import {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
+import {
+  type FastifyInstance,
+  type FastifyReply,
+  type FastifyRequest,
+} from 'fastify';
 import {HttpProblem} from '../shared/http_problem.js';
 import {
   type RunningStandIn,
@@ -13,6 +17,7 @@
   readNodeId,
 } from '../shared/http_server.js';
 import {
+  badRequest,
   parseJsonObject,
   readChoice,
   readNullableString,
@@ -40,9 +45,10 @@
 /** Starts log service, host list and weight store on one port. */
 export async function startPlatformStandIn(
   options: Partial<PlatformOptions> = {},
+  clock: Clock = new SystemClock(),
 ): Promise<RunningStandIn<PlatformStandIn>> {
   const settings = {...DEFAULT_PLATFORM_OPTIONS, ...options};
-  const core = new PlatformStandIn(settings);
+  const core = new PlatformStandIn(settings, clock);
   const server = createHttpServer();
   installLogRoutes(server, core);
   installHostRoutes(server, core);
@@ -51,13 +57,15 @@
   const baseUrl = await listenOnLoopback(server, settings.port);
   const close = async () => {
     core.log.faults.set({down: true});
-    core.log.wakeReaders();
     await server.close();
   };
   return {baseUrl, core, close};
 }
 
-function installLogRoutes(server: FastifyInstance, core: PlatformStandIn): void {
+function installLogRoutes(
+  server: FastifyInstance,
+  core: PlatformStandIn,
+): void {
   const {log} = core;
   server.post<StreamRoute>(
     '/v1/streams/:stream/records',
@@ -66,7 +74,11 @@
       const hit = isHit(request, log.faults.values);
       if (hit && log.faults.take('refuseAppends')) throw unavailable();
       const {stream} = request.params;
-      const offset = log.append(stream, readBytes(request), readNodeId(request));
+      const offset = log.append(
+        stream,
+        readBytes(request),
+        readNodeId(request),
+      );
       if (!hit || !log.faults.take('loseAppendAnswers')) return {offset};
       log.noteLostAnswer(stream);
       destroyConnection(request, reply);
@@ -113,7 +125,10 @@
   return {...page, records: page.records.map(toJsonRecord)};
 }
 
-function installHostRoutes(server: FastifyInstance, core: PlatformStandIn): void {
+function installHostRoutes(
+  server: FastifyInstance,
+  core: PlatformStandIn,
+): void {
   const {hosts} = core;
   server.get('/v1/hosts', async (request, reply) => {
     if (!(await admit(core, hosts.faults.values, request, reply))) return reply;
@@ -141,11 +156,15 @@
 ): void {
   const {weightStore} = core;
   server.get('/v1/weight-store', async (request, reply) => {
-    if (!(await admit(core, weightStore.faults.values, request, reply))) return reply;
+    if (!(await admit(core, weightStore.faults.values, request, reply))) {
+      return reply;
+    }
     return weightStore.limits;
   });
   server.post('/v1/weight-store/fetch', async (request, reply) => {
-    if (!(await admit(core, weightStore.faults.values, request, reply))) return reply;
+    if (!(await admit(core, weightStore.faults.values, request, reply))) {
+      return reply;
+    }
     const body = parseJsonObject(request.body);
     const ref = {
       model: readString(body, 'model'),
@@ -205,7 +224,9 @@
 }
 
 function toNumber(text: string | undefined, fallback: number): number {
-  return text === undefined ? fallback : Number(text);
+  const value = text === undefined ? fallback : Number(text);
+  if (Number.isFinite(value)) return value;
+  throw badRequest(`${text} is not a number.`);
 }
 
 function toJsonRecord<T extends {data: Uint8Array}>(record: T) {
--- a/packages/stand-ins/src/platform/transfer_model.ts
+++ b/packages/stand-ins/src/platform/transfer_model.ts
@@ -1,6 +1,6 @@
 /** How long transfers from a rate-limited weight store take. */
 import {type Clock, type Timer} from '@mimosatack/clock';
-import {type WeightStoreLimits} from '../shared/platform_types.js';
+import {type WeightStoreLimits} from '@mimosatack/platform';
 
 /** Work left that is no more than rounding of the clock. */
 const ROUNDING_MS = 1e-6;
--- a/packages/stand-ins/src/platform/weight_store.ts
+++ b/packages/stand-ins/src/platform/weight_store.ts
@@ -1,6 +1,6 @@
 /** The weight store without its HTTP server. */
 import {type Clock} from '@mimosatack/clock';
-import {type WeightStoreLimits} from '../shared/platform_types.js';
+import {type WeightStoreLimits} from '@mimosatack/platform';
 import {type ModelRef, formatModelRef} from '@mimosatack/types';
 import {FaultSet} from '../shared/fault_set.js';
 import {NO_PLATFORM_FAULTS, type PlatformFaults} from './log_service.js';
@@ -30,10 +30,10 @@
 
 /** A store that many engines load from at once. */
 export class WeightStoreStandIn {
-  readonly faults = new FaultSet<WeightStoreFaults>({
-    ...NO_PLATFORM_FAULTS,
-    slowdownFactor: 1,
-  });
+  readonly faults = new FaultSet<WeightStoreFaults>(
+    {...NO_PLATFORM_FAULTS, slowdownFactor: 1},
+    () => this.model.setSlowdown(this.faults.values.slowdownFactor),
+  );
   private readonly model: TransferModel;
   private transfers: TransferObservation[] = [];
 
@@ -66,11 +66,6 @@
     };
   }
 
-  /** Puts changed faults into force for the transfers under way. */
-  applyFaults(): void {
-    this.model.setSlowdown(this.faults.values.slowdownFactor);
-  }
-
   observe(): {activeTransfers: number; transfers: TransferObservation[]} {
     const {activeTransfers} = this.model;
     return {activeTransfers, transfers: this.transfers};
--- /dev/null
+++ b/packages/stand-ins/src/service/service_server.test.ts
@@ -0,0 +1,71 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {request} from 'undici';
+import {startServiceStandIn} from './service_server.js';
+
+const test = suite('service server');
+
+type Service = Awaited<ReturnType<typeof startServiceStandIn>>;
+
+async function withService(
+  body: (service: Service) => Promise<void>,
+): Promise<void> {
+  const service = await startServiceStandIn({runMs: 0});
+  await body(service).finally(() => service.close());
+}
+
+/** Calls the service; false when the connection broke. */
+async function call({baseUrl}: Service): Promise<boolean> {
+  const sent = request(`${baseUrl}/calls/ping`, {
+    method: 'POST',
+    headers: {'content-type': 'application/json', 'idempotency-key': 'k1'},
+    body: '{"id":7}',
+  });
+  return sent
+    .then(answer => answer.body.json())
+    .then(
+      () => true,
+      () => false,
+    );
+}
+
+test('shows that a call ran twice', () =>
+  // A member gets a doubled ping: the first call runs but its answer is lost,
+  // and the caller sends it again.
+  withService(async service => {
+    service.core.faults.set({resetAfterRun: 1});
+    assert.equal([await call(service), await call(service)], [false, true]);
+    const {runsByKey, runsByField} = service.core.observe();
+    assert.equal(runsByKey, {k1: 2});
+    assert.equal(runsByField, {7: 2});
+  }));
+
+test('shows that a call did not run before a reset', () =>
+  withService(async service => {
+    service.core.faults.set({resetBeforeRead: 1, resetAfterRead: 1});
+    assert.equal([await call(service), await call(service)], [false, false]);
+    assert.equal(service.core.observe().runs, []);
+  }));
+
+test('runs a call after a freeze although its caller has gone', () =>
+  // A caller gives up on a frozen service and takes the call for lost; the
+  // service reads it on thawing and runs it after all.
+  withService(async service => {
+    service.core.gate.freeze(null);
+    const abort = new AbortController();
+    const sent = request(`${service.baseUrl}/calls/ping`, {
+      method: 'POST',
+      body: '{"id":7}',
+      signal: abort.signal,
+    }).catch(() => undefined);
+    while (service.core.gate.heldCount === 0) {
+      await new Promise(resolve => setTimeout(resolve, 1));
+    }
+    abort.abort();
+    await sent;
+    service.core.gate.thaw();
+    await call(service);
+    assert.equal(service.core.observe().runsByField, {7: 2});
+  }));
+
+test.run();
--- a/packages/stand-ins/src/shared/fault_set.ts
+++ b/packages/stand-ins/src/shared/fault_set.ts
@@ -17,13 +17,18 @@
   /** The faults in force; read it, but change it through `set`. */
   readonly values: T;
 
-  constructor(private readonly none: T) {
+  /** @param onChange called after every change. */
+  constructor(
+    private readonly none: T,
+    private readonly onChange: () => void = () => undefined,
+  ) {
     this.values = structuredClone(none);
   }
 
   /** Changes the given faults and leaves the others as they are. */
   set(changes: Partial<T>): void {
     Object.assign(this.values, changes);
+    this.onChange();
   }
 
   /** Like `set`, for input that has not been checked. */
@@ -51,7 +56,9 @@
     const sample = (this.none as JsonObject)[name];
     if (sample === undefined) throw badRequest(`There is no fault ${name}.`);
     if (!hasShapeOf(sample, value)) {
-      throw badRequest(`Fault ${name} must look like ${JSON.stringify(sample)}.`);
+      throw badRequest(
+        `Fault ${name} must look like ${JSON.stringify(sample)}.`,
+      );
     }
   }
 }
--- a/packages/stand-ins/src/shared/freeze_gate.ts
+++ b/packages/stand-ins/src/shared/freeze_gate.ts
@@ -9,6 +9,11 @@
 
   constructor(private readonly clock: Clock) {}
 
+  /** How many pieces of work are held back. */
+  get heldCount(): number {
+    return this.waiting.length;
+  }
+
   /** Freezes until `thaw`, or for `forMs` when that is not null. */
   freeze(forMs: number | null): void {
     this.thawTimer?.cancel();
@@ -28,6 +33,12 @@
     released.forEach(callback => callback());
   }
 
+  /** Drops all held work and lets no more pass, as when the process dies. */
+  close(): void {
+    this.freeze(null);
+    this.waiting = [];
+  }
+
   /** Calls `callback` now, or once thawed. */
   pass(callback: () => void): void {
     if (this.frozen) this.waiting.push(callback);
--- a/packages/stand-ins/src/shared/http_server.ts
+++ b/packages/stand-ins/src/shared/http_server.ts
@@ -6,7 +6,7 @@
 } from 'fastify';
 import {HttpProblem} from './http_problem.js';
 import {type FreezeGate} from './freeze_gate.js';
-import {type ConnectionFaults, type FaultSet} from './fault_set.js';
+import {type ConnectionFaults} from './fault_set.js';
 import {parseJsonObject, readNumber} from './input.js';
 
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
@@ -90,12 +90,18 @@
   resetAfterRun: number;
 }
 
+/** The part of a `FaultSet` that the connection faults need. */
+interface WorkFaultSet {
+  readonly values: WorkFaults;
+  take(key: 'resetBeforeRead' | 'resetAfterRead'): boolean;
+}
+
 /** What the connection faults of a backend server act on. */
 export interface WorkFaultOptions {
-  faults: FaultSet<WorkFaults>;
+  faults: WorkFaultSet;
   gate: FreezeGate;
   /** Whether a URL asks for work rather than for a report. */
-  isWork(url: string): boolean;
+  isWork: (url: string) => boolean;
 }
 
 /** Puts freezing, cuts and resets before all routes but the control ones. */
@@ -104,14 +110,17 @@
   {faults, gate, isWork}: WorkFaultOptions,
 ): void {
   server.addHook('onRequest', async (request, reply) => {
-    if (request.url.startsWith(CONTROL_PREFIX)) return;
-    await gate.whenOpen();
+    if (isControl(request)) return;
     const resets = isWork(request.url) && faults.take('resetBeforeRead');
     if (resets || isCut(request, faults.values)) {
       destroyConnection(request, reply);
     }
   });
+  // Frozen after the body is read, so that the request takes effect on thawing
+  // although its sender has given up, as with a process that was stopped.
   server.addHook('preHandler', async (request, reply) => {
+    if (isControl(request)) return;
+    await gate.whenOpen();
     if (isWork(request.url) && faults.take('resetAfterRead')) {
       destroyConnection(request, reply);
     }
@@ -158,6 +167,10 @@
   });
 }
 
+function isControl(request: FastifyRequest): boolean {
+  return request.url.startsWith(CONTROL_PREFIX);
+}
+
 function toProblem(error: unknown): HttpProblem {
   if (error instanceof HttpProblem) return error;
   const message = error instanceof Error ? error.message : String(error);
--- a/packages/types/src/backend.ts
+++ b/packages/types/src/backend.ts
@@ -53,6 +53,8 @@
   status: ReplicaStatus;
   /** How long the load took; 0 while it is still going on. */
   loadMs: number;
+  /** Requests that run on it or wait for it. */
+  activeRequests: number;
 }
 
 /** A checkpoint that an engine keeps near, as the engine reports it. */
--- /dev/null
+++ b/packages/unrepeatable/src/index.ts
@@ -0,0 +1,2 @@
+export {type KeptAnswer, KeyTable} from './key_table.js';
+export {type Ticket, TicketMint, type TicketReading} from './ticket.js';
