Plan warming by observed loads and unload only what runs nothing

Policies look at load times learnt from engine reports; staging follows the near cache the engine reports; a slow weight store pulls loads earlier on the steward's side, also without the log. Unloads wait until routers have stopped and nothing runs. The planner moves slots off leaving backend servers, covers lost ones within the surge, lets events of higher priority go first and plans requests outside events.

--- a/packages/node/src/engine_steward.ts
+++ b/packages/node/src/engine_steward.ts
@@ -1,11 +1,15 @@
 /** The steward of one model engine under one claim. */
-import {type Clock} from '@mimosatack/clock';
+import {type Slot} from '@mimosatack/agreed-state';
+import {type Clock, type Timer} from '@mimosatack/clock';
 import {type BackendReport} from '@mimosatack/engine-board';
 import {toTypedError} from '@mimosatack/errors';
 import {type LogFollower} from '@mimosatack/follow-log';
 import {type EngineControl} from '@mimosatack/platform';
 import {type RecordBody} from '@mimosatack/records';
 import {
+  type DrainLimits,
+  EMPTY_STEWARD_MEMORY,
+  type LoadOutlook,
   type OrderIntent,
   type StewardStep,
   decideSteward,
@@ -27,14 +31,19 @@
    * engine that ignores fencing numbers.
    */
   orderDoubtMs: number;
+  drain: DrainLimits;
+  /** What is known of the loads of a slot now. */
+  outlook(slot: Slot): LoadOutlook;
 }
 
 /** Failed reads after which an engine counts as unreachable. */
 const MAX_FAILED_READS = 3;
+/** Ticks come at least this often, so no later look needs a timer. */
+const MAX_LOOK_DELAY_MS = 1_000;
 
 /** Reads one engine and sends it the orders that its slots call for. */
 export class EngineSteward {
-  private readonly staged = new Set<string>();
+  private memory = EMPTY_STEWARD_MEMORY;
   /** Slots with an order whose answer was lost, with the time it was sent. */
   private readonly unresolved = new Map<string, number>();
   private readonly submitting = new Set<string>();
@@ -42,6 +51,7 @@
   private failedReads = 0;
   private isBusy = false;
   private isFenced = false;
+  private timer: Timer | null = null;
 
   constructor(private readonly options: EngineStewardOptions) {}
 
@@ -97,25 +107,36 @@
 
   private async act(engine: EngineState): Promise<void> {
     this.forgetOldDoubts(engine);
-    const {placement, configuration} = this.options.follower.state;
+    const {placement, configuration, stewardship} = this.options.follower.state;
+    const nowMs = this.options.clock.wallMs();
     const step = decideSteward({
       slots: placement.listOn(engine.backendServerId),
       engine,
-      memory: {
-        staged: this.staged,
-        unresolved: new Set(this.unresolved.keys()),
-      },
+      memory: this.memory,
+      unresolved: new Set(this.unresolved.keys()),
+      hasDoubts: stewardship.listDoubts(engine.backendServerId).length > 0,
       memoryOfAdapter: (model, adapter) =>
         configuration.find('model', model)?.content.adapters[adapter]
           ?.memoryMib ?? 0,
-      nowMs: this.options.clock.wallMs(),
-      advanceMs: 0,
+      drain: this.options.drain,
+      outlook: slot => this.options.outlook(slot),
+      nowMs,
     });
-    step.staged.forEach(slotId => this.staged.add(slotId));
+    this.memory = step.memory;
+    this.lookAgain(step, nowMs);
     await this.sendAll([...step.orders, ...this.listProbes(engine, step)]);
     this.writeRecords(step);
   }
 
+  /** Looks between two ticks if a load is due or under way. */
+  private lookAgain({lookAgainAtMs}: StewardStep, nowMs: number): void {
+    this.timer?.cancel();
+    if (lookAgainAtMs === null) return;
+    const delayMs = lookAgainAtMs - nowMs;
+    if (delayMs > MAX_LOOK_DELAY_MS) return;
+    this.timer = this.options.clock.setTimer(delayMs, () => void this.step());
+  }
+
   /**
    * A lost answer leaves an order that may still arrive. An engine that
    * refuses old numbers turns it down once it has taken a newer one, so an
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,6 @@
 /** One node: its tasks, its servers and how they are wired. */
 import {randomUUID} from 'node:crypto';
+import {type Slot} from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
 import {EngineBoard} from '@mimosatack/engine-board';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
@@ -9,8 +10,10 @@
 import {
   FixedLeadPolicy,
   LoadOnFirstRequestPolicy,
+  LoadTimeEstimates,
   TimetablePolicy,
   type WarmingPolicy,
+  makeLoadOutlook,
 } from '@mimosatack/plan-warming';
 import {
   HttpEngineControl,
@@ -23,6 +26,7 @@
 import {buildCallerServer} from '@mimosatack/serve-callers';
 import {buildOperatorServer} from '@mimosatack/serve-operators';
 import {type DaemonSettings} from '@mimosatack/settings';
+import {type LoadOutlook} from '@mimosatack/steward-orders';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type HostEntry} from '@mimosatack/types';
 import {KeyTable, TicketMint} from '@mimosatack/unrepeatable';
@@ -55,6 +59,10 @@
 const ENGINE_TIMEOUT_MS = 2_000;
 const SUBMIT_TIMEOUT_MS = 10_000;
 const ORDER_DOUBT_MS = 30_000;
+/** How far the clocks of two nodes may differ. */
+const CLOCK_SKEW_MS = 500;
+/** How long a change may take to be in force on every node. */
+const FOLD_LAG_MS = 4_000;
 const STORE_LIMITS_INTERVAL_MS = 10_000;
 
 /** One node of the system. */
@@ -67,6 +75,7 @@
   private readonly stewards: StewardTask;
   private readonly hosts: HostListTask;
   private readonly planner: PlannerTask;
+  private readonly loadTimes = new LoadTimeEstimates();
   private readonly router: Router;
   private readonly callerServer: FastifyInstance;
   private readonly operatorServer: FastifyInstance;
@@ -93,6 +102,9 @@
       retryDelayMs: RETRY_DELAY_MS,
     });
     this.router = new Router(this.board, random);
+    this.board.onChange(({engine, reportedAtMs}) => {
+      if (engine) this.loadTimes.observe(engine, reportedAtMs);
+    });
     this.peers = this.makePeers();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
@@ -238,6 +250,12 @@
         },
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
         orderDoubtMs: ORDER_DOUBT_MS,
+        drain: {
+          clockSkewMs: CLOCK_SKEW_MS,
+          foldLagMs: FOLD_LAG_MS,
+          maxRequestMs: this.options.settings.maxDeadlineMs,
+        },
+        outlook: slot => this.outlook(slot),
       },
       (error, task) => this.noteFault(error, task),
     );
@@ -268,8 +286,10 @@
         clock: this.options.clock,
         follower: this.follower,
         board: this.board,
+        logger: this.options.logger,
         policy: makePolicy(this.options.settings),
-        isResponsible: key => this.isResponsible(key),
+        loadTimes: this.loadTimes,
+        findRank: key => this.findRank(key),
         isLeaving: id => this.leavingServers.has(id),
         makeSlotId: () => `s-${randomUUID()}`,
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -292,6 +312,20 @@
     return first?.incarnation === this.incarnation;
   }
 
+  /** Beyond all others when this node is not among the usable members. */
+  private findRank(key: string): number {
+    const rank = rankMembers(key, this.peers.listUsable()).findIndex(
+      member => member.incarnation === this.incarnation,
+    );
+    return rank < 0 ? Infinity : rank;
+  }
+
+  private outlook(slot: Slot): LoadOutlook {
+    const {configuration} = this.follower.state;
+    const nowMs = this.options.clock.wallMs();
+    return makeLoadOutlook(slot, this.loadTimes, configuration, nowMs);
+  }
+
   private isGone(incarnation: string): boolean {
     const member = this.peers
       .listMembers()
--- a/packages/node/src/planner_task.ts
+++ b/packages/node/src/planner_task.ts
@@ -1,159 +1,292 @@
-/** Plans the events that this node is responsible for. */
-import {type AgreedState, type ResolvedEvent} from '@mimosatack/agreed-state';
+/** Plans the events and the demand that this node is responsible for. */
+import {type ResolvedEvent} from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
 import {type EngineBoard} from '@mimosatack/engine-board';
 import {type LogFollower} from '@mimosatack/follow-log';
+import {type EventLogger} from '@mimosatack/logger';
 import {
-  type LoadTimeSource,
-  type ServerView,
-  StoreTimetable,
+  DemandTable,
+  type EventPlan,
+  type LoadTimeEstimates,
+  PlanningAgenda,
   type WarmingPolicy,
-  findStoreUse,
+  fingerprintEvent,
+  isDemandDue,
+  listPreemptible,
+  planDemand,
   planEvent,
 } from '@mimosatack/plan-warming';
 import {type WeightStoreLimits} from '@mimosatack/platform';
 import {type RecordBody} from '@mimosatack/records';
 import {Task, type TaskErrorHandler} from '@mimosatack/tasks';
-import {type BackendServerId, type CacheTier} from '@mimosatack/types';
+import {type BackendServerId, type EventId} from '@mimosatack/types';
+import {PlannerView} from './planner_view.js';
 
 /** What the task is told. */
 export type PlannerMessage =
   | {type: 'tick'}
+  /** A request for `model` or `model:adapter` found no warm replica. */
   | {type: 'demand'; model: string}
   | {type: 'store-limits'; limits: WeightStoreLimits};
 
 /** What the task needs of the node. */
 export interface PlannerTaskOptions {
   clock: Clock;
+  logger: EventLogger;
   follower: LogFollower;
   board: EngineBoard;
   policy: WarmingPolicy;
-  isResponsible(key: string): boolean;
+  loadTimes: LoadTimeEstimates;
+  /** The place of this node among those that may plan; 0 plans first. */
+  findRank(key: string): number;
   isLeaving(backendServerId: BackendServerId): boolean;
   makeSlotId: () => string;
   submitTimeoutMs: number;
 }
 
-const DEFAULT_LIMITS: WeightStoreLimits = {
-  loadsPerSecond: 3,
-  fullSpeedLoads: 4,
-};
-/** The share of the store's lanes that planned loads may use. */
-const PLANNED_SHARE = 0.75;
-const INIT_MS = 300;
-const DISK_MS = 400;
-const MEMORY_MS = 100;
-const SECOND_MS = 1000;
-
-/** The task that plans events. */
+/** Replicas of an event that there is no room for. */
+export interface UnplacedReplicas {
+  eventId: EventId;
+  model: string;
+  replicas: number;
+}
+
+const AGENDA = {firstRetryMs: 1_000, maxRetryMs: 30_000, patienceMs: 5_000};
+const MAX_SLOTS_PER_RECORD = 512;
+const DEMAND_MEMORY_MS = 600_000;
+/** Nodes behind the first that plan when it does not. */
+const MAX_RANK = 2;
+
+/** The task that plans events and demand. */
 export class PlannerTask extends Task<PlannerMessage> {
-  private limits = DEFAULT_LIMITS;
-  private readonly demanded = new Set<string>();
+  private readonly agenda = new PlanningAgenda(AGENDA);
+  private readonly demand = new DemandTable();
+  private readonly unplaced = new Map<EventId, UnplacedReplicas[]>();
+  private readonly view: PlannerView;
+  private isTickQueued = false;
 
   constructor(
     private readonly options: PlannerTaskOptions,
     onError: TaskErrorHandler,
   ) {
     super('planner', onError);
+    this.view = new PlannerView(options);
+  }
+
+  /** What this node found no room for when it planned last. */
+  listUnplaced(): UnplacedReplicas[] {
+    return [...this.unplaced.values()].flat();
+  }
+
+  /** A tick that comes while another waits for the log is dropped. */
+  override post(message: PlannerMessage): void {
+    if (message.type === 'tick') {
+      if (this.isTickQueued) return;
+      this.isTickQueued = true;
+    }
+    super.post(message);
   }
 
   protected async handle(message: PlannerMessage): Promise<void> {
+    const {clock, loadTimes} = this.options;
     switch (message.type) {
       case 'tick':
+        this.isTickQueued = false;
         return this.planAll();
       case 'demand':
-        this.demanded.add(message.model);
+        this.demand.noteMiss(message.model, clock.wallMs());
         return;
       case 'store-limits':
-        this.limits = message.limits;
+        this.view.setLimits(message.limits);
+        loadTimes.setLimits(message.limits);
         return;
     }
   }
 
+  /** Without the log nothing new can be decided, so nothing is planned. */
   private async planAll(): Promise<void> {
-    const events = this.options.follower.state.configuration
-      .listEvents()
-      .filter(event => this.options.isResponsible(`event ${event.eventId}`));
-    for (const event of events) await this.plan(event);
+    if (!this.options.follower.status.isLogReachable) return;
+    const nowMs = this.options.clock.wallMs();
+    this.view.begin(nowMs);
+    const bodies = [...this.planEvents(nowMs), ...this.planDemands(nowMs)];
+    await Promise.all(
+      bodies.map(body =>
+        this.options.follower.submit(body, {
+          timeoutMs: this.options.submitTimeoutMs,
+        }),
+      ),
+    );
+  }
+
+  private planEvents(nowMs: number): RecordBody[] {
+    const {configuration} = this.options.follower.state;
+    const events = configuration.listEvents();
+    this.agenda.keepOnly(new Set(events.map(event => event.eventId)));
+    [...this.unplaced.keys()]
+      .filter(eventId => !configuration.findEvent(eventId))
+      .forEach(eventId => this.unplaced.delete(eventId));
+    const due = events
+      .map(event => ({event, fingerprint: this.fingerprint(event, nowMs)}))
+      .filter(({event, fingerprint}) =>
+        this.isMine(event.eventId, fingerprint, nowMs),
+      )
+      .toSorted((a, b) => compareEvents(a.event, b.event));
+    return [
+      ...due.flatMap(({event, fingerprint}) =>
+        this.planOne(event, fingerprint, nowMs),
+      ),
+      ...this.endCancelled(),
+    ];
+  }
+
+  private isMine(eventId: EventId, fingerprint: string, nowMs: number) {
+    if (!this.agenda.isDue(eventId, fingerprint, nowMs)) return false;
+    const rank = this.options.findRank(`event ${eventId}`);
+    return rank <= MAX_RANK && this.agenda.isTurn(eventId, rank, nowMs);
+  }
+
+  private fingerprint(event: ResolvedEvent, nowMs: number): string {
+    return fingerprintEvent({
+      event,
+      held: this.view.listHeld({for: 'event', eventId: event.eventId}),
+      demanded: this.listMissed(event),
+      nowMs,
+      markSlot: slot => this.view.markSlot(slot),
+    });
   }
 
-  private async plan(event: ResolvedEvent): Promise<void> {
-    const state = this.options.follower.state;
+  private listMissed(event: ResolvedEvent): Set<string> {
+    const missed = event.needs
+      .map(need => need.model)
+      .filter(model => this.demand.find(model).lastMissMs !== null);
+    return new Set(missed);
+  }
+
+  private planOne(
+    event: ResolvedEvent,
+    fingerprint: string,
+    nowMs: number,
+  ): RecordBody[] {
+    const {configuration, placement} = this.options.follower.state;
     const purpose = {for: 'event' as const, eventId: event.eventId};
     const plan = planEvent({
+      ...this.options,
+      ...this.view.planningParts(),
       event,
-      held: state.placement.listFor(purpose),
-      servers: this.listServers(state),
-      policy: this.options.policy,
-      loadTimes: this.makeLoadTimes(),
-      timetable: this.makeTimetable(state),
-      nowMs: this.options.clock.wallMs(),
-      demanded: this.demanded,
-      makeSlotId: this.options.makeSlotId,
+      held: this.view.listHeld(purpose),
+      preemptible: listPreemptible(event, placement.list(), {
+        nowMs,
+        findEvent: id => configuration.findEvent(id),
+      }),
+      nowMs,
+      demanded: this.listMissed(event),
     });
     const bodies: RecordBody[] = [
-      ...plan.end.map((ending): RecordBody => ({type: 'end-slots', ...ending})),
-      ...(plan.decide.length === 0
-        ? []
-        : [
-            {
-              type: 'decide-slots' as const,
-              purpose,
-              targetRevision: event.revision,
-              expectedPlan: state.placement.countPlans(purpose),
-              slots: plan.decide,
-            },
-          ]),
+      ...plan.end.map(ending => ({type: 'end-slots' as const, ...ending})),
+      ...plan.extend.map(more => ({type: 'extend-slots' as const, ...more})),
+      ...this.decide(purpose, event.revision, plan.decide),
     ];
-    await Promise.all(
-      bodies.map(body =>
-        this.options.follower.submit(body, {
-          timeoutMs: this.options.submitTimeoutMs,
-        }),
-      ),
-    );
+    this.noteUnplaced(event, plan, nowMs);
+    if (bodies.length === 0 && plan.unplaced.length === 0) {
+      this.agenda.noteSettled(event.eventId, fingerprint);
+    } else {
+      this.agenda.noteOpen(event.eventId, fingerprint, nowMs);
+    }
+    return bodies;
   }
 
-  private listServers(state: AgreedState): ServerView[] {
-    return state.stewardship
-      .listBackendServers()
-      .filter(server => server.memoryMib > 0)
-      .map(server => {
-        const report = this.options.board.find(server.backendServerId);
-        return {
-          server,
-          holds: state.placement.listHolds(server.backendServerId),
-          isUsable: !this.options.isLeaving(server.backendServerId),
-          isLost: report?.isReachable === false,
-          findTier: (model, version): CacheTier =>
-            report?.engine?.cached.find(
-              cached =>
-                cached.model === model &&
-                cached.version === version &&
-                cached.adapter === null,
-            )?.tier ?? 'remote',
-        };
-      });
+  private decide(
+    purpose: Extract<RecordBody, {type: 'decide-slots'}>['purpose'],
+    targetRevision: number,
+    slots: EventPlan['decide'],
+  ): RecordBody[] {
+    if (slots.length === 0) return [];
+    this.view.take(slots);
+    const {placement} = this.options.follower.state;
+    const expectedPlan = placement.countPlans(purpose);
+    return [
+      {type: 'decide-slots', purpose, targetRevision, expectedPlan, slots},
+    ];
   }
 
-  private makeTimetable(state: AgreedState): StoreTimetable {
-    const lanes = Math.max(
-      1,
-      Math.floor(this.limits.fullSpeedLoads * PLANNED_SHARE),
-    );
-    return new StoreTimetable(lanes, state.placement.list().map(findStoreUse));
+  /** Tells the operator once for each change of what is missing. */
+  private noteUnplaced(
+    {eventId, startsAtMs}: ResolvedEvent,
+    {unplaced}: EventPlan,
+    nowMs: number,
+  ): void {
+    const before = JSON.stringify(this.unplaced.get(eventId) ?? []);
+    const now = unplaced.map(({model, replicas}) => ({
+      eventId,
+      model,
+      replicas,
+    }));
+    if (now.length === 0) this.unplaced.delete(eventId);
+    else this.unplaced.set(eventId, now);
+    if (now.length === 0 || JSON.stringify(now) === before) return;
+    this.options.logger.log('capacity-short', {
+      eventId,
+      missingReplicas: now.reduce((sum, {replicas}) => sum + replicas, 0),
+      startsInMs: startsAtMs - nowMs,
+    });
   }
 
-  private makeLoadTimes(): LoadTimeSource {
-    const {fullSpeedLoads, loadsPerSecond} = this.limits;
-    const storeMs = (fullSpeedLoads / loadsPerSecond) * SECOND_MS;
-    const byTier: Record<CacheTier, number> = {
-      remote: storeMs,
-      disk: DISK_MS,
-      memory: MEMORY_MS,
-    };
-    return {
-      expect: (_model, tier) => ({storeMs: byTier[tier], initMs: INIT_MS}),
+  /** Ends what was decided for events that were cancelled since. */
+  private endCancelled(): RecordBody[] {
+    const slotIds = this.view
+      .listCancelled()
+      .filter(({eventId}) => this.options.findRank(`event ${eventId}`) === 0)
+      .map(({slotId}) => slotId)
+      .slice(0, MAX_SLOTS_PER_RECORD);
+    return slotIds.length === 0
+      ? []
+      : [{type: 'end-slots', slotIds, reason: 'event-changed'}];
+  }
+
+  private planDemands(nowMs: number): RecordBody[] {
+    this.view.listActiveModels().forEach(model => {
+      this.demand.noteUse(model, nowMs);
+    });
+    this.demand.forgetBefore(nowMs - DEMAND_MEMORY_MS);
+    return this.demand.models.flatMap(model => this.planModel(model, nowMs));
+  }
+
+  private planModel(model: string, nowMs: number): RecordBody[] {
+    const document = this.options.follower.state.configuration.find(
+      'model',
+      model,
+    );
+    const demand = this.demand.find(model);
+    if (!document || this.view.isForEvent(model, demand.adapters)) return [];
+    const purpose = {for: 'demand' as const, model};
+    const look = {
+      content: document.content,
+      demand,
+      held: this.view.listHeld(purpose),
+      nowMs,
     };
+    if (!isDemandDue(look)) return [];
+    if (this.options.findRank(`demand ${model}`) !== 0) return [];
+    const plan = planDemand({
+      ...this.options,
+      ...this.view.planningParts(),
+      ...look,
+      model,
+      idleSlots: this.view.listIdleDemand(model, this.demand),
+    });
+    return [
+      ...plan.end.map(ending => ({type: 'end-slots' as const, ...ending})),
+      ...plan.extend.map(more => ({type: 'extend-slots' as const, ...more})),
+      ...this.decide(purpose, document.version, plan.decide),
+    ];
   }
 }
+
+/** Of two events that compete for memory, the one that is planned first. */
+function compareEvents(a: ResolvedEvent, b: ResolvedEvent): number {
+  return (
+    b.priority - a.priority ||
+    a.startsAtMs - b.startsAtMs ||
+    (a.eventId < b.eventId ? -1 : 1)
+  );
+}
--- /dev/null
+++ b/packages/node/src/planner_view.ts
@@ -0,0 +1,185 @@
+/** What the planner sees of the agreed state and the board during one run. */
+import {type AgreedState, type Slot} from '@mimosatack/agreed-state';
+import {type EngineBoard} from '@mimosatack/engine-board';
+import {type LogFollower} from '@mimosatack/follow-log';
+import {
+  type DemandTable,
+  type ServerView,
+  StoreTimetable,
+  findStoreUse,
+  makeServerView,
+  takeRoom,
+} from '@mimosatack/plan-warming';
+import {type WeightStoreLimits} from '@mimosatack/platform';
+import {type SlotPlan, type SlotPurpose} from '@mimosatack/records';
+import {type BackendServerId} from '@mimosatack/types';
+
+/** What the view is made of. */
+export interface PlannerViewOptions {
+  follower: LogFollower;
+  board: EngineBoard;
+  isLeaving(backendServerId: BackendServerId): boolean;
+}
+
+/** What a planning run takes room and time from. */
+export interface PlanningParts {
+  servers: readonly ServerView[];
+  timetable: StoreTimetable;
+  lanes: number;
+}
+
+const DEFAULT_LIMITS: WeightStoreLimits = {
+  loadsPerSecond: 3,
+  fullSpeedLoads: 4,
+};
+/** The share of the store's lanes that planned loads may use. */
+const PLANNED_SHARE = 0.75;
+
+/**
+ * Built once for each run, and the costly parts only when something is due.
+ * What one event takes in a run is gone for the next one in the same run.
+ */
+export class PlannerView {
+  private limits = DEFAULT_LIMITS;
+  private nowMs = 0;
+  private parts: PlanningParts | null = null;
+
+  constructor(private readonly options: PlannerViewOptions) {}
+
+  setLimits(limits: WeightStoreLimits): void {
+    this.limits = limits;
+  }
+
+  /** Forgets what the last run saw. */
+  begin(nowMs: number): void {
+    this.nowMs = nowMs;
+    this.parts = null;
+  }
+
+  listHeld(purpose: SlotPurpose): Slot[] {
+    return this.state.placement.listFor(purpose);
+  }
+
+  planningParts(): PlanningParts {
+    this.parts ??= {
+      servers: this.listServers(),
+      timetable: this.makeTimetable(),
+      lanes: this.lanes,
+    };
+    return this.parts;
+  }
+
+  /** Takes what was just planned from the room that is left. */
+  take(plans: readonly SlotPlan[]): void {
+    const parts = this.planningParts();
+    this.parts = {...parts, servers: takeRoom(parts.servers, plans)};
+  }
+
+  /** Changes when planning for the slot's backend server may change. */
+  markSlot(slot: Slot): string {
+    const id = slot.backendServerId;
+    const report = this.options.board.find(id);
+    const isLeaving = this.options.isLeaving(id);
+    const isLost = report?.isReachable === false;
+    const isWarm =
+      slot.replaces !== null &&
+      report?.engine?.replicas.some(
+        replica =>
+          replica.slotId.startsWith(slot.slotId) && replica.status === 'warm',
+      );
+    return `${isLost ? 'l' : ''}${isLeaving ? 'v' : ''}${isWarm ? 'w' : ''}`;
+  }
+
+  /** Slots of events that are not in the configuration any more. */
+  listCancelled(): {slotId: string; eventId: string}[] {
+    const {configuration, placement} = this.state;
+    return placement
+      .list()
+      .flatMap(({slotId, purpose, status}) =>
+        purpose.for === 'event' &&
+        status === 'decided' &&
+        !configuration.findEvent(purpose.eventId)
+          ? [{slotId, eventId: purpose.eventId}]
+          : [],
+      );
+  }
+
+  /** Models whose demand slots run requests now. */
+  listActiveModels(): string[] {
+    return this.listDemandSlots()
+      .filter(slot => this.countRequests(slot) > 0)
+      .map(slot => slot.model);
+  }
+
+  /**
+   * Whether a running event is to serve such requests; then its own plan sees
+   * to them, and a second replica beside it would be one too many.
+   */
+  isForEvent(model: string, adapters: readonly string[]): boolean {
+    return this.state.configuration
+      .listEvents()
+      .filter(({startsAtMs}) => startsAtMs <= this.nowMs)
+      .filter(({endsAtMs}) => this.nowMs < endsAtMs)
+      .flatMap(event => event.needs)
+      .some(
+        need =>
+          need.model === model &&
+          adapters.every(adapter => need.adapters.includes(adapter)),
+      );
+  }
+
+  /** Demand slots of other models that run nothing, unused longest first. */
+  listIdleDemand(model: string, demand: DemandTable): Slot[] {
+    const lastUseMs = (slot: Slot) => demand.find(slot.model).lastUseMs ?? 0;
+    return this.listDemandSlots()
+      .filter(slot => slot.model !== model && this.countRequests(slot) === 0)
+      .toSorted((a, b) => lastUseMs(a) - lastUseMs(b));
+  }
+
+  private get state(): AgreedState {
+    return this.options.follower.state;
+  }
+
+  private get lanes(): number {
+    return Math.max(1, Math.floor(this.limits.fullSpeedLoads * PLANNED_SHARE));
+  }
+
+  private listDemandSlots(): Slot[] {
+    return this.state.placement
+      .list()
+      .filter(slot => slot.purpose.for === 'demand');
+  }
+
+  private countRequests(slot: Slot): number {
+    const replicas =
+      this.options.board.find(slot.backendServerId)?.engine?.replicas ?? [];
+    return replicas
+      .filter(replica => replica.slotId.startsWith(slot.slotId))
+      .reduce((sum, replica) => sum + replica.activeRequests, 0);
+  }
+
+  private listServers(): ServerView[] {
+    const {stewardship, placement} = this.state;
+    return stewardship
+      .listBackendServers()
+      .filter(server => server.memoryMib > 0)
+      .map(server => {
+        const report = this.options.board.find(server.backendServerId);
+        return makeServerView({
+          server,
+          holds: placement.listHolds(server.backendServerId),
+          engine: report?.engine ?? null,
+          isLeaving: this.options.isLeaving(server.backendServerId),
+          isLost: report?.isReachable === false,
+        });
+      });
+  }
+
+  private makeTimetable(): StoreTimetable {
+    const uses = this.state.placement
+      .list()
+      .map(findStoreUse)
+      .filter(use => use.untilMs > this.nowMs);
+    return new StoreTimetable(this.lanes, uses);
+  }
+}
--- a/packages/node/src/steward_task.ts
+++ b/packages/node/src/steward_task.ts
@@ -2,12 +2,13 @@
  * Holds backend servers for this node: claims them in the log, reads their
  * engines, and sends the orders that the decided slots call for.
  */
-import {type AgreedState} from '@mimosatack/agreed-state';
+import {type AgreedState, type Slot} from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
 import {type BackendReport} from '@mimosatack/engine-board';
 import {type LogFollower} from '@mimosatack/follow-log';
 import {type EventLogger} from '@mimosatack/logger';
 import {type EngineControl} from '@mimosatack/platform';
+import {type DrainLimits, type LoadOutlook} from '@mimosatack/steward-orders';
 import {Task, type TaskErrorHandler} from '@mimosatack/tasks';
 import {type BackendServerId, type NodeIncarnation} from '@mimosatack/types';
 import {EngineSteward} from './engine_steward.js';
@@ -29,6 +30,8 @@
   publishReport(report: BackendReport): void;
   submitTimeoutMs: number;
   orderDoubtMs: number;
+  drain: DrainLimits;
+  outlook(slot: Slot): LoadOutlook;
 }
 
 const MAX_SUCCESSORS = 3;
--- a/packages/steward-orders/src/decide_orders.ts
+++ b/packages/steward-orders/src/decide_orders.ts
@@ -2,42 +2,46 @@
  * What the steward of one model engine does next. Pure: the same slots, the
  * same engine state and the same time give the same orders.
  */
-import {type Slot, findPeakMib, listSlotHolds} from '@mimosatack/agreed-state';
+import {type Slot} from '@mimosatack/agreed-state';
+import {type EngineState} from '@mimosatack/types';
 import {
-  type EngineState,
-  type LoadedReplica,
-  formatModelRef,
-} from '@mimosatack/types';
-
-/** An order without its id and fencing number. */
-export type OrderIntent =
-  | {
-      order: 'load';
-      slotId: string;
-      model: string;
-      adapter: string | null;
-      version: string;
-      memoryMib: number;
-    }
-  | {order: 'unload'; slotId: string};
+  hasPlannedRoom,
+  isCachedNear,
+  listParts,
+  readBaseSlotId,
+} from './engine_view.js';
+import {type AdapterMemory, type WantedSlot, listLoads} from './list_loads.js';
+import {type DrainLimits, type Unloads, listUnloads} from './list_unloads.js';
+import {type LoadOutlook, findLoadDueMs} from './load_due.js';
+import {type OrderIntent} from './order_intent.js';
 
 /** What the steward remembers between two decisions. */
 export interface StewardMemory {
-  /** Slots whose staging load was done. */
-  staged: ReadonlySet<string>;
-  /** Engine slots with an order whose answer was lost and may still arrive. */
-  unresolved: ReadonlySet<string>;
+  /** How often a slot's staging load was ordered. */
+  stagingLoads: ReadonlyMap<string, number>;
+  /** When a loaded replica was first seen without being wanted. */
+  unwantedSinceMs: ReadonlyMap<string, number>;
 }
 
+/** The memory of a steward that has just begun. */
+export const EMPTY_STEWARD_MEMORY: StewardMemory = {
+  stagingLoads: new Map(),
+  unwantedSinceMs: new Map(),
+};
+
 /** All that one decision looks at. */
 export interface StewardInput {
   slots: readonly Slot[];
   engine: EngineState;
   memory: StewardMemory;
-  memoryOfAdapter(model: string, adapter: string): number;
+  /** Engine slots with an order whose answer was lost and may still arrive. */
+  unresolved: ReadonlySet<string>;
+  /** Whether orders of a former steward may still arrive. */
+  hasDoubts: boolean;
+  memoryOfAdapter: AdapterMemory;
+  drain: DrainLimits;
+  outlook(slot: Slot): LoadOutlook;
   nowMs: number;
-  /** How much earlier loads begin because the weight store is slow now. */
-  advanceMs: number;
 }
 
 /** What to do next. */
@@ -47,184 +51,173 @@
   overdue: string[];
   /** Ending slots that the engine has been seen without. */
   released: string[];
-  /** Slots whose staging load is done. */
-  staged: string[];
-}
-
-const ADAPTER_SEPARATOR = '/';
-
-/** The engine's slot id of an adapter on top of a decided replica. */
-export function formatAdapterSlotId(slotId: string, adapter: string): string {
-  return `${slotId}${ADAPTER_SEPARATOR}${adapter}`;
+  /** What to hand to the next decision. */
+  memory: StewardMemory;
+  /** When to look again at the latest; null when only a new slot matters. */
+  lookAgainAtMs: number | null;
 }
 
-/** The decided replica that an engine's slot belongs to. */
-export function readBaseSlotId(engineSlotId: string): string {
-  return engineSlotId.split(ADAPTER_SEPARATOR, 1)[0] ?? engineSlotId;
-}
+/**
+ * Guards against two staged slots that push each other out of a near cache
+ * that is too small for both: without a bound they would take turns for ever
+ * at the cost of the weight store. After this many loads a slot is loaded
+ * from the store in time instead.
+ */
+const MAX_STAGING_LOADS = 2;
+/** How soon to look again while the engine loads or unloads. */
+const BUSY_LOOK_MS = 100;
 
 /** Decides the next step for one engine. */
 export function decideSteward(input: StewardInput): StewardStep {
-  const {engine, nowMs} = input;
-  const wanted = input.slots.filter(slot => isWanted(slot, input));
-  const wantedIds = new Set(wanted.map(slot => slot.slotId));
-  const unloads = engine.replicas
-    .filter(
-      replica =>
-        replica.status !== 'unloading' &&
-        !wantedIds.has(readBaseSlotId(replica.slotId)),
-    )
-    .toSorted((a, b) => b.slotId.length - a.slotId.length);
-  return {
-    orders: [
-      ...unloads.map((replica): OrderIntent => ({
-        order: 'unload',
-        slotId: replica.slotId,
-      })),
-      ...listLoads(wanted, input),
-    ],
-    overdue: input.slots
+  const {slots, engine, nowMs} = input;
+  const wanted = slots.flatMap(slot => findWanted(slot, input));
+  const unloads = listUnloads({
+    ...input,
+    wantedIds: new Set(wanted.map(want => want.slot.slotId)),
+    unwantedSinceMs: input.memory.unwantedSinceMs,
+  });
+  const loads = listLoads({
+    wanted,
+    engine,
+    memoryOfAdapter: input.memoryOfAdapter,
+    doubtfulMib: findDoubtfulMib(input),
+  });
+  const step = {
+    orders: [...unloads.orders, ...loads],
+    overdue: slots
       .filter(slot => slot.status === 'decided' && nowMs >= slot.untilMs)
       .map(slot => slot.slotId),
-    released: input.slots
+    released: slots
       .filter(slot => slot.status === 'ending' && isAbsent(slot, input))
       .map(slot => slot.slotId),
-    staged: input.slots
-      .filter(slot => isStaging(slot, nowMs) && isStaged(slot, input))
-      .map(slot => slot.slotId),
+    memory: {
+      stagingLoads: countStagingLoads(
+        loads.map(load => load.slotId),
+        input,
+      ),
+      unwantedSinceMs: unloads.unwantedSinceMs,
+    },
   };
+  return {...step, lookAgainAtMs: findLookAgainMs(step.orders, unloads, input)};
 }
 
-/** Whether a slot should be loaded now. */
-function isWanted(slot: Slot, input: StewardInput): boolean {
-  if (slot.status !== 'decided' || input.nowMs >= slot.untilMs) return false;
-  if (input.nowMs >= slot.loadAtMs) return true;
-  if (isDueEarly(slot, input)) return true;
-  return isStaging(slot, input.nowMs) && !isStaged(slot, input);
+/** Whether a slot should be loaded now, as a list of one or none. */
+function findWanted(slot: Slot, input: StewardInput): WantedSlot[] {
+  const {nowMs} = input;
+  if (slot.status !== 'decided' || nowMs >= slot.untilMs) return [];
+  if (nowMs >= slot.loadAtMs) return [{slot, isPlannedNow: true}];
+  if (isDueEarly(slot, input)) return [{slot, isPlannedNow: false}];
+  if (!isStagingDue(slot, input)) return [];
+  return [{slot, isPlannedNow: nowMs < (slot.stage?.untilMs ?? 0)}];
 }
 
-/** A load may begin before its time if the plan leaves its memory free. */
+/**
+ * A load may begin before its time if the plan leaves its memory free, and if
+ * no order that the plan does not show can still claim that memory.
+ */
 function isDueEarly(slot: Slot, input: StewardInput): boolean {
-  const earlyMs = slot.loadAtMs - input.advanceMs;
-  if (input.advanceMs <= 0 || input.nowMs < earlyMs) return false;
-  const others = input.slots
-    .filter(other => other !== slot)
-    .flatMap(listSlotHolds);
-  const peakMib = findPeakMib(others, input.nowMs, slot.loadAtMs);
-  return peakMib + slot.memoryMib <= input.engine.memoryMib;
-}
-
-/** From the start of its staging load until the load that stays. */
-function isStaging(slot: Slot, nowMs: number): boolean {
-  return (
-    slot.status === 'decided' &&
-    slot.stage !== null &&
-    nowMs >= slot.stage.fromMs &&
-    nowMs < slot.loadAtMs
-  );
+  const {engine, nowMs} = input;
+  if (nowMs < findDueMs(slot, input)) return false;
+  if (mayTakeOldOrders(input)) return false;
+  return hasPlannedRoom(slot, input.slots, engine.memoryMib, {
+    fromMs: nowMs,
+    untilMs: slot.loadAtMs,
+  });
 }
 
-function isStaged(slot: Slot, input: StewardInput): boolean {
-  if (input.memory.staged.has(slot.slotId)) return true;
-  const isWarm = input.engine.replicas.some(
-    replica => replica.slotId === slot.slotId && replica.status === 'warm',
-  );
-  const isLoading = input.engine.replicas.some(
-    replica => replica.slotId === slot.slotId && replica.status === 'loading',
-  );
-  return isWarm || (!isLoading && isCachedNear(slot, input.engine));
+function mayTakeOldOrders(input: StewardInput): boolean {
+  const {engine, hasDoubts, unresolved} = input;
+  return engine.fencing === 'ignores' && (hasDoubts || unresolved.size > 0);
 }
 
-function isCachedNear(slot: Slot, engine: EngineState): boolean {
-  const key = formatModelRef({...slot, adapter: null});
-  return engine.cached.some(cached => formatModelRef(cached) === key);
+/**
+ * Guards against a load order with a lost answer that an engine without
+ * fencing carries out later: until then its memory looks free, and another
+ * load would take it. So it counts as taken although the engine shows nothing.
+ */
+function findDoubtfulMib(input: StewardInput): number {
+  const {engine, unresolved, slots} = input;
+  if (engine.fencing === 'refuses-old') return 0;
+  const doubtfulIds = new Set([...unresolved].map(readBaseSlotId));
+  return slots
+    .filter(slot => doubtfulIds.has(slot.slotId))
+    .filter(slot => listParts(slot.slotId, engine).length === 0)
+    .filter(slot => slot.status === 'ending')
+    .reduce((sumMib, slot) => sumMib + slot.memoryMib, 0);
 }
 
-/** Whether the engine holds nothing of a slot and nothing is on its way. */
-function isAbsent(slot: Slot, input: StewardInput): boolean {
-  const belongs = (engineSlotId: string) =>
-    readBaseSlotId(engineSlotId) === slot.slotId;
-  return (
-    !input.engine.replicas.some(replica => belongs(replica.slotId)) &&
-    ![...input.memory.unresolved].some(belongs)
+function findDueMs(slot: Slot, input: StewardInput): number {
+  return findLoadDueMs(
+    slot,
+    isCachedNear(slot, input.engine),
+    input.outlook(slot),
   );
 }
 
 /**
- * Loads that fit into the memory that is free now. The plan in the log makes
- * room for all of them in time; memory that is still held by a late unload is
- * waited for.
+ * A staged model is loaded once, ahead of time, until its checkpoint lies in
+ * the near cache; if the cache loses it, it is loaded again. A transfer that
+ * takes longer than planned goes on as long as the plan leaves it room.
  */
-function listLoads(
-  wanted: readonly Slot[],
+function isStagingDue(slot: Slot, input: StewardInput): boolean {
+  const {stage} = slot;
+  const {engine, nowMs, memory} = input;
+  if (!stage || nowMs < stage.fromMs) return false;
+  if (isCachedNear(slot, engine)) return false;
+  const isUnderWay = listParts(slot.slotId, engine).length > 0;
+  const loads = memory.stagingLoads.get(slot.slotId) ?? 0;
+  if (!isUnderWay && loads >= MAX_STAGING_LOADS) return false;
+  if (nowMs < stage.untilMs) return true;
+  return hasPlannedRoom(slot, input.slots, engine.memoryMib, {
+    fromMs: nowMs,
+    untilMs: nowMs + (isUnderWay ? BUSY_LOOK_MS : input.outlook(slot).remoteMs),
+  });
+}
+
+function countStagingLoads(
+  loadedIds: readonly string[],
   input: StewardInput,
-): OrderIntent[] {
-  const present = new Map(
-    input.engine.replicas.map(replica => [replica.slotId, replica]),
+): Map<string, number> {
+  const loaded = new Set(loadedIds);
+  return new Map(
+    input.slots
+      .filter(slot => slot.stage !== null && slot.status === 'decided')
+      .map(({slotId}): [string, number] => [
+        slotId,
+        (input.memory.stagingLoads.get(slotId) ?? 0) +
+          (loaded.has(slotId) ? 1 : 0),
+      ])
+      .filter(([, loads]) => loads > 0),
   );
-  const freeMib =
-    input.engine.memoryMib -
-    input.engine.replicas.reduce(
-      (sumMib, replica) => sumMib + replica.memoryMib,
-      0,
-    );
-  const intents = wanted
-    .toSorted((a, b) => a.loadAtMs - b.loadAtMs)
-    .flatMap(slot => listMissingParts(slot, present, input));
-  return takeFitting(intents, freeMib);
 }
 
-type LoadIntent = Extract<OrderIntent, {order: 'load'}>;
-
-function listMissingParts(
-  slot: Slot,
-  present: ReadonlyMap<string, LoadedReplica>,
-  input: StewardInput,
-): LoadIntent[] {
-  const {model, version, slotId} = slot;
-  const base = present.get(slotId);
-  const adapterMib = slot.adapters.map(adapter =>
-    input.memoryOfAdapter(model, adapter),
+/** Whether the engine holds nothing of a slot and nothing is on its way. */
+function isAbsent(slot: Slot, input: StewardInput): boolean {
+  return (
+    listParts(slot.slotId, input.engine).length === 0 &&
+    ![...input.unresolved].some(id => readBaseSlotId(id) === slot.slotId)
   );
-  if (!base) {
-    const baseMib =
-      slot.memoryMib - adapterMib.reduce((sum, mib) => sum + mib, 0);
-    return [
-      {
-        order: 'load',
-        slotId,
-        model,
-        version,
-        adapter: null,
-        memoryMib: baseMib,
-      },
-    ];
-  }
-  if (base.status !== 'warm') return [];
-  return slot.adapters
-    .map((adapter, index): LoadIntent => ({
-      order: 'load',
-      slotId: formatAdapterSlotId(slotId, adapter),
-      model,
-      version,
-      adapter,
-      memoryMib: adapterMib[index] ?? 0,
-    }))
-    .filter(intent => !present.has(intent.slotId));
 }
 
-function takeFitting(
-  intents: readonly LoadIntent[],
-  freeMib: number,
-): LoadIntent[] {
-  return intents.reduce<{taken: LoadIntent[]; freeMib: number}>(
-    (state, intent) =>
-      intent.memoryMib <= state.freeMib
-        ? {
-            taken: [...state.taken, intent],
-            freeMib: state.freeMib - intent.memoryMib,
-          }
-        : state,
-    {taken: [], freeMib},
-  ).taken;
+function findLookAgainMs(
+  orders: readonly OrderIntent[],
+  unloads: Unloads,
+  input: StewardInput,
+): number | null {
+  const {engine, nowMs} = input;
+  const isBusy =
+    orders.length > 0 ||
+    unloads.unwantedSinceMs.size > 0 ||
+    engine.replicas.some(replica => replica.status !== 'warm');
+  if (isBusy) return nowMs + BUSY_LOOK_MS;
+  const laterMs = input.slots
+    .filter(slot => slot.status === 'decided')
+    .flatMap(slot => [
+      slot.stage?.fromMs ?? slot.loadAtMs,
+      findDueMs(slot, input),
+      slot.loadAtMs,
+      slot.untilMs,
+    ])
+    .filter(atMs => atMs > nowMs);
+  return laterMs.length === 0 ? null : Math.min(...laterMs);
 }
--- a/packages/steward-orders/src/index.ts
+++ b/packages/steward-orders/src/index.ts
@@ -1,14 +1,20 @@
 export {
-  type OrderIntent,
+  EMPTY_STEWARD_MEMORY,
   type StewardInput,
   type StewardMemory,
   type StewardStep,
   decideSteward,
-  formatAdapterSlotId,
-  readBaseSlotId,
 } from './decide_orders.js';
+export {formatAdapterSlotId, readBaseSlotId} from './engine_view.js';
 export {
   type FencingParts,
   ORDERS_PER_HOLDER,
   makeFencingNumber,
 } from './fencing_number.js';
+export {type DrainLimits} from './list_unloads.js';
+export {type LoadOutlook, findLoadDueMs} from './load_due.js';
+export {
+  type LoadIntent,
+  type OrderIntent,
+  type UnloadIntent,
+} from './order_intent.js';
