--- /dev/null
+++ b/packages/plan-warming/src/load_time_estimates.test.ts
@@ -0,0 +1,87 @@
+import {type EngineState} from '@mimosatack/types';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {LoadTimeEstimates} from './load_time_estimates.js';
+import {makeEngine, makeWarm} from './test_fixtures.js';
+
+const test = suite('load time estimates');
+
+/** One second for a usual load. */
+const LIMITS = {loadsPerSecond: 4, fullSpeedLoads: 4};
+
+function setUp(): LoadTimeEstimates {
+  const estimates = new LoadTimeEstimates();
+  estimates.setLimits(LIMITS);
+  return estimates;
+}
+
+function makeReport(model: string, status: 'loading' | 'warm'): EngineState {
+  const slot = {slotId: `s-${model}`, model, version: 'v1'};
+  const isWarm = status === 'warm';
+  return makeEngine('r1', {
+    replicas: [{...makeWarm(slot), status, loadMs: isWarm ? 5_300 : 0}],
+    cached: isWarm
+      ? [{model, adapter: null, version: 'v1', tier: 'memory'}]
+      : [],
+  });
+}
+
+function observeLoad(
+  estimates: LoadTimeEstimates,
+  model: string,
+  atMs: number,
+) {
+  estimates.observe(makeEngine('r1'), atMs - 1);
+  estimates.observe(makeReport(model, 'loading'), atMs);
+  estimates.observe(makeReport(model, 'warm'), atMs + 5_000);
+}
+
+test('expects what the store allows until a load is seen', () => {
+  const {storeMs} = setUp().expect({model: 'm', adapter: null}, 'remote');
+  assert.is(storeMs, 1_000);
+});
+
+test('learns the load time of a model from its loads', () => {
+  const estimates = setUp();
+  observeLoad(estimates, 'big', 0);
+  const expectRemote = (model: string) =>
+    estimates.expect({model, adapter: null}, 'remote').storeMs;
+  assert.is(expectRemote('big'), 5_000);
+  assert.is(expectRemote('other'), 1_000);
+});
+
+test('one large checkpoint alone does not make the store slow', () => {
+  const estimates = setUp();
+  observeLoad(estimates, 'big', 0);
+  assert.is(estimates.findSlowdown(6_000), 1);
+});
+
+test('sees a slow store from loads that ended and forgets it later', () => {
+  const estimates = setUp();
+  observeLoad(estimates, 'm1', 0);
+  observeLoad(estimates, 'm2', 10_000);
+  assert.is(estimates.findSlowdown(16_000), 5);
+  assert.is(estimates.findSlowdown(1_000_000), 1);
+});
+
+test('sees a slow store from loads that last too long already', () => {
+  // The store becomes ten times slower just before an event. Waiting for the
+  // first load to end would leave no time to begin the others earlier.
+  const estimates = setUp();
+  const replicas = ['m1', 'm2'].flatMap(
+    model => makeReport(model, 'loading').replicas,
+  );
+  estimates.observe(makeEngine('r1', {replicas}), 0);
+  assert.is(estimates.findSlowdown(1_200), 1);
+  assert.is(estimates.findSlowdown(4_000), 4);
+});
+
+test('does not take its own sharing of the store for slowness', () => {
+  const estimates = setUp();
+  const models = Array.from({length: 16}, (_unused, index) => `m${index}`);
+  const replicas = models.flatMap(m => makeReport(m, 'loading').replicas);
+  estimates.observe(makeEngine('r1', {replicas}), 0);
+  assert.is(estimates.findSlowdown(4_000), 1);
+});
+
+test.run();
--- a/packages/plan-warming/src/need_state.ts
+++ b/packages/plan-warming/src/need_state.ts
@@ -48,7 +48,7 @@
     slot => input.nowMs < input.event.startsAtMs || canGo(slot),
   );
   const needless = [
-    ...listSurplus(need, fitting, siblings),
+    ...listSurplus(need, fitting, siblings, viewOf),
     ...listAnswered(fitting, viewOf),
     ...leaving.filter(
       slot => isUnloaded(slot, input) || hasWarmStandIn(slot, siblings, viewOf),
@@ -66,11 +66,15 @@
     siblings,
     wanted: [
       ...listMissing(need, siblings),
-      ...listUncovered(need, siblings, [
-        ...fitting.filter(slot => viewOf(slot)?.isLost),
-        ...leaving,
-        ...outdated.filter(slot => !overtaken.includes(slot)),
-      ]),
+      ...listUncovered(
+        need,
+        siblings,
+        [
+          ...fitting.filter(slot => viewOf(slot)?.isLost),
+          ...leaving,
+          ...outdated.filter(slot => !overtaken.includes(slot)),
+        ].filter(slot => !needless.includes(slot)),
+      ),
     ],
   };
 }
@@ -93,15 +97,21 @@
   return !isTooEarly && !isTooLate;
 }
 
-/** Slots beyond the number that is needed, stand-ins first. */
+/** Slots beyond the number that is needed; those least fit to stay. */
 function listSurplus(
   need: ResolvedNeed,
   fitting: readonly Slot[],
   siblings: readonly Slot[],
+  viewOf: FindView,
 ): Slot[] {
-  const firsts = fitting.filter(slot => slot.replaces === null);
-  const orphans = fitting.filter(slot => isOrphan(slot, siblings));
-  return [...firsts, ...orphans].slice(need.replicas);
+  const rank = (slot: Slot) => {
+    const view = viewOf(slot);
+    return (view?.isLost ? 2 : 0) + (view?.isLeaving ? 1 : 0);
+  };
+  return fitting
+    .filter(slot => slot.replaces === null || isOrphan(slot, siblings))
+    .toSorted((a, b) => rank(a) - rank(b))
+    .slice(need.replicas);
 }
 
 /** Stand-ins whose slot answers again and stays where it is. */
@@ -146,11 +156,18 @@
   const counted = siblings.filter(
     slot => slot.replaces === null || isOrphan(slot, siblings),
   );
-  const length = Math.max(0, need.replicas - counted.length);
-  return Array.from({length}, () => null);
+  const length = Math.min(
+    need.replicas - counted.length,
+    need.replicas + need.maxSurge - siblings.length,
+  );
+  return Array.from({length: Math.max(0, length)}, () => null);
 }
 
-/** Slots that need a stand-in and have none, as far as the surge allows. */
+/**
+ * Slots that need a stand-in and have none, as far as the surge allows. While
+ * a need that was made smaller still holds more than it may, the rules of the
+ * log refuse every further slot.
+ */
 function listUncovered(
   need: ResolvedNeed,
   siblings: readonly Slot[],
@@ -158,6 +175,8 @@
 ): string[] {
   const covered = new Set(siblings.map(slot => slot.replaces));
   const missing = listMissing(need, siblings).length;
+  const firsts = siblings.filter(slot => slot.replaces === null).length;
+  if (firsts > need.replicas) return [];
   const surgeLeft = need.replicas + need.maxSurge - siblings.length - missing;
   return [...new Set(slots)]
     .filter(slot => !covered.has(slot.slotId))
--- /dev/null
+++ b/packages/plan-warming/src/plan_demand.test.ts
@@ -0,0 +1,116 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {DemandTable} from './demand_table.js';
+import {LoadTimeEstimates} from './load_time_estimates.js';
+import {isDemandDue, planDemand} from './plan_demand.js';
+import {FixtureLog, MODEL_MIB, makeServers} from './test_fixtures.js';
+
+const test = suite('plan of demand');
+
+const KEEP_WARM_MS = 60_000;
+
+function setUp(serverMib = 4 * MODEL_MIB) {
+  const servers = makeServers(1, 1, {memoryMib: serverMib});
+  const log = new FixtureLog(servers, ['m1', 'm2']);
+  const demand = new DemandTable();
+  return {log, demand, plan};
+
+  function plan(model: string, nowMs: number) {
+    const {configuration, placement} = log.state;
+    const document = configuration.find('model', model);
+    const purpose = {for: 'demand' as const, model};
+    if (!document) throw new Error(`There is no model ${model}.`);
+    const planned = planDemand({
+      model,
+      content: document.content,
+      demand: demand.find(model),
+      held: placement.listFor(purpose),
+      idleSlots: placement.list().filter(slot => slot.model !== model),
+      servers: log.listViews({}),
+      loadTimes: new LoadTimeEstimates(),
+      timetable: log.makeTimetable(),
+      nowMs,
+      makeSlotId: () => log.makeSlotId(),
+    });
+    const {decide, end, extend} = planned;
+    const outcomes = [
+      ...end.map(e => log.write({type: 'end-slots', ...e})),
+      ...extend.map(e => log.write({type: 'extend-slots', ...e})),
+    ];
+    if (decide.length > 0) {
+      outcomes.push(
+        log.write({
+          type: 'decide-slots',
+          purpose,
+          targetRevision: document.version,
+          expectedPlan: placement.countPlans(purpose),
+          slots: decide,
+        }),
+      );
+    }
+    assert.ok(outcomes.every(({status}) => status === 'valid'));
+    return planned;
+  }
+}
+
+test('a burst at many routers gives one decided load', () => {
+  // A cold model is asked for at every router at once, and each tells the
+  // planner. Were each miss one load, the store would be flooded.
+  const {log, demand, plan} = setUp();
+  Array.from({length: 50}, () => demand.noteMiss('m1', 1_000));
+  plan('m1', 1_000);
+  demand.noteMiss('m1', 1_500);
+  plan('m1', 1_500);
+  const [slot, ...more] = log.state.placement.list();
+  assert.is(slot?.loadAtMs, 1_000);
+  assert.is(more.length, 0);
+});
+
+test('keeps what is used and lets the rest run out', () => {
+  const {log, demand, plan} = setUp();
+  demand.noteMiss('m1', 0);
+  plan('m1', 0);
+  demand.noteUse('m1', KEEP_WARM_MS / 2);
+  const [extension] = plan('m1', KEEP_WARM_MS / 2).extend;
+  assert.is(extension?.untilMs, 1.5 * KEEP_WARM_MS);
+  assert.is(plan('m1', KEEP_WARM_MS).extend.length, 0);
+  assert.is(log.state.placement.list().length, 1);
+});
+
+test('ends an idle model when another one is asked for', () => {
+  const {log, demand, plan} = setUp(MODEL_MIB);
+  demand.noteMiss('m1', 0);
+  plan('m1', 0);
+  demand.noteMiss('m2', 1);
+  const short = plan('m2', 1);
+  assert.ok(short.isUnplaced);
+  assert.is(short.end[0]?.reason, 'idle');
+  assert.is(plan('m2', 2).end.length, 0);
+  log.releaseEnding();
+  assert.is(plan('m2', 3).decide.length, 1);
+});
+
+test('loads the adapter that is asked for with its base', () => {
+  const {demand, plan} = setUp();
+  demand.noteMiss('m1:a', 0);
+  assert.equal(plan('m1', 0).decide[0]?.adapters, ['a']);
+});
+
+test('has nothing to do for a model that nobody asks for', () => {
+  const {log, demand} = setUp();
+  const content = log.state.configuration.find('model', 'm1')?.content;
+  if (!content) throw new Error('There is no model.');
+  const look = {content, demand: demand.find('m1'), held: [], nowMs: 0};
+  assert.not(isDemandDue(look));
+  demand.noteMiss('m1', 0);
+  assert.ok(isDemandDue({...look, demand: demand.find('m1')}));
+});
+
+test('keeps the demand of a bounded number of models', () => {
+  const demand = new DemandTable();
+  Array.from({length: 5_000}, (_unused, i) => demand.noteMiss(`m${i}`, i));
+  assert.is(demand.models.length, 1_024);
+  assert.is(demand.find('m4999').lastMissMs, 4_999);
+});
+
+test.run();
--- a/packages/plan-warming/src/plan_event.ts
+++ b/packages/plan-warming/src/plan_event.ts
@@ -10,7 +10,7 @@
 import {type NeedState, readNeed} from './need_state.js';
 import {listPreempted} from './preempt_slots.js';
 import {ReplicaPlacer, expectReplicaLoad} from './replica_placer.js';
-import {type ServerView} from './server_view.js';
+import {type ServerView, takeRoom} from './server_view.js';
 import {type StoreTimetable} from './store_timetable.js';
 import {
   type WarmingPolicy,
@@ -78,7 +78,11 @@
     };
   }
   const needs = listNeeds(event).map(need => readNeed(need, input));
-  const placed = placeAll(needs, input);
+  const extended = extendAll(
+    needs.flatMap(need => need.extended),
+    input,
+  );
+  const placed = placeAll(needs, {...input, servers: extended.servers});
   const models = new Set(needs.map(({need}) => need.model));
   const unneeded = held.filter(slot => !models.has(slot.model));
   const unplaced = needs.flatMap(({need, wanted}) => {
@@ -86,7 +90,19 @@
       wanted.length - placed.filter(plan => plan.model === need.model).length;
     return replicas > 0 ? [{model: need.model, replicas}] : [];
   });
-  const preempted = listPreempted(listUnplacedNeeds(needs, unplaced), input);
+  const leaving = [
+    ...unneeded,
+    ...needs.flatMap(({ended}) => ended.flatMap(({slots}) => slots)),
+  ].filter(slot => slot.status === 'decided');
+  const preempted = listPreempted(listUnplacedNeeds(needs, unplaced), {
+    ...input,
+    preemptible: [
+      ...input.preemptible,
+      ...leaving.map(slot => ({...slot, status: 'ending' as const})),
+    ],
+    held: [...held, ...placed],
+    servers: takeRoom(extended.servers, placed),
+  });
   return {
     decide: placed.slice(0, MAX_SLOTS_PER_RECORD),
     end: [
@@ -96,10 +112,7 @@
       ),
       ...endAll(preempted, 'moved'),
     ],
-    extend: extendAll(
-      needs.flatMap(({extended}) => extended),
-      input,
-    ),
+    extend: extended.extensions,
     unplaced,
   };
 }
@@ -165,12 +178,16 @@
   );
 }
 
+/** One entry for each replica without room. */
 function listUnplacedNeeds(
   needs: readonly NeedState[],
   unplaced: readonly UnplacedNeed[],
 ): ResolvedNeed[] {
-  const models = new Set(unplaced.map(({model}) => model));
-  return needs.map(({need}) => need).filter(need => models.has(need.model));
+  return unplaced.flatMap(({model, replicas}) =>
+    needs
+      .filter(({need}) => need.model === model)
+      .flatMap(({need}) => Array.from({length: replicas}, () => need)),
+  );
 }
 
 function endAll(slots: readonly Slot[], reason: EndReason): SlotEnding[] {
@@ -181,24 +198,31 @@
   return slotIds.length === 0 ? [] : [{slotIds, reason}];
 }
 
-/** Those for which there is memory until the new end of the event. */
+/**
+ * Extends the slots for which there is memory until the new end of the event,
+ * and takes that memory before anything new is placed.
+ */
 function extendAll(
   slots: readonly Slot[],
   {event, servers}: EventPlanInput,
-): SlotExtension[] {
-  const rooms = new Map(
-    servers.map(view => [view.server.backendServerId, view.room]),
-  );
-  const slotIds = slots
-    .filter(slot => {
-      const room = rooms.get(slot.backendServerId);
+): {extensions: SlotExtension[]; servers: readonly ServerView[]} {
+  const extended = slots.reduce<{slotIds: string[]; views: ServerView[]}>(
+    ({slotIds, views}, slot) => {
       const more = {...slot, stage: null, loadAtMs: slot.untilMs};
       const plan = {...more, untilMs: event.endsAtMs};
-      if (!room?.fits(plan)) return false;
-      rooms.set(slot.backendServerId, room.with(plan));
-      return true;
-    })
-    .map(slot => slot.slotId)
-    .slice(0, MAX_SLOTS_PER_RECORD);
-  return slotIds.length === 0 ? [] : [{slotIds, untilMs: event.endsAtMs}];
+      const view = views.find(
+        ({server}) => server.backendServerId === slot.backendServerId,
+      );
+      return view?.room.fits(plan)
+        ? {slotIds: [...slotIds, slot.slotId], views: takeRoom(views, [plan])}
+        : {slotIds, views};
+    },
+    {slotIds: [], views: [...servers]},
+  );
+  const slotIds = extended.slotIds.slice(0, MAX_SLOTS_PER_RECORD);
+  return {
+    extensions:
+      slotIds.length === 0 ? [] : [{slotIds, untilMs: event.endsAtMs}],
+    servers: extended.views,
+  };
 }
--- a/packages/plan-warming/src/preempt_slots.ts
+++ b/packages/plan-warming/src/preempt_slots.ts
@@ -11,7 +11,8 @@
 /** What preemption looks at. */
 export interface PreemptionInput {
   event: ResolvedEvent;
-  held: readonly Slot[];
+  /** What is decided for the event, also just now. */
+  held: readonly SlotPlan[];
   preemptible: readonly Slot[];
   servers: readonly ServerView[];
   nowMs: number;
@@ -45,15 +46,17 @@
 }
 
 /**
- * For each need without room, the fewest slots on one backend server whose
- * end makes room. Slots that end already are counted as gone: once they were
- * chosen nothing more is chosen, however long their release takes.
+ * For each replica without room, the fewest slots on one backend server whose
+ * end makes room; slots that end already are counted as gone. While slots that
+ * gave way before are still being unloaded nothing more is chosen: what they
+ * leave may be room enough.
  */
 export function listPreempted(
   needs: readonly ResolvedNeed[],
   input: PreemptionInput,
 ): Slot[] {
   const ending = input.preemptible.filter(slot => slot.status === 'ending');
+  if (ending.some(slot => isGivingWay(slot, input))) return [];
   const gone = new Set(ending);
   const claimed: SlotPlan[] = [];
   needs.forEach(need => {
@@ -69,6 +72,14 @@
   return [...gone].filter(slot => slot.status === 'decided');
 }
 
+/** An engine that does not answer may keep a slot ending for long. */
+function isGivingWay(slot: Slot, {servers}: PreemptionInput): boolean {
+  const view = servers.find(
+    ({server}) => server.backendServerId === slot.backendServerId,
+  );
+  return slot.endReason === 'moved' && view?.isLost === false;
+}
+
 interface Choice {
   slots: Slot[];
   plan: SlotPlan;
--- /dev/null
+++ b/packages/plan-warming/src/test_fixtures.ts
@@ -0,0 +1,291 @@
+/** Builds small agreed states and planner inputs for tests. */
+import {
+  AgreedState,
+  type Outcome,
+  type ResolvedEvent,
+  type Slot,
+} from '@mimosatack/agreed-state';
+import {type RecordBody, encodeBatch} from '@mimosatack/records';
+import {type EngineState} from '@mimosatack/types';
+import {LoadTimeEstimates} from './load_time_estimates.js';
+import {type EventPlan, type EventPlanInput, planEvent} from './plan_event.js';
+import {listPreemptible} from './preempt_slots.js';
+import {type ServerView, makeServerView} from './server_view.js';
+import {StoreTimetable, findStoreUse} from './store_timetable.js';
+import {TimetablePolicy} from './timetable_policy.js';
+
+export const MODEL_MIB = 100;
+const MINUTE_MS = 60_000;
+const LANES = 3;
+
+/** A backend server of the fixture. */
+export interface ServerSpec {
+  id: string;
+  memoryMib?: number;
+  failureDomain?: string;
+  fencing?: 'refuses-old' | 'ignores';
+}
+
+/** An event of the fixture. */
+export interface EventSpec {
+  startsAtMs: number;
+  durationMinutes?: number;
+  priority?: number;
+  needs: {
+    model: string;
+    version?: string;
+    adapters?: string[];
+    replicas?: number;
+    maxSurge?: number;
+  }[];
+}
+
+/** What nodes know beside the log. */
+export interface Hints {
+  lost?: string[];
+  leaving?: string[];
+  engines?: EngineState[];
+}
+
+/** A log in memory that is folded at once. */
+export class FixtureLog {
+  readonly state = new AgreedState();
+  private recordCount = 0;
+  private slotCount = 0;
+
+  constructor(servers: readonly ServerSpec[], models: readonly string[]) {
+    servers.forEach(server => this.register(server));
+    this.put('team', 'team', {});
+    models.forEach(model => this.putModel(model));
+  }
+
+  write(body: RecordBody): Outcome {
+    this.recordCount += 1;
+    const record = {
+      recordId: `record-${this.recordCount}`,
+      author: 'node',
+      basisSequence: this.state.sequence,
+      writtenAtMs: 0,
+      operator: null,
+      reason: null,
+      body,
+    };
+    const {nextOffset} = this.state;
+    const [folded] = this.state.foldAppend(nextOffset, encodeBatch([record]));
+    return folded?.outcome ?? {status: 'valid'};
+  }
+
+  put(
+    kind: 'team' | 'model' | 'template' | 'event',
+    id: string,
+    content: object,
+  ) {
+    const expectedVersion = this.state.configuration.currentVersion(kind, id);
+    return this.write({
+      type: 'put-document',
+      kind,
+      id,
+      expectedVersion,
+      content: {...content},
+    });
+  }
+
+  putModel(model: string, content: object = {}): void {
+    this.put('model', model, {
+      pool: 'pool',
+      version: 'v1',
+      memoryMib: MODEL_MIB,
+      adapters: {a: {memoryMib: 10}, b: {memoryMib: 10}},
+      ...content,
+    });
+  }
+
+  putEvent(eventId: string, spec: EventSpec): ResolvedEvent {
+    const {startsAtMs, durationMinutes = 10, priority = 5, needs} = spec;
+    this.put('template', `t-${eventId}`, {
+      team: 'team',
+      event: {
+        startsAt: startsAtMs,
+        durationMinutes,
+        priority,
+        needs: needs.map(need => ({replicas: 1, ...need})),
+      },
+    });
+    this.put('event', eventId, {team: 'team', template: `t-${eventId}`});
+    return this.state.configuration.findEvent(eventId) as ResolvedEvent;
+  }
+
+  /** Plans an event against the state as it is. */
+  plan(eventId: string, nowMs: number, hints: Hints = {}): EventPlan {
+    return planEvent(this.makeInput(eventId, nowMs, hints));
+  }
+
+  makeInput(eventId: string, nowMs: number, hints: Hints = {}): EventPlanInput {
+    const {configuration, placement} = this.state;
+    const event = configuration.findEvent(eventId) as ResolvedEvent;
+    return {
+      event,
+      held: this.listHeld(eventId),
+      preemptible: listPreemptible(event, placement.list(), {
+        nowMs,
+        findEvent: id => configuration.findEvent(id),
+      }),
+      servers: this.listViews(hints),
+      policy: new TimetablePolicy({coldStartWeight: 0.5, idleWeight: 0.5}),
+      loadTimes: new LoadTimeEstimates(),
+      lanes: LANES,
+      timetable: this.makeTimetable(),
+      nowMs,
+      demanded: new Set(),
+      makeSlotId: () => this.makeSlotId(),
+    };
+  }
+
+  /** Writes a plan; gives the verdicts of the rules. */
+  apply(eventId: string, plan: EventPlan): Outcome[] {
+    const purpose = {for: 'event' as const, eventId};
+    const event = this.state.configuration.findEvent(eventId);
+    const bodies: RecordBody[] = [
+      ...plan.end.map(ending => ({type: 'end-slots' as const, ...ending})),
+      ...plan.extend.map(more => ({type: 'extend-slots' as const, ...more})),
+    ];
+    if (plan.decide.length > 0) {
+      bodies.push({
+        type: 'decide-slots',
+        purpose,
+        targetRevision: event?.revision ?? 0,
+        expectedPlan: this.state.placement.countPlans(purpose),
+        slots: plan.decide,
+      });
+    }
+    return bodies.map(body => this.write(body));
+  }
+
+  /** Releases what ends, as stewards do once their engines are without it. */
+  releaseEnding(): void {
+    const {placement, stewardship} = this.state;
+    placement
+      .list()
+      .filter(slot => slot.status === 'ending')
+      .forEach(({slotId, backendServerId}) => {
+        const epoch = stewardship.findClaim(backendServerId)?.epoch ?? 0;
+        this.write({
+          type: 'release-slots',
+          backendServerId,
+          epoch,
+          slotIds: [slotId],
+        });
+      });
+  }
+
+  listHeld(eventId: string): Slot[] {
+    return this.state.placement.listFor({for: 'event', eventId});
+  }
+
+  listViews({lost = [], leaving = [], engines = []}: Hints): ServerView[] {
+    const {stewardship, placement} = this.state;
+    return stewardship.listBackendServers().map(server => {
+      const id = server.backendServerId;
+      return makeServerView({
+        server,
+        holds: placement.listHolds(id),
+        engine: engines.find(each => each.backendServerId === id) ?? null,
+        isLeaving: leaving.includes(id),
+        isLost: lost.includes(id),
+      });
+    });
+  }
+
+  makeTimetable(): StoreTimetable {
+    const uses = this.state.placement.list().map(findStoreUse);
+    return new StoreTimetable(LANES, uses);
+  }
+
+  makeSlotId(): string {
+    this.slotCount += 1;
+    return `s${this.slotCount}`;
+  }
+
+  private register(spec: ServerSpec): void {
+    this.write({
+      type: 'register-backend-server',
+      backendServerId: spec.id,
+      hostId: spec.id,
+      baseUrl: 'http://127.0.0.1:1',
+      pool: 'pool',
+      failureDomain: spec.failureDomain ?? 'domain',
+      region: 'region',
+      fencing: spec.fencing ?? 'refuses-old',
+      accelerators: 8,
+      memoryMib: spec.memoryMib ?? 4 * MODEL_MIB,
+    });
+    this.write({
+      type: 'claim-steward',
+      backendServerId: spec.id,
+      expectedEpoch: 0,
+      successors: [],
+    });
+  }
+}
+
+/** Servers `r1` to `rN`, spread over failure domains. */
+export function makeServers(
+  count: number,
+  domains = 1,
+  spec: Partial<ServerSpec> = {},
+): ServerSpec[] {
+  return Array.from({length: count}, (_unused, index) => ({
+    id: `r${index + 1}`,
+    failureDomain: `domain-${index % domains}`,
+    ...spec,
+  }));
+}
+
+/** An engine's report. */
+export function makeEngine(
+  backendServerId: string,
+  parts: Partial<EngineState> = {},
+): EngineState {
+  return {
+    backendServerId,
+    incarnation: 'i1',
+    fencing: 'refuses-old',
+    highestFencingNumber: 0,
+    accelerators: 8,
+    memoryMib: 4 * MODEL_MIB,
+    replicas: [],
+    cached: [],
+    load: {
+      runningRequests: 0,
+      queuedRequests: 0,
+      maxRunningRequests: 16,
+      tokensPerSecond: 0,
+      ageMs: 0,
+    },
+    ...parts,
+  };
+}
+
+/** A warm replica of a slot as its engine reports it. */
+export function makeWarm(slot: {
+  slotId: string;
+  model: string;
+  version: string;
+}): EngineState['replicas'][number] {
+  const {slotId, model, version} = slot;
+  return {
+    slotId,
+    model,
+    version,
+    adapter: null,
+    memoryMib: MODEL_MIB,
+    status: 'warm',
+    loadMs: 500,
+    activeRequests: 0,
+  };
+}
+
+/** Minutes as milliseconds. */
+export function minutes(count: number): number {
+  return count * MINUTE_MS;
+}
--- /dev/null
+++ b/packages/steward-orders/src/decide_orders.test.ts
@@ -0,0 +1,155 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {EMPTY_STEWARD_MEMORY, decideSteward} from './decide_orders.js';
+import {
+  MODEL_MIB,
+  listOrders,
+  makeCached,
+  makeEngine,
+  makeInput,
+  makeReplica,
+  makeSlot,
+  makeStagedSlot,
+} from './test_fixtures.js';
+
+const test = suite('steward orders');
+
+test('loads at the planned time, not before', () => {
+  const slots = [makeSlot()];
+  assert.equal(listOrders({slots, nowMs: 99_999}), []);
+  assert.equal(listOrders({slots, nowMs: 100_000}), ['load s1']);
+});
+
+test('loads the adapters once their base is warm', () => {
+  const slot = makeSlot({adapters: ['a', 'b'], memoryMib: MODEL_MIB + 20});
+  const slots = [slot];
+  const nowMs = 100_000;
+  const loading = makeEngine({
+    replicas: [makeReplica(slot, {status: 'loading'})],
+  });
+  assert.equal(listOrders({slots, nowMs, engine: loading}), []);
+  const warm = makeEngine({replicas: [makeReplica(slot)]});
+  assert.equal(listOrders({slots, nowMs, engine: warm}), [
+    'load s1/a',
+    'load s1/b',
+  ]);
+});
+
+test('stages until the checkpoint is near, then unloads at once', () => {
+  const slot = makeStagedSlot();
+  const slots = [slot];
+  assert.equal(listOrders({slots, nowMs: 10_000}), ['load s1']);
+  const replicas = [makeReplica(slot, {status: 'loading'})];
+  const fetching = makeEngine({replicas});
+  assert.equal(listOrders({slots, nowMs: 11_000, engine: fetching}), []);
+  const cached = [makeCached(slot)];
+  const done = makeEngine({replicas, cached});
+  assert.equal(listOrders({slots, nowMs: 12_000, engine: done}), ['unload s1']);
+  const gone = makeEngine({cached});
+  assert.equal(listOrders({slots, nowMs: 13_000, engine: gone}), []);
+  assert.equal(listOrders({slots, nowMs: 100_000, engine: gone}), ['load s1']);
+});
+
+test('stages again when the near cache lost the checkpoint, twice at most', () => {
+  // Two staged models do not fit into the near cache together. Each would
+  // push the other out and be fetched again, without end, and the weight
+  // store would have nothing left for anybody else.
+  const slots = [makeStagedSlot()];
+  const first = decideSteward(makeInput({slots, nowMs: 10_000}));
+  const again = decideSteward(
+    makeInput({slots, nowMs: 30_000, memory: first.memory}),
+  );
+  assert.equal(again.orders.length, 1);
+  assert.equal(listOrders({slots, nowMs: 40_000, memory: again.memory}), []);
+});
+
+test('begins earlier when the near cache lost a planned checkpoint', () => {
+  const slots = [makeStagedSlot()];
+  const memory = {
+    ...EMPTY_STEWARD_MEMORY,
+    stagingLoads: new Map([['s1', 2]]),
+  };
+  const earlyMs = 100_000 - (1_300 - 700);
+  assert.equal(listOrders({slots, memory, nowMs: earlyMs - 1}), []);
+  assert.equal(listOrders({slots, memory, nowMs: earlyMs}), ['load s1']);
+});
+
+test('begins earlier when the weight store is slow', () => {
+  // The store turns ten times slower after the loads were planned, with the
+  // log down, so that nothing can be planned anew. By plan the load would end
+  // long after the start.
+  const slots = [makeSlot()];
+  const outlook = () => ({
+    startsAtMs: 102_000,
+    remoteMs: 1_300,
+    nearMs: 700,
+    slowdown: 10,
+  });
+  assert.equal(listOrders({slots, nowMs: 82_000}), []);
+  assert.equal(listOrders({slots, outlook, nowMs: 82_000}), ['load s1']);
+});
+
+test('does not begin early in memory that the plan gives to another', () => {
+  const other = makeSlot({slotId: 's2', model: 'm2', loadAtMs: 90_000});
+  const slots = [makeSlot(), other];
+  const engine = makeEngine({memoryMib: MODEL_MIB});
+  const outlook = () => ({
+    startsAtMs: 102_000,
+    remoteMs: 1_300,
+    nearMs: 700,
+    slowdown: 10,
+  });
+  const nowMs = 85_000;
+  assert.equal(listOrders({slots, engine, outlook, nowMs}), ['load s2']);
+});
+
+test('does not begin early where an old order may still arrive', () => {
+  // An engine without fencing may carry out an order of the steward before.
+  // The plan keeps that memory; an early load would take it.
+  const slots = [makeSlot()];
+  const engine = makeEngine({fencing: 'ignores'});
+  const outlook = () => ({
+    startsAtMs: 102_000,
+    remoteMs: 1_300,
+    nearMs: 700,
+    slowdown: 10,
+  });
+  const parts = {slots, engine, outlook, nowMs: 85_000};
+  assert.equal(listOrders({...parts, hasDoubts: true}), []);
+  assert.equal(listOrders(parts), ['load s1']);
+});
+
+test('waits for the memory of the event before', () => {
+  // The event before has ended, but its replica still answers requests.
+  // Loading the next one beside it would hold more memory than there is.
+  const old = makeSlot({slotId: 's0', model: 'm0', untilMs: 100_000});
+  const slots = [{...old, status: 'ending' as const}, makeSlot()];
+  const engine = makeEngine({
+    memoryMib: MODEL_MIB,
+    replicas: [makeReplica(old, {activeRequests: 1})],
+  });
+  assert.equal(listOrders({slots, engine, nowMs: 100_000}), []);
+});
+
+test('ends overdue slots and releases those the engine is without', () => {
+  const slots = [
+    makeSlot(),
+    makeSlot({slotId: 's2', status: 'ending'}),
+    makeSlot({slotId: 's3', status: 'ending'}),
+  ];
+  const step = decideSteward(
+    makeInput({slots, nowMs: 200_000, unresolved: new Set(['s3/a'])}),
+  );
+  assert.equal(step.overdue, ['s1']);
+  assert.equal(step.released, ['s2']);
+});
+
+test('says when to look again', () => {
+  const lookAgain = (nowMs: number) =>
+    decideSteward(makeInput({slots: [makeStagedSlot()], nowMs})).lookAgainAtMs;
+  assert.is(lookAgain(0), 10_000);
+  assert.is(lookAgain(10_000), 10_100);
+  assert.is(decideSteward(makeInput()).lookAgainAtMs, null);
+});
+
+test.run();
