--- a/packages/node/src/planner_view.ts
+++ b/packages/node/src/planner_view.ts
@@ -12,6 +12,7 @@
 } from '@mimosatack/plan-warming';
 import {type WeightStoreLimits} from '@mimosatack/platform';
 import {type SlotPlan, type SlotPurpose} from '@mimosatack/records';
+import {readBaseSlotId} from '@mimosatack/steward-orders';
 import {type BackendServerId} from '@mimosatack/types';
 
 /** What the view is made of. */
@@ -85,7 +86,8 @@
       slot.replaces !== null &&
       report?.engine?.replicas.some(
         replica =>
-          replica.slotId.startsWith(slot.slotId) && replica.status === 'warm',
+          readBaseSlotId(replica.slotId) === slot.slotId &&
+          replica.status === 'warm',
       );
     return `${isLost ? 'l' : ''}${isLeaving ? 'v' : ''}${isWarm ? 'w' : ''}`;
   }
@@ -154,7 +156,7 @@
     const replicas =
       this.options.board.find(slot.backendServerId)?.engine?.replicas ?? [];
     return replicas
-      .filter(replica => replica.slotId.startsWith(slot.slotId))
+      .filter(replica => readBaseSlotId(replica.slotId) === slot.slotId)
       .reduce((sum, replica) => sum + replica.activeRequests, 0);
   }
 
--- a/packages/plan-warming/src/load_outlook.ts
+++ b/packages/plan-warming/src/load_outlook.ts
@@ -7,7 +7,7 @@
 export interface SlotOutlook {
   startsAtMs: number | null;
   remoteMs: number;
-  nearMs: number;
+  nearMs: Record<'memory' | 'disk', number>;
   slowdown: number;
 }
 
@@ -27,7 +27,10 @@
   return {
     startsAtMs: event?.startsAtMs ?? null,
     remoteMs: remote.storeMs + remote.initMs,
-    nearMs: expectReplicaLoad(slot, 'disk', loadTimes).initMs,
+    nearMs: {
+      memory: expectReplicaLoad(slot, 'memory', loadTimes).initMs,
+      disk: expectReplicaLoad(slot, 'disk', loadTimes).initMs,
+    },
     slowdown: loadTimes.findSlowdown(nowMs),
   };
 }
--- a/packages/plan-warming/src/load_time_estimates.ts
+++ b/packages/plan-warming/src/load_time_estimates.ts
@@ -47,6 +47,7 @@
   ref: ModelRef;
   tier: CacheTier;
   sinceMs: number;
+  seenAtMs: number;
   /** Transfers from the store that went on when this one was first seen. */
   transfers: number;
   isTransferred: boolean;
@@ -63,6 +64,8 @@
 /** How long a finished transfer says something about the present speed. */
 const SPEED_MEMORY_MS = 120_000;
 const MIN_SPEED_EVIDENCE = 2;
+/** A load on an engine that was not heard of for this long says nothing. */
+const REPORT_STALE_MS = 5_000;
 /** Below this factor the store counts as running at its usual speed. */
 const SLOW_FACTOR = 1.5;
 const MAX_SLOWDOWN = 50;
@@ -73,6 +76,8 @@
   private readonly series = new Map<string, SampleWindow>();
   private readonly speeds = new SampleWindow(MAX_SPEED_SAMPLES);
   private readonly ongoing = new Map<string, Map<string, OngoingLoad>>();
+  /** The ongoing loads that still fetch from the weight store. */
+  private readonly transfers = new Set<OngoingLoad>();
   private readonly reports = new Map<string, EngineState>();
 
   constructor(private readonly defaults = DEFAULT_LOAD_TIMES) {
@@ -97,15 +102,25 @@
       ]),
     );
     this.ongoing.set(id, current);
-    const followed = new Map([...known, ...current]);
-    [...followed.values()]
+    const followed = [...new Map([...known, ...current]).values()];
+    followed
       .filter(load => !load.isTransferred && findTier(load.ref, engine))
       .forEach(load => this.endTransfer(load, atMs - load.sinceMs, atMs));
     if (before) this.noteWarm(engine, before, known, atMs);
+    followed.forEach(load => this.transfers.delete(load));
+    [...current.values()]
+      .filter(load => !load.isTransferred)
+      .forEach(load => {
+        load.seenAtMs = atMs;
+        this.transfers.add(load);
+      });
   }
 
   /** Forgets an engine that is gone. */
   forget(backendServerId: string): void {
+    this.ongoing
+      .get(backendServerId)
+      ?.forEach(load => this.transfers.delete(load));
     this.ongoing.delete(backendServerId);
     this.reports.delete(backendServerId);
   }
@@ -116,7 +131,7 @@
     const medianMs = window?.quantile(0.5) ?? 0;
     const spreadMs = expectedMs === undefined ? 0 : expectedMs - medianMs;
     if (tier !== 'remote') {
-      const initMs = expectedMs ?? this.defaults.nearMs[tier];
+      const initMs = expectedMs ?? this.expectNearMs(tier);
       return {storeMs: 0, initMs, spreadMs};
     }
     const storeMs = expectedMs ?? this.usualTransferMs();
@@ -129,7 +144,8 @@
    * than they should. The median keeps one odd checkpoint from deciding.
    */
   findSlowdown(nowMs: number): number {
-    const running = this.listTransfers()
+    const running = [...this.transfers]
+      .filter(load => nowMs - load.seenAtMs <= REPORT_STALE_MS)
       .map(load => this.findSlowness(load, nowMs - load.sinceMs))
       .filter(slowness => slowness >= SLOW_FACTOR);
     const evidence = [
@@ -141,15 +157,30 @@
     return slowdown < SLOW_FACTOR ? 1 : Math.min(MAX_SLOWDOWN, slowdown);
   }
 
+  /** What other models took from the tier, when this one was not seen. */
+  private expectNearMs(tier: 'memory' | 'disk'): number {
+    return (
+      this.series.get(pooledKey(tier))?.quantile(0.99) ??
+      this.defaults.nearMs[tier]
+    );
+  }
+
   private beginLoad(
     replica: LoadedReplica,
     before: EngineState | undefined,
     atMs: number,
   ): OngoingLoad {
     const tier = (before && findTier(replica, before)) ?? 'remote';
-    const transfers = this.listTransfers().length + 1;
+    const transfers = this.transfers.size + 1;
     const isTransferred = tier !== 'remote';
-    return {ref: replica, tier, sinceMs: atMs, transfers, isTransferred};
+    return {
+      ref: replica,
+      tier,
+      sinceMs: atMs,
+      seenAtMs: atMs,
+      transfers,
+      isTransferred,
+    };
   }
 
   /** Takes in the loads that ended between two reports. */
@@ -191,15 +222,9 @@
     this.addSample(load.ref, 'remote', slowness * this.usualTransferMs(), atMs);
   }
 
-  private listTransfers(): OngoingLoad[] {
-    return [...this.ongoing.values()]
-      .flatMap(loads => [...loads.values()])
-      .filter(load => !load.isTransferred);
-  }
-
   /** How long a transfer took against what its share of the store allows. */
   private findSlowness(load: OngoingLoad, transferMs: number): number {
-    const transfers = Math.max(load.transfers, this.listTransfers().length);
+    const transfers = Math.max(load.transfers, this.transfers.size);
     const share = Math.max(1, transfers / this.limits.fullSpeedLoads);
     return transferMs / (this.usualTransferMs() * share);
   }
@@ -215,7 +240,11 @@
     valueMs: number,
     atMs: number,
   ): void {
-    const key = seriesKey(ref, tier);
+    if (tier !== 'remote') this.addTo(pooledKey(tier), valueMs, atMs);
+    this.addTo(seriesKey(ref, tier), valueMs, atMs);
+  }
+
+  private addTo(key: string, valueMs: number, atMs: number): void {
     const window = this.series.get(key) ?? new SampleWindow(MAX_SAMPLES);
     window.add(valueMs, atMs);
     this.series.delete(key);
@@ -235,6 +264,11 @@
   );
 }
 
+/** Near loads of all models together; their sizes matter little. */
+function pooledKey(tier: CacheTier): string {
+  return `${tier} *`;
+}
+
 function seriesKey(ref: Omit<ModelRef, 'version'>, tier: CacheTier): string {
   return `${tier} ${ref.model}${ref.adapter === null ? '' : `+${ref.adapter}`}`;
 }
--- a/packages/plan-warming/src/replica_placer.ts
+++ b/packages/plan-warming/src/replica_placer.ts
@@ -96,7 +96,7 @@
       tier,
       canStage: view.server.fencing === 'refuses-old',
       remote: this.expectLoad(spec, 'remote'),
-      near: this.expectLoad(spec, tier === 'remote' ? 'disk' : tier),
+      near: this.expectLoad(spec, tier === 'remote' ? 'memory' : tier),
       timetable: this.parts.timetable,
       room,
     });
--- a/packages/steward-orders/src/decide_orders.test.ts
+++ b/packages/steward-orders/src/decide_orders.test.ts
@@ -82,7 +82,7 @@
   const outlook = () => ({
     startsAtMs: 102_000,
     remoteMs: 1_300,
-    nearMs: 700,
+    nearMs: {memory: 700, disk: 900},
     slowdown: 10,
   });
   assert.equal(listOrders({slots, nowMs: 82_000}), []);
@@ -96,7 +96,7 @@
   const outlook = () => ({
     startsAtMs: 102_000,
     remoteMs: 1_300,
-    nearMs: 700,
+    nearMs: {memory: 700, disk: 900},
     slowdown: 10,
   });
   const nowMs = 85_000;
@@ -111,7 +111,7 @@
   const outlook = () => ({
     startsAtMs: 102_000,
     remoteMs: 1_300,
-    nearMs: 700,
+    nearMs: {memory: 700, disk: 900},
     slowdown: 10,
   });
   const parts = {slots, engine, outlook, nowMs: 85_000};
--- a/packages/steward-orders/src/decide_orders.ts
+++ b/packages/steward-orders/src/decide_orders.ts
@@ -5,8 +5,8 @@
 import {type Slot} from '@mimosatack/agreed-state';
 import {type EngineState} from '@mimosatack/types';
 import {
+  findSlotTier,
   hasPlannedRoom,
-  isCachedNear,
   listParts,
   readBaseSlotId,
 } from './engine_view.js';
@@ -147,11 +147,8 @@
 }
 
 function findDueMs(slot: Slot, input: StewardInput): number {
-  return findLoadDueMs(
-    slot,
-    isCachedNear(slot, input.engine),
-    input.outlook(slot),
-  );
+  const tier = findSlotTier(slot, input.engine);
+  return findLoadDueMs(slot, tier, input.outlook(slot));
 }
 
 /**
@@ -163,7 +160,7 @@
   const {stage} = slot;
   const {engine, nowMs, memory} = input;
   if (!stage || nowMs < stage.fromMs) return false;
-  if (isCachedNear(slot, engine)) return false;
+  if (findSlotTier(slot, engine) !== 'remote') return false;
   const isUnderWay = listParts(slot.slotId, engine).length > 0;
   const loads = memory.stagingLoads.get(slot.slotId) ?? 0;
   if (!isUnderWay && loads >= MAX_STAGING_LOADS) return false;
--- a/packages/steward-orders/src/engine_view.ts
+++ b/packages/steward-orders/src/engine_view.ts
@@ -6,6 +6,7 @@
   listSlotHolds,
 } from '@mimosatack/agreed-state';
 import {
+  type CacheTier,
   type EngineState,
   type LoadedReplica,
   formatModelRef,
@@ -33,12 +34,27 @@
   );
 }
 
-/** Whether the base and all adapters of a slot lie in the near cache. */
-export function isCachedNear(slot: Slot, engine: EngineState): boolean {
-  const cached = new Set(engine.cached.map(formatModelRef));
-  return [null, ...slot.adapters].every(adapter =>
-    cached.has(formatModelRef({...slot, adapter})),
+/** The farthest tier of the base and the adapters of a slot. */
+export function findSlotTier(slot: Slot, engine: EngineState): CacheTier {
+  const tiers = mapCachedTiers(engine);
+  const parts = [null, ...slot.adapters].map(
+    adapter => tiers.get(formatModelRef({...slot, adapter})) ?? 'remote',
   );
+  if (parts.includes('remote')) return 'remote';
+  return parts.includes('disk') ? 'disk' : 'memory';
+}
+
+/** Every slot of a decision asks the same report; it is read once. */
+const cachedTiers = new WeakMap<EngineState, Map<string, CacheTier>>();
+
+function mapCachedTiers(engine: EngineState): Map<string, CacheTier> {
+  const known = cachedTiers.get(engine);
+  if (known) return known;
+  const tiers = new Map<string, CacheTier>(
+    engine.cached.map(cached => [formatModelRef(cached), cached.tier]),
+  );
+  cachedTiers.set(engine, tiers);
+  return tiers;
 }
 
 /** Whether the plan leaves room for a slot outside its own stretches. */
--- a/packages/steward-orders/src/index.ts
+++ b/packages/steward-orders/src/index.ts
@@ -18,3 +18,10 @@
   type OrderIntent,
   type UnloadIntent,
 } from './order_intent.js';
+export {
+  WATCH_PATIENCE_MS,
+  type WatchInput,
+  type WatchResult,
+  findNextWatchMs,
+  watchEngine,
+} from './succession.js';
--- a/packages/steward-orders/src/load_due.ts
+++ b/packages/steward-orders/src/load_due.ts
@@ -1,5 +1,6 @@
 /** When a decided load must begin so that it is done in time. */
 import {type Slot} from '@mimosatack/agreed-state';
+import {type CacheTier} from '@mimosatack/types';
 
 /** What is known of the loads of one slot now; hints from all engines. */
 export interface LoadOutlook {
@@ -7,8 +8,8 @@
   startsAtMs: number | null;
   /** A whole load, adapters too, when the store runs at its usual speed. */
   remoteMs: number;
-  /** A whole load from the near cache. */
-  nearMs: number;
+  /** A whole load from a near cache, by its tier. */
+  nearMs: Record<'memory' | 'disk', number>;
   /** How many times slower than usual the weight store is now; at least 1. */
   slowdown: number;
 }
@@ -17,21 +18,23 @@
  * The latest time at which the load that stays should begin. It is the
  * planned time unless the plan relied on something that no longer holds:
  *
- * - the plan counted on the near cache, which has lost the checkpoint since;
+ * - the plan counted on the near cache, which has lost the checkpoint since
+ *   or moved it to disk;
  * - the weight store is slower than planned. Then the lead of every planned
  *   load is stretched by the same factor, which keeps their order and gives
  *   each as much of the store as the plan did.
  */
 export function findLoadDueMs(
   slot: Slot,
-  isNear: boolean,
+  tier: CacheTier,
   outlook: LoadOutlook,
 ): number {
-  if (isNear) return slot.loadAtMs;
   const {startsAtMs, remoteMs, nearMs, slowdown} = outlook;
   if (isPlannedNear(slot)) {
-    return slot.loadAtMs - Math.max(0, remoteMs * slowdown - nearMs);
+    const loadMs = tier === 'remote' ? remoteMs * slowdown : nearMs[tier];
+    return slot.loadAtMs - Math.max(0, loadMs - nearMs.memory);
   }
+  if (tier !== 'remote') return slot.loadAtMs;
   const leadMs = Math.max(0, (startsAtMs ?? slot.loadAtMs) - slot.loadAtMs);
   return slot.loadAtMs - (Math.max(1, slowdown) - 1) * leadMs;
 }
--- a/packages/steward-orders/src/steward_loop.test.ts
+++ b/packages/steward-orders/src/steward_loop.test.ts
@@ -6,13 +6,7 @@
 import * as assert from 'uvu/assert';
 import {decideSteward} from './decide_orders.js';
 import {makeFencingNumber} from './fencing_number.js';
-import {
-  ADAPTER_MIB,
-  DRAIN,
-  MODEL_MIB,
-  makeInput,
-  makeSlot,
-} from './test_fixtures.js';
+import {ADAPTER_MIB, MODEL_MIB, makeInput, makeSlot} from './test_fixtures.js';
 
 const test = suite('steward and engine');
 
@@ -70,7 +64,7 @@
         outlook: slot => ({
           startsAtMs: slot.loadAtMs + 1_000,
           remoteMs: 1_300,
-          nearMs: 700,
+          nearMs: {memory: 700, disk: 900},
           slowdown,
         }),
       }),
--- a/packages/steward-orders/src/test_fixtures.ts
+++ b/packages/steward-orders/src/test_fixtures.ts
@@ -102,7 +102,7 @@
     outlook: () => ({
       startsAtMs: 102_000,
       remoteMs: 1_300,
-      nearMs: 700,
+      nearMs: {memory: 700, disk: 900},
       slowdown: 1,
     }),
     nowMs: 0,
