Write checkpoints, adopt the newest state and follow peers that are ahead

A node that is cut from the log hangs in its long poll, so a failed read came too late to keep a change in force within 4 s; peers now say how far they are and the appends are pulled from them.

--- a/packages/agreed-state/src/agreed_state.ts
+++ b/packages/agreed-state/src/agreed_state.ts
@@ -6,6 +6,7 @@
 import {createHash} from 'node:crypto';
 import {
   type AgreedRecord,
+  type BodyOf,
   type DecodedRecord,
   decodeBatch,
 } from '@mimosatack/records';
@@ -32,6 +33,9 @@
  */
 export const BASIS_HORIZON = 20_000;
 
+/** After how many records those beyond the horizon are forgotten. */
+const FORGET_STEP = 5_000;
+
 /** One folded record with its verdict. */
 export interface FoldedRecord {
   sequence: number;
@@ -52,6 +56,7 @@
   rulesVersion: number;
   nextOffset: LogOffset;
   sequence: number;
+  checkpointSequence: number;
   rememberedIds: RememberedId[];
   configuration: ConfigurationSnapshot;
   stewardship: StewardshipSnapshot;
@@ -70,6 +75,8 @@
   /** How many records were folded; the last one has this number. */
   sequence = 0;
   rulesVersion = 1;
+  /** The sequence number that the newest noted checkpoint covers. */
+  checkpointSequence = 0;
   private rememberedIds = new Map<string, number>();
 
   /** Whether this release knows the rules that are in force. */
@@ -125,7 +132,7 @@
       case 'put-document':
         return this.configuration.put(body, this.sequence);
       case 'delete-document':
-        return this.configuration.delete(body, this.sequence);
+        return this.deleteDocument(body);
       case 'register-backend-server':
         return this.stewardship.register(body);
       case 'remove-backend-server':
@@ -150,11 +157,27 @@
         return this.stewardship.yield(body, author);
       case 'clear-doubt':
         return this.stewardship.clearDoubt(body, author);
+      case 'note-checkpoint':
+        return this.noteCheckpoint(body);
       case 'activate-rules':
         return this.activateRules(body.rulesVersion);
     }
   }
 
+  private noteCheckpoint(body: BodyOf<'note-checkpoint'>): Outcome {
+    if (body.coversSequence <= this.checkpointSequence) {
+      return makeVoid('duplicate', 'A newer checkpoint was noted.');
+    }
+    this.checkpointSequence = body.coversSequence;
+    return VALID;
+  }
+
+  private deleteDocument(body: BodyOf<'delete-document'>): Outcome {
+    const outcome = this.configuration.delete(body, this.sequence);
+    if (body.kind === 'event') this.placement.forgetEvent(body.id);
+    return outcome;
+  }
+
   /**
    * Guards against two releases that would fold the same record differently:
    * new rules hold only from this record on, and a node that does not know
@@ -168,12 +191,16 @@
     return VALID;
   }
 
+  /**
+   * Runs at the same records on every node, so that equal offsets mean equal
+   * states; in steps, since dropping a few old entries at a time is slow.
+   */
   private forgetOld(): void {
+    if (this.sequence % FORGET_STEP !== 0) return;
     const horizon = this.sequence - BASIS_HORIZON;
-    for (const [recordId, sequence] of this.rememberedIds) {
-      if (sequence >= horizon) break;
-      this.rememberedIds.delete(recordId);
-    }
+    this.rememberedIds = new Map(
+      [...this.rememberedIds].filter(([, sequence]) => sequence >= horizon),
+    );
     this.configuration.forgetTombstonesBefore(horizon);
   }
 
@@ -184,6 +211,7 @@
       rulesVersion: this.rulesVersion,
       nextOffset: this.nextOffset,
       sequence: this.sequence,
+      checkpointSequence: this.checkpointSequence,
       rememberedIds: [...this.rememberedIds].map(([recordId, sequence]) => ({
         recordId,
         sequence,
@@ -205,6 +233,7 @@
     state.rulesVersion = snapshot.rulesVersion;
     state.nextOffset = snapshot.nextOffset;
     state.sequence = snapshot.sequence;
+    state.checkpointSequence = snapshot.checkpointSequence;
     state.rememberedIds = new Map(
       snapshot.rememberedIds.map(({recordId, sequence}) => [
         recordId,
--- a/packages/agreed-state/src/configuration/configuration.ts
+++ b/packages/agreed-state/src/configuration/configuration.ts
@@ -2,7 +2,11 @@
  * The documents that operators publish. A change names the version it was
  * made against; of two that race, the first in the log wins.
  */
-import {type BodyOf, type DocumentKind} from '@mimosatack/records';
+import {
+  type BodyOf,
+  DOCUMENT_KINDS,
+  type DocumentKind,
+} from '@mimosatack/records';
 import {type z} from 'zod';
 import {type Outcome, VALID, makeVoid} from '../outcome.js';
 import {
@@ -68,7 +72,13 @@
 
 /** The aggregate of all documents and of the events resolved from them. */
 export class Configuration {
-  private readonly documents = new Map<string, Document>();
+  private readonly documents: Record<DocumentKind, Map<string, Document>> = {
+    team: new Map(),
+    model: new Map(),
+    service: new Map(),
+    template: new Map(),
+    event: new Map(),
+  };
   private readonly tombstones = new Map<string, Tombstone>();
   /** Contents of template versions that a pinned event still names. */
   private readonly pinnedTemplates = new Map<string, TemplateContent>();
@@ -77,7 +87,7 @@
   static restore(snapshot: ConfigurationSnapshot): Configuration {
     const restored = new Configuration();
     snapshot.documents.forEach(document =>
-      restored.documents.set(keyOf(document.kind, document.id), document),
+      restored.documents[document.kind].set(document.id, document),
     );
     snapshot.tombstones.forEach(stone =>
       restored.tombstones.set(stone.key, stone),
@@ -91,7 +101,9 @@
 
   toSnapshot(): ConfigurationSnapshot {
     return {
-      documents: [...this.documents.values()],
+      documents: DOCUMENT_KINDS.flatMap(kind => [
+        ...this.documents[kind].values(),
+      ]),
       tombstones: [...this.tombstones.values()],
       pinnedTemplates: [...this.pinnedTemplates.entries()],
       events: [...this.events.values()],
@@ -99,13 +111,11 @@
   }
 
   find<K extends DocumentKind>(kind: K, id: string): Document<K> | undefined {
-    return this.documents.get(keyOf(kind, id)) as Document<K> | undefined;
+    return this.documents[kind].get(id) as Document<K> | undefined;
   }
 
   list<K extends DocumentKind>(kind: K): Document<K>[] {
-    return [...this.documents.values()].filter(
-      (document): document is Document<K> => document.kind === kind,
-    );
+    return [...this.documents[kind].values()] as Document<K>[];
   }
 
   findEvent(eventId: string): ResolvedEvent | undefined {
@@ -118,9 +128,10 @@
 
   /** The version that a change must name; 0 for what never existed. */
   currentVersion(kind: DocumentKind, id: string): number {
-    const key = keyOf(kind, id);
     return (
-      this.documents.get(key)?.version ?? this.tombstones.get(key)?.version ?? 0
+      this.documents[kind].get(id)?.version ??
+      this.tombstones.get(keyOf(kind, id))?.version ??
+      0
     );
   }
 
@@ -146,7 +157,7 @@
 
   delete(body: BodyOf<'delete-document'>, sequence: number): Outcome {
     const key = keyOf(body.kind, body.id);
-    const document = this.documents.get(key);
+    const document = this.documents[body.kind].get(body.id);
     if (!document) {
       return makeVoid('unknown-reference', `There is no ${key}.`);
     }
@@ -156,7 +167,7 @@
     if (users.length > 0) {
       return makeVoid('in-use', `${key} is used by ${users.join(', ')}.`);
     }
-    this.documents.delete(key);
+    this.documents[body.kind].delete(body.id);
     this.tombstones.set(key, {
       key,
       version: body.expectedVersion + 1,
@@ -181,7 +192,7 @@
     const current = this.currentVersion(body.kind, body.id);
     if (current === body.expectedVersion) return null;
     const key = keyOf(body.kind, body.id);
-    const winner = this.documents.get(key)?.sequence;
+    const winner = this.documents[body.kind].get(body.id)?.sequence;
     return makeVoid(
       'version-conflict',
       `${key} is at version ${current}, not ${body.expectedVersion}` +
@@ -193,8 +204,9 @@
     const key = keyOf(document.kind, document.id);
     const missing = this.findMissingReference(document);
     if (missing) return makeVoid('unknown-reference', missing);
-    const previous = this.documents.get(key);
-    this.documents.set(key, document);
+    const documents = this.documents[document.kind];
+    const previous = documents.get(document.id);
+    documents.set(document.id, document);
     const resolved = this.resolveAffected(document);
     const faults = resolved.flatMap(({eventId, result}) =>
       'faults' in result
@@ -202,8 +214,8 @@
         : [],
     );
     if (faults.length > 0) {
-      if (previous) this.documents.set(key, previous);
-      else this.documents.delete(key);
+      if (previous) documents.set(document.id, previous);
+      else documents.delete(document.id);
       return makeVoid('invalid-content', faults.join('; '));
     }
     this.tombstones.delete(key);
--- a/packages/agreed-state/src/placement/placement.ts
+++ b/packages/agreed-state/src/placement/placement.ts
@@ -204,10 +204,16 @@
     this.listOn(backendServerId).forEach(slot => this.remove(slot));
   }
 
-  /** Drops the plan count of an event that is over for good. */
-  forgetPurpose(purpose: Slot['purpose']): void {
-    if (this.listFor(purpose).length > 0) return;
-    this.planCounts.delete(formatPurpose(purpose));
+  /**
+   * Drops the plan count of a deleted event once its last slot is released. A
+   * late plan for it stays void: it names a revision that no event has.
+   */
+  forgetEvent(eventId: string): void {
+    const purpose = {for: 'event' as const, eventId};
+    const isInUse =
+      this.configuration.findEvent(eventId) !== undefined ||
+      this.byPurpose.has(formatPurpose(purpose));
+    if (!isInUse) this.planCounts.delete(formatPurpose(purpose));
   }
 
   private checkRevision(body: BodyOf<'decide-slots'>): Outcome | null {
@@ -346,6 +352,7 @@
     this.slots.delete(slot.slotId);
     removeFrom(this.byBackendServer, slot.backendServerId, slot);
     removeFrom(this.byPurpose, formatPurpose(slot.purpose), slot);
+    if (slot.purpose.for === 'event') this.forgetEvent(slot.purpose.eventId);
   }
 }
 
--- a/packages/follow-log/src/index.ts
+++ b/packages/follow-log/src/index.ts
@@ -1,8 +1,10 @@
 export {
+  type AppendSource,
   type FoldListener,
+  type FollowerSources,
   type FollowerStatus,
   LogFollower,
   type LogFollowerOptions,
-  type LogSource,
+  type StateSource,
 } from './log_follower.js';
 export {type SubmitOptions, makeVoidError} from './submission.js';
--- a/packages/follow-log/src/log_follower.ts
+++ b/packages/follow-log/src/log_follower.ts
@@ -1,25 +1,25 @@
 /**
- * Keeps this node's copy of the agreed state: reads the log, folds it, and
- * appends records in groups. An author learns the fate of its record only
- * when the record comes back, so a lost answer changes nothing.
+ * Keeps this node's copy of the agreed state: it reads the log and folds it.
+ * A node that can't read the log follows through its peers, and one that fell
+ * behind what the log keeps starts again from a checkpoint.
  */
 import {AgreedState, type FoldedRecord} from '@mimosatack/agreed-state';
 import {type Clock, sleep} from '@mimosatack/clock';
-import {toTypedError, type TypedError} from '@mimosatack/errors';
+import {type TypedError, toTypedError} from '@mimosatack/errors';
+import {type EventLogger} from '@mimosatack/logger';
 import {type LogRecord, type LogService} from '@mimosatack/platform';
 import {type RandomSource, addJitter} from '@mimosatack/random';
-import {encodeBatch, type RecordBody} from '@mimosatack/records';
+import {type RecordBody} from '@mimosatack/records';
 import {type LogOffset, type NodeIncarnation} from '@mimosatack/types';
-import {
-  type SubmitOptions,
-  type Submission,
-  makeExpiryError,
-} from './submission.js';
+import {AppendQueue} from './append_queue.js';
+import {KeptAppends} from './kept_appends.js';
+import {type SubmitOptions} from './submission.js';
 
 /** What a follower is built from. */
 export interface LogFollowerOptions {
   clock: Clock;
   random: RandomSource;
+  logger: EventLogger;
   log: LogService;
   stream: string;
   incarnation: NodeIncarnation;
@@ -33,48 +33,64 @@
 
 /** How far a node has got, and whether it reaches the log itself. */
 export interface FollowerStatus {
+  /** Whether the state was ever read from the log, a checkpoint or a peer. */
+  hasState: boolean;
   nextOffset: LogOffset;
   sequence: number;
   isLogReachable: boolean;
-  lastContactMs: number | null;
+  /** Time since the log service last answered; null when it never did. */
+  sinceContactMs: number | null;
 }
 
-/** Where appends and states come from when the log can't be read. */
-export interface LogSource {
+/** Where whole states come from. */
+export interface StateSource {
+  /** A state at least as new as any it knows, or null. */
+  pullState(): Promise<AgreedState | null>;
+}
+
+/** Where appends come from when the log can't be read. */
+export interface AppendSource {
   /** Appends from `from` on, in order; empty when it has none. */
   pullAppends(from: LogOffset): Promise<LogRecord[]>;
-  /** The newest state it can give, or null. */
-  pullState(): Promise<AgreedState | null>;
 }
 
-const MAX_BATCH_RECORDS = 128;
+/** Everything beside the log itself that a follower can learn from. */
+export interface FollowerSources {
+  states: readonly StateSource[];
+  appends: AppendSource;
+}
+
 const READ_LIMIT = 500;
 const RETRY_JITTER = 0.5;
-/** How many raw appends are kept for peers that can't read the log. */
-const KEPT_APPENDS = 2000;
+const MAX_PULL_BYTES = 1024 * 1024;
 
 /** The task that owns the agreed state of this node. */
 export class LogFollower {
   state = new AgreedState();
-  private readonly outbox: Submission[] = [];
-  private readonly pending = new Map<string, Submission>();
+  private readonly queue: AppendQueue;
   private readonly listeners: FoldListener[] = [];
-  private readonly kept: LogRecord[] = [];
+  private readonly kept = new KeptAppends();
   private readonly stopping = new AbortController();
-  private recordCounter = 0;
-  private isAppending = false;
+  private sources: FollowerSources | null = null;
+  private hasState = false;
   private isLogReachable = false;
-  private lastContactMs: number | null = null;
+  private contactAtMs: number | null = null;
+  private isPulling = false;
   private reading: Promise<void> | null = null;
 
-  constructor(private readonly options: LogFollowerOptions) {}
+  constructor(private readonly options: LogFollowerOptions) {
+    this.queue = new AppendQueue(options);
+  }
 
   get status(): FollowerStatus {
+    const nowMs = this.options.clock.monotonicMs();
     return {
+      hasState: this.hasState,
       nextOffset: this.state.nextOffset,
       sequence: this.state.sequence,
       isLogReachable: this.isLogReachable,
-      lastContactMs: this.lastContactMs,
+      sinceContactMs:
+        this.contactAtMs === null ? null : nowMs - this.contactAtMs,
     };
   }
 
@@ -82,190 +98,182 @@
     this.listeners.push(listener);
   }
 
-  /** Begins to follow; returns once the state is as new as `source` gives. */
-  async start(source: LogSource): Promise<void> {
-    const state = await source.pullState();
-    if (state && state.nextOffset > this.state.nextOffset) this.state = state;
-    this.reading = this.readLoop(source);
+  /** Begins to follow, from the newest state that any source gives. */
+  async start(sources: FollowerSources): Promise<void> {
+    this.sources = sources;
+    await this.adoptNewestState();
+    this.reading = this.readLoop();
   }
 
   async stop(): Promise<void> {
     this.stopping.abort();
+    this.queue.stop();
     await this.reading;
-    [...this.pending.values()].forEach(submission =>
-      this.expire(submission.record.recordId),
-    );
   }
 
-  /**
-   * Appends one record and resolves with its verdict once it is read back.
-   * Rejects with `log-unavailable`; `run` says whether it may take effect.
-   */
+  /** See `AppendQueue.submit`. */
   submit(body: RecordBody, options: SubmitOptions): Promise<FoldedRecord> {
-    return new Promise((resolve, reject) => {
-      const recordId = `${this.options.incarnation}-${this.recordCounter++}`;
-      const submission: Submission = {
-        record: {
-          recordId,
-          author: this.options.incarnation,
-          basisSequence: this.state.sequence,
-          writtenAtMs: this.options.clock.wallMs(),
-          operator: options.operator ?? null,
-          reason: options.reason ?? null,
-          body,
-        },
-        expiresAtMs: this.options.clock.monotonicMs() + options.timeoutMs,
-        wasSent: false,
-        resolve,
-        reject,
-      };
-      this.pending.set(recordId, submission);
-      this.outbox.push(submission);
-      this.options.clock.setTimer(options.timeoutMs, () =>
-        this.expire(recordId),
-      );
-      void this.appendLoop();
-    });
+    return this.queue.submit(body, this.state.sequence, options);
   }
 
   /** Raw appends for a peer, from `from` on, if they are still kept. */
-  listAppends(from: LogOffset, limit: number): LogRecord[] {
-    return this.kept.filter(record => record.offset >= from).slice(0, limit);
-  }
-
-  /** Folds appends from any source; those folded before are passed over. */
-  foldAppends(records: readonly LogRecord[]): void {
-    records
-      .filter(record => record.offset >= this.state.nextOffset)
-      .forEach(record => this.foldAppend(record));
+  listAppends(from: LogOffset): LogRecord[] {
+    return this.kept.listFrom(from, MAX_PULL_BYTES);
   }
 
-  private foldAppend(record: LogRecord): void {
-    if (record.offset !== this.state.nextOffset) return;
-    const folded = this.state.foldAppend(record.offset, record.data);
-    this.kept.push(record);
-    if (this.kept.length > KEPT_APPENDS) this.kept.shift();
-    this.listeners.forEach(listener => listener(folded));
-    folded.forEach(one => this.settle(one));
-  }
-
-  /** A second copy of a record is void; only the first settles its author. */
-  private settle(folded: FoldedRecord): void {
-    if (folded.recordId === null) return;
-    const submission = this.pending.get(folded.recordId);
-    if (!submission) return;
-    this.pending.delete(folded.recordId);
-    submission.resolve(folded);
+  /**
+   * Told how far a peer has got. Guards against a node that is cut from the
+   * log while its read only hangs: a peer that is ahead shows it, and the
+   * appends are taken from there without waiting for the read to fail.
+   */
+  notePeerOffset(nextOffset: LogOffset): void {
+    if (nextOffset <= this.state.nextOffset || this.isPulling) return;
+    this.isPulling = true;
+    void this.pullFromPeers().finally(() => {
+      this.isPulling = false;
+    });
   }
 
-  private expire(recordId: string): void {
-    const submission = this.pending.get(recordId);
-    if (!submission) return;
-    this.pending.delete(recordId);
-    submission.reject(makeExpiryError(submission));
+  private async pullFromPeers(): Promise<void> {
+    const before = this.state.nextOffset;
+    await this.pause();
+    if (this.state.nextOffset > before || !this.sources) return;
+    const appends = await this.sources.appends.pullAppends(before);
+    this.foldAppends(appends);
+    if (this.state.nextOffset === before) await this.adoptNewestState();
   }
 
-  /** One append at a time; what arrives meanwhile goes into the next one. */
-  private async appendLoop(): Promise<void> {
-    if (this.isAppending) return;
-    this.isAppending = true;
-    while (this.outbox.length > 0 && !this.stopping.signal.aborted) {
-      const batch = this.takeBatch();
-      if (batch.length > 0) await this.appendUntilSeen(batch);
-    }
-    this.isAppending = false;
+  /** Folds appends from any source; those folded before are passed over. */
+  private foldAppends(records: readonly LogRecord[]): void {
+    records.forEach(record => {
+      if (record.offset === this.state.nextOffset) this.foldAppend(record);
+    });
   }
 
-  private takeBatch(): Submission[] {
-    return this.outbox
-      .splice(0, MAX_BATCH_RECORDS)
-      .filter(submission => this.isPending(submission));
+  private foldAppend(record: LogRecord): void {
+    const folded = this.state.foldAppend(record.offset, record.data);
+    this.kept.add(record);
+    this.tellListeners(folded);
+    folded.forEach(one => this.queue.settle(one));
+    this.logVoid(folded);
   }
 
-  /**
-   * Guards against an answer that is lost after the write took effect: the
-   * same records, with the same ids, are appended again until they are read
-   * back; the fold drops the second copy.
-   */
-  private async appendUntilSeen(batch: Submission[]): Promise<void> {
-    let open = batch;
-    while (open.length > 0 && !this.stopping.signal.aborted) {
-      open.forEach(submission => {
-        submission.wasSent = true;
+  private logVoid(folded: readonly FoldedRecord[]): void {
+    folded.forEach(({offset, recordId, outcome}) => {
+      if (outcome.status === 'valid' || outcome.reason !== 'unreadable') return;
+      this.options.logger.log('record-skipped', {
+        stream: this.options.stream,
+        offset,
+        error: `${recordId ?? 'unnamed record'}: ${outcome.message}`,
       });
-      const isDone = await this.tryAppend(open);
-      if (isDone) return;
-      await this.pause();
-      open = open.filter(submission => this.isPending(submission));
-    }
-  }
-
-  private async tryAppend(batch: readonly Submission[]): Promise<boolean> {
-    const {log, stream} = this.options;
-    try {
-      await log.append(
-        stream,
-        encodeBatch(batch.map(submission => submission.record)),
-      );
-      return true;
-    } catch {
-      return false;
-    }
-  }
-
-  private isPending(submission: Submission): boolean {
-    return this.pending.has(submission.record.recordId);
+    });
   }
 
-  private async readLoop(source: LogSource): Promise<void> {
+  private async readLoop(): Promise<void> {
     while (!this.stopping.signal.aborted) {
       try {
         await this.readOnce();
       } catch (thrown) {
         if (this.stopping.signal.aborted) return;
-        await this.recover(toTypedError(thrown), source);
+        await this.recover(toTypedError(thrown));
       }
     }
   }
 
   private async readOnce(): Promise<void> {
-    const page = await this.options.log.read({
-      stream: this.options.stream,
+    const {log, stream, longPollMs} = this.options;
+    const page = await log.read({
+      stream,
       from: this.state.nextOffset,
       limit: READ_LIMIT,
-      waitMs: this.options.longPollMs,
+      // The first read after an outage returns at once, to show it is over.
+      waitMs: this.isLogReachable ? longPollMs : 0,
       signal: this.stopping.signal,
     });
-    this.isLogReachable = true;
-    this.lastContactMs = this.options.clock.monotonicMs();
+    this.noteContact();
     this.foldAppends(page.records);
+    this.hasState ||= this.state.nextOffset >= page.nextOffset;
   }
 
-  private async recover(error: TypedError, source: LogSource): Promise<void> {
+  private noteContact(): void {
+    const {clock, logger, stream} = this.options;
+    if (!this.isLogReachable && this.contactAtMs !== null) {
+      const outageMs = Math.round(clock.monotonicMs() - this.contactAtMs);
+      logger.log('log-recovered', {stream, outageMs});
+    }
+    this.isLogReachable = true;
+    this.contactAtMs = clock.monotonicMs();
+  }
+
+  private async recover(error: TypedError): Promise<void> {
     if (error.kind === 'trimmed') {
-      await this.adoptNewerState(source);
+      this.noteContact();
+      this.logTrimmed(error);
+      await this.adoptNewestState();
     } else {
-      this.isLogReachable = false;
-      this.foldAppends(await source.pullAppends(this.state.nextOffset));
+      this.noteOutage(error);
+      await this.learnFromPeers();
     }
     await this.pause();
   }
 
-  /** The next append to fold is gone from the log; a state covers it. */
-  private async adoptNewerState(source: LogSource): Promise<void> {
-    const state = await source.pullState();
-    if (!state || state.nextOffset <= this.state.nextOffset) return;
-    this.state = state;
-    this.kept.length = 0;
-    this.listeners.forEach(listener => listener([]));
+  private logTrimmed(error: TypedError): void {
+    this.options.logger.log('stream-trimmed', {
+      stream: this.options.stream,
+      wantedOffset: this.state.nextOffset,
+      firstOffset: Number(error.details.info?.['firstOffset'] ?? NaN),
+    });
+  }
+
+  private noteOutage(error: TypedError): void {
+    if (this.isLogReachable || this.contactAtMs === null) {
+      const {logger, stream, retryDelayMs} = this.options;
+      logger.log('log-unavailable', {stream, error, retryInMs: retryDelayMs});
+      this.contactAtMs ??= this.options.clock.monotonicMs();
+    }
+    this.isLogReachable = false;
+  }
+
+  private async learnFromPeers(): Promise<void> {
+    if (!this.hasState) await this.adoptNewestState();
+    const {nextOffset} = this.state;
+    this.foldAppends(
+      (await this.sources?.appends.pullAppends(nextOffset)) ?? [],
+    );
+  }
+
+  /**
+   * Takes the newest whole state there is. Guards against an old checkpoint
+   * being served as the newest while the log is down: all sources are asked
+   * and the highest offset wins, and `status` tells which offset that is.
+   */
+  private async adoptNewestState(): Promise<void> {
+    const states = await Promise.all(
+      (this.sources?.states ?? []).map(source =>
+        source.pullState().catch(() => null),
+      ),
+    );
+    const newest = states
+      .filter(state => state !== null)
+      .toSorted((a, b) => b.nextOffset - a.nextOffset)[0];
+    if (!newest || newest.nextOffset <= this.state.nextOffset) return;
+    this.state = newest;
+    this.hasState = true;
+    this.kept.clear();
+    this.options.logger.log('checkpoint-loaded', {
+      stream: this.options.stream,
+      coversOffset: newest.nextOffset,
+    });
+    this.tellListeners([]);
+  }
+
+  private tellListeners(folded: readonly FoldedRecord[]): void {
+    this.listeners.forEach(listener => listener(folded));
   }
 
   private pause(): Promise<void> {
     const {clock, random, retryDelayMs} = this.options;
-    return sleep(
-      clock,
-      addJitter(random, retryDelayMs, RETRY_JITTER),
-      this.stopping.signal,
-    );
+    const delayMs = addJitter(random, retryDelayMs, RETRY_JITTER);
+    return sleep(clock, delayMs, this.stopping.signal);
   }
 }
--- a/packages/follow-log/src/submission.ts
+++ b/packages/follow-log/src/submission.ts
@@ -1,5 +1,6 @@
 /** Records that wait until they are read back from the log. */
 import {type FoldedRecord, type Outcome} from '@mimosatack/agreed-state';
+import {type Timer} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type AgreedRecord} from '@mimosatack/records';
 
@@ -14,9 +15,10 @@
 /** One submitted record. */
 export interface Submission {
   record: AgreedRecord;
-  expiresAtMs: number;
   /** Whether an append that carried it was ever begun. */
   wasSent: boolean;
+  /** Ends the wait for the record to be read back. */
+  expiry: Timer;
   resolve(folded: FoldedRecord): void;
   reject(error: TypedError): void;
 }
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -22,7 +22,8 @@
   readonly table: MemberTable;
   private readonly queue = new UpdateQueue();
   private readonly selfName: string;
-  private hasRefuted = false;
+  /** Members whose update must not wait for the usual round. */
+  private readonly urgent = new Set<string>();
 
   constructor(
     self: MemberInfo,
@@ -62,11 +63,20 @@
     this.queue.add(this.selfName);
   }
 
-  /** Whether this node has refuted since it was last asked. */
-  takeRefuted(): boolean {
-    const {hasRefuted} = this;
-    this.hasRefuted = false;
-    return hasRefuted;
+  /** Has the member's update told to all probed peers at once. */
+  hurry(nodeName: string): void {
+    this.urgent.add(nodeName);
+  }
+
+  /** The updates to be told at once; those over the bound only spread. */
+  takeUrgent(): MemberUpdate[] {
+    const updates = [...this.urgent]
+      .slice(0, this.options.maxPiggybackCount)
+      .map(nodeName => this.table.get(nodeName))
+      .filter(member => member !== undefined)
+      .map(member => toUpdate(member));
+    this.urgent.clear();
+    return updates;
   }
 
   /** Takes in updates; asks the sender about lives not known here. */
@@ -138,13 +148,14 @@
   /**
    * Guards against this node being taken for dead while it only was frozen,
    * overloaded or cut off: it hears the accusation on the next message and
-   * raises its counter, which outranks the accusation everywhere.
+   * raises its counter, which outranks the accusation everywhere. It hurries,
+   * as a suspicion would else come to its end before the refutation is known.
    */
   private refute(update: MemberUpdate, nowMs: number): ApplyOutcome {
     const isThisLife = update.startedAtMs === this.self.startedAtMs;
     if (isThisLife && isNewer(update, this.self)) {
       this.announceSelf({counter: update.counter + 1}, nowMs);
-      this.hasRefuted = true;
+      this.hurry(this.selfName);
     }
     return 'old';
   }
--- a/packages/membership/src/options.ts
+++ b/packages/membership/src/options.ts
@@ -14,6 +14,8 @@
   minProbeTargetCount: number;
   /** From suspect to gone, in probe periods, for up to 8 nodes. */
   suspicionPeriodCount: number;
+  /** How much longer suspects get from a node that nobody answers. */
+  isolationGraceMs: number;
   /** The most updates that ride on one probe or acknowledgement. */
   maxPiggybackCount: number;
   /** How often the whole list is compared with a random peer. */
@@ -38,10 +40,11 @@
 export const DEFAULT_MEMBERSHIP_OPTIONS: MembershipOptions = {
   probePeriodMs: 500,
   probeTimeoutMs: 300,
-  indirectTimeoutMs: 400,
+  indirectTimeoutMs: 300,
   indirectProbeCount: 3,
   minProbeTargetCount: 7,
-  suspicionPeriodCount: 2,
+  suspicionPeriodCount: 1.6,
+  isolationGraceMs: 5_000,
   maxPiggybackCount: 8,
   syncPeriodMs: 20_000,
   goneProbePeriodMs: 10_000,
--- a/packages/membership/src/probing.ts
+++ b/packages/membership/src/probing.ts
@@ -1,7 +1,7 @@
 /** Probes a few peers in turn and finds those that do not answer. */
 import {type RandomSource, pickOne} from '@mimosatack/random';
 import {type Gossip} from './gossip.js';
-import {type Member, type MemberUpdate, isNewer, toUpdate} from './member.js';
+import {type Member, type MemberUpdate, isNewer} from './member.js';
 import {type MessageOf, type OutgoingMessage} from './messages.js';
 import {type MembershipOptions} from './options.js';
 import {makeProbe, makeProbeAck, makeProbeRequest} from './probe_messages.js';
@@ -13,6 +13,9 @@
 /** The last first sequence number; a process starts at a random one. */
 const MAX_FIRST_SEQUENCE = 2 ** 30;
 
+/** After how many periods without any answer a node doubts itself. */
+const ISOLATED_PERIOD_COUNT = 2;
+
 /** What a probe is made for, beyond the usual round. */
 interface ProbeReason {
   /** Others say that the target is gone. */
@@ -30,6 +33,8 @@
   private turn: string[] = [];
   /** Members said to be gone, with what was said, to be probed soon. */
   private readonly doubts = new Map<string, MemberUpdate | null>();
+  /** When a probe of this node was last answered. */
+  private lastAckMs: number | null = null;
   private readonly usualRound: Schedule;
   private readonly lostRound: Schedule;
 
@@ -54,7 +59,7 @@
       ...this.tracker
         .listOverdue(nowMs)
         .flatMap(probe => this.endPhase(probe, nowMs)),
-      ...this.spreadRefutation(nowMs),
+      ...this.spreadUrgent(nowMs),
       ...this.probeDoubted(nowMs),
       ...this.probeNext(nowMs),
       ...this.probeLost(nowMs),
@@ -121,6 +126,7 @@
       );
       return {replies: [ack], replacedAddress: null};
     }
+    this.lastAckMs = nowMs;
     const probe = this.tracker.takePending(sequence);
     const isReplaced =
       probe !== undefined && this.declareReplaced(probe, startedAtMs, nowMs);
@@ -146,9 +152,17 @@
     return true;
   }
 
+  /**
+   * Guards against a node that is cut off by itself taking all others for
+   * dead and, once it is back, spreading that: while nobody answers it, it
+   * gives them more time.
+   */
   private declareOverdue(nowMs: number): void {
+    const {probePeriodMs, isolationGraceMs} = this.options;
+    const silentMs = nowMs - (this.lastAckMs ?? nowMs);
+    const isIsolated = silentMs > ISOLATED_PERIOD_COUNT * probePeriodMs;
     this.gossip.table
-      .listOverdue(nowMs)
+      .listOverdue(isIsolated ? nowMs - isolationGraceMs : nowMs)
       .forEach(member => this.gossip.declare(member.nodeName, 'gone', nowMs));
   }
 
@@ -191,7 +205,8 @@
     }
     if (member.status !== 'alive') return [];
     this.gossip.declare(member.nodeName, 'suspect', nowMs);
-    return [this.probe(member, nowMs)];
+    this.gossip.hurry(member.nodeName);
+    return [];
   }
 
   /** The member that was probed, if it still is the same life and not gone. */
@@ -225,14 +240,13 @@
     return status !== undefined && status !== 'gone';
   }
 
-  /**
-   * Guards against a refutation that spreads more slowly than the suspicion
-   * it answers: all peers that this node probes hear of it at once.
-   */
-  private spreadRefutation(nowMs: number): OutgoingMessage[] {
-    if (!this.gossip.takeRefuted()) return [];
-    const reason = {isDoubted: false, rumors: [toUpdate(this.gossip.self)]};
-    return this.listTargets().map(member => this.probe(member, nowMs, reason));
+  /** Tells all peers that this node probes what must not wait. */
+  private spreadUrgent(nowMs: number): OutgoingMessage[] {
+    const rumors = this.gossip.takeUrgent();
+    if (rumors.length === 0) return [];
+    return this.listTargets().map(member =>
+      this.probe(member, nowMs, {isDoubted: false, rumors}),
+    );
   }
 
   /** One doubted member a call, so that many doubts make no burst. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -27,6 +27,7 @@
 import {type HostEntry} from '@mimosatack/types';
 import {KeyTable, TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
+import {CheckpointTask} from './checkpoint_task.js';
 import {HostListTask} from './host_list_task.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
@@ -49,6 +50,7 @@
 }
 
 const DECISIONS_STREAM = 'decisions';
+const CHECKPOINT_STREAM = 'checkpoints';
 const LONG_POLL_MS = 5_000;
 const RETRY_DELAY_MS = 200;
 const PLATFORM_TIMEOUT_MS = 2_000;
@@ -64,6 +66,7 @@
   private readonly follower: LogFollower;
   private readonly log: HttpLogService;
   private readonly peers: PeerTask;
+  private readonly checkpoints: CheckpointTask;
   private readonly stewards: StewardTask;
   private readonly hosts: HostListTask;
   private readonly planner: PlannerTask;
@@ -86,6 +89,7 @@
     this.follower = new LogFollower({
       clock,
       random,
+      logger,
       log: this.log,
       stream: DECISIONS_STREAM,
       incarnation: this.incarnation,
@@ -94,6 +98,7 @@
     });
     this.router = new Router(this.board, random);
     this.peers = this.makePeers();
+    this.checkpoints = this.makeCheckpoints();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
@@ -158,7 +163,10 @@
       release: this.options.release,
       ...addresses,
     });
-    await this.follower.start(this.peers);
+    await this.follower.start({
+      states: [this.peers, this.checkpoints],
+      appends: this.peers,
+    });
     this.startTicking();
     return addresses;
   }
@@ -170,6 +178,7 @@
       this.stewards.stop(),
       this.hosts.stop(),
       this.planner.stop(),
+      this.checkpoints.stop(),
     ]);
     await this.callerServer.close();
     await this.operatorServer.close();
@@ -183,9 +192,9 @@
     const every = (intervalMs: number, action: () => void | Promise<void>) =>
       this.periodics.push(startPeriodic(clock, intervalMs, action));
     every(settings.pollIntervalMs, () => {
-      this.stewards.post({type: 'tick'});
-      this.hosts.post({type: 'tick'});
-      this.planner.post({type: 'tick'});
+      [this.stewards, this.hosts, this.planner, this.checkpoints]
+        .filter(task => !task.isBusy)
+        .forEach(task => task.post({type: 'tick'}));
     });
     const store = new HttpWeightStore({
       baseUrl: settings.weightStoreUrl,
@@ -218,6 +227,24 @@
     });
   }
 
+  private makeCheckpoints(): CheckpointTask {
+    const {clock, logger, settings} = this.options;
+    return new CheckpointTask(
+      {
+        clock,
+        logger,
+        follower: this.follower,
+        log: this.log,
+        stream: CHECKPOINT_STREAM,
+        everyRecords: settings.checkpointEveryRecords,
+        intervalMs: settings.checkpointIntervalMs,
+        findRank: () => this.findRank('checkpoint'),
+        submitTimeoutMs: SUBMIT_TIMEOUT_MS,
+      },
+      (error, task) => this.noteFault(error, task),
+    );
+  }
+
   private makeStewards(): StewardTask {
     const {clock, logger} = this.options;
     return new StewardTask(
@@ -287,9 +314,15 @@
     });
   }
 
+  /** The place of this node among those that may act for a key; 0 is first. */
+  private findRank(key: string): number {
+    return rankMembers(key, this.peers.listUsable()).findIndex(
+      member => member.incarnation === this.incarnation,
+    );
+  }
+
   private isResponsible(key: string): boolean {
-    const first = rankMembers(key, this.peers.listUsable())[0];
-    return first?.incarnation === this.incarnation;
+    return this.findRank(key) === 0;
   }
 
   private isGone(incarnation: string): boolean {
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -6,7 +6,11 @@
 import {type Clock} from '@mimosatack/clock';
 import {type BackendReport, type EngineBoard} from '@mimosatack/engine-board';
 import {type TypedError} from '@mimosatack/errors';
-import {type LogFollower, type LogSource} from '@mimosatack/follow-log';
+import {
+  type AppendSource,
+  type LogFollower,
+  type StateSource,
+} from '@mimosatack/follow-log';
 import {
   type Member,
   type MemberInfo,
@@ -41,10 +45,9 @@
 const MAX_CONNECTIONS = 64;
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 3_000;
-const PULL_LIMIT = 200;
 
 /** The task that owns the connections to the other nodes. */
-export class PeerTask implements LogSource {
+export class PeerTask implements AppendSource, StateSource {
   private readonly transport: PeerTransport<PeerMessage>;
   private readonly nextOffsets = new Map<string, LogOffset>();
   private membership: Membership | null = null;
@@ -139,7 +142,7 @@
   }
 
   async pullState(): Promise<AgreedState | null> {
-    const peer = pickOne(this.options.random, this.listPeers());
+    const peer = this.findMostAdvanced();
     if (!peer) return null;
     try {
       const reply = await this.transport.request(peer.peerAddress, {
@@ -153,6 +156,17 @@
     }
   }
 
+  /** Peers that have not said how far they got come last. */
+  private findMostAdvanced(): Member | undefined {
+    return this.listPeers()
+      .toSorted((a, b) => this.offsetOf(b) - this.offsetOf(a))
+      .at(0);
+  }
+
+  private offsetOf(member: Member): LogOffset {
+    return this.nextOffsets.get(member.peerAddress) ?? -1;
+  }
+
   private listPeers(): Member[] {
     return this.listUsable().filter(
       member => member.nodeName !== this.options.nodeName,
@@ -177,6 +191,7 @@
     switch (message.type) {
       case 'membership':
         this.nextOffsets.set(fromAddress, message.nextOffset);
+        this.options.follower.notePeerOffset(message.nextOffset);
         this.sendAll(
           this.membership?.receive(
             fromAddress,
@@ -188,7 +203,7 @@
       case 'pull-appends':
         return {
           type: 'appends',
-          records: this.options.follower.listAppends(message.from, PULL_LIMIT),
+          records: this.options.follower.listAppends(message.from),
         };
       case 'pull-state':
         return {type: 'state', data: this.options.follower.state.toBytes()};
--- a/packages/peer-transport/src/peer_link.ts
+++ b/packages/peer-transport/src/peer_link.ts
@@ -1,5 +1,5 @@
 /** One open connection to a peer, whoever opened it. */
-import {type Clock} from '@mimosatack/clock';
+import {type Clock, type Timer} from '@mimosatack/clock';
 import {TypedError, toTypedError} from '@mimosatack/errors';
 import {type RawData, type WebSocket} from 'ws';
 import {type Frame, type FrameCodec} from './frame_codec.js';
@@ -10,6 +10,8 @@
 const CLOSE_INVALID_DATA = 1007;
 /** How long a peer has to answer a close before the socket is cut. */
 const CLOSE_GRACE_MS = 1_000;
+/** How long a peer has to answer a ping. */
+const PONG_TIMEOUT_MS = 3_000;
 
 const MAX_TINY_PAYLOAD = 125;
 const MAX_SMALL_PAYLOAD = 0xffff;
@@ -30,7 +32,7 @@
 /** Owns the socket of one connection. */
 export class PeerLink<M> {
   lastUsedMs: number;
-  lastReceivedMs: number;
+  private pongTimer: Timer | null = null;
 
   constructor(
     readonly peer: PeerOrigin,
@@ -39,10 +41,13 @@
     private readonly context: LinkContext<M>,
   ) {
     this.lastUsedMs = context.clock.monotonicMs();
-    this.lastReceivedMs = this.lastUsedMs;
     socket.on('message', (data, isBinary) => this.receive(data, isBinary));
+    socket.on('pong', () => this.endCheck());
     socket.on('error', error => this.reportSocketError(error));
-    socket.on('close', () => context.onClose(this));
+    socket.on('close', () => {
+      this.endCheck();
+      context.onClose(this);
+    });
   }
 
   get isOpen(): boolean {
@@ -73,9 +78,23 @@
     this.socket.once('close', () => timer.cancel());
   }
 
-  /** Cuts the socket at once. */
-  terminate(): void {
-    this.socket.terminate();
+  /**
+   * Guards against a connection whose other end vanished without a word: it
+   * stays open here and swallows all that is sent. A live peer's library
+   * answers a ping whatever its handlers do; without an answer the socket is
+   * cut, and the next message opens another connection.
+   */
+  checkPeer(): void {
+    if (this.pongTimer !== null || !this.isOpen) return;
+    this.socket.ping();
+    this.pongTimer = this.context.clock.setTimer(PONG_TIMEOUT_MS, () =>
+      this.socket.terminate(),
+    );
+  }
+
+  private endCheck(): void {
+    this.pongTimer?.cancel();
+    this.pongTimer = null;
   }
 
   private receive(data: RawData, isBinary: boolean): void {
@@ -83,7 +102,7 @@
     const bytes = toBytes(data);
     const {counters, clock} = this.context;
     this.lastUsedMs = clock.monotonicMs();
-    this.lastReceivedMs = this.lastUsedMs;
+    this.endCheck();
     counters.messagesReceived++;
     counters.bytesReceived += frameBytes(bytes.length, this.side === 'server');
     const frame = this.decode(bytes, isBinary);
--- a/packages/peer-transport/src/peer_server.ts
+++ b/packages/peer-transport/src/peer_server.ts
@@ -55,6 +55,9 @@
       this.httpServer.once('error', reject);
       this.httpServer.listen(listenPort, listenHost, () => {
         this.httpServer.off('error', reject);
+        this.httpServer.on('error', error =>
+          this.options.onFault(toTypedError(error)),
+        );
         resolve((this.httpServer.address() as AddressInfo).port);
       });
     });
--- a/packages/peer-transport/src/peer_transport.ts
+++ b/packages/peer-transport/src/peer_transport.ts
@@ -40,9 +40,7 @@
     const {listenHost, listenPort, clusterSecret, clock} = options;
     this.selfAddress = options.selfAddress ?? `${listenHost}:${listenPort}`;
     this.codec = new FrameCodec(options.schema, options.maxMessageBytes);
-    this.requests = new PendingRequests(clock, (link, waitedMs) =>
-      this.cutSilentLink(link, waitedMs),
-    );
+    this.requests = new PendingRequests(clock, link => link.checkPeer());
     this.server = new PeerServer({
       listenHost,
       listenPort,
@@ -237,16 +235,6 @@
     if (link.isOpen) link.write(frame);
   }
 
-  /**
-   * Guards against a connection whose other end vanished without a word: it
-   * stays open here and swallows all that is sent. If nothing came on it
-   * while a request waited, it is cut, and the next message opens another.
-   */
-  private cutSilentLink(link: PeerLink<M>, waitedMs: number): void {
-    const silentMs = this.options.clock.monotonicMs() - link.lastReceivedMs;
-    if (silentMs >= waitedMs) link.terminate();
-  }
-
   private scheduleSweep(): void {
     const idleTimeoutMs = this.options.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
     this.sweepTimer = this.options.clock.setTimer(idleTimeoutMs / 2, () => {
--- a/packages/peer-transport/src/pending_requests.ts
+++ b/packages/peer-transport/src/pending_requests.ts
@@ -21,7 +21,7 @@
   /** @param onTimeout told which connection did not answer in time. */
   constructor(
     private readonly clock: Clock,
-    private readonly onTimeout: (link: L, waitedMs: number) => void,
+    private readonly onTimeout: (link: L) => void,
   ) {}
 
   /** Opens a request; `write` is called once with its id. */
@@ -95,7 +95,7 @@
         {run: link === null ? 'not-run' : 'unknown'},
       ),
     );
-    if (link !== null) this.onTimeout(link, timeoutMs);
+    if (link !== null) this.onTimeout(link);
   }
 
   private take(id: number): PendingRequest<M, L> | undefined {
--- a/packages/records/src/record_schema.ts
+++ b/packages/records/src/record_schema.ts
@@ -136,7 +136,15 @@
   backendServerId: name,
   /** The epoch of the former claim whose orders can no longer arrive. */
   epoch: version,
-  evidence: z.enum(['acknowledged', 'host-gone']),
+  evidence: z.enum(['acknowledged', 'host-gone', 'replaced']),
+});
+
+const noteCheckpoint = z.object({
+  type: z.literal('note-checkpoint'),
+  /** The checkpoint covers all appends below this offset. */
+  coversOffset: version,
+  /** How many records those appends held. */
+  coversSequence: version,
 });
 
 const activateRules = z.object({
@@ -156,6 +164,7 @@
   claimSteward,
   yieldSteward,
   clearDoubt,
+  noteCheckpoint,
   activateRules,
 ]);
 
--- a/packages/serve-operators/src/status_routes.ts
+++ b/packages/serve-operators/src/status_routes.ts
@@ -1,4 +1,7 @@
 /** What the system decided and sees: status, slots, backend servers, nodes. */
+import {type Slot} from '@mimosatack/agreed-state';
+import {formatAdapterSlotId} from '@mimosatack/steward-orders';
+import {type ReplicaStatus} from '@mimosatack/types';
 import {type FastifyInstance, type FastifyRequest} from 'fastify';
 import {authenticateOperator} from './operator_auth.js';
 import {type OperatorContext} from './operator_context.js';
@@ -52,15 +55,29 @@
     .placement.list()
     .map(slot => ({
       ...slot,
-      replicaStatus:
-        context.board
-          .find(slot.backendServerId)
-          ?.engine?.replicas.find(replica => replica.slotId === slot.slotId)
-          ?.status ?? 'absent',
+      replicaStatus: readReplicaStatus(slot, context),
     }));
   return {items};
 }
 
+/** A replica is as far as the least advanced of its base and adapters. */
+function readReplicaStatus(
+  slot: Slot,
+  context: OperatorContext,
+): ReplicaStatus | 'absent' {
+  const replicas =
+    context.board.find(slot.backendServerId)?.engine?.replicas ?? [];
+  const parts = [
+    slot.slotId,
+    ...slot.adapters.map(adapter => formatAdapterSlotId(slot.slotId, adapter)),
+  ].map(id => replicas.find(replica => replica.slotId === id)?.status);
+  if (parts[0] === undefined) return 'absent';
+  return (
+    parts.find(status => status !== 'warm') ??
+    (parts.includes(undefined) ? 'loading' : 'warm')
+  );
+}
+
 function describeServers(context: OperatorContext) {
   const {stewardship} = context.state();
   const items = stewardship.listBackendServers().map(server => ({
--- a/packages/settings/src/groups/cluster_settings.ts
+++ b/packages/settings/src/groups/cluster_settings.ts
@@ -32,6 +32,14 @@
     max: 1_000_000,
     description: 'Records of a stream after which a checkpoint is appended.',
   },
+  'checkpoint-interval-ms': {
+    type: 'integer',
+    default: '600000',
+    min: 1_000,
+    max: 86_400_000,
+    description:
+      'Time after which a checkpoint is appended even if few records came; a small part of the time for which the log service keeps records.',
+  },
 } as const satisfies Record<string, SettingDefinition>;
 
 export const PEER_SETTINGS = {
--- a/packages/tasks/src/task.ts
+++ b/packages/tasks/src/task.ts
@@ -17,6 +17,11 @@
     private readonly onError: TaskErrorHandler,
   ) {}
 
+  /** Whether a message is queued or in hand. */
+  get isBusy(): boolean {
+    return this.draining !== null;
+  }
+
   /** Puts a message at the end of the queue; dropped once stopped. */
   post(message: M): void {
     if (this.isStopped) return;
