Let successors take over in a log outage and settle doubts by proof

A new steward first raises the engine's fencing number, so that an order of the former one that arrives after the engine was read is turned down. Orders with a lost answer keep their memory reserved. Doubts end when the former holder says so or its death is proved.

--- a/packages/logger/src/events/control_events.ts
+++ b/packages/logger/src/events/control_events.ts
@@ -114,20 +114,20 @@
   'stewardship-acquired': {
     number: 3200,
     level: 'info',
-    message: 'This node is now the steward of backend servers.',
+    message: 'This node now sends orders to a backend server.',
     fields: {
-      backendServerIds: 'the backend servers',
-      fencingNumber: 'its fencing number',
+      backendServerId: 'the backend server',
+      epoch: 'the claim under which it does',
+      rank: '0 for the holder of the claim, else its place as a successor',
     },
   },
   'stewardship-lost': {
     number: 3201,
     level: 'warn',
-    message: 'This node is no longer the steward and gives no more orders.',
+    message: 'This node sends no more orders to a backend server.',
     fields: {
-      backendServerIds: 'the backend servers',
-      fencingNumber: 'the fencing number that is no longer valid',
-      error: 'what ended it, when it was not given up',
+      backendServerId: 'the backend server',
+      epoch: 'the claim under which it did',
     },
   },
   'order-fenced-off': {
--- a/packages/node/src/engine_steward.ts
+++ b/packages/node/src/engine_steward.ts
@@ -1,8 +1,10 @@
 /** The steward of one model engine under one claim. */
+import {type BackendServer, type Slot} from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
 import {type BackendReport} from '@mimosatack/engine-board';
-import {toTypedError} from '@mimosatack/errors';
+import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {type LogFollower} from '@mimosatack/follow-log';
+import {type EventLogger} from '@mimosatack/logger';
 import {type EngineControl} from '@mimosatack/platform';
 import {type RecordBody} from '@mimosatack/records';
 import {
@@ -12,53 +14,104 @@
   makeFencingNumber,
 } from '@mimosatack/steward-orders';
 import {type EngineState} from '@mimosatack/types';
+import {LostOrders} from './lost_orders.js';
 
 /** What one steward is built from. */
 export interface EngineStewardOptions {
   clock: Clock;
+  logger: EventLogger;
   follower: LogFollower;
   incarnation: string;
+  server: BackendServer;
   control: EngineControl;
   epoch: number;
+  /** 0 for the holder of the claim, else its place among the successors. */
+  rank: number;
   publishReport(report: BackendReport): void;
   submitTimeoutMs: number;
-  /**
-   * How long an order whose connection is gone may still be carried out by an
-   * engine that ignores fencing numbers.
-   */
   orderDoubtMs: number;
 }
 
-/** Failed reads after which an engine counts as unreachable. */
+/** Failed reads in a row after which an engine counts as unreachable. */
 const MAX_FAILED_READS = 3;
+/** A step that took longer was interrupted; what it saw is out of date. */
+const MAX_STEP_MS = 3_000;
 
 /** Reads one engine and sends it the orders that its slots call for. */
 export class EngineSteward {
   private readonly staged = new Set<string>();
-  /** Slots with an order whose answer was lost, with the time it was sent. */
-  private readonly unresolved = new Map<string, number>();
+  private readonly lost: LostOrders;
   private readonly submitting = new Set<string>();
   private orderCount = 0;
   private failedReads = 0;
-  private isBusy = false;
-  private isFenced = false;
+  private current: Promise<void> | null = null;
+  private isOver = false;
+  /** The engine process that has taken an order under this claim. */
+  private fencedIncarnation: string | null = null;
 
-  constructor(private readonly options: EngineStewardOptions) {}
+  constructor(private readonly options: EngineStewardOptions) {
+    this.lost = new LostOrders(
+      options.clock,
+      options.server.fencing,
+      options.orderDoubtMs,
+    );
+  }
 
   get epoch(): number {
     return this.options.epoch;
   }
 
+  get rank(): number {
+    return this.options.rank;
+  }
+
+  /** Whether an order of this steward may still reach the engine. */
+  get hasOrdersOnTheWay(): boolean {
+    return this.current !== null || this.lost.list().size > 0;
+  }
+
   /** One look at the engine and what follows from it; never overlaps. */
   async step(): Promise<void> {
-    if (this.isBusy || this.isFenced) return;
-    this.isBusy = true;
-    try {
-      const engine = await this.readEngine();
-      if (engine && this.isHolder()) await this.act(engine);
-    } finally {
-      this.isBusy = false;
-    }
+    if (this.current || this.isOver) return;
+    this.current = this.runStep();
+    await this.current;
+    this.current = null;
+  }
+
+  /** Sends nothing more; resolves when the order in hand is answered. */
+  async retire(): Promise<void> {
+    this.isOver = true;
+    await this.current;
+  }
+
+  private async runStep(): Promise<void> {
+    const startedMs = this.options.clock.monotonicMs();
+    const engine = await this.readEngine();
+    if (!engine || !this.maySend(startedMs)) return;
+    if (this.needsFence(engine)) return this.raiseFence(engine);
+    await this.act(engine, startedMs);
+  }
+
+  /**
+   * Guards against an order of the former steward that arrives after the
+   * engine was read: it would load a slot that is believed absent. An engine
+   * that refuses old numbers turns it down once it has taken any order under
+   * the new claim, so one that changes nothing is sent first, and again to
+   * each new process of the engine, which starts without a number.
+   */
+  private needsFence(engine: EngineState): boolean {
+    return (
+      this.options.server.fencing === 'refuses-old' &&
+      this.fencedIncarnation !== engine.incarnation
+    );
+  }
+
+  private async raiseFence(engine: EngineState): Promise<void> {
+    const isTaken = await this.send({
+      order: 'unload',
+      slotId: `fence-${this.options.epoch}`,
+    });
+    if (isTaken) this.fencedIncarnation = engine.incarnation;
   }
 
   private async readEngine(): Promise<EngineState | null> {
@@ -90,30 +143,66 @@
     });
   }
 
-  private isHolder(): boolean {
-    const {follower, control, epoch} = this.options;
-    return follower.state.stewardship.isHeld(control.backendServerId, epoch);
+  /**
+   * Guards against a process that was paused in a step and goes on with what
+   * it saw before. This makes a late order rare; that it does no harm follows
+   * from fencing numbers and doubts, never from this check.
+   */
+  private maySend(startedMs: number): boolean {
+    const {follower, control, epoch, clock} = this.options;
+    const claim = follower.state.stewardship.findClaim(control.backendServerId);
+    const isInTime = clock.monotonicMs() - startedMs <= MAX_STEP_MS;
+    return !this.isOver && isInTime && claim?.epoch === epoch;
+  }
+
+  private async act(engine: EngineState, startedMs: number): Promise<void> {
+    const step = this.decide(engine);
+    step.staged.forEach(slotId => this.staged.add(slotId));
+    const orders = [...step.orders, ...this.listProbes(step)];
+    for (const intent of orders) {
+      if (!this.maySend(startedMs)) return;
+      await this.send(intent);
+    }
+    if (this.rank === 0) this.writeRecords(step);
   }
 
-  private async act(engine: EngineState): Promise<void> {
-    this.forgetOldDoubts(engine);
+  private decide(engine: EngineState): StewardStep {
     const {placement, configuration} = this.options.follower.state;
-    const step = decideSteward({
-      slots: placement.listOn(engine.backendServerId),
+    const slots = placement.listOn(engine.backendServerId);
+    const nowMs = this.options.clock.wallMs();
+    return decideSteward({
+      slots,
       engine,
-      memory: {
-        staged: this.staged,
-        unresolved: new Set(this.unresolved.keys()),
-      },
+      memory: {staged: this.staged, unresolved: this.lost.list()},
       memoryOfAdapter: (model, adapter) =>
         configuration.find('model', model)?.content.adapters[adapter]
           ?.memoryMib ?? 0,
-      nowMs: this.options.clock.wallMs(),
+      nowMs,
       advanceMs: 0,
+      reservedMib: this.sumReservedMib(slots, engine, nowMs),
     });
-    step.staged.forEach(slotId => this.staged.add(slotId));
-    await this.sendAll([...step.orders, ...this.listProbes(engine, step)]);
-    this.writeRecords(step);
+  }
+
+  /**
+   * Memory that an order of this or a former steward may still take: slots
+   * that are to be gone, are not there now, and may yet be loaded late.
+   */
+  private sumReservedMib(
+    slots: readonly Slot[],
+    engine: EngineState,
+    nowMs: number,
+  ): number {
+    const {stewardship} = this.options.follower.state;
+    const present = new Set(engine.replicas.map(replica => replica.slotId));
+    return slots
+      .filter(slot => slot.status === 'ending' || slot.untilMs <= nowMs)
+      .filter(slot => !present.has(slot.slotId))
+      .filter(
+        slot =>
+          stewardship.isInDoubt(slot.backendServerId, slot.slotId) ||
+          this.lost.mayLoad(slot.slotId),
+      )
+      .reduce((sumMib, slot) => sumMib + slot.memoryMib, 0);
   }
 
   /**
@@ -121,88 +210,81 @@
    * refuses old numbers turns it down once it has taken a newer one, so an
    * unload that changes nothing is sent to settle the matter.
    */
-  private listProbes(engine: EngineState, step: StewardStep): OrderIntent[] {
-    if (engine.fencing === 'ignores' || step.orders.length > 0) return [];
-    const {placement} = this.options.follower.state;
-    return [...this.unresolved.keys()]
-      .filter(slotId => placement.find(slotId)?.status !== 'decided')
-      .slice(0, 1)
-      .map(slotId => ({order: 'unload', slotId}));
-  }
-
-  private async sendAll(intents: readonly OrderIntent[]): Promise<void> {
-    for (const intent of intents) {
-      if (this.isFenced || !this.isHolder()) return;
-      await this.send(intent);
-    }
+  private listProbes(step: StewardStep): OrderIntent[] {
+    const isFencing = this.options.server.fencing === 'refuses-old';
+    if (!isFencing || step.orders.length > 0) return [];
+    return this.lost.list().size === 0
+      ? []
+      : [{order: 'unload', slotId: `fence-${this.options.epoch}`}];
   }
 
-  private async send(intent: OrderIntent): Promise<void> {
+  /** Sends one order; resolves with whether the engine has taken it. */
+  private async send(intent: OrderIntent): Promise<boolean> {
     this.orderCount += 1;
-    const fencingNumber = makeFencingNumber({
-      epoch: this.options.epoch,
-      rank: 0,
-      orderCount: this.orderCount,
-    });
-    const orderId = `${this.options.incarnation}-${this.options.epoch}-${this.orderCount}`;
+    const {epoch, rank, incarnation, control} = this.options;
+    const {orderCount} = this;
+    const orderId = `${incarnation}-${epoch}-${rank}-${orderCount}`;
+    const fencingNumber = makeFencingNumber({epoch, rank, orderCount});
     try {
-      await this.options.control.sendOrder({...intent, orderId, fencingNumber});
-      this.noteTaken();
+      await control.sendOrder({...intent, orderId, fencingNumber});
+      this.lost.noteTaken();
+      return true;
     } catch (thrown) {
-      const {kind} = toTypedError(thrown);
-      if (kind === 'stale-fencing-number') this.isFenced = true;
-      else if (kind !== 'out-of-memory') this.noteLost(intent.slotId);
+      this.noteRefused(intent, orderId, fencingNumber, toTypedError(thrown));
+      return false;
     }
   }
 
-  private noteLost(slotId: string): void {
-    this.unresolved.set(slotId, this.options.clock.monotonicMs());
-  }
-
-  private noteTaken(): void {
-    const {follower, control} = this.options;
-    const server = follower.state.stewardship.findBackendServer(
-      control.backendServerId,
-    );
-    if (server?.fencing === 'refuses-old') this.unresolved.clear();
-  }
-
-  private forgetOldDoubts(engine: EngineState): void {
-    if (engine.fencing === 'refuses-old') return;
-    const oldestMs =
-      this.options.clock.monotonicMs() - this.options.orderDoubtMs;
-    [...this.unresolved]
-      .filter(([, sentAtMs]) => sentAtMs < oldestMs)
-      .forEach(([slotId]) => this.unresolved.delete(slotId));
+  private noteRefused(
+    intent: OrderIntent,
+    orderId: string,
+    fencingNumber: number,
+    error: TypedError,
+  ): void {
+    const {backendServerId} = this.options.control;
+    if (error.kind === 'stale-fencing-number') {
+      this.isOver = true;
+      this.options.logger.log('order-fenced-off', {
+        backendServerId,
+        orderId,
+        fencingNumber,
+      });
+      return;
+    }
+    if (error.kind !== 'out-of-memory') this.lost.noteLost(intent);
   }
 
   private writeRecords(step: StewardStep): void {
     const {backendServerId} = this.options.control;
+    const {placement, stewardship} = this.options.follower.state;
     const overdue = step.overdue.filter(id => !this.submitting.has(id));
-    const released = step.released.filter(id => !this.submitting.has(id));
-    if (overdue.length > 0) {
-      void this.submit(
-        {type: 'end-slots', slotIds: overdue, reason: 'event-over'},
-        overdue,
-      );
-    }
-    if (released.length > 0) {
-      void this.submit(
-        {
-          type: 'release-slots',
-          backendServerId,
-          epoch: this.options.epoch,
-          slotIds: released,
-        },
-        released,
-      );
-    }
+    const released = step.released.filter(
+      id =>
+        !this.submitting.has(id) && !stewardship.isInDoubt(backendServerId, id),
+    );
+    const isDemand = (id: string) =>
+      placement.find(id)?.purpose.for === 'demand';
+    void this.submit(overdue, slotIds => ({
+      type: 'end-slots',
+      slotIds,
+      reason: slotIds.every(isDemand) ? 'idle' : 'event-over',
+    }));
+    void this.submit(released, slotIds => ({
+      type: 'release-slots',
+      backendServerId,
+      epoch: this.options.epoch,
+      slotIds,
+    }));
   }
 
-  private async submit(body: RecordBody, slotIds: string[]): Promise<void> {
+  private async submit(
+    slotIds: string[],
+    makeBody: (slotIds: string[]) => RecordBody,
+  ): Promise<void> {
+    if (slotIds.length === 0) return;
     slotIds.forEach(slotId => this.submitting.add(slotId));
     try {
-      await this.options.follower.submit(body, {
+      await this.options.follower.submit(makeBody(slotIds), {
         timeoutMs: this.options.submitTimeoutMs,
       });
     } catch {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -29,6 +29,7 @@
 import {type FastifyInstance} from 'fastify';
 import {CheckpointTask} from './checkpoint_task.js';
 import {HostListTask} from './host_list_task.js';
+import {Obituary} from './obituary.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
 import {StewardTask} from './steward_task.js';
@@ -75,12 +76,14 @@
   private readonly operatorServer: FastifyInstance;
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
+  private readonly obituary: Obituary;
   private leavingServers = new Set<string>();
 
   constructor(private readonly options: NodeOptions) {
     const {settings, clock, random, logger} = options;
     this.incarnation = `${settings.nodeName}.${randomUUID().slice(0, 8)}`;
     this.mint = new TicketMint(settings.clusterSecret);
+    this.obituary = new Obituary(clock, ORDER_DOUBT_MS);
     this.log = new HttpLogService({
       baseUrl: settings.logUrl,
       nodeId: settings.nodeName,
@@ -192,6 +195,7 @@
     const every = (intervalMs: number, action: () => void | Promise<void>) =>
       this.periodics.push(startPeriodic(clock, intervalMs, action));
     every(settings.pollIntervalMs, () => {
+      this.obituary.noteMembers(this.peers.listMembers());
       [this.stewards, this.hosts, this.planner, this.checkpoints]
         .filter(task => !task.isBusy)
         .forEach(task => task.post({type: 'tick'}));
@@ -259,6 +263,7 @@
             member => member.incarnation,
           ),
         isGone: incarnation => this.isGone(incarnation),
+        findDeathEvidence: incarnation => this.obituary.find(incarnation),
         publishReport: report => {
           this.board.note(report);
           this.peers.broadcastReport(report);
@@ -325,17 +330,16 @@
     return this.findRank(key) === 0;
   }
 
+  /** A process that membership never heard of, or believes to be dead. */
   private isGone(incarnation: string): boolean {
     const member = this.peers
       .listMembers()
       .find(other => other.incarnation === incarnation);
-    if (!member) return true;
-    if (member.status !== 'gone') return false;
-    const goneMs = this.options.clock.monotonicMs() - member.sinceMs;
-    return goneMs >= this.options.settings.stewardTakeoverGraceMs;
+    return member === undefined || member.status === 'gone';
   }
 
   private noteHosts(hosts: readonly HostEntry[]): void {
+    this.obituary.noteHosts(hosts);
     this.leavingServers = new Set(
       hosts
         .filter(host => host.state === 'leaving' && host.role !== 'entry')
--- /dev/null
+++ b/packages/steward-claims/src/index.ts
@@ -0,0 +1,6 @@
+export {
+  type RoleInput,
+  type StewardRole,
+  decideRole,
+  isFree,
+} from './decide_role.js';
--- a/packages/steward-orders/src/decide_orders.ts
+++ b/packages/steward-orders/src/decide_orders.ts
@@ -38,6 +38,8 @@
   nowMs: number;
   /** How much earlier loads begin because the weight store is slow now. */
   advanceMs: number;
+  /** Memory that a late order may still take. */
+  reservedMib: number;
 }
 
 /** What to do next. */
@@ -164,6 +166,7 @@
   );
   const freeMib =
     input.engine.memoryMib -
+    input.reservedMib -
     input.engine.replicas.reduce(
       (sumMib, replica) => sumMib + replica.memoryMib,
       0,
