--- a/packages/bench-warming/src/fault.ts
+++ b/packages/bench-warming/src/fault.ts
@@ -34,10 +34,11 @@
 
 const SLOW_FACTOR = 10;
 const MINUTE_MS = 60_000;
-/** A dead node among eight counts as gone after this; see membership. */
-const GONE_MS = 3_000;
-/** The default of `steward-takeover-grace-ms`. */
-const GRACE_MS = 10_000;
+/**
+ * A dead node among eight counts as gone after 3 s (see membership); the claim
+ * and the first order, which only raises the fencing number, come after it.
+ */
+const TAKEOVER_MS = 3_600;
 /** How long before the start a process may die in the runs of one fault. */
 const DEATH_LEADS_MS = [2_000, 5_000, 10_000, 20_000, 40_000];
 
@@ -70,7 +71,7 @@
     case 'steward killed':
     case 'steward killed, successors watch':
       return atEach(atMs => ({
-        nodeDies: {atMs, takeoverMs: GONE_MS + GRACE_MS},
+        nodeDies: {atMs, takeoverMs: TAKEOVER_MS},
         hasWatch: faultName !== 'steward killed',
       }));
     case 'runner lost':
@@ -78,7 +79,7 @@
     case 'domain cut off':
     case 'domain cut off, successors watch':
       return atEach(atMs => ({
-        domainCut: {atMs, takeoverMs: GONE_MS + GRACE_MS},
+        domainCut: {atMs, takeoverMs: TAKEOVER_MS},
         hasWatch: faultName !== 'domain cut off',
       }));
   }
--- a/packages/bench-warming/src/virtual_runner.ts
+++ b/packages/bench-warming/src/virtual_runner.ts
@@ -150,6 +150,7 @@
       engine: state,
       memory: this.memory,
       unresolved: new Set(),
+      reservedMib: 0,
       hasDoubts: log.state.stewardship.listDoubts(backendServerId).length > 0,
       memoryOfAdapter: () => ADAPTER_MIB,
       drain: DRAIN,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -31,7 +31,9 @@
 import {type HostEntry} from '@mimosatack/types';
 import {KeyTable, TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
+import {CheckpointTask} from './checkpoint_task.js';
 import {HostListTask} from './host_list_task.js';
+import {Obituary} from './obituary.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
 import {StewardTask} from './steward_task.js';
@@ -53,6 +55,7 @@
 }
 
 const DECISIONS_STREAM = 'decisions';
+const CHECKPOINT_STREAM = 'checkpoints';
 const LONG_POLL_MS = 5_000;
 const RETRY_DELAY_MS = 200;
 const PLATFORM_TIMEOUT_MS = 2_000;
@@ -72,6 +75,7 @@
   private readonly follower: LogFollower;
   private readonly log: HttpLogService;
   private readonly peers: PeerTask;
+  private readonly checkpoints: CheckpointTask;
   private readonly stewards: StewardTask;
   private readonly hosts: HostListTask;
   private readonly planner: PlannerTask;
@@ -81,12 +85,14 @@
   private readonly operatorServer: FastifyInstance;
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
+  private readonly obituary: Obituary;
   private leavingServers = new Set<string>();
 
   constructor(private readonly options: NodeOptions) {
     const {settings, clock, random, logger} = options;
     this.incarnation = `${settings.nodeName}.${randomUUID().slice(0, 8)}`;
     this.mint = new TicketMint(settings.clusterSecret);
+    this.obituary = new Obituary(clock, ORDER_DOUBT_MS);
     this.log = new HttpLogService({
       baseUrl: settings.logUrl,
       nodeId: settings.nodeName,
@@ -95,6 +101,7 @@
     this.follower = new LogFollower({
       clock,
       random,
+      logger,
       log: this.log,
       stream: DECISIONS_STREAM,
       incarnation: this.incarnation,
@@ -106,6 +113,7 @@
       if (engine) this.loadTimes.observe(engine, reportedAtMs);
     });
     this.peers = this.makePeers();
+    this.checkpoints = this.makeCheckpoints();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
@@ -170,7 +178,10 @@
       release: this.options.release,
       ...addresses,
     });
-    await this.follower.start(this.peers);
+    await this.follower.start({
+      states: [this.peers, this.checkpoints],
+      appends: this.peers,
+    });
     this.startTicking();
     return addresses;
   }
@@ -182,6 +193,7 @@
       this.stewards.stop(),
       this.hosts.stop(),
       this.planner.stop(),
+      this.checkpoints.stop(),
     ]);
     await this.callerServer.close();
     await this.operatorServer.close();
@@ -195,9 +207,10 @@
     const every = (intervalMs: number, action: () => void | Promise<void>) =>
       this.periodics.push(startPeriodic(clock, intervalMs, action));
     every(settings.pollIntervalMs, () => {
-      this.stewards.post({type: 'tick'});
-      this.hosts.post({type: 'tick'});
-      this.planner.post({type: 'tick'});
+      this.obituary.noteMembers(this.peers.listMembers());
+      [this.stewards, this.hosts, this.planner, this.checkpoints]
+        .filter(task => !task.isBusy)
+        .forEach(task => task.post({type: 'tick'}));
     });
     const store = new HttpWeightStore({
       baseUrl: settings.weightStoreUrl,
@@ -230,6 +243,24 @@
     });
   }
 
+  private makeCheckpoints(): CheckpointTask {
+    const {clock, logger, settings} = this.options;
+    return new CheckpointTask(
+      {
+        clock,
+        logger,
+        follower: this.follower,
+        log: this.log,
+        stream: CHECKPOINT_STREAM,
+        everyRecords: settings.checkpointEveryRecords,
+        intervalMs: settings.checkpointIntervalMs,
+        findRank: () => this.findRank('checkpoint'),
+        submitTimeoutMs: SUBMIT_TIMEOUT_MS,
+      },
+      (error, task) => this.noteFault(error, task),
+    );
+  }
+
   private makeStewards(): StewardTask {
     const {clock, logger} = this.options;
     return new StewardTask(
@@ -244,6 +275,7 @@
             member => member.incarnation,
           ),
         isGone: incarnation => this.isGone(incarnation),
+        findDeathEvidence: incarnation => this.obituary.find(incarnation),
         publishReport: report => {
           this.board.note(report);
           this.peers.broadcastReport(report);
@@ -307,17 +339,11 @@
     });
   }
 
-  private isResponsible(key: string): boolean {
-    const first = rankMembers(key, this.peers.listUsable())[0];
-    return first?.incarnation === this.incarnation;
-  }
-
-  /** Beyond all others when this node is not among the usable members. */
+  /** The place of this node among those that may act for a key; 0 is first. */
   private findRank(key: string): number {
-    const rank = rankMembers(key, this.peers.listUsable()).findIndex(
+    return rankMembers(key, this.peers.listUsable()).findIndex(
       member => member.incarnation === this.incarnation,
     );
-    return rank < 0 ? Infinity : rank;
   }
 
   private outlook(slot: Slot): LoadOutlook {
@@ -326,17 +352,20 @@
     return makeLoadOutlook(slot, this.loadTimes, configuration, nowMs);
   }
 
+  private isResponsible(key: string): boolean {
+    return this.findRank(key) === 0;
+  }
+
+  /** A process that membership never heard of, or believes to be dead. */
   private isGone(incarnation: string): boolean {
     const member = this.peers
       .listMembers()
       .find(other => other.incarnation === incarnation);
-    if (!member) return true;
-    if (member.status !== 'gone') return false;
-    const goneMs = this.options.clock.monotonicMs() - member.sinceMs;
-    return goneMs >= this.options.settings.stewardTakeoverGraceMs;
+    return member === undefined || member.status === 'gone';
   }
 
   private noteHosts(hosts: readonly HostEntry[]): void {
+    this.obituary.noteHosts(hosts);
     this.leavingServers = new Set(
       hosts
         .filter(host => host.state === 'leaving' && host.role !== 'entry')
--- a/packages/node/src/planner_task.ts
+++ b/packages/node/src/planner_task.ts
@@ -37,7 +37,7 @@
   board: EngineBoard;
   policy: WarmingPolicy;
   loadTimes: LoadTimeEstimates;
-  /** The place of this node among those that may plan; 0 plans first. */
+  /** The place of this node among those that may plan, from 0; else -1. */
   findRank(key: string): number;
   isLeaving(backendServerId: BackendServerId): boolean;
   makeSlotId: () => string;
@@ -142,7 +142,8 @@
   private isMine(eventId: EventId, fingerprint: string, nowMs: number) {
     if (!this.agenda.isDue(eventId, fingerprint, nowMs)) return false;
     const rank = this.options.findRank(`event ${eventId}`);
-    return rank <= MAX_RANK && this.agenda.isTurn(eventId, rank, nowMs);
+    const mayPlan = rank >= 0 && rank <= MAX_RANK;
+    return mayPlan && this.agenda.isTurn(eventId, rank, nowMs);
   }
 
   private fingerprint(event: ResolvedEvent, nowMs: number): string {
--- a/packages/steward-orders/src/decide_orders.ts
+++ b/packages/steward-orders/src/decide_orders.ts
@@ -42,6 +42,8 @@
   drain: DrainLimits;
   outlook(slot: Slot): LoadOutlook;
   nowMs: number;
+  /** Memory that a late order may still take. */
+  reservedMib: number;
 }
 
 /** What to do next. */
@@ -80,7 +82,7 @@
     wanted,
     engine,
     memoryOfAdapter: input.memoryOfAdapter,
-    doubtfulMib: findDoubtfulMib(input),
+    reservedMib: input.reservedMib,
   });
   const step = {
     orders: [...unloads.orders, ...loads],
@@ -130,22 +132,6 @@
   return engine.fencing === 'ignores' && (hasDoubts || unresolved.size > 0);
 }
 
-/**
- * Guards against a load order with a lost answer that an engine without
- * fencing carries out later: until then its memory looks free, and another
- * load would take it. So it counts as taken although the engine shows nothing.
- */
-function findDoubtfulMib(input: StewardInput): number {
-  const {engine, unresolved, slots} = input;
-  if (engine.fencing === 'refuses-old') return 0;
-  const doubtfulIds = new Set([...unresolved].map(readBaseSlotId));
-  return slots
-    .filter(slot => doubtfulIds.has(slot.slotId))
-    .filter(slot => listParts(slot.slotId, engine).length === 0)
-    .filter(slot => slot.status === 'ending')
-    .reduce((sumMib, slot) => sumMib + slot.memoryMib, 0);
-}
-
 function findDueMs(slot: Slot, input: StewardInput): number {
   const tier = findSlotTier(slot, input.engine);
   return findLoadDueMs(slot, tier, input.outlook(slot));
--- a/packages/steward-orders/src/list_loads.ts
+++ b/packages/steward-orders/src/list_loads.ts
@@ -19,8 +19,8 @@
   wanted: readonly WantedSlot[];
   engine: EngineState;
   memoryOfAdapter: AdapterMemory;
-  /** Memory that an order on its way may take. */
-  doubtfulMib: number;
+  /** Memory that a late order may still take. */
+  reservedMib: number;
 }
 
 /**
@@ -37,7 +37,7 @@
       .toSorted((a, b) => a.loadAtMs - b.loadAtMs)
       .map(slot => listParts(slot, engine, memoryOfAdapter));
   const freeMib =
-    engine.memoryMib - sumMib(engine.replicas) - input.doubtfulMib;
+    engine.memoryMib - sumMib(engine.replicas) - input.reservedMib;
   const planned = listFor(true);
   const taken = takeFitting(
     planned.flatMap(parts => parts.loadable),
--- a/packages/steward-orders/src/test_fixtures.ts
+++ b/packages/steward-orders/src/test_fixtures.ts
@@ -97,6 +97,7 @@
     memory: EMPTY_STEWARD_MEMORY,
     unresolved: new Set(),
     hasDoubts: false,
+    reservedMib: 0,
     memoryOfAdapter: () => ADAPTER_MIB,
     drain: DRAIN,
     outlook: () => ({
