Let successors step in when a due load is neglected

A steward that dies a moment before its late loads are due leaves a cold start until its death is noticed. Successors now look at the engine when a load is due, and order it with a higher rank and claim the engine if nobody has. Only where the engine refuses old fencing numbers.

--- a/packages/node/src/steward_task.ts
+++ b/packages/node/src/steward_task.ts
@@ -20,6 +20,7 @@
 import {Task, type TaskErrorHandler} from '@mimosatack/tasks';
 import {type BackendServerId, type NodeIncarnation} from '@mimosatack/types';
 import {EngineSteward} from './engine_steward.js';
+import {EngineWatches} from './engine_watches.js';
 
 /** What the task is told. */
 export type StewardMessage = {type: 'tick'};
@@ -64,6 +65,7 @@
   private readonly stewards = new Map<BackendServerId, EngineSteward>();
   /** Stewards of lost claims that may still have orders on the way. */
   private readonly retired = new Map<number, EngineSteward>();
+  private readonly watches: EngineWatches;
   private readonly freeSinceMs = new Map<BackendServerId, number>();
   private readonly submitting = new Set<string>();
 
@@ -72,6 +74,14 @@
     onError: TaskErrorHandler,
   ) {
     super('steward', onError);
+    this.watches = new EngineWatches({
+      clock: options.clock,
+      incarnation: options.incarnation,
+      connect: ({backendServerId, baseUrl}) =>
+        options.connect(backendServerId, baseUrl),
+      listSlots: id => options.follower.state.placement.listOn(id),
+      onSteppedIn: () => this.post({type: 'tick'}),
+    });
   }
 
   /** Gives up every claim of this node that has no order on the way. */
@@ -114,6 +124,7 @@
     });
     switch (decision.role) {
       case 'hold':
+        this.watches.stop(id);
         return this.step(server, claim?.epoch ?? 0, 0);
       case 'succeed':
         return this.step(server, claim?.epoch ?? 0, decision.rank);
@@ -121,10 +132,20 @@
         this.retire(id);
         return void this.claim(id, claim?.epoch ?? 0, ranking);
       case 'wait':
-        return this.retire(id);
+        return this.standBy(server, state);
     }
   }
 
+  /** Stays off an engine that another node holds, unless it is neglected. */
+  private standBy(server: BackendServer, state: AgreedState): void {
+    const id = server.backendServerId;
+    const claim = state.stewardship.findClaim(id);
+    const rank = this.watches.watch(server, claim);
+    if (!claim || rank === null) return this.retire(id);
+    this.step(server, claim.epoch, rank);
+    void this.claim(id, claim.epoch, this.options.rankNodes(id));
+  }
+
   private measureFreeMs(id: BackendServerId, isFreeNow: boolean): number {
     const nowMs = this.options.clock.monotonicMs();
     if (!isFreeNow) this.freeSinceMs.delete(id);
@@ -223,6 +244,7 @@
     [...this.stewards.keys()]
       .filter(id => !present.has(id))
       .forEach(id => this.retire(id));
+    this.watches.keepOnly(present);
     [...this.freeSinceMs.keys()]
       .filter(id => !present.has(id))
       .forEach(id => this.freeSinceMs.delete(id));
