--- a/packages/node/src/planner_task.ts
+++ b/packages/node/src/planner_task.ts
@@ -64,6 +64,10 @@
   private readonly unplaced = new Map<EventId, UnplacedReplicas[]>();
   private readonly view: PlannerView;
   private isTickQueued = false;
+  /** What the last look at all events saw. */
+  private lookMark = '';
+  /** When an event begins or ends next. */
+  private nextPhaseMs = 0;
 
   constructor(
     private readonly options: PlannerTaskOptions,
@@ -108,7 +112,10 @@
     if (!this.options.follower.status.isLogReachable) return;
     const nowMs = this.options.clock.wallMs();
     this.view.begin(nowMs);
-    const bodies = [...this.planEvents(nowMs), ...this.planDemands(nowMs)];
+    const bodies = [
+      ...(this.isQuiet(nowMs) ? [] : this.planEvents(nowMs)),
+      ...this.planDemands(nowMs),
+    ];
     await Promise.all(
       bodies.map(body =>
         this.options.follower.submit(body, {
@@ -118,9 +125,29 @@
     );
   }
 
+  /**
+   * Whether nothing that events are planned from has changed since the last
+   * look at all of them, which costs most when there are many.
+   */
+  private isQuiet(nowMs: number): boolean {
+    const {sequence} = this.options.follower.state;
+    const mark = [sequence, ...this.demand.models, this.view.markServers()];
+    const lookMark = mark.join(' ');
+    const isQuiet =
+      lookMark === this.lookMark &&
+      nowMs < this.nextPhaseMs &&
+      !this.agenda.hasOpen;
+    this.lookMark = lookMark;
+    return isQuiet;
+  }
+
   private planEvents(nowMs: number): RecordBody[] {
     const {configuration} = this.options.follower.state;
     const events = configuration.listEvents();
+    const phasesMs = events
+      .flatMap(({startsAtMs, endsAtMs}) => [startsAtMs, endsAtMs])
+      .filter(atMs => atMs > nowMs);
+    this.nextPhaseMs = Math.min(Infinity, ...phasesMs);
     this.agenda.keepOnly(new Set(events.map(event => event.eventId)));
     [...this.unplaced.keys()]
       .filter(eventId => !configuration.findEvent(eventId))
--- a/packages/node/src/planner_view.ts
+++ b/packages/node/src/planner_view.ts
@@ -79,17 +79,35 @@
   /** Changes when planning for the slot's backend server may change. */
   markSlot(slot: Slot): string {
     const id = slot.backendServerId;
-    const report = this.options.board.find(id);
-    const isLeaving = this.options.isLeaving(id);
-    const isLost = report?.isReachable === false;
-    const isWarm =
-      slot.replaces !== null &&
-      report?.engine?.replicas.some(
-        replica =>
-          readBaseSlotId(replica.slotId) === slot.slotId &&
-          replica.status === 'warm',
-      );
-    return `${isLost ? 'l' : ''}${isLeaving ? 'v' : ''}${isWarm ? 'w' : ''}`;
+    const warmParts = slot.replaces === null ? 0 : this.countWarmParts(slot);
+    return `${this.markServer(id)}${warmParts > 0 ? warmParts : ''}`;
+  }
+
+  /** Changes with the servers that are lost or leaving, and with stand-ins. */
+  markServers(): string {
+    const {stewardship, placement} = this.state;
+    const servers = stewardship
+      .listBackendServers()
+      .map(({backendServerId: id}) => ({id, mark: this.markServer(id)}))
+      .filter(({mark}) => mark !== '')
+      .map(({id, mark}) => `${id}${mark}`);
+    const standIns = placement
+      .list()
+      .filter(slot => slot.replaces !== null)
+      .map(slot => this.markSlot(slot));
+    return [...servers, ...standIns].join(' ');
+  }
+
+  private markServer(id: BackendServerId): string {
+    const isLost = this.options.board.find(id)?.isReachable === false;
+    return `${isLost ? 'l' : ''}${this.options.isLeaving(id) ? 'v' : ''}`;
+  }
+
+  private countWarmParts({slotId, backendServerId}: Slot): number {
+    const report = this.options.board.find(backendServerId);
+    return (report?.engine?.replicas ?? [])
+      .filter(replica => readBaseSlotId(replica.slotId) === slotId)
+      .filter(replica => replica.status === 'warm').length;
   }
 
   /** Slots of events that are not in the configuration any more. */
