--- a/packages/bench-warming/src/virtual_planner.ts
+++ b/packages/bench-warming/src/virtual_planner.ts
@@ -13,6 +13,7 @@
   planEvent,
 } from '@mimosatack/plan-warming';
 import {type RecordBody} from '@mimosatack/records';
+import {START_MS} from './deployment.js';
 import {type VirtualLog} from './virtual_log.js';
 import {type VirtualRunner} from './virtual_runner.js';
 
@@ -26,6 +27,9 @@
 }
 
 const TICK_MS = 500;
+/** Long before the start it looks less often. */
+const QUIET_TICK_MS = 2_000;
+const QUIET_UNTIL_MS = START_MS - 60_000;
 /** Three of four lanes; the rest is left for loads on demand. */
 const LANES = 3;
 
@@ -46,7 +50,8 @@
 
   tick(): void {
     const {clock, log} = this.parts;
-    clock.setTimer(TICK_MS, () => this.tick());
+    const isQuiet = clock.wallMs() < QUIET_UNTIL_MS;
+    clock.setTimer(isQuiet ? QUIET_TICK_MS : TICK_MS, () => this.tick());
     log.state.placement
       .list()
       .forEach(slot => this.decided.set(slot.slotId, {...slot}));
