--- a/packages/agreed-state/src/agreed_state.ts
+++ b/packages/agreed-state/src/agreed_state.ts
@@ -131,6 +131,8 @@
       case 'remove-backend-server':
         this.placement.removeBackendServer(body.backendServerId);
         return this.stewardship.remove(body);
+      case 'drain-backend-server':
+        return this.stewardship.drain(body);
       case 'decide-slots':
         return this.placement.decide(body, this.sequence);
       case 'end-slots':
--- a/packages/agreed-state/src/configuration/configuration.ts
+++ b/packages/agreed-state/src/configuration/configuration.ts
@@ -73,6 +73,7 @@
   /** Contents of template versions that a pinned event still names. */
   private readonly pinnedTemplates = new Map<string, TemplateContent>();
   private readonly events = new Map<string, ResolvedEvent>();
+  private changes = 0;
 
   static restore(snapshot: ConfigurationSnapshot): Configuration {
     const restored = new Configuration();
@@ -98,6 +99,14 @@
     };
   }
 
+  /**
+   * Grows with every change of a document, so that indexes over them know
+   * when they are stale. It is no part of the folded state.
+   */
+  get changeCount(): number {
+    return this.changes;
+  }
+
   find<K extends DocumentKind>(kind: K, id: string): Document<K> | undefined {
     return this.documents.get(keyOf(kind, id)) as Document<K> | undefined;
   }
@@ -156,6 +165,7 @@
     if (users.length > 0) {
       return makeVoid('in-use', `${key} is used by ${users.join(', ')}.`);
     }
+    this.changes += 1;
     this.documents.delete(key);
     this.tombstones.set(key, {
       key,
@@ -206,6 +216,7 @@
       else this.documents.delete(key);
       return makeVoid('invalid-content', faults.join('; '));
     }
+    this.changes += 1;
     this.tombstones.delete(key);
     this.keepPinnedTemplate(previous);
     resolved.forEach(({result}) => {
--- a/packages/agreed-state/src/stewardship/stewardship.ts
+++ b/packages/agreed-state/src/stewardship/stewardship.ts
@@ -48,6 +48,8 @@
   server: BackendServer;
   claim: StewardClaim | null;
   doubts: Doubt[];
+  /** An operator wants it to receive no new work. */
+  isDraining: boolean;
 }
 
 /** The plain form of the aggregate, for checkpoints. */
@@ -104,6 +106,7 @@
         server,
         claim: null,
         doubts: [],
+        isDraining: false,
       });
       return VALID;
     }
@@ -123,6 +126,26 @@
         );
   }
 
+  /** Whether an operator wants it to receive no new work. */
+  isDraining(id: BackendServerId): boolean {
+    return this.entries.get(id)?.isDraining ?? false;
+  }
+
+  drain(body: BodyOf<'drain-backend-server'>): Outcome {
+    const entry = this.entries.get(body.backendServerId);
+    if (!entry) {
+      return makeVoid(
+        'unknown-reference',
+        `There is no backend server ${body.backendServerId}.`,
+      );
+    }
+    if (entry.isDraining === body.isDraining) {
+      return makeVoid('version-conflict', 'It is in that state already.');
+    }
+    entry.isDraining = body.isDraining;
+    return VALID;
+  }
+
   /** @param slotIds the slots that the former holder may have on the way. */
   claim(
     body: BodyOf<'claim-steward'>,
--- /dev/null
+++ b/packages/authenticate/src/index.ts
@@ -0,0 +1,15 @@
+export {
+  type Caller,
+  type Operator,
+  authenticateCaller,
+  authenticateOperator,
+} from './authenticate.js';
+export {
+  type Action,
+  PERMISSIONS,
+  type Permission,
+  formatPermissionsAsMarkdown,
+  mayDo,
+  requireAction,
+} from './permissions.js';
+export {hashToken} from './token_index.js';
--- /dev/null
+++ b/packages/fakes/src/index.ts
@@ -0,0 +1,2 @@
+export {MemoryLogService} from './memory_log_service.js';
+export {waitUntil} from './wait_until.js';
--- /dev/null
+++ b/packages/metrics/src/catalogue.ts
@@ -0,0 +1,107 @@
+/** The catalogue of metrics: every name with its type, tags and meaning. */
+
+/** How the values of a metric are read. */
+export type MetricType = 'counter' | 'gauge' | 'timing';
+
+/** What the catalogue says about one metric. */
+export interface MetricDefinition {
+  type: MetricType;
+  description: string;
+  /** The tags beside those of the node, each with its meaning. */
+  tags: Readonly<Record<string, string>>;
+}
+
+const INTERFACE_TAGS = {
+  interface: '`callers` or `operators`',
+  kind: 'the route, such as `POST /v1/chat/completions`',
+} as const;
+
+/** Every metric, by name. Timings are in milliseconds. */
+export const METRIC_CATALOGUE = {
+  'requests.received': counter('Requests that arrived.', INTERFACE_TAGS),
+  'requests.refused': counter('Requests answered with an error.', {
+    ...INTERFACE_TAGS,
+    status: 'the HTTP status',
+  }),
+  'requests.duration': timing('Time until a request was answered in full.', {
+    ...INTERFACE_TAGS,
+  }),
+  'requests.in_flight': gauge('Requests that are being served.', {
+    interface: '`callers` or `operators`',
+  }),
+  'backends.running': gauge('Requests that run on the engines of a pool.', {
+    pool: 'the pool of backend servers',
+  }),
+  'backends.queued': gauge('Requests that wait at the engines of a pool.', {
+    pool: 'the pool of backend servers',
+  }),
+  'backends.unreachable': gauge('Backend servers that do not answer.', {
+    pool: 'the pool of backend servers',
+  }),
+  'backends.draining': gauge('Backend servers an operator drains.', {}),
+  'replicas.decided': gauge('Replicas that are decided.', {}),
+  'replicas.warm': gauge('Replicas that are warm.', {}),
+  'replicas.loading': gauge('Replicas that are being loaded.', {}),
+  'loads.finished': counter('Loads ended, of the engines this node holds.', {
+    model: 'the model',
+  }),
+  'loads.duration': timing('Time that a load took at its engine.', {
+    model: 'the model',
+  }),
+  'loads.cold': counter(
+    'Loads that ended after the start of their event, or outside events.',
+    {model: 'the model'},
+  ),
+  'log.reachable': gauge('1 while the node reads the log itself, else 0.', {}),
+  'log.silence_ms': gauge('Time since the log service last answered.', {}),
+  'fold.next_offset': gauge('The next log offset to fold.', {}),
+  'fold.sequence': gauge('Records folded since the log began.', {}),
+  'fold.void': counter('Records that were found void.', {
+    reason: 'why, such as `version-conflict`',
+  }),
+  'fold.behind': gauge('Offsets behind the most advanced node known.', {}),
+  'members.count': gauge('Nodes, by what is believed of them.', {
+    status: '`alive`, `suspect`, `leaving` or `gone`',
+  }),
+  'stewardships.held': gauge('Backend servers that this node holds.', {}),
+  'audit.pending': gauge('Changes not yet seen in the audit stream.', {}),
+  'process.resident_bytes': gauge('Resident memory of the process.', {}),
+} as const satisfies Record<string, MetricDefinition>;
+
+type Catalogue = typeof METRIC_CATALOGUE;
+
+/** The name of a metric. */
+export type MetricName = keyof Catalogue;
+
+/** The names of the metrics of one type. */
+export type MetricNameOf<T extends MetricType> = {
+  [N in MetricName]: Catalogue[N]['type'] extends T ? N : never;
+}[MetricName];
+
+/** Exactly the tags that the catalogue names for a metric. */
+export type MetricTags<N extends MetricName> = {
+  readonly [K in keyof Catalogue[N]['tags']]: string;
+};
+
+/** All names, in the order of the catalogue. */
+export const METRIC_NAMES = Object.keys(
+  METRIC_CATALOGUE,
+) as readonly MetricName[];
+
+function counter<T extends Record<string, string>>(
+  description: string,
+  tags: T,
+) {
+  return {type: 'counter', description, tags} as const;
+}
+
+function gauge<T extends Record<string, string>>(description: string, tags: T) {
+  return {type: 'gauge', description, tags} as const;
+}
+
+function timing<T extends Record<string, string>>(
+  description: string,
+  tags: T,
+) {
+  return {type: 'timing', description, tags} as const;
+}
--- /dev/null
+++ b/packages/metrics/src/metrics.test.ts
@@ -0,0 +1,92 @@
+import {createSocket} from 'node:dgram';
+import {readFileSync} from 'node:fs';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  METRIC_NAMES,
+  MemoryMetrics,
+  StatsdMetrics,
+  formatMetricsAsMarkdown,
+} from './index.js';
+
+/** A statsd server on a free port, which keeps the lines it is sent. */
+async function startServer() {
+  const socket = createSocket('udp4');
+  const lines: string[] = [];
+  const arrived = new Promise<void>(resolve =>
+    socket.on('message', datagram => {
+      lines.push(...datagram.toString().trim().split('\n'));
+      resolve();
+    }),
+  );
+  await new Promise<void>(resolve => socket.bind(0, '127.0.0.1', resolve));
+  const {port} = socket.address();
+  const close = () =>
+    new Promise<void>(resolve => socket.close(() => resolve()));
+  return {port, lines, arrived, close};
+}
+
+function createMetrics(host: string, port: number) {
+  const errors: Error[] = [];
+  const metrics = new StatsdMetrics({
+    host,
+    port,
+    nodeTags: {node: 'entry-1'},
+    onError: error => errors.push(error),
+  });
+  return {metrics, errors};
+}
+
+const metricsSuite = suite('metrics');
+
+metricsSuite('names are in one style', () => {
+  METRIC_NAMES.forEach(name => assert.match(name, /^[a-z]+\.[a-z_]+$/));
+});
+
+metricsSuite('docs/METRICS.md is current', () => {
+  const page = new URL('../../../docs/METRICS.md', import.meta.url);
+  assert.fixture(readFileSync(page, 'utf8'), formatMetricsAsMarkdown());
+});
+
+metricsSuite(
+  'counters, gauges and timings arrive with their tags',
+  async () => {
+    const server = await startServer();
+    const {metrics} = createMetrics('127.0.0.1', server.port);
+    metrics.count('loads.finished', {model: 'list-writer'});
+    metrics.gauge('fold.next_offset', 17, {});
+    metrics.timing('loads.duration', 250, {model: 'list-writer'});
+    await metrics.close();
+    await server.arrived;
+    await server.close();
+    assert.equal(server.lines, [
+      'mimosatack.loads.finished:1|c|#node:entry-1,model:list-writer',
+      'mimosatack.fold.next_offset:17|g|#node:entry-1',
+      'mimosatack.loads.duration:250|ms|#node:entry-1,model:list-writer',
+    ]);
+  },
+);
+
+/**
+ * The metrics server is replaced and for a while nothing listens on its port.
+ * The node must go on as if nothing had happened: each datagram is refused by
+ * the host, and that error must not reach the code that measures.
+ */
+metricsSuite('a metrics server that is gone hurts nobody', async () => {
+  const server = await startServer();
+  await server.close();
+  const {metrics} = createMetrics('127.0.0.1', server.port);
+  Array.from({length: 100}, () =>
+    metrics.count('fold.void', {reason: 'version-conflict'}),
+  );
+  await metrics.close();
+});
+
+metricsSuite('the memory metrics give back the values by name', () => {
+  const metrics = new MemoryMetrics();
+  metrics.count('fold.void', {reason: 'duplicate'}, 2);
+  metrics.gauge('log.reachable', 1, {});
+  assert.equal(metrics.valuesOf('fold.void'), [2]);
+});
+
+metricsSuite.run();
--- /dev/null
+++ b/packages/metrics/src/metrics.ts
@@ -0,0 +1,23 @@
+/** The interface through which the rest of the system measures. */
+import {type MetricNameOf, type MetricTags} from './catalogue.js';
+
+/** Takes values of the metrics in the catalogue; never throws. */
+export interface Metrics {
+  count<N extends MetricNameOf<'counter'>>(
+    name: N,
+    tags: MetricTags<N>,
+    increment?: number,
+  ): void;
+  gauge<N extends MetricNameOf<'gauge'>>(
+    name: N,
+    value: number,
+    tags: MetricTags<N>,
+  ): void;
+  timing<N extends MetricNameOf<'timing'>>(
+    name: N,
+    durationMs: number,
+    tags: MetricTags<N>,
+  ): void;
+  /** Sends what is held back and lets go of the socket. */
+  close(): Promise<void>;
+}
--- /dev/null
+++ b/packages/metrics/src/no_metrics.ts
@@ -0,0 +1,11 @@
+import {type Metrics} from './metrics.js';
+
+/** Drops every value; for nodes without a metrics server. */
+export class NoMetrics implements Metrics {
+  count(): void {}
+  gauge(): void {}
+  timing(): void {}
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- a/packages/records/src/record_schema.ts
+++ b/packages/records/src/record_schema.ts
@@ -59,6 +59,12 @@
   backendServerId: name,
 });
 
+const drainBackendServer = z.object({
+  type: z.literal('drain-backend-server'),
+  backendServerId: name,
+  isDraining: z.boolean(),
+});
+
 const slot = z.object({
   slotId: name,
   model: name,
@@ -149,6 +155,7 @@
   deleteDocument,
   registerBackendServer,
   removeBackendServer,
+  drainBackendServer,
   decideSlots,
   endSlots,
   extendSlots,
--- a/packages/serve-callers/src/completion_routes.ts
+++ b/packages/serve-callers/src/completion_routes.ts
@@ -1,11 +1,11 @@
 /** Chat completions and completions, streamed or whole. */
 import {randomUUID} from 'node:crypto';
 import {isServing} from '@mimosatack/agreed-state';
+import {authenticateCaller} from '@mimosatack/authenticate';
 import {TypedError} from '@mimosatack/errors';
 import {type FastifyInstance, type FastifyReply} from 'fastify';
 import {type Dispatcher, request} from 'undici';
 import {z} from 'zod';
-import {authenticateCaller} from './authenticate.js';
 import {type CallerContext} from './caller_context.js';
 import {type RequestTerms, readTerms} from './request_terms.js';
 
--- a/packages/serve-callers/src/service_routes.ts
+++ b/packages/serve-callers/src/service_routes.ts
@@ -1,10 +1,10 @@
 /** Calls to plain services, some of which may run at most once. */
 import {type ServiceContent} from '@mimosatack/agreed-state';
+import {authenticateCaller} from '@mimosatack/authenticate';
 import {sendOnce} from '@mimosatack/dispatch-requests';
 import {TypedError} from '@mimosatack/errors';
 import {type KeptAnswer} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
-import {authenticateCaller} from './authenticate.js';
 import {type CallerContext} from './caller_context.js';
 import {type RequestTerms, readTerms} from './request_terms.js';
 
