--- a/packages/authenticate/src/permissions.ts
+++ b/packages/authenticate/src/permissions.ts
@@ -76,15 +76,7 @@
 
 /** The table as it stands in docs/operators/roles.md. */
 export function formatPermissionsAsMarkdown(): string {
-  const rows = Object.values(PERMISSIONS).map(({description, roles}) => {
-    const marks = (['caller', 'operator', 'admin'] as const).map(role =>
-      (roles as readonly TokenRole[]).includes(role) ? 'yes' : 'no',
-    );
-    return `| ${[description, ...marks].join(' | ')} |`;
-  });
-  return [
-    '| A token may | caller | operator | admin |',
-    '| --- | --- | --- | --- |',
-    ...rows,
-  ].join('\n');
+  return Object.values(PERMISSIONS)
+    .map(({description, roles}) => `- ${description}: ${roles.join(', ')}`)
+    .join('\n');
 }
