Serve the whole operators' interface, with audit, in-force and TLS

Documents are listed in pages, tried out, published and deleted; events are created from templates and tell how far their replicas are; backend servers are drained; a change can be waited for until all live nodes have it in force.

--- a/packages/audit-trail/src/change_recorder.ts
+++ b/packages/audit-trail/src/change_recorder.ts
@@ -18,8 +18,7 @@
   reset(state: AgreedState): void {
     this.contents.clear();
     DOCUMENT_KINDS.flatMap(kind => state.configuration.list(kind)).forEach(
-      ({kind, id, content}) =>
-        this.contents.set(keyOf(kind, id), content),
+      ({kind, id, content}) => this.contents.set(keyOf(kind, id), content),
     );
   }
 
--- a/packages/logger/src/catalogue.ts
+++ b/packages/logger/src/catalogue.ts
@@ -29,6 +29,7 @@
 export const EVENT_AREAS: readonly EventArea[] = [
   {title: 'Process', firstNumber: 1000, lastNumber: 1099},
   {title: 'Settings', firstNumber: 1100, lastNumber: 1199},
+  {title: 'Certificates and metrics', firstNumber: 1200, lastNumber: 1299},
   {title: 'Log service', firstNumber: 2000, lastNumber: 2099},
   {title: 'Checkpoints', firstNumber: 2100, lastNumber: 2199},
   {title: 'Configuration', firstNumber: 3000, lastNumber: 3099},
--- a/packages/logger/src/events/operator_events.ts
+++ b/packages/logger/src/events/operator_events.ts
@@ -30,4 +30,26 @@
     fields: {remoteAddress: 'where it came from', error: 'what was wrong'},
     remedy: 'Look for a misconfigured client, or for an attack.',
   },
+  'operator-request-failed': {
+    number: 5004,
+    level: 'error',
+    message: "A request to the operators' interface met an internal error.",
+    fields: {
+      requestId: 'the id that the answer carries',
+      route: 'the method and the route',
+      error: 'what failed',
+    },
+    remedy: 'Report it with the log lines around it.',
+  },
+  'change-not-in-force': {
+    number: 5003,
+    level: 'warn',
+    message: 'A change was not in force on all live nodes in time.',
+    fields: {
+      offset: 'offset of the record that carried it',
+      missingNodes: 'the nodes that had not folded it',
+      waitedMs: 'how long was waited',
+    },
+    remedy: 'Check these nodes, and whether they reach the log service.',
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/logger/src/events/process_events.ts
+++ b/packages/logger/src/events/process_events.ts
@@ -1,4 +1,4 @@
-/** Log events 1000 to 1199: the process and its settings. */
+/** Log events 1000 to 1299: the process, its settings and certificates. */
 import {type EventDefinition} from '../definition.js';
 
 export const PROCESS_EVENTS = {
@@ -83,4 +83,41 @@
     fields: {faults: 'every fault, with its remedy'},
     remedy: 'Correct all the faults listed, then start the node again.',
   },
+  'certificate-replaced': {
+    number: 1200,
+    level: 'info',
+    message: 'A new certificate is in use; connections that are open keep on.',
+    fields: {
+      listener: 'who connects to it: callers or operators',
+      certPath: 'the file it was read from',
+      validTo: 'when it expires',
+    },
+  },
+  'certificate-rejected': {
+    number: 1201,
+    level: 'error',
+    message: 'A new certificate or key is not usable; the old pair is kept.',
+    fields: {
+      listener: 'who connects to it: callers or operators',
+      certPath: 'the file of the certificate',
+      error: 'what is wrong with the pair',
+    },
+    remedy: 'Write a certificate with its own key to both files.',
+  },
+  'metrics-undeliverable': {
+    number: 1210,
+    level: 'warn',
+    message: 'Metrics could not be sent; nothing else is affected.',
+    fields: {error: 'what failed'},
+    remedy: 'Check the metrics server, --statsd-host and --statsd-port.',
+  },
+  'events-suppressed': {
+    number: 1211,
+    level: 'info',
+    message: 'An event happened more often than it is logged.',
+    fields: {
+      suppressedEvent: 'name of the event',
+      count: 'how many times it was left out since it was last logged',
+    },
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -19,4 +19,8 @@
   type EventLogger,
   type FieldValue,
 } from './event_logger.js';
+export {
+  LimitedEventLogger,
+  type LimitedEventLoggerOptions,
+} from './limited_event_logger.js';
 export {type LoggedEvent, MemoryEventLogger} from './memory_event_logger.js';
--- a/packages/logger/src/logger.test.ts
+++ b/packages/logger/src/logger.test.ts
@@ -1,11 +1,13 @@
 import {readFileSync} from 'node:fs';
 import {PassThrough} from 'node:stream';
+import {ManualClock} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
   BunyanEventLogger,
   EVENT_AREAS,
+  LimitedEventLogger,
   MemoryEventLogger,
   formatCatalogueAsMarkdown,
   listEvents,
@@ -113,4 +115,32 @@
   ]);
 });
 
+/**
+ * A client retries a revoked token in a tight loop. The log is filled with
+ * one line thousands of times and the line that matters is rotated away.
+ */
+loggers('a flood of one event is cut down, and its size is told', () => {
+  const clock = new ManualClock();
+  const inner = new MemoryEventLogger();
+  const logger = new LimitedEventLogger(inner, {
+    clock,
+    limited: ['operator-unauthenticated'],
+    maxPerInterval: 2,
+    intervalMs: 1_000,
+  });
+  const flood = (count: number) =>
+    Array.from({length: count}, () =>
+      logger.log('operator-unauthenticated', {remoteAddress: '', error: ''}),
+    );
+  flood(10);
+  logger.log('node-ready', {startupMs: 12});
+  clock.advance(1_000);
+  flood(1);
+  assert.is(inner.fieldsOf('operator-unauthenticated').length, 3);
+  assert.is(inner.fieldsOf('node-ready').length, 1);
+  assert.equal(inner.fieldsOf('events-suppressed'), [
+    {suppressedEvent: 'operator-unauthenticated', count: 8},
+  ]);
+});
+
 loggers.run();
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,6 @@
 /** One node: its tasks, its servers and how they are wired. */
 import {randomUUID} from 'node:crypto';
+import {type FoldedRecord} from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
 import {EngineBoard} from '@mimosatack/engine-board';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
@@ -21,13 +22,13 @@
 import {type RandomSource} from '@mimosatack/random';
 import {Router} from '@mimosatack/route-requests';
 import {buildCallerServer} from '@mimosatack/serve-callers';
-import {buildOperatorServer} from '@mimosatack/serve-operators';
 import {type DaemonSettings} from '@mimosatack/settings';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type HostEntry} from '@mimosatack/types';
 import {KeyTable, TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
 import {HostListTask} from './host_list_task.js';
+import {Operations} from './operations.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
 import {StewardTask} from './steward_task.js';
@@ -69,10 +70,12 @@
   private readonly planner: PlannerTask;
   private readonly router: Router;
   private readonly callerServer: FastifyInstance;
-  private readonly operatorServer: FastifyInstance;
+  private readonly operations: Operations;
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
   private leavingServers = new Set<string>();
+  private drainingServers: ReadonlySet<string> = new Set();
+  private isStopping = false;
 
   constructor(private readonly options: NodeOptions) {
     const {settings, clock, random, logger} = options;
@@ -97,6 +100,7 @@
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
+    this.operations = this.makeOperations();
     this.callerServer = buildCallerServer({
       clock,
       logger,
@@ -107,27 +111,15 @@
       mint: this.mint,
       keys: new KeyTable(),
       limits: settings,
+      serverFactory: this.operations.callerServerFactory,
       listEntries: () => this.peers.listUsable().map(toEntry),
       noteDemand: model => this.passDemand(model),
     });
-    this.operatorServer = buildOperatorServer({
-      clock,
-      logger,
-      nodeName: settings.nodeName,
-      follower: this.follower,
-      board: this.board,
-      bootstrapTokenHash: settings.bootstrapAdminTokenHash ?? '',
-      submitTimeoutMs: SUBMIT_TIMEOUT_MS,
-      maxBodyBytes: settings.maxBodyBytes,
-      state: () => this.follower.state,
-      listNodes: () =>
-        this.peers.listMembers().map(member => ({
-          ...toEntry(member),
-          status: member.status,
-          callerBaseUrl: member.callerBaseUrl,
-          adminBaseUrl: member.adminBaseUrl,
-          nextOffset: this.peers.findNextOffset(member.peerAddress),
-        })),
+    this.operations.watch(this.callerServer, 'callers');
+    this.follower.onFold(folded => {
+      if (folded.length === 0 || folded.some(isAboutDraining)) {
+        this.updateDraining();
+      }
     });
   }
 
@@ -135,20 +127,29 @@
   async start(): Promise<NodeAddresses> {
     const {settings} = this.options;
     const {listenHost, advertiseHost} = settings;
+    const {operatorServer} = this.operations;
+    const startedAtMs = this.options.clock.monotonicMs();
+    await this.operations.openTls();
     const peer = await this.peers.listen();
     await this.callerServer.listen({
       host: listenHost,
       port: settings.callerPort,
     });
-    await this.operatorServer.listen({
+    await operatorServer.listen({
       host: listenHost,
       port: settings.adminPort,
     });
     const addresses = {
       peerAddress: `${advertiseHost}:${peer.port}`,
-      callerBaseUrl: `http://${advertiseHost}:${portOf(this.callerServer)}`,
-      adminBaseUrl: `http://${advertiseHost}:${portOf(this.operatorServer)}`,
+      callerBaseUrl: `${this.operations.schemeOf('callers')}://${advertiseHost}:${portOf(this.callerServer)}`,
+      adminBaseUrl: `${this.operations.schemeOf('operators')}://${advertiseHost}:${portOf(operatorServer)}`,
     };
+    this.options.logger.log('node-started', {
+      incarnation: this.incarnation,
+      callerPort: portOf(this.callerServer),
+      adminPort: portOf(operatorServer),
+      peerPort: peer.port,
+    });
     this.peers.join({
       nodeName: settings.nodeName,
       incarnation: this.incarnation,
@@ -159,11 +160,16 @@
       ...addresses,
     });
     await this.follower.start(this.peers);
+    this.operations.start();
     this.startTicking();
+    this.options.logger.log('node-ready', {
+      startupMs: this.options.clock.monotonicMs() - startedAtMs,
+    });
     return addresses;
   }
 
   async stop(): Promise<void> {
+    this.isStopping = true;
     this.peers.leave();
     this.periodics.forEach(periodic => periodic.stop());
     await Promise.all([
@@ -172,7 +178,8 @@
       this.planner.stop(),
     ]);
     await this.callerServer.close();
-    await this.operatorServer.close();
+    await this.operations.operatorServer.close();
+    await this.operations.stop();
     await this.follower.stop();
     await this.peers.stop();
     await this.log.close();
@@ -234,6 +241,7 @@
         isGone: incarnation => this.isGone(incarnation),
         publishReport: report => {
           this.board.note(report);
+          this.operations.noteReport(report);
           this.peers.broadcastReport(report);
         },
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -270,7 +278,7 @@
         board: this.board,
         policy: makePolicy(this.options.settings),
         isResponsible: key => this.isResponsible(key),
-        isLeaving: id => this.leavingServers.has(id),
+        isLeaving: id => this.drainingServers.has(id),
         makeSlotId: () => `s-${randomUUID()}`,
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
       },
@@ -278,6 +286,21 @@
     );
   }
 
+  private makeOperations(): Operations {
+    return new Operations({
+      ...this.options,
+      incarnation: this.incarnation,
+      follower: this.follower,
+      board: this.board,
+      log: this.log,
+      peers: this.peers,
+      submitTimeoutMs: SUBMIT_TIMEOUT_MS,
+      isResponsible: key => this.isResponsible(key),
+      isStopping: () => this.isStopping,
+      onFault: (error, task) => this.noteFault(error, task),
+    });
+  }
+
   private connectEngine(backendServerId: string, baseUrl: string) {
     return new HttpEngineControl({
       backendServerId,
@@ -308,7 +331,18 @@
         .filter(host => host.state === 'leaving' && host.role !== 'entry')
         .map(host => host.hostId),
     );
-    this.router.setDraining([...this.leavingServers]);
+    this.updateDraining();
+  }
+
+  /** Keeps new work away from hosts that leave and servers being drained. */
+  private updateDraining(): void {
+    const {stewardship} = this.follower.state;
+    const drained = stewardship
+      .listBackendServers()
+      .map(server => server.backendServerId)
+      .filter(id => stewardship.isDraining(id));
+    this.drainingServers = new Set([...this.leavingServers, ...drained]);
+    this.router.setDraining([...this.drainingServers]);
   }
 
   private passDemand(model: string): void {
@@ -341,6 +375,10 @@
   }
 }
 
+function isAboutDraining({record}: FoldedRecord): boolean {
+  return record?.body.type === 'drain-backend-server';
+}
+
 function toEntry(member: {
   nodeName: string;
   callerBaseUrl: string;
--- /dev/null
+++ b/packages/node/src/operations.ts
@@ -0,0 +1,271 @@
+/**
+ * What operators see of a node: its interface, the audit trail, metrics and
+ * the certificates of its listeners.
+ */
+import {randomUUID} from 'node:crypto';
+import {AuditTrail} from '@mimosatack/audit-trail';
+import {type Clock} from '@mimosatack/clock';
+import {type BackendReport, type EngineBoard} from '@mimosatack/engine-board';
+import {type LogFollower} from '@mimosatack/follow-log';
+import {type EventLogger, LimitedEventLogger} from '@mimosatack/logger';
+import {type Metrics, NoMetrics, StatsdMetrics} from '@mimosatack/metrics';
+import {type LogService} from '@mimosatack/platform';
+import {buildOperatorServer} from '@mimosatack/serve-operators';
+import {type DaemonSettings} from '@mimosatack/settings';
+import {
+  type Periodic,
+  type TaskErrorHandler,
+  startPeriodic,
+} from '@mimosatack/tasks';
+import {TlsListener} from '@mimosatack/tls-listeners';
+import {type FastifyInstance, type FastifyServerFactory} from 'fastify';
+import {MetricsReporter} from './metrics_reporter.js';
+import {HttpObserver} from './observe_http.js';
+import {type PeerTask} from './peer_task.js';
+import {ReplicaObserver} from './replica_observer.js';
+
+/** What the operations of a node are built from. */
+export interface OperationsOptions {
+  settings: DaemonSettings;
+  clock: Clock;
+  logger: EventLogger;
+  release: string;
+  incarnation: string;
+  follower: LogFollower;
+  board: EngineBoard;
+  log: LogService;
+  peers: PeerTask;
+  submitTimeoutMs: number;
+  isResponsible(key: string): boolean;
+  isStopping(): boolean;
+  onFault: TaskErrorHandler;
+}
+
+const METRICS_INTERVAL_MS = 10_000;
+const AUDIT_SETTLE_INTERVAL_MS = 15_000;
+const AUDIT_SETTLE_GRACE_MS = 60_000;
+const AUDIT_COPIES_PER_AGE = 6;
+const LIMITED_LOG_INTERVAL_MS = 10_000;
+const MAX_LIMITED_LOGS = 5;
+const MINUTE_MS = 60_000;
+const DAY_MS = 24 * 60 * MINUTE_MS;
+
+/** What operators see of a node. */
+export class Operations {
+  readonly metrics: Metrics;
+  readonly audit: AuditTrail;
+  readonly operatorServer: FastifyInstance;
+  /** Makes the callers' server; undefined for plain HTTP. */
+  readonly callerServerFactory: FastifyServerFactory | undefined;
+  private readonly logger: EventLogger;
+  private readonly callerTls: TlsListener | null;
+  private readonly operatorTls: TlsListener | null;
+  private readonly observers: readonly HttpObserver[];
+  private readonly reporter: MetricsReporter;
+  private readonly replicas: ReplicaObserver;
+  private readonly periodics: Periodic[] = [];
+
+  constructor(private readonly options: OperationsOptions) {
+    const {settings, clock, follower} = options;
+    this.logger = limitLogger(options);
+    this.callerTls = this.makeTls(
+      'callers',
+      settings.callerTlsCertPath,
+      settings.callerTlsKeyPath,
+    );
+    this.operatorTls = this.makeTls(
+      'operators',
+      settings.adminTlsCertPath,
+      settings.adminTlsKeyPath,
+    );
+    this.callerServerFactory = toFactory(this.callerTls);
+    this.metrics = this.makeMetrics();
+    this.audit = this.makeAudit();
+    this.observers = [
+      new HttpObserver('callers', clock, this.metrics),
+      new HttpObserver('operators', clock, this.metrics),
+    ];
+    this.reporter = this.makeReporter();
+    this.replicas = new ReplicaObserver(
+      clock,
+      this.metrics,
+      () => follower.state,
+    );
+    this.operatorServer = this.makeOperatorServer();
+    this.watch(this.operatorServer, 'operators');
+    this.followFold();
+  }
+
+  /** Measures the requests of a server; called before it listens. */
+  watch(server: FastifyInstance, interfaceName: 'callers' | 'operators'): void {
+    this.observers
+      .find(observer => observer.interfaceName === interfaceName)
+      ?.watch(server);
+  }
+
+  /** Takes a report that this node read from an engine itself. */
+  noteReport(report: BackendReport): void {
+    this.replicas.note(report);
+  }
+
+  /** The scheme of the URLs under which a server is reached. */
+  schemeOf(interfaceName: 'callers' | 'operators'): 'http' | 'https' {
+    const tls = interfaceName === 'callers' ? this.callerTls : this.operatorTls;
+    return tls ? 'https' : 'http';
+  }
+
+  /** Reads the certificates; rejects when one is not usable. */
+  async openTls(): Promise<void> {
+    await this.callerTls?.start();
+    await this.operatorTls?.start();
+  }
+
+  /** Begins to measure and to keep the audit trail. */
+  start(): void {
+    const {clock, follower, settings} = this.options;
+    this.audit.reset(follower.state);
+    const every = (intervalMs: number, action: () => void) =>
+      this.periodics.push(startPeriodic(clock, intervalMs, action));
+    every(METRICS_INTERVAL_MS, () => this.reporter.report());
+    every(AUDIT_SETTLE_INTERVAL_MS, () => this.audit.post({type: 'settle'}));
+    every(
+      (settings.auditCopyAfterMinutes * MINUTE_MS) / AUDIT_COPIES_PER_AGE,
+      () => this.audit.post({type: 'copy'}),
+    );
+  }
+
+  /** Stores what the audit trail lacks and lets go of everything. */
+  async stop(): Promise<void> {
+    this.periodics.forEach(periodic => periodic.stop());
+    this.callerTls?.stop();
+    this.operatorTls?.stop();
+    await this.audit.stop();
+    await this.metrics.close();
+  }
+
+  private followFold(): void {
+    const {follower} = this.options;
+    follower.onFold(folded => {
+      if (folded.length === 0) this.audit.reset(follower.state);
+      this.audit.note(folded);
+      this.reporter.noteFolded(folded);
+    });
+  }
+
+  private makeTls(
+    listener: 'callers' | 'operators',
+    certPath: string | undefined,
+    keyPath: string | undefined,
+  ): TlsListener | null {
+    if (certPath === undefined || keyPath === undefined) return null;
+    const {clock, settings} = this.options;
+    return new TlsListener({
+      clock,
+      logger: this.logger,
+      listener,
+      paths: {certPath, keyPath},
+      pollIntervalMs: settings.tlsPollIntervalMs,
+    });
+  }
+
+  private makeMetrics(): Metrics {
+    const {statsdHost, statsdPort, nodeName, region, failureDomain} =
+      this.options.settings;
+    if (statsdHost === undefined) return new NoMetrics();
+    return new StatsdMetrics({
+      host: statsdHost,
+      port: statsdPort,
+      nodeTags: {node: nodeName, region, failure_domain: failureDomain},
+      onError: error => this.logger.log('metrics-undeliverable', {error}),
+    });
+  }
+
+  private makeAudit(): AuditTrail {
+    const {clock, log, incarnation, settings} = this.options;
+    return new AuditTrail(
+      {
+        clock,
+        log,
+        incarnation,
+        isResponsible: () => this.options.isResponsible('audit-trail'),
+        settleGraceMs: AUDIT_SETTLE_GRACE_MS,
+        copyAfterMs: settings.auditCopyAfterMinutes * MINUTE_MS,
+        keepMs: settings.auditKeepDays * DAY_MS,
+      },
+      this.options.onFault,
+    );
+  }
+
+  private makeReporter(): MetricsReporter {
+    const {clock, follower, board, incarnation} = this.options;
+    return new MetricsReporter({
+      clock,
+      metrics: this.metrics,
+      follower,
+      board,
+      audit: this.audit,
+      incarnation,
+      observers: this.observers,
+      listMembers: () => this.listNodes(),
+      readResidentBytes: () => process.memoryUsage.rss(),
+    });
+  }
+
+  private makeOperatorServer(): FastifyInstance {
+    const {settings, clock, release, follower, board, peers} = this.options;
+    return buildOperatorServer({
+      clock,
+      logger: this.logger,
+      nodeName: settings.nodeName,
+      release,
+      follower,
+      board,
+      audit: this.audit,
+      bootstrapTokenHash: settings.bootstrapAdminTokenHash ?? '',
+      submitTimeoutMs: this.options.submitTimeoutMs,
+      maxBodyBytes: settings.maxBodyBytes,
+      serverFactory: toFactory(this.operatorTls),
+      state: () => follower.state,
+      listNodes: () => this.listNodes(),
+      askNextOffset: nodeName => peers.askNextOffset(nodeName),
+      makeRequestId: () => randomUUID(),
+      isStopping: () => this.options.isStopping(),
+    });
+  }
+
+  private listNodes() {
+    const {peers, follower, settings} = this.options;
+    return peers.listMembers().map(member => ({
+      nodeName: member.nodeName,
+      incarnation: member.incarnation,
+      status: member.status,
+      failureDomain: member.failureDomain,
+      callerBaseUrl: member.callerBaseUrl,
+      adminBaseUrl: member.adminBaseUrl,
+      release: member.release,
+      nextOffset:
+        member.nodeName === settings.nodeName
+          ? follower.state.nextOffset
+          : peers.findNextOffset(member.peerAddress),
+    }));
+  }
+}
+
+/** Events that strangers can cause are limited, so they flood no log. */
+function limitLogger({logger, clock}: OperationsOptions): EventLogger {
+  return new LimitedEventLogger(logger, {
+    clock,
+    limited: [
+      'operator-unauthenticated',
+      'operator-command-refused',
+      'operator-request-failed',
+      'metrics-undeliverable',
+    ],
+    maxPerInterval: MAX_LIMITED_LOGS,
+    intervalMs: LIMITED_LOG_INTERVAL_MS,
+  });
+}
+
+function toFactory(tls: TlsListener | null): FastifyServerFactory | undefined {
+  return tls ? handler => tls.createServer(handler) : undefined;
+}
--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -59,6 +59,8 @@
     type: z.literal('appends'),
     records: z.array(z.object({offset, data: bytes})),
   }),
+  z.object({type: z.literal('read-offset')}),
+  z.object({type: z.literal('offset'), nextOffset: offset}),
   z.object({type: z.literal('pull-state')}),
   z.object({type: z.literal('state'), data: bytes.nullable()}),
   z.object({type: z.literal('report'), report: backendReportSchema}),
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -101,6 +101,22 @@
     return this.nextOffsets.get(peerAddress) ?? null;
   }
 
+  /** Asks a node how far it has folded; null when it does not answer. */
+  async askNextOffset(nodeName: string): Promise<LogOffset | null> {
+    const peer = this.listPeers().find(other => other.nodeName === nodeName);
+    if (!peer) return null;
+    try {
+      const reply = await this.transport.request(peer.peerAddress, {
+        type: 'read-offset',
+      });
+      if (reply.type !== 'offset') return null;
+      this.nextOffsets.set(peer.peerAddress, reply.nextOffset);
+      return reply.nextOffset;
+    } catch {
+      return null;
+    }
+  }
+
   leave(): void {
     this.sendAll(
       this.membership?.leave(this.options.clock.monotonicMs()) ?? [],
@@ -190,6 +206,11 @@
           type: 'appends',
           records: this.options.follower.listAppends(message.from, PULL_LIMIT),
         };
+      case 'read-offset':
+        return {
+          type: 'offset',
+          nextOffset: this.options.follower.state.nextOffset,
+        };
       case 'pull-state':
         return {type: 'state', data: this.options.follower.state.toBytes()};
       case 'report':
@@ -199,6 +220,7 @@
         this.options.onDemand(message.model);
         return;
       case 'appends':
+      case 'offset':
       case 'state':
         return;
     }
--- a/packages/serve-callers/src/caller_context.ts
+++ b/packages/serve-callers/src/caller_context.ts
@@ -5,6 +5,7 @@
 import {type EventLogger} from '@mimosatack/logger';
 import {type Router} from '@mimosatack/route-requests';
 import {type KeyTable, type TicketMint} from '@mimosatack/unrepeatable';
+import {type FastifyServerFactory} from 'fastify';
 
 /** An address that callers may use, from this node's membership. */
 export interface EntryAddress {
@@ -26,6 +27,8 @@
   mint: TicketMint;
   keys: KeyTable;
   limits: CallerLimits;
+  /** Makes the HTTP server; fastify's own when left out. */
+  serverFactory?: FastifyServerFactory;
   listEntries(): EntryAddress[];
   /** Asks for a replica of a model that requests wait for. */
   noteDemand(model: string): void;
--- a/packages/serve-callers/src/caller_server.ts
+++ b/packages/serve-callers/src/caller_server.ts
@@ -12,7 +12,10 @@
 
 /** Builds the callers' server; the node listens with it and closes it. */
 export function buildCallerServer(context: CallerContext): FastifyInstance {
-  const server = fastify({bodyLimit: context.limits.maxBodyBytes});
+  const server = fastify({
+    bodyLimit: context.limits.maxBodyBytes,
+    serverFactory: context.serverFactory,
+  });
   server.setErrorHandler((thrown, _incoming, reply) => {
     sendError(reply, readHttpError(thrown));
   });
--- a/packages/serve-operators/src/document_routes.ts
+++ b/packages/serve-operators/src/document_routes.ts
@@ -1,34 +1,29 @@
-/** Documents: list, read, publish and delete. */
-import {type Document} from '@mimosatack/agreed-state';
-import {TypedError} from '@mimosatack/errors';
-import {makeVoidError} from '@mimosatack/follow-log';
-import {
-  DOCUMENT_KINDS,
-  type DocumentKind,
-  type RecordBody,
-} from '@mimosatack/records';
+/** Documents: list, read, and the versions that are kept. */
+import {type Operator} from '@mimosatack/authenticate';
+import {DOCUMENT_KINDS, type DocumentKind} from '@mimosatack/records';
 import {type FastifyInstance} from 'fastify';
 import {z} from 'zod';
-import {type Operator, authenticateOperator} from './operator_auth.js';
+import {
+  authorize,
+  findVisible,
+  makeNotFound,
+  maySee,
+  maySeeEntry,
+  teamOf,
+  toVisible,
+} from './access.js';
 import {type OperatorContext} from './operator_context.js';
+import {decodeCursor, encodeCursor, paginate} from './paging.js';
+import {pageSchema, parseId, parseInput} from './request_input.js';
 
-const putSchema = z.strictObject({
-  /** 0 to create; the version that the change was made against. */
-  expectedVersion: z.number().int().min(0),
-  content: z.record(z.string(), z.unknown()),
-  reason: z.string().max(1024).optional(),
-});
+const listSchema = pageSchema.extend({team: z.string().max(128).optional()});
 
-const deleteSchema = z.strictObject({
-  expectedVersion: z.coerce.number().int().min(0),
-  reason: z.string().max(1024).optional(),
-});
-
-interface DocumentParams {
+/** The path parameter of one document. */
+export interface DocumentParams {
   id: string;
 }
 
-/** Adds `/admin/v1/{kind}s` for each kind of document. */
+/** Adds the reading routes of `/admin/v1/{kind}s` for each kind. */
 export function addDocumentRoutes(
   server: FastifyInstance,
   context: OperatorContext,
@@ -43,122 +38,61 @@
 ): void {
   const base = `/admin/v1/${kind}s`;
   server.get(base, incoming => {
-    const operator = authenticateOperator(
-      incoming.headers.authorization,
-      context,
-    );
-    const items = context
+    const operator = authorize(incoming, context, 'read-documents');
+    const {team, ...page} = parseInput(listSchema, incoming.query);
+    const documents = context
       .state()
       .configuration.list(kind)
-      .filter(document => mayTouch(operator, document));
-    return {items};
+      .filter(document => maySee(operator, document))
+      .filter(document => team === undefined || teamOf(document) === team)
+      .map(document => toVisible(operator, document));
+    return paginate(documents, document => document.id, page);
   });
   server.get<{Params: DocumentParams}>(`${base}/:id`, incoming => {
-    const operator = authenticateOperator(
-      incoming.headers.authorization,
-      context,
-    );
-    const document = context
-      .state()
-      .configuration.find(kind, incoming.params.id);
-    if (document && mayTouch(operator, document)) return document;
-    throw new TypedError(
-      'not-found',
-      `There is no ${kind} ${incoming.params.id}.`,
-    );
+    const operator = authorize(incoming, context, 'read-documents');
+    const id = parseId(incoming.params.id);
+    return toVisible(operator, findVisible(kind, id, operator, context));
   });
-  server.put<{Params: DocumentParams}>(`${base}/:id`, incoming => {
-    const operator = authenticateOperator(
-      incoming.headers.authorization,
-      context,
-    );
-    const {content, expectedVersion, reason} = parse(putSchema, incoming.body);
-    checkTeam(operator, kind, content);
-    return submitChange(
-      {
-        type: 'put-document',
-        kind,
-        id: incoming.params.id,
-        expectedVersion,
-        content,
-      },
-      operator,
-      reason,
-      context,
-    );
-  });
-  server.delete<{Params: DocumentParams}>(`${base}/:id`, incoming => {
-    const operator = authenticateOperator(
-      incoming.headers.authorization,
-      context,
-    );
-    const {expectedVersion, reason} = parse(deleteSchema, incoming.query);
-    return submitChange(
-      {
-        type: 'delete-document',
-        kind,
-        id: incoming.params.id,
-        expectedVersion,
-      },
-      operator,
-      reason,
-      context,
-    );
+  server.get<{Params: DocumentParams}>(`${base}/:id/versions`, incoming => {
+    const operator = authorize(incoming, context, 'read-audit');
+    const id = parseId(incoming.params.id);
+    const page = parseInput(pageSchema, incoming.query);
+    return listVersions(kind, id, page, operator, context);
   });
 }
 
-async function submitChange(
-  body: Extract<RecordBody, {type: 'put-document' | 'delete-document'}>,
+async function listVersions(
+  kind: DocumentKind,
+  id: string,
+  {limit, cursor}: z.infer<typeof pageSchema>,
   operator: Operator,
-  reason: string | undefined,
   context: OperatorContext,
 ) {
-  const folded = await context.follower.submit(body, {
-    operator: operator.operatorName,
-    reason,
-    timeoutMs: context.submitTimeoutMs,
+  const found = await context.audit.find({
+    kind,
+    id,
+    limit,
+    beforeSequence:
+      cursor === undefined ? undefined : Number(decodeCursor(cursor)),
+    isVisible: entry =>
+      entry.outcome.status === 'valid' && maySeeEntry(operator, entry),
   });
-  const error = makeVoidError(folded.outcome);
-  if (error) throw error;
+  const document = context.state().configuration.find(kind, id);
+  const isKnown = document !== undefined && maySee(operator, document);
+  if (found.items.length === 0 && !isKnown) throw makeNotFound(kind, id);
   return {
-    kind: body.kind,
-    id: body.id,
-    version: body.expectedVersion + 1,
-    offset: folded.offset,
-    sequence: folded.sequence,
+    items: found.items.map(entry => ({
+      sequence: entry.sequence,
+      writtenAtMs: entry.writtenAtMs,
+      operator: entry.operator,
+      reason: entry.reason,
+      change: entry.change,
+      content: entry.after,
+    })),
+    nextCursor:
+      found.nextBeforeSequence === null
+        ? null
+        : encodeCursor(String(found.nextBeforeSequence)),
+    isComplete: found.isComplete,
   };
 }
-
-/** Documents that belong to a team are for its own operators only. */
-function checkTeam(
-  operator: Operator,
-  kind: DocumentKind,
-  content: Record<string, unknown>,
-): void {
-  if (operator.team === null) return;
-  const isOwn =
-    (kind === 'template' || kind === 'event') &&
-    content['team'] === operator.team;
-  if (isOwn) return;
-  throw new TypedError(
-    'forbidden',
-    `An operator of team ${operator.team} may not publish this ${kind}.`,
-  );
-}
-
-function mayTouch(operator: Operator, document: Document): boolean {
-  if (operator.team === null) return true;
-  const team = (document.content as {team?: string}).team;
-  return document.kind === 'team'
-    ? document.id === operator.team
-    : team === undefined || team === operator.team;
-}
-
-function parse<T>(schema: z.ZodType<T>, value: unknown): T {
-  const parsed = schema.safeParse(value);
-  if (parsed.success) return parsed.data;
-  const message = parsed.error.issues
-    .map(issue => `${issue.path.join('.') || 'body'}: ${issue.message}`)
-    .join('; ');
-  throw new TypedError('bad-request', message);
-}
--- /dev/null
+++ b/packages/serve-operators/src/health_routes.ts
@@ -0,0 +1,50 @@
+/** Whether the process lives, and whether it can do its work. */
+import {TypedError} from '@mimosatack/errors';
+import {type FastifyInstance} from 'fastify';
+import {type OperatorContext} from './operator_context.js';
+
+const RETRY_AFTER_MS = 1_000;
+
+/** Adds `/healthz` and `/readyz`; neither asks for a token. */
+export function addHealthRoutes(
+  server: FastifyInstance,
+  context: OperatorContext,
+): void {
+  server.get('/healthz', () => ({status: 'ok'}));
+  server.get('/readyz', () => {
+    const error = findUnreadiness(context);
+    if (error) throw error;
+    return {status: 'ready'};
+  });
+}
+
+/** A node that follows peers is ready too, so an outage stops no node. */
+function findUnreadiness(context: OperatorContext): TypedError | null {
+  const retry = {retryAfterMs: RETRY_AFTER_MS};
+  if (context.isStopping()) {
+    return new TypedError('shutting-down', 'The node shuts down.', retry);
+  }
+  if (!context.state().isSupported) {
+    return new TypedError(
+      'log-unavailable',
+      'The rules in force are newer than this release.',
+      {...retry, remedy: 'Upgrade this node.'},
+    );
+  }
+  const followsPeer = context
+    .listNodes()
+    .some(
+      node =>
+        node.nodeName !== context.nodeName &&
+        node.status === 'alive' &&
+        node.nextOffset !== null &&
+        context.state().nextOffset > 0 &&
+        node.nextOffset <= context.state().nextOffset,
+    );
+  if (context.follower.status.isLogReachable || followsPeer) return null;
+  return new TypedError(
+    'log-unavailable',
+    'The node reaches neither the log service nor a node that does.',
+    retry,
+  );
+}
--- a/packages/serve-operators/src/operator_server.ts
+++ b/packages/serve-operators/src/operator_server.ts
@@ -5,26 +5,123 @@
   formatErrorBody,
   toTypedError,
 } from '@mimosatack/errors';
-import fastify, {type FastifyInstance} from 'fastify';
+import fastify, {
+  type FastifyInstance,
+  type FastifyReply,
+  type FastifyRequest,
+} from 'fastify';
+import {addAuditRoutes} from './audit_routes.js';
 import {addDocumentRoutes} from './document_routes.js';
+import {addEventRoutes} from './event_routes.js';
+import {FoldWaiter} from './fold_waiter.js';
+import {addHealthRoutes} from './health_routes.js';
+import {addHostRoutes} from './host_routes.js';
+import {SequenceOffsets} from './in_force.js';
 import {type OperatorContext} from './operator_context.js';
+import {Publisher, addPublishRoutes} from './publish_routes.js';
 import {addStatusRoutes} from './status_routes.js';
 
+const REQUEST_ID_HEADER = 'x-request-id';
+const REQUEST_ID = /^[A-Za-z0-9._-]{1,64}$/;
+const MAX_PARAM_LENGTH = 300;
+
 /** Builds the operators' server; the node listens with it and closes it. */
 export function buildOperatorServer(context: OperatorContext): FastifyInstance {
-  const server = fastify({bodyLimit: context.maxBodyBytes});
-  server.setErrorHandler((thrown, _incoming, reply) => {
-    const error = readHttpError(thrown);
-    void reply
-      .code(describeKind(error.kind).httpStatus)
-      .send(formatErrorBody(error));
+  const server = fastify({
+    bodyLimit: context.maxBodyBytes,
+    serverFactory: context.serverFactory,
+    routerOptions: {maxParamLength: MAX_PARAM_LENGTH},
+    genReqId: incoming => readRequestId(incoming.headers, context),
+    frameworkErrors: (thrown, incoming, reply) =>
+      sendError(thrown, incoming, reply, context),
   });
-  server.get('/healthz', () => ({status: 'ok'}));
-  addDocumentRoutes(server, context);
-  addStatusRoutes(server, context);
+  server.addHook('onRequest', async (incoming, reply) => {
+    void reply.header(REQUEST_ID_HEADER, incoming.id);
+  });
+  server.setErrorHandler((thrown, incoming, reply) =>
+    sendError(thrown, incoming, reply, context),
+  );
+  server.setNotFoundHandler((incoming, reply) => {
+    const error = new TypedError('not-found', `There is no ${incoming.url}.`, {
+      remedy: 'docs/operators/cli.md names the routes.',
+    });
+    sendError(error, incoming, reply, context);
+  });
+  addRoutes(server, context);
   return server;
 }
 
+function addRoutes(server: FastifyInstance, context: OperatorContext): void {
+  const waiter = new FoldWaiter(context.clock, context.follower);
+  const publisher = new Publisher(context, waiter);
+  const offsets = new SequenceOffsets();
+  context.follower.onFold(folded => offsets.note(folded));
+  addHealthRoutes(server, context);
+  addDocumentRoutes(server, context);
+  addPublishRoutes(server, context, publisher);
+  addEventRoutes(server, context, publisher);
+  addHostRoutes(server, context);
+  addStatusRoutes(server, context, waiter, offsets);
+  addAuditRoutes(server, context);
+}
+
+function readRequestId(
+  headers: Readonly<Record<string, unknown>>,
+  context: OperatorContext,
+): string {
+  const given = headers[REQUEST_ID_HEADER];
+  return typeof given === 'string' && REQUEST_ID.test(given)
+    ? given
+    : context.makeRequestId();
+}
+
+function sendError(
+  thrown: unknown,
+  incoming: FastifyRequest,
+  reply: FastifyReply,
+  context: OperatorContext,
+): void {
+  const error = readHttpError(thrown);
+  noteError(error, incoming, context);
+  if (error.retryAfterMs !== undefined) {
+    void reply.header('retry-after', Math.ceil(error.retryAfterMs / 1000));
+  }
+  void reply
+    .header(REQUEST_ID_HEADER, incoming.id)
+    .code(describeKind(error.kind).httpStatus)
+    .send(formatErrorBody(hideInternals(error)));
+}
+
+/** What failed inside is for the log; the answer leads there by its id. */
+function hideInternals(error: TypedError): TypedError {
+  return error.kind === 'internal'
+    ? new TypedError('internal', 'Something unexpected failed.', {
+        remedy: `Look for the request id in this node's log.`,
+      })
+    : error;
+}
+
+function noteError(
+  error: TypedError,
+  incoming: FastifyRequest,
+  context: OperatorContext,
+): void {
+  if (error.kind === 'unauthorized') {
+    context.logger.log('operator-unauthenticated', {
+      remoteAddress: incoming.ip,
+      error,
+    });
+  }
+  if (error.kind === 'internal') {
+    context.logger.log('operator-request-failed', {
+      requestId: incoming.id,
+      route: `${incoming.method} ${incoming.routeOptions?.url ?? ''}`,
+      error,
+    });
+  }
+}
+
+/** Fastify's own refusals, such as a body that is no JSON, made typed. */
 function readHttpError(thrown: unknown): TypedError {
   const statusCode = (thrown as {statusCode?: number}).statusCode;
   if (thrown instanceof TypedError || statusCode === undefined) {
--- /dev/null
+++ b/packages/serve-operators/src/state_digest.ts
@@ -0,0 +1,17 @@
+import {type AgreedState} from '@mimosatack/agreed-state';
+
+/** The digest of a state, worked out anew only when the state has changed. */
+export class StateDigest {
+  private state: AgreedState | null = null;
+  private nextOffset = -1;
+  private digest = '';
+
+  of(state: AgreedState): string {
+    if (this.state !== state || this.nextOffset !== state.nextOffset) {
+      this.state = state;
+      this.nextOffset = state.nextOffset;
+      this.digest = state.digest();
+    }
+    return this.digest;
+  }
+}
--- /dev/null
+++ b/packages/serve-operators/src/testing_fixture.ts
@@ -0,0 +1,165 @@
+/** Fixture of the tests: a node's operators' interface in memory. */
+import {createHash} from 'node:crypto';
+import {type TokenRole} from '@mimosatack/agreed-state';
+import {AuditTrail} from '@mimosatack/audit-trail';
+import {SystemClock} from '@mimosatack/clock';
+import {EngineBoard} from '@mimosatack/engine-board';
+import {MemoryLogService} from '@mimosatack/fakes';
+import {LogFollower} from '@mimosatack/follow-log';
+import {MemoryEventLogger} from '@mimosatack/logger';
+import {SeededRandom} from '@mimosatack/random';
+import {type RecordBody} from '@mimosatack/records';
+import {type NodeView} from './operator_context.js';
+import {buildOperatorServer} from './operator_server.js';
+
+/** A token that may do everything. */
+export const ADMIN = 'admin-token';
+/** The largest body that the fixture takes. */
+export const MAX_BODY_BYTES = 65_536;
+
+/** One answer of the interface. */
+export interface Answer {
+  status: number;
+  headers: Record<string, unknown>;
+  body: Record<string, unknown> & {
+    error?: {
+      kind: string;
+      message: string;
+      remedy: string;
+      info?: Record<string, unknown>;
+    };
+    items?: Record<string, unknown>[];
+  };
+}
+
+/** The methods that the interface knows. */
+export type Method = 'GET' | 'PUT' | 'POST' | 'DELETE';
+
+/** The form in which a token is stored. */
+export function hash(token: string): string {
+  return createHash('sha256').update(token).digest('hex');
+}
+
+/** Tokens whose name is the token itself. */
+export function toTokens(...roles: [string, TokenRole][]) {
+  return roles.map(([token, role]) => ({
+    name: token,
+    role,
+    tokenHash: hash(token),
+  }));
+}
+
+/** A node's operators' interface over a log service in memory. */
+export async function createFixture() {
+  const clock = new SystemClock();
+  const log = new MemoryLogService();
+  const logger = new MemoryEventLogger();
+  const nodes: NodeView[] = [];
+  const answers = new Map<string, number>();
+  const follower = new LogFollower({
+    clock,
+    random: new SeededRandom(1),
+    log,
+    stream: 'decisions',
+    incarnation: 'entry-1.a',
+    longPollMs: 1_000,
+    retryDelayMs: 5,
+  });
+  const audit = new AuditTrail(
+    {
+      clock,
+      log,
+      incarnation: 'entry-1.a',
+      isResponsible: () => true,
+      settleGraceMs: 60_000,
+      copyAfterMs: 3_600_000,
+      keepMs: 3_600_000,
+    },
+    () => undefined,
+  );
+  follower.onFold(folded => audit.note(folded));
+  const server = buildOperatorServer({
+    clock,
+    logger,
+    nodeName: 'entry-1',
+    release: '0.1.0',
+    follower,
+    board: new EngineBoard(),
+    audit,
+    bootstrapTokenHash: hash(ADMIN),
+    submitTimeoutMs: 300,
+    maxBodyBytes: MAX_BODY_BYTES,
+    state: () => follower.state,
+    listNodes: () => nodes,
+    askNextOffset: nodeName => Promise.resolve(answers.get(nodeName) ?? null),
+    makeRequestId: () => 'made-up-id',
+    isStopping: () => false,
+  });
+  await follower.start({
+    pullAppends: () => Promise.resolve([]),
+    pullState: () => Promise.resolve(null),
+  });
+  const ask = async (
+    method: Method,
+    url: string,
+    body?: unknown,
+    token = ADMIN,
+    headers: Record<string, string> = {},
+  ): Promise<Answer> => {
+    const response = await server.inject({
+      method,
+      url,
+      headers: {authorization: `Bearer ${token}`, ...headers},
+      ...(body === undefined ? {} : {payload: body as object}),
+    });
+    return {
+      status: response.statusCode,
+      headers: response.headers,
+      body: response.json(),
+    };
+  };
+  const put = (
+    path: string,
+    content: unknown,
+    {expectedVersion = 0, token = ADMIN, reason = 'test'} = {},
+  ) =>
+    ask('PUT', `/admin/v1/${path}`, {expectedVersion, content, reason}, token);
+  const submit = (body: RecordBody) => follower.submit(body, {timeoutMs: 300});
+  const close = async () => {
+    await server.close();
+    await audit.stop();
+    await follower.stop();
+  };
+  return {ask, put, submit, log, logger, nodes, answers, follower, close};
+}
+
+/** A template of team zorza. */
+export const TEMPLATE = {
+  team: 'zorza',
+  parameters: {start: {type: 'time'}, replicas: {type: 'number', max: 4}},
+  event: {
+    startsAt: '${start}',
+    durationMinutes: 30,
+    needs: [{model: 'alert-writer', replicas: '${replicas}'}],
+  },
+};
+
+/** Parameters that fit the template. */
+export const PARAMETERS = {start: '2030-01-01T18:00:00Z', replicas: 2};
+
+/** Two teams with a token of each role, a model and a template. */
+export async function createTeams() {
+  const fixture = await createFixture();
+  const {put} = fixture;
+  await put('teams/zorza', {
+    tokens: toTokens(['z-app', 'caller'], ['z-ola', 'operator']),
+  });
+  await put('teams/prairie', {tokens: toTokens(['p-sam', 'operator'])});
+  await put('models/alert-writer', {
+    pool: 'lm-pool',
+    version: 'v1',
+    memoryMib: 100,
+  });
+  await put('templates/sky', TEMPLATE);
+  return fixture;
+}
--- a/packages/settings/src/groups/cluster_settings.ts
+++ b/packages/settings/src/groups/cluster_settings.ts
@@ -97,6 +97,21 @@
     max: 65_535,
     description: 'UDP port that takes metrics.',
   },
+  'audit-keep-days': {
+    type: 'integer',
+    default: '90',
+    min: 1,
+    max: 3_650,
+    description: 'How long the audit trail keeps a change.',
+  },
+  'audit-copy-after-minutes': {
+    type: 'integer',
+    default: '360',
+    min: 1,
+    max: 100_000,
+    description:
+      'Age at which the audit trail is copied to the end of its stream; at most a third of the time for which the log service keeps records.',
+  },
   'shutdown-grace-ms': {
     type: 'integer',
     default: '150000',
--- a/packages/settings/src/groups/node_settings.ts
+++ b/packages/settings/src/groups/node_settings.ts
@@ -68,4 +68,11 @@
     minLength: 1,
     description: 'PEM file with the private key of that certificate.',
   },
+  'tls-poll-interval-ms': {
+    type: 'integer',
+    default: '10000',
+    min: 10,
+    max: 3_600_000,
+    description: 'Time between two looks for a new certificate or key.',
+  },
 } as const satisfies Record<string, SettingDefinition>;
