--- a/packages/serve-operators/src/testing_fixture.ts
+++ b/packages/serve-operators/src/testing_fixture.ts
@@ -9,6 +9,7 @@
 import {MemoryEventLogger} from '@mimosatack/logger';
 import {SeededRandom} from '@mimosatack/random';
 import {type RecordBody} from '@mimosatack/records';
+import {type FastifyInstance} from 'fastify';
 import {type NodeView} from './operator_context.js';
 import {buildOperatorServer} from './operator_server.js';
 
@@ -49,6 +50,36 @@
   }));
 }
 
+/** Asks a server without a socket. */
+function createClient(server: FastifyInstance) {
+  const ask = async (
+    method: Method,
+    url: string,
+    body?: unknown,
+    token = ADMIN,
+    headers: Record<string, string> = {},
+  ): Promise<Answer> => {
+    const response = await server.inject({
+      method,
+      url,
+      headers: {authorization: `Bearer ${token}`, ...headers},
+      ...(body === undefined ? {} : {payload: body as object}),
+    });
+    return {
+      status: response.statusCode,
+      headers: response.headers,
+      body: response.json(),
+    };
+  };
+  const put = (
+    path: string,
+    content: unknown,
+    {expectedVersion = 0, token = ADMIN, reason = 'test'} = {},
+  ) =>
+    ask('PUT', `/admin/v1/${path}`, {expectedVersion, content, reason}, token);
+  return {ask, put};
+}
+
 /** A node's operators' interface over a log service in memory. */
 export async function createFixture() {
   const clock = new SystemClock();
@@ -99,31 +130,7 @@
     pullAppends: () => Promise.resolve([]),
     pullState: () => Promise.resolve(null),
   });
-  const ask = async (
-    method: Method,
-    url: string,
-    body?: unknown,
-    token = ADMIN,
-    headers: Record<string, string> = {},
-  ): Promise<Answer> => {
-    const response = await server.inject({
-      method,
-      url,
-      headers: {authorization: `Bearer ${token}`, ...headers},
-      ...(body === undefined ? {} : {payload: body as object}),
-    });
-    return {
-      status: response.statusCode,
-      headers: response.headers,
-      body: response.json(),
-    };
-  };
-  const put = (
-    path: string,
-    content: unknown,
-    {expectedVersion = 0, token = ADMIN, reason = 'test'} = {},
-  ) =>
-    ask('PUT', `/admin/v1/${path}`, {expectedVersion, content, reason}, token);
+  const {ask, put} = createClient(server);
   const submit = (body: RecordBody) => follower.submit(body, {timeoutMs: 300});
   const close = async () => {
     await server.close();
