--- a/packages/cli/src/base_command.ts
+++ b/packages/cli/src/base_command.ts
@@ -1,48 +1,151 @@
-/** Options that every command shares. */
-import {TypedError, toTypedError} from '@mimosatack/errors';
-import {Command, Option} from 'clipanion';
+/** Options and manners that every command shares. */
+import {
+  type TypedError,
+  formatErrorBody,
+  toTypedError,
+} from '@mimosatack/errors';
+import {Command, Option, UsageError} from 'clipanion';
 import {AdminClient} from './admin_client.js';
+import {EXIT_CODES, toExitCode} from './exit_codes.js';
+import {type ToolContext} from './tool_context.js';
+
+/** What a command came to. */
+export interface Report {
+  /** What `--json` prints. */
+  json: unknown;
+  /** What people read. */
+  text: string;
+  exitCode?: number;
+}
+
+const REQUEST_TIMEOUT_MS = 30_000;
+
+/** A command that prints a report, as text or as JSON. */
+export abstract class BaseCommand extends Command<ToolContext> {
+  isJson = Option.Boolean('--json', false, {
+    description: 'Print JSON instead of text',
+  });
+
+  override async execute(): Promise<number> {
+    try {
+      const report = await this.perform();
+      this.context.stdout.write(
+        this.isJson ? `${JSON.stringify(report.json, null, 2)}\n` : report.text,
+      );
+      return report.exitCode ?? EXIT_CODES.ok;
+    } catch (thrown) {
+      return this.fail(thrown);
+    }
+  }
+
+  protected abstract perform(): Promise<Report>;
+
+  /** Tells of something that goes on, beside the report. */
+  protected tell(line: string): void {
+    this.context.stderr.write(`${line}\n`);
+  }
+
+  private fail(thrown: unknown): number {
+    if (thrown instanceof UsageError) {
+      this.tell(`usage: ${thrown.message}`);
+      return EXIT_CODES.usage;
+    }
+    const error = toTypedError(thrown);
+    this.tell(this.isJson ? toJson(error) : toText(error));
+    return toExitCode(error);
+  }
+}
 
 /** A command that talks to the operators' interface. */
-export abstract class BaseCommand extends Command {
-  adminUrl = Option.String('--admin-url', {
-    env: 'MIMOSATACK_ADMIN_URL',
-    description: "Base URL of any node's operators' interface",
+export abstract class AdminCommand extends BaseCommand {
+  adminUrls = Option.Array('--admin-url', {
+    description:
+      "Base URL of a node's operators' interface; may be given several times, and the next is tried when one is down",
   });
   token = Option.String('--token', {
     env: 'MIMOSATACK_TOKEN',
-    description: 'Bearer token of the operator',
+    description: 'Bearer token; better given as MIMOSATACK_TOKEN',
   });
-  isJson = Option.Boolean('--json', false, {
-    description: 'Print JSON instead of a table',
+  caFile = Option.String('--ca-file', {
+    env: 'MIMOSATACK_CA_FILE',
+    description: 'PEM file with certificates to trust',
   });
 
-  protected makeClient(): AdminClient {
-    return new AdminClient({
-      baseUrl: requireOption(this.adminUrl, '--admin-url'),
-      token: requireOption(this.token, '--token'),
-    });
+  override async execute(): Promise<number> {
+    const code = await super.execute();
+    await this.client?.close();
+    return code;
   }
 
-  protected print(value: unknown): void {
-    this.context.stdout.write(`${JSON.stringify(value, null, 2)}\n`);
+  private client: AdminClient | null = null;
+
+  protected async connect(): Promise<AdminClient> {
+    if (this.client) return this.client;
+    const baseUrls = this.adminUrls ?? [
+      this.context.env['MIMOSATACK_ADMIN_URL'] ?? '',
+    ];
+    this.client = new AdminClient({
+      baseUrls: readUrls(baseUrls),
+      token: requireText(this.token, '--token', 'MIMOSATACK_TOKEN'),
+      timeoutMs: REQUEST_TIMEOUT_MS,
+      trustedCertificates:
+        this.caFile === undefined
+          ? undefined
+          : await readInput(this.context, this.caFile),
+    });
+    return this.client;
   }
+}
 
-  override catch(thrown: unknown): Promise<void> {
-    const error = toTypedError(thrown);
-    this.context.stderr.write(
-      `${error.kind}: ${error.message}\n${error.remedy}\n`,
-    );
-    process.exitCode = 1;
-    return Promise.resolve();
+/** Reads a file that the command line names. */
+export async function readInput(
+  context: ToolContext,
+  path: string,
+): Promise<string> {
+  try {
+    return await context.readFile(path);
+  } catch (thrown) {
+    const why = thrown instanceof Error ? thrown.message : String(thrown);
+    throw new UsageError(`${path} can't be read: ${why}`);
   }
 }
 
-/** The library can't require an option that may come from the environment. */
-function requireOption(value: string | undefined, flag: string): string {
-  if (value !== undefined && value !== '') return value;
-  const variable = `MIMOSATACK_${flag.slice(2).toUpperCase().replace('-', '_')}`;
-  throw new TypedError('bad-request', `${flag} is missing.`, {
-    remedy: `Give ${flag}, or set ${variable}.`,
-  });
+/** Reads a whole number that is not negative. */
+export function readCount(
+  text: string | undefined,
+  flag: string,
+): number | undefined {
+  if (text === undefined) return undefined;
+  if (/^\d{1,15}$/.test(text)) return Number(text);
+  throw new UsageError(`${flag} takes a whole number, not "${text}".`);
+}
+
+function readUrls(texts: readonly string[]): string[] {
+  const urls = texts
+    .flatMap(text => text.split(','))
+    .map(text => text.trim())
+    .filter(text => text !== '');
+  requireText(urls[0], '--admin-url', 'MIMOSATACK_ADMIN_URL');
+  const wrong = urls.find(url => !/^https?:\/\/[^/]+/.test(url));
+  if (wrong === undefined) return urls;
+  throw new UsageError(
+    `--admin-url takes a URL such as http://10.0.0.5:7081; not "${wrong}".`,
+  );
+}
+
+function requireText(
+  text: string | undefined,
+  flag: string,
+  variable: string,
+): string {
+  if (text !== undefined && text !== '') return text;
+  throw new UsageError(`Give ${flag}, or set ${variable}.`);
+}
+
+function toJson(error: TypedError): string {
+  return JSON.stringify(formatErrorBody(error));
+}
+
+function toText(error: TypedError): string {
+  return `${error.kind}: ${error.message}\n${error.remedy}`;
 }
--- /dev/null
+++ b/packages/cli/src/commands/document/read_content.ts
@@ -0,0 +1,16 @@
+import {UsageError} from 'clipanion';
+import {readInput} from '../../base_command.js';
+import {type ToolContext} from '../../tool_context.js';
+
+/** Reads a document from a JSON file. */
+export async function readContent(
+  context: ToolContext,
+  path: string,
+): Promise<unknown> {
+  const text = await readInput(context, path);
+  try {
+    return JSON.parse(text) as unknown;
+  } catch (thrown) {
+    throw new UsageError(`${path} is not JSON: ${(thrown as Error).message}`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/event/index.ts
@@ -0,0 +1,11 @@
+import {ChangeEventCommand} from './change_command.js';
+import {CreateEventCommand} from './create_command.js';
+import {EventStatusCommand, WatchEventCommand} from './status_command.js';
+
+/** The commands that events have beside those of all documents. */
+export const EVENT_COMMANDS = [
+  CreateEventCommand,
+  ChangeEventCommand,
+  EventStatusCommand,
+  WatchEventCommand,
+];
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,18 +1,18 @@
 #!/usr/bin/env node
 /** Program: the command-line tool for operators. */
-import {Builtins, Cli} from 'clipanion';
-import {makeDocumentCommands} from './commands/document_commands.js';
-import {makeStatusCommands} from './commands/status_commands.js';
+import {randomBytes} from 'node:crypto';
+import {readFile} from 'node:fs/promises';
+import {SystemClock} from '@mimosatack/clock';
+import {Cli} from 'clipanion';
+import {runTool} from './run_tool.js';
 
-const cli = new Cli({
-  binaryName: 'mimosatack',
-  binaryLabel: 'mimosatack',
-  binaryVersion: '0.1.0',
+const TOKEN_BYTES = 24;
+const TOKEN_PREFIX = 'mt_';
+
+process.exitCode = await runTool(process.argv.slice(2), {
+  ...Cli.defaultContext,
+  clock: new SystemClock(),
+  makeToken: () =>
+    TOKEN_PREFIX + randomBytes(TOKEN_BYTES).toString('base64url'),
+  readFile: path => readFile(path, 'utf8'),
 });
-cli.register(Builtins.HelpCommand);
-cli.register(Builtins.VersionCommand);
-[...makeDocumentCommands(), ...makeStatusCommands()].forEach(command =>
-  cli.register(command),
-);
-const code = await cli.run(process.argv.slice(2));
-process.exitCode ||= code;
--- /dev/null
+++ b/packages/cli/src/print/times.ts
@@ -0,0 +1,43 @@
+/** Times as people read them. */
+
+const SECOND_MS = 1_000;
+const MINUTE_MS = 60_000;
+const HOUR_MS = 3_600_000;
+const DAY_MS = 86_400_000;
+
+/** A time in UTC, to the second. */
+export function formatTime(timeMs: number | null): string {
+  if (timeMs === null) return '-';
+  const time = new Date(timeMs);
+  return Number.isNaN(time.getTime())
+    ? '-'
+    : time.toISOString().replace(/\.\d+Z$/, 'Z');
+}
+
+/** How long something takes, in its two largest units. */
+export function formatDuration(durationMs: number): string {
+  const sign = durationMs < 0 ? '-' : '';
+  const restMs = Math.abs(durationMs);
+  if (restMs >= DAY_MS) {
+    return sign + inUnits(restMs, DAY_MS, 'd', HOUR_MS, 'h');
+  }
+  if (restMs >= HOUR_MS) {
+    return sign + inUnits(restMs, HOUR_MS, 'h', MINUTE_MS, 'min');
+  }
+  if (restMs >= MINUTE_MS) {
+    return sign + inUnits(restMs, MINUTE_MS, 'min', SECOND_MS, 's');
+  }
+  return `${sign}${(restMs / SECOND_MS).toFixed(1)} s`;
+}
+
+function inUnits(
+  durationMs: number,
+  largeMs: number,
+  largeName: string,
+  smallMs: number,
+  smallName: string,
+): string {
+  const large = Math.floor(durationMs / largeMs);
+  const small = Math.floor((durationMs % largeMs) / smallMs);
+  return `${large} ${largeName} ${small} ${smallName}`;
+}
--- a/packages/demo/src/operator_steps.ts
+++ b/packages/demo/src/operator_steps.ts
@@ -27,7 +27,7 @@
   cluster: Cluster,
   args: readonly string[],
 ): Promise<unknown> {
-  const {stdout} = await run(process.execPath, [CLI_SCRIPT, ...args], {
+  const {stdout} = await run(process.execPath, [CLI_SCRIPT, ...args, '--json'], {
     env: {
       ...process.env,
       MIMOSATACK_ADMIN_URL: cluster.nodes[0]?.adminBaseUrl,
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -38,6 +38,11 @@
   'shutting-down': fact(503, true, 'Ask /v1/entries for another address.'),
   'log-unavailable': fact(503, true, 'Try again once the log service is back.'),
   'platform-unavailable': fact(503, true, 'Try again later.'),
+  'node-unreachable': fact(
+    502,
+    true,
+    'Check the address and whether the node runs; name other nodes too.',
+  ),
   'backend-unreachable': fact(502, true, 'Try again later.'),
   'backend-failed': fact(502, true, 'Try again later.'),
   'outcome-unknown': fact(
