--- /dev/null
+++ b/packages/cli/src/testing_fixture.ts
@@ -0,0 +1,132 @@
+/** Fixture of the tests: the tool against a node's operators' interface. */
+import {PassThrough} from 'node:stream';
+import {AuditTrail} from '@mimosatack/audit-trail';
+import {hashToken} from '@mimosatack/authenticate';
+import {SystemClock} from '@mimosatack/clock';
+import {EngineBoard} from '@mimosatack/engine-board';
+import {MemoryLogService} from '@mimosatack/fakes';
+import {LogFollower} from '@mimosatack/follow-log';
+import {MemoryEventLogger} from '@mimosatack/logger';
+import {SeededRandom} from '@mimosatack/random';
+import {type NodeView, buildOperatorServer} from '@mimosatack/serve-operators';
+import {Cli} from 'clipanion';
+import {runTool} from './index.js';
+
+/** A token that may do everything. */
+export const ADMIN = 'admin-token';
+
+/** What one command printed and how it ended. */
+export interface ToolRun {
+  exitCode: number;
+  stdout: string;
+  stderr: string;
+}
+
+/** Runs the tool with files from memory. */
+export async function runWith(
+  argv: readonly string[],
+  files: Readonly<Record<string, unknown>> = {},
+  env: Readonly<Record<string, string>> = {},
+): Promise<ToolRun> {
+  const stdout = new PassThrough({encoding: 'utf8'});
+  const stderr = new PassThrough({encoding: 'utf8'});
+  const exitCode = await runTool(argv, {
+    ...Cli.defaultContext,
+    stdout,
+    stderr,
+    env: {...env},
+    clock: new SystemClock(),
+    makeToken: () => 'a-new-token',
+    readFile: path =>
+      Object.hasOwn(files, path)
+        ? Promise.resolve(toText(files[path]))
+        : Promise.reject(new Error('no such file')),
+  });
+  return {
+    exitCode,
+    stdout: String(stdout.read() ?? ''),
+    stderr: String(stderr.read() ?? ''),
+  };
+}
+
+/** A node over a log service in memory, and the tool pointed at it. */
+export async function createFixture() {
+  const clock = new SystemClock();
+  const log = new MemoryLogService();
+  const incarnation = 'entry-1.a';
+  const follower = new LogFollower({
+    clock,
+    random: new SeededRandom(1),
+    log,
+    stream: 'decisions',
+    incarnation,
+    longPollMs: 1_000,
+    retryDelayMs: 5,
+  });
+  const audit = new AuditTrail(
+    {
+      clock,
+      log,
+      incarnation,
+      isResponsible: () => true,
+      settleGraceMs: 60_000,
+      copyAfterMs: 3_600_000,
+      keepMs: 3_600_000,
+    },
+    () => undefined,
+  );
+  follower.onFold(folded => audit.note(folded));
+  const nodes: NodeView[] = [];
+  const server = buildOperatorServer({
+    clock,
+    logger: new MemoryEventLogger(),
+    nodeName: 'entry-1',
+    release: '0.1.0',
+    follower,
+    board: new EngineBoard(),
+    audit,
+    bootstrapTokenHash: hashToken(ADMIN),
+    submitTimeoutMs: 500,
+    maxBodyBytes: 65_536,
+    state: () => follower.state,
+    listNodes: () => nodes,
+    askNextOffset: () => Promise.resolve(null),
+    makeRequestId: () => 'request-1',
+    isStopping: () => false,
+  });
+  await follower.start({
+    pullAppends: () => Promise.resolve([]),
+    pullState: () => Promise.resolve(null),
+  });
+  const baseUrl = await server.listen({host: '127.0.0.1', port: 0});
+  const env = {MIMOSATACK_ADMIN_URL: baseUrl, MIMOSATACK_TOKEN: ADMIN};
+  const run = (
+    line: string,
+    files: Readonly<Record<string, unknown>> = {},
+    changes: Readonly<Record<string, string>> = {},
+  ) => runWith(line.split(' '), files, {...env, ...changes});
+  const close = async () => {
+    await server.close();
+    await audit.stop();
+    await follower.stop();
+  };
+  return {run, baseUrl, nodes, follower, close};
+}
+
+/** A node that this one hears nothing of. */
+export function makeSilentNode(nodeName: string): NodeView {
+  return {
+    nodeName,
+    incarnation: `${nodeName}.x`,
+    status: 'alive',
+    failureDomain: 'slupsk',
+    callerBaseUrl: '',
+    adminBaseUrl: '',
+    release: '0.1.0',
+    nextOffset: null,
+  };
+}
+
+function toText(content: unknown): string {
+  return typeof content === 'string' ? content : JSON.stringify(content);
+}
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -2,8 +2,8 @@
 /** Program: one node of the system. */
 import {randomBytes} from 'node:crypto';
 import {SystemClock} from '@mimosatack/clock';
-import {type TypedError, toTypedError} from '@mimosatack/errors';
-import {BunyanEventLogger} from '@mimosatack/logger';
+import {toTypedError} from '@mimosatack/errors';
+import {BunyanEventLogger, type EventLogger} from '@mimosatack/logger';
 import {MimosatackNode} from '@mimosatack/node';
 import {SeededRandom} from '@mimosatack/random';
 import {
@@ -11,23 +11,30 @@
   formatSettings,
   formatUsage,
   parseSettings,
+  redactSettings,
 } from '@mimosatack/settings';
+import {Shutdown} from './shutdown.js';
 
 const RELEASE = '0.1.0';
 const EXIT_BAD_SETTINGS = 2;
-const EXIT_START_FAILED = 1;
+const EXIT_FAILED = 1;
 const PRINT_FLAG = '--print-settings';
+const HELP_FLAGS = ['--help', '-h'];
+const VERSION_FLAG = '--version';
 
-async function main(): Promise<void> {
-  const argv = process.argv.slice(2);
-  if (argv.includes('--help')) {
+async function main(argv: readonly string[]): Promise<void> {
+  if (argv.some(flag => HELP_FLAGS.includes(flag))) {
     process.stdout.write(formatUsage());
     return;
   }
+  if (argv.includes(VERSION_FLAG)) {
+    process.stdout.write(`${RELEASE}\n`);
+    return;
+  }
   const settings = readSettings(argv.filter(flag => flag !== PRINT_FLAG));
   if (!settings) return;
   if (argv.includes(PRINT_FLAG)) {
-    process.stdout.write(formatSettings(settings));
+    process.stdout.write(`${formatSettings(settings)}\n`);
     return;
   }
   await run(settings);
@@ -45,32 +52,52 @@
 }
 
 async function run(settings: DaemonSettings): Promise<void> {
+  const clock = new SystemClock();
   const logger = new BunyanEventLogger({
     nodeName: settings.nodeName,
     level: settings.logLevel,
     destination: settings.logDestination,
   });
+  watchProcess(logger);
+  logger.log('settings-loaded', {settings: redactSettings(settings)});
   const node = new MimosatackNode({
     settings,
     logger,
-    clock: new SystemClock(),
+    clock,
     random: new SeededRandom(randomBytes(4).readInt32LE()),
     release: RELEASE,
   });
+  const shutdown = new Shutdown({
+    node,
+    clock,
+    logger,
+    graceMs: settings.shutdownGraceMs,
+    exit: code => process.exit(code),
+  });
   try {
     const addresses = await node.start();
+    process.on('SIGTERM', signal => shutdown.take(signal));
+    process.on('SIGINT', signal => shutdown.take(signal));
     process.stdout.write(`READY ${JSON.stringify(addresses)}\n`);
   } catch (thrown) {
     logger.log('start-failed', {error: toTypedError(thrown)});
-    process.exit(EXIT_START_FAILED);
+    process.exit(EXIT_FAILED);
   }
-  const stop = () => void node.stop().then(() => process.exit(0));
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
 }
 
-process.on('unhandledRejection', thrown => {
-  const error: TypedError = toTypedError(thrown);
-  process.stderr.write(`${JSON.stringify({unhandled: error.stack})}\n`);
-});
-await main();
+/**
+ * A rejected promise that nobody handles concerns one request or message, so
+ * the process goes on. After an error thrown outside all of them the state of
+ * the process is unknown, so it ends, and its peers take over.
+ */
+function watchProcess(logger: EventLogger): void {
+  process.on('unhandledRejection', thrown =>
+    logger.log('rejection-unhandled', {error: toTypedError(thrown)}),
+  );
+  process.on('uncaughtException', thrown => {
+    logger.log('unexpected-error', {error: toTypedError(thrown)});
+    process.exit(EXIT_FAILED);
+  });
+}
+
+await main(process.argv.slice(2));
--- a/packages/demo/src/operator_steps.ts
+++ b/packages/demo/src/operator_steps.ts
@@ -27,13 +27,17 @@
   cluster: Cluster,
   args: readonly string[],
 ): Promise<unknown> {
-  const {stdout} = await run(process.execPath, [CLI_SCRIPT, ...args, '--json'], {
-    env: {
-      ...process.env,
-      MIMOSATACK_ADMIN_URL: cluster.nodes[0]?.adminBaseUrl,
-      MIMOSATACK_TOKEN: cluster.adminToken,
+  const {stdout} = await run(
+    process.execPath,
+    [CLI_SCRIPT, ...args, '--json'],
+    {
+      env: {
+        ...process.env,
+        MIMOSATACK_ADMIN_URL: cluster.nodes[0]?.adminBaseUrl,
+        MIMOSATACK_TOKEN: cluster.adminToken,
+      },
     },
-  }).catch((thrown: unknown) => {
+  ).catch((thrown: unknown) => {
     throw describeFailure(thrown, args);
   });
   return JSON.parse(stdout);
--- a/packages/logger/src/events/process_events.ts
+++ b/packages/logger/src/events/process_events.ts
@@ -70,6 +70,13 @@
     fields: {error: 'what failed'},
     remedy: 'Report it with the log lines around it.',
   },
+  'rejection-unhandled': {
+    number: 1008,
+    level: 'error',
+    message: 'A failure was handled by nobody; the process goes on.',
+    fields: {error: 'what failed'},
+    remedy: 'Report it with the log lines around it.',
+  },
   'settings-loaded': {
     number: 1100,
     level: 'info',
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -123,6 +123,11 @@
     });
   }
 
+  /** Requests of callers and operators that are being served. */
+  get requestsInFlight(): number {
+    return this.operations.requestsInFlight;
+  }
+
   /** Opens the ports, joins the other nodes and begins to work. */
   async start(): Promise<NodeAddresses> {
     const {settings} = this.options;
--- a/packages/node/src/operations.ts
+++ b/packages/node/src/operations.ts
@@ -96,6 +96,11 @@
     this.followFold();
   }
 
+  /** Requests that have arrived and are not answered in full. */
+  get requestsInFlight(): number {
+    return this.observers.reduce((sum, {inFlight}) => sum + inFlight, 0);
+  }
+
   /** Measures the requests of a server; called before it listens. */
   watch(server: FastifyInstance, interfaceName: 'callers' | 'operators'): void {
     this.observers
--- a/packages/settings/src/format_settings.ts
+++ b/packages/settings/src/format_settings.ts
@@ -34,12 +34,28 @@
 
 /** The help text of the daemon. */
 export function formatUsage(): string {
-  const lines = SETTING_NAMES.map(
-    name => `  ${toFlag(name)}\n      ${describeSetting(name).description}`,
+  const groups = SETTING_GROUPS.map(({title, names}) =>
+    [`${title}:`, ...names.map(formatUsageLine)].join('\n'),
   );
-  const head = 'Usage: mimosatackd --name value ...';
-  const note = `Each flag can be given as an environment variable instead, such as ${toVariable('log-url')}.`;
-  return [head, '', note, '', ...lines, ''].join('\n');
+  return [USAGE_HEAD, ...groups, USAGE_END].join('\n\n') + '\n';
+}
+
+const USAGE_HEAD = `Usage: mimosatackd --name value ...
+
+  --help            Print this text and exit.
+  --version         Print the release and exit.
+  --print-settings  Print the settings in force, without secrets, and exit.
+
+Each setting can be given as an environment variable instead, such as
+${toVariable('log-url')}; a flag wins. Give secrets by variables only.`;
+
+const USAGE_END = `Exit codes: 0 stopped, 1 could not start or was cut off, 2 wrong settings.
+docs/operators/settings.md tells more about each setting.`;
+
+function formatUsageLine(name: SettingName): string {
+  const {description} = describeSetting(name);
+  const presence = describePresence(name).replaceAll('`', '').toLowerCase();
+  return `  ${toFlag(name)} (${presence})\n      ${description}`;
 }
 
 const PAGE_INTRODUCTION = `# Settings of mimosatackd
