--- /dev/null
+++ b/packages/cli/src/docs.test.ts
@@ -0,0 +1,65 @@
+import {readFileSync, readdirSync} from 'node:fs';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {EXIT_CODES, findSyntaxError} from './index.js';
+import {createContext, runWith} from './testing_fixture.js';
+
+const PAGES = new URL('../../../docs/operators/', import.meta.url);
+const TOOL = 'mimosatack ';
+
+/** Every line of the shell blocks in the pages that runs the tool. */
+function listCommandLines(): {page: string; argv: string[]}[] {
+  return readdirSync(PAGES)
+    .filter(page => page.endsWith('.md'))
+    .flatMap(page =>
+      listShellLines(readFileSync(new URL(page, PAGES), 'utf8'))
+        .filter(line => line.startsWith(TOOL))
+        .map(line => ({page, argv: toArgv(line.slice(TOOL.length))})),
+    );
+}
+
+function listShellLines(text: string): string[] {
+  return [...text.matchAll(/^ *```sh\n([^]*?)^ *```/gm)].flatMap(match =>
+    (match[1] ?? '').split('\n').map(line => line.trim()),
+  );
+}
+
+/** Splits a line as a shell does, as far as the pages need it. */
+function toArgv(line: string): string[] {
+  return [...line.matchAll(/"([^"]*)"|(\S+)/g)].map(
+    match => match[1] ?? match[2] ?? '',
+  );
+}
+
+const docs = suite('commands in docs/operators');
+
+docs('every command in the pages is understood', () => {
+  const lines = listCommandLines();
+  assert.ok(lines.length > 20);
+  lines.forEach(({page, argv}) =>
+    assert.is(
+      findSyntaxError(argv, createContext()),
+      null,
+      `${page}: ${argv.join(' ')}`,
+    ),
+  );
+});
+
+docs('help texts and checks of settings in the pages run', async () => {
+  const env = {MIMOSATACK_CLUSTER_SECRET: 'a-secret-of-the-cluster'};
+  const lines = listCommandLines().filter(
+    ({argv}) =>
+      argv.includes('--help') ||
+      argv.includes('--version') ||
+      argv[0] === 'settings',
+  );
+  assert.ok(lines.length >= 4);
+  const runs = await Promise.all(lines.map(({argv}) => runWith(argv, {}, env)));
+  runs.forEach(({exitCode, stdout}, index) => {
+    const line = lines[index]?.argv.join(' ');
+    assert.is(exitCode, EXIT_CODES.ok, `${line}: ${stdout}`);
+    assert.ok(stdout, line);
+  });
+});
+
+docs.run();
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,3 +1,3 @@
 export {EXIT_CODES} from './exit_codes.js';
-export {listCommandPaths, runTool} from './run_tool.js';
+export {findSyntaxError, listCommandPaths, runTool} from './run_tool.js';
 export {type ToolContext} from './tool_context.js';
--- a/packages/cli/src/run_tool.ts
+++ b/packages/cli/src/run_tool.ts
@@ -25,6 +25,19 @@
   return command === null ? EXIT_CODES.usage : cli.run(command, context);
 }
 
+/** Why a command line is not understood; null when it is. */
+export function findSyntaxError(
+  argv: readonly string[],
+  context: ToolContext,
+): string | null {
+  try {
+    buildCli(false).process([...argv], context);
+    return null;
+  } catch (thrown) {
+    return thrown instanceof Error ? thrown.message : String(thrown);
+  }
+}
+
 /** Every command path, as one text each. */
 export function listCommandPaths(): string[] {
   return buildCli(false)
--- a/packages/cli/src/testing_fixture.ts
+++ b/packages/cli/src/testing_fixture.ts
@@ -22,30 +22,37 @@
   stderr: string;
 }
 
-/** Runs the tool with files from memory. */
-export async function runWith(
-  argv: readonly string[],
+/** What the tool takes from the process, from memory. */
+export function createContext(
   files: Readonly<Record<string, unknown>> = {},
   env: Readonly<Record<string, string>> = {},
-): Promise<ToolRun> {
-  const stdout = new PassThrough({encoding: 'utf8'});
-  const stderr = new PassThrough({encoding: 'utf8'});
-  const exitCode = await runTool(argv, {
+) {
+  return {
     ...Cli.defaultContext,
-    stdout,
-    stderr,
+    stdout: new PassThrough({encoding: 'utf8'}),
+    stderr: new PassThrough({encoding: 'utf8'}),
     env: {...env},
     clock: new SystemClock(),
     makeToken: () => 'a-new-token',
-    readFile: path =>
+    readFile: (path: string) =>
       Object.hasOwn(files, path)
         ? Promise.resolve(toText(files[path]))
         : Promise.reject(new Error('no such file')),
-  });
+  };
+}
+
+/** Runs the tool with files from memory. */
+export async function runWith(
+  argv: readonly string[],
+  files: Readonly<Record<string, unknown>> = {},
+  env: Readonly<Record<string, string>> = {},
+): Promise<ToolRun> {
+  const context = createContext(files, env);
+  const exitCode = await runTool(argv, context);
   return {
     exitCode,
-    stdout: String(stdout.read() ?? ''),
-    stderr: String(stderr.read() ?? ''),
+    stdout: String(context.stdout.read() ?? ''),
+    stderr: String(context.stderr.read() ?? ''),
   };
 }
 
--- a/packages/errors/src/errors.test.ts
+++ b/packages/errors/src/errors.test.ts
@@ -1,3 +1,4 @@
+import {readFileSync} from 'node:fs';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
@@ -5,6 +6,7 @@
   TypedError,
   describeKind,
   formatErrorBody,
+  formatKindsAsMarkdown,
   toTypedError,
 } from './index.js';
 
@@ -67,4 +69,9 @@
   assert.is(toTypedError('boom').message, message);
 });
 
+errors('docs/operators/refusals.md is current', () => {
+  const page = new URL('../../../docs/operators/refusals.md', import.meta.url);
+  assert.fixture(readFileSync(page, 'utf8'), formatKindsAsMarkdown());
+});
+
 errors.run();
--- a/packages/errors/src/index.ts
+++ b/packages/errors/src/index.ts
@@ -5,6 +5,7 @@
   type RunOutcome,
   describeKind,
 } from './kinds.js';
+export {formatKindsAsMarkdown} from './kinds_markdown.js';
 export {
   type ErrorBody,
   type ErrorDetails,
