--- a/packages/cli/src/admin_client.ts
+++ b/packages/cli/src/admin_client.ts
@@ -28,6 +28,8 @@
 
 const CONNECT_TIMEOUT_MS = 3_000;
 const PAGE_LIMIT = 500;
+const CERTIFICATE_REMEDY =
+  'Give the certificate of its authority with --ca-file, or correct the scheme.';
 
 /** Failures of a connection over which nothing can have been sent. */
 const NOTHING_SENT_CODES = [
@@ -39,6 +41,9 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ];
 
+/** Failures of the handshake, before which nothing is sent either. */
+const HANDSHAKE_CODE = /CERT|^ERR_TLS|^ERR_SSL|^EPROTO$/;
+
 const errorSchema = z.object({
   error: z.object({
     kind: z.string(),
@@ -103,19 +108,22 @@
   }
 
   private async sendToAny(call: AdminRequest): Promise<unknown> {
-    const failures: string[] = [];
+    const failures: TypedError[] = [];
+    const messages: string[] = [];
     for (const baseUrl of this.options.baseUrls) {
       try {
         return await this.sendTo(baseUrl, call);
       } catch (thrown) {
         const error = toTypedError(thrown);
         if (!isOtherNodeWorthTrying(error)) throw error;
-        failures.push(`${baseUrl}: ${error.message}`);
+        failures.push(error);
+        messages.push(`${baseUrl}: ${error.message}`);
       }
     }
     throw new TypedError(
       'node-unreachable',
-      `No node could be reached. ${failures.join('; ')}`,
+      `No node could be reached. ${messages.join('; ')}`,
+      {remedy: failures.at(-1)?.remedy},
     );
   }
 
@@ -159,9 +167,13 @@
 function describeFailure(thrown: unknown, method: string): TypedError {
   const cause = thrown instanceof Error ? thrown : new Error(String(thrown));
   const code = (thrown as {code?: string}).code ?? '';
-  const mayHaveArrived = !NOTHING_SENT_CODES.includes(code);
+  const isHandshake = HANDSHAKE_CODE.test(code);
+  const mayHaveArrived = !isHandshake && !NOTHING_SENT_CODES.includes(code);
   if (method === 'GET' || !mayHaveArrived) {
-    return new TypedError('node-unreachable', 'no answer', {cause});
+    return new TypedError('node-unreachable', 'no answer', {
+      cause,
+      ...(isHandshake ? {remedy: CERTIFICATE_REMEDY} : {}),
+    });
   }
   return new TypedError('outcome-unknown', 'The answer was lost', {
     cause,
