--- a/packages/cli/src/testing_fixture.ts
+++ b/packages/cli/src/testing_fixture.ts
@@ -64,6 +64,7 @@
   const follower = new LogFollower({
     clock,
     random: new SeededRandom(1),
+    logger: new MemoryEventLogger(),
     log,
     stream: 'decisions',
     incarnation,
@@ -102,8 +103,8 @@
     isStopping: () => false,
   });
   await follower.start({
-    pullAppends: () => Promise.resolve([]),
-    pullState: () => Promise.resolve(null),
+    states: [],
+    appends: {pullAppends: () => Promise.resolve([])},
   });
   const baseUrl = await server.listen({host: '127.0.0.1', port: 0});
   const env = {MIMOSATACK_ADMIN_URL: baseUrl, MIMOSATACK_TOKEN: ADMIN};
--- a/packages/node/src/metrics_reporter.ts
+++ b/packages/node/src/metrics_reporter.ts
@@ -1,7 +1,6 @@
 /** Sends the gauges of a node at regular times. */
 import {type FoldedRecord} from '@mimosatack/agreed-state';
 import {type AuditTrail} from '@mimosatack/audit-trail';
-import {type Clock} from '@mimosatack/clock';
 import {type EngineBoard} from '@mimosatack/engine-board';
 import {type LogFollower} from '@mimosatack/follow-log';
 import {type Metrics} from '@mimosatack/metrics';
@@ -10,7 +9,6 @@
 
 /** What the reporter looks at. */
 export interface MetricsReporterOptions {
-  clock: Clock;
   metrics: Metrics;
   follower: LogFollower;
   board: EngineBoard;
@@ -54,15 +52,14 @@
   }
 
   private reportLog(): void {
-    const {metrics, follower, clock} = this.options;
-    const {nextOffset, sequence, isLogReachable, lastContactMs} =
+    const {metrics, follower} = this.options;
+    const {nextOffset, sequence, isLogReachable, sinceContactMs} =
       follower.status;
     metrics.gauge('log.reachable', isLogReachable ? 1 : 0, {});
     metrics.gauge('fold.next_offset', nextOffset, {});
     metrics.gauge('fold.sequence', sequence, {});
-    if (lastContactMs === null) return;
-    const silenceMs = clock.monotonicMs() - lastContactMs;
-    metrics.gauge('log.silence_ms', silenceMs, {});
+    if (sinceContactMs === null) return;
+    metrics.gauge('log.silence_ms', sinceContactMs, {});
   }
 
   private reportMembers(): void {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -27,7 +27,9 @@
 import {type HostEntry} from '@mimosatack/types';
 import {KeyTable, TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
+import {CheckpointTask} from './checkpoint_task.js';
 import {HostListTask} from './host_list_task.js';
+import {Obituary} from './obituary.js';
 import {Operations} from './operations.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
@@ -50,6 +52,7 @@
 }
 
 const DECISIONS_STREAM = 'decisions';
+const CHECKPOINT_STREAM = 'checkpoints';
 const LONG_POLL_MS = 5_000;
 const RETRY_DELAY_MS = 200;
 const PLATFORM_TIMEOUT_MS = 2_000;
@@ -65,6 +68,7 @@
   private readonly follower: LogFollower;
   private readonly log: HttpLogService;
   private readonly peers: PeerTask;
+  private readonly checkpoints: CheckpointTask;
   private readonly stewards: StewardTask;
   private readonly hosts: HostListTask;
   private readonly planner: PlannerTask;
@@ -73,6 +77,7 @@
   private readonly operations: Operations;
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
+  private readonly obituary: Obituary;
   private leavingServers = new Set<string>();
   private drainingServers: ReadonlySet<string> = new Set();
   private isStopping = false;
@@ -81,6 +86,7 @@
     const {settings, clock, random, logger} = options;
     this.incarnation = `${settings.nodeName}.${randomUUID().slice(0, 8)}`;
     this.mint = new TicketMint(settings.clusterSecret);
+    this.obituary = new Obituary(clock, ORDER_DOUBT_MS);
     this.log = new HttpLogService({
       baseUrl: settings.logUrl,
       nodeId: settings.nodeName,
@@ -89,6 +95,7 @@
     this.follower = new LogFollower({
       clock,
       random,
+      logger,
       log: this.log,
       stream: DECISIONS_STREAM,
       incarnation: this.incarnation,
@@ -97,6 +104,7 @@
     });
     this.router = new Router(this.board, random);
     this.peers = this.makePeers();
+    this.checkpoints = this.makeCheckpoints();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
@@ -164,7 +172,10 @@
       release: this.options.release,
       ...addresses,
     });
-    await this.follower.start(this.peers);
+    await this.follower.start({
+      states: [this.peers, this.checkpoints],
+      appends: this.peers,
+    });
     this.operations.start();
     this.startTicking();
     this.options.logger.log('node-ready', {
@@ -181,6 +192,7 @@
       this.stewards.stop(),
       this.hosts.stop(),
       this.planner.stop(),
+      this.checkpoints.stop(),
     ]);
     await this.callerServer.close();
     await this.operations.operatorServer.close();
@@ -195,9 +207,10 @@
     const every = (intervalMs: number, action: () => void | Promise<void>) =>
       this.periodics.push(startPeriodic(clock, intervalMs, action));
     every(settings.pollIntervalMs, () => {
-      this.stewards.post({type: 'tick'});
-      this.hosts.post({type: 'tick'});
-      this.planner.post({type: 'tick'});
+      this.obituary.noteMembers(this.peers.listMembers());
+      [this.stewards, this.hosts, this.planner, this.checkpoints]
+        .filter(task => !task.isBusy)
+        .forEach(task => task.post({type: 'tick'}));
     });
     const store = new HttpWeightStore({
       baseUrl: settings.weightStoreUrl,
@@ -230,6 +243,24 @@
     });
   }
 
+  private makeCheckpoints(): CheckpointTask {
+    const {clock, logger, settings} = this.options;
+    return new CheckpointTask(
+      {
+        clock,
+        logger,
+        follower: this.follower,
+        log: this.log,
+        stream: CHECKPOINT_STREAM,
+        everyRecords: settings.checkpointEveryRecords,
+        intervalMs: settings.checkpointIntervalMs,
+        findRank: () => this.findRank('checkpoint'),
+        submitTimeoutMs: SUBMIT_TIMEOUT_MS,
+      },
+      (error, task) => this.noteFault(error, task),
+    );
+  }
+
   private makeStewards(): StewardTask {
     const {clock, logger} = this.options;
     return new StewardTask(
@@ -244,6 +275,7 @@
             member => member.incarnation,
           ),
         isGone: incarnation => this.isGone(incarnation),
+        findDeathEvidence: incarnation => this.obituary.find(incarnation),
         publishReport: report => {
           this.board.note(report);
           this.operations.noteReport(report);
@@ -315,22 +347,27 @@
     });
   }
 
+  /** The place of this node among those that may act for a key; 0 is first. */
+  private findRank(key: string): number {
+    return rankMembers(key, this.peers.listUsable()).findIndex(
+      member => member.incarnation === this.incarnation,
+    );
+  }
+
   private isResponsible(key: string): boolean {
-    const first = rankMembers(key, this.peers.listUsable())[0];
-    return first?.incarnation === this.incarnation;
+    return this.findRank(key) === 0;
   }
 
+  /** A process that membership never heard of, or believes to be dead. */
   private isGone(incarnation: string): boolean {
     const member = this.peers
       .listMembers()
       .find(other => other.incarnation === incarnation);
-    if (!member) return true;
-    if (member.status !== 'gone') return false;
-    const goneMs = this.options.clock.monotonicMs() - member.sinceMs;
-    return goneMs >= this.options.settings.stewardTakeoverGraceMs;
+    return member === undefined || member.status === 'gone';
   }
 
   private noteHosts(hosts: readonly HostEntry[]): void {
+    this.obituary.noteHosts(hosts);
     this.leavingServers = new Set(
       hosts
         .filter(host => host.state === 'leaving' && host.role !== 'entry')
--- a/packages/node/src/operations.ts
+++ b/packages/node/src/operations.ts
@@ -202,9 +202,8 @@
   }
 
   private makeReporter(): MetricsReporter {
-    const {clock, follower, board, incarnation} = this.options;
+    const {follower, board, incarnation} = this.options;
     return new MetricsReporter({
-      clock,
       metrics: this.metrics,
       follower,
       board,
--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -59,7 +59,8 @@
     type: z.literal('appends'),
     records: z.array(z.object({offset, data: bytes})),
   }),
-  z.object({type: z.literal('read-offset')}),
+  /** Asks how far a node has folded, and tells it how far the sender has. */
+  z.object({type: z.literal('read-offset'), nextOffset: offset}),
   z.object({type: z.literal('offset'), nextOffset: offset}),
   z.object({type: z.literal('pull-state')}),
   z.object({type: z.literal('state'), data: bytes.nullable()}),
--- a/packages/serve-operators/src/health_routes.ts
+++ b/packages/serve-operators/src/health_routes.ts
@@ -31,20 +31,25 @@
       {...retry, remedy: 'Upgrade this node.'},
     );
   }
-  const followsPeer = context
+  const {hasState, isLogReachable} = context.follower.status;
+  if (hasState && (isLogReachable || followsPeer(context))) return null;
+  return new TypedError(
+    'log-unavailable',
+    'The node follows neither the log service nor another node yet.',
+    retry,
+  );
+}
+
+/** Whether another node is alive and not ahead of this one. */
+function followsPeer(context: OperatorContext): boolean {
+  const {nextOffset} = context.state();
+  return context
     .listNodes()
     .some(
       node =>
         node.nodeName !== context.nodeName &&
         node.status === 'alive' &&
         node.nextOffset !== null &&
-        context.state().nextOffset > 0 &&
-        node.nextOffset <= context.state().nextOffset,
+        node.nextOffset <= nextOffset,
     );
-  if (context.follower.status.isLogReachable || followsPeer) return null;
-  return new TypedError(
-    'log-unavailable',
-    'The node reaches neither the log service nor a node that does.',
-    retry,
-  );
 }
--- a/packages/serve-operators/src/testing_fixture.ts
+++ b/packages/serve-operators/src/testing_fixture.ts
@@ -90,6 +90,7 @@
   const follower = new LogFollower({
     clock,
     random: new SeededRandom(1),
+    logger,
     log,
     stream: 'decisions',
     incarnation: 'entry-1.a',
@@ -127,8 +128,8 @@
     isStopping: () => false,
   });
   await follower.start({
-    pullAppends: () => Promise.resolve([]),
-    pullState: () => Promise.resolve(null),
+    states: [],
+    appends: {pullAppends: () => Promise.resolve([])},
   });
   const {ask, put} = createClient(server);
   const submit = (body: RecordBody) => follower.submit(body, {timeoutMs: 300});
