--- a/packages/agreed-state/src/stewardship.test.ts
+++ b/packages/agreed-state/src/stewardship.test.ts
@@ -1,10 +1,12 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
+import {AgreedState} from './agreed_state.js';
 import {
   type FoldBench,
   makeClaim,
   makePlan,
   makeReadyBench,
+  makeServer,
   makeSlot,
   verdictOf,
 } from './test_fixtures.js';
@@ -136,4 +138,23 @@
   assert.is(verdictOf(folded), 'stale-epoch');
 });
 
+// An operator drains a runner, and the host list then reports a new address.
+// If the new registration forgot the drain, work would come back unasked.
+stewardship('keeps a drain across registrations and checkpoints', () => {
+  const bench = makeReadyBench();
+  const drain = (isDraining: boolean, backendServerId = 'r1') =>
+    verdictOf(
+      bench.fold({type: 'drain-backend-server', backendServerId, isDraining}),
+    );
+  assert.is(drain(true), 'valid');
+  assert.is(drain(true), 'version-conflict');
+  assert.is(drain(true, 'r9'), 'unknown-reference');
+  bench.fold(makeServer('r1', {baseUrl: 'http://10.0.0.2:8000'}));
+  const restored = AgreedState.fromBytes(bench.state.toBytes());
+  assert.ok(restored.stewardship.isDraining('r1'));
+  assert.not(restored.stewardship.isDraining('r2'));
+  assert.is(drain(false), 'valid');
+  assert.not(bench.state.stewardship.isDraining('r1'));
+});
+
 stewardship.run();
--- a/packages/audit-trail/src/audit_trail.test.ts
+++ b/packages/audit-trail/src/audit_trail.test.ts
@@ -16,6 +16,7 @@
   const log = new MemoryLogService();
   const clock = new ManualClock(100 * DAY_MS);
   const state = new AgreedState();
+  const faults: unknown[] = [];
   const createTrail = (incarnation: string, isResponsible: boolean) =>
     new AuditTrail(
       {
@@ -27,7 +28,7 @@
         copyAfterMs: 6 * HOUR_MS,
         keepMs: 30 * DAY_MS,
       },
-      () => undefined,
+      error => faults.push(error),
     );
   const author = createTrail('entry-1.a', false);
   const keeper = createTrail('entry-2.b', true);
@@ -51,7 +52,7 @@
   };
   const whenStored = (count: number) =>
     waitUntil('the append', () => log.count(STREAM) === count);
-  return {log, clock, author, keeper, createTrail, fold, whenStored};
+  return {log, clock, author, keeper, createTrail, fold, faults, whenStored};
 }
 
 function putTeam(expectedVersion: number, content = {}): RecordBody {
@@ -170,6 +171,23 @@
   assert.is(page.error?.kind, 'platform-unavailable');
 });
 
+/**
+ * The log service goes down between a change and the append of its entry. The
+ * entry must be there once the log is back, and the outage is no fault of the
+ * task that a person would have to look at.
+ */
+trail('an entry that could not be stored is stored later', async () => {
+  const {author, fold, faults, log, whenStored} = createFixture();
+  log.setDown(true);
+  fold(putTeam(0), [author]);
+  await author.flush();
+  assert.is(author.pendingCount, 1);
+  log.setDown(false);
+  author.post({type: 'settle'});
+  await whenStored(1);
+  assert.equal(faults, []);
+});
+
 /**
  * The log keeps records for some days. A change made a month ago would be
  * gone from the trail by then: its segment is trimmed with its neighbours
--- a/packages/audit-trail/src/audit_trail.ts
+++ b/packages/audit-trail/src/audit_trail.ts
@@ -86,7 +86,24 @@
     return {...newest.toPage(), isComplete: error === null, error};
   }
 
-  protected handle(message: AuditMessage): Promise<void> {
+  /** Stores what this node still owes; called before it ends. */
+  async flush(): Promise<void> {
+    await this.handle({type: 'store'});
+  }
+
+  /**
+   * An outage of the log is told by its follower and needs no word here: what
+   * could not be stored stays unstored, and the next message tries again.
+   */
+  protected async handle(message: AuditMessage): Promise<void> {
+    try {
+      await this.handleOnce(message);
+    } catch (thrown) {
+      if (toTypedError(thrown).kind !== 'platform-unavailable') throw thrown;
+    }
+  }
+
+  private handleOnce(message: AuditMessage): Promise<void> {
     switch (message.type) {
       case 'store':
         return this.store(entry => this.isOwn(entry));
--- a/packages/node/src/operations.ts
+++ b/packages/node/src/operations.ts
@@ -144,6 +144,7 @@
     this.periodics.forEach(periodic => periodic.stop());
     this.callerTls?.stop();
     this.operatorTls?.stop();
+    await this.audit.flush();
     await this.audit.stop();
     await this.metrics.close();
   }
--- a/packages/serve-operators/src/access.test.ts
+++ b/packages/serve-operators/src/access.test.ts
@@ -96,6 +96,24 @@
   await close();
 });
 
+/**
+ * A node is behind: an operator names a version that it has not folded, in
+ * which the document may have another owner. The change must wait until the
+ * version is there, and be refused if it does not come.
+ */
+access('an owner is looked up in the version that is named', async () => {
+  const {put, close} = await createTeams();
+  const early = {expectedVersion: 1, token: 'z-ola'};
+  const waiting = put('templates/sea', TEMPLATE, early);
+  await put('templates/sea', TEMPLATE);
+  assert.is((await waiting).status, 200);
+  const mine = {...TEMPLATE, team: 'prairie'};
+  const guess = {expectedVersion: 7, token: 'p-sam'};
+  const refused = await put('templates/bay', mine, guess);
+  assert.is(refused.body.error?.kind, 'conflict');
+  await close();
+});
+
 access('hashes are shown to admins only', async () => {
   const {ask, close} = await createTeams();
   const url = '/admin/v1/teams/zorza';
--- a/packages/serve-operators/src/publish_routes.ts
+++ b/packages/serve-operators/src/publish_routes.ts
@@ -136,7 +136,7 @@
     const {kind, id, expectedVersion} = body;
     await this.waiter.waitUntil(
       () => this.currentVersion(kind, id) >= expectedVersion,
-      CATCH_UP_MS,
+      Math.min(CATCH_UP_MS, this.context.submitTimeoutMs),
     );
     const current = this.currentVersion(kind, id);
     if (current >= expectedVersion) return;
