Ask a node for its offset for at most a second

Cause: with one node frozen and another cut from the log, the tool waited 3 s in vain and named both; each look waited 3 s for the frozen node, so the answer of the other one was as old. Ruled out: the node that was cut off did not follow its peers (without a frozen node it had each of five changes within 0.4 s). Before: 'not on node-2, node-3' after 3 s, exit 3. Conclusion: what is asked of many must not wait for the slowest as long as a request does.

--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -45,6 +45,8 @@
 const MAX_CONNECTIONS = 64;
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 3_000;
+/** A frozen node must not hold up what is asked of the others. */
+const ASK_TIMEOUT_MS = 1_000;
 
 /** The task that owns the connections to the other nodes. */
 export class PeerTask implements AppendSource, StateSource {
@@ -109,10 +111,12 @@
     const peer = this.listPeers().find(other => other.nodeName === nodeName);
     if (!peer) return null;
     try {
-      const reply = await this.transport.request(peer.peerAddress, {
-        type: 'read-offset',
-        nextOffset: this.options.follower.state.nextOffset,
-      });
+      const {nextOffset} = this.options.follower.state;
+      const reply = await this.transport.request(
+        peer.peerAddress,
+        {type: 'read-offset', nextOffset},
+        ASK_TIMEOUT_MS,
+      );
       if (reply.type !== 'offset') return null;
       this.nextOffsets.set(peer.peerAddress, reply.nextOffset);
       return reply.nextOffset;
