--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -54,6 +54,7 @@
   'out-of-memory': fact(409, false, 'Unload a replica first.'),
   trimmed: fact(410, false, 'Start from a checkpoint.'),
   'record-invalid': fact(400, false, 'Upgrade the node, or skip the record.'),
+  'peer-unreachable': fact(503, true, 'Check that node and the network.'),
   'peer-message-invalid': fact(400, false, 'Run one release on all nodes.'),
   internal: fact(500, true, 'Report it with the log lines around it.'),
 } as const satisfies Record<string, KindFacts>;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -5,7 +5,6 @@
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {LogFollower} from '@mimosatack/follow-log';
 import {type EventLogger} from '@mimosatack/logger';
-import {rankMembers} from '@mimosatack/membership';
 import {
   FixedLeadPolicy,
   LoadOnFirstRequestPolicy,
@@ -29,6 +28,7 @@
 import {type FastifyInstance} from 'fastify';
 import {CheckpointTask} from './checkpoint_task.js';
 import {HostListTask} from './host_list_task.js';
+import {NodeRanking} from './node_ranking.js';
 import {Obituary} from './obituary.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
@@ -77,6 +77,7 @@
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
   private readonly obituary: Obituary;
+  private readonly ranking: NodeRanking;
   private leavingServers = new Set<string>();
 
   constructor(private readonly options: NodeOptions) {
@@ -101,6 +102,7 @@
     });
     this.router = new Router(this.board, random);
     this.peers = this.makePeers();
+    this.ranking = new NodeRanking(this.peers, this.incarnation);
     this.checkpoints = this.makeCheckpoints();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
@@ -242,7 +244,7 @@
         stream: CHECKPOINT_STREAM,
         everyRecords: settings.checkpointEveryRecords,
         intervalMs: settings.checkpointIntervalMs,
-        findRank: () => this.findRank('checkpoint'),
+        findRank: () => this.ranking.findOwnRank('checkpoint'),
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
       },
       (error, task) => this.noteFault(error, task),
@@ -258,10 +260,11 @@
         follower: this.follower,
         incarnation: this.incarnation,
         connect: (id, baseUrl) => this.connectEngine(id, baseUrl),
-        rankNodes: id =>
-          rankMembers(`steward ${id}`, this.peers.listUsable()).map(
-            member => member.incarnation,
-          ),
+        findOwnRank: id => this.ranking.findOwnRank(`steward ${id}`),
+        listSuccessors: id =>
+          this.ranking
+            .listFirst(`steward ${id}`)
+            .map(member => member.incarnation),
         isGone: incarnation => this.isGone(incarnation),
         findDeathEvidence: incarnation => this.obituary.find(incarnation),
         publishReport: report => {
@@ -285,7 +288,7 @@
           timeoutMs: PLATFORM_TIMEOUT_MS,
         }),
         follower: this.follower,
-        isResponsible: hostId => this.isResponsible(`host ${hostId}`),
+        isResponsible: hostId => this.ranking.isFirst(`host ${hostId}`),
         connect: (id, baseUrl) => this.connectEngine(id, baseUrl),
         onHosts: hosts => this.noteHosts(hosts),
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -301,7 +304,7 @@
         follower: this.follower,
         board: this.board,
         policy: makePolicy(this.options.settings),
-        isResponsible: key => this.isResponsible(key),
+        isResponsible: key => this.ranking.isFirst(key),
         isLeaving: id => this.leavingServers.has(id),
         makeSlotId: () => `s-${randomUUID()}`,
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -319,17 +322,6 @@
     });
   }
 
-  /** The place of this node among those that may act for a key; 0 is first. */
-  private findRank(key: string): number {
-    return rankMembers(key, this.peers.listUsable()).findIndex(
-      member => member.incarnation === this.incarnation,
-    );
-  }
-
-  private isResponsible(key: string): boolean {
-    return this.findRank(key) === 0;
-  }
-
   /** A process that membership never heard of, or believes to be dead. */
   private isGone(incarnation: string): boolean {
     const member = this.peers
@@ -349,7 +341,7 @@
   }
 
   private passDemand(model: string): void {
-    const first = rankMembers(`demand ${model}`, this.peers.listUsable())[0];
+    const [first] = this.ranking.listFirst(`demand ${model}`);
     if (!first || first.incarnation === this.incarnation) {
       this.planner.post({type: 'demand', model});
     } else {
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -92,6 +92,11 @@
     await this.transport.stop();
   }
 
+  /** Grows with every change of the members. */
+  get membershipVersion(): number {
+    return this.membership?.version ?? 0;
+  }
+
   listMembers(): Member[] {
     return this.membership?.list() ?? [];
   }
--- a/packages/node/src/steward_task.ts
+++ b/packages/node/src/steward_task.ts
@@ -35,8 +35,10 @@
   follower: LogFollower;
   incarnation: NodeIncarnation;
   connect(backendServerId: BackendServerId, baseUrl: string): EngineControl;
-  /** Nodes in the order in which they should hold a backend server. */
-  rankNodes(backendServerId: BackendServerId): NodeIncarnation[];
+  /** The place of this node among those that may claim; 0 is first. */
+  findOwnRank(backendServerId: BackendServerId): number;
+  /** The first few nodes in rank. */
+  listSuccessors(backendServerId: BackendServerId): NodeIncarnation[];
   /** Whether membership believes that a process is dead. */
   isGone(incarnation: NodeIncarnation): boolean;
   /** Proof, for long enough, that a process is dead; null without one. */
@@ -97,12 +99,11 @@
   private attend(server: BackendServer, state: AgreedState): void {
     const id = server.backendServerId;
     const claim = state.stewardship.findClaim(id);
-    const ranking = this.options.rankNodes(id);
     const decision = decideRole({
       self: this.options.incarnation,
       claim,
       fencing: server.fencing,
-      rank: ranking.indexOf(this.options.incarnation),
+      rank: this.options.findOwnRank(id),
       freeForMs: this.measureFreeMs(id, isFree(claim, this.options)),
       rankDelayMs: RANK_DELAY_MS,
       isLogReachable: this.options.follower.status.isLogReachable,
@@ -115,7 +116,7 @@
         return this.step(server, claim?.epoch ?? 0, decision.rank);
       case 'claim':
         this.retire(id);
-        return void this.claim(id, claim?.epoch ?? 0, ranking);
+        return void this.claim(id, claim?.epoch ?? 0);
       case 'wait':
         return this.retire(id);
     }
@@ -168,16 +169,13 @@
     });
   }
 
-  private claim(
-    id: BackendServerId,
-    expectedEpoch: number,
-    ranking: readonly NodeIncarnation[],
-  ): Promise<void> {
+  private claim(id: BackendServerId, expectedEpoch: number): Promise<void> {
     return this.submit(`claim ${id}`, {
       type: 'claim-steward',
       backendServerId: id,
       expectedEpoch,
-      successors: ranking
+      successors: this.options
+        .listSuccessors(id)
         .filter(incarnation => incarnation !== this.options.incarnation)
         .slice(0, MAX_SUCCESSORS),
     });
@@ -189,9 +187,8 @@
    */
   private settleDoubts(server: BackendServer, state: AgreedState): void {
     const id = server.backendServerId;
-    const mayProve =
-      this.options.rankNodes(id).indexOf(this.options.incarnation) <
-      PROVING_NODES;
+    const rank = this.options.findOwnRank(id);
+    const mayProve = rank >= 0 && rank < PROVING_NODES;
     state.stewardship.listDoubts(id).forEach(doubt => {
       const evidence = this.findEvidence(doubt, mayProve);
       if (!evidence) return;
--- a/packages/peer-transport/src/options.ts
+++ b/packages/peer-transport/src/options.ts
@@ -4,7 +4,7 @@
 import {type z} from 'zod';
 
 /** The kind of error for a peer that can't be reached or does not answer. */
-export const PEER_UNREACHABLE: ErrorKind = 'platform-unavailable';
+export const PEER_UNREACHABLE: ErrorKind = 'peer-unreachable';
 
 /** The node that a message came from, as its connection was signed. */
 export interface PeerOrigin {
