--- a/packages/membership/src/rank_members.ts
+++ b/packages/membership/src/rank_members.ts
@@ -1,7 +1,7 @@
 /** Which nodes act for a key, agreed on without talking. */
 import xxhash from 'xxhash-wasm';
 
-const {h32} = await xxhash();
+const hashing = await xxhash();
 
 /**
  * Orders members by highest random weight (rendezvous hashing): the same on
@@ -12,9 +12,9 @@
   key: string,
   members: readonly T[],
 ): T[] {
-  const seed = h32(key);
+  const seed = hashing.h32(key);
   return members
-    .map(member => ({member, weight: h32(member.nodeName, seed)}))
+    .map(member => ({member, weight: hashing.h32(member.nodeName, seed)}))
     .sort((a, b) => b.weight - a.weight || compareNames(a.member, b.member))
     .map(({member}) => member);
 }
--- a/packages/node/src/host_list_task.ts
+++ b/packages/node/src/host_list_task.ts
@@ -22,6 +22,8 @@
 
 /** Lists in a row that must lack a host before it counts as gone. */
 const MISSING_LISTS = 3;
+/** The same when the list lacks more than half of all hosts at once. */
+const MISSING_LISTS_MANY = 240;
 
 /** The task that reads the host list. */
 export class HostListTask extends Task<HostListMessage> {
@@ -101,12 +103,24 @@
     }));
     this.missing.clear();
     counts.forEach(({id, count}) => this.missing.set(id, count));
+    const enough = this.isTooMany(counts.length)
+      ? MISSING_LISTS_MANY
+      : MISSING_LISTS;
     return counts
-      .filter(({count}) => count >= MISSING_LISTS)
+      .filter(({count}) => count >= enough)
       .map(({id}) => id)
       .filter(id => this.options.isResponsible(id));
   }
 
+  /**
+   * Guards against a host list that comes back empty or cut short: taking it
+   * at its word would drop every decided replica in a moment.
+   */
+  private isTooMany(missing: number): boolean {
+    const known = this.options.follower.state.stewardship.listBackendServers();
+    return missing * 2 > known.length && missing > 1;
+  }
+
   private async submit(body: RecordBody): Promise<void> {
     await this.options.follower.submit(body, {
       timeoutMs: this.options.submitTimeoutMs,
--- a/packages/node/src/node_ranking.ts
+++ b/packages/node/src/node_ranking.ts
@@ -4,9 +4,9 @@
 
 /** Where the members come from. */
 export interface MemberSource {
-  /** Grows whenever `listUsable` may have changed. */
-  readonly membershipVersion: number;
-  listUsable(): Member[];
+  /** Grows whenever `listDeciders` may have changed. */
+  readonly decidersVersion: number;
+  listDeciders(): Member[];
 }
 
 /** The places that matter for one key. */
@@ -49,13 +49,13 @@
   }
 
   private rank(key: string): KeyRanking {
-    if (this.version !== this.source.membershipVersion) {
-      this.version = this.source.membershipVersion;
+    if (this.version !== this.source.decidersVersion) {
+      this.version = this.source.decidersVersion;
       this.rankings.clear();
     }
     const known = this.rankings.get(key);
     if (known) return known;
-    const ranked = rankMembers(key, this.source.listUsable());
+    const ranked = rankMembers(key, this.source.listDeciders());
     const ranking = {
       first: ranked.slice(0, KEPT_PLACES),
       ownRank: ranked.findIndex(member => member.incarnation === this.self),
--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -53,6 +53,8 @@
     message: membershipMessageSchema,
     /** How far the sender has folded the log. */
     nextOffset: offset,
+    /** Whether the sender reads the log itself. */
+    isLogReachable: z.boolean(),
   }),
   z.object({type: z.literal('pull-appends'), from: offset}),
   z.object({
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -23,6 +23,7 @@
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type LogOffset} from '@mimosatack/types';
 import {type PeerMessage, peerMessageSchema} from './peer_messages.js';
+import {PeerProgress} from './peer_progress.js';
 
 /** What the task needs of the node. */
 export interface PeerTaskOptions {
@@ -49,8 +50,9 @@
 /** The task that owns the connections to the other nodes. */
 export class PeerTask implements AppendSource, StateSource {
   private readonly transport: PeerTransport<PeerMessage>;
-  private readonly nextOffsets = new Map<string, LogOffset>();
+  private readonly progress = new PeerProgress();
   private membership: Membership | null = null;
+  private ownAddress = '';
   private ticking: Periodic | null = null;
 
   constructor(private readonly options: PeerTaskOptions) {
@@ -80,6 +82,7 @@
 
   join(self: MemberInfo): void {
     const {clock, random, seeds} = this.options;
+    this.ownAddress = self.peerAddress;
     this.membership = new Membership(self, {}, random);
     this.sendAll(this.membership.join(seeds, clock.monotonicMs()));
     this.ticking = startPeriodic(clock, TICK_MS, () => {
@@ -92,9 +95,9 @@
     await this.transport.stop();
   }
 
-  /** Grows with every change of the members. */
-  get membershipVersion(): number {
-    return this.membership?.version ?? 0;
+  /** Grows with every change of what `listDeciders` gives. */
+  get decidersVersion(): number {
+    return (this.membership?.version ?? 0) + this.progress.version;
   }
 
   listMembers(): Member[] {
@@ -105,8 +108,19 @@
     return this.membership?.listUsable() ?? [];
   }
 
+  /**
+   * The members that may write records: those that read the log themselves,
+   * or all while none does. Guards against an event that nobody plans because
+   * the node that should is cut from the log.
+   */
+  listDeciders(): Member[] {
+    const usable = this.listUsable();
+    const deciders = usable.filter(member => this.mayDecide(member));
+    return deciders.length === 0 ? usable : deciders;
+  }
+
   findNextOffset(peerAddress: string): LogOffset | null {
-    return this.nextOffsets.get(peerAddress) ?? null;
+    return this.progress.find(peerAddress)?.nextOffset ?? null;
   }
 
   leave(): void {
@@ -130,9 +144,7 @@
   async pullAppends(from: LogOffset): Promise<LogRecord[]> {
     const peer = pickOne(
       this.options.random,
-      this.listPeers().filter(
-        other => (this.nextOffsets.get(other.peerAddress) ?? 0) > from,
-      ),
+      this.listPeers().filter(other => this.offsetOf(other) > from),
     );
     if (!peer) return [];
     try {
@@ -169,7 +181,11 @@
   }
 
   private offsetOf(member: Member): LogOffset {
-    return this.nextOffsets.get(member.peerAddress) ?? -1;
+    return this.progress.find(member.peerAddress)?.nextOffset ?? -1;
+  }
+
+  private mayDecide(member: Member): boolean {
+    return this.progress.find(member.peerAddress)?.isLogReachable ?? true;
   }
 
   private listPeers(): Member[] {
@@ -179,12 +195,14 @@
   }
 
   private sendAll(messages: readonly OutgoingMessage[]): void {
-    const {nextOffset} = this.options.follower.state;
+    const {nextOffset, isLogReachable} = this.options.follower.status;
+    this.progress.note(this.ownAddress, {nextOffset, isLogReachable});
     messages.forEach(({toAddress, message}) =>
       this.transport.send(toAddress, {
         type: 'membership',
         message,
         nextOffset,
+        isLogReachable,
       }),
     );
   }
@@ -195,7 +213,7 @@
   ): PeerMessage | void {
     switch (message.type) {
       case 'membership':
-        this.nextOffsets.set(fromAddress, message.nextOffset);
+        this.progress.note(fromAddress, message);
         this.options.follower.notePeerOffset(message.nextOffset);
         this.sendAll(
           this.membership?.receive(
