--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -6,7 +6,6 @@
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {LogFollower} from '@mimosatack/follow-log';
 import {type EventLogger} from '@mimosatack/logger';
-import {rankMembers} from '@mimosatack/membership';
 import {
   FixedLeadPolicy,
   LoadOnFirstRequestPolicy,
@@ -29,6 +28,7 @@
 import {type FastifyInstance} from 'fastify';
 import {CheckpointTask} from './checkpoint_task.js';
 import {HostListTask} from './host_list_task.js';
+import {NodeRanking} from './node_ranking.js';
 import {Obituary} from './obituary.js';
 import {Operations} from './operations.js';
 import {PeerTask} from './peer_task.js';
@@ -78,6 +78,7 @@
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
   private readonly obituary: Obituary;
+  private readonly ranking: NodeRanking;
   private leavingServers = new Set<string>();
   private drainingServers: ReadonlySet<string> = new Set();
   private isStopping = false;
@@ -104,6 +105,7 @@
     });
     this.router = new Router(this.board, random);
     this.peers = this.makePeers();
+    this.ranking = new NodeRanking(this.peers, this.incarnation);
     this.checkpoints = this.makeCheckpoints();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
@@ -254,7 +256,7 @@
         stream: CHECKPOINT_STREAM,
         everyRecords: settings.checkpointEveryRecords,
         intervalMs: settings.checkpointIntervalMs,
-        findRank: () => this.findRank('checkpoint'),
+        findRank: () => this.ranking.findOwnRank('checkpoint'),
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
       },
       (error, task) => this.noteFault(error, task),
@@ -270,10 +272,11 @@
         follower: this.follower,
         incarnation: this.incarnation,
         connect: (id, baseUrl) => this.connectEngine(id, baseUrl),
-        rankNodes: id =>
-          rankMembers(`steward ${id}`, this.peers.listUsable()).map(
-            member => member.incarnation,
-          ),
+        findOwnRank: id => this.ranking.findOwnRank(`steward ${id}`),
+        listSuccessors: id =>
+          this.ranking
+            .listFirst(`steward ${id}`)
+            .map(member => member.incarnation),
         isGone: incarnation => this.isGone(incarnation),
         findDeathEvidence: incarnation => this.obituary.find(incarnation),
         publishReport: report => {
@@ -298,7 +301,7 @@
           timeoutMs: PLATFORM_TIMEOUT_MS,
         }),
         follower: this.follower,
-        isResponsible: hostId => this.isResponsible(`host ${hostId}`),
+        isResponsible: hostId => this.ranking.isFirst(`host ${hostId}`),
         connect: (id, baseUrl) => this.connectEngine(id, baseUrl),
         onHosts: hosts => this.noteHosts(hosts),
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -314,7 +317,7 @@
         follower: this.follower,
         board: this.board,
         policy: makePolicy(this.options.settings),
-        isResponsible: key => this.isResponsible(key),
+        isResponsible: key => this.ranking.isFirst(key),
         isLeaving: id => this.drainingServers.has(id),
         makeSlotId: () => `s-${randomUUID()}`,
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -332,7 +335,7 @@
       log: this.log,
       peers: this.peers,
       submitTimeoutMs: SUBMIT_TIMEOUT_MS,
-      isResponsible: key => this.isResponsible(key),
+      isResponsible: key => this.ranking.isFirst(key),
       isStopping: () => this.isStopping,
       onFault: (error, task) => this.noteFault(error, task),
     });
@@ -347,17 +350,6 @@
     });
   }
 
-  /** The place of this node among those that may act for a key; 0 is first. */
-  private findRank(key: string): number {
-    return rankMembers(key, this.peers.listUsable()).findIndex(
-      member => member.incarnation === this.incarnation,
-    );
-  }
-
-  private isResponsible(key: string): boolean {
-    return this.findRank(key) === 0;
-  }
-
   /** A process that membership never heard of, or believes to be dead. */
   private isGone(incarnation: string): boolean {
     const member = this.peers
@@ -388,7 +380,7 @@
   }
 
   private passDemand(model: string): void {
-    const first = rankMembers(`demand ${model}`, this.peers.listUsable())[0];
+    const [first] = this.ranking.listFirst(`demand ${model}`);
     if (!first || first.incarnation === this.incarnation) {
       this.planner.post({type: 'demand', model});
     } else {
--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -53,6 +53,8 @@
     message: membershipMessageSchema,
     /** How far the sender has folded the log. */
     nextOffset: offset,
+    /** Whether the sender reads the log itself. */
+    isLogReachable: z.boolean(),
   }),
   z.object({type: z.literal('pull-appends'), from: offset}),
   z.object({
@@ -60,8 +62,16 @@
     records: z.array(z.object({offset, data: bytes})),
   }),
   /** Asks how far a node has folded, and tells it how far the sender has. */
-  z.object({type: z.literal('read-offset'), nextOffset: offset}),
-  z.object({type: z.literal('offset'), nextOffset: offset}),
+  z.object({
+    type: z.literal('read-progress'),
+    nextOffset: offset,
+    isLogReachable: z.boolean(),
+  }),
+  z.object({
+    type: z.literal('progress'),
+    nextOffset: offset,
+    isLogReachable: z.boolean(),
+  }),
   z.object({type: z.literal('pull-state')}),
   z.object({type: z.literal('state'), data: bytes.nullable()}),
   z.object({type: z.literal('report'), report: backendReportSchema}),
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -23,6 +23,7 @@
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type LogOffset} from '@mimosatack/types';
 import {type PeerMessage, peerMessageSchema} from './peer_messages.js';
+import {PeerProgress, type Progress} from './peer_progress.js';
 
 /** What the task needs of the node. */
 export interface PeerTaskOptions {
@@ -51,8 +52,9 @@
 /** The task that owns the connections to the other nodes. */
 export class PeerTask implements AppendSource, StateSource {
   private readonly transport: PeerTransport<PeerMessage>;
-  private readonly nextOffsets = new Map<string, LogOffset>();
+  private readonly progress = new PeerProgress();
   private membership: Membership | null = null;
+  private ownAddress = '';
   private ticking: Periodic | null = null;
 
   constructor(private readonly options: PeerTaskOptions) {
@@ -82,6 +84,7 @@
 
   join(self: MemberInfo): void {
     const {clock, random, seeds} = this.options;
+    this.ownAddress = self.peerAddress;
     this.membership = new Membership(self, {}, random);
     this.sendAll(this.membership.join(seeds, clock.monotonicMs()));
     this.ticking = startPeriodic(clock, TICK_MS, () => {
@@ -94,6 +97,11 @@
     await this.transport.stop();
   }
 
+  /** Grows with every change of what `listDeciders` gives. */
+  get decidersVersion(): number {
+    return (this.membership?.version ?? 0) + this.progress.version;
+  }
+
   listMembers(): Member[] {
     return this.membership?.list() ?? [];
   }
@@ -102,8 +110,19 @@
     return this.membership?.listUsable() ?? [];
   }
 
+  /**
+   * The members that may write records: those that read the log themselves,
+   * or all while none does. Guards against an event that nobody plans because
+   * the node that should is cut from the log.
+   */
+  listDeciders(): Member[] {
+    const usable = this.listUsable();
+    const deciders = usable.filter(member => this.mayDecide(member));
+    return deciders.length === 0 ? usable : deciders;
+  }
+
   findNextOffset(peerAddress: string): LogOffset | null {
-    return this.nextOffsets.get(peerAddress) ?? null;
+    return this.progress.find(peerAddress)?.nextOffset ?? null;
   }
 
   /** Asks a node how far it has folded; null when it does not answer. */
@@ -111,14 +130,13 @@
     const peer = this.listPeers().find(other => other.nodeName === nodeName);
     if (!peer) return null;
     try {
-      const {nextOffset} = this.options.follower.state;
       const reply = await this.transport.request(
         peer.peerAddress,
-        {type: 'read-offset', nextOffset},
+        {type: 'read-progress', ...this.ownProgress()},
         ASK_TIMEOUT_MS,
       );
-      if (reply.type !== 'offset') return null;
-      this.nextOffsets.set(peer.peerAddress, reply.nextOffset);
+      if (reply.type !== 'progress') return null;
+      this.noteProgress(peer.peerAddress, reply);
       return reply.nextOffset;
     } catch {
       return null;
@@ -146,9 +164,7 @@
   async pullAppends(from: LogOffset): Promise<LogRecord[]> {
     const peer = pickOne(
       this.options.random,
-      this.listPeers().filter(
-        other => (this.nextOffsets.get(other.peerAddress) ?? 0) > from,
-      ),
+      this.listPeers().filter(other => this.offsetOf(other) > from),
     );
     if (!peer) return [];
     try {
@@ -185,7 +201,11 @@
   }
 
   private offsetOf(member: Member): LogOffset {
-    return this.nextOffsets.get(member.peerAddress) ?? -1;
+    return this.progress.find(member.peerAddress)?.nextOffset ?? -1;
+  }
+
+  private mayDecide(member: Member): boolean {
+    return this.progress.find(member.peerAddress)?.isLogReachable ?? true;
   }
 
   private listPeers(): Member[] {
@@ -195,19 +215,25 @@
   }
 
   private sendAll(messages: readonly OutgoingMessage[]): void {
-    const {nextOffset} = this.options.follower.state;
+    const progress = this.ownProgress();
+    this.progress.note(this.ownAddress, progress);
     messages.forEach(({toAddress, message}) =>
       this.transport.send(toAddress, {
         type: 'membership',
         message,
-        nextOffset,
+        ...progress,
       }),
     );
   }
 
-  private noteOffset(address: string, nextOffset: LogOffset): void {
-    this.nextOffsets.set(address, nextOffset);
-    this.options.follower.notePeerOffset(nextOffset);
+  private ownProgress(): Progress {
+    const {nextOffset, isLogReachable} = this.options.follower.status;
+    return {nextOffset, isLogReachable};
+  }
+
+  private noteProgress(address: string, progress: Progress): void {
+    this.progress.note(address, progress);
+    this.options.follower.notePeerOffset(progress.nextOffset);
   }
 
   private receive(
@@ -216,7 +242,7 @@
   ): PeerMessage | void {
     switch (message.type) {
       case 'membership':
-        this.noteOffset(fromAddress, message.nextOffset);
+        this.noteProgress(fromAddress, message);
         this.sendAll(
           this.membership?.receive(
             fromAddress,
@@ -230,12 +256,9 @@
           type: 'appends',
           records: this.options.follower.listAppends(message.from),
         };
-      case 'read-offset':
-        this.noteOffset(fromAddress, message.nextOffset);
-        return {
-          type: 'offset',
-          nextOffset: this.options.follower.state.nextOffset,
-        };
+      case 'read-progress':
+        this.noteProgress(fromAddress, message);
+        return {type: 'progress', ...this.ownProgress()};
       case 'pull-state':
         return {type: 'state', data: this.options.follower.state.toBytes()};
       case 'report':
@@ -245,7 +268,7 @@
         this.options.onDemand(message.model);
         return;
       case 'appends':
-      case 'offset':
+      case 'progress':
       case 'state':
         return;
     }
