--- a/packages/agreed-state/src/agreed_state.ts
+++ b/packages/agreed-state/src/agreed_state.ts
@@ -17,6 +17,7 @@
   type ConfigurationSnapshot,
 } from './configuration/configuration.js';
 import {type Outcome, VALID, makeVoid} from './outcome.js';
+import {type RememberedId, RememberedIds} from './remembered_ids.js';
 import {Placement, type PlacementSnapshot} from './placement/placement.js';
 import {
   Stewardship,
@@ -33,7 +34,7 @@
  */
 export const BASIS_HORIZON = 20_000;
 
-/** After how many records those beyond the horizon are forgotten. */
+/** After how many records tombstones beyond the horizon are dropped. */
 const FORGET_STEP = 5_000;
 
 /** One folded record with its verdict. */
@@ -45,11 +46,6 @@
   outcome: Outcome;
 }
 
-interface RememberedId {
-  recordId: string;
-  sequence: number;
-}
-
 /** The plain form of the whole state. */
 interface StateSnapshot {
   form: number;
@@ -75,9 +71,10 @@
   /** How many records were folded; the last one has this number. */
   sequence = 0;
   rulesVersion = 1;
+  private nextRulesVersion = 1;
   /** The sequence number that the newest noted checkpoint covers. */
   checkpointSequence = 0;
-  private rememberedIds = new Map<string, number>();
+  private rememberedIds = new RememberedIds(BASIS_HORIZON);
 
   /** Whether this release knows the rules that are in force. */
   get isSupported(): boolean {
@@ -86,10 +83,11 @@
 
   /**
    * Folds one append. Appends must come in order without a gap; an append
-   * that was folded before is passed over.
+   * that was folded before is passed over, and so is everything once rules
+   * are in force that this release does not know.
    */
   foldAppend(offset: LogOffset, data: Uint8Array): FoldedRecord[] {
-    if (offset < this.nextOffset) return [];
+    if (offset < this.nextOffset || !this.isSupported) return [];
     if (offset > this.nextOffset) {
       throw new RangeError(
         `Append ${offset} is not next; expected ${this.nextOffset}.`,
@@ -97,11 +95,13 @@
     }
     const folded = decodeBatch(data).map(entry => this.foldOne(offset, entry));
     this.nextOffset = offset + 1;
+    this.rulesVersion = this.nextRulesVersion;
     return folded;
   }
 
   private foldOne(offset: LogOffset, entry: DecodedRecord): FoldedRecord {
     this.sequence += 1;
+    this.forgetOld();
     const record = 'record' in entry ? entry.record : null;
     const recordId = 'record' in entry ? entry.record.recordId : entry.recordId;
     const outcome =
@@ -112,17 +112,13 @@
   }
 
   private judge(record: AgreedRecord): Outcome {
-    this.forgetOld();
-    if (!this.isSupported) {
-      return makeVoid('unsupported-rules', 'Upgrade this node.');
-    }
     if (this.rememberedIds.has(record.recordId)) {
       return makeVoid('duplicate', 'The record was folded before.');
     }
     if (record.basisSequence < this.sequence - BASIS_HORIZON) {
       return makeVoid('stale-basis', 'The record was written too long ago.');
     }
-    this.rememberedIds.set(record.recordId, this.sequence);
+    this.rememberedIds.add(record.recordId, this.sequence);
     return this.apply(record);
   }
 
@@ -180,28 +176,22 @@
 
   /**
    * Guards against two releases that would fold the same record differently:
-   * new rules hold only from this record on, and a node that does not know
-   * them stops folding instead of going its own way.
+   * new rules hold only from the next append on, and a node that does not know
+   * them stops folding there instead of going its own way.
    */
   private activateRules(version: number): Outcome {
-    if (version <= this.rulesVersion) {
+    if (version <= this.nextRulesVersion) {
       return makeVoid('version-conflict', 'These rules are in force already.');
     }
-    this.rulesVersion = version;
+    this.nextRulesVersion = version;
     return VALID;
   }
 
-  /**
-   * Runs at the same records on every node, so that equal offsets mean equal
-   * states; in steps, since dropping a few old entries at a time is slow.
-   */
+  /** Tombstones go in steps, since dropping a few at a time is slow. */
   private forgetOld(): void {
+    this.rememberedIds.advanceTo(this.sequence);
     if (this.sequence % FORGET_STEP !== 0) return;
-    const horizon = this.sequence - BASIS_HORIZON;
-    this.rememberedIds = new Map(
-      [...this.rememberedIds].filter(([, sequence]) => sequence >= horizon),
-    );
-    this.configuration.forgetTombstonesBefore(horizon);
+    this.configuration.forgetTombstonesBefore(this.sequence - BASIS_HORIZON);
   }
 
   /** The whole state as bytes; equal states give equal bytes. */
@@ -212,10 +202,7 @@
       nextOffset: this.nextOffset,
       sequence: this.sequence,
       checkpointSequence: this.checkpointSequence,
-      rememberedIds: [...this.rememberedIds].map(([recordId, sequence]) => ({
-        recordId,
-        sequence,
-      })),
+      rememberedIds: this.rememberedIds.list(),
       configuration: this.configuration.toSnapshot(),
       stewardship: this.stewardship.toSnapshot(),
       placement: this.placement.toSnapshot(),
@@ -231,14 +218,13 @@
     }
     const state = new AgreedState();
     state.rulesVersion = snapshot.rulesVersion;
+    state.nextRulesVersion = snapshot.rulesVersion;
     state.nextOffset = snapshot.nextOffset;
     state.sequence = snapshot.sequence;
     state.checkpointSequence = snapshot.checkpointSequence;
-    state.rememberedIds = new Map(
-      snapshot.rememberedIds.map(({recordId, sequence}) => [
-        recordId,
-        sequence,
-      ]),
+    state.rememberedIds = RememberedIds.restore(
+      BASIS_HORIZON,
+      snapshot.rememberedIds,
     );
     state.configuration = Configuration.restore(snapshot.configuration);
     state.stewardship = Stewardship.restore(snapshot.stewardship);
--- a/packages/agreed-state/src/configuration.test.ts
+++ b/packages/agreed-state/src/configuration.test.ts
@@ -1,3 +1,4 @@
+import {encodeBatch} from '@mimosatack/records';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {BASIS_HORIZON} from './agreed_state.js';
@@ -157,4 +158,15 @@
   assert.is(event.needs[0]?.version, 'v2');
 });
 
+// New rules are activated while a node of an older release still runs. It must
+// stop there instead of folding on by the old rules and going its own way.
+configuration('stops folding when unknown rules are in force', () => {
+  const bench = new FoldBench();
+  bench.fold({type: 'activate-rules', rulesVersion: 99});
+  assert.is(bench.state.isSupported, false);
+  const data = encodeBatch([bench.makeRecord(makePut('team', 'pantry', {}))]);
+  assert.equal(bench.state.foldAppend(bench.state.nextOffset, data), []);
+  assert.is(bench.state.nextOffset, 1);
+});
+
 configuration.run();
--- a/packages/agreed-state/src/outcome.ts
+++ b/packages/agreed-state/src/outcome.ts
@@ -13,8 +13,7 @@
   | 'too-many-replicas'
   | 'stale-plan'
   | 'stale-epoch'
-  | 'in-doubt'
-  | 'unsupported-rules';
+  | 'in-doubt';
 
 /** The verdict of the rules on one record. */
 export type Outcome =
--- a/packages/follow-log/src/log_follower.ts
+++ b/packages/follow-log/src/log_follower.ts
@@ -3,7 +3,11 @@
  * A node that can't read the log follows through its peers, and one that fell
  * behind what the log keeps starts again from a checkpoint.
  */
-import {AgreedState, type FoldedRecord} from '@mimosatack/agreed-state';
+import {
+  AgreedState,
+  type FoldedRecord,
+  SUPPORTED_RULES_VERSION,
+} from '@mimosatack/agreed-state';
 import {type Clock, sleep} from '@mimosatack/clock';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {type EventLogger} from '@mimosatack/logger';
@@ -85,7 +89,7 @@
   get status(): FollowerStatus {
     const nowMs = this.options.clock.monotonicMs();
     return {
-      hasState: this.hasState,
+      hasState: this.hasState && this.state.isSupported,
       nextOffset: this.state.nextOffset,
       sequence: this.state.sequence,
       isLogReachable: this.isLogReachable,
@@ -151,13 +155,23 @@
   }
 
   private foldAppend(record: LogRecord): void {
+    const wasSupported = this.state.isSupported;
     const folded = this.state.foldAppend(record.offset, record.data);
+    if (wasSupported && !this.state.isSupported) this.logUnsupported();
+    if (!wasSupported) return;
     this.kept.add(record);
     this.tellListeners(folded);
     folded.forEach(one => this.queue.settle(one));
     this.logVoid(folded);
   }
 
+  private logUnsupported(): void {
+    this.options.logger.log('rules-unsupported', {
+      rulesVersion: this.state.rulesVersion,
+      supportedVersion: SUPPORTED_RULES_VERSION,
+    });
+  }
+
   private logVoid(folded: readonly FoldedRecord[]): void {
     folded.forEach(({offset, recordId, outcome}) => {
       if (outcome.status === 'valid' || outcome.reason !== 'unreadable') return;
@@ -170,7 +184,7 @@
   }
 
   private async readLoop(): Promise<void> {
-    while (!this.stopping.signal.aborted) {
+    while (!this.stopping.signal.aborted && this.state.isSupported) {
       try {
         await this.readOnce();
       } catch (thrown) {
--- a/packages/logger/src/events/log_events.ts
+++ b/packages/logger/src/events/log_events.ts
@@ -64,6 +64,16 @@
     },
     remedy: 'Keep records longer, or lower --checkpoint-every-records.',
   },
+  'rules-unsupported': {
+    number: 2006,
+    level: 'error',
+    message: 'Rules are in force that this release does not know; it stops.',
+    fields: {
+      rulesVersion: 'the rules in force',
+      supportedVersion: 'the newest rules that this release knows',
+    },
+    remedy: 'Upgrade the node; it serves nothing until then.',
+  },
   'checkpoint-written': {
     number: 2100,
     level: 'info',
