--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -23,7 +23,7 @@
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type LogOffset} from '@mimosatack/types';
 import {type PeerMessage, peerMessageSchema} from './peer_messages.js';
-import {PeerProgress} from './peer_progress.js';
+import {PeerProgress, type Progress} from './peer_progress.js';
 
 /** What the task needs of the node. */
 export interface PeerTaskOptions {
@@ -46,6 +46,8 @@
 const MAX_CONNECTIONS = 64;
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 3_000;
+/** A frozen node must not hold up what is asked of the others. */
+const ASK_TIMEOUT_MS = 1_000;
 
 /** The task that owns the connections to the other nodes. */
 export class PeerTask implements AppendSource, StateSource {
@@ -123,6 +125,24 @@
     return this.progress.find(peerAddress)?.nextOffset ?? null;
   }
 
+  /** Asks a node how far it has folded; null when it does not answer. */
+  async askNextOffset(nodeName: string): Promise<LogOffset | null> {
+    const peer = this.listPeers().find(other => other.nodeName === nodeName);
+    if (!peer) return null;
+    try {
+      const reply = await this.transport.request(
+        peer.peerAddress,
+        {type: 'read-progress', ...this.ownProgress()},
+        ASK_TIMEOUT_MS,
+      );
+      if (reply.type !== 'progress') return null;
+      this.noteProgress(peer.peerAddress, reply);
+      return reply.nextOffset;
+    } catch {
+      return null;
+    }
+  }
+
   leave(): void {
     this.sendAll(
       this.membership?.leave(this.options.clock.monotonicMs()) ?? [],
@@ -195,26 +215,34 @@
   }
 
   private sendAll(messages: readonly OutgoingMessage[]): void {
-    const {nextOffset, isLogReachable} = this.options.follower.status;
-    this.progress.note(this.ownAddress, {nextOffset, isLogReachable});
+    const progress = this.ownProgress();
+    this.progress.note(this.ownAddress, progress);
     messages.forEach(({toAddress, message}) =>
       this.transport.send(toAddress, {
         type: 'membership',
         message,
-        nextOffset,
-        isLogReachable,
+        ...progress,
       }),
     );
   }
 
+  private ownProgress(): Progress {
+    const {nextOffset, isLogReachable} = this.options.follower.status;
+    return {nextOffset, isLogReachable};
+  }
+
+  private noteProgress(address: string, progress: Progress): void {
+    this.progress.note(address, progress);
+    this.options.follower.notePeerOffset(progress.nextOffset);
+  }
+
   private receive(
     fromAddress: string,
     message: PeerMessage,
   ): PeerMessage | void {
     switch (message.type) {
       case 'membership':
-        this.progress.note(fromAddress, message);
-        this.options.follower.notePeerOffset(message.nextOffset);
+        this.noteProgress(fromAddress, message);
         this.sendAll(
           this.membership?.receive(
             fromAddress,
@@ -228,6 +256,9 @@
           type: 'appends',
           records: this.options.follower.listAppends(message.from),
         };
+      case 'read-progress':
+        this.noteProgress(fromAddress, message);
+        return {type: 'progress', ...this.ownProgress()};
       case 'pull-state':
         return {type: 'state', data: this.options.follower.state.toBytes()};
       case 'report':
@@ -237,6 +268,7 @@
         this.options.onDemand(message.model);
         return;
       case 'appends':
+      case 'progress':
       case 'state':
         return;
     }
