Share the reading of the host list and stop fights over engines

Every node read the whole list twice a second: about 300 KB/s each at the size of two years from now. The nodes now take turns, write what is new into the log and tell the others at once of hosts that leave. A node with a wrong cluster secret took all others for dead and claimed their engines in turn; it now waits for holders it never heard of and reclaims ever more rarely.

--- a/packages/agreed-state/src/agreed_state.ts
+++ b/packages/agreed-state/src/agreed_state.ts
@@ -134,6 +134,8 @@
       case 'remove-backend-server':
         this.placement.removeBackendServer(body.backendServerId);
         return this.stewardship.remove(body);
+      case 'note-host-state':
+        return this.stewardship.noteHostState(body);
       case 'drain-backend-server':
         return this.stewardship.drain(body);
       case 'decide-slots':
--- a/packages/agreed-state/src/stewardship/stewardship.ts
+++ b/packages/agreed-state/src/stewardship/stewardship.ts
@@ -50,6 +50,8 @@
   doubts: Doubt[];
   /** An operator wants it to receive no new work. */
   isDraining: boolean;
+  /** Whether the platform's list says that its host leaves. */
+  isLeaving: boolean;
 }
 
 /** The plain form of the aggregate, for checkpoints. */
@@ -107,6 +109,7 @@
         claim: null,
         doubts: [],
         isDraining: false,
+        isLeaving: false,
       });
       return VALID;
     }
@@ -131,19 +134,38 @@
     return this.entries.get(id)?.isDraining ?? false;
   }
 
+  /** Whether its host leaves. */
+  isLeaving(id: BackendServerId): boolean {
+    return this.entries.get(id)?.isLeaving ?? false;
+  }
+
   drain(body: BodyOf<'drain-backend-server'>): Outcome {
-    const entry = this.entries.get(body.backendServerId);
+    return this.change(body.backendServerId, entry => {
+      const isNews = entry.isDraining !== body.isDraining;
+      entry.isDraining = body.isDraining;
+      return isNews;
+    });
+  }
+
+  noteHostState(body: BodyOf<'note-host-state'>): Outcome {
+    return this.change(body.backendServerId, entry => {
+      const isNews = entry.isLeaving !== body.isLeaving;
+      entry.isLeaving = body.isLeaving;
+      return isNews;
+    });
+  }
+
+  private change(
+    id: BackendServerId,
+    apply: (entry: ServerEntry) => boolean,
+  ): Outcome {
+    const entry = this.entries.get(id);
     if (!entry) {
-      return makeVoid(
-        'unknown-reference',
-        `There is no backend server ${body.backendServerId}.`,
-      );
-    }
-    if (entry.isDraining === body.isDraining) {
-      return makeVoid('version-conflict', 'It is in that state already.');
+      return makeVoid('unknown-reference', `There is no backend server ${id}.`);
     }
-    entry.isDraining = body.isDraining;
-    return VALID;
+    return apply(entry)
+      ? VALID
+      : makeVoid('version-conflict', 'It is in that state already.');
   }
 
   /** @param slotIds the slots that the former holder may have on the way. */
--- a/packages/node/src/host_list_task.ts
+++ b/packages/node/src/host_list_task.ts
@@ -1,20 +1,25 @@
 /** Brings the platform's lagging host list into the agreed state. */
 import {type BackendServer} from '@mimosatack/agreed-state';
+import {type Clock} from '@mimosatack/clock';
 import {type LogFollower} from '@mimosatack/follow-log';
 import {type EngineControl, type HostList} from '@mimosatack/platform';
 import {type RecordBody} from '@mimosatack/records';
 import {Task, type TaskErrorHandler} from '@mimosatack/tasks';
 import {type BackendServerId, type HostEntry} from '@mimosatack/types';
+import {type HostChanges, findHostChanges, isCutShort} from './host_changes.js';
 
 /** What the task is told. */
 export type HostListMessage = {type: 'tick'};
 
 /** What the task needs of the node. */
 export interface HostListTaskOptions {
+  clock: Clock;
   hostList: HostList;
   follower: LogFollower;
-  /** Whether this node writes the records about a host. */
-  isResponsible(hostId: string): boolean;
+  /** How often some node should read the list. */
+  intervalMs: number;
+  /** How many nodes share the reading. */
+  countNodes: () => number;
   connect(backendServerId: BackendServerId, baseUrl: string): EngineControl;
   onHosts(hosts: readonly HostEntry[]): void;
   submitTimeoutMs: number;
@@ -22,12 +27,25 @@
 
 /** Lists in a row that must lack a host before it counts as gone. */
 const MISSING_LISTS = 3;
-/** The same when the list lacks more than half of all hosts at once. */
-const MISSING_LISTS_MANY = 240;
+/** The same for a list that was probably cut short. */
+const MISSING_LISTS_CUT_SHORT = 120;
+/**
+ * How long a host must have been leaving before a list that calls it live is
+ * believed: another node may have read a newer list.
+ */
+const WITHDRAW_MS = 60_000;
+/** How soon a list that lacks a host is read again. */
+const RECHECK_MS = 1_000;
 
-/** The task that reads the host list. */
+/**
+ * The task that reads the host list. The nodes share the reading: each reads
+ * it the more rarely the more of them there are, so that the cost of one node
+ * stays the same, and passes on what is new.
+ */
 export class HostListTask extends Task<HostListMessage> {
   private readonly missing = new Map<BackendServerId, number>();
+  private readonly leavingSinceMs = new Map<BackendServerId, number>();
+  private nextReadMs = 0;
 
   constructor(
     private readonly options: HostListTaskOptions,
@@ -37,32 +55,38 @@
   }
 
   protected async handle(_message: HostListMessage): Promise<void> {
+    const nowMs = this.options.clock.monotonicMs();
+    if (nowMs < this.nextReadMs) return;
+    const {intervalMs, countNodes} = this.options;
+    this.nextReadMs = nowMs + intervalMs * Math.max(1, countNodes());
+    await this.readList();
+    const isDoubtful = this.missing.size > 0;
+    if (isDoubtful) this.nextReadMs = nowMs + RECHECK_MS;
+  }
+
+  private async readList(): Promise<void> {
     const hosts = await this.options.hostList.listHosts();
     this.options.onHosts(hosts);
+    const {follower} = this.options;
+    const {hasState, isLogReachable} = follower.status;
+    if (!hasState || !isLogReachable) return;
+    const changes = findHostChanges(hosts, follower.state.stewardship);
     await Promise.all([
-      ...hosts
-        .filter(host => host.role !== 'entry')
-        .filter(host => this.options.isResponsible(host.hostId))
-        .map(host => this.register(host)),
-      ...this.listGone(hosts).map(id =>
+      ...changes.changed.map(host => this.register(host)),
+      ...changes.moved
+        .filter(moved => moved.isLeaving || this.mayWithdraw(moved))
+        .map(moved => this.submit({type: 'note-host-state', ...moved})),
+      ...this.listGone(changes).map(id =>
         this.submit({type: 'remove-backend-server', backendServerId: id}),
       ),
     ]);
   }
 
   private async register(host: HostEntry): Promise<void> {
-    const known = this.findServer(host);
-    if (known && isSameHost(known, host)) return;
     const server = await this.describe(host);
     if (server) await this.submit({type: 'register-backend-server', ...server});
   }
 
-  private findServer(host: HostEntry): BackendServer | undefined {
-    return this.options.follower.state.stewardship.findBackendServer(
-      host.hostId,
-    );
-  }
-
   /** Null when an engine does not answer yet. */
   private async describe(host: HostEntry): Promise<BackendServer | null> {
     const base = {
@@ -80,45 +104,32 @@
       .connect(host.hostId, host.baseUrl)
       .readState()
       .catch(() => null);
-    return engine
-      ? {
-          ...base,
-          fencing: engine.fencing,
-          accelerators: engine.accelerators,
-          memoryMib: engine.memoryMib,
-        }
-      : null;
+    if (!engine) return null;
+    const {fencing, accelerators, memoryMib} = engine;
+    return {...base, fencing, accelerators, memoryMib};
+  }
+
+  private mayWithdraw({backendServerId}: {backendServerId: string}): boolean {
+    const nowMs = this.options.clock.monotonicMs();
+    const sinceMs = this.leavingSinceMs.get(backendServerId) ?? nowMs;
+    this.leavingSinceMs.set(backendServerId, sinceMs);
+    const isOld = nowMs - sinceMs >= WITHDRAW_MS;
+    if (isOld) this.leavingSinceMs.delete(backendServerId);
+    return isOld;
   }
 
-  private listGone(hosts: readonly HostEntry[]): BackendServerId[] {
-    const listed = new Set(hosts.map(host => host.hostId));
+  private listGone(changes: HostChanges): BackendServerId[] {
     const {stewardship} = this.options.follower.state;
-    const absent = stewardship
-      .listBackendServers()
-      .map(server => server.backendServerId)
-      .filter(id => !listed.has(id));
-    const counts = absent.map(id => ({
+    const enough = isCutShort(changes, stewardship)
+      ? MISSING_LISTS_CUT_SHORT
+      : MISSING_LISTS;
+    const counts = changes.missing.map(id => ({
       id,
       count: (this.missing.get(id) ?? 0) + 1,
     }));
     this.missing.clear();
     counts.forEach(({id, count}) => this.missing.set(id, count));
-    const enough = this.isTooMany(counts.length)
-      ? MISSING_LISTS_MANY
-      : MISSING_LISTS;
-    return counts
-      .filter(({count}) => count >= enough)
-      .map(({id}) => id)
-      .filter(id => this.options.isResponsible(id));
-  }
-
-  /**
-   * Guards against a host list that comes back empty or cut short: taking it
-   * at its word would drop every decided replica in a moment.
-   */
-  private isTooMany(missing: number): boolean {
-    const known = this.options.follower.state.stewardship.listBackendServers();
-    return missing * 2 > known.length && missing > 1;
+    return counts.filter(({count}) => count >= enough).map(({id}) => id);
   }
 
   private async submit(body: RecordBody): Promise<void> {
@@ -127,12 +138,3 @@
     });
   }
 }
-
-function isSameHost(server: BackendServer, host: HostEntry): boolean {
-  return (
-    server.baseUrl === host.baseUrl &&
-    server.pool === host.pool &&
-    server.failureDomain === host.failureDomain &&
-    server.region === host.region
-  );
-}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -6,6 +6,7 @@
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {LogFollower} from '@mimosatack/follow-log';
 import {type EventLogger} from '@mimosatack/logger';
+import {type Member} from '@mimosatack/membership';
 import {
   FixedLeadPolicy,
   LoadOnFirstRequestPolicy,
@@ -28,6 +29,7 @@
 import {type FastifyInstance} from 'fastify';
 import {CheckpointTask} from './checkpoint_task.js';
 import {HostListTask} from './host_list_task.js';
+import {LeavingServers} from './leaving_servers.js';
 import {NodeRanking} from './node_ranking.js';
 import {Obituary} from './obituary.js';
 import {Operations} from './operations.js';
@@ -79,7 +81,8 @@
   private readonly mint: TicketMint;
   private readonly obituary: Obituary;
   private readonly ranking: NodeRanking;
-  private leavingServers = new Set<string>();
+  private readonly leaving: LeavingServers;
+  private leavingNodes: ReadonlySet<string> = new Set();
   private drainingServers: ReadonlySet<string> = new Set();
   private isStopping = false;
 
@@ -88,6 +91,7 @@
     this.incarnation = `${settings.nodeName}.${randomUUID().slice(0, 8)}`;
     this.mint = new TicketMint(settings.clusterSecret);
     this.obituary = new Obituary(clock, ORDER_DOUBT_MS);
+    this.leaving = new LeavingServers(clock);
     this.log = new HttpLogService({
       baseUrl: settings.logUrl,
       nodeId: settings.nodeName,
@@ -241,6 +245,10 @@
       clusterSecret: settings.clusterSecret,
       seeds: settings.peerSeeds.map(seed => `${seed.host}:${seed.port}`),
       onDemand: model => this.planner.post({type: 'demand', model}),
+      onServersLeaving: ids => {
+        this.leaving.noteHints(ids);
+        this.updateDraining();
+      },
       onFault: error => this.noteFault(error, 'peers'),
     });
   }
@@ -277,6 +285,7 @@
           this.ranking
             .listFirst(`steward ${id}`)
             .map(member => member.incarnation),
+        isKnown: incarnation => this.findMember(incarnation) !== undefined,
         isGone: incarnation => this.isGone(incarnation),
         findDeathEvidence: incarnation => this.obituary.find(incarnation),
         publishReport: report => {
@@ -292,16 +301,18 @@
   }
 
   private makeHosts(): HostListTask {
-    const {settings} = this.options;
+    const {clock, settings} = this.options;
     return new HostListTask(
       {
+        clock,
         hostList: new HttpHostList({
           baseUrl: settings.hostListUrl,
           nodeId: settings.nodeName,
           timeoutMs: PLATFORM_TIMEOUT_MS,
         }),
         follower: this.follower,
-        isResponsible: hostId => this.ranking.isFirst(`host ${hostId}`),
+        intervalMs: settings.pollIntervalMs,
+        countNodes: () => this.peers.listUsable().length,
         connect: (id, baseUrl) => this.connectEngine(id, baseUrl),
         onHosts: hosts => this.noteHosts(hosts),
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -352,31 +363,39 @@
 
   /** A process that membership never heard of, or believes to be dead. */
   private isGone(incarnation: string): boolean {
-    const member = this.peers
+    const member = this.findMember(incarnation);
+    return member === undefined || member.status === 'gone';
+  }
+
+  private findMember(incarnation: string): Member | undefined {
+    return this.peers
       .listMembers()
       .find(other => other.incarnation === incarnation);
-    return member === undefined || member.status === 'gone';
   }
 
+  /** Passes on what a fresh host list says; other nodes may not read it. */
   private noteHosts(hosts: readonly HostEntry[]): void {
     this.obituary.noteHosts(hosts);
-    this.leavingServers = new Set(
-      hosts
-        .filter(host => host.state === 'leaving' && host.role !== 'entry')
-        .map(host => host.hostId),
+    const leaving = hosts.filter(host => host.state === 'leaving');
+    const servers = leaving.filter(host => host.role !== 'entry');
+    const nodes = leaving.filter(host => host.role === 'entry');
+    const freshServers = this.leaving.noteHints(
+      servers.map(host => host.hostId),
     );
+    const nodeNames = nodes.map(host => host.hostId);
+    const freshNodes = nodeNames.filter(id => !this.leavingNodes.has(id));
+    this.leavingNodes = new Set(nodeNames);
+    if (freshServers.length + freshNodes.length > 0) {
+      this.peers.broadcastLeaving(freshServers, freshNodes);
+    }
     this.updateDraining();
   }
 
   /** Keeps new work away from hosts that leave and servers being drained. */
   private updateDraining(): void {
-    const {stewardship} = this.follower.state;
-    const drained = stewardship
-      .listBackendServers()
-      .map(server => server.backendServerId)
-      .filter(id => stewardship.isDraining(id));
-    this.drainingServers = new Set([...this.leavingServers, ...drained]);
-    this.router.setDraining([...this.drainingServers]);
+    const draining = this.leaving.list(this.follower.state.stewardship);
+    this.drainingServers = new Set(draining);
+    this.router.setDraining(draining);
   }
 
   private passDemand(model: string): void {
@@ -410,7 +429,8 @@
 }
 
 function isAboutDraining({record}: FoldedRecord): boolean {
-  return record?.body.type === 'drain-backend-server';
+  const type = record?.body.type;
+  return type === 'drain-backend-server' || type === 'note-host-state';
 }
 
 function toEntry(member: {
--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -76,6 +76,11 @@
   z.object({type: z.literal('state'), data: bytes.nullable()}),
   z.object({type: z.literal('report'), report: backendReportSchema}),
   z.object({type: z.literal('demand'), model: name}),
+  z.object({
+    type: z.literal('hosts-leaving'),
+    backendServerIds: z.array(name).max(1024),
+    nodeNames: z.array(name).max(1024),
+  }),
 ]);
 
 /** One message between nodes. */
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -39,6 +39,8 @@
   clusterSecret: string;
   seeds: readonly string[];
   onDemand(model: string): void;
+  /** Told by another node that hosts of backend servers leave. */
+  onServersLeaving(backendServerIds: readonly string[]): void;
   onFault(error: TypedError): void;
 }
 
@@ -156,6 +158,21 @@
     );
   }
 
+  /** Tells every other node of hosts that leave. */
+  broadcastLeaving(
+    backendServerIds: readonly string[],
+    nodeNames: readonly string[],
+  ): void {
+    this.noteNodesLeaving(nodeNames);
+    this.listPeers().forEach(peer =>
+      this.transport.send(peer.peerAddress, {
+        type: 'hosts-leaving',
+        backendServerIds: [...backendServerIds],
+        nodeNames: [...nodeNames],
+      }),
+    );
+  }
+
   sendDemand(nodeName: string, model: string): void {
     const peer = this.listPeers().find(other => other.nodeName === nodeName);
     if (peer) this.transport.send(peer.peerAddress, {type: 'demand', model});
@@ -204,6 +221,15 @@
     return this.progress.find(member.peerAddress)?.nextOffset ?? -1;
   }
 
+  /** This node itself tells all others, which makes it more than a hint. */
+  private noteNodesLeaving(nodeNames: readonly string[]): void {
+    const nowMs = this.options.clock.monotonicMs();
+    nodeNames.forEach(nodeName =>
+      this.membership?.noteHint({nodeName, state: 'leaving'}, nowMs),
+    );
+    if (nodeNames.includes(this.options.nodeName)) this.leave();
+  }
+
   private mayDecide(member: Member): boolean {
     return this.progress.find(member.peerAddress)?.isLogReachable ?? true;
   }
@@ -264,6 +290,10 @@
       case 'report':
         this.options.board.note(message.report);
         return;
+      case 'hosts-leaving':
+        this.noteNodesLeaving(message.nodeNames);
+        this.options.onServersLeaving(message.backendServerIds);
+        return;
       case 'demand':
         this.options.onDemand(message.model);
         return;
--- a/packages/node/src/steward_task.test.ts
+++ b/packages/node/src/steward_task.test.ts
@@ -212,4 +212,27 @@
   }),
 );
 
+// A node with a wrong cluster secret shares the log but hears of nobody. It and
+// the real holder would take each other for dead and claim the same engine in
+// turn, as fast as they can write. Each must become ever more patient instead.
+stewards('do not fight over an engine when they do not know each other', () =>
+  withBench('refuses-old', async bench => {
+    const nodes = [bench.first, bench.second];
+    nodes.forEach(node => {
+      node.isEveryoneKnown = false;
+      node.ranking = [node.incarnation];
+      nodes.forEach(other => node.gone.add(other.incarnation));
+    });
+    const findEpoch = () =>
+      bench.first.follower.state.stewardship.findClaim('r1')?.epoch;
+    await bench.first.tickUntil(() => findEpoch() !== undefined);
+    const before = bench.first.follower.state.sequence;
+    await waitUntil(() => bench.second.follower.state.sequence === before);
+    for (let round = 0; round < 50; round += 1) {
+      await Promise.all(nodes.map(node => node.tick(1)));
+    }
+    assert.is(bench.first.follower.state.sequence, before);
+  }),
+);
+
 stewards.run();
--- a/packages/node/src/steward_task.ts
+++ b/packages/node/src/steward_task.ts
@@ -6,6 +6,7 @@
   type AgreedState,
   type BackendServer,
   type Doubt,
+  type StewardClaim,
 } from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
 import {type BackendReport} from '@mimosatack/engine-board';
@@ -39,7 +40,9 @@
   findOwnRank(backendServerId: BackendServerId): number;
   /** The first few nodes in rank. */
   listSuccessors(backendServerId: BackendServerId): NodeIncarnation[];
-  /** Whether membership believes that a process is dead. */
+  /** Whether membership has ever heard of a process. */
+  isKnown(incarnation: NodeIncarnation): boolean;
+  /** Whether membership believes that a process is dead, or knows of none. */
   isGone(incarnation: NodeIncarnation): boolean;
   /** Proof, for long enough, that a process is dead; null without one. */
   findDeathEvidence(incarnation: NodeIncarnation): DeathEvidence | null;
@@ -54,6 +57,11 @@
 
 const MAX_SUCCESSORS = 3;
 const RANK_DELAY_MS = 2_000;
+/** How long a holder that membership never heard of is waited for. */
+const UNHEARD_MS = 5_000;
+/** Waits before a claim that was taken away is made again; they double. */
+const MIN_RECLAIM_MS = 5_000;
+const MAX_RECLAIM_MS = 300_000;
 /** How many nodes, the first in rank, may clear a doubt by proof of death. */
 const PROVING_NODES = 3;
 
@@ -64,6 +72,8 @@
   private readonly retired = new Map<number, EngineSteward>();
   private readonly freeSinceMs = new Map<BackendServerId, number>();
   private readonly submitting = new Set<string>();
+  /** How often a claim of this node was taken away while it was alive. */
+  private readonly takenAway = new Map<BackendServerId, number>();
 
   constructor(
     private readonly options: StewardTaskOptions,
@@ -104,7 +114,9 @@
       claim,
       fencing: server.fencing,
       rank: this.options.findOwnRank(id),
-      freeForMs: this.measureFreeMs(id, isFree(claim, this.options)),
+      freeForMs:
+        this.measureFreeMs(id, isFree(claim, this.options)) -
+        this.findPatienceMs(id, claim),
       rankDelayMs: RANK_DELAY_MS,
       isLogReachable: this.options.follower.status.isLogReachable,
       isGone: incarnation => this.options.isGone(incarnation),
@@ -118,6 +130,7 @@
         this.retire(id);
         return void this.claim(id, claim?.epoch ?? 0);
       case 'wait':
+        if (this.stewards.has(id)) this.noteTakenAway(id);
         return this.retire(id);
     }
   }
@@ -129,6 +142,26 @@
     return nowMs - (this.freeSinceMs.get(id) ?? nowMs);
   }
 
+  /**
+   * Guards against nodes that do not know of each other, such as one with a
+   * wrong cluster secret: each would take the other for dead and claim what
+   * it holds, again and again. A holder that was never heard of is waited for,
+   * and a claim that was taken away is made again ever more rarely.
+   */
+  private findPatienceMs(
+    id: BackendServerId,
+    claim: StewardClaim | undefined,
+  ): number {
+    if (!claim || claim.isYielded) return 0;
+    const times = this.takenAway.get(id) ?? 0;
+    const reclaimMs =
+      times === 0
+        ? 0
+        : Math.min(MAX_RECLAIM_MS, MIN_RECLAIM_MS * 2 ** (times - 1));
+    const unheardMs = this.options.isKnown(claim.holder) ? 0 : UNHEARD_MS;
+    return Math.max(reclaimMs, unheardMs);
+  }
+
   private step(server: BackendServer, epoch: number, rank: number): void {
     const id = server.backendServerId;
     const known = this.stewards.get(id);
@@ -149,6 +182,10 @@
     void steward.step();
   }
 
+  private noteTakenAway(id: BackendServerId): void {
+    this.takenAway.set(id, (this.takenAway.get(id) ?? 0) + 1);
+  }
+
   private retire(id: BackendServerId): void {
     const steward = this.stewards.get(id);
     if (!steward) return;
--- a/packages/node/src/test_fixtures.ts
+++ b/packages/node/src/test_fixtures.ts
@@ -39,6 +39,7 @@
   /** Processes that this node believes to be dead. */
   readonly gone = new Set<string>();
   evidence: DeathEvidence | null = null;
+  isEveryoneKnown = true;
   ranking: string[];
   private readonly log: HttpLogService;
 
@@ -116,6 +117,7 @@
           }),
         findOwnRank: () => this.ranking.indexOf(this.incarnation),
         listSuccessors: () => this.ranking,
+        isKnown: () => this.isEveryoneKnown,
         isGone: incarnation => this.gone.has(incarnation),
         findDeathEvidence: () => this.evidence,
         publishReport: () => undefined,
--- a/packages/records/src/record_schema.ts
+++ b/packages/records/src/record_schema.ts
@@ -59,6 +59,13 @@
   backendServerId: name,
 });
 
+const noteHostState = z.object({
+  type: z.literal('note-host-state'),
+  backendServerId: name,
+  /** Whether the platform's list says that its host leaves. */
+  isLeaving: z.boolean(),
+});
+
 const drainBackendServer = z.object({
   type: z.literal('drain-backend-server'),
   backendServerId: name,
@@ -163,6 +170,7 @@
   deleteDocument,
   registerBackendServer,
   removeBackendServer,
+  noteHostState,
   drainBackendServer,
   decideSlots,
   endSlots,
