--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -38,6 +38,11 @@
   'shutting-down': fact(503, true, 'Ask /v1/entries for another address.'),
   'log-unavailable': fact(503, true, 'Try again once the log service is back.'),
   'platform-unavailable': fact(503, true, 'Try again later.'),
+  'node-unreachable': fact(
+    502,
+    true,
+    'Check the address and whether the node runs; name other nodes too.',
+  ),
   'backend-unreachable': fact(502, true, 'Try again later.'),
   'backend-failed': fact(502, true, 'Try again later.'),
   'outcome-unknown': fact(
@@ -54,6 +59,7 @@
   'out-of-memory': fact(409, false, 'Unload a replica first.'),
   trimmed: fact(410, false, 'Start from a checkpoint.'),
   'record-invalid': fact(400, false, 'Upgrade the node, or skip the record.'),
+  'peer-unreachable': fact(503, true, 'Check that node and the network.'),
   'peer-message-invalid': fact(400, false, 'Run one release on all nodes.'),
   internal: fact(500, true, 'Report it with the log lines around it.'),
 } as const satisfies Record<string, KindFacts>;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,12 +1,12 @@
 /** One node: its tasks, its servers and how they are wired. */
 import {randomUUID} from 'node:crypto';
-import {type Slot} from '@mimosatack/agreed-state';
+import {type FoldedRecord, type Slot} from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
 import {EngineBoard} from '@mimosatack/engine-board';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {LogFollower} from '@mimosatack/follow-log';
 import {type EventLogger} from '@mimosatack/logger';
-import {rankMembers} from '@mimosatack/membership';
+import {type Member} from '@mimosatack/membership';
 import {
   FixedLeadPolicy,
   LoadOnFirstRequestPolicy,
@@ -24,7 +24,6 @@
 import {type RandomSource} from '@mimosatack/random';
 import {Router} from '@mimosatack/route-requests';
 import {buildCallerServer} from '@mimosatack/serve-callers';
-import {buildOperatorServer} from '@mimosatack/serve-operators';
 import {type DaemonSettings} from '@mimosatack/settings';
 import {type LoadOutlook} from '@mimosatack/steward-orders';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
@@ -33,7 +32,10 @@
 import {type FastifyInstance} from 'fastify';
 import {CheckpointTask} from './checkpoint_task.js';
 import {HostListTask} from './host_list_task.js';
+import {LeavingServers} from './leaving_servers.js';
+import {NodeRanking} from './node_ranking.js';
 import {Obituary} from './obituary.js';
+import {Operations} from './operations.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
 import {StewardTask} from './steward_task.js';
@@ -83,17 +85,22 @@
   private readonly loadTimes = new LoadTimeEstimates();
   private readonly router: Router;
   private readonly callerServer: FastifyInstance;
-  private readonly operatorServer: FastifyInstance;
+  private readonly operations: Operations;
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
   private readonly obituary: Obituary;
-  private leavingServers = new Set<string>();
+  private readonly ranking: NodeRanking;
+  private readonly leaving: LeavingServers;
+  private leavingNodes: ReadonlySet<string> = new Set();
+  private drainingServers: ReadonlySet<string> = new Set();
+  private isStopping = false;
 
   constructor(private readonly options: NodeOptions) {
     const {settings, clock, random, logger} = options;
     this.incarnation = `${settings.nodeName}.${randomUUID().slice(0, 8)}`;
     this.mint = new TicketMint(settings.clusterSecret);
     this.obituary = new Obituary(clock, ORDER_DOUBT_MS);
+    this.leaving = new LeavingServers(clock);
     this.log = new HttpLogService({
       baseUrl: settings.logUrl,
       nodeId: settings.nodeName,
@@ -114,10 +121,12 @@
       if (engine) this.loadTimes.observe(engine, reportedAtMs);
     });
     this.peers = this.makePeers();
+    this.ranking = new NodeRanking(this.peers, this.incarnation);
     this.checkpoints = this.makeCheckpoints();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
+    this.operations = this.makeOperations();
     this.callerServer = buildCallerServer({
       clock,
       logger,
@@ -128,48 +137,50 @@
       mint: this.mint,
       keys: new KeyTable(),
       limits: settings,
+      serverFactory: this.operations.callerServerFactory,
       listEntries: () => this.peers.listUsable().map(toEntry),
       noteDemand: model => this.passDemand(model),
     });
-    this.operatorServer = buildOperatorServer({
-      clock,
-      logger,
-      nodeName: settings.nodeName,
-      follower: this.follower,
-      board: this.board,
-      bootstrapTokenHash: settings.bootstrapAdminTokenHash ?? '',
-      submitTimeoutMs: SUBMIT_TIMEOUT_MS,
-      maxBodyBytes: settings.maxBodyBytes,
-      state: () => this.follower.state,
-      listNodes: () =>
-        this.peers.listMembers().map(member => ({
-          ...toEntry(member),
-          status: member.status,
-          callerBaseUrl: member.callerBaseUrl,
-          adminBaseUrl: member.adminBaseUrl,
-          nextOffset: this.peers.findNextOffset(member.peerAddress),
-        })),
+    this.operations.watch(this.callerServer, 'callers');
+    this.follower.onFold(folded => {
+      if (folded.length === 0 || folded.some(isAboutDraining)) {
+        this.updateDraining();
+      }
     });
   }
 
+  /** Requests of callers and operators that are being served. */
+  get requestsInFlight(): number {
+    return this.operations.requestsInFlight;
+  }
+
   /** Opens the ports, joins the other nodes and begins to work. */
   async start(): Promise<NodeAddresses> {
     const {settings} = this.options;
     const {listenHost, advertiseHost} = settings;
+    const {operatorServer} = this.operations;
+    const startedAtMs = this.options.clock.monotonicMs();
+    await this.operations.openTls();
     const peer = await this.peers.listen();
     await this.callerServer.listen({
       host: listenHost,
       port: settings.callerPort,
     });
-    await this.operatorServer.listen({
+    await operatorServer.listen({
       host: listenHost,
       port: settings.adminPort,
     });
     const addresses = {
       peerAddress: `${advertiseHost}:${peer.port}`,
-      callerBaseUrl: `http://${advertiseHost}:${portOf(this.callerServer)}`,
-      adminBaseUrl: `http://${advertiseHost}:${portOf(this.operatorServer)}`,
+      callerBaseUrl: `${this.operations.schemeOf('callers')}://${advertiseHost}:${portOf(this.callerServer)}`,
+      adminBaseUrl: `${this.operations.schemeOf('operators')}://${advertiseHost}:${portOf(operatorServer)}`,
     };
+    this.options.logger.log('node-started', {
+      incarnation: this.incarnation,
+      callerPort: portOf(this.callerServer),
+      adminPort: portOf(operatorServer),
+      peerPort: peer.port,
+    });
     this.peers.join({
       nodeName: settings.nodeName,
       incarnation: this.incarnation,
@@ -183,11 +194,16 @@
       states: [this.peers, this.checkpoints],
       appends: this.peers,
     });
+    this.operations.start();
     this.startTicking();
+    this.options.logger.log('node-ready', {
+      startupMs: this.options.clock.monotonicMs() - startedAtMs,
+    });
     return addresses;
   }
 
   async stop(): Promise<void> {
+    this.isStopping = true;
     this.peers.leave();
     this.periodics.forEach(periodic => periodic.stop());
     await Promise.all([
@@ -197,7 +213,8 @@
       this.checkpoints.stop(),
     ]);
     await this.callerServer.close();
-    await this.operatorServer.close();
+    await this.operations.operatorServer.close();
+    await this.operations.stop();
     await this.follower.stop();
     await this.peers.stop();
     await this.log.close();
@@ -240,6 +257,10 @@
       clusterSecret: settings.clusterSecret,
       seeds: settings.peerSeeds.map(seed => `${seed.host}:${seed.port}`),
       onDemand: model => this.planner.post({type: 'demand', model}),
+      onServersLeaving: ids => {
+        this.leaving.noteHints(ids);
+        this.updateDraining();
+      },
       onFault: error => this.noteFault(error, 'peers'),
     });
   }
@@ -255,7 +276,7 @@
         stream: CHECKPOINT_STREAM,
         everyRecords: settings.checkpointEveryRecords,
         intervalMs: settings.checkpointIntervalMs,
-        findRank: () => this.findRank('checkpoint'),
+        findRank: () => this.ranking.findOwnRank('checkpoint'),
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
       },
       (error, task) => this.noteFault(error, task),
@@ -271,14 +292,17 @@
         follower: this.follower,
         incarnation: this.incarnation,
         connect: (id, baseUrl) => this.connectEngine(id, baseUrl),
-        rankNodes: id =>
-          rankMembers(`steward ${id}`, this.peers.listUsable()).map(
-            member => member.incarnation,
-          ),
+        findOwnRank: id => this.ranking.findOwnRank(`steward ${id}`),
+        listSuccessors: id =>
+          this.ranking
+            .listFirst(`steward ${id}`)
+            .map(member => member.incarnation),
+        isKnown: incarnation => this.findMember(incarnation) !== undefined,
         isGone: incarnation => this.isGone(incarnation),
         findDeathEvidence: incarnation => this.obituary.find(incarnation),
         publishReport: report => {
           this.board.note(report);
+          this.operations.noteReport(report);
           this.peers.broadcastReport(report);
         },
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -295,16 +319,18 @@
   }
 
   private makeHosts(): HostListTask {
-    const {settings} = this.options;
+    const {clock, settings} = this.options;
     return new HostListTask(
       {
+        clock,
         hostList: new HttpHostList({
           baseUrl: settings.hostListUrl,
           nodeId: settings.nodeName,
           timeoutMs: PLATFORM_TIMEOUT_MS,
         }),
         follower: this.follower,
-        isResponsible: hostId => this.isResponsible(`host ${hostId}`),
+        intervalMs: settings.pollIntervalMs,
+        countNodes: () => this.peers.listUsable().length,
         connect: (id, baseUrl) => this.connectEngine(id, baseUrl),
         onHosts: hosts => this.noteHosts(hosts),
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -322,8 +348,8 @@
         logger: this.options.logger,
         policy: makePolicy(this.options.settings),
         loadTimes: this.loadTimes,
-        findRank: key => this.findRank(key),
-        isLeaving: id => this.leavingServers.has(id),
+        findRank: key => this.ranking.findOwnRank(key),
+        isLeaving: id => this.drainingServers.has(id),
         makeSlotId: () => `s-${randomUUID()}`,
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
       },
@@ -331,6 +357,21 @@
     );
   }
 
+  private makeOperations(): Operations {
+    return new Operations({
+      ...this.options,
+      incarnation: this.incarnation,
+      follower: this.follower,
+      board: this.board,
+      log: this.log,
+      peers: this.peers,
+      submitTimeoutMs: SUBMIT_TIMEOUT_MS,
+      isResponsible: key => this.ranking.isFirst(key),
+      isStopping: () => this.isStopping,
+      onFault: (error, task) => this.noteFault(error, task),
+    });
+  }
+
   private connectEngine(backendServerId: string, baseUrl: string) {
     return new HttpEngineControl({
       backendServerId,
@@ -340,43 +381,51 @@
     });
   }
 
-  /** The place of this node among those that may act for a key; 0 is first. */
-  private findRank(key: string): number {
-    return rankMembers(key, this.peers.listUsable()).findIndex(
-      member => member.incarnation === this.incarnation,
-    );
-  }
-
   private outlook(slot: Slot): LoadOutlook {
     const {configuration} = this.follower.state;
     const nowMs = this.options.clock.wallMs();
     return makeLoadOutlook(slot, this.loadTimes, configuration, nowMs);
   }
 
-  private isResponsible(key: string): boolean {
-    return this.findRank(key) === 0;
-  }
-
   /** A process that membership never heard of, or believes to be dead. */
   private isGone(incarnation: string): boolean {
-    const member = this.peers
+    const member = this.findMember(incarnation);
+    return member === undefined || member.status === 'gone';
+  }
+
+  private findMember(incarnation: string): Member | undefined {
+    return this.peers
       .listMembers()
       .find(other => other.incarnation === incarnation);
-    return member === undefined || member.status === 'gone';
   }
 
+  /** Passes on what a fresh host list says; other nodes may not read it. */
   private noteHosts(hosts: readonly HostEntry[]): void {
     this.obituary.noteHosts(hosts);
-    this.leavingServers = new Set(
-      hosts
-        .filter(host => host.state === 'leaving' && host.role !== 'entry')
-        .map(host => host.hostId),
+    const leaving = hosts.filter(host => host.state === 'leaving');
+    const servers = leaving.filter(host => host.role !== 'entry');
+    const nodes = leaving.filter(host => host.role === 'entry');
+    const freshServers = this.leaving.noteHints(
+      servers.map(host => host.hostId),
     );
-    this.router.setDraining([...this.leavingServers]);
+    const nodeNames = nodes.map(host => host.hostId);
+    const freshNodes = nodeNames.filter(id => !this.leavingNodes.has(id));
+    this.leavingNodes = new Set(nodeNames);
+    if (freshServers.length + freshNodes.length > 0) {
+      this.peers.broadcastLeaving(freshServers, freshNodes);
+    }
+    this.updateDraining();
+  }
+
+  /** Keeps new work away from hosts that leave and servers being drained. */
+  private updateDraining(): void {
+    const draining = this.leaving.list(this.follower.state.stewardship);
+    this.drainingServers = new Set(draining);
+    this.router.setDraining(draining);
   }
 
   private passDemand(model: string): void {
-    const first = rankMembers(`demand ${model}`, this.peers.listUsable())[0];
+    const [first] = this.ranking.listFirst(`demand ${model}`);
     if (!first || first.incarnation === this.incarnation) {
       this.planner.post({type: 'demand', model});
     } else {
@@ -405,6 +454,11 @@
   }
 }
 
+function isAboutDraining({record}: FoldedRecord): boolean {
+  const type = record?.body.type;
+  return type === 'drain-backend-server' || type === 'note-host-state';
+}
+
 function toEntry(member: {
   nodeName: string;
   callerBaseUrl: string;
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -23,6 +23,7 @@
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type LogOffset} from '@mimosatack/types';
 import {type PeerMessage, peerMessageSchema} from './peer_messages.js';
+import {PeerProgress, type Progress} from './peer_progress.js';
 
 /** What the task needs of the node. */
 export interface PeerTaskOptions {
@@ -38,6 +39,8 @@
   clusterSecret: string;
   seeds: readonly string[];
   onDemand(model: string): void;
+  /** Told by another node that hosts of backend servers leave. */
+  onServersLeaving(backendServerIds: readonly string[]): void;
   onFault(error: TypedError): void;
 }
 
@@ -45,12 +48,15 @@
 const MAX_CONNECTIONS = 64;
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 3_000;
+/** A frozen node must not hold up what is asked of the others. */
+const ASK_TIMEOUT_MS = 1_000;
 
 /** The task that owns the connections to the other nodes. */
 export class PeerTask implements AppendSource, StateSource {
   private readonly transport: PeerTransport<PeerMessage>;
-  private readonly nextOffsets = new Map<string, LogOffset>();
+  private readonly progress = new PeerProgress();
   private membership: Membership | null = null;
+  private ownAddress = '';
   private ticking: Periodic | null = null;
 
   constructor(private readonly options: PeerTaskOptions) {
@@ -80,6 +86,7 @@
 
   join(self: MemberInfo): void {
     const {clock, random, seeds} = this.options;
+    this.ownAddress = self.peerAddress;
     this.membership = new Membership(self, {}, random);
     this.sendAll(this.membership.join(seeds, clock.monotonicMs()));
     this.ticking = startPeriodic(clock, TICK_MS, () => {
@@ -92,6 +99,11 @@
     await this.transport.stop();
   }
 
+  /** Grows with every change of what `listDeciders` gives. */
+  get decidersVersion(): number {
+    return (this.membership?.version ?? 0) + this.progress.version;
+  }
+
   listMembers(): Member[] {
     return this.membership?.list() ?? [];
   }
@@ -100,8 +112,37 @@
     return this.membership?.listUsable() ?? [];
   }
 
+  /**
+   * The members that may write records: those that read the log themselves,
+   * or all while none does. Guards against an event that nobody plans because
+   * the node that should is cut from the log.
+   */
+  listDeciders(): Member[] {
+    const usable = this.listUsable();
+    const deciders = usable.filter(member => this.mayDecide(member));
+    return deciders.length === 0 ? usable : deciders;
+  }
+
   findNextOffset(peerAddress: string): LogOffset | null {
-    return this.nextOffsets.get(peerAddress) ?? null;
+    return this.progress.find(peerAddress)?.nextOffset ?? null;
+  }
+
+  /** Asks a node how far it has folded; null when it does not answer. */
+  async askNextOffset(nodeName: string): Promise<LogOffset | null> {
+    const peer = this.listPeers().find(other => other.nodeName === nodeName);
+    if (!peer) return null;
+    try {
+      const reply = await this.transport.request(
+        peer.peerAddress,
+        {type: 'read-progress', ...this.ownProgress()},
+        ASK_TIMEOUT_MS,
+      );
+      if (reply.type !== 'progress') return null;
+      this.noteProgress(peer.peerAddress, reply);
+      return reply.nextOffset;
+    } catch {
+      return null;
+    }
   }
 
   leave(): void {
@@ -117,6 +158,21 @@
     );
   }
 
+  /** Tells every other node of hosts that leave. */
+  broadcastLeaving(
+    backendServerIds: readonly string[],
+    nodeNames: readonly string[],
+  ): void {
+    this.noteNodesLeaving(nodeNames);
+    this.listPeers().forEach(peer =>
+      this.transport.send(peer.peerAddress, {
+        type: 'hosts-leaving',
+        backendServerIds: [...backendServerIds],
+        nodeNames: [...nodeNames],
+      }),
+    );
+  }
+
   sendDemand(nodeName: string, model: string): void {
     const peer = this.listPeers().find(other => other.nodeName === nodeName);
     if (peer) this.transport.send(peer.peerAddress, {type: 'demand', model});
@@ -125,9 +181,7 @@
   async pullAppends(from: LogOffset): Promise<LogRecord[]> {
     const peer = pickOne(
       this.options.random,
-      this.listPeers().filter(
-        other => (this.nextOffsets.get(other.peerAddress) ?? 0) > from,
-      ),
+      this.listPeers().filter(other => this.offsetOf(other) > from),
     );
     if (!peer) return [];
     try {
@@ -164,7 +218,20 @@
   }
 
   private offsetOf(member: Member): LogOffset {
-    return this.nextOffsets.get(member.peerAddress) ?? -1;
+    return this.progress.find(member.peerAddress)?.nextOffset ?? -1;
+  }
+
+  /** This node itself tells all others, which makes it more than a hint. */
+  private noteNodesLeaving(nodeNames: readonly string[]): void {
+    const nowMs = this.options.clock.monotonicMs();
+    nodeNames.forEach(nodeName =>
+      this.membership?.noteHint({nodeName, state: 'leaving'}, nowMs),
+    );
+    if (nodeNames.includes(this.options.nodeName)) this.leave();
+  }
+
+  private mayDecide(member: Member): boolean {
+    return this.progress.find(member.peerAddress)?.isLogReachable ?? true;
   }
 
   private listPeers(): Member[] {
@@ -174,24 +241,34 @@
   }
 
   private sendAll(messages: readonly OutgoingMessage[]): void {
-    const {nextOffset} = this.options.follower.state;
+    const progress = this.ownProgress();
+    this.progress.note(this.ownAddress, progress);
     messages.forEach(({toAddress, message}) =>
       this.transport.send(toAddress, {
         type: 'membership',
         message,
-        nextOffset,
+        ...progress,
       }),
     );
   }
 
+  private ownProgress(): Progress {
+    const {nextOffset, isLogReachable} = this.options.follower.status;
+    return {nextOffset, isLogReachable};
+  }
+
+  private noteProgress(address: string, progress: Progress): void {
+    this.progress.note(address, progress);
+    this.options.follower.notePeerOffset(progress.nextOffset);
+  }
+
   private receive(
     fromAddress: string,
     message: PeerMessage,
   ): PeerMessage | void {
     switch (message.type) {
       case 'membership':
-        this.nextOffsets.set(fromAddress, message.nextOffset);
-        this.options.follower.notePeerOffset(message.nextOffset);
+        this.noteProgress(fromAddress, message);
         this.sendAll(
           this.membership?.receive(
             fromAddress,
@@ -205,15 +282,23 @@
           type: 'appends',
           records: this.options.follower.listAppends(message.from),
         };
+      case 'read-progress':
+        this.noteProgress(fromAddress, message);
+        return {type: 'progress', ...this.ownProgress()};
       case 'pull-state':
         return {type: 'state', data: this.options.follower.state.toBytes()};
       case 'report':
         this.options.board.note(message.report);
         return;
+      case 'hosts-leaving':
+        this.noteNodesLeaving(message.nodeNames);
+        this.options.onServersLeaving(message.backendServerIds);
+        return;
       case 'demand':
         this.options.onDemand(message.model);
         return;
       case 'appends':
+      case 'progress':
       case 'state':
         return;
     }
--- a/packages/node/src/steward_task.ts
+++ b/packages/node/src/steward_task.ts
@@ -7,6 +7,7 @@
   type BackendServer,
   type Doubt,
   type Slot,
+  type StewardClaim,
 } from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
 import {type BackendReport} from '@mimosatack/engine-board';
@@ -38,9 +39,13 @@
   follower: LogFollower;
   incarnation: NodeIncarnation;
   connect(backendServerId: BackendServerId, baseUrl: string): EngineControl;
-  /** Nodes in the order in which they should hold a backend server. */
-  rankNodes(backendServerId: BackendServerId): NodeIncarnation[];
-  /** Whether membership believes that a process is dead. */
+  /** The place of this node among those that may claim; 0 is first. */
+  findOwnRank(backendServerId: BackendServerId): number;
+  /** The first few nodes in rank. */
+  listSuccessors(backendServerId: BackendServerId): NodeIncarnation[];
+  /** Whether membership has ever heard of a process. */
+  isKnown(incarnation: NodeIncarnation): boolean;
+  /** Whether membership believes that a process is dead, or knows of none. */
   isGone(incarnation: NodeIncarnation): boolean;
   /** Proof, for long enough, that a process is dead; null without one. */
   findDeathEvidence(incarnation: NodeIncarnation): DeathEvidence | null;
@@ -57,6 +62,11 @@
 
 const MAX_SUCCESSORS = 3;
 const RANK_DELAY_MS = 2_000;
+/** How long a holder that membership never heard of is waited for. */
+const UNHEARD_MS = 5_000;
+/** Waits before a claim that was taken away is made again; they double. */
+const MIN_RECLAIM_MS = 5_000;
+const MAX_RECLAIM_MS = 300_000;
 /** How many nodes, the first in rank, may clear a doubt by proof of death. */
 const PROVING_NODES = 3;
 
@@ -68,6 +78,8 @@
   private readonly watches: EngineWatches;
   private readonly freeSinceMs = new Map<BackendServerId, number>();
   private readonly submitting = new Set<string>();
+  /** How often a claim of this node was taken away while it was alive. */
+  private readonly takenAway = new Map<BackendServerId, number>();
 
   constructor(
     private readonly options: StewardTaskOptions,
@@ -111,13 +123,14 @@
   private attend(server: BackendServer, state: AgreedState): void {
     const id = server.backendServerId;
     const claim = state.stewardship.findClaim(id);
-    const ranking = this.options.rankNodes(id);
     const decision = decideRole({
       self: this.options.incarnation,
       claim,
       fencing: server.fencing,
-      rank: ranking.indexOf(this.options.incarnation),
-      freeForMs: this.measureFreeMs(id, isFree(claim, this.options)),
+      rank: this.options.findOwnRank(id),
+      freeForMs:
+        this.measureFreeMs(id, isFree(claim, this.options)) -
+        this.findPatienceMs(id, claim),
       rankDelayMs: RANK_DELAY_MS,
       isLogReachable: this.options.follower.status.isLogReachable,
       isGone: incarnation => this.options.isGone(incarnation),
@@ -130,7 +143,7 @@
         return this.step(server, claim?.epoch ?? 0, decision.rank);
       case 'claim':
         this.retire(id);
-        return void this.claim(id, claim?.epoch ?? 0, ranking);
+        return void this.claim(id, claim?.epoch ?? 0);
       case 'wait':
         return this.standBy(server, state);
     }
@@ -141,9 +154,12 @@
     const id = server.backendServerId;
     const claim = state.stewardship.findClaim(id);
     const rank = this.watches.watch(server, claim);
-    if (!claim || rank === null) return this.retire(id);
+    if (!claim || rank === null) {
+      if (this.stewards.has(id)) this.noteTakenAway(id);
+      return this.retire(id);
+    }
     this.step(server, claim.epoch, rank);
-    void this.claim(id, claim.epoch, this.options.rankNodes(id));
+    void this.claim(id, claim.epoch);
   }
 
   private measureFreeMs(id: BackendServerId, isFreeNow: boolean): number {
@@ -153,6 +169,26 @@
     return nowMs - (this.freeSinceMs.get(id) ?? nowMs);
   }
 
+  /**
+   * Guards against nodes that do not know of each other, such as one with a
+   * wrong cluster secret: each would take the other for dead and claim what
+   * it holds, again and again. A holder that was never heard of is waited for,
+   * and a claim that was taken away is made again ever more rarely.
+   */
+  private findPatienceMs(
+    id: BackendServerId,
+    claim: StewardClaim | undefined,
+  ): number {
+    if (!claim || claim.isYielded) return 0;
+    const times = this.takenAway.get(id) ?? 0;
+    const reclaimMs =
+      times === 0
+        ? 0
+        : Math.min(MAX_RECLAIM_MS, MIN_RECLAIM_MS * 2 ** (times - 1));
+    const unheardMs = this.options.isKnown(claim.holder) ? 0 : UNHEARD_MS;
+    return Math.max(reclaimMs, unheardMs);
+  }
+
   private step(server: BackendServer, epoch: number, rank: number): void {
     const id = server.backendServerId;
     const known = this.stewards.get(id);
@@ -173,6 +209,10 @@
     void steward.step();
   }
 
+  private noteTakenAway(id: BackendServerId): void {
+    this.takenAway.set(id, (this.takenAway.get(id) ?? 0) + 1);
+  }
+
   private retire(id: BackendServerId): void {
     const steward = this.stewards.get(id);
     if (!steward) return;
@@ -197,13 +237,13 @@
   private async claim(
     id: BackendServerId,
     expectedEpoch: number,
-    ranking: readonly NodeIncarnation[],
   ): Promise<void> {
     await this.submit(`claim ${id}`, {
       type: 'claim-steward',
       backendServerId: id,
       expectedEpoch,
-      successors: ranking
+      successors: this.options
+        .listSuccessors(id)
         .filter(incarnation => incarnation !== this.options.incarnation)
         .slice(0, MAX_SUCCESSORS),
     });
@@ -217,9 +257,8 @@
    */
   private settleDoubts(server: BackendServer, state: AgreedState): void {
     const id = server.backendServerId;
-    const mayProve =
-      this.options.rankNodes(id).indexOf(this.options.incarnation) <
-      PROVING_NODES;
+    const rank = this.options.findOwnRank(id);
+    const mayProve = rank >= 0 && rank < PROVING_NODES;
     state.stewardship.listDoubts(id).forEach(doubt => {
       const evidence = this.findEvidence(doubt, mayProve);
       if (!evidence) return;
--- a/packages/records/src/record_schema.ts
+++ b/packages/records/src/record_schema.ts
@@ -59,6 +59,19 @@
   backendServerId: name,
 });
 
+const noteHostState = z.object({
+  type: z.literal('note-host-state'),
+  backendServerId: name,
+  /** Whether the platform's list says that its host leaves. */
+  isLeaving: z.boolean(),
+});
+
+const drainBackendServer = z.object({
+  type: z.literal('drain-backend-server'),
+  backendServerId: name,
+  isDraining: z.boolean(),
+});
+
 const slot = z.object({
   slotId: name,
   model: name,
@@ -157,6 +170,8 @@
   deleteDocument,
   registerBackendServer,
   removeBackendServer,
+  noteHostState,
+  drainBackendServer,
   decideSlots,
   endSlots,
   extendSlots,
