--- a/packages/node/src/planner_task.ts
+++ b/packages/node/src/planner_task.ts
@@ -5,21 +5,20 @@
 import {type LogFollower} from '@mimosatack/follow-log';
 import {type EventLogger} from '@mimosatack/logger';
 import {
-  DemandTable,
   type EventPlan,
   type LoadTimeEstimates,
   PlanningAgenda,
   type WarmingPolicy,
   fingerprintEvent,
-  isDemandDue,
   listPreemptible,
-  planDemand,
   planEvent,
 } from '@mimosatack/plan-warming';
 import {type WeightStoreLimits} from '@mimosatack/platform';
 import {type RecordBody} from '@mimosatack/records';
 import {Task, type TaskErrorHandler} from '@mimosatack/tasks';
 import {type BackendServerId, type EventId} from '@mimosatack/types';
+import {DemandPlanner} from './demand_planner.js';
+import {makeDecision, makeEndings} from './plan_records.js';
 import {PlannerView} from './planner_view.js';
 
 /** What the task is told. */
@@ -53,14 +52,13 @@
 
 const AGENDA = {firstRetryMs: 1_000, maxRetryMs: 30_000, patienceMs: 5_000};
 const MAX_SLOTS_PER_RECORD = 512;
-const DEMAND_MEMORY_MS = 600_000;
 /** Nodes behind the first that plan when it does not. */
 const MAX_RANK = 2;
 
 /** The task that plans events and demand. */
 export class PlannerTask extends Task<PlannerMessage> {
   private readonly agenda = new PlanningAgenda(AGENDA);
-  private readonly demand = new DemandTable();
+  private readonly demand: DemandPlanner;
   private readonly unplaced = new Map<EventId, UnplacedReplicas[]>();
   private readonly view: PlannerView;
   private isTickQueued = false;
@@ -75,6 +73,7 @@
   ) {
     super('planner', onError);
     this.view = new PlannerView(options);
+    this.demand = new DemandPlanner(options, this.view);
   }
 
   /** What this node found no room for when it planned last. */
@@ -114,7 +113,7 @@
     this.view.begin(nowMs);
     const bodies = [
       ...(this.isQuiet(nowMs) ? [] : this.planEvents(nowMs)),
-      ...this.planDemands(nowMs),
+      ...this.demand.plan(nowMs),
     ];
     await Promise.all(
       bodies.map(body =>
@@ -177,19 +176,12 @@
     return fingerprintEvent({
       event,
       held: this.view.listHeld({for: 'event', eventId: event.eventId}),
-      demanded: this.listMissed(event),
+      demanded: this.demand.listMissed(event),
       nowMs,
       markSlot: slot => this.view.markSlot(slot),
     });
   }
 
-  private listMissed(event: ResolvedEvent): Set<string> {
-    const missed = event.needs
-      .map(need => need.model)
-      .filter(model => this.demand.find(model).lastMissMs !== null);
-    return new Set(missed);
-  }
-
   private planOne(
     event: ResolvedEvent,
     fingerprint: string,
@@ -207,13 +199,13 @@
         findEvent: id => configuration.findEvent(id),
       }),
       nowMs,
-      demanded: this.listMissed(event),
+      demanded: this.demand.listMissed(event),
     });
     const bodies: RecordBody[] = [
-      ...plan.end.map(ending => ({type: 'end-slots' as const, ...ending})),
-      ...plan.extend.map(more => ({type: 'extend-slots' as const, ...more})),
-      ...this.decide(purpose, event.revision, plan.decide),
+      ...makeEndings(plan),
+      ...makeDecision(placement, purpose, event.revision, plan.decide),
     ];
+    this.view.take(plan.decide);
     this.noteUnplaced(event, plan, nowMs);
     if (bodies.length === 0 && plan.unplaced.length === 0) {
       this.agenda.noteSettled(event.eventId, fingerprint);
@@ -223,20 +215,6 @@
     return bodies;
   }
 
-  private decide(
-    purpose: Extract<RecordBody, {type: 'decide-slots'}>['purpose'],
-    targetRevision: number,
-    slots: EventPlan['decide'],
-  ): RecordBody[] {
-    if (slots.length === 0) return [];
-    this.view.take(slots);
-    const {placement} = this.options.follower.state;
-    const expectedPlan = placement.countPlans(purpose);
-    return [
-      {type: 'decide-slots', purpose, targetRevision, expectedPlan, slots},
-    ];
-  }
-
   /** Tells the operator once for each change of what is missing. */
   private noteUnplaced(
     {eventId, startsAtMs}: ResolvedEvent,
@@ -270,44 +248,6 @@
       ? []
       : [{type: 'end-slots', slotIds, reason: 'event-changed'}];
   }
-
-  private planDemands(nowMs: number): RecordBody[] {
-    this.view.listActiveModels().forEach(model => {
-      this.demand.noteUse(model, nowMs);
-    });
-    this.demand.forgetBefore(nowMs - DEMAND_MEMORY_MS);
-    return this.demand.models.flatMap(model => this.planModel(model, nowMs));
-  }
-
-  private planModel(model: string, nowMs: number): RecordBody[] {
-    const document = this.options.follower.state.configuration.find(
-      'model',
-      model,
-    );
-    const demand = this.demand.find(model);
-    if (!document || this.view.isForEvent(model, demand.adapters)) return [];
-    const purpose = {for: 'demand' as const, model};
-    const look = {
-      content: document.content,
-      demand,
-      held: this.view.listHeld(purpose),
-      nowMs,
-    };
-    if (!isDemandDue(look)) return [];
-    if (this.options.findRank(`demand ${model}`) !== 0) return [];
-    const plan = planDemand({
-      ...this.options,
-      ...this.view.planningParts(),
-      ...look,
-      model,
-      idleSlots: this.view.listIdleDemand(model, this.demand),
-    });
-    return [
-      ...plan.end.map(ending => ({type: 'end-slots' as const, ...ending})),
-      ...plan.extend.map(more => ({type: 'extend-slots' as const, ...more})),
-      ...this.decide(purpose, document.version, plan.decide),
-    ];
-  }
 }
 
 /** Of two events that compete for memory, the one that is planned first. */
--- a/packages/node/src/planner_view.ts
+++ b/packages/node/src/planner_view.ts
@@ -72,6 +72,7 @@
 
   /** Takes what was just planned from the room that is left. */
   take(plans: readonly SlotPlan[]): void {
+    if (plans.length === 0) return;
     const parts = this.planningParts();
     this.parts = {...parts, servers: takeRoom(parts.servers, plans)};
   }
