--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -424,12 +424,14 @@
     this.router.setDraining(draining);
   }
 
-  private passDemand(model: string): void {
+  /** One node plans a model, whichever of its adapters is asked for. */
+  private passDemand(modelText: string): void {
+    const [model = ''] = modelText.split(':', 1);
     const [first] = this.ranking.listFirst(`demand ${model}`);
     if (!first || first.incarnation === this.incarnation) {
-      this.planner.post({type: 'demand', model});
+      this.planner.post({type: 'demand', model: modelText});
     } else {
-      this.peers.sendDemand(first.nodeName, model);
+      this.peers.sendDemand(first.nodeName, modelText);
     }
   }
 
--- a/packages/serve-callers/src/caller_context.ts
+++ b/packages/serve-callers/src/caller_context.ts
@@ -30,8 +30,8 @@
   /** Makes the HTTP server; fastify's own when left out. */
   serverFactory?: FastifyServerFactory;
   listEntries(): EntryAddress[];
-  /** Asks for a replica of a model that requests wait for. */
-  noteDemand(model: string): void;
+  /** Asks for a replica of `model` or `model:adapter` that requests wait for. */
+  noteDemand(modelText: string): void;
 }
 
 /** Limits from the settings. */
--- a/packages/serve-callers/src/completion_routes.ts
+++ b/packages/serve-callers/src/completion_routes.ts
@@ -86,7 +86,7 @@
   const id = context.router.choose({candidates, excluded: new Set()});
   const server = id === null ? undefined : stewardship.findBackendServer(id);
   if (id === null || !server) {
-    context.noteDemand(model);
+    context.noteDemand(modelText);
     throw new TypedError('not-warm', `No replica of ${modelText} is warm.`, {
       run: 'not-run',
       retryAfterMs: 2000,
