--- a/packages/node/src/steward_task.test.ts
+++ b/packages/node/src/steward_task.test.ts
@@ -71,6 +71,25 @@
   }
 }
 
+stewards('step in for a holder that leaves a due load undone', () =>
+  // The holder freezes a moment before the start of an event. Nobody believes
+  // it dead yet, so the late load that it should order would never begin.
+  withBench('refuses-old', async bench => {
+    const {first, second} = bench;
+    await first.tickUntil(
+      () => first.follower.state.stewardship.findClaim('r1') !== undefined,
+    );
+    const loadAtMs = Date.now() + 1_800;
+    await decideSlot(first, 's1', 'saturday', {loadAtMs});
+    await second.tickUntil(() => listLoaded(bench).includes('s1'));
+    const {stewardship} = second.follower.state;
+    await second.tickUntil(
+      () => stewardship.findClaim('r1')?.holder === second.incarnation,
+    );
+    assert.is(countOvercommits(bench), 0);
+  }),
+);
+
 stewards('load what was decided and release what has ended', () =>
   withBench('refuses-old', async bench => {
     const {first} = bench;
