Read answers of engines whole and in order

Events are put in order, doubles dropped, gaps and crossed chunks had again by resuming; what cannot be had ends in a typed error. Request tokens name an answer so that any node can go on with it.

--- /dev/null
+++ b/packages/answer-streams/src/continue_elsewhere.test.ts
@@ -0,0 +1,89 @@
+import {toTypedError} from '@mimosatack/errors';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {makeChunk} from './answer_fixture.js';
+import {
+  DeliveredText,
+  END_OF_ANSWER,
+  type StreamEvent,
+  continueElsewhere,
+  isDeterministic,
+} from './index.js';
+
+const test = suite('continuing elsewhere');
+
+async function continueWith(delivered: string[], secondRun: string[]) {
+  const text = new DeliveredText();
+  text.note(delivered.map((part, id) => makeChunk(id, part)));
+  const rest: StreamEvent[] = [];
+  try {
+    for await (const events of continueElsewhere(text, stream(secondRun))) {
+      rest.push(...events);
+    }
+    return {rest, error: null};
+  } catch (thrown) {
+    return {rest, error: toTypedError(thrown)};
+  }
+}
+
+async function* stream(parts: string[]): AsyncGenerator<StreamEvent[]> {
+  const end = {id: parts.length, data: END_OF_ANSWER};
+  const chunks = parts.map((part, id) => makeChunk(id, part, 'second-run'));
+  for (const event of [...chunks, end]) yield [event];
+}
+
+function textsOf(events: readonly StreamEvent[]): string[] {
+  return events
+    .filter(event => event.data !== END_OF_ANSWER)
+    .map(event => JSON.parse(event.data) as {choices: ChoiceShape[]})
+    .map(({choices}) => choices[0]?.delta.content ?? '');
+}
+
+interface ChoiceShape {
+  delta: {content: string};
+}
+
+test('the rest follows without a word twice, also across chunks', async () => {
+  const {rest, error} = await continueWith(
+    ['one ', 'two '],
+    ['one', ' two three ', 'four'],
+  );
+  assert.is(error, null);
+  assert.equal(textsOf(rest), ['three ', 'four']);
+  assert.equal(
+    rest.map(event => event.id),
+    [2, 3, 4],
+  );
+});
+
+test('a second run that begins otherwise is never passed on', async () => {
+  // A caller would read a text that no run gave: the engine dies after two
+  // words, and the other replica samples another text for the same request.
+  const {rest, error} = await continueWith(
+    ['one ', 'two '],
+    ['one ', 'ten ', 'more '],
+  );
+  assert.equal(rest, []);
+  assert.is(error?.kind, 'stream-broken');
+});
+
+test('a second run that is shorter is told apart from a whole one', async () => {
+  const {rest, error} = await continueWith(['one ', 'two '], ['one ']);
+  assert.equal(rest, []);
+  assert.is(error?.kind, 'stream-broken');
+});
+
+test('an answer that is no plain text is not continued', async () => {
+  const text = new DeliveredText();
+  text.note([{id: 0, data: '{"choices":[{"delta":{"tool_calls":[]}}]}'}]);
+  assert.not(text.canBeMatched);
+});
+
+test('only sampling without randomness counts as deterministic', () => {
+  assert.ok(isDeterministic({temperature: 0}));
+  assert.ok(isDeterministic({temperature: 1, seed: 7}));
+  assert.not(isDeterministic({}));
+  assert.not(isDeterministic({temperature: 0, n: 2}));
+});
+
+test.run();
--- /dev/null
+++ b/packages/answer-streams/src/request_token.test.ts
@@ -0,0 +1,57 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {RequestTokenMint} from './index.js';
+
+const test = suite('request tokens');
+
+const CONTENT = {
+  backendServerId: 'r1',
+  engineRequestId: 'q1',
+  expiresAtMs: 1_000,
+  entryIncarnation: 'entry-1.0',
+};
+
+function createToken() {
+  const mint = new RequestTokenMint('a-secret-of-the-cluster');
+  return {mint, token: mint.make(CONTENT, 'prairie')};
+}
+
+test('another node with the secret reads what the first one wrote', () => {
+  const {token} = createToken();
+  const other = new RequestTokenMint('a-secret-of-the-cluster');
+  assert.equal(other.read(token, 'prairie', 999), CONTENT);
+});
+
+test("another team's, expired and forged tokens all look the same", () => {
+  // A caller tries tokens that it was never given, to read a stranger's
+  // answer or to learn which requests exist.
+  const {mint, token} = createToken();
+  const [form, payload, mac] = token.split('.');
+  const forgedPayload = Buffer.from(
+    '["r1","q2",1000,"entry-1.0","0123456789abcdef"]',
+  ).toString('base64url');
+  const strange = new RequestTokenMint('another-secret').make(
+    CONTENT,
+    'prairie',
+  );
+  const texts = [
+    strange,
+    `${form}.${forgedPayload}.${mac}`,
+    `${form}.${payload}.${mac}.x`,
+    `${form}.${payload}`,
+    'q1',
+    '',
+    'x'.repeat(100_000),
+  ];
+  texts.forEach(text => assert.is(mint.read(text, 'prairie', 0), null, text));
+  assert.is(mint.read(token, 'zorza', 0), null);
+  assert.is(mint.read(token, 'prairie', 1_000), null);
+});
+
+test('a token does not show the name of the team', () => {
+  const {token} = createToken();
+  const payload = Buffer.from(token.split('.')[1] ?? '', 'base64url');
+  assert.not(payload.toString('utf8').includes('prairie'));
+});
+
+test.run();
