--- a/packages/logger/src/events/control_events.ts
+++ b/packages/logger/src/events/control_events.ts
@@ -140,6 +140,16 @@
       fencingNumber: 'the fencing number it carried',
     },
   },
+  'stewardship-yielded': {
+    number: 3203,
+    level: 'info',
+    message: 'A node that stops has given up its backend servers.',
+    fields: {
+      backendServerIds: 'those that another node may take over at once',
+      keptIds: 'those that are taken over once the node counts as gone',
+      reason: 'why some were kept, if any were',
+    },
+  },
   'peer-connected': {
     number: 3300,
     level: 'info',
--- a/packages/logger/src/events/process_events.ts
+++ b/packages/logger/src/events/process_events.ts
@@ -29,7 +29,7 @@
   'shutdown-started': {
     number: 1003,
     level: 'info',
-    message: 'A graceful shutdown has begun; new requests are refused.',
+    message: 'A graceful shutdown has begun; callers are sent to other nodes.',
     fields: {
       signal: 'the signal that asked for it',
       requestsInFlight: 'requests that are still being served',
@@ -45,9 +45,12 @@
   'shutdown-cut-off': {
     number: 1005,
     level: 'error',
-    message: 'The shutdown grace ran out and requests were cut off.',
+    message: 'The shutdown was ended early; what is listed was cut off.',
     fields: {
-      requestsInFlight: 'requests that were cut off',
+      reason: 'what ended it: a second signal, or the end of the grace',
+      phase: 'how far it had got',
+      requestsInFlight: 'how many requests were cut off',
+      requests: 'each of them, with its id and its age',
       graceMs: 'the grace they were given',
     },
     remedy: 'Raise --shutdown-grace-ms above the longest deadline in use.',
@@ -70,6 +73,15 @@
     fields: {error: 'what failed'},
     remedy: 'Report it with the log lines around it.',
   },
+  'shutdown-phase': {
+    number: 1008,
+    level: 'info',
+    message: 'The shutdown has come to its next phase.',
+    fields: {
+      phase: 'the phase',
+      requestsInFlight: 'requests that are still being served',
+    },
+  },
   'settings-loaded': {
     number: 1100,
     level: 'info',
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -95,6 +95,40 @@
       error: 'what failed',
     },
   },
+  'stream-repaired': {
+    number: 4303,
+    level: 'info',
+    message: 'A part of an answer was missing and is asked for again.',
+    fields: {
+      requestId: 'the request',
+      backendServerId: 'the backend server',
+      cause: 'what was wrong with the stream',
+      nextEventId: 'the event that is asked for',
+      error: 'what failed, if a connection did',
+    },
+  },
+  'stream-continued-elsewhere': {
+    number: 4304,
+    level: 'info',
+    message: 'A request runs again on another replica to finish its answer.',
+    fields: {
+      requestId: 'the request',
+      backendServerId: 'the backend server that could not finish it',
+      error: 'what failed',
+    },
+  },
+  'caller-stalled': {
+    number: 4305,
+    level: 'warn',
+    message: 'A caller stopped reading its answer; the connection was closed.',
+    fields: {
+      requestId: 'the request',
+      stalledMs: 'how long nothing could be sent',
+      sentEvents: 'how many events it was sent',
+    },
+    remedy:
+      'The caller can resume; raise --caller-stall-ms if it is only slow.',
+  },
   'stream-cancelled': {
     number: 4302,
     level: 'info',
--- a/packages/settings/src/contradictions.ts
+++ b/packages/settings/src/contradictions.ts
@@ -71,6 +71,18 @@
     isFound: ({shutdownGraceMs, entriesTtlMs}) =>
       isGreater(entriesTtlMs, shutdownGraceMs),
   },
+  {
+    settings: ['shutdown-grace-ms', 'max-deadline-ms', 'entries-ttl-ms'],
+    message: 'A shutdown would cut off the requests that arrive last.',
+    remedy:
+      'Raise --shutdown-grace-ms to the sum of --max-deadline-ms and --entries-ttl-ms.',
+    isFound: ({shutdownGraceMs: grace, maxDeadlineMs, entriesTtlMs}) =>
+      grace !== undefined &&
+      maxDeadlineMs !== undefined &&
+      entriesTtlMs !== undefined &&
+      Math.max(maxDeadlineMs, entriesTtlMs) <= grace &&
+      maxDeadlineMs + entriesTtlMs > grace,
+  },
   {
     settings: ['cold-start-weight', 'idle-weight'],
     message: 'With both weights at 0 all decisions count the same.',
--- a/packages/settings/src/groups/serving_settings.ts
+++ b/packages/settings/src/groups/serving_settings.ts
@@ -30,6 +30,37 @@
     max: 600_000,
     description: 'How long callers may cache the list of entry hosts.',
   },
+  'max-answer-bytes': {
+    type: 'integer',
+    default: '16777216',
+    min: 1,
+    max: 1_073_741_824,
+    description: 'Largest answer that is passed on; a larger one is ended.',
+  },
+  'caller-stall-ms': {
+    type: 'integer',
+    default: '30000',
+    min: 1,
+    max: 3_600_000,
+    description:
+      'How long a caller may leave its answer unread before it is cut off.',
+  },
+  'resume-window-ms': {
+    type: 'integer',
+    default: '60000',
+    min: 0,
+    max: 3_600_000,
+    description:
+      'How long after its deadline a request may still be asked for by its id.',
+  },
+  'resume-grace-ms': {
+    type: 'integer',
+    default: '5000',
+    min: 0,
+    max: 600_000,
+    description:
+      'Wait before a request is cancelled whose caller has gone, so that it can resume.',
+  },
   'queue-limit': {
     type: 'integer',
     default: '1000',
--- a/packages/settings/src/settings.test.ts
+++ b/packages/settings/src/settings.test.ts
@@ -153,6 +153,7 @@
   ['--default-deadline-ms=130000'],
   ['--shutdown-grace-ms=100000'],
   ['--shutdown-grace-ms=150000', '--entries-ttl-ms=160000'],
+  ['--shutdown-grace-ms=122000'],
   ['--cold-start-weight=0', '--idle-weight=0'],
 ];
 
