Relay streams whole and in order, and resume them at any node

A caller resumes with the x-request-id of its answer at any node; the node asks the engine itself, so nothing is kept or agreed. A slow caller holds the reading of the engine back. The node's shutdown follows the state machine.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -57,16 +57,17 @@
     random: new SeededRandom(randomBytes(4).readInt32LE()),
     release: RELEASE,
   });
+  // Before the start, so that a stop that comes during it is not lost.
+  process.on('SIGTERM', () => node.requestStop('SIGTERM'));
+  process.on('SIGINT', () => node.requestStop('SIGINT'));
+  void node.stopped.then(exitCode => process.exit(exitCode));
   try {
     const addresses = await node.start();
-    process.stdout.write(`READY ${JSON.stringify(addresses)}\n`);
+    if (addresses) process.stdout.write(`READY ${JSON.stringify(addresses)}\n`);
   } catch (thrown) {
     logger.log('start-failed', {error: toTypedError(thrown)});
     process.exit(EXIT_START_FAILED);
   }
-  const stop = () => void node.stop().then(() => process.exit(0));
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
 }
 
 process.on('unhandledRejection', thrown => {
--- a/packages/node/src/engine_steward.ts
+++ b/packages/node/src/engine_steward.ts
@@ -41,6 +41,7 @@
   private orderCount = 0;
   private failedReads = 0;
   private isBusy = false;
+  private stepping: Promise<void> = Promise.resolve();
   private isFenced = false;
 
   constructor(private readonly options: EngineStewardOptions) {}
@@ -49,16 +50,34 @@
     return this.options.epoch;
   }
 
+  /** Whether no order that was sent under this claim may still arrive. */
+  get hasNoOrderOnTheWay(): boolean {
+    const {follower, control} = this.options;
+    const server = follower.state.stewardship.findBackendServer(
+      control.backendServerId,
+    );
+    const refusesOld = server?.fencing === 'refuses-old';
+    return !this.isBusy && (refusesOld || this.unresolved.size === 0);
+  }
+
   /** One look at the engine and what follows from it; never overlaps. */
   async step(): Promise<void> {
     if (this.isBusy || this.isFenced) return;
     this.isBusy = true;
-    try {
-      const engine = await this.readEngine();
-      if (engine && this.isHolder()) await this.act(engine);
-    } finally {
+    this.stepping = this.lookAndAct().finally(() => {
       this.isBusy = false;
-    }
+    });
+    await this.stepping;
+  }
+
+  /** Resolves once the step in hand, if any, has ended. */
+  async settle(): Promise<void> {
+    await this.stepping.catch(() => undefined);
+  }
+
+  private async lookAndAct(): Promise<void> {
+    const engine = await this.readEngine();
+    if (engine && this.isHolder()) await this.act(engine);
   }
 
   private async readEngine(): Promise<EngineState | null> {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,6 @@
 /** One node: its tasks, its servers and how they are wired. */
 import {randomUUID} from 'node:crypto';
+import {RequestTokenMint} from '@mimosatack/answer-streams';
 import {type Clock} from '@mimosatack/clock';
 import {EngineBoard} from '@mimosatack/engine-board';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
@@ -20,7 +21,7 @@
 } from '@mimosatack/platform';
 import {type RandomSource} from '@mimosatack/random';
 import {Router} from '@mimosatack/route-requests';
-import {buildCallerServer} from '@mimosatack/serve-callers';
+import {AbandonedRequests, buildCallerServer} from '@mimosatack/serve-callers';
 import {buildOperatorServer} from '@mimosatack/serve-operators';
 import {type DaemonSettings} from '@mimosatack/settings';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
@@ -28,6 +29,7 @@
 import {KeyTable, TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
 import {HostListTask} from './host_list_task.js';
+import {type DrainedHook, NodeShutdown} from './node_shutdown.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
 import {StewardTask} from './steward_task.js';
@@ -73,9 +75,19 @@
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
   private leavingServers = new Set<string>();
+  private readonly shutdown: NodeShutdown;
+  private readonly abandoned: AbandonedRequests;
 
   constructor(private readonly options: NodeOptions) {
     const {settings, clock, random, logger} = options;
+    this.abandoned = new AbandonedRequests(clock, settings.resumeGraceMs);
+    this.shutdown = new NodeShutdown({
+      ...{clock, logger, entriesTtlMs: settings.entriesTtlMs},
+      graceMs: settings.shutdownGraceMs,
+      announce: () => this.peers.leave(),
+      yieldStewardships: () => this.stewards.yieldAll(),
+      close: () => this.close(),
+    });
     this.incarnation = `${settings.nodeName}.${randomUUID().slice(0, 8)}`;
     this.mint = new TicketMint(settings.clusterSecret);
     this.log = new HttpLogService({
@@ -99,7 +111,13 @@
     this.planner = this.makePlanner();
     this.callerServer = buildCallerServer({
       clock,
+      random,
       logger,
+      gate: this.shutdown.gate,
+      tokens: new RequestTokenMint(settings.clusterSecret),
+      abandoned: this.abandoned,
+      tellResumed: (incarnation, engineRequestId) =>
+        this.peers.sendResumed(incarnation, engineRequestId),
       incarnation: this.incarnation,
       state: () => this.follower.state,
       board: this.board,
@@ -131,49 +149,79 @@
     });
   }
 
-  /** Opens the ports, joins the other nodes and begins to work. */
-  async start(): Promise<NodeAddresses> {
+  /** Resolves with the exit code once the node has stopped. */
+  get stopped(): Promise<number> {
+    return this.shutdown.task.exited;
+  }
+
+  /**
+   * Opens the ports, joins the other nodes and begins to work. Null when the
+   * node was told to stop meanwhile.
+   */
+  async start(): Promise<NodeAddresses | null> {
+    const addresses = await this.openPorts();
+    if (this.shutdown.task.isStopping) {
+      this.shutdown.task.noteStarted(false);
+      return null;
+    }
+    this.join(addresses);
+    await this.follower.start(this.peers);
+    this.startTicking();
+    this.shutdown.task.noteStarted(true);
+    return addresses;
+  }
+
+  /** Begins a graceful shutdown; a second call ends it at once. */
+  requestStop(signal: string): void {
+    this.shutdown.task.requestStop(signal);
+  }
+
+  /** Calls `hook` once nothing is in flight any more, before the exit. */
+  onDrained(hook: DrainedHook): void {
+    this.shutdown.onDrained(hook);
+  }
+
+  private async openPorts(): Promise<NodeAddresses> {
     const {settings} = this.options;
-    const {listenHost, advertiseHost} = settings;
+    const {listenHost: host, advertiseHost} = settings;
     const peer = await this.peers.listen();
-    await this.callerServer.listen({
-      host: listenHost,
-      port: settings.callerPort,
-    });
-    await this.operatorServer.listen({
-      host: listenHost,
-      port: settings.adminPort,
-    });
-    const addresses = {
+    await this.callerServer.listen({host, port: settings.callerPort});
+    await this.operatorServer.listen({host, port: settings.adminPort});
+    return {
       peerAddress: `${advertiseHost}:${peer.port}`,
       callerBaseUrl: `http://${advertiseHost}:${portOf(this.callerServer)}`,
       adminBaseUrl: `http://${advertiseHost}:${portOf(this.operatorServer)}`,
     };
+  }
+
+  private join(addresses: NodeAddresses): void {
+    const {settings, clock, release} = this.options;
     this.peers.join({
       nodeName: settings.nodeName,
       incarnation: this.incarnation,
-      startedAtMs: this.options.clock.wallMs(),
+      startedAtMs: clock.wallMs(),
       failureDomain: settings.failureDomain,
       region: settings.region,
-      release: this.options.release,
+      release,
       ...addresses,
     });
-    await this.follower.start(this.peers);
-    this.startTicking();
-    return addresses;
   }
 
-  async stop(): Promise<void> {
-    this.peers.leave();
+  /**
+   * The follower is stopped with the tasks and not after them: while the log
+   * is down they wait for records that only it can tell them to give up.
+   */
+  private async close(): Promise<void> {
     this.periodics.forEach(periodic => periodic.stop());
+    this.abandoned.stop();
     await Promise.all([
       this.stewards.stop(),
       this.hosts.stop(),
       this.planner.stop(),
+      this.follower.stop(),
     ]);
     await this.callerServer.close();
     await this.operatorServer.close();
-    await this.follower.stop();
     await this.peers.stop();
     await this.log.close();
   }
@@ -214,6 +262,7 @@
       clusterSecret: settings.clusterSecret,
       seeds: settings.peerSeeds.map(seed => `${seed.host}:${seed.port}`),
       onDemand: model => this.planner.post({type: 'demand', model}),
+      onResumed: engineRequestId => this.abandoned.noteResumed(engineRequestId),
       onFault: error => this.noteFault(error, 'peers'),
     });
   }
--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -63,6 +63,8 @@
   z.object({type: z.literal('state'), data: bytes.nullable()}),
   z.object({type: z.literal('report'), report: backendReportSchema}),
   z.object({type: z.literal('demand'), model: name}),
+  /** A caller has resumed a request that the receiver took in. */
+  z.object({type: z.literal('resumed'), engineRequestId: name}),
 ]);
 
 /** One message between nodes. */
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -34,6 +34,7 @@
   clusterSecret: string;
   seeds: readonly string[];
   onDemand(model: string): void;
+  onResumed(engineRequestId: string): void;
   onFault(error: TypedError): void;
 }
 
@@ -119,6 +120,16 @@
     if (peer) this.transport.send(peer.peerAddress, {type: 'demand', model});
   }
 
+  /** Tells the process that took a request in that its caller has resumed. */
+  sendResumed(incarnation: string, engineRequestId: string): void {
+    const peer = this.listMembers().find(
+      other => other.incarnation === incarnation,
+    );
+    if (!peer) return;
+    const message: PeerMessage = {type: 'resumed', engineRequestId};
+    this.transport.send(peer.peerAddress, message);
+  }
+
   async pullAppends(from: LogOffset): Promise<LogRecord[]> {
     const peer = pickOne(
       this.options.random,
@@ -198,6 +209,9 @@
       case 'demand':
         this.options.onDemand(message.model);
         return;
+      case 'resumed':
+        this.options.onResumed(message.engineRequestId);
+        return;
       case 'appends':
       case 'state':
         return;
--- a/packages/node/src/steward_task.ts
+++ b/packages/node/src/steward_task.ts
@@ -32,11 +32,21 @@
 }
 
 const MAX_SUCCESSORS = 3;
+const YIELD_TIMEOUT_MS = 3_000;
+
+/** What became of the backend servers of a node that stops. */
+export interface YieldReport {
+  yieldedIds: BackendServerId[];
+  keptIds: BackendServerId[];
+  /** Why some were kept. */
+  reason: 'log-unavailable' | 'order-on-the-way' | null;
+}
 
 /** The task that claims backend servers and runs one steward for each. */
 export class StewardTask extends Task<StewardMessage> {
   private readonly stewards = new Map<BackendServerId, EngineSteward>();
-  private readonly claiming = new Set<BackendServerId>();
+  private readonly claiming = new Map<BackendServerId, Promise<void>>();
+  private isYielding = false;
 
   constructor(
     private readonly options: StewardTaskOptions,
@@ -45,7 +55,36 @@
     super('steward', onError);
   }
 
+  /**
+   * Gives up the backend servers that have no order on the way, so that
+   * another node takes them over at once. The others are kept: a yield says
+   * that nothing can arrive any more, and a false one lets the next steward
+   * load into memory that a late order still fills. Nothing is yielded while
+   * the log is down; those are taken over once this node counts as gone.
+   */
+  async yieldAll(): Promise<YieldReport> {
+    this.isYielding = true;
+    await Promise.all([
+      ...[...this.stewards.values()].map(steward => steward.settle()),
+      ...this.claiming.values(),
+    ]);
+    const held = this.listHeld();
+    if (!this.options.follower.status.isLogReachable) {
+      return {yieldedIds: [], keptIds: held, reason: 'log-unavailable'};
+    }
+    const outcomes = await Promise.all(
+      held.map(async id => ({id, isYielded: await this.yieldOne(id)})),
+    );
+    const keptIds = outcomes.filter(one => !one.isYielded).map(one => one.id);
+    return {
+      yieldedIds: outcomes.filter(one => one.isYielded).map(one => one.id),
+      keptIds,
+      reason: keptIds.length > 0 ? 'order-on-the-way' : null,
+    };
+  }
+
   protected handle(_message: StewardMessage): void {
+    if (this.isYielding) return;
     const state = this.options.follower.state;
     state.stewardship
       .listBackendServers()
@@ -65,7 +104,7 @@
       return;
     }
     this.stewards.delete(id);
-    if (this.shouldClaim(id, state)) void this.claim(id, state);
+    if (this.shouldClaim(id, state)) this.beginClaim(id, state);
   }
 
   private shouldClaim(id: BackendServerId, state: AgreedState): boolean {
@@ -76,8 +115,40 @@
     return this.options.rankNodes(id)[0] === this.options.incarnation;
   }
 
+  private listHeld(): BackendServerId[] {
+    const {follower, incarnation} = this.options;
+    const {stewardship} = follower.state;
+    return stewardship
+      .listBackendServers()
+      .map(server => server.backendServerId)
+      .filter(id => {
+        const claim = stewardship.findClaim(id);
+        return claim?.holder === incarnation && !claim.isYielded;
+      });
+  }
+
+  private async yieldOne(id: BackendServerId): Promise<boolean> {
+    const {follower} = this.options;
+    const claim = follower.state.stewardship.findClaim(id);
+    const hasNoOrder = this.stewards.get(id)?.hasNoOrderOnTheWay ?? true;
+    if (!claim || !hasNoOrder) return false;
+    try {
+      const {outcome} = await follower.submit(
+        {type: 'yield-steward', backendServerId: id, epoch: claim.epoch},
+        {timeoutMs: YIELD_TIMEOUT_MS},
+      );
+      return outcome.status === 'valid';
+    } catch {
+      return false;
+    }
+  }
+
+  private beginClaim(id: BackendServerId, state: AgreedState): void {
+    const claim = this.claim(id, state).finally(() => this.claiming.delete(id));
+    this.claiming.set(id, claim);
+  }
+
   private async claim(id: BackendServerId, state: AgreedState): Promise<void> {
-    this.claiming.add(id);
     try {
       await this.options.follower.submit(
         {
@@ -90,8 +161,6 @@
       );
     } catch {
       // The next tick tries again; the log follower tells of its outages.
-    } finally {
-      this.claiming.delete(id);
     }
   }
 
--- a/packages/serve-callers/src/caller_context.ts
+++ b/packages/serve-callers/src/caller_context.ts
@@ -1,10 +1,14 @@
 /** What the callers' interface needs of the node it runs in. */
 import {type AgreedState} from '@mimosatack/agreed-state';
+import {type RequestTokenMint} from '@mimosatack/answer-streams';
 import {type Clock} from '@mimosatack/clock';
+import {type DrainGate} from '@mimosatack/drain-node';
 import {type EngineBoard} from '@mimosatack/engine-board';
 import {type EventLogger} from '@mimosatack/logger';
+import {type RandomSource} from '@mimosatack/random';
 import {type Router} from '@mimosatack/route-requests';
 import {type KeyTable, type TicketMint} from '@mimosatack/unrepeatable';
+import {type AbandonedRequests} from './abandoned_requests.js';
 
 /** An address that callers may use, from this node's membership. */
 export interface EntryAddress {
@@ -18,6 +22,7 @@
 /** What the callers' interface needs of the node it runs in. */
 export interface CallerContext {
   clock: Clock;
+  random: RandomSource;
   logger: EventLogger;
   incarnation: string;
   state(): AgreedState;
@@ -25,6 +30,13 @@
   router: Router;
   mint: TicketMint;
   keys: KeyTable;
+  /** Makes and reads the ids by which callers resume. */
+  tokens: RequestTokenMint;
+  abandoned: AbandonedRequests;
+  /** Tells another node that a caller has resumed a request it took in. */
+  tellResumed(incarnation: string, engineRequestId: string): void;
+  /** The shutdown as the server sees it. */
+  gate: DrainGate;
   limits: CallerLimits;
   listEntries(): EntryAddress[];
   /** Asks for a replica of a model that requests wait for. */
@@ -37,4 +49,9 @@
   defaultDeadlineMs: number;
   maxDeadlineMs: number;
   entriesTtlMs: number;
+  maxAnswerBytes: number;
+  /** How long a caller may leave its answer unread. */
+  callerStallMs: number;
+  /** How long after its deadline an answer can be resumed. */
+  resumeWindowMs: number;
 }
--- a/packages/serve-callers/src/caller_server.ts
+++ b/packages/serve-callers/src/caller_server.ts
@@ -8,11 +8,19 @@
 import fastify, {type FastifyInstance, type FastifyReply} from 'fastify';
 import {type CallerContext} from './caller_context.js';
 import {addCompletionRoutes} from './completion_routes.js';
+import {addDrainHooks} from './drain_hooks.js';
+import {addResumeRoutes} from './resume_routes.js';
 import {addServiceRoutes} from './service_routes.js';
 
+/** Request tokens are longer than what fastify lets through by default. */
+const MAX_PARAMETER_CHARS = 1024;
+
 /** Builds the callers' server; the node listens with it and closes it. */
 export function buildCallerServer(context: CallerContext): FastifyInstance {
-  const server = fastify({bodyLimit: context.limits.maxBodyBytes});
+  const server = fastify({
+    bodyLimit: context.limits.maxBodyBytes,
+    routerOptions: {maxParamLength: MAX_PARAMETER_CHARS},
+  });
   server.setErrorHandler((thrown, _incoming, reply) => {
     sendError(reply, readHttpError(thrown));
   });
@@ -22,10 +30,12 @@
       new TypedError('not-found', `There is no ${incoming.url}.`),
     );
   });
+  addDrainHooks(server, context);
   server.get('/healthz', () => ({status: 'ok'}));
   server.get('/v1/entries', () => describeEntries(context));
   addCompletionRoutes(server, context);
   addServiceRoutes(server, context);
+  addResumeRoutes(server, context);
   return server;
 }
 
--- a/packages/serve-callers/src/index.ts
+++ b/packages/serve-callers/src/index.ts
@@ -1,6 +1,19 @@
+export {AbandonedRequests, type OpenRequest} from './abandoned_requests.js';
 export {
   type CallerContext,
   type CallerLimits,
   type EntryAddress,
 } from './caller_context.js';
 export {buildCallerServer} from './caller_server.js';
+export {
+  type EngineRequest,
+  cancelAtEngine,
+  resumeStream,
+  takeStream,
+} from './engine_streams.js';
+export {
+  type EngineRun,
+  type RelayOutcome,
+  type StreamRelayInput,
+  relayStream,
+} from './stream_relay.js';
--- /dev/null
+++ b/packages/serve-callers/src/resume_routes.ts
@@ -0,0 +1,136 @@
+/** Answers that go on: resumed at any node, or cancelled. */
+import {type RequestToken} from '@mimosatack/answer-streams';
+import {TypedError} from '@mimosatack/errors';
+import {
+  type FastifyInstance,
+  type FastifyReply,
+  type FastifyRequest,
+} from 'fastify';
+import {authenticateCaller} from './authenticate.js';
+import {type CallerContext} from './caller_context.js';
+import {
+  type EngineRequest,
+  cancelAtEngine,
+  resumeStream,
+} from './engine_streams.js';
+import {openScope} from './request_scope.js';
+import {readTerms} from './request_terms.js';
+import {relayStream} from './stream_relay.js';
+
+interface RequestRoute {
+  Params: {token: string};
+}
+
+const EVENT_ID_FORM = /^\d{1,15}$/;
+const HTTP_ACCEPTED = 202;
+
+/** Adds the routes under `/v1/requests` to the callers' server. */
+export function addResumeRoutes(
+  server: FastifyInstance,
+  context: CallerContext,
+): void {
+  server.get<RequestRoute>('/v1/requests/:token', async (incoming, reply) => {
+    const firstId = readLastEventId(incoming) + 1;
+    const token = readToken(incoming, context);
+    await resume(incoming, reply, token, firstId, context);
+    return reply;
+  });
+  server.post<RequestRoute>(
+    '/v1/requests/:token/cancel',
+    async (incoming, reply) => {
+      const token = readToken(incoming, context);
+      context.abandoned.noteResumed(token.engineRequestId);
+      await cancelAtEngine(findEngine(token, context));
+      return reply.code(HTTP_ACCEPTED).send({});
+    },
+  );
+}
+
+/** The last event that the caller has, or -1. */
+function readLastEventId(incoming: FastifyRequest): number {
+  const text = incoming.headers['last-event-id'];
+  if (text === undefined || text === '') return -1;
+  if (typeof text === 'string' && EVENT_ID_FORM.test(text)) return Number(text);
+  throw new TypedError('bad-request', 'Last-Event-ID must be an event id.', {
+    run: 'not-run',
+  });
+}
+
+/** Every reason for refusing looks the same, so that nobody learns from it. */
+function readToken(
+  incoming: FastifyRequest<RequestRoute>,
+  context: CallerContext,
+): RequestToken {
+  const {team} = authenticateCaller(
+    incoming.headers.authorization,
+    context.state(),
+  );
+  const nowMs = context.clock.wallMs();
+  const token = context.tokens.read(incoming.params.token, team, nowMs);
+  if (token) return token;
+  throw makeNotFound();
+}
+
+function makeNotFound(): TypedError {
+  return new TypedError('not-found', 'There is no such request.', {
+    remedy: 'Use the x-request-id of an answer to this team; send it again.',
+  });
+}
+
+function findEngine(
+  {backendServerId, engineRequestId}: RequestToken,
+  context: CallerContext,
+): EngineRequest {
+  const {stewardship} = context.state();
+  const server = stewardship.findBackendServer(backendServerId);
+  if (server) return {baseUrl: server.baseUrl, engineRequestId};
+  throw new TypedError('stream-broken', 'The backend server is gone.', {
+    run: 'unknown',
+    remedy: 'Send the request again and drop this answer.',
+  });
+}
+
+async function resume(
+  incoming: FastifyRequest<RequestRoute>,
+  reply: FastifyReply,
+  token: RequestToken,
+  firstId: number,
+  context: CallerContext,
+): Promise<void> {
+  const {engineRequestId, backendServerId} = token;
+  const engine = findEngine(token, context);
+  const {deadlineMs} = readTerms(incoming.headers, context.limits);
+  incoming.workInFlight?.nameRequest(engineRequestId);
+  noteResumed(token, context);
+  context.logger.log('stream-resumed', {
+    requestId: engineRequestId,
+    lastEventId: firstId - 1,
+  });
+  const scope = openScope(context.clock, deadlineMs, [context.gate.cutSignal]);
+  try {
+    const first = await resumeStream(engine, firstId, scope.signal);
+    await relayStream({
+      ...context,
+      ...context.limits,
+      ...{reply, firstId, signal: scope.signal},
+      requestToken: incoming.params.token,
+      run: {
+        ...{backendServerId, engineRequestId, first},
+        resume: (fromId, signal) => resumeStream(engine, fromId, signal),
+      },
+    });
+  } finally {
+    scope.release();
+  }
+}
+
+function noteResumed(
+  {engineRequestId, entryIncarnation}: RequestToken,
+  context: CallerContext,
+): void {
+  if (entryIncarnation === context.incarnation) {
+    context.abandoned.noteResumed(engineRequestId);
+  } else {
+    context.tellResumed(entryIncarnation, engineRequestId);
+  }
+}
