--- a/packages/answer-streams/src/continue_elsewhere.test.ts
+++ b/packages/answer-streams/src/continue_elsewhere.test.ts
@@ -19,6 +19,7 @@
   try {
     for await (const events of continueElsewhere(text, stream(secondRun))) {
       rest.push(...events);
+      text.note(events);
     }
     return {rest, error: null};
   } catch (thrown) {
--- a/packages/answer-streams/src/continue_elsewhere.ts
+++ b/packages/answer-streams/src/continue_elsewhere.ts
@@ -66,13 +66,8 @@
     this.lengthChars += text.length;
   }
 
-  isSame(other: DeliveredText): boolean {
-    return (
-      this.lengthChars === other.lengthChars && this.digest() === other.digest()
-    );
-  }
-
-  private digest(): string {
+  /** A hash of the text so far. */
+  digest(): string {
     return this.hash.copy().digest('base64');
   }
 }
@@ -98,19 +93,23 @@
   }
 }
 
+/** What was delivered is fixed at the start; the original may grow on. */
 class Replay {
   private readonly replayed = new DeliveredText();
+  private readonly deliveredChars: number;
+  private readonly deliveredDigest: string;
   private nextId: number;
+  private isMatched = false;
 
-  constructor(private readonly delivered: DeliveredText) {
+  constructor(delivered: DeliveredText) {
+    this.deliveredChars = delivered.length;
+    this.deliveredDigest = delivered.digest();
     this.nextId = delivered.nextId;
+    if (this.deliveredChars === 0) this.match();
   }
 
   take(event: StreamEvent): StreamEvent[] {
-    if (this.replayed.length >= this.delivered.length) {
-      this.check();
-      return [{id: this.nextId++, data: event.data}];
-    }
+    if (this.isMatched) return [{id: this.nextId++, data: event.data}];
     if (isEndOfAnswer(event)) throw diverged('the second answer is shorter');
     const chunk = parseChunk(event);
     if (!chunk) throw diverged('the second answer is not plain text');
@@ -119,20 +118,21 @@
 
   private takeOverlap(chunk: Chunk): StreamEvent[] {
     const text = readText(chunk);
-    const missingChars = this.delivered.length - this.replayed.length;
+    const missingChars = this.deliveredChars - this.replayed.length;
     this.replayed.append(text.slice(0, missingChars));
     if (text.length < missingChars) return [];
-    this.check();
+    this.match();
     const rest = text.slice(missingChars);
     if (rest === '' && !isFinish(chunk)) return [];
     const data = JSON.stringify(withText(chunk, rest));
     return [{id: this.nextId++, data}];
   }
 
-  private check(): void {
-    if (!this.replayed.isSame(this.delivered)) {
+  private match(): void {
+    if (this.replayed.digest() !== this.deliveredDigest) {
       throw diverged('the second answer begins otherwise');
     }
+    this.isMatched = true;
   }
 }
 
@@ -162,8 +162,11 @@
   return {...chunk, choices};
 }
 
-function diverged(why: string): TypedError {
-  return new TypedError(
+/** Two runs of a request gave different answers; no third one helps. */
+export class DivergedError extends TypedError {}
+
+function diverged(why: string): DivergedError {
+  return new DivergedError(
     'stream-broken',
     `The answer cannot be continued on another backend server: ${why}.`,
     {run: 'unknown', remedy: 'Send the request again and drop this answer.'},
--- a/packages/answer-streams/src/deterministic.ts
+++ b/packages/answer-streams/src/deterministic.ts
@@ -2,6 +2,7 @@
 
 /** The fields of a completion request that decide how it samples. */
 export interface SamplingFields {
+  model?: unknown;
   temperature?: unknown;
   seed?: unknown;
   n?: unknown;
--- a/packages/answer-streams/src/index.ts
+++ b/packages/answer-streams/src/index.ts
@@ -6,7 +6,11 @@
   type RepairCause,
   readAnswer,
 } from './answer_reader.js';
-export {DeliveredText, continueElsewhere} from './continue_elsewhere.js';
+export {
+  DeliveredText,
+  DivergedError,
+  continueElsewhere,
+} from './continue_elsewhere.js';
 export {type SamplingFields, isDeterministic} from './deterministic.js';
 export {EventSequencer, type SequencerOptions} from './event_sequencer.js';
 export {type RequestToken, RequestTokenMint} from './request_token.js';
--- a/packages/drain-node/src/drain_gate.ts
+++ b/packages/drain-node/src/drain_gate.ts
@@ -1,4 +1,5 @@
 /** What a server needs to know of a shutdown while it serves. */
+import {setMaxListeners} from 'node:events';
 import {TypedError} from '@mimosatack/errors';
 import {type InFlight} from './in_flight.js';
 import {type ShutdownPhase} from './shutdown_sequence.js';
@@ -14,7 +15,10 @@
   private readonly cutting = new AbortController();
   private current: GateState = 'starting';
 
-  constructor(readonly inFlight: InFlight) {}
+  constructor(readonly inFlight: InFlight) {
+    // Every request in flight listens; none of them is a leak.
+    setMaxListeners(0, this.cutting.signal);
+  }
 
   get state(): GateState {
     return this.current;
--- a/packages/serve-callers/src/caller_fixture.ts
+++ b/packages/serve-callers/src/caller_fixture.ts
@@ -172,6 +172,7 @@
 export async function receive(
   response: Dispatcher.ResponseData,
   stopAfterId = Infinity,
+  onEvents: (lastEventId: number) => void = () => undefined,
 ): Promise<ReceivedStream> {
   const received: ReceivedStream = {
     requestToken: String(response.headers['x-request-id']),
@@ -184,6 +185,7 @@
       const parts = (rest + String(bytes)).split('\n\n');
       rest = parts.pop() ?? '';
       parts.forEach(part => takeEvent(received, part));
+      onEvents(received.lastEventId);
       if (received.lastEventId >= stopAfterId) return received;
     }
   } catch {
--- /dev/null
+++ b/packages/serve-callers/src/drain.test.ts
@@ -0,0 +1,127 @@
+import {ManualClock, SystemClock} from '@mimosatack/clock';
+import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
+import {MemoryEventLogger} from '@mimosatack/logger';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {request} from 'undici';
+import {
+  type Engine,
+  type Entry,
+  askForStream,
+  expectedText,
+  makePrompt,
+  receive,
+  startEntry,
+  startWarmEngine,
+} from './caller_fixture.js';
+
+const test = suite('draining the callers server');
+
+const TELL_MS = 1_000;
+const GRACE_MS = 60_000;
+
+interface Fixture {
+  engine: Engine;
+  entry: Entry;
+  /** The clock of the shutdown alone. */
+  clock: ManualClock;
+  shutdown: ShutdownTask;
+}
+
+async function withEntry(
+  body: (fixture: Fixture) => Promise<void>,
+): Promise<void> {
+  const clock = new ManualClock();
+  const gate = new DrainGate(new InFlight(new SystemClock()));
+  const engine = await startWarmEngine('r1', {tokenMs: 1});
+  const stays = {nodeName: 'entry-2', baseUrl: 'http://127.0.0.1:1'};
+  const entry = await startEntry('entry-1', [engine], {
+    gate,
+    listEntries: () => [
+      {...stays, failureDomain: 'a', region: 'r', incarnation: 'entry-2.0'},
+    ],
+  });
+  const shutdown = new ShutdownTask({
+    ...{clock, gate, tellCallersMs: TELL_MS, graceMs: GRACE_MS},
+    logger: new MemoryEventLogger(),
+    actions: {
+      abortStart: () => undefined,
+      announce: () => undefined,
+      handOver: async () => undefined,
+      close: () => entry.server.close(),
+    },
+  });
+  shutdown.noteStarted(true);
+  try {
+    await body({engine, entry, clock, shutdown});
+  } finally {
+    await Promise.all([entry.kill(), engine.close()]);
+  }
+}
+
+test('a stop under load cuts no stream, early or late', () =>
+  // Callers would lose half-read answers: the node is replaced while it
+  // streams, and some callers still come with the address they know.
+  withEntry(async ({entry, clock, shutdown}) => {
+    const prompt = makePrompt(300);
+    const early = await Promise.all(
+      Array.from({length: 10}, () => askForStream(entry, prompt)),
+    );
+    const earlyTexts = Promise.all(early.map(response => receive(response)));
+    shutdown.requestStop('SIGTERM');
+    const late = await askForStream(entry, prompt);
+    assert.is(late.headers['connection'], 'close');
+    assert.is(late.headers['x-entry-state'], 'leaving');
+    const lateText = receive(late);
+    clock.advance(TELL_MS);
+    const received = [...(await earlyTexts), await lateText];
+    assert.ok(received.every(({isEnded, isCutOff}) => isEnded && !isCutOff));
+    assert.ok(received.every(({text}) => text === expectedText(prompt)));
+    assert.is(await shutdown.exited, 0);
+  }));
+
+test('what comes after that is refused, not run, with other addresses', () =>
+  withEntry(async ({engine, entry, clock, shutdown}) => {
+    const running = await askForStream(entry, makePrompt(20_000));
+    shutdown.requestStop('SIGTERM');
+    clock.advance(TELL_MS);
+    const refused = await askForStream(entry, makePrompt(5));
+    const {error} = (await refused.body.json()) as RefusalBody;
+    assert.equal([error.kind, error.run], ['shutting-down', 'not-run']);
+    assert.is(error.info.entries[0]?.nodeName, 'entry-2');
+    assert.is(engine.core.observe().requests.length, 1);
+    const ready = await request(`${entry.baseUrl}/readyz`);
+    assert.is(ready.statusCode, 503);
+    const entries = await request(`${entry.baseUrl}/v1/entries`);
+    assert.is(entries.statusCode, 200);
+    await running.body.dump().catch(() => undefined);
+  }));
+
+test('a stop that is ended early tells the callers and where to go on', () =>
+  // A caller would see its stream stop without a word: the operator has no
+  // patience and sends a second signal.
+  withEntry(async ({entry, shutdown}) => {
+    const receiving = receive(await askForStream(entry, makePrompt(20_000)));
+    shutdown.requestStop('SIGTERM');
+    shutdown.requestStop('SIGTERM');
+    const received = await receiving;
+    assert.is(received.errorKind, 'shutting-down');
+    assert.ok(received.isCutOff);
+    assert.is(await shutdown.exited, 3);
+  }));
+
+test('a node that is starting refuses, instead of knowing nobody', () =>
+  // A caller would be told that its token is wrong: the node is back at its
+  // old address and has not read the teams yet.
+  withEntry(async ({entry}) => {
+    entry.gate.follow('starting');
+    const refused = await askForStream(entry, makePrompt(5));
+    const {error} = (await refused.body.json()) as RefusalBody;
+    assert.equal([error.kind, error.run], ['overloaded', 'not-run']);
+  }));
+
+test.run();
+
+interface RefusalBody {
+  error: {kind: string; run: string; info: {entries: {nodeName: string}[]}};
+}
--- /dev/null
+++ b/packages/serve-callers/src/second_run.test.ts
@@ -0,0 +1,109 @@
+import {randomUUID} from 'node:crypto';
+import {isDeterministic} from '@mimosatack/answer-streams';
+import {SystemClock} from '@mimosatack/clock';
+import {MemoryEventLogger} from '@mimosatack/logger';
+import {SeededRandom} from '@mimosatack/random';
+import fastify from 'fastify';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {request} from 'undici';
+import {
+  type Engine,
+  expectedText,
+  makePrompt,
+  receive,
+  startWarmEngine,
+  waitUntil,
+} from './caller_fixture.js';
+import {
+  type EngineRun,
+  relayStream,
+  resumeStream,
+  takeStream,
+} from './index.js';
+
+const test = suite('a second run on another replica');
+
+/** Far enough for the answers to two prompts to differ. */
+const KILL_AFTER_ID = 10;
+
+type Prompt = ReturnType<typeof makePrompt>;
+
+async function startRun(engine: Engine, prompt: Prompt): Promise<EngineRun> {
+  const engineRequestId = randomUUID();
+  const {baseUrl} = engine;
+  const response = await request(`${baseUrl}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {
+      'content-type': 'application/json',
+      'x-request-id': engineRequestId,
+    },
+    body: JSON.stringify({...prompt, stream: true}),
+  });
+  return {
+    backendServerId: engine.core.options.backendServerId,
+    ...{engineRequestId, first: takeStream(response)},
+    resume: (fromId, signal) =>
+      resumeStream({baseUrl, engineRequestId}, fromId, signal),
+  };
+}
+
+/** Relays `prompt` from one engine; the other runs `second` when it dies. */
+async function relayOverTwo(prompt: Prompt, second: Prompt) {
+  const engines = [
+    await startWarmEngine('r1', {tokenMs: 2}),
+    await startWarmEngine('r2', {tokenMs: 0}),
+  ] as const;
+  const server = fastify();
+  server.get('/', async (_incoming, reply) => {
+    await relayStream({
+      ...{requestToken: 'token', firstId: 0, reply},
+      ...{maxAnswerBytes: 10_000_000, callerStallMs: 10_000},
+      ...{clock: new SystemClock(), random: new SeededRandom(1)},
+      logger: new MemoryEventLogger(),
+      signal: new AbortController().signal,
+      run: await startRun(engines[0], prompt),
+      runElsewhere: isDeterministic(prompt)
+        ? () => startRun(engines[1], second)
+        : undefined,
+    });
+    return reply;
+  });
+  const baseUrl = await server.listen({host: '127.0.0.1', port: 0});
+  let lastEventId = -1;
+  const receiving = receive(await request(baseUrl), Infinity, id => {
+    lastEventId = id;
+  });
+  await waitUntil(() => lastEventId >= KILL_AFTER_ID);
+  await engines[0].kill();
+  const received = await receiving;
+  await server.close();
+  await engines[1].close();
+  return received;
+}
+
+test('goes on where the first one died', async () => {
+  // A caller would get an error after half its answer, though another
+  // replica gives the same one: the engine dies mid-stream.
+  const prompt = makePrompt(300, {temperature: 0});
+  const received = await relayOverTwo(prompt, prompt);
+  assert.is(received.text, expectedText(prompt));
+  assert.ok(received.isEnded);
+});
+
+test('is not passed on where it differs', async () => {
+  const prompt = makePrompt(300, {seed: 7});
+  const other = {...prompt, messages: [{role: 'user', content: 'rye bread'}]};
+  const received = await relayOverTwo(prompt, other);
+  assert.is(received.errorKind, 'stream-broken');
+  assert.ok(expectedText(prompt).startsWith(received.text));
+  assert.not(received.isEnded);
+});
+
+test('is not begun where sampling is random', async () => {
+  const prompt = makePrompt(300);
+  const received = await relayOverTwo(prompt, prompt);
+  assert.is(received.errorKind, 'stream-broken');
+});
+
+test.run();
--- a/packages/serve-callers/src/stream_relay.ts
+++ b/packages/serve-callers/src/stream_relay.ts
@@ -3,6 +3,7 @@
   type AnswerLimits,
   DEFAULT_ANSWER_LIMITS,
   DeliveredText,
+  DivergedError,
   type OpenStream,
   type RepairCause,
   type StreamEvent,
@@ -69,10 +70,13 @@
   return new StreamRelay(input).relay();
 }
 
+const MAX_RUNS_ELSEWHERE = 3;
+
 class StreamRelay {
   private readonly sink: ResponseSink;
   private run: EngineRun;
   private sentEvents = 0;
+  private runsElsewhere = 0;
 
   constructor(private readonly input: StreamRelayInput) {
     this.run = input.run;
@@ -143,7 +147,10 @@
   }
 
   private async startElsewhere(error: TypedError): Promise<boolean> {
-    if (error.kind !== 'stream-broken') return false;
+    const isRepairable =
+      error.kind === 'stream-broken' && !(error instanceof DivergedError);
+    if (!isRepairable || this.runsElsewhere >= MAX_RUNS_ELSEWHERE) return false;
+    this.runsElsewhere += 1;
     const next = (await this.input.runElsewhere?.(error)) ?? null;
     if (!next) return false;
     this.input.logger.log('stream-continued-elsewhere', {
--- a/packages/serve-callers/src/streams.test.ts
+++ b/packages/serve-callers/src/streams.test.ts
@@ -66,10 +66,12 @@
   withEntries(
     async ({engine, first}) => {
       const prompt = makePrompt(2_000);
+      let lastEventId = -1;
       const response = await askForStream(first, prompt);
-      const receiving = receive(response);
-      await waitUntil(() => isRunning(engine));
-      await new Promise(resolve => setTimeout(resolve, 20));
+      const receiving = receive(response, Infinity, id => {
+        lastEventId = id;
+      });
+      await waitUntil(() => lastEventId > 0);
       await engine.kill();
       const received = await receiving;
       assert.is(received.errorKind, 'stream-broken');
@@ -220,7 +222,3 @@
 );
 
 resuming.run();
-
-function isRunning(engine: Engine): boolean {
-  return engine.core.observe().requests[0]?.outcome === 'running';
-}
