--- /dev/null
+++ b/packages/answer-streams/src/measure_main.ts
@@ -0,0 +1,150 @@
+/**
+ * Prints what relaying costs without sockets: processor time of one event
+ * from the engine's bytes to the caller's, and memory of one open stream.
+ */
+import {cpuUsage, memoryUsage} from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {SystemClock} from '@mimosatack/clock';
+import {SeededRandom} from '@mimosatack/random';
+import {
+  DEFAULT_ANSWER_LIMITS,
+  DeliveredText,
+  END_OF_ANSWER,
+  type OpenStream,
+  type StreamEvent,
+  formatEvent,
+  readAnswer,
+} from './index.js';
+
+const EVENT_COUNT = 100_000;
+const ROUNDS = 5;
+const STREAM_COUNT = 5_000;
+const EVENTS_BEFORE_WAIT = 20;
+const BYTES_PER_KB = 1024;
+const REQUEST_ID = '0f8fad5b-d9cb-469f-a165-70867728950e';
+
+/** How the events of a measured answer arrive. */
+type Arrival =
+  'in order' | 'each tenth late' | 'in order, kept for a second run';
+
+const ARRIVALS: Arrival[] = [
+  'in order',
+  'each tenth late',
+  'in order, kept for a second run',
+];
+
+function makeEvents(): StreamEvent[] {
+  const chunks = Array.from({length: EVENT_COUNT}, (_unused, id) => ({
+    id,
+    data: JSON.stringify({
+      id: `cmpl-${REQUEST_ID}`,
+      object: 'chat.completion.chunk',
+      created: 0,
+      model: 'list-writer',
+      request_id: REQUEST_ID,
+      choices: [
+        {
+          index: 0,
+          finish_reason: id === EVENT_COUNT - 1 ? 'stop' : null,
+          delta: {role: 'assistant', content: `word${id} `},
+        },
+      ],
+    }),
+  }));
+  return [...chunks, {id: EVENT_COUNT, data: END_OF_ANSWER}];
+}
+
+function delayTenths(events: StreamEvent[]): StreamEvent[] {
+  return events
+    .map((event, index) => ({event, place: index % 10 ? index : index + 1.5}))
+    .sort((first, second) => first.place - second.place)
+    .map(({event}) => event);
+}
+
+async function* send(parts: readonly Buffer[]): AsyncGenerator<Uint8Array> {
+  yield* parts;
+}
+
+function openReader(stream: OpenStream, signal: AbortSignal) {
+  return readAnswer({
+    ...{requestId: REQUEST_ID, firstId: 0, first: stream, signal},
+    resume: () => Promise.reject(new Error('not expected')),
+    ...{clock: new SystemClock(), random: new SeededRandom(1)},
+    limits: {...DEFAULT_ANSWER_LIMITS, maxAnswerBytes: 2 ** 30},
+  });
+}
+
+async function measureRound(
+  parts: readonly Buffer[],
+  arrival: Arrival,
+): Promise<number> {
+  const delivered =
+    arrival === 'in order, kept for a second run' ? new DeliveredText() : null;
+  const stream = {bytes: send(parts), close: () => undefined};
+  const before = cpuUsage();
+  let sizeBytes = 0;
+  for await (const events of openReader(stream, new AbortController().signal)) {
+    delivered?.note(events);
+    sizeBytes += Buffer.byteLength(events.map(formatEvent).join(''));
+  }
+  if (sizeBytes === 0) throw new Error('Nothing was relayed.');
+  const {user, system} = cpuUsage(before);
+  return (user + system) / EVENT_COUNT;
+}
+
+async function measureEvents(arrival: Arrival): Promise<string> {
+  const events = makeEvents();
+  const sent = arrival === 'each tenth late' ? delayTenths(events) : events;
+  const parts = sent.map(event => Buffer.from(formatEvent(event)));
+  const rounds: number[] = [];
+  for (let round = 0; round < ROUNDS; round += 1) {
+    rounds.push(await measureRound(parts, arrival));
+  }
+  const sorted = rounds.toSorted((a, b) => a - b);
+  const [least, median, most] = [0, ROUNDS >> 1, ROUNDS - 1].map(index =>
+    sorted[index]?.toFixed(2),
+  );
+  return `${median} µs an event (${least} to ${most}), ${arrival}`;
+}
+
+/** A stream that brings some events and then waits for its end. */
+function openWaitingStream(parts: readonly Buffer[]): OpenStream {
+  const bytes = (async function* () {
+    yield* parts;
+    await new Promise<never>(() => undefined);
+  })();
+  return {bytes, close: () => undefined};
+}
+
+async function measureMemory(): Promise<string> {
+  setFlagsFromString('--expose-gc');
+  const collectGarbage = runInNewContext('gc') as () => void;
+  const parts = makeEvents()
+    .slice(0, EVENTS_BEFORE_WAIT)
+    .map(event => Buffer.from(formatEvent(event)));
+  const {signal} = new AbortController();
+  collectGarbage();
+  const before = memoryUsage();
+  const readers = Array.from({length: STREAM_COUNT}, () =>
+    openReader(openWaitingStream(parts), signal),
+  );
+  for (const reader of readers) {
+    for (let read = 0; read < EVENTS_BEFORE_WAIT; read += 1) {
+      await reader.next();
+    }
+  }
+  const waiting = readers.map(reader => reader.next());
+  collectGarbage();
+  const after = memoryUsage();
+  const grownBytes =
+    after.heapUsed - before.heapUsed + after.external - before.external;
+  const perStreamKb = grownBytes / waiting.length / BYTES_PER_KB;
+  return `${perStreamKb.toFixed(1)} KB an open stream (${STREAM_COUNT} open)`;
+}
+
+for (const arrival of ARRIVALS) {
+  process.stdout.write(`${await measureEvents(arrival)}\n`);
+}
+process.stdout.write(`${await measureMemory()}\n`);
+process.exit(0);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -162,13 +162,18 @@
     return this.shutdown.task.exited;
   }
 
+  /** Whether a stop was asked for. */
+  get isStopping(): boolean {
+    return this.shutdown.task.isStopping;
+  }
+
   /**
    * Opens the ports, joins the other nodes and begins to work. Null when the
    * node was told to stop meanwhile.
    */
   async start(): Promise<NodeAddresses | null> {
     const addresses = await this.openPorts();
-    if (this.shutdown.task.isStopping) {
+    if (this.isStopping) {
       this.shutdown.task.noteStarted(false);
       return null;
     }
--- a/packages/serve-callers/src/abandoned_requests.ts
+++ b/packages/serve-callers/src/abandoned_requests.ts
@@ -34,7 +34,7 @@
       end: isAbandoned => {
         if (this.entries.get(engineRequestId) !== entry) return;
         if (!isAbandoned) return void this.entries.delete(engineRequestId);
-        entry.timer = this.clock.setTimer(this.graceMs, () => {
+        entry.timer ??= this.clock.setTimer(this.graceMs, () => {
           this.entries.delete(engineRequestId);
           cancel();
         });
