--- a/packages/serve-callers/src/abandoned_requests.ts
+++ b/packages/serve-callers/src/abandoned_requests.ts
@@ -3,7 +3,7 @@
 
 /** A request that this node took in and whose stream is open. */
 export interface OpenRequest {
-  /** Ends the watch; `isAbandoned` when the caller is gone before the end. */
+  /** Ends the watch; `isAbandoned` when the caller has not the whole answer. */
   end(isAbandoned: boolean): void;
 }
 
--- a/packages/serve-callers/src/completion_routes.ts
+++ b/packages/serve-callers/src/completion_routes.ts
@@ -146,10 +146,10 @@
         resumeStream(request, fromId, resumeSignal),
     },
   }).catch((thrown: unknown) => {
-    watch.end(false);
+    watch.end(true);
     throw thrown;
   });
-  watch.end(outcome.status === 'caller-gone');
+  watch.end(outcome.status !== 'whole');
 }
 
 function makeToken(
--- a/packages/serve-callers/src/streams.test.ts
+++ b/packages/serve-callers/src/streams.test.ts
@@ -113,6 +113,19 @@
   ),
 );
 
+streams('a passed deadline is told, and frees the engine', () =>
+  withEntries(async ({engine, first}) => {
+    const headers = {'x-request-timeout-ms': '100'};
+    const prompt = makePrompt(50_000);
+    const received = await receive(await askForStream(first, prompt, headers));
+    assert.is(received.errorKind, 'deadline-exceeded');
+    assert.ok(received.isCutOff);
+    await waitUntil(
+      () => engine.core.observe().requests[0]?.outcome === 'cancelled',
+    );
+  }),
+);
+
 streams('a caller that does not read is cut off, with little kept', () =>
   // The node would run out of memory: a caller asks for a long answer and
   // stops reading, and all that the engine sends piles up.
