--- a/packages/drain-node/src/shutdown.test.ts
+++ b/packages/drain-node/src/shutdown.test.ts
@@ -131,6 +131,7 @@
   assert.equal(cut?.requests, [
     {work: 'POST /v1/completions', requestId: 'r1.x', ageMs: GRACE_MS},
   ]);
+  assert.equal(logger.fieldsOf('shutdown-finished'), []);
 });
 
 tasks('a second signal ends it at once', async () => {
@@ -139,9 +140,13 @@
   const work = inFlight.begin('stream');
   gate.cutSignal.addEventListener('abort', () => work.end());
   task.requestStop('SIGTERM');
-  task.requestStop('SIGTERM');
+  task.requestStop('SIGINT');
+  task.requestStop('SIGINT');
   assert.is(await task.exited, 3);
-  assert.is(logger.fieldsOf('shutdown-cut-off')[0]?.reason, 'second-signal');
+  assert.equal(
+    logger.fieldsOf('shutdown-cut-off').map(({reason}) => reason),
+    ['second-signal'],
+  );
 });
 
 tasks('a step that fails does not keep the node from ending', async () => {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,6 @@
 /** One node: its tasks, its servers and how they are wired. */
 import {randomUUID} from 'node:crypto';
+import {type FoldedRecord} from '@mimosatack/agreed-state';
 import {RequestTokenMint} from '@mimosatack/answer-streams';
 import {type Clock} from '@mimosatack/clock';
 import {EngineBoard} from '@mimosatack/engine-board';
@@ -21,7 +22,6 @@
 import {type RandomSource} from '@mimosatack/random';
 import {Router} from '@mimosatack/route-requests';
 import {AbandonedRequests, buildCallerServer} from '@mimosatack/serve-callers';
-import {buildOperatorServer} from '@mimosatack/serve-operators';
 import {type DaemonSettings} from '@mimosatack/settings';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type HostEntry} from '@mimosatack/types';
@@ -32,6 +32,7 @@
 import {type DrainedHook, NodeShutdown} from './node_shutdown.js';
 import {NodeRanking} from './node_ranking.js';
 import {Obituary} from './obituary.js';
+import {Operations} from './operations.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
 import {StewardTask} from './steward_task.js';
@@ -75,7 +76,7 @@
   private readonly planner: PlannerTask;
   private readonly router: Router;
   private readonly callerServer: FastifyInstance;
-  private readonly operatorServer: FastifyInstance;
+  private readonly operations: Operations;
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
   private readonly obituary: Obituary;
@@ -83,6 +84,7 @@
   private leavingServers = new Set<string>();
   private readonly shutdown: NodeShutdown;
   private readonly abandoned: AbandonedRequests;
+  private drainingServers: ReadonlySet<string> = new Set();
 
   constructor(private readonly options: NodeOptions) {
     const {settings, clock, random, logger} = options;
@@ -119,6 +121,8 @@
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
+    this.operations = this.makeOperations();
+    this.shutdown.watch(this.operations.operatorServer);
     this.callerServer = buildCallerServer({
       clock,
       random,
@@ -135,27 +139,15 @@
       mint: this.mint,
       keys: new KeyTable(),
       limits: settings,
+      serverFactory: this.operations.callerServerFactory,
       listEntries: () => this.peers.listUsable().map(toEntry),
       noteDemand: model => this.passDemand(model),
     });
-    this.operatorServer = buildOperatorServer({
-      clock,
-      logger,
-      nodeName: settings.nodeName,
-      follower: this.follower,
-      board: this.board,
-      bootstrapTokenHash: settings.bootstrapAdminTokenHash ?? '',
-      submitTimeoutMs: SUBMIT_TIMEOUT_MS,
-      maxBodyBytes: settings.maxBodyBytes,
-      state: () => this.follower.state,
-      listNodes: () =>
-        this.peers.listMembers().map(member => ({
-          ...toEntry(member),
-          status: member.status,
-          callerBaseUrl: member.callerBaseUrl,
-          adminBaseUrl: member.adminBaseUrl,
-          nextOffset: this.peers.findNextOffset(member.peerAddress),
-        })),
+    this.operations.watch(this.callerServer, 'callers');
+    this.follower.onFold(folded => {
+      if (folded.length === 0 || folded.some(isAboutDraining)) {
+        this.updateDraining();
+      }
     });
   }
 
@@ -174,6 +166,7 @@
    * node was told to stop meanwhile.
    */
   async start(): Promise<NodeAddresses | null> {
+    const startedAtMs = this.options.clock.monotonicMs();
     const addresses = await this.openPorts();
     if (this.isStopping) {
       this.shutdown.task.noteStarted(false);
@@ -184,8 +177,12 @@
       states: [this.peers, this.checkpoints],
       appends: this.peers,
     });
+    this.operations.start();
     this.startTicking();
     this.shutdown.task.noteStarted(true);
+    this.options.logger.log('node-ready', {
+      startupMs: this.options.clock.monotonicMs() - startedAtMs,
+    });
     return addresses;
   }
 
@@ -200,15 +197,23 @@
   }
 
   private async openPorts(): Promise<NodeAddresses> {
-    const {settings} = this.options;
+    const {settings, logger} = this.options;
     const {listenHost: host, advertiseHost} = settings;
+    const {operations, callerServer} = this;
+    await operations.openTls();
     const peer = await this.peers.listen();
-    await this.callerServer.listen({host, port: settings.callerPort});
-    await this.operatorServer.listen({host, port: settings.adminPort});
+    await callerServer.listen({host, port: settings.callerPort});
+    await operations.operatorServer.listen({host, port: settings.adminPort});
+    const callerPort = portOf(callerServer);
+    const adminPort = portOf(operations.operatorServer);
+    logger.log('node-started', {
+      incarnation: this.incarnation,
+      ...{callerPort, adminPort, peerPort: peer.port},
+    });
     return {
       peerAddress: `${advertiseHost}:${peer.port}`,
-      callerBaseUrl: `http://${advertiseHost}:${portOf(this.callerServer)}`,
-      adminBaseUrl: `http://${advertiseHost}:${portOf(this.operatorServer)}`,
+      callerBaseUrl: `${operations.schemeOf('callers')}://${advertiseHost}:${callerPort}`,
+      adminBaseUrl: `${operations.schemeOf('operators')}://${advertiseHost}:${adminPort}`,
     };
   }
 
@@ -226,21 +231,23 @@
   }
 
   /**
+   * The servers first, so that operators' changes still get their answers.
    * The follower is stopped with the tasks and not after them: while the log
    * is down they wait for records that only it can tell them to give up.
    */
   private async close(): Promise<void> {
+    await this.callerServer.close();
+    await this.operations.operatorServer.close();
     this.periodics.forEach(periodic => periodic.stop());
     this.abandoned.stop();
     await Promise.all([
       this.stewards.stop(),
       this.hosts.stop(),
       this.planner.stop(),
-      this.follower.stop(),
       this.checkpoints.stop(),
+      this.follower.stop(),
     ]);
-    await this.callerServer.close();
-    await this.operatorServer.close();
+    await this.operations.stop();
     await this.peers.stop();
     await this.log.close();
   }
@@ -323,6 +330,7 @@
         findDeathEvidence: incarnation => this.obituary.find(incarnation),
         publishReport: report => {
           this.board.note(report);
+          this.operations.noteReport(report);
           this.peers.broadcastReport(report);
         },
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -359,7 +367,7 @@
         board: this.board,
         policy: makePolicy(this.options.settings),
         isResponsible: key => this.ranking.isFirst(key),
-        isLeaving: id => this.leavingServers.has(id),
+        isLeaving: id => this.drainingServers.has(id),
         makeSlotId: () => `s-${randomUUID()}`,
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
       },
@@ -367,6 +375,21 @@
     );
   }
 
+  private makeOperations(): Operations {
+    return new Operations({
+      ...this.options,
+      incarnation: this.incarnation,
+      follower: this.follower,
+      board: this.board,
+      log: this.log,
+      peers: this.peers,
+      submitTimeoutMs: SUBMIT_TIMEOUT_MS,
+      isResponsible: key => this.ranking.isFirst(key),
+      isStopping: () => this.isStopping,
+      onFault: (error, task) => this.noteFault(error, task),
+    });
+  }
+
   private connectEngine(backendServerId: string, baseUrl: string) {
     return new HttpEngineControl({
       backendServerId,
@@ -391,7 +414,18 @@
         .filter(host => host.state === 'leaving' && host.role !== 'entry')
         .map(host => host.hostId),
     );
-    this.router.setDraining([...this.leavingServers]);
+    this.updateDraining();
+  }
+
+  /** Keeps new work away from hosts that leave and servers being drained. */
+  private updateDraining(): void {
+    const {stewardship} = this.follower.state;
+    const drained = stewardship
+      .listBackendServers()
+      .map(server => server.backendServerId)
+      .filter(id => stewardship.isDraining(id));
+    this.drainingServers = new Set([...this.leavingServers, ...drained]);
+    this.router.setDraining([...this.drainingServers]);
   }
 
   private passDemand(model: string): void {
@@ -424,6 +458,10 @@
   }
 }
 
+function isAboutDraining({record}: FoldedRecord): boolean {
+  return record?.body.type === 'drain-backend-server';
+}
+
 function toEntry(member: {
   nodeName: string;
   callerBaseUrl: string;
--- a/packages/node/src/node_shutdown.ts
+++ b/packages/node/src/node_shutdown.ts
@@ -3,6 +3,7 @@
 import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
 import {toTypedError} from '@mimosatack/errors';
 import {type EventLogger} from '@mimosatack/logger';
+import {type FastifyInstance} from 'fastify';
 import {type YieldReport} from './steward_task.js';
 
 /** What the shutdown needs of the node. */
@@ -46,6 +47,15 @@
     });
   }
 
+  /** Counts the requests of the operators' server among those in flight. */
+  watch(server: FastifyInstance): void {
+    server.addHook('onRequest', async (incoming, reply) => {
+      const route = incoming.routeOptions.url ?? 'unknown route';
+      const work = this.gate.inFlight.begin(`${incoming.method} ${route}`);
+      reply.raw.once('close', () => work.end());
+    });
+  }
+
   onDrained(hook: DrainedHook): void {
     this.hooks.push(hook);
   }
--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -61,6 +61,17 @@
     type: z.literal('appends'),
     records: z.array(z.object({offset, data: bytes})),
   }),
+  /** Asks how far a node has folded, and tells it how far the sender has. */
+  z.object({
+    type: z.literal('read-progress'),
+    nextOffset: offset,
+    isLogReachable: z.boolean(),
+  }),
+  z.object({
+    type: z.literal('progress'),
+    nextOffset: offset,
+    isLogReachable: z.boolean(),
+  }),
   z.object({type: z.literal('pull-state')}),
   z.object({type: z.literal('state'), data: bytes.nullable()}),
   z.object({type: z.literal('report'), report: backendReportSchema}),
--- a/packages/serve-callers/src/caller_context.ts
+++ b/packages/serve-callers/src/caller_context.ts
@@ -9,6 +9,7 @@
 import {type Router} from '@mimosatack/route-requests';
 import {type KeyTable, type TicketMint} from '@mimosatack/unrepeatable';
 import {type AbandonedRequests} from './abandoned_requests.js';
+import {type FastifyServerFactory} from 'fastify';
 
 /** An address that callers may use, from this node's membership. */
 export interface EntryAddress {
@@ -38,6 +39,8 @@
   /** The shutdown as the server sees it. */
   gate: DrainGate;
   limits: CallerLimits;
+  /** Makes the HTTP server; fastify's own when left out. */
+  serverFactory?: FastifyServerFactory;
   listEntries(): EntryAddress[];
   /** Asks for a replica of a model that requests wait for. */
   noteDemand(model: string): void;
--- a/packages/serve-callers/src/caller_server.ts
+++ b/packages/serve-callers/src/caller_server.ts
@@ -20,6 +20,7 @@
   const server = fastify({
     bodyLimit: context.limits.maxBodyBytes,
     routerOptions: {maxParamLength: MAX_PARAMETER_CHARS},
+    serverFactory: context.serverFactory,
   });
   server.setErrorHandler((thrown, _incoming, reply) => {
     sendError(reply, readHttpError(thrown));
--- a/packages/serve-callers/src/completion_routes.ts
+++ b/packages/serve-callers/src/completion_routes.ts
@@ -6,11 +6,11 @@
   asAbortError,
   readWholeAnswer,
 } from '@mimosatack/answer-streams';
+import {type Caller, authenticateCaller} from '@mimosatack/authenticate';
 import {TypedError} from '@mimosatack/errors';
 import {type FastifyInstance, type FastifyReply} from 'fastify';
 import {type Dispatcher, request} from 'undici';
 import {z} from 'zod';
-import {type Caller, authenticateCaller} from './authenticate.js';
 import {type CallerContext} from './caller_context.js';
 import {cancelAtEngine, resumeStream, takeStream} from './engine_streams.js';
 import {openScope} from './request_scope.js';
--- a/packages/serve-callers/src/resume_routes.ts
+++ b/packages/serve-callers/src/resume_routes.ts
@@ -6,7 +6,7 @@
   type FastifyReply,
   type FastifyRequest,
 } from 'fastify';
-import {authenticateCaller} from './authenticate.js';
+import {authenticateCaller} from '@mimosatack/authenticate';
 import {type CallerContext} from './caller_context.js';
 import {
   type EngineRequest,
