--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -78,6 +78,11 @@
   z.object({type: z.literal('demand'), model: name}),
   /** A caller has resumed a request that the receiver took in. */
   z.object({type: z.literal('resumed'), engineRequestId: name}),
+  z.object({
+    type: z.literal('hosts-leaving'),
+    backendServerIds: z.array(name).max(1024),
+    nodeNames: z.array(name).max(1024),
+  }),
 ]);
 
 /** One message between nodes. */
