--- a/packages/serve-callers/src/completion_routes.ts
+++ b/packages/serve-callers/src/completion_routes.ts
@@ -13,7 +13,7 @@
 import {z} from 'zod';
 import {type CallerContext} from './caller_context.js';
 import {cancelAtEngine, resumeStream, takeStream} from './engine_streams.js';
-import {openScope} from './request_scope.js';
+import {openStreamScope} from './stream_scope.js';
 import {type RequestTerms, readTerms} from './request_terms.js';
 import {relayStream} from './stream_relay.js';
 
@@ -66,7 +66,7 @@
 ): Promise<void> {
   const engine = chooseEngine(body.model, context);
   const engineRequestId = randomUUID();
-  const scope = openScope(context.clock, terms.deadlineMs, [
+  const scope = openStreamScope(context.clock, terms.deadlineMs, [
     context.gate.cutSignal,
   ]);
   reply.request.workInFlight?.nameRequest(engineRequestId);
--- a/packages/serve-callers/src/resume_routes.ts
+++ b/packages/serve-callers/src/resume_routes.ts
@@ -13,7 +13,7 @@
   cancelAtEngine,
   resumeStream,
 } from './engine_streams.js';
-import {openScope} from './request_scope.js';
+import {openStreamScope} from './stream_scope.js';
 import {readTerms} from './request_terms.js';
 import {relayStream} from './stream_relay.js';
 
@@ -106,7 +106,9 @@
     requestId: engineRequestId,
     lastEventId: firstId - 1,
   });
-  const scope = openScope(context.clock, deadlineMs, [context.gate.cutSignal]);
+  const scope = openStreamScope(context.clock, deadlineMs, [
+    context.gate.cutSignal,
+  ]);
   try {
     const first = await resumeStream(engine, firstId, scope.signal);
     await relayStream({
--- a/packages/serve-callers/src/stream_relay.ts
+++ b/packages/serve-callers/src/stream_relay.ts
@@ -18,7 +18,7 @@
 import {type RandomSource} from '@mimosatack/random';
 import {type BackendServerId} from '@mimosatack/types';
 import {type FastifyReply} from 'fastify';
-import {mergeSignals} from './request_scope.js';
+import {mergeSignals} from './stream_scope.js';
 import {ResponseSink} from './response_sink.js';
 
 /** One run of a request on one engine. */
@@ -46,6 +46,8 @@
   logger: EventLogger;
   /** Ends the stream with its reason, a typed error. */
   signal: AbortSignal;
+  /** Called once, when the first events are there and are about to be sent. */
+  onFirstEvents?(): void;
   /**
    * Runs the request once more on another replica when this one can't finish
    * it; null when there is none. Left out where two runs may differ.
@@ -102,6 +104,7 @@
 
   private async relayAll(signal: AbortSignal): Promise<void> {
     for await (const events of this.readRuns(signal)) {
+      if (!this.sink.isBegun) this.input.onFirstEvents?.();
       const text = events.map(formatEvent).join('');
       if (!(await this.sink.write(text))) return;
       this.sentEvents += events.length;
--- a/packages/serve-callers/src/request_scope.ts
+++ b/packages/serve-callers/src/stream_scope.ts
@@ -3,7 +3,7 @@
 import {TypedError} from '@mimosatack/errors';
 
 /** One signal for several ends; `release` lets go of all of them. */
-export interface RequestScope {
+export interface StreamScope {
   signal: AbortSignal;
   release(): void;
 }
@@ -13,11 +13,11 @@
  * taken off again, since a signal of the whole node lives for ever and would
  * hold on to every request it was merged into.
  */
-export function openScope(
+export function openStreamScope(
   clock: Clock,
   deadlineMs: number,
   others: readonly AbortSignal[],
-): RequestScope {
+): StreamScope {
   const merged = mergeSignals(others);
   const timer = clock.setTimer(deadlineMs, () =>
     merged.abort(
@@ -38,7 +38,7 @@
 /** A signal that is aborted with the first of `signals`, or by hand. */
 export function mergeSignals(
   signals: readonly AbortSignal[],
-): RequestScope & {abort(reason: unknown): void} {
+): StreamScope & {abort(reason: unknown): void} {
   const controller = new AbortController();
   const listeners = signals.map(signal => {
     const listener = () => controller.abort(signal.reason);
