--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -39,6 +39,7 @@
   clusterSecret: string;
   seeds: readonly string[];
   onDemand(model: string): void;
+  onResumed(engineRequestId: string): void;
   /** Told by another node that hosts of backend servers leave. */
   onServersLeaving(backendServerIds: readonly string[]): void;
   onFault(error: TypedError): void;
@@ -178,6 +179,16 @@
     if (peer) this.transport.send(peer.peerAddress, {type: 'demand', model});
   }
 
+  /** Tells the process that took a request in that its caller has resumed. */
+  sendResumed(incarnation: string, engineRequestId: string): void {
+    const peer = this.listMembers().find(
+      other => other.incarnation === incarnation,
+    );
+    if (!peer) return;
+    const message: PeerMessage = {type: 'resumed', engineRequestId};
+    this.transport.send(peer.peerAddress, message);
+  }
+
   async pullAppends(from: LogOffset): Promise<LogRecord[]> {
     const peer = pickOne(
       this.options.random,
@@ -297,6 +308,9 @@
       case 'demand':
         this.options.onDemand(message.model);
         return;
+      case 'resumed':
+        this.options.onResumed(message.engineRequestId);
+        return;
       case 'appends':
       case 'progress':
       case 'state':
