--- a/packages/engine-board/src/board_entry.ts
+++ b/packages/engine-board/src/board_entry.ts
@@ -85,8 +85,9 @@
     if (this.status && epoch < this.status.version.epoch) return false;
     const known = this.sample;
     if (known && epoch < known.epoch) return false;
-    if (known && epoch === known.epoch && stampMs <= known.stampMs)
+    if (known && epoch === known.epoch && stampMs <= known.stampMs) {
       return false;
+    }
     this.sample = sample;
     this.confirm(nowMs);
     this.rebuild();
--- a/packages/share-reports/src/in_memory_cluster.ts
+++ b/packages/share-reports/src/in_memory_cluster.ts
@@ -3,7 +3,7 @@
 import {SeededRandom} from '@mimosatack/random';
 import {type BackendServerId, type EngineState} from '@mimosatack/types';
 import {type RingNode} from './exchange_ring.js';
-import {type OutgoingReport} from './messages.js';
+import {type OutgoingReport, type ReportMessage} from './messages.js';
 import {ReportSharing} from './report_sharing.js';
 import {type RunnerRow} from './runner_table.js';
 
@@ -53,6 +53,8 @@
   isLost: (envelope: Envelope) => boolean = () => false;
   /** How long a message travels. */
   findDelayMs: (envelope: Envelope) => number = () => DEFAULT_DELAY_MS;
+  /** What a receiver gets of a message. */
+  transfer: (message: ReportMessage) => ReportMessage = structuredClone;
   /** Told of every message that is sent, lost ones included. */
   onSend: (envelope: Envelope) => void = () => {};
   rows: RunnerRow[] = [];
@@ -134,7 +136,7 @@
 
   deliver({fromAddress, toAddress, message}: Envelope): void {
     const node = this.find(toAddress);
-    const copy = structuredClone(message);
+    const copy = this.transfer(message);
     this.post(node, node.sharing.receive(fromAddress, copy, this.now(node)));
   }
 
--- a/packages/share-reports/src/report_sharing.ts
+++ b/packages/share-reports/src/report_sharing.ts
@@ -12,7 +12,11 @@
 import {type BackendServerId} from '@mimosatack/types';
 import {ExchangeRing, type RingNode} from './exchange_ring.js';
 import {LoadExchange} from './load_exchange.js';
-import {type OutgoingReport, type ReportMessage} from './messages.js';
+import {
+  type IndexedStatus,
+  type OutgoingReport,
+  type ReportMessage,
+} from './messages.js';
 import {OwnEngines, type StewardTerm} from './own_engines.js';
 import {type RunnerRow, TableHistory} from './runner_table.js';
 import {StatusSpread} from './status_spread.js';
@@ -34,6 +38,13 @@
   wallMs: number;
 }
 
+/** The warm states of a message. */
+interface StatusNews {
+  table: number;
+  statuses: readonly IndexedStatus[];
+  isWhole?: boolean;
+}
+
 const EXPIRE_PERIOD_MS = 1_000;
 
 /** Shares loads by rounds, and warm states when they change. */
@@ -83,7 +94,7 @@
   publish(report: BackendReport, term: StewardTerm, nowMs: number): void {
     const id = report.backendServerId;
     const status = this.ownEngines.note(report, term, nowMs);
-    this.mergeStatus(status, null, nowMs);
+    if (this.mergeStatus(status, nowMs)) this.spread.add(id, null);
     this.options.board.note({...report, version: status.version}, nowMs);
     const load = report.isReachable ? report.load : null;
     this.loads.publish({
@@ -140,10 +151,7 @@
 
   /** Returns whether the message's table is known here. */
   private mergeAll(
-    {
-      table,
-      statuses,
-    }: Extract<ReportMessage, {table: number; statuses: unknown}>,
+    {table, statuses, isWhole = false}: StatusNews,
     fromAddress: string,
     nowMs: number,
   ): boolean {
@@ -151,17 +159,18 @@
     if (!known) return false;
     decodeStatuses(statuses, known)
       .filter(status => this.tables.current.find(status.backendServerId))
-      .forEach(status => this.mergeStatus(status, fromAddress, nowMs));
+      .filter(status => this.mergeStatus(status, nowMs))
+      // A whole picture is news to a node that has started, not to others.
+      .filter(() => !isWhole)
+      .forEach(({backendServerId}) =>
+        this.spread.add(backendServerId, fromAddress),
+      );
     return true;
   }
 
-  private mergeStatus(
-    status: EngineStatus,
-    fromAddress: string | null,
-    nowMs: number,
-  ): void {
-    if (!this.statuses.merge(status)) return;
+  private mergeStatus(status: EngineStatus, nowMs: number): boolean {
+    if (!this.statuses.merge(status)) return false;
     this.options.board.noteStatus(status, nowMs);
-    this.spread.add(status.backendServerId, fromAddress);
+    return true;
   }
 }
--- a/packages/share-reports/src/share_reports.test.ts
+++ b/packages/share-reports/src/share_reports.test.ts
@@ -49,6 +49,10 @@
   return board.listWarm('model-1', null).some(r => r.backendServerId === id);
 }
 
+function linkOf({fromAddress, toAddress}: Envelope): string {
+  return [fromAddress, toAddress].sort().join();
+}
+
 /** Whether a message crosses between the first half of the nodes and the rest. */
 function isAcross({fromAddress, toAddress}: Envelope): boolean {
   const [from, to] = [fromAddress, toAddress].map(
@@ -216,7 +220,7 @@
   // After an hour's cut a flood of reports slows down all requests.
   // Both sides changed nearly every engine meanwhile, and each node tells
   // all it has at once.
-  const cluster = createCluster({nodeCount: 8, runnerCount: 150});
+  const cluster = createCluster({nodeCount: 8, runnerCount: 400});
   cluster.isLost = isAcross;
   const ids = [...cluster.engines.keys()];
   ids.forEach((id, index) => cluster.setWarm(id, [index % 9]));
@@ -287,12 +291,13 @@
   // One router has no loads of many engines, though it is well.
   // A single link is broken; membership sees both ends alive through others.
   const cluster = createCluster({nodeCount: 16});
-  cluster.isLost = ({fromAddress, toAddress}) =>
-    [fromAddress, toAddress].sort().join() ===
-    [cluster.nodes[3]!, cluster.nodes[4]!]
-      .map(node => node.peerAddress)
-      .sort()
-      .join();
+  const links: string[] = [];
+  cluster.onSend = envelope => {
+    if (envelope.message.type === 'loads') links.push(linkOf(envelope));
+  };
+  cluster.run(5_000);
+  const [broken] = links;
+  cluster.isLost = envelope => linkOf(envelope) === broken;
   cluster.setWarm(FIRST, [1]);
   cluster.run(30_000);
   assert.ok(cluster.isAgreed());
@@ -370,4 +375,17 @@
   assert.ok(engines.find('a')!.isReachable);
 });
 
+board('a load of an earlier claim is older, whatever its time', () => {
+  const engines = new EngineBoard();
+  const sample = {
+    backendServerId: 'a',
+    stampMs: 1_000,
+    load: {runningRequests: 7, queuedRequests: 0},
+  };
+  assert.ok(engines.noteLoad({...sample, epoch: 5}, 0, 0));
+  assert.not(engines.noteLoad({...sample, epoch: 5}, 0, 0));
+  assert.not(engines.noteLoad({...sample, epoch: 4, stampMs: 9_000}, 0, 0));
+  assert.ok(engines.noteLoad({...sample, epoch: 6, stampMs: 500}, 0, 0));
+});
+
 board.run();
