--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -52,12 +52,25 @@
     message: membershipMessageSchema,
     /** How far the sender has folded the log. */
     nextOffset: offset,
+    /** Whether the sender reads the log itself. */
+    isLogReachable: z.boolean(),
   }),
   z.object({type: z.literal('pull-appends'), from: offset}),
   z.object({
     type: z.literal('appends'),
     records: z.array(z.object({offset, data: bytes})),
   }),
+  /** Asks how far a node has folded, and tells it how far the sender has. */
+  z.object({
+    type: z.literal('read-progress'),
+    nextOffset: offset,
+    isLogReachable: z.boolean(),
+  }),
+  z.object({
+    type: z.literal('progress'),
+    nextOffset: offset,
+    isLogReachable: z.boolean(),
+  }),
   z.object({type: z.literal('pull-state')}),
   z.object({type: z.literal('state'), data: bytes.nullable()}),
   z.object({type: z.literal('report'), message: reportMessageSchema}),
@@ -67,6 +80,11 @@
     pulled: z.object({engine: engineSchema, version: versionSchema}).nullable(),
   }),
   z.object({type: z.literal('demand'), model: name}),
+  z.object({
+    type: z.literal('hosts-leaving'),
+    backendServerIds: z.array(name).max(1024),
+    nodeNames: z.array(name).max(1024),
+  }),
 ]);
 
 /** One message between nodes. */
