--- a/packages/share-reports/src/load_codec.ts
+++ b/packages/share-reports/src/load_codec.ts
@@ -78,21 +78,22 @@
       index: table.findIndex(sample.backendServerId)!,
     }))
     .sort((a, b) => a.index - b.index);
-  return {
-    kind: kindOf(first),
-    ageUnits: stampUnits - toStampUnits(first),
-    values: indexed.flatMap(({sample, index}, place) => [
+  return [
+    LOAD_KINDS.indexOf(kindOf(first)),
+    stampUnits - toStampUnits(first),
+    ...indexed.flatMap(({sample, index}, place) => [
       index - (indexed[place - 1]?.index ?? 0),
       ...listLevels(sample),
     ]),
-  };
+  ];
 }
 
 function decodeGroup(
-  {kind, ageUnits, values}: LoadGroup,
+  [kindPlace = 0, ageUnits = 0, ...values]: LoadGroup,
   stampUnits: number,
   table: RunnerTable,
 ): LoadSample[] {
+  const kind = LOAD_KINDS[kindPlace] ?? 'idle';
   const stampMs = (stampUnits - ageUnits) * STAMP_UNIT_MS;
   const width = 1 + LOAD_KIND_WIDTHS[kind];
   let index = 0;
--- a/packages/share-reports/src/messages.ts
+++ b/packages/share-reports/src/messages.ts
@@ -30,32 +30,39 @@
   silent: 0,
 };
 
+/** The place of a group's kind and of its age; its loads follow. */
+export const GROUP_HEAD_LENGTH = 2;
+
+/**
+ * Loads with the same kind and stamp, as bare numbers, since names would take
+ * more bytes than the loads: the kind's place in `LOAD_KINDS`, how much older
+ * the stamp is than the newest of the message, then for each backend server
+ * its index, as the difference to the one before, and the levels of running
+ * and queued requests as the kind says.
+ */
 const loadGroupSchema = z
-  .object({
-    kind: z.enum(LOAD_KINDS),
-    /** How much older than the newest stamp of the message. */
-    ageUnits: count,
-    /**
-     * For each backend server its index, as the difference to the one before,
-     * then the levels of running and queued requests as the kind says.
-     */
-    values: z.array(index).max(MAX_RUNNERS * 3),
-  })
-  .refine(
-    ({kind, values}) => values.length % (1 + LOAD_KIND_WIDTHS[kind]) === 0,
-  );
-
-const statusSchema = z.object({
-  index,
-  epoch: count,
-  rank: z.int().min(0).max(15),
-  count,
-  incarnationHash: uint32,
-  isReachable: z.boolean(),
-  maxRunningRequests: count,
-  warmSlots: z.array(uint32).max(MAX_SLOTS),
-  busySlots: z.array(uint32).max(MAX_SLOTS),
-});
+  .array(count)
+  .min(GROUP_HEAD_LENGTH)
+  .max(GROUP_HEAD_LENGTH + 3 * MAX_RUNNERS)
+  .refine(([kindPlace = 0, _ageUnits, ...values]) => {
+    const kind = LOAD_KINDS[kindPlace];
+    return (
+      kind !== undefined && values.length % (1 + LOAD_KIND_WIDTHS[kind]) === 0
+    );
+  });
+
+/** A warm state as bare values, since names would take most of the bytes. */
+const statusSchema = z.tuple([
+  index.describe('backend server'),
+  count.describe('epoch'),
+  z.int().min(0).max(15).describe('rank'),
+  count.describe('count'),
+  uint32.describe('incarnation hash'),
+  z.boolean().describe('is reachable'),
+  count.describe('most running requests'),
+  z.array(uint32).max(MAX_SLOTS).describe('warm slots'),
+  z.array(uint32).max(MAX_SLOTS).describe('busy slots'),
+]);
 
 const loadsSchema = z.object({
   type: z.literal('loads'),
@@ -115,7 +122,7 @@
   {type: T}
 >;
 
-/** Loads with the same kind and stamp. */
+/** Loads with the same kind and stamp, as `loadGroupSchema` says. */
 export type LoadGroup = z.infer<typeof loadGroupSchema>;
 /** A warm state whose backend server is told by its index. */
 export type IndexedStatus = z.infer<typeof statusSchema>;
--- a/packages/share-reports/src/share_reports.test.ts
+++ b/packages/share-reports/src/share_reports.test.ts
@@ -79,7 +79,7 @@
   let entryCount = 0;
   cluster.onSend = ({message}) => {
     if (message.type !== 'loads') return;
-    entryCount += message.groups.flatMap(group => group.values).length;
+    entryCount += message.groups.flatMap(group => group.slice(2)).length;
   };
   cluster.run(10 * cluster.nodes[0]!.sharing.roundMs);
   // All engines are idle: one number each.
@@ -120,11 +120,12 @@
 });
 
 sharing('malformed messages are refused', () => {
-  const group = {kind: 'queued', ageUnits: 0, values: [0, 1]};
   const loads = {type: 'loads', table: 1, bit: 0, stampUnits: 1};
   const cases = [
-    {...loads, groups: [group]},
-    {...loads, groups: [{...group, values: [0, 1, -1]}]},
+    {...loads, groups: [[2, 0, 5, 1]]},
+    {...loads, groups: [[2, 0, 5, 1, -1]]},
+    {...loads, groups: [[9, 0]]},
+    {...loads, groups: [[0]]},
     {...loads, table: -1, groups: []},
     {type: 'status-digests', digests: [1]},
     {type: 'unknown'},
--- a/packages/share-reports/src/status_table.ts
+++ b/packages/share-reports/src/status_table.ts
@@ -67,9 +67,23 @@
   statuses: readonly EngineStatus[],
   table: RunnerTable,
 ): IndexedStatus[] {
-  return statuses.flatMap(({backendServerId, version, ...rest}) => {
-    const index = table.findIndex(backendServerId);
-    return index === undefined ? [] : [{index, ...version, ...rest}];
+  return statuses.flatMap((status): IndexedStatus[] => {
+    const index = table.findIndex(status.backendServerId);
+    if (index === undefined) return [];
+    const {epoch, rank, count} = status.version;
+    return [
+      [
+        index,
+        epoch,
+        rank,
+        count,
+        status.incarnationHash,
+        status.isReachable,
+        status.maxRunningRequests,
+        status.warmSlots,
+        status.busySlots,
+      ],
+    ];
   });
 }
 
@@ -78,16 +92,21 @@
   statuses: readonly IndexedStatus[],
   table: RunnerTable,
 ): EngineStatus[] {
-  return statuses.flatMap(({index, epoch, rank, count, ...rest}) => {
+  return statuses.flatMap(([index, epoch, rank, count, ...rest]) => {
     const row = table.rows[index];
-    return row
-      ? [
-          {
-            backendServerId: row.backendServerId,
-            version: {epoch, rank, count},
-            ...rest,
-          },
-        ]
-      : [];
+    if (!row) return [];
+    const [incarnationHash, isReachable, maxRunningRequests, ...slots] = rest;
+    const [warmSlots, busySlots] = slots;
+    return [
+      {
+        backendServerId: row.backendServerId,
+        version: {epoch, rank, count},
+        incarnationHash,
+        isReachable,
+        maxRunningRequests,
+        warmSlots,
+        busySlots,
+      },
+    ];
   });
 }
