--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -80,6 +80,8 @@
     pulled: z.object({engine: engineSchema, version: versionSchema}).nullable(),
   }),
   z.object({type: z.literal('demand'), model: name}),
+  /** A caller has resumed a request that the receiver took in. */
+  z.object({type: z.literal('resumed'), engineRequestId: name}),
   z.object({
     type: z.literal('hosts-leaving'),
     backendServerIds: z.array(name).max(1024),
