--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -32,6 +32,8 @@
 import {Operations} from './operations.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
+import {toEntry} from './entry.js';
+import {ReportTask, listSlotContents} from './report_task.js';
 import {StewardTask} from './steward_task.js';
 
 /** What a node is started with. */
@@ -58,16 +60,20 @@
 const ENGINE_TIMEOUT_MS = 2_000;
 const SUBMIT_TIMEOUT_MS = 10_000;
 const ORDER_DOUBT_MS = 30_000;
+const REPORT_TICK_MS = 100;
 const STORE_LIMITS_INTERVAL_MS = 10_000;
 
 /** One node of the system. */
 export class MimosatackNode {
   readonly incarnation: string;
-  private readonly board = new EngineBoard();
+  private readonly board = new EngineBoard({
+    listContents: id => listSlotContents(this.follower.state, id),
+  });
   private readonly follower: LogFollower;
   private readonly log: HttpLogService;
   private readonly peers: PeerTask;
   private readonly checkpoints: CheckpointTask;
+  private readonly reports: ReportTask;
   private readonly stewards: StewardTask;
   private readonly hosts: HostListTask;
   private readonly planner: PlannerTask;
@@ -117,6 +123,7 @@
     this.peers = this.makePeers();
     this.ranking = new NodeRanking(this.peers, this.incarnation);
     this.checkpoints = this.makeCheckpoints();
+    this.reports = this.makeReports();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
@@ -240,6 +247,7 @@
     this.periodics.forEach(periodic => periodic.stop());
     this.abandoned.stop();
     await Promise.all([
+      this.reports.stop(),
       this.stewards.stop(),
       this.hosts.stop(),
       this.planner.stop(),
@@ -261,6 +269,7 @@
         .filter(task => !task.isBusy)
         .forEach(task => task.post({type: 'tick'}));
     });
+    every(REPORT_TICK_MS, () => this.reports.post({type: 'tick'}));
     const store = new HttpWeightStore({
       baseUrl: settings.weightStoreUrl,
       nodeId: settings.nodeName,
@@ -280,7 +289,6 @@
       clock,
       random,
       follower: this.follower,
-      board: this.board,
       nodeName: settings.nodeName,
       listenHost: settings.listenHost,
       listenPort: settings.peerPort,
@@ -288,6 +296,9 @@
       clusterSecret: settings.clusterSecret,
       seeds: settings.peerSeeds.map(seed => `${seed.host}:${seed.port}`),
       onDemand: model => this.planner.post({type: 'demand', model}),
+      onReport: (fromAddress, message) =>
+        this.reports.post({type: 'receive', fromAddress, message}),
+      findOwnEngine: id => this.reports.findOwnEngine(id),
       onResumed: engineRequestId => this.abandoned.noteResumed(engineRequestId),
       onServersLeaving: ids => {
         this.leaving.noteHints(ids);
@@ -297,6 +308,21 @@
     });
   }
 
+  private makeReports(): ReportTask {
+    const {settings, clock, random} = this.options;
+    return new ReportTask(
+      {
+        clock,
+        random,
+        nodeName: settings.nodeName,
+        follower: this.follower,
+        board: this.board,
+        peers: this.peers,
+      },
+      (error, task) => this.noteFault(error, task),
+    );
+  }
+
   private makeCheckpoints(): CheckpointTask {
     const {clock, logger, settings} = this.options;
     return new CheckpointTask(
@@ -332,10 +358,9 @@
         isKnown: incarnation => this.findMember(incarnation) !== undefined,
         isGone: incarnation => this.isGone(incarnation),
         findDeathEvidence: incarnation => this.obituary.find(incarnation),
-        publishReport: report => {
-          this.board.note(report);
+        publishReport: (report, term) => {
           this.operations.noteReport(report);
-          this.peers.broadcastReport(report);
+          this.reports.post({type: 'publish', report, term});
         },
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
         orderDoubtMs: ORDER_DOUBT_MS,
@@ -466,23 +491,6 @@
   return type === 'drain-backend-server' || type === 'note-host-state';
 }
 
-function toEntry(member: {
-  nodeName: string;
-  callerBaseUrl: string;
-  failureDomain: string;
-  region: string;
-  incarnation: string;
-}) {
-  const {nodeName, callerBaseUrl, failureDomain, region, incarnation} = member;
-  return {
-    nodeName,
-    baseUrl: callerBaseUrl,
-    failureDomain,
-    region,
-    incarnation,
-  };
-}
-
 function portOf(server: FastifyInstance): number {
   return (server.server.address() as {port: number}).port;
 }
