--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -33,6 +33,8 @@
 import {passDemand} from './pass_demand.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
+import {toEntry} from './entry.js';
+import {ReportTask, listSlotContents} from './report_task.js';
 import {StewardHints} from './steward_hints.js';
 import {StewardTask} from './steward_task.js';
 
@@ -61,16 +63,20 @@
 const ENGINE_TIMEOUT_MS = 1_000;
 const SUBMIT_TIMEOUT_MS = 10_000;
 const ORDER_DOUBT_MS = 30_000;
+const REPORT_TICK_MS = 100;
 const STORE_LIMITS_INTERVAL_MS = 10_000;
 
 /** One node of the system. */
 export class MimosatackNode {
   readonly incarnation: string;
-  private readonly board = new EngineBoard();
+  private readonly board = new EngineBoard({
+    listContents: id => listSlotContents(this.follower.state, id),
+  });
   private readonly follower: LogFollower;
   private readonly log: HttpLogService;
   private readonly peers: PeerTask;
   private readonly checkpoints: CheckpointTask;
+  private readonly reports: ReportTask;
   private readonly stewards: StewardTask;
   private readonly hosts: HostListTask;
   private readonly planner: PlannerTask;
@@ -108,9 +114,7 @@
       timeoutMs: PLATFORM_TIMEOUT_MS,
     });
     this.follower = new LogFollower({
-      clock,
-      random,
-      logger,
+      ...{clock, random, logger},
       log: this.log,
       stream: DECISIONS_STREAM,
       incarnation: this.incarnation,
@@ -119,23 +123,20 @@
     });
     this.router = new Router(this.board, random);
     this.hints = new StewardHints({
-      clock,
-      follower: this.follower,
-      board: this.board,
-      maxDeadlineMs: settings.maxDeadlineMs,
+      ...{clock, maxDeadlineMs: settings.maxDeadlineMs},
+      ...{follower: this.follower, board: this.board},
     });
     this.peers = this.makePeers();
     this.ranking = new NodeRanking(this.peers, this.incarnation);
     this.checkpoints = this.makeCheckpoints();
+    this.reports = this.makeReports();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
     this.operations = this.makeOperations();
     this.shutdown.watch(this.operations.operatorServer);
     this.callerServer = buildCallerServer({
-      clock,
-      random,
-      logger,
+      ...{clock, random, logger},
       gate: this.shutdown.gate,
       tokens: new RequestTokenMint(settings.clusterSecret),
       abandoned: this.abandoned,
@@ -256,6 +257,7 @@
     this.periodics.forEach(periodic => periodic.stop());
     this.abandoned.stop();
     await Promise.all([
+      this.reports.stop(),
       this.stewards.stop(),
       this.hosts.stop(),
       this.planner.stop(),
@@ -277,6 +279,7 @@
         .filter(task => !task.isBusy)
         .forEach(task => task.post({type: 'tick'}));
     });
+    every(REPORT_TICK_MS, () => this.reports.post({type: 'tick'}));
     const store = new HttpWeightStore({
       baseUrl: settings.weightStoreUrl,
       nodeId: settings.nodeName,
@@ -296,7 +299,6 @@
       clock,
       random,
       follower: this.follower,
-      board: this.board,
       nodeName: settings.nodeName,
       listenHost: settings.listenHost,
       listenPort: settings.peerPort,
@@ -304,6 +306,9 @@
       clusterSecret: settings.clusterSecret,
       seeds: settings.peerSeeds.map(seed => `${seed.host}:${seed.port}`),
       onDemand: model => this.planner.post({type: 'demand', model}),
+      onReport: (fromAddress, message) =>
+        this.reports.post({type: 'receive', fromAddress, message}),
+      findOwnEngine: id => this.reports.findOwnEngine(id),
       onResumed: engineRequestId => this.abandoned.noteResumed(engineRequestId),
       onServersLeaving: ids => {
         this.leaving.noteHints(ids);
@@ -313,6 +318,19 @@
     });
   }
 
+  private makeReports(): ReportTask {
+    return new ReportTask(
+      {
+        ...this.options,
+        nodeName: this.options.settings.nodeName,
+        follower: this.follower,
+        board: this.board,
+        peers: this.peers,
+      },
+      (error, task) => this.noteFault(error, task),
+    );
+  }
+
   private makeCheckpoints(): CheckpointTask {
     const {clock, logger, settings} = this.options;
     return new CheckpointTask(
@@ -348,10 +366,9 @@
         isKnown: incarnation => this.findMember(incarnation) !== undefined,
         isGone: incarnation => this.isGone(incarnation),
         findDeathEvidence: incarnation => this.obituary.find(incarnation),
-        publishReport: report => {
-          this.board.note(report);
+        publishReport: (report, term) => {
           this.operations.noteReport(report);
-          this.peers.broadcastReport(report);
+          this.reports.post({type: 'publish', report, term});
         },
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
         orderDoubtMs: ORDER_DOUBT_MS,
@@ -386,14 +403,14 @@
   private makePlanner(): PlannerTask {
     return new PlannerTask(
       {
-        clock: this.options.clock,
+        ...this.options,
         follower: this.follower,
         board: this.board,
-        logger: this.options.logger,
         policy: makePolicy(this.options.settings),
         loadTimes: this.hints.loadTimes,
         findRank: key => this.ranking.findOwnRank(key),
         isLeaving: id => this.drainingServers.has(id),
+        watchEngines: ids => this.reports.watchEngines(ids),
         makeSlotId: () => `s-${randomUUID()}`,
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
       },
@@ -477,23 +494,6 @@
   return type === 'drain-backend-server' || type === 'note-host-state';
 }
 
-function toEntry(member: {
-  nodeName: string;
-  callerBaseUrl: string;
-  failureDomain: string;
-  region: string;
-  incarnation: string;
-}) {
-  const {nodeName, callerBaseUrl, failureDomain, region, incarnation} = member;
-  return {
-    nodeName,
-    baseUrl: callerBaseUrl,
-    failureDomain,
-    region,
-    incarnation,
-  };
-}
-
 function portOf(server: FastifyInstance): number {
   return (server.server.address() as {port: number}).port;
 }
--- a/packages/node/src/planner_task.test.ts
+++ b/packages/node/src/planner_task.test.ts
@@ -49,6 +49,7 @@
         loadTimes: new LoadTimeEstimates(),
         findRank: () => this.rank,
         isLeaving: () => false,
+        watchEngines: () => undefined,
         makeSlotId: () => `${nodeName}-s${(this.slotCount += 1)}`,
         submitTimeoutMs: LONG_MS,
       },
--- a/packages/node/src/planner_task.ts
+++ b/packages/node/src/planner_task.ts
@@ -39,6 +39,8 @@
   /** The place of this node among those that may plan, from 0; else -1. */
   findRank(key: string): number;
   isLeaving(backendServerId: BackendServerId): boolean;
+  /** Asks for the whole states of some engines, which arrive on the board. */
+  watchEngines(ids: readonly BackendServerId[]): void;
   makeSlotId: () => string;
   submitTimeoutMs: number;
 }
@@ -111,6 +113,7 @@
     if (!this.options.follower.status.isLogReachable) return;
     const nowMs = this.options.clock.wallMs();
     this.view.begin(nowMs);
+    this.view.watchUsed();
     const bodies = [
       ...(this.isQuiet(nowMs) ? [] : this.planEvents(nowMs)),
       ...this.demand.plan(nowMs),
--- a/packages/node/src/planner_view.ts
+++ b/packages/node/src/planner_view.ts
@@ -20,6 +20,7 @@
   follower: LogFollower;
   board: EngineBoard;
   isLeaving(backendServerId: BackendServerId): boolean;
+  watchEngines(ids: readonly BackendServerId[]): void;
 }
 
 /** What a planning run takes room and time from. */
@@ -35,6 +36,11 @@
 };
 /** The share of the store's lanes that planned loads may use. */
 const PLANNED_SHARE = 0.75;
+/**
+ * Engines that are asked what lies in their near caches. Beyond these a model
+ * may be placed where its checkpoint is not near, which costs a transfer.
+ */
+const MAX_TIER_ENGINES = 64;
 
 /**
  * Built once for each run, and the costly parts only when something is due.
@@ -57,6 +63,15 @@
     this.parts = null;
   }
 
+  /** Follows the engines whose use or progress decides what to plan. */
+  watchUsed(): void {
+    const used = this.state.placement
+      .list()
+      .filter(slot => slot.purpose.for === 'demand' || slot.replaces !== null)
+      .map(slot => slot.backendServerId);
+    if (used.length > 0) this.options.watchEngines([...new Set(used)]);
+  }
+
   listHeld(purpose: SlotPurpose): Slot[] {
     return this.state.placement.listFor(purpose);
   }
@@ -181,6 +196,11 @@
 
   private listServers(): ServerView[] {
     const {stewardship, placement} = this.state;
+    const ids = stewardship
+      .listBackendServers()
+      .filter(server => server.memoryMib > 0)
+      .map(server => server.backendServerId);
+    this.options.watchEngines(ids.slice(0, MAX_TIER_ENGINES));
     return stewardship
       .listBackendServers()
       .filter(server => server.memoryMib > 0)
