Run unrepeatable requests by tickets with generations and by claims in the log

Tickets carry the generation of their prefix, so that their memory is bounded; a key of a forgotten generation is unknown. Another node passes a ticket on to its process, or asks the heirs that got its table when it stopped.

--- a/packages/dispatch-requests/src/index.ts
+++ b/packages/dispatch-requests/src/index.ts
@@ -3,3 +3,8 @@
   type OwnConnectionRequest,
   sendOnce,
 } from './own_connection.js';
+export {
+  type WholeAnswer,
+  type WholeAnswerRequest,
+  exchangeOnce,
+} from './whole_answer.js';
--- a/packages/dispatch-requests/src/own_connection.ts
+++ b/packages/dispatch-requests/src/own_connection.ts
@@ -2,7 +2,8 @@
  * One request on a connection of its own. A kept connection that fails cannot
  * tell whether the other side saw the request: a reset of an idle connection
  * and a reset after the whole request look the same. Here the connection is
- * made first; until then nothing can have run, and after that nobody can tell.
+ * made first; until something is written to it nothing can have run, and
+ * after that nobody can tell.
  */
 import {connect, type Socket} from 'node:net';
 import {TypedError} from '@mimosatack/errors';
@@ -14,8 +15,9 @@
   path: string;
   method: 'POST' | 'GET';
   headers: Readonly<Record<string, string>>;
-  body: Buffer;
+  body: Uint8Array;
   connectTimeoutMs: number;
+  /** Ends the request; before it is written, with `not-run`. */
   signal?: AbortSignal;
 }
 
@@ -26,8 +28,8 @@
 }
 
 /**
- * Sends a request once. Rejects with `run: 'not-run'` when no connection was
- * made, and with `run: 'unknown'` for everything after that.
+ * Sends a request once. Rejects with `run: 'not-run'` when nothing of it was
+ * handed to a connection, and with `run: 'unknown'` for everything after that.
  */
 export async function sendOnce(
   spec: OwnConnectionRequest,
@@ -45,16 +47,33 @@
     });
     return {response, close: () => client.destroy()};
   } catch (thrown) {
+    const error = describeFailure(socket, asError(thrown));
+    socket.destroy();
     await client.destroy();
-    throw new TypedError(
-      'outcome-unknown',
-      'The connection to the backend server broke after the request was begun.',
-      {run: 'unknown', cause: asError(thrown)},
-    );
+    throw error;
+  }
+}
+
+/**
+ * The count of written bytes holds all that the socket was ever given, also
+ * what has not left the machine, so at 0 the request can't have run.
+ */
+function describeFailure(socket: Socket, cause: Error): TypedError {
+  if (socket.bytesWritten === 0) {
+    return makeUnreachable('The connection broke before it was used.', cause);
   }
+  return new TypedError(
+    'outcome-unknown',
+    'The connection to the backend server broke after the request was begun.',
+    {run: 'unknown', cause},
+  );
 }
 
-/** A client that fails instead of connecting again. */
+/**
+ * Guards against a library that sends a request again by itself, which runs it
+ * twice: a client that lost its connection makes another for what it still
+ * has to send. This one is refused a second connection.
+ */
 function makeSingleUseClient(url: URL, socket: Socket): Client {
   let isUsed = false;
   return new Client(url.origin, {
@@ -73,33 +92,45 @@
 
 function openSocket(url: URL, spec: OwnConnectionRequest): Promise<Socket> {
   return new Promise((resolve, reject) => {
+    const {signal} = spec;
+    if (signal?.aborted) {
+      reject(makeUnreachable('There was no time left.', undefined));
+      return;
+    }
     const socket = connect({
       host: url.hostname,
       port: Number(url.port || 80),
       noDelay: true,
     });
     const fail = (cause: Error) => {
+      signal?.removeEventListener('abort', onAbort);
       socket.destroy();
-      reject(
-        new TypedError(
-          'backend-unreachable',
-          'No connection to the backend server could be made.',
-          {run: 'not-run', cause},
-        ),
-      );
+      reject(makeUnreachable('No connection could be made.', cause));
     };
+    const onAbort = () => fail(new Error('The time was over.'));
+    signal?.addEventListener('abort', onAbort, {once: true});
     socket.setTimeout(spec.connectTimeoutMs, () =>
       fail(new Error('Connecting took too long.')),
     );
     socket.once('error', fail);
     socket.once('connect', () => {
+      signal?.removeEventListener('abort', onAbort);
       socket.setTimeout(0);
       socket.off('error', fail);
+      // A reset may come before the client listens; unheard it ends the process.
+      socket.on('error', () => undefined);
       resolve(socket);
     });
   });
 }
 
+function makeUnreachable(message: string, cause: Error | undefined) {
+  return new TypedError('backend-unreachable', message, {
+    run: 'not-run',
+    cause,
+  });
+}
+
 function asError(thrown: unknown): Error {
   return thrown instanceof Error ? thrown : new Error(String(thrown));
 }
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -45,6 +45,11 @@
     false,
     'Check at the backend server whether it ran; the key is not run again.',
   ),
+  'answer-not-kept': fact(
+    409,
+    false,
+    'It ran; read its result at the backend server. Do not send it again.',
+  ),
   'stream-broken': fact(
     502,
     true,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -20,17 +20,19 @@
 } from '@mimosatack/platform';
 import {type RandomSource} from '@mimosatack/random';
 import {Router} from '@mimosatack/route-requests';
-import {buildCallerServer} from '@mimosatack/serve-callers';
+import {UnrepeatableRunner, buildCallerServer} from '@mimosatack/serve-callers';
 import {buildOperatorServer} from '@mimosatack/serve-operators';
 import {type DaemonSettings} from '@mimosatack/settings';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type HostEntry} from '@mimosatack/types';
-import {KeyTable, TicketMint} from '@mimosatack/unrepeatable';
+import {TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
+import {ClaimTask} from './claim_task.js';
 import {HostListTask} from './host_list_task.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
 import {StewardTask} from './steward_task.js';
+import {TicketTask} from './ticket_task.js';
 
 /** What a node is started with. */
 export interface NodeOptions {
@@ -56,6 +58,7 @@
 const SUBMIT_TIMEOUT_MS = 10_000;
 const ORDER_DOUBT_MS = 30_000;
 const STORE_LIMITS_INTERVAL_MS = 10_000;
+const KEEPERS_INTERVAL_MS = 1_000;
 
 /** One node of the system. */
 export class MimosatackNode {
@@ -72,6 +75,8 @@
   private readonly operatorServer: FastifyInstance;
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
+  private readonly tickets: TicketTask;
+  private readonly claims: ClaimTask;
   private leavingServers = new Set<string>();
 
   constructor(private readonly options: NodeOptions) {
@@ -94,6 +99,12 @@
     });
     this.router = new Router(this.board, random);
     this.peers = this.makePeers();
+    this.tickets = new TicketTask({
+      clock,
+      incarnation: this.incarnation,
+      peers: this.peers,
+    });
+    this.claims = this.makeClaims();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
@@ -105,7 +116,19 @@
       board: this.board,
       router: this.router,
       mint: this.mint,
-      keys: new KeyTable(),
+      unrepeatable: new UnrepeatableRunner({
+        clock,
+        nodeName: settings.nodeName,
+        incarnation: this.incarnation,
+        mint: this.mint,
+        tickets: this.tickets.table,
+        claims: this.claims.keys,
+        owners: {
+          findProcess: incarnation => this.peers.findProcess(incarnation),
+          findKeeper: partition => this.claims.findKeeper(partition),
+          askHeirs: query => this.tickets.askHeirs(query),
+        },
+      }),
       limits: settings,
       listEntries: () => this.peers.listUsable().map(toEntry),
       noteDemand: model => this.passDemand(model),
@@ -171,7 +194,10 @@
       this.hosts.stop(),
       this.planner.stop(),
     ]);
+    this.tickets.close();
     await this.callerServer.close();
+    await this.tickets.handOver();
+    await this.claims.stop();
     await this.operatorServer.close();
     await this.follower.stop();
     await this.peers.stop();
@@ -187,6 +213,7 @@
       this.hosts.post({type: 'tick'});
       this.planner.post({type: 'tick'});
     });
+    every(KEEPERS_INTERVAL_MS, () => this.claims.tick());
     const store = new HttpWeightStore({
       baseUrl: settings.weightStoreUrl,
       nodeId: settings.nodeName,
@@ -214,10 +241,24 @@
       clusterSecret: settings.clusterSecret,
       seeds: settings.peerSeeds.map(seed => `${seed.host}:${seed.port}`),
       onDemand: model => this.planner.post({type: 'demand', model}),
+      onTicketMessage: message => this.tickets.receive(message),
       onFault: error => this.noteFault(error, 'peers'),
     });
   }
 
+  private makeClaims(): ClaimTask {
+    const {settings, clock, random} = this.options;
+    return new ClaimTask({
+      clock,
+      random,
+      incarnation: this.incarnation,
+      logUrl: settings.logUrl,
+      nodeName: settings.nodeName,
+      logTimeoutMs: PLATFORM_TIMEOUT_MS,
+      peers: this.peers,
+    });
+  }
+
   private makeStewards(): StewardTask {
     const {clock, logger} = this.options;
     return new StewardTask(
--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -1,6 +1,7 @@
 /** What nodes say to each other; every message is checked on arrival. */
 import {membershipMessageSchema} from '@mimosatack/membership';
 import {z} from 'zod';
+import {ticketMessageSchemas} from './ticket_messages.js';
 
 const bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array);
 const offset = z.number().int().min(0);
@@ -63,6 +64,7 @@
   z.object({type: z.literal('state'), data: bytes.nullable()}),
   z.object({type: z.literal('report'), report: backendReportSchema}),
   z.object({type: z.literal('demand'), model: name}),
+  ...ticketMessageSchemas,
 ]);
 
 /** One message between nodes. */
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -19,6 +19,7 @@
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type LogOffset} from '@mimosatack/types';
 import {type PeerMessage, peerMessageSchema} from './peer_messages.js';
+import {type TicketMessage} from './ticket_messages.js';
 
 /** What the task needs of the node. */
 export interface PeerTaskOptions {
@@ -34,6 +35,8 @@
   clusterSecret: string;
   seeds: readonly string[];
   onDemand(model: string): void;
+  /** Answers a message about the tickets of a process that stops. */
+  onTicketMessage(message: TicketMessage): TicketMessage | void;
   onFault(error: TypedError): void;
 }
 
@@ -119,6 +122,31 @@
     if (peer) this.transport.send(peer.peerAddress, {type: 'demand', model});
   }
 
+  /** Where a process can be reached, unless it is known to be gone. */
+  findProcess(
+    incarnation: string,
+  ): {incarnation: string; baseUrl: string} | null {
+    const member = this.listMembers().find(
+      other => other.incarnation === incarnation && other.status !== 'gone',
+    );
+    return member ? {incarnation, baseUrl: member.callerBaseUrl} : null;
+  }
+
+  /** All usable nodes but this one. */
+  listPeers(): Member[] {
+    return this.listUsable().filter(
+      member => member.nodeName !== this.options.nodeName,
+    );
+  }
+
+  request(
+    peerAddress: string,
+    message: PeerMessage,
+    timeoutMs: number,
+  ): Promise<PeerMessage> {
+    return this.transport.request(peerAddress, message, timeoutMs);
+  }
+
   async pullAppends(from: LogOffset): Promise<LogRecord[]> {
     const peer = pickOne(
       this.options.random,
@@ -153,12 +181,6 @@
     }
   }
 
-  private listPeers(): Member[] {
-    return this.listUsable().filter(
-      member => member.nodeName !== this.options.nodeName,
-    );
-  }
-
   private sendAll(messages: readonly OutgoingMessage[]): void {
     const {nextOffset} = this.options.follower.state;
     messages.forEach(({toAddress, message}) =>
@@ -198,6 +220,11 @@
       case 'demand':
         this.options.onDemand(message.model);
         return;
+      case 'ticket-page':
+      case 'find-ticket':
+      case 'ticket-page-taken':
+      case 'ticket-verdict':
+        return this.options.onTicketMessage(message);
       case 'appends':
       case 'state':
         return;
--- a/packages/platform/src/http_log_service.ts
+++ b/packages/platform/src/http_log_service.ts
@@ -24,13 +24,23 @@
   /** Sent as `x-node-id`. */
   nodeId: string;
   timeoutMs: number;
+  /**
+   * Must be above the number of streams that are read at once, since each
+   * read at the end of a stream holds a connection; 8 when left out.
+   */
+  connections?: number;
 }
 
+const DEFAULT_CONNECTIONS = 8;
+
 /** The log service over HTTP; docs/design/platform_interfaces.md. */
 export class HttpLogService implements LogService {
-  private readonly agent = new Agent({connections: 8});
+  private readonly agent: Agent;
 
-  constructor(private readonly options: HttpLogServiceOptions) {}
+  constructor(private readonly options: HttpLogServiceOptions) {
+    const connections = options.connections ?? DEFAULT_CONNECTIONS;
+    this.agent = new Agent({connections});
+  }
 
   async append(stream: string, data: Uint8Array): Promise<LogOffset> {
     const answer = await exchangeJson(
--- a/packages/serve-callers/src/caller_context.ts
+++ b/packages/serve-callers/src/caller_context.ts
@@ -4,7 +4,8 @@
 import {type EngineBoard} from '@mimosatack/engine-board';
 import {type EventLogger} from '@mimosatack/logger';
 import {type Router} from '@mimosatack/route-requests';
-import {type KeyTable, type TicketMint} from '@mimosatack/unrepeatable';
+import {type TicketMint} from '@mimosatack/unrepeatable';
+import {type UnrepeatableRunner} from './unrepeatable_runner.js';
 
 /** An address that callers may use, from this node's membership. */
 export interface EntryAddress {
@@ -24,7 +25,7 @@
   board: EngineBoard;
   router: Router;
   mint: TicketMint;
-  keys: KeyTable;
+  unrepeatable: UnrepeatableRunner;
   limits: CallerLimits;
   listEntries(): EntryAddress[];
   /** Asks for a replica of a model that requests wait for. */
--- a/packages/serve-callers/src/caller_server.ts
+++ b/packages/serve-callers/src/caller_server.ts
@@ -5,6 +5,7 @@
   formatErrorBody,
   toTypedError,
 } from '@mimosatack/errors';
+import {generationAt} from '@mimosatack/unrepeatable';
 import fastify, {type FastifyInstance, type FastifyReply} from 'fastify';
 import {type CallerContext} from './caller_context.js';
 import {addCompletionRoutes} from './completion_routes.js';
@@ -30,6 +31,7 @@
 }
 
 function describeEntries(context: CallerContext) {
+  const generation = generationAt(context.clock.wallMs());
   return {
     ttlMs: context.limits.entriesTtlMs,
     entries: context.listEntries().map(entry => ({
@@ -37,7 +39,7 @@
       baseUrl: entry.baseUrl,
       failureDomain: entry.failureDomain,
       region: entry.region,
-      keyPrefix: context.mint.makePrefix(entry.incarnation),
+      keyPrefix: context.mint.makePrefix(entry.incarnation, generation),
     })),
   };
 }
--- a/packages/serve-callers/src/service_routes.ts
+++ b/packages/serve-callers/src/service_routes.ts
@@ -1,134 +1,210 @@
 /** Calls to plain services, some of which may run at most once. */
+import {type IncomingHttpHeaders} from 'node:http';
 import {type ServiceContent} from '@mimosatack/agreed-state';
-import {sendOnce} from '@mimosatack/dispatch-requests';
-import {TypedError} from '@mimosatack/errors';
+import {TypedError, toTypedError} from '@mimosatack/errors';
 import {type KeptAnswer} from '@mimosatack/unrepeatable';
-import {type FastifyInstance} from 'fastify';
-import {authenticateCaller} from './authenticate.js';
+import {type FastifyInstance, type FastifyRequest} from 'fastify';
+import {type Caller, authenticateCaller} from './authenticate.js';
 import {type CallerContext} from './caller_context.js';
 import {type RequestTerms, readTerms} from './request_terms.js';
+import {type ServiceCall, sendToService} from './service_dispatch.js';
+import {isUnrepeatableCall, readUnrepeatable} from './unrepeatable_calls.js';
+import {FORWARDED_HEADER} from './unrepeatable_forward.js';
+import {
+  type StartRun,
+  type UnrepeatableAnswer,
+  type UnrepeatableRequest,
+} from './unrepeatable_runner.js';
 
-interface ServiceParams {
-  service: string;
-  call: string;
+interface ServiceRoute {
+  Params: {service: string; call: string};
 }
 
-const CONNECT_TIMEOUT_MS = 1_000;
+const DEFAULT_CONTENT_TYPE = 'application/json';
+/** Headers of the caller that backend servers and other nodes get. */
+const PASSED_HEADERS = ['content-type', 'x-request-id', 'x-priority'];
 
 /** Adds the plain-service routes to the callers' server. */
 export function addServiceRoutes(
   server: FastifyInstance,
   context: CallerContext,
 ): void {
-  server.post<{Params: ServiceParams}>(
-    '/v1/services/:service/:call',
-    async (incoming, reply) => {
-      authenticateCaller(incoming.headers.authorization, context.state());
-      const terms = readTerms(incoming.headers, context.limits);
-      const body = asBuffer(incoming.body);
-      const answer = await callService(incoming.params, body, terms, context);
-      return reply
-        .code(answer.statusCode)
-        .type(answer.contentType)
-        .send(answer.body);
-    },
+  void server.register(async scope => {
+    takeBodiesAsBytes(scope);
+    scope.post<ServiceRoute>(
+      '/v1/services/:service/:call',
+      async (incoming, reply) => {
+        const {answer, headers} = await answerCall(incoming, context);
+        return reply
+          .code(answer.statusCode)
+          .headers(headers)
+          .type(answer.contentType)
+          .send(Buffer.from(answer.body));
+      },
+    );
+  });
+}
+
+/** A call's body is passed on byte by byte; the service alone reads it. */
+function takeBodiesAsBytes(scope: FastifyInstance): void {
+  scope.removeAllContentTypeParsers();
+  scope.addContentTypeParser(
+    '*',
+    {parseAs: 'buffer'},
+    (_incoming, body, done) => done(null, body),
   );
 }
 
-function callService(
-  params: ServiceParams,
-  body: Buffer,
-  terms: RequestTerms,
+async function answerCall(
+  incoming: FastifyRequest<ServiceRoute>,
   context: CallerContext,
-): Promise<KeptAnswer> {
-  const service = context
-    .state()
-    .configuration.find('service', params.service)?.content;
-  const call = service?.calls[params.call];
-  if (!service || !call) {
-    throw new TypedError(
-      'not-found',
-      `There is no call ${params.service}/${params.call}.`,
-      {run: 'not-run'},
-    );
+): Promise<UnrepeatableAnswer> {
+  try {
+    return await runCall(incoming, context);
+  } catch (thrown) {
+    throw hideNotRun(toTypedError(thrown), incoming.headers);
   }
-  const send = () => sendToService(service, params, body, terms, context);
-  if (!call.unrepeatable) return send();
-  return context.keys.runOnce(checkKey(terms, context), body, send);
 }
 
-function checkKey(terms: RequestTerms, context: CallerContext): string {
-  const key = terms.idempotencyKey;
-  const reading = key === null ? null : context.mint.read(key);
-  if (key === null || reading?.status !== 'ticket') {
-    throw new TypedError(
-      'bad-key',
-      'This call runs at most once and needs an Idempotency-Key that begins ' +
-        'with the keyPrefix from /v1/entries.',
-      {run: 'not-run'},
-    );
-  }
-  if (reading.ticket.incarnation !== context.incarnation) {
-    throw new TypedError(
-      'outcome-unknown',
-      'The key belongs to another process.',
-      {run: 'unknown'},
+/**
+ * Guards against a refusal before the key is looked up, such as for a service
+ * that was deleted meanwhile: an earlier attempt with the key may have run.
+ */
+function hideNotRun(
+  error: TypedError,
+  headers: IncomingHttpHeaders,
+): TypedError {
+  const isBeforeKey =
+    error.kind === 'not-found' || error.kind === 'bad-request';
+  const hasKey = headers['idempotency-key'] !== undefined;
+  return isBeforeKey && hasKey ? error.withRun('unknown') : error;
+}
+
+async function runCall(
+  incoming: FastifyRequest<ServiceRoute>,
+  context: CallerContext,
+): Promise<UnrepeatableAnswer> {
+  const {headers, params, body} = incoming;
+  const caller = authenticateCaller(headers.authorization, context.state());
+  const terms = readTerms(headers, context.limits);
+  const service = findService(params, context);
+  const call: ServiceCall = {
+    service,
+    callName: params.call,
+    headers: makeCallHeaders(headers, terms),
+    body: Buffer.isBuffer(body) ? body : Buffer.alloc(0),
+  };
+  const expiresAtMs =
+    context.clock.monotonicMs() + findDeadlineMs(service, params.call, terms);
+  const isUnrepeatable =
+    readUnrepeatable(headers) ||
+    isUnrepeatableCall(
+      {team: caller.team, ...params},
+      context.state(),
+      context.clock.wallMs(),
     );
+  if (!isUnrepeatable) {
+    const answer = await sendRepeatable(call, expiresAtMs, context);
+    return {answer, isReplay: false, headers: {}};
   }
-  return key;
+  return context.unrepeatable.run(
+    makeRequest(incoming, caller, call, terms, expiresAtMs),
+    makeStart(call, context),
+  );
 }
 
-async function sendToService(
-  service: ServiceContent,
-  params: ServiceParams,
-  body: Buffer,
+function makeStart(call: ServiceCall, context: CallerContext): StartRun {
+  return terms => sendToService(call, terms, context);
+}
+
+function makeRequest(
+  incoming: FastifyRequest<ServiceRoute>,
+  caller: Caller,
+  call: ServiceCall,
   terms: RequestTerms,
+  expiresAtMs: number,
+): UnrepeatableRequest {
+  const {headers, url} = incoming;
+  return {
+    team: caller.team,
+    idempotencyKey: terms.idempotencyKey,
+    path: url,
+    body: call.body,
+    expiresAtMs,
+    headers: {
+      ...call.headers,
+      authorization: headers.authorization ?? '',
+      'x-unrepeatable': 'true',
+    },
+    isForwarded: headers[FORWARDED_HEADER] !== undefined,
+  };
+}
+
+async function sendRepeatable(
+  call: ServiceCall,
+  expiresAtMs: number,
   context: CallerContext,
 ): Promise<KeptAnswer> {
-  const {stewardship} = context.state();
-  const candidates = stewardship
-    .listBackendServers()
-    .filter(server => server.pool === service.pool)
-    .map(server => server.backendServerId);
-  const id = context.router.choose({candidates, excluded: new Set()});
-  const server = id === null ? undefined : stewardship.findBackendServer(id);
-  if (id === null || !server) {
-    throw new TypedError('overloaded', 'No backend server is there.', {
-      run: 'not-run',
-      retryAfterMs: 1000,
-    });
-  }
-  context.router.noteSent(id);
+  const {clock} = context;
+  const controller = new AbortController();
+  const timer = clock.setTimer(expiresAtMs - clock.monotonicMs(), () =>
+    controller.abort(),
+  );
+  const terms = {startBeforeMs: expiresAtMs, signal: controller.signal};
   try {
-    const sent = await sendOnce({
-      baseUrl: server.baseUrl,
-      path: `/calls/${params.call}`,
-      method: 'POST',
-      headers: {
-        'content-type': 'application/json',
-        ...(terms.idempotencyKey === null
-          ? {}
-          : {'idempotency-key': terms.idempotencyKey}),
-      },
-      body,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      signal: AbortSignal.timeout(terms.deadlineMs),
-    });
-    const {response} = sent;
-    const answer = {
-      statusCode: response.statusCode,
-      contentType: String(
-        response.headers['content-type'] ?? 'application/json',
-      ),
-      body: Buffer.from(await response.body.arrayBuffer()),
-    };
-    await sent.close();
-    return answer;
+    return await sendToService(call, terms, context);
+  } catch (thrown) {
+    throw describeLost(toTypedError(thrown), controller.signal.aborted);
   } finally {
-    context.router.noteDone(id);
+    timer.cancel();
   }
 }
 
-function asBuffer(body: unknown): Buffer {
-  return Buffer.isBuffer(body) ? body : Buffer.from(JSON.stringify(body ?? {}));
+/** A call that may be repeated has no key whose outcome could be asked for. */
+function describeLost(error: TypedError, isTimeOver: boolean): TypedError {
+  if (error.kind !== 'outcome-unknown') return error;
+  return isTimeOver
+    ? new TypedError('deadline-exceeded', 'No answer came in time.', {
+        run: 'unknown',
+      })
+    : new TypedError('backend-failed', 'The answer broke off.', {
+        run: 'unknown',
+        cause: error,
+      });
+}
+
+function findService(
+  {service, call}: ServiceRoute['Params'],
+  context: CallerContext,
+): ServiceContent {
+  const content = context
+    .state()
+    .configuration.find('service', service)?.content;
+  if (content && Object.hasOwn(content.calls, call)) return content;
+  throw new TypedError('not-found', `There is no call ${service}/${call}.`, {
+    run: 'not-run',
+  });
+}
+
+function findDeadlineMs(
+  service: ServiceContent,
+  callName: string,
+  {deadlineMs}: RequestTerms,
+): number {
+  return Math.min(deadlineMs, service.calls[callName]?.timeoutMs ?? deadlineMs);
+}
+
+function makeCallHeaders(
+  headers: IncomingHttpHeaders,
+  {idempotencyKey}: RequestTerms,
+): Record<string, string> {
+  const passed = PASSED_HEADERS.flatMap(name => {
+    const value = headers[name];
+    return typeof value === 'string' ? [[name, value] as const] : [];
+  });
+  return {
+    'content-type': DEFAULT_CONTENT_TYPE,
+    ...Object.fromEntries(passed),
+    ...(idempotencyKey === null ? {} : {'idempotency-key': idempotencyKey}),
+  };
 }
--- a/packages/unrepeatable/src/index.ts
+++ b/packages/unrepeatable/src/index.ts
@@ -1,2 +1,30 @@
-export {type KeptAnswer, KeyTable} from './key_table.js';
+export {GENERATION_MS, KEPT_GENERATIONS, generationAt} from './generation.js';
+export {
+  type InheritedQuery,
+  InheritedTickets,
+  type InheritedVerdict,
+  type TicketPage,
+  makeTicketPages,
+} from './inherited_tickets.js';
+export {type KeptAnswer, type KeyedAnswer} from './kept_answer.js';
+export {
+  type FinishedKey,
+  type KeyedRequest,
+  KeyTable,
+  type KeyTableOptions,
+  type RememberedKey,
+} from './key_table.js';
+export {
+  makeAnswerNotKept,
+  makeBadKey,
+  makeKeyReused,
+  makeOutcomeUnknown,
+  makeStillRunning,
+} from './refusals.js';
+export {hashKey, hashRequest} from './request_hash.js';
 export {type Ticket, TicketMint, type TicketReading} from './ticket.js';
+export {
+  TicketTable,
+  type TicketTableExport,
+  type TicketTableOptions,
+} from './ticket_table.js';
--- a/packages/unrepeatable/src/key_table.ts
+++ b/packages/unrepeatable/src/key_table.ts
@@ -1,47 +1,247 @@
 /** The keys that this process has begun to run, with their outcomes. */
-import {createHash} from 'node:crypto';
-import {TypedError, toTypedError} from '@mimosatack/errors';
-
-/** An answer that is kept and given again for the same key. */
-export interface KeptAnswer {
-  statusCode: number;
-  contentType: string;
-  body: Buffer;
+import {type Clock, type Timer} from '@mimosatack/clock';
+import {type TypedError, toTypedError} from '@mimosatack/errors';
+import {type KeptAnswer, type KeyedAnswer} from './kept_answer.js';
+import {
+  makeAnswerNotKept,
+  makeKeyReused,
+  makeOutcomeUnknown,
+  makeStillRunning,
+} from './refusals.js';
+
+/** What a table is built from. */
+export interface KeyTableOptions {
+  clock: Clock;
+  /** Larger answers are not kept; the key is still known to have run. */
+  maxAnswerBytes: number;
+  /** The bytes of all kept answers; further ones are not kept. */
+  maxKeptBytes: number;
+  /** Whether a key whose run ended with this error may be begun again. */
+  isFreeAfter(error: TypedError): boolean;
+}
+
+/** One request with a key. */
+export interface KeyedRequest {
+  keyHash: string;
+  requestHash: string;
+  generation: number;
+  /** On the monotonic clock; the caller waits no longer. */
+  expiresAtMs: number;
 }
 
+/** What is remembered of a finished key. */
+export type FinishedKey =
+  {outcome: 'ran'; answer: KeptAnswer | null} | {outcome: 'unknown'};
+
+type KeyState = FinishedKey | {outcome: 'running'; run: Promise<KeptAnswer>};
+
 interface KeyEntry {
-  bodyHash: string;
-  answer: Promise<KeptAnswer>;
+  requestHash: string;
+  state: KeyState;
 }
 
+/** One finished key, as it is given to another process. */
+export type RememberedKey = FinishedKey & {
+  keyHash: string;
+  requestHash: string;
+  generation: number;
+};
+
 /** Runs each key at most once and gives its outcome to every later caller. */
 export class KeyTable {
-  private readonly entries = new Map<string, KeyEntry>();
+  private readonly generations = new Map<number, Map<string, KeyEntry>>();
+  private keyCount = 0;
+  private keptBytes = 0;
+  private runningCount = 0;
+  private idleWaiters: Array<() => void> = [];
+
+  constructor(private readonly options: KeyTableOptions) {}
+
+  /** How many keys are remembered. */
+  get size(): number {
+    return this.keyCount;
+  }
+
+  get answerBytes(): number {
+    return this.keptBytes;
+  }
+
+  get oldestGeneration(): number | null {
+    return this.generations.size === 0
+      ? null
+      : Math.min(...this.generations.keys());
+  }
+
+  has({generation, keyHash}: KeyedRequest): boolean {
+    return this.generations.get(generation)?.has(keyHash) ?? false;
+  }
 
   /**
-   * Calls `run` unless the key was begun before. Rejects with `key-reused`
-   * when the key comes with another body. A run that says `not-run` leaves the
-   * key free, since nothing was handed to a backend server.
+   * Calls `start` unless the key was begun before, and waits for the outcome
+   * until the request expires; the run itself goes on after that, so that a
+   * later request may learn its outcome.
    */
   async runOnce(
-    key: string,
-    body: Buffer,
-    run: () => Promise<KeptAnswer>,
+    request: KeyedRequest,
+    start: () => Promise<KeptAnswer>,
+  ): Promise<KeyedAnswer> {
+    const known = this.generations
+      .get(request.generation)
+      ?.get(request.keyHash);
+    if (!known) {
+      return {answer: await this.begin(request, start), isReplay: false};
+    }
+    if (known.requestHash !== request.requestHash) throw makeKeyReused();
+    return {answer: await this.repeat(known.state, request), isReplay: true};
+  }
+
+  /** Forgets all keys of generations before the given one. */
+  dropBefore(generation: number): void {
+    [...this.generations.keys()]
+      .filter(known => known < generation)
+      .forEach(known => this.drop(known));
+  }
+
+  /** Resolves once no key is running. */
+  whenIdle(): Promise<void> {
+    if (this.runningCount === 0) return Promise.resolve();
+    return new Promise(resolve => this.idleWaiters.push(resolve));
+  }
+
+  /** All keys; one that is still running counts as unknown. */
+  list(): RememberedKey[] {
+    return [...this.generations].flatMap(([generation, entries]) =>
+      [...entries].map(([keyHash, {requestHash, state}]) => ({
+        ...(state.outcome === 'running'
+          ? {outcome: 'unknown' as const}
+          : state),
+        keyHash,
+        requestHash,
+        generation,
+      })),
+    );
+  }
+
+  private begin(
+    request: KeyedRequest,
+    start: () => Promise<KeptAnswer>,
   ): Promise<KeptAnswer> {
-    const bodyHash = createHash('sha256').update(body).digest('base64url');
-    const known = this.entries.get(key);
-    if (known) {
-      if (known.bodyHash === bodyHash) return known.answer;
-      throw new TypedError(
-        'key-reused',
-        'The idempotency key was used with another body.',
-      );
+    const run = start();
+    const entry: KeyEntry = {
+      requestHash: request.requestHash,
+      state: {outcome: 'running', run},
+    };
+    this.add(request, entry);
+    this.runningCount += 1;
+    run.then(
+      answer => this.finish(request, entry, this.keepRan(answer)),
+      (thrown: unknown) => this.fail(request, entry, toTypedError(thrown)),
+    );
+    return this.waitFor(run, request);
+  }
+
+  private repeat(state: KeyState, request: KeyedRequest): Promise<KeptAnswer> {
+    switch (state.outcome) {
+      case 'running':
+        return this.waitFor(state.run, request);
+      case 'unknown':
+        throw makeOutcomeUnknown('The outcome of this key was lost.');
+      case 'ran':
+        if (state.answer === null) throw makeAnswerNotKept();
+        return Promise.resolve(state.answer);
     }
-    const answer = run();
-    this.entries.set(key, {bodyHash, answer});
-    answer.catch(thrown => {
-      if (toTypedError(thrown).run === 'not-run') this.entries.delete(key);
+  }
+
+  private waitFor(
+    run: Promise<KeptAnswer>,
+    {expiresAtMs}: KeyedRequest,
+  ): Promise<KeptAnswer> {
+    const {clock} = this.options;
+    return new Promise((resolve, reject) => {
+      const timer: Timer = clock.setTimer(
+        expiresAtMs - clock.monotonicMs(),
+        () => reject(makeStillRunning()),
+      );
+      run.then(resolve, reject).finally(() => timer.cancel());
     });
-    return answer;
   }
+
+  private add({generation, keyHash}: KeyedRequest, entry: KeyEntry): void {
+    const entries =
+      this.generations.get(generation) ?? new Map<string, KeyEntry>();
+    entries.set(keyHash, entry);
+    this.generations.set(generation, entries);
+    this.keyCount += 1;
+  }
+
+  private finish(
+    request: KeyedRequest,
+    entry: KeyEntry,
+    state: FinishedKey,
+  ): void {
+    const isKept = this.isRemembered(request, entry);
+    if (isKept) {
+      entry.state = state;
+      this.keptBytes += countBytes(state);
+    }
+    this.endRun();
+  }
+
+  private fail(
+    request: KeyedRequest,
+    entry: KeyEntry,
+    error: TypedError,
+  ): void {
+    if (!this.options.isFreeAfter(error)) {
+      this.finish(
+        request,
+        entry,
+        error.run === 'ran'
+          ? {outcome: 'ran', answer: null}
+          : {outcome: 'unknown'},
+      );
+      return;
+    }
+    if (this.isRemembered(request, entry)) {
+      this.generations.get(request.generation)?.delete(request.keyHash);
+      this.keyCount -= 1;
+    }
+    this.endRun();
+  }
+
+  private keepRan(answer: KeptAnswer): FinishedKey {
+    const {maxAnswerBytes, maxKeptBytes} = this.options;
+    const bytes = answer.body.length;
+    const fits =
+      bytes <= maxAnswerBytes && this.keptBytes + bytes <= maxKeptBytes;
+    return {outcome: 'ran', answer: fits ? answer : null};
+  }
+
+  private isRemembered(
+    {generation, keyHash}: KeyedRequest,
+    entry: KeyEntry,
+  ): boolean {
+    return this.generations.get(generation)?.get(keyHash) === entry;
+  }
+
+  private endRun(): void {
+    this.runningCount -= 1;
+    if (this.runningCount > 0) return;
+    const waiters = this.idleWaiters;
+    this.idleWaiters = [];
+    waiters.forEach(resolve => resolve());
+  }
+
+  private drop(generation: number): void {
+    const entries = [...(this.generations.get(generation)?.values() ?? [])];
+    this.keyCount -= entries.length;
+    this.keptBytes -= entries
+      .map(entry => countBytes(entry.state))
+      .reduce((sum, bytes) => sum + bytes, 0);
+    this.generations.delete(generation);
+  }
+}
+
+function countBytes(state: KeyState): number {
+  return state.outcome === 'ran' ? (state.answer?.body.length ?? 0) : 0;
 }
