--- a/packages/claim-keys/src/claim_fold.ts
+++ b/packages/claim-keys/src/claim_fold.ts
@@ -46,7 +46,7 @@
   /** @param firstOffset appends before it are never read. */
   constructor(
     private readonly options: FoldOptions,
-    firstOffset: LogOffset,
+    private readonly firstOffset: LogOffset,
   ) {
     this.memory = new ClaimMemory(options.windowMs, options.maxKeys);
     this.next = firstOffset;
@@ -57,6 +57,11 @@
     return this.next;
   }
 
+  /** How many appends were folded. */
+  get appendCount(): number {
+    return this.next - this.firstOffset;
+  }
+
   get size(): number {
     return this.memory.size;
   }
--- a/packages/claim-keys/src/claim_memory.ts
+++ b/packages/claim-keys/src/claim_memory.ts
@@ -25,10 +25,11 @@
 
 const BUCKET_MS = 10_000;
 /**
- * How many keys must be dated so late before the window moves there, so that
- * a few wrongly dated keys do not push honest ones out.
+ * How many keys, and what share of all, must be dated so late before the
+ * window moves there, so that wrongly dated keys do not push honest ones out.
  */
 const QUORUM_KEYS = 32;
+const QUORUM_SHARE = 0.25;
 
 /** Remembers the claims of the newest keys. */
 export class ClaimMemory {
@@ -86,11 +87,12 @@
 
   /** The newest bucket such that enough keys are in it or in later ones. */
   private findQuorum(newestFirst: readonly number[]): number | null {
+    const quorum = Math.max(QUORUM_KEYS, this.keyCount * QUORUM_SHARE);
     let keyCount = 0;
     return (
       newestFirst.find(index => {
         keyCount += this.buckets.get(index)?.size ?? 0;
-        return keyCount >= QUORUM_KEYS;
+        return keyCount >= quorum;
       }) ?? null
     );
   }
--- a/packages/claim-keys/src/claim_partition.ts
+++ b/packages/claim-keys/src/claim_partition.ts
@@ -45,6 +45,8 @@
 export interface PartitionStatus {
   keys: number;
   nextOffset: number;
+  /** How many appends of the stream were read. */
+  foldedAppends: number;
   isReady: boolean;
   isFailing: boolean;
   counters: Readonly<WriterCounters>;
@@ -81,6 +83,7 @@
     return {
       keys: this.reader.fold?.size ?? 0,
       nextOffset: this.reader.fold?.nextOffset ?? 0,
+      foldedAppends: this.reader.fold?.appendCount ?? 0,
       isReady: this.reader.fold !== null,
       isFailing: this.isFailing,
       counters: this.writer.counters,
--- /dev/null
+++ b/packages/unrepeatable/src/ticket.test.ts
@@ -0,0 +1,36 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {TicketMint, hashKey} from './index.js';
+
+const test = suite('tickets');
+const mint = new TicketMint('a secret of the cluster');
+
+test('a key says which process may run it, and since when', () => {
+  const key = `${mint.makePrefix('node-1.ab12', 7)}order~17`;
+  assert.equal(mint.read(key), {
+    status: 'ticket',
+    ticket: {incarnation: 'node-1.ab12', generation: 7, suffix: 'order~17'},
+  });
+});
+
+test('a changed generation, process or secret is forged', () => {
+  // A caller raises the generation of an old key to have it run once more.
+  const key = `${mint.makePrefix('node-1', 7)}17`;
+  const strange = new TicketMint('another secret').makePrefix('node-1', 7);
+  [
+    key.replace('~7~', '~8~'),
+    key.replace('~7~', '~07~'),
+    key.replace('node-1', 'node-2'),
+    `${strange}17`,
+    mint.makePrefix('node-1', 7),
+    't1~',
+    't1~node-1~7~~17',
+  ].forEach(forged => assert.is(mint.read(forged).status, 'forged', forged));
+  assert.is(mint.read('order-17').status, 'not-a-ticket');
+});
+
+test('two teams never share a key', () => {
+  assert.is.not(hashKey('pantry', 'k1'), hashKey('zorza', 'k1'));
+});
+
+test.run();
