--- a/packages/claim-keys/src/claim_keys.test.ts
+++ b/packages/claim-keys/src/claim_keys.test.ts
@@ -1,5 +1,5 @@
 import {SystemClock, sleep} from '@mimosatack/clock';
-import {TypedError} from '@mimosatack/errors';
+import {type TypedError} from '@mimosatack/errors';
 import {SeededRandom} from '@mimosatack/random';
 import {hashKey} from '@mimosatack/unrepeatable';
 import {suite} from 'uvu';
--- a/packages/dispatch-requests/src/own_connection.test.ts
+++ b/packages/dispatch-requests/src/own_connection.test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {type AddressInfo, type Socket, createServer} from 'node:net';
-import {type RunOutcome, TypedError} from '@mimosatack/errors';
+import {type RunOutcome, type TypedError} from '@mimosatack/errors';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {exchangeOnce} from './index.js';
@@ -88,9 +88,7 @@
   // A library that still holds the unsent request opens a second connection
   // for it, while its first is taken for lost and given to another server.
   const {seen, server, baseUrl} = await createServerThat(atOnce);
-  const runs = await Promise.all(
-    Array.from({length: 40}, () => send(baseUrl)),
-  );
+  const runs = await Promise.all(Array.from({length: 40}, () => send(baseUrl)));
   assert.ok(runs.every(run => run === 'not-run' || run === 'unknown'));
   assert.is(seen.connections, 40);
   server.close();
