--- /dev/null
+++ b/packages/unrepeatable-bench/src/index.ts
@@ -0,0 +1,2 @@
+export {type CallerTally, tallyOutcomes} from './stress_report.js';
+export {type Operation} from './stress_caller.js';
