Let no node run a key that another called not run

Cause: a node that waited for the claim of another, or that claimed a key because its keeper was silent, could claim it again after a release and run it, while the caller had just been told not-run. Now a waiter gives up with the claimer, and while the keeper may still act, only an answer counts.

--- a/packages/claim-keys/src/claim_keys.test.ts
+++ b/packages/claim-keys/src/claim_keys.test.ts
@@ -134,12 +134,30 @@
   const {start, stop} = createFixture();
   const request = createRequest();
   const [a, b] = [start('a'), start('b')];
+  b.tick(() => true);
   a.release(await grant(a, request));
+  await until(() => b.listStatus()[0]?.nextOffset === 2);
   assert.is(await claim(b, request), 'granted');
   assert.is(await claim(a, {...request, requestHash: 'x'}), 'key-reused');
   await stop();
 });
 
+test('a node that waited for a claimer does not run what it let go', async () => {
+  // A caller tries two nodes. The first claims its key, can hand nothing over
+  // and says `not-run`; the caller gives the hamper to somebody else. The
+  // second, which had waited, must not claim the key and dispatch it then.
+  const {start, stop} = createFixture();
+  const request = createRequest();
+  const [a, b] = [start('a'), start('b')];
+  const held = await grant(a, request);
+  const waiting = claim(b, request);
+  await until(() => b.listStatus()[0]?.isReady === true);
+  a.release(held);
+  assert.is(await waiting, 'released');
+  assert.is(await claim(b, request), 'granted');
+  await stop();
+});
+
 test('with the log down, only what is known is told', async () => {
   // The log service fails while an event runs. Another node may have run a
   // key that this one does not know, so it must not say `not-run`; and it
--- a/packages/claim-keys/src/claim_partition.ts
+++ b/packages/claim-keys/src/claim_partition.ts
@@ -104,25 +104,34 @@
   /**
    * Claims the key, or finds out what became of it. Waits for a claimer that
    * is alive. Rejects with `log-unavailable` when nothing can be claimed.
+   *
+   * Guards against a `not-run` that comes untrue: a caller that tries two
+   * nodes hears it from the one that claimed first and released; the other,
+   * which waited, must not claim the key then and run it after all.
    */
   async claim(
     request: ClaimRequest,
     expiresAtMs: number,
   ): Promise<ClaimResult> {
     this.lastUsedMs = this.context.clock.monotonicMs();
+    let hasSeenOther = false;
     for (;;) {
       const standing = this.findStanding(request);
       if (standing && isFinal(standing)) return standing;
       this.refuseIfFailing();
       if (this.remainingMs(expiresAtMs) <= 0) throw makeTooLate(standing);
       if (standing?.status === 'free') {
+        if (hasSeenOther) return {status: 'released'};
         const grant = await this.append(request, standing.attempt, expiresAtMs);
         if (grant) return {status: 'granted', grant};
-      } else if (standing && !this.canWaitFor(standing.author, request)) {
+        hasSeenOther ||= this.isOthers(request);
+        continue;
+      }
+      if (standing && !this.canWaitFor(standing.author, request)) {
         return {status: 'orphaned'};
-      } else {
-        await this.waitForChange(expiresAtMs);
       }
+      hasSeenOther ||= standing !== null && !this.isOwn(standing.author);
+      await this.waitForChange(expiresAtMs);
     }
   }
 
@@ -163,6 +172,12 @@
     return this.reader.isFailing || this.writer.isFailing;
   }
 
+  /** Whether the last claim of the key, whatever became of it, is another's. */
+  private isOthers(request: ClaimRequest): boolean {
+    const known = this.reader.fold?.find(request);
+    return known !== undefined && !this.isOwn(known.author);
+  }
+
   private findStanding(request: ClaimRequest): ClaimStanding | null {
     const {fold} = this.reader;
     return fold && readStanding(fold.find(request), request, fold.floorMs);
@@ -173,11 +188,15 @@
    * released, or nobody will ever tell what became of it.
    */
   private canWaitFor(author: string, {keyHash}: ClaimRequest): boolean {
-    return author === this.context.incarnation
+    return this.isOwn(author)
       ? this.releasing.has(keyHash)
       : this.context.isAlive(author);
   }
 
+  private isOwn(author: string): boolean {
+    return author === this.context.incarnation;
+  }
+
   private refuseIfFailing(): void {
     if (this.isFailing) throw this.makeUnavailable();
   }
--- a/packages/claim-keys/src/claim_standing.ts
+++ b/packages/claim-keys/src/claim_standing.ts
@@ -20,7 +20,10 @@
 /** What became of a wish to claim; the claimer alone gets `granted`. */
 export type ClaimResult =
   | {status: 'granted'; grant: ClaimRecord}
+  /** Its claimer is gone and has not told the outcome. */
   | {status: 'orphaned'}
+  /** Another claimed it first, handed nothing over and let it go. */
+  | {status: 'released'}
   | Extract<ClaimStanding, {status: 'ran' | 'key-reused' | 'unknown'}>;
 
 /** Reads the standing of a key from a fold's memory. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -130,7 +130,7 @@
         },
       }),
       limits: settings,
-      listEntries: () => this.peers.listUsable().map(toEntry),
+      listEntries: () => this.peers.listEntries().map(toEntry),
       noteDemand: model => this.passDemand(model),
     });
     this.operatorServer = buildOperatorServer({
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -122,6 +122,16 @@
     if (peer) this.transport.send(peer.peerAddress, {type: 'demand', model});
   }
 
+  /**
+   * The nodes that callers may be sent to. A node that is suspected has
+   * perhaps died; tickets for it would come to nothing.
+   */
+  listEntries(): Member[] {
+    const usable = this.listUsable();
+    const alive = usable.filter(member => member.status === 'alive');
+    return alive.length > 0 ? alive : usable;
+  }
+
   /** Where a process can be reached, unless it is known to be gone. */
   findProcess(
     incarnation: string,
--- a/packages/serve-callers/src/index.ts
+++ b/packages/serve-callers/src/index.ts
@@ -4,15 +4,14 @@
   type EntryAddress,
 } from './caller_context.js';
 export {buildCallerServer} from './caller_server.js';
+export {type ForwardTarget, type KeyOwners} from './unrepeatable_forward.js';
 export {
   type DispatchTerms,
+  type StartRun,
   type UnrepeatableAnswer,
   type UnrepeatableRequest,
+} from './unrepeatable_request.js';
+export {
   UnrepeatableRunner,
   type UnrepeatableRunnerOptions,
 } from './unrepeatable_runner.js';
-export {
-  type ForwardTarget,
-  type KeyOwners,
-  forwardToNode,
-} from './unrepeatable_forward.js';
--- a/packages/serve-callers/src/service_dispatch.ts
+++ b/packages/serve-callers/src/service_dispatch.ts
@@ -5,7 +5,7 @@
 import {type BackendServerId} from '@mimosatack/types';
 import {type KeptAnswer} from '@mimosatack/unrepeatable';
 import {type CallerContext} from './caller_context.js';
-import {type DispatchTerms} from './unrepeatable_runner.js';
+import {type DispatchTerms} from './unrepeatable_request.js';
 
 /** A call, ready to be handed over. */
 export interface ServiceCall {
--- a/packages/serve-callers/src/service_routes.ts
+++ b/packages/serve-callers/src/service_routes.ts
@@ -14,7 +14,7 @@
   type StartRun,
   type UnrepeatableAnswer,
   type UnrepeatableRequest,
-} from './unrepeatable_runner.js';
+} from './unrepeatable_request.js';
 
 interface ServiceRoute {
   Params: {service: string; call: string};
--- a/packages/serve-callers/src/unrepeatable_forward.ts
+++ b/packages/serve-callers/src/unrepeatable_forward.ts
@@ -1,9 +1,16 @@
 /** Passes a request on to the node that keeps its key. */
-import {type WholeAnswer, exchangeOnce} from '@mimosatack/dispatch-requests';
+import {type Clock} from '@mimosatack/clock';
+import {exchangeOnce} from '@mimosatack/dispatch-requests';
 import {
   type InheritedQuery,
   type InheritedVerdict,
 } from '@mimosatack/unrepeatable';
+import {relayAnswer} from './unrepeatable_answers.js';
+import {
+  type UnrepeatableAnswer,
+  type UnrepeatableRequest,
+  abortAt,
+} from './unrepeatable_request.js';
 
 /** A node that a request is passed on to. */
 export interface ForwardTarget {
@@ -21,41 +28,53 @@
   askHeirs(query: InheritedQuery): Promise<InheritedVerdict>;
 }
 
-/** A request as it is passed on. */
-export interface ForwardedRequest {
-  path: string;
-  body: Uint8Array;
-  headers: Readonly<Record<string, string>>;
-  timeoutMs: number;
-  signal: AbortSignal;
-}
+/** Passes a request on; see `sendOnce` for what the errors say. */
+export type Forward = (
+  target: ForwardTarget,
+  request: UnrepeatableRequest,
+) => Promise<UnrepeatableAnswer>;
 
 /** A node that gets a request with this header does not pass it on. */
 export const FORWARDED_HEADER = 'x-forwarded-by-node';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** What the way back from another node may take. */
+const RETURN_MARGIN_MS = 30;
 
-/** Passes a request on; see `sendOnce` for what its errors say. */
-export function forwardToNode(
-  target: ForwardTarget,
-  request: ForwardedRequest,
+/** Makes the function that passes requests on over HTTP. */
+export function makeForward(nodeName: string, clock: Clock): Forward {
+  return async (target, request) => {
+    const remainingMs = request.expiresAtMs - clock.monotonicMs();
+    const deadline = abortAt(request.expiresAtMs, clock);
+    try {
+      const answer = await exchangeOnce({
+        baseUrl: target.baseUrl,
+        path: request.path,
+        method: 'POST',
+        headers: makeHeaders(request, nodeName, remainingMs),
+        body: request.body,
+        connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, remainingMs),
+        maxAnswerBytes: MAX_ANSWER_BYTES,
+        signal: deadline.signal,
+      });
+      return relayAnswer(answer);
+    } finally {
+      deadline.timer.cancel();
+    }
+  };
+}
+
+function makeHeaders(
+  {headers, idempotencyKey}: UnrepeatableRequest,
   nodeName: string,
-): Promise<WholeAnswer> {
-  return exchangeOnce({
-    baseUrl: target.baseUrl,
-    path: request.path,
-    method: 'POST',
-    headers: {
-      ...request.headers,
-      [FORWARDED_HEADER]: nodeName,
-      'x-request-timeout-ms': String(
-        Math.max(1, Math.floor(request.timeoutMs)),
-      ),
-    },
-    body: request.body,
-    connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, request.timeoutMs),
-    maxAnswerBytes: MAX_ANSWER_BYTES,
-    signal: request.signal,
-  });
+  remainingMs: number,
+): Record<string, string> {
+  const timeoutMs = Math.max(1, Math.floor(remainingMs - RETURN_MARGIN_MS));
+  return {
+    ...headers,
+    'idempotency-key': idempotencyKey ?? '',
+    'x-request-timeout-ms': String(timeoutMs),
+    [FORWARDED_HEADER]: nodeName,
+  };
 }
--- a/packages/serve-callers/src/unrepeatable_runner.test.ts
+++ b/packages/serve-callers/src/unrepeatable_runner.test.ts
@@ -17,7 +17,8 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {FORWARDED_HEADER} from './unrepeatable_forward.js';
-import {type StartRun, UnrepeatableRunner} from './unrepeatable_runner.js';
+import {type StartRun} from './unrepeatable_request.js';
+import {UnrepeatableRunner} from './unrepeatable_runner.js';
 
 const TEAM = 'pantry';
 const PATH = '/call';
@@ -95,7 +96,9 @@
     server.setErrorHandler((thrown, _incoming, reply) => {
       void reply.code(500).send(formatErrorBody(toTypedError(thrown)));
     });
+    let frozen = Promise.resolve();
     server.post(PATH, async ({headers, body}, reply) => {
+      await frozen;
       const {answer, headers: extra} = await runner.run(
         {
           team: TEAM,
@@ -132,6 +135,12 @@
       tickets,
       claims,
       kill,
+      /** Holds requests back until the function it returns is called. */
+      freeze: () => {
+        let thaw: () => void = () => undefined;
+        frozen = new Promise(resolve => (thaw = resolve));
+        return () => thaw();
+      },
       setStart: (other: StartRun) => (startRun = other),
       prefix: mint.makePrefix(incarnation, generationAt(clock.wallMs())),
     };
@@ -267,6 +276,22 @@
   assert.is(countRuns(cluster), 2);
 });
 
+testCluster('a frozen keeper makes no not-run untrue', async cluster => {
+  // The keeper of a key is frozen with a request in hand. The entry host
+  // claims the key itself and can hand nothing over. It must not say
+  // `not-run`: on thawing, the keeper runs the request it was given.
+  const [a, b] = [await cluster.start('a'), await cluster.start('b')];
+  cluster.hints.keeper = 'a';
+  const thaw = a.freeze();
+  b.setStart(async () => {
+    throw new TypedError('overloaded', 'full', {run: 'not-run'});
+  });
+  const seen = await send(b, makeDatedKey(1), {timeoutMs: 600});
+  assert.is(seen.outcome, 'overloaded unknown');
+  thaw();
+  while (countRuns(cluster) === 0) await sleep(cluster.clock, 5);
+});
+
 testCluster('a node killed after its claim leaves unknown', async cluster => {
   // A node claims a key and dies before it hands the order over. No other may
   // run it, as nobody can tell, and none may say that it did not run.
--- a/packages/unrepeatable-bench/src/stress_caller.ts
+++ b/packages/unrepeatable-bench/src/stress_caller.ts
@@ -99,9 +99,9 @@
 
 /** Asks one node after the other until one answers. */
 async function findEntry(context: StressContext): Promise<Entry> {
-  const {clock, random, listNodes} = context;
+  const {clock, random} = context;
   for (;;) {
-    const baseUrl = pickOne(random, listNodes());
+    const baseUrl = pickOne(random, context.listNodes());
     const entry = pickOne(random, await askForEntries(baseUrl));
     if (entry) return entry;
     await sleep(clock, PAUSE_MS * random.nextFraction());
--- a/packages/unrepeatable-bench/src/stress_main.ts
+++ b/packages/unrepeatable-bench/src/stress_main.ts
@@ -55,13 +55,13 @@
   seed: number,
 ): Promise<boolean> {
   const clock = new SystemClock();
-  const {cluster, makeSpec} = await prepare(group, deployment);
+  const prepared = await prepare(group, deployment);
+  const {cluster} = prepared;
   const faults = new StressFaults({
     clock,
     random: new SeededRandom(seed),
     group,
-    cluster,
-    makeSpec,
+    ...prepared,
   });
   const beganMs = clock.monotonicMs();
   let isOver = false;
