--- a/packages/claim-keys/src/claim_partition.ts
+++ b/packages/claim-keys/src/claim_partition.ts
@@ -1,7 +1,7 @@
 /** One partition of the claims: its fold, its appends and who waits for them. */
 import {type Timer} from '@mimosatack/clock';
 import {type KeptAnswer} from '@mimosatack/unrepeatable';
-import {type FoldedClaim, type FoldVerdict} from './claim_fold.js';
+import {type FoldedClaim} from './claim_fold.js';
 import {ClaimReader} from './claim_reader.js';
 import {
   type ClaimRecord,
@@ -21,14 +21,7 @@
   type PartitionContext,
   type WriterCounters,
 } from './claim_writer.js';
-
-/** A claim that has not been read back yet. */
-interface PendingClaim {
-  record: ClaimRecord;
-  wasSent: boolean;
-  /** Null when it is given up. */
-  settle(verdict: FoldVerdict | null): void;
-}
+import {PendingClaims} from './pending_claims.js';
 
 /** What a partition needs of the node. */
 export interface ClaimPartitionContext extends PartitionContext {
@@ -62,7 +55,7 @@
   private readonly stopping = new AbortController();
   private readonly reader: ClaimReader;
   private readonly writer: ClaimWriter;
-  private readonly pending = new Map<number, PendingClaim>();
+  private readonly pending: PendingClaims;
   /** Keys whose release by this node has not been read back. */
   private readonly releasing = new Set<string>();
   private readonly changeWaiters = new Set<() => void>();
@@ -72,6 +65,11 @@
   constructor(private readonly context: ClaimPartitionContext) {
     this.lastUsedMs = context.clock.monotonicMs();
     this.writer = new ClaimWriter(context, this.stopping.signal);
+    this.pending = new PendingClaims(
+      context.clock,
+      outgoing => this.writer.push(outgoing),
+      record => this.release(record),
+    );
     this.reader = new ClaimReader(context, this.stopping.signal, {
       onFolded: folded => this.noteFolded(folded),
       onRestart: () => this.giveUpAll(),
@@ -207,16 +205,13 @@
     );
   }
 
-  /**
-   * Resolves with the claim once it is read back as granted, or with null
-   * when another came first. A claim that is given up is released, as it may
-   * be granted later and nobody would act on it.
-   */
+  /** Null when another claim came first. */
   private async append(
     {keyHash, requestHash, issuedAtMs}: ClaimRequest,
     attempt: number,
     expiresAtMs: number,
   ): Promise<ClaimRecord | null> {
+    const {claimTimeoutMs} = this.context.options;
     const record: ClaimRecord = {
       type: 'claim',
       keyHash,
@@ -225,53 +220,14 @@
       attempt,
       claimNumber: this.context.takeClaimNumber(),
     };
-    const verdict = await this.waitForVerdict(record, expiresAtMs);
+    const waitMs = Math.min(claimTimeoutMs, this.remainingMs(expiresAtMs));
+    const verdict = await this.pending.append(record, waitMs);
     if (verdict === null) throw this.makeUnavailable();
     return verdict === 'granted' ? record : null;
   }
 
-  private waitForVerdict(
-    record: ClaimRecord,
-    expiresAtMs: number,
-  ): Promise<FoldVerdict | null> {
-    const {clock, options} = this.context;
-    const waitMs = Math.min(
-      options.claimTimeoutMs,
-      this.remainingMs(expiresAtMs),
-    );
-    return new Promise(resolve => {
-      const timer = clock.setTimer(waitMs, () =>
-        this.giveUpClaim(record.claimNumber),
-      );
-      const claim: PendingClaim = {
-        record,
-        wasSent: false,
-        settle: verdict => {
-          timer.cancel();
-          resolve(verdict);
-        },
-      };
-      this.pending.set(record.claimNumber, claim);
-      this.writer.push({
-        record,
-        isWanted: () => this.pending.has(record.claimNumber),
-        noteSent: () => {
-          claim.wasSent = true;
-        },
-      });
-    });
-  }
-
-  private giveUpClaim(claimNumber: number): void {
-    const claim = this.pending.get(claimNumber);
-    if (!claim) return;
-    this.pending.delete(claimNumber);
-    if (claim.wasSent) this.release(claim.record);
-    claim.settle(null);
-  }
-
   private giveUpAll(): void {
-    [...this.pending.keys()].forEach(number => this.giveUpClaim(number));
+    this.pending.giveUpAll();
     this.wakeWaiters();
   }
 
@@ -284,10 +240,7 @@
 
   private settleOwn({record, verdict}: FoldedClaim): void {
     if (record.type === 'release') this.releasing.delete(record.keyHash);
-    const claim = this.pending.get(record.claimNumber);
-    if (!claim || record.type !== 'claim') return;
-    this.pending.delete(record.claimNumber);
-    claim.settle(verdict);
+    if (record.type === 'claim') this.pending.settle(record, verdict);
   }
 
   private pushOutcome(
--- a/packages/unrepeatable-bench/src/stress_faults.ts
+++ b/packages/unrepeatable-bench/src/stress_faults.ts
@@ -24,6 +24,7 @@
   strike(faults: StressFaults): Promise<void>;
 }
 
+const POLL_MS = 10;
 const SHORT_MS = 600;
 const LONG_MS = 1_500;
 const NODE_START_LIMIT_MS = 10_000;
@@ -61,11 +62,14 @@
   async run(pauseMs: number, isOver: () => boolean): Promise<void> {
     const {clock, random} = this.target;
     const struck: Array<Promise<void>> = [];
+    let nextStrikeMs = clock.monotonicMs();
     while (!isOver()) {
+      await sleep(clock, POLL_MS);
+      if (clock.monotonicMs() < nextStrikeMs) continue;
       const fault = pickOne(random, FAULTS) as Fault;
       this.counts.set(fault.name, (this.counts.get(fault.name) ?? 0) + 1);
       struck.push(fault.strike(this).catch(() => undefined));
-      await sleep(clock, pauseMs * (0.5 + random.nextFraction()));
+      nextStrikeMs += pauseMs * (0.5 + random.nextFraction());
     }
     await Promise.all(struck);
   }
--- a/packages/unrepeatable-bench/src/stress_main.ts
+++ b/packages/unrepeatable-bench/src/stress_main.ts
@@ -20,28 +20,34 @@
 
 const NODE_COUNT = 5;
 const CALLER_COUNT = 64;
-const FAULT_PAUSE_MS = 400;
 const THINK_MS = 400;
 const SETTLE_MS = 3_000;
 const READY_LIMIT_MS = 30_000;
 const PLAIN_SERVICE: Partial<Deployment> = {runners: 0, models: []};
 
+interface StressOptions {
+  requestCount: number;
+  seed: number;
+  /** The mean time between two faults. */
+  faultPauseMs: number;
+}
+
 async function main(): Promise<void> {
   const {values} = parseArgs({
     options: {
       requests: {type: 'string', default: '10000'},
       seed: {type: 'string', default: '1'},
+      'fault-pause-ms': {type: 'string', default: '400'},
     },
   });
   const deployment = {...findDeployment('prairie')!, ...PLAIN_SERVICE};
   const group = new ProcessGroup();
   try {
-    const isClean = await runStress(
-      group,
-      deployment,
-      Number(values.requests),
-      Number(values.seed),
-    );
+    const isClean = await runStress(group, deployment, {
+      requestCount: Number(values.requests),
+      seed: Number(values.seed),
+      faultPauseMs: Number(values['fault-pause-ms']),
+    });
     process.exitCode = isClean ? 0 : 1;
   } finally {
     await group.stopAll();
@@ -51,8 +57,7 @@
 async function runStress(
   group: ProcessGroup,
   deployment: Deployment,
-  requestCount: number,
-  seed: number,
+  {requestCount, seed, faultPauseMs}: StressOptions,
 ): Promise<boolean> {
   const clock = new SystemClock();
   const prepared = await prepare(group, deployment);
@@ -65,7 +70,7 @@
   });
   const beganMs = clock.monotonicMs();
   let isOver = false;
-  const striking = faults.run(FAULT_PAUSE_MS, () => isOver);
+  const striking = faults.run(faultPauseMs, () => isOver);
   const operations = await runCallers(cluster, deployment, requestCount, seed);
   const tookMs = clock.monotonicMs() - beganMs;
   isOver = true;
