--- a/packages/claim-keys/src/claim_fold.test.ts
+++ b/packages/claim-keys/src/claim_fold.test.ts
@@ -102,8 +102,15 @@
   const {write, fold} = createStream();
   write('a', [{type: 'release'}]);
   write('a', [{}]);
-  write('b', [{attempt: 1}]);
-  assert.equal(fold().verdicts, ['a null', 'a duplicate', 'b granted']);
+  write('b', [{attempt: 1}, {type: 'release', attempt: 1}]);
+  write('a', [{}]);
+  assert.equal(fold().verdicts, [
+    'a null',
+    'a duplicate',
+    'b granted',
+    'b null',
+    'a taken',
+  ]);
 });
 
 test('an outcome is final', () => {
--- a/packages/dispatch-requests/src/own_connection.ts
+++ b/packages/dispatch-requests/src/own_connection.ts
@@ -5,10 +5,14 @@
  * made first; until something is written to it nothing can have run, and
  * after that nobody can tell.
  */
-import {connect, type Socket} from 'node:net';
+import {type Socket, connect, isIP} from 'node:net';
+import {TLSSocket, connect as connectTls} from 'node:tls';
 import {TypedError} from '@mimosatack/errors';
 import {Client, type Dispatcher} from 'undici';
 
+const HTTP_PORT = 80;
+const HTTPS_PORT = 443;
+
 /** A request that must not be sent twice. */
 export interface OwnConnectionRequest {
   baseUrl: string;
@@ -56,10 +60,11 @@
 
 /**
  * The count of written bytes holds all that the socket was ever given, also
- * what has not left the machine, so at 0 the request can't have run.
+ * what has not left the machine, so at 0 the request can't have run. What the
+ * layer of TLS counts is not that sure, so there it is left unknown.
  */
 function describeFailure(socket: Socket, cause: Error): TypedError {
-  if (socket.bytesWritten === 0) {
+  if (socket.bytesWritten === 0 && !isTls(socket)) {
     return makeUnreachable('The connection broke before it was used.', cause);
   }
   return new TypedError(
@@ -97,11 +102,7 @@
       reject(makeUnreachable('There was no time left.', undefined));
       return;
     }
-    const socket = connect({
-      host: url.hostname,
-      port: Number(url.port || 80),
-      noDelay: true,
-    });
+    const socket = beginConnecting(url);
     const fail = (cause: Error) => {
       signal?.removeEventListener('abort', onAbort);
       socket.destroy();
@@ -113,7 +114,7 @@
       fail(new Error('Connecting took too long.')),
     );
     socket.once('error', fail);
-    socket.once('connect', () => {
+    socket.once(isTls(socket) ? 'secureConnect' : 'connect', () => {
       signal?.removeEventListener('abort', onAbort);
       socket.setTimeout(0);
       socket.off('error', fail);
@@ -124,6 +125,22 @@
   });
 }
 
+function beginConnecting(url: URL): Socket {
+  const host = url.hostname;
+  if (url.protocol === 'https:') {
+    return connectTls({
+      host,
+      port: Number(url.port || HTTPS_PORT),
+      servername: isIP(host) === 0 ? host : undefined,
+    });
+  }
+  return connect({host, port: Number(url.port || HTTP_PORT), noDelay: true});
+}
+
+function isTls(socket: Socket): boolean {
+  return socket instanceof TLSSocket;
+}
+
 function makeUnreachable(message: string, cause: Error | undefined) {
   return new TypedError('backend-unreachable', message, {
     run: 'not-run',
--- a/packages/node/src/claim_task.ts
+++ b/packages/node/src/claim_task.ts
@@ -1,7 +1,7 @@
 /** The claims of this node: which partitions it keeps, and who keeps others. */
 import {ClaimKeys, DEFAULT_CLAIM_OPTIONS} from '@mimosatack/claim-keys';
 import {type Clock} from '@mimosatack/clock';
-import {type Member, rankMembers} from '@mimosatack/membership';
+import {type Member} from '@mimosatack/membership';
 import {HttpLogService} from '@mimosatack/platform';
 import {type RandomSource} from '@mimosatack/random';
 
@@ -13,7 +13,9 @@
   nodeName: string;
   logUrl: string;
   logTimeoutMs: number;
-  peers: {listMembers(): Member[]; listUsable(): Member[]};
+  listMembers(): Member[];
+  /** The nodes that come first for a key and reach the log. */
+  listFirst(key: string): readonly Member[];
 }
 
 const FLUSH_MS = 3_000;
@@ -24,8 +26,6 @@
 export class ClaimTask {
   readonly keys: ClaimKeys;
   private readonly log: HttpLogService;
-  private keepers: Array<Member | undefined> = [];
-  private rankedMembers = '';
 
   constructor(private readonly options: ClaimTaskOptions) {
     this.log = new HttpLogService({
@@ -43,15 +43,14 @@
 
   /** The node that keeps a partition, or null when this one does. */
   findKeeper(partition: number): {incarnation: string; baseUrl: string} | null {
-    const keeper = this.keepers[partition];
+    const keeper = this.rankFirst(partition);
     if (!keeper || this.isSelf(keeper)) return null;
     return {incarnation: keeper.incarnation, baseUrl: keeper.callerBaseUrl};
   }
 
   tick(): void {
-    this.rankKeepers();
     this.keys.tick(partition => {
-      const keeper = this.keepers[partition];
+      const keeper = this.rankFirst(partition);
       return keeper !== undefined && this.isSelf(keeper);
     });
   }
@@ -61,15 +60,8 @@
     await this.log.close();
   }
 
-  private rankKeepers(): void {
-    const members = this.options.peers.listUsable();
-    const names = members.map(member => member.incarnation).join(' ');
-    if (names === this.rankedMembers) return;
-    this.rankedMembers = names;
-    this.keepers = Array.from(
-      {length: DEFAULT_CLAIM_OPTIONS.partitionCount},
-      (_, partition) => rankMembers(`claims ${partition}`, members)[0],
-    );
+  private rankFirst(partition: number): Member | undefined {
+    return this.options.listFirst(`claims ${partition}`)[0];
   }
 
   private isSelf(member: Member): boolean {
@@ -77,7 +69,7 @@
   }
 
   private isAlive(incarnation: string): boolean {
-    return this.options.peers
+    return this.options
       .listMembers()
       .some(
         member =>
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,11 +1,12 @@
 /** One node: its tasks, its servers and how they are wired. */
 import {randomUUID} from 'node:crypto';
+import {type FoldedRecord} from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
 import {EngineBoard} from '@mimosatack/engine-board';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {LogFollower} from '@mimosatack/follow-log';
 import {type EventLogger} from '@mimosatack/logger';
-import {rankMembers} from '@mimosatack/membership';
+import {type Member} from '@mimosatack/membership';
 import {
   FixedLeadPolicy,
   LoadOnFirstRequestPolicy,
@@ -21,14 +22,18 @@
 import {type RandomSource} from '@mimosatack/random';
 import {Router} from '@mimosatack/route-requests';
 import {UnrepeatableRunner, buildCallerServer} from '@mimosatack/serve-callers';
-import {buildOperatorServer} from '@mimosatack/serve-operators';
 import {type DaemonSettings} from '@mimosatack/settings';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type HostEntry} from '@mimosatack/types';
 import {TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
 import {ClaimTask} from './claim_task.js';
+import {CheckpointTask} from './checkpoint_task.js';
 import {HostListTask} from './host_list_task.js';
+import {LeavingServers} from './leaving_servers.js';
+import {NodeRanking} from './node_ranking.js';
+import {Obituary} from './obituary.js';
+import {Operations} from './operations.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
 import {StewardTask} from './steward_task.js';
@@ -51,6 +56,7 @@
 }
 
 const DECISIONS_STREAM = 'decisions';
+const CHECKPOINT_STREAM = 'checkpoints';
 const LONG_POLL_MS = 5_000;
 const RETRY_DELAY_MS = 200;
 const PLATFORM_TIMEOUT_MS = 2_000;
@@ -67,22 +73,30 @@
   private readonly follower: LogFollower;
   private readonly log: HttpLogService;
   private readonly peers: PeerTask;
+  private readonly checkpoints: CheckpointTask;
   private readonly stewards: StewardTask;
   private readonly hosts: HostListTask;
   private readonly planner: PlannerTask;
   private readonly router: Router;
   private readonly callerServer: FastifyInstance;
-  private readonly operatorServer: FastifyInstance;
+  private readonly operations: Operations;
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
   private readonly tickets: TicketTask;
   private readonly claims: ClaimTask;
-  private leavingServers = new Set<string>();
+  private readonly obituary: Obituary;
+  private readonly ranking: NodeRanking;
+  private readonly leaving: LeavingServers;
+  private leavingNodes: ReadonlySet<string> = new Set();
+  private drainingServers: ReadonlySet<string> = new Set();
+  private isStopping = false;
 
   constructor(private readonly options: NodeOptions) {
     const {settings, clock, random, logger} = options;
     this.incarnation = `${settings.nodeName}.${randomUUID().slice(0, 8)}`;
     this.mint = new TicketMint(settings.clusterSecret);
+    this.obituary = new Obituary(clock, ORDER_DOUBT_MS);
+    this.leaving = new LeavingServers(clock);
     this.log = new HttpLogService({
       baseUrl: settings.logUrl,
       nodeId: settings.nodeName,
@@ -91,6 +105,7 @@
     this.follower = new LogFollower({
       clock,
       random,
+      logger,
       log: this.log,
       stream: DECISIONS_STREAM,
       incarnation: this.incarnation,
@@ -105,9 +120,12 @@
       peers: this.peers,
     });
     this.claims = this.makeClaims();
+    this.ranking = new NodeRanking(this.peers, this.incarnation);
+    this.checkpoints = this.makeCheckpoints();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
+    this.operations = this.makeOperations();
     this.callerServer = buildCallerServer({
       clock,
       logger,
@@ -130,48 +148,50 @@
         },
       }),
       limits: settings,
+      serverFactory: this.operations.callerServerFactory,
       listEntries: () => this.peers.listEntries().map(toEntry),
       noteDemand: model => this.passDemand(model),
     });
-    this.operatorServer = buildOperatorServer({
-      clock,
-      logger,
-      nodeName: settings.nodeName,
-      follower: this.follower,
-      board: this.board,
-      bootstrapTokenHash: settings.bootstrapAdminTokenHash ?? '',
-      submitTimeoutMs: SUBMIT_TIMEOUT_MS,
-      maxBodyBytes: settings.maxBodyBytes,
-      state: () => this.follower.state,
-      listNodes: () =>
-        this.peers.listMembers().map(member => ({
-          ...toEntry(member),
-          status: member.status,
-          callerBaseUrl: member.callerBaseUrl,
-          adminBaseUrl: member.adminBaseUrl,
-          nextOffset: this.peers.findNextOffset(member.peerAddress),
-        })),
+    this.operations.watch(this.callerServer, 'callers');
+    this.follower.onFold(folded => {
+      if (folded.length === 0 || folded.some(isAboutDraining)) {
+        this.updateDraining();
+      }
     });
   }
 
+  /** Requests of callers and operators that are being served. */
+  get requestsInFlight(): number {
+    return this.operations.requestsInFlight;
+  }
+
   /** Opens the ports, joins the other nodes and begins to work. */
   async start(): Promise<NodeAddresses> {
     const {settings} = this.options;
     const {listenHost, advertiseHost} = settings;
+    const {operatorServer} = this.operations;
+    const startedAtMs = this.options.clock.monotonicMs();
+    await this.operations.openTls();
     const peer = await this.peers.listen();
     await this.callerServer.listen({
       host: listenHost,
       port: settings.callerPort,
     });
-    await this.operatorServer.listen({
+    await operatorServer.listen({
       host: listenHost,
       port: settings.adminPort,
     });
     const addresses = {
       peerAddress: `${advertiseHost}:${peer.port}`,
-      callerBaseUrl: `http://${advertiseHost}:${portOf(this.callerServer)}`,
-      adminBaseUrl: `http://${advertiseHost}:${portOf(this.operatorServer)}`,
+      callerBaseUrl: `${this.operations.schemeOf('callers')}://${advertiseHost}:${portOf(this.callerServer)}`,
+      adminBaseUrl: `${this.operations.schemeOf('operators')}://${advertiseHost}:${portOf(operatorServer)}`,
     };
+    this.options.logger.log('node-started', {
+      incarnation: this.incarnation,
+      callerPort: portOf(this.callerServer),
+      adminPort: portOf(operatorServer),
+      peerPort: peer.port,
+    });
     this.peers.join({
       nodeName: settings.nodeName,
       incarnation: this.incarnation,
@@ -181,24 +201,34 @@
       release: this.options.release,
       ...addresses,
     });
-    await this.follower.start(this.peers);
+    await this.follower.start({
+      states: [this.peers, this.checkpoints],
+      appends: this.peers,
+    });
+    this.operations.start();
     this.startTicking();
+    this.options.logger.log('node-ready', {
+      startupMs: this.options.clock.monotonicMs() - startedAtMs,
+    });
     return addresses;
   }
 
   async stop(): Promise<void> {
+    this.isStopping = true;
     this.peers.leave();
     this.periodics.forEach(periodic => periodic.stop());
     await Promise.all([
       this.stewards.stop(),
       this.hosts.stop(),
       this.planner.stop(),
+      this.checkpoints.stop(),
     ]);
     this.tickets.close();
     await this.callerServer.close();
     await this.tickets.handOver();
     await this.claims.stop();
-    await this.operatorServer.close();
+    await this.operations.operatorServer.close();
+    await this.operations.stop();
     await this.follower.stop();
     await this.peers.stop();
     await this.log.close();
@@ -209,9 +239,10 @@
     const every = (intervalMs: number, action: () => void | Promise<void>) =>
       this.periodics.push(startPeriodic(clock, intervalMs, action));
     every(settings.pollIntervalMs, () => {
-      this.stewards.post({type: 'tick'});
-      this.hosts.post({type: 'tick'});
-      this.planner.post({type: 'tick'});
+      this.obituary.noteMembers(this.peers.listMembers());
+      [this.stewards, this.hosts, this.planner, this.checkpoints]
+        .filter(task => !task.isBusy)
+        .forEach(task => task.post({type: 'tick'}));
     });
     every(KEEPERS_INTERVAL_MS, () => this.claims.tick());
     const store = new HttpWeightStore({
@@ -242,6 +273,10 @@
       seeds: settings.peerSeeds.map(seed => `${seed.host}:${seed.port}`),
       onDemand: model => this.planner.post({type: 'demand', model}),
       onTicketMessage: message => this.tickets.receive(message),
+      onServersLeaving: ids => {
+        this.leaving.noteHints(ids);
+        this.updateDraining();
+      },
       onFault: error => this.noteFault(error, 'peers'),
     });
   }
@@ -255,10 +290,29 @@
       logUrl: settings.logUrl,
       nodeName: settings.nodeName,
       logTimeoutMs: PLATFORM_TIMEOUT_MS,
-      peers: this.peers,
+      listMembers: () => this.peers.listMembers(),
+      listFirst: key => this.ranking.listFirst(key),
     });
   }
 
+  private makeCheckpoints(): CheckpointTask {
+    const {clock, logger, settings} = this.options;
+    return new CheckpointTask(
+      {
+        clock,
+        logger,
+        follower: this.follower,
+        log: this.log,
+        stream: CHECKPOINT_STREAM,
+        everyRecords: settings.checkpointEveryRecords,
+        intervalMs: settings.checkpointIntervalMs,
+        findRank: () => this.ranking.findOwnRank('checkpoint'),
+        submitTimeoutMs: SUBMIT_TIMEOUT_MS,
+      },
+      (error, task) => this.noteFault(error, task),
+    );
+  }
+
   private makeStewards(): StewardTask {
     const {clock, logger} = this.options;
     return new StewardTask(
@@ -268,13 +322,17 @@
         follower: this.follower,
         incarnation: this.incarnation,
         connect: (id, baseUrl) => this.connectEngine(id, baseUrl),
-        rankNodes: id =>
-          rankMembers(`steward ${id}`, this.peers.listUsable()).map(
-            member => member.incarnation,
-          ),
+        findOwnRank: id => this.ranking.findOwnRank(`steward ${id}`),
+        listSuccessors: id =>
+          this.ranking
+            .listFirst(`steward ${id}`)
+            .map(member => member.incarnation),
+        isKnown: incarnation => this.findMember(incarnation) !== undefined,
         isGone: incarnation => this.isGone(incarnation),
+        findDeathEvidence: incarnation => this.obituary.find(incarnation),
         publishReport: report => {
           this.board.note(report);
+          this.operations.noteReport(report);
           this.peers.broadcastReport(report);
         },
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -285,16 +343,18 @@
   }
 
   private makeHosts(): HostListTask {
-    const {settings} = this.options;
+    const {clock, settings} = this.options;
     return new HostListTask(
       {
+        clock,
         hostList: new HttpHostList({
           baseUrl: settings.hostListUrl,
           nodeId: settings.nodeName,
           timeoutMs: PLATFORM_TIMEOUT_MS,
         }),
         follower: this.follower,
-        isResponsible: hostId => this.isResponsible(`host ${hostId}`),
+        intervalMs: settings.pollIntervalMs,
+        countNodes: () => this.peers.listUsable().length,
         connect: (id, baseUrl) => this.connectEngine(id, baseUrl),
         onHosts: hosts => this.noteHosts(hosts),
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -310,8 +370,8 @@
         follower: this.follower,
         board: this.board,
         policy: makePolicy(this.options.settings),
-        isResponsible: key => this.isResponsible(key),
-        isLeaving: id => this.leavingServers.has(id),
+        isResponsible: key => this.ranking.isFirst(key),
+        isLeaving: id => this.drainingServers.has(id),
         makeSlotId: () => `s-${randomUUID()}`,
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
       },
@@ -319,6 +379,21 @@
     );
   }
 
+  private makeOperations(): Operations {
+    return new Operations({
+      ...this.options,
+      incarnation: this.incarnation,
+      follower: this.follower,
+      board: this.board,
+      log: this.log,
+      peers: this.peers,
+      submitTimeoutMs: SUBMIT_TIMEOUT_MS,
+      isResponsible: key => this.ranking.isFirst(key),
+      isStopping: () => this.isStopping,
+      onFault: (error, task) => this.noteFault(error, task),
+    });
+  }
+
   private connectEngine(backendServerId: string, baseUrl: string) {
     return new HttpEngineControl({
       backendServerId,
@@ -328,32 +403,45 @@
     });
   }
 
-  private isResponsible(key: string): boolean {
-    const first = rankMembers(key, this.peers.listUsable())[0];
-    return first?.incarnation === this.incarnation;
+  /** A process that membership never heard of, or believes to be dead. */
+  private isGone(incarnation: string): boolean {
+    const member = this.findMember(incarnation);
+    return member === undefined || member.status === 'gone';
   }
 
-  private isGone(incarnation: string): boolean {
-    const member = this.peers
+  private findMember(incarnation: string): Member | undefined {
+    return this.peers
       .listMembers()
       .find(other => other.incarnation === incarnation);
-    if (!member) return true;
-    if (member.status !== 'gone') return false;
-    const goneMs = this.options.clock.monotonicMs() - member.sinceMs;
-    return goneMs >= this.options.settings.stewardTakeoverGraceMs;
   }
 
+  /** Passes on what a fresh host list says; other nodes may not read it. */
   private noteHosts(hosts: readonly HostEntry[]): void {
-    this.leavingServers = new Set(
-      hosts
-        .filter(host => host.state === 'leaving' && host.role !== 'entry')
-        .map(host => host.hostId),
+    this.obituary.noteHosts(hosts);
+    const leaving = hosts.filter(host => host.state === 'leaving');
+    const servers = leaving.filter(host => host.role !== 'entry');
+    const nodes = leaving.filter(host => host.role === 'entry');
+    const freshServers = this.leaving.noteHints(
+      servers.map(host => host.hostId),
     );
-    this.router.setDraining([...this.leavingServers]);
+    const nodeNames = nodes.map(host => host.hostId);
+    const freshNodes = nodeNames.filter(id => !this.leavingNodes.has(id));
+    this.leavingNodes = new Set(nodeNames);
+    if (freshServers.length + freshNodes.length > 0) {
+      this.peers.broadcastLeaving(freshServers, freshNodes);
+    }
+    this.updateDraining();
+  }
+
+  /** Keeps new work away from hosts that leave and servers being drained. */
+  private updateDraining(): void {
+    const draining = this.leaving.list(this.follower.state.stewardship);
+    this.drainingServers = new Set(draining);
+    this.router.setDraining(draining);
   }
 
   private passDemand(model: string): void {
-    const first = rankMembers(`demand ${model}`, this.peers.listUsable())[0];
+    const [first] = this.ranking.listFirst(`demand ${model}`);
     if (!first || first.incarnation === this.incarnation) {
       this.planner.post({type: 'demand', model});
     } else {
@@ -382,6 +470,11 @@
   }
 }
 
+function isAboutDraining({record}: FoldedRecord): boolean {
+  const type = record?.body.type;
+  return type === 'drain-backend-server' || type === 'note-host-state';
+}
+
 function toEntry(member: {
   nodeName: string;
   callerBaseUrl: string;
--- a/packages/serve-callers/src/caller_context.ts
+++ b/packages/serve-callers/src/caller_context.ts
@@ -5,6 +5,7 @@
 import {type EventLogger} from '@mimosatack/logger';
 import {type Router} from '@mimosatack/route-requests';
 import {type TicketMint} from '@mimosatack/unrepeatable';
+import {type FastifyServerFactory} from 'fastify';
 import {type UnrepeatableRunner} from './unrepeatable_runner.js';
 
 /** An address that callers may use, from this node's membership. */
@@ -27,6 +28,8 @@
   mint: TicketMint;
   unrepeatable: UnrepeatableRunner;
   limits: CallerLimits;
+  /** Makes the HTTP server; fastify's own when left out. */
+  serverFactory?: FastifyServerFactory;
   listEntries(): EntryAddress[];
   /** Asks for a replica of a model that requests wait for. */
   noteDemand(model: string): void;
--- a/packages/serve-callers/src/service_routes.ts
+++ b/packages/serve-callers/src/service_routes.ts
@@ -4,7 +4,7 @@
 import {TypedError, toTypedError} from '@mimosatack/errors';
 import {type KeptAnswer} from '@mimosatack/unrepeatable';
 import {type FastifyInstance, type FastifyRequest} from 'fastify';
-import {type Caller, authenticateCaller} from './authenticate.js';
+import {type Caller, authenticateCaller} from '@mimosatack/authenticate';
 import {type CallerContext} from './caller_context.js';
 import {type RequestTerms, readTerms} from './request_terms.js';
 import {type ServiceCall, sendToService} from './service_dispatch.js';
--- a/packages/settings/src/groups/cluster_settings.ts
+++ b/packages/settings/src/groups/cluster_settings.ts
@@ -32,6 +32,14 @@
     max: 1_000_000,
     description: 'Records of a stream after which a checkpoint is appended.',
   },
+  'checkpoint-interval-ms': {
+    type: 'integer',
+    default: '600000',
+    min: 1_000,
+    max: 86_400_000,
+    description:
+      'Time after which a checkpoint is appended even if few records came; a small part of the time for which the log service keeps records.',
+  },
 } as const satisfies Record<string, SettingDefinition>;
 
 export const PEER_SETTINGS = {
@@ -97,6 +105,21 @@
     max: 65_535,
     description: 'UDP port that takes metrics.',
   },
+  'audit-keep-days': {
+    type: 'integer',
+    default: '90',
+    min: 1,
+    max: 3_650,
+    description: 'How long the audit trail keeps a change.',
+  },
+  'audit-copy-after-minutes': {
+    type: 'integer',
+    default: '360',
+    min: 1,
+    max: 100_000,
+    description:
+      'Age at which the audit trail is copied to the end of its stream; at most a third of the time for which the log service keeps records.',
+  },
   'shutdown-grace-ms': {
     type: 'integer',
     default: '150000',
