--- /dev/null
+++ b/packages/node/src/key_tasks.ts
@@ -0,0 +1,65 @@
+/** All that one node does about idempotency keys, wired together. */
+import {type Clock} from '@mimosatack/clock';
+import {type RandomSource} from '@mimosatack/random';
+import {UnrepeatableRunner} from '@mimosatack/serve-callers';
+import {type TicketMint} from '@mimosatack/unrepeatable';
+import {ClaimTask} from './claim_task.js';
+import {type NodeRanking} from './node_ranking.js';
+import {type PeerTask} from './peer_task.js';
+import {type TicketMessage} from './ticket_messages.js';
+import {TicketTask} from './ticket_task.js';
+
+/** What the tasks need of the node. */
+export interface KeyTasksOptions {
+  clock: Clock;
+  random: RandomSource;
+  nodeName: string;
+  incarnation: string;
+  logUrl: string;
+  logTimeoutMs: number;
+  mint: TicketMint;
+  peers: PeerTask;
+  ranking: NodeRanking;
+}
+
+/** The tasks that own the tickets and the claims of this node. */
+export class KeyTasks {
+  readonly runner: UnrepeatableRunner;
+  private readonly tickets: TicketTask;
+  private readonly claims: ClaimTask;
+
+  constructor(options: KeyTasksOptions) {
+    const {peers, ranking} = options;
+    this.tickets = new TicketTask(options);
+    this.claims = new ClaimTask({
+      ...options,
+      listMembers: () => peers.listMembers(),
+      listFirst: key => ranking.listFirst(key),
+    });
+    this.runner = new UnrepeatableRunner({
+      ...options,
+      tickets: this.tickets.table,
+      claims: this.claims.keys,
+      owners: {
+        findProcess: incarnation => peers.findProcess(incarnation),
+        findKeeper: partition => this.claims.findKeeper(partition),
+        askHeirs: query => this.tickets.askHeirs(query),
+      },
+    });
+  }
+
+  tick(): void {
+    this.claims.tick();
+  }
+
+  receive(message: TicketMessage): TicketMessage | void {
+    return this.tickets.receive(message);
+  }
+
+  /** Once nothing is taken on any more, so that the tables are final. */
+  async handOver(): Promise<void> {
+    this.tickets.close();
+    await this.tickets.handOver();
+    await this.claims.stop();
+  }
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,18 +1,13 @@
 /** One node: its tasks, its servers and how they are wired. */
 import {randomUUID} from 'node:crypto';
 import {type FoldedRecord} from '@mimosatack/agreed-state';
+import {RequestTokenMint} from '@mimosatack/answer-streams';
 import {type Clock} from '@mimosatack/clock';
 import {EngineBoard} from '@mimosatack/engine-board';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {LogFollower} from '@mimosatack/follow-log';
 import {type EventLogger} from '@mimosatack/logger';
 import {type Member} from '@mimosatack/membership';
-import {
-  FixedLeadPolicy,
-  LoadOnFirstRequestPolicy,
-  TimetablePolicy,
-  type WarmingPolicy,
-} from '@mimosatack/plan-warming';
 import {
   HttpEngineControl,
   HttpHostList,
@@ -21,15 +16,18 @@
 } from '@mimosatack/platform';
 import {type RandomSource} from '@mimosatack/random';
 import {Router} from '@mimosatack/route-requests';
-import {UnrepeatableRunner, buildCallerServer} from '@mimosatack/serve-callers';
+import {AbandonedRequests, buildCallerServer} from '@mimosatack/serve-callers';
 import {type DaemonSettings} from '@mimosatack/settings';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type HostEntry} from '@mimosatack/types';
 import {TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
-import {ClaimTask} from './claim_task.js';
 import {CheckpointTask} from './checkpoint_task.js';
+import {toEntry} from './entry_address.js';
 import {HostListTask} from './host_list_task.js';
+import {makePolicy} from './make_policy.js';
+import {type DrainedHook, NodeShutdown} from './node_shutdown.js';
+import {KeyTasks} from './key_tasks.js';
 import {LeavingServers} from './leaving_servers.js';
 import {NodeRanking} from './node_ranking.js';
 import {Obituary} from './obituary.js';
@@ -37,7 +35,6 @@
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
 import {StewardTask} from './steward_task.js';
-import {TicketTask} from './ticket_task.js';
 
 /** What a node is started with. */
 export interface NodeOptions {
@@ -82,17 +79,25 @@
   private readonly operations: Operations;
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
-  private readonly tickets: TicketTask;
-  private readonly claims: ClaimTask;
+  private readonly keys: KeyTasks;
   private readonly obituary: Obituary;
   private readonly ranking: NodeRanking;
+  private readonly shutdown: NodeShutdown;
+  private readonly abandoned: AbandonedRequests;
   private readonly leaving: LeavingServers;
   private leavingNodes: ReadonlySet<string> = new Set();
   private drainingServers: ReadonlySet<string> = new Set();
-  private isStopping = false;
 
   constructor(private readonly options: NodeOptions) {
     const {settings, clock, random, logger} = options;
+    this.abandoned = new AbandonedRequests(clock, settings.resumeGraceMs);
+    this.shutdown = new NodeShutdown({
+      ...{clock, logger, entriesTtlMs: settings.entriesTtlMs},
+      graceMs: settings.shutdownGraceMs,
+      announce: () => this.peers.leave(),
+      yieldStewardships: () => this.stewards.yieldAll(),
+      close: () => this.close(),
+    });
     this.incarnation = `${settings.nodeName}.${randomUUID().slice(0, 8)}`;
     this.mint = new TicketMint(settings.clusterSecret);
     this.obituary = new Obituary(clock, ORDER_DOUBT_MS);
@@ -114,39 +119,30 @@
     });
     this.router = new Router(this.board, random);
     this.peers = this.makePeers();
-    this.tickets = new TicketTask({
-      clock,
-      incarnation: this.incarnation,
-      peers: this.peers,
-    });
-    this.claims = this.makeClaims();
     this.ranking = new NodeRanking(this.peers, this.incarnation);
+    this.keys = this.makeKeys();
     this.checkpoints = this.makeCheckpoints();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
     this.operations = this.makeOperations();
+    this.shutdown.watch(this.operations.operatorServer);
+    this.shutdown.onDrained(() => this.keys.handOver());
     this.callerServer = buildCallerServer({
       clock,
+      random,
       logger,
+      gate: this.shutdown.gate,
+      tokens: new RequestTokenMint(settings.clusterSecret),
+      abandoned: this.abandoned,
+      tellResumed: (incarnation, engineRequestId) =>
+        this.peers.sendResumed(incarnation, engineRequestId),
       incarnation: this.incarnation,
       state: () => this.follower.state,
       board: this.board,
       router: this.router,
       mint: this.mint,
-      unrepeatable: new UnrepeatableRunner({
-        clock,
-        nodeName: settings.nodeName,
-        incarnation: this.incarnation,
-        mint: this.mint,
-        tickets: this.tickets.table,
-        claims: this.claims.keys,
-        owners: {
-          findProcess: incarnation => this.peers.findProcess(incarnation),
-          findKeeper: partition => this.claims.findKeeper(partition),
-          askHeirs: query => this.tickets.askHeirs(query),
-        },
-      }),
+      unrepeatable: this.keys.runner,
       limits: settings,
       serverFactory: this.operations.callerServerFactory,
       listEntries: () => this.peers.listEntries().map(toEntry),
@@ -160,76 +156,103 @@
     });
   }
 
-  /** Requests of callers and operators that are being served. */
-  get requestsInFlight(): number {
-    return this.operations.requestsInFlight;
+  /** Resolves with the exit code once the node has stopped. */
+  get stopped(): Promise<number> {
+    return this.shutdown.task.exited;
+  }
+
+  /** Whether a stop was asked for. */
+  get isStopping(): boolean {
+    return this.shutdown.task.isStopping;
   }
 
-  /** Opens the ports, joins the other nodes and begins to work. */
-  async start(): Promise<NodeAddresses> {
-    const {settings} = this.options;
-    const {listenHost, advertiseHost} = settings;
-    const {operatorServer} = this.operations;
+  /**
+   * Opens the ports, joins the other nodes and begins to work. Null when the
+   * node was told to stop meanwhile.
+   */
+  async start(): Promise<NodeAddresses | null> {
     const startedAtMs = this.options.clock.monotonicMs();
-    await this.operations.openTls();
-    const peer = await this.peers.listen();
-    await this.callerServer.listen({
-      host: listenHost,
-      port: settings.callerPort,
+    const addresses = await this.openPorts();
+    if (this.isStopping) {
+      this.shutdown.task.noteStarted(false);
+      return null;
+    }
+    this.join(addresses);
+    await this.follower.start({
+      states: [this.peers, this.checkpoints],
+      appends: this.peers,
     });
-    await operatorServer.listen({
-      host: listenHost,
-      port: settings.adminPort,
+    this.operations.start();
+    this.startTicking();
+    this.shutdown.task.noteStarted(true);
+    this.options.logger.log('node-ready', {
+      startupMs: this.options.clock.monotonicMs() - startedAtMs,
     });
-    const addresses = {
-      peerAddress: `${advertiseHost}:${peer.port}`,
-      callerBaseUrl: `${this.operations.schemeOf('callers')}://${advertiseHost}:${portOf(this.callerServer)}`,
-      adminBaseUrl: `${this.operations.schemeOf('operators')}://${advertiseHost}:${portOf(operatorServer)}`,
-    };
-    this.options.logger.log('node-started', {
+    return addresses;
+  }
+
+  /** Begins a graceful shutdown; a second call ends it at once. */
+  requestStop(signal: string): void {
+    this.shutdown.task.requestStop(signal);
+  }
+
+  /** Calls `hook` once nothing is in flight any more, before the exit. */
+  onDrained(hook: DrainedHook): void {
+    this.shutdown.onDrained(hook);
+  }
+
+  private async openPorts(): Promise<NodeAddresses> {
+    const {settings, logger} = this.options;
+    const {listenHost: host, advertiseHost} = settings;
+    const {operations, callerServer} = this;
+    await operations.openTls();
+    const peer = await this.peers.listen();
+    await callerServer.listen({host, port: settings.callerPort});
+    await operations.operatorServer.listen({host, port: settings.adminPort});
+    const callerPort = portOf(callerServer);
+    const adminPort = portOf(operations.operatorServer);
+    logger.log('node-started', {
       incarnation: this.incarnation,
-      callerPort: portOf(this.callerServer),
-      adminPort: portOf(operatorServer),
-      peerPort: peer.port,
+      ...{callerPort, adminPort, peerPort: peer.port},
     });
+    return {
+      peerAddress: `${advertiseHost}:${peer.port}`,
+      callerBaseUrl: `${operations.schemeOf('callers')}://${advertiseHost}:${callerPort}`,
+      adminBaseUrl: `${operations.schemeOf('operators')}://${advertiseHost}:${adminPort}`,
+    };
+  }
+
+  private join(addresses: NodeAddresses): void {
+    const {settings, clock, release} = this.options;
     this.peers.join({
       nodeName: settings.nodeName,
       incarnation: this.incarnation,
-      startedAtMs: this.options.clock.wallMs(),
+      startedAtMs: clock.wallMs(),
       failureDomain: settings.failureDomain,
       region: settings.region,
-      release: this.options.release,
+      release,
       ...addresses,
     });
-    await this.follower.start({
-      states: [this.peers, this.checkpoints],
-      appends: this.peers,
-    });
-    this.operations.start();
-    this.startTicking();
-    this.options.logger.log('node-ready', {
-      startupMs: this.options.clock.monotonicMs() - startedAtMs,
-    });
-    return addresses;
   }
 
-  async stop(): Promise<void> {
-    this.isStopping = true;
-    this.peers.leave();
+  /**
+   * The servers first, so that operators' changes still get their answers.
+   * The follower is stopped with the tasks and not after them: while the log
+   * is down they wait for records that only it can tell them to give up.
+   */
+  private async close(): Promise<void> {
+    await this.callerServer.close();
+    await this.operations.operatorServer.close();
     this.periodics.forEach(periodic => periodic.stop());
+    this.abandoned.stop();
     await Promise.all([
       this.stewards.stop(),
       this.hosts.stop(),
       this.planner.stop(),
       this.checkpoints.stop(),
+      this.follower.stop(),
     ]);
-    this.tickets.close();
-    await this.callerServer.close();
-    await this.tickets.handOver();
-    await this.claims.stop();
-    await this.operations.operatorServer.close();
     await this.operations.stop();
-    await this.follower.stop();
     await this.peers.stop();
     await this.log.close();
   }
@@ -244,7 +267,7 @@
         .filter(task => !task.isBusy)
         .forEach(task => task.post({type: 'tick'}));
     });
-    every(KEEPERS_INTERVAL_MS, () => this.claims.tick());
+    every(KEEPERS_INTERVAL_MS, () => this.keys.tick());
     const store = new HttpWeightStore({
       baseUrl: settings.weightStoreUrl,
       nodeId: settings.nodeName,
@@ -272,7 +295,8 @@
       clusterSecret: settings.clusterSecret,
       seeds: settings.peerSeeds.map(seed => `${seed.host}:${seed.port}`),
       onDemand: model => this.planner.post({type: 'demand', model}),
-      onTicketMessage: message => this.tickets.receive(message),
+      onTicketMessage: message => this.keys.receive(message),
+      onResumed: engineRequestId => this.abandoned.noteResumed(engineRequestId),
       onServersLeaving: ids => {
         this.leaving.noteHints(ids);
         this.updateDraining();
@@ -281,17 +305,14 @@
     });
   }
 
-  private makeClaims(): ClaimTask {
+  private makeKeys(): KeyTasks {
     const {settings, clock, random} = this.options;
-    return new ClaimTask({
-      clock,
-      random,
-      incarnation: this.incarnation,
-      logUrl: settings.logUrl,
+    const {incarnation, mint, peers, ranking} = this;
+    return new KeyTasks({
+      ...{clock, random, incarnation, mint, peers, ranking},
       nodeName: settings.nodeName,
+      logUrl: settings.logUrl,
       logTimeoutMs: PLATFORM_TIMEOUT_MS,
-      listMembers: () => this.peers.listMembers(),
-      listFirst: key => this.ranking.listFirst(key),
     });
   }
 
@@ -459,39 +480,11 @@
   }
 }
 
-function makePolicy(settings: DaemonSettings): WarmingPolicy {
-  switch (settings.warmingPolicy) {
-    case 'load-on-first-request':
-      return new LoadOnFirstRequestPolicy();
-    case 'fixed-lead':
-      return new FixedLeadPolicy(settings.fixedLeadMs);
-    case 'timetable':
-      return new TimetablePolicy(settings);
-  }
-}
-
 function isAboutDraining({record}: FoldedRecord): boolean {
   const type = record?.body.type;
   return type === 'drain-backend-server' || type === 'note-host-state';
 }
 
-function toEntry(member: {
-  nodeName: string;
-  callerBaseUrl: string;
-  failureDomain: string;
-  region: string;
-  incarnation: string;
-}) {
-  const {nodeName, callerBaseUrl, failureDomain, region, incarnation} = member;
-  return {
-    nodeName,
-    baseUrl: callerBaseUrl,
-    failureDomain,
-    region,
-    incarnation,
-  };
-}
-
 function portOf(server: FastifyInstance): number {
   return (server.server.address() as {port: number}).port;
 }
--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -78,6 +78,8 @@
   z.object({type: z.literal('report'), report: backendReportSchema}),
   z.object({type: z.literal('demand'), model: name}),
   ...ticketMessageSchemas,
+  /** A caller has resumed a request that the receiver took in. */
+  z.object({type: z.literal('resumed'), engineRequestId: name}),
   z.object({
     type: z.literal('hosts-leaving'),
     backendServerIds: z.array(name).max(1024),
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -42,6 +42,7 @@
   onDemand(model: string): void;
   /** Answers a message about the tickets of a process that stops. */
   onTicketMessage(message: TicketMessage): TicketMessage | void;
+  onResumed(engineRequestId: string): void;
   /** Told by another node that hosts of backend servers leave. */
   onServersLeaving(backendServerIds: readonly string[]): void;
   onFault(error: TypedError): void;
@@ -216,6 +217,16 @@
     return this.transport.request(peerAddress, message, timeoutMs);
   }
 
+  /** Tells the process that took a request in that its caller has resumed. */
+  sendResumed(incarnation: string, engineRequestId: string): void {
+    const peer = this.listMembers().find(
+      other => other.incarnation === incarnation,
+    );
+    if (!peer) return;
+    const message: PeerMessage = {type: 'resumed', engineRequestId};
+    this.transport.send(peer.peerAddress, message);
+  }
+
   async pullAppends(from: LogOffset): Promise<LogRecord[]> {
     const peer = pickOne(
       this.options.random,
@@ -334,6 +345,9 @@
       case 'ticket-page-taken':
       case 'ticket-verdict':
         return this.options.onTicketMessage(message);
+      case 'resumed':
+        this.options.onResumed(message.engineRequestId);
+        return;
       case 'appends':
       case 'progress':
       case 'state':
--- a/packages/serve-callers/src/index.ts
+++ b/packages/serve-callers/src/index.ts
@@ -1,3 +1,4 @@
+export {AbandonedRequests, type OpenRequest} from './abandoned_requests.js';
 export {
   type CallerContext,
   type CallerLimits,
@@ -15,3 +16,15 @@
   UnrepeatableRunner,
   type UnrepeatableRunnerOptions,
 } from './unrepeatable_runner.js';
+export {
+  type EngineRequest,
+  cancelAtEngine,
+  resumeStream,
+  takeStream,
+} from './engine_streams.js';
+export {
+  type EngineRun,
+  type RelayOutcome,
+  type StreamRelayInput,
+  relayStream,
+} from './stream_relay.js';
--- a/packages/serve-callers/src/service_routes.ts
+++ b/packages/serve-callers/src/service_routes.ts
@@ -8,7 +8,11 @@
 import {type CallerContext} from './caller_context.js';
 import {type RequestTerms, readTerms} from './request_terms.js';
 import {type ServiceCall, sendToService} from './service_dispatch.js';
-import {isUnrepeatableCall, readUnrepeatable} from './unrepeatable_calls.js';
+import {
+  findRunBeforeKey,
+  isUnrepeatableCall,
+  readUnrepeatable,
+} from './unrepeatable_calls.js';
 import {FORWARDED_HEADER} from './unrepeatable_forward.js';
 import {
   type StartRun,
@@ -76,8 +80,7 @@
 ): TypedError {
   const isBeforeKey =
     error.kind === 'not-found' || error.kind === 'bad-request';
-  const hasKey = headers['idempotency-key'] !== undefined;
-  return isBeforeKey && hasKey ? error.withRun('unknown') : error;
+  return isBeforeKey ? error.withRun(findRunBeforeKey(headers)) : error;
 }
 
 async function runCall(
--- a/packages/serve-callers/src/unrepeatable_answers.ts
+++ b/packages/serve-callers/src/unrepeatable_answers.ts
@@ -11,6 +11,12 @@
 } from '@mimosatack/unrepeatable';
 import {type UnrepeatableAnswer} from './unrepeatable_request.js';
 
+/** The part of a relayed refusal that matters here. */
+interface RelayedError {
+  kind: string;
+  run?: string;
+}
+
 const REPLAY_HEADER = 'idempotent-replayed';
 /** Tells an answer of the backend server from a refusal of the system. */
 const OUTCOME_HEADER = 'x-run-outcome';
@@ -54,7 +60,7 @@
 
 /** Whether a relayed answer is one of the system's, not of its library. */
 export function isTyped(relayed: UnrepeatableAnswer): boolean {
-  return hasOutcome(relayed) || readKind(relayed) !== null;
+  return hasOutcome(relayed) || readError(relayed) !== null;
 }
 
 /** Takes no refusal of another node, only an answer. */
@@ -72,8 +78,8 @@
 export function refuseIfNoVerdict(
   relayed: UnrepeatableAnswer,
 ): UnrepeatableAnswer {
-  const kind = readKind(relayed);
-  const isVerdict = kind !== null && !NO_VERDICT_KINDS.includes(kind);
+  const error = readError(relayed);
+  const isVerdict = error !== null && !isBeforeKey(error);
   if (hasOutcome(relayed) || isVerdict) return relayed;
   throw new TypedError('platform-unavailable', 'The keeper is of no help.', {
     run: 'not-run',
@@ -108,12 +114,18 @@
   return headers[OUTCOME_HEADER] !== undefined;
 }
 
-function readKind({answer}: UnrepeatableAnswer): string | null {
+/** A node that starts refuses all, and can't say that the key did not run. */
+function isBeforeKey({kind, run}: RelayedError): boolean {
+  const isStarting = kind === 'overloaded' && run !== 'not-run';
+  return isStarting || NO_VERDICT_KINDS.includes(kind);
+}
+
+function readError({answer}: UnrepeatableAnswer): RelayedError | null {
   try {
     const text = Buffer.from(answer.body).toString();
-    const json = JSON.parse(text) as {error?: {kind?: unknown}} | null;
-    const kind = json?.error?.kind;
-    return typeof kind === 'string' ? kind : null;
+    const json = JSON.parse(text) as {error?: Partial<RelayedError>} | null;
+    const {kind, run} = json?.error ?? {};
+    return typeof kind === 'string' ? {kind, run} : null;
   } catch {
     return null;
   }
--- a/packages/serve-callers/src/unrepeatable_calls.test.ts
+++ b/packages/serve-callers/src/unrepeatable_calls.test.ts
@@ -1,7 +1,9 @@
 import {AgreedState} from '@mimosatack/agreed-state';
+import {type ErrorBody} from '@mimosatack/errors';
 import {encodeBatch} from '@mimosatack/records';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
+import {startEntry, startWarmEngine} from './caller_fixture.js';
 import {isUnrepeatableCall, readUnrepeatable} from './unrepeatable_calls.js';
 
 const STARTS_AT_MS = 1_800_000_000_000;
@@ -71,4 +73,25 @@
   );
 });
 
+test('a node that starts or stops knows nothing of a key', async () => {
+  // A phone repeats an order at a node that is about to stop. Another node has
+  // run it; hearing `not-run` here, the volunteer would order once more.
+  const engine = await startWarmEngine('r1');
+  const entry = await startEntry('n1', [engine]);
+  const send = async (headers: Record<string, string>) => {
+    const url = `${entry.baseUrl}/v1/services/notify/dispatch`;
+    const answer = await fetch(url, {method: 'POST', headers});
+    const {error} = (await answer.json()) as {error: ErrorBody['error']};
+    return `${error.kind} ${error.run}`;
+  };
+  const keyed = {'idempotency-key': 'order-17'};
+  entry.gate.follow('starting');
+  assert.is(await send(keyed), 'overloaded unknown');
+  entry.gate.follow('refusing');
+  assert.is(await send(keyed), 'shutting-down unknown');
+  assert.is(await send({}), 'shutting-down not-run');
+  await entry.kill();
+  await engine.close();
+});
+
 test.run();
--- a/packages/serve-callers/src/unrepeatable_calls.ts
+++ b/packages/serve-callers/src/unrepeatable_calls.ts
@@ -1,7 +1,7 @@
 /** Which requests run at most once. */
 import {type IncomingHttpHeaders} from 'node:http';
 import {type AgreedState} from '@mimosatack/agreed-state';
-import {TypedError} from '@mimosatack/errors';
+import {type RunOutcome, TypedError} from '@mimosatack/errors';
 
 /** A call of a plain service by a team. */
 export interface TeamCall {
@@ -42,3 +42,11 @@
       ),
     );
 }
+
+/**
+ * What a refusal may say of a request whose key has not been looked up: with a
+ * key, an earlier request may have run at any node.
+ */
+export function findRunBeforeKey(headers: IncomingHttpHeaders): RunOutcome {
+  return headers['idempotency-key'] === undefined ? 'not-run' : 'unknown';
+}
