--- a/packages/node/src/entry_address.ts
+++ b/packages/node/src/entry.ts
@@ -1,9 +1,13 @@
-/** A member as callers see it. */
+/** How callers are told of a node. */
 import {type Member} from '@mimosatack/membership';
-import {type EntryAddress} from '@mimosatack/serve-callers';
 
-/** Leaves out what concerns other nodes alone. */
-export function toEntry(member: Member): EntryAddress {
+/** The line of the entry list for a member. */
+export function toEntry(
+  member: Pick<
+    Member,
+    'nodeName' | 'callerBaseUrl' | 'failureDomain' | 'region' | 'incarnation'
+  >,
+) {
   const {nodeName, callerBaseUrl, failureDomain, region, incarnation} = member;
   return {
     nodeName,
--- a/packages/node/src/key_tasks.ts
+++ b/packages/node/src/key_tasks.ts
@@ -2,6 +2,7 @@
 import {type Clock} from '@mimosatack/clock';
 import {type RandomSource} from '@mimosatack/random';
 import {UnrepeatableRunner} from '@mimosatack/serve-callers';
+import {type DaemonSettings} from '@mimosatack/settings';
 import {type TicketMint} from '@mimosatack/unrepeatable';
 import {ClaimTask} from './claim_task.js';
 import {type NodeRanking} from './node_ranking.js';
@@ -13,9 +14,8 @@
 export interface KeyTasksOptions {
   clock: Clock;
   random: RandomSource;
-  nodeName: string;
+  settings: DaemonSettings;
   incarnation: string;
-  logUrl: string;
   logTimeoutMs: number;
   mint: TicketMint;
   peers: PeerTask;
@@ -30,14 +30,17 @@
 
   constructor(options: KeyTasksOptions) {
     const {peers, ranking} = options;
+    const {nodeName, logUrl} = options.settings;
     this.tickets = new TicketTask(options);
     this.claims = new ClaimTask({
       ...options,
+      ...{nodeName, logUrl},
       listMembers: () => peers.listMembers(),
       listFirst: key => ranking.listFirst(key),
     });
     this.runner = new UnrepeatableRunner({
       ...options,
+      nodeName,
       tickets: this.tickets.table,
       claims: this.claims.keys,
       owners: {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -12,7 +12,6 @@
   HttpEngineControl,
   HttpHostList,
   HttpLogService,
-  HttpWeightStore,
 } from '@mimosatack/platform';
 import {type RandomSource} from '@mimosatack/random';
 import {Router} from '@mimosatack/route-requests';
@@ -23,7 +22,6 @@
 import {TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
 import {CheckpointTask} from './checkpoint_task.js';
-import {toEntry} from './entry_address.js';
 import {HostListTask} from './host_list_task.js';
 import {makePolicy} from './make_policy.js';
 import {type DrainedHook, NodeShutdown} from './node_shutdown.js';
@@ -34,7 +32,10 @@
 import {Operations} from './operations.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
+import {toEntry} from './entry.js';
+import {ReportTask, listSlotContents} from './report_task.js';
 import {StewardTask} from './steward_task.js';
+import {makeLimitsReader} from './store_limits.js';
 
 /** What a node is started with. */
 export interface NodeOptions {
@@ -60,17 +61,21 @@
 const ENGINE_TIMEOUT_MS = 2_000;
 const SUBMIT_TIMEOUT_MS = 10_000;
 const ORDER_DOUBT_MS = 30_000;
+const REPORT_TICK_MS = 100;
 const STORE_LIMITS_INTERVAL_MS = 10_000;
 const KEEPERS_INTERVAL_MS = 1_000;
 
 /** One node of the system. */
 export class MimosatackNode {
   readonly incarnation: string;
-  private readonly board = new EngineBoard();
+  private readonly board = new EngineBoard({
+    listContents: id => listSlotContents(this.follower.state, id),
+  });
   private readonly follower: LogFollower;
   private readonly log: HttpLogService;
   private readonly peers: PeerTask;
   private readonly checkpoints: CheckpointTask;
+  private readonly reports: ReportTask;
   private readonly stewards: StewardTask;
   private readonly hosts: HostListTask;
   private readonly planner: PlannerTask;
@@ -120,8 +125,13 @@
     this.router = new Router(this.board, random);
     this.peers = this.makePeers();
     this.ranking = new NodeRanking(this.peers, this.incarnation);
-    this.keys = this.makeKeys();
+    const {incarnation, mint, peers, ranking} = this;
+    this.keys = new KeyTasks({
+      ...{clock, random, settings, incarnation, mint, peers, ranking},
+      logTimeoutMs: PLATFORM_TIMEOUT_MS,
+    });
     this.checkpoints = this.makeCheckpoints();
+    this.reports = this.makeReports();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
@@ -246,6 +256,7 @@
     this.periodics.forEach(periodic => periodic.stop());
     this.abandoned.stop();
     await Promise.all([
+      this.reports.stop(),
       this.stewards.stop(),
       this.hosts.stop(),
       this.planner.stop(),
@@ -268,15 +279,10 @@
         .forEach(task => task.post({type: 'tick'}));
     });
     every(KEEPERS_INTERVAL_MS, () => this.keys.tick());
-    const store = new HttpWeightStore({
-      baseUrl: settings.weightStoreUrl,
-      nodeId: settings.nodeName,
-      timeoutMs: PLATFORM_TIMEOUT_MS,
-    });
-    const readLimits = async () => {
-      const limits = await store.readLimits();
-      this.planner.post({type: 'store-limits', limits});
-    };
+    every(REPORT_TICK_MS, () => this.reports.post({type: 'tick'}));
+    const readLimits = makeLimitsReader(settings, PLATFORM_TIMEOUT_MS, limits =>
+      this.planner.post({type: 'store-limits', limits}),
+    );
     void readLimits().catch(() => undefined);
     every(STORE_LIMITS_INTERVAL_MS, readLimits);
   }
@@ -287,7 +293,6 @@
       clock,
       random,
       follower: this.follower,
-      board: this.board,
       nodeName: settings.nodeName,
       listenHost: settings.listenHost,
       listenPort: settings.peerPort,
@@ -296,6 +301,9 @@
       seeds: settings.peerSeeds.map(seed => `${seed.host}:${seed.port}`),
       onDemand: model => this.planner.post({type: 'demand', model}),
       onTicketMessage: message => this.keys.receive(message),
+      onReport: (fromAddress, message) =>
+        this.reports.post({type: 'receive', fromAddress, message}),
+      findOwnEngine: id => this.reports.findOwnEngine(id),
       onResumed: engineRequestId => this.abandoned.noteResumed(engineRequestId),
       onServersLeaving: ids => {
         this.leaving.noteHints(ids);
@@ -305,15 +313,19 @@
     });
   }
 
-  private makeKeys(): KeyTasks {
+  private makeReports(): ReportTask {
     const {settings, clock, random} = this.options;
-    const {incarnation, mint, peers, ranking} = this;
-    return new KeyTasks({
-      ...{clock, random, incarnation, mint, peers, ranking},
-      nodeName: settings.nodeName,
-      logUrl: settings.logUrl,
-      logTimeoutMs: PLATFORM_TIMEOUT_MS,
-    });
+    return new ReportTask(
+      {
+        clock,
+        random,
+        nodeName: settings.nodeName,
+        follower: this.follower,
+        board: this.board,
+        peers: this.peers,
+      },
+      (error, task) => this.noteFault(error, task),
+    );
   }
 
   private makeCheckpoints(): CheckpointTask {
@@ -351,10 +363,9 @@
         isKnown: incarnation => this.findMember(incarnation) !== undefined,
         isGone: incarnation => this.isGone(incarnation),
         findDeathEvidence: incarnation => this.obituary.find(incarnation),
-        publishReport: report => {
-          this.board.note(report);
+        publishReport: (report, term) => {
           this.operations.noteReport(report);
-          this.peers.broadcastReport(report);
+          this.reports.post({type: 'publish', report, term});
         },
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
         orderDoubtMs: ORDER_DOUBT_MS,
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -4,7 +4,7 @@
  */
 import {AgreedState} from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
-import {type BackendReport, type EngineBoard} from '@mimosatack/engine-board';
+import {type ReportVersion} from '@mimosatack/engine-board';
 import {type TypedError} from '@mimosatack/errors';
 import {
   type AppendSource,
@@ -20,18 +20,28 @@
 import {PeerTransport} from '@mimosatack/peer-transport';
 import {type LogRecord} from '@mimosatack/platform';
 import {type RandomSource, pickOne} from '@mimosatack/random';
+import {type ReportMessage} from '@mimosatack/share-reports';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
-import {type LogOffset} from '@mimosatack/types';
+import {
+  type BackendServerId,
+  type EngineState,
+  type LogOffset,
+} from '@mimosatack/types';
 import {type PeerMessage, peerMessageSchema} from './peer_messages.js';
 import {type TicketMessage} from './ticket_messages.js';
 import {PeerProgress, type Progress} from './peer_progress.js';
 
+/** The whole state of an engine as its steward tells it. */
+export interface PulledEngine {
+  engine: EngineState;
+  version: ReportVersion;
+}
+
 /** What the task needs of the node. */
 export interface PeerTaskOptions {
   clock: Clock;
   random: RandomSource;
   follower: LogFollower;
-  board: EngineBoard;
   nodeName: string;
   listenHost: string;
   listenPort: number;
@@ -42,6 +52,9 @@
   onDemand(model: string): void;
   /** Answers a message about the tickets of a process that stops. */
   onTicketMessage(message: TicketMessage): TicketMessage | void;
+  onReport(fromAddress: string, message: ReportMessage): void;
+  /** The whole state of an engine that this node holds. */
+  findOwnEngine(id: BackendServerId): PulledEngine | null;
   onResumed(engineRequestId: string): void;
   /** Told by another node that hosts of backend servers leave. */
   onServersLeaving(backendServerIds: readonly string[]): void;
@@ -155,11 +168,24 @@
     );
   }
 
-  /** Tells every other node of a report that this node read itself. */
-  broadcastReport(report: BackendReport): void {
-    this.listPeers().forEach(peer =>
-      this.transport.send(peer.peerAddress, {type: 'report', report}),
-    );
+  sendReport(toAddress: string, message: ReportMessage): void {
+    this.transport.send(toAddress, {type: 'report', message});
+  }
+
+  /** Asks a steward for the whole state of an engine; null if it has none. */
+  async pullEngine(
+    toAddress: string,
+    backendServerId: BackendServerId,
+  ): Promise<PulledEngine | null> {
+    try {
+      const reply = await this.transport.request(toAddress, {
+        type: 'pull-engine',
+        backendServerId,
+      });
+      return reply.type === 'engine' ? reply.pulled : null;
+    } catch {
+      return null;
+    }
   }
 
   /** Tells every other node of hosts that leave. */
@@ -331,8 +357,13 @@
       case 'pull-state':
         return {type: 'state', data: this.options.follower.state.toBytes()};
       case 'report':
-        this.options.board.note(message.report);
+        this.options.onReport(fromAddress, message.message);
         return;
+      case 'pull-engine':
+        return {
+          type: 'engine',
+          pulled: this.options.findOwnEngine(message.backendServerId),
+        };
       case 'hosts-leaving':
         this.noteNodesLeaving(message.nodeNames);
         this.options.onServersLeaving(message.backendServerIds);
@@ -349,6 +380,7 @@
         this.options.onResumed(message.engineRequestId);
         return;
       case 'appends':
+      case 'engine':
       case 'progress':
       case 'state':
         return;
--- /dev/null
+++ b/packages/node/src/store_limits.ts
@@ -0,0 +1,17 @@
+/** Reads the limits of the weight store. */
+import {HttpWeightStore, type WeightStoreLimits} from '@mimosatack/platform';
+import {type DaemonSettings} from '@mimosatack/settings';
+
+/** Makes the function that reads the limits and passes them on. */
+export function makeLimitsReader(
+  settings: DaemonSettings,
+  timeoutMs: number,
+  onLimits: (limits: WeightStoreLimits) => void,
+): () => Promise<void> {
+  const store = new HttpWeightStore({
+    baseUrl: settings.weightStoreUrl,
+    nodeId: settings.nodeName,
+    timeoutMs,
+  });
+  return async () => onLimits(await store.readLimits());
+}
