--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,6 +1,5 @@
 /** One node: its tasks, its servers and how they are wired. */
 import {randomUUID} from 'node:crypto';
-import {type FoldedRecord} from '@mimosatack/agreed-state';
 import {RequestTokenMint} from '@mimosatack/answer-streams';
 import {type Clock} from '@mimosatack/clock';
 import {EngineBoard} from '@mimosatack/engine-board';
@@ -26,7 +25,7 @@
 import {makePolicy} from './make_policy.js';
 import {type DrainedHook, NodeShutdown} from './node_shutdown.js';
 import {KeyTasks} from './key_tasks.js';
-import {LeavingServers} from './leaving_servers.js';
+import {LeavingServers, isAboutDraining} from './leaving_servers.js';
 import {NodeRanking} from './node_ranking.js';
 import {Obituary} from './obituary.js';
 import {Operations} from './operations.js';
@@ -491,11 +490,6 @@
   }
 }
 
-function isAboutDraining({record}: FoldedRecord): boolean {
-  const type = record?.body.type;
-  return type === 'drain-backend-server' || type === 'note-host-state';
-}
-
 function portOf(server: FastifyInstance): number {
   return (server.server.address() as {port: number}).port;
 }
