--- a/packages/node/src/peer_messages.ts
+++ b/packages/node/src/peer_messages.ts
@@ -2,6 +2,7 @@
 import {membershipMessageSchema} from '@mimosatack/membership';
 import {reportMessageSchema} from '@mimosatack/share-reports';
 import {z} from 'zod';
+import {ticketMessageSchemas} from './ticket_messages.js';
 
 const bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array);
 const offset = z.number().int().min(0);
@@ -80,6 +81,7 @@
     pulled: z.object({engine: engineSchema, version: versionSchema}).nullable(),
   }),
   z.object({type: z.literal('demand'), model: name}),
+  ...ticketMessageSchemas,
   /** A caller has resumed a request that the receiver took in. */
   z.object({type: z.literal('resumed'), engineRequestId: name}),
   z.object({
--- a/packages/node/src/peer_task.ts
+++ b/packages/node/src/peer_task.ts
@@ -28,6 +28,7 @@
   type LogOffset,
 } from '@mimosatack/types';
 import {type PeerMessage, peerMessageSchema} from './peer_messages.js';
+import {type TicketMessage} from './ticket_messages.js';
 import {PeerProgress, type Progress} from './peer_progress.js';
 
 /** The whole state of an engine as its steward tells it. */
@@ -49,6 +50,8 @@
   clusterSecret: string;
   seeds: readonly string[];
   onDemand(model: string): void;
+  /** Answers a message about the tickets of a process that stops. */
+  onTicketMessage(message: TicketMessage): TicketMessage | void;
   onReport(fromAddress: string, message: ReportMessage): void;
   /** The whole state of an engine that this node holds. */
   findOwnEngine(id: BackendServerId): PulledEngine | null;
@@ -205,6 +208,41 @@
     if (peer) this.transport.send(peer.peerAddress, {type: 'demand', model});
   }
 
+  /**
+   * The nodes that callers may be sent to. A node that is suspected has
+   * perhaps died; tickets for it would come to nothing.
+   */
+  listEntries(): Member[] {
+    const usable = this.listUsable();
+    const alive = usable.filter(member => member.status === 'alive');
+    return alive.length > 0 ? alive : usable;
+  }
+
+  /** Where a process can be reached, unless it is known to be gone. */
+  findProcess(
+    incarnation: string,
+  ): {incarnation: string; baseUrl: string} | null {
+    const member = this.listMembers().find(
+      other => other.incarnation === incarnation && other.status !== 'gone',
+    );
+    return member ? {incarnation, baseUrl: member.callerBaseUrl} : null;
+  }
+
+  /** All usable nodes but this one. */
+  listPeers(): Member[] {
+    return this.listUsable().filter(
+      member => member.nodeName !== this.options.nodeName,
+    );
+  }
+
+  request(
+    peerAddress: string,
+    message: PeerMessage,
+    timeoutMs: number,
+  ): Promise<PeerMessage> {
+    return this.transport.request(peerAddress, message, timeoutMs);
+  }
+
   /** Tells the process that took a request in that its caller has resumed. */
   sendResumed(incarnation: string, engineRequestId: string): void {
     const peer = this.listMembers().find(
@@ -271,12 +309,6 @@
     return this.progress.find(member.peerAddress)?.isLogReachable ?? true;
   }
 
-  private listPeers(): Member[] {
-    return this.listUsable().filter(
-      member => member.nodeName !== this.options.nodeName,
-    );
-  }
-
   private sendAll(messages: readonly OutgoingMessage[]): void {
     const progress = this.ownProgress();
     this.progress.note(this.ownAddress, progress);
@@ -339,6 +371,11 @@
       case 'demand':
         this.options.onDemand(message.model);
         return;
+      case 'ticket-page':
+      case 'find-ticket':
+      case 'ticket-page-taken':
+      case 'ticket-verdict':
+        return this.options.onTicketMessage(message);
       case 'resumed':
         this.options.onResumed(message.engineRequestId);
         return;
--- a/packages/serve-callers/src/caller_context.ts
+++ b/packages/serve-callers/src/caller_context.ts
@@ -7,9 +7,10 @@
 import {type EventLogger} from '@mimosatack/logger';
 import {type RandomSource} from '@mimosatack/random';
 import {type Router} from '@mimosatack/route-requests';
-import {type KeyTable, type TicketMint} from '@mimosatack/unrepeatable';
+import {type TicketMint} from '@mimosatack/unrepeatable';
 import {type AbandonedRequests} from './abandoned_requests.js';
 import {type FastifyServerFactory} from 'fastify';
+import {type UnrepeatableRunner} from './unrepeatable_runner.js';
 
 /** An address that callers may use, from this node's membership. */
 export interface EntryAddress {
@@ -30,7 +31,7 @@
   board: EngineBoard;
   router: Router;
   mint: TicketMint;
-  keys: KeyTable;
+  unrepeatable: UnrepeatableRunner;
   /** Makes and reads the ids by which callers resume. */
   tokens: RequestTokenMint;
   abandoned: AbandonedRequests;
