--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,6 +1,5 @@
 /** One node: its tasks, its servers and how they are wired. */
 import {randomUUID} from 'node:crypto';
-import {type FoldedRecord} from '@mimosatack/agreed-state';
 import {RequestTokenMint} from '@mimosatack/answer-streams';
 import {type Clock} from '@mimosatack/clock';
 import {EngineBoard} from '@mimosatack/engine-board';
@@ -12,7 +11,6 @@
   HttpEngineControl,
   HttpHostList,
   HttpLogService,
-  HttpWeightStore,
 } from '@mimosatack/platform';
 import {type RandomSource} from '@mimosatack/random';
 import {Router} from '@mimosatack/route-requests';
@@ -20,13 +18,14 @@
 import {type DaemonSettings} from '@mimosatack/settings';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type HostEntry} from '@mimosatack/types';
-import {KeyTable, TicketMint} from '@mimosatack/unrepeatable';
+import {TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
 import {CheckpointTask} from './checkpoint_task.js';
 import {HostListTask} from './host_list_task.js';
 import {makePolicy} from './make_policy.js';
 import {type DrainedHook, NodeShutdown} from './node_shutdown.js';
-import {LeavingServers} from './leaving_servers.js';
+import {KeyTasks} from './key_tasks.js';
+import {LeavingServers, isAboutDraining} from './leaving_servers.js';
 import {NodeRanking} from './node_ranking.js';
 import {Obituary} from './obituary.js';
 import {Operations} from './operations.js';
@@ -37,6 +36,7 @@
 import {ReportTask, listSlotContents} from './report_task.js';
 import {StewardHints} from './steward_hints.js';
 import {StewardTask} from './steward_task.js';
+import {makeLimitsReader} from './store_limits.js';
 
 /** What a node is started with. */
 export interface NodeOptions {
@@ -65,6 +65,7 @@
 const ORDER_DOUBT_MS = 30_000;
 const REPORT_TICK_MS = 100;
 const STORE_LIMITS_INTERVAL_MS = 10_000;
+const KEEPERS_INTERVAL_MS = 1_000;
 
 /** One node of the system. */
 export class MimosatackNode {
@@ -86,6 +87,7 @@
   private readonly operations: Operations;
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
+  private readonly keys: KeyTasks;
   private readonly obituary: Obituary;
   private readonly ranking: NodeRanking;
   private readonly shutdown: NodeShutdown;
@@ -128,6 +130,11 @@
     });
     this.peers = this.makePeers();
     this.ranking = new NodeRanking(this.peers, this.incarnation);
+    const {incarnation, mint, peers, ranking} = this;
+    this.keys = new KeyTasks({
+      ...{clock, random, settings, incarnation, mint, peers, ranking},
+      logTimeoutMs: PLATFORM_TIMEOUT_MS,
+    });
     this.checkpoints = this.makeCheckpoints();
     this.reports = this.makeReports();
     this.stewards = this.makeStewards();
@@ -135,6 +142,7 @@
     this.planner = this.makePlanner();
     this.operations = this.makeOperations();
     this.shutdown.watch(this.operations.operatorServer);
+    this.shutdown.onDrained(() => this.keys.handOver());
     this.callerServer = buildCallerServer({
       ...{clock, random, logger},
       gate: this.shutdown.gate,
@@ -147,16 +155,13 @@
       board: this.board,
       router: this.router,
       mint: this.mint,
-      keys: new KeyTable(),
+      unrepeatable: this.keys.runner,
       limits: settings,
       serverFactory: this.operations.callerServerFactory,
-      listEntries: () => this.peers.listUsable().map(toEntry),
+      listEntries: () => this.peers.listEntries().map(toEntry),
       noteDemand: modelText =>
         passDemand(modelText, {
-          incarnation: this.incarnation,
-          ranking: this.ranking,
-          peers: this.peers,
-          planner: this.planner,
+          ...{incarnation, peers, ranking, planner: this.planner},
         }),
     });
     this.operations.watch(this.callerServer, 'callers');
@@ -279,16 +284,11 @@
         .filter(task => !task.isBusy)
         .forEach(task => task.post({type: 'tick'}));
     });
+    every(KEEPERS_INTERVAL_MS, () => this.keys.tick());
     every(REPORT_TICK_MS, () => this.reports.post({type: 'tick'}));
-    const store = new HttpWeightStore({
-      baseUrl: settings.weightStoreUrl,
-      nodeId: settings.nodeName,
-      timeoutMs: PLATFORM_TIMEOUT_MS,
-    });
-    const readLimits = async () => {
-      const limits = await store.readLimits();
-      this.planner.post({type: 'store-limits', limits});
-    };
+    const readLimits = makeLimitsReader(settings, PLATFORM_TIMEOUT_MS, limits =>
+      this.planner.post({type: 'store-limits', limits}),
+    );
     void readLimits().catch(() => undefined);
     every(STORE_LIMITS_INTERVAL_MS, readLimits);
   }
@@ -306,6 +306,7 @@
       clusterSecret: settings.clusterSecret,
       seeds: settings.peerSeeds.map(seed => `${seed.host}:${seed.port}`),
       onDemand: model => this.planner.post({type: 'demand', model}),
+      onTicketMessage: message => this.keys.receive(message),
       onReport: (fromAddress, message) =>
         this.reports.post({type: 'receive', fromAddress, message}),
       findOwnEngine: id => this.reports.findOwnEngine(id),
@@ -489,11 +490,6 @@
   }
 }
 
-function isAboutDraining({record}: FoldedRecord): boolean {
-  const type = record?.body.type;
-  return type === 'drain-backend-server' || type === 'note-host-state';
-}
-
 function portOf(server: FastifyInstance): number {
   return (server.server.address() as {port: number}).port;
 }
--- a/packages/serve-callers/src/caller_fixture.ts
+++ b/packages/serve-callers/src/caller_fixture.ts
@@ -3,9 +3,11 @@
 import {type ServerResponse} from 'node:http';
 import {AgreedState} from '@mimosatack/agreed-state';
 import {RequestTokenMint} from '@mimosatack/answer-streams';
+import {ClaimKeys} from '@mimosatack/claim-keys';
 import {type Clock, SystemClock} from '@mimosatack/clock';
 import {DrainGate, InFlight} from '@mimosatack/drain-node';
 import {EngineBoard} from '@mimosatack/engine-board';
+import {TypedError} from '@mimosatack/errors';
 import {MemoryEventLogger} from '@mimosatack/logger';
 import {SeededRandom} from '@mimosatack/random';
 import {type RecordBody, encodeBatch} from '@mimosatack/records';
@@ -17,13 +19,14 @@
   expectedCompletionText,
   startEngineStandIn,
 } from '@mimosatack/stand-ins';
-import {KeyTable, TicketMint} from '@mimosatack/unrepeatable';
+import {TicketMint, TicketTable} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
 import {Agent, type Dispatcher, request} from 'undici';
 import {
   AbandonedRequests,
   type CallerContext,
   type CallerLimits,
+  UnrepeatableRunner,
   buildCallerServer,
 } from './index.js';
 
@@ -94,6 +97,29 @@
   return engine;
 }
 
+/** Runs tickets alone: there is no log to claim other keys in. */
+function makeRunner(nodeName: string, clock: Clock): UnrepeatableRunner {
+  const refuse = () =>
+    Promise.reject(new TypedError('platform-unavailable', 'There is no log.'));
+  const incarnation = `${nodeName}.0`;
+  return new UnrepeatableRunner({
+    ...{clock, nodeName, incarnation},
+    mint: new TicketMint(SECRET),
+    tickets: new TicketTable({clock}),
+    claims: new ClaimKeys({
+      ...{clock, incarnation},
+      random: new SeededRandom(1),
+      log: {append: refuse, read: refuse},
+      isAlive: () => true,
+    }),
+    owners: {
+      findProcess: () => null,
+      findKeeper: () => null,
+      askHeirs: async () => ({status: 'no-table'}),
+    },
+  });
+}
+
 export async function startEntry(
   nodeName: string,
   engines: readonly Engine[],
@@ -112,7 +138,7 @@
     state: () => state,
     router: new Router(board, random),
     mint: new TicketMint(SECRET),
-    keys: new KeyTable(),
+    unrepeatable: makeRunner(nodeName, clock),
     tokens: new RequestTokenMint(SECRET),
     abandoned: new AbandonedRequests(clock, 0),
     tellResumed: () => undefined,
--- a/packages/serve-callers/src/drain_hooks.ts
+++ b/packages/serve-callers/src/drain_hooks.ts
@@ -1,8 +1,9 @@
 /** How the callers' server meets new work while the node starts or stops. */
 import {type WorkHandle} from '@mimosatack/drain-node';
-import {TypedError} from '@mimosatack/errors';
+import {type RunOutcome, TypedError} from '@mimosatack/errors';
 import {type FastifyInstance, type FastifyReply} from 'fastify';
 import {type CallerContext} from './caller_context.js';
+import {findRunBeforeKey} from './unrepeatable_calls.js';
 
 declare module 'fastify' {
   interface FastifyRequest {
@@ -30,7 +31,7 @@
       sendAway(reply);
     }
     if (ALWAYS_ANSWERED.test(incoming.url)) return;
-    checkState(context);
+    checkState(context, findRunBeforeKey(incoming.headers));
     const route = incoming.routeOptions.url ?? 'unknown route';
     const work = gate.inFlight.begin(`${incoming.method} ${route}`);
     incoming.workInFlight = work;
@@ -49,18 +50,18 @@
   void reply.header('connection', 'close').header(STATE_HEADER, 'leaving');
 }
 
-function checkState(context: CallerContext): void {
+function checkState(context: CallerContext, run: RunOutcome): void {
   switch (context.gate.state) {
     case 'starting':
       // It knows no teams yet and would take every caller for a stranger.
       throw new TypedError('overloaded', 'The node is starting.', {
-        run: 'not-run',
+        run,
         remedy: 'Ask /v1/entries of another node, or wait for Retry-After.',
         retryAfterMs: START_RETRY_MS,
       });
     case 'refusing':
       throw new TypedError('shutting-down', 'The node is shutting down.', {
-        run: 'not-run',
+        run,
         info: {entries: context.listEntries()},
       });
     default:
--- /dev/null
+++ b/packages/serve-callers/src/unrepeatable_runner.ts
@@ -0,0 +1,72 @@
+/**
+ * Runs requests at most once each, by their keys: tickets in the process that
+ * gave them out, keys of the caller's own after a claim in the log.
+ */
+import {type ClaimKeys, readDatedKey} from '@mimosatack/claim-keys';
+import {type Clock} from '@mimosatack/clock';
+import {
+  type TicketMint,
+  type TicketTable,
+  makeBadKey,
+} from '@mimosatack/unrepeatable';
+import {ClaimRunner} from './claim_runner.js';
+import {TicketRunner} from './ticket_runner.js';
+import {type KeyOwners, makeForward} from './unrepeatable_forward.js';
+import {
+  type StartRun,
+  type UnrepeatableAnswer,
+  type UnrepeatableRequest,
+} from './unrepeatable_request.js';
+
+/** What the runner is built from. */
+export interface UnrepeatableRunnerOptions {
+  clock: Clock;
+  nodeName: string;
+  incarnation: string;
+  mint: TicketMint;
+  tickets: TicketTable;
+  claims: ClaimKeys;
+  owners: KeyOwners;
+}
+
+/** Decides which node runs a request, and whether it may run. */
+export class UnrepeatableRunner {
+  private readonly tickets: TicketRunner;
+  private readonly claims: ClaimRunner;
+
+  constructor(private readonly options: UnrepeatableRunnerOptions) {
+    const forward = makeForward(options.nodeName, options.clock);
+    this.tickets = new TicketRunner({...options, forward});
+    this.claims = new ClaimRunner({...options, forward});
+  }
+
+  /** Calls `start` at most once for a key, on one node of the system. */
+  async run(
+    request: UnrepeatableRequest,
+    start: StartRun,
+  ): Promise<UnrepeatableAnswer> {
+    const {idempotencyKey} = request;
+    if (idempotencyKey === null) {
+      throw makeBadKey('This request runs at most once and needs a key.');
+    }
+    const reading = this.options.mint.read(idempotencyKey);
+    switch (reading.status) {
+      case 'ticket':
+        return this.tickets.run(reading.ticket, request, start);
+      case 'forged':
+        throw makeBadKey('The key has a prefix that no node has given out.');
+      case 'not-a-ticket':
+        return this.runDated(idempotencyKey, request, start);
+    }
+  }
+
+  private async runDated(
+    text: string,
+    request: UnrepeatableRequest,
+    start: StartRun,
+  ): Promise<UnrepeatableAnswer> {
+    const dated = readDatedKey(text);
+    if (!dated) throw makeBadKey('The key does not carry its date.');
+    return this.claims.run(dated, request, start);
+  }
+}
