--- /dev/null
+++ b/packages/admit-requests/src/index.ts
@@ -0,0 +1,17 @@
+export {
+  AdmissionController,
+  type AdmissionDecision,
+  type AdmissionOptions,
+  type GivenUp,
+} from './admission_controller.js';
+export {AdmissionGate, type Permit, type Target} from './admission_gate.js';
+export {CallerGone} from './caller_gone.js';
+export {FairQueue} from './fair_queue.js';
+export {
+  type AdmissionRequest,
+  type Outlook,
+  type Refusal,
+  type RefusalKind,
+  type TeamLimits,
+  type WorkClass,
+} from './types.js';
--- a/packages/engine-board/src/engine_board.ts
+++ b/packages/engine-board/src/engine_board.ts
@@ -30,9 +30,10 @@
 export class EngineBoard {
   private readonly reports = new Map<BackendServerId, BackendReport>();
   private readonly warm = new Map<string, Map<BackendServerId, WarmReplica>>();
-  private readonly listeners: (() => void)[] = [];
+  private readonly listeners: ((report: BackendReport) => void)[] = [];
 
-  onChange(listener: () => void): void {
+  /** Calls `listener` with every report that is taken. */
+  onChange(listener: (report: BackendReport) => void): void {
     this.listeners.push(listener);
   }
 
@@ -51,7 +52,7 @@
     this.forgetWarm(report.backendServerId);
     this.reports.set(report.backendServerId, report);
     if (report.engine) this.indexWarm(report.engine);
-    this.listeners.forEach(listener => listener());
+    this.listeners.forEach(listener => listener(report));
     return true;
   }
 
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -22,6 +22,12 @@
   unauthorized: fact(401, false, 'Send a valid bearer token.'),
   forbidden: fact(403, false, 'Use a token whose role allows this.'),
   'not-found': fact(404, false, 'Check the name; list what exists first.'),
+  'method-not-allowed': fact(
+    405,
+    false,
+    'Use the method that the message names.',
+  ),
+  'unsupported-media-type': fact(415, false, 'Send application/json.'),
   conflict: fact(409, false, 'Read the current version and apply again.'),
   'key-reused': fact(422, false, 'Use a new key for a different body.'),
   'body-too-large': fact(413, false, 'Send a smaller body.'),
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,6 +1,8 @@
 /** One node: its tasks, its servers and how they are wired. */
 import {randomUUID} from 'node:crypto';
+import {AdmissionGate} from '@mimosatack/admit-requests';
 import {type Clock} from '@mimosatack/clock';
+import {BackendPools} from '@mimosatack/dispatch-requests';
 import {EngineBoard} from '@mimosatack/engine-board';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {LogFollower} from '@mimosatack/follow-log';
@@ -19,8 +21,13 @@
   HttpWeightStore,
 } from '@mimosatack/platform';
 import {type RandomSource} from '@mimosatack/random';
-import {Router} from '@mimosatack/route-requests';
-import {buildCallerServer} from '@mimosatack/serve-callers';
+import {RetryBudget} from '@mimosatack/retry-requests';
+import {Router, Sha256PrefixHasher} from '@mimosatack/route-requests';
+import {
+  CallerStats,
+  ServingSets,
+  buildCallerServer,
+} from '@mimosatack/serve-callers';
 import {buildOperatorServer} from '@mimosatack/serve-operators';
 import {type DaemonSettings} from '@mimosatack/settings';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
@@ -55,6 +62,8 @@
 const ENGINE_TIMEOUT_MS = 2_000;
 const SUBMIT_TIMEOUT_MS = 10_000;
 const ORDER_DOUBT_MS = 30_000;
+const QUEUE_LIMIT_BYTES = 64 * 1024 * 1024;
+const PERCENT = 100;
 const STORE_LIMITS_INTERVAL_MS = 10_000;
 
 /** One node of the system. */
@@ -68,6 +77,8 @@
   private readonly hosts: HostListTask;
   private readonly planner: PlannerTask;
   private readonly router: Router;
+  private readonly gate: AdmissionGate;
+  private readonly pools = new BackendPools();
   private readonly callerServer: FastifyInstance;
   private readonly operatorServer: FastifyInstance;
   private readonly periodics: Periodic[] = [];
@@ -92,24 +103,21 @@
       longPollMs: LONG_POLL_MS,
       retryDelayMs: RETRY_DELAY_MS,
     });
-    this.router = new Router(this.board, random);
+    this.router = this.makeRouter();
+    this.gate = new AdmissionGate(clock, {
+      random,
+      queueLimit: settings.queueLimit,
+      queueLimitBytes: QUEUE_LIMIT_BYTES,
+    });
+    this.board.onChange(({backendServerId, load, isReachable}) => {
+      if (isReachable) this.router.noteReport(backendServerId, load);
+      this.gate.pump();
+    });
     this.peers = this.makePeers();
     this.stewards = this.makeStewards();
     this.hosts = this.makeHosts();
     this.planner = this.makePlanner();
-    this.callerServer = buildCallerServer({
-      clock,
-      logger,
-      incarnation: this.incarnation,
-      state: () => this.follower.state,
-      board: this.board,
-      router: this.router,
-      mint: this.mint,
-      keys: new KeyTable(),
-      limits: settings,
-      listEntries: () => this.peers.listUsable().map(toEntry),
-      noteDemand: model => this.passDemand(model),
-    });
+    this.callerServer = this.makeCallerServer();
     this.operatorServer = buildOperatorServer({
       clock,
       logger,
@@ -172,6 +180,7 @@
       this.planner.stop(),
     ]);
     await this.callerServer.close();
+    await this.pools.close();
     await this.operatorServer.close();
     await this.follower.stop();
     await this.peers.stop();
@@ -200,6 +209,52 @@
     every(STORE_LIMITS_INTERVAL_MS, readLimits);
   }
 
+  private makeRouter(): Router {
+    const {settings, clock, random, logger} = this.options;
+    return new Router({
+      clock,
+      random,
+      ownDomain: settings.failureDomain,
+      findDomain: id =>
+        this.follower.state.stewardship.findBackendServer(id)?.failureDomain,
+      countNodes: () => this.peers.listUsable().length,
+      onCircuit: (backendServerId, state) =>
+        state === 'open'
+          ? logger.log('backend-suspected', {backendServerId, error: null})
+          : logger.log('backend-trusted', {backendServerId}),
+    });
+  }
+
+  private makeCallerServer(): FastifyInstance {
+    const {settings, clock, random, logger} = this.options;
+    const state = () => this.follower.state;
+    return buildCallerServer({
+      clock,
+      random,
+      logger,
+      incarnation: this.incarnation,
+      state,
+      board: this.board,
+      router: this.router,
+      gate: this.gate,
+      servingSets: new ServingSets({
+        clock,
+        state,
+        board: this.board,
+        isLeaving: id => this.router.isLeaving(id),
+        noteDemand: model => this.passDemand(model),
+      }),
+      pools: this.pools,
+      retries: new RetryBudget(settings.retryBudgetPercent / PERCENT),
+      hasher: new Sha256PrefixHasher(),
+      stats: new CallerStats(this.gate),
+      mint: this.mint,
+      keys: new KeyTable(),
+      limits: settings,
+      listEntries: () => this.peers.listUsable().map(toEntry),
+    });
+  }
+
   private makePeers(): PeerTask {
     const {settings, clock, random} = this.options;
     return new PeerTask({
--- /dev/null
+++ b/packages/retry-requests/src/index.ts
@@ -0,0 +1,6 @@
+export {RetryBudget} from './retry_budget.js';
+export {
+  type FailedAttempt,
+  type RetryDecision,
+  decideRetry,
+} from './decide_retry.js';
--- a/packages/route-requests/src/index.ts
+++ b/packages/route-requests/src/index.ts
@@ -1,1 +1,10 @@
-export {type RouteRequest, Router} from './router.js';
+export {CircuitTable, type CircuitState} from './circuit_table.js';
+export {type PrefixCacheEvent, PrefixTable} from './prefix_table.js';
+export {type PrefixHasher, Sha256PrefixHasher} from './prefix_hasher.js';
+export {
+  type Outcome,
+  type RouteDecision,
+  type RouteRequest,
+  Router,
+  type RouterOptions,
+} from './router.js';
--- a/packages/serve-callers/src/caller_context.ts
+++ b/packages/serve-callers/src/caller_context.ts
@@ -1,10 +1,16 @@
 /** What the callers' interface needs of the node it runs in. */
+import {type AdmissionGate} from '@mimosatack/admit-requests';
 import {type AgreedState} from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
+import {type BackendPools} from '@mimosatack/dispatch-requests';
 import {type EngineBoard} from '@mimosatack/engine-board';
 import {type EventLogger} from '@mimosatack/logger';
-import {type Router} from '@mimosatack/route-requests';
+import {type RandomSource} from '@mimosatack/random';
+import {type RetryBudget} from '@mimosatack/retry-requests';
+import {type PrefixHasher, type Router} from '@mimosatack/route-requests';
 import {type KeyTable, type TicketMint} from '@mimosatack/unrepeatable';
+import {type CallerStats} from './caller_stats.js';
+import {type ServingSets} from './serving_sets.js';
 
 /** An address that callers may use, from this node's membership. */
 export interface EntryAddress {
@@ -18,17 +24,22 @@
 /** What the callers' interface needs of the node it runs in. */
 export interface CallerContext {
   clock: Clock;
+  random: RandomSource;
   logger: EventLogger;
   incarnation: string;
   state(): AgreedState;
   board: EngineBoard;
   router: Router;
+  gate: AdmissionGate;
+  servingSets: ServingSets;
+  pools: BackendPools;
+  retries: RetryBudget;
+  hasher: PrefixHasher;
+  stats: CallerStats;
   mint: TicketMint;
   keys: KeyTable;
   limits: CallerLimits;
   listEntries(): EntryAddress[];
-  /** Asks for a replica of a model that requests wait for. */
-  noteDemand(model: string): void;
 }
 
 /** Limits from the settings. */
--- a/packages/serve-callers/src/caller_server.ts
+++ b/packages/serve-callers/src/caller_server.ts
@@ -1,34 +1,49 @@
 /** The HTTP server for callers. */
-import {
-  TypedError,
-  describeKind,
-  formatErrorBody,
-  toTypedError,
-} from '@mimosatack/errors';
-import fastify, {type FastifyInstance, type FastifyReply} from 'fastify';
+import {TypedError} from '@mimosatack/errors';
+import fastify, {type FastifyInstance} from 'fastify';
 import {type CallerContext} from './caller_context.js';
 import {addCompletionRoutes} from './completion_routes.js';
+import {readHttpError, sendError} from './error_replies.js';
+import {addModelRoutes} from './model_routes.js';
 import {addServiceRoutes} from './service_routes.js';
 
 /** Builds the callers' server; the node listens with it and closes it. */
 export function buildCallerServer(context: CallerContext): FastifyInstance {
   const server = fastify({bodyLimit: context.limits.maxBodyBytes});
   server.setErrorHandler((thrown, _incoming, reply) => {
-    sendError(reply, readHttpError(thrown));
+    const error = readHttpError(thrown);
+    context.stats.noteRefused(error.kind);
+    sendError(reply, error);
   });
   server.setNotFoundHandler((incoming, reply) => {
     sendError(
       reply,
-      new TypedError('not-found', `There is no ${incoming.url}.`),
+      new TypedError('not-found', `There is no ${incoming.url}.`, {
+        run: 'not-run',
+      }),
     );
   });
-  server.get('/healthz', () => ({status: 'ok'}));
-  server.get('/v1/entries', () => describeEntries(context));
+  addStatusRoutes(server, context);
+  addModelRoutes(server, context);
   addCompletionRoutes(server, context);
   addServiceRoutes(server, context);
   return server;
 }
 
+function addStatusRoutes(
+  server: FastifyInstance,
+  context: CallerContext,
+): void {
+  server.get('/healthz', () => ({status: 'ok'}));
+  server.get('/readyz', (_incoming, reply) => {
+    const isReady = context.state().isSupported;
+    return reply
+      .code(isReady ? 200 : 503)
+      .send({status: isReady ? 'ready' : 'unsupported-rules'});
+  });
+  server.get('/v1/entries', () => describeEntries(context));
+}
+
 function describeEntries(context: CallerContext) {
   return {
     ttlMs: context.limits.entriesTtlMs,
@@ -41,27 +56,3 @@
     })),
   };
 }
-
-function sendError(reply: FastifyReply, error: TypedError): void {
-  if (error.retryAfterMs !== undefined) {
-    void reply.header('retry-after', Math.ceil(error.retryAfterMs / 1000));
-  }
-  void reply
-    .code(describeKind(error.kind).httpStatus)
-    .send(formatErrorBody(error));
-}
-
-/** Fastify's own refusals, such as a body that is no JSON, made typed. */
-function readHttpError(thrown: unknown): TypedError {
-  const statusCode = (thrown as {statusCode?: number}).statusCode;
-  const message = thrown instanceof Error ? thrown.message : String(thrown);
-  if (thrown instanceof TypedError || statusCode === undefined) {
-    return toTypedError(thrown);
-  }
-  if (statusCode === 413) {
-    return new TypedError('body-too-large', message, {run: 'not-run'});
-  }
-  return statusCode < 500
-    ? new TypedError('bad-request', message, {run: 'not-run'})
-    : toTypedError(thrown);
-}
--- a/packages/serve-callers/src/completion_routes.ts
+++ b/packages/serve-callers/src/completion_routes.ts
@@ -1,20 +1,19 @@
 /** Chat completions and completions, streamed or whole. */
 import {randomUUID} from 'node:crypto';
-import {isServing} from '@mimosatack/agreed-state';
-import {TypedError} from '@mimosatack/errors';
-import {type FastifyInstance, type FastifyReply} from 'fastify';
-import {type Dispatcher, request} from 'undici';
-import {z} from 'zod';
+import {TypedError, toTypedError} from '@mimosatack/errors';
+import {
+  type FastifyInstance,
+  type FastifyReply,
+  type FastifyRequest,
+} from 'fastify';
+import {makeAdmissionRequest} from './admission_terms.js';
 import {authenticateCaller} from './authenticate.js';
 import {type CallerContext} from './caller_context.js';
-import {type RequestTerms, readTerms} from './request_terms.js';
-
-const bodySchema = z.looseObject({
-  model: z.string().min(1).max(300),
-  stream: z.boolean().optional(),
-});
-
-type CompletionBody = z.infer<typeof bodySchema>;
+import {type CompletionJob} from './completion_job.js';
+import {isCallerGone, runCompletion} from './completion_pipeline.js';
+import {formatSelection, readCompletionRequest} from './completion_request.js';
+import {sendError} from './error_replies.js';
+import {readTerms} from './request_terms.js';
 
 const PATHS = ['/v1/chat/completions', '/v1/completions'];
 
@@ -23,115 +22,114 @@
   server: FastifyInstance,
   context: CallerContext,
 ): void {
-  PATHS.forEach(path =>
-    server.post(path, async (incoming, reply) => {
-      authenticateCaller(incoming.headers.authorization, context.state());
-      const terms = readTerms(incoming.headers, context.limits);
-      const body = readBody(incoming.body);
-      await complete(path, body, terms, reply, context);
-      return reply;
-    }),
-  );
-}
-
-function readBody(body: unknown): CompletionBody {
-  const parsed = bodySchema.safeParse(body);
-  if (parsed.success) return parsed.data;
-  const issue = parsed.error.issues[0];
-  throw new TypedError(
-    'bad-request',
-    `${issue?.path.join('.') || 'body'}: ${issue?.message ?? 'invalid'}`,
-    {run: 'not-run'},
-  );
+  void server.register((scope, _options, done) => {
+    // Bodies are passed on as they came, so they are kept as bytes.
+    scope.removeAllContentTypeParsers();
+    scope.addContentTypeParser(
+      'application/json',
+      {parseAs: 'buffer'},
+      (_incoming, body, parsed) => parsed(null, body),
+    );
+    PATHS.forEach(path => {
+      scope.post(path, async (incoming, reply) => {
+        await answer(path, incoming, reply, context);
+        return reply;
+      });
+      scope.route({
+        method: ['GET', 'PUT', 'DELETE', 'PATCH'],
+        url: path,
+        handler: () => {
+          throw new TypedError('method-not-allowed', `POST to ${path}.`, {
+            run: 'not-run',
+          });
+        },
+      });
+    });
+    done();
+  });
 }
 
-async function complete(
+async function answer(
   path: string,
-  body: CompletionBody,
-  terms: RequestTerms,
+  incoming: FastifyRequest,
   reply: FastifyReply,
   context: CallerContext,
 ): Promise<void> {
-  const {baseUrl, id} = chooseEngine(body.model, context);
-  const requestId = randomUUID();
-  context.router.noteSent(id);
+  const {stats, clock} = context;
+  const arrivedAtMs = clock.monotonicMs();
+  stats.noteBegun();
+  let job: CompletionJob | null = null;
   try {
-    const response = await sendToEngine(baseUrl + path, body, requestId, terms);
-    reply.hijack();
-    await relay(response, requestId, reply);
+    job = readJob(path, incoming, arrivedAtMs, context);
+    await runCompletion(job, reply, context);
+    stats.noteAnswered();
+    logAnswered(job, context);
+  } catch (thrown) {
+    tellFailure(thrown, job, reply, context);
   } finally {
-    context.router.noteDone(id);
+    stats.noteEnded();
   }
 }
 
-function chooseEngine(
-  modelText: string,
+/** Reads and checks all of a request before any of it is acted on. */
+function readJob(
+  path: string,
+  incoming: FastifyRequest,
+  arrivedAtMs: number,
   context: CallerContext,
-): {id: string; baseUrl: string} {
-  const [model = '', adapter = null] = modelText.split(':', 2);
-  const {configuration, placement, stewardship} = context.state();
-  const nowMs = context.clock.wallMs();
-  if (!configuration.find('model', model)) {
-    throw new TypedError('not-found', `There is no model ${model}.`, {
-      run: 'not-run',
-    });
-  }
-  const candidates = context.board
-    .listWarm(model, adapter)
-    .filter(replica => {
-      const slot = placement.find(replica.slotId);
-      return slot !== undefined && isServing(slot, nowMs);
-    })
-    .map(replica => replica.backendServerId);
-  const id = context.router.choose({candidates, excluded: new Set()});
-  const server = id === null ? undefined : stewardship.findBackendServer(id);
-  if (id === null || !server) {
-    context.noteDemand(model);
-    throw new TypedError('not-warm', `No replica of ${modelText} is warm.`, {
-      run: 'not-run',
-      retryAfterMs: 2000,
-    });
-  }
-  return {id, baseUrl: server.baseUrl};
+): CompletionJob {
+  const {limits} = context;
+  const {configuration} = context.state();
+  const caller = authenticateCaller(
+    incoming.headers.authorization,
+    context.state(),
+  );
+  const body = Buffer.isBuffer(incoming.body) ? incoming.body : Buffer.alloc(0);
+  const request = readCompletionRequest(body, configuration);
+  const terms = readTerms(incoming.headers, {
+    ...limits,
+    defaultDeadlineMs: request.defaultDeadlineMs ?? limits.defaultDeadlineMs,
+  });
+  const workClass = request.isStreamed ? 'streamed' : 'whole';
+  const work = {workClass, sizeBytes: body.length, arrivedAtMs} as const;
+  return {
+    requestId: randomUUID(),
+    path,
+    request,
+    terms,
+    admission: makeAdmissionRequest(caller, terms, work, context),
+    isRepeatable: terms.idempotencyKey === null,
+  };
 }
 
-async function sendToEngine(
-  url: string,
-  body: CompletionBody,
-  requestId: string,
-  terms: RequestTerms,
-): Promise<Dispatcher.ResponseData> {
-  try {
-    return await request(url, {
-      method: 'POST',
-      headers: {
-        'content-type': 'application/json',
-        'x-request-id': requestId,
-        'x-priority': String(terms.priority),
-      },
-      body: JSON.stringify(body),
-      signal: AbortSignal.timeout(terms.deadlineMs),
-    });
-  } catch (thrown) {
-    throw new TypedError('backend-unreachable', 'The engine did not answer.', {
-      run: 'unknown',
-      cause: thrown instanceof Error ? thrown : new Error(String(thrown)),
+function tellFailure(
+  thrown: unknown,
+  job: CompletionJob | null,
+  reply: FastifyReply,
+  context: CallerContext,
+): void {
+  const {stats, logger} = context;
+  if (isCallerGone(thrown)) {
+    stats.noteCallerGone();
+    reply.hijack();
+    return;
+  }
+  const error = toTypedError(thrown);
+  stats.noteRefused(error.kind);
+  if (job) {
+    logger.log('request-refused', {
+      requestId: job.requestId,
+      model: formatSelection(job.request),
+      error,
     });
   }
+  if (!reply.sent) sendError(reply, error);
 }
 
-async function relay(
-  response: Dispatcher.ResponseData,
-  requestId: string,
-  reply: FastifyReply,
-): Promise<void> {
-  const contentType = response.headers['content-type'];
-  reply.raw.writeHead(response.statusCode, {
-    'content-type': Array.isArray(contentType)
-      ? contentType.join(',')
-      : (contentType ?? 'application/json'),
-    'x-request-id': requestId,
+function logAnswered(job: CompletionJob, {logger, clock}: CallerContext): void {
+  logger.log('request-answered', {
+    requestId: job.requestId,
+    model: formatSelection(job.request),
+    durationMs: clock.monotonicMs() - job.admission.arrivedAtMs,
   });
-  for await (const chunk of response.body) reply.raw.write(chunk);
-  reply.raw.end();
 }
--- /dev/null
+++ b/packages/serve-callers/src/loopback_fixture.ts
@@ -0,0 +1,269 @@
+/**
+ * A callers' server before engine stand-ins on loopback, for tests and
+ * measurements. The agreed state is filled in by hand; the engines' reports
+ * are read straight from the stand-ins.
+ */
+import {createHash} from 'node:crypto';
+import {AdmissionGate} from '@mimosatack/admit-requests';
+import {AgreedState} from '@mimosatack/agreed-state';
+import {SystemClock} from '@mimosatack/clock';
+import {BackendPools} from '@mimosatack/dispatch-requests';
+import {EngineBoard} from '@mimosatack/engine-board';
+import {MemoryEventLogger} from '@mimosatack/logger';
+import {SeededRandom} from '@mimosatack/random';
+import {RetryBudget} from '@mimosatack/retry-requests';
+import {Router, Sha256PrefixHasher} from '@mimosatack/route-requests';
+import {
+  type EngineOptions,
+  type EngineStandIn,
+  type RunningBackend,
+  startEngineStandIn,
+} from '@mimosatack/stand-ins';
+import {KeyTable, TicketMint} from '@mimosatack/unrepeatable';
+import {type CallerContext} from './caller_context.js';
+import {buildCallerServer} from './caller_server.js';
+import {CallerStats} from './caller_stats.js';
+import {ServingSets} from './serving_sets.js';
+
+export const MODEL = 'm';
+/** Bearer tokens of the two teams. */
+export const TOKENS = {alpha: 'token-of-alpha', beta: 'token-of-beta'} as const;
+
+/** What a fixture is made of. */
+export interface LoopbackOptions {
+  engines: ReadonlyArray<Partial<EngineOptions>>;
+  queueLimit?: number;
+  maxConcurrentRequests?: number;
+  requestsPerSecond?: number;
+  maxBodyBytes?: number;
+  retryRatio?: number;
+  /** How often the engines' reports are read; 0 for once, at the start. */
+  reportIntervalMs?: number;
+}
+
+/** A running fixture. */
+export interface Loopback {
+  baseUrl: string;
+  context: CallerContext;
+  engines: readonly RunningBackend<EngineStandIn>[];
+  demanded: string[];
+  /** Reads the reports of all engines that run. */
+  report(): void;
+  close(): Promise<void>;
+}
+
+const MIB = 1_000;
+const FAST: Partial<EngineOptions> = {
+  initMs: 0,
+  firstTokenMs: 0,
+  tokenMs: 0,
+  unloadMs: 0,
+  loadReportLagMs: 0,
+};
+
+export async function startLoopback(
+  options: LoopbackOptions,
+): Promise<Loopback> {
+  const engines = await Promise.all(
+    options.engines.map((engine, index) =>
+      startEngineStandIn({
+        ...FAST,
+        backendServerId: `r${index}`,
+        failureDomain: `hall-${index}`,
+        memoryMib: 10 * MIB,
+        ...engine,
+      }),
+    ),
+  );
+  const state = makeState(engines, options);
+  const board = new EngineBoard();
+  const demanded: string[] = [];
+  const context = makeContext(state, board, demanded, options);
+  engines.forEach(engine => loadModel(engine.core));
+  const report = () => engines.forEach(engine => noteEngine(engine, board));
+  await waitUntil(() => {
+    report();
+    return board.listWarm(MODEL, null).length === engines.length;
+  });
+  const interval = options.reportIntervalMs
+    ? setInterval(report, options.reportIntervalMs)
+    : undefined;
+  const server = buildCallerServer(context);
+  const baseUrl = await server.listen({host: '127.0.0.1', port: 0});
+  const close = async () => {
+    clearInterval(interval);
+    server.server.closeAllConnections();
+    await server.close();
+    await context.pools.close();
+    await Promise.all(engines.map(engine => engine.kill()));
+  };
+  return {baseUrl, context, engines, demanded, report, close};
+}
+
+/** Polls until a condition holds. */
+export async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 5));
+}
+
+function loadModel(engine: EngineStandIn): void {
+  engine.applyOrder({
+    order: 'load',
+    orderId: 'o1',
+    fencingNumber: 1,
+    slotId: slotOf(engine),
+    model: MODEL,
+    adapter: null,
+    version: '1',
+    memoryMib: MIB,
+  });
+}
+
+function slotOf(engine: EngineStandIn): string {
+  return `s-${engine.options.backendServerId}`;
+}
+
+/** Notes a report as the engine's steward would. */
+export function noteEngine(
+  {core}: RunningBackend<EngineStandIn>,
+  board: EngineBoard,
+): void {
+  const engine = core.readState();
+  board.note({
+    backendServerId: engine.backendServerId,
+    reportedAtMs: performance.timeOrigin + performance.now(),
+    engine,
+    load: engine.load,
+    isReachable: true,
+  });
+}
+
+function makeState(
+  engines: readonly RunningBackend<EngineStandIn>[],
+  options: LoopbackOptions,
+): AgreedState {
+  const state = new AgreedState();
+  const {configuration, stewardship, placement} = state;
+  Object.entries(TOKENS).forEach(([team, token]) => {
+    const tokenHash = createHash('sha256').update(token).digest('hex');
+    const {maxConcurrentRequests = 100_000, requestsPerSecond = 100_000} =
+      options;
+    const content = {
+      tokens: [{name: 'app', role: 'caller', tokenHash}],
+      limits: {maxConcurrentRequests, requestsPerSecond},
+    };
+    put('team', team, content);
+  });
+  put('model', MODEL, {
+    pool: 'sage-llm',
+    version: '1',
+    memoryMib: MIB,
+    adapters: {tuned: {memoryMib: 1}},
+    onDemand: {maxReplicas: engines.length},
+  });
+  engines.forEach(({core, baseUrl}) => {
+    const {backendServerId, failureDomain, region, fencing} = core.options;
+    const {accelerators, memoryMib} = core.options;
+    stewardship.register({
+      type: 'register-backend-server',
+      backendServerId,
+      hostId: backendServerId,
+      baseUrl,
+      pool: 'sage-llm',
+      failureDomain,
+      region,
+      fencing,
+      accelerators,
+      memoryMib,
+    });
+  });
+  placement.decide(
+    {
+      type: 'decide-slots',
+      purpose: {for: 'demand', model: MODEL},
+      targetRevision: configuration.find('model', MODEL)?.sequence ?? 0,
+      expectedPlan: 0,
+      slots: engines.map(({core}) => ({
+        slotId: slotOf(core),
+        model: MODEL,
+        version: '1',
+        adapters: [],
+        backendServerId: core.options.backendServerId,
+        memoryMib: MIB,
+        stage: null,
+        loadAtMs: Date.now() - 1_000,
+        storeMs: 0,
+        untilMs: Date.now() + 3_600_000,
+        replaces: null,
+      })),
+    },
+    1,
+  );
+  return state;
+
+  function put(kind: 'team' | 'model', id: string, content: object): void {
+    configuration.put(
+      {
+        type: 'put-document',
+        kind,
+        id,
+        expectedVersion: 0,
+        content: {...content},
+      },
+      1,
+    );
+  }
+}
+
+function makeContext(
+  state: AgreedState,
+  board: EngineBoard,
+  demanded: string[],
+  options: LoopbackOptions,
+): CallerContext {
+  const clock = new SystemClock();
+  const random = new SeededRandom(1);
+  const router = new Router({
+    clock,
+    random,
+    ownDomain: 'hall-0',
+    findDomain: id => state.stewardship.findBackendServer(id)?.failureDomain,
+    countNodes: () => 1,
+  });
+  const {queueLimit = 1_000} = options;
+  const queueLimitBytes = 64 * 1024 * 1024;
+  const gate = new AdmissionGate(clock, {random, queueLimit, queueLimitBytes});
+  board.onChange(({backendServerId, load, isReachable}) => {
+    if (isReachable) router.noteReport(backendServerId, load);
+    gate.pump();
+  });
+  return {
+    clock,
+    random,
+    logger: new MemoryEventLogger(),
+    incarnation: 'entry-0.1',
+    state: () => state,
+    board,
+    router,
+    gate,
+    servingSets: new ServingSets({
+      clock,
+      state: () => state,
+      board,
+      isLeaving: id => router.isLeaving(id),
+      noteDemand: model => demanded.push(model),
+    }),
+    pools: new BackendPools(),
+    retries: new RetryBudget(options.retryRatio ?? 0.1),
+    hasher: new Sha256PrefixHasher(),
+    stats: new CallerStats(gate),
+    mint: new TicketMint('a secret of the cluster'),
+    keys: new KeyTable(),
+    limits: {
+      maxBodyBytes: options.maxBodyBytes ?? 1_048_576,
+      defaultDeadlineMs: 10_000,
+      maxDeadlineMs: 120_000,
+      entriesTtlMs: 5_000,
+    },
+    listEntries: () => [],
+  };
+}
