Wait at the node and count late reports for little when routing

Cause: with eight routers and reports that lag 0.5 to 1 s, two choices by "reported load plus own requests since" gave longer waits than random choice: all routers took the same old report at its word and sent everything to the server that had been idle, then stopped all at once.

Change: the cost is this node's own requests, known exactly, plus what a slow mean says is queued; all of few candidates are looked at. A window per server, this node's part of what an old report shows scaled to what should be there, bounds what it has there. A request is queued with a margin and given up at its turn when it would probably come too late.

--- a/packages/admit-requests/src/admission_controller.ts
+++ b/packages/admit-requests/src/admission_controller.ts
@@ -41,6 +41,11 @@
   estimatesMs: Map<string, number>;
 }
 
+/**
+ * A request is queued only if it would be met even after a somewhat longer
+ * wait: work on an answer that comes just too late is lost for the others.
+ */
+const WAIT_MARGIN = 1.25;
 const MIN_RETRY_AFTER_MS = 1_000;
 const MAX_RETRY_AFTER_MS = 3_600_000;
 /** Callers come back evenly over the time from one to two times the base. */
@@ -82,6 +87,20 @@
     return this.sets.get(key)?.queue.peek();
   }
 
+  /**
+   * Judges a queued request whose turn it is. One that would probably be
+   * answered too late is given up, so that its place goes to one in time.
+   */
+  judgeStart(
+    key: string,
+    request: AdmissionRequest,
+    nowMs: number,
+  ): Refusal | null {
+    const set = this.openSet(key);
+    const meanMs = set.estimator.meanRunMs(request.workClass, nowMs);
+    return this.judgeRunTime(request, meanMs, nowMs);
+  }
+
   /** Starts the queued request whose turn it is. */
   startNext(key: string, nowMs: number): AdmissionRequest | undefined {
     const set = this.sets.get(key);
@@ -132,7 +151,7 @@
       const refusal =
         this.checkDeadline(request, nowMs) ??
         this.judgeOutlook(set, request, outlook, nowMs) ??
-        this.judgeRunTime(set, request, nowMs);
+        this.judgeQuickest(set, request, nowMs);
       if (!refusal) return [];
       this.abandon(key, request);
       return [{request, refusal}];
@@ -161,7 +180,7 @@
   ): AdmissionDecision {
     const refusal =
       this.judgeOutlook(set, request, outlook, nowMs) ??
-      this.judgeRunTime(set, request, nowMs);
+      this.judgeQuickest(set, request, nowMs);
     if (refusal) return {status: 'refused', refusal};
     const isFree = outlook.status === 'serving' && set.queue.size === 0;
     if (!isFree || !takePlace()) {
@@ -190,14 +209,22 @@
   }
 
   private judgeRunTime(
+    request: AdmissionRequest,
+    runMs: number,
+    nowMs: number,
+  ): Refusal | null {
+    if (runMs <= request.deadlineAtMs - nowMs) return null;
+    const message = `An answer takes about ${Math.round(runMs)} ms.`;
+    return this.makeRefusal('deadline-unmeetable', message, MIN_RETRY_AFTER_MS);
+  }
+
+  private judgeQuickest(
     set: ServingSet,
     request: AdmissionRequest,
     nowMs: number,
   ): Refusal | null {
     const quickMs = set.estimator.quickRunMs(request.workClass, nowMs);
-    if (quickMs <= request.deadlineAtMs - nowMs) return null;
-    const message = `An answer takes at least ${Math.round(quickMs)} ms.`;
-    return this.makeRefusal('deadline-unmeetable', message, MIN_RETRY_AFTER_MS);
+    return this.judgeRunTime(request, quickMs, nowMs);
   }
 
   private noteStarted(set: ServingSet, nowMs: number): void {
@@ -213,16 +240,18 @@
   ): AdmissionDecision {
     const {queue, estimator} = set;
     const ahead = queue.countAhead(request);
+    const estimate = estimator.estimateWaitMs(ahead, set.running);
     const waitMs =
       (outlook.status === 'warming' ? outlook.expectedInMs : 0) +
-      estimator.estimateWaitMs(ahead, set.running, nowMs);
-    const neededMs = waitMs + estimator.meanRunMs(request.workClass, nowMs);
+      Math.max(estimate.correctedMs, estimator.stalledMs(nowMs));
+    const neededMs =
+      waitMs * WAIT_MARGIN + estimator.likelyRunMs(request.workClass, nowMs);
     if (neededMs > request.deadlineAtMs - nowMs) {
       const message = `The wait is expected to be ${Math.round(waitMs)} ms.`;
       return this.refuse('deadline-unmeetable', message, waitMs);
     }
     if (outlook.status === 'serving') {
-      set.estimatesMs.set(request.requestId, waitMs);
+      set.estimatesMs.set(request.requestId, estimate.uncorrectedMs);
     }
     if (this.hasQueueRoom(queue, request)) {
       this.addTo(queue, request);
--- a/packages/admit-requests/src/admission_gate.ts
+++ b/packages/admit-requests/src/admission_gate.ts
@@ -25,7 +25,7 @@
   place: P;
   waitedMs: number;
   /** Notes that the deadline was met: the answer, or its first byte, is here. */
-  noteServed(): void;
+  noteServed: () => void;
 }
 
 /** A request in a queue, with what is done when its turn comes. */
@@ -33,7 +33,10 @@
   request: AdmissionRequest;
   key: string;
   findOutlook(): Outlook;
-  /** Starts the request if there is a place; returns whether there was. */
+  /**
+   * Starts the request if there is a place, or gives it up if that is too
+   * late; returns whether it has left the queue.
+   */
   tryStart(): boolean;
   refuse(refusal: Refusal): void;
 }
@@ -166,9 +169,16 @@
         () => this.giveUpLate(key),
       );
       const tryStart = () => {
+        const nowMs = this.clock.monotonicMs();
+        const refusal = this.controller.judgeStart(key, request, nowMs);
+        if (refusal) {
+          this.controller.abandon(key, request);
+          refuse(refusal);
+          return true;
+        }
         const place = target.takePlace();
         if (place === null) return false;
-        this.controller.startNext(key, this.clock.monotonicMs());
+        this.controller.startNext(key, nowMs);
         this.runningCount += 1;
         leave();
         resolve(place);
@@ -184,7 +194,10 @@
     });
   }
 
-  /** Starts one request: of all queues' heads, the one of highest priority. */
+  /**
+   * Lets one request out: of all queues' heads, the one of highest priority.
+   * Returns whether there was one.
+   */
   private startOne(): boolean {
     const heads = [...this.waitingKeys]
       .map(key => this.controller.peek(key))
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -83,6 +83,8 @@
   private readonly operatorServer: FastifyInstance;
   private readonly periodics: Periodic[] = [];
   private readonly mint: TicketMint;
+  /** Counted at each tick, since every routing decision asks for it. */
+  private nodeCount = 1;
   private leavingServers = new Set<string>();
 
   constructor(private readonly options: NodeOptions) {
@@ -192,6 +194,7 @@
     const every = (intervalMs: number, action: () => void | Promise<void>) =>
       this.periodics.push(startPeriodic(clock, intervalMs, action));
     every(settings.pollIntervalMs, () => {
+      this.nodeCount = Math.max(1, this.peers.listUsable().length);
       this.stewards.post({type: 'tick'});
       this.hosts.post({type: 'tick'});
       this.planner.post({type: 'tick'});
@@ -217,7 +220,7 @@
       ownDomain: settings.failureDomain,
       findDomain: id =>
         this.follower.state.stewardship.findBackendServer(id)?.failureDomain,
-      countNodes: () => this.peers.listUsable().length,
+      countNodes: () => this.nodeCount,
       onCircuit: (backendServerId, state) =>
         state === 'open'
           ? logger.log('backend-suspected', {backendServerId, error: null})
--- /dev/null
+++ b/packages/route-requests/src/measure_main.ts
@@ -0,0 +1,90 @@
+/**
+ * Prints how long a routing decision takes at the size of the target: 670
+ * runners, 260 models. Each decision is timed by itself.
+ */
+import {SystemClock} from '@mimosatack/clock';
+import {SeededRandom} from '@mimosatack/random';
+import {build} from 'hdr-histogram-js';
+import {type RouteRequest, Router} from './router.js';
+
+const RUNNERS = 670;
+const MODELS = 260;
+const DOMAINS = 8;
+const PLACES = 16;
+const NODES = 370;
+const DECISIONS = 200_000;
+const WARM_UP = 20_000;
+/** Replicas of a usual model, and of one that a large event needs. */
+const REPLICA_COUNTS = [8, 64, 256];
+const PREFIX_BLOCKS = 32;
+const LEAVING = 18;
+const NANOS_PER_MICRO = 1_000n;
+
+const random = new SeededRandom(1);
+
+function makeRouter(): Router {
+  const router = new Router({
+    clock: new SystemClock(),
+    random,
+    ownDomain: 'domain-0',
+    findDomain: id => `domain-${Number(id.slice(1)) % DOMAINS}`,
+    countNodes: () => NODES,
+  });
+  runnerIds(RUNNERS).forEach(id =>
+    router.noteReport(id, {
+      runningRequests: random.nextInt(0, PLACES),
+      queuedRequests: 0,
+      maxRunningRequests: PLACES,
+      tokensPerSecond: 0,
+      ageMs: 500,
+    }),
+  );
+  router.setDraining(runnerIds(RUNNERS).slice(0, LEAVING));
+  return router;
+}
+
+function runnerIds(count: number): string[] {
+  return Array.from({length: count}, (_, index) => `r${index}`);
+}
+
+/** One request for each model, with some of its prompt cached somewhere. */
+function makeRequests(router: Router, replicas: number): RouteRequest[] {
+  return Array.from({length: MODELS}, (_, index) => {
+    const model = `model-${index}`;
+    const hashes = Array.from({length: PREFIX_BLOCKS}, (_2, block) =>
+      `${index}-${block}`.padStart(16, '0'),
+    );
+    const start = random.nextInt(0, RUNNERS - replicas);
+    const candidates = runnerIds(RUNNERS).slice(start, start + replicas);
+    const events = hashes.slice(0, PREFIX_BLOCKS / 2).map(prefixHash => {
+      return {op: 'stored' as const, model, prefixHash};
+    });
+    router.noteCacheEvents(candidates[0] ?? '', events);
+    const prefix = {model, hashes};
+    return {candidates, excluded: new Set(), prefix, needsRoom: true};
+  });
+}
+
+function measure(replicas: number) {
+  const router = makeRouter();
+  const requests = makeRequests(router, replicas);
+  const histogram = build({numberOfSignificantValueDigits: 3});
+  Array.from({length: DECISIONS + WARM_UP}).forEach((_, index) => {
+    const request = requests[index % MODELS] as RouteRequest;
+    const beganNs = process.hrtime.bigint();
+    const decision = router.route(request);
+    if (decision.status === 'chosen') {
+      router.noteSent(decision.id);
+      router.noteDone(decision.id);
+    }
+    const tookNs = process.hrtime.bigint() - beganNs;
+    if (index >= WARM_UP) histogram.recordValue(Number(tookNs));
+  });
+  return {
+    replicas,
+    p50Micros: histogram.getValueAtPercentile(50) / Number(NANOS_PER_MICRO),
+    p99Micros: histogram.getValueAtPercentile(99) / Number(NANOS_PER_MICRO),
+  };
+}
+
+console.table(REPLICA_COUNTS.map(measure));
--- a/packages/route-requests/src/router.ts
+++ b/packages/route-requests/src/router.ts
@@ -1,6 +1,6 @@
 /** Chooses a backend server among those that can serve a request. */
 import {type Clock} from '@mimosatack/clock';
-import {type RandomSource} from '@mimosatack/random';
+import {type RandomSource, pickOne} from '@mimosatack/random';
 import {
   type BackendServerId,
   type FailureDomain,
@@ -50,6 +50,18 @@
 /** How much load a wholly cached prompt outweighs, in units of capacity. */
 const PREFIX_WEIGHT = 0.3;
 
+/** Up to this many candidates are all looked at. */
+const MAX_SCANNED = 16;
+/** Of more candidates, this many are drawn. */
+const DRAWN = 4;
+/** With fewer that fit among those drawn, all candidates are looked at. */
+const MIN_FITTING = 2;
+
+/** A request with the time of its decision. */
+interface DatedRequest extends RouteRequest {
+  nowMs: number;
+}
+
 /** Routes by corrected load, cached prefixes, circuits and leaving hosts. */
 export class Router {
   readonly prefixes = new PrefixTable();
@@ -78,7 +90,11 @@
 
   /** Takes a load report that has just come in. */
   noteReport(id: BackendServerId, load: LoadReport): void {
-    this.openLoad(id).noteReport(load, this.nowMs());
+    this.openLoad(id).noteReport(load, {
+      nowMs: this.nowMs(),
+      nodeCount: this.options.countNodes(),
+      chance: this.options.random.nextFraction(),
+    });
   }
 
   noteCacheEvents(
@@ -104,21 +120,29 @@
   }
 
   /**
-   * Looks at two candidates at random, and at one that has the prompt's start
-   * cached, and takes the least loaded. Taking the least loaded of all would
-   * send every node with the same late reports to the same server.
+   * Looks at all of a few candidates, or at some of many drawn at random, and
+   * at one that has the prompt's start cached, and takes the one with the
+   * least cost. The cost rests on what this node knows exactly, its own
+   * requests; see `ServerLoad` for why late reports count for little.
    */
-  route(request: RouteRequest): RouteDecision {
-    const nowMs = this.nowMs();
-    const usable = this.listUsable(request, nowMs);
+  route(asked: RouteRequest): RouteDecision {
+    const {candidates, excluded, avoidedDomains, prefix, needsRoom} = asked;
+    const request: DatedRequest = {
+      candidates,
+      excluded,
+      avoidedDomains,
+      prefix,
+      needsRoom,
+      nowMs: this.nowMs(),
+    };
+    const sample = this.sample(request);
+    if (sample) return {status: 'chosen', id: this.pick(sample, request)};
+    const usable = this.listUsable(request);
     if (usable.length === 0) return {status: 'none'};
-    const nodeCount = this.options.countNodes();
-    const roomy = request.needsRoom
-      ? usable.filter(id => this.hasRoom(id, nodeCount, nowMs))
-      : usable;
+    const roomy = usable.filter(id => this.hasRoom(id, request));
     if (roomy.length === 0) return {status: 'full'};
-    const id = this.chooseAmong(this.avoidDomains(roomy, request), request);
-    return {status: 'chosen', id};
+    const drawn = this.rotate(this.avoidDomains(roomy, request));
+    return {status: 'chosen', id: this.pick(drawn, request)};
   }
 
   noteSent(id: BackendServerId, prefix?: RouteRequest['prefix']): void {
@@ -169,9 +193,40 @@
     this.options.onCircuit?.(id, 'open');
   }
 
-  private listUsable(request: RouteRequest, nowMs: number): BackendServerId[] {
-    const present = request.candidates.filter(
-      id => !request.excluded.has(id) && !this.leaving.has(id, nowMs),
+  /**
+   * Some of many candidates, without a look at all of them. Null when there
+   * are few, or when too few of those drawn were a choice.
+   */
+  private sample(request: DatedRequest): BackendServerId[] | null {
+    const {candidates, avoidedDomains} = request;
+    const isSmall = candidates.length <= MAX_SCANNED;
+    if (isSmall || (avoidedDomains && avoidedDomains.size > 0)) return null;
+    const {random} = this.options;
+    const drawn = Array.from({length: DRAWN}, () =>
+      random.nextInt(0, candidates.length - 1),
+    );
+    const fitting = drawn
+      .map(index => candidates[index] as BackendServerId)
+      .filter(id => this.isFitting(id, request));
+    return fitting.length >= MIN_FITTING ? fitting : null;
+  }
+
+  private isFitting(id: BackendServerId, request: DatedRequest): boolean {
+    return (
+      this.isPresent(id, request) &&
+      this.circuits.allows(id, request.nowMs) &&
+      this.hasRoom(id, request)
+    );
+  }
+
+  private isPresent(id: BackendServerId, request: DatedRequest): boolean {
+    return !request.excluded.has(id) && !this.leaving.has(id, request.nowMs);
+  }
+
+  private listUsable(request: DatedRequest): BackendServerId[] {
+    const {nowMs} = request;
+    const present = request.candidates.filter(id =>
+      this.isPresent(id, request),
     );
     const allowed = present.filter(id => this.circuits.allows(id, nowMs));
     return allowed.length > 0
@@ -181,7 +236,7 @@
 
   private avoidDomains(
     ids: BackendServerId[],
-    {avoidedDomains}: RouteRequest,
+    {avoidedDomains}: DatedRequest,
   ): BackendServerId[] {
     if (!avoidedDomains || avoidedDomains.size === 0) return ids;
     const elsewhere = ids.filter(id => {
@@ -191,18 +246,25 @@
     return elsewhere.length > 0 ? elsewhere : ids;
   }
 
-  private chooseAmong(
-    ids: readonly BackendServerId[],
-    {prefix}: RouteRequest,
+  /** The least loaded of those drawn and of one that holds the prefix. */
+  private pick(
+    drawn: readonly BackendServerId[],
+    request: DatedRequest,
   ): BackendServerId {
-    const nowMs = this.nowMs();
+    const {prefix, candidates, nowMs} = request;
     const match = prefix && this.prefixes.find(prefix.model, prefix.hashes);
-    const holders = match?.holders.filter(id => ids.includes(id)) ?? [];
-    const drawn = [...this.drawTwo(ids), ...this.drawTwo(holders).slice(0, 1)];
+    const holders = match?.holders ?? [];
+    const holder = pickOne(
+      this.options.random,
+      holders.filter(
+        id => candidates.includes(id) && this.isFitting(id, request),
+      ),
+    );
     const costOf = (id: BackendServerId) =>
-      (this.loads.get(id)?.utilization(nowMs) ?? 0) -
+      (this.loads.get(id)?.cost(nowMs) ?? 0) -
       (match && holders.includes(id) ? match.fraction * PREFIX_WEIGHT : 0);
-    return drawn.reduce((best, id) => {
+    const choices = holder === undefined ? drawn : [...drawn, holder];
+    return choices.reduce((best, id) => {
       const difference = costOf(id) - costOf(best);
       const isBetter =
         difference < 0 || (difference === 0 && this.isNearer(id, best));
@@ -218,20 +280,15 @@
     );
   }
 
-  private drawTwo(ids: readonly BackendServerId[]): BackendServerId[] {
-    if (ids.length <= 1) return [...ids];
-    const first = this.options.random.nextInt(0, ids.length - 1);
-    const step = this.options.random.nextInt(1, ids.length - 1);
-    const second = (first + step) % ids.length;
-    return [ids[first], ids[second]] as BackendServerId[];
+  /** Begins at a random place, so that equals are taken in turn. */
+  private rotate(ids: readonly BackendServerId[]): BackendServerId[] {
+    const start = this.options.random.nextInt(0, ids.length - 1);
+    return [...ids.slice(start), ...ids.slice(0, start)];
   }
 
-  private hasRoom(
-    id: BackendServerId,
-    nodeCount: number,
-    nowMs: number,
-  ): boolean {
-    return this.loads.get(id)?.hasRoom(nodeCount, nowMs) ?? true;
+  private hasRoom(id: BackendServerId, {needsRoom}: DatedRequest): boolean {
+    const load = needsRoom ? this.loads.get(id) : undefined;
+    return load?.hasRoom ?? true;
   }
 
   private openLoad(id: BackendServerId): ServerLoad {
--- a/packages/serve-callers/src/serving_sets.ts
+++ b/packages/serve-callers/src/serving_sets.ts
@@ -1,6 +1,11 @@
 /** Which replicas serve a model now, and when one will if none does. */
 import {type Outlook} from '@mimosatack/admit-requests';
-import {type AgreedState, type Slot, isServing} from '@mimosatack/agreed-state';
+import {
+  type AgreedState,
+  type ResolvedEvent,
+  type Slot,
+  isServing,
+} from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
 import {type EngineBoard} from '@mimosatack/engine-board';
 import {type BackendServerId} from '@mimosatack/types';
@@ -116,11 +121,9 @@
    * there for so long without a decision that none is to be expected, such as
    * during an outage of the log service.
    */
-  private expectDemandMs({model, adapter}: ModelSelection): number {
-    const {configuration} = this.options.state();
-    const maxReplicas =
-      configuration.find('model', model)?.content.onDemand.maxReplicas ?? 0;
-    if (maxReplicas === 0 || adapter !== null) return Infinity;
+  private expectDemandMs(selection: ModelSelection): number {
+    const {model} = selection;
+    if (!this.mayLoadOnDemand(selection)) return Infinity;
     const demand = this.demands.get(model);
     const askedForMs = demand
       ? this.options.clock.monotonicMs() - demand.firstAtMs
@@ -130,6 +133,25 @@
     return decisionMs + this.loadTimes.expectMs(DEFAULT_STORE_MS);
   }
 
+  private mayLoadOnDemand({model, adapter}: ModelSelection): boolean {
+    const {configuration} = this.options.state();
+    const nowMs = this.options.clock.wallMs();
+    const maxReplicas =
+      configuration.find('model', model)?.content.onDemand.maxReplicas ?? 0;
+    if (maxReplicas > 0 && adapter === null) return true;
+    // A policy that loads on the first request decides no slot before it.
+    return this.listEvents(model).some(
+      event =>
+        event.startsAtMs <= nowMs &&
+        nowMs < event.endsAtMs &&
+        event.needs.some(
+          need =>
+            need.model === model &&
+            (adapter === null || need.adapters.includes(adapter)),
+        ),
+    );
+  }
+
   private noteDemand(model: string): void {
     const nowMs = this.options.clock.monotonicMs();
     const known = this.demands.get(model);
@@ -146,15 +168,19 @@
   /** When the next event that needs the model starts. */
   private findComeBackMs({model}: ModelSelection): number {
     const nowMs = this.options.clock.wallMs();
-    const startsInMs = this.options
-      .state()
-      .configuration.listEvents()
-      .filter(event => event.needs.some(need => need.model === model))
+    const startsInMs = this.listEvents(model)
       .map(event => event.startsAtMs - nowMs)
       .filter(inMs => inMs > 0);
     return startsInMs.length === 0 ? COLD_RETRY_MS : Math.min(...startsInMs);
   }
 
+  private listEvents(model: string): ResolvedEvent[] {
+    return this.options
+      .state()
+      .configuration.listEvents()
+      .filter(event => event.needs.some(need => need.model === model));
+  }
+
   private listSlots(model: string): readonly Slot[] {
     const state = this.options.state();
     const {slotIndex} = this;
