--- a/packages/agreed-state/src/agreed_state.ts
+++ b/packages/agreed-state/src/agreed_state.ts
@@ -6,6 +6,7 @@
 import {createHash} from 'node:crypto';
 import {
   type AgreedRecord,
+  type BodyOf,
   type DecodedRecord,
   decodeBatch,
 } from '@mimosatack/records';
@@ -16,6 +17,7 @@
   type ConfigurationSnapshot,
 } from './configuration/configuration.js';
 import {type Outcome, VALID, makeVoid} from './outcome.js';
+import {type RememberedId, RememberedIds} from './remembered_ids.js';
 import {Placement, type PlacementSnapshot} from './placement/placement.js';
 import {
   Stewardship,
@@ -32,6 +34,9 @@
  */
 export const BASIS_HORIZON = 20_000;
 
+/** After how many records tombstones beyond the horizon are dropped. */
+const FORGET_STEP = 5_000;
+
 /** One folded record with its verdict. */
 export interface FoldedRecord {
   sequence: number;
@@ -41,17 +46,13 @@
   outcome: Outcome;
 }
 
-interface RememberedId {
-  recordId: string;
-  sequence: number;
-}
-
 /** The plain form of the whole state. */
 interface StateSnapshot {
   form: number;
   rulesVersion: number;
   nextOffset: LogOffset;
   sequence: number;
+  checkpointSequence: number;
   rememberedIds: RememberedId[];
   configuration: ConfigurationSnapshot;
   stewardship: StewardshipSnapshot;
@@ -70,7 +71,10 @@
   /** How many records were folded; the last one has this number. */
   sequence = 0;
   rulesVersion = 1;
-  private rememberedIds = new Map<string, number>();
+  private nextRulesVersion = 1;
+  /** The sequence number that the newest noted checkpoint covers. */
+  checkpointSequence = 0;
+  private rememberedIds = new RememberedIds(BASIS_HORIZON);
 
   /** Whether this release knows the rules that are in force. */
   get isSupported(): boolean {
@@ -79,10 +83,11 @@
 
   /**
    * Folds one append. Appends must come in order without a gap; an append
-   * that was folded before is passed over.
+   * that was folded before is passed over, and so is everything once rules
+   * are in force that this release does not know.
    */
   foldAppend(offset: LogOffset, data: Uint8Array): FoldedRecord[] {
-    if (offset < this.nextOffset) return [];
+    if (offset < this.nextOffset || !this.isSupported) return [];
     if (offset > this.nextOffset) {
       throw new RangeError(
         `Append ${offset} is not next; expected ${this.nextOffset}.`,
@@ -90,11 +95,13 @@
     }
     const folded = decodeBatch(data).map(entry => this.foldOne(offset, entry));
     this.nextOffset = offset + 1;
+    this.rulesVersion = this.nextRulesVersion;
     return folded;
   }
 
   private foldOne(offset: LogOffset, entry: DecodedRecord): FoldedRecord {
     this.sequence += 1;
+    this.forgetOld();
     const record = 'record' in entry ? entry.record : null;
     const recordId = 'record' in entry ? entry.record.recordId : entry.recordId;
     const outcome =
@@ -105,17 +112,13 @@
   }
 
   private judge(record: AgreedRecord): Outcome {
-    this.forgetOld();
-    if (!this.isSupported) {
-      return makeVoid('unsupported-rules', 'Upgrade this node.');
-    }
     if (this.rememberedIds.has(record.recordId)) {
       return makeVoid('duplicate', 'The record was folded before.');
     }
     if (record.basisSequence < this.sequence - BASIS_HORIZON) {
       return makeVoid('stale-basis', 'The record was written too long ago.');
     }
-    this.rememberedIds.set(record.recordId, this.sequence);
+    this.rememberedIds.add(record.recordId, this.sequence);
     return this.apply(record);
   }
 
@@ -125,12 +128,16 @@
       case 'put-document':
         return this.configuration.put(body, this.sequence);
       case 'delete-document':
-        return this.configuration.delete(body, this.sequence);
+        return this.deleteDocument(body);
       case 'register-backend-server':
         return this.stewardship.register(body);
       case 'remove-backend-server':
         this.placement.removeBackendServer(body.backendServerId);
         return this.stewardship.remove(body);
+      case 'note-host-state':
+        return this.stewardship.noteHostState(body);
+      case 'drain-backend-server':
+        return this.stewardship.drain(body);
       case 'decide-slots':
         return this.placement.decide(body, this.sequence);
       case 'end-slots':
@@ -150,31 +157,45 @@
         return this.stewardship.yield(body, author);
       case 'clear-doubt':
         return this.stewardship.clearDoubt(body, author);
+      case 'note-checkpoint':
+        return this.noteCheckpoint(body);
       case 'activate-rules':
         return this.activateRules(body.rulesVersion);
     }
   }
 
+  private noteCheckpoint(body: BodyOf<'note-checkpoint'>): Outcome {
+    if (body.coversSequence <= this.checkpointSequence) {
+      return makeVoid('duplicate', 'A newer checkpoint was noted.');
+    }
+    this.checkpointSequence = body.coversSequence;
+    return VALID;
+  }
+
+  private deleteDocument(body: BodyOf<'delete-document'>): Outcome {
+    const outcome = this.configuration.delete(body, this.sequence);
+    if (body.kind === 'event') this.placement.forgetEvent(body.id);
+    return outcome;
+  }
+
   /**
    * Guards against two releases that would fold the same record differently:
-   * new rules hold only from this record on, and a node that does not know
-   * them stops folding instead of going its own way.
+   * new rules hold only from the next append on, and a node that does not know
+   * them stops folding there instead of going its own way.
    */
   private activateRules(version: number): Outcome {
-    if (version <= this.rulesVersion) {
+    if (version <= this.nextRulesVersion) {
       return makeVoid('version-conflict', 'These rules are in force already.');
     }
-    this.rulesVersion = version;
+    this.nextRulesVersion = version;
     return VALID;
   }
 
+  /** Tombstones go in steps, since dropping a few at a time is slow. */
   private forgetOld(): void {
-    const horizon = this.sequence - BASIS_HORIZON;
-    for (const [recordId, sequence] of this.rememberedIds) {
-      if (sequence >= horizon) break;
-      this.rememberedIds.delete(recordId);
-    }
-    this.configuration.forgetTombstonesBefore(horizon);
+    this.rememberedIds.advanceTo(this.sequence);
+    if (this.sequence % FORGET_STEP !== 0) return;
+    this.configuration.forgetTombstonesBefore(this.sequence - BASIS_HORIZON);
   }
 
   /** The whole state as bytes; equal states give equal bytes. */
@@ -184,10 +205,8 @@
       rulesVersion: this.rulesVersion,
       nextOffset: this.nextOffset,
       sequence: this.sequence,
-      rememberedIds: [...this.rememberedIds].map(([recordId, sequence]) => ({
-        recordId,
-        sequence,
-      })),
+      checkpointSequence: this.checkpointSequence,
+      rememberedIds: this.rememberedIds.list(),
       configuration: this.configuration.toSnapshot(),
       stewardship: this.stewardship.toSnapshot(),
       placement: this.placement.toSnapshot(),
@@ -203,13 +222,13 @@
     }
     const state = new AgreedState();
     state.rulesVersion = snapshot.rulesVersion;
+    state.nextRulesVersion = snapshot.rulesVersion;
     state.nextOffset = snapshot.nextOffset;
     state.sequence = snapshot.sequence;
-    state.rememberedIds = new Map(
-      snapshot.rememberedIds.map(({recordId, sequence}) => [
-        recordId,
-        sequence,
-      ]),
+    state.checkpointSequence = snapshot.checkpointSequence;
+    state.rememberedIds = RememberedIds.restore(
+      BASIS_HORIZON,
+      snapshot.rememberedIds,
     );
     state.configuration = Configuration.restore(snapshot.configuration);
     state.stewardship = Stewardship.restore(snapshot.stewardship);
--- a/packages/agreed-state/src/stewardship/stewardship.ts
+++ b/packages/agreed-state/src/stewardship/stewardship.ts
@@ -48,6 +48,10 @@
   server: BackendServer;
   claim: StewardClaim | null;
   doubts: Doubt[];
+  /** An operator wants it to receive no new work. */
+  isDraining: boolean;
+  /** Whether the platform's list says that its host leaves. */
+  isLeaving: boolean;
 }
 
 /** The plain form of the aggregate, for checkpoints. */
@@ -104,6 +108,8 @@
         server,
         claim: null,
         doubts: [],
+        isDraining: false,
+        isLeaving: false,
       });
       return VALID;
     }
@@ -123,6 +129,45 @@
         );
   }
 
+  /** Whether an operator wants it to receive no new work. */
+  isDraining(id: BackendServerId): boolean {
+    return this.entries.get(id)?.isDraining ?? false;
+  }
+
+  /** Whether its host leaves. */
+  isLeaving(id: BackendServerId): boolean {
+    return this.entries.get(id)?.isLeaving ?? false;
+  }
+
+  drain(body: BodyOf<'drain-backend-server'>): Outcome {
+    return this.change(body.backendServerId, entry => {
+      const isNews = entry.isDraining !== body.isDraining;
+      entry.isDraining = body.isDraining;
+      return isNews;
+    });
+  }
+
+  noteHostState(body: BodyOf<'note-host-state'>): Outcome {
+    return this.change(body.backendServerId, entry => {
+      const isNews = entry.isLeaving !== body.isLeaving;
+      entry.isLeaving = body.isLeaving;
+      return isNews;
+    });
+  }
+
+  private change(
+    id: BackendServerId,
+    apply: (entry: ServerEntry) => boolean,
+  ): Outcome {
+    const entry = this.entries.get(id);
+    if (!entry) {
+      return makeVoid('unknown-reference', `There is no backend server ${id}.`);
+    }
+    return apply(entry)
+      ? VALID
+      : makeVoid('version-conflict', 'It is in that state already.');
+  }
+
   /** @param slotIds the slots that the former holder may have on the way. */
   claim(
     body: BodyOf<'claim-steward'>,
--- a/packages/records/src/record_schema.ts
+++ b/packages/records/src/record_schema.ts
@@ -59,6 +59,19 @@
   backendServerId: name,
 });
 
+const noteHostState = z.object({
+  type: z.literal('note-host-state'),
+  backendServerId: name,
+  /** Whether the platform's list says that its host leaves. */
+  isLeaving: z.boolean(),
+});
+
+const drainBackendServer = z.object({
+  type: z.literal('drain-backend-server'),
+  backendServerId: name,
+  isDraining: z.boolean(),
+});
+
 const slot = z.object({
   slotId: name,
   model: name,
@@ -136,7 +149,15 @@
   backendServerId: name,
   /** The epoch of the former claim whose orders can no longer arrive. */
   epoch: version,
-  evidence: z.enum(['acknowledged', 'host-gone']),
+  evidence: z.enum(['acknowledged', 'host-gone', 'replaced']),
+});
+
+const noteCheckpoint = z.object({
+  type: z.literal('note-checkpoint'),
+  /** The checkpoint covers all appends below this offset. */
+  coversOffset: version,
+  /** How many records those appends held. */
+  coversSequence: version,
 });
 
 const activateRules = z.object({
@@ -149,6 +170,8 @@
   deleteDocument,
   registerBackendServer,
   removeBackendServer,
+  noteHostState,
+  drainBackendServer,
   decideSlots,
   endSlots,
   extendSlots,
@@ -156,6 +179,7 @@
   claimSteward,
   yieldSteward,
   clearDoubt,
+  noteCheckpoint,
   activateRules,
 ]);
 
--- a/packages/serve-callers/src/admission_terms.ts
+++ b/packages/serve-callers/src/admission_terms.ts
@@ -4,7 +4,7 @@
   type AdmissionRequest,
   type WorkClass,
 } from '@mimosatack/admit-requests';
-import {type Caller} from './authenticate.js';
+import {type Caller} from '@mimosatack/authenticate';
 import {type CallerContext} from './caller_context.js';
 import {type RequestTerms} from './request_terms.js';
 
--- a/packages/serve-callers/src/caller_context.ts
+++ b/packages/serve-callers/src/caller_context.ts
@@ -9,6 +9,7 @@
 import {type RetryBudget} from '@mimosatack/retry-requests';
 import {type PrefixHasher, type Router} from '@mimosatack/route-requests';
 import {type KeyTable, type TicketMint} from '@mimosatack/unrepeatable';
+import {type FastifyServerFactory} from 'fastify';
 import {type CallerStats} from './caller_stats.js';
 import {type ServingSets} from './serving_sets.js';
 
@@ -39,6 +40,8 @@
   mint: TicketMint;
   keys: KeyTable;
   limits: CallerLimits;
+  /** Makes the HTTP server; fastify's own when left out. */
+  serverFactory?: FastifyServerFactory;
   listEntries(): EntryAddress[];
 }
 
--- a/packages/serve-callers/src/completion_routes.ts
+++ b/packages/serve-callers/src/completion_routes.ts
@@ -1,5 +1,6 @@
 /** Chat completions and completions, streamed or whole. */
 import {randomUUID} from 'node:crypto';
+import {authenticateCaller} from '@mimosatack/authenticate';
 import {TypedError, toTypedError} from '@mimosatack/errors';
 import {
   type FastifyInstance,
@@ -7,7 +8,6 @@
   type FastifyRequest,
 } from 'fastify';
 import {makeAdmissionRequest} from './admission_terms.js';
-import {authenticateCaller} from './authenticate.js';
 import {type CallerContext} from './caller_context.js';
 import {type CompletionJob} from './completion_job.js';
 import {isCallerGone, runCompletion} from './completion_pipeline.js';
@@ -114,7 +114,7 @@
     reply.hijack();
     return;
   }
-  const error = toTypedError(thrown);
+  const error = withOutcome(toTypedError(thrown), job);
   stats.noteRefused(error.kind);
   if (job) {
     logger.log('request-refused', {
@@ -126,6 +126,13 @@
   if (!reply.sent) sendError(reply, error);
 }
 
+/** Before a job is read nothing can have run. */
+function withOutcome(error: TypedError, job: CompletionJob | null): TypedError {
+  return error.run === undefined
+    ? error.withRun(job ? 'unknown' : 'not-run')
+    : error;
+}
+
 function logAnswered(job: CompletionJob, {logger, clock}: CallerContext): void {
   logger.log('request-answered', {
     requestId: job.requestId,
--- a/packages/serve-callers/src/model_routes.ts
+++ b/packages/serve-callers/src/model_routes.ts
@@ -1,6 +1,6 @@
 /** The catalogue of models, in the common form. */
 import {type FastifyInstance} from 'fastify';
-import {authenticateCaller} from './authenticate.js';
+import {authenticateCaller} from '@mimosatack/authenticate';
 import {type CallerContext} from './caller_context.js';
 import {
   type ModelSelection,
