--- a/packages/admit-requests/src/admission_controller.ts
+++ b/packages/admit-requests/src/admission_controller.ts
@@ -1,6 +1,7 @@
 /** Decides which requests start, wait or are refused; without any sockets. */
-import {type RandomSource, addJitter} from '@mimosatack/random';
+import {type RandomSource} from '@mimosatack/random';
 import {FairQueue} from './fair_queue.js';
+import {MIN_RETRY_AFTER_MS, makeRefusal} from './make_refusal.js';
 import {TeamLimiter} from './team_limiter.js';
 import {
   type AdmissionRequest,
@@ -46,10 +47,6 @@
  * wait: work on an answer that comes just too late is lost for the others.
  */
 const WAIT_MARGIN = 1.25;
-const MIN_RETRY_AFTER_MS = 1_000;
-const MAX_RETRY_AFTER_MS = 3_600_000;
-/** Callers come back evenly over the time from one to two times the base. */
-const RETRY_AFTER_SPREAD = 1;
 
 /** All queues of one node. */
 export class AdmissionController {
@@ -316,21 +313,11 @@
     };
   }
 
-  /**
-   * Guards against a burst that is refused whole and comes back whole at the
-   * same moment: the time to come back differs from caller to caller.
-   */
   private makeRefusal(
     kind: RefusalKind,
     message: string,
     baseMs: number,
   ): Refusal {
-    const boundedMs = Math.min(
-      MAX_RETRY_AFTER_MS,
-      Math.max(MIN_RETRY_AFTER_MS, baseMs),
-    );
-    const {random} = this.options;
-    const retryAfterMs = addJitter(random, boundedMs, RETRY_AFTER_SPREAD);
-    return {kind, message, retryAfterMs: Math.round(retryAfterMs)};
+    return makeRefusal(this.options.random, kind, message, baseMs);
   }
 }
--- a/packages/route-requests/src/index.ts
+++ b/packages/route-requests/src/index.ts
@@ -5,6 +5,5 @@
   type Outcome,
   type RouteDecision,
   type RouteRequest,
-  Router,
-  type RouterOptions,
-} from './router.js';
+} from './route_types.js';
+export {Router, type RouterOptions} from './router.js';
--- a/packages/route-requests/src/measure_main.ts
+++ b/packages/route-requests/src/measure_main.ts
@@ -5,7 +5,8 @@
 import {SystemClock} from '@mimosatack/clock';
 import {SeededRandom} from '@mimosatack/random';
 import {build} from 'hdr-histogram-js';
-import {type RouteRequest, Router} from './router.js';
+import {type RouteRequest} from './route_types.js';
+import {Router} from './router.js';
 
 const RUNNERS = 670;
 const MODELS = 260;
--- a/packages/route-requests/src/router.test.ts
+++ b/packages/route-requests/src/router.test.ts
@@ -5,7 +5,8 @@
 import * as assert from 'uvu/assert';
 import {PrefixTable} from './prefix_table.js';
 import {Sha256PrefixHasher} from './prefix_hasher.js';
-import {type RouteRequest, Router} from './router.js';
+import {type RouteRequest} from './route_types.js';
+import {Router} from './router.js';
 
 const test = suite('router');
 
--- a/packages/route-requests/src/router.ts
+++ b/packages/route-requests/src/router.ts
@@ -10,31 +10,13 @@
 import {LatencyPeers} from './latency_peers.js';
 import {LeavingSet} from './leaving_set.js';
 import {type PrefixCacheEvent, PrefixTable} from './prefix_table.js';
+import {
+  type Outcome,
+  type RouteDecision,
+  type RouteRequest,
+} from './route_types.js';
 import {ServerLoad} from './server_load.js';
 
-/** What a request needs of a backend server. */
-export interface RouteRequest {
-  candidates: readonly BackendServerId[];
-  /** Backend servers that were tried already. */
-  excluded: ReadonlySet<BackendServerId>;
-  /** Failure domains to leave out while there is another choice. */
-  avoidedDomains?: ReadonlySet<FailureDomain>;
-  /** The model and the hashes of the prompt's first blocks. */
-  prefix?: {model: string; hashes: readonly string[]};
-  /** Whether a server that is full is no choice. */
-  needsRoom?: boolean;
-}
-
-/** `full`: some would serve it later; `none`: none is there. */
-export type RouteDecision =
-  {status: 'chosen'; id: BackendServerId} | {status: 'full'} | {status: 'none'};
-
-/** How a request went, as far as it tells something about the server. */
-export type Outcome =
-  | {status: 'answered'; group: string; firstByteMs: number}
-  | {status: 'failed'}
-  | {status: 'neutral'};
-
 /** What the router is built from. */
 export interface RouterOptions {
   clock: Clock;
--- /dev/null
+++ b/packages/serve-callers/src/loopback_worker_main.ts
@@ -0,0 +1,9 @@
+/** Runs a node's callers' server and its engines in a thread of their own. */
+import {parentPort, workerData} from 'node:worker_threads';
+import {type LoopbackOptions, startLoopback} from './loopback_fixture.js';
+
+const loopback = await startLoopback(workerData as LoopbackOptions);
+parentPort?.postMessage({
+  nodeUrl: loopback.baseUrl,
+  engineUrls: loopback.engines.map(engine => engine.baseUrl),
+});
