--- a/packages/route-requests/src/router.ts
+++ b/packages/route-requests/src/router.ts
@@ -36,8 +36,10 @@
 const MAX_SCANNED = 16;
 /** Of more candidates, this many are drawn. */
 const DRAWN = 4;
-/** With fewer that fit among those drawn, all candidates are looked at. */
+/** With fewer that fit among those drawn, others are drawn. */
 const MIN_FITTING = 2;
+/** After this many draws all candidates are looked at. */
+const ROUNDS = 3;
 
 /** A request with the time of its decision. */
 interface DatedRequest extends RouteRequest {
@@ -183,14 +185,22 @@
     const {candidates, avoidedDomains} = request;
     const isSmall = candidates.length <= MAX_SCANNED;
     if (isSmall || (avoidedDomains && avoidedDomains.size > 0)) return null;
+    for (let round = 0; round < ROUNDS; round += 1) {
+      const fitting = this.draw(candidates).filter(id =>
+        this.isFitting(id, request),
+      );
+      if (fitting.length >= MIN_FITTING) return fitting;
+    }
+    return null;
+  }
+
+  private draw(candidates: readonly BackendServerId[]): BackendServerId[] {
     const {random} = this.options;
-    const drawn = Array.from({length: DRAWN}, () =>
-      random.nextInt(0, candidates.length - 1),
+    return Array.from(
+      {length: DRAWN},
+      () =>
+        candidates[random.nextInt(0, candidates.length - 1)] as BackendServerId,
     );
-    const fitting = drawn
-      .map(index => candidates[index] as BackendServerId)
-      .filter(id => this.isFitting(id, request));
-    return fitting.length >= MIN_FITTING ? fitting : null;
   }
 
   private isFitting(id: BackendServerId, request: DatedRequest): boolean {
