--- a/packages/admit-requests/src/types.ts
+++ b/packages/admit-requests/src/types.ts
@@ -8,8 +8,8 @@
 }
 
 /**
- * What the deadline of a request bounds: the first byte of a streamed answer,
- * or the whole of any other.
+ * What is estimated to come in time: the first byte of a streamed answer, or
+ * the whole of any other.
  */
 export type WorkClass = 'streamed' | 'whole';
 
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -13,7 +13,6 @@
   parseSettings,
   redactSettings,
 } from '@mimosatack/settings';
-import {Shutdown} from './shutdown.js';
 
 const RELEASE = '0.1.0';
 const EXIT_BAD_SETTINGS = 2;
@@ -67,18 +66,13 @@
     random: new SeededRandom(randomBytes(4).readInt32LE()),
     release: RELEASE,
   });
-  const shutdown = new Shutdown({
-    node,
-    clock,
-    logger,
-    graceMs: settings.shutdownGraceMs,
-    exit: code => process.exit(code),
-  });
+  // Before the start, so that a stop that comes during it is not lost.
+  process.on('SIGTERM', () => node.requestStop('SIGTERM'));
+  process.on('SIGINT', () => node.requestStop('SIGINT'));
+  void node.stopped.then(exitCode => process.exit(exitCode));
   try {
     const addresses = await node.start();
-    process.on('SIGTERM', signal => shutdown.take(signal));
-    process.on('SIGINT', signal => shutdown.take(signal));
-    process.stdout.write(`READY ${JSON.stringify(addresses)}\n`);
+    if (addresses) process.stdout.write(`READY ${JSON.stringify(addresses)}\n`);
   } catch (thrown) {
     logger.log('start-failed', {error: toTypedError(thrown)});
     process.exit(EXIT_FAILED);
--- a/packages/dispatch-requests/src/index.ts
+++ b/packages/dispatch-requests/src/index.ts
@@ -8,10 +8,4 @@
   type OwnConnectionRequest,
   sendOnce,
 } from './own_connection.js';
-export {
-  type WholeAnswer,
-  checkCompletion,
-  readContentType,
-  readRefusal,
-  readWhole,
-} from './read_answer.js';
+export {readRefusal} from './read_refusal.js';
--- a/packages/node/src/steward_task.ts
+++ b/packages/node/src/steward_task.ts
@@ -55,6 +55,14 @@
   orderDoubtMs: number;
 }
 
+/** What became of the backend servers of a node that stops. */
+export interface YieldReport {
+  yieldedIds: BackendServerId[];
+  keptIds: BackendServerId[];
+  /** Why some were kept. */
+  reason: 'log-unavailable' | 'order-on-the-way' | null;
+}
+
 const MAX_SUCCESSORS = 3;
 const RANK_DELAY_MS = 2_000;
 /** How long a holder that membership never heard of is waited for. */
@@ -72,6 +80,7 @@
   private readonly retired = new Map<number, EngineSteward>();
   private readonly freeSinceMs = new Map<BackendServerId, number>();
   private readonly submitting = new Set<string>();
+  private isYielding = false;
   /** How often a claim of this node was taken away while it was alive. */
   private readonly takenAway = new Map<BackendServerId, number>();
 
@@ -82,21 +91,32 @@
     super('steward', onError);
   }
 
-  /** Gives up every claim of this node that has no order on the way. */
-  async yieldAll(): Promise<void> {
-    const yields = [...this.stewards.entries()].map(async ([id, steward]) => {
-      await steward.retire();
-      if (steward.hasOrdersOnTheWay) return;
-      await this.submit(`yield ${id}`, {
-        type: 'yield-steward',
-        backendServerId: id,
-        epoch: steward.epoch,
-      });
-    });
-    await Promise.all(yields);
+  /**
+   * Gives up every claim of this node that has no order on the way, so that
+   * another node takes over at once; takes up nothing more. While the log is
+   * down nothing is given up: others take over once this node counts as gone.
+   */
+  async yieldAll(): Promise<YieldReport> {
+    this.isYielding = true;
+    const {status} = this.options.follower;
+    const held = [...this.stewards.entries()].filter(
+      ([, steward]) => steward.rank === 0,
+    );
+    await Promise.all(held.map(([, steward]) => steward.retire()));
+    if (status.isLogReachable) {
+      await Promise.all(held.map(([id, steward]) => this.yield(id, steward)));
+    }
+    const ids = held.map(([id]) => id);
+    const keptIds = ids.filter(id => !this.isYielded(id));
+    return {
+      yieldedIds: ids.filter(id => this.isYielded(id)),
+      keptIds,
+      reason: describeKept(keptIds, status.isLogReachable),
+    };
   }
 
   protected handle(_message: StewardMessage): void {
+    if (this.isYielding) return;
     const {state} = this.options.follower;
     const engines = state.stewardship
       .listBackendServers()
@@ -106,6 +126,27 @@
     this.forgetRemoved(new Set(engines.map(server => server.backendServerId)));
   }
 
+  /**
+   * Guards against a yield that is not true: an order that still arrives
+   * would load into memory that the next steward takes to be free.
+   */
+  private async yield(
+    id: BackendServerId,
+    steward: EngineSteward,
+  ): Promise<void> {
+    if (steward.hasOrdersOnTheWay) return;
+    await this.submit(`yield ${id}`, {
+      type: 'yield-steward',
+      backendServerId: id,
+      epoch: steward.epoch,
+    });
+  }
+
+  private isYielded(id: BackendServerId): boolean {
+    const {stewardship} = this.options.follower.state;
+    return stewardship.findClaim(id)?.isYielded ?? true;
+  }
+
   private attend(server: BackendServer, state: AgreedState): void {
     const id = server.backendServerId;
     const claim = state.stewardship.findClaim(id);
@@ -278,3 +319,11 @@
     }
   }
 }
+
+function describeKept(
+  keptIds: readonly BackendServerId[],
+  isLogReachable: boolean,
+): YieldReport['reason'] {
+  if (keptIds.length === 0) return null;
+  return isLogReachable ? 'order-on-the-way' : 'log-unavailable';
+}
--- a/packages/serve-callers/src/caller_context.ts
+++ b/packages/serve-callers/src/caller_context.ts
@@ -1,17 +1,15 @@
 /** What the callers' interface needs of the node it runs in. */
-import {type AdmissionGate} from '@mimosatack/admit-requests';
 import {type AgreedState} from '@mimosatack/agreed-state';
+import {type RequestTokenMint} from '@mimosatack/answer-streams';
 import {type Clock} from '@mimosatack/clock';
-import {type BackendPools} from '@mimosatack/dispatch-requests';
+import {type DrainGate} from '@mimosatack/drain-node';
 import {type EngineBoard} from '@mimosatack/engine-board';
 import {type EventLogger} from '@mimosatack/logger';
 import {type RandomSource} from '@mimosatack/random';
-import {type RetryBudget} from '@mimosatack/retry-requests';
-import {type PrefixHasher, type Router} from '@mimosatack/route-requests';
 import {type KeyTable, type TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyServerFactory} from 'fastify';
-import {type CallerStats} from './caller_stats.js';
-import {type ServingSets} from './serving_sets.js';
+import {type AbandonedRequests} from './abandoned_requests.js';
+import {type Answering} from './answering.js';
 
 /** An address that callers may use, from this node's membership. */
 export interface EntryAddress {
@@ -23,22 +21,22 @@
 }
 
 /** What the callers' interface needs of the node it runs in. */
-export interface CallerContext {
+export interface CallerContext extends Answering {
   clock: Clock;
   random: RandomSource;
   logger: EventLogger;
   incarnation: string;
   state(): AgreedState;
   board: EngineBoard;
-  router: Router;
-  gate: AdmissionGate;
-  servingSets: ServingSets;
-  pools: BackendPools;
-  retries: RetryBudget;
-  hasher: PrefixHasher;
-  stats: CallerStats;
   mint: TicketMint;
   keys: KeyTable;
+  /** Makes and reads the ids by which callers resume. */
+  tokens: RequestTokenMint;
+  abandoned: AbandonedRequests;
+  /** Tells another node that a caller has resumed a request it took in. */
+  tellResumed(incarnation: string, engineRequestId: string): void;
+  /** The shutdown as the server sees it. */
+  gate: DrainGate;
   limits: CallerLimits;
   /** Makes the HTTP server; fastify's own when left out. */
   serverFactory?: FastifyServerFactory;
@@ -51,4 +49,9 @@
   defaultDeadlineMs: number;
   maxDeadlineMs: number;
   entriesTtlMs: number;
+  maxAnswerBytes: number;
+  /** How long a caller may leave its answer unread. */
+  callerStallMs: number;
+  /** How long after its deadline an answer can be resumed. */
+  resumeWindowMs: number;
 }
--- a/packages/serve-callers/src/caller_server.ts
+++ b/packages/serve-callers/src/caller_server.ts
@@ -3,14 +3,20 @@
 import fastify, {type FastifyInstance} from 'fastify';
 import {type CallerContext} from './caller_context.js';
 import {addCompletionRoutes} from './completion_routes.js';
+import {addDrainHooks} from './drain_hooks.js';
 import {readHttpError, sendError} from './error_replies.js';
 import {addModelRoutes} from './model_routes.js';
+import {addResumeRoutes} from './resume_routes.js';
 import {addServiceRoutes} from './service_routes.js';
 
+/** Request tokens are longer than what fastify lets through by default. */
+const MAX_PARAMETER_CHARS = 1024;
+
 /** Builds the callers' server; the node listens with it and closes it. */
 export function buildCallerServer(context: CallerContext): FastifyInstance {
   const server = fastify({
     bodyLimit: context.limits.maxBodyBytes,
+    routerOptions: {maxParamLength: MAX_PARAMETER_CHARS},
     serverFactory: context.serverFactory,
   });
   server.setErrorHandler((thrown, _incoming, reply) => {
@@ -26,27 +32,16 @@
       }),
     );
   });
-  addStatusRoutes(server, context);
+  addDrainHooks(server, context);
+  server.get('/healthz', () => ({status: 'ok'}));
+  server.get('/v1/entries', () => describeEntries(context));
   addModelRoutes(server, context);
   addCompletionRoutes(server, context);
   addServiceRoutes(server, context);
+  addResumeRoutes(server, context);
   return server;
 }
 
-function addStatusRoutes(
-  server: FastifyInstance,
-  context: CallerContext,
-): void {
-  server.get('/healthz', () => ({status: 'ok'}));
-  server.get('/readyz', (_incoming, reply) => {
-    const isReady = context.state().isSupported;
-    return reply
-      .code(isReady ? 200 : 503)
-      .send({status: isReady ? 'ready' : 'unsupported-rules'});
-  });
-  server.get('/v1/entries', () => describeEntries(context));
-}
-
 function describeEntries(context: CallerContext) {
   return {
     ttlMs: context.limits.entriesTtlMs,
--- a/packages/serve-callers/src/completion_attempt.ts
+++ b/packages/serve-callers/src/completion_attempt.ts
@@ -1,19 +1,14 @@
 /** One attempt at a completion, at one engine. */
 import {randomUUID} from 'node:crypto';
-import {
-  type WholeAnswer,
-  checkCompletion,
-  readContentType,
-  readRefusal,
-  readWhole,
-} from '@mimosatack/dispatch-requests';
-import {TypedError} from '@mimosatack/errors';
+import {asAbortError, readWholeAnswer} from '@mimosatack/answer-streams';
+import {readRefusal} from '@mimosatack/dispatch-requests';
+import {type FastifyReply} from 'fastify';
 import {type Dispatcher} from 'undici';
-import {type BegunStream, beginStream} from './answer_relay.js';
 import {type CallerContext} from './caller_context.js';
 import {type CompletionJob} from './completion_job.js';
-
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+import {resumeStream, takeStream} from './engine_streams.js';
+import {type RequestScope} from './request_scope.js';
+import {type RelayOutcome, relayStream} from './stream_relay.js';
 
 /** Where an attempt is made. */
 export interface EnginePlace {
@@ -22,70 +17,139 @@
   failureDomain: string;
 }
 
-/** An answer of which the caller has received nothing yet. */
-export type AttemptAnswer =
-  {form: 'whole'; answer: WholeAnswer} | {form: 'stream'; stream: BegunStream};
+/** What an attempt is made with. */
+export interface AttemptParts {
+  place: EnginePlace;
+  job: CompletionJob;
+  scope: RequestScope;
+  reply: FastifyReply;
+  context: CallerContext;
+  /** Called once the answer, or its first events, are about to be sent. */
+  onAnswer: () => void;
+}
 
 /** One attempt with the id that the engine knows it by. */
 export class CompletionAttempt {
   readonly engineRequestId = randomUUID();
 
-  constructor(
-    readonly place: EnginePlace,
-    private readonly job: CompletionJob,
-    private readonly context: CallerContext,
-  ) {}
+  constructor(private readonly parts: AttemptParts) {}
+
+  /** The servers that this attempt is compared with in speed. */
+  get latencyGroup(): string {
+    const {model, isStreamed} = this.parts.job.request;
+    return `${model} ${isStreamed ? 'streamed' : 'whole'}`;
+  }
 
-  /** Sends the request and waits for the answer, or its first part. */
-  async send(signal: AbortSignal): Promise<AttemptAnswer> {
+  /**
+   * Sends the request and passes the answer on. Rejects only as long as the
+   * caller was sent nothing.
+   */
+  async run(): Promise<RelayOutcome['status']> {
+    const {job, scope, reply} = this.parts;
+    reply.request.workInFlight?.nameRequest(this.engineRequestId);
     const lateness = this.watchLateness();
     try {
-      const response = await this.context.pools.send({
-        baseUrl: this.place.baseUrl,
-        path: this.job.path,
-        headers: {
-          'content-type': 'application/json',
-          'x-request-id': this.engineRequestId,
-          'x-priority': String(this.job.terms.priority),
-        },
-        body: this.job.request.body,
-        signal,
-      });
+      const response = await this.send();
       if (response.statusCode >= 300) throw await readRefusal(response);
-      return await this.read(response);
+      return job.request.isStreamed
+        ? await this.relay(response, () => lateness.cancel())
+        : await this.sendWhole(response);
     } catch (thrown) {
-      throw toBroken(thrown);
+      if (scope.attendedSignal.aborted) {
+        throw asAbortError(scope.attendedSignal);
+      }
+      throw thrown;
     } finally {
       lateness.cancel();
     }
   }
 
-  /** The servers that this attempt is compared with in speed. */
-  get latencyGroup(): string {
-    const {model, isStreamed} = this.job.request;
-    return `${model} ${isStreamed ? 'streamed' : 'whole'}`;
-  }
-
   /** Stops the engine's work for an answer that nobody waits for. */
   cancel(): void {
-    void this.context.pools.cancel(this.place.baseUrl, this.engineRequestId);
+    const {context, place} = this.parts;
+    void context.pools.cancel(place.baseUrl, this.engineRequestId);
+  }
+
+  private send(): Promise<Dispatcher.ResponseData> {
+    const {context, place, job, scope} = this.parts;
+    const {isStreamed, body} = job.request;
+    return context.pools.send({
+      baseUrl: place.baseUrl,
+      path: job.path,
+      headers: {
+        'content-type': 'application/json',
+        'x-request-id': this.engineRequestId,
+        'x-priority': String(job.terms.priority),
+      },
+      body,
+      // The caller of a stream may come back for it.
+      signal: isStreamed ? scope.signal : scope.attendedSignal,
+    });
   }
 
-  private async read(
+  private async sendWhole(
     response: Dispatcher.ResponseData,
-  ): Promise<AttemptAnswer> {
-    if (!this.job.request.isStreamed) {
-      const answer = await readWhole(response, MAX_ANSWER_BYTES);
-      checkCompletion(answer, this.engineRequestId);
-      return {form: 'whole', answer};
+  ): Promise<RelayOutcome['status']> {
+    const {context, scope, reply, onAnswer} = this.parts;
+    const answer = await readWholeAnswer(takeStream(response), {
+      requestId: this.engineRequestId,
+      maxAnswerBytes: context.limits.maxAnswerBytes,
+      signal: scope.attendedSignal,
+    });
+    onAnswer();
+    void reply
+      .header('x-request-id', this.makeToken())
+      .type('application/json')
+      .send(answer);
+    return 'whole';
+  }
+
+  private async relay(
+    response: Dispatcher.ResponseData,
+    onFirstEvents: () => void,
+  ): Promise<RelayOutcome['status']> {
+    const {context, place, scope, reply, onAnswer} = this.parts;
+    const {engineRequestId} = this;
+    const engine = {baseUrl: place.baseUrl, engineRequestId};
+    const watch = context.abandoned.watch(engineRequestId, () => this.cancel());
+    const relayed = relayStream({
+      ...context,
+      ...context.limits,
+      ...{reply, signal: scope.signal, firstId: 0},
+      requestToken: this.makeToken(),
+      run: {
+        ...{backendServerId: place.id, engineRequestId},
+        first: takeStream(response),
+        resume: (fromId, signal) => resumeStream(engine, fromId, signal),
+      },
+      onFirstEvents: () => {
+        onFirstEvents();
+        onAnswer();
+      },
+    });
+    try {
+      const {status} = await relayed;
+      watch.end(status !== 'whole');
+      return status;
+    } catch (thrown) {
+      watch.end(true);
+      throw thrown;
     }
-    const body = response.body as AsyncIterable<Buffer>;
-    const stream = {
-      ...(await beginStream(body)),
-      contentType: readContentType(response),
-      requestId: this.job.requestId,
-    };
-    return {form: 'stream', stream};
+  }
+
+  private makeToken(): string {
+    const {context, place, job} = this.parts;
+    const {tokens, clock, limits, incarnation} = context;
+    const keptMs = job.terms.deadlineMs + limits.resumeWindowMs;
+    return tokens.make(
+      {
+        engineRequestId: this.engineRequestId,
+        backendServerId: place.id,
+        expiresAtMs: clock.wallMs() + keptMs,
+        entryIncarnation: incarnation,
+      },
+      job.admission.team,
+    );
   }
 
   /**
@@ -94,22 +158,12 @@
    * it becomes late, so that the circuit opens while they still hang.
    */
   private watchLateness(): {cancel(): void} {
-    const {router, clock} = this.context;
-    const {id} = this.place;
-    const limitMs = router.findSlowLimitMs(this.latencyGroup, id);
+    const {context, place} = this.parts;
+    const {router, clock} = context;
+    const limitMs = router.findSlowLimitMs(this.latencyGroup, place.id);
     if (!Number.isFinite(limitMs)) return {cancel: () => undefined};
     return clock.setTimer(limitMs, () =>
-      router.noteOutcome(id, {status: 'failed'}),
+      router.noteOutcome(place.id, {status: 'failed'}),
     );
   }
 }
-
-/** A connection that breaks in the middle of an answer, made typed. */
-function toBroken(thrown: unknown): TypedError {
-  if (thrown instanceof TypedError) return thrown;
-  return new TypedError(
-    'backend-unreachable',
-    'The connection to the engine broke.',
-    {run: 'unknown', cause: thrown instanceof Error ? thrown : undefined},
-  );
-}
--- a/packages/serve-callers/src/completion_pipeline.ts
+++ b/packages/serve-callers/src/completion_pipeline.ts
@@ -4,16 +4,12 @@
 import {decideRetry} from '@mimosatack/retry-requests';
 import {type RouteRequest} from '@mimosatack/route-requests';
 import {type FastifyReply} from 'fastify';
-import {relayStream} from './answer_relay.js';
 import {type CallerContext} from './caller_context.js';
-import {
-  type AttemptAnswer,
-  CompletionAttempt,
-  type EnginePlace,
-} from './completion_attempt.js';
+import {CompletionAttempt, type EnginePlace} from './completion_attempt.js';
 import {type CompletionJob} from './completion_job.js';
 import {formatSelection} from './completion_request.js';
-import {type RequestScope, openScope} from './request_scope.js';
+import {type RelayOutcome} from './stream_relay.js';
+import {type RequestScope, openRequestScope} from './request_scope.js';
 
 const NOT_WARM_RETRY_MS = 1_000;
 
@@ -23,17 +19,17 @@
   reply: FastifyReply,
   context: CallerContext,
 ): Promise<void> {
-  const scope = openScope(context.clock, job.admission.deadlineAtMs, reply);
+  const scope = openRequestScope(context, job.terms.deadlineMs, reply);
   const pipeline = new CompletionPipeline(job, reply, scope, context);
   try {
-    await context.gate.run(
+    await context.admission.run(
       job.admission,
       pipeline.target,
       permit => pipeline.answer(permit),
-      scope.goneSignal,
+      scope.attendedSignal,
     );
   } finally {
-    scope.close();
+    scope.release();
   }
 }
 
@@ -80,52 +76,44 @@
     place: EnginePlace,
     permit: Permit<EnginePlace>,
   ): Promise<EnginePlace | null> {
-    const {router, clock} = this.context;
-    const attempt = new CompletionAttempt(place, this.job, this.context);
-    const startedAtMs = clock.monotonicMs();
+    const {job, scope, reply, context} = this;
+    const startedAtMs = context.clock.monotonicMs();
+    let firstByteMs = 0;
+    const onAnswer = () => {
+      this.hasAnswerBegun = true;
+      firstByteMs = context.clock.monotonicMs() - startedAtMs;
+      permit.noteServed();
+    };
+    const parts = {place, job, scope, reply, context, onAnswer};
+    const attempt = new CompletionAttempt(parts);
     this.attempts += 1;
     this.tried.add(place.id);
     this.triedDomains.add(place.failureDomain);
+    let status: RelayOutcome['status'];
     try {
-      this.scope.signal.throwIfAborted();
+      scope.attendedSignal.throwIfAborted();
       this.isSent = true;
-      const answer = await attempt.send(this.scope.signal);
-      const firstByteMs = clock.monotonicMs() - startedAtMs;
-      this.scope.meetDeadline();
-      permit.noteServed();
-      await this.relay(answer, attempt);
-      const group = attempt.latencyGroup;
-      router.noteDone(place.id, {status: 'answered', group, firstByteMs});
-      return null;
+      status = await attempt.run();
     } catch (thrown) {
-      return this.recover(thrown, attempt);
-    }
-  }
-
-  private async relay(
-    answer: AttemptAnswer,
-    attempt: CompletionAttempt,
-  ): Promise<void> {
-    this.hasAnswerBegun = true;
-    const {reply, job} = this;
-    if (answer.form === 'stream') {
-      return relayStream(answer.stream, reply, this.scope.goneSignal);
+      return this.recover(thrown, place, attempt);
     }
-    const {statusCode, contentType, body} = answer.answer;
-    void reply
-      .code(statusCode)
-      .header('x-request-id', job.requestId)
-      .header('x-engine-request-id', attempt.engineRequestId)
-      .type(contentType)
-      .send(body);
+    const group = attempt.latencyGroup;
+    const answered = {status: 'answered', group, firstByteMs} as const;
+    const isBroken = status === 'broken';
+    context.router.noteDone(place.id, isBroken ? {status: 'failed'} : answered);
+    if (isBroken) context.stats.noteRefused('stream-broken');
+    else if (status !== 'whole') throw new CallerGone();
+    return null;
   }
 
   /** Finds the next place after a failure, or rejects for good. */
-  private recover(thrown: unknown, attempt: CompletionAttempt): EnginePlace {
+  private recover(
+    thrown: unknown,
+    {id}: EnginePlace,
+    attempt: CompletionAttempt,
+  ): EnginePlace {
     const {router, retries, stats, clock} = this.context;
-    const {id} = attempt.place;
-    const {signal} = this.scope;
-    if (signal.aborted) {
+    if (this.scope.attendedSignal.aborted) {
       router.noteDone(id);
       if (this.job.isRepeatable && this.isSent) attempt.cancel();
       throw this.findStopReason();
@@ -156,7 +144,7 @@
   }
 
   private findStopReason(): Error {
-    const reason: unknown = this.scope.signal.reason;
+    const reason: unknown = this.scope.attendedSignal.reason;
     if (!(reason instanceof TypedError)) return new CallerGone();
     return reason.withRun(this.isSent ? 'unknown' : this.worstRun);
   }
--- a/packages/serve-callers/src/index.ts
+++ b/packages/serve-callers/src/index.ts
@@ -1,3 +1,9 @@
+export {AbandonedRequests, type OpenRequest} from './abandoned_requests.js';
+export {
+  type Answering,
+  type AnsweringOptions,
+  makeAnswering,
+} from './answering.js';
 export {
   type CallerContext,
   type CallerLimits,
@@ -5,4 +11,16 @@
 } from './caller_context.js';
 export {buildCallerServer} from './caller_server.js';
 export {type CallerCounts, CallerStats} from './caller_stats.js';
+export {
+  type EngineRequest,
+  cancelAtEngine,
+  resumeStream,
+  takeStream,
+} from './engine_streams.js';
+export {
+  type EngineRun,
+  type RelayOutcome,
+  type StreamRelayInput,
+  relayStream,
+} from './stream_relay.js';
 export {ServingSets, type ServingSetsOptions} from './serving_sets.js';
--- a/packages/serve-callers/src/loopback_fixture.ts
+++ b/packages/serve-callers/src/loopback_fixture.ts
@@ -4,15 +4,13 @@
  * are read straight from the stand-ins.
  */
 import {createHash} from 'node:crypto';
-import {AdmissionGate} from '@mimosatack/admit-requests';
 import {AgreedState} from '@mimosatack/agreed-state';
+import {RequestTokenMint} from '@mimosatack/answer-streams';
 import {SystemClock} from '@mimosatack/clock';
-import {BackendPools} from '@mimosatack/dispatch-requests';
+import {DrainGate, InFlight} from '@mimosatack/drain-node';
 import {EngineBoard} from '@mimosatack/engine-board';
 import {MemoryEventLogger} from '@mimosatack/logger';
 import {SeededRandom} from '@mimosatack/random';
-import {RetryBudget} from '@mimosatack/retry-requests';
-import {Router, Sha256PrefixHasher} from '@mimosatack/route-requests';
 import {
   type EngineOptions,
   type EngineStandIn,
@@ -20,10 +18,10 @@
   startEngineStandIn,
 } from '@mimosatack/stand-ins';
 import {KeyTable, TicketMint} from '@mimosatack/unrepeatable';
+import {AbandonedRequests} from './abandoned_requests.js';
+import {makeAnswering} from './answering.js';
 import {type CallerContext} from './caller_context.js';
 import {buildCallerServer} from './caller_server.js';
-import {CallerStats} from './caller_stats.js';
-import {ServingSets} from './serving_sets.js';
 
 export const MODEL = 'm';
 /** Bearer tokens of the two teams. */
@@ -36,7 +34,6 @@
   maxConcurrentRequests?: number;
   requestsPerSecond?: number;
   maxBodyBytes?: number;
-  retryRatio?: number;
   /** How often the engines' reports are read; 0 for once, at the start. */
   reportIntervalMs?: number;
 }
@@ -52,6 +49,7 @@
   close(): Promise<void>;
 }
 
+const SECRET = 'a secret of the cluster';
 const MIB = 1_000;
 const FAST: Partial<EngineOptions> = {
   initMs: 0,
@@ -222,47 +220,33 @@
 ): CallerContext {
   const clock = new SystemClock();
   const random = new SeededRandom(1);
-  const router = new Router({
-    clock,
-    random,
-    ownDomain: 'hall-0',
-    findDomain: id => state.stewardship.findBackendServer(id)?.failureDomain,
-    countNodes: () => 1,
-  });
-  const {queueLimit = 1_000} = options;
-  const queueLimitBytes = 64 * 1024 * 1024;
-  const gate = new AdmissionGate(clock, {random, queueLimit, queueLimitBytes});
-  board.onChange(({backendServerId, load, isReachable}) => {
-    if (isReachable) router.noteReport(backendServerId, load);
-    gate.pump();
-  });
+  const logger = new MemoryEventLogger();
+  const gate = new DrainGate(new InFlight(clock));
+  gate.follow('serving');
   return {
-    clock,
-    random,
-    logger: new MemoryEventLogger(),
-    incarnation: 'entry-0.1',
-    state: () => state,
-    board,
-    router,
-    gate,
-    servingSets: new ServingSets({
-      clock,
-      state: () => state,
-      board,
-      isLeaving: id => router.isLeaving(id),
+    ...{clock, random, logger, board, gate, state: () => state},
+    ...makeAnswering({
+      ...{clock, random, logger, board, state: () => state},
+      failureDomain: 'hall-0',
+      queueLimit: options.queueLimit ?? 1_000,
+      retryBudgetPercent: 10,
+      countNodes: () => 1,
       noteDemand: model => demanded.push(model),
     }),
-    pools: new BackendPools(),
-    retries: new RetryBudget(options.retryRatio ?? 0.1),
-    hasher: new Sha256PrefixHasher(),
-    stats: new CallerStats(gate),
-    mint: new TicketMint('a secret of the cluster'),
+    incarnation: 'entry-0.1',
+    tokens: new RequestTokenMint(SECRET),
+    abandoned: new AbandonedRequests(clock, 0),
+    tellResumed: () => undefined,
+    mint: new TicketMint(SECRET),
     keys: new KeyTable(),
     limits: {
       maxBodyBytes: options.maxBodyBytes ?? 1_048_576,
       defaultDeadlineMs: 10_000,
       maxDeadlineMs: 120_000,
       entriesTtlMs: 5_000,
+      maxAnswerBytes: 16 * 1024 * 1024,
+      callerStallMs: 20_000,
+      resumeWindowMs: 10_000,
     },
     listEntries: () => [],
   };
--- a/packages/serve-callers/src/request_scope.ts
+++ b/packages/serve-callers/src/request_scope.ts
@@ -1,50 +1,37 @@
-/** Ends work when the caller goes away or the deadline passes. */
-import {type Clock} from '@mimosatack/clock';
+/** Ends work when the caller goes away, the deadline passes or it is cut. */
 import {CallerGone} from '@mimosatack/admit-requests';
-import {TypedError} from '@mimosatack/errors';
 import {type FastifyReply} from 'fastify';
+import {type CallerContext} from './caller_context.js';
+import {mergeSignals, openStreamScope} from './stream_scope.js';
 
 /** One request's reasons to stop. */
 export interface RequestScope {
-  /** Aborted with `CallerGone` or a `deadline-exceeded` error. */
+  /** Aborted by the deadline or the node's stop, with a typed error. */
   signal: AbortSignal;
-  /** Aborted when the caller goes away, and by nothing else. */
-  goneSignal: AbortSignal;
-  /** The deadline was met; only the caller's going ends the work now. */
-  meetDeadline(): void;
-  close(): void;
+  /** Aborted by those and with `CallerGone`. */
+  attendedSignal: AbortSignal;
+  release(): void;
 }
 
-/** Watches the caller's connection and the deadline of a request. */
-export function openScope(
-  clock: Clock,
-  deadlineAtMs: number,
+/** Watches the caller's connection, the deadline and the node's stop. */
+export function openRequestScope(
+  {clock, gate}: CallerContext,
+  deadlineMs: number,
   reply: FastifyReply,
 ): RequestScope {
-  const gone = new AbortController();
-  const stop = new AbortController();
+  const scope = openStreamScope(clock, deadlineMs, [gate.cutSignal]);
+  const attended = mergeSignals([scope.signal]);
   const onClose = () => {
-    if (reply.raw.writableFinished) return;
-    gone.abort(new CallerGone());
-    stop.abort(gone.signal.reason);
+    if (!reply.raw.writableFinished) attended.abort(new CallerGone());
   };
-  const timer = clock.setTimer(deadlineAtMs - clock.monotonicMs(), () =>
-    stop.abort(
-      new TypedError(
-        'deadline-exceeded',
-        'The deadline passed before the answer was there.',
-        {run: 'unknown'},
-      ),
-    ),
-  );
   reply.raw.once('close', onClose);
   return {
-    signal: stop.signal,
-    goneSignal: gone.signal,
-    meetDeadline: () => timer.cancel(),
-    close: () => {
-      timer.cancel();
+    signal: scope.signal,
+    attendedSignal: attended.signal,
+    release: () => {
       reply.raw.off('close', onClose);
+      attended.release();
+      scope.release();
     },
   };
 }
