--- a/packages/node/src/leaving_servers.ts
+++ b/packages/node/src/leaving_servers.ts
@@ -2,7 +2,7 @@
  * Which backend servers get no new work: those that the agreed state says
  * leave or are drained, and those that a hint says leave.
  */
-import {type Stewardship} from '@mimosatack/agreed-state';
+import {type FoldedRecord, type Stewardship} from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
 import {type BackendServerId} from '@mimosatack/types';
 
@@ -51,3 +51,9 @@
     return false;
   }
 }
+
+/** Whether a record may change which backend servers get no new work. */
+export function isAboutDraining({record}: FoldedRecord): boolean {
+  const type = record?.body.type;
+  return type === 'drain-backend-server' || type === 'note-host-state';
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,6 +1,5 @@
 /** One node: its tasks, its servers and how they are wired. */
 import {randomUUID} from 'node:crypto';
-import {type FoldedRecord} from '@mimosatack/agreed-state';
 import {RequestTokenMint} from '@mimosatack/answer-streams';
 import {type Clock} from '@mimosatack/clock';
 import {EngineBoard} from '@mimosatack/engine-board';
@@ -27,11 +26,10 @@
 import {KeyTable, TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
 import {CheckpointTask} from './checkpoint_task.js';
-import {toEntry} from './entry_address.js';
 import {HostListTask} from './host_list_task.js';
 import {makePolicy} from './make_policy.js';
 import {type DrainedHook, NodeShutdown} from './node_shutdown.js';
-import {LeavingServers} from './leaving_servers.js';
+import {LeavingServers, isAboutDraining} from './leaving_servers.js';
 import {NodeRanking} from './node_ranking.js';
 import {Obituary} from './obituary.js';
 import {Operations} from './operations.js';
@@ -135,9 +133,8 @@
     this.operations = this.makeOperations();
     this.shutdown.watch(this.operations.operatorServer);
     this.callerServer = buildCallerServer({
-      clock,
-      random,
-      logger,
+      ...this.options,
+      ...this.answering,
       gate: this.shutdown.gate,
       tokens: new RequestTokenMint(settings.clusterSecret),
       abandoned: this.abandoned,
@@ -145,10 +142,7 @@
         this.peers.sendResumed(incarnation, engineRequestId),
       incarnation: this.incarnation,
       state: () => this.follower.state,
-      board: this.board,
-      ...this.answering,
-      mint: this.mint,
-      keys: new KeyTable(),
+      ...{board: this.board, mint: this.mint, keys: new KeyTable()},
       limits: settings,
       serverFactory: this.operations.callerServerFactory,
       listEntries: () => this.peers.listUsable().map(toEntry),
@@ -502,11 +496,6 @@
   }
 }
 
-function isAboutDraining({record}: FoldedRecord): boolean {
-  const type = record?.body.type;
-  return type === 'drain-backend-server' || type === 'note-host-state';
-}
-
 function portOf(server: FastifyInstance): number {
   return (server.server.address() as {port: number}).port;
 }
