--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -140,8 +140,7 @@
       abandoned: this.abandoned,
       tellResumed: (incarnation, engineRequestId) =>
         this.peers.sendResumed(incarnation, engineRequestId),
-      incarnation: this.incarnation,
-      state: () => this.follower.state,
+      ...{incarnation: this.incarnation, state: () => this.follower.state},
       ...{board: this.board, mint: this.mint, keys: new KeyTable()},
       limits: settings,
       serverFactory: this.operations.callerServerFactory,
