--- a/packages/serve-callers/src/caller_fixture.ts
+++ b/packages/serve-callers/src/caller_fixture.ts
@@ -11,7 +11,6 @@
 import {MemoryEventLogger} from '@mimosatack/logger';
 import {SeededRandom} from '@mimosatack/random';
 import {type RecordBody, encodeBatch} from '@mimosatack/records';
-import {Router} from '@mimosatack/route-requests';
 import {
   type EngineOptions,
   type EngineStandIn,
@@ -28,6 +27,7 @@
   type CallerLimits,
   UnrepeatableRunner,
   buildCallerServer,
+  makeAnswering,
 } from './index.js';
 
 export type Engine = RunningBackend<EngineStandIn>;
@@ -98,7 +98,7 @@
 }
 
 /** Runs tickets alone: there is no log to claim other keys in. */
-function makeRunner(nodeName: string, clock: Clock): UnrepeatableRunner {
+export function makeRunner(nodeName: string, clock: Clock): UnrepeatableRunner {
   const refuse = () =>
     Promise.reject(new TypedError('platform-unavailable', 'There is no log.'));
   const incarnation = `${nodeName}.0`;
@@ -134,9 +134,14 @@
   const random = new SeededRandom(1);
   const server = buildCallerServer({
     ...{clock, logger, gate, random, board},
+    ...makeAnswering({
+      ...{clock, random, logger, board, state: () => state},
+      ...{failureDomain: 'hall-a', queueLimit: 100, retryBudgetPercent: 10},
+      countNodes: () => 1,
+      noteDemand: () => undefined,
+    }),
     incarnation: `${nodeName}.0`,
     state: () => state,
-    router: new Router(board, random),
     mint: new TicketMint(SECRET),
     unrepeatable: makeRunner(nodeName, clock),
     tokens: new RequestTokenMint(SECRET),
@@ -144,7 +149,6 @@
     tellResumed: () => undefined,
     limits: LIMITS,
     listEntries: () => [],
-    noteDemand: () => undefined,
     ...overrides,
   });
   const responses: ServerResponse[] = [];
