--- a/packages/dispatch-requests/src/index.ts
+++ b/packages/dispatch-requests/src/index.ts
@@ -1,3 +1,8 @@
+export {
+  BackendPools,
+  type PooledRequest,
+  type PoolLimits,
+} from './backend_pools.js';
 export {
   type OwnConnectionAnswer,
   type OwnConnectionRequest,
@@ -8,3 +13,4 @@
   type WholeAnswerRequest,
   exchangeOnce,
 } from './whole_answer.js';
+export {readRefusal} from './read_refusal.js';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -13,11 +13,14 @@
   HttpLogService,
 } from '@mimosatack/platform';
 import {type RandomSource} from '@mimosatack/random';
-import {Router} from '@mimosatack/route-requests';
-import {AbandonedRequests, buildCallerServer} from '@mimosatack/serve-callers';
+import {
+  AbandonedRequests,
+  type Answering,
+  buildCallerServer,
+  makeAnswering,
+} from '@mimosatack/serve-callers';
 import {type DaemonSettings} from '@mimosatack/settings';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
-import {type HostEntry} from '@mimosatack/types';
 import {TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
 import {CheckpointTask} from './checkpoint_task.js';
@@ -25,7 +28,7 @@
 import {makePolicy} from './make_policy.js';
 import {type DrainedHook, NodeShutdown} from './node_shutdown.js';
 import {KeyTasks} from './key_tasks.js';
-import {LeavingServers, isAboutDraining} from './leaving_servers.js';
+import {HostWatch} from './host_watch.js';
 import {NodeRanking} from './node_ranking.js';
 import {Obituary} from './obituary.js';
 import {Operations} from './operations.js';
@@ -82,7 +85,7 @@
   private readonly hosts: HostListTask;
   private readonly planner: PlannerTask;
   private readonly hints: StewardHints;
-  private readonly router: Router;
+  private readonly answering: Answering;
   private readonly callerServer: FastifyInstance;
   private readonly operations: Operations;
   private readonly periodics: Periodic[] = [];
@@ -92,9 +95,7 @@
   private readonly ranking: NodeRanking;
   private readonly shutdown: NodeShutdown;
   private readonly abandoned: AbandonedRequests;
-  private readonly leaving: LeavingServers;
-  private leavingNodes: ReadonlySet<string> = new Set();
-  private drainingServers: ReadonlySet<string> = new Set();
+  private readonly hostWatch: HostWatch;
 
   constructor(private readonly options: NodeOptions) {
     const {settings, clock, random, logger} = options;
@@ -109,7 +110,6 @@
     this.incarnation = `${settings.nodeName}.${randomUUID().slice(0, 8)}`;
     this.mint = new TicketMint(settings.clusterSecret);
     this.obituary = new Obituary(clock, ORDER_DOUBT_MS);
-    this.leaving = new LeavingServers(clock);
     this.log = new HttpLogService({
       baseUrl: settings.logUrl,
       nodeId: settings.nodeName,
@@ -123,12 +123,18 @@
       longPollMs: LONG_POLL_MS,
       retryDelayMs: RETRY_DELAY_MS,
     });
-    this.router = new Router(this.board, random);
+    this.answering = this.makeAnswering();
     this.hints = new StewardHints({
       ...{clock, maxDeadlineMs: settings.maxDeadlineMs},
       ...{follower: this.follower, board: this.board},
     });
     this.peers = this.makePeers();
+    this.hostWatch = new HostWatch({
+      ...{clock, follower: this.follower},
+      onDraining: ids => this.answering.router.setDraining(ids),
+      broadcastLeaving: (serverIds, nodeNames) =>
+        this.peers.broadcastLeaving(serverIds, nodeNames),
+    });
     this.ranking = new NodeRanking(this.peers, this.incarnation);
     const {incarnation, mint, peers, ranking} = this;
     this.keys = new KeyTasks({
@@ -144,32 +150,20 @@
     this.shutdown.watch(this.operations.operatorServer);
     this.shutdown.onDrained(() => this.keys.handOver());
     this.callerServer = buildCallerServer({
-      ...{clock, random, logger},
+      ...this.options,
+      ...this.answering,
       gate: this.shutdown.gate,
       tokens: new RequestTokenMint(settings.clusterSecret),
       abandoned: this.abandoned,
       tellResumed: (incarnation, engineRequestId) =>
         this.peers.sendResumed(incarnation, engineRequestId),
-      incarnation: this.incarnation,
-      state: () => this.follower.state,
-      board: this.board,
-      router: this.router,
-      mint: this.mint,
-      unrepeatable: this.keys.runner,
+      ...{incarnation: this.incarnation, state: () => this.follower.state},
+      ...{board: this.board, mint: this.mint, unrepeatable: this.keys.runner},
       limits: settings,
       serverFactory: this.operations.callerServerFactory,
       listEntries: () => this.peers.listEntries().map(toEntry),
-      noteDemand: modelText =>
-        passDemand(modelText, {
-          ...{incarnation, peers, ranking, planner: this.planner},
-        }),
     });
     this.operations.watch(this.callerServer, 'callers');
-    this.follower.onFold(folded => {
-      if (folded.length === 0 || folded.some(isAboutDraining)) {
-        this.updateDraining();
-      }
-    });
   }
 
   /** Resolves with the exit code once the node has stopped. */
@@ -258,6 +252,7 @@
    */
   private async close(): Promise<void> {
     await this.callerServer.close();
+    await this.answering.pools.close();
     await this.operations.operatorServer.close();
     this.periodics.forEach(periodic => periodic.stop());
     this.abandoned.stop();
@@ -293,6 +288,21 @@
     every(STORE_LIMITS_INTERVAL_MS, readLimits);
   }
 
+  private makeAnswering(): Answering {
+    return makeAnswering({
+      ...this.options,
+      ...this.options.settings,
+      state: () => this.follower.state,
+      board: this.board,
+      countNodes: () => this.peers.listUsable().length,
+      noteDemand: modelText =>
+        passDemand(modelText, {
+          ...{incarnation: this.incarnation, ranking: this.ranking},
+          ...{peers: this.peers, planner: this.planner},
+        }),
+    });
+  }
+
   private makePeers(): PeerTask {
     const {settings, clock, random} = this.options;
     return new PeerTask({
@@ -312,8 +322,7 @@
       findOwnEngine: id => this.reports.findOwnEngine(id),
       onResumed: engineRequestId => this.abandoned.noteResumed(engineRequestId),
       onServersLeaving: ids => {
-        this.leaving.noteHints(ids);
-        this.updateDraining();
+        this.hostWatch.noteHints(ids);
       },
       onFault: error => this.noteFault(error, 'peers'),
     });
@@ -394,7 +403,10 @@
         intervalMs: settings.pollIntervalMs,
         countNodes: () => this.peers.listUsable().length,
         connect: (id, baseUrl) => this.connectEngine(id, baseUrl),
-        onHosts: hosts => this.noteHosts(hosts),
+        onHosts: hosts => {
+          this.obituary.noteHosts(hosts);
+          this.hostWatch.noteHosts(hosts);
+        },
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
       },
       (error, task) => this.noteFault(error, task),
@@ -410,7 +422,7 @@
         policy: makePolicy(this.options.settings),
         loadTimes: this.hints.loadTimes,
         findRank: key => this.ranking.findOwnRank(key),
-        isLeaving: id => this.drainingServers.has(id),
+        isLeaving: id => this.hostWatch.isDraining(id),
         watchEngines: ids => this.reports.watchEngines(ids),
         makeSlotId: () => `s-${randomUUID()}`,
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
@@ -455,31 +467,6 @@
       .find(other => other.incarnation === incarnation);
   }
 
-  /** Passes on what a fresh host list says; other nodes may not read it. */
-  private noteHosts(hosts: readonly HostEntry[]): void {
-    this.obituary.noteHosts(hosts);
-    const leaving = hosts.filter(host => host.state === 'leaving');
-    const servers = leaving.filter(host => host.role !== 'entry');
-    const nodes = leaving.filter(host => host.role === 'entry');
-    const freshServers = this.leaving.noteHints(
-      servers.map(host => host.hostId),
-    );
-    const nodeNames = nodes.map(host => host.hostId);
-    const freshNodes = nodeNames.filter(id => !this.leavingNodes.has(id));
-    this.leavingNodes = new Set(nodeNames);
-    if (freshServers.length + freshNodes.length > 0) {
-      this.peers.broadcastLeaving(freshServers, freshNodes);
-    }
-    this.updateDraining();
-  }
-
-  /** Keeps new work away from hosts that leave and servers being drained. */
-  private updateDraining(): void {
-    const draining = this.leaving.list(this.follower.state.stewardship);
-    this.drainingServers = new Set(draining);
-    this.router.setDraining(draining);
-  }
-
   private noteFault(thrown: unknown, task: string): void {
     const error: TypedError = toTypedError(thrown);
     this.options.logger.log('task-failed', {
--- a/packages/serve-callers/src/caller_context.ts
+++ b/packages/serve-callers/src/caller_context.ts
@@ -6,11 +6,11 @@
 import {type EngineBoard} from '@mimosatack/engine-board';
 import {type EventLogger} from '@mimosatack/logger';
 import {type RandomSource} from '@mimosatack/random';
-import {type Router} from '@mimosatack/route-requests';
 import {type TicketMint} from '@mimosatack/unrepeatable';
 import {type AbandonedRequests} from './abandoned_requests.js';
 import {type FastifyServerFactory} from 'fastify';
 import {type UnrepeatableRunner} from './unrepeatable_runner.js';
+import {type Answering} from './answering.js';
 
 /** An address that callers may use, from this node's membership. */
 export interface EntryAddress {
@@ -22,14 +22,13 @@
 }
 
 /** What the callers' interface needs of the node it runs in. */
-export interface CallerContext {
+export interface CallerContext extends Answering {
   clock: Clock;
   random: RandomSource;
   logger: EventLogger;
   incarnation: string;
   state(): AgreedState;
   board: EngineBoard;
-  router: Router;
   mint: TicketMint;
   unrepeatable: UnrepeatableRunner;
   /** Makes and reads the ids by which callers resume. */
@@ -43,8 +42,6 @@
   /** Makes the HTTP server; fastify's own when left out. */
   serverFactory?: FastifyServerFactory;
   listEntries(): EntryAddress[];
-  /** Asks for a replica of `model` or `model:adapter` that requests wait for. */
-  noteDemand(modelText: string): void;
 }
 
 /** Limits from the settings. */
--- a/packages/serve-callers/src/index.ts
+++ b/packages/serve-callers/src/index.ts
@@ -1,4 +1,9 @@
 export {AbandonedRequests, type OpenRequest} from './abandoned_requests.js';
+export {
+  type Answering,
+  type AnsweringOptions,
+  makeAnswering,
+} from './answering.js';
 export {
   type CallerContext,
   type CallerLimits,
@@ -16,6 +21,7 @@
   UnrepeatableRunner,
   type UnrepeatableRunnerOptions,
 } from './unrepeatable_runner.js';
+export {type CallerCounts, CallerStats} from './caller_stats.js';
 export {
   type EngineRequest,
   cancelAtEngine,
@@ -28,3 +34,4 @@
   type StreamRelayInput,
   relayStream,
 } from './stream_relay.js';
+export {ServingSets, type ServingSetsOptions} from './serving_sets.js';
--- a/packages/serve-callers/src/streams.test.ts
+++ b/packages/serve-callers/src/streams.test.ts
@@ -88,7 +88,7 @@
 
 streams('a whole answer of another request is not passed on', () =>
   withEntries(async ({engine, first}) => {
-    engine.core.faults.set({crossedAnswers: 1});
+    engine.core.faults.set({crossedAnswers: 100});
     const answer = await request(`${first.baseUrl}/v1/chat/completions`, {
       method: 'POST',
       headers: {
