--- a/packages/node/src/engine_steward.ts
+++ b/packages/node/src/engine_steward.ts
@@ -1,6 +1,6 @@
 /** The steward of one model engine under one claim. */
 import {type BackendServer, type Slot} from '@mimosatack/agreed-state';
-import {type Clock} from '@mimosatack/clock';
+import {type Clock, type Timer} from '@mimosatack/clock';
 import {type BackendReport} from '@mimosatack/engine-board';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {type LogFollower} from '@mimosatack/follow-log';
@@ -9,6 +9,9 @@
 import {type RecordBody} from '@mimosatack/records';
 import {type StewardTerm} from '@mimosatack/share-reports';
 import {
+  type DrainLimits,
+  EMPTY_STEWARD_MEMORY,
+  type LoadOutlook,
   type OrderIntent,
   type StewardStep,
   decideSteward,
@@ -31,22 +34,30 @@
   publishReport(report: BackendReport, term: StewardTerm): void;
   submitTimeoutMs: number;
   orderDoubtMs: number;
+  drain: DrainLimits;
+  /** What is known of the loads of a slot now. */
+  outlook(slot: Slot): LoadOutlook;
 }
 
 /** Failed reads in a row after which an engine counts as unreachable. */
 const MAX_FAILED_READS = 3;
+/** A read that failed is tried again after this, not at the next tick. */
+const RETRY_READ_MS = 50;
 /** A step that took longer was interrupted; what it saw is out of date. */
 const MAX_STEP_MS = 3_000;
+/** Ticks come at least this often, so no later look needs a timer. */
+const MAX_LOOK_DELAY_MS = 1_000;
 
 /** Reads one engine and sends it the orders that its slots call for. */
 export class EngineSteward {
-  private readonly staged = new Set<string>();
+  private memory = EMPTY_STEWARD_MEMORY;
   private readonly lost: LostOrders;
   private readonly submitting = new Set<string>();
   private orderCount = 0;
   private failedReads = 0;
   private current: Promise<void> | null = null;
   private isOver = false;
+  private timer: Timer | null = null;
   /** The engine process that has taken an order under this claim. */
   private fencedIncarnation: string | null = null;
 
@@ -82,6 +93,7 @@
   /** Sends nothing more; resolves when the order in hand is answered. */
   async retire(): Promise<void> {
     this.isOver = true;
+    this.timer?.cancel();
     await this.current;
   }
 
@@ -112,7 +124,9 @@
       order: 'unload',
       slotId: `fence-${this.options.epoch}`,
     });
-    if (isTaken) this.fencedIncarnation = engine.incarnation;
+    if (!isTaken) return;
+    this.fencedIncarnation = engine.incarnation;
+    this.lookAgain(this.options.clock.wallMs());
   }
 
   private async readEngine(): Promise<EngineState | null> {
@@ -124,6 +138,7 @@
     } catch {
       this.failedReads += 1;
       if (this.failedReads >= MAX_FAILED_READS) this.publish(null);
+      else this.lookAgain(this.options.clock.wallMs() + RETRY_READ_MS);
       return null;
     }
   }
@@ -160,28 +175,40 @@
 
   private async act(engine: EngineState, startedMs: number): Promise<void> {
     const step = this.decide(engine);
-    step.staged.forEach(slotId => this.staged.add(slotId));
+    this.memory = step.memory;
     const orders = [...step.orders, ...this.listProbes(step)];
     for (const intent of orders) {
       if (!this.maySend(startedMs)) return;
       await this.send(intent);
     }
     if (this.rank === 0) this.writeRecords(step);
+    if (step.lookAgainAtMs !== null) this.lookAgain(step.lookAgainAtMs);
+  }
+
+  /** Looks between two ticks if a load is due or under way. */
+  private lookAgain(atMs: number): void {
+    this.timer?.cancel();
+    const delayMs = atMs - this.options.clock.wallMs();
+    if (delayMs > MAX_LOOK_DELAY_MS) return;
+    this.timer = this.options.clock.setTimer(delayMs, () => void this.step());
   }
 
   private decide(engine: EngineState): StewardStep {
-    const {placement, configuration} = this.options.follower.state;
+    const {placement, configuration, stewardship} = this.options.follower.state;
     const slots = placement.listOn(engine.backendServerId);
     const nowMs = this.options.clock.wallMs();
     return decideSteward({
       slots,
       engine,
-      memory: {staged: this.staged, unresolved: this.lost.list()},
+      memory: this.memory,
+      unresolved: this.lost.list(),
+      hasDoubts: stewardship.listDoubts(engine.backendServerId).length > 0,
       memoryOfAdapter: (model, adapter) =>
         configuration.find('model', model)?.content.adapters[adapter]
           ?.memoryMib ?? 0,
+      drain: this.options.drain,
+      outlook: slot => this.options.outlook(slot),
       nowMs,
-      advanceMs: 0,
       reservedMib: this.sumReservedMib(slots, engine, nowMs),
     });
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -32,10 +32,12 @@
 import {NodeRanking} from './node_ranking.js';
 import {Obituary} from './obituary.js';
 import {Operations} from './operations.js';
+import {passDemand} from './pass_demand.js';
 import {PeerTask} from './peer_task.js';
 import {PlannerTask} from './planner_task.js';
 import {toEntry} from './entry.js';
 import {ReportTask, listSlotContents} from './report_task.js';
+import {StewardHints} from './steward_hints.js';
 import {StewardTask} from './steward_task.js';
 import {makeLimitsReader} from './store_limits.js';
 
@@ -60,7 +62,8 @@
 const LONG_POLL_MS = 5_000;
 const RETRY_DELAY_MS = 200;
 const PLATFORM_TIMEOUT_MS = 2_000;
-const ENGINE_TIMEOUT_MS = 2_000;
+/** Three reads of an engine in a row that take longer make it lost. */
+const ENGINE_TIMEOUT_MS = 1_000;
 const SUBMIT_TIMEOUT_MS = 10_000;
 const ORDER_DOUBT_MS = 30_000;
 const REPORT_TICK_MS = 100;
@@ -81,6 +84,7 @@
   private readonly stewards: StewardTask;
   private readonly hosts: HostListTask;
   private readonly planner: PlannerTask;
+  private readonly hints: StewardHints;
   private readonly answering: Answering;
   private readonly callerServer: FastifyInstance;
   private readonly operations: Operations;
@@ -112,9 +116,7 @@
       timeoutMs: PLATFORM_TIMEOUT_MS,
     });
     this.follower = new LogFollower({
-      clock,
-      random,
-      logger,
+      ...{clock, random, logger},
       log: this.log,
       stream: DECISIONS_STREAM,
       incarnation: this.incarnation,
@@ -122,6 +124,10 @@
       retryDelayMs: RETRY_DELAY_MS,
     });
     this.answering = this.makeAnswering();
+    this.hints = new StewardHints({
+      ...{clock, maxDeadlineMs: settings.maxDeadlineMs},
+      ...{follower: this.follower, board: this.board},
+    });
     this.peers = this.makePeers();
     this.hostWatch = new HostWatch({
       ...{clock, follower: this.follower},
@@ -289,7 +295,11 @@
       state: () => this.follower.state,
       board: this.board,
       countNodes: () => this.peers.listUsable().length,
-      noteDemand: model => this.passDemand(model),
+      noteDemand: modelText =>
+        passDemand(modelText, {
+          ...{incarnation: this.incarnation, ranking: this.ranking},
+          ...{peers: this.peers, planner: this.planner},
+        }),
     });
   }
 
@@ -319,12 +329,10 @@
   }
 
   private makeReports(): ReportTask {
-    const {settings, clock, random} = this.options;
     return new ReportTask(
       {
-        clock,
-        random,
-        nodeName: settings.nodeName,
+        ...this.options,
+        nodeName: this.options.settings.nodeName,
         follower: this.follower,
         board: this.board,
         peers: this.peers,
@@ -374,6 +382,8 @@
         },
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
         orderDoubtMs: ORDER_DOUBT_MS,
+        drain: this.hints.drain,
+        outlook: slot => this.hints.outlook(slot),
       },
       (error, task) => this.noteFault(error, task),
     );
@@ -406,12 +416,14 @@
   private makePlanner(): PlannerTask {
     return new PlannerTask(
       {
-        clock: this.options.clock,
+        ...this.options,
         follower: this.follower,
         board: this.board,
         policy: makePolicy(this.options.settings),
-        isResponsible: key => this.ranking.isFirst(key),
+        loadTimes: this.hints.loadTimes,
+        findRank: key => this.ranking.findOwnRank(key),
         isLeaving: id => this.hostWatch.isDraining(id),
+        watchEngines: ids => this.reports.watchEngines(ids),
         makeSlotId: () => `s-${randomUUID()}`,
         submitTimeoutMs: SUBMIT_TIMEOUT_MS,
       },
@@ -455,15 +467,6 @@
       .find(other => other.incarnation === incarnation);
   }
 
-  private passDemand(model: string): void {
-    const [first] = this.ranking.listFirst(`demand ${model}`);
-    if (!first || first.incarnation === this.incarnation) {
-      this.planner.post({type: 'demand', model});
-    } else {
-      this.peers.sendDemand(first.nodeName, model);
-    }
-  }
-
   private noteFault(thrown: unknown, task: string): void {
     const error: TypedError = toTypedError(thrown);
     this.options.logger.log('task-failed', {
--- /dev/null
+++ b/packages/node/src/planner_view.ts
@@ -0,0 +1,226 @@
+/** What the planner sees of the agreed state and the board during one run. */
+import {type AgreedState, type Slot} from '@mimosatack/agreed-state';
+import {type EngineBoard} from '@mimosatack/engine-board';
+import {type LogFollower} from '@mimosatack/follow-log';
+import {
+  type DemandTable,
+  type ServerView,
+  StoreTimetable,
+  findStoreUse,
+  makeServerView,
+  takeRoom,
+} from '@mimosatack/plan-warming';
+import {type WeightStoreLimits} from '@mimosatack/platform';
+import {type SlotPlan, type SlotPurpose} from '@mimosatack/records';
+import {readBaseSlotId} from '@mimosatack/steward-orders';
+import {type BackendServerId} from '@mimosatack/types';
+
+/** What the view is made of. */
+export interface PlannerViewOptions {
+  follower: LogFollower;
+  board: EngineBoard;
+  isLeaving(backendServerId: BackendServerId): boolean;
+  watchEngines(ids: readonly BackendServerId[]): void;
+}
+
+/** What a planning run takes room and time from. */
+export interface PlanningParts {
+  servers: readonly ServerView[];
+  timetable: StoreTimetable;
+  lanes: number;
+}
+
+const DEFAULT_LIMITS: WeightStoreLimits = {
+  loadsPerSecond: 3,
+  fullSpeedLoads: 4,
+};
+/** The share of the store's lanes that planned loads may use. */
+const PLANNED_SHARE = 0.75;
+/**
+ * Engines that are asked what lies in their near caches. Beyond these a model
+ * may be placed where its checkpoint is not near, which costs a transfer.
+ */
+const MAX_TIER_ENGINES = 64;
+
+/**
+ * Built once for each run, and the costly parts only when something is due.
+ * What one event takes in a run is gone for the next one in the same run.
+ */
+export class PlannerView {
+  private limits = DEFAULT_LIMITS;
+  private nowMs = 0;
+  private parts: PlanningParts | null = null;
+
+  constructor(private readonly options: PlannerViewOptions) {}
+
+  setLimits(limits: WeightStoreLimits): void {
+    this.limits = limits;
+  }
+
+  /** Forgets what the last run saw. */
+  begin(nowMs: number): void {
+    this.nowMs = nowMs;
+    this.parts = null;
+  }
+
+  /** Follows the engines whose use or progress decides what to plan. */
+  watchUsed(): void {
+    const used = this.state.placement
+      .list()
+      .filter(slot => slot.purpose.for === 'demand' || slot.replaces !== null)
+      .map(slot => slot.backendServerId);
+    if (used.length > 0) this.options.watchEngines([...new Set(used)]);
+  }
+
+  listHeld(purpose: SlotPurpose): Slot[] {
+    return this.state.placement.listFor(purpose);
+  }
+
+  planningParts(): PlanningParts {
+    this.parts ??= {
+      servers: this.listServers(),
+      timetable: this.makeTimetable(),
+      lanes: this.lanes,
+    };
+    return this.parts;
+  }
+
+  /** Takes what was just planned from the room that is left. */
+  take(plans: readonly SlotPlan[]): void {
+    if (plans.length === 0) return;
+    const parts = this.planningParts();
+    this.parts = {...parts, servers: takeRoom(parts.servers, plans)};
+  }
+
+  /** Changes when planning for the slot's backend server may change. */
+  markSlot(slot: Slot): string {
+    const id = slot.backendServerId;
+    const warmParts = slot.replaces === null ? 0 : this.countWarmParts(slot);
+    return `${this.markServer(id)}${warmParts > 0 ? warmParts : ''}`;
+  }
+
+  /** Changes with the servers that are lost or leaving, and with stand-ins. */
+  markServers(): string {
+    const {stewardship, placement} = this.state;
+    const servers = stewardship
+      .listBackendServers()
+      .map(({backendServerId: id}) => ({id, mark: this.markServer(id)}))
+      .filter(({mark}) => mark !== '')
+      .map(({id, mark}) => `${id}${mark}`);
+    const standIns = placement
+      .list()
+      .filter(slot => slot.replaces !== null)
+      .map(slot => this.markSlot(slot));
+    return [...servers, ...standIns].join(' ');
+  }
+
+  private markServer(id: BackendServerId): string {
+    const isLost = this.options.board.find(id)?.isReachable === false;
+    return `${isLost ? 'l' : ''}${this.options.isLeaving(id) ? 'v' : ''}`;
+  }
+
+  private countWarmParts({slotId, backendServerId}: Slot): number {
+    const report = this.options.board.find(backendServerId);
+    return (report?.engine?.replicas ?? [])
+      .filter(replica => readBaseSlotId(replica.slotId) === slotId)
+      .filter(replica => replica.status === 'warm').length;
+  }
+
+  /** Slots of events that are not in the configuration any more. */
+  listCancelled(): {slotId: string; eventId: string}[] {
+    const {configuration, placement} = this.state;
+    return placement
+      .list()
+      .flatMap(({slotId, purpose, status}) =>
+        purpose.for === 'event' &&
+        status === 'decided' &&
+        !configuration.findEvent(purpose.eventId)
+          ? [{slotId, eventId: purpose.eventId}]
+          : [],
+      );
+  }
+
+  /** Models whose demand slots run requests now. */
+  listActiveModels(): string[] {
+    return this.listDemandSlots()
+      .filter(slot => this.countRequests(slot) > 0)
+      .map(slot => slot.model);
+  }
+
+  /**
+   * Whether a running event is to serve such requests; then its own plan sees
+   * to them, and a second replica beside it would be one too many.
+   */
+  isForEvent(model: string, adapters: readonly string[]): boolean {
+    return this.state.configuration
+      .listEvents()
+      .filter(({startsAtMs}) => startsAtMs <= this.nowMs)
+      .filter(({endsAtMs}) => this.nowMs < endsAtMs)
+      .flatMap(event => event.needs)
+      .some(
+        need =>
+          need.model === model &&
+          adapters.every(adapter => need.adapters.includes(adapter)),
+      );
+  }
+
+  /** Demand slots of other models that run nothing, unused longest first. */
+  listIdleDemand(model: string, demand: DemandTable): Slot[] {
+    const lastUseMs = (slot: Slot) => demand.find(slot.model).lastUseMs ?? 0;
+    return this.listDemandSlots()
+      .filter(slot => slot.model !== model && this.countRequests(slot) === 0)
+      .toSorted((a, b) => lastUseMs(a) - lastUseMs(b));
+  }
+
+  private get state(): AgreedState {
+    return this.options.follower.state;
+  }
+
+  private get lanes(): number {
+    return Math.max(1, Math.floor(this.limits.fullSpeedLoads * PLANNED_SHARE));
+  }
+
+  private listDemandSlots(): Slot[] {
+    return this.state.placement
+      .list()
+      .filter(slot => slot.purpose.for === 'demand');
+  }
+
+  private countRequests(slot: Slot): number {
+    const replicas =
+      this.options.board.find(slot.backendServerId)?.engine?.replicas ?? [];
+    return replicas
+      .filter(replica => readBaseSlotId(replica.slotId) === slot.slotId)
+      .reduce((sum, replica) => sum + replica.activeRequests, 0);
+  }
+
+  private listServers(): ServerView[] {
+    const {stewardship, placement} = this.state;
+    const ids = stewardship
+      .listBackendServers()
+      .filter(server => server.memoryMib > 0)
+      .map(server => server.backendServerId);
+    this.options.watchEngines(ids.slice(0, MAX_TIER_ENGINES));
+    return stewardship
+      .listBackendServers()
+      .filter(server => server.memoryMib > 0)
+      .map(server => {
+        const report = this.options.board.find(server.backendServerId);
+        return makeServerView({
+          server,
+          holds: placement.listHolds(server.backendServerId),
+          engine: report?.engine ?? null,
+          isLeaving: this.options.isLeaving(server.backendServerId),
+          isLost: report?.isReachable === false,
+        });
+      });
+  }
+
+  private makeTimetable(): StoreTimetable {
+    const uses = this.state.placement
+      .list()
+      .map(findStoreUse)
+      .filter(use => use.untilMs > this.nowMs);
+    return new StoreTimetable(this.lanes, uses);
+  }
+}
--- a/packages/node/src/steward_task.ts
+++ b/packages/node/src/steward_task.ts
@@ -6,6 +6,7 @@
   type AgreedState,
   type BackendServer,
   type Doubt,
+  type Slot,
   type StewardClaim,
 } from '@mimosatack/agreed-state';
 import {type Clock} from '@mimosatack/clock';
@@ -17,9 +18,11 @@
 import {type BodyOf, type RecordBody} from '@mimosatack/records';
 import {type StewardTerm} from '@mimosatack/share-reports';
 import {decideRole, isFree} from '@mimosatack/steward-claims';
+import {type DrainLimits, type LoadOutlook} from '@mimosatack/steward-orders';
 import {Task, type TaskErrorHandler} from '@mimosatack/tasks';
 import {type BackendServerId, type NodeIncarnation} from '@mimosatack/types';
 import {EngineSteward} from './engine_steward.js';
+import {EngineWatches} from './engine_watches.js';
 
 /** What the task is told. */
 export type StewardMessage = {type: 'tick'};
@@ -54,6 +57,8 @@
    * engine that ignores fencing numbers.
    */
   orderDoubtMs: number;
+  drain: DrainLimits;
+  outlook(slot: Slot): LoadOutlook;
 }
 
 /** What became of the backend servers of a node that stops. */
@@ -79,6 +84,7 @@
   private readonly stewards = new Map<BackendServerId, EngineSteward>();
   /** Stewards of lost claims that may still have orders on the way. */
   private readonly retired = new Map<number, EngineSteward>();
+  private readonly watches: EngineWatches;
   private readonly freeSinceMs = new Map<BackendServerId, number>();
   private readonly submitting = new Set<string>();
   private isYielding = false;
@@ -90,6 +96,14 @@
     onError: TaskErrorHandler,
   ) {
     super('steward', onError);
+    this.watches = new EngineWatches({
+      clock: options.clock,
+      incarnation: options.incarnation,
+      connect: ({backendServerId, baseUrl}) =>
+        options.connect(backendServerId, baseUrl),
+      listSlots: id => options.follower.state.placement.listOn(id),
+      onSteppedIn: () => this.post({type: 'tick'}),
+    });
   }
 
   /**
@@ -165,6 +179,7 @@
     });
     switch (decision.role) {
       case 'hold':
+        this.watches.stop(id);
         return this.step(server, claim?.epoch ?? 0, 0);
       case 'succeed':
         return this.step(server, claim?.epoch ?? 0, decision.rank);
@@ -172,9 +187,21 @@
         this.retire(id);
         return void this.claim(id, claim?.epoch ?? 0);
       case 'wait':
-        if (this.stewards.has(id)) this.noteTakenAway(id);
-        return this.retire(id);
+        return this.standBy(server, state);
+    }
+  }
+
+  /** Stays off an engine that another node holds, unless it is neglected. */
+  private standBy(server: BackendServer, state: AgreedState): void {
+    const id = server.backendServerId;
+    const claim = state.stewardship.findClaim(id);
+    const rank = this.watches.watch(server, claim);
+    if (!claim || rank === null) {
+      if (this.stewards.has(id)) this.noteTakenAway(id);
+      return this.retire(id);
     }
+    this.step(server, claim.epoch, rank);
+    void this.claim(id, claim.epoch);
   }
 
   private measureFreeMs(id: BackendServerId, isFreeNow: boolean): number {
@@ -248,8 +275,12 @@
     });
   }
 
-  private claim(id: BackendServerId, expectedEpoch: number): Promise<void> {
-    return this.submit(`claim ${id}`, {
+  /** Begins to act as soon as the claim is read back, not at the next tick. */
+  private async claim(
+    id: BackendServerId,
+    expectedEpoch: number,
+  ): Promise<void> {
+    await this.submit(`claim ${id}`, {
       type: 'claim-steward',
       backendServerId: id,
       expectedEpoch,
@@ -258,6 +289,8 @@
         .filter(incarnation => incarnation !== this.options.incarnation)
         .slice(0, MAX_SUCCESSORS),
     });
+    const claim = this.options.follower.state.stewardship.findClaim(id);
+    if (claim?.holder === this.options.incarnation) this.post({type: 'tick'});
   }
 
   /**
@@ -295,6 +328,7 @@
     [...this.stewards.keys()]
       .filter(id => !present.has(id))
       .forEach(id => this.retire(id));
+    this.watches.keepOnly(present);
     [...this.freeSinceMs.keys()]
       .filter(id => !present.has(id))
       .forEach(id => this.freeSinceMs.delete(id));
--- a/packages/node/src/test_fixtures.ts
+++ b/packages/node/src/test_fixtures.ts
@@ -123,6 +123,13 @@
         publishReport: () => undefined,
         submitTimeoutMs: LONG_MS,
         orderDoubtMs: ORDER_DOUBT_MS,
+        drain: {clockSkewMs: 0, foldLagMs: 0, maxRequestMs: 1_000},
+        outlook: () => ({
+          startsAtMs: null,
+          remoteMs: 0,
+          nearMs: {memory: 0, disk: 0},
+          slowdown: 1,
+        }),
       },
       () => undefined,
     );
