--- /dev/null
+++ b/packages/backend-connections/src/index.ts
@@ -0,0 +1,10 @@
+export {
+  type AnswerHead,
+  type AnswerReceiver,
+  type BackendCall,
+  type CallHandle,
+} from './backend_call.js';
+export {
+  type BackendConnectionsOptions,
+  BackendConnections,
+} from './backend_connections.js';
--- /dev/null
+++ b/packages/caller-edge/src/index.ts
@@ -0,0 +1,2 @@
+export {CallerEdge, type CallerEdgeOptions} from './caller_edge.js';
+export {type EdgeDialect, type RefusalForm} from './edge_dialect.js';
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -31,6 +31,8 @@
   conflict: fact(409, false, 'Read the current version and apply again.'),
   'key-reused': fact(422, false, 'Use a new key for a different body.'),
   'body-too-large': fact(413, false, 'Send a smaller body.'),
+  'headers-too-large': fact(431, false, 'Send fewer or shorter headers.'),
+  'request-timeout': fact(408, true, 'Send the whole request without pauses.'),
   'answer-too-large': fact(502, false, 'Ask for a shorter answer.'),
   'rate-limited': fact(429, true, 'Wait as long as Retry-After says.'),
   overloaded: fact(503, true, 'Wait as long as Retry-After says.'),
--- /dev/null
+++ b/packages/keyed-store/src/index.ts
@@ -0,0 +1,12 @@
+export {
+  type AppendCondition,
+  type AppendOutcome,
+  type KeyedChange,
+  type KeyedRecord,
+  type KeyedSnapshot,
+  type KeyedTopic,
+  type KeyedWrite,
+  type ReadOutcome,
+} from './keyed_topic.js';
+export {KeyedFollower, type KeyedFollowerOptions} from './keyed_follower.js';
+export {KeyedTable} from './keyed_table.js';
--- /dev/null
+++ b/packages/keyed-store/src/keyed_follower.ts
@@ -0,0 +1,115 @@
+/** The task that keeps a table in step with its topic in the store. */
+import {type Clock, sleep} from '@mimosatack/clock';
+import {type TypedError, toTypedError} from '@mimosatack/errors';
+import {type RandomSource, addJitter} from '@mimosatack/random';
+import {type KeyedTable} from './keyed_table.js';
+import {type KeyedChange, type KeyedTopic} from './keyed_topic.js';
+
+/** What a follower is built from. */
+export interface KeyedFollowerOptions {
+  clock: Clock;
+  random: RandomSource;
+  topic: KeyedTopic;
+  table: KeyedTable;
+  /** How long the store holds a read back while there is nothing new. */
+  waitMs: number;
+  /** The least time between the begins of two reads, so that a topic with
+   * many changes is read in batches. */
+  minIntervalMs: number;
+  /** The wait after a failed read. */
+  retryDelayMs: number;
+  onChanges(changes: readonly KeyedChange[]): void;
+  /** Told of the first failure in a row. */
+  onLost(error: TypedError): void;
+  /** Told of the first success after a failure, and of the first of all. */
+  onRegained(): void;
+}
+
+const RETRY_SPREAD = 0.5;
+
+/** Reads a topic until it is stopped. */
+export class KeyedFollower {
+  private readonly stopping = new AbortController();
+  private isInStep = false;
+  private hasSnapshot = false;
+  private succeededAtMs = -Infinity;
+  private running: Promise<void> | null = null;
+
+  constructor(private readonly options: KeyedFollowerOptions) {}
+
+  /** Whether the last read succeeded. */
+  get isReachable(): boolean {
+    return this.isInStep;
+  }
+
+  /** When the last read succeeded, on the monotonic clock. */
+  get lastSuccessMs(): number {
+    return this.succeededAtMs;
+  }
+
+  start(): void {
+    this.running ??= this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    await this.running;
+  }
+
+  private async run(): Promise<void> {
+    const {clock, minIntervalMs} = this.options;
+    const {signal} = this.stopping;
+    while (!signal.aborted) {
+      const startedAtMs = clock.monotonicMs();
+      await this.readOnce(signal);
+      const restMs = startedAtMs + minIntervalMs - clock.monotonicMs();
+      if (restMs > 0) await sleep(clock, restMs, signal);
+    }
+  }
+
+  private async readOnce(signal: AbortSignal): Promise<void> {
+    try {
+      const changes = this.hasSnapshot
+        ? await this.readOn(signal)
+        : await this.readAll(signal);
+      this.noteSuccess();
+      if (changes.length > 0) this.options.onChanges(changes);
+    } catch (thrown) {
+      if (signal.aborted) return;
+      this.noteFailure(toTypedError(thrown));
+      const {clock, random, retryDelayMs} = this.options;
+      await sleep(clock, addJitter(random, retryDelayMs, RETRY_SPREAD), signal);
+    }
+  }
+
+  private async readAll(signal: AbortSignal): Promise<KeyedChange[]> {
+    const {topic, table} = this.options;
+    const snapshot = await topic.readNewest(signal);
+    this.hasSnapshot = true;
+    return table.applySnapshot(snapshot);
+  }
+
+  private async readOn(signal: AbortSignal): Promise<KeyedChange[]> {
+    const {topic, table, waitMs} = this.options;
+    const fromOffset = table.endOffset;
+    const outcome = await topic.readFrom(fromOffset, waitMs, signal);
+    if (outcome.status === 'expired') {
+      this.hasSnapshot = false;
+      return [];
+    }
+    return table.applyRecords(fromOffset, outcome.records, outcome.endOffset);
+  }
+
+  private noteSuccess(): void {
+    this.succeededAtMs = this.options.clock.monotonicMs();
+    if (this.isInStep) return;
+    this.isInStep = true;
+    this.options.onRegained();
+  }
+
+  private noteFailure(error: TypedError): void {
+    if (!this.isInStep) return;
+    this.isInStep = false;
+    this.options.onLost(error);
+  }
+}
--- /dev/null
+++ b/packages/serve-requests/src/index.ts
@@ -0,0 +1,26 @@
+export {
+  type AnswerFacts,
+  type BackendDialect,
+  type SendTerms,
+  type ServerLoad,
+} from './backend_dialect.js';
+export {
+  type AnswerSink,
+  type CallerRequest,
+  type GenerationTerms,
+  type PromptPart,
+} from './caller_request.js';
+export {LeastLoadedChooser} from './least_loaded_chooser.js';
+export {RequestPipeline, type PipelineOptions} from './request_pipeline.js';
+export {
+  type RetryBound,
+  RetryAllowance,
+  type RetryAllowanceOptions,
+} from './retry_allowance.js';
+export {RouteTable} from './route_table.js';
+export {
+  type AttemptResult,
+  type ServerAsk,
+  type ServerChoice,
+  type ServerChooser,
+} from './server_chooser.js';
--- /dev/null
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -0,0 +1,96 @@
+/** Takes requests from their arrival to their final answers. */
+import {type BackendConnections} from '@mimosatack/backend-connections';
+import {type Clock} from '@mimosatack/clock';
+import {TypedError} from '@mimosatack/errors';
+import {type RandomSource} from '@mimosatack/random';
+import {
+  type ServiceRoute,
+  type ServiceSpec,
+  type ServingConfiguration,
+} from '@mimosatack/types';
+import {type BackendDialect} from './backend_dialect.js';
+import {type AnswerSink, type CallerRequest} from './caller_request.js';
+import {pickService} from './pick_service.js';
+import {RequestRun} from './request_run.js';
+import {type RetryAllowance} from './retry_allowance.js';
+import {RouteTable} from './route_table.js';
+import {type ServerChooser} from './server_chooser.js';
+
+/** What the pipeline is built from. */
+export interface PipelineOptions {
+  clock: Clock;
+  random: RandomSource;
+  connections: BackendConnections;
+  dialect: BackendDialect;
+  chooser: ServerChooser;
+  retries: RetryAllowance;
+}
+
+const NOT_CONFIGURED_RETRY_MS = 500;
+
+/** The configuration in force, ready for look-ups. */
+interface ActiveConfiguration {
+  routes: RouteTable;
+  services: ReadonlyMap<string, ServiceSpec>;
+}
+
+/** The path of every request, whichever edge it came in by. */
+export class RequestPipeline {
+  private active: ActiveConfiguration | null = null;
+
+  constructor(private readonly options: PipelineOptions) {}
+
+  /** Puts a configuration in force for all requests that come after it. */
+  configure(configuration: ServingConfiguration): void {
+    this.active = {
+      routes: new RouteTable(configuration.routes),
+      services: new Map(
+        configuration.services.map(service => [service.name, service]),
+      ),
+    };
+  }
+
+  /** Resolves once the request has its final answer. */
+  async serve(request: CallerRequest, sink: AnswerSink): Promise<void> {
+    const target = this.findTarget(request);
+    if (target instanceof TypedError) {
+      sink.refuse(target);
+      return;
+    }
+    this.options.retries.noteRequest(target.service.name);
+    await new RequestRun(this.options, request, sink, target).run();
+  }
+
+  private findTarget(request: CallerRequest): RequestTarget | TypedError {
+    const {active} = this;
+    if (!active) return makeNotConfigured();
+    const route = active.routes.find(request.host, request.path);
+    if (!route) return makeNoRoute(request);
+    const name = pickService(route.traffic, this.options.random);
+    const service = name === null ? undefined : active.services.get(name);
+    return service ? {route, service} : makeNotConfigured();
+  }
+}
+
+/** Where a request goes by its configuration. */
+export interface RequestTarget {
+  route: ServiceRoute;
+  service: ServiceSpec;
+}
+
+/**
+ * A node that has no configuration yet can't tell an unknown path from one
+ * that it has not learnt of, so it never answers that there is no such route.
+ */
+function makeNotConfigured(): TypedError {
+  return new TypedError('platform-unavailable', 'Not configured yet.', {
+    run: 'not-run',
+    retryAfterMs: NOT_CONFIGURED_RETRY_MS,
+  });
+}
+
+function makeNoRoute({host, path}: CallerRequest): TypedError {
+  return new TypedError('not-found', `No route takes ${host}${path}.`, {
+    run: 'not-run',
+  });
+}
--- /dev/null
+++ b/packages/serve-requests/src/request_run.ts
@@ -0,0 +1,208 @@
+/** One request on its way: attempts, retries, and one final answer. */
+import {type Timer} from '@mimosatack/clock';
+import {TypedError} from '@mimosatack/errors';
+import {type BackendServerEntry, type BackendServerId} from '@mimosatack/types';
+import {Attempt, type AttemptOutcome} from './attempt.js';
+import {AnswerRelay} from './answer_relay.js';
+import {type AnswerSink, type CallerRequest} from './caller_request.js';
+import {type PipelineOptions, type RequestTarget} from './request_pipeline.js';
+import {type AttemptResult, type ServerAsk} from './server_chooser.js';
+
+/** A connection that takes longer than this is tried elsewhere. */
+const CONNECT_TIMEOUT_MS = 500;
+/**
+ * A request that may run only once does not go on a connection that was idle
+ * for longer, since the other side may be closing it just then.
+ */
+const MAX_IDLE_ONCE_MS = 1_000;
+const RETRY_AFTER_MS = 1_000;
+
+/** Why a run ended from this side. */
+type EndCause = 'caller-gone' | 'timeout';
+
+/** Carries one request from its choice of a server to its final answer. */
+export class RequestRun {
+  private readonly endsAtMs: number;
+  private readonly tried = new Set<BackendServerId>();
+  private readonly ending = new AbortController();
+  private readonly relay: AnswerRelay;
+  private attempt: Attempt | null = null;
+  private attempts = 0;
+  /** Whether a server may have run the request without an answer to it. */
+  private mayHaveRun = false;
+  private endCause: EndCause | null = null;
+
+  constructor(
+    private readonly options: PipelineOptions,
+    private readonly request: CallerRequest,
+    private readonly sink: AnswerSink,
+    private readonly target: RequestTarget,
+  ) {
+    const waitMs = Math.min(
+      target.route.timeoutMs,
+      request.deadlineMs ?? Infinity,
+    );
+    this.endsAtMs = request.receivedAtMs + waitMs;
+    this.relay = new AnswerRelay({
+      sink,
+      isStream: target.route.kind === 'streaming',
+      lastEventId: request.lastEventId,
+      resume: () => this.attempt?.resume(),
+      mayDiscard: () => this.mayRetryFailure(),
+    });
+  }
+
+  /** Resolves once the request has its final answer. */
+  async run(): Promise<void> {
+    const timer = this.startTimer();
+    const onGone = () => this.endBy('caller-gone');
+    this.sink.gone.addEventListener('abort', onGone, {once: true});
+    if (this.sink.gone.aborted) onGone();
+    try {
+      await this.attemptUntilDone();
+    } finally {
+      timer.cancel();
+      this.sink.gone.removeEventListener('abort', onGone);
+    }
+  }
+
+  private async attemptUntilDone(): Promise<void> {
+    for (;;) {
+      const ask = this.makeAsk();
+      const choice = await this.options.chooser.choose(ask);
+      if (this.endCause) return this.finishEnded();
+      if (choice.status === 'refused') return this.giveUp(choice.error);
+      const outcome = await this.attemptAt(choice.server, ask);
+      if (outcome.status === 'answered') return;
+      if (outcome.status === 'aborted') return this.finishEnded();
+      this.tried.add(choice.server.id);
+      if (!this.mayGoOn(outcome)) return this.giveUp(outcome.error);
+    }
+  }
+
+  private async attemptAt(
+    server: BackendServerEntry,
+    ask: ServerAsk,
+  ): Promise<AttemptOutcome> {
+    const {connections, dialect, clock, chooser} = this.options;
+    const {request, target} = this;
+    this.attempts += 1;
+    const attempt = new Attempt({
+      ...{connections, dialect, clock, request},
+      terms: {
+        server,
+        remainingMs: this.endsAtMs - clock.monotonicMs(),
+        priority: target.service.engine ? target.route.priority : null,
+        lastEventId: this.relay.lastEventId,
+      },
+      consumer: this.relay,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      maxIdleMs: this.isRepeatable ? Infinity : MAX_IDLE_ONCE_MS,
+      onLoad: load => chooser.noteLoad(server, load),
+    });
+    this.attempt = attempt;
+    chooser.noteSent(server, ask);
+    attempt.start();
+    const outcome = await attempt.outcome;
+    chooser.noteDone(server, ask, toResult(outcome));
+    if (outcome.status === 'broken') this.mayHaveRun = true;
+    return outcome;
+  }
+
+  /** Whether the request goes to another server after this outcome. */
+  private mayGoOn(
+    outcome: Exclude<AttemptOutcome, {status: 'answered' | 'aborted'}>,
+  ): boolean {
+    // A discarded answer has taken its retry out of the allowance already.
+    if (outcome.status === 'refusing') return true;
+    if (outcome.status === 'broken' && !this.isRepeatable) return false;
+    if (outcome.status === 'broken' && !this.relay.canGoOn) return false;
+    if (this.attempts >= this.target.route.maxAttempts) return false;
+    const reached = outcome.status !== 'not-run' || !outcome.isUnreachable;
+    return !reached || this.spendRetry();
+  }
+
+  /** A failure that a server answered is tried elsewhere if that is allowed. */
+  private mayRetryFailure(): boolean {
+    return (
+      this.isRepeatable &&
+      this.attempts < this.target.route.maxAttempts &&
+      this.spendRetry()
+    );
+  }
+
+  private spendRetry(): boolean {
+    return this.options.retries.trySpend(this.target.service.name);
+  }
+
+  private get isRepeatable(): boolean {
+    const {kind, isResumable} = this.target.route;
+    return kind === 'idempotent' || (kind === 'streaming' && isResumable);
+  }
+
+  private giveUp(error: TypedError): void {
+    if (this.sink.hasBegun) return this.sink.abort();
+    this.sink.refuse(this.describe(error));
+  }
+
+  /** Never says "not run" once any attempt may have run. */
+  private describe(error: TypedError): TypedError {
+    if (!this.mayHaveRun) {
+      return new TypedError(error.kind, error.summary, {
+        ...error.details,
+        run: 'not-run',
+        retryAfterMs: error.retryAfterMs ?? RETRY_AFTER_MS,
+      });
+    }
+    return new TypedError('backend-failed', error.summary, {run: 'unknown'});
+  }
+
+  private finishEnded(): void {
+    if (this.endCause === 'caller-gone') return;
+    if (this.sink.hasBegun) return this.sink.abort();
+    this.sink.refuse(
+      new TypedError('deadline-exceeded', 'No answer came in time.', {
+        run: this.mayHaveRun ? 'unknown' : 'not-run',
+      }),
+    );
+  }
+
+  private startTimer(): Timer {
+    const {clock} = this.options;
+    return clock.setTimer(this.endsAtMs - clock.monotonicMs(), () =>
+      this.endBy('timeout'),
+    );
+  }
+
+  private endBy(cause: EndCause): void {
+    if (this.endCause) return;
+    this.endCause = cause;
+    if (this.attempt) this.mayHaveRun = true;
+    this.ending.abort();
+    this.attempt?.abort();
+  }
+
+  private makeAsk(): ServerAsk {
+    return {
+      request: this.request,
+      route: this.target.route,
+      service: this.target.service,
+      excluded: this.tried,
+      endsAtMs: this.endsAtMs,
+      signal: this.ending.signal,
+    };
+  }
+}
+
+function toResult(outcome: AttemptOutcome): AttemptResult {
+  switch (outcome.status) {
+    case 'answered':
+      return 'answered';
+    case 'not-run':
+      return outcome.isUnreachable ? 'unreachable' : 'not-run';
+    case 'aborted':
+      return 'neutral';
+    default:
+      return 'failed';
+  }
+}
--- /dev/null
+++ b/packages/serve-requests/src/server_chooser.ts
@@ -0,0 +1,52 @@
+/** Who chooses the backend server that a request is sent to. */
+import {type TypedError} from '@mimosatack/errors';
+import {
+  type BackendServerEntry,
+  type BackendServerId,
+  type ServiceRoute,
+  type ServiceSpec,
+} from '@mimosatack/types';
+import {type ServerLoad} from './backend_dialect.js';
+import {type CallerRequest} from './caller_request.js';
+
+/** What a server is chosen for. */
+export interface ServerAsk {
+  request: CallerRequest;
+  route: ServiceRoute;
+  service: ServiceSpec;
+  /** Servers that were tried already. */
+  excluded: ReadonlySet<BackendServerId>;
+  /** When the answer has to be whole, on the monotonic clock. */
+  endsAtMs: number;
+  /** Aborted when the request no longer waits. */
+  signal: AbortSignal;
+}
+
+/** The server to send to, or why there is none. */
+export type ServerChoice =
+  | {status: 'chosen'; server: BackendServerEntry}
+  | {status: 'refused'; error: TypedError};
+
+/** How an attempt at a server went. */
+export type AttemptResult =
+  | 'answered'
+  /** The server said that it did not run the request. */
+  | 'not-run'
+  /** It failed the request by a fault of its own. */
+  | 'failed'
+  /** It could not be reached. */
+  | 'unreachable'
+  /** It ended for a reason that says nothing of the server. */
+  | 'neutral';
+
+/** Chooses servers and learns how the attempts go. */
+export interface ServerChooser {
+  choose(ask: ServerAsk): Promise<ServerChoice>;
+  noteSent(server: BackendServerEntry, ask: ServerAsk): void;
+  noteLoad(server: BackendServerEntry, load: ServerLoad): void;
+  noteDone(
+    server: BackendServerEntry,
+    ask: ServerAsk,
+    result: AttemptResult,
+  ): void;
+}
--- /dev/null
+++ b/packages/serving-node/src/node_settings.ts
@@ -0,0 +1,28 @@
+/** What a node is told of itself and of the bounds that it keeps. */
+import {type RetryBound} from '@mimosatack/serve-requests';
+import {
+  type FailureDomain,
+  type Region,
+  type SocketAddress,
+} from '@mimosatack/types';
+
+/** The settings of one node. */
+export interface NodeSettings {
+  nodeName: string;
+  ip: string;
+  failureDomain: FailureDomain;
+  region: Region;
+  callerAddress: SocketAddress;
+  readyAddress: SocketAddress;
+  directoryAddress: SocketAddress;
+  peerAddress: SocketAddress;
+  /** Some other nodes; they may be out of date. */
+  seeds: readonly SocketAddress[];
+  /** A server that leaves gets nothing new after this time. */
+  drainMs: number;
+  /** How long a stop may take. */
+  graceMs: number;
+  /** Callers keep an answer of the directory no longer than this. */
+  maxEntriesTtlMs: number;
+  retryBound: RetryBound;
+}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,2 +1,3 @@
 export * from './identifiers.js';
 export * from './backend.js';
+export * from './serving.js';
