--- a/.ci/summarize_main.js
+++ b/.ci/summarize_main.js
@@ -24,11 +24,12 @@
 
 /** The built files that uvu should run, as it names them. */
 function listTestFiles() {
-  return readdirSync('packages').flatMap(name => {
-    const directory = `packages/${name}/src`;
+  const packages = readdirSync('packages').map(name => `packages/${name}`);
+  return [...packages, 'platform'].flatMap(folder => {
+    const directory = `${folder}/src`;
     if (!existsSync(directory)) return [];
     return readdirSync(directory, {recursive: true})
       .filter(file => file.endsWith('.test.ts'))
-      .map(file => `${name}/dist/${file.replace(/\.ts$/, '.js')}`);
+      .map(file => `${folder}/dist/${file.replace(/\.ts$/, '.js')}`);
   });
 }
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,11 +5,11 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**']},
+  {ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**']},
   ...tseslint.configs.recommendedTypeChecked,
   prettier,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     plugins: {'check-file': checkFile},
     languageOptions: {
       parserOptions: {
@@ -61,7 +61,7 @@
     },
   },
   {
-    files: ['packages/**/*.test.ts'],
+    files: ['packages/**/*.test.ts', 'platform/**/*.test.ts'],
     rules: {'max-lines-per-function': 'off'},
   },
   {
--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -7,7 +7,7 @@
 import {type Clock, type Timer} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type SocketAddress, formatAddress} from '@mimosatack/types';
-import {Client, type Dispatcher} from 'undici';
+import {Client} from 'undici';
 import {
   type AnswerReceiver,
   type BackendCall,
@@ -78,7 +78,7 @@
     this.client.dispatch(
       {
         path: call.path,
-        method: call.method as Dispatcher.HttpMethod,
+        method: call.method,
         headers: call.headers as string[],
         body: call.body,
       },
--- a/packages/serve-requests/src/answer_relay.ts
+++ b/packages/serve-requests/src/answer_relay.ts
@@ -12,9 +12,9 @@
   /** The last event that the caller had before this request. */
   lastEventId: number | null;
   /** Reads on after the answer was paused. */
-  resume(): void;
+  resume: () => void;
   /** Whether a failure may be tried elsewhere instead of being handed on. */
-  mayDiscard(): boolean;
+  mayDiscard: () => boolean;
 }
 
 /**
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -48,7 +48,7 @@
   consumer: AnswerConsumer;
   connectTimeoutMs: number;
   maxIdleMs: number;
-  onLoad(load: ServerLoad): void;
+  onLoad: (load: ServerLoad) => void;
 }
 
 const STATUS_OK_MIN = 200;
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -110,7 +110,9 @@
       : notes.inFlight;
     const hasFailed = nowMs - notes.failedAtMs < FAILURE_REST_MS;
     return (
-      busy / Math.max(1, server.slots) + distance + (hasFailed ? FAILED_COST : 0)
+      busy / Math.max(1, server.slots) +
+      distance +
+      (hasFailed ? FAILED_COST : 0)
     );
   }
 
--- /dev/null
+++ b/packages/serve-requests/src/retry_allowance.test.ts
@@ -0,0 +1,48 @@
+import {ManualClock} from '@mimosatack/clock';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {RetryAllowance} from './retry_allowance.js';
+
+const test = suite('retry allowance');
+
+const BOUND = {ratio: 0.2, slack: 40, windowMs: 10_000};
+
+function countGranted(allowance: RetryAllowance, tries: number): number {
+  return Array.from({length: tries}, () =>
+    allowance.trySpend('writers'),
+  ).filter(Boolean).length;
+}
+
+/*
+ * All servers of a service fail. Every request would be sent twice by each of
+ * 8 nodes; the bound holds for all of them together, so each may use an
+ * eighth of the slack and its own requests' share, and no more.
+ */
+test('all nodes together stay within the bound', () => {
+  const clock = new ManualClock();
+  const granted = Array.from({length: 8}, () => {
+    const allowance = new RetryAllowance({
+      ...{clock, bound: BOUND, countNodes: () => 8},
+    });
+    Array.from({length: 50}, () => allowance.noteRequest('writers'));
+    return countGranted(allowance, 50);
+  });
+  const total = granted.reduce((sum, count) => sum + count, 0);
+  assert.ok(total > 0);
+  assert.ok(total <= BOUND.ratio * 8 * 50 + BOUND.slack, `${total}`);
+});
+
+test('what was spent comes back once it has left the window', () => {
+  const clock = new ManualClock();
+  const allowance = new RetryAllowance({
+    ...{clock, bound: BOUND, countNodes: () => 1},
+  });
+  assert.ok(countGranted(allowance, 100) > 0);
+  assert.is(countGranted(allowance, 1), 0);
+  clock.advance(9_000);
+  assert.is(countGranted(allowance, 1), 0);
+  clock.advance(1_100);
+  assert.is(countGranted(allowance, 1), 1);
+});
+
+test.run();
--- a/packages/serving-node/src/status_server.ts
+++ b/packages/serving-node/src/status_server.ts
@@ -1,5 +1,9 @@
 /** Answers whether the node is ready, and where callers may connect. */
-import {type IncomingMessage, type ServerResponse, createServer} from 'node:http';
+import {
+  type IncomingMessage,
+  type ServerResponse,
+  createServer,
+} from 'node:http';
 import {type SocketAddress} from '@mimosatack/types';
 import fastify, {type FastifyInstance} from 'fastify';
 import {type EntryList} from './entry_list.js';
@@ -7,9 +11,12 @@
 
 /** What the server is built from. */
 export interface StatusServerOptions {
-  platform: Pick<PlatformAdapter, 'readyPath' | 'entriesPath' | 'formatEntries'>;
-  isReady(): boolean;
-  listEntries(): EntryList;
+  platform: Pick<
+    PlatformAdapter,
+    'readyPath' | 'entriesPath' | 'formatEntries'
+  >;
+  isReady: () => boolean;
+  listEntries: () => EntryList;
 }
 
 /** One set of routes, reachable at several addresses. */
@@ -23,7 +30,9 @@
       reply.code(isReady() ? 200 : 503).send(),
     );
     this.app.get(platform.entriesPath, async (_request, reply) =>
-      reply.type('application/json').send(platform.formatEntries(listEntries())),
+      reply
+        .type('application/json')
+        .send(platform.formatEntries(listEntries())),
     );
   }
 
