--- /dev/null
+++ b/packages/backend-connections/src/collect_answer.ts
@@ -0,0 +1,53 @@
+/** Short calls whose answer is wanted as a whole. */
+import {type Clock} from '@mimosatack/clock';
+import {type TypedError} from '@mimosatack/errors';
+import {type BackendCall, type AnswerHead} from './backend_call.js';
+import {type BackendConnections} from './backend_connections.js';
+import {makeUnreachable} from './backend_connection.js';
+
+/** An answer as it came. */
+export interface CollectedAnswer extends AnswerHead {
+  body: Uint8Array;
+}
+
+/** Answers to such calls are a few kilobytes at most. */
+const MAX_ANSWER_BYTES = 1_048_576;
+
+/** Sends a call and reads its whole answer; rejects when it takes too long. */
+export function collectAnswer(
+  connections: BackendConnections,
+  call: BackendCall,
+  timeoutMs: number,
+  clock: Clock,
+): Promise<CollectedAnswer> {
+  return new Promise((resolve, reject) => {
+    let head: AnswerHead | null = null;
+    const pieces: Uint8Array[] = [];
+    let byteCount = 0;
+    const fail = (error: TypedError) => {
+      timer.cancel();
+      reject(error);
+    };
+    const handle = connections.send(call, {
+      onHead: received => (head = received),
+      onData: piece => {
+        pieces.push(piece);
+        byteCount += piece.length;
+        if (byteCount > MAX_ANSWER_BYTES) {
+          handle.abort();
+          fail(makeUnreachable('The answer is too large.'));
+        }
+        return true;
+      },
+      onEnd: () => {
+        timer.cancel();
+        if (head) resolve({...head, body: Buffer.concat(pieces)});
+      },
+      onFailure: fail,
+    });
+    const timer = clock.setTimer(timeoutMs, () => {
+      handle.abort();
+      reject(makeUnreachable('No answer came in time.'));
+    });
+  });
+}
--- a/packages/backend-connections/src/index.ts
+++ b/packages/backend-connections/src/index.ts
@@ -8,3 +8,4 @@
   type BackendConnectionsOptions,
   BackendConnections,
 } from './backend_connections.js';
+export {type CollectedAnswer, collectAnswer} from './collect_answer.js';
--- /dev/null
+++ b/packages/hold-duty/src/duty_task.ts
@@ -0,0 +1,202 @@
+/**
+ * The task that knows who carries out a duty, and claims it when nobody does.
+ * The newest record of the duty's key names the holder, and the record's
+ * offset is the fencing token: it grows with every change of the holder.
+ *
+ * Two nodes that claim at once: both append on the condition that the topic
+ * ends where they read it, so the store takes one. A claim whose answer is
+ * lost: nobody believes it before the record has been read back, and one that
+ * is carried out seconds later still holds only if no other came between.
+ */
+import {type Clock} from '@mimosatack/clock';
+import {type TypedError, toTypedError} from '@mimosatack/errors';
+import {
+  type KeyedChange,
+  KeyedFollower,
+  KeyedTable,
+  type KeyedTopic,
+} from '@mimosatack/keyed-store';
+import {type RandomSource} from '@mimosatack/random';
+import {type HolderContact, decideClaim} from './decide_claim.js';
+
+export {type HolderContact} from './decide_claim.js';
+
+/** Who holds a duty. */
+export interface DutyHolder {
+  nodeName: string;
+  /** One life of its process. */
+  incarnation: string;
+  /** Where the other nodes reach it. */
+  address: string;
+  /** Higher for every later holder. */
+  token: number;
+}
+
+/** Turns the holder into the value of its record and back. */
+export class DutyHolderCodec {
+  static encode({nodeName, incarnation, address}: DutyHolder): Uint8Array {
+    return Buffer.from(JSON.stringify({nodeName, incarnation, address}));
+  }
+
+  /** Null for a value of an unknown form. */
+  static decode(value: Uint8Array, offset: number): DutyHolder | null {
+    try {
+      const {nodeName, incarnation, address} = JSON.parse(
+        Buffer.from(value).toString('utf8'),
+      ) as Partial<DutyHolder>;
+      if (!nodeName || !incarnation || !address) return null;
+      return {nodeName, incarnation, address, token: offset + 1};
+    } catch {
+      return null;
+    }
+  }
+}
+
+/** What the task is built from. */
+export interface DutyTaskOptions {
+  clock: Clock;
+  random: RandomSource;
+  topic: KeyedTopic;
+  key: string;
+  self: Omit<DutyHolder, 'token'>;
+  /** What this node's connections tell of the holder. */
+  contactWith(holder: DutyHolder): HolderContact;
+  /** How many live nodes claim before this one. */
+  findRank(): number;
+  isHeardByOthers(): boolean;
+  /** Whether this node may hold the duty at all. */
+  isEligible(): boolean;
+  onHolder(holder: DutyHolder | null): void;
+  onLost(error: TypedError): void;
+  onRegained(): void;
+}
+
+const WAIT_MS = 20_000;
+const MIN_INTERVAL_MS = 20;
+const RETRY_DELAY_MS = 200;
+const TICK_MS = 50;
+/** After a claim without an answer, the record is read back first. */
+const CLAIM_PAUSE_MS = 600;
+
+/** Follows the record of one duty and claims it when that is due. */
+export class DutyTask {
+  private readonly table = new KeyedTable();
+  private readonly follower: KeyedFollower;
+  private current: DutyHolder | null = null;
+  private contact: HolderContact | 'none' = 'none';
+  private contactSinceMs: number;
+  private claimAtMs = -Infinity;
+  private isClaiming = false;
+  private isStopped = false;
+
+  constructor(private readonly options: DutyTaskOptions) {
+    const {clock, random, topic} = options;
+    this.contactSinceMs = clock.monotonicMs();
+    this.follower = new KeyedFollower({
+      ...{clock, random, topic, table: this.table},
+      waitMs: WAIT_MS,
+      minIntervalMs: MIN_INTERVAL_MS,
+      retryDelayMs: RETRY_DELAY_MS,
+      onChanges: changes => this.takeChanges(changes),
+      onLost: error => options.onLost(error),
+      onRegained: () => options.onRegained(),
+    });
+  }
+
+  /** The newest known holder. */
+  get holder(): DutyHolder | null {
+    return this.current;
+  }
+
+  /** Whether this process holds the duty as far as it knows. */
+  get isHeld(): boolean {
+    return this.current?.incarnation === this.options.self.incarnation;
+  }
+
+  start(): void {
+    this.follower.start();
+    this.scheduleTick();
+  }
+
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await this.follower.stop();
+  }
+
+  /** Takes what a peer knows; an older holder never replaces a newer one. */
+  noteHolder(holder: DutyHolder): void {
+    if (this.current && holder.token <= this.current.token) return;
+    this.setHolder(holder);
+  }
+
+  private scheduleTick(): void {
+    if (this.isStopped) return;
+    this.options.clock.setTimer(TICK_MS, () => {
+      this.tick();
+      this.scheduleTick();
+    });
+  }
+
+  private tick(): void {
+    const {clock, findRank, isHeardByOthers, isEligible} = this.options;
+    const nowMs = clock.monotonicMs();
+    this.noteContact(nowMs);
+    const isReadable = this.follower.isReachable;
+    if (!isReadable || this.isClaiming || nowMs < this.claimAtMs) return;
+    if (!isEligible()) return;
+    const isDue = decideClaim({
+      holder: this.current && {
+        isSelf: this.isHeld,
+        contact: this.contact === 'none' ? 'silent' : this.contact,
+      },
+      contactForMs: nowMs - this.contactSinceMs,
+      rank: findRank(),
+      isHeardByOthers: isHeardByOthers(),
+    });
+    if (isDue) void this.claim();
+  }
+
+  private noteContact(nowMs: number): void {
+    const contact = this.current
+      ? this.options.contactWith(this.current)
+      : 'none';
+    if (contact === this.contact) return;
+    this.contact = contact;
+    this.contactSinceMs = nowMs;
+  }
+
+  private async claim(): Promise<void> {
+    const {topic, key, self, clock} = this.options;
+    this.isClaiming = true;
+    this.claimAtMs = clock.monotonicMs() + CLAIM_PAUSE_MS;
+    try {
+      const value = DutyHolderCodec.encode({...self, token: 0});
+      const outcome = await topic.append([{key, value}], {
+        atOffset: this.table.endOffset,
+      });
+      if (outcome.status === 'appended') {
+        this.noteHolder({...self, token: outcome.offset + 1});
+      }
+    } catch (thrown) {
+      this.options.onLost(toTypedError(thrown));
+    } finally {
+      this.isClaiming = false;
+    }
+  }
+
+  private takeChanges(changes: readonly KeyedChange[]): void {
+    changes
+      .filter(({key}) => key === this.options.key)
+      .forEach(({value, offset}) => {
+        const holder = value && DutyHolderCodec.decode(value, offset);
+        if (holder) this.noteHolder(holder);
+      });
+  }
+
+  private setHolder(holder: DutyHolder): void {
+    this.current = holder;
+    this.contact = 'none';
+    this.contactSinceMs = this.options.clock.monotonicMs();
+    this.options.onHolder(holder);
+  }
+}
--- /dev/null
+++ b/packages/hold-duty/src/index.ts
@@ -0,0 +1,8 @@
+export {
+  type DutyHolder,
+  DutyHolderCodec,
+  type DutyTaskOptions,
+  type HolderContact,
+  DutyTask,
+} from './duty_task.js';
+export {type DutyView, decideClaim} from './decide_claim.js';
--- a/packages/keyed-store/src/keyed_follower.ts
+++ b/packages/keyed-store/src/keyed_follower.ts
@@ -18,6 +18,8 @@
   minIntervalMs: number;
   /** The wait after a failed read. */
   retryDelayMs: number;
+  /** False while the table is kept in step in another way. */
+  isNeeded?(): boolean;
   onChanges(changes: readonly KeyedChange[]): void;
   /** Told of the first failure in a row. */
   onLost(error: TypedError): void;
@@ -61,12 +63,16 @@
     const {signal} = this.stopping;
     while (!signal.aborted) {
       const startedAtMs = clock.monotonicMs();
-      await this.readOnce(signal);
+      if (this.isNeeded) await this.readOnce(signal);
       const restMs = startedAtMs + minIntervalMs - clock.monotonicMs();
       if (restMs > 0) await sleep(clock, restMs, signal);
     }
   }
 
+  private get isNeeded(): boolean {
+    return !this.hasSnapshot || (this.options.isNeeded?.() ?? true);
+  }
+
   private async readOnce(signal: AbortSignal): Promise<void> {
     try {
       const changes = this.hasSnapshot
--- a/packages/logger/src/catalogue.ts
+++ b/packages/logger/src/catalogue.ts
@@ -5,6 +5,7 @@
 import {OPERATOR_EVENTS} from './events/operator_events.js';
 import {PROCESS_EVENTS} from './events/process_events.js';
 import {REQUEST_EVENTS} from './events/request_events.js';
+import {SCHEDULING_EVENTS} from './events/scheduling_events.js';
 
 /** Every log event, by name. */
 export const EVENT_CATALOGUE = {
@@ -13,6 +14,7 @@
   ...CONTROL_EVENTS,
   ...REQUEST_EVENTS,
   ...OPERATOR_EVENTS,
+  ...SCHEDULING_EVENTS,
 } as const satisfies Record<string, EventDefinition>;
 
 /** The name of a log event in the catalogue. */
@@ -32,10 +34,12 @@
   {title: 'Certificates and metrics', firstNumber: 1200, lastNumber: 1299},
   {title: 'Log service', firstNumber: 2000, lastNumber: 2099},
   {title: 'Checkpoints', firstNumber: 2100, lastNumber: 2199},
+  {title: 'Store and servers', firstNumber: 2200, lastNumber: 2299},
   {title: 'Configuration', firstNumber: 3000, lastNumber: 3099},
   {title: 'Placement and warming', firstNumber: 3100, lastNumber: 3199},
   {title: 'Stewardship', firstNumber: 3200, lastNumber: 3299},
   {title: 'Membership', firstNumber: 3300, lastNumber: 3399},
+  {title: 'Duties and scheduling', firstNumber: 3400, lastNumber: 3499},
   {title: 'Caller requests', firstNumber: 4000, lastNumber: 4099},
   {title: 'Routing', firstNumber: 4100, lastNumber: 4199},
   {title: 'Idempotency', firstNumber: 4200, lastNumber: 4299},
--- /dev/null
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -0,0 +1,70 @@
+/** Log events 2200 to 2299 and 3400 to 3499: the store, duties, scheduling. */
+import {type EventDefinition} from '../definition.js';
+
+export const SCHEDULING_EVENTS = {
+  'dependency-lost': {
+    number: 2200,
+    level: 'warn',
+    message: 'Something that this node depends on can not be reached.',
+    fields: {
+      dependency: 'what it is',
+      error: 'what failed',
+    },
+    remedy: 'Look at the same time in the logs of the other nodes.',
+  },
+  'dependency-regained': {
+    number: 2201,
+    level: 'info',
+    message: 'Something that this node depends on can be reached again.',
+    fields: {
+      dependency: 'what it is',
+    },
+  },
+  'server-changed': {
+    number: 2202,
+    level: 'info',
+    message: 'A backend server has come, has changed its state or has gone.',
+    fields: {
+      backendServerId: 'the backend server',
+      state: 'ready, draining or gone',
+      offset: 'offset of the record that told it',
+      source: 'the store, or the peer that passed it on',
+    },
+  },
+  'node-list-changed': {
+    number: 3400,
+    level: 'info',
+    message: 'The nodes that callers are sent to have changed.',
+    fields: {nodeNames: 'the nodes'},
+  },
+  'duty-holder-changed': {
+    number: 3401,
+    level: 'info',
+    message: 'Another node has taken over the scheduling.',
+    fields: {
+      nodeName: 'the node',
+      fencingToken: 'its fencing token',
+      isSelf: 'whether it is this node',
+    },
+  },
+  'duty-lost': {
+    number: 3402,
+    level: 'warn',
+    message: 'An engine refused an order since a later holder gives orders.',
+    fields: {fencingToken: 'the token that was refused'},
+  },
+  'engine-ordered': {
+    number: 3403,
+    level: 'info',
+    message: 'An engine was ordered to load or unload.',
+    fields: {
+      backendServerId: 'the engine',
+      operation: 'load or unload',
+      model: 'the model',
+      adapter: 'the adapter, if one was meant',
+      expectedCount: 'how many orders it should have accepted before',
+      outcome: 'what it answered',
+      tookMs: 'how long the answer took',
+    },
+  },
+} as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/packages/node-links/src/index.ts
@@ -0,0 +1,3 @@
+export {type KnownNode, encodeNode, decodeNode} from './known_node.js';
+export {type RecordsMessage, type SharedTopic} from './messages.js';
+export {NodeLinks, type NodeLinksOptions, type NodeStatus} from './node_links.js';
--- /dev/null
+++ b/packages/node-links/src/known_node.ts
@@ -0,0 +1,28 @@
+/** The record by which nodes find each other in the store. */
+import {z} from 'zod';
+
+const nodeSchema = z.object({
+  nodeName: z.string(),
+  incarnation: z.string(),
+  /** Where other nodes reach it. */
+  peerAddress: z.string(),
+  /** Where callers reach it. */
+  callerAddress: z.object({ip: z.string(), port: z.number()}),
+  failureDomain: z.string(),
+});
+
+/** One node, as it has registered itself. */
+export type KnownNode = z.infer<typeof nodeSchema>;
+
+export function encodeNode(node: KnownNode): Uint8Array {
+  return Buffer.from(JSON.stringify(node));
+}
+
+/** Null for a value of an unknown form. */
+export function decodeNode(value: Uint8Array): KnownNode | null {
+  try {
+    return nodeSchema.parse(JSON.parse(Buffer.from(value).toString('utf8')));
+  } catch {
+    return null;
+  }
+}
--- /dev/null
+++ b/packages/node-links/src/messages.ts
@@ -0,0 +1,70 @@
+/** All messages between nodes. */
+import {fromHolderSchema, toHolderSchema} from '@mimosatack/schedule-service';
+import {z} from 'zod';
+
+const statusSchema = z.object({
+  nodeName: z.string(),
+  incarnation: z.string(),
+  /** Whether callers may be sent to it. */
+  isServing: z.boolean(),
+  configurationVersion: z.number(),
+  serversEndOffset: z.number(),
+});
+
+function isBytes(value: unknown): boolean {
+  return value instanceof Uint8Array;
+}
+
+const recordSchema = z.object({
+  key: z.string(),
+  value: z.custom<Uint8Array>(isBytes).nullable(),
+  offset: z.number(),
+});
+
+const recordsSchema = z.object({
+  type: z.literal('records'),
+  topic: z.enum(['configuration', 'servers']),
+  fromOffset: z.number(),
+  endOffset: z.number(),
+  records: z.array(recordSchema),
+});
+
+const holderSchema = z.object({
+  nodeName: z.string(),
+  incarnation: z.string(),
+  address: z.string(),
+  token: z.number(),
+});
+
+export const messageSchema = z.discriminatedUnion('type', [
+  /** Sent again and again to the holder; the reply is `welcome`. */
+  z.object({type: z.literal('hello'), status: statusSchema}),
+  z.object({
+    type: z.literal('welcome'),
+    incarnation: z.string(),
+    holder: holderSchema.nullable(),
+    /** Nodes that callers may be sent to, as the holder knows. */
+    servingNodes: z.array(z.string()),
+    /** How long ago the store told it of the servers; null for never. */
+    serversAgeMs: z.number().nullable(),
+    configurationVersion: z.number(),
+    serversEndOffset: z.number(),
+  }),
+  z.object({type: z.literal('ask-heard'), token: z.number()}),
+  z.object({type: z.literal('heard'), isHeard: z.boolean()}),
+  /** Asks for records from an offset on; the reply is `records`. */
+  z.object({
+    type: z.literal('ask-records'),
+    topic: z.enum(['configuration', 'servers']),
+    fromOffset: z.number(),
+  }),
+  recordsSchema,
+  z.object({type: z.literal('to-holder'), body: toHolderSchema}),
+  z.object({type: z.literal('from-holder'), body: fromHolderSchema}),
+]);
+
+/** What nodes say to each other. */
+export type NodeMessage = z.infer<typeof messageSchema>;
+export type Welcome = Extract<NodeMessage, {type: 'welcome'}>;
+export type RecordsMessage = z.infer<typeof recordsSchema>;
+export type SharedTopic = RecordsMessage['topic'];
--- /dev/null
+++ b/packages/schedule-models/src/engine_view.ts
@@ -0,0 +1,321 @@
+/** What the scheduler believes of one engine. */
+import {
+  type AdapterName,
+  type BackendServerEntry,
+  type BackendServerId,
+  type EngineSpec,
+  type ModelName,
+} from '@mimosatack/types';
+import {type ModelCatalogue} from './model_catalogue.js';
+import {Residency} from './residency.js';
+import {
+  type EngineReport,
+  type OrderOutcome,
+  type PlannedOrder,
+  type ScheduledRequest,
+} from './scheduled_request.js';
+
+/** The nearest place where the weights of a model lie, from fast to slow. */
+export type WeightTier = 'host-memory' | 'disk' | 'store';
+
+/**
+ * A request is sent this long after the load should be over: it is refused
+ * while the load still goes on, and timers of both sides are late by some ms.
+ */
+const READY_MARGIN_MS = 15;
+/** An adapter is there after 5 to 10 ms; the load time is not configured. */
+const ADAPTER_LOAD_MS = 15;
+/** After a refusal of a model that should be there, it is tried again then. */
+const NOT_READY_DELAY_MS = 40;
+/** Conflicts in a row after which the engine is asked for its state. */
+const MAX_CONFLICTS = 40;
+/** How soon an order is sent again while another one is under way. */
+const CONFLICT_DELAY_MS = 12;
+/** How soon the state is asked for again while it is unknown. */
+const REPORT_DELAY_MS = 150;
+/**
+ * A report tells the state of some hundred milliseconds ago. One that counts
+ * fewer orders than were accepted longer ago than this is no old one: the
+ * count here is wrong.
+ */
+const MAX_REPORT_LAG_MS = 1_500;
+/** Share of the memory for requests that is planned with. */
+const USABLE_CACHE = 0.95;
+
+const NO_ENGINE: EngineSpec = {
+  slots: 0,
+  cacheCapacityTokens: 0,
+  memoryMb: 0,
+  adapterSlots: 0,
+  hostMemoryMb: 0,
+  diskMb: 0,
+  storeLoadsPerSecond: 0,
+  tokensPerEvent: 1,
+  canMoveRuns: false,
+  canBackUpRuns: false,
+  models: [],
+};
+
+/** What the engine's side of a swap is waiting for. */
+export interface SwapPlan {
+  victim: ModelName | null;
+  model: ModelName;
+}
+
+/** One engine: what it holds, what it runs and the order under way. */
+export class EngineView {
+  readonly residents = new Map<ModelName, Residency>();
+  readonly runs = new Map<string, ScheduledRequest>();
+  /** The order that was sent and has no outcome yet. */
+  sentOrder: PlannedOrder | null = null;
+  /** A model on its way in, with the one that makes room for it. */
+  swap: SwapPlan | null = null;
+  /** No order is sent before this time. */
+  orderAtMs = 0;
+  /** Whether the state has to be asked for before the next order. */
+  needsReport = true;
+  /** Orders that the engine has accepted since its start. */
+  orderCount = 0;
+  private acceptedAtMs = -Infinity;
+  private conflicts = 0;
+  private usedTokens = 0;
+
+  constructor(
+    public entry: BackendServerEntry,
+    private readonly catalogue: ModelCatalogue,
+    nowMs: number,
+  ) {
+    this.takeResidents(entry.residents, nowMs);
+  }
+
+  get id(): BackendServerId {
+    return this.entry.id;
+  }
+
+  /** What the configuration says of it; nothing fits when it says nothing. */
+  get spec(): EngineSpec {
+    return this.catalogue.findEngine(this.entry.service) ?? NO_ENGINE;
+  }
+
+  /** Whether new work may go to it. */
+  get isOpen(): boolean {
+    return this.entry.state === 'ready';
+  }
+
+  /** Share of its places that are taken. */
+  get loadShare(): number {
+    return this.runs.size / Math.max(1, this.spec.slots);
+  }
+
+  /** Takes a newer entry; of residents, reports tell more and sooner. */
+  update(entry: BackendServerEntry): void {
+    this.entry = entry;
+  }
+
+  /** Takes the state that the engine told when it was asked. */
+  takeReport(report: EngineReport, nowMs: number): void {
+    this.orderAtMs = nowMs + REPORT_DELAY_MS;
+    const isOld =
+      report.orderCount < this.orderCount &&
+      nowMs - this.acceptedAtMs < MAX_REPORT_LAG_MS;
+    if (isOld) return;
+    this.orderCount = report.orderCount;
+    this.needsReport = report.isBusy;
+    this.conflicts = 0;
+    this.takeResidents(report.residents, nowMs);
+    if (report.isBusy) return;
+    this.orderAtMs = nowMs;
+    this.residents.forEach(resident => (resident.isLeaving = false));
+    this.swap = null;
+  }
+
+  noteReportFailed(nowMs: number): void {
+    this.orderAtMs = nowMs + REPORT_DELAY_MS;
+  }
+
+  hasRoomFor(request: ScheduledRequest): boolean {
+    return (
+      this.runs.size < this.spec.slots &&
+      this.usedTokens + countTokens(request) <=
+        USABLE_CACHE * this.spec.cacheCapacityTokens
+    );
+  }
+
+  start(request: ScheduledRequest, nowMs: number): void {
+    this.runs.set(request.askId, request);
+    this.usedTokens += countTokens(request);
+    this.residents.get(request.model)?.noteStart(request.adapter, nowMs);
+  }
+
+  end(askId: string, nowMs: number): void {
+    const request = this.runs.get(askId);
+    if (!request) return;
+    this.runs.delete(askId);
+    this.usedTokens -= countTokens(request);
+    this.residents.get(request.model)?.noteEnd(request.adapter, nowMs);
+  }
+
+  /** The engine said that it does not hold what it was sent a request for. */
+  noteNotHeld(model: ModelName, adapter: AdapterName | null, nowMs: number): void {
+    const resident = this.residents.get(model);
+    if (!resident) return;
+    if (adapter !== null && resident.adapters.has(adapter)) {
+      resident.adapters.delete(adapter);
+      return;
+    }
+    resident.readyAtMs = Math.max(resident.readyAtMs, nowMs + NOT_READY_DELAY_MS);
+    this.needsReport = true;
+  }
+
+  findTier(model: ModelName): WeightTier {
+    const {inHostMemory, onDisk} = this.entry.near;
+    if (inHostMemory.includes(model)) return 'host-memory';
+    return onDisk.includes(model) ? 'disk' : 'store';
+  }
+
+  /** Memory for weights that no model and no adapter takes. */
+  get freeMb(): number {
+    const used = [...this.residents.values()].reduce(
+      (sum, resident) => sum + this.memoryOf(resident),
+      0,
+    );
+    return this.spec.memoryMb - used;
+  }
+
+  get adapterCount(): number {
+    return [...this.residents.values()].reduce(
+      (sum, {adapters}) => sum + adapters.size,
+      0,
+    );
+  }
+
+  /** Whether an order may be sent now. */
+  mayOrder(nowMs: number): boolean {
+    return (
+      this.sentOrder === null && !this.needsReport && this.orderAtMs <= nowMs
+    );
+  }
+
+  /** Whether the engine is in the middle of loading or unloading a model. */
+  hasOrderUnderWay(nowMs: number): boolean {
+    return (
+      this.sentOrder !== null ||
+      this.swap !== null ||
+      [...this.residents.values()].some(
+        ({isLeaving, readyAtMs}) => isLeaving || readyAtMs > nowMs,
+      )
+    );
+  }
+
+  noteSent(order: PlannedOrder): void {
+    this.sentOrder = order;
+  }
+
+  noteOutcome(outcome: OrderOutcome, nowMs: number): void {
+    const order = this.sentOrder;
+    this.sentOrder = null;
+    if (!order) return;
+    if (outcome === 'accepted') {
+      this.conflicts = 0;
+      this.apply(order, nowMs);
+      return;
+    }
+    if (outcome === 'conflict' && this.conflicts < MAX_CONFLICTS) {
+      this.conflicts += 1;
+      this.orderAtMs = nowMs + CONFLICT_DELAY_MS;
+      return;
+    }
+    this.needsReport = true;
+    this.orderAtMs = nowMs;
+  }
+
+  /** The next time at which something changes by itself. */
+  nextChangeMs(nowMs: number): number {
+    const times = [...this.residents.values()].flatMap(resident => [
+      resident.readyAtMs,
+      ...[...resident.adapters.values()].map(({readyAtMs}) => readyAtMs),
+    ]);
+    const later = [...times, this.orderAtMs].filter(timeMs => timeMs > nowMs);
+    return Math.min(Infinity, ...later);
+  }
+
+  private apply(order: PlannedOrder, nowMs: number): void {
+    this.orderCount += 1;
+    this.acceptedAtMs = nowMs;
+    const {operation, model, adapter} = order;
+    if (adapter !== null) return this.applyAdapter(order, nowMs);
+    if (operation === 'unload') {
+      this.residents.delete(model);
+      return;
+    }
+    const spec = this.catalogue.findModel(this.entry.service, model);
+    const readyAtMs = nowMs + this.loadMs(model) + READY_MARGIN_MS;
+    this.residents.set(
+      model,
+      new Residency(model, spec?.memoryMb ?? 0, readyAtMs),
+    );
+    if (this.swap?.model === model) this.swap = null;
+  }
+
+  private applyAdapter(
+    {operation, model, adapter}: PlannedOrder,
+    nowMs: number,
+  ): void {
+    const resident = this.residents.get(model);
+    if (!resident || adapter === null) return;
+    if (operation === 'unload') resident.adapters.delete(adapter);
+    else resident.addAdapter(adapter, nowMs + ADAPTER_LOAD_MS);
+  }
+
+  loadMs(model: ModelName): number {
+    const spec = this.catalogue.findModel(this.entry.service, model);
+    if (!spec) return 0;
+    const tier = this.findTier(model);
+    if (tier === 'host-memory') return spec.hostMemoryLoadMs;
+    return tier === 'disk' ? spec.diskLoadMs : spec.storeLoadMs;
+  }
+
+  modelMb(model: ModelName): number {
+    return this.catalogue.findModel(this.entry.service, model)?.memoryMb ?? 0;
+  }
+
+  /** Memory of a model together with its adapters. */
+  memoryOf({model, memoryMb, adapters}: Residency): number {
+    return memoryMb + adapters.size * this.adapterMb(model);
+  }
+
+  adapterMb(model: ModelName): number {
+    return this.catalogue.findModel(this.entry.service, model)?.adapterMb ?? 0;
+  }
+
+  private takeResidents(
+    told: ReadonlyArray<{model: ModelName; adapters: readonly AdapterName[]}>,
+    nowMs: number,
+  ): void {
+    const names = new Set(told.map(({model}) => model));
+    [...this.residents.keys()]
+      .filter(model => !names.has(model))
+      .forEach(model => this.residents.delete(model));
+    told.forEach(({model, adapters}) => {
+      const resident = this.residents.get(model) ?? this.addTold(model, nowMs);
+      adapters
+        .filter(name => !resident.adapters.has(name))
+        .forEach(name => resident.addAdapter(name, nowMs));
+    });
+  }
+
+  private addTold(model: ModelName, nowMs: number): Residency {
+    const spec = this.catalogue.findModel(this.entry.service, model);
+    const resident = new Residency(model, spec?.memoryMb ?? 0, nowMs);
+    resident.runs = [...this.runs.values()].filter(
+      run => run.model === model,
+    ).length;
+    this.residents.set(model, resident);
+    return resident;
+  }
+}
+
+/** Memory that a request takes by the end of its run. */
+export function countTokens(request: ScheduledRequest): number {
+  return request.promptTokens + request.outputTokens;
+}
--- /dev/null
+++ b/packages/schedule-models/src/index.ts
@@ -0,0 +1,20 @@
+export {type EngineView} from './engine_view.js';
+export {
+  BatchWorthPolicy,
+  FirstComePolicy,
+  ResidentOnlyPolicy,
+} from './policies.js';
+export {
+  type Decision,
+  type EngineReport,
+  type OrderOutcome,
+  type PlannedOrder,
+  type RefusalReason,
+  type ScheduledRequest,
+} from './scheduled_request.js';
+export {
+  ModelScheduler,
+  type ModelSchedulerOptions,
+  type RunResult,
+} from './scheduler.js';
+export {type SwapPolicy} from './swap_policy.js';
--- /dev/null
+++ b/packages/schedule-models/src/model_catalogue.ts
@@ -0,0 +1,56 @@
+/** The models of all services, by name. */
+import {
+  type AdapterName,
+  type EngineSpec,
+  type ModelName,
+  type ModelSpec,
+  type ServiceName,
+  type ServiceSpec,
+} from '@mimosatack/types';
+
+const ADAPTER_NAME = /^a(\d+)$/;
+
+/** Looks up what the configuration says of engines and models. */
+export class ModelCatalogue {
+  private readonly engines = new Map<ServiceName, EngineSpec>();
+  private readonly models = new Map<ServiceName, Map<ModelName, ModelSpec>>();
+
+  constructor(services: readonly ServiceSpec[]) {
+    this.replace(services);
+  }
+
+  /** Takes a new configuration in place of the one before. */
+  replace(services: readonly ServiceSpec[]): void {
+    this.engines.clear();
+    this.models.clear();
+    services.forEach(({name, engine}) => {
+      if (!engine) return;
+      this.engines.set(name, engine);
+      this.models.set(
+        name,
+        new Map(engine.models.map(model => [model.model, model])),
+      );
+    });
+  }
+
+  findEngine(service: ServiceName): EngineSpec | undefined {
+    return this.engines.get(service);
+  }
+
+  findModel(service: ServiceName, model: ModelName): ModelSpec | undefined {
+    return this.models.get(service)?.get(model);
+  }
+
+  /** Whether a model, and its adapter if one is named, can be loaded at all. */
+  has(
+    service: ServiceName,
+    model: ModelName,
+    adapter: AdapterName | null,
+  ): boolean {
+    const spec = this.findModel(service, model);
+    if (!spec) return false;
+    if (adapter === null) return true;
+    const number = Number(ADAPTER_NAME.exec(adapter)?.[1]);
+    return number >= 1 && number <= spec.adapterCount;
+  }
+}
--- /dev/null
+++ b/packages/schedule-models/src/scheduled_request.ts
@@ -0,0 +1,78 @@
+/** What the scheduler is asked for and what it decides. */
+import {
+  type AdapterName,
+  type BackendServerId,
+  type ModelName,
+  type ServiceName,
+} from '@mimosatack/types';
+
+/** A request that waits for an engine. Times are on the monotonic clock. */
+export interface ScheduledRequest {
+  /** Unique among all requests of all nodes. */
+  askId: string;
+  service: ServiceName;
+  model: ModelName;
+  adapter: AdapterName | null;
+  promptTokens: number;
+  /** The output as far as it can be told beforehand. */
+  outputTokens: number;
+  /** 0 is the most urgent. */
+  priority: number;
+  arrivedAtMs: number;
+  /** An answer that begins by then is on time. */
+  dueAtMs: number;
+  /** The caller's last moment; an answer after it is worth nothing. */
+  endsAtMs: number;
+  /** Engines that were tried already. */
+  excluded: ReadonlySet<BackendServerId>;
+}
+
+/** Why a request is not served. */
+export type RefusalReason =
+  /** No configuration lists the model or the adapter. */
+  | 'unknown-model'
+  /** No engine has the weights near, and fetching them takes longer. */
+  | 'weights-remote'
+  /** No engine will be free for it in time. */
+  | 'no-room';
+
+/** An order to one engine; `expectedCount` voids it if others came between. */
+export interface PlannedOrder {
+  engineId: BackendServerId;
+  operation: 'load' | 'unload';
+  model: ModelName;
+  adapter: AdapterName | null;
+  expectedCount: number;
+}
+
+/** One thing that was decided. */
+export type Decision =
+  | {kind: 'assign'; askId: string; engineId: BackendServerId}
+  | {
+      kind: 'refuse';
+      askId: string;
+      reason: RefusalReason;
+      /** When the same request is worth sending again. */
+      retryAfterMs: number;
+    }
+  | {kind: 'order'; order: PlannedOrder};
+
+/** What became of an order. */
+export type OrderOutcome =
+  /** The engine carries it out. */
+  | 'accepted'
+  /** What was ordered holds already. */
+  | 'holds'
+  /** Another order is under way, or others came between. */
+  | 'conflict'
+  /** Refused for a reason that asking again won't change. */
+  | 'refused'
+  /** No answer; it may still be carried out. */
+  | 'unknown';
+
+/** What an engine says of itself at one moment. */
+export interface EngineReport {
+  orderCount: number;
+  isBusy: boolean;
+  residents: ReadonlyArray<{model: ModelName; adapters: readonly AdapterName[]}>;
+}
--- /dev/null
+++ b/packages/schedule-models/src/scheduler.ts
@@ -0,0 +1,264 @@
+/**
+ * Decides which engine serves a request and which models are loaded for that.
+ * It needs no network and no clock: it is told what happens and when, and
+ * answers with decisions for others to carry out.
+ */
+import {
+  type AdapterName,
+  type BackendServerEntry,
+  type BackendServerId,
+  type ModelName,
+  type ServiceSpec,
+} from '@mimosatack/types';
+import {planAdapter} from './adapter_plan.js';
+import {listReadyEngines, pickEngine} from './choose_engine.js';
+import {DemandRates} from './demand.js';
+import {EngineView} from './engine_view.js';
+import {ModelCatalogue} from './model_catalogue.js';
+import {
+  type Decision,
+  type EngineReport,
+  type OrderOutcome,
+  type PlannedOrder,
+  type ScheduledRequest,
+} from './scheduled_request.js';
+import {type SwapContext, type SwapPolicy} from './swap_policy.js';
+import {groupBatches} from './waiting_batches.js';
+import {findRefusal, findWaitEndMs} from './find_refusal.js';
+
+/** How a request that was assigned has ended. */
+export type RunResult =
+  | 'served'
+  /** The engine did not take it, such as for a load that still goes on. */
+  | 'not-taken'
+  /** The engine failed it or could not be reached. */
+  | 'failed'
+  | 'neutral';
+
+/** What a scheduler is built from. */
+export interface ModelSchedulerOptions {
+  policy: SwapPolicy;
+  /** How slow an engine answers against the others; 1 is usual. */
+  slownessOf?(id: BackendServerId): number;
+}
+
+/** Of one shard of engines: the requests that wait, run and are refused. */
+export class ModelScheduler {
+  private readonly catalogue = new ModelCatalogue([]);
+  private readonly engines = new Map<BackendServerId, EngineView>();
+  private readonly waiting = new Map<string, ScheduledRequest>();
+  private readonly demand = new DemandRates();
+
+  constructor(private readonly options: ModelSchedulerOptions) {}
+
+  get waitingCount(): number {
+    return this.waiting.size;
+  }
+
+  listEngines(): EngineView[] {
+    return [...this.engines.values()];
+  }
+
+  configure(services: readonly ServiceSpec[]): void {
+    this.catalogue.replace(services);
+  }
+
+  /** Takes an entry of a server, new or changed. */
+  putEngine(entry: BackendServerEntry, nowMs: number): void {
+    const known = this.engines.get(entry.id);
+    if (known) return known.update(entry);
+    if (!this.catalogue.findEngine(entry.service)) return;
+    this.engines.set(entry.id, new EngineView(entry, this.catalogue, nowMs));
+  }
+
+  dropEngine(id: BackendServerId): void {
+    this.engines.delete(id);
+  }
+
+  ask(request: ScheduledRequest, nowMs: number): void {
+    this.demand.note(request.service, request.model, nowMs);
+    this.waiting.set(request.askId, request);
+  }
+
+  /** A request that was assigned earlier, by whomever. */
+  noteRunning(
+    request: ScheduledRequest,
+    engineId: BackendServerId,
+    nowMs: number,
+  ): void {
+    this.waiting.delete(request.askId);
+    this.engines.get(engineId)?.start(request, nowMs);
+  }
+
+  /** The request no longer waits. */
+  withdraw(askId: string): void {
+    this.waiting.delete(askId);
+  }
+
+  /** An assigned request has ended at its engine. */
+  noteEnd(
+    askId: string,
+    engineId: BackendServerId,
+    result: RunResult,
+    nowMs: number,
+  ): void {
+    const engine = this.engines.get(engineId);
+    const request = engine?.runs.get(askId);
+    engine?.end(askId, nowMs);
+    if (engine && request && result === 'not-taken') {
+      engine.noteNotHeld(request.model, request.adapter, nowMs);
+    }
+  }
+
+  noteOrderSent(order: PlannedOrder): void {
+    this.engines.get(order.engineId)?.noteSent(order);
+  }
+
+  noteOrderOutcome(
+    engineId: BackendServerId,
+    outcome: OrderOutcome,
+    nowMs: number,
+  ): void {
+    this.engines.get(engineId)?.noteOutcome(outcome, nowMs);
+  }
+
+  /** Engines whose state has to be asked for before they get orders. */
+  listUnknown(nowMs: number): BackendServerId[] {
+    return this.listEngines()
+      .filter(engine => engine.needsReport && engine.orderAtMs <= nowMs)
+      .map(({id}) => id);
+  }
+
+  noteReport(id: BackendServerId, report: EngineReport, nowMs: number): void {
+    this.engines.get(id)?.takeReport(report, nowMs);
+  }
+
+  noteReportFailed(id: BackendServerId, nowMs: number): void {
+    this.engines.get(id)?.noteReportFailed(nowMs);
+  }
+
+  /** All that can be decided now. */
+  decide(nowMs: number): Decision[] {
+    const assigned = this.assignWaiting(nowMs);
+    const continued = this.continueSwaps(nowMs);
+    const adapters = this.orderAdapters(nowMs);
+    const swaps = this.startSwaps(nowMs);
+    const refused = this.refuseHopeless(nowMs);
+    return [...assigned, ...continued, ...adapters, ...swaps, ...refused];
+  }
+
+  /** When `decide` is worth calling though nothing was told meanwhile. */
+  nextDecisionMs(nowMs: number): number {
+    const engines = this.listEngines().map(engine =>
+      engine.nextChangeMs(nowMs),
+    );
+    const waitEnds = [...this.waiting.values()].map(findWaitEndMs);
+    return Math.min(Infinity, ...engines, ...waitEnds);
+  }
+
+  private assignWaiting(nowMs: number): Decision[] {
+    return this.listByUrgency().flatMap(request => {
+      const ready = listReadyEngines(this.listEngines(), request, nowMs);
+      const engine = pickEngine(ready, ({id}) => this.slownessOf(id));
+      if (!engine) return [];
+      this.waiting.delete(request.askId);
+      engine.start(request, nowMs);
+      return [
+        {
+          kind: 'assign' as const,
+          askId: request.askId,
+          engineId: engine.id,
+        },
+      ];
+    });
+  }
+
+  /** The second half of swaps whose first half is done. */
+  private continueSwaps(nowMs: number): Decision[] {
+    return this.listEngines().flatMap(engine => {
+      const {swap} = engine;
+      if (!swap || !engine.mayOrder(nowMs)) return [];
+      const {victim, model} = swap;
+      return victim !== null && engine.residents.has(victim)
+        ? [this.order(engine, 'unload', victim, null)]
+        : [this.order(engine, 'load', model, null)];
+    });
+  }
+
+  private orderAdapters(nowMs: number): Decision[] {
+    return this.listByUrgency()
+      .filter(({adapter}) => adapter !== null)
+      .flatMap(request => {
+        const plan = planAdapter(request, this.listEngines(), nowMs);
+        if (!plan) return [];
+        const {engine, operation, model, adapter} = plan;
+        return [this.order(engine, operation, model, adapter)];
+      });
+  }
+
+  private startSwaps(nowMs: number): Decision[] {
+    const {policy} = this.options;
+    const context: SwapContext = {
+      nowMs,
+      engines: this.listEngines(),
+      rateOf: (service, model) => this.demand.find(service, model, nowMs),
+    };
+    const batches = groupBatches(this.listByUrgency()).filter(
+      ({service, model}) => !this.isComing(service, model),
+    );
+    return policy.rank(batches, context).flatMap(batch => {
+      const choice = policy.choose(batch, context);
+      if (!choice) return [];
+      const {engine, victim} = choice;
+      engine.swap = {model: batch.model, victim: victim?.model ?? null};
+      if (!victim) return [this.order(engine, 'load', batch.model, null)];
+      victim.isLeaving = true;
+      return [this.order(engine, 'unload', victim.model, null)];
+    });
+  }
+
+  private refuseHopeless(nowMs: number): Decision[] {
+    return [...this.waiting.values()].flatMap(request => {
+      const refusal = findRefusal(request, {
+        nowMs,
+        catalogue: this.catalogue,
+        engines: this.listEngines(),
+      });
+      if (!refusal) return [];
+      this.waiting.delete(request.askId);
+      return [{kind: 'refuse' as const, askId: request.askId, ...refusal}];
+    });
+  }
+
+  /** Whether a copy of the model is being loaded already. */
+  private isComing(service: string, model: ModelName): boolean {
+    return this.listEngines().some(
+      engine => engine.entry.service === service && engine.swap?.model === model,
+    );
+  }
+
+  private order(
+    engine: EngineView,
+    operation: 'load' | 'unload',
+    model: ModelName,
+    adapter: AdapterName | null,
+  ): Decision {
+    const order: PlannedOrder = {
+      engineId: engine.id,
+      ...{operation, model, adapter},
+      expectedCount: engine.orderCount,
+    };
+    engine.noteSent(order);
+    return {kind: 'order', order};
+  }
+
+  private listByUrgency(): ScheduledRequest[] {
+    return [...this.waiting.values()].sort(
+      (a, b) => a.priority - b.priority || a.arrivedAtMs - b.arrivedAtMs,
+    );
+  }
+
+  private slownessOf(id: BackendServerId): number {
+    return this.options.slownessOf?.(id) ?? 1;
+  }
+}
--- /dev/null
+++ b/packages/schedule-models/src/swap_policy.ts
@@ -0,0 +1,36 @@
+/** Which models are loaded for whom, and which make room for them. */
+import {type ModelName, type ServiceName} from '@mimosatack/types';
+import {type EngineView} from './engine_view.js';
+import {type Residency} from './residency.js';
+import {type ScheduledRequest} from './scheduled_request.js';
+
+/** The requests that wait for one model. */
+export interface Batch {
+  service: ServiceName;
+  model: ModelName;
+  /** In the order in which they came. */
+  requests: readonly ScheduledRequest[];
+}
+
+/** What a policy may look at. */
+export interface SwapContext {
+  nowMs: number;
+  engines: readonly EngineView[];
+  /** Requests for a model, a second. */
+  rateOf(service: ServiceName, model: ModelName): number;
+}
+
+/** A load on one engine, with the model that makes room; null if none must. */
+export interface SwapChoice {
+  engine: EngineView;
+  victim: Residency | null;
+}
+
+/** Decides about swaps; all else of scheduling is common to all policies. */
+export interface SwapPolicy {
+  readonly name: string;
+  /** The batches to load for, the first first. */
+  rank(batches: readonly Batch[], context: SwapContext): Batch[];
+  /** Where to load for a batch now; null when that pays nowhere. */
+  choose(batch: Batch, context: SwapContext): SwapChoice | null;
+}
--- /dev/null
+++ b/packages/schedule-models/src/waiting_batches.ts
@@ -0,0 +1,19 @@
+/** Requests that wait for the same model. */
+import {type ScheduledRequest} from './scheduled_request.js';
+import {type Batch} from './swap_policy.js';
+
+/** One batch a model, each in the order of its requests. */
+export function groupBatches(requests: readonly ScheduledRequest[]): Batch[] {
+  const groups = new Map<string, ScheduledRequest[]>();
+  requests.forEach(request => {
+    const key = `${request.service}/${request.model}`;
+    const group = groups.get(key);
+    if (group) group.push(request);
+    else groups.set(key, [request]);
+  });
+  return [...groups.values()].flatMap(group => {
+    const [first] = group;
+    if (!first) return [];
+    return [{service: first.service, model: first.model, requests: group}];
+  });
+}
--- /dev/null
+++ b/packages/schedule-service/src/index.ts
@@ -0,0 +1,19 @@
+export {
+  type EngineOrders,
+  type OrderAuthority,
+  type SentOrderOutcome,
+} from './engine_orders.js';
+export {
+  type FromHolder,
+  type ToHolder,
+  fromHolderSchema,
+  toHolderSchema,
+} from './messages.js';
+export {
+  ScheduledChooser,
+  type ScheduledChooserOptions,
+} from './scheduled_chooser.js';
+export {
+  SchedulingHost,
+  type SchedulingHostOptions,
+} from './scheduling_host.js';
--- /dev/null
+++ b/packages/schedule-service/src/messages.ts
@@ -0,0 +1,57 @@
+/** What nodes and the node that schedules say to each other. */
+import {z} from 'zod';
+
+const askSchema = z.object({
+  askId: z.string(),
+  service: z.string(),
+  model: z.string(),
+  adapter: z.string().nullable(),
+  promptTokens: z.number(),
+  outputTokens: z.number(),
+  priority: z.number(),
+  /** Times are told as spans, since the clocks of two nodes differ. */
+  waitedMs: z.number(),
+  dueInMs: z.number(),
+  endsInMs: z.number(),
+  excluded: z.array(z.string()),
+});
+
+const runResultSchema = z.enum(['served', 'not-taken', 'failed', 'neutral']);
+
+/** From a node to the node that schedules. */
+export const toHolderSchema = z.discriminatedUnion('type', [
+  z.object({type: z.literal('ask'), ask: askSchema}),
+  z.object({type: z.literal('withdraw'), askId: z.string()}),
+  z.object({
+    type: z.literal('run-ended'),
+    askId: z.string(),
+    engineId: z.string(),
+    result: runResultSchema,
+  }),
+  /** All that a node has under way, for a node that has just taken over. */
+  z.object({
+    type: z.literal('under-way'),
+    asks: z.array(askSchema),
+    runs: z.array(z.object({ask: askSchema, engineId: z.string()})),
+  }),
+]);
+
+/** From the node that schedules to one node. */
+export const fromHolderSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('assigned'),
+    askId: z.string(),
+    engineId: z.string(),
+  }),
+  z.object({
+    type: z.literal('refused'),
+    askId: z.string(),
+    reason: z.enum(['unknown-model', 'weights-remote', 'no-room']),
+    retryAfterMs: z.number(),
+  }),
+]);
+
+/** A request as it is told to the node that schedules. */
+export type AskTerms = z.infer<typeof askSchema>;
+export type ToHolder = z.infer<typeof toHolderSchema>;
+export type FromHolder = z.infer<typeof fromHolderSchema>;
--- /dev/null
+++ b/packages/schedule-service/src/scheduling_host.ts
@@ -0,0 +1,198 @@
+/** Schedules for all nodes, while this node holds the duty. */
+import {type Clock, type Timer} from '@mimosatack/clock';
+import {type EventLogger} from '@mimosatack/logger';
+import {
+  type Decision,
+  ModelScheduler,
+  type PlannedOrder,
+  type SwapPolicy,
+} from '@mimosatack/schedule-models';
+import {
+  type BackendServerEntry,
+  type BackendServerId,
+  type ServiceSpec,
+} from '@mimosatack/types';
+import {toScheduledRequest} from './ask_terms.js';
+import {type EngineOrders, type OrderAuthority} from './engine_orders.js';
+import {type FromHolder, type ToHolder} from './messages.js';
+
+/** What a host is built from. */
+export interface SchedulingHostOptions {
+  clock: Clock;
+  logger: EventLogger;
+  policy: SwapPolicy;
+  orders: EngineOrders;
+  authority: OrderAuthority;
+  send(nodeAddress: string, message: FromHolder): void;
+  /** A later holder gives orders; this one has to stop. */
+  onFenced(): void;
+}
+
+/** The longest sleep between two decisions. */
+const MAX_SLEEP_MS = 250;
+
+/** Owns the scheduler and carries out what it decides. */
+export class SchedulingHost {
+  private readonly scheduler: ModelScheduler;
+  private readonly servers = new Map<BackendServerId, BackendServerEntry>();
+  private readonly nodeOf = new Map<string, string>();
+  private readonly asking = new Set<BackendServerId>();
+  private timer: Timer | null = null;
+  private isDecisionDue = false;
+  private isStopped = false;
+
+  constructor(private readonly options: SchedulingHostOptions) {
+    this.scheduler = new ModelScheduler({policy: options.policy});
+  }
+
+  start(
+    services: readonly ServiceSpec[],
+    servers: readonly BackendServerEntry[],
+  ): void {
+    this.configure(services);
+    this.putServers(servers);
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.timer?.cancel();
+  }
+
+  configure(services: readonly ServiceSpec[]): void {
+    this.scheduler.configure(services);
+    this.putServers([...this.servers.values()]);
+  }
+
+  putServers(servers: readonly BackendServerEntry[]): void {
+    const nowMs = this.nowMs();
+    servers.forEach(server => {
+      this.servers.set(server.id, server);
+      this.scheduler.putEngine(server, nowMs);
+    });
+    this.requestDecision();
+  }
+
+  dropServer(id: BackendServerId): void {
+    this.servers.delete(id);
+    this.scheduler.dropEngine(id);
+    this.requestDecision();
+  }
+
+  receive(nodeAddress: string, message: ToHolder): void {
+    const nowMs = this.nowMs();
+    switch (message.type) {
+      case 'ask':
+        this.nodeOf.set(message.ask.askId, nodeAddress);
+        this.scheduler.ask(toScheduledRequest(message.ask, nowMs), nowMs);
+        break;
+      case 'withdraw':
+        this.scheduler.withdraw(message.askId);
+        this.nodeOf.delete(message.askId);
+        break;
+      case 'run-ended':
+        this.scheduler.noteEnd(
+          message.askId,
+          message.engineId,
+          message.result,
+          nowMs,
+        );
+        this.nodeOf.delete(message.askId);
+        break;
+      case 'under-way':
+        message.asks.forEach(ask => {
+          this.nodeOf.set(ask.askId, nodeAddress);
+          this.scheduler.ask(toScheduledRequest(ask, nowMs), nowMs);
+        });
+        message.runs.forEach(({ask, engineId}) =>
+          this.scheduler.noteRunning(
+            toScheduledRequest(ask, nowMs),
+            engineId,
+            nowMs,
+          ),
+        );
+    }
+    this.requestDecision();
+  }
+
+  /** Several events in one turn are decided on together. */
+  private requestDecision(): void {
+    if (this.isDecisionDue || this.isStopped) return;
+    this.isDecisionDue = true;
+    setImmediate(() => {
+      this.isDecisionDue = false;
+      if (!this.isStopped) this.decide();
+    });
+  }
+
+  private decide(): void {
+    const nowMs = this.nowMs();
+    this.scheduler.decide(nowMs).forEach(decision => this.carryOut(decision));
+    this.scheduler.listUnknown(nowMs).forEach(id => void this.askEngine(id));
+    this.timer?.cancel();
+    const sleepMs = Math.min(
+      MAX_SLEEP_MS,
+      this.scheduler.nextDecisionMs(nowMs) - nowMs,
+    );
+    this.timer = this.options.clock.setTimer(sleepMs, () =>
+      this.requestDecision(),
+    );
+  }
+
+  private carryOut(decision: Decision): void {
+    switch (decision.kind) {
+      case 'assign': {
+        const {askId, engineId} = decision;
+        this.tell(askId, {type: 'assigned', askId, engineId});
+        return;
+      }
+      case 'refuse': {
+        const {askId, reason, retryAfterMs} = decision;
+        this.tell(askId, {type: 'refused', askId, reason, retryAfterMs});
+        this.nodeOf.delete(askId);
+        return;
+      }
+      case 'order':
+        void this.sendOrder(decision.order);
+    }
+  }
+
+  private tell(askId: string, message: FromHolder): void {
+    const nodeAddress = this.nodeOf.get(askId);
+    if (nodeAddress !== undefined) this.options.send(nodeAddress, message);
+  }
+
+  private async sendOrder(order: PlannedOrder): Promise<void> {
+    const {orders, authority, onFenced, logger} = this.options;
+    const server = this.servers.get(order.engineId);
+    const sentAtMs = this.nowMs();
+    const outcome = server
+      ? await orders.send(server, order, authority)
+      : 'refused';
+    if (this.isStopped) return;
+    logger.log('engine-ordered', {
+      ...{backendServerId: order.engineId, operation: order.operation},
+      ...{model: order.model, adapter: order.adapter, outcome},
+      expectedCount: order.expectedCount,
+      tookMs: Math.round(this.nowMs() - sentAtMs),
+    });
+    if (outcome === 'fenced') return onFenced();
+    this.scheduler.noteOrderOutcome(order.engineId, outcome, this.nowMs());
+    this.requestDecision();
+  }
+
+  private async askEngine(id: BackendServerId): Promise<void> {
+    const server = this.servers.get(id);
+    if (!server || this.asking.has(id)) return;
+    this.asking.add(id);
+    const report = await this.options.orders.readReport(server);
+    this.asking.delete(id);
+    if (this.isStopped) return;
+    if (report) this.scheduler.noteReport(id, report, this.nowMs());
+    else this.scheduler.noteReportFailed(id, this.nowMs());
+    this.requestDecision();
+  }
+
+  private nowMs(): number {
+    return this.options.clock.monotonicMs();
+  }
+}
--- a/packages/serve-requests/src/test_fixtures.ts
+++ b/packages/serve-requests/src/test_fixtures.ts
@@ -44,7 +44,6 @@
     slots: 4,
     state: 'ready',
     leavesInMs: null,
-    orderCount: 0,
     residents: [],
     near: {inHostMemory: [], onDisk: []},
     ...change,
--- a/packages/serving-node/src/node_settings.ts
+++ b/packages/serving-node/src/node_settings.ts
@@ -25,4 +25,6 @@
   /** Callers keep an answer of the directory no longer than this. */
   maxEntriesTtlMs: number;
   retryBound: RetryBound;
+  /** Shared by all nodes; their connections to each other are signed with it. */
+  clusterSecret: string;
 }
--- a/packages/serving-node/src/platform_adapter.ts
+++ b/packages/serving-node/src/platform_adapter.ts
@@ -1,6 +1,8 @@
 /** What a node needs of the platform that it runs on. */
+import {type BackendConnections} from '@mimosatack/backend-connections';
 import {type EdgeDialect} from '@mimosatack/caller-edge';
 import {type KeyedTopic} from '@mimosatack/keyed-store';
+import {type EngineOrders} from '@mimosatack/schedule-service';
 import {type BackendDialect} from '@mimosatack/serve-requests';
 import {
   type BackendServerEntry,
@@ -16,6 +18,10 @@
   /** The key under which the newest configuration lies. */
   configurationKey: string;
   serversTopic: KeyedTopic;
+  /** Topics of the system's own: who its nodes are, and who schedules. */
+  nodesTopic: KeyedTopic;
+  dutyTopic: KeyedTopic;
+  makeEngineOrders(connections: BackendConnections): EngineOrders;
   /** Throws `record-invalid`. */
   decodeConfiguration(value: Uint8Array): ServingConfiguration;
   /** Throws `record-invalid`. */
--- /dev/null
+++ b/packages/serving-node/src/server_follower.ts
@@ -0,0 +1,152 @@
+/** Keeps the list of backend servers, from the store or from a peer. */
+import {type Clock} from '@mimosatack/clock';
+import {type TypedError, toTypedError} from '@mimosatack/errors';
+import {
+  type KeyedChange,
+  KeyedFollower,
+  type KeyedRecord,
+  KeyedTable,
+} from '@mimosatack/keyed-store';
+import {type RandomSource} from '@mimosatack/random';
+import {
+  type BackendServerEntry,
+  type BackendServerId,
+  type ServiceName,
+} from '@mimosatack/types';
+import {type PlatformAdapter} from './platform_adapter.js';
+
+/** A change of one server; a null entry means that it is gone. */
+export interface ServerChange {
+  id: BackendServerId;
+  entry: BackendServerEntry | null;
+  offset: number;
+}
+
+/** What the follower is built from. */
+export interface ServerFollowerOptions {
+  clock: Clock;
+  random: RandomSource;
+  platform: PlatformAdapter;
+  /** Whether this node reads for the others too. */
+  isReader(): boolean;
+  /** How old what the reader passes on is. */
+  peerAgeMs(): number;
+  onChanges(changes: readonly ServerChange[]): void;
+  /** Told of records that came from the store, to pass on. */
+  onRead(fromOffset: number): void;
+  onFault(error: unknown): void;
+  onLost(error: TypedError): void;
+  onRegained(): void;
+}
+
+/**
+ * Entries change all the time with their heartbeats, so they are read in
+ * batches: seldom enough to be cheap, and at least twice within the 2 s after
+ * which a leaving server may get nothing new.
+ */
+const READ_INTERVAL_MS = 700;
+/** A node reads by itself when what it is passed on is older than this. */
+const MAX_PEER_AGE_MS = 1_200;
+/** How often a node that does not read looks whether it should. */
+const LOOK_INTERVAL_MS = 200;
+const RETRY_DELAY_MS = 200;
+
+/** The newest entry of each server. */
+export class ServerFollower {
+  readonly table = new KeyedTable();
+  private readonly follower: KeyedFollower;
+  private readonly entries = new Map<BackendServerId, BackendServerEntry>();
+  private readAtMs = -Infinity;
+
+  constructor(private readonly options: ServerFollowerOptions) {
+    const {clock, random, platform} = options;
+    this.follower = new KeyedFollower({
+      ...{clock, random, table: this.table},
+      topic: platform.serversTopic,
+      waitMs: 0,
+      minIntervalMs: LOOK_INTERVAL_MS,
+      retryDelayMs: RETRY_DELAY_MS,
+      isNeeded: () => this.isReadDue(),
+      onChanges: changes => this.take(changes),
+      onLost: error => options.onLost(error),
+      onRegained: () => options.onRegained(),
+    });
+  }
+
+  /** How long ago this node has read the list from the store. */
+  get ageMs(): number {
+    return this.options.clock.monotonicMs() - this.follower.lastSuccessMs;
+  }
+
+  get hasServers(): boolean {
+    return this.entries.size > 0;
+  }
+
+  find(id: BackendServerId): BackendServerEntry | undefined {
+    return this.entries.get(id);
+  }
+
+  list(): BackendServerEntry[] {
+    return [...this.entries.values()];
+  }
+
+  /** Servers of a service that may get new work. */
+  listReady(service: ServiceName): BackendServerEntry[] {
+    return this.list().filter(
+      entry => entry.service === service && entry.state === 'ready',
+    );
+  }
+
+  start(): void {
+    this.follower.start();
+  }
+
+  stop(): Promise<void> {
+    return this.follower.stop();
+  }
+
+  /** Takes records that a peer has passed on. */
+  takeFromPeer(
+    fromOffset: number,
+    records: readonly KeyedRecord[],
+    endOffset: number,
+  ): void {
+    this.apply(this.table.applyRecords(fromOffset, records, endOffset));
+  }
+
+  private isReadDue(): boolean {
+    const nowMs = this.options.clock.monotonicMs();
+    const {isReader, peerAgeMs} = this.options;
+    const isOwn = isReader() || peerAgeMs() > MAX_PEER_AGE_MS;
+    if (!isOwn || nowMs < this.readAtMs + READ_INTERVAL_MS) return false;
+    this.readAtMs = nowMs;
+    return true;
+  }
+
+  private take(changes: readonly KeyedChange[]): void {
+    const first = Math.min(...changes.map(({offset}) => offset));
+    this.apply(changes);
+    this.options.onRead(first);
+  }
+
+  private apply(changes: readonly KeyedChange[]): void {
+    const decoded = changes.flatMap(change => this.decode(change));
+    decoded.forEach(({id, entry}) => {
+      if (entry) this.entries.set(id, entry);
+      else this.entries.delete(id);
+    });
+    if (decoded.length > 0) this.options.onChanges(decoded);
+  }
+
+  /** A record that can't be read leaves the last good one in place. */
+  private decode({key, value, offset}: KeyedChange): ServerChange[] {
+    if (value === null) return [{id: key, entry: null, offset}];
+    const {platform, onFault} = this.options;
+    try {
+      return [{id: key, entry: platform.decodeServer(key, value), offset}];
+    } catch (thrown) {
+      onFault(toTypedError(thrown));
+      return [];
+    }
+  }
+}
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -1,23 +1,28 @@
-/** One node: its followers, its pipeline and its listeners, wired together. */
+/** One node: its tasks and its listeners, wired together. */
+import {randomUUID} from 'node:crypto';
 import {BackendConnections} from '@mimosatack/backend-connections';
 import {CallerEdge} from '@mimosatack/caller-edge';
-import {type Clock} from '@mimosatack/clock';
-import {toTypedError} from '@mimosatack/errors';
-import {
-  type KeyedChange,
-  KeyedFollower,
-  KeyedTable,
-} from '@mimosatack/keyed-store';
+import {type Clock, sleep} from '@mimosatack/clock';
+import {type TypedError, toTypedError} from '@mimosatack/errors';
+import {type DutyHolder, DutyTask} from '@mimosatack/hold-duty';
 import {type EventLogger} from '@mimosatack/logger';
+import {type KnownNode, NodeLinks, type NodeStatus} from '@mimosatack/node-links';
 import {type RandomSource} from '@mimosatack/random';
+import {BatchWorthPolicy} from '@mimosatack/schedule-models';
+import {ScheduledChooser, SchedulingHost} from '@mimosatack/schedule-service';
 import {
   LeastLoadedChooser,
   RequestPipeline,
   RetryAllowance,
 } from '@mimosatack/serve-requests';
-import {BackendRegistry} from './backend_registry.js';
+import {type ServingConfiguration, formatAddress} from '@mimosatack/types';
+import {ConfigurationFollower} from './configuration_follower.js';
+import {EntryPoints} from './entry_points.js';
+import {NodeRegister} from './node_register.js';
 import {type NodeSettings} from './node_settings.js';
 import {type PlatformAdapter} from './platform_adapter.js';
+import {type ServerChange, ServerFollower} from './server_follower.js';
+import {exchangeRecords, listRecords} from './shared_records.js';
 import {StatusServer} from './status_server.js';
 
 /** What a node is built from. */
@@ -29,156 +34,305 @@
   platform: PlatformAdapter;
 }
 
-/** A read of the configuration waits for the next change. */
-const CONFIGURATION_WAIT_MS = 20_000;
-const CONFIGURATION_INTERVAL_MS = 50;
-/**
- * Entries of servers change all the time with their heartbeats, so they are
- * read in batches: seldom enough to be cheap, and at least twice within the
- * time after which a leaving server may get nothing new.
- */
-const SERVERS_INTERVAL_MS = 700;
-const RETRY_DELAY_MS = 200;
+const DUTY_KEY = 'scheduler';
 const IDLE_CONNECTION_MS = 4_000;
-const ENTRIES_TTL_MS = 2_000;
 const STOP_POLL_MS = 50;
 const LISTEN_ON_MS = 2_500;
+const EXPIRY_INTERVAL_MS = 1_000;
 
 /** A node of the system, before backend servers that it does not run. */
 export class ServingNode {
-  private readonly registry: BackendRegistry;
+  private readonly self: KnownNode;
+  private readonly servers: ServerFollower;
+  private readonly configuration: ConfigurationFollower;
+  private readonly register: NodeRegister;
+  private readonly duty: DutyTask;
+  private readonly links: NodeLinks;
+  private readonly chooser: ScheduledChooser;
   private readonly pipeline: RequestPipeline;
   private readonly edge: CallerEdge;
   private readonly status: StatusServer;
+  private readonly entries: EntryPoints;
   private readonly connections: BackendConnections;
-  private readonly followers: KeyedFollower[];
-  private configurationVersion = -1;
+  private host: SchedulingHost | null = null;
+  private greetedToken = -1;
   private isStopping = false;
 
   constructor(private readonly options: ServingNodeOptions) {
-    const {clock, random, platform, settings} = options;
-    this.registry = new BackendRegistry(platform, error =>
-      this.noteFault(error, 'servers'),
-    );
+    const {clock, settings} = options;
+    this.self = makeSelf(settings);
     this.connections = new BackendConnections({
       clock,
       idleLimitMs: IDLE_CONNECTION_MS,
     });
-    this.pipeline = new RequestPipeline({
-      ...{clock, random, connections: this.connections},
-      dialect: platform.backendDialect,
-      chooser: new LeastLoadedChooser({
-        ...{clock, random, ownDomain: settings.failureDomain},
-        listServers: service => this.registry.listReady(service),
-      }),
-      retries: new RetryAllowance({
-        clock,
-        bound: settings.retryBound,
-        countNodes: () => settings.seeds.length,
-      }),
+    this.configuration = this.makeConfiguration();
+    this.servers = this.makeServers();
+    this.register = this.makeRegister();
+    this.duty = this.makeDuty();
+    this.links = this.makeLinks();
+    this.chooser = this.makeChooser();
+    this.pipeline = this.makePipeline();
+    this.entries = new EntryPoints({
+      ...{clock, settings, self: this.self},
+      listNodes: () => this.register.list(),
+      isServing: () => this.isServing,
     });
     this.edge = new CallerEdge({
       clock,
-      dialect: platform.callerDialect,
+      dialect: options.platform.callerDialect,
       serve: (request, sink) => this.pipeline.serve(request, sink),
       onFault: error => this.noteFault(error, 'callers'),
     });
     this.status = new StatusServer({
-      platform,
-      isReady: () => this.isReady,
-      listEntries: () => ({
-        addresses: [settings.callerAddress],
-        ttlMs: Math.min(ENTRIES_TTL_MS, settings.maxEntriesTtlMs),
-      }),
+      platform: options.platform,
+      isReady: () => this.isServing,
+      listEntries: () => this.entries.list(),
     });
-    this.followers = this.makeFollowers();
   }
 
   async start(): Promise<void> {
-    const {settings} = this.options;
+    const {settings, logger} = this.options;
     await this.edge.listen(settings.callerAddress);
     await this.status.listen(settings.readyAddress);
     await this.status.listen(settings.directoryAddress);
-    this.followers.forEach(follower => follower.start());
+    await this.links.start();
+    this.configuration.start();
+    this.servers.start();
+    this.register.start();
+    this.duty.start();
+    this.scheduleExpiry();
+    logger.log('node-started', {
+      incarnation: this.self.incarnation,
+      callerPort: settings.callerAddress.port,
+      adminPort: settings.readyAddress.port,
+      peerPort: settings.peerAddress.port,
+    });
   }
 
   /** Serves on while callers still come, then ends what is left. */
   async stop(): Promise<void> {
     if (this.isStopping) return;
     this.isStopping = true;
-    const {clock} = this.options;
+    const {clock, settings, logger} = this.options;
     const startedAtMs = clock.monotonicMs();
+    logger.log('shutdown-started', {
+      signal: 'SIGTERM',
+      requestsInFlight: this.edge.requestsInFlight,
+      graceMs: settings.graceMs,
+    });
     this.edge.drain();
-    await this.waitMs(LISTEN_ON_MS);
+    await sleep(clock, LISTEN_ON_MS);
     const closed = this.edge.close();
-    const {graceMs} = this.options.settings;
-    while (
-      this.edge.requestsInFlight > 0 &&
-      clock.monotonicMs() < startedAtMs + graceMs
-    ) {
-      await this.waitMs(STOP_POLL_MS);
+    const endsAtMs = startedAtMs + settings.graceMs;
+    while (this.edge.requestsInFlight > 0 && clock.monotonicMs() < endsAtMs) {
+      await sleep(clock, STOP_POLL_MS);
     }
+    await this.register.leave();
     await closed;
   }
 
-  private get isReady(): boolean {
+  private get isServing(): boolean {
     return (
       !this.isStopping &&
-      this.configurationVersion >= 0 &&
-      this.registry.hasServers
+      this.configuration.version >= 0 &&
+      this.servers.hasServers
     );
   }
 
-  private makeFollowers(): KeyedFollower[] {
-    const {clock, random, platform} = this.options;
-    const common = {
-      ...{clock, random, retryDelayMs: RETRY_DELAY_MS},
-      onLost: () => undefined,
-      onRegained: () => undefined,
+  private readStatus(): NodeStatus {
+    return {
+      isServing: this.isServing,
+      configurationVersion: this.configuration.version,
+      serversEndOffset: this.servers.table.endOffset,
     };
-    return [
-      new KeyedFollower({
-        ...common,
-        topic: platform.configurationTopic,
-        table: new KeyedTable(),
-        waitMs: CONFIGURATION_WAIT_MS,
-        minIntervalMs: CONFIGURATION_INTERVAL_MS,
-        onChanges: changes => this.takeConfiguration(changes),
-      }),
-      new KeyedFollower({
-        ...common,
-        topic: platform.serversTopic,
-        table: new KeyedTable(),
-        waitMs: 0,
-        minIntervalMs: SERVERS_INTERVAL_MS,
-        onChanges: changes => this.registry.take(changes),
-      }),
-    ];
   }
 
-  private takeConfiguration(changes: readonly KeyedChange[]): void {
-    const {platform} = this.options;
-    const change = changes.findLast(
-      ({key, value}) => key === platform.configurationKey && value !== null,
+  private makeConfiguration(): ConfigurationFollower {
+    const {clock, random, platform} = this.options;
+    return new ConfigurationFollower({
+      ...{clock, random, platform},
+      onConfiguration: configuration => this.configure(configuration),
+      onFault: thrown => this.noteFault(thrown, 'configuration'),
+      ...this.watchDependency('configuration'),
+    });
+  }
+
+  private configure(configuration: ServingConfiguration): void {
+    this.pipeline.configure(configuration);
+    this.edge.setLimits(configuration.limits);
+    this.host?.configure(configuration.services);
+    this.options.logger.log('configuration-applied', {
+      offset: this.configuration.table.endOffset,
+      configurationVersion: configuration.version,
+      lagMs: null,
+    });
+  }
+
+  private makeServers(): ServerFollower {
+    const {clock, random, platform} = this.options;
+    return new ServerFollower({
+      ...{clock, random, platform},
+      isReader: () => this.duty.isHeld,
+      peerAgeMs: () => this.links.holderServersAgeMs,
+      onChanges: changes => this.takeServers(changes),
+      onRead: fromOffset => {
+        if (this.duty.isHeld) {
+          this.links.broadcastRecords(
+            listRecords(this.servers.table, 'servers', fromOffset),
+          );
+        }
+      },
+      onFault: thrown => this.noteFault(thrown, 'servers'),
+      ...this.watchDependency('servers'),
+    });
+  }
+
+  private takeServers(changes: readonly ServerChange[]): void {
+    changes
+      .filter(({entry}) => !entry)
+      .forEach(({id}) => this.host?.dropServer(id));
+    const present = changes.flatMap(({entry}) => (entry ? [entry] : []));
+    if (present.length > 0) this.host?.putServers(present);
+  }
+
+  private makeRegister(): NodeRegister {
+    const {clock, random, platform} = this.options;
+    return new NodeRegister({
+      ...{clock, random, self: this.self},
+      topic: platform.nodesTopic,
+      ...this.watchDependency('nodes'),
+    });
+  }
+
+  private makeDuty(): DutyTask {
+    const {clock, random, platform} = this.options;
+    const {nodeName, incarnation, peerAddress} = this.self;
+    return new DutyTask({
+      ...{clock, random, topic: platform.dutyTopic, key: DUTY_KEY},
+      self: {nodeName, incarnation, address: peerAddress},
+      contactWith: holder => this.links.contactWith(holder),
+      findRank: () => this.links.findRank(),
+      isHeardByOthers: () => this.links.isHolderHeardByOthers,
+      isEligible: () => !this.isStopping && this.configuration.version >= 0,
+      onHolder: holder => this.takeHolder(holder),
+      ...this.watchDependency('duty'),
+    });
+  }
+
+  private takeHolder(holder: DutyHolder | null): void {
+    const isSelf = holder?.incarnation === this.self.incarnation;
+    this.options.logger.log('duty-holder-changed', {
+      nodeName: holder?.nodeName,
+      fencingToken: holder?.token,
+      isSelf,
+    });
+    this.host?.stop();
+    this.host = holder && isSelf ? this.makeHost(holder) : null;
+    if (isSelf) this.greet(holder);
+  }
+
+  private makeHost(holder: DutyHolder): SchedulingHost {
+    const {clock, logger, platform} = this.options;
+    const host = new SchedulingHost({
+      ...{clock, logger, policy: new BatchWorthPolicy()},
+      orders: platform.makeEngineOrders(this.connections),
+      authority: {holder: holder.nodeName, fencingToken: holder.token},
+      send: (address, message) => this.links.sendToNode(address, message),
+      onFenced: () => {
+        logger.log('duty-lost', {fencingToken: holder.token});
+        host.stop();
+        if (this.host === host) this.host = null;
+      },
+    });
+    host.start(
+      this.configuration.configuration?.services ?? [],
+      this.servers.list(),
     );
-    if (!change?.value) return;
-    try {
-      const configuration = platform.decodeConfiguration(change.value);
-      if (configuration.version <= this.configurationVersion) return;
-      this.configurationVersion = configuration.version;
-      this.pipeline.configure(configuration);
-      this.edge.setLimits(configuration.limits);
-    } catch (thrown) {
-      this.noteFault(thrown, 'configuration');
+    return host;
+  }
+
+  private greet(holder: DutyHolder | null): void {
+    if (!holder || holder.token === this.greetedToken) return;
+    this.greetedToken = holder.token;
+    this.chooser.greetHolder();
+  }
+
+  private makeLinks(): NodeLinks {
+    const {clock, random, settings} = this.options;
+    return new NodeLinks({
+      ...{clock, random, self: this.self},
+      listenAddress: settings.peerAddress,
+      clusterSecret: settings.clusterSecret,
+      holder: () => this.duty.holder,
+      listNodes: () => this.register.list(),
+      readStatus: () => this.readStatus(),
+      serversAgeMs: () => this.servers.ageMs,
+      readRecords: (topic, fromOffset) =>
+        listRecords(
+          topic === 'servers' ? this.servers.table : this.configuration.table,
+          ...[topic, fromOffset] as const,
+        ),
+      onRecords: message =>
+        exchangeRecords(message, this.configuration, this.servers),
+      onHolder: holder => this.duty.noteHolder(holder),
+      onToHolder: (from, message) => this.host?.receive(from, message),
+      onFromHolder: message => this.chooser.receive(message),
+      onServingNodes: names => this.noteServing(names),
+      onFault: error => this.noteFault(error, 'links'),
+    });
+  }
+
+  private noteServing(nodeNames: readonly string[]): void {
+    this.greet(this.duty.holder);
+    if (this.entries.noteServing(nodeNames)) {
+      this.options.logger.log('node-list-changed', {nodeNames});
     }
   }
 
-  private waitMs(delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-      this.options.clock.setTimer(delayMs, resolve);
+  private makeChooser(): ScheduledChooser {
+    const {clock, random, settings} = this.options;
+    return new ScheduledChooser({
+      clock,
+      askPrefix: this.self.incarnation,
+      local: new LeastLoadedChooser({
+        ...{clock, random, ownDomain: settings.failureDomain},
+        listServers: service => this.servers.listReady(service),
+      }),
+      findServer: id => this.servers.find(id),
+      sendToHolder: message => this.links.sendToHolder(message),
+    });
+  }
+
+  private makePipeline(): RequestPipeline {
+    const {clock, random, platform, settings} = this.options;
+    return new RequestPipeline({
+      ...{clock, random, connections: this.connections},
+      dialect: platform.backendDialect,
+      chooser: this.chooser,
+      retries: new RetryAllowance({
+        clock,
+        bound: settings.retryBound,
+        countNodes: () => this.register.list().length,
+      }),
     });
   }
 
+  private scheduleExpiry(): void {
+    this.options.clock.setTimer(EXPIRY_INTERVAL_MS, () => {
+      this.connections.closeExpired();
+      this.scheduleExpiry();
+    });
+  }
+
+  private watchDependency(dependency: string) {
+    const {logger} = this.options;
+    return {
+      onLost: (error: TypedError) =>
+        logger.log('dependency-lost', {dependency, error}),
+      onRegained: () => logger.log('dependency-regained', {dependency}),
+    };
+  }
+
   private noteFault(thrown: unknown, task: string): void {
     this.options.logger.log('task-failed', {
       task,
@@ -187,3 +341,13 @@
     });
   }
 }
+
+function makeSelf(settings: NodeSettings): KnownNode {
+  return {
+    nodeName: settings.nodeName,
+    incarnation: randomUUID().slice(0, 8),
+    peerAddress: formatAddress(settings.peerAddress),
+    callerAddress: settings.callerAddress,
+    failureDomain: settings.failureDomain,
+  };
+}
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -130,8 +130,6 @@
   state: 'ready' | 'draining';
   /** The time left until it is gone whatever it runs; null when not told. */
   leavesInMs: number | null;
-  /** Orders that it has accepted since its start. */
-  orderCount: number;
   residents: readonly ResidentModel[];
   near: NearWeights;
 }
