Tell a reset from the end of an answer without a length

Two things took the reset for an end: the HTTP library forgives a reset by its code, and the event loop reports an end without reading when a hang-up comes in one poll with the last bytes.

Change: a socket that reads on only after the poll, and that gives a reset another code.

Tests of the connection failed before and pass.

Beside it, each request now writes its log lines, and lines go out in the background.

--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -3,11 +3,12 @@
  * is made here and handed to the HTTP library, which is refused a second one:
  * a library that connects again by itself would send a call twice.
  */
-import {type Socket, connect} from 'node:net';
+import {type Socket} from 'node:net';
 import {type Clock, type Timer} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type SocketAddress, formatAddress} from '@mimosatack/types';
 import {Client} from 'undici';
+import {BackendSocket} from './backend_socket.js';
 import {
   type AnswerReceiver,
   type BackendCall,
@@ -59,8 +60,6 @@
     this.keepAliveMs = options.idleLimitMs;
     this.idleSinceMs = options.clock.monotonicMs();
     this.client = makeSingleUseClient(options.address, socket);
-    // Unheard, an error of an idle socket would end the process.
-    socket.on('error', () => undefined);
     socket.once('close', () => this.noteClosed());
   }
 
@@ -117,8 +116,8 @@
 
 /** What an exchange tells its connection. */
 interface ExchangeEvents {
-  onKeepAlive(keepAliveMs: number): void;
-  onDone(): void;
+  onKeepAlive: (keepAliveMs: number) => void;
+  onDone: () => void;
 }
 
 /** One call and its answer, as the HTTP library tells of it. */
@@ -220,11 +219,8 @@
   timeoutMs: number,
 ): Promise<Socket> {
   return new Promise((resolve, reject) => {
-    const socket = connect({
-      host: address.ip,
-      port: address.port,
-      noDelay: true,
-    });
+    const socket = new BackendSocket();
+    socket.connect({host: address.ip, port: address.port});
     let timer: Timer | null = null;
     const fail = (cause: Error) => {
       timer?.cancel();
--- a/packages/caller-edge/src/caller_edge.ts
+++ b/packages/caller-edge/src/caller_edge.ts
@@ -22,8 +22,8 @@
 export interface CallerEdgeOptions {
   clock: Clock;
   dialect: EdgeDialect;
-  serve(request: CallerRequest, sink: AnswerSink): Promise<void>;
-  onFault(error: TypedError): void;
+  serve: (request: CallerRequest, sink: AnswerSink) => Promise<void>;
+  onFault: (error: TypedError) => void;
 }
 
 /** Headers beyond this are refused by the parser itself. */
--- a/packages/caller-edge/src/http_answer_sink.ts
+++ b/packages/caller-edge/src/http_answer_sink.ts
@@ -10,7 +10,7 @@
   dialect: EdgeDialect;
   requestId: string | null;
   /** Whether the connection is to be closed after the answer. */
-  closesConnection(): boolean;
+  closesConnection: () => boolean;
 }
 
 /** The answer's side of one exchange. */
--- a/packages/hold-duty/src/duty_task.ts
+++ b/packages/hold-duty/src/duty_task.ts
@@ -60,15 +60,15 @@
   key: string;
   self: Omit<DutyHolder, 'token'>;
   /** What this node's connections tell of the holder. */
-  contactWith(holder: DutyHolder): HolderContact;
+  contactWith: (holder: DutyHolder) => HolderContact;
   /** How many live nodes claim before this one. */
-  findRank(): number;
-  isHeardByOthers(): boolean;
+  findRank: () => number;
+  isHeardByOthers: () => boolean;
   /** Whether this node may hold the duty at all. */
-  isEligible(): boolean;
-  onHolder(holder: DutyHolder | null): void;
-  onLost(error: TypedError): void;
-  onRegained(): void;
+  isEligible: () => boolean;
+  onHolder: (holder: DutyHolder | null) => void;
+  onLost: (error: TypedError) => void;
+  onRegained: () => void;
 }
 
 const WAIT_MS = 20_000;
--- a/packages/keyed-store/src/keyed_follower.ts
+++ b/packages/keyed-store/src/keyed_follower.ts
@@ -19,12 +19,12 @@
   /** The wait after a failed read. */
   retryDelayMs: number;
   /** False while the table is kept in step in another way. */
-  isNeeded?(): boolean;
-  onChanges(changes: readonly KeyedChange[]): void;
+  isNeeded?: () => boolean;
+  onChanges: (changes: readonly KeyedChange[]) => void;
   /** Told of the first failure in a row. */
-  onLost(error: TypedError): void;
+  onLost: (error: TypedError) => void;
   /** Told of the first success after a failure, and of the first of all. */
-  onRegained(): void;
+  onRegained: () => void;
 }
 
 const RETRY_SPREAD = 0.5;
--- a/packages/logger/src/bunyan_event_logger.ts
+++ b/packages/logger/src/bunyan_event_logger.ts
@@ -19,8 +19,13 @@
   nodeName: string;
   /** Events below this level are left out. */
   level: LogLevel;
-  /** A standard stream by name, or any other stream. */
-  destination: LogDestination | Writable;
+  /** A standard stream by name, or anything that takes lines. */
+  destination: LogDestination | Writable | LineSink;
+}
+
+/** Takes whole lines. */
+export interface LineSink {
+  write: (line: string) => void;
 }
 
 const PROGRAM_NAME = 'mimosatackd';
@@ -50,10 +55,12 @@
   }
 }
 
-function toStream(destination: LogDestination | Writable): Writable {
+function toStream(
+  destination: LogDestination | Writable | LineSink,
+): NodeJS.WritableStream {
   if (destination === 'stdout') return process.stdout;
   if (destination === 'stderr') return process.stderr;
-  return destination;
+  return destination as NodeJS.WritableStream;
 }
 
 function serializeError(value: unknown): unknown {
--- a/packages/logger/src/events/process_events.ts
+++ b/packages/logger/src/events/process_events.ts
@@ -66,6 +66,13 @@
     },
     remedy: 'Report it with the log lines around it.',
   },
+  'lines-dropped': {
+    number: 1010,
+    level: 'warn',
+    message: 'Log lines were left out since nobody read the log in time.',
+    fields: {count: 'how many'},
+    remedy: 'Look why the reader of the log stalls.',
+  },
   'unexpected-error': {
     number: 1007,
     level: 'fatal',
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -24,3 +24,8 @@
   type LimitedEventLoggerOptions,
 } from './limited_event_logger.js';
 export {type LoggedEvent, MemoryEventLogger} from './memory_event_logger.js';
+export {
+  BackgroundStream,
+  type BackgroundStreamOptions,
+  openBackgroundStream,
+} from './background_stream.js';
--- a/packages/node-links/src/index.ts
+++ b/packages/node-links/src/index.ts
@@ -1,3 +1,7 @@
 export {type KnownNode, encodeNode, decodeNode} from './known_node.js';
 export {type RecordsMessage, type SharedTopic} from './messages.js';
-export {NodeLinks, type NodeLinksOptions, type NodeStatus} from './node_links.js';
+export {
+  NodeLinks,
+  type NodeLinksOptions,
+  type NodeStatus,
+} from './node_links.js';
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -36,20 +36,20 @@
   self: KnownNode;
   listenAddress: SocketAddress;
   clusterSecret: string;
-  holder(): DutyHolder | null;
+  holder: () => DutyHolder | null;
   /** All registered nodes. */
-  listNodes(): readonly KnownNode[];
-  readStatus(): NodeStatus;
+  listNodes: () => readonly KnownNode[];
+  readStatus: () => NodeStatus;
   /** How long ago this node read the servers from the store. */
-  serversAgeMs(): number;
-  readRecords(topic: SharedTopic, fromOffset: number): RecordsMessage;
-  onRecords(message: RecordsMessage, from: string): void;
-  onHolder(holder: DutyHolder): void;
+  serversAgeMs: () => number;
+  readRecords: (topic: SharedTopic, fromOffset: number) => RecordsMessage;
+  onRecords: (message: RecordsMessage, from: string) => void;
+  onHolder: (holder: DutyHolder) => void;
   /** A message for the scheduler of this node. */
-  onToHolder(from: string, message: ToHolder): void;
-  onFromHolder(message: FromHolder): void;
-  onServingNodes(nodeNames: readonly string[]): void;
-  onFault(error: TypedError): void;
+  onToHolder: (from: string, message: ToHolder) => void;
+  onFromHolder: (message: FromHolder) => void;
+  onServingNodes: (nodeNames: readonly string[]) => void;
+  onFault: (error: TypedError) => void;
 }
 
 const MAX_CONNECTIONS = 1_000;
@@ -121,7 +121,9 @@
     const holder = findHolder();
     if (!holder || this.contactWith(holder) !== 'alive') return false;
     if (this.isSelf(holder)) onToHolder(self.peerAddress, message);
-    else this.transport.send(holder.address, {type: 'to-holder', body: message});
+    else {
+      this.transport.send(holder.address, {type: 'to-holder', body: message});
+    }
     return true;
   }
 
@@ -296,4 +298,3 @@
     return incarnation === this.options.self.incarnation;
   }
 }
-
--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -156,14 +156,21 @@
   }
 
   /** The engine said that it does not hold what it was sent a request for. */
-  noteNotHeld(model: ModelName, adapter: AdapterName | null, nowMs: number): void {
+  noteNotHeld(
+    model: ModelName,
+    adapter: AdapterName | null,
+    nowMs: number,
+  ): void {
     const resident = this.residents.get(model);
     if (!resident) return;
     if (adapter !== null && resident.adapters.has(adapter)) {
       resident.adapters.delete(adapter);
       return;
     }
-    resident.readyAtMs = Math.max(resident.readyAtMs, nowMs + NOT_READY_DELAY_MS);
+    resident.readyAtMs = Math.max(
+      resident.readyAtMs,
+      nowMs + NOT_READY_DELAY_MS,
+    );
     this.needsReport = true;
   }
 
--- a/packages/schedule-models/src/scheduled_request.ts
+++ b/packages/schedule-models/src/scheduled_request.ts
@@ -74,5 +74,8 @@
 export interface EngineReport {
   orderCount: number;
   isBusy: boolean;
-  residents: ReadonlyArray<{model: ModelName; adapters: readonly AdapterName[]}>;
+  residents: ReadonlyArray<{
+    model: ModelName;
+    adapters: readonly AdapterName[];
+  }>;
 }
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -39,7 +39,7 @@
 export interface ModelSchedulerOptions {
   policy: SwapPolicy;
   /** How slow an engine answers against the others; 1 is usual. */
-  slownessOf?(id: BackendServerId): number;
+  slownessOf?: (id: BackendServerId) => number;
 }
 
 /** Of one shard of engines: the requests that wait, run and are refused. */
@@ -233,7 +233,8 @@
   /** Whether a copy of the model is being loaded already. */
   private isComing(service: string, model: ModelName): boolean {
     return this.listEngines().some(
-      engine => engine.entry.service === service && engine.swap?.model === model,
+      engine =>
+        engine.entry.service === service && engine.swap?.model === model,
     );
   }
 
--- a/packages/schedule-models/src/swap_options.ts
+++ b/packages/schedule-models/src/swap_options.ts
@@ -2,11 +2,7 @@
 import {type ModelName} from '@mimosatack/types';
 import {type EngineView} from './engine_view.js';
 import {type Residency} from './residency.js';
-import {
-  type Batch,
-  type SwapChoice,
-  type SwapContext,
-} from './swap_policy.js';
+import {type Batch, type SwapChoice, type SwapContext} from './swap_policy.js';
 
 /**
  * A model that has just been loaded stays for this long at least, so that two
@@ -45,9 +41,7 @@
   if (engine.freeMb >= neededMb) return [{engine, victim: null}];
   return [...engine.residents.values()]
     .filter(resident => isIdle(resident, nowMs))
-    .filter(
-      resident => engine.freeMb + engine.memoryOf(resident) >= neededMb,
-    )
+    .filter(resident => engine.freeMb + engine.memoryOf(resident) >= neededMb)
     .map(victim => ({engine, victim}));
 }
 
--- a/packages/schedule-service/src/index.ts
+++ b/packages/schedule-service/src/index.ts
@@ -13,7 +13,4 @@
   ScheduledChooser,
   type ScheduledChooserOptions,
 } from './scheduled_chooser.js';
-export {
-  SchedulingHost,
-  type SchedulingHostOptions,
-} from './scheduling_host.js';
+export {SchedulingHost, type SchedulingHostOptions} from './scheduling_host.js';
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -23,15 +23,15 @@
   askPrefix: string;
   /** Chooses what is not scheduled, and all while nobody schedules. */
   local: ServerChooser;
-  findServer(id: BackendServerId): BackendServerEntry | undefined;
+  findServer: (id: BackendServerId) => BackendServerEntry | undefined;
   /** False when nobody schedules just now. */
-  sendToHolder(message: ToHolder): boolean;
+  sendToHolder: (message: ToHolder) => boolean;
 }
 
 interface OpenAsk {
   ask: ServerAsk;
   terms: AskTerms;
-  settle(choice: ServerChoice): void;
+  settle: (choice: ServerChoice) => void;
 }
 
 interface Run {
@@ -71,7 +71,13 @@
     const server = this.options.findServer(engineId);
     if (opened && server) {
       this.runs.set(opened.ask, {askId, ask: opened.ask, engineId});
-      opened.settle({status: 'chosen', server});
+      const {receivedAtMs} = opened.ask.request;
+      const waitedMs = this.options.clock.monotonicMs() - receivedAtMs;
+      opened.settle({
+        status: 'chosen',
+        server,
+        basis: {by: 'schedule', waitedMs: Math.round(waitedMs)},
+      });
     } else {
       this.tellEnd(askId, engineId, 'neutral');
     }
--- a/packages/schedule-service/src/scheduling_host.ts
+++ b/packages/schedule-service/src/scheduling_host.ts
@@ -23,9 +23,9 @@
   policy: SwapPolicy;
   orders: EngineOrders;
   authority: OrderAuthority;
-  send(nodeAddress: string, message: FromHolder): void;
+  send: (nodeAddress: string, message: FromHolder) => void;
   /** A later holder gives orders; this one has to stop. */
-  onFenced(): void;
+  onFenced: () => void;
 }
 
 /** The longest sleep between two decisions. */
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -49,6 +49,7 @@
   connectTimeoutMs: number;
   maxIdleMs: number;
   onLoad: (load: ServerLoad) => void;
+  onStatus: (status: number) => void;
 }
 
 const STATUS_OK_MIN = 200;
@@ -99,8 +100,9 @@
   onHead(head: AnswerHead): void {
     if (this.isOver) return;
     this.hasHead = true;
-    const {dialect, request, consumer, onLoad} = this.options;
+    const {dialect, request, consumer, onLoad, onStatus} = this.options;
     const facts = dialect.readHead(head, request);
+    onStatus(facts.status);
     if (facts.load) onLoad(facts.load);
     if (facts.isNotRun) {
       this.giveUp({
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -21,7 +21,7 @@
   random: RandomSource;
   ownDomain: FailureDomain;
   /** The servers of a service that may get new work. */
-  listServers(service: string): readonly BackendServerEntry[];
+  listServers: (service: string) => readonly BackendServerEntry[];
 }
 
 /** A told load is forgotten after this time; loads change within a second. */
@@ -50,7 +50,15 @@
       .listServers(ask.service.name)
       .filter(server => !ask.excluded.has(server.id) && canServe(server, ask));
     const best = this.pick(servers);
-    if (best) return {status: 'chosen', server: best};
+    if (best) {
+      const ownRequests = this.notes.get(best.id)?.inFlight ?? 0;
+      const alternatives = servers.length - 1;
+      return {
+        status: 'chosen',
+        server: best,
+        basis: {by: 'own-view', ownRequests, alternatives},
+      };
+    }
     return {
       status: 'refused',
       error: new TypedError('overloaded', 'No backend server can serve it.', {
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -2,6 +2,7 @@
 import {type BackendConnections} from '@mimosatack/backend-connections';
 import {type Clock} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
+import {type EventLogger} from '@mimosatack/logger';
 import {type RandomSource} from '@mimosatack/random';
 import {
   type ServiceRoute,
@@ -24,12 +25,14 @@
   dialect: BackendDialect;
   chooser: ServerChooser;
   retries: RetryAllowance;
+  logger: EventLogger;
 }
 
 const NOT_CONFIGURED_RETRY_MS = 500;
 
 /** The configuration in force, ready for look-ups. */
 interface ActiveConfiguration {
+  version: number;
   routes: RouteTable;
   services: ReadonlyMap<string, ServiceSpec>;
 }
@@ -43,6 +46,7 @@
   /** Puts a configuration in force for all requests that come after it. */
   configure(configuration: ServingConfiguration): void {
     this.active = {
+      version: configuration.version,
       routes: new RouteTable(configuration.routes),
       services: new Map(
         configuration.services.map(service => [service.name, service]),
@@ -55,6 +59,7 @@
     const target = this.findTarget(request);
     if (target instanceof TypedError) {
       sink.refuse(target);
+      this.logUnrouted(request, target);
       return;
     }
     this.options.retries.noteRequest(target.service.name);
@@ -68,7 +73,25 @@
     if (!route) return makeNoRoute(request);
     const name = pickService(route.traffic, this.options.random);
     const service = name === null ? undefined : active.services.get(name);
-    return service ? {route, service} : makeNotConfigured();
+    const {version} = active;
+    return service ? {route, service, version} : makeNotConfigured();
+  }
+
+  private logUnrouted(
+    {requestId, receivedAtMs}: CallerRequest,
+    error: TypedError,
+  ): void {
+    this.options.logger.log('request-finished', {
+      requestId,
+      result: 'refused',
+      kind: error.kind,
+      reason: error.summary,
+      run: error.run,
+      retryAfterMs: error.retryAfterMs,
+      attempts: 0,
+      tookMs: this.options.clock.monotonicMs() - receivedAtMs,
+      lastEventId: null,
+    });
   }
 }
 
@@ -76,6 +99,8 @@
 export interface RequestTarget {
   route: ServiceRoute;
   service: ServiceSpec;
+  /** Of the configuration that decided it. */
+  version: number;
 }
 
 /**
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -5,6 +5,7 @@
 import {Attempt, type AttemptOutcome} from './attempt.js';
 import {AnswerRelay} from './answer_relay.js';
 import {type AnswerSink, type CallerRequest} from './caller_request.js';
+import {type FinalResult, RequestLog} from './request_log.js';
 import {type PipelineOptions, type RequestTarget} from './request_pipeline.js';
 import {type AttemptResult, type ServerAsk} from './server_chooser.js';
 
@@ -26,6 +27,7 @@
   private readonly tried = new Set<BackendServerId>();
   private readonly ending = new AbortController();
   private readonly relay: AnswerRelay;
+  private readonly log: RequestLog;
   private attempt: Attempt | null = null;
   private attempts = 0;
   /** Whether a server may have run the request without an answer to it. */
@@ -43,6 +45,7 @@
       request.deadlineMs ?? Infinity,
     );
     this.endsAtMs = request.receivedAtMs + waitMs;
+    this.log = new RequestLog(options, request, target);
     this.relay = new AnswerRelay({
       sink,
       isStream: target.route.kind === 'streaming',
@@ -72,11 +75,17 @@
       const choice = await this.options.chooser.choose(ask);
       if (this.endCause) return this.finishEnded();
       if (choice.status === 'refused') return this.giveUp(choice.error);
+      this.log.noteSent(choice, this.attempts + 1, this.endsAtMs);
       const outcome = await this.attemptAt(choice.server, ask);
-      if (outcome.status === 'answered') return;
-      if (outcome.status === 'aborted') return this.finishEnded();
+      if (outcome.status === 'answered') return this.noteAnswered(outcome);
+      if (outcome.status === 'aborted') {
+        this.log.noteAttempt(outcome, 'end');
+        return this.finishEnded();
+      }
       this.tried.add(choice.server.id);
-      if (!this.mayGoOn(outcome)) return this.giveUp(outcome.error);
+      const goesOn = this.mayGoOn(outcome);
+      this.log.noteAttempt(outcome, goesOn ? 'try-elsewhere' : 'give-up');
+      if (!goesOn) return this.giveUp(outcome.error);
     }
   }
 
@@ -99,6 +108,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxIdleMs: this.isRepeatable ? Infinity : MAX_IDLE_ONCE_MS,
       onLoad: load => chooser.noteLoad(server, load),
+      onStatus: status => this.log.noteHead(status),
     });
     this.attempt = attempt;
     chooser.noteSent(server, ask);
@@ -140,9 +150,30 @@
     return kind === 'idempotent' || (kind === 'streaming' && isResumable);
   }
 
+  private noteAnswered(outcome: AttemptOutcome): void {
+    this.log.noteAttempt(outcome, 'end');
+    this.noteFinished('answered', null);
+  }
+
   private giveUp(error: TypedError): void {
-    if (this.sink.hasBegun) return this.sink.abort();
-    this.sink.refuse(this.describe(error));
+    this.endWith(this.describe(error));
+  }
+
+  /** Refuses, or breaks an answer off that has begun. */
+  private endWith(error: TypedError): void {
+    if (this.sink.hasBegun) {
+      this.sink.abort();
+      this.noteFinished('broken-off', error);
+    } else {
+      this.sink.refuse(error);
+      this.noteFinished('refused', error);
+    }
+  }
+
+  private noteFinished(result: FinalResult, error: TypedError | null): void {
+    const {attempts} = this;
+    const {lastEventId} = this.relay;
+    this.log.noteFinished({result, error, attempts, lastEventId});
   }
 
   /** Never says "not run" once any attempt may have run. */
@@ -158,9 +189,11 @@
   }
 
   private finishEnded(): void {
-    if (this.endCause === 'caller-gone') return;
-    if (this.sink.hasBegun) return this.sink.abort();
-    this.sink.refuse(
+    if (this.endCause === 'caller-gone') {
+      this.noteFinished('caller-gone', null);
+      return;
+    }
+    this.endWith(
       new TypedError('deadline-exceeded', 'No answer came in time.', {
         run: this.mayHaveRun ? 'unknown' : 'not-run',
       }),
--- a/packages/serve-requests/src/retry_allowance.ts
+++ b/packages/serve-requests/src/retry_allowance.ts
@@ -16,7 +16,7 @@
   clock: Clock;
   bound: RetryBound;
   /** How many nodes share the bound. */
-  countNodes(): number;
+  countNodes: () => number;
 }
 
 /**
--- a/packages/serve-requests/src/server_chooser.ts
+++ b/packages/serve-requests/src/server_chooser.ts
@@ -22,9 +22,23 @@
   signal: AbortSignal;
 }
 
+/** What a choice rested on, for the log. */
+export interface ChoiceBasis {
+  /** By the node that schedules, or by this node's own view. */
+  by: 'schedule' | 'own-view';
+  /** Requests of this node at the server, for a choice by the own view. */
+  ownRequests?: number;
+  /** Other servers that could have been chosen. */
+  alternatives?: number;
+  /** The fencing token of the node that schedules. */
+  holderToken?: number;
+  /** How long the choice took. */
+  waitedMs?: number;
+}
+
 /** The server to send to, or why there is none. */
 export type ServerChoice =
-  | {status: 'chosen'; server: BackendServerEntry}
+  | {status: 'chosen'; server: BackendServerEntry; basis: ChoiceBasis}
   | {status: 'refused'; error: TypedError};
 
 /** How an attempt at a server went. */
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -1,6 +1,6 @@
 /** Keeps the newest configuration, whoever brings it. */
 import {type Clock} from '@mimosatack/clock';
-import {TypedError} from '@mimosatack/errors';
+import {type TypedError} from '@mimosatack/errors';
 import {
   type KeyedChange,
   KeyedFollower,
@@ -16,10 +16,10 @@
   clock: Clock;
   random: RandomSource;
   platform: PlatformAdapter;
-  onConfiguration(configuration: ServingConfiguration): void;
-  onFault(error: unknown): void;
-  onLost(error: TypedError): void;
-  onRegained(): void;
+  onConfiguration: (configuration: ServingConfiguration) => void;
+  onFault: (error: unknown) => void;
+  onLost: (error: TypedError) => void;
+  onRegained: () => void;
 }
 
 /** A read waits for the next change for this long. */
--- a/packages/serving-node/src/entry_points.ts
+++ b/packages/serving-node/src/entry_points.ts
@@ -43,7 +43,8 @@
         nodeName !== self.nodeName &&
         (!isFresh || this.serving.includes(nodeName)),
     );
-    const nodes = isServing() || others.length === 0 ? [self, ...others] : others;
+    const nodes =
+      isServing() || others.length === 0 ? [self, ...others] : others;
     return {
       addresses: nodes.map(({callerAddress}) => callerAddress),
       ttlMs: Math.min(TTL_MS, settings.maxEntriesTtlMs),
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -16,8 +16,8 @@
   random: RandomSource;
   topic: KeyedTopic;
   self: KnownNode;
-  onLost(error: TypedError): void;
-  onRegained(): void;
+  onLost: (error: TypedError) => void;
+  onRegained: () => void;
 }
 
 const WAIT_MS = 20_000;
--- a/packages/serving-node/src/server_follower.ts
+++ b/packages/serving-node/src/server_follower.ts
@@ -28,15 +28,15 @@
   random: RandomSource;
   platform: PlatformAdapter;
   /** Whether this node reads for the others too. */
-  isReader(): boolean;
+  isReader: () => boolean;
   /** How old what the reader passes on is. */
-  peerAgeMs(): number;
-  onChanges(changes: readonly ServerChange[]): void;
+  peerAgeMs: () => number;
+  onChanges: (changes: readonly ServerChange[]) => void;
   /** Told of records that came from the store, to pass on. */
-  onRead(fromOffset: number): void;
-  onFault(error: unknown): void;
-  onLost(error: TypedError): void;
-  onRegained(): void;
+  onRead: (fromOffset: number) => void;
+  onFault: (error: unknown) => void;
+  onLost: (error: TypedError) => void;
+  onRegained: () => void;
 }
 
 /**
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -6,7 +6,11 @@
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {type DutyHolder, DutyTask} from '@mimosatack/hold-duty';
 import {type EventLogger} from '@mimosatack/logger';
-import {type KnownNode, NodeLinks, type NodeStatus} from '@mimosatack/node-links';
+import {
+  type KnownNode,
+  NodeLinks,
+  type NodeStatus,
+} from '@mimosatack/node-links';
 import {type RandomSource} from '@mimosatack/random';
 import {BatchWorthPolicy} from '@mimosatack/schedule-models';
 import {ScheduledChooser, SchedulingHost} from '@mimosatack/schedule-service';
@@ -270,7 +274,7 @@
       readRecords: (topic, fromOffset) =>
         listRecords(
           topic === 'servers' ? this.servers.table : this.configuration.table,
-          ...[topic, fromOffset] as const,
+          ...([topic, fromOffset] as const),
         ),
       onRecords: message =>
         exchangeRecords(message, this.configuration, this.servers),
@@ -304,9 +308,9 @@
   }
 
   private makePipeline(): RequestPipeline {
-    const {clock, random, platform, settings} = this.options;
+    const {clock, random, platform, settings, logger} = this.options;
     return new RequestPipeline({
-      ...{clock, random, connections: this.connections},
+      ...{clock, random, logger, connections: this.connections},
       dialect: platform.backendDialect,
       chooser: this.chooser,
       retries: new RetryAllowance({
