--- a/packages/backend-connections/src/collect_answer.ts
+++ b/packages/backend-connections/src/collect_answer.ts
@@ -10,6 +10,13 @@
   body: Uint8Array;
 }
 
+/** How long an answer is waited for. */
+export interface CollectLimits {
+  timeoutMs: number;
+  /** Ends the wait early; the promise rejects. */
+  signal?: AbortSignal;
+}
+
 /** A page of the store has a megabyte, and half as much again as text. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
@@ -17,15 +24,17 @@
 export function collectAnswer(
   connections: BackendConnections,
   call: BackendCall,
-  timeoutMs: number,
+  limits: CollectLimits,
   clock: Clock,
 ): Promise<CollectedAnswer> {
+  const {timeoutMs, signal} = limits;
   return new Promise((resolve, reject) => {
     let head: AnswerHead | null = null;
     const pieces: Uint8Array[] = [];
     let byteCount = 0;
     const fail = (error: TypedError) => {
       timer.cancel();
+      signal?.removeEventListener('abort', onAbort);
       reject(error);
     };
     const handle = connections.send(call, {
@@ -41,13 +50,19 @@
       },
       onEnd: () => {
         timer.cancel();
+        signal?.removeEventListener('abort', onAbort);
         if (head) resolve({...head, body: Buffer.concat(pieces)});
       },
       onFailure: fail,
     });
-    const timer = clock.setTimer(timeoutMs, () => {
+    const giveUp = (message: string) => {
       handle.abort();
-      reject(makeUnreachable('No answer came in time.'));
-    });
+      fail(makeUnreachable(message));
+    };
+    const timer = clock.setTimer(timeoutMs, () =>
+      giveUp('No answer came in time.'),
+    );
+    const onAbort = () => giveUp('The answer is no longer wanted.');
+    signal?.addEventListener('abort', onAbort, {once: true});
   });
 }
--- a/packages/caller-edge/src/caller_edge.ts
+++ b/packages/caller-edge/src/caller_edge.ts
@@ -11,6 +11,7 @@
   createServer,
 } from 'node:http';
 import {type Clock} from '@mimosatack/clock';
+import {type DrainGate} from '@mimosatack/drain-node';
 import {TypedError, toTypedError} from '@mimosatack/errors';
 import {type AnswerSink, type CallerRequest} from '@mimosatack/serve-requests';
 import {type CallerLimits, type SocketAddress} from '@mimosatack/types';
@@ -21,6 +22,7 @@
 /** What the edge is built from. */
 export interface CallerEdgeOptions {
   clock: Clock;
+  gate: DrainGate;
   dialect: EdgeDialect;
   serve: (request: CallerRequest, sink: AnswerSink) => Promise<void>;
   onFault: (error: TypedError) => void;
@@ -38,12 +40,12 @@
 /** How often the server looks for connections that are too slow. */
 const CHECK_INTERVAL_MS = 500;
 const BACKLOG = 1_024;
+/** Another node takes the request at once. */
+const STOPPING_RETRY_MS = 50;
 
 /** Takes callers' requests and hands them to the pipeline. */
 export class CallerEdge {
   private limits = FIRST_LIMITS;
-  private isDraining = false;
-  private inFlight = 0;
   private readonly server: Server;
 
   constructor(private readonly options: CallerEdgeOptions) {
@@ -59,11 +61,6 @@
     this.applyLimits();
   }
 
-  /** Requests that have no whole answer yet. */
-  get requestsInFlight(): number {
-    return this.inFlight;
-  }
-
   listen({ip, port}: SocketAddress): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
@@ -79,18 +76,23 @@
     this.applyLimits();
   }
 
-  /** From now on connections are closed after their answers. */
-  drain(): void {
-    this.isDraining = true;
+  /** Ends what nobody uses; the others are closed after their answers. */
+  closeIdle(): void {
     this.server.closeIdleConnections();
   }
 
-  /** Takes no more connections; resolves when all are closed. */
-  close(): Promise<void> {
-    return new Promise(resolve => {
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
-    });
+  /** Takes no more connections; those that carry a request go on. */
+  stopListening(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  /**
+   * Closes all that is left. Connections on which nothing was ever sent are
+   * not idle to Node's server, and would keep a stop waiting for ever.
+   */
+  closeAll(): void {
+    this.server.closeAllConnections();
   }
 
   private applyLimits(): void {
@@ -102,16 +104,17 @@
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.inFlight += 1;
-    response.once('close', () => (this.inFlight -= 1));
-    const {clock, dialect} = this.options;
+    const {clock, dialect, gate} = this.options;
+    const work = gate.inFlight.begin(`${incoming.method} ${incoming.url}`);
+    response.once('close', () => work.end());
     const read = dialect.readRequest(incoming, clock.monotonicMs());
     const sink = new HttpAnswerSink({
       response,
       dialect,
       requestId: read instanceof TypedError ? null : read.requestId,
-      closesConnection: () => this.isDraining || !incoming.complete,
+      closesConnection: () => gate.state !== 'serving' || !incoming.complete,
     });
+    if (!(read instanceof TypedError)) work.nameRequest(read.requestId);
     try {
       await this.serveRead(read, incoming, sink);
     } catch (thrown) {
@@ -128,6 +131,9 @@
     sink: HttpAnswerSink,
   ): Promise<void> {
     if (read instanceof TypedError) return sink.refuse(read);
+    if (this.options.gate.state === 'refusing') {
+      return sink.refuse(makeStopping());
+    }
     const body = await this.readBodyOf(incoming);
     if (body instanceof TypedError) return sink.refuse(body);
     if (body) await this.options.serve({...read, body}, sink);
@@ -152,6 +158,13 @@
   }
 }
 
+function makeStopping(): TypedError {
+  return new TypedError('shutting-down', 'This node is stopping.', {
+    run: 'not-run',
+    retryAfterMs: STOPPING_RETRY_MS,
+  });
+}
+
 /** Names, values, and the four bytes that stand around each pair. */
 function countHeaderBytes({rawHeaders}: IncomingMessage): number {
   return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
--- a/packages/hold-duty/src/duty_task.ts
+++ b/packages/hold-duty/src/duty_task.ts
@@ -64,6 +64,13 @@
   /** How many live nodes claim before this one. */
   findRank: () => number;
   isHeardByOthers: () => boolean;
+  /**
+   * Whether those that are ordered refuse an old fencing token. Where they do
+   * not, the holder has to prove its lease again and again.
+   */
+  isFenced: boolean;
+  /** Orders of two holders must be at least this far apart. */
+  leaseMs: number;
   /** Whether this node may hold the duty at all. */
   isEligible: () => boolean;
   onHolder: (holder: DutyHolder | null) => void;
@@ -71,12 +78,22 @@
   onRegained: () => void;
 }
 
+/** In whose name something is ordered, and with which token. */
+export interface DutyAuthority {
+  holder: string;
+  fencingToken: number;
+}
+
 const WAIT_MS = 20_000;
 const MIN_INTERVAL_MS = 20;
 const RETRY_DELAY_MS = 200;
 const TICK_MS = 50;
 /** After a claim without an answer, the record is read back first. */
 const CLAIM_PAUSE_MS = 600;
+/** How often a lease that no fence protects is renewed, as part of it. */
+const RENEWALS_PER_LEASE = 3;
+/** What was sent by the last holder may be on its way for this long. */
+const ON_THE_WAY_MS = 1_000;
 
 /** Follows the record of one duty and claims it when that is due. */
 export class DutyTask {
@@ -86,6 +103,10 @@
   private contact: HolderContact | 'none' = 'none';
   private contactSinceMs: number;
   private claimAtMs = -Infinity;
+  /** Proved by the store until then; only used without fences. */
+  private leaseEndsAtMs = -Infinity;
+  /** Earlier, orders of the last holder may still arrive. */
+  private ordersFromMs = -Infinity;
   private isClaiming = false;
   private isStopped = false;
 
@@ -94,7 +115,7 @@
     this.contactSinceMs = clock.monotonicMs();
     this.follower = new KeyedFollower({
       ...{clock, random, topic, table: this.table},
-      waitMs: WAIT_MS,
+      waitMs: () => WAIT_MS,
       minIntervalMs: MIN_INTERVAL_MS,
       retryDelayMs: RETRY_DELAY_MS,
       onChanges: changes => this.takeChanges(changes),
@@ -113,6 +134,25 @@
     return this.current?.incarnation === this.options.self.incarnation;
   }
 
+  /**
+   * In whose name this node may order now; null when it must not. To be asked
+   * right before each order: after a freeze, timers fire late.
+   */
+  findAuthority(): DutyAuthority | null {
+    const {clock, isFenced} = this.options;
+    if (!this.current || !this.isHeld) return null;
+    const nowMs = clock.monotonicMs();
+    if (!isFenced && nowMs >= this.leaseEndsAtMs) return null;
+    if (nowMs < this.ordersFromMs) return null;
+    const {nodeName, token} = this.current;
+    return {holder: nodeName, fencingToken: token};
+  }
+
+  /** Reads the record at once, since a change may have been missed. */
+  refresh(): void {
+    this.follower.refresh();
+  }
+
   start(): void {
     this.follower.start();
     this.scheduleTick();
@@ -129,6 +169,22 @@
     this.setHolder(holder);
   }
 
+  /**
+   * Gives the duty to another node; this one must have stopped to act on it.
+   * Resolves when the record is written, or can't be.
+   */
+  async handOver(successor: Omit<DutyHolder, 'token'>): Promise<void> {
+    if (!this.isHeld) return;
+    const {topic, key, onLost} = this.options;
+    const value = DutyHolderCodec.encode({...successor, token: 0});
+    try {
+      await topic.append([{key, value}], {atOffset: this.table.endOffset});
+    } catch (thrown) {
+      // The others find this node gone and claim the duty by themselves.
+      onLost(toTypedError(thrown));
+    }
+  }
+
   private scheduleTick(): void {
     if (this.isStopped) return;
     this.options.clock.setTimer(TICK_MS, () => {
@@ -153,7 +209,13 @@
       rank: findRank(),
       isHeardByOthers: isHeardByOthers(),
     });
-    if (isDue) void this.claim();
+    if (isDue || this.isRenewalDue(nowMs)) void this.claim();
+  }
+
+  private isRenewalDue(nowMs: number): boolean {
+    const {isFenced, leaseMs} = this.options;
+    if (isFenced || !this.isHeld) return false;
+    return nowMs >= this.leaseEndsAtMs - leaseMs + leaseMs / RENEWALS_PER_LEASE;
   }
 
   private noteContact(nowMs: number): void {
@@ -167,15 +229,19 @@
 
   private async claim(): Promise<void> {
     const {topic, key, self, clock} = this.options;
+    const sentAtMs = clock.monotonicMs();
     this.isClaiming = true;
-    this.claimAtMs = clock.monotonicMs() + CLAIM_PAUSE_MS;
+    this.claimAtMs = sentAtMs + CLAIM_PAUSE_MS;
     try {
       const value = DutyHolderCodec.encode({...self, token: 0});
       const outcome = await topic.append([{key, value}], {
         atOffset: this.table.endOffset,
       });
       if (outcome.status === 'appended') {
+        this.leaseEndsAtMs = sentAtMs + this.options.leaseMs;
         this.noteHolder({...self, token: outcome.offset + 1});
+      } else {
+        this.follower.refresh();
       }
     } catch (thrown) {
       this.options.onLost(toTypedError(thrown));
@@ -193,8 +259,23 @@
       });
   }
 
+  /**
+   * Guards against two holders' orders close to each other where no fence
+   * keeps the last holder's out: it orders until its lease ends, which it
+   * can't renew any more, and what it has sent takes a while to arrive.
+   */
+  private noteTurn(): void {
+    const {clock, isFenced, leaseMs} = this.options;
+    if (isFenced || !this.current) return;
+    this.ordersFromMs = clock.monotonicMs() + leaseMs + ON_THE_WAY_MS;
+  }
+
   private setHolder(holder: DutyHolder): void {
+    const {incarnation} = holder;
+    const isTurn = this.current?.incarnation !== incarnation;
+    if (isTurn) this.noteTurn();
     this.current = holder;
+    if (!isTurn) return;
     this.contact = 'none';
     this.contactSinceMs = this.options.clock.monotonicMs();
     this.options.onHolder(holder);
--- a/packages/keyed-store/src/keyed_follower.ts
+++ b/packages/keyed-store/src/keyed_follower.ts
@@ -12,7 +12,7 @@
   topic: KeyedTopic;
   table: KeyedTable;
   /** How long the store holds a read back while there is nothing new. */
-  waitMs: number;
+  waitMs: () => number;
   /** The least time between the begins of two reads, so that a topic with
    * many changes is read in batches. */
   minIntervalMs: number;
@@ -32,6 +32,7 @@
 /** Reads a topic until it is stopped. */
 export class KeyedFollower {
   private readonly stopping = new AbortController();
+  private waiting = new AbortController();
   private isInStep = false;
   private hasSnapshot = false;
   private succeededAtMs = -Infinity;
@@ -52,9 +53,19 @@
     void this.run();
   }
 
-  /** Takes no more changes; a read under way ends by itself. */
+  /**
+   * Ends a read that waits and reads at once. Guards against a connection that
+   * has gone silent for good, which a read that waits long can't tell from a
+   * topic without changes; whoever learns that it has missed one calls this.
+   */
+  refresh(): void {
+    this.waiting.abort();
+  }
+
+  /** Takes no more changes. */
   stop(): void {
     this.stopping.abort();
+    this.waiting.abort();
   }
 
   private async run(): Promise<void> {
@@ -82,6 +93,10 @@
       if (changes.length > 0) this.options.onChanges(changes);
     } catch (thrown) {
       if (signal.aborted) return;
+      if (this.waiting.signal.aborted) {
+        this.waiting = new AbortController();
+        return;
+      }
       this.noteFailure(toTypedError(thrown));
       const {clock, random, retryDelayMs} = this.options;
       await sleep(clock, addJitter(random, retryDelayMs, RETRY_SPREAD), signal);
@@ -98,7 +113,11 @@
   private async readOn(): Promise<KeyedChange[]> {
     const {topic, table, waitMs} = this.options;
     const fromOffset = table.endOffset;
-    const outcome = await topic.readFrom(fromOffset, waitMs);
+    const outcome = await topic.readFrom(
+      fromOffset,
+      waitMs(),
+      this.waiting.signal,
+    );
     if (outcome.status === 'expired') {
       this.hasSnapshot = false;
       return [];
--- a/packages/keyed-store/src/keyed_topic.ts
+++ b/packages/keyed-store/src/keyed_topic.ts
@@ -54,7 +54,11 @@
 export interface KeyedTopic {
   readNewest(): Promise<KeyedSnapshot>;
   /** Waits up to `waitMs` for a record when there is none yet. */
-  readFrom(offset: number, waitMs: number): Promise<ReadOutcome>;
+  readFrom(
+    offset: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<ReadOutcome>;
   /**
    * A rejection does not mean that nothing was or will be appended: the answer
    * may have been lost.
--- a/packages/node-links/src/holder_contacts.ts
+++ b/packages/node-links/src/holder_contacts.ts
@@ -10,7 +10,7 @@
 
 /** Keeps the last contacts with one holder; a new holder starts afresh. */
 export class HolderContacts {
-  private token = -1;
+  private incarnation = '';
   private heardAtMs = -Infinity;
   private isGone = false;
   private othersHeardAtMs = -Infinity;
@@ -56,9 +56,9 @@
   }
 
   /** A new holder counts as alive until it had time to answer. */
-  private turnTo({token}: DutyHolder): void {
-    if (token === this.token) return;
-    this.token = token;
+  private turnTo({incarnation}: DutyHolder): void {
+    if (incarnation === this.incarnation) return;
+    this.incarnation = incarnation;
     this.heardAtMs = this.clock.monotonicMs();
     this.isGone = false;
     this.othersHeardAtMs = -Infinity;
--- a/packages/node-links/src/index.ts
+++ b/packages/node-links/src/index.ts
@@ -4,4 +4,5 @@
   NodeLinks,
   type NodeLinksOptions,
   type NodeStatus,
+  type Successor,
 } from './node_links.js';
--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -7,6 +7,7 @@
   incarnation: z.string(),
   /** Whether callers may be sent to it. */
   isServing: z.boolean(),
+  uptimeMs: z.number(),
   configurationVersion: z.number(),
   serversEndOffset: z.number(),
 });
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -25,10 +25,18 @@
 /** What a node says of itself with every heartbeat. */
 export interface NodeStatus {
   isServing: boolean;
+  uptimeMs: number;
   configurationVersion: number;
   serversEndOffset: number;
 }
 
+/** A node that can take over a duty. */
+export interface Successor {
+  nodeName: string;
+  incarnation: string;
+  address: string;
+}
+
 /** What the links are built from. */
 export interface NodeLinksOptions {
   clock: Clock;
@@ -149,6 +157,19 @@
     return listNodes().filter(({nodeName}) => nodeName < self.nodeName).length;
   }
 
+  /**
+   * Who takes a duty over from this node when it stops: the node that was
+   * started last, since nodes are restarted in turn and it has had its.
+   */
+  findSuccessor(): Successor | null {
+    const {incarnation: own} = this.options.self;
+    const youngest = this.roster
+      .listServing()
+      .filter(({incarnation}) => incarnation !== own)
+      .sort((a, b) => a.uptimeMs - b.uptimeMs)[0];
+    return youngest ?? null;
+  }
+
   private async tick(): Promise<void> {
     const holder = this.options.holder();
     if (!holder) return;
@@ -302,7 +323,10 @@
 
   private listServing(): string[] {
     const {self, readStatus} = this.options;
-    const others = this.roster.listServing();
+    const others = this.roster
+      .listServing()
+      .map(({nodeName}) => nodeName)
+      .filter(nodeName => nodeName !== self.nodeName);
     return readStatus().isServing ? [self.nodeName, ...others] : others;
   }
 
--- a/packages/node-links/src/node_roster.ts
+++ b/packages/node-links/src/node_roster.ts
@@ -1,10 +1,17 @@
 /** The nodes that have sent heartbeats lately. */
 import {type Clock} from '@mimosatack/clock';
 
-interface Seen {
+/** What the roster keeps of a heartbeat. */
+export interface NodeHeartbeat {
   nodeName: string;
   incarnation: string;
   isServing: boolean;
+  uptimeMs: number;
+}
+
+/** A node and its last heartbeat. */
+export interface Seen extends NodeHeartbeat {
+  address: string;
   atMs: number;
 }
 
@@ -13,29 +20,33 @@
 /** After this time it is forgotten. */
 const FORGET_MS = 10_000;
 
-/** Heartbeats by the address of the node. */
+/** Heartbeats by the name of the node. */
 export class NodeRoster {
   private readonly seen = new Map<string, Seen>();
 
   constructor(private readonly clock: Clock) {}
 
-  note(address: string, status: Omit<Seen, 'atMs'>): void {
-    this.seen.set(address, {...status, atMs: this.clock.monotonicMs()});
+  note(address: string, status: NodeHeartbeat): void {
+    const {nodeName, incarnation, isServing, uptimeMs} = status;
+    this.seen.set(nodeName, {
+      ...{address, nodeName, incarnation, isServing, uptimeMs},
+      atMs: this.clock.monotonicMs(),
+    });
   }
 
-  /** Names of the nodes that callers may be sent to. */
-  listServing(): string[] {
+  /** The nodes that callers may be sent to. */
+  listServing(): Seen[] {
     const sinceMs = this.clock.monotonicMs() - SERVING_MS;
-    return [...this.seen.values()]
-      .filter(({isServing, atMs}) => isServing && atMs >= sinceMs)
-      .map(({nodeName}) => nodeName);
+    return [...this.seen.values()].filter(
+      ({isServing, atMs}) => isServing && atMs >= sinceMs,
+    );
   }
 
   listAddresses(): string[] {
     const sinceMs = this.clock.monotonicMs() - FORGET_MS;
     [...this.seen]
       .filter(([, {atMs}]) => atMs < sinceMs)
-      .forEach(([address]) => this.seen.delete(address));
-    return [...this.seen.keys()];
+      .forEach(([nodeName]) => this.seen.delete(nodeName));
+    return [...this.seen.values()].map(({address}) => address);
   }
 }
--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -160,7 +160,9 @@
     );
   }
 
+  /** Told twice of a run, it counts it once. */
   start(request: ScheduledRequest, nowMs: number): void {
+    if (this.runs.has(request.askId)) return;
     this.runs.set(request.askId, request);
     this.usedTokens += countTokens(request);
     this.residents.get(request.model)?.noteStart(request.adapter, nowMs);
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -75,7 +75,12 @@
     this.health.forget(id);
   }
 
+  /** A request that waits; told twice of one that runs, it changes nothing. */
   ask(request: ScheduledRequest, nowMs: number): void {
+    const isRunning = this.listEngines().some(({runs}) =>
+      runs.has(request.askId),
+    );
+    if (isRunning) return;
     this.demand.note(request.service, request.model, nowMs);
     this.waiting.set(request.askId, request);
   }
@@ -141,9 +146,10 @@
     this.engines.get(id)?.noteReportFailed(nowMs);
   }
 
-  /** All that can be decided now. */
-  decide(nowMs: number): Decision[] {
+  /** All that can be decided now; no orders where they are not allowed. */
+  decide(nowMs: number, mayOrder = true): Decision[] {
     const assigned = this.assignWaiting(nowMs);
+    if (!mayOrder) return [...assigned, ...this.refuseHopeless(nowMs)];
     const continued = this.continueSwaps(nowMs);
     const adapters = this.orderAdapters(nowMs);
     const swaps = this.startSwaps(nowMs);
--- a/packages/schedule-service/src/ask_terms.ts
+++ b/packages/schedule-service/src/ask_terms.ts
@@ -15,7 +15,7 @@
   ask: ServerAsk,
   nowMs: number,
 ): AskTerms | null {
-  const {request, route, service, excluded, allowed} = ask;
+  const {request, route, service, excluded, allowed, hasBegun} = ask;
   const {generation} = request;
   if (!generation) return null;
   const {maxOutputTokens, expectedOutputTokens} = generation;
@@ -29,9 +29,12 @@
       expectedOutputTokens ?? maxOutputTokens * USUAL_OUTPUT_PART,
     ),
     priority: route.priority,
-    waitedMs: nowMs - request.receivedAtMs,
-    dueInMs: request.receivedAtMs + route.targetLatencyMs - nowMs,
-    endsInMs: findPatienceEndMs(ask) - nowMs,
+    // A caller in the middle of a stream waits for its next event.
+    waitedMs: hasBegun ? 0 : nowMs - request.receivedAtMs,
+    dueInMs: hasBegun
+      ? (route.targetGapMs ?? 0)
+      : request.receivedAtMs + route.targetLatencyMs - nowMs,
+    endsInMs: findPatienceEndMs(ask, nowMs) - nowMs,
     excluded: [...excluded],
     allowed: allowed && [...allowed],
   };
@@ -42,14 +45,17 @@
  * event: two seconds, four times the time in which it is due or eight times
  * the longest pause, whichever is longest.
  */
-function findPatienceEndMs({request, route, endsAtMs}: ServerAsk): number {
+function findPatienceEndMs(ask: ServerAsk, nowMs: number): number {
+  const {request, route, endsAtMs, hasBegun} = ask;
   if (route.kind !== 'streaming') return endsAtMs;
   const patienceMs = Math.max(
     MIN_PATIENCE_MS,
     PATIENCE_TARGETS * route.targetLatencyMs,
     PATIENCE_GAPS * (route.targetGapMs ?? 0),
   );
-  return Math.min(endsAtMs, request.receivedAtMs + patienceMs);
+  // A caller that has a part of the answer counts from its last event.
+  const sinceMs = hasBegun ? nowMs : request.receivedAtMs;
+  return Math.min(endsAtMs, sinceMs + patienceMs);
 }
 
 export function toScheduledRequest(
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -8,7 +8,7 @@
 import {type RunResult} from '@mimosatack/schedule-models';
 import {
   type AttemptResult,
-  type CallerRequest,
+  type ChosenServer,
   type ServerAsk,
   type ServerChoice,
   type ServerChooser,
@@ -47,7 +47,7 @@
 /** Keeps what this node has asked for and runs. */
 export class ScheduledChooser implements ServerChooser {
   private readonly open = new Map<string, OpenAsk>();
-  private readonly runs = new Map<CallerRequest, Run>();
+  private readonly runs = new Map<string, Run>();
   private nextNumber = 1;
 
   constructor(private readonly options: ScheduledChooserOptions) {}
@@ -104,28 +104,27 @@
     this.open.forEach(opened => (opened.isHeard ||= isHeard));
   }
 
-  noteSent(server: BackendServerEntry, ask: ServerAsk): void {
-    this.options.local.noteSent(server, ask);
+  release(choice: ChosenServer): void {
+    this.options.local.release(choice);
+    this.endRun(choice, 'neutral');
+  }
+
+  noteSent(choice: ChosenServer): void {
+    this.options.local.noteSent(choice);
   }
 
   noteLoad(server: BackendServerEntry, load: ServerLoad): void {
     this.options.local.noteLoad(server, load);
   }
 
-  noteDone(
-    server: BackendServerEntry,
-    ask: ServerAsk,
-    result: AttemptResult,
-  ): void {
-    this.options.local.noteDone(server, ask, result);
-    const run = this.runs.get(ask.request);
-    if (!run) return;
-    this.runs.delete(ask.request);
-    this.tellEnd(
-      run.askId,
-      run.engineId,
-      result === 'answered' ? 'served' : result,
-    );
+  noteDone(choice: ChosenServer, result: AttemptResult): void {
+    this.options.local.noteDone(choice, result);
+    this.endRun(choice, result === 'answered' ? 'served' : result);
+  }
+
+  private endRun({askId, server}: ChosenServer, result: RunResult): void {
+    if (askId === null || !this.runs.delete(askId)) return;
+    this.tellEnd(askId, server.id, result);
   }
 
   private openAsk(askId: string, ask: ServerAsk): OpenAsk {
@@ -141,11 +140,12 @@
     const {ask, askId} = opened;
     const nowMs = this.options.clock.monotonicMs();
     const waitedMs = Math.round(nowMs - ask.request.receivedAtMs);
-    this.runs.set(ask.request, {askId, ask, engineId: server.id});
+    this.runs.set(askId, {askId, ask, engineId: server.id});
     opened.settle({
       status: 'chosen',
       server,
       basis: {by: 'schedule', waitedMs},
+      askId,
     });
   }
 
--- a/packages/schedule-service/src/scheduling_host.ts
+++ b/packages/schedule-service/src/scheduling_host.ts
@@ -22,10 +22,11 @@
   logger: EventLogger;
   policy: SwapPolicy;
   orders: EngineOrders;
-  authority: OrderAuthority;
+  /** Null while this node must not give orders. */
+  authority: () => OrderAuthority | null;
   send: (nodeAddress: string, message: FromHolder) => void;
   /** A later holder gives orders; this one has to stop. */
-  onFenced: () => void;
+  onFenced: (fencingToken: number) => void;
 }
 
 /** The longest sleep between two decisions. */
@@ -132,7 +133,10 @@
 
   private decide(): void {
     const nowMs = this.nowMs();
-    this.scheduler.decide(nowMs).forEach(decision => this.carryOut(decision));
+    const mayOrder = this.options.authority() !== null;
+    this.scheduler
+      .decide(nowMs, mayOrder)
+      .forEach(decision => this.carryOut(decision));
     this.scheduler.listUnknown(nowMs).forEach(id => void this.askEngine(id));
     this.timer?.cancel();
     const sleepMs = Math.min(
@@ -168,12 +172,16 @@
   }
 
   private async sendOrder(order: PlannedOrder): Promise<void> {
-    const {orders, authority, onFenced, logger} = this.options;
+    const {orders, onFenced, logger} = this.options;
     const server = this.servers.get(order.engineId);
     const sentAtMs = this.nowMs();
-    const outcome = server
-      ? await orders.send(server, order, authority)
-      : 'refused';
+    // Asked for at the last moment: a node that was frozen meanwhile may have
+    // lost the duty without having noticed.
+    const authority = this.options.authority();
+    const outcome =
+      server && authority
+        ? await orders.send(server, order, authority)
+        : 'refused';
     if (this.isStopped) return;
     logger.log('engine-ordered', {
       ...{backendServerId: order.engineId, operation: order.operation},
@@ -181,7 +189,7 @@
       expectedCount: order.expectedCount,
       tookMs: Math.round(this.nowMs() - sentAtMs),
     });
-    if (outcome === 'fenced') return onFenced();
+    if (outcome === 'fenced') return onFenced(authority?.fencingToken ?? 0);
     this.scheduler.noteOrderOutcome(order.engineId, outcome, this.nowMs());
     this.requestDecision();
   }
--- a/packages/serve-requests/src/answer_relay.ts
+++ b/packages/serve-requests/src/answer_relay.ts
@@ -15,6 +15,8 @@
   resume: () => void;
   /** Whether a failure may be tried elsewhere instead of being handed on. */
   mayDiscard: () => boolean;
+  /** Told of every piece that comes. */
+  onProgress: () => void;
 }
 
 /**
@@ -60,6 +62,7 @@
   }
 
   onData(piece: Uint8Array): boolean {
+    this.options.onProgress();
     if (this.isEventStream) return this.passEvents(piece);
     if (this.options.sink.hasBegun) return this.write(piece);
     this.held.push(piece);
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -94,6 +94,12 @@
     this.handle?.resume();
   }
 
+  /** Ends the attempt as one that failed, so that another can go on. */
+  giveUpOn(error: TypedError): void {
+    this.finish({status: 'broken', error});
+    this.handle?.abort();
+  }
+
   /** Ends the attempt; the server sees its connection close. */
   abort(): void {
     this.finish({status: 'aborted'});
--- a/packages/serve-requests/src/index.ts
+++ b/packages/serve-requests/src/index.ts
@@ -18,8 +18,10 @@
   type RetryAllowanceOptions,
 } from './retry_allowance.js';
 export {RouteTable} from './route_table.js';
+export {HeadTimes} from './head_times.js';
 export {
   type AttemptResult,
+  type ChosenServer,
   type ServerAsk,
   type ServerChoice,
   type ServerChooser,
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -10,6 +10,7 @@
 import {type ServerLoad} from './backend_dialect.js';
 import {
   type AttemptResult,
+  type ChosenServer,
   type ServerAsk,
   type ServerChoice,
   type ServerChooser,
@@ -57,6 +58,7 @@
         status: 'chosen',
         server: best,
         basis: {by: 'own-view', ownRequests, alternatives},
+        askId: null,
       };
     }
     return {
@@ -68,7 +70,11 @@
     };
   }
 
-  noteSent(server: BackendServerEntry): void {
+  release(): void {
+    // Nothing is kept of a choice before it is used.
+  }
+
+  noteSent({server}: ChosenServer): void {
     this.open(server.id).inFlight += 1;
   }
 
@@ -79,11 +85,7 @@
     notes.loadAtMs = this.options.clock.monotonicMs();
   }
 
-  noteDone(
-    server: BackendServerEntry,
-    _ask: ServerAsk,
-    result: AttemptResult,
-  ): void {
+  noteDone({server}: ChosenServer, result: AttemptResult): void {
     const notes = this.open(server.id);
     notes.inFlight = Math.max(0, notes.inFlight - 1);
     if (result === 'failed' || result === 'unreachable') {
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -5,7 +5,7 @@
 import {type ServiceRoute} from '@mimosatack/types';
 import {type AttemptOutcome} from './attempt.js';
 import {type CallerRequest} from './caller_request.js';
-import {type ServerChoice} from './server_chooser.js';
+import {type ChosenServer} from './server_chooser.js';
 
 /** What a caller got in the end. */
 export type FinalResult =
@@ -44,11 +44,7 @@
     private readonly target: {route: ServiceRoute; version: number},
   ) {}
 
-  noteSent(
-    choice: Extract<ServerChoice, {status: 'chosen'}>,
-    attempt: number,
-    endsAtMs: number,
-  ): void {
+  noteSent(choice: ChosenServer, attempt: number, endsAtMs: number): void {
     this.sentAtMs = this.nowMs();
     this.headAtMs = null;
     this.status = null;
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -11,6 +11,7 @@
 } from '@mimosatack/types';
 import {type BackendDialect} from './backend_dialect.js';
 import {type AnswerSink, type CallerRequest} from './caller_request.js';
+import {type HeadTimes} from './head_times.js';
 import {pickService} from './pick_service.js';
 import {RequestRun} from './request_run.js';
 import {type RetryAllowance} from './retry_allowance.js';
@@ -26,6 +27,7 @@
   chooser: ServerChooser;
   retries: RetryAllowance;
   logger: EventLogger;
+  headTimes: HeadTimes;
 }
 
 const NOT_CONFIGURED_RETRY_MS = 500;
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -1,13 +1,20 @@
 /** One request on its way: attempts, retries, and one final answer. */
 import {type Timer} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
-import {type BackendServerEntry, type BackendServerId} from '@mimosatack/types';
-import {Attempt, type AttemptOutcome} from './attempt.js';
+import {type BackendServerId} from '@mimosatack/types';
 import {AnswerRelay} from './answer_relay.js';
+import {Attempt, type AttemptOutcome} from './attempt.js';
 import {type AnswerSink, type CallerRequest} from './caller_request.js';
+import {type FailedAttempt, decideNext, isRepeatable} from './decide_next.js';
 import {type FinalResult, RequestLog} from './request_log.js';
 import {type PipelineOptions, type RequestTarget} from './request_pipeline.js';
-import {type AttemptResult, type ServerAsk} from './server_chooser.js';
+import {
+  type AttemptResult,
+  type ChosenServer,
+  type ServerAsk,
+  type ServerChoice,
+} from './server_chooser.js';
+import {StallRescue} from './stall_rescue.js';
 
 /** A connection that takes longer than this is tried elsewhere. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -31,7 +38,9 @@
   private readonly ending = new AbortController();
   private readonly relay: AnswerRelay;
   private readonly log: RequestLog;
+  private readonly isRepeatable: boolean;
   private attempt: Attempt | null = null;
+  private rescue: StallRescue | null = null;
   private attempts = 0;
   /** Whether a server may have run the request without an answer to it. */
   private mayHaveRun = false;
@@ -43,18 +52,18 @@
     private readonly sink: AnswerSink,
     private readonly target: RequestTarget,
   ) {
-    const waitMs = Math.min(
-      target.route.timeoutMs,
-      request.deadlineMs ?? Infinity,
-    );
+    const {route} = target;
+    const waitMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
     this.endsAtMs = request.receivedAtMs + waitMs;
+    this.isRepeatable = isRepeatable(route);
     this.log = new RequestLog(options, request, target);
     this.relay = new AnswerRelay({
       sink,
-      isStream: target.route.kind === 'streaming',
+      isStream: route.kind === 'streaming',
       lastEventId: request.lastEventId,
       resume: () => this.attempt?.resume(),
       mayDiscard: () => this.mayRetryFailure(),
+      onProgress: () => this.rescue?.noteProgress(),
     });
   }
 
@@ -73,76 +82,98 @@
   }
 
   private async attemptUntilDone(): Promise<void> {
+    let next: ServerChoice | null = null;
     for (;;) {
-      const ask = this.makeAsk();
-      const choice = await this.options.chooser.choose(ask);
-      if (this.endCause) return this.finishEnded();
+      const choice: ServerChoice = next ?? (await this.choose());
+      if (this.endCause) return this.finishEnded(choice);
       if (choice.status === 'refused') return this.giveUp(choice.error);
-      this.log.noteSent(choice, this.attempts + 1, this.endsAtMs);
-      const outcome = await this.attemptAt(choice.server, ask);
+      const outcome = await this.attemptAt(choice);
+      next = this.rescue?.takeChoice() ?? null;
       if (outcome.status === 'answered') return this.noteAnswered(outcome);
       if (outcome.status === 'aborted') {
         this.log.noteAttempt(outcome, 'end');
-        return this.finishEnded();
+        return this.finishEnded(next);
       }
-      this.noteTried(choice.server, outcome);
-      const goesOn = this.mayGoOn(outcome);
+      const goesOn = next !== null || this.mayGoOn(outcome, choice);
       this.log.noteAttempt(outcome, goesOn ? 'try-elsewhere' : 'give-up');
       if (!goesOn) return this.giveUp(outcome.error);
     }
   }
 
-  private async attemptAt(
-    server: BackendServerEntry,
-    ask: ServerAsk,
-  ): Promise<AttemptOutcome> {
-    const {connections, dialect, clock, chooser} = this.options;
-    const {request, target} = this;
+  private choose(): Promise<ServerChoice> {
+    return this.options.chooser.choose(this.makeAsk(this.tried));
+  }
+
+  private async attemptAt(choice: ChosenServer): Promise<AttemptOutcome> {
+    const {chooser} = this.options;
+    const {server} = choice;
     this.attempts += 1;
-    const attempt = new Attempt({
+    this.log.noteSent(choice, this.attempts, this.endsAtMs);
+    const attempt = this.makeAttempt(choice);
+    this.attempt = attempt;
+    this.rescue = this.makeRescue(choice, attempt);
+    chooser.noteSent(choice);
+    attempt.start();
+    const outcome = await attempt.outcome;
+    this.rescue?.stop();
+    chooser.noteDone(choice, toResult(outcome));
+    if (outcome.status === 'broken') this.mayHaveRun = true;
+    const reason = outcome.status === 'not-run' ? outcome.reason : null;
+    if (reason !== 'unreachable') this.sentTo.add(server.id);
+    // A server that has not taken the request may take it a moment later.
+    if (reason !== 'not-taken') this.tried.add(server.id);
+    return outcome;
+  }
+
+  private makeAttempt({server}: ChosenServer): Attempt {
+    const {connections, dialect, clock, chooser} = this.options;
+    const {request, target, relay} = this;
+    return new Attempt({
       ...{connections, dialect, clock, request},
       terms: {
         server,
         remainingMs: this.endsAtMs - clock.monotonicMs(),
         priority: target.service.engine ? target.route.priority : null,
-        lastEventId: this.relay.lastEventId,
+        lastEventId: relay.lastEventId,
       },
-      consumer: this.relay,
+      consumer: relay,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxIdleMs: this.isRepeatable ? Infinity : MAX_IDLE_ONCE_MS,
       onLoad: load => chooser.noteLoad(server, load),
-      onStatus: status => this.log.noteHead(status),
+      onStatus: status => {
+        this.log.noteHead(status);
+        this.rescue?.noteHead();
+      },
     });
-    this.attempt = attempt;
-    chooser.noteSent(server, ask);
-    attempt.start();
-    const outcome = await attempt.outcome;
-    chooser.noteDone(server, ask, toResult(outcome));
-    if (outcome.status === 'broken') this.mayHaveRun = true;
-    return outcome;
   }
 
-  /** A server that has not taken the request may take it a moment later. */
-  private noteTried(
-    {id}: BackendServerEntry,
-    outcome: Exclude<AttemptOutcome, {status: 'answered' | 'aborted'}>,
-  ): void {
-    const reason = outcome.status === 'not-run' ? outcome.reason : null;
-    if (reason !== 'unreachable') this.sentTo.add(id);
-    if (reason !== 'not-taken') this.tried.add(id);
+  /** Only what may be repeated can be taken to another server. */
+  private makeRescue(
+    choice: ChosenServer,
+    attempt: Attempt,
+  ): StallRescue | null {
+    const isLast = this.sentTo.size + 1 >= this.target.route.maxAttempts;
+    if (!this.isRepeatable || isLast) return null;
+    const {clock, chooser, headTimes} = this.options;
+    return new StallRescue({
+      ...{clock, chooser, headTimes, attempt},
+      route: this.target.route,
+      makeAsk: () => this.makeAsk(new Set([...this.tried, choice.server.id])),
+      maySpend: () => this.spendRetry(),
+    });
   }
 
   /** Whether the request goes to another server after this outcome. */
-  private mayGoOn(
-    outcome: Exclude<AttemptOutcome, {status: 'answered' | 'aborted'}>,
-  ): boolean {
-    // A discarded answer has taken its retry out of the allowance already.
-    if (outcome.status === 'refusing') return true;
-    if (outcome.status === 'broken' && !this.isRepeatable) return false;
-    if (outcome.status === 'broken' && !this.relay.canGoOn) return false;
-    if (outcome.status === 'broken' && !this.mayReachAnother) return false;
-    const reason = outcome.status === 'not-run' ? outcome.reason : null;
-    return reason === 'unreachable' || this.spendRetry();
+  private mayGoOn(outcome: FailedAttempt, {server}: ChosenServer): boolean {
+    const next = decideNext(outcome, {
+      isRepeatable: this.isRepeatable,
+      canGoOn: this.relay.canGoOn,
+      reachedOthers: this.sentTo.size - (this.sentTo.has(server.id) ? 1 : 0),
+      maxAttempts: this.target.route.maxAttempts,
+    });
+    return (
+      next === 'retry' || (next === 'retry-if-allowed' && this.spendRetry())
+    );
   }
 
   /** A failure that a server answered is tried elsewhere if that is allowed. */
@@ -154,26 +185,29 @@
     );
   }
 
-  private get mayReachAnother(): boolean {
-    return this.sentTo.size < this.target.route.maxAttempts;
-  }
-
   private spendRetry(): boolean {
     return this.options.retries.trySpend(this.target.service.name);
   }
 
-  private get isRepeatable(): boolean {
-    const {kind, isResumable} = this.target.route;
-    return kind === 'idempotent' || (kind === 'streaming' && isResumable);
-  }
-
   private noteAnswered(outcome: AttemptOutcome): void {
     this.log.noteAttempt(outcome, 'end');
     this.noteFinished('answered', null);
   }
 
+  /** Never says "not run" once any attempt may have run. */
   private giveUp(error: TypedError): void {
-    this.endWith(this.describe(error));
+    if (this.mayHaveRun) {
+      return this.endWith(
+        new TypedError('backend-failed', error.summary, {run: 'unknown'}),
+      );
+    }
+    this.endWith(
+      new TypedError(error.kind, error.summary, {
+        ...error.details,
+        run: 'not-run',
+        retryAfterMs: error.retryAfterMs ?? RETRY_AFTER_MS,
+      }),
+    );
   }
 
   /** Refuses, or breaks an answer off that has begun. */
@@ -187,28 +221,10 @@
     }
   }
 
-  private noteFinished(result: FinalResult, error: TypedError | null): void {
-    const {attempts} = this;
-    const {lastEventId} = this.relay;
-    this.log.noteFinished({result, error, attempts, lastEventId});
-  }
-
-  /** Never says "not run" once any attempt may have run. */
-  private describe(error: TypedError): TypedError {
-    if (!this.mayHaveRun) {
-      return new TypedError(error.kind, error.summary, {
-        ...error.details,
-        run: 'not-run',
-        retryAfterMs: error.retryAfterMs ?? RETRY_AFTER_MS,
-      });
-    }
-    return new TypedError('backend-failed', error.summary, {run: 'unknown'});
-  }
-
-  private finishEnded(): void {
+  private finishEnded(unused: ServerChoice | null): void {
+    if (unused?.status === 'chosen') this.options.chooser.release(unused);
     if (this.endCause === 'caller-gone') {
-      this.noteFinished('caller-gone', null);
-      return;
+      return this.noteFinished('caller-gone', null);
     }
     this.endWith(
       new TypedError('deadline-exceeded', 'No answer came in time.', {
@@ -217,6 +233,12 @@
     );
   }
 
+  private noteFinished(result: FinalResult, error: TypedError | null): void {
+    const {attempts} = this;
+    const {lastEventId} = this.relay;
+    this.log.noteFinished({result, error, attempts, lastEventId});
+  }
+
   private startTimer(): Timer {
     const {clock} = this.options;
     return clock.setTimer(this.endsAtMs - clock.monotonicMs(), () =>
@@ -232,14 +254,15 @@
     this.attempt?.abort();
   }
 
-  private makeAsk(): ServerAsk {
+  private makeAsk(excluded: ReadonlySet<BackendServerId>): ServerAsk {
+    const {route, service} = this.target;
+    const isFull = this.sentTo.size >= route.maxAttempts;
     return {
       request: this.request,
-      route: this.target.route,
-      service: this.target.service,
-      excluded: this.tried,
-      allowed: this.mayReachAnother ? null : this.sentTo,
+      ...{route, service, excluded},
+      allowed: isFull ? this.sentTo : null,
       endsAtMs: this.endsAtMs,
+      hasBegun: this.sink.hasBegun,
       signal: this.ending.signal,
     };
   }
--- a/packages/serve-requests/src/server_chooser.ts
+++ b/packages/serve-requests/src/server_chooser.ts
@@ -23,6 +23,8 @@
   allowed: ReadonlySet<BackendServerId> | null;
   /** When the answer has to be whole, on the monotonic clock. */
   endsAtMs: number;
+  /** Whether the caller has a part of the answer and waits for the rest. */
+  hasBegun: boolean;
   /** Aborted when the request no longer waits. */
   signal: AbortSignal;
 }
@@ -41,10 +43,18 @@
   waitedMs?: number;
 }
 
+/** A server to send to. */
+export interface ChosenServer {
+  status: 'chosen';
+  server: BackendServerEntry;
+  basis: ChoiceBasis;
+  /** By which the chooser knows the choice again; null when it need not. */
+  askId: string | null;
+}
+
 /** The server to send to, or why there is none. */
 export type ServerChoice =
-  | {status: 'chosen'; server: BackendServerEntry; basis: ChoiceBasis}
-  | {status: 'refused'; error: TypedError};
+  ChosenServer | {status: 'refused'; error: TypedError};
 
 /** How an attempt at a server went. */
 export type AttemptResult =
@@ -63,11 +73,9 @@
 /** Chooses servers and learns how the attempts go. */
 export interface ServerChooser {
   choose(ask: ServerAsk): Promise<ServerChoice>;
-  noteSent(server: BackendServerEntry, ask: ServerAsk): void;
+  /** The chosen server is not used after all. */
+  release(choice: ChosenServer): void;
+  noteSent(choice: ChosenServer): void;
   noteLoad(server: BackendServerEntry, load: ServerLoad): void;
-  noteDone(
-    server: BackendServerEntry,
-    ask: ServerAsk,
-    result: AttemptResult,
-  ): void;
+  noteDone(choice: ChosenServer, result: AttemptResult): void;
 }
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -16,6 +16,8 @@
   clock: Clock;
   random: RandomSource;
   platform: PlatformAdapter;
+  /** Whether this node has to notice a change for the others too. */
+  isReader: () => boolean;
   onConfiguration: (configuration: ServingConfiguration) => void;
   onFault: (error: unknown) => void;
   onLost: (error: TypedError) => void;
@@ -24,6 +26,12 @@
 
 /** A read waits for the next change for this long. */
 const WAIT_MS = 20_000;
+/**
+ * Connections may all go silent at once without a reset. One node reads so
+ * often that it notices within the time in which a change has to be in force;
+ * the others learn of it from that node.
+ */
+const READER_WAIT_MS = 900;
 const MIN_INTERVAL_MS = 50;
 const RETRY_DELAY_MS = 200;
 
@@ -41,7 +49,7 @@
     this.follower = new KeyedFollower({
       ...{clock, random, table: this.table},
       topic: platform.configurationTopic,
-      waitMs: WAIT_MS,
+      waitMs: () => (options.isReader() ? READER_WAIT_MS : WAIT_MS),
       minIntervalMs: MIN_INTERVAL_MS,
       retryDelayMs: RETRY_DELAY_MS,
       onChanges: changes => this.take(changes),
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -35,7 +35,7 @@
     this.nodes.set(self.nodeName, self);
     this.follower = new KeyedFollower({
       ...{clock, random, topic, table: new KeyedTable()},
-      waitMs: WAIT_MS,
+      waitMs: () => WAIT_MS,
       minIntervalMs: MIN_INTERVAL_MS,
       retryDelayMs: RETRY_DELAY_MS,
       onChanges: changes => this.take(changes),
@@ -65,6 +65,11 @@
     }
   }
 
+  /** Reads at once, since something was missed. */
+  refresh(): void {
+    this.follower.refresh();
+  }
+
   stop(): void {
     this.follower.stop();
   }
--- a/packages/serving-node/src/node_settings.ts
+++ b/packages/serving-node/src/node_settings.ts
@@ -25,6 +25,10 @@
   /** Callers keep an answer of the directory no longer than this. */
   maxEntriesTtlMs: number;
   retryBound: RetryBound;
+  /** Whether engines refuse orders with an old fencing token. */
+  isFenced: boolean;
+  /** Orders of two nodes to one engine are at least this far apart. */
+  leaseMs: number;
   /** Shared by all nodes; their connections to each other are signed with it. */
   clusterSecret: string;
 }
--- a/packages/serving-node/src/server_follower.ts
+++ b/packages/serving-node/src/server_follower.ts
@@ -63,7 +63,7 @@
     this.follower = new KeyedFollower({
       ...{clock, random, table: this.table},
       topic: platform.serversTopic,
-      waitMs: 0,
+      waitMs: () => 0,
       minIntervalMs: LOOK_INTERVAL_MS,
       retryDelayMs: RETRY_DELAY_MS,
       isNeeded: () => this.isReadDue(),
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -2,7 +2,8 @@
 import {randomUUID} from 'node:crypto';
 import {type BackendConnections} from '@mimosatack/backend-connections';
 import {CallerEdge} from '@mimosatack/caller-edge';
-import {type Clock, sleep} from '@mimosatack/clock';
+import {type Clock} from '@mimosatack/clock';
+import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {type DutyHolder, DutyTask} from '@mimosatack/hold-duty';
 import {type EventLogger} from '@mimosatack/logger';
@@ -15,6 +16,7 @@
 import {BatchWorthPolicy} from '@mimosatack/schedule-models';
 import {ScheduledChooser, SchedulingHost} from '@mimosatack/schedule-service';
 import {
+  HeadTimes,
   LeastLoadedChooser,
   RequestPipeline,
   RetryAllowance,
@@ -40,8 +42,13 @@
 }
 
 const DUTY_KEY = 'scheduler';
-const STOP_POLL_MS = 50;
-const LISTEN_ON_MS = 2_500;
+/**
+ * Callers that still know the address find it open for this long. They ask the
+ * directory again after 1.5 s, and requests sent within 3 s have to be served.
+ */
+const TELL_CALLERS_MS = 2_500;
+/** Kept from the time that a stop may take, to end in order. */
+const END_MARGIN_MS = 400;
 const EXPIRY_INTERVAL_MS = 1_000;
 
 /** A node of the system, before backend servers that it does not run. */
@@ -59,12 +66,15 @@
   private readonly entries: EntryPoints;
   private readonly connections: BackendConnections;
   private host: SchedulingHost | null = null;
-  private greetedToken = -1;
-  private isStopping = false;
+  private readonly startedAtMs: number;
+  private greetedHolder = '';
+  private readonly gate: DrainGate;
+  private readonly shutdown: ShutdownTask;
 
   constructor(private readonly options: ServingNodeOptions) {
     const {clock, settings} = options;
     this.self = makeSelf(settings);
+    this.startedAtMs = clock.monotonicMs();
     this.connections = options.connections;
     this.configuration = this.makeConfiguration();
     this.servers = this.makeServers();
@@ -78,8 +88,10 @@
       listNodes: () => this.register.list(),
       isServing: () => this.isServing,
     });
+    this.gate = new DrainGate(new InFlight(clock));
+    this.shutdown = this.makeShutdown();
     this.edge = new CallerEdge({
-      clock,
+      ...{clock, gate: this.gate},
       dialect: options.platform.callerDialect,
       serve: (request, sink) => this.pipeline.serve(request, sink),
       onFault: error => this.noteFault(error, 'callers'),
@@ -108,33 +120,50 @@
       adminPort: settings.readyAddress.port,
       peerPort: settings.peerAddress.port,
     });
+    this.shutdown.noteStarted(true);
+  }
+
+  /** Resolves with the exit code once the node has stopped. */
+  get stopped(): Promise<number> {
+    return this.shutdown.exited;
   }
 
-  /** Serves on while callers still come, then ends what is left. */
-  async stop(): Promise<void> {
-    if (this.isStopping) return;
-    this.isStopping = true;
-    const {clock, settings, logger} = this.options;
-    const startedAtMs = clock.monotonicMs();
-    logger.log('shutdown-started', {
-      signal: 'SIGTERM',
-      requestsInFlight: this.edge.requestsInFlight,
-      graceMs: settings.graceMs,
+  /** Begins a graceful shutdown; a second call ends it at once. */
+  requestStop(signal: string): void {
+    this.shutdown.requestStop(signal);
+  }
+
+  private makeShutdown(): ShutdownTask {
+    const {clock, logger, settings} = this.options;
+    return new ShutdownTask({
+      ...{clock, logger, gate: this.gate},
+      tellCallersMs: TELL_CALLERS_MS,
+      graceMs: settings.graceMs - END_MARGIN_MS,
+      actions: {
+        abortStart: () => undefined,
+        announce: () => {
+          this.edge.closeIdle();
+          void this.handDutyOver();
+          clock.setTimer(TELL_CALLERS_MS, () => this.edge.stopListening());
+        },
+        handOver: () => this.register.leave(),
+        close: async () => this.edge.closeAll(),
+      },
     });
-    this.edge.drain();
-    await sleep(clock, LISTEN_ON_MS);
-    const closed = this.edge.close();
-    const endsAtMs = startedAtMs + settings.graceMs;
-    while (this.edge.requestsInFlight > 0 && clock.monotonicMs() < endsAtMs) {
-      await sleep(clock, STOP_POLL_MS);
-    }
-    await this.register.leave();
-    await closed;
+  }
+
+  /** Before anything else, so that no request waits for a new holder. */
+  private async handDutyOver(): Promise<void> {
+    const successor = this.links.findSuccessor();
+    if (!this.duty.isHeld || !successor) return;
+    this.host?.stop();
+    this.host = null;
+    await this.duty.handOver(successor);
   }
 
   private get isServing(): boolean {
     return (
-      !this.isStopping &&
+      !this.shutdown.isStopping &&
       this.configuration.version >= 0 &&
       this.servers.hasServers
     );
@@ -143,6 +172,7 @@
   private readStatus(): NodeStatus {
     return {
       isServing: this.isServing,
+      uptimeMs: this.options.clock.monotonicMs() - this.startedAtMs,
       configurationVersion: this.configuration.version,
       serversEndOffset: this.servers.table.endOffset,
     };
@@ -152,6 +182,7 @@
     const {clock, random, platform} = this.options;
     return new ConfigurationFollower({
       ...{clock, random, platform},
+      isReader: () => this.duty.isHeld,
       onConfiguration: configuration => this.configure(configuration),
       onFault: thrown => this.noteFault(thrown, 'configuration'),
       ...this.watchDependency('configuration'),
@@ -206,7 +237,7 @@
   }
 
   private makeDuty(): DutyTask {
-    const {clock, random, platform} = this.options;
+    const {clock, random, platform, settings} = this.options;
     const {nodeName, incarnation, peerAddress} = this.self;
     return new DutyTask({
       ...{clock, random, topic: platform.dutyTopic, key: DUTY_KEY},
@@ -214,7 +245,10 @@
       contactWith: holder => this.links.contactWith(holder),
       findRank: () => this.links.findRank(),
       isHeardByOthers: () => this.links.isHolderHeardByOthers,
-      isEligible: () => !this.isStopping && this.configuration.version >= 0,
+      isFenced: settings.isFenced,
+      leaseMs: settings.leaseMs,
+      isEligible: () =>
+        !this.shutdown.isStopping && this.configuration.version >= 0,
       onHolder: holder => this.takeHolder(holder),
       ...this.watchDependency('duty'),
     });
@@ -227,20 +261,22 @@
       fencingToken: holder?.token,
       isSelf,
     });
+    if (isSelf && this.host) return;
     this.host?.stop();
-    this.host = holder && isSelf ? this.makeHost(holder) : null;
+    this.host = isSelf ? this.makeHost() : null;
     if (isSelf) this.greet(holder);
   }
 
-  private makeHost(holder: DutyHolder): SchedulingHost {
+  private makeHost(): SchedulingHost {
     const {clock, logger, platform} = this.options;
     const host = new SchedulingHost({
       ...{clock, logger, policy: new BatchWorthPolicy()},
       orders: platform.engineOrders,
-      authority: {holder: holder.nodeName, fencingToken: holder.token},
+      authority: () => this.duty.findAuthority(),
       send: (address, message) => this.links.sendToNode(address, message),
-      onFenced: () => {
-        logger.log('duty-lost', {fencingToken: holder.token});
+      onFenced: fencingToken => {
+        logger.log('duty-lost', {fencingToken});
+        this.duty.refresh();
         host.stop();
         if (this.host === host) this.host = null;
       },
@@ -253,8 +289,8 @@
   }
 
   private greet(holder: DutyHolder | null): void {
-    if (!holder || holder.token === this.greetedToken) return;
-    this.greetedToken = holder.token;
+    if (!holder || holder.incarnation === this.greetedHolder) return;
+    this.greetedHolder = holder.incarnation;
     this.chooser.greetHolder();
   }
 
@@ -280,7 +316,9 @@
       onFromHolder: message => this.chooser.receive(message),
       onServingNodes: names => this.noteServing(names),
       onContact: isAlive => {
-        if (!isAlive) this.chooser.loseHolder();
+        if (isAlive) return;
+        this.chooser.loseHolder();
+        this.duty.refresh();
       },
       onFault: error => this.noteFault(error, 'links'),
     });
@@ -288,6 +326,8 @@
 
   private noteServing(nodeNames: readonly string[]): void {
     this.greet(this.duty.holder);
+    const known = new Set(this.register.list().map(({nodeName}) => nodeName));
+    if (nodeNames.some(name => !known.has(name))) this.register.refresh();
     if (this.entries.noteServing(nodeNames)) {
       this.options.logger.log('node-list-changed', {nodeNames});
     }
@@ -311,6 +351,7 @@
     const {clock, random, platform, settings, logger} = this.options;
     return new RequestPipeline({
       ...{clock, random, logger, connections: this.connections},
+      headTimes: new HeadTimes(),
       dialect: platform.backendDialect,
       chooser: this.chooser,
       retries: new RetryAllowance({
