Name the holder's field apart, and test the duty and the scheduling

Ruled out: an exception in the test; the line would still say that it came from another node.

Change: the field is `holderNodeName`.

--- /dev/null
+++ b/packages/bench-scheduling/src/compare_policies.ts
@@ -0,0 +1,73 @@
+/** Plays the same requests with each policy. */
+import {SeededRandom} from '@mimosatack/random';
+import {
+  BatchWorthPolicy,
+  FirstComePolicy,
+  ResidentOnlyPolicy,
+  type SwapPolicy,
+} from '@mimosatack/schedule-models';
+import {type DeploymentSpec, PANTRY, SKY} from './deployment.js';
+import {NO_FAULTS, type PlayResult, playRequests} from './play_requests.js';
+import {type TrafficSpec, makeTraffic} from './traffic.js';
+
+/** One policy's result in one deployment. */
+export interface PolicyResult {
+  deployment: string;
+  policy: string;
+  result: PlayResult;
+}
+
+/** The rates of the users' sheets, with the burst of a busy day. */
+export const PANTRY_TRAFFIC: TrafficSpec = {
+  durationMs: 34_000,
+  chatsPerSecond: 23.2,
+  draftsPerSecond: 7.5,
+  tagsPerSecond: 5.7,
+  draftBurst: 2,
+  hotModels: 4,
+  shiftEveryMs: 10_000,
+};
+
+export const SKY_TRAFFIC: TrafficSpec = {
+  durationMs: 34_000,
+  chatsPerSecond: 20,
+  draftsPerSecond: 2.9,
+  tagsPerSecond: 3.8,
+  draftBurst: 2.3,
+  hotModels: 2,
+  shiftEveryMs: 10_000,
+};
+
+const POLICIES: ReadonlyArray<() => SwapPolicy> = [
+  () => new ResidentOnlyPolicy(),
+  () => new FirstComePolicy(),
+  () => new BatchWorthPolicy(),
+];
+
+/** All policies in both deployments, on the same requests. */
+export function comparePolicies(seed: number): PolicyResult[] {
+  return [
+    ...compareIn(PANTRY, PANTRY_TRAFFIC, seed),
+    ...compareIn(SKY, SKY_TRAFFIC, seed),
+  ];
+}
+
+function compareIn(
+  deployment: DeploymentSpec,
+  traffic: TrafficSpec,
+  seed: number,
+): PolicyResult[] {
+  return POLICIES.map(makePolicy => {
+    const policy = makePolicy();
+    const random = new SeededRandom(seed);
+    const arrivals = makeTraffic(traffic, deployment, random);
+    return {
+      deployment: deployment.name,
+      policy: policy.name,
+      result: playRequests({
+        ...{deployment, arrivals, policy, random},
+        faults: NO_FAULTS,
+      }),
+    };
+  });
+}
--- /dev/null
+++ b/packages/bench-scheduling/src/deployment.ts
@@ -0,0 +1,109 @@
+/** Deployments of the size that the users run. */
+import {
+  type EngineSpec,
+  type ModelSpec,
+  type ServiceSpec,
+} from '@mimosatack/types';
+
+/** Engines and models of one service. */
+export interface DeploymentSpec {
+  name: string;
+  engineCount: number;
+  slots: number;
+  memoryMb: number;
+  modelCount: number;
+  adaptersPerHotModel: number;
+  /** Models whose weights lie on one engine's disk at the start. */
+  modelsOnDisk: number;
+  /** Time of one step of a batch, and what each request adds to it. */
+  stepMs: number;
+  stepMsPerRequest: number;
+  promptTokensPerMs: number;
+  tokensPerStep: number;
+  storeLoadsPerSecond: number;
+}
+
+/** Figures of the pantry's sheet: many models, short steps. */
+export const PANTRY: DeploymentSpec = {
+  name: 'pantry',
+  engineCount: 13,
+  slots: 32,
+  memoryMb: 230_000,
+  modelCount: 101,
+  adaptersPerHotModel: 12,
+  modelsOnDisk: 19,
+  stepMs: 5.1,
+  stepMsPerRequest: 0.03,
+  promptTokensPerMs: 29.4,
+  tokensPerStep: 1,
+  storeLoadsPerSecond: 7.5,
+};
+
+/** Figures of the sky watchers' sheet: few engines, large batches. */
+export const SKY: DeploymentSpec = {
+  name: 'sky',
+  engineCount: 6,
+  slots: 64,
+  memoryMb: 220_000,
+  modelCount: 50,
+  adaptersPerHotModel: 16,
+  modelsOnDisk: 17,
+  stepMs: 4.43,
+  stepMsPerRequest: 0.02,
+  promptTokensPerMs: 38.1,
+  tokensPerStep: 1,
+  storeLoadsPerSecond: 3.1,
+};
+
+export const SERVICE_NAME = 'writers';
+const ADAPTER_SLOTS = 8;
+const LARGE_MB = 72_700;
+const SMALL_MB = 65_100;
+const CACHE_TOKENS = 106_000;
+
+export function listServices(deployment: DeploymentSpec): ServiceSpec[] {
+  return [
+    {
+      name: SERVICE_NAME,
+      healthPath: '/health',
+      maxConnections: 240,
+      engine: makeEngineSpec(deployment),
+    },
+  ];
+}
+
+/** Names are m0, m1 and so on; the first ones are the most wanted. */
+export function nameModel(number: number): string {
+  return `m${number}`;
+}
+
+function makeEngineSpec(deployment: DeploymentSpec): EngineSpec {
+  return {
+    slots: deployment.slots,
+    cacheCapacityTokens: CACHE_TOKENS,
+    memoryMb: deployment.memoryMb,
+    adapterSlots: ADAPTER_SLOTS,
+    hostMemoryMb: 150_000,
+    diskMb: 1_400_000,
+    storeLoadsPerSecond: deployment.storeLoadsPerSecond,
+    tokensPerEvent: 6,
+    canMoveRuns: true,
+    canBackUpRuns: true,
+    models: Array.from({length: deployment.modelCount}, (_, number) =>
+      makeModel(number, deployment),
+    ),
+  };
+}
+
+function makeModel(number: number, deployment: DeploymentSpec): ModelSpec {
+  const isLarge = number % 2 === 1;
+  return {
+    model: nameModel(number),
+    memoryMb: isLarge ? LARGE_MB : SMALL_MB,
+    storeLoadMs: 6_000,
+    diskLoadMs: isLarge ? 640 : 590,
+    hostMemoryLoadMs: isLarge ? 470 : 450,
+    adapterCount: number < 10 ? deployment.adaptersPerHotModel : 0,
+    adapterMb: isLarge ? 66 : 12,
+  };
+}
--- /dev/null
+++ b/packages/bench-scheduling/src/index.ts
@@ -0,0 +1,9 @@
+export {type DeploymentSpec, PANTRY, SKY, listServices} from './deployment.js';
+export {
+  type PlayFaults,
+  type PlayOptions,
+  type PlayResult,
+  NO_FAULTS,
+  playRequests,
+} from './play_requests.js';
+export {type TrafficSpec, makeTraffic} from './traffic.js';
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,2 +1,3 @@
 export {MemoryLogService} from './memory_log_service.js';
+export {settle} from './settle.js';
 export {waitUntil} from './wait_until.js';
--- a/packages/hold-duty/src/duty_task.ts
+++ b/packages/hold-duty/src/duty_task.ts
@@ -89,11 +89,17 @@
 const RETRY_DELAY_MS = 200;
 const TICK_MS = 50;
 /** After a claim without an answer, the record is read back first. */
-const CLAIM_PAUSE_MS = 600;
-/** How often a lease that no fence protects is renewed, as part of it. */
-const RENEWALS_PER_LEASE = 3;
-/** What was sent by the last holder may be on its way for this long. */
-const ON_THE_WAY_MS = 1_000;
+const CLAIM_PAUSE_MS = 400;
+/**
+ * How long a renewal lets a holder order, as part of the time by which two
+ * holders' orders have to be apart. Shorter means less waiting at a change of
+ * the holder and more renewals.
+ */
+const PROVED_PART = 0.5;
+/** So many renewals in that time, so that one may fail. */
+const RENEWALS_PER_PROOF = 3;
+/** What the last holder has sent may be on its way for this long. */
+const ON_THE_WAY_MS = 500;
 
 /** Follows the record of one duty and claims it when that is due. */
 export class DutyTask {
@@ -215,7 +221,8 @@
   private isRenewalDue(nowMs: number): boolean {
     const {isFenced, leaseMs} = this.options;
     if (isFenced || !this.isHeld) return false;
-    return nowMs >= this.leaseEndsAtMs - leaseMs + leaseMs / RENEWALS_PER_LEASE;
+    const proofMs = PROVED_PART * leaseMs;
+    return nowMs >= this.leaseEndsAtMs - proofMs + proofMs / RENEWALS_PER_PROOF;
   }
 
   private noteContact(nowMs: number): void {
@@ -238,7 +245,7 @@
         atOffset: this.table.endOffset,
       });
       if (outcome.status === 'appended') {
-        this.leaseEndsAtMs = sentAtMs + this.options.leaseMs;
+        this.leaseEndsAtMs = sentAtMs + PROVED_PART * this.options.leaseMs;
         this.noteHolder({...self, token: outcome.offset + 1});
       } else {
         this.follower.refresh();
@@ -261,13 +268,15 @@
 
   /**
    * Guards against two holders' orders close to each other where no fence
-   * keeps the last holder's out: it orders until its lease ends, which it
-   * can't renew any more, and what it has sent takes a while to arrive.
+   * keeps the last holder's out: it orders until what it proved last ends,
+   * which it can't prove again, what it has sent takes a while to arrive, and
+   * then the orders have to be a lease apart.
    */
   private noteTurn(): void {
     const {clock, isFenced, leaseMs} = this.options;
     if (isFenced || !this.current) return;
-    this.ordersFromMs = clock.monotonicMs() + leaseMs + ON_THE_WAY_MS;
+    const lastOrderInMs = PROVED_PART * leaseMs + ON_THE_WAY_MS;
+    this.ordersFromMs = clock.monotonicMs() + lastOrderInMs + leaseMs;
   }
 
   private setHolder(holder: DutyHolder): void {
--- a/packages/keyed-store/src/index.ts
+++ b/packages/keyed-store/src/index.ts
@@ -10,3 +10,4 @@
 } from './keyed_topic.js';
 export {KeyedFollower, type KeyedFollowerOptions} from './keyed_follower.js';
 export {KeyedTable} from './keyed_table.js';
+export {type AppendFault, MemoryKeyedTopic} from './memory_keyed_topic.js';
--- /dev/null
+++ b/packages/keyed-store/src/keyed_follower.test.ts
@@ -0,0 +1,130 @@
+import {ManualClock} from '@mimosatack/clock';
+import {settle} from '@mimosatack/fakes';
+import {SeededRandom} from '@mimosatack/random';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {KeyedFollower, type KeyedFollowerOptions} from './keyed_follower.js';
+import {KeyedTable} from './keyed_table.js';
+import {MemoryKeyedTopic} from './memory_keyed_topic.js';
+
+const test = suite('following a topic');
+
+function startFollower(change: Partial<KeyedFollowerOptions> = {}) {
+  const clock = new ManualClock();
+  const topic = new MemoryKeyedTopic();
+  const table = new KeyedTable();
+  const seen: string[] = [];
+  const dependency: string[] = [];
+  const follower = new KeyedFollower({
+    ...{clock, topic, table, random: new SeededRandom(1)},
+    waitMs: () => 20_000,
+    minIntervalMs: 50,
+    retryDelayMs: 200,
+    onChanges: changes =>
+      changes.forEach(({key, value}) =>
+        seen.push(
+          `${key}=${value === null ? '-' : Buffer.from(value).toString()}`,
+        ),
+      ),
+    onLost: () => dependency.push('lost'),
+    onRegained: () => dependency.push('regained'),
+    ...change,
+  });
+  /** Moves time on in small steps, as timers and answers take turns. */
+  const pass = async (ms: number) => {
+    for (let passed = 0; passed < ms; passed += 50) {
+      clock.advance(50);
+      await settle();
+    }
+  };
+  return {clock, topic, table, follower, seen, dependency, pass};
+}
+
+test('reads all that stands there, then each change', async () => {
+  const {topic, follower, seen, pass} = startFollower();
+  topic.put('config', '1');
+  follower.start();
+  await pass(100);
+  topic.put('config', '2');
+  await pass(100);
+  topic.put('config', null);
+  await pass(100);
+  assert.equal(seen, ['config=1', 'config=2', 'config=-']);
+  follower.stop();
+});
+
+test('a store that is down is told once, and found again', async () => {
+  const {topic, follower, seen, dependency, pass} = startFollower({
+    waitMs: () => 0,
+  });
+  topic.put('a', '1');
+  follower.start();
+  await pass(100);
+  topic.isDown = true;
+  await pass(2_000);
+  assert.equal(dependency, ['regained', 'lost']);
+  topic.isDown = false;
+  topic.put('a', '2');
+  await pass(1_000);
+  assert.equal(dependency, ['regained', 'lost', 'regained']);
+  assert.equal(seen, ['a=1', 'a=2']);
+  follower.stop();
+});
+
+/*
+ * The store forgets its history while this node was cut off. The offset it
+ * reads from is gone, and a server that left meanwhile would stay in the list
+ * for ever: the newest record of each key is read again instead.
+ */
+test('history that is gone is made up for by a snapshot', async () => {
+  const {topic, follower, seen, pass} = startFollower({waitMs: () => 0});
+  topic.put('a', '1');
+  topic.put('b', '1');
+  follower.start();
+  await pass(100);
+  topic.isDown = true;
+  topic.put('a', null);
+  topic.put('c', '1');
+  topic.firstOffset = 4;
+  topic.isDown = false;
+  await pass(1_000);
+  assert.equal(seen, ['a=1', 'b=1', 'c=1', 'a=-']);
+  follower.stop();
+});
+
+/*
+ * A connection falls silent for good while a read waits on it. The change that
+ * was made meanwhile is not noticed until the read is given up; a peer that
+ * knows of the change makes the node read at once.
+ */
+test('a read that waits in vain can be ended', async () => {
+  const {topic, follower, seen, pass} = startFollower();
+  follower.start();
+  await pass(100);
+  // The read under way hears nothing; the next one is answered.
+  topic.records.push({key: 'a', value: Buffer.from('1'), offset: 0});
+  await pass(1_000);
+  assert.equal(seen, []);
+  follower.refresh();
+  await pass(100);
+  assert.equal(seen, ['a=1']);
+  follower.stop();
+});
+
+test('does not read while it is not needed', async () => {
+  let isNeeded = false;
+  const {topic, follower, pass} = startFollower({
+    waitMs: () => 0,
+    isNeeded: () => isNeeded,
+  });
+  follower.start();
+  await pass(1_000);
+  const before = topic.readCount;
+  assert.is(before, 1);
+  isNeeded = true;
+  await pass(200);
+  assert.ok(topic.readCount > before);
+  follower.stop();
+});
+
+test.run();
--- /dev/null
+++ b/packages/keyed-store/src/memory_keyed_topic.ts
@@ -0,0 +1,126 @@
+import {TypedError} from '@mimosatack/errors';
+import {
+  type AppendCondition,
+  type AppendOutcome,
+  type KeyedRecord,
+  type KeyedSnapshot,
+  type KeyedTopic,
+  type KeyedWrite,
+  type ReadOutcome,
+} from './keyed_topic.js';
+
+/** What becomes of an append: `lost` is done and not answered. */
+export type AppendFault = 'none' | 'refused' | 'lost' | 'late';
+
+/** A topic in memory, whose faults a test sets. */
+export class MemoryKeyedTopic implements KeyedTopic {
+  readonly records: KeyedRecord[] = [];
+  /** While true every call fails. */
+  isDown = false;
+  appendFault: AppendFault = 'none';
+  /** Offsets before this one can't be read any more. */
+  firstOffset = 0;
+  readCount = 0;
+  appendCount = 0;
+  private readonly delayed: Array<() => void> = [];
+  private readonly waiters = new Set<() => void>();
+
+  get endOffset(): number {
+    return this.records.length;
+  }
+
+  async readNewest(): Promise<KeyedSnapshot> {
+    this.readCount += 1;
+    this.failIfDown();
+    const newest = new Map(this.records.map(record => [record.key, record]));
+    return {
+      records: [...newest.values()].filter(({value}) => value !== null),
+      endOffset: this.endOffset,
+    };
+  }
+
+  /** Waits for a record only where `waitMs` is above 0. */
+  async readFrom(
+    offset: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<ReadOutcome> {
+    this.readCount += 1;
+    this.failIfDown();
+    if (offset < this.firstOffset) return {status: 'expired'};
+    if (offset >= this.endOffset && waitMs > 0) await this.wait(signal);
+    this.failIfDown();
+    return {
+      status: 'read',
+      records: this.records.slice(offset),
+      endOffset: this.endOffset,
+    };
+  }
+
+  async append(
+    writes: readonly KeyedWrite[],
+    condition?: AppendCondition,
+  ): Promise<AppendOutcome> {
+    this.appendCount += 1;
+    this.failIfDown();
+    const fault = this.appendFault;
+    if (fault === 'refused') throw makeUnavailable();
+    if (fault === 'late') {
+      this.delayed.push(() => this.apply(writes, condition));
+      throw makeUnavailable();
+    }
+    const outcome = this.apply(writes, condition);
+    if (fault === 'lost') throw makeUnavailable();
+    return outcome;
+  }
+
+  /** Carries out the appends that were held back. */
+  releaseLate(): void {
+    this.delayed.splice(0).forEach(apply => apply());
+  }
+
+  /** Puts a record as somebody else. */
+  put(key: string, text: string | null): void {
+    this.apply([{key, value: text === null ? null : Buffer.from(text)}]);
+  }
+
+  private apply(
+    writes: readonly KeyedWrite[],
+    condition?: AppendCondition,
+  ): AppendOutcome {
+    const offset = this.endOffset;
+    if (condition && condition.atOffset !== offset) {
+      return {status: 'refused', endOffset: offset};
+    }
+    writes.forEach(({key, value}) =>
+      this.records.push({key, value, offset: this.endOffset}),
+    );
+    this.waiters.forEach(wake => wake());
+    return {status: 'appended', offset, endOffset: this.endOffset};
+  }
+
+  private wait(signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const wake = () => {
+        this.waiters.delete(wake);
+        resolve();
+      };
+      this.waiters.add(wake);
+      signal?.addEventListener('abort', () => {
+        this.waiters.delete(wake);
+        reject(makeUnavailable());
+      });
+    });
+  }
+
+  private failIfDown(): void {
+    if (this.isDown) throw makeUnavailable();
+  }
+}
+
+function makeUnavailable(): TypedError {
+  return new TypedError(
+    'platform-unavailable',
+    'The topic can not be reached.',
+  );
+}
--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -42,7 +42,7 @@
     level: 'info',
     message: 'Another node has taken over the scheduling.',
     fields: {
-      nodeName: 'the node',
+      holderNodeName: 'the node that schedules now',
       fencingToken: 'its fencing token',
       isSelf: 'whether it is this node',
     },
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -257,7 +257,7 @@
   private takeHolder(holder: DutyHolder | null): void {
     const isSelf = holder?.incarnation === this.self.incarnation;
     this.options.logger.log('duty-holder-changed', {
-      nodeName: holder?.nodeName,
+      holderNodeName: holder?.nodeName,
       fencingToken: holder?.token,
       isSelf,
     });
