--- a/packages/serve-requests/src/decide_next.ts
+++ b/packages/serve-requests/src/decide_next.ts
@@ -1,6 +1,6 @@
 /** What is done with a request after an attempt that did not answer it. */
 import {type ServiceRoute} from '@mimosatack/types';
-import {type AttemptOutcome} from './attempt.js';
+import {type AttemptOutcome, type NotRunReason} from './attempt.js';
 
 /** An attempt that left the request without its answer. */
 export type FailedAttempt = Exclude<
@@ -20,8 +20,13 @@
   maxAttempts: number;
 }
 
-/** `retry-if-allowed`: the retry has to be within the shared bound. */
-export type NextStep = 'retry' | 'retry-if-allowed' | 'give-up';
+/** What is done next; a retry may have to be within the shared bound. */
+export type NextStep =
+  | 'retry'
+  | 'retry-if-allowed'
+  /** Not at once: the server had no room a moment ago. */
+  | 'retry-later-if-allowed'
+  | 'give-up';
 
 export function isRepeatable({kind, isResumable}: ServiceRoute): boolean {
   return kind === 'idempotent' || (kind === 'streaming' && isResumable);
@@ -34,8 +39,7 @@
   const {isRepeatable, canGoOn, reachedOthers, maxAttempts} = standing;
   switch (outcome.status) {
     case 'not-run':
-      // Nothing arrived, so nothing is repeated.
-      return outcome.reason === 'unreachable' ? 'retry' : 'retry-if-allowed';
+      return decideAfterNotRun(outcome.reason);
     case 'refusing':
       // Its retry was taken out of the bound before its answer was dropped.
       return 'retry';
@@ -45,3 +49,15 @@
         : 'give-up';
   }
 }
+
+function decideAfterNotRun(reason: NotRunReason): NextStep {
+  switch (reason) {
+    case 'unreachable':
+      // Nothing arrived, so nothing is repeated.
+      return 'retry';
+    case 'not-held':
+      return 'retry-if-allowed';
+    case 'not-taken':
+      return 'retry-later-if-allowed';
+  }
+}
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -1,5 +1,5 @@
 /** One request on its way: attempts, retries, and one final answer. */
-import {type Timer} from '@mimosatack/clock';
+import {type Timer, sleep} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type BackendServerId} from '@mimosatack/types';
 import {AnswerRelay} from './answer_relay.js';
@@ -14,6 +14,7 @@
   type ServerAsk,
   type ServerChoice,
 } from './server_chooser.js';
+import {findPauseMs} from './refusal_pause.js';
 import {StallRescue} from './stall_rescue.js';
 
 /** A connection that takes longer than this is tried elsewhere. */
@@ -42,6 +43,8 @@
   private attempt: Attempt | null = null;
   private rescue: StallRescue | null = null;
   private attempts = 0;
+  /** How often a server had no room for it. */
+  private refusals = 0;
   /** Whether a server may have run the request without an answer to it. */
   private mayHaveRun = false;
   private endCause: EndCause | null = null;
@@ -94,7 +97,8 @@
         this.log.noteAttempt(outcome, 'end');
         return this.finishEnded(next);
       }
-      const goesOn = next !== null || this.mayGoOn(outcome, choice);
+      const goesOn = next !== null || (await this.mayGoOn(outcome, choice));
+      if (this.endCause) return this.finishEnded(next);
       this.log.noteAttempt(outcome, goesOn ? 'try-elsewhere' : 'give-up');
       if (!goesOn) return this.giveUp(outcome.error);
     }
@@ -115,6 +119,7 @@
     chooser.noteSent(choice);
     attempt.start();
     const outcome = await attempt.outcome;
+    this.attempt = null;
     this.rescue?.stop();
     chooser.noteDone(choice, toResult(outcome));
     if (outcome.status === 'broken') this.mayHaveRun = true;
@@ -163,17 +168,42 @@
     });
   }
 
-  /** Whether the request goes to another server after this outcome. */
-  private mayGoOn(outcome: FailedAttempt, {server}: ChosenServer): boolean {
+  /** Whether the request is sent once more after this outcome. */
+  private async mayGoOn(
+    outcome: FailedAttempt,
+    {server}: ChosenServer,
+  ): Promise<boolean> {
     const next = decideNext(outcome, {
       isRepeatable: this.isRepeatable,
       canGoOn: this.relay.canGoOn,
       reachedOthers: this.sentTo.size - (this.sentTo.has(server.id) ? 1 : 0),
       maxAttempts: this.target.route.maxAttempts,
     });
-    return (
-      next === 'retry' || (next === 'retry-if-allowed' && this.spendRetry())
+    switch (next) {
+      case 'retry':
+        return true;
+      case 'retry-if-allowed':
+        return this.spendRetry();
+      case 'retry-later-if-allowed':
+        return (await this.pause()) && this.spendRetry();
+      case 'give-up':
+        return false;
+    }
+  }
+
+  /** False when there is no time for a pause and another try. */
+  private async pause(): Promise<boolean> {
+    // Who schedules the engines knows when they have room again.
+    if (this.target.service.engine) return true;
+    const {clock} = this.options;
+    this.refusals += 1;
+    const pauseMs = findPauseMs(
+      this.refusals,
+      this.endsAtMs - clock.monotonicMs(),
     );
+    if (pauseMs === null) return false;
+    await sleep(clock, pauseMs, this.ending.signal);
+    return true;
   }
 
   /** A failure that a server answered is tried elsewhere if that is allowed. */
@@ -226,11 +256,18 @@
     if (this.endCause === 'caller-gone') {
       return this.noteFinished('caller-gone', null);
     }
-    this.endWith(
-      new TypedError('deadline-exceeded', 'No answer came in time.', {
-        run: this.mayHaveRun ? 'unknown' : 'not-run',
-      }),
-    );
+    this.endWith(this.makeTimedOut());
+  }
+
+  /** What no server has taken up may come again; what may have run must not. */
+  private makeTimedOut(): TypedError {
+    return this.mayHaveRun
+      ? new TypedError('deadline-exceeded', 'No answer came in time.', {
+          run: 'unknown',
+        })
+      : new TypedError('overloaded', 'No server took it in time.', {
+          ...{run: 'not-run', retryAfterMs: RETRY_AFTER_MS},
+        });
   }
 
   private noteFinished(result: FinalResult, error: TypedError | null): void {
