Serve metrics, log each decision with the request's id, and reload settings

Cause: a request that was refused could not be followed: the node that schedules wrote nothing of what it decided, and no metrics were served on the platform. SIGHUP did nothing.

Ruled out: counting at each place that decides, which would let the metrics disagree with the log; a default set of process metrics, which nobody asked for.

Change: one logger measures what it is told (packages/measure-events); metrics are served in the text format at a port of our own; the node that schedules logs `ask-decided`; servers that come, go or change state are logged; a reload takes what can change and says what waits for the next start. The duty and its host moved out of the node into a class of their own.

--- a/packages/logger/src/events/process_events.ts
+++ b/packages/logger/src/events/process_events.ts
@@ -102,6 +102,22 @@
     message: 'The settings are valid.',
     fields: {settings: 'every setting in force; secrets are redacted'},
   },
+  'settings-reloaded': {
+    number: 1102,
+    level: 'info',
+    message: 'The settings file was read again.',
+    fields: {
+      changed: 'settings that are in force with their new values now',
+      atNextStart: 'settings that have changed and need a restart',
+    },
+  },
+  'settings-kept': {
+    number: 1103,
+    level: 'error',
+    message: 'The settings file was read again and is faulty; nothing changes.',
+    fields: {error: 'the faults'},
+    remedy: 'Correct all the faults listed, then send SIGHUP again.',
+  },
   'settings-rejected': {
     number: 1101,
     level: 'fatal',
--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -67,4 +67,23 @@
       tookMs: 'how long the answer took',
     },
   },
+  'ask-decided': {
+    number: 3404,
+    level: 'info',
+    message: 'A request for a model was assigned to an engine or refused.',
+    fields: {
+      requestId: 'the request',
+      askId: 'by which the two nodes know the request',
+      nodeAddress: 'the node that asked',
+      model: 'the model',
+      adapter: 'the adapter, if one was named',
+      decision: 'assign or refuse',
+      backendServerId: 'the engine that it was assigned to',
+      reason: 'why it was refused',
+      retryAfterMs: 'when the caller is told to come back',
+      waitedMs: 'time since the request arrived at its node',
+      waiting: 'requests that still wait',
+      fencingToken: 'of the node that decided, which is the one that logs',
+    },
+  },
 } as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/packages/measure-events/src/index.ts
@@ -0,0 +1,1 @@
+export {MeasuringEventLogger} from './measuring_event_logger.js';
--- /dev/null
+++ b/packages/measure-events/src/measuring_event_logger.test.ts
@@ -0,0 +1,36 @@
+import {MemoryEventLogger} from '@mimosatack/logger';
+import {MemoryMetrics} from '@mimosatack/metrics';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {MeasuringEventLogger} from './measuring_event_logger.js';
+
+const test = suite('measuring what is logged');
+
+test('an event is logged as it was and measured', () => {
+  const inner = new MemoryEventLogger();
+  const metrics = new MemoryMetrics();
+  new MeasuringEventLogger(inner, metrics).log('request-finished', {
+    ...{requestId: 'r1', result: 'refused', kind: 'not-warm', reason: 'full'},
+    ...{run: 'not-run', retryAfterMs: 500, attempts: 0, tookMs: 12},
+    lastEventId: null,
+  });
+  assert.equal(metrics.samples, [
+    {
+      name: 'answers.finished',
+      value: 1,
+      tags: {result: 'refused', kind: 'not-warm'},
+    },
+    {name: 'answers.duration', value: 12, tags: {result: 'refused'}},
+  ]);
+  assert.is(inner.events.length, 1);
+});
+
+test('an event that nothing is counted of is only logged', () => {
+  const inner = new MemoryEventLogger();
+  const metrics = new MemoryMetrics();
+  new MeasuringEventLogger(inner, metrics).log('duty-lost', {fencingToken: 4});
+  assert.equal(metrics.samples, []);
+  assert.is(inner.events.length, 1);
+});
+
+test.run();
--- /dev/null
+++ b/packages/measure-events/src/measuring_event_logger.ts
@@ -0,0 +1,65 @@
+/** A logger that also measures what it is told. */
+import {
+  type EventFields,
+  type EventLogger,
+  type EventName,
+  type FieldValue,
+} from '@mimosatack/logger';
+import {type Metrics} from '@mimosatack/metrics';
+
+type Fields = Readonly<Record<string, FieldValue>>;
+
+/** Takes the fields of one event into the metrics. */
+type Measure = (metrics: Metrics, fields: Fields) => void;
+
+/** What each event counts as; events that are not named count as nothing. */
+const MEASURES: Partial<Record<EventName, Measure>> = {
+  'request-finished': (metrics, {result, kind, tookMs}) => {
+    const named = toTag(result);
+    metrics.count('answers.finished', {result: named, kind: toTag(kind)});
+    metrics.timing('answers.duration', toMs(tookMs), {result: named});
+  },
+  'attempt-ended': (metrics, {outcome, next, headMs}) => {
+    metrics.count('attempts.ended', {
+      ...{outcome: toTag(outcome), next: toTag(next)},
+    });
+    if (typeof headMs === 'number') metrics.timing('attempts.head', headMs, {});
+  },
+  'ask-decided': (metrics, {decision, reason, waitedMs}) => {
+    const named = toTag(decision);
+    metrics.count('schedule.decided', {decision: named, reason: toTag(reason)});
+    metrics.timing('schedule.waited', toMs(waitedMs), {decision: named});
+  },
+  'engine-ordered': (metrics, {operation, outcome, tookMs}) => {
+    const named = toTag(operation);
+    metrics.count('orders.sent', {operation: named, outcome: toTag(outcome)});
+    metrics.timing('orders.duration', toMs(tookMs), {operation: named});
+  },
+  'dependency-lost': (metrics, {dependency}) =>
+    metrics.count('dependencies.lost', {dependency: toTag(dependency)}),
+  'duty-holder-changed': (metrics, {isSelf}) =>
+    metrics.count('duties.taken', {holder: isSelf === true ? 'self' : 'other'}),
+  'lines-dropped': (metrics, {count}) =>
+    metrics.count('logs.dropped', {}, toMs(count)),
+};
+
+/** Measures each event, then logs it, whether or not the line is written. */
+export class MeasuringEventLogger implements EventLogger {
+  constructor(
+    private readonly inner: EventLogger,
+    private readonly metrics: Metrics,
+  ) {}
+
+  log<N extends EventName>(name: N, fields: EventFields<N>): void {
+    MEASURES[name]?.(this.metrics, fields as Fields);
+    this.inner.log(name, fields);
+  }
+}
+
+function toTag(value: FieldValue): string {
+  return typeof value === 'string' ? value : '';
+}
+
+function toMs(value: FieldValue): number {
+  return typeof value === 'number' ? value : 0;
+}
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -65,6 +65,50 @@
   }),
   'stewardships.held': gauge('Backend servers that this node holds.', {}),
   'audit.pending': gauge('Changes not yet seen in the audit stream.', {}),
+  'answers.finished': counter('Requests that have their final answer.', {
+    result: '`answered`, `refused`, `broken-off` or `caller-gone`',
+    kind: 'the kind of the refusal or failure, empty for an answer',
+  }),
+  'answers.duration': timing('Time until the final answer.', {
+    result: '`answered`, `refused`, `broken-off` or `caller-gone`',
+  }),
+  'attempts.ended': counter('Attempts at backend servers that have ended.', {
+    outcome: 'how, such as `answered`, `not-run` or `broken`',
+    next: 'what was done with the request: `end`, `try-elsewhere`, `give-up`',
+  }),
+  'attempts.head': timing('Time until a backend server began its answer.', {}),
+  'schedule.decided': counter('Requests for models that were decided on.', {
+    decision: '`assign` or `refuse`',
+    reason: 'why it was refused, empty for an assignment',
+  }),
+  'schedule.waited': timing('Time that requests for models waited.', {
+    decision: '`assign` or `refuse`',
+  }),
+  'orders.sent': counter('Orders to engines, of the node that schedules.', {
+    operation: '`load` or `unload`',
+    outcome: 'what the engine answered',
+  }),
+  'orders.duration': timing('Time until an engine answered an order.', {
+    operation: '`load` or `unload`',
+  }),
+  'store.calls': counter("Calls to the platform's store.", {
+    call: 'the call',
+    outcome: 'the status, or `unanswered`',
+  }),
+  'store.duration': timing("Time until the platform's store answered.", {
+    call: 'the call; a read waits for a change on purpose',
+  }),
+  'dependencies.lost': counter('Times that a dependency was lost.', {
+    dependency: 'what was lost',
+  }),
+  'duties.taken': counter('Changes of the node that schedules.', {
+    holder: '`self` or `other`',
+  }),
+  'configuration.version': gauge('The configuration in force.', {}),
+  'servers.known': gauge('Backend servers in the list.', {}),
+  'servers.age_ms': gauge('Time since the list was read from the store.', {}),
+  'duties.held': gauge('1 while this node schedules, else 0.', {}),
+  'logs.dropped': counter('Log lines that were left out.', {}),
   'process.resident_bytes': gauge('Resident memory of the process.', {}),
 } as const satisfies Record<string, MetricDefinition>;
 
--- a/packages/metrics/src/catalogue_markdown.ts
+++ b/packages/metrics/src/catalogue_markdown.ts
@@ -8,10 +8,14 @@
 
 const INTRODUCTION = `# Metrics
 
-Each node sends these metrics by UDP to the statsd server that
-\`--statsd-host\` and \`--statsd-port\` name; without a host it sends none. Every
-name begins with \`mimosatack.\`, and every value carries the tags \`node\`,
-\`region\` and \`failure_domain\`. Timings are in milliseconds.
+On the users' platform each node serves these metrics at the port that
+\`MIMOSATACK_METRICS_PORT\` names, under \`/metrics\`: names begin with
+\`mimosatack_\` and have underscores in place of dots, and timings are
+histograms in milliseconds. Elsewhere a node sends them by UDP to the statsd
+server that \`--statsd-host\` and \`--statsd-port\` name, under names that begin
+with \`mimosatack.\` and with the tags \`node\`, \`region\` and
+\`failure_domain\`. Both forms come from one catalogue; each program gives
+values for the metrics of what it does.
 
 This page is written by \`npm run docs:metrics\`; change
 \`packages/metrics/src/catalogue.ts\` instead.`;
--- a/packages/metrics/src/metrics.test.ts
+++ b/packages/metrics/src/metrics.test.ts
@@ -5,6 +5,7 @@
 import {
   METRIC_NAMES,
   MemoryMetrics,
+  PrometheusMetrics,
   StatsdMetrics,
   formatMetricsAsMarkdown,
 } from './index.js';
@@ -89,4 +90,19 @@
   assert.equal(metrics.valuesOf('fold.void'), [2]);
 });
 
+metricsSuite('values can be read as text', async () => {
+  const metrics = new PrometheusMetrics();
+  metrics.count('answers.finished', {result: 'refused', kind: 'overloaded'}, 2);
+  metrics.gauge('configuration.version', 7, {});
+  metrics.timing('answers.duration', 30, {result: 'answered'});
+  const text = await metrics.format();
+  [
+    'mimosatack_answers_finished{result="refused",kind="overloaded"} 2',
+    'mimosatack_configuration_version 7',
+    'mimosatack_answers_duration_bucket{le="20",result="answered"} 0',
+    'mimosatack_answers_duration_bucket{le="50",result="answered"} 1',
+    'mimosatack_answers_duration_sum{result="answered"} 30',
+  ].forEach(line => assert.ok(text.includes(`${line}\n`), line));
+});
+
 metricsSuite.run();
--- a/packages/schedule-service/src/ask_terms.ts
+++ b/packages/schedule-service/src/ask_terms.ts
@@ -21,6 +21,7 @@
   const {maxOutputTokens, expectedOutputTokens} = generation;
   return {
     askId,
+    requestId: request.requestId,
     service: service.name,
     model: generation.model,
     adapter: generation.adapter,
@@ -63,9 +64,11 @@
   nodeId: string,
   nowMs: number,
 ): ScheduledRequest {
-  const {waitedMs, dueInMs, endsInMs, excluded, allowed, ...rest} = terms;
+  const {service, model, adapter, promptTokens, outputTokens, priority} = terms;
+  const {askId, waitedMs, dueInMs, endsInMs, excluded, allowed} = terms;
   return {
-    ...rest,
+    ...{askId, service, model, adapter},
+    ...{promptTokens, outputTokens, priority},
     arrivedAtMs: nowMs - waitedMs,
     dueAtMs: nowMs + dueInMs,
     endsAtMs: nowMs + endsInMs,
--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -3,6 +3,8 @@
 
 const askSchema = z.object({
   askId: z.string(),
+  /** The caller's id, so that both nodes' log lines can be found by it. */
+  requestId: z.string(),
   service: z.string(),
   model: z.string(),
   adapter: z.string().nullable(),
--- a/packages/schedule-service/src/scheduling_host.ts
+++ b/packages/schedule-service/src/scheduling_host.ts
@@ -14,7 +14,7 @@
 } from '@mimosatack/types';
 import {toScheduledRequest} from './ask_terms.js';
 import {type EngineOrders, type OrderAuthority} from './engine_orders.js';
-import {type FromHolder, type ToHolder} from './messages.js';
+import {type AskTerms, type FromHolder, type ToHolder} from './messages.js';
 
 /** What a host is built from. */
 export interface SchedulingHostOptions {
@@ -32,11 +32,20 @@
 /** The longest sleep between two decisions. */
 const MAX_SLEEP_MS = 250;
 
+/** What is kept of an ask until its request has ended. */
+interface KnownAsk {
+  nodeAddress: string;
+  requestId: string;
+  model: string;
+  adapter: string | null;
+  arrivedAtMs: number;
+}
+
 /** Owns the scheduler and carries out what it decides. */
 export class SchedulingHost {
   private readonly scheduler: ModelScheduler;
   private readonly servers = new Map<BackendServerId, BackendServerEntry>();
-  private readonly nodeOf = new Map<string, string>();
+  private readonly asks = new Map<string, KnownAsk>();
   private readonly asking = new Set<BackendServerId>();
   private timer: Timer | null = null;
   private isDecisionDue = false;
@@ -83,15 +92,11 @@
     const nowMs = this.nowMs();
     switch (message.type) {
       case 'ask':
-        this.nodeOf.set(message.ask.askId, nodeAddress);
-        this.scheduler.ask(
-          toScheduledRequest(message.ask, nodeAddress, nowMs),
-          nowMs,
-        );
+        this.takeAsk(message.ask, nodeAddress, nowMs);
         break;
       case 'withdraw':
         this.scheduler.withdraw(message.askId);
-        this.nodeOf.delete(message.askId);
+        this.asks.delete(message.askId);
         break;
       case 'run-ended':
         this.scheduler.noteEnd(
@@ -100,16 +105,10 @@
           message.result,
           nowMs,
         );
-        this.nodeOf.delete(message.askId);
+        this.asks.delete(message.askId);
         break;
       case 'under-way':
-        message.asks.forEach(ask => {
-          this.nodeOf.set(ask.askId, nodeAddress);
-          this.scheduler.ask(
-            toScheduledRequest(ask, nodeAddress, nowMs),
-            nowMs,
-          );
-        });
+        message.asks.forEach(ask => this.takeAsk(ask, nodeAddress, nowMs));
         message.runs.forEach(({ask, engineId}) =>
           this.scheduler.noteRunning(
             toScheduledRequest(ask, nodeAddress, nowMs),
@@ -121,6 +120,15 @@
     this.requestDecision();
   }
 
+  private takeAsk(ask: AskTerms, nodeAddress: string, nowMs: number): void {
+    const {askId, requestId, model, adapter, waitedMs} = ask;
+    const arrivedAtMs = nowMs - waitedMs;
+    this.asks.set(askId, {
+      ...{nodeAddress, requestId, model, adapter, arrivedAtMs},
+    });
+    this.scheduler.ask(toScheduledRequest(ask, nodeAddress, nowMs), nowMs);
+  }
+
   /** Several events in one turn are decided on together. */
   private requestDecision(): void {
     if (this.isDecisionDue || this.isStopped) return;
@@ -149,26 +157,42 @@
   }
 
   private carryOut(decision: Decision): void {
-    switch (decision.kind) {
-      case 'assign': {
-        const {askId, engineId} = decision;
-        this.tell(askId, {type: 'assigned', askId, engineId});
-        return;
-      }
-      case 'refuse': {
-        const {askId, reason, retryAfterMs} = decision;
-        this.tell(askId, {type: 'refused', askId, reason, retryAfterMs});
-        this.nodeOf.delete(askId);
-        return;
-      }
-      case 'order':
-        void this.sendOrder(decision.order);
+    if (decision.kind === 'order') {
+      void this.sendOrder(decision.order);
+      return;
+    }
+    const known = this.asks.get(decision.askId);
+    if (!known) return;
+    this.logDecision(decision, known);
+    const {nodeAddress} = known;
+    if (decision.kind === 'assign') {
+      const {askId, engineId} = decision;
+      this.options.send(nodeAddress, {type: 'assigned', askId, engineId});
+      return;
     }
+    const {askId, reason, retryAfterMs} = decision;
+    this.options.send(nodeAddress, {
+      ...{type: 'refused', askId, reason, retryAfterMs},
+    });
+    this.asks.delete(askId);
   }
 
-  private tell(askId: string, message: FromHolder): void {
-    const nodeAddress = this.nodeOf.get(askId);
-    if (nodeAddress !== undefined) this.options.send(nodeAddress, message);
+  private logDecision(
+    decision: Exclude<Decision, {kind: 'order'}>,
+    {requestId, nodeAddress, model, adapter, arrivedAtMs}: KnownAsk,
+  ): void {
+    const isAssigned = decision.kind === 'assign';
+    this.options.logger.log('ask-decided', {
+      ...{requestId, nodeAddress, model, adapter},
+      askId: decision.askId,
+      decision: decision.kind,
+      backendServerId: isAssigned ? decision.engineId : undefined,
+      reason: isAssigned ? undefined : decision.reason,
+      retryAfterMs: isAssigned ? undefined : decision.retryAfterMs,
+      waitedMs: Math.round(this.nowMs() - arrivedAtMs),
+      waiting: this.scheduler.waitingCount,
+      fencingToken: this.options.authority()?.fencingToken,
+    });
   }
 
   private async sendOrder(order: PlannedOrder): Promise<void> {
--- a/packages/serve-requests/src/retry_allowance.test.ts
+++ b/packages/serve-requests/src/retry_allowance.test.ts
@@ -22,7 +22,7 @@
   const clock = new ManualClock();
   const granted = Array.from({length: 8}, () => {
     const allowance = new RetryAllowance({
-      ...{clock, bound: BOUND, countNodes: () => 8},
+      ...{clock, bound: () => BOUND, countNodes: () => 8},
     });
     Array.from({length: 50}, () => allowance.noteRequest('writers'));
     return countGranted(allowance, 50);
@@ -35,7 +35,7 @@
 test('what was spent comes back once it has left the window', () => {
   const clock = new ManualClock();
   const allowance = new RetryAllowance({
-    ...{clock, bound: BOUND, countNodes: () => 1},
+    ...{clock, bound: () => BOUND, countNodes: () => 1},
   });
   assert.ok(countGranted(allowance, 100) > 0);
   assert.is(countGranted(allowance, 1), 0);
--- a/packages/serve-requests/src/retry_allowance.ts
+++ b/packages/serve-requests/src/retry_allowance.ts
@@ -14,7 +14,8 @@
 /** What the allowance is built from. */
 export interface RetryAllowanceOptions {
   clock: Clock;
-  bound: RetryBound;
+  /** The bound in force. */
+  bound: () => RetryBound;
   /** How many nodes share the bound. */
   countNodes: () => number;
 }
@@ -52,7 +53,7 @@
   trySpend(service: ServiceName): boolean {
     const current = this.openBucket(service);
     const buckets = this.windows.get(service) ?? [];
-    const {ratio, slack} = this.options.bound;
+    const {ratio, slack} = this.options.bound();
     const requests = buckets.reduce((sum, b) => sum + b.requests, 0);
     const retries = buckets.reduce((sum, b) => sum + b.retries, 0);
     const nodes = Math.max(1, this.options.countNodes());
@@ -64,11 +65,10 @@
 
   private openBucket(service: ServiceName): Bucket {
     const nowMs = this.options.clock.monotonicMs();
-    const lengthMs = this.options.bound.windowMs / BUCKETS;
+    const {windowMs} = this.options.bound();
+    const lengthMs = windowMs / BUCKETS;
     const known = this.windows.get(service) ?? [];
-    const kept = known.filter(
-      bucket => bucket.startsAtMs > nowMs - this.options.bound.windowMs,
-    );
+    const kept = known.filter(bucket => bucket.startsAtMs > nowMs - windowMs);
     const last = kept[kept.length - 1];
     if (last && nowMs < last.startsAtMs + lengthMs) {
       if (kept.length < known.length) this.windows.set(service, kept);
--- a/packages/serving-node/src/node_settings.ts
+++ b/packages/serving-node/src/node_settings.ts
@@ -16,6 +16,8 @@
   readyAddress: SocketAddress;
   directoryAddress: SocketAddress;
   peerAddress: SocketAddress;
+  /** Where metrics are read; null for nowhere. */
+  metricsAddress: SocketAddress | null;
   /** Some other nodes; they may be out of date. */
   seeds: readonly SocketAddress[];
   /** A server that leaves gets nothing new after this time. */
--- a/packages/serving-node/src/server_follower.ts
+++ b/packages/serving-node/src/server_follower.ts
@@ -32,6 +32,8 @@
   /** How old what the reader passes on is. */
   peerAgeMs: () => number;
   onChanges: (changes: readonly ServerChange[]) => void;
+  /** Told when a server comes, goes or changes its state. */
+  onState: (change: ServerChange) => void;
   /** Told of records that came from the store, to pass on. */
   onRead: (fromOffset: number) => void;
   onFault: (error: unknown) => void;
@@ -78,6 +80,10 @@
     return this.options.clock.monotonicMs() - this.follower.lastSuccessMs;
   }
 
+  get count(): number {
+    return this.entries.size;
+  }
+
   get hasServers(): boolean {
     return this.entries.size > 0;
   }
@@ -131,7 +137,11 @@
 
   private apply(changes: readonly KeyedChange[]): void {
     const decoded = changes.flatMap(change => this.decode(change));
-    decoded.forEach(({id, entry}) => {
+    decoded.forEach(change => {
+      const {id, entry} = change;
+      if (this.entries.get(id)?.state !== entry?.state) {
+        this.options.onState(change);
+      }
       if (entry) this.entries.set(id, entry);
       else this.entries.delete(id);
     });
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -5,7 +5,7 @@
 import {type Clock} from '@mimosatack/clock';
 import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
-import {type DutyHolder, DutyTask} from '@mimosatack/hold-duty';
+import {type DutyHolder} from '@mimosatack/hold-duty';
 import {type EventLogger} from '@mimosatack/logger';
 import {
   type KnownNode,
@@ -13,8 +13,8 @@
   type NodeStatus,
 } from '@mimosatack/node-links';
 import {type RandomSource} from '@mimosatack/random';
-import {BatchWorthPolicy} from '@mimosatack/schedule-models';
-import {ScheduledChooser, SchedulingHost} from '@mimosatack/schedule-service';
+import {type PrometheusMetrics} from '@mimosatack/metrics';
+import {ScheduledChooser} from '@mimosatack/schedule-service';
 import {
   HeadTimes,
   LeastLoadedChooser,
@@ -27,7 +27,9 @@
 import {NodeRegister} from './node_register.js';
 import {type NodeSettings} from './node_settings.js';
 import {type PlatformAdapter} from './platform_adapter.js';
+import {SchedulingDuty} from './scheduling_duty.js';
 import {type ServerChange, ServerFollower} from './server_follower.js';
+import {reloadSettings} from './settings_reload.js';
 import {exchangeRecords, listRecords} from './shared_records.js';
 import {StatusServer} from './status_server.js';
 
@@ -39,6 +41,7 @@
   logger: EventLogger;
   platform: PlatformAdapter;
   connections: BackendConnections;
+  metrics: PrometheusMetrics;
 }
 
 const DUTY_KEY = 'scheduler';
@@ -57,7 +60,7 @@
   private readonly servers: ServerFollower;
   private readonly configuration: ConfigurationFollower;
   private readonly register: NodeRegister;
-  private readonly duty: DutyTask;
+  private readonly duty: SchedulingDuty;
   private readonly links: NodeLinks;
   private readonly chooser: ScheduledChooser;
   private readonly pipeline: RequestPipeline;
@@ -65,7 +68,6 @@
   private readonly status: StatusServer;
   private readonly entries: EntryPoints;
   private readonly connections: BackendConnections;
-  private host: SchedulingHost | null = null;
   private readonly startedAtMs: number;
   private greetedHolder = '';
   private readonly gate: DrainGate;
@@ -100,6 +102,7 @@
       platform: options.platform,
       isReady: () => this.isServing,
       listEntries: () => this.entries.list(),
+      formatMetrics: () => this.formatMetrics(),
     });
   }
 
@@ -108,6 +111,8 @@
     await this.edge.listen(settings.callerAddress);
     await this.status.listen(settings.readyAddress);
     await this.status.listen(settings.directoryAddress);
+    const {metricsAddress} = settings;
+    if (metricsAddress) await this.status.listen(metricsAddress);
     await this.links.start();
     this.configuration.start();
     this.servers.start();
@@ -143,7 +148,7 @@
         abortStart: () => undefined,
         announce: () => {
           this.edge.closeIdle();
-          void this.handDutyOver();
+          void this.duty.handOver(this.links.findSuccessor());
           clock.setTimer(TELL_CALLERS_MS, () => this.edge.stopListening());
         },
         handOver: () => this.register.leave(),
@@ -152,13 +157,20 @@
     });
   }
 
-  /** Before anything else, so that no request waits for a new holder. */
-  private async handDutyOver(): Promise<void> {
-    const successor = this.links.findSuccessor();
-    if (!this.duty.isHeld || !successor) return;
-    this.host?.stop();
-    this.host = null;
-    await this.duty.handOver(successor);
+  /** Takes new settings; those that only a start can take are told. */
+  reload(settings: NodeSettings): void {
+    const outcome = reloadSettings(this.options.settings, settings);
+    this.options.logger.log('settings-reloaded', {...outcome});
+  }
+
+  private formatMetrics(): Promise<string> {
+    const {metrics} = this.options;
+    metrics.gauge('configuration.version', this.configuration.version, {});
+    metrics.gauge('servers.known', this.servers.count, {});
+    metrics.gauge('servers.age_ms', this.servers.ageMs, {});
+    metrics.gauge('duties.held', this.duty.isHeld ? 1 : 0, {});
+    metrics.gauge('process.resident_bytes', process.memoryUsage.rss(), {});
+    return metrics.format();
   }
 
   private get isServing(): boolean {
@@ -192,7 +204,7 @@
   private configure(configuration: ServingConfiguration): void {
     this.pipeline.configure(configuration);
     this.edge.setLimits(configuration.limits);
-    this.host?.configure(configuration.services);
+    this.duty.configure(configuration.services);
     this.options.logger.log('configuration-applied', {
       offset: this.configuration.table.endOffset,
       configurationVersion: configuration.version,
@@ -206,7 +218,8 @@
       ...{clock, random, platform},
       isReader: () => this.duty.isHeld,
       peerAgeMs: () => this.links.holderServersAgeMs,
-      onChanges: changes => this.takeServers(changes),
+      onChanges: changes => this.duty.takeServers(changes),
+      onState: change => this.logServer(change),
       onRead: fromOffset => {
         if (this.duty.isHeld) {
           this.links.broadcastRecords(
@@ -219,12 +232,13 @@
     });
   }
 
-  private takeServers(changes: readonly ServerChange[]): void {
-    changes
-      .filter(({entry}) => !entry)
-      .forEach(({id}) => this.host?.dropServer(id));
-    const present = changes.flatMap(({entry}) => (entry ? [entry] : []));
-    if (present.length > 0) this.host?.putServers(present);
+  private logServer({id, entry, offset}: ServerChange): void {
+    this.options.logger.log('server-changed', {
+      backendServerId: id,
+      state: entry?.state ?? 'gone',
+      offset,
+      source: this.duty.isHeld ? 'store' : 'store or peer',
+    });
   }
 
   private makeRegister(): NodeRegister {
@@ -236,56 +250,30 @@
     });
   }
 
-  private makeDuty(): DutyTask {
-    const {clock, random, platform, settings} = this.options;
+  private makeDuty(): SchedulingDuty {
+    const {clock, random, platform, settings, logger} = this.options;
     const {nodeName, incarnation, peerAddress} = this.self;
-    return new DutyTask({
-      ...{clock, random, topic: platform.dutyTopic, key: DUTY_KEY},
-      self: {nodeName, incarnation, address: peerAddress},
-      contactWith: holder => this.links.contactWith(holder),
-      findRank: () => this.links.findRank(),
-      isHeardByOthers: () => this.links.isHolderHeardByOthers,
-      isFenced: settings.isFenced,
-      leaseMs: settings.leaseMs,
-      isEligible: () =>
-        !this.shutdown.isStopping && this.configuration.version >= 0,
-      onHolder: holder => this.takeHolder(holder),
-      ...this.watchDependency('duty'),
-    });
-  }
-
-  private takeHolder(holder: DutyHolder | null): void {
-    const isSelf = holder?.incarnation === this.self.incarnation;
-    this.options.logger.log('duty-holder-changed', {
-      holderNodeName: holder?.nodeName,
-      fencingToken: holder?.token,
-      isSelf,
-    });
-    if (isSelf && this.host) return;
-    this.host?.stop();
-    this.host = isSelf ? this.makeHost() : null;
-    if (isSelf) this.greet(holder);
-  }
-
-  private makeHost(): SchedulingHost {
-    const {clock, logger, platform} = this.options;
-    const host = new SchedulingHost({
-      ...{clock, logger, policy: new BatchWorthPolicy()},
-      orders: platform.engineOrders,
-      authority: () => this.duty.findAuthority(),
+    return new SchedulingDuty({
+      ...{clock, logger, orders: platform.engineOrders},
+      duty: {
+        ...{random, topic: platform.dutyTopic, key: DUTY_KEY},
+        self: {nodeName, incarnation, address: peerAddress},
+        contactWith: holder => this.links.contactWith(holder),
+        findRank: () => this.links.findRank(),
+        isHeardByOthers: () => this.links.isHolderHeardByOthers,
+        isFenced: settings.isFenced,
+        leaseMs: settings.leaseMs,
+        isEligible: () =>
+          !this.shutdown.isStopping && this.configuration.version >= 0,
+        ...this.watchDependency('duty'),
+      },
       send: (address, message) => this.links.sendToNode(address, message),
-      onFenced: fencingToken => {
-        logger.log('duty-lost', {fencingToken});
-        this.duty.refresh();
-        host.stop();
-        if (this.host === host) this.host = null;
+      listServices: () => this.configuration.configuration?.services ?? [],
+      listServers: () => this.servers.list(),
+      onHolder: (holder, isSelf) => {
+        if (isSelf) this.greet(holder);
       },
     });
-    host.start(
-      this.configuration.configuration?.services ?? [],
-      this.servers.list(),
-    );
-    return host;
   }
 
   private greet(holder: DutyHolder | null): void {
@@ -312,7 +300,7 @@
       onRecords: message =>
         exchangeRecords(message, this.configuration, this.servers),
       onHolder: holder => this.duty.noteHolder(holder),
-      onToHolder: (from, message) => this.host?.receive(from, message),
+      onToHolder: (from, message) => this.duty.receive(from, message),
       onFromHolder: message => this.chooser.receive(message),
       onServingNodes: names => this.noteServing(names),
       onContact: isAlive => {
@@ -356,7 +344,7 @@
       chooser: this.chooser,
       retries: new RetryAllowance({
         clock,
-        bound: settings.retryBound,
+        bound: () => settings.retryBound,
         countNodes: () => this.register.list().length,
       }),
     });
--- a/packages/serving-node/src/status_server.ts
+++ b/packages/serving-node/src/status_server.ts
@@ -1,5 +1,6 @@
 /**
- * Answers whether the node is ready, and where callers may connect. It works
+ * Answers whether the node is ready, where callers may connect, and with the
+ * metrics. It works
  * on Node's own server: a framework would cost 12 MB of memory and 50 ms at
  * every start for two paths without a body.
  */
@@ -21,8 +22,13 @@
   >;
   isReady: () => boolean;
   listEntries: () => EntryList;
+  /** The metrics as text. */
+  formatMetrics: () => Promise<string>;
 }
 
+const METRICS_PATH = '/metrics';
+const METRICS_TYPE = 'text/plain; version=0.0.4';
+
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 const STATUS_NOT_READY = 503;
@@ -58,14 +64,22 @@
       response.writeHead(isReady() ? STATUS_OK : STATUS_NOT_READY).end();
     } else if (path === platform.entriesPath) {
       const body = platform.formatEntries(listEntries());
-      response
-        .writeHead(STATUS_OK, {
-          'Content-Type': 'application/json',
-          'Content-Length': Buffer.byteLength(body),
-        })
-        .end(body);
+      writeBody(response, body, 'application/json');
+    } else if (path === METRICS_PATH) {
+      void this.options
+        .formatMetrics()
+        .then(text => writeBody(response, text, METRICS_TYPE));
     } else {
       response.writeHead(STATUS_NOT_FOUND).end();
     }
   }
 }
+
+function writeBody(response: ServerResponse, body: string, type: string): void {
+  response
+    .writeHead(STATUS_OK, {
+      'Content-Type': type,
+      'Content-Length': Buffer.byteLength(body),
+    })
+    .end(body);
+}
