--- a/packages/measure-events/src/measuring_event_logger.ts
+++ b/packages/measure-events/src/measuring_event_logger.ts
@@ -13,35 +13,28 @@
 type Measure = (metrics: Metrics, fields: Fields) => void;
 
 /** What each event counts as; events that are not named count as nothing. */
-const MEASURES: Partial<Record<EventName, Measure>> = {
-  'request-finished': (metrics, {result, kind, tookMs}) => {
-    const named = toTag(result);
-    metrics.count('answers.finished', {result: named, kind: toTag(kind)});
-    metrics.timing('answers.duration', toMs(tookMs), {result: named});
-  },
-  'attempt-ended': (metrics, {outcome, next, headMs}) => {
-    metrics.count('attempts.ended', {
-      ...{outcome: toTag(outcome), next: toTag(next)},
-    });
-    if (typeof headMs === 'number') metrics.timing('attempts.head', headMs, {});
-  },
-  'ask-decided': (metrics, {decision, reason, waitedMs}) => {
-    const named = toTag(decision);
-    metrics.count('schedule.decided', {decision: named, reason: toTag(reason)});
-    metrics.timing('schedule.waited', toMs(waitedMs), {decision: named});
-  },
-  'engine-ordered': (metrics, {operation, outcome, tookMs}) => {
-    const named = toTag(operation);
-    metrics.count('orders.sent', {operation: named, outcome: toTag(outcome)});
-    metrics.timing('orders.duration', toMs(tookMs), {operation: named});
-  },
-  'dependency-lost': (metrics, {dependency}) =>
-    metrics.count('dependencies.lost', {dependency: toTag(dependency)}),
-  'duty-holder-changed': (metrics, {isSelf}) =>
-    metrics.count('duties.taken', {holder: isSelf === true ? 'self' : 'other'}),
-  'lines-dropped': (metrics, {count}) =>
-    metrics.count('logs.dropped', {}, toMs(count)),
-};
+const MEASURES: ReadonlyMap<EventName, Measure> = new Map<EventName, Measure>([
+  ['request-finished', measureFinished],
+  ['attempt-ended', measureAttempt],
+  ['ask-decided', measureDecision],
+  ['engine-ordered', measureOrder],
+  [
+    'dependency-lost',
+    (metrics, {dependency}) =>
+      metrics.count('dependencies.lost', {dependency: toTag(dependency)}),
+  ],
+  [
+    'duty-holder-changed',
+    (metrics, {isSelf}) =>
+      metrics.count('duties.taken', {
+        holder: isSelf === true ? 'self' : 'other',
+      }),
+  ],
+  [
+    'lines-dropped',
+    (metrics, {count}) => metrics.count('logs.dropped', {}, toMs(count)),
+  ],
+]);
 
 /** Measures each event, then logs it, whether or not the line is written. */
 export class MeasuringEventLogger implements EventLogger {
@@ -51,11 +44,46 @@
   ) {}
 
   log<N extends EventName>(name: N, fields: EventFields<N>): void {
-    MEASURES[name]?.(this.metrics, fields as Fields);
+    MEASURES.get(name)?.(this.metrics, fields);
     this.inner.log(name, fields);
   }
 }
 
+function measureFinished(
+  metrics: Metrics,
+  {result, kind, tookMs}: Fields,
+): void {
+  const named = toTag(result);
+  metrics.count('answers.finished', {result: named, kind: toTag(kind)});
+  metrics.timing('answers.duration', toMs(tookMs), {result: named});
+}
+
+function measureAttempt(
+  metrics: Metrics,
+  {outcome, next, headMs}: Fields,
+): void {
+  metrics.count('attempts.ended', {outcome: toTag(outcome), next: toTag(next)});
+  if (typeof headMs === 'number') metrics.timing('attempts.head', headMs, {});
+}
+
+function measureDecision(
+  metrics: Metrics,
+  {decision, reason, waitedMs}: Fields,
+): void {
+  const named = toTag(decision);
+  metrics.count('schedule.decided', {decision: named, reason: toTag(reason)});
+  metrics.timing('schedule.waited', toMs(waitedMs), {decision: named});
+}
+
+function measureOrder(
+  metrics: Metrics,
+  {operation, outcome, tookMs}: Fields,
+): void {
+  const named = toTag(operation);
+  metrics.count('orders.sent', {operation: named, outcome: toTag(outcome)});
+  metrics.timing('orders.duration', toMs(tookMs), {operation: named});
+}
+
 function toTag(value: FieldValue): string {
   return typeof value === 'string' ? value : '';
 }
