Explain a request by the logs of all nodes

Cause: an on-call engineer had to search the logs of eight nodes for one id and put the lines together by hand.

Change: `mimosatack explain REQUEST_ID LOG...` with `--json`: the verdict, its own lines and what happened meanwhile to the nodes, servers and engines that it met. Half lines are counted and left out; an unknown id ends with 1.

--- a/packages/cli/src/docs.test.ts
+++ b/packages/cli/src/docs.test.ts
@@ -4,17 +4,25 @@
 import {EXIT_CODES, findSyntaxError} from './index.js';
 import {createContext, runWith} from './testing_fixture.js';
 
-const PAGES = new URL('../../../docs/operators/', import.meta.url);
+const DOCS = new URL('../../../docs/', import.meta.url);
+const PAGES = new URL('operators/', DOCS);
 const TOOL = 'mimosatack ';
 
 /** Every line of the shell blocks in the pages that runs the tool. */
 function listCommandLines(): {page: string; argv: string[]}[] {
-  return readdirSync(PAGES)
-    .filter(page => page.endsWith('.md'))
+  const pages = [
+    ...readdirSync(PAGES).map(page => new URL(page, PAGES)),
+    new URL('OPERATIONS.md', DOCS),
+  ];
+  return pages
+    .filter(({pathname}) => pathname.endsWith('.md'))
     .flatMap(page =>
-      listShellLines(readFileSync(new URL(page, PAGES), 'utf8'))
+      listShellLines(readFileSync(page, 'utf8'))
         .filter(line => line.startsWith(TOOL))
-        .map(line => ({page, argv: toArgv(line.slice(TOOL.length))})),
+        .map(line => ({
+          page: page.pathname,
+          argv: toArgv(line.slice(TOOL.length)),
+        })),
     );
 }
 
--- a/packages/cli/src/run_tool.test.ts
+++ b/packages/cli/src/run_tool.test.ts
@@ -254,4 +254,34 @@
   );
 });
 
+const explaining = suite('explaining requests');
+
+const LOG = {
+  'entry-1.log': JSON.stringify({
+    ...{time: '2026-03-01T18:00:00.000Z', nodeName: 'entry-1'},
+    ...{eventName: 'request-finished', requestId: 'r1', result: 'refused'},
+    ...{kind: 'not-found', reason: 'No route takes it.'},
+  }),
+};
+
+explaining('a request that a log names is explained', async () => {
+  const argv = ['explain', 'r1', 'entry-1.log'];
+  const {exitCode, stdout} = await runWith(argv, LOG);
+  assert.is(exitCode, EXIT_CODES.ok);
+  assert.match(stdout, /Cause: entry-1 refused it .*No route takes it/);
+  const json = await runWith([...argv, '--json'], LOG);
+  const told = JSON.parse(json.stdout) as {verdict: {result: string}};
+  assert.is(told.verdict.result, 'refused');
+});
+
+explaining('an unknown request and an unreadable log are told', async () => {
+  const unknown = await runWith(['explain', 'r2', 'entry-1.log'], LOG);
+  assert.is(unknown.exitCode, EXIT_CODES.refused);
+  assert.match(unknown.stdout, /No line names r2/);
+  const missing = await runWith(['explain', 'r1', 'entry-9.log'], LOG);
+  assert.is.not(missing.exitCode, EXIT_CODES.ok);
+  assert.match(missing.stderr, /entry-9\.log/);
+});
+
 docs.run();
+explaining.run();
--- a/packages/cli/src/run_tool.ts
+++ b/packages/cli/src/run_tool.ts
@@ -7,6 +7,7 @@
 import {HelpCommand} from './commands/help_command.js';
 import {HOST_COMMANDS} from './commands/host/index.js';
 import {REPLICA_COMMANDS} from './commands/replica/index.js';
+import {EXPLAIN_COMMANDS} from './commands/explain/index.js';
 import {SETTINGS_COMMANDS} from './commands/settings/index.js';
 import {STATUS_COMMANDS} from './commands/status/index.js';
 import {TEAM_COMMANDS} from './commands/team/index.js';
@@ -63,6 +64,7 @@
     ...AUDIT_COMMANDS,
     ...STATUS_COMMANDS,
     ...SETTINGS_COMMANDS,
+    ...EXPLAIN_COMMANDS,
   ].forEach(command => cli.register(command));
   return cli;
 }
--- /dev/null
+++ b/packages/explain-request/src/explain_request.test.ts
@@ -0,0 +1,128 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {explainRequest, formatExplanation, parseLog} from './index.js';
+
+const test = suite('explaining a request');
+
+const START_MS = Date.parse('2026-03-01T18:00:00.000Z');
+
+function writeLine(
+  nodeName: string,
+  afterMs: number,
+  eventName: string,
+  fields: Readonly<Record<string, unknown>> = {},
+): string {
+  const time = new Date(START_MS + afterMs).toISOString();
+  return JSON.stringify({nodeName, time, eventName, ...fields});
+}
+
+function explain(requestId: string, ...rows: string[]) {
+  const explanation = explainRequest(
+    requestId,
+    parseLog(rows.join('\n')).lines,
+  );
+  if (!explanation) throw new Error('No line names the request.');
+  return explanation;
+}
+
+const sentTo = (server: string, requestId = 'r1') =>
+  writeLine('entry-1', 0, 'request-sent', {
+    ...{requestId, backendServerId: server, attempt: 1},
+  });
+
+/*
+ * A burst of requests for models that are not loaded: the node that schedules
+ * refuses one since no engine will be free in time. Its lines are in the log
+ * of another node than the one that the caller spoke with.
+ */
+test('names why the node that schedules refused', () => {
+  const {verdict, own, related} = explain(
+    'r1',
+    writeLine('entry-2', 900, 'ask-decided', {
+      ...{requestId: 'r1', decision: 'refuse', reason: 'no-room'},
+      ...{model: 'm7', waitedMs: 900, waiting: 12},
+    }),
+    writeLine('entry-1', 902, 'request-finished', {
+      ...{requestId: 'r1', result: 'refused', kind: 'not-warm'},
+    }),
+    writeLine('entry-2', 400, 'engine-ordered', {
+      ...{backendServerId: 'e1', model: 'm7', outcome: 'conflict'},
+    }),
+    writeLine('entry-2', 400, 'engine-ordered', {
+      ...{backendServerId: 'e1', model: 'm8', outcome: 'accepted'},
+    }),
+  );
+  assert.is(verdict.result, 'refused');
+  assert.match(verdict.cause, /entry-2.*no engine had room/);
+  assert.is(own.length, 2);
+  assert.is(related.length, 1);
+});
+
+test('names the server that left under a request', () => {
+  const {verdict} = explain(
+    'r1',
+    sentTo('e1'),
+    writeLine('entry-1', 500, 'attempt-ended', {
+      ...{requestId: 'r1', backendServerId: 'e1', outcome: 'broken'},
+      error: 'The connection broke.',
+    }),
+    writeLine('entry-1', 501, 'request-finished', {
+      ...{requestId: 'r1', result: 'broken-off'},
+    }),
+    writeLine('entry-1', 1_900, 'server-changed', {
+      ...{backendServerId: 'e1', state: 'gone'},
+    }),
+  );
+  assert.is(verdict.result, 'broken-off');
+  assert.match(verdict.cause, /e1 was gone/);
+});
+
+test('names a node that was killed', () => {
+  const {verdict} = explain(
+    'r1',
+    sentTo('e1'),
+    writeLine('entry-1', 1_500, 'node-started', {incarnation: 'b'}),
+  );
+  assert.is(verdict.result, 'unfinished');
+  assert.match(verdict.cause, /entry-1 ended/);
+});
+
+test('says where a request was when its caller left', () => {
+  const {verdict} = explain(
+    'r1',
+    sentTo('e1'),
+    writeLine('entry-1', 2_400, 'attempt-ended', {
+      ...{requestId: 'r1', backendServerId: 'e1', outcome: 'aborted'},
+      headMs: null,
+    }),
+    writeLine('entry-1', 2_400, 'request-finished', {
+      ...{requestId: 'r1', result: 'caller-gone', tookMs: 2_400},
+    }),
+  );
+  assert.match(verdict.cause, /2400 ms; e1 had not begun/);
+});
+
+/*
+ * A node was killed in the middle of a line, and a collector put its own words
+ * before each. Neither may hide what the other lines tell.
+ */
+test('half a line is counted and left out', () => {
+  const whole = sentTo('e1');
+  const {lines, skipped} = parseLog(
+    [`18:00 host-1 ${whole}`, whole.slice(0, 40), 'no line at all'].join('\n'),
+  );
+  assert.is(lines.length, 1);
+  assert.is(skipped, 1);
+});
+
+test('an unknown request is told apart', () => {
+  assert.is(explainRequest('r2', parseLog(sentTo('e1')).lines), null);
+});
+
+test('what people read begins with the cause', () => {
+  const text = formatExplanation(explain('r1', sentTo('e1')));
+  assert.match(text, /^Request r1: unfinished\nCause: /);
+  assert.match(text, /0 ms {2}entry-1 {2}request-sent/);
+});
+
+test.run();
