Schedule on while the duty can not be handed over

It stopped scheduling before its hand-over was written, the write failed, and all others still heard it and sent it their requests: 293 callers left without any server having been asked.

Ruled out: naming the next holder without the store, whose token an engine would not take for newer; others taking the duty from a node that they hear.

Change: it schedules on until another node stands in the record, tries again every 200 ms, and stays for most of the time that a stop may take; a node that does not schedule says so to whoever asks, and that one chooses by itself. The time kept for an orderly end is longer than the notice to callers that are cut off, which it was not.

Two of three new tests of the duty failed before.

--- a/packages/hold-duty/src/duty_task.ts
+++ b/packages/hold-duty/src/duty_task.ts
@@ -176,19 +176,27 @@
   }
 
   /**
-   * Gives the duty to another node; this one must have stopped to act on it.
-   * Resolves when the record is written, or can't be.
+   * Gives the duty to another node; this one must not order meanwhile. Resolves
+   * with whether the record is known to be written: without an answer it may
+   * be written all the same, and is then read back.
    */
-  async handOver(successor: Omit<DutyHolder, 'token'>): Promise<void> {
-    if (!this.isHeld) return;
+  async handOver(successor: Omit<DutyHolder, 'token'>): Promise<boolean> {
+    if (!this.isHeld) return false;
     const {topic, key, onLost} = this.options;
     const value = DutyHolderCodec.encode({...successor, token: 0});
     try {
-      await topic.append([{key, value}], {atOffset: this.table.endOffset});
+      const outcome = await topic.append([{key, value}], {
+        atOffset: this.table.endOffset,
+      });
+      if (outcome.status === 'appended') {
+        this.noteHolder({...successor, token: outcome.offset + 1});
+        return true;
+      }
+      this.follower.refresh();
     } catch (thrown) {
-      // The others find this node gone and claim the duty by themselves.
       onLost(toTypedError(thrown));
     }
+    return false;
   }
 
   private scheduleTick(): void {
--- a/packages/keyed-store/src/memory_keyed_topic.ts
+++ b/packages/keyed-store/src/memory_keyed_topic.ts
@@ -101,15 +101,20 @@
 
   private wait(signal?: AbortSignal): Promise<void> {
     return new Promise((resolve, reject) => {
-      const wake = () => {
+      const leave = () => {
         this.waiters.delete(wake);
+        signal?.removeEventListener('abort', giveUp);
+      };
+      const wake = () => {
+        leave();
         resolve();
       };
-      this.waiters.add(wake);
-      signal?.addEventListener('abort', () => {
-        this.waiters.delete(wake);
+      const giveUp = () => {
+        leave();
         reject(makeUnavailable());
-      });
+      };
+      this.waiters.add(wake);
+      signal?.addEventListener('abort', giveUp);
     });
   }
 
--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -59,6 +59,8 @@
     reason: z.enum(['unknown-model', 'weights-remote', 'no-room']),
     retryAfterMs: z.number(),
   }),
+  /** This node does not schedule, whatever the other one has heard. */
+  z.object({type: z.literal('not-scheduling'), askId: z.string()}),
 ]);
 
 /** A request as it is told to the node that schedules. */
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -77,6 +77,10 @@
       opened?.settle({status: 'refused', error: makeRefusal(message)});
       return;
     }
+    if (message.type === 'not-scheduling') {
+      if (opened) this.orphan(opened);
+      return;
+    }
     const {askId, engineId} = message;
     const server = this.options.findServer(engineId);
     if (opened && server) return this.assign(opened, server);
@@ -86,10 +90,7 @@
 
   /** Nobody schedules any more: what waits is chosen for here. */
   loseHolder(): void {
-    [...this.open.values()].forEach(opened => {
-      opened.isHeard = false;
-      this.chooseHere(opened);
-    });
+    [...this.open.values()].forEach(opened => this.orphan(opened));
   }
 
   /** Tells a node that has just taken over what is under way here. */
@@ -161,6 +162,11 @@
     }
   }
 
+  private orphan(opened: OpenAsk): void {
+    opened.isHeard = false;
+    this.chooseHere(opened);
+  }
+
   private chooseHere(opened: OpenAsk): void {
     const {local, clock} = this.options;
     void local.choose(opened.ask).then(choice => {
--- /dev/null
+++ b/packages/serving-node/src/describe_self.ts
@@ -0,0 +1,18 @@
+/** What a node tells others of itself. */
+import {randomUUID} from 'node:crypto';
+import {type KnownNode} from '@mimosatack/node-links';
+import {formatAddress} from '@mimosatack/types';
+import {type NodeSettings} from './node_settings.js';
+
+const INCARNATION_LENGTH = 8;
+
+/** Each life of a process has another incarnation. */
+export function describeSelf(settings: NodeSettings): KnownNode {
+  return {
+    nodeName: settings.nodeName,
+    incarnation: randomUUID().slice(0, INCARNATION_LENGTH),
+    peerAddress: formatAddress(settings.peerAddress),
+    callerAddress: settings.callerAddress,
+    failureDomain: settings.failureDomain,
+  };
+}
--- /dev/null
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -0,0 +1,138 @@
+import {ManualClock} from '@mimosatack/clock';
+import {settle} from '@mimosatack/fakes';
+import {MemoryKeyedTopic} from '@mimosatack/keyed-store';
+import {MemoryEventLogger} from '@mimosatack/logger';
+import {SeededRandom} from '@mimosatack/random';
+import {type FromHolder, type ToHolder} from '@mimosatack/schedule-service';
+import {
+  type BackendServerEntry,
+  type EngineSpec,
+  type ServiceSpec,
+} from '@mimosatack/types';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {SchedulingDuty} from './scheduling_duty.js';
+
+const test = suite('scheduling as a duty');
+
+const SUCCESSOR = {nodeName: 'b', incarnation: 'b.1', address: 'b:1'};
+
+const ENGINE: EngineSpec = {
+  ...{slots: 8, cacheCapacityTokens: 100_000, memoryMb: 230_000},
+  ...{adapterSlots: 8, hostMemoryMb: 0, diskMb: 0, storeLoadsPerSecond: 1},
+  ...{tokensPerEvent: 1, canMoveRuns: false, canBackUpRuns: false},
+  models: [
+    {
+      ...{model: 'm0', memoryMb: 70_000, storeLoadMs: 6_000, diskLoadMs: 600},
+      ...{hostMemoryLoadMs: 500, adapterCount: 0, adapterMb: 0},
+    },
+  ],
+};
+
+const SERVICE: ServiceSpec = {
+  ...{name: 'writers', healthPath: '/health', maxConnections: 10},
+  engine: ENGINE,
+};
+
+const SERVER: BackendServerEntry = {
+  ...{id: 'e1', service: 'writers', address: {ip: '127.0.0.1', port: 1}},
+  ...{failureDomain: 'a', slots: 8, state: 'ready', leavesInMs: null},
+  residents: [{model: 'm0', version: 1, adapters: []}],
+  near: {inHostMemory: [], onDisk: []},
+};
+
+function makeAsk(askId: string): ToHolder {
+  return {
+    type: 'ask',
+    ask: {
+      ...{askId, requestId: askId, service: 'writers', model: 'm0'},
+      ...{adapter: null, promptTokens: 10, outputTokens: 10, priority: 0},
+      ...{waitedMs: 0, dueInMs: 500, endsInMs: 2_000},
+      ...{excluded: [], allowed: null},
+    },
+  };
+}
+
+async function startDuty() {
+  const clock = new ManualClock();
+  const topic = new MemoryKeyedTopic();
+  const sent: FromHolder[] = [];
+  const duty: SchedulingDuty = new SchedulingDuty({
+    clock,
+    logger: new MemoryEventLogger(),
+    duty: {
+      ...{topic, random: new SeededRandom(1), key: 'scheduler'},
+      self: {nodeName: 'a', incarnation: 'a.1', address: 'a:1'},
+      contactWith: () => 'alive',
+      findRank: () => 0,
+      isHeardByOthers: () => false,
+      ...{isFenced: true, leaseMs: 3_000},
+      isEligible: () => true,
+      onLost: () => undefined,
+      onRegained: () => undefined,
+    },
+    orders: {
+      send: () => Promise.resolve('refused'),
+      readReport: () => Promise.resolve(null),
+    },
+    send: (_address, message) => sent.push(message),
+    listServices: () => [SERVICE],
+    listServers: () => [SERVER],
+    onHolder: () => undefined,
+  });
+  duty.start();
+  const pass = async (ms: number) => {
+    for (let passed = 0; passed < ms; passed += 50) {
+      clock.advance(50);
+      await settle();
+    }
+  };
+  await pass(500);
+  assert.ok(duty.isHeld);
+  const ask = async (askId: string) => {
+    duty.receive('b:1', makeAsk(askId));
+    await settle();
+    return sent.find(message => message.askId === askId)?.type;
+  };
+  return {topic, duty, pass, ask};
+}
+
+/*
+ * The node that schedules is stopped as planned while the store is down. Its
+ * duty can't be given away, and all others still hear it: requests for models
+ * that they send it must go on being scheduled, or they wait until their
+ * callers leave.
+ */
+test('schedules on while the duty can not be handed over', async () => {
+  const {topic, duty, pass, ask} = await startDuty();
+  topic.isDown = true;
+  let isOver = false;
+  void duty.handOver(() => SUCCESSOR).then(() => (isOver = true));
+  await pass(1_000);
+  assert.is(await ask('r1'), 'assigned');
+  assert.not(isOver);
+  topic.isDown = false;
+  await pass(1_000);
+  assert.ok(isOver);
+  assert.not(duty.isHeld);
+  assert.is(duty.holder?.nodeName, 'b');
+});
+
+/*
+ * Another node has the duty already, and a node that has not heard of it still
+ * sends its requests here. Told so at once, it chooses by itself.
+ */
+test('says at once when it does not schedule', async () => {
+  const {duty, pass, ask} = await startDuty();
+  await duty.handOver(() => SUCCESSOR);
+  await pass(100);
+  assert.is(await ask('r1'), 'not-scheduling');
+});
+
+test('ends a hand-over when there is nobody to take it', async () => {
+  const {duty, ask} = await startDuty();
+  await duty.handOver(() => null);
+  assert.is(await ask('r1'), 'assigned');
+});
+
+test.run();
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -1,5 +1,5 @@
 /** The duty of scheduling for all nodes, and the work that comes with it. */
-import {type Clock} from '@mimosatack/clock';
+import {type Clock, sleep} from '@mimosatack/clock';
 import {
   type DutyHolder,
   DutyTask,
@@ -30,10 +30,14 @@
   onHolder: (holder: DutyHolder | null, isSelf: boolean) => void;
 }
 
+/** A stop takes some seconds at most, so that this is soon enough. */
+const HAND_OVER_RETRY_MS = 200;
+
 /** Schedules while this node holds the duty, and only then. */
 export class SchedulingDuty {
   private readonly task: DutyTask;
   private host: SchedulingHost | null = null;
+  private isGivingAway = false;
 
   constructor(private readonly options: SchedulingDutyOptions) {
     this.task = new DutyTask({
@@ -63,11 +67,24 @@
     this.task.noteHolder(holder);
   }
 
-  /** Before all else of a stop, so that no request waits for a new holder. */
-  async handOver(successor: Successor | null): Promise<void> {
-    if (!this.task.isHeld || !successor) return;
-    this.stopHost();
-    await this.task.handOver(successor);
+  /**
+   * Gives the duty away; resolves once that is done, or nobody can take it.
+   *
+   * Guards against requests that wait until their callers leave: while the
+   * store can't be reached the duty stays here, and all other nodes go on
+   * sending their requests to this one. So it schedules on until another node
+   * stands in the record, and tries again.
+   */
+  async handOver(findSuccessor: () => Successor | null): Promise<void> {
+    while (this.task.isHeld) {
+      const successor = findSuccessor();
+      if (!successor) return;
+      // An order on its way could arrive behind the successor's first one.
+      this.isGivingAway = true;
+      const isDone = await this.task.handOver(successor);
+      this.isGivingAway = false;
+      if (!isDone) await sleep(this.options.clock, HAND_OVER_RETRY_MS);
+    }
   }
 
   configure(services: readonly ServiceSpec[]): void {
@@ -83,7 +100,12 @@
   }
 
   receive(nodeAddress: string, message: ToHolder): void {
-    this.host?.receive(nodeAddress, message);
+    if (this.host) {
+      this.host.receive(nodeAddress, message);
+    } else if (message.type === 'ask') {
+      const {askId} = message.ask;
+      this.options.send(nodeAddress, {type: 'not-scheduling', askId});
+    }
   }
 
   private takeHolder(holder: DutyHolder | null): void {
@@ -104,7 +126,7 @@
       this.options;
     const host = new SchedulingHost({
       ...{clock, logger, orders, send, policy: new BatchWorthPolicy()},
-      authority: () => this.task.findAuthority(),
+      authority: () => (this.isGivingAway ? null : this.task.findAuthority()),
       onFenced: fencingToken => {
         logger.log('duty-lost', {fencingToken});
         this.task.refresh();
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -1,8 +1,7 @@
 /** One node: its tasks and its listeners, wired together. */
-import {randomUUID} from 'node:crypto';
 import {type BackendConnections} from '@mimosatack/backend-connections';
 import {CallerEdge} from '@mimosatack/caller-edge';
-import {type Clock} from '@mimosatack/clock';
+import {type Clock, sleep} from '@mimosatack/clock';
 import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {type DutyHolder} from '@mimosatack/hold-duty';
@@ -21,9 +20,10 @@
   RequestPipeline,
   RetryAllowance,
 } from '@mimosatack/serve-requests';
-import {type ServingConfiguration, formatAddress} from '@mimosatack/types';
+import {type ServingConfiguration} from '@mimosatack/types';
 import {ConfigurationFollower} from './configuration_follower.js';
 import {EntryPoints} from './entry_points.js';
+import {describeSelf} from './describe_self.js';
 import {NodeRegister} from './node_register.js';
 import {type NodeSettings} from './node_settings.js';
 import {type PlatformAdapter} from './platform_adapter.js';
@@ -50,8 +50,13 @@
  * directory again after 1.5 s, and requests sent within 3 s have to be served.
  */
 const TELL_CALLERS_MS = 2_500;
-/** Kept from the time that a stop may take, to end in order. */
-const END_MARGIN_MS = 400;
+/**
+ * Kept from the time that a stop may take, to end in order: callers that are
+ * cut off get 500 ms to hear of it, and timers are late on a busy host.
+ */
+const END_MARGIN_MS = 900;
+/** Part of what is left of a stop in which the duty may still be given away. */
+const LEAVE_PART = 0.8;
 const EXPIRY_INTERVAL_MS = 1_000;
 
 /** A node of the system, before backend servers that it does not run. */
@@ -72,10 +77,12 @@
   private greetedHolder = '';
   private readonly gate: DrainGate;
   private readonly shutdown: ShutdownTask;
+  private handedOver: Promise<void> = Promise.resolve();
+  private stopRequestedAtMs = 0;
 
   constructor(private readonly options: ServingNodeOptions) {
     const {clock, settings} = options;
-    this.self = makeSelf(settings);
+    this.self = describeSelf(settings);
     this.startedAtMs = clock.monotonicMs();
     this.connections = options.connections;
     this.configuration = this.makeConfiguration();
@@ -135,6 +142,7 @@
 
   /** Begins a graceful shutdown; a second call ends it at once. */
   requestStop(signal: string): void {
+    this.stopRequestedAtMs = this.options.clock.monotonicMs();
     this.shutdown.requestStop(signal);
   }
 
@@ -148,10 +156,12 @@
         abortStart: () => undefined,
         announce: () => {
           this.edge.closeIdle();
-          void this.duty.handOver(this.links.findSuccessor());
+          this.handedOver = this.duty.handOver(() =>
+            this.links.findSuccessor(),
+          );
           clock.setTimer(TELL_CALLERS_MS, () => this.edge.stopListening());
         },
-        handOver: () => this.register.leave(),
+        handOver: () => this.leave(),
         close: async () => this.edge.closeAll(),
       },
     });
@@ -173,6 +183,15 @@
     return metrics.format();
   }
 
+  /** Schedules for the others while nobody can take that over. */
+  private async leave(): Promise<void> {
+    const {clock, settings} = this.options;
+    const usedMs = clock.monotonicMs() - this.stopRequestedAtMs;
+    const leftMs = settings.graceMs - END_MARGIN_MS - usedMs;
+    await Promise.race([this.handedOver, sleep(clock, LEAVE_PART * leftMs)]);
+    await this.register.leave();
+  }
+
   private get isServing(): boolean {
     return (
       !this.shutdown.isStopping &&
@@ -374,13 +393,3 @@
     });
   }
 }
-
-function makeSelf(settings: NodeSettings): KnownNode {
-  return {
-    nodeName: settings.nodeName,
-    incarnation: randomUUID().slice(0, 8),
-    peerAddress: formatAddress(settings.peerAddress),
-    callerAddress: settings.callerAddress,
-    failureDomain: settings.failureDomain,
-  };
-}
