Prove the lease by promises of all nodes while the store is down

And a lease outlived a suspension of the host, in which the monotonic clock stands still.

Ruled out: ordering on without proof, which two nodes may then do; a majority of nodes, which would be a consensus group: here every known node has to promise, and the record in the store alone names the holder.

Change: heartbeats promise not to claim for 1.5 s, counted from a time that the holder told, so that an old one proves nothing; a node does not claim before its promise ends; the lease holds while all registered nodes have promised. When the time of day has run away from the monotonic clock, all proofs are in doubt.

--- a/packages/clock/src/manual_clock.ts
+++ b/packages/clock/src/manual_clock.ts
@@ -13,7 +13,7 @@
   private pending: PendingTimer[] = [];
 
   /** @param startWallMs the wall-clock time at which the clock begins. */
-  constructor(private readonly startWallMs = 0) {}
+  constructor(private startWallMs = 0) {}
 
   wallMs(): number {
     return this.startWallMs + this.elapsedMs;
@@ -37,6 +37,11 @@
     };
   }
 
+  /** As while a host is suspended: only the time of day goes on. */
+  suspend(deltaMs: number): void {
+    this.startWallMs += deltaMs;
+  }
+
   /** Moves time on by `deltaMs`, firing the timers that fall due, in order. */
   advance(deltaMs: number): void {
     const targetMs = this.elapsedMs + deltaMs;
--- a/packages/hold-duty/src/duty_task.test.ts
+++ b/packages/hold-duty/src/duty_task.test.ts
@@ -16,6 +16,7 @@
 const test = suite('holding a duty');
 
 const LEASE_MS = 3_000;
+const PROMISE_MS = 1_500;
 
 /** One node's way to the topic, which a test cuts. */
 class Way implements KeyedTopic {
@@ -51,18 +52,36 @@
   task: DutyTask;
   way: Way;
   contact: HolderContact;
+  /** Whether its heartbeats reach the holder, with its promises. */
+  isPromising: boolean;
+  promiseEndsAtMs: number;
 }
 
 function makeNode(
   name: string,
   rank: number,
-  setup: {clock: ManualClock; topic: MemoryKeyedTopic; isFenced: boolean},
+  setup: {
+    clock: ManualClock;
+    topic: MemoryKeyedTopic;
+    isFenced: boolean;
+    nodes: TestNode[];
+  },
 ): TestNode {
-  const {clock, topic, isFenced} = setup;
+  const {clock, topic, isFenced, nodes} = setup;
+  const findGrantEnd = (self: TestNode, sinceMs: number) =>
+    Math.min(
+      ...nodes
+        .filter(other => other !== self)
+        .map(({promiseEndsAtMs}) =>
+          promiseEndsAtMs - PROMISE_MS > sinceMs ? promiseEndsAtMs : -Infinity,
+        ),
+    );
   const way = new Way(topic);
   const node: TestNode = {
     ...{name, way},
     contact: 'alive',
+    isPromising: false,
+    promiseEndsAtMs: -Infinity,
     task: new DutyTask({
       ...{clock, isFenced, topic: way, random: new SeededRandom(rank + 1)},
       key: 'scheduler',
@@ -70,6 +89,8 @@
       contactWith: () => (node.task.isHeld ? 'alive' : node.contact),
       findRank: () => rank,
       isHeardByOthers: () => false,
+      promisedUntilMs: () => node.promiseEndsAtMs,
+      grantedUntilMs: (_token, sinceMs) => findGrantEnd(node, sinceMs),
       leaseMs: LEASE_MS,
       isEligible: () => true,
       onHolder: () => undefined,
@@ -86,13 +107,21 @@
   clock = new ManualClock(),
 ) {
   const topic = new MemoryKeyedTopic();
-  const nodes = names.map((name, rank) =>
-    makeNode(name, rank, {clock, topic, isFenced}),
+  const nodes: TestNode[] = [];
+  names.forEach((name, rank) =>
+    nodes.push(makeNode(name, rank, {clock, topic, isFenced, nodes})),
   );
+  const sendPromises = () =>
+    nodes
+      .filter(node => node.isPromising && node.contact === 'alive')
+      .forEach(
+        node => (node.promiseEndsAtMs = clock.monotonicMs() + PROMISE_MS),
+      );
   nodes.forEach(({task}) => task.start());
   const pass = async (ms: number) => {
     for (let passed = 0; passed < ms; passed += 50) {
       clock.advance(50);
+      sendPromises();
       await settle();
     }
   };
@@ -235,6 +264,55 @@
   stop();
 });
 
+/*
+ * The store is down for all. Nobody can take the duty over, and the other
+ * nodes say so with every heartbeat: models go on being swapped. As soon as one
+ * of them is not heard any more, it may have claimed, and the orders stop.
+ */
+test('without fences the promises of all others prove the lease', async () => {
+  const {topic, nodes, holders, pass, stop} = startNodes(['a', 'b'], false);
+  await pass(2_000);
+  pick(nodes, 'b').isPromising = true;
+  await pass(100);
+  topic.isDown = true;
+  await pass(10_000);
+  assert.equal(holders(), ['a']);
+  pick(nodes, 'b').isPromising = false;
+  await pass(PROMISE_MS + 100);
+  assert.equal(holders(), []);
+  stop();
+});
+
+test('a node that has promised claims only after that', async () => {
+  const {clock, nodes, pass, stop} = startNodes(['a', 'b'], false);
+  await pass(2_000);
+  const second = pick(nodes, 'b');
+  second.promiseEndsAtMs = clock.monotonicMs() + 5_000;
+  second.contact = 'silent';
+  await pass(4_500);
+  assert.is(second.task.holder?.nodeName, 'a');
+  await pass(1_500);
+  assert.is(second.task.holder?.nodeName, 'b');
+  stop();
+});
+
+/*
+ * The holder's host is suspended for ten seconds. Its monotonic clock has not
+ * moved, so its lease seems to hold; meanwhile another node orders.
+ */
+test('without fences a lease is in doubt after a suspension', async () => {
+  const {clock, nodes, holders, pass, stop} = startNodes(['a', 'b'], false);
+  await pass(2_000);
+  pick(nodes, 'b').isPromising = true;
+  await pass(200);
+  assert.equal(holders(), ['a']);
+  clock.suspend(10_000);
+  assert.equal(holders(), []);
+  await pass(2_000);
+  assert.equal(holders(), ['a']);
+  stop();
+});
+
 const STEP_KINDS = [
   'gone',
   'alive',
@@ -245,6 +323,9 @@
   'lost',
   'late',
   'release',
+  'promise',
+  'mute',
+  'suspend',
 ] as const;
 
 /** What happens to a node or to the store. */
@@ -282,6 +363,9 @@
     if (kind === 'alive' && node) node.contact = 'alive';
     if (kind === 'cut' && node) node.way.isCut = true;
     if (kind === 'heal' && node) node.way.isCut = false;
+    if (kind === 'promise' && node) node.isPromising = true;
+    if (kind === 'mute' && node) node.isPromising = false;
+    if (kind === 'suspend') started.clock.suspend(4_000);
     if (kind === 'down') topic.isDown = true;
     if (kind === 'up') topic.isDown = false;
     if (kind === 'lost' || kind === 'late') topic.appendFault = kind;
--- a/packages/hold-duty/src/duty_task.ts
+++ b/packages/hold-duty/src/duty_task.ts
@@ -18,6 +18,7 @@
 } from '@mimosatack/keyed-store';
 import {type RandomSource} from '@mimosatack/random';
 import {type HolderContact, decideClaim} from './decide_claim.js';
+import {SuspensionWatch} from './suspension_watch.js';
 
 export {type HolderContact} from './decide_claim.js';
 
@@ -64,6 +65,14 @@
   /** How many live nodes claim before this one. */
   findRank: () => number;
   isHeardByOthers: () => boolean;
+  /** Until when this node has promised the holder not to claim. */
+  promisedUntilMs: () => number;
+  /**
+   * Until when all other nodes have promised the holder of a token not to
+   * claim; promises that came before `sinceMs` do not count. Minus infinity
+   * when there is no other node, or one that has not promised.
+   */
+  grantedUntilMs: (token: number, sinceMs: number) => number;
   /**
    * Whether those that are ordered refuse an old fencing token. Where they do
    * not, the holder has to prove its lease again and again.
@@ -111,14 +120,17 @@
   private claimAtMs = -Infinity;
   /** Proved by the store until then; only used without fences. */
   private leaseEndsAtMs = -Infinity;
+  private leaseProvedAtMs = -Infinity;
   /** Earlier, orders of the last holder may still arrive. */
   private ordersFromMs = -Infinity;
   private isClaiming = false;
   private isStopped = false;
+  private readonly suspension: SuspensionWatch;
 
   constructor(private readonly options: DutyTaskOptions) {
     const {clock, random, topic} = options;
     this.contactSinceMs = clock.monotonicMs();
+    this.suspension = new SuspensionWatch(clock);
     this.follower = new KeyedFollower({
       ...{clock, random, topic, table: this.table},
       waitMs: () => WAIT_MS,
@@ -148,12 +160,29 @@
     const {clock, isFenced} = this.options;
     if (!this.current || !this.isHeld) return null;
     const nowMs = clock.monotonicMs();
-    if (!isFenced && nowMs >= this.leaseEndsAtMs) return null;
+    if (!isFenced && nowMs >= this.findProvedUntilMs(this.current)) return null;
     if (nowMs < this.ordersFromMs) return null;
     const {nodeName, token} = this.current;
     return {holder: nodeName, fencingToken: token};
   }
 
+  /**
+   * Until when no other node can order. The store proves it by taking a
+   * renewal. While it can't be reached nobody can claim through it either, but
+   * this node alone can't tell that from being cut off; so the other nodes
+   * promise with their heartbeats not to claim for a while. A node that is not
+   * known yet claims only when it hears neither this one nor any that does.
+   */
+  private findProvedUntilMs({token}: DutyHolder): number {
+    const trustedSinceMs = this.suspension.look();
+    const leaseEndsAtMs =
+      this.leaseProvedAtMs > trustedSinceMs ? this.leaseEndsAtMs : -Infinity;
+    return Math.max(
+      leaseEndsAtMs,
+      this.options.grantedUntilMs(token, trustedSinceMs),
+    );
+  }
+
   /** Reads the record at once, since a change may have been missed. */
   refresh(): void {
     this.follower.refresh();
@@ -214,6 +243,9 @@
     const isReadable = this.follower.isReachable;
     if (!isReadable || this.isClaiming || nowMs < this.claimAtMs) return;
     if (!isEligible()) return;
+    // A promise to a process that has ended binds nobody.
+    const isBound = nowMs < this.options.promisedUntilMs();
+    if (isBound && this.contact !== 'gone' && !this.isHeld) return;
     const isDue = decideClaim({
       holder: this.current && {
         isSelf: this.isHeld,
@@ -253,6 +285,7 @@
         atOffset: this.table.endOffset,
       });
       if (outcome.status === 'appended') {
+        this.leaseProvedAtMs = sentAtMs;
         this.leaseEndsAtMs = sentAtMs + PROVED_PART * this.options.leaseMs;
         this.noteHolder({...self, token: outcome.offset + 1});
       } else {
--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -10,6 +10,13 @@
   uptimeMs: z.number(),
   configurationVersion: z.number(),
   serversEndOffset: z.number(),
+  /**
+   * Not to claim the duty from the holder of this token for `forMs`, counted
+   * from the holder's own time `beatMs`, which its last welcome told.
+   */
+  promise: z
+    .object({token: z.number(), beatMs: z.number(), forMs: z.number()})
+    .nullable(),
 });
 
 function isBytes(value: unknown): boolean {
@@ -43,6 +50,8 @@
   z.object({
     type: z.literal('welcome'),
     incarnation: z.string(),
+    /** When it was sent, on the sender's monotonic clock. */
+    beatMs: z.number(),
     holder: holderSchema.nullable(),
     /** Nodes that callers may be sent to, as the holder knows. */
     servingNodes: z.array(z.string()),
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -20,7 +20,7 @@
   type Welcome,
   messageSchema,
 } from './messages.js';
-import {NodeRoster} from './node_roster.js';
+import {type DutyPromise, NodeRoster} from './node_roster.js';
 
 /** What a node says of itself with every heartbeat. */
 export interface NodeStatus {
@@ -67,6 +67,11 @@
 /** Heartbeats; several fit into the time after which a holder counts as silent. */
 const HELLO_INTERVAL_MS = 250;
 const HELLO_TIMEOUT_MS = 500;
+/**
+ * How long a node promises not to claim the duty: several heartbeats, and less
+ * than the silence after which it would claim anyway.
+ */
+const PROMISE_MS = 1_500;
 
 /** Heartbeats to the holder, and messages to and from it. */
 export class NodeLinks {
@@ -74,6 +79,7 @@
   private readonly contacts: HolderContacts;
   private readonly roster: NodeRoster;
   private periodics: Periodic[] = [];
+  private promiseEndsAtMs = -Infinity;
   private lastWelcome: Welcome | null = null;
   private wasAlive = false;
 
@@ -118,6 +124,20 @@
     return this.contacts.isHeardByOthers;
   }
 
+  /** Until when this node has promised not to claim the duty. */
+  get promisedUntilMs(): number {
+    return this.promiseEndsAtMs;
+  }
+
+  /** Until when all other registered nodes have promised that to this one. */
+  grantedUntilMs(token: number, sinceMs: number): number {
+    const {self, listNodes} = this.options;
+    const others = listNodes()
+      .map(({nodeName}) => nodeName)
+      .filter(nodeName => nodeName !== self.nodeName);
+    return this.roster.findGrantEndMs(others, token, sinceMs);
+  }
+
   /** How old the holder's knowledge of the servers was when it last spoke. */
   get holderServersAgeMs(): number {
     const {lastWelcome} = this;
@@ -193,10 +213,11 @@
   private async greet(holder: DutyHolder): Promise<void> {
     const {self, readStatus} = this.options;
     const {nodeName, incarnation} = self;
+    const promise = this.makePromise(holder);
     try {
       const reply = await this.transport.request(holder.address, {
         type: 'hello',
-        status: {...{nodeName, incarnation}, ...readStatus()},
+        status: {...{nodeName, incarnation, promise}, ...readStatus()},
       });
       if (reply.type === 'welcome') this.takeWelcome(holder, reply);
     } catch (thrown) {
@@ -204,6 +225,16 @@
     }
   }
 
+  /** Binding from the moment at which it is sent; none to one that is silent. */
+  private makePromise(holder: DutyHolder): DutyPromise | null {
+    const {lastWelcome} = this;
+    if (this.contactWith(holder) !== 'alive') return null;
+    if (lastWelcome?.incarnation !== holder.incarnation) return null;
+    this.promiseEndsAtMs = this.options.clock.monotonicMs() + PROMISE_MS;
+    const {beatMs} = lastWelcome;
+    return {token: holder.token, beatMs, forMs: PROMISE_MS};
+  }
+
   private takeWelcome(holder: DutyHolder, welcome: Welcome): void {
     if (welcome.holder) this.options.onHolder(welcome.holder);
     if (welcome.incarnation !== holder.incarnation) {
@@ -309,6 +340,7 @@
     return {
       type: 'welcome',
       incarnation: options.self.incarnation,
+      beatMs: options.clock.monotonicMs(),
       holder: options.holder(),
       servingNodes: this.listServing(),
       serversAgeMs: Number.isFinite(ageMs) ? ageMs : null,
--- a/packages/node-links/src/node_roster.ts
+++ b/packages/node-links/src/node_roster.ts
@@ -7,6 +7,19 @@
   incarnation: string;
   isServing: boolean;
   uptimeMs: number;
+  promise: DutyPromise | null;
+}
+
+/**
+ * Not to claim a duty from the holder of a token. It counts from a time that
+ * the holder told, so that one which was long on its way, or lay unread while
+ * the holder was suspended, proves nothing.
+ */
+export interface DutyPromise {
+  token: number;
+  /** On the holder's monotonic clock. */
+  beatMs: number;
+  forMs: number;
 }
 
 /** A node and its last heartbeat. */
@@ -27,9 +40,9 @@
   constructor(private readonly clock: Clock) {}
 
   note(address: string, status: NodeHeartbeat): void {
-    const {nodeName, incarnation, isServing, uptimeMs} = status;
+    const {nodeName, incarnation, isServing, uptimeMs, promise} = status;
     this.seen.set(nodeName, {
-      ...{address, nodeName, incarnation, isServing, uptimeMs},
+      ...{address, nodeName, incarnation, isServing, uptimeMs, promise},
       atMs: this.clock.monotonicMs(),
     });
   }
@@ -42,6 +55,25 @@
     );
   }
 
+  /**
+   * Until when all these nodes have promised the holder of the token not to
+   * claim; minus infinity when one has not, or when there are none.
+   */
+  findGrantEndMs(
+    nodeNames: readonly string[],
+    token: number,
+    sinceMs: number,
+  ): number {
+    if (nodeNames.length === 0) return -Infinity;
+    const ends = nodeNames.map(nodeName => {
+      const promise = this.seen.get(nodeName)?.promise;
+      if (promise?.token !== token) return -Infinity;
+      const {beatMs, forMs} = promise;
+      return beatMs > sinceMs ? beatMs + forMs : -Infinity;
+    });
+    return Math.min(...ends);
+  }
+
   listAddresses(): string[] {
     const sinceMs = this.clock.monotonicMs() - FORGET_MS;
     [...this.seen]
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -66,6 +66,8 @@
       contactWith: () => 'alive',
       findRank: () => 0,
       isHeardByOthers: () => false,
+      promisedUntilMs: () => -Infinity,
+      grantedUntilMs: () => -Infinity,
       ...{isFenced: true, leaseMs: 3_000},
       isEligible: () => true,
       onLost: () => undefined,
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -280,6 +280,9 @@
         contactWith: holder => this.links.contactWith(holder),
         findRank: () => this.links.findRank(),
         isHeardByOthers: () => this.links.isHolderHeardByOthers,
+        promisedUntilMs: () => this.links.promisedUntilMs,
+        grantedUntilMs: (token, sinceMs) =>
+          this.links.grantedUntilMs(token, sinceMs),
         isFenced: settings.isFenced,
         leaseMs: settings.leaseMs,
         isEligible: () =>
