--- a/packages/explain-request/src/explain_request.test.ts
+++ b/packages/explain-request/src/explain_request.test.ts
@@ -102,6 +102,27 @@
   assert.match(verdict.cause, /2400 ms; e1 had not begun/);
 });
 
+/*
+ * A tag was sent late, since the node that schedules had fallen silent, and
+ * ran out of time at a server that did nothing wrong.
+ */
+test('says what a request waited for when its time was over', () => {
+  const {verdict} = explain(
+    'r1',
+    sentTo('e1'),
+    writeLine('entry-1', 413, 'attempt-ended', {
+      ...{requestId: 'r1', backendServerId: 'e1', outcome: 'aborted'},
+      headMs: 44,
+    }),
+    writeLine('entry-1', 414, 'request-finished', {
+      ...{requestId: 'r1', result: 'broken-off', kind: 'deadline-exceeded'},
+      tookMs: 2_989,
+    }),
+  );
+  assert.match(verdict.cause, /over after 2989 ms: it waited 2575 ms/);
+  assert.match(verdict.cause, /e1 began to answer after 44 ms/);
+});
+
 /*
  * A node was killed in the middle of a line, and a collector put its own words
  * before each. Neither may hide what the other lines tell.
--- a/packages/explain-request/src/find_verdict.ts
+++ b/packages/explain-request/src/find_verdict.ts
@@ -78,7 +78,7 @@
   return {
     result: 'caller-gone',
     cause: hasBegun
-      ? `The caller left after ${tookMs} ms, in the middle of the answer of ${server}.`
+      ? `The caller left after ${tookMs} ms, in the middle of the answer of ${server}; ${findWaitMs(own, finished)} ms of that it waited to be sent.`
       : `The caller left after ${tookMs} ms; ${server} had not begun to answer.`,
     advice: `Look at the log and the load of ${server} at that time.`,
   };
@@ -126,6 +126,9 @@
   }
   const {backendServerId, error, outcome} = attempt.fields;
   const server = show(backendServerId);
+  if (finished.fields['kind'] === 'deadline-exceeded') {
+    return findOverdueCause(own, finished, server);
+  }
   const change = related.find(
     ({eventName, fields, atMs}) =>
       eventName === 'server-changed' &&
@@ -144,6 +147,34 @@
   };
 }
 
+/** Of a request whose time was over before its answer was whole. */
+function findOverdueCause(
+  own: readonly LogLine[],
+  finished: LogLine,
+  server: string,
+): Omit<Verdict, 'result'> {
+  const waitedMs = findWaitMs(own, finished);
+  const headMs = findLastAttempt(own)?.fields['headMs'];
+  const state =
+    typeof headMs === 'number'
+      ? `began to answer after ${headMs} ms and was not done`
+      : 'had not begun to answer';
+  return {
+    cause: `Its time was over after ${show(finished.fields['tookMs'])} ms: it waited ${waitedMs} ms to be sent, and ${server} ${state}.`,
+    advice:
+      waitedMs > 0
+        ? 'See below what it waited for: an order for its model, or a node that schedules.'
+        : `Look at the log and the load of ${server} at that time.`,
+  };
+}
+
+/** How long a request was there before it was sent. */
+function findWaitMs(own: readonly LogLine[], finished: LogLine): number {
+  const sent = own.find(({eventName}) => eventName === 'request-sent');
+  const tookMs = Number(finished.fields['tookMs'] ?? 0);
+  return sent ? Math.max(0, tookMs - (finished.atMs - sent.atMs)) : tookMs;
+}
+
 /** A node that was killed writes no last line of what it served. */
 function findUnfinished(
   own: readonly LogLine[],
