Renew a lease in the store only when promises do not prove it

Change: a renewal is written when less than half of a proof is left, whichever proves it. Where engines check fences nothing changes.

--- a/packages/hold-duty/src/duty_task.test.ts
+++ b/packages/hold-duty/src/duty_task.test.ts
@@ -283,6 +283,21 @@
   stop();
 });
 
+test('promises save the writes that would prove the lease', async () => {
+  const {topic, nodes, pass, stop} = startNodes(['a', 'b'], false);
+  await pass(2_000);
+  const before = topic.appendCount;
+  await pass(3_000);
+  const withoutPromises = topic.appendCount - before;
+  pick(nodes, 'b').isPromising = true;
+  await pass(500);
+  const since = topic.appendCount;
+  await pass(3_000);
+  assert.ok(withoutPromises >= 3, `${withoutPromises}`);
+  assert.is(topic.appendCount - since, 0);
+  stop();
+});
+
 test('a node that has promised claims only after that', async () => {
   const {clock, nodes, pass, stop} = startNodes(['a', 'b'], false);
   await pass(2_000);
--- a/packages/hold-duty/src/duty_task.ts
+++ b/packages/hold-duty/src/duty_task.ts
@@ -105,8 +105,11 @@
  * the holder and more renewals.
  */
 const PROVED_PART = 0.5;
-/** So many renewals in that time, so that one may fail. */
-const RENEWALS_PER_PROOF = 3;
+/**
+ * A renewal is written when less than this part of a proof is left, so that one
+ * may fail. The promises of all others leave more, and save the write.
+ */
+const RENEWAL_LEFT_PART = 0.5;
 /** What the last holder has sent may be on its way for this long. */
 const ON_THE_WAY_MS = 500;
 
@@ -260,9 +263,9 @@
 
   private isRenewalDue(nowMs: number): boolean {
     const {isFenced, leaseMs} = this.options;
-    if (isFenced || !this.isHeld) return false;
-    const proofMs = PROVED_PART * leaseMs;
-    return nowMs >= this.leaseEndsAtMs - proofMs + proofMs / RENEWALS_PER_PROOF;
+    if (isFenced || !this.current || !this.isHeld) return false;
+    const leftMs = this.findProvedUntilMs(this.current) - nowMs;
+    return leftMs < RENEWAL_LEFT_PART * PROVED_PART * leaseMs;
   }
 
   private noteContact(nowMs: number): void {
