--- /dev/null
+++ b/packages/fakes/src/engine_fixtures.ts
@@ -0,0 +1,38 @@
+/** Engines and their services as tests need them. */
+import {
+  type BackendServerEntry,
+  type EngineSpec,
+  type ServiceSpec,
+} from '@mimosatack/types';
+
+export const ENGINE_SERVICE = 'writers';
+
+/** One model `m0`, of which an engine holds three. */
+const ENGINE: EngineSpec = {
+  ...{slots: 32, cacheCapacityTokens: 100_000, memoryMb: 230_000},
+  ...{adapterSlots: 8, hostMemoryMb: 0, diskMb: 0, storeLoadsPerSecond: 1},
+  ...{tokensPerEvent: 6, canMoveRuns: false, canBackUpRuns: false},
+  models: [
+    {
+      ...{model: 'm0', memoryMb: 70_000, storeLoadMs: 6_000, diskLoadMs: 600},
+      ...{hostMemoryLoadMs: 500, adapterCount: 0, adapterMb: 0},
+    },
+  ],
+};
+
+export function makeEngineService(): ServiceSpec {
+  return {
+    ...{name: ENGINE_SERVICE, healthPath: '/health', maxConnections: 10},
+    engine: ENGINE,
+  };
+}
+
+/** An engine that holds the model `m0`. */
+export function makeEngineEntry(id: string): BackendServerEntry {
+  return {
+    ...{id, service: ENGINE_SERVICE, address: {ip: '127.0.0.1', port: 1}},
+    ...{failureDomain: 'a', slots: 32, state: 'ready', leavesInMs: null},
+    residents: [{model: 'm0', version: 1, adapters: []}],
+    near: {inHostMemory: [], onDisk: []},
+  };
+}
