--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -3,7 +3,6 @@
 import {CallerEdge} from '@mimosatack/caller-edge';
 import {type Clock, sleep} from '@mimosatack/clock';
 import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
-import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {type DutyHolder} from '@mimosatack/hold-duty';
 import {type EventLogger} from '@mimosatack/logger';
 import {
@@ -22,8 +21,9 @@
 } from '@mimosatack/serve-requests';
 import {type ServingConfiguration} from '@mimosatack/types';
 import {ConfigurationFollower} from './configuration_follower.js';
-import {EntryPoints} from './entry_points.js';
 import {describeSelf} from './describe_self.js';
+import {EntryPoints} from './entry_points.js';
+import {FaultLog} from './fault_log.js';
 import {NodeRegister} from './node_register.js';
 import {type NodeSettings} from './node_settings.js';
 import {type PlatformAdapter} from './platform_adapter.js';
@@ -62,6 +62,7 @@
 /** A node of the system, before backend servers that it does not run. */
 export class ServingNode {
   private readonly self: KnownNode;
+  private readonly faults: FaultLog;
   private readonly servers: ServerFollower;
   private readonly configuration: ConfigurationFollower;
   private readonly register: NodeRegister;
@@ -83,6 +84,7 @@
   constructor(private readonly options: ServingNodeOptions) {
     const {clock, settings} = options;
     this.self = describeSelf(settings);
+    this.faults = new FaultLog(options.logger);
     this.startedAtMs = clock.monotonicMs();
     this.connections = options.connections;
     this.configuration = this.makeConfiguration();
@@ -103,7 +105,7 @@
       ...{clock, gate: this.gate},
       dialect: options.platform.callerDialect,
       serve: (request, sink) => this.pipeline.serve(request, sink),
-      onFault: error => this.noteFault(error, 'callers'),
+      onFault: error => this.faults.note(error, 'callers'),
     });
     this.status = new StatusServer({
       platform: options.platform,
@@ -118,8 +120,7 @@
     await this.edge.listen(settings.callerAddress);
     await this.status.listen(settings.readyAddress);
     await this.status.listen(settings.directoryAddress);
-    const {metricsAddress} = settings;
-    if (metricsAddress) await this.status.listen(metricsAddress);
+    await this.listenForMetrics();
     await this.links.start();
     this.configuration.start();
     this.servers.start();
@@ -135,6 +136,16 @@
     this.shutdown.noteStarted(true);
   }
 
+  /** Callers are served all the same when nobody can read the metrics. */
+  private async listenForMetrics(): Promise<void> {
+    const {metricsAddress} = this.options.settings;
+    try {
+      if (metricsAddress) await this.status.listen(metricsAddress);
+    } catch (thrown) {
+      this.faults.note(thrown, 'metrics');
+    }
+  }
+
   /** Resolves with the exit code once the node has stopped. */
   get stopped(): Promise<number> {
     return this.shutdown.exited;
@@ -215,8 +226,8 @@
       ...{clock, random, platform},
       isReader: () => this.duty.isHeld,
       onConfiguration: configuration => this.configure(configuration),
-      onFault: thrown => this.noteFault(thrown, 'configuration'),
-      ...this.watchDependency('configuration'),
+      onFault: thrown => this.faults.note(thrown, 'configuration'),
+      ...this.faults.watch('configuration'),
     });
   }
 
@@ -246,8 +257,8 @@
           );
         }
       },
-      onFault: thrown => this.noteFault(thrown, 'servers'),
-      ...this.watchDependency('servers'),
+      onFault: thrown => this.faults.note(thrown, 'servers'),
+      ...this.faults.watch('servers'),
     });
   }
 
@@ -265,7 +276,7 @@
     return new NodeRegister({
       ...{clock, random, self: this.self},
       topic: platform.nodesTopic,
-      ...this.watchDependency('nodes'),
+      ...this.faults.watch('nodes'),
     });
   }
 
@@ -287,7 +298,7 @@
         leaseMs: settings.leaseMs,
         isEligible: () =>
           !this.shutdown.isStopping && this.configuration.version >= 0,
-        ...this.watchDependency('duty'),
+        ...this.faults.watch('duty'),
       },
       send: (address, message) => this.links.sendToNode(address, message),
       listServices: () => this.configuration.configuration?.services ?? [],
@@ -330,7 +341,7 @@
         this.chooser.loseHolder();
         this.duty.refresh();
       },
-      onFault: error => this.noteFault(error, 'links'),
+      onFault: error => this.faults.note(error, 'links'),
     });
   }
 
@@ -378,21 +389,4 @@
       this.scheduleExpiry();
     });
   }
-
-  private watchDependency(dependency: string) {
-    const {logger} = this.options;
-    return {
-      onLost: (error: TypedError) =>
-        logger.log('dependency-lost', {dependency, error}),
-      onRegained: () => logger.log('dependency-regained', {dependency}),
-    };
-  }
-
-  private noteFault(thrown: unknown, task: string): void {
-    this.options.logger.log('task-failed', {
-      task,
-      error: toTypedError(thrown),
-      restartInMs: 0,
-    });
-  }
 }
