Forget requests that run elsewhere, and bind claims only without fences

Cause (found by reading the diff): a request that was held back and then told as running stayed on the list of those held back, which is looked at every 15 ms; and a promise made the takeover of a frozen holder up to 0.3 s later also where engines check fences and nobody relies on promises.

--- a/packages/hold-duty/src/duty_task.ts
+++ b/packages/hold-duty/src/duty_task.ts
@@ -246,9 +246,7 @@
     const isReadable = this.follower.isReachable;
     if (!isReadable || this.isClaiming || nowMs < this.claimAtMs) return;
     if (!isEligible()) return;
-    // A promise to a process that has ended binds nobody.
-    const isBound = nowMs < this.options.promisedUntilMs();
-    if (isBound && this.contact !== 'gone' && !this.isHeld) return;
+    if (this.isBound(nowMs)) return;
     const isDue = decideClaim({
       holder: this.current && {
         isSelf: this.isHeld,
@@ -261,6 +259,15 @@
     if (isDue || this.isRenewalDue(nowMs)) void this.claim();
   }
 
+  /**
+   * Whether a promise keeps this node from claiming. One to a process that has
+   * ended binds nobody; where engines check fences, none is relied on.
+   */
+  private isBound(nowMs: number): boolean {
+    if (this.options.isFenced || this.isHeld) return false;
+    return this.contact !== 'gone' && nowMs < this.options.promisedUntilMs();
+  }
+
   private isRenewalDue(nowMs: number): boolean {
     const {isFenced, leaseMs} = this.options;
     if (isFenced || !this.current || !this.isHeld) return false;
--- a/packages/schedule-models/src/prompt_pacing.test.ts
+++ b/packages/schedule-models/src/prompt_pacing.test.ts
@@ -90,6 +90,22 @@
   assert.ok(assigned.every(({atMs}) => atMs <= 900));
 });
 
+/*
+ * A node chose by itself for a request that was held back here, and tells that
+ * it runs. Remembered as held back, it would be looked for every 15 ms for ever.
+ */
+test('a request that runs elsewhere is held back no more', () => {
+  const scheduler = new ModelScheduler({policy: new BatchWorthPolicy()});
+  scheduler.configure([makeEngineService()]);
+  scheduler.putEngine(makeEngineEntry('e1'), 0);
+  const requests = ['r1', 'r2'].map(askId => makeRequest(askId, 9_000));
+  requests.forEach(request => scheduler.ask(request, 0));
+  scheduler.decide(0);
+  assert.is(scheduler.nextDecisionMs(0), 15);
+  requests.forEach(request => scheduler.noteRunning(request, 'e1', 0));
+  assert.is(scheduler.nextDecisionMs(0), Infinity);
+});
+
 test('a prompt that is longer than any portion goes when nothing is read', () => {
   const assigned = listAssignments(['e1'], 2, 9_000);
   assert.is(assigned.length, 2);
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -102,7 +102,7 @@
     engineId: BackendServerId,
     nowMs: number,
   ): void {
-    this.waiting.delete(request.askId);
+    this.withdraw(request.askId);
     this.engines.get(engineId)?.start(request, nowMs);
   }
 
