Never say "not run" of a request that a server has failed

Cause (found by reading the whole diff): a failure that a server answered to a repeatable request is dropped so that another server can be tried; the request was not marked as one that may have run. If no other server took it, it was refused with 503, which promises that it has not run.

Change: the mark is set where the outcome is noted, for failures as for broken answers.

--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -122,7 +122,8 @@
     this.attempt = null;
     this.rescue?.stop();
     chooser.noteDone(choice, toResult(outcome));
-    if (outcome.status === 'broken') this.mayHaveRun = true;
+    const hasRun = outcome.status === 'broken' || outcome.status === 'refusing';
+    if (hasRun) this.mayHaveRun = true;
     const reason = outcome.status === 'not-run' ? outcome.reason : null;
     if (reason !== 'unreachable') this.sentTo.add(server.id);
     // A server that has not taken the request may take it a moment later.
