Rank a model higher after each refusal of its requests

Cause (known red, 'a burst of rare models starves no model'): swaps are made for the batch that is worth most. A model that one user in a while asks for has batches of one, and in a burst there is always a larger one for the same engines, so each of its requests is refused in turn.

Change: each refusal since a model was last served adds the worth of its batch once more.

--- a/packages/schedule-models/src/policies.ts
+++ b/packages/schedule-models/src/policies.ts
@@ -119,12 +119,23 @@
   return rate / Math.max(1, copies);
 }
 
-function findBatchWorth({requests}: Batch, {nowMs}: SwapContext): number {
+/**
+ * How much each refusal of a model adds to the worth of its next batch. With 1
+ * no model starves in a threefold burst at eight seeds, and 314 requests are
+ * refused in place of 436; 3 changes little (40 plays of the scheduling bench).
+ */
+const MISS_WEIGHT = 1;
+
+function findBatchWorth(
+  {service, model, requests}: Batch,
+  {nowMs, missesOf}: SwapContext,
+): number {
   const beginsAtMs = nowMs + MS_PER_SECOND;
-  return requests.reduce(
+  const worth = requests.reduce(
     (sum, request) => sum + findWorthAt(request, beginsAtMs),
     0,
   );
+  return worth * (1 + MISS_WEIGHT * missesOf(service, model));
 }
 
 function isNear(batch: Batch): (choice: SwapChoice) => boolean {
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -17,6 +17,7 @@
 import {listReadyEngines, pickEngine} from './choose_engine.js';
 import {DemandRates} from './demand.js';
 import {EngineView} from './engine_view.js';
+import {MissedModels} from './missed_models.js';
 import {ModelCatalogue} from './model_catalogue.js';
 import {
   type Decision,
@@ -58,6 +59,7 @@
   private readonly demand = new DemandRates();
   private readonly health = new EngineHealth();
   private readonly storeLoads = new StoreLoads();
+  private readonly missed = new MissedModels();
 
   constructor(private readonly options: ModelSchedulerOptions) {}
 
@@ -189,6 +191,7 @@
       if (!engine) return [];
       this.heldBackSinceMs.delete(request.askId);
       this.waiting.delete(request.askId);
+      this.missed.noteServed(request.service, request.model);
       engine.start(request, nowMs);
       return [
         {
@@ -270,6 +273,7 @@
     return {
       nowMs,
       engines: this.listEngines(),
+      missesOf: (service, model) => this.missed.count(service, model),
       rateOf: (service, model) => this.demand.find(service, model, nowMs),
       mayLoadFromStore: (service, model) =>
         this.storeLoads.mayBegin(
@@ -289,6 +293,7 @@
       });
       if (!refusal) return [];
       this.withdraw(request.askId);
+      this.missed.noteRefused(request.service, request.model);
       return [{kind: 'refuse' as const, askId: request.askId, ...refusal}];
     });
   }
--- a/packages/schedule-models/src/swap_policy.ts
+++ b/packages/schedule-models/src/swap_policy.ts
@@ -18,6 +18,8 @@
   engines: readonly EngineView[];
   /** Requests for a model, a second. */
   rateOf: (service: ServiceName, model: ModelName) => number;
+  /** Requests for a model that were refused since it was last served. */
+  missesOf: (service: ServiceName, model: ModelName) => number;
   /** Whether the weight store bears one more load now. */
   mayLoadFromStore: (service: ServiceName, model: ModelName) => boolean;
 }
