Load the most wanted models onto engines that come up empty

A new one comes up with nothing in memory and nothing near it, and a load from the store takes 6 s. It was given one only when a request asked for a model that lay near no engine any more, in the order of those requests, and spare copies were made only while no request waited, which in a burst is never. From second 20 on four fifths of the chats were refused, all for five models.

Ruled out: that the store bears no more: 22 loads in 20 s before, with gaps of 2 s and more between them while new engines were idle.

Change: whatever is loaded from the store is chosen in one place, every 100 ms: the model with the most requests for each copy (squared: with a plain quotient the same model was loaded five times) onto free places of engines that have little near them; a model without any copy, or with fewer than its prompts need, may take another's place. Up to four at once in place of three, as the sheets give; the policies of swaps now look at near weights alone.

--- a/packages/schedule-models/src/demand.ts
+++ b/packages/schedule-models/src/demand.ts
@@ -9,33 +9,41 @@
 const MEMORY_MS = 8_000;
 const MS_PER_SECOND = 1_000;
 
-interface Rate {
-  perSecond: number;
-  atMs: number;
+/** What is asked of one model. */
+export interface Demand {
+  requestsPerSecond: number;
+  promptTokensPerSecond: number;
 }
 
+const NO_DEMAND: Demand = {requestsPerSecond: 0, promptTokensPerSecond: 0};
+
 /** Fading rates of requests, by service and model. */
 export class DemandRates {
-  private readonly rates = new Map<string, Rate>();
+  private readonly rates = new Map<string, Demand & {atMs: number}>();
 
-  note(service: ServiceName, model: ModelName, nowMs: number): void {
-    const key = toKey(service, model);
-    const faded = this.read(key, nowMs);
-    this.rates.set(key, {
-      perSecond: faded + MS_PER_SECOND / MEMORY_MS,
+  note(
+    service: ServiceName,
+    model: ModelName,
+    promptTokens: number,
+    nowMs: number,
+  ): void {
+    const faded = this.find(service, model, nowMs);
+    const part = MS_PER_SECOND / MEMORY_MS;
+    this.rates.set(toKey(service, model), {
+      requestsPerSecond: faded.requestsPerSecond + part,
+      promptTokensPerSecond: faded.promptTokensPerSecond + part * promptTokens,
       atMs: nowMs,
     });
   }
 
-  /** Requests a second. */
-  find(service: ServiceName, model: ModelName, nowMs: number): number {
-    return this.read(toKey(service, model), nowMs);
-  }
-
-  private read(key: string, nowMs: number): number {
-    const rate = this.rates.get(key);
-    if (!rate) return 0;
-    return rate.perSecond * Math.exp((rate.atMs - nowMs) / MEMORY_MS);
+  find(service: ServiceName, model: ModelName, nowMs: number): Demand {
+    const rate = this.rates.get(toKey(service, model));
+    if (!rate) return NO_DEMAND;
+    const left = Math.exp((rate.atMs - nowMs) / MEMORY_MS);
+    return {
+      requestsPerSecond: rate.requestsPerSecond * left,
+      promptTokensPerSecond: rate.promptTokensPerSecond * left,
+    };
   }
 }
 
--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -225,6 +225,12 @@
     return this.spec.memoryMb - used;
   }
 
+  /** How many models it holds at once, at the size of the largest. */
+  get placeCount(): number {
+    const largestMb = Math.max(1, ...this.spec.models.map(m => m.memoryMb));
+    return Math.floor(this.spec.memoryMb / largestMb);
+  }
+
   get adapterCount(): number {
     return [...this.residents.values()].reduce(
       (sum, {adapters}) => sum + adapters.size,
--- /dev/null
+++ b/packages/schedule-models/src/find_store_load.ts
@@ -0,0 +1,154 @@
+/** Chooses what is loaded from the weight store, and where. */
+import {type ModelName, type ServiceName} from '@mimosatack/types';
+import {type EngineView} from './engine_view.js';
+import {type ModelCatalogue} from './model_catalogue.js';
+import {findLoss, listSwaps} from './swap_options.js';
+import {type SwapChoice, type SwapContext} from './swap_policy.js';
+
+/**
+ * Requests a second from which a model near no engine is fetched: one request
+ * counts 0.125 at once and this much after 15 s, when its caller has left.
+ */
+const NEEDED_RATE = 0.02;
+/**
+ * Requests a second from which a model gets a second copy. At one a second, an
+ * engine that is lost for 4 s costs as many requests as the load is worth.
+ */
+const SPARE_RATE = 1;
+/** Copies, in accelerator memory or near it, that are enough. */
+const ENOUGH_COPIES = 2;
+/** What makes room for a spare copy must be asked for this much less. */
+const SPARE_VICTIM_PART = 0.1;
+/** The same for a copy of a model that is asked for more than can be read. */
+const OVERLOAD_VICTIM_PART = 0.1;
+/**
+ * A load from the store keeps an engine from swapping for some seconds. That
+ * costs as much as this many requests a second for each model near it.
+ */
+const BLOCKED_SWAPS_COST = 0.02;
+
+/** One load from the store. */
+export interface StoreLoad {
+  model: ModelName;
+  choice: SwapChoice;
+}
+
+/** A model that should lie near more engines than it does. */
+interface Need {
+  service: ServiceName;
+  model: ModelName;
+  rate: number;
+  /** Engines that hold it or have its weights near. */
+  copies: number;
+  /** More would not be used. */
+  wantedCopies: number;
+}
+
+/**
+ * Guards against engines that come up empty while those that held the models
+ * go, as when all engines of a service are replaced in turn: a load from the
+ * store takes longer than callers wait, so whatever is loaded only when it is
+ * asked for comes too late. The models that are asked for most for each copy
+ * come first. They take what is free on an engine that has little near it; a
+ * model without any copy may also take the place of another one. Null when
+ * nothing is needed or the store bears no more.
+ *
+ * @param load `busy` while requests wait for models near engines; spare copies
+ *     then turn nothing out.
+ */
+export function findStoreLoad(
+  catalogue: ModelCatalogue,
+  context: SwapContext,
+  load: 'busy' | 'idle',
+): StoreLoad | null {
+  for (const need of listNeeds(catalogue, context)) {
+    const choice = chooseEngine(need, context, load);
+    if (choice) return {model: need.model, choice};
+  }
+  return null;
+}
+
+/** The most wanted for each copy first. */
+function listNeeds(catalogue: ModelCatalogue, context: SwapContext): Need[] {
+  const copies = countCopies(context);
+  const scoreOf = ({rate, copies}: Need) => rate / (1 + copies) ** 2;
+  return catalogue
+    .listModels()
+    .filter(({service, model}) => context.mayLoadFromStore(service, model))
+    .map(({service, model}) => ({
+      ...{service, model},
+      rate: context.rateOf(service, model),
+      copies: copies.get(toKey(service, model)) ?? 0,
+      wantedCopies: context.wantedCopiesOf(service, model),
+    }))
+    .filter(({rate}) => rate >= NEEDED_RATE)
+    .sort((a, b) => scoreOf(b) - scoreOf(a));
+}
+
+function countCopies({engines, nowMs}: SwapContext): Map<string, number> {
+  const copies = new Map<string, number>();
+  engines
+    .filter(engine => engine.isOpenAt(nowMs))
+    .forEach(engine =>
+      listNear(engine).forEach(model => {
+        const key = toKey(engine.entry.service, model);
+        copies.set(key, (copies.get(key) ?? 0) + 1);
+      }),
+    );
+  return copies;
+}
+
+/** All that an engine holds, is given, or could load without the store. */
+function listNear({
+  residents,
+  swap,
+  entry: {near},
+}: EngineView): Set<ModelName> {
+  return new Set([
+    ...residents.keys(),
+    ...(swap ? [swap.model] : []),
+    ...near.inHostMemory,
+    ...near.onDisk,
+  ]);
+}
+
+function chooseEngine(
+  need: Need,
+  context: SwapContext,
+  load: 'busy' | 'idle',
+): SwapChoice | null {
+  const {service, model} = need;
+  return listSwaps({service, model, requests: []}, context)
+    .filter(({engine}) => engine.findTier(model) === 'store')
+    .map(choice => ({
+      choice,
+      near: listNear(choice.engine).size,
+      loss: findLoss(choice, context),
+    }))
+    .filter(option => mayLoad(need, option, load))
+    .map(({choice, near, loss}) => ({
+      choice,
+      cost: loss + BLOCKED_SWAPS_COST * near,
+    }))
+    .reduce<{choice: SwapChoice | null; cost: number}>(
+      (best, next) => (next.cost < best.cost ? next : best),
+      {choice: null, cost: Infinity},
+    ).choice;
+}
+
+function mayLoad(
+  {rate, copies, wantedCopies}: Need,
+  {choice, near, loss}: {choice: SwapChoice; near: number; loss: number},
+  load: 'busy' | 'idle',
+): boolean {
+  const {engine, victim} = choice;
+  const isSpare = copies < ENOUGH_COPIES && rate >= SPARE_RATE;
+  if (!victim) return near < engine.placeCount || copies === 0 || isSpare;
+  if (copies === 0) return loss <= rate;
+  if (copies < wantedCopies) return loss <= rate * OVERLOAD_VICTIM_PART;
+  return isSpare && load === 'idle' && loss <= rate * SPARE_VICTIM_PART;
+}
+
+function toKey(service: ServiceName, model: ModelName): string {
+  return `${service}/${model}`;
+}
--- a/packages/schedule-models/src/policies.ts
+++ b/packages/schedule-models/src/policies.ts
@@ -1,8 +1,6 @@
 /** The policies for swaps, from the plainest to the one in use. */
-import {type EngineView} from './engine_view.js';
 import {findWorthAt} from './request_worth.js';
-import {type Residency} from './residency.js';
-import {listSwaps} from './swap_options.js';
+import {findLoss, listSwaps} from './swap_options.js';
 import {
   type Batch,
   type SwapChoice,
@@ -56,36 +54,11 @@
   }
 
   choose(batch: Batch, context: SwapContext): SwapChoice | null {
-    const swaps = listSwaps(batch, context);
-    const near = swaps.filter(isNear(batch));
-    const choices = near.length > 0 ? near : listRemote(swaps, batch, context);
+    const choices = listSwaps(batch, context).filter(isNear(batch));
     return takeLeast(choices, choice => findCost(choice, batch, context));
   }
 }
 
-/**
- * Loads from the store take long and are few, so they are for models that lie
- * near no engine, in place of models that are asked for less.
- */
-function listRemote(
-  swaps: readonly SwapChoice[],
-  {service, model}: Batch,
-  context: SwapContext,
-): SwapChoice[] {
-  const {nowMs, engines, rateOf, mayLoadFromStore} = context;
-  const isNearAny = engines.some(
-    engine =>
-      engine.isOpenAt(nowMs) &&
-      engine.entry.service === service &&
-      engine.findTier(model) !== 'store',
-  );
-  if (isNearAny || !mayLoadFromStore(service, model)) return [];
-  const rate = rateOf(service, model);
-  return swaps.filter(
-    ({engine, victim}) => !victim || findLoss(engine, victim, context) <= rate,
-  );
-}
-
 /** The cost of a place that runs much: its runs are slower. */
 const LOAD_SHARE_COST_MS = 400;
 /** How long a victim is missed: until the next swap can bring it back. */
@@ -100,25 +73,10 @@
   return (
     engine.loadMs(batch.model) +
     engine.loadShare * LOAD_SHARE_COST_MS +
-    (victim ? findLoss(engine, victim, context) * MISSED_MS : 0)
+    findLoss({engine, victim}, context) * MISSED_MS
   );
 }
 
-/** Requests a second that would miss the victim, over its copies. */
-function findLoss(
-  engine: EngineView,
-  victim: Residency,
-  context: SwapContext,
-): number {
-  const copies = context.engines.filter(
-    other =>
-      other.isOpenAt(context.nowMs) &&
-      other.residents.get(victim.model)?.isLeaving === false,
-  ).length;
-  const rate = context.rateOf(engine.entry.service, victim.model);
-  return rate / Math.max(1, copies);
-}
-
 /**
  * How much each refusal of a model adds to the worth of its next batch. With 1
  * no model starves in a threefold burst at eight seeds, and 314 requests are
--- a/packages/schedule-models/src/prompt_pacing.ts
+++ b/packages/schedule-models/src/prompt_pacing.ts
@@ -4,7 +4,7 @@
  * Prompt tokens that an engine reads in a millisecond; the users' sheets give
  * 29.4 and 38.1. It is not configured, so the slower one is taken.
  */
-const PROMPT_TOKENS_PER_MS = 29.4;
+export const PROMPT_TOKENS_PER_MS = 29.4;
 /**
  * Reading that may be given at once. A stream's next event waits for what is
  * read meanwhile: with an event every 30 ms, this much and the share below,
@@ -13,7 +13,7 @@
  */
 const AT_ONCE_MS = 85;
 /** Share of its time that an engine may be given prompts to read for. */
-const READING_SHARE = 0.6;
+export const READING_SHARE = 0.6;
 
 /**
  * Guards against streams that pause while an engine reads prompts: when a model
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -11,7 +11,7 @@
   type ServiceSpec,
 } from '@mimosatack/types';
 import {EngineHealth} from './engine_health.js';
-import {findSpare} from './find_spare.js';
+import {findStoreLoad} from './find_store_load.js';
 import {StoreLoads} from './store_loads.js';
 import {planAdapter} from './adapter_plan.js';
 import {listReadyEngines, pickEngine} from './choose_engine.js';
@@ -33,6 +33,7 @@
   type SwapPolicy,
 } from './swap_policy.js';
 import {groupBatches} from './waiting_batches.js';
+import {findWantedCopies} from './wanted_copies.js';
 import {findRefusal, findWaitEndMs} from './find_refusal.js';
 
 /** How soon it is looked whether an engine may be given more prompts. */
@@ -44,6 +45,12 @@
  */
 const MAX_HELD_BACK_MS = 900;
 
+/**
+ * How often it is looked for a load from the store, over all models. Such a
+ * load takes seconds, so that a look at each request would find nothing more.
+ */
+const STORE_LOOK_MS = 100;
+
 /** What a scheduler is built from. */
 export interface ModelSchedulerOptions {
   policy: SwapPolicy;
@@ -59,6 +66,7 @@
   private readonly demand = new DemandRates();
   private readonly health = new EngineHealth();
   private readonly storeLoads = new StoreLoads();
+  private storeLookAtMs = 0;
   private readonly missed = new MissedModels();
 
   constructor(private readonly options: ModelSchedulerOptions) {}
@@ -94,7 +102,12 @@
       runs.has(request.askId),
     );
     if (isRunning) return;
-    this.demand.note(request.service, request.model, nowMs);
+    this.demand.note(
+      request.service,
+      request.model,
+      request.promptTokens,
+      nowMs,
+    );
     this.waiting.set(request.askId, request);
   }
 
@@ -252,9 +265,19 @@
       const choice = policy.choose(batch, context);
       return choice ? [this.startSwap(batch.model, choice, nowMs)] : [];
     });
-    if (swaps.length > 0 || batches.length > 0) return swaps;
-    const spare = findSpare(this.catalogue, context);
-    return spare ? [this.startSwap(spare.model, spare.choice, nowMs)] : [];
+    return [...swaps, ...this.startStoreLoad(batches.length > 0, nowMs)];
+  }
+
+  /** One load from the weight store, if it bears one more. */
+  private startStoreLoad(isBusy: boolean, nowMs: number): Decision[] {
+    if (nowMs < this.storeLookAtMs) return [];
+    this.storeLookAtMs = nowMs + STORE_LOOK_MS;
+    const load = findStoreLoad(
+      this.catalogue,
+      this.makeSwapContext(nowMs),
+      isBusy ? 'busy' : 'idle',
+    );
+    return load ? [this.startSwap(load.model, load.choice, nowMs)] : [];
   }
 
   private startSwap(
@@ -274,7 +297,12 @@
       nowMs,
       engines: this.listEngines(),
       missesOf: (service, model) => this.missed.count(service, model),
-      rateOf: (service, model) => this.demand.find(service, model, nowMs),
+      rateOf: (service, model) =>
+        this.demand.find(service, model, nowMs).requestsPerSecond,
+      wantedCopiesOf: (service, model) =>
+        findWantedCopies(
+          this.demand.find(service, model, nowMs).promptTokensPerSecond,
+        ),
       mayLoadFromStore: (service, model) =>
         this.storeLoads.mayBegin(
           this.catalogue.findEngine(service)?.storeLoadsPerSecond ?? 0,
--- a/packages/schedule-models/src/store_loads.ts
+++ b/packages/schedule-models/src/store_loads.ts
@@ -9,7 +9,7 @@
  */
 const USED_PART = 0.45;
 /** More at once make every one of them slower. */
-const MAX_AT_ONCE = 3;
+const MAX_AT_ONCE = 4;
 
 /** Keeps loads below the rate of the store. */
 export class StoreLoads {
--- a/packages/schedule-models/src/swap_options.ts
+++ b/packages/schedule-models/src/swap_options.ts
@@ -22,6 +22,20 @@
     .flatMap(engine => listOnEngine(engine, batch.model, nowMs));
 }
 
+/** Requests a second that would miss the victim, over its copies. */
+export function findLoss(
+  {engine, victim}: SwapChoice,
+  {engines, nowMs, rateOf}: SwapContext,
+): number {
+  if (!victim) return 0;
+  const copies = engines.filter(
+    other =>
+      other.isOpenAt(nowMs) &&
+      other.residents.get(victim.model)?.isLeaving === false,
+  ).length;
+  return rateOf(engine.entry.service, victim.model) / Math.max(1, copies);
+}
+
 function canTake(engine: EngineView, batch: Batch, nowMs: number): boolean {
   return (
     engine.isOpenAt(nowMs) &&
