Learn how fast engines read, and copy a model that one can not read for

Change: nodes tell with the end of a run how long its answer took to begin; from runs that were read alone the scheduler learns the time for a prompt token, of each engine and of all. So an engine that turns slow is also given less. At once 40 ms of reading are given in place of 85. A model gets a further copy where what is held back exceeds 200 ms of reading for each copy or demand exceeds what the copies read for, if what makes room is asked for a fifth as much.

'One can not read for' failed before: nothing was loaded.

--- a/packages/bench-scheduling/src/engine_batch.ts
+++ b/packages/bench-scheduling/src/engine_batch.ts
@@ -14,6 +14,8 @@
 /** A run that is over. */
 export interface EndedRun {
   request: ScheduledRequest;
+  /** From its begin until its prompt was read. */
+  headMs: number;
   firstEventAtMs: number;
   /** The longest time between two of its events. */
   longestGapMs: number;
@@ -21,6 +23,7 @@
 
 interface Run {
   request: ScheduledRequest;
+  beganAtMs: number;
   promptReadAtMs: number;
   tokensLeft: number;
   tokensOfEvent: number;
@@ -46,6 +49,7 @@
     this.readingUntilMs = Math.max(this.readingUntilMs, nowMs) + readingMs;
     this.runs.push({
       request,
+      beganAtMs: nowMs,
       promptReadAtMs: this.readingUntilMs,
       tokensLeft: request.outputTokens,
       tokensOfEvent: 0,
@@ -64,9 +68,11 @@
     reading.forEach(run => this.makeTokens(run, tokens, nowMs));
     const ended = this.runs.filter(({tokensLeft}) => tokensLeft <= 0);
     this.runs = this.runs.filter(({tokensLeft}) => tokensLeft > 0);
-    return ended.map(({request, firstEventAtMs, longestGapMs}) => ({
-      ...{request, longestGapMs},
-      firstEventAtMs: firstEventAtMs ?? nowMs,
+    return ended.map(run => ({
+      request: run.request,
+      headMs: run.promptReadAtMs - run.beganAtMs,
+      firstEventAtMs: run.firstEventAtMs ?? nowMs,
+      longestGapMs: run.longestGapMs,
     }));
   }
 
--- a/packages/bench-scheduling/src/play_requests.ts
+++ b/packages/bench-scheduling/src/play_requests.ts
@@ -141,7 +141,7 @@
     const {model, adapter} = request;
     if (!engine.canRun(model, adapter, this.nowMs)) {
       const result = engine.isDown ? 'unreachable' : 'not-taken';
-      this.scheduler.noteEnd(askId, engineId, result, this.nowMs);
+      this.scheduler.noteEnd(askId, engineId, result, null, this.nowMs);
       this.scheduler.ask(request, this.nowMs);
       return;
     }
@@ -152,7 +152,13 @@
     engine.advance(this.nowMs).forEach(run => {
       const {askId} = run.request;
       this.ends.set(askId, isOnTime(run) ? 'onTime' : 'late');
-      this.scheduler.noteEnd(askId, engine.id, 'served', this.nowMs);
+      this.scheduler.noteEnd(
+        askId,
+        engine.id,
+        'served',
+        run.headMs,
+        this.nowMs,
+      );
     });
   }
 
--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -8,6 +8,7 @@
 } from '@mimosatack/types';
 import {type ModelCatalogue} from './model_catalogue.js';
 import {PromptPacing} from './prompt_pacing.js';
+import {type ReadingSpeed} from './reading_speed.js';
 import {Residency} from './residency.js';
 import {
   type EngineReport,
@@ -87,6 +88,8 @@
   /** Orders that the engine has accepted since its start. */
   orderCount = 0;
   private readonly pacing = new PromptPacing();
+  /** Runs whose prompts came when nothing else was being read. */
+  private readonly readAlone = new Set<string>();
   private acceptedAtMs = -Infinity;
   private conflicts = 0;
   private usedTokens = 0;
@@ -94,6 +97,7 @@
   constructor(
     public entry: BackendServerEntry,
     private readonly catalogue: ModelCatalogue,
+    private readonly speed: ReadingSpeed,
     nowMs: number,
   ) {
     this.takeResidents(entry.residents, nowMs);
@@ -163,8 +167,8 @@
   }
 
   /** Whether reading its prompt would not hold up the streams here. */
-  mayRead({promptTokens}: ScheduledRequest, nowMs: number): boolean {
-    return this.pacing.hasRoom(promptTokens, nowMs);
+  mayRead(request: ScheduledRequest, nowMs: number): boolean {
+    return this.pacing.hasRoom(this.findReadingMs(request), nowMs);
   }
 
   /** Told twice of a run, it counts it once. */
@@ -172,13 +176,20 @@
     if (this.runs.has(request.askId)) return;
     this.runs.set(request.askId, request);
     this.usedTokens += countTokens(request);
-    this.pacing.note(request.promptTokens, nowMs);
+    if (this.pacing.isIdle(nowMs)) this.readAlone.add(request.askId);
+    this.pacing.note(this.findReadingMs(request), nowMs);
     this.residents.get(request.model)?.noteStart(request.adapter, nowMs);
   }
 
-  end(askId: string, nowMs: number): void {
+  /** @param headMs until the answer began; null if it did not. */
+  end(askId: string, headMs: number | null, nowMs: number): void {
     const request = this.runs.get(askId);
     if (!request) return;
+    const wasReadAlone = this.readAlone.delete(askId);
+    if (wasReadAlone && headMs !== null) {
+      const {service, promptTokens} = request;
+      this.speed.note(this.id, service, promptTokens, headMs);
+    }
     this.runs.delete(askId);
     this.usedTokens -= countTokens(request);
     this.residents.get(request.model)?.noteEnd(request.adapter, nowMs);
@@ -338,6 +349,11 @@
     return this.catalogue.findModel(this.entry.service, model)?.adapterMb ?? 0;
   }
 
+  private findReadingMs({promptTokens}: ScheduledRequest): number {
+    const {id, service} = this.entry;
+    return promptTokens * this.speed.findMsPerToken(id, service);
+  }
+
   private takeResidents(
     told: ReadonlyArray<{model: ModelName; adapters: readonly AdapterName[]}>,
     nowMs: number,
--- a/packages/schedule-models/src/prompt_pacing.ts
+++ b/packages/schedule-models/src/prompt_pacing.ts
@@ -1,17 +1,14 @@
-/** Paces how many prompt tokens an engine is given to read. */
+/** Paces how much an engine is given to read. */
 
-/**
- * Prompt tokens that an engine reads in a millisecond; the users' sheets give
- * 29.4 and 38.1. It is not configured, so the slower one is taken.
- */
-export const PROMPT_TOKENS_PER_MS = 29.4;
 /**
  * Reading that may be given at once. A stream's next event waits for what is
  * read meanwhile: with an event every 30 ms, this much and the share below,
- * the longest pause is (30 + 85) / (1 - 0.6) = 288 ms, below the 300 ms after
- * which a stream counts as late.
+ * the longest pause is (30 + 40) / (1 - 0.6) = 175 ms; a usual prompt on top of
+ * it stays below the 300 ms after which a stream counts as late. With 85 in
+ * place of 40, 345 in place of 158 requests of four calm plays of the
+ * scheduling bench are late; with 60, 215.
  */
-const AT_ONCE_MS = 85;
+const AT_ONCE_MS = 40;
 /** Share of its time that an engine may be given prompts to read for. */
 export const READING_SHARE = 0.6;
 
@@ -28,16 +25,19 @@
   private atMs = 0;
 
   /** Whether the engine may be given the prompt now. */
-  hasRoom(promptTokens: number, nowMs: number): boolean {
+  hasRoom(readingMs: number, nowMs: number): boolean {
     const pendingMs = this.findPending(nowMs);
     // A prompt that is longer than all that may be given has to go some time.
-    return (
-      pendingMs === 0 || pendingMs + toReadingMs(promptTokens) <= AT_ONCE_MS
-    );
+    return pendingMs === 0 || pendingMs + readingMs <= AT_ONCE_MS;
+  }
+
+  /** Whether nothing that was given before is still being read. */
+  isIdle(nowMs: number): boolean {
+    return this.findPending(nowMs) === 0;
   }
 
-  note(promptTokens: number, nowMs: number): void {
-    this.pendingMs = this.findPending(nowMs) + toReadingMs(promptTokens);
+  note(readingMs: number, nowMs: number): void {
+    this.pendingMs = this.findPending(nowMs) + readingMs;
     this.atMs = nowMs;
   }
 
@@ -46,7 +46,3 @@
     return Math.max(0, this.pendingMs - madeUpMs);
   }
 }
-
-function toReadingMs(promptTokens: number): number {
-  return promptTokens / PROMPT_TOKENS_PER_MS;
-}
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -32,8 +32,10 @@
   type SwapContext,
   type SwapPolicy,
 } from './swap_policy.js';
+import {ReadingSpeed} from './reading_speed.js';
 import {groupBatches} from './waiting_batches.js';
 import {findWantedCopies} from './wanted_copies.js';
+import {chooseExtraCopy} from './extra_copy.js';
 import {findRefusal, findWaitEndMs} from './find_refusal.js';
 
 /** How soon it is looked whether an engine may be given more prompts. */
@@ -65,6 +67,7 @@
   private readonly heldBackSinceMs = new Map<string, number>();
   private readonly demand = new DemandRates();
   private readonly health = new EngineHealth();
+  private readonly speed = new ReadingSpeed();
   private readonly storeLoads = new StoreLoads();
   private storeLookAtMs = 0;
   private readonly missed = new MissedModels();
@@ -88,12 +91,16 @@
     const known = this.engines.get(entry.id);
     if (known) return known.update(entry);
     if (!this.catalogue.findEngine(entry.service)) return;
-    this.engines.set(entry.id, new EngineView(entry, this.catalogue, nowMs));
+    this.engines.set(
+      entry.id,
+      new EngineView(entry, this.catalogue, this.speed, nowMs),
+    );
   }
 
   dropEngine(id: BackendServerId): void {
     this.engines.delete(id);
     this.health.forget(id);
+    this.speed.forget(id);
   }
 
   /** A request that waits; told twice of one that runs, it changes nothing. */
@@ -127,17 +134,22 @@
     this.heldBackSinceMs.delete(askId);
   }
 
-  /** An assigned request has ended at its engine. */
+  /**
+   * An assigned request has ended at its engine.
+   *
+   * @param headMs until its answer began; null if it did not.
+   */
   noteEnd(
     askId: string,
     engineId: BackendServerId,
     result: RunResult,
+    headMs: number | null,
     nowMs: number,
   ): void {
     const engine = this.engines.get(engineId);
     const request = engine?.runs.get(askId);
     if (!engine || !request) return;
-    engine.end(askId, nowMs);
+    engine.end(askId, result === 'served' ? headMs : null, nowMs);
     this.health.note(engineId, request.nodeId, result, nowMs);
     if (this.health.isLost(engineId, nowMs)) engine.rest(nowMs);
     if (result === 'not-held') {
@@ -265,7 +277,24 @@
       const choice = policy.choose(batch, context);
       return choice ? [this.startSwap(batch.model, choice, nowMs)] : [];
     });
-    return [...swaps, ...this.startStoreLoad(batches.length > 0, nowMs)];
+    return [
+      ...swaps,
+      ...this.startExtraCopies(nowMs),
+      ...this.startStoreLoad(batches.length > 0, nowMs),
+    ];
+  }
+
+  /** Further copies of models that are asked for more than can be read. */
+  private startExtraCopies(nowMs: number): Decision[] {
+    const heldBack = this.listByUrgency().filter(({askId}) =>
+      this.heldBackSinceMs.has(askId),
+    );
+    const context = this.makeSwapContext(nowMs);
+    return groupBatches(heldBack).flatMap(batch => {
+      if (this.isComing(batch.service, batch.model)) return [];
+      const choice = chooseExtraCopy(batch, this.options.policy, context);
+      return choice ? [this.startSwap(batch.model, choice, nowMs)] : [];
+    });
   }
 
   /** One load from the weight store, if it bears one more. */
@@ -299,9 +328,11 @@
       missesOf: (service, model) => this.missed.count(service, model),
       rateOf: (service, model) =>
         this.demand.find(service, model, nowMs).requestsPerSecond,
+      msPerPromptToken: service => this.speed.findUsual(service),
       wantedCopiesOf: (service, model) =>
         findWantedCopies(
-          this.demand.find(service, model, nowMs).promptTokensPerSecond,
+          this.demand.find(service, model, nowMs).promptTokensPerSecond *
+            this.speed.findUsual(service),
         ),
       mayLoadFromStore: (service, model) =>
         this.storeLoads.mayBegin(
--- a/packages/schedule-models/src/swap_policy.ts
+++ b/packages/schedule-models/src/swap_policy.ts
@@ -20,6 +20,8 @@
   rateOf: (service: ServiceName, model: ModelName) => number;
   /** Requests for a model that were refused since it was last served. */
   missesOf: (service: ServiceName, model: ModelName) => number;
+  /** How long an engine of the service reads for one prompt token. */
+  msPerPromptToken: (service: ServiceName) => number;
   /** Engines that have to hold a model, for all its prompts to be read. */
   wantedCopiesOf: (service: ServiceName, model: ModelName) => number;
   /** Whether the weight store bears one more load now. */
--- a/packages/schedule-models/src/wanted_copies.ts
+++ b/packages/schedule-models/src/wanted_copies.ts
@@ -1,5 +1,5 @@
 /** How many engines have to hold a model so that its prompts are read in time. */
-import {PROMPT_TOKENS_PER_MS, READING_SHARE} from './prompt_pacing.js';
+import {READING_SHARE} from './prompt_pacing.js';
 
 /**
  * Part of the reading that pacing allows which demand may take up on average;
@@ -8,9 +8,8 @@
 const PLANNED_PART = 0.75;
 const MS_PER_SECOND = 1_000;
 
-/** @param promptTokensPerSecond demand for one model. */
-export function findWantedCopies(promptTokensPerSecond: number): number {
-  const perEngine =
-    PROMPT_TOKENS_PER_MS * MS_PER_SECOND * READING_SHARE * PLANNED_PART;
-  return Math.max(1, Math.ceil(promptTokensPerSecond / perEngine));
+/** @param readingMsPerSecond of all requests for one model. */
+export function findWantedCopies(readingMsPerSecond: number): number {
+  const perEngineMs = MS_PER_SECOND * READING_SHARE * PLANNED_PART;
+  return Math.max(1, Math.ceil(readingMsPerSecond / perEngineMs));
 }
--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -37,6 +37,8 @@
     askId: z.string(),
     engineId: z.string(),
     result: runResultSchema,
+    /** Until the answer began; null if it did not. */
+    headMs: z.number().nullable(),
   }),
   /** All that a node has under way, for a node that has just taken over. */
   z.object({
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -84,7 +84,7 @@
     const {askId, engineId} = message;
     const server = this.options.findServer(engineId);
     if (opened && server) return this.assign(opened, server);
-    this.tellEnd(askId, engineId, opened ? 'unreachable' : 'neutral');
+    this.tellEnd(askId, engineId, opened ? 'unreachable' : 'neutral', null);
     if (opened) this.askAgain(opened, engineId);
   }
 
@@ -107,7 +107,7 @@
 
   release(choice: ChosenServer): void {
     this.options.local.release(choice);
-    this.endRun(choice, 'neutral');
+    this.endRun(choice, 'neutral', null);
   }
 
   noteSent(choice: ChosenServer): void {
@@ -118,14 +118,22 @@
     this.options.local.noteLoad(server, load);
   }
 
-  noteDone(choice: ChosenServer, result: AttemptResult): void {
-    this.options.local.noteDone(choice, result);
-    this.endRun(choice, result === 'answered' ? 'served' : result);
+  noteDone(
+    choice: ChosenServer,
+    result: AttemptResult,
+    headMs: number | null,
+  ): void {
+    this.options.local.noteDone(choice, result, headMs);
+    this.endRun(choice, result === 'answered' ? 'served' : result, headMs);
   }
 
-  private endRun({askId, server}: ChosenServer, result: RunResult): void {
+  private endRun(
+    {askId, server}: ChosenServer,
+    result: RunResult,
+    headMs: number | null,
+  ): void {
     if (askId === null || !this.runs.delete(askId)) return;
-    this.tellEnd(askId, server.id, result);
+    this.tellEnd(askId, server.id, result, headMs);
   }
 
   private openAsk(askId: string, ask: ServerAsk): OpenAsk {
@@ -186,8 +194,11 @@
     askId: string,
     engineId: BackendServerId,
     result: RunResult,
+    headMs: number | null,
   ): void {
-    this.options.sendToHolder({type: 'run-ended', askId, engineId, result});
+    this.options.sendToHolder({
+      ...{type: 'run-ended', askId, engineId, result, headMs},
+    });
   }
 }
 
--- a/packages/schedule-service/src/scheduling_host.ts
+++ b/packages/schedule-service/src/scheduling_host.ts
@@ -103,6 +103,7 @@
           message.askId,
           message.engineId,
           message.result,
+          message.headMs,
           nowMs,
         );
         this.asks.delete(message.askId);
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -46,6 +46,11 @@
     private readonly target: {route: ServiceRoute; version: number},
   ) {}
 
+  /** Until the answer of the last attempt began; null if it did not. */
+  get headMs(): number | null {
+    return this.headAtMs === null ? null : this.headAtMs - this.sentAtMs;
+  }
+
   noteSent(choice: ChosenServer, attempt: number, endsAtMs: number): void {
     this.sentAtMs = this.nowMs();
     this.headAtMs = null;
@@ -81,7 +86,7 @@
     outcome: AttemptOutcome,
     next: 'end' | 'try-elsewhere' | 'give-up',
   ): void {
-    const {headAtMs, sentAtMs} = this;
+    const {headMs, sentAtMs} = this;
     this.options.logger.log('attempt-ended', {
       requestId: this.request.requestId,
       backendServerId: this.backendServerId,
@@ -89,7 +94,7 @@
       status: this.status,
       error: 'error' in outcome ? outcome.error.message : undefined,
       tookMs: Math.round(this.nowMs() - sentAtMs),
-      headMs: headAtMs === null ? null : Math.round(headAtMs - sentAtMs),
+      headMs: headMs === null ? null : Math.round(headMs),
       longestGapMs: Math.round(this.longestGapMs),
       next,
     });
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -124,7 +124,7 @@
     const outcome = await attempt.outcome;
     this.attempt = null;
     this.rescue?.stop();
-    chooser.noteDone(choice, toResult(outcome));
+    chooser.noteDone(choice, toResult(outcome), this.log.headMs);
     const hasRun = outcome.status === 'broken' || outcome.status === 'refusing';
     if (hasRun) this.mayHaveRun = true;
     const reason = outcome.status === 'not-run' ? outcome.reason : null;
--- a/packages/serve-requests/src/server_chooser.ts
+++ b/packages/serve-requests/src/server_chooser.ts
@@ -77,5 +77,10 @@
   release(choice: ChosenServer): void;
   noteSent(choice: ChosenServer): void;
   noteLoad(server: BackendServerEntry, load: ServerLoad): void;
-  noteDone(choice: ChosenServer, result: AttemptResult): void;
+  /** @param headMs until the answer began; null if it did not. */
+  noteDone(
+    choice: ChosenServer,
+    result: AttemptResult,
+    headMs: number | null,
+  ): void;
 }
