Tell why an order failed and which engine is silent

Cause (found in reading): the client of engines swallowed the error of an order without an answer and of a report, and the line of an order said 'refused' without the status; an attempt that ended while its request paused after a refusal wrote no line.

Change: orders come back with a cause for the log; an engine that does not tell its state is logged once, and its return; the attempt's line is written whether or not the request ended in the pause.

The line after a pause has no test of its own.

--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -64,9 +64,23 @@
       adapter: 'the adapter, if one was meant',
       expectedCount: 'how many orders it should have accepted before',
       outcome: 'what it answered',
+      cause: 'what went wrong, if something did',
       tookMs: 'how long the answer took',
     },
   },
+  'engine-silent': {
+    number: 3405,
+    level: 'warn',
+    message: 'An engine does not tell its state, and gets no orders till then.',
+    fields: {backendServerId: 'the engine', error: 'what failed'},
+    remedy: 'Look at the engine, and at the way from this host to it.',
+  },
+  'engine-heard': {
+    number: 3406,
+    level: 'info',
+    message: 'An engine tells its state again and may get orders.',
+    fields: {backendServerId: 'the engine'},
+  },
   'ask-decided': {
     number: 3404,
     level: 'info',
--- a/packages/schedule-service/src/engine_orders.ts
+++ b/packages/schedule-service/src/engine_orders.ts
@@ -4,6 +4,7 @@
   type OrderOutcome,
   type PlannedOrder,
 } from '@mimosatack/schedule-models';
+import {type TypedError} from '@mimosatack/errors';
 import {type BackendServerEntry} from '@mimosatack/types';
 
 /** In whose name an order is sent. */
@@ -15,13 +16,20 @@
 /** `fenced`: a later holder has given orders already. */
 export type SentOrderOutcome = OrderOutcome | 'fenced';
 
+/** What became of an order, and for the log what the engine said of it. */
+export interface SentOrder {
+  outcome: SentOrderOutcome;
+  /** Null where the outcome says all. */
+  cause: string | null;
+}
+
 /** The orders side of the engines. */
 export interface EngineOrders {
   send(
     server: BackendServerEntry,
     order: PlannedOrder,
     authority: OrderAuthority,
-  ): Promise<SentOrderOutcome>;
-  /** Null when the engine did not answer. */
-  readReport(server: BackendServerEntry): Promise<EngineReport | null>;
+  ): Promise<SentOrder>;
+  /** An error when the engine did not tell its state. */
+  readReport(server: BackendServerEntry): Promise<EngineReport | TypedError>;
 }
--- a/packages/schedule-service/src/index.ts
+++ b/packages/schedule-service/src/index.ts
@@ -1,6 +1,7 @@
 export {
   type EngineOrders,
   type OrderAuthority,
+  type SentOrder,
   type SentOrderOutcome,
 } from './engine_orders.js';
 export {
--- a/packages/schedule-service/src/scheduling_host.ts
+++ b/packages/schedule-service/src/scheduling_host.ts
@@ -1,5 +1,6 @@
 /** Schedules for all nodes, while this node holds the duty. */
 import {type Clock, type Timer} from '@mimosatack/clock';
+import {TypedError} from '@mimosatack/errors';
 import {type EventLogger} from '@mimosatack/logger';
 import {
   type Decision,
@@ -13,7 +14,11 @@
   type ServiceSpec,
 } from '@mimosatack/types';
 import {toScheduledRequest} from './ask_terms.js';
-import {type EngineOrders, type OrderAuthority} from './engine_orders.js';
+import {
+  type EngineOrders,
+  type OrderAuthority,
+  type SentOrder,
+} from './engine_orders.js';
 import {type AskTerms, type FromHolder, type ToHolder} from './messages.js';
 
 /** What a host is built from. */
@@ -32,6 +37,12 @@
 /** The longest sleep between two decisions. */
 const MAX_SLEEP_MS = 250;
 
+/** The duty was lost, or the engine left, since the order was planned. */
+const NOT_SENT: SentOrder = {
+  outcome: 'refused',
+  cause: 'not sent: no duty, or no such engine any more',
+};
+
 /** What is kept of an ask until its request has ended. */
 interface KnownAsk {
   nodeAddress: string;
@@ -47,6 +58,8 @@
   private readonly servers = new Map<BackendServerId, BackendServerEntry>();
   private readonly asks = new Map<string, KnownAsk>();
   private readonly asking = new Set<BackendServerId>();
+  /** Engines that did not tell their state when they were last asked. */
+  private readonly silent = new Set<BackendServerId>();
   private timer: Timer | null = null;
   private isDecisionDue = false;
   private isStopped = false;
@@ -84,6 +97,7 @@
 
   dropServer(id: BackendServerId): void {
     this.servers.delete(id);
+    this.silent.delete(id);
     this.scheduler.dropEngine(id);
     this.requestDecision();
   }
@@ -203,15 +217,15 @@
     // Asked for at the last moment: a node that was frozen meanwhile may have
     // lost the duty without having noticed.
     const authority = this.options.authority();
-    const outcome =
+    const {outcome, cause} =
       server && authority
         ? await orders.send(server, order, authority)
-        : 'refused';
+        : NOT_SENT;
     if (this.isStopped) return;
     logger.log('engine-ordered', {
       ...{backendServerId: order.engineId, operation: order.operation},
       ...{model: order.model, adapter: order.adapter, outcome},
-      expectedCount: order.expectedCount,
+      ...{expectedCount: order.expectedCount, cause},
       tookMs: Math.round(this.nowMs() - sentAtMs),
     });
     if (outcome === 'fenced') return onFenced(authority?.fencingToken ?? 0);
@@ -226,11 +240,28 @@
     const report = await this.options.orders.readReport(server);
     this.asking.delete(id);
     if (this.isStopped) return;
-    if (report) this.scheduler.noteReport(id, report, this.nowMs());
-    else this.scheduler.noteReportFailed(id, this.nowMs());
+    if (report instanceof TypedError) {
+      this.scheduler.noteReportFailed(id, this.nowMs());
+    } else {
+      this.scheduler.noteReport(id, report, this.nowMs());
+    }
+    this.logSilence(id, report instanceof TypedError ? report : null);
     this.requestDecision();
   }
 
+  /** A silent engine is asked again and again; each silence is told once. */
+  private logSilence(id: BackendServerId, error: TypedError | null): void {
+    const {logger} = this.options;
+    const wasSilent = this.silent.has(id);
+    if (error && !wasSilent) {
+      this.silent.add(id);
+      logger.log('engine-silent', {backendServerId: id, error});
+    }
+    if (!error && this.silent.delete(id)) {
+      logger.log('engine-heard', {backendServerId: id});
+    }
+  }
+
   private nowMs(): number {
     return this.options.clock.monotonicMs();
   }
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -101,12 +101,17 @@
         return this.finishEnded(next);
       }
       const goesOn = next !== null || (await this.mayGoOn(outcome, choice));
+      this.log.noteAttempt(outcome, this.nameNext(goesOn));
       if (this.endCause) return this.finishEnded(next);
-      this.log.noteAttempt(outcome, goesOn ? 'try-elsewhere' : 'give-up');
       if (!goesOn) return this.giveUp(outcome.error);
     }
   }
 
+  private nameNext(goesOn: boolean): 'end' | 'try-elsewhere' | 'give-up' {
+    if (this.endCause) return 'end';
+    return goesOn ? 'try-elsewhere' : 'give-up';
+  }
+
   private choose(): Promise<ServerChoice> {
     return this.options.chooser.choose(this.makeAsk(this.tried));
   }
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -1,4 +1,5 @@
 import {ManualClock} from '@mimosatack/clock';
+import {TypedError} from '@mimosatack/errors';
 import {
   ENGINE_SERVICE,
   makeEngineEntry,
@@ -50,8 +51,9 @@
       onRegained: () => undefined,
     },
     orders: {
-      send: () => Promise.resolve('refused'),
-      readReport: () => Promise.resolve(null),
+      send: () => Promise.resolve({outcome: 'refused', cause: null}),
+      readReport: () =>
+        Promise.resolve(new TypedError('backend-unreachable', 'No answer.')),
     },
     send: (_address, message) => sent.push(message),
     listServices: () => [makeEngineService()],
