Leave an engine alone that another has replaced

Its old entry stands for three heartbeats. Asked for its state, the new one answers as if it were the old one, so the scheduler believed it back, empty, and ordered a load for whoever waited; the order names the old id and is refused, the state is asked for, and so on every 25 ms.

Ruled out: adapters of a model that is not there (none of the orders named one).

Change: 421 to an order for a model means that the engine has ended: it gets neither work nor orders for 5 s, in which its entry goes. Any other refused order is not repeated within 250 ms.

--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -46,6 +46,16 @@
  * count here is wrong.
  */
 const MAX_REPORT_LAG_MS = 1_500;
+/**
+ * Why an order is refused is not over a moment later; at once, the same order
+ * would be sent again for as long as somebody waits for the model.
+ */
+const REFUSED_DELAY_MS = 250;
+/**
+ * The entry of an engine that has ended stands for three heartbeats of 1.2 s;
+ * after this time it is asked again, should it live after all.
+ */
+const REPLACED_REST_MS = 5_000;
 /** An engine that several nodes have lost is tried again after this time. */
 const LOST_REST_MS = 1_000;
 /** Share of the memory for requests that is planned with. */
@@ -287,6 +297,8 @@
     }
     this.needsReport = true;
     this.orderAtMs = nowMs;
+    if (outcome === 'refused') this.orderAtMs += REFUSED_DELAY_MS;
+    if (outcome === 'replaced') this.leaveAlone(nowMs);
   }
 
   /** The next time at which something changes by itself. */
@@ -299,6 +311,16 @@
     return Math.min(Infinity, ...later);
   }
 
+  /**
+   * Guards against orders for an engine that has ended while its entry still
+   * stands: whoever has its address tells a state as if it were that one's.
+   */
+  private leaveAlone(nowMs: number): void {
+    this.orderAtMs = nowMs + REPLACED_REST_MS;
+    this.restUntilMs = nowMs + REPLACED_REST_MS;
+    this.swap = null;
+  }
+
   private apply(order: PlannedOrder, nowMs: number): void {
     this.orderCount += 1;
     this.acceptedAtMs = nowMs;
--- a/packages/schedule-models/src/scheduled_request.ts
+++ b/packages/schedule-models/src/scheduled_request.ts
@@ -91,6 +91,8 @@
   | 'conflict'
   /** Refused for a reason that asking again won't change. */
   | 'refused'
+  /** Another engine answers at its address: this one has ended. */
+  | 'replaced'
   /** No answer; it may still be carried out. */
   | 'unknown';
 
