--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -6,8 +6,8 @@
   type EngineSpec,
   type ModelName,
 } from '@mimosatack/types';
+import {EngineReading} from './engine_reading.js';
 import {type ModelCatalogue} from './model_catalogue.js';
-import {PromptPacing} from './prompt_pacing.js';
 import {type ReadingSpeed} from './reading_speed.js';
 import {Residency} from './residency.js';
 import {
@@ -97,9 +97,7 @@
   needsReport = true;
   /** Orders that the engine has accepted since its start. */
   orderCount = 0;
-  private readonly pacing = new PromptPacing();
-  /** Runs whose prompts came when nothing else was being read. */
-  private readonly readAlone = new Set<string>();
+  private readonly reading: EngineReading;
   private acceptedAtMs = -Infinity;
   private conflicts = 0;
   private usedTokens = 0;
@@ -107,9 +105,10 @@
   constructor(
     public entry: BackendServerEntry,
     private readonly catalogue: ModelCatalogue,
-    private readonly speed: ReadingSpeed,
+    speed: ReadingSpeed,
     nowMs: number,
   ) {
+    this.reading = new EngineReading(entry.id, entry.service, speed);
     this.takeResidents(entry.residents, nowMs);
   }
 
@@ -178,7 +177,7 @@
 
   /** Whether reading its prompt would not hold up the streams here. */
   mayRead(request: ScheduledRequest, nowMs: number): boolean {
-    return this.pacing.hasRoom(this.findReadingMs(request), nowMs);
+    return this.reading.mayTake(request, nowMs);
   }
 
   /** Told twice of a run, it counts it once. */
@@ -186,8 +185,7 @@
     if (this.runs.has(request.askId)) return;
     this.runs.set(request.askId, request);
     this.usedTokens += countTokens(request);
-    if (this.pacing.isIdle(nowMs)) this.readAlone.add(request.askId);
-    this.pacing.note(this.findReadingMs(request), nowMs);
+    this.reading.noteStart(request, nowMs);
     this.residents.get(request.model)?.noteStart(request.adapter, nowMs);
   }
 
@@ -195,11 +193,7 @@
   end(askId: string, headMs: number | null, nowMs: number): void {
     const request = this.runs.get(askId);
     if (!request) return;
-    const wasReadAlone = this.readAlone.delete(askId);
-    if (wasReadAlone && headMs !== null) {
-      const {service, promptTokens} = request;
-      this.speed.note(this.id, service, promptTokens, headMs);
-    }
+    this.reading.noteEnd(request, headMs);
     this.runs.delete(askId);
     this.usedTokens -= countTokens(request);
     this.residents.get(request.model)?.noteEnd(request.adapter, nowMs);
@@ -371,11 +365,6 @@
     return this.catalogue.findModel(this.entry.service, model)?.adapterMb ?? 0;
   }
 
-  private findReadingMs({promptTokens}: ScheduledRequest): number {
-    const {id, service} = this.entry;
-    return promptTokens * this.speed.findMsPerToken(id, service);
-  }
-
   private takeResidents(
     told: ReadonlyArray<{model: ModelName; adapters: readonly AdapterName[]}>,
     nowMs: number,
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -14,9 +14,10 @@
 import {findStoreLoad} from './find_store_load.js';
 import {StoreLoads} from './store_loads.js';
 import {planAdapter} from './adapter_plan.js';
-import {listReadyEngines, pickEngine} from './choose_engine.js';
+import {listReadyEngines} from './choose_engine.js';
 import {DemandRates} from './demand.js';
 import {EngineView} from './engine_view.js';
+import {HeldBack} from './held_back.js';
 import {MissedModels} from './missed_models.js';
 import {ModelCatalogue} from './model_catalogue.js';
 import {
@@ -40,13 +41,6 @@
 
 /** How soon it is looked whether an engine may be given more prompts. */
 const PACE_CHECK_MS = 15;
-/**
- * How long a request is held back at most: a batch of eight long prompts is read
- * within it. Where more comes than an engine can read for, streams pause
- * anyway, and a request that waits on serves nobody.
- */
-const MAX_HELD_BACK_MS = 900;
-
 /**
  * How often it is looked for a load from the store, over all models. Such a
  * load takes seconds, so that a look at each request would find nothing more.
@@ -63,8 +57,7 @@
   private readonly catalogue = new ModelCatalogue([]);
   private readonly engines = new Map<BackendServerId, EngineView>();
   private readonly waiting = new Map<string, ScheduledRequest>();
-  /** Since when requests are held back until other prompts are read. */
-  private readonly heldBackSinceMs = new Map<string, number>();
+  private readonly heldBack = new HeldBack();
   private readonly demand = new DemandRates();
   private readonly health = new EngineHealth();
   private readonly speed = new ReadingSpeed();
@@ -131,7 +124,7 @@
   /** The request no longer waits. */
   withdraw(askId: string): void {
     this.waiting.delete(askId);
-    this.heldBackSinceMs.delete(askId);
+    this.heldBack.forget(askId);
   }
 
   /**
@@ -202,7 +195,7 @@
       engine.nextChangeMs(nowMs),
     );
     const waitEnds = [...this.waiting.values()].map(findWaitEndMs);
-    const paces = this.heldBackSinceMs.size > 0 ? [nowMs + PACE_CHECK_MS] : [];
+    const paces = this.heldBack.isEmpty ? [] : [nowMs + PACE_CHECK_MS];
     return Math.min(Infinity, ...engines, ...waitEnds, ...paces);
   }
 
@@ -212,10 +205,9 @@
       const usable = ready.filter(({id}) =>
         this.health.isUsable(id, request.nodeId, nowMs),
       );
-      const engine = this.pickReader(request, usable, nowMs);
+      const engine = this.heldBack.pickEngine(request, usable, nowMs);
       if (!engine) return [];
-      this.heldBackSinceMs.delete(request.askId);
-      this.waiting.delete(request.askId);
+      this.withdraw(request.askId);
       this.missed.noteServed(request.service, request.model);
       engine.start(request, nowMs);
       return [
@@ -228,19 +220,6 @@
     });
   }
 
-  /** The engine to send to now; none while the request is held back. */
-  private pickReader(
-    request: ScheduledRequest,
-    engines: readonly EngineView[],
-    nowMs: number,
-  ): EngineView | undefined {
-    const sinceMs = this.heldBackSinceMs.get(request.askId) ?? nowMs;
-    if (nowMs - sinceMs >= MAX_HELD_BACK_MS) return pickEngine(engines);
-    const open = engines.filter(engine => engine.mayRead(request, nowMs));
-    if (engines.length > 0) this.heldBackSinceMs.set(request.askId, sinceMs);
-    return pickEngine(open);
-  }
-
   /** The second half of swaps whose first half is done. */
   private continueSwaps(nowMs: number): Decision[] {
     return this.listEngines().flatMap(engine => {
@@ -268,7 +247,7 @@
     const {policy} = this.options;
     const context = this.makeSwapContext(nowMs);
     const unserved = this.listByUrgency().filter(
-      ({askId}) => !this.heldBackSinceMs.has(askId),
+      request => !this.heldBack.has(request),
     );
     const batches = groupBatches(unserved).filter(
       ({service, model}) => !this.isComing(service, model),
@@ -286,8 +265,9 @@
 
   /** Further copies of models that are asked for more than can be read. */
   private startExtraCopies(nowMs: number): Decision[] {
-    const heldBack = this.listByUrgency().filter(({askId}) =>
-      this.heldBackSinceMs.has(askId),
+    if (this.heldBack.isEmpty) return [];
+    const heldBack = this.listByUrgency().filter(request =>
+      this.heldBack.has(request),
     );
     const context = this.makeSwapContext(nowMs);
     return groupBatches(heldBack).flatMap(batch => {
