--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,2 @@
-export {MimosatackNode, type NodeAddresses, type NodeOptions} from './node.js';
+export {MimosatackNode, type NodeOptions} from './node.js';
+export {type NodeAddresses} from './open_ports.js';
--- /dev/null
+++ b/packages/node/src/make_engine_tasks.ts
@@ -0,0 +1,101 @@
+/** Builds the tasks of a node that deal with engines and their hosts. */
+import {type Clock} from '@mimosatack/clock';
+import {type LogFollower} from '@mimosatack/follow-log';
+import {type EventLogger} from '@mimosatack/logger';
+import {HttpEngineControl, HttpHostList} from '@mimosatack/platform';
+import {type DaemonSettings} from '@mimosatack/settings';
+import {HostListTask} from './host_list_task.js';
+import {type HostWatch} from './host_watch.js';
+import {type KnownProcesses} from './known_processes.js';
+import {type NodeRanking} from './node_ranking.js';
+import {
+  ENGINE_TIMEOUT_MS,
+  ORDER_DOUBT_MS,
+  PLATFORM_TIMEOUT_MS,
+  SUBMIT_TIMEOUT_MS,
+} from './node_timings.js';
+import {type Obituary} from './obituary.js';
+import {type Operations} from './operations.js';
+import {type PeerTask} from './peer_task.js';
+import {type ReportTask} from './report_task.js';
+import {type StewardHints} from './steward_hints.js';
+import {StewardTask} from './steward_task.js';
+
+/** What the tasks are built from. */
+export interface EngineTaskParts {
+  clock: Clock;
+  logger: EventLogger;
+  settings: DaemonSettings;
+  follower: LogFollower;
+  incarnation: string;
+  ranking: NodeRanking;
+  processes: KnownProcesses;
+  obituary: Obituary;
+  peers: PeerTask;
+  reports: ReportTask;
+  hints: StewardHints;
+  hostWatch: HostWatch;
+  /** Built after the tasks. */
+  operations: () => Operations;
+  onFault: (thrown: unknown, task: string) => void;
+}
+
+export function makeStewardTask(parts: EngineTaskParts): StewardTask {
+  const {clock, logger, follower, incarnation, onFault} = parts;
+  const {ranking, processes, obituary, reports, hints, operations} = parts;
+  return new StewardTask(
+    {
+      ...{clock, logger, follower, incarnation},
+      connect: (id, baseUrl) => connectEngine(parts.settings, id, baseUrl),
+      findOwnRank: id => ranking.findOwnRank(`steward ${id}`),
+      listSuccessors: id =>
+        ranking.listFirst(`steward ${id}`).map(member => member.incarnation),
+      isKnown: other => processes.isKnown(other),
+      isGone: other => processes.isGone(other),
+      findDeathEvidence: other => obituary.find(other),
+      publishReport: (report, term) => {
+        operations().noteReport(report);
+        reports.post({type: 'publish', report, term});
+      },
+      submitTimeoutMs: SUBMIT_TIMEOUT_MS,
+      orderDoubtMs: ORDER_DOUBT_MS,
+      drain: hints.drain,
+      outlook: slot => hints.outlook(slot),
+    },
+    onFault,
+  );
+}
+
+export function makeHostListTask(parts: EngineTaskParts): HostListTask {
+  const {clock, settings, follower, peers, obituary, hostWatch} = parts;
+  return new HostListTask(
+    {
+      ...{clock, follower},
+      hostList: new HttpHostList({
+        baseUrl: settings.hostListUrl,
+        nodeId: settings.nodeName,
+        timeoutMs: PLATFORM_TIMEOUT_MS,
+      }),
+      intervalMs: settings.pollIntervalMs,
+      countNodes: () => peers.listUsable().length,
+      connect: (id, baseUrl) => connectEngine(settings, id, baseUrl),
+      onHosts: hosts => {
+        obituary.noteHosts(hosts);
+        hostWatch.noteHosts(hosts);
+      },
+      submitTimeoutMs: SUBMIT_TIMEOUT_MS,
+    },
+    parts.onFault,
+  );
+}
+
+function connectEngine(
+  settings: DaemonSettings,
+  backendServerId: string,
+  baseUrl: string,
+): HttpEngineControl {
+  return new HttpEngineControl({
+    ...{backendServerId, baseUrl, nodeId: settings.nodeName},
+    timeoutMs: ENGINE_TIMEOUT_MS,
+  });
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -6,12 +6,7 @@
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {LogFollower} from '@mimosatack/follow-log';
 import {type EventLogger} from '@mimosatack/logger';
-import {type Member} from '@mimosatack/membership';
-import {
-  HttpEngineControl,
-  HttpHostList,
-  HttpLogService,
-} from '@mimosatack/platform';
+import {HttpLogService} from '@mimosatack/platform';
 import {type RandomSource} from '@mimosatack/random';
 import {
   AbandonedRequests,
@@ -24,7 +19,12 @@
 import {TicketMint} from '@mimosatack/unrepeatable';
 import {type FastifyInstance} from 'fastify';
 import {CheckpointTask} from './checkpoint_task.js';
-import {HostListTask} from './host_list_task.js';
+import {type HostListTask} from './host_list_task.js';
+import {
+  type EngineTaskParts,
+  makeHostListTask,
+  makeStewardTask,
+} from './make_engine_tasks.js';
 import {makePolicy} from './make_policy.js';
 import {type DrainedHook, NodeShutdown} from './node_shutdown.js';
 import {KeyTasks} from './key_tasks.js';
@@ -38,8 +38,20 @@
 import {toEntry} from './entry.js';
 import {ReportTask, listSlotContents} from './report_task.js';
 import {StewardHints} from './steward_hints.js';
-import {StewardTask} from './steward_task.js';
+import {type StewardTask} from './steward_task.js';
 import {makeLimitsReader} from './store_limits.js';
+import {KnownProcesses} from './known_processes.js';
+import {
+  KEEPERS_INTERVAL_MS,
+  LONG_POLL_MS,
+  ORDER_DOUBT_MS,
+  PLATFORM_TIMEOUT_MS,
+  REPORT_TICK_MS,
+  RETRY_DELAY_MS,
+  STORE_LIMITS_INTERVAL_MS,
+  SUBMIT_TIMEOUT_MS,
+} from './node_timings.js';
+import {type NodeAddresses, openPorts} from './open_ports.js';
 
 /** What a node is started with. */
 export interface NodeOptions {
@@ -50,25 +62,8 @@
   release: string;
 }
 
-/** Where a started node listens. */
-export interface NodeAddresses {
-  callerBaseUrl: string;
-  adminBaseUrl: string;
-  peerAddress: string;
-}
-
 const DECISIONS_STREAM = 'decisions';
 const CHECKPOINT_STREAM = 'checkpoints';
-const LONG_POLL_MS = 5_000;
-const RETRY_DELAY_MS = 200;
-const PLATFORM_TIMEOUT_MS = 2_000;
-/** Three reads of an engine in a row that take longer make it lost. */
-const ENGINE_TIMEOUT_MS = 1_000;
-const SUBMIT_TIMEOUT_MS = 10_000;
-const ORDER_DOUBT_MS = 30_000;
-const REPORT_TICK_MS = 100;
-const STORE_LIMITS_INTERVAL_MS = 10_000;
-const KEEPERS_INTERVAL_MS = 1_000;
 
 /** One node of the system. */
 export class MimosatackNode {
@@ -79,6 +74,7 @@
   private readonly follower: LogFollower;
   private readonly log: HttpLogService;
   private readonly peers: PeerTask;
+  private readonly processes: KnownProcesses;
   private readonly checkpoints: CheckpointTask;
   private readonly reports: ReportTask;
   private readonly stewards: StewardTask;
@@ -129,6 +125,7 @@
       ...{follower: this.follower, board: this.board},
     });
     this.peers = this.makePeers();
+    this.processes = new KnownProcesses(this.peers);
     this.hostWatch = new HostWatch({
       ...{clock, follower: this.follower},
       onDraining: ids => this.answering.router.setDraining(ids),
@@ -143,8 +140,9 @@
     });
     this.checkpoints = this.makeCheckpoints();
     this.reports = this.makeReports();
-    this.stewards = this.makeStewards();
-    this.hosts = this.makeHosts();
+    const engineTaskParts = this.listEngineTaskParts();
+    this.stewards = makeStewardTask(engineTaskParts);
+    this.hosts = makeHostListTask(engineTaskParts);
     this.planner = this.makePlanner();
     this.operations = this.makeOperations();
     this.shutdown.watch(this.operations.operatorServer);
@@ -182,7 +180,11 @@
    */
   async start(): Promise<NodeAddresses | null> {
     const startedAtMs = this.options.clock.monotonicMs();
-    const addresses = await this.openPorts();
+    const {incarnation, peers, callerServer, operations} = this;
+    const addresses = await openPorts({
+      ...this.options,
+      ...{incarnation, peers, callerServer, operations},
+    });
     if (this.isStopping) {
       this.shutdown.task.noteStarted(false);
       return null;
@@ -211,27 +213,6 @@
     this.shutdown.onDrained(hook);
   }
 
-  private async openPorts(): Promise<NodeAddresses> {
-    const {settings, logger} = this.options;
-    const {listenHost: host, advertiseHost} = settings;
-    const {operations, callerServer} = this;
-    await operations.openTls();
-    const peer = await this.peers.listen();
-    await callerServer.listen({host, port: settings.callerPort});
-    await operations.operatorServer.listen({host, port: settings.adminPort});
-    const callerPort = portOf(callerServer);
-    const adminPort = portOf(operations.operatorServer);
-    logger.log('node-started', {
-      incarnation: this.incarnation,
-      ...{callerPort, adminPort, peerPort: peer.port},
-    });
-    return {
-      peerAddress: `${advertiseHost}:${peer.port}`,
-      callerBaseUrl: `${operations.schemeOf('callers')}://${advertiseHost}:${callerPort}`,
-      adminBaseUrl: `${operations.schemeOf('operators')}://${advertiseHost}:${adminPort}`,
-    };
-  }
-
   private join(addresses: NodeAddresses): void {
     const {settings, clock, release} = this.options;
     this.peers.join({
@@ -359,58 +340,16 @@
     );
   }
 
-  private makeStewards(): StewardTask {
-    const {clock, logger} = this.options;
-    return new StewardTask(
-      {
-        clock,
-        logger,
-        follower: this.follower,
-        incarnation: this.incarnation,
-        connect: (id, baseUrl) => this.connectEngine(id, baseUrl),
-        findOwnRank: id => this.ranking.findOwnRank(`steward ${id}`),
-        listSuccessors: id =>
-          this.ranking
-            .listFirst(`steward ${id}`)
-            .map(member => member.incarnation),
-        isKnown: incarnation => this.findMember(incarnation) !== undefined,
-        isGone: incarnation => this.isGone(incarnation),
-        findDeathEvidence: incarnation => this.obituary.find(incarnation),
-        publishReport: (report, term) => {
-          this.operations.noteReport(report);
-          this.reports.post({type: 'publish', report, term});
-        },
-        submitTimeoutMs: SUBMIT_TIMEOUT_MS,
-        orderDoubtMs: ORDER_DOUBT_MS,
-        drain: this.hints.drain,
-        outlook: slot => this.hints.outlook(slot),
-      },
-      (error, task) => this.noteFault(error, task),
-    );
-  }
-
-  private makeHosts(): HostListTask {
-    const {clock, settings} = this.options;
-    return new HostListTask(
-      {
-        clock,
-        hostList: new HttpHostList({
-          baseUrl: settings.hostListUrl,
-          nodeId: settings.nodeName,
-          timeoutMs: PLATFORM_TIMEOUT_MS,
-        }),
-        follower: this.follower,
-        intervalMs: settings.pollIntervalMs,
-        countNodes: () => this.peers.listUsable().length,
-        connect: (id, baseUrl) => this.connectEngine(id, baseUrl),
-        onHosts: hosts => {
-          this.obituary.noteHosts(hosts);
-          this.hostWatch.noteHosts(hosts);
-        },
-        submitTimeoutMs: SUBMIT_TIMEOUT_MS,
-      },
-      (error, task) => this.noteFault(error, task),
-    );
+  private listEngineTaskParts(): EngineTaskParts {
+    const {follower, incarnation, ranking, processes, obituary} = this;
+    const {peers, reports, hints, hostWatch} = this;
+    return {
+      ...this.options,
+      ...{follower, incarnation, ranking, processes, obituary},
+      ...{peers, reports, hints, hostWatch},
+      operations: () => this.operations,
+      onFault: (thrown, task) => this.noteFault(thrown, task),
+    };
   }
 
   private makePlanner(): PlannerTask {
@@ -446,27 +385,6 @@
     });
   }
 
-  private connectEngine(backendServerId: string, baseUrl: string) {
-    return new HttpEngineControl({
-      backendServerId,
-      baseUrl,
-      nodeId: this.options.settings.nodeName,
-      timeoutMs: ENGINE_TIMEOUT_MS,
-    });
-  }
-
-  /** A process that membership never heard of, or believes to be dead. */
-  private isGone(incarnation: string): boolean {
-    const member = this.findMember(incarnation);
-    return member === undefined || member.status === 'gone';
-  }
-
-  private findMember(incarnation: string): Member | undefined {
-    return this.peers
-      .listMembers()
-      .find(other => other.incarnation === incarnation);
-  }
-
   private noteFault(thrown: unknown, task: string): void {
     const error: TypedError = toTypedError(thrown);
     this.options.logger.log('task-failed', {
@@ -476,7 +394,3 @@
     });
   }
 }
-
-function portOf(server: FastifyInstance): number {
-  return (server.server.address() as {port: number}).port;
-}
