--- /dev/null
+++ b/packages/journal-report/src/index.ts
@@ -0,0 +1,8 @@
+export {drawRounds} from './draw_rounds.js';
+export {formatRounds} from './format_rounds.js';
+export {
+  type DayFigures,
+  type JournalFile,
+  type Round,
+  readRounds,
+} from './read_rounds.js';
