--- a/packages/schedule-models/src/demand.ts
+++ b/packages/schedule-models/src/demand.ts
@@ -36,6 +36,10 @@
     });
   }
 
+  get modelCount(): number {
+    return this.rates.size;
+  }
+
   find(service: ServiceName, model: ModelName, nowMs: number): Demand {
     const rate = this.rates.get(toKey(service, model));
     if (!rate) return NO_DEMAND;
--- a/packages/schedule-models/src/missed_models.ts
+++ b/packages/schedule-models/src/missed_models.ts
@@ -18,6 +18,10 @@
     this.misses.delete(toKey(service, model));
   }
 
+  get modelCount(): number {
+    return this.misses.size;
+  }
+
   /** Requests refused since the model was last served. */
   count(service: ServiceName, model: ModelName): number {
     return this.misses.get(toKey(service, model)) ?? 0;
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -71,6 +71,11 @@
     return this.waiting.size;
   }
 
+  /** Models that something is remembered of beside what engines hold. */
+  get rememberedModelCount(): number {
+    return Math.max(this.demand.modelCount, this.missed.modelCount);
+  }
+
   listEngines(): EngineView[] {
     return [...this.engines.values()];
   }
@@ -102,15 +107,19 @@
       runs.has(request.askId),
     );
     if (isRunning) return;
-    this.demand.note(
-      request.service,
-      request.model,
-      request.promptTokens,
-      nowMs,
-    );
+    this.noteDemand(request, nowMs);
     this.waiting.set(request.askId, request);
   }
 
+  /** Callers may send any name; only those that exist are remembered. */
+  private noteDemand(
+    {service, model, promptTokens}: ScheduledRequest,
+    nowMs: number,
+  ): void {
+    if (!this.catalogue.findModel(service, model)) return;
+    this.demand.note(service, model, promptTokens, nowMs);
+  }
+
   /** A request that was assigned earlier, by whomever. */
   noteRunning(
     request: ScheduledRequest,
@@ -332,7 +341,9 @@
       });
       if (!refusal) return [];
       this.withdraw(request.askId);
-      this.missed.noteRefused(request.service, request.model);
+      if (refusal.reason !== 'unknown-model') {
+        this.missed.noteRefused(request.service, request.model);
+      }
       return [{kind: 'refuse' as const, askId: request.askId, ...refusal}];
     });
   }
