Show who schedules and which configuration each node has by one command

mimosatack nodes reads the metrics of the nodes on the platform. Seen to fail before: there was no such command. Tests: a set of nodes that agrees, one where two schedule and one is gone, and an address that is none.

--- /dev/null
+++ b/packages/cli/src/commands/nodes/index.ts
@@ -0,0 +1,82 @@
+/** `mimosatack nodes`. */
+import {toTypedError} from '@mimosatack/errors';
+import {Command, Option, UsageError} from 'clipanion';
+import {request} from 'undici';
+import {BaseCommand, type Report} from '../../base_command.js';
+import {EXIT_CODES} from '../../exit_codes.js';
+import {formatTable} from '../../print/table.js';
+import {
+  type NodeState,
+  findNodeFaults,
+  makeSilentNode,
+  readNodeMetrics,
+} from './read_node_metrics.js';
+
+/** A node answers in some ms; one that is cut off must not hold up the others. */
+const ANSWER_TIMEOUT_MS = 2_000;
+const STATUS_OK = 200;
+
+/** Shows who schedules and which configuration each node has. */
+export class NodesCommand extends BaseCommand {
+  static override paths = [['nodes']];
+  static override usage = Command.Usage({
+    category: 'Operation',
+    description: 'Show who schedules and how far each node has got',
+    details:
+      'Takes the metrics addresses of the nodes. Ends with 1 when one does not answer, when configurations differ, or when not exactly one schedules.',
+    examples: [
+      ['Two nodes', '$0 nodes http://10.1.0.38:9464 http://10.2.0.40:9464'],
+    ],
+  });
+
+  addresses = Option.Rest({name: 'metrics-urls', required: 1});
+
+  protected async perform(): Promise<Report> {
+    const urls = this.addresses.map(toMetricsUrl);
+    const nodes = await Promise.all(urls.map(readNode));
+    const faults = findNodeFaults(nodes);
+    const table = formatTable(nodes, [
+      {title: 'node', read: node => node.metricsUrl},
+      {title: 'schedules', read: node => node.isScheduling},
+      {title: 'configuration', read: node => node.configurationVersion},
+      {title: 'servers', read: node => node.serversKnown},
+      {title: 'list age ms', read: node => node.serversAgeMs},
+      {title: 'error', read: node => node.error},
+    ]);
+    return {
+      json: {nodes, faults},
+      text: [table, ...faults.map(fault => `${fault}\n`)].join(''),
+      exitCode: faults.length === 0 ? EXIT_CODES.ok : EXIT_CODES.refused,
+    };
+  }
+}
+
+function toMetricsUrl(address: string): string {
+  const url = URL.canParse(address) ? new URL(address) : null;
+  if (!url || !/^https?:$/.test(url.protocol)) {
+    throw new UsageError(
+      `"${address}" is no address; give one like http://10.1.0.38:9464.`,
+    );
+  }
+  if (url.pathname === '/') url.pathname = '/metrics';
+  return url.href;
+}
+
+async function readNode(metricsUrl: string): Promise<NodeState> {
+  try {
+    const answer = await request(metricsUrl, {
+      headersTimeout: ANSWER_TIMEOUT_MS,
+      bodyTimeout: ANSWER_TIMEOUT_MS,
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
+    });
+    const text = await answer.body.text();
+    return answer.statusCode === STATUS_OK
+      ? readNodeMetrics(metricsUrl, text)
+      : makeSilentNode(metricsUrl, `status ${answer.statusCode}`);
+  } catch (thrown) {
+    return makeSilentNode(metricsUrl, toTypedError(thrown).summary);
+  }
+}
+
+/** The commands about the nodes on the users' platform. */
+export const NODES_COMMANDS = [NodesCommand];
--- /dev/null
+++ b/packages/cli/src/commands/nodes/nodes.test.ts
@@ -0,0 +1,78 @@
+import {type AddressInfo} from 'node:net';
+import {createServer} from 'node:http';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {EXIT_CODES} from '../../exit_codes.js';
+import {runWith} from '../../testing_fixture.js';
+
+const test = suite('nodes');
+
+function formatMetrics(version: number, duties: number): string {
+  return [
+    '# TYPE mimosatack_configuration_version gauge',
+    `mimosatack_configuration_version ${version}`,
+    '# TYPE mimosatack_duties_held gauge',
+    `mimosatack_duties_held ${duties}`,
+    '# TYPE mimosatack_servers_known gauge',
+    'mimosatack_servers_known 17',
+    '',
+  ].join('\n');
+}
+
+/** Serves metrics while `use` runs. */
+async function withNodes(
+  texts: readonly string[],
+  use: (urls: string[]) => Promise<void>,
+): Promise<void> {
+  const servers = texts.map(text =>
+    createServer((_request, response) => response.end(text)),
+  );
+  try {
+    const urls = await Promise.all(
+      servers.map(
+        server =>
+          new Promise<string>(resolve =>
+            server.listen(0, '127.0.0.1', () => {
+              const {port} = server.address() as AddressInfo;
+              resolve(`http://127.0.0.1:${port}`);
+            }),
+          ),
+      ),
+    );
+    await use(urls);
+  } finally {
+    servers.forEach(server => {
+      server.close();
+      server.closeAllConnections();
+    });
+  }
+}
+
+test('who schedules and which configuration each node has is shown', () =>
+  withNodes([formatMetrics(7, 1), formatMetrics(7, 0)], async urls => {
+    const {exitCode, stdout} = await runWith(['nodes', ...urls]);
+    assert.is(exitCode, EXIT_CODES.ok);
+    assert.match(stdout, /\/metrics +yes +7 +17/);
+    assert.match(stdout, /\/metrics +no +7 +17/);
+  }));
+
+/*
+ * A node is cut off from the others: it holds on to an old configuration and
+ * believes that it schedules. Operators see it only by comparing nodes.
+ */
+test('nodes that differ, and one that is gone, are told', () =>
+  withNodes([formatMetrics(7, 1), formatMetrics(6, 1)], async urls => {
+    const argv = ['nodes', ...urls, 'http://127.0.0.1:1', '--json'];
+    const {exitCode, stdout} = await runWith(argv);
+    assert.is(exitCode, EXIT_CODES.refused);
+    const {faults} = JSON.parse(stdout) as {faults: string[]};
+    assert.is(faults.length, 3);
+  }));
+
+test('an address that is none is refused with its remedy', async () => {
+  const {exitCode, stderr} = await runWith(['nodes', '10.1.0.38']);
+  assert.is(exitCode, EXIT_CODES.usage);
+  assert.match(stderr, /give one like http:/);
+});
+
+test.run();
--- a/packages/cli/src/run_tool.ts
+++ b/packages/cli/src/run_tool.ts
@@ -6,6 +6,7 @@
 import {EVENT_COMMANDS} from './commands/event/index.js';
 import {HelpCommand} from './commands/help_command.js';
 import {HOST_COMMANDS} from './commands/host/index.js';
+import {NODES_COMMANDS} from './commands/nodes/index.js';
 import {REPLICA_COMMANDS} from './commands/replica/index.js';
 import {EXPLAIN_COMMANDS} from './commands/explain/index.js';
 import {SETTINGS_COMMANDS} from './commands/settings/index.js';
@@ -65,6 +66,7 @@
     ...STATUS_COMMANDS,
     ...SETTINGS_COMMANDS,
     ...EXPLAIN_COMMANDS,
+    ...NODES_COMMANDS,
   ].forEach(command => cli.register(command));
   return cli;
 }
