--- a/packages/explain-request/src/explain_request.test.ts
+++ b/packages/explain-request/src/explain_request.test.ts
@@ -127,6 +127,25 @@
  * A node was killed in the middle of a line, and a collector put its own words
  * before each. Neither may hide what the other lines tell.
  */
+/*
+ * A server took a request at once and never answered. On call, somebody was sent
+ * to look for a load or for the node that schedules.
+ */
+test('points at the server where a request hardly waited', () => {
+  const {verdict} = explain(
+    'r1',
+    sentTo('e1'),
+    writeLine('entry-1', 1_100, 'attempt-ended', {
+      ...{requestId: 'r1', backendServerId: 'e1', outcome: 'aborted'},
+    }),
+    writeLine('entry-1', 1_100, 'request-finished', {
+      ...{requestId: 'r1', result: 'refused', kind: 'deadline-exceeded'},
+      tookMs: 1_102,
+    }),
+  );
+  assert.match(verdict.advice, /log and the load of e1/);
+});
+
 test('half a line is counted and left out', () => {
   const whole = sentTo('e1');
   const {lines, skipped} = parseLog(
--- a/packages/explain-request/src/find_verdict.ts
+++ b/packages/explain-request/src/find_verdict.ts
@@ -147,6 +147,9 @@
   };
 }
 
+/** A request that waited for so much of its time was late by its waiting. */
+const WAITED_PART = 0.5;
+
 /** Of a request whose time was over before its answer was whole. */
 function findOverdueCause(
   own: readonly LogLine[],
@@ -154,6 +157,7 @@
   server: string,
 ): Omit<Verdict, 'result'> {
   const waitedMs = findWaitMs(own, finished);
+  const tookMs = Number(finished.fields['tookMs'] ?? 0);
   const headMs = findLastAttempt(own)?.fields['headMs'];
   const state =
     typeof headMs === 'number'
@@ -162,7 +166,7 @@
   return {
     cause: `Its time was over after ${show(finished.fields['tookMs'])} ms: it waited ${waitedMs} ms to be sent, and ${server} ${state}.`,
     advice:
-      waitedMs > 0
+      waitedMs >= WAITED_PART * tookMs
         ? 'See below what it waited for: an order for its model, or a node that schedules.'
         : `Look at the log and the load of ${server} at that time.`,
   };
