--- a/packages/bench-scheduling/src/play_requests.ts
+++ b/packages/bench-scheduling/src/play_requests.ts
@@ -22,12 +22,15 @@
   lateOrders: number;
   /** When engines are down; each is back, empty of models, after a while. */
   losses: ReadonlyArray<{engine: number; atMs: number; forMs: number}>;
+  /** When another node takes over, which knows what runs and what waits. */
+  takeoversAtMs: readonly number[];
 }
 
 export const NO_FAULTS: PlayFaults = {
   lostAnswers: 0,
   lateOrders: 0,
   losses: [],
+  takeoversAtMs: [],
 };
 
 /** What is played. */
@@ -79,20 +82,21 @@
 }
 
 class Play {
-  private readonly scheduler: ModelScheduler;
+  private scheduler: ModelScheduler;
   private readonly engines: VirtualEngine[];
   private readonly requests = new Map<string, ScheduledRequest>();
   private readonly ends = new Map<string, 'onTime' | 'late' | 'refused'>();
+  /** The engine of each request that runs. */
+  private readonly running = new Map<string, string>();
   private timed: Timed[] = [];
   private orders = 0;
   private nowMs = 0;
 
   constructor(private readonly options: PlayOptions) {
-    this.scheduler = new ModelScheduler({policy: options.policy});
     this.engines = makeEngines(options.deployment, options.random);
-    this.scheduler.configure(listServices(options.deployment));
-    this.engines.forEach(engine =>
-      this.scheduler.putEngine(engine.describe(), 0),
+    this.scheduler = this.makeScheduler();
+    options.faults.takeoversAtMs.forEach(atMs =>
+      this.at(atMs, () => this.takeOver()),
     );
     options.faults.losses.forEach(({engine, atMs, forMs}) => {
       const lost = this.engines[engine % this.engines.length];
@@ -121,6 +125,29 @@
     return this.sumUp();
   }
 
+  private makeScheduler(): ModelScheduler {
+    const {policy, deployment} = this.options;
+    const scheduler = new ModelScheduler({policy});
+    scheduler.configure(listServices(deployment));
+    this.engines.forEach(engine =>
+      scheduler.putEngine(engine.describe(), this.nowMs),
+    );
+    return scheduler;
+  }
+
+  /** Orders of the node before may still be on their way. */
+  private takeOver(): void {
+    this.scheduler = this.makeScheduler();
+    this.requests.forEach((request, askId) => {
+      const engineId = this.running.get(askId);
+      if (engineId !== undefined) {
+        this.scheduler.noteRunning(request, engineId, this.nowMs);
+      } else if (!this.ends.has(askId)) {
+        this.scheduler.ask(request, this.nowMs);
+      }
+    });
+  }
+
   private carryOut(decision: Decision): void {
     switch (decision.kind) {
       case 'assign':
@@ -146,11 +173,13 @@
       return;
     }
     engine.begin(request, this.nowMs);
+    this.running.set(askId, engineId);
   }
 
   private endRuns(engine: VirtualEngine): void {
     engine.advance(this.nowMs).forEach(run => {
       const {askId} = run.request;
+      this.running.delete(askId);
       this.ends.set(askId, isOnTime(run) ? 'onTime' : 'late');
       this.scheduler.noteEnd(
         askId,
@@ -167,9 +196,10 @@
     if (!engine) return;
     const {lostAnswers, lateOrders} = this.options.faults;
     const chance = this.options.random.nextFraction();
+    const {scheduler} = this;
     const answer = (outcome: OrderOutcome, afterMs: number) =>
       this.at(this.nowMs + afterMs, () =>
-        this.scheduler.noteOrderOutcome(order.engineId, outcome, this.nowMs),
+        scheduler.noteOrderOutcome(order.engineId, outcome, this.nowMs),
       );
     if (engine.isDown) return answer('unknown', LOST_ANSWER_MS);
     if (chance < lateOrders) {
--- a/packages/bench-scheduling/src/scheduling.test.ts
+++ b/packages/bench-scheduling/src/scheduling.test.ts
@@ -134,11 +134,13 @@
     }),
     {maxLength: 3},
   ),
+  takeoversAtMs: fc.array(fc.nat({max: 12_000}), {maxLength: 3}),
 });
 
 /*
  * Orders are lost, answered and not carried out, or carried out many seconds
- * later, behind newer ones. An engine that is ordered to load more than its
+ * later, behind newer ones, also by a node from which another one has taken
+ * over meanwhile. An engine that is ordered to load more than its
  * memory holds crashes with all that runs on it.
  */
 test('no order ever asks an engine for more than it holds', () => {
