Count copies, key models and take the swap's view in one place each

Found in reading the change: the key of a model was written four times, the count of engines that hold a model twice, and the view for swaps was made up to three times a decision. Behaviour is unchanged: tests of schedule-models, schedule-service and bench-scheduling pass with their assertions as they were.

--- a/packages/schedule-models/src/demand.ts
+++ b/packages/schedule-models/src/demand.ts
@@ -1,5 +1,6 @@
 /** How often each model is asked for. */
 import {type ModelName, type ServiceName} from '@mimosatack/types';
+import {toModelKey} from './model_key.js';
 
 /**
  * Requests fade out of the rate with this time constant. Demand moves to other
@@ -29,7 +30,7 @@
   ): void {
     const faded = this.find(service, model, nowMs);
     const part = MS_PER_SECOND / MEMORY_MS;
-    this.rates.set(toKey(service, model), {
+    this.rates.set(toModelKey(service, model), {
       requestsPerSecond: faded.requestsPerSecond + part,
       promptTokensPerSecond: faded.promptTokensPerSecond + part * promptTokens,
       atMs: nowMs,
@@ -41,7 +42,7 @@
   }
 
   find(service: ServiceName, model: ModelName, nowMs: number): Demand {
-    const rate = this.rates.get(toKey(service, model));
+    const rate = this.rates.get(toModelKey(service, model));
     if (!rate) return NO_DEMAND;
     const left = Math.exp((rate.atMs - nowMs) / MEMORY_MS);
     return {
@@ -50,7 +51,3 @@
     };
   }
 }
-
-function toKey(service: ServiceName, model: ModelName): string {
-  return `${service}/${model}`;
-}
--- a/packages/schedule-models/src/extra_copy.ts
+++ b/packages/schedule-models/src/extra_copy.ts
@@ -1,5 +1,5 @@
 /** Places further copies of models that are asked for more than can be read. */
-import {findLoss} from './swap_options.js';
+import {countResidentCopies, findLoss} from './swap_options.js';
 import {
   type Batch,
   type SwapChoice,
@@ -29,11 +29,7 @@
   context: SwapContext,
 ): SwapChoice | null {
   const {service, model} = batch;
-  const copies = context.engines.filter(
-    engine =>
-      engine.isOpenAt(context.nowMs) &&
-      engine.residents.get(model)?.isLeaving === false,
-  ).length;
+  const copies = countResidentCopies(model, context);
   const isEnough = copies >= context.wantedCopiesOf(service, model);
   if (isEnough && !isBacklog(batch, copies, context)) return null;
   const choice = policy.choose(batch, context);
--- a/packages/schedule-models/src/find_store_load.ts
+++ b/packages/schedule-models/src/find_store_load.ts
@@ -1,5 +1,6 @@
 /** Chooses what is loaded from the weight store, and where. */
 import {type ModelName, type ServiceName} from '@mimosatack/types';
+import {toModelKey} from './model_key.js';
 import {type EngineView} from './engine_view.js';
 import {type ModelCatalogue} from './model_catalogue.js';
 import {findLoss, listSwaps} from './swap_options.js';
@@ -78,7 +79,7 @@
     .map(({service, model}) => ({
       ...{service, model},
       rate: context.rateOf(service, model),
-      copies: copies.get(toKey(service, model)) ?? 0,
+      copies: copies.get(toModelKey(service, model)) ?? 0,
       wantedCopies: context.wantedCopiesOf(service, model),
     }))
     .filter(({rate}) => rate >= NEEDED_RATE)
@@ -91,7 +92,7 @@
     .filter(engine => engine.isOpenAt(nowMs))
     .forEach(engine =>
       listNear(engine).forEach(model => {
-        const key = toKey(engine.entry.service, model);
+        const key = toModelKey(engine.entry.service, model);
         copies.set(key, (copies.get(key) ?? 0) + 1);
       }),
     );
@@ -148,7 +149,3 @@
   if (copies < wantedCopies) return loss <= rate * OVERLOAD_VICTIM_PART;
   return isSpare && load === 'idle' && loss <= rate * SPARE_VICTIM_PART;
 }
-
-function toKey(service: ServiceName, model: ModelName): string {
-  return `${service}/${model}`;
-}
--- a/packages/schedule-models/src/missed_models.ts
+++ b/packages/schedule-models/src/missed_models.ts
@@ -1,5 +1,6 @@
 /** Which models were asked for and not served lately. */
 import {type ModelName, type ServiceName} from '@mimosatack/types';
+import {toModelKey} from './model_key.js';
 
 /**
  * Guards against a model that is never served: its batches are small, so they
@@ -10,12 +11,12 @@
   private readonly misses = new Map<string, number>();
 
   noteRefused(service: ServiceName, model: ModelName): void {
-    const key = toKey(service, model);
+    const key = toModelKey(service, model);
     this.misses.set(key, (this.misses.get(key) ?? 0) + 1);
   }
 
   noteServed(service: ServiceName, model: ModelName): void {
-    this.misses.delete(toKey(service, model));
+    this.misses.delete(toModelKey(service, model));
   }
 
   get modelCount(): number {
@@ -24,10 +25,6 @@
 
   /** Requests refused since the model was last served. */
   count(service: ServiceName, model: ModelName): number {
-    return this.misses.get(toKey(service, model)) ?? 0;
+    return this.misses.get(toModelKey(service, model)) ?? 0;
   }
 }
-
-function toKey(service: ServiceName, model: ModelName): string {
-  return `${service}/${model}`;
-}
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -267,32 +267,32 @@
     });
     return [
       ...swaps,
-      ...this.startExtraCopies(nowMs),
-      ...this.startStoreLoad(batches.length > 0, nowMs),
+      ...this.startExtraCopies(context),
+      ...this.startStoreLoad(batches.length > 0, context),
     ];
   }
 
   /** Further copies of models that are asked for more than can be read. */
-  private startExtraCopies(nowMs: number): Decision[] {
+  private startExtraCopies(context: SwapContext): Decision[] {
     if (this.heldBack.isEmpty) return [];
     const heldBack = this.listByUrgency().filter(request =>
       this.heldBack.has(request),
     );
-    const context = this.makeSwapContext(nowMs);
     return groupBatches(heldBack).flatMap(batch => {
       if (this.isComing(batch.service, batch.model)) return [];
       const choice = chooseExtraCopy(batch, this.options.policy, context);
-      return choice ? [this.startSwap(batch.model, choice, nowMs)] : [];
+      return choice ? [this.startSwap(batch.model, choice, context.nowMs)] : [];
     });
   }
 
   /** One load from the weight store, if it bears one more. */
-  private startStoreLoad(isBusy: boolean, nowMs: number): Decision[] {
+  private startStoreLoad(isBusy: boolean, context: SwapContext): Decision[] {
+    const {nowMs} = context;
     if (nowMs < this.storeLookAtMs) return [];
     this.storeLookAtMs = nowMs + STORE_LOOK_MS;
     const load = findStoreLoad(
       this.catalogue,
-      this.makeSwapContext(nowMs),
+      context,
       isBusy ? 'busy' : 'idle',
     );
     return load ? [this.startSwap(load.model, load.choice, nowMs)] : [];
--- a/packages/schedule-models/src/swap_options.ts
+++ b/packages/schedule-models/src/swap_options.ts
@@ -25,15 +25,24 @@
 /** Requests a second that would miss the victim, over its copies. */
 export function findLoss(
   {engine, victim}: SwapChoice,
-  {engines, nowMs, rateOf}: SwapContext,
+  context: SwapContext,
 ): number {
   if (!victim) return 0;
-  const copies = engines.filter(
-    other =>
-      other.isOpenAt(nowMs) &&
-      other.residents.get(victim.model)?.isLeaving === false,
+  const copies = countResidentCopies(victim.model, context);
+  const rate = context.rateOf(engine.entry.service, victim.model);
+  return rate / Math.max(1, copies);
+}
+
+/** Engines that take work and hold the model, or are loading it. */
+export function countResidentCopies(
+  model: ModelName,
+  {engines, nowMs}: SwapContext,
+): number {
+  return engines.filter(
+    engine =>
+      engine.isOpenAt(nowMs) &&
+      engine.residents.get(model)?.isLeaving === false,
   ).length;
-  return rateOf(engine.entry.service, victim.model) / Math.max(1, copies);
 }
 
 function canTake(engine: EngineView, batch: Batch, nowMs: number): boolean {
--- a/packages/schedule-models/src/waiting_batches.ts
+++ b/packages/schedule-models/src/waiting_batches.ts
@@ -1,4 +1,5 @@
 /** Requests that wait for the same model. */
+import {toModelKey} from './model_key.js';
 import {type ScheduledRequest} from './scheduled_request.js';
 import {type Batch} from './swap_policy.js';
 
@@ -6,7 +7,7 @@
 export function groupBatches(requests: readonly ScheduledRequest[]): Batch[] {
   const groups = new Map<string, ScheduledRequest[]>();
   requests.forEach(request => {
-    const key = `${request.service}/${request.model}`;
+    const key = toModelKey(request.service, request.model);
     const group = groups.get(key);
     if (group) group.push(request);
     else groups.set(key, [request]);
