--- a/packages/logger/src/events/process_events.ts
+++ b/packages/logger/src/events/process_events.ts
@@ -13,6 +13,15 @@
       peerPort: 'port bound for other nodes',
     },
   },
+  'program-loaded': {
+    number: 1011,
+    level: 'info',
+    message: 'The program has been loaded.',
+    fields: {
+      compiledCode:
+        'used, or rejected: it is of another release or of other flags of the runtime, so that starts are slower; none in a build without it',
+    },
+  },
   'node-ready': {
     number: 1001,
     level: 'info',
