Look engines up by the models that they hold or have near

Change: an index of holders, made for each decision, and of near weights, made when a heartbeat tells of other ones; the waiting requests are kept in order; what each engine could give up for a load from the store is listed once a look and not once a model; rates that have faded away are forgotten.

A property test compares the index with looking at all engines, and was seen to fail without the call that tells it of changed weights.

--- a/packages/schedule-models/src/demand.ts
+++ b/packages/schedule-models/src/demand.ts
@@ -25,12 +25,19 @@
   gapMs: null,
 };
 
-interface RatedModel extends Demand {
+/** A model with what is asked of it. */
+export interface AskedModel extends Demand {
   service: ServiceName;
   model: ModelName;
+}
+
+interface RatedModel extends AskedModel {
   atMs: number;
 }
 
+/** One request has faded to this after 40 s. */
+const FORGOTTEN_RATE = 0.001;
+
 /** Fading rates of requests, by service and model. */
 export class DemandRates {
   private readonly rates = new Map<string, RatedModel>();
@@ -50,11 +57,15 @@
     });
   }
 
-  /** Whatever was ever asked for. */
-  listModels(): Array<{service: ServiceName; model: ModelName}> {
-    return [...this.rates.values()].map(({service, model}) => ({
-      ...{service, model},
-    }));
+  /** All that was asked for lately, at its rate now; the rest is forgotten. */
+  listFaded(nowMs: number): AskedModel[] {
+    const asked: AskedModel[] = [];
+    this.rates.forEach((rate, key) => {
+      const faded = fade(rate, nowMs);
+      if (faded.requestsPerSecond < FORGOTTEN_RATE) this.rates.delete(key);
+      else asked.push({service: rate.service, model: rate.model, ...faded});
+    });
+    return asked;
   }
 
   get modelCount(): number {
@@ -64,11 +75,15 @@
   find(service: ServiceName, model: ModelName, nowMs: number): Demand {
     const rate = this.rates.get(toModelKey(service, model));
     if (!rate) return NO_DEMAND;
-    const left = Math.exp((rate.atMs - nowMs) / MEMORY_MS);
-    return {
-      requestsPerSecond: rate.requestsPerSecond * left,
-      promptTokensPerSecond: rate.promptTokensPerSecond * left,
-      gapMs: rate.gapMs,
-    };
+    return fade(rate, nowMs);
   }
 }
+
+function fade({atMs, ...rate}: RatedModel, nowMs: number): Demand {
+  const left = Math.exp((atMs - nowMs) / MEMORY_MS);
+  return {
+    requestsPerSecond: rate.requestsPerSecond * left,
+    promptTokensPerSecond: rate.promptTokensPerSecond * left,
+    gapMs: rate.gapMs,
+  };
+}
--- /dev/null
+++ b/packages/schedule-models/src/engine_index.test.ts
@@ -0,0 +1,106 @@
+import {makeEngineService} from '@mimosatack/fakes';
+import fc from 'fast-check';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {EngineIndex} from './engine_index.js';
+import {type EngineView} from './engine_view.js';
+import {EngineViews} from './engine_views.js';
+import {ModelCatalogue} from './model_catalogue.js';
+import {ReadingSpeed} from './reading_speed.js';
+import {makeEngine} from './scheduler_fixture.js';
+
+const test = suite('index of engines by model');
+
+const MODELS = ['m0', 'm1', 'm2', 'm3', 'm4'];
+const IDS = ['e0', 'e1', 'e2', 'e3'];
+
+const model = fc.constantFrom(...MODELS);
+const models = fc.uniqueArray(model, {maxLength: 3});
+
+const step = fc.oneof(
+  fc.record({
+    kind: fc.constant('put' as const),
+    id: fc.constantFrom(...IDS),
+    held: models,
+    near: models,
+    startedAtMs: fc.constantFrom(null, 1_000, 9_000),
+  }),
+  fc.record({kind: fc.constant('drop' as const), id: fc.constantFrom(...IDS)}),
+  fc.record({
+    kind: fc.constant('report' as const),
+    id: fc.constantFrom(...IDS),
+    held: models,
+  }),
+  fc.record({
+    kind: fc.constant('swap' as const),
+    id: fc.constantFrom(...IDS),
+    model,
+  }),
+);
+
+/** Wired as in the scheduler, which forgets holders before it decides. */
+function makeIndexed() {
+  const views: EngineViews = new EngineViews({
+    catalogue: new ModelCatalogue([makeEngineService()]),
+    speed: new ReadingSpeed(),
+    quietUntilMs: () => -Infinity,
+    onForgotten: () => undefined,
+    onNearChanged: () => index.forgetNear(),
+  });
+  const index = new EngineIndex(() => views.list());
+  return {views, index};
+}
+
+/*
+ * An engine that the index leaves out gets no requests for what it holds, and one
+ * that is listed too long is given a load that it has to fetch from the store.
+ * Looking at all engines is slow and right; the index has to tell the same after
+ * any row of entries, reports, losses and swaps, and in the same order, which
+ * settles ties.
+ */
+test('it lists what looking at all engines finds', () => {
+  fc.assert(
+    fc.property(fc.array(step, {maxLength: 25}), steps => {
+      const {views, index} = makeIndexed();
+      const look = (holds: (engine: EngineView, name: string) => boolean) =>
+        MODELS.map(name => views.list().filter(one => holds(one, name)));
+      steps.forEach(one => {
+        const view = views.get(one.id);
+        if (one.kind === 'put') {
+          const entry = makeEngine(one.id, one.held, one.near);
+          views.put({...entry, startedAtMs: one.startedAtMs}, 0);
+        } else if (one.kind === 'drop') views.drop(one.id);
+        else if (one.kind === 'swap') {
+          if (view) view.swap = {model: one.model, victim: null};
+        } else {
+          const residents = one.held.map(name => ({model: name, adapters: []}));
+          const counts = {
+            startedAtMs: view?.startedAtMs ?? null,
+            orderCount: 0,
+          };
+          views.noteReport(one.id, {...counts, isBusy: false, residents}, 0);
+        }
+        index.forgetHolders();
+        const service = makeEngineService().name;
+        assert.equal(
+          MODELS.map(name => index.listNear(service, name).map(({id}) => id)),
+          look((engine, name) => engine.findTier(name) !== 'store').map(list =>
+            list.map(({id}) => id),
+          ),
+        );
+        assert.equal(
+          MODELS.map(name =>
+            index.listHolders(service, name).map(({id}) => id),
+          ),
+          look(
+            (engine, name) =>
+              engine.residents.has(name) || engine.swap?.model === name,
+          ).map(list => list.map(({id}) => id)),
+        );
+      });
+    }),
+    {numRuns: 300, seed: 7},
+  );
+});
+
+test.run();
--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -141,11 +141,17 @@
     return this.runs.size / Math.max(1, this.spec.slots);
   }
 
-  /** Takes a newer entry; of residents, reports tell more and sooner. */
-  update(entry: BackendServerEntry): void {
+  /**
+   * Takes a newer entry; of residents, reports tell more and sooner. Returns
+   * whether other weights lie near it now.
+   */
+  update(entry: BackendServerEntry): boolean {
     const startedAtMs = entry.startedAtMs ?? this.startedAtMs;
+    const hasMoved = entry.service !== this.entry.service;
     this.entry = {...entry, startedAtMs};
+    if (this.near.isSameAs(entry.near)) return hasMoved;
     this.near = new NearModels(entry.near);
+    return true;
   }
 
   /** False for the late answer of a life that has ended. */
@@ -236,8 +242,18 @@
     return this.near.countWith(this.listTaken());
   }
 
-  private listTaken(): ModelName[] {
-    return [...this.residents.keys(), ...(this.swap ? [this.swap.model] : [])];
+  /** All that it holds or makes room for. */
+  listTaken(): ModelName[] {
+    const {swap} = this;
+    const held = [...this.residents.keys()];
+    return swap && !this.residents.has(swap.model)
+      ? [...held, swap.model]
+      : held;
+  }
+
+  /** All that it could load from its own disk or memory. */
+  listNear(): Iterable<ModelName> {
+    return this.near.list();
   }
 
   /** Memory for weights that no model and no adapter takes. */
--- a/packages/schedule-models/src/engine_views.ts
+++ b/packages/schedule-models/src/engine_views.ts
@@ -15,6 +15,8 @@
   speed: ReadingSpeed;
   /** No order may go to the engine before this time. */
   quietUntilMs: (id: BackendServerId) => number;
+  /** Engines have come or gone, or have other weights near. */
+  onNearChanged: () => void;
   /** All that is remembered of an engine beside its view is forgotten. */
   onForgotten: (id: BackendServerId) => void;
 }
@@ -22,6 +24,7 @@
 /** One view for each life of an engine. */
 export class EngineViews {
   private readonly views = new Map<BackendServerId, EngineView>();
+  private listed: readonly EngineView[] | null = null;
 
   constructor(private readonly options: EngineViewsOptions) {}
 
@@ -29,8 +32,9 @@
     return this.views.get(id);
   }
 
-  list(): EngineView[] {
-    return [...this.views.values()];
+  list(): readonly EngineView[] {
+    this.listed ??= [...this.views.values()];
+    return this.listed;
   }
 
   /** Takes an entry of an engine, new or changed. */
@@ -42,7 +46,10 @@
       return;
     }
     const order = compareLives(entry.startedAtMs, known.startedAtMs);
-    if (order === 'same') return known.update(entry);
+    if (order === 'same') {
+      if (known.update(entry)) this.options.onNearChanged();
+      return;
+    }
     if (order === 'later') return this.beginLife(known, entry, nowMs);
     // An old entry on a slow way, or a clock that was set back: a report tells.
     known.orders.needsReport = true;
@@ -50,6 +57,7 @@
 
   drop(id: BackendServerId): void {
     this.views.delete(id);
+    this.noteChanged();
     this.options.onForgotten(id);
   }
 
@@ -88,5 +96,11 @@
     const quiet = () => quietUntilMs(entry.id);
     const context = {catalogue, speed, ordersOnWay, quietUntilMs: quiet};
     this.views.set(entry.id, new EngineView(entry, context, nowMs));
+    this.noteChanged();
+  }
+
+  private noteChanged(): void {
+    this.listed = null;
+    this.options.onNearChanged();
   }
 }
--- a/packages/schedule-models/src/find_store_load.ts
+++ b/packages/schedule-models/src/find_store_load.ts
@@ -1,8 +1,11 @@
 /** Chooses what is loaded from the weight store, and where. */
 import {type ModelName, type ServiceName} from '@mimosatack/types';
 import {toModelKey} from './model_key.js';
-import {findLoss, listSwaps} from './swap_options.js';
+import {type EngineView} from './engine_view.js';
+import {type Residency} from './residency.js';
+import {canOrder, findLoss, isIdle} from './swap_options.js';
 import {type SwapChoice, type SwapContext} from './swap_policy.js';
+import {findWantedCopies} from './wanted_copies.js';
 
 /**
  * Requests a second from which a model near no engine is fetched: one request
@@ -43,6 +46,23 @@
   wantedCopies: number;
 }
 
+/** An engine that can be given an order, and what it holds that is idle. */
+interface Taker {
+  engine: EngineView;
+  freeMb: number;
+  /** Models that it holds or could load without the store. */
+  near: number;
+  victims: ReadonlyArray<{victim: Residency; memoryMb: number; loss: number}>;
+}
+
+/** One way to make a load. */
+interface LoadOption {
+  choice: SwapChoice;
+  near: number;
+  /** Requests a second that would miss the victim. */
+  loss: number;
+}
+
 /**
  * Guards against engines that come up empty while those that held the models
  * go, as when all engines of a service are replaced in turn: a load from the
@@ -59,27 +79,32 @@
   context: SwapContext,
   load: 'busy' | 'idle',
 ): StoreLoad | null {
-  for (const need of listNeeds(context)) {
-    const choice = chooseEngine(need, context, load);
+  const takers = listTakers(context);
+  if (takers.length === 0) return null;
+  for (const need of listNeeds(context, takers)) {
+    const choice = chooseEngine(need, takers, load);
     if (choice) return {model: need.model, choice};
   }
   return null;
 }
 
 /** The most wanted for each copy first. */
-function listNeeds(context: SwapContext): Need[] {
+function listNeeds(context: SwapContext, takers: readonly Taker[]): Need[] {
   const copies = countCopies(context);
   const scoreOf = ({rate, copies}: Need) => rate / (1 + copies) ** 2;
   return context
     .listAsked()
-    .map(({service, model}) => ({
-      ...{service, model},
-      rate: context.rateOf(service, model),
-      copies: copies.get(toModelKey(service, model)) ?? 0,
-      wantedCopies: context.wantedCopiesOf(service, model),
+    .filter(({requestsPerSecond}) => requestsPerSecond >= NEEDED_RATE)
+    .map(asked => ({
+      ...{service: asked.service, model: asked.model},
+      rate: asked.requestsPerSecond,
+      copies: copies.get(toModelKey(asked.service, asked.model)) ?? 0,
+      wantedCopies: findWantedCopies(
+        asked,
+        context.msPerPromptToken(asked.service),
+      ),
     }))
-    .filter(({rate}) => rate >= NEEDED_RATE)
-    .filter(need => isShort(need) || hasFreePlace(need, context))
+    .filter(need => isShort(need) || hasFreePlace(need, takers))
     .filter(({service, model}) => context.mayLoadFromStore(service, model))
     .sort((a, b) => scoreOf(b) - scoreOf(a));
 }
@@ -90,14 +115,32 @@
   return copies === 0 || copies < wantedCopies || isSpare;
 }
 
-function hasFreePlace({service, model}: Need, {engines}: SwapContext): boolean {
-  return engines.some(
-    engine =>
-      engine.entry.service === service &&
-      engine.freeMb >= engine.modelMb(model),
+function hasFreePlace(
+  {service, model}: Need,
+  takers: readonly Taker[],
+): boolean {
+  return takers.some(
+    ({engine, freeMb}) =>
+      engine.entry.service === service && freeMb >= engine.modelMb(model),
   );
 }
 
+/** Looked at once for all needs: an engine that can be given an order now. */
+function listTakers(context: SwapContext): Taker[] {
+  const {engines, nowMs} = context;
+  return engines
+    .filter(engine => canOrder(engine, engine.entry.service, nowMs))
+    .map(engine => ({
+      ...{engine, freeMb: engine.freeMb, near: engine.reachableCount},
+      victims: [...engine.residents.values()]
+        .filter(resident => isIdle(resident, nowMs))
+        .map(victim => ({
+          ...{victim, memoryMb: engine.memoryOf(victim)},
+          loss: findLoss({engine, victim}, context),
+        })),
+    }));
+}
+
 function countCopies({engines, nowMs}: SwapContext): Map<string, number> {
   const copies = new Map<string, number>();
   engines
@@ -113,17 +156,12 @@
 
 function chooseEngine(
   need: Need,
-  context: SwapContext,
+  takers: readonly Taker[],
   load: 'busy' | 'idle',
 ): SwapChoice | null {
-  const {service, model} = need;
-  return listSwaps({service, model, requests: []}, context)
-    .filter(({engine}) => engine.findTier(model) === 'store')
-    .map(choice => ({
-      choice,
-      near: choice.engine.reachableCount,
-      loss: findLoss(choice, context),
-    }))
+  return takers
+    .filter(taker => canTake(taker, need))
+    .flatMap(taker => listOptions(taker, need))
     .filter(option => mayLoad(need, option, load))
     .map(({choice, near, loss}) => ({
       choice,
@@ -135,9 +173,31 @@
     ).choice;
 }
 
+function canTake({engine}: Taker, {service, model}: Need): boolean {
+  return (
+    engine.entry.service === service &&
+    !engine.residents.has(model) &&
+    engine.findTier(model) === 'store'
+  );
+}
+
+/** What the model could take the place of there. */
+function listOptions(
+  {engine, freeMb, near, victims}: Taker,
+  {model}: Need,
+): LoadOption[] {
+  const neededMb = engine.modelMb(model);
+  if (freeMb >= neededMb) {
+    return [{choice: {engine, victim: null}, near, loss: 0}];
+  }
+  return victims
+    .filter(({memoryMb}) => freeMb + memoryMb >= neededMb)
+    .map(({victim, loss}) => ({choice: {engine, victim}, near, loss}));
+}
+
 function mayLoad(
   {rate, copies, wantedCopies}: Need,
-  {choice, near, loss}: {choice: SwapChoice; near: number; loss: number},
+  {choice, near, loss}: LoadOption,
   load: 'busy' | 'idle',
 ): boolean {
   const {engine, victim} = choice;
--- a/packages/schedule-models/src/near_models.ts
+++ b/packages/schedule-models/src/near_models.ts
@@ -19,6 +19,21 @@
     return this.all.has(model) ? 'disk' : 'store';
   }
 
+  /** Whether an entry tells the same as the one before. */
+  isSameAs({inHostMemory, onDisk}: NearWeights): boolean {
+    const told = new Set([...inHostMemory, ...onDisk]);
+    return (
+      told.size === this.all.size &&
+      inHostMemory.length === this.inHostMemory.size &&
+      inHostMemory.every(model => this.inHostMemory.has(model)) &&
+      onDisk.every(model => this.all.has(model))
+    );
+  }
+
+  list(): Iterable<ModelName> {
+    return this.all;
+  }
+
   /** These and others, each once. */
   listWith(others: Iterable<ModelName>): Set<ModelName> {
     return new Set([...this.all, ...others]);
--- a/packages/schedule-models/src/outlook.ts
+++ b/packages/schedule-models/src/outlook.ts
@@ -1,4 +1,5 @@
 /** When a waiting request can begin to run, as far as can be told. */
+import {type ModelName, type ServiceName} from '@mimosatack/types';
 import {type EngineView} from './engine_view.js';
 import {type ModelCatalogue} from './model_catalogue.js';
 import {type ScheduledRequest, mayReach} from './scheduled_request.js';
@@ -18,26 +19,29 @@
 export interface OutlookContext {
   nowMs: number;
   catalogue: ModelCatalogue;
-  engines: readonly EngineView[];
+  /** Engines that hold a model, or make room for it. */
+  listHolders: (
+    service: ServiceName,
+    model: ModelName,
+  ) => readonly EngineView[];
+  /** Engines that could load a model without the weight store. */
+  listNear: (service: ServiceName, model: ModelName) => readonly EngineView[];
 }
 
 export function findOutlook(
   request: ScheduledRequest,
-  {nowMs, catalogue, engines}: OutlookContext,
+  {nowMs, catalogue, listHolders, listNear}: OutlookContext,
 ): Outlook {
   const {service, model, adapter} = request;
   if (!catalogue.has(service, model, adapter)) return {kind: 'unknown'};
-  const open = engines.filter(
-    engine =>
-      engine.isOpenAt(nowMs) &&
-      engine.entry.service === service &&
-      mayReach(request, engine.id),
-  );
+  const isOpen = (engine: EngineView) =>
+    engine.isOpenAt(nowMs) && mayReach(request, engine.id);
+  const holders = listHolders(service, model).filter(isOpen);
   const coming = Math.min(
-    ...open.map(engine => engine.readyForAtMs(model, nowMs)),
+    ...holders.map(engine => engine.readyForAtMs(model, nowMs)),
   );
   if (Number.isFinite(coming)) return {kind: 'coming', beginsAtMs: coming};
-  const near = open.filter(engine => engine.findTier(model) !== 'store');
+  const near = listNear(service, model).filter(isOpen);
   if (near.length > 0) {
     const loadMs = Math.min(...near.map(engine => engine.loadMs(model)));
     return {kind: 'near', beginsAtMs: nowMs + loadMs};
--- a/packages/schedule-models/src/policies.ts
+++ b/packages/schedule-models/src/policies.ts
@@ -1,6 +1,6 @@
 /** The policies for swaps, from the plainest to the one in use. */
 import {findWorthAt} from './request_worth.js';
-import {findLoss, listSwaps} from './swap_options.js';
+import {findLoss, listNearSwaps} from './swap_options.js';
 import {
   type Batch,
   type SwapChoice,
@@ -32,7 +32,7 @@
   }
 
   choose(batch: Batch, context: SwapContext): SwapChoice | null {
-    const choices = listSwaps(batch, context).filter(isNear(batch));
+    const choices = listNearSwaps(batch, context);
     return takeLeast(choices, ({victim}) => victim?.lastUsedAtMs ?? -Infinity);
   }
 }
@@ -54,7 +54,7 @@
   }
 
   choose(batch: Batch, context: SwapContext): SwapChoice | null {
-    const choices = listSwaps(batch, context).filter(isNear(batch));
+    const choices = listNearSwaps(batch, context);
     return takeLeast(choices, choice => findCost(choice, batch, context));
   }
 }
@@ -96,10 +96,6 @@
   return worth * (1 + MISS_WEIGHT * missesOf(service, model));
 }
 
-function isNear(batch: Batch): (choice: SwapChoice) => boolean {
-  return ({engine}) => engine.findTier(batch.model) !== 'store';
-}
-
 function arrivalOf({requests}: Batch): number {
   return requests[0]?.arrivedAtMs ?? Infinity;
 }
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -17,6 +17,7 @@
 import {planAdapter} from './adapter_plan.js';
 import {listReadyEngines} from './choose_engine.js';
 import {DemandRates} from './demand.js';
+import {EngineIndex} from './engine_index.js';
 import {type EngineView} from './engine_view.js';
 import {EngineViews} from './engine_views.js';
 import {HeldBack} from './held_back.js';
@@ -37,6 +38,7 @@
 } from './swap_policy.js';
 import {ReadingSpeed} from './reading_speed.js';
 import {groupBatches} from './waiting_batches.js';
+import {WaitingRequests} from './waiting_requests.js';
 import {findWantedCopies} from './wanted_copies.js';
 import {chooseExtraCopy} from './extra_copy.js';
 import {findRefusal, findWaitEndMs} from './find_refusal.js';
@@ -59,16 +61,20 @@
 /** Of one shard of engines: the requests that wait, run and are refused. */
 export class ModelScheduler {
   private readonly catalogue = new ModelCatalogue([]);
-  private readonly waiting = new Map<string, ScheduledRequest>();
+  private readonly waiting = new WaitingRequests();
   private readonly heldBack = new HeldBack();
   private readonly demand = new DemandRates();
   private readonly health = new EngineHealth();
   private readonly speed = new ReadingSpeed();
   private readonly engines = new EngineViews({
     ...{catalogue: this.catalogue, speed: this.speed},
+    onNearChanged: () => this.index.forgetNear(),
     onForgotten: id => this.forgetEngine(id),
     quietUntilMs: id => this.options.quietUntilMs?.(id) ?? -Infinity,
   });
+  private readonly index: EngineIndex = new EngineIndex(() =>
+    this.engines.list(),
+  );
   private readonly storeLoads = new StoreLoads();
   private storeLookAtMs = 0;
   /** Of the decision that is being made. */
@@ -86,7 +92,7 @@
     return Math.max(this.demand.modelCount, this.missed.modelCount);
   }
 
-  listEngines(): EngineView[] {
+  listEngines(): readonly EngineView[] {
     return this.engines.list();
   }
 
@@ -115,7 +121,7 @@
     );
     if (isRunning) return;
     this.noteDemand(request, nowMs);
-    this.waiting.set(request.askId, request);
+    this.waiting.add(request);
   }
 
   /** Callers may send any name; only those that exist are remembered. */
@@ -194,6 +200,7 @@
 
   /** All that can be decided now; no orders where they are not allowed. */
   decide(nowMs: number, mayOrder = true): Decision[] {
+    this.index.forgetHolders();
     const assigned = this.assignWaiting(nowMs);
     if (!mayOrder) return [...assigned, ...this.refuseHopeless(nowMs)];
     const continued = this.continueSwaps(nowMs);
@@ -208,14 +215,14 @@
     const engines = this.listEngines().map(engine =>
       engine.nextChangeMs(nowMs),
     );
-    const waitEnds = [...this.waiting.values()].map(findWaitEndMs);
+    const waitEnds = this.waiting.list().map(findWaitEndMs);
     const paces = this.heldBack.isEmpty ? [] : [nowMs + PACE_CHECK_MS];
     return Math.min(Infinity, ...engines, ...waitEnds, ...paces);
   }
 
   private assignWaiting(nowMs: number): Decision[] {
-    return this.listByUrgency().flatMap(request => {
-      const ready = listReadyEngines(this.listEngines(), request, nowMs);
+    return this.waiting.listByUrgency().flatMap(request => {
+      const ready = listReadyEngines(this.listHolders(request), request, nowMs);
       const usable = ready.filter(({id}) =>
         this.health.isUsable(id, request.nodeId, nowMs),
       );
@@ -247,10 +254,11 @@
   }
 
   private orderAdapters(nowMs: number): Decision[] {
-    return this.listByUrgency()
+    return this.waiting
+      .listByUrgency()
       .filter(({adapter}) => adapter !== null)
       .flatMap(request => {
-        const plan = planAdapter(request, this.listEngines(), nowMs);
+        const plan = planAdapter(request, this.listHolders(request), nowMs);
         if (!plan) return [];
         const {engine, operation, model, adapter} = plan;
         return [this.order(engine, operation, model, adapter)];
@@ -260,9 +268,9 @@
   private startSwaps(nowMs: number): Decision[] {
     const {policy} = this.options;
     const context = this.makeSwapContext(nowMs);
-    const unserved = this.listByUrgency().filter(
-      request => !this.heldBack.has(request),
-    );
+    const unserved = this.waiting
+      .listByUrgency()
+      .filter(request => !this.heldBack.has(request));
     const batches = groupBatches(unserved).filter(
       ({service, model}) => !this.isComing(service, model, context),
     );
@@ -280,9 +288,9 @@
   /** Further copies of models that are asked for more than can be read. */
   private startExtraCopies(context: SwapContext): Decision[] {
     if (this.heldBack.isEmpty) return [];
-    const heldBack = this.listByUrgency().filter(request =>
-      this.heldBack.has(request),
-    );
+    const heldBack = this.waiting
+      .listByUrgency()
+      .filter(request => this.heldBack.has(request));
     return groupBatches(heldBack).flatMap(batch => {
       if (this.isComing(batch.service, batch.model, context)) return [];
       const choice = chooseExtraCopy(batch, this.options.policy, context);
@@ -306,6 +314,7 @@
   ): Decision {
     if (engine.findTier(model) === 'store') this.storeLoads.noteBegun(nowMs);
     engine.swap = {model, victim: victim?.model ?? null};
+    this.index.forgetHolders();
     this.copies?.forget();
     if (!victim) return this.order(engine, 'load', model, null);
     victim.isLeaving = true;
@@ -318,20 +327,18 @@
     this.copies = copies;
     return {
       ...{nowMs, engines},
+      listNear: (service, model) => this.index.listNear(service, model),
       copiesOf: model => copies.find(model),
-      listAsked: () => this.demand.listModels(),
+      listAsked: () => this.demand.listFaded(nowMs),
       missesOf: (service, model) => this.missed.count(service, model),
       rateOf: (service, model) =>
         this.demand.find(service, model, nowMs).requestsPerSecond,
       msPerPromptToken: service => this.speed.findUsual(service),
-      wantedCopiesOf: (service, model) => {
-        const demand = this.demand.find(service, model, nowMs);
-        const msPerToken = this.speed.findUsual(service);
-        return findWantedCopies(
-          demand.promptTokensPerSecond * msPerToken,
-          demand.gapMs,
-        );
-      },
+      wantedCopiesOf: (service, model) =>
+        findWantedCopies(
+          this.demand.find(service, model, nowMs),
+          this.speed.findUsual(service),
+        ),
       mayLoadFromStore: (service, model) =>
         this.storeLoads.mayBegin(
           this.catalogue.findEngine(service)?.storeLoadsPerSecond ?? 0,
@@ -342,11 +349,12 @@
   }
 
   private refuseHopeless(nowMs: number): Decision[] {
-    return [...this.waiting.values()].flatMap(request => {
+    return this.waiting.list().flatMap(request => {
       const refusal = findRefusal(request, {
         nowMs,
         catalogue: this.catalogue,
-        engines: this.listEngines(),
+        listHolders: (service, model) => this.index.listHolders(service, model),
+        listNear: (service, model) => this.index.listNear(service, model),
       });
       if (!refusal) return [];
       this.withdraw(request.askId);
@@ -361,12 +369,16 @@
   private isComing(
     service: string,
     model: ModelName,
-    {engines, nowMs}: SwapContext,
+    {nowMs}: SwapContext,
   ): boolean {
-    return engines.some(
-      engine =>
-        engine.entry.service === service && engine.isTaking(model, nowMs),
-    );
+    return this.index
+      .listHolders(service, model)
+      .some(engine => engine.isTaking(model, nowMs));
+  }
+
+  /** Engines that hold what a request is for, or make room for it. */
+  private listHolders(request: ScheduledRequest): readonly EngineView[] {
+    return this.index.listHolders(request.service, request.model);
   }
 
   private order(
@@ -383,10 +395,4 @@
     engine.orders.noteSent(order);
     return {kind: 'order', order};
   }
-
-  private listByUrgency(): ScheduledRequest[] {
-    return [...this.waiting.values()].sort(
-      (a, b) => a.priority - b.priority || a.arrivedAtMs - b.arrivedAtMs,
-    );
-  }
 }
--- a/packages/schedule-models/src/swap_options.ts
+++ b/packages/schedule-models/src/swap_options.ts
@@ -1,5 +1,5 @@
 /** The swaps that are possible now. */
-import {type ModelName} from '@mimosatack/types';
+import {type ServiceName} from '@mimosatack/types';
 import {type EngineView} from './engine_view.js';
 import {type Residency} from './residency.js';
 import {mayReach} from './scheduled_request.js';
@@ -12,14 +12,17 @@
  */
 const MIN_STAY_MS = 250;
 
-/** All engines that can load the model now, each with all victims. */
-export function listSwaps(
+/** The engines that can load the model from near now, each with all victims. */
+export function listNearSwaps(
   batch: Batch,
-  {engines, nowMs}: SwapContext,
+  {listNear, nowMs}: SwapContext,
 ): SwapChoice[] {
-  return engines
-    .filter(engine => canTake(engine, batch, nowMs))
-    .flatMap(engine => listOnEngine(engine, batch.model, nowMs));
+  const {service, model, requests} = batch;
+  return listNear(service, model)
+    .filter(engine => canOrder(engine, service, nowMs))
+    .filter(engine => !engine.residents.has(model))
+    .filter(({id}) => requests.some(request => mayReach(request, id)))
+    .flatMap(engine => listOnEngine(engine, engine.modelMb(model), nowMs));
 }
 
 /** Requests a second that would miss the victim, over its copies. */
@@ -33,32 +36,35 @@
   return rate / Math.max(1, copies);
 }
 
-function canTake(engine: EngineView, batch: Batch, nowMs: number): boolean {
+/** Whether an engine of the service can be given an order now. */
+export function canOrder(
+  engine: EngineView,
+  service: ServiceName,
+  nowMs: number,
+): boolean {
   return (
+    engine.entry.service === service &&
     engine.isOpenAt(nowMs) &&
-    engine.entry.service === batch.service &&
-    !engine.residents.has(batch.model) &&
     engine.orders.isOpen(nowMs) &&
-    !engine.hasOrderUnderWay(nowMs) &&
-    (batch.requests.length === 0 ||
-      batch.requests.some(request => mayReach(request, engine.id)))
+    !engine.hasOrderUnderWay(nowMs)
   );
 }
 
 function listOnEngine(
   engine: EngineView,
-  model: ModelName,
+  neededMb: number,
   nowMs: number,
 ): SwapChoice[] {
-  const neededMb = engine.modelMb(model);
-  if (engine.freeMb >= neededMb) return [{engine, victim: null}];
+  const {freeMb} = engine;
+  if (freeMb >= neededMb) return [{engine, victim: null}];
   return [...engine.residents.values()]
     .filter(resident => isIdle(resident, nowMs))
-    .filter(resident => engine.freeMb + engine.memoryOf(resident) >= neededMb)
+    .filter(resident => freeMb + engine.memoryOf(resident) >= neededMb)
     .map(victim => ({engine, victim}));
 }
 
-function isIdle(resident: Residency, nowMs: number): boolean {
+/** Whether a model may be turned out now. */
+export function isIdle(resident: Residency, nowMs: number): boolean {
   return (
     resident.runs === 0 &&
     resident.isReady(nowMs) &&
--- a/packages/schedule-models/src/swap_policy.ts
+++ b/packages/schedule-models/src/swap_policy.ts
@@ -1,5 +1,6 @@
 /** Which models are loaded for whom, and which make room for them. */
 import {type ModelName, type ServiceName} from '@mimosatack/types';
+import {type AskedModel} from './demand.js';
 import {type EngineView} from './engine_view.js';
 import {type Residency} from './residency.js';
 import {type ScheduledRequest} from './scheduled_request.js';
@@ -16,6 +17,8 @@
 export interface SwapContext {
   nowMs: number;
   engines: readonly EngineView[];
+  /** Engines that could load a model without the weight store. */
+  listNear: (service: ServiceName, model: ModelName) => readonly EngineView[];
   /** Engines that take work and hold a model, or are loading it. */
   copiesOf: (model: ModelName) => number;
   /** Requests for a model, a second. */
@@ -23,7 +26,7 @@
   /** Requests for a model that were refused since it was last served. */
   missesOf: (service: ServiceName, model: ModelName) => number;
   /** The models that were asked for lately. */
-  listAsked: () => ReadonlyArray<{service: ServiceName; model: ModelName}>;
+  listAsked: () => readonly AskedModel[];
   /** How long an engine of the service reads for one prompt token. */
   msPerPromptToken: (service: ServiceName) => number;
   /** Engines that have to hold a model, for all its prompts to be read. */
--- a/packages/schedule-models/src/wanted_copies.ts
+++ b/packages/schedule-models/src/wanted_copies.ts
@@ -1,4 +1,5 @@
 /** How many engines have to hold a model so that its prompts are read in time. */
+import {type Demand} from './demand.js';
 import {findPacingLimits} from './prompt_pacing.js';
 
 /**
@@ -8,14 +9,12 @@
 const PLANNED_PART = 0.75;
 const MS_PER_SECOND = 1_000;
 
-/**
- * @param readingMsPerSecond of all requests for one model.
- * @param gapMs the longest pause that its streams bear; null for none.
- */
+/** @param msPerPromptToken how long an engine reads for one. */
 export function findWantedCopies(
-  readingMsPerSecond: number,
-  gapMs: number | null,
+  {promptTokensPerSecond, gapMs}: Demand,
+  msPerPromptToken: number,
 ): number {
+  const readingMsPerSecond = promptTokensPerSecond * msPerPromptToken;
   const {readingShare} = findPacingLimits(gapMs);
   const perEngineMs = MS_PER_SECOND * readingShare * PLANNED_PART;
   return Math.max(1, Math.ceil(readingMsPerSecond / perEngineMs));
