Remember the order to an engine whose entry lapses

Entries lapse and come back within seconds; the next holder was then not told of the order and could give its own within the lease (engines without fences only).

Ruled out: keeping it in the engine's view, which ends with the entry.

Change: the time is kept until it matters to nobody, as that of all other orders.

A test fails without the change: the list of last orders was empty.

--- a/packages/schedule-service/src/scheduling_host.test.ts
+++ b/packages/schedule-service/src/scheduling_host.test.ts
@@ -100,4 +100,22 @@
   host.stop();
 });
 
+/*
+ * A model starts to load twice at once, and the engine falls over. It had been
+ * ordered, its entry lapsed and came back, and the node that scheduled gave the
+ * duty away: the next one was not told of the order, and did not wait.
+ */
+test('an order is remembered though the engine lapses meanwhile', async () => {
+  const {clock, host} = startHost(new FakeOrders());
+  await settle();
+  clock.advance(1_000);
+  host.dropServer('e1');
+  const [told] = host.listLastOrders();
+  assert.is(told?.engineId, 'e1');
+  assert.is(told?.ageMs, 1_000);
+  clock.advance(60_000);
+  assert.equal(host.listLastOrders(), []);
+  host.stop();
+});
+
 test.run();
--- a/packages/schedule-service/src/scheduling_host.ts
+++ b/packages/schedule-service/src/scheduling_host.ts
@@ -90,12 +90,19 @@
     this.timer?.cancel();
   }
 
-  /** For the next node that schedules: whom this one has ordered lately. */
+  /**
+   * For the next node that schedules: whom this one has ordered lately, also
+   * engines whose entries have gone meanwhile, since they may come back.
+   */
   listLastOrders(): EngineOrderAge[] {
     const nowMs = this.nowMs();
-    return [...this.orderedAtMs]
-      .map(([engineId, atMs]) => ({engineId, ageMs: nowMs - atMs}))
-      .filter(({ageMs}) => ageMs < REMEMBERED_ORDERS_MS);
+    this.orderedAtMs.forEach((atMs, engineId) => {
+      if (nowMs - atMs < REMEMBERED_ORDERS_MS) return;
+      this.orderedAtMs.delete(engineId);
+    });
+    return [...this.orderedAtMs].map(([engineId, atMs]) => ({
+      ...{engineId, ageMs: nowMs - atMs},
+    }));
   }
 
   configure(services: readonly ServiceSpec[]): void {
@@ -115,7 +122,6 @@
   dropServer(id: BackendServerId): void {
     this.servers.delete(id);
     this.silent.delete(id);
-    this.orderedAtMs.delete(id);
     this.scheduler.dropEngine(id);
     this.requestDecision();
   }
