Move an engine's memory out of its view, and count its places once a look

Its memory and places for adapters are a module of their own. How many models an engine holds at once was found anew, over all models, for each option of a load from the store; it is found once a look.

--- a/packages/schedule-models/src/adapter_plan.ts
+++ b/packages/schedule-models/src/adapter_plan.ts
@@ -57,8 +57,8 @@
 
 function hasPlace(engine: EngineView, model: ModelName): boolean {
   return (
-    engine.adapterCount < engine.spec.adapterSlots &&
-    engine.freeMb >= engine.adapterMb(model)
+    engine.memory.adapterCount < engine.spec.adapterSlots &&
+    engine.memory.freeMb >= engine.memory.adapterMb(model)
   );
 }
 
--- a/packages/schedule-models/src/engine_lives.test.ts
+++ b/packages/schedule-models/src/engine_lives.test.ts
@@ -134,9 +134,12 @@
   play.scheduler.noteReport('e1', makeReport(), 1_000);
   const [engine] = play.scheduler.listEngines();
   const wholeMb = engine?.spec.memoryMb ?? 0;
-  assert.is(engine?.freeMb, wholeMb - (engine?.modelMb('other') ?? 0));
+  assert.is(
+    engine?.memory.freeMb,
+    wholeMb - (engine?.memory.modelMb('other') ?? 0),
+  );
   play.scheduler.noteReport('e1', makeReport({orderCount: 3}), 9_000);
-  assert.is(engine?.freeMb, wholeMb);
+  assert.is(engine?.memory.freeMb, wholeMb);
 });
 
 test.run();
--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -8,6 +8,7 @@
   type ServerStartMs,
   compareLives,
 } from '@mimosatack/types';
+import {EngineMemory} from './engine_memory.js';
 import {EngineReading} from './engine_reading.js';
 import {type ModelCatalogue} from './model_catalogue.js';
 import {NearModels, type WeightTier} from './near_models.js';
@@ -78,6 +79,7 @@
   /** It can't be reached and gets no work before this time. */
   restUntilMs = 0;
   readonly orders: OrderGate;
+  readonly memory: EngineMemory;
   private near: NearModels;
   private readonly reading: EngineReading;
   private readonly catalogue: ModelCatalogue;
@@ -91,6 +93,12 @@
     this.catalogue = catalogue;
     this.near = new NearModels(entry.near);
     this.orders = new OrderGate(ordersOnWay, quietUntilMs);
+    this.memory = new EngineMemory({
+      spec: () => this.spec,
+      findModel: model => this.catalogue.findModel(this.entry.service, model),
+      residents: this.residents,
+      listEarlierLoads: () => this.orders.listEarlierLoads(),
+    });
     this.reading = new EngineReading(entry.id, entry.service, speed);
     this.takeResidents(entry.residents, knownSinceMs);
   }
@@ -256,37 +264,6 @@
     return this.near.list();
   }
 
-  /** Memory for weights that no model and no adapter takes. */
-  get freeMb(): number {
-    const used = [...this.residents.values()].reduce(
-      (sum, resident) => sum + this.memoryOf(resident),
-      0,
-    );
-    const claimed = this.orders
-      .listEarlierLoads()
-      .filter(
-        ({model, adapter}) => adapter === null && !this.residents.has(model),
-      )
-      .reduce((sum, {model}) => sum + this.modelMb(model), 0);
-    return this.spec.memoryMb - used - claimed;
-  }
-
-  /** How many models it holds at once, at the size of the largest. */
-  get placeCount(): number {
-    const largestMb = Math.max(1, ...this.spec.models.map(m => m.memoryMb));
-    return Math.floor(this.spec.memoryMb / largestMb);
-  }
-
-  get adapterCount(): number {
-    const claimed = this.orders
-      .listEarlierLoads()
-      .filter(({adapter}) => adapter !== null);
-    return [...this.residents.values()].reduce(
-      (sum, {adapters}) => sum + adapters.size,
-      claimed.length,
-    );
-  }
-
   /** Whether the engine is in the middle of loading or unloading a model. */
   hasOrderUnderWay(nowMs: number): boolean {
     return (
@@ -362,19 +339,6 @@
     return tier === 'disk' ? spec.diskLoadMs : spec.storeLoadMs;
   }
 
-  modelMb(model: ModelName): number {
-    return this.catalogue.findModel(this.entry.service, model)?.memoryMb ?? 0;
-  }
-
-  /** Memory of a model together with its adapters. */
-  memoryOf({model, memoryMb, adapters}: Residency): number {
-    return memoryMb + adapters.size * this.adapterMb(model);
-  }
-
-  adapterMb(model: ModelName): number {
-    return this.catalogue.findModel(this.entry.service, model)?.adapterMb ?? 0;
-  }
-
   private takeResidents(
     told: ReadonlyArray<{model: ModelName; adapters: readonly AdapterName[]}>,
     nowMs: number,
--- a/packages/schedule-models/src/find_store_load.ts
+++ b/packages/schedule-models/src/find_store_load.ts
@@ -52,13 +52,15 @@
   freeMb: number;
   /** Models that it holds or could load without the store. */
   near: number;
+  /** Whether that is less than its accelerator memory holds at once. */
+  isNearlyEmpty: boolean;
   victims: ReadonlyArray<{victim: Residency; memoryMb: number; loss: number}>;
 }
 
 /** One way to make a load. */
 interface LoadOption {
   choice: SwapChoice;
-  near: number;
+  taker: Taker;
   /** Requests a second that would miss the victim. */
   loss: number;
 }
@@ -121,7 +123,8 @@
 ): boolean {
   return takers.some(
     ({engine, freeMb}) =>
-      engine.entry.service === service && freeMb >= engine.modelMb(model),
+      engine.entry.service === service &&
+      freeMb >= engine.memory.modelMb(model),
   );
 }
 
@@ -130,12 +133,14 @@
   const {engines, nowMs} = context;
   return engines
     .filter(engine => canOrder(engine, engine.entry.service, nowMs))
-    .map(engine => ({
-      ...{engine, freeMb: engine.freeMb, near: engine.reachableCount},
+    .map(engine => ({engine, near: engine.reachableCount}))
+    .map(({engine, near}) => ({
+      ...{engine, near, freeMb: engine.memory.freeMb},
+      isNearlyEmpty: near < engine.memory.placeCount,
       victims: [...engine.residents.values()]
         .filter(resident => isIdle(resident, nowMs))
         .map(victim => ({
-          ...{victim, memoryMb: engine.memoryOf(victim)},
+          ...{victim, memoryMb: engine.memory.memoryOf(victim)},
           loss: findLoss({engine, victim}, context),
         })),
     }));
@@ -163,9 +168,9 @@
     .filter(taker => canTake(taker, need))
     .flatMap(taker => listOptions(taker, need))
     .filter(option => mayLoad(need, option, load))
-    .map(({choice, near, loss}) => ({
+    .map(({choice, taker, loss}) => ({
       choice,
-      cost: loss + BLOCKED_SWAPS_COST * near,
+      cost: loss + BLOCKED_SWAPS_COST * taker.near,
     }))
     .reduce<{choice: SwapChoice | null; cost: number}>(
       (best, next) => (next.cost < best.cost ? next : best),
@@ -182,27 +187,24 @@
 }
 
 /** What the model could take the place of there. */
-function listOptions(
-  {engine, freeMb, near, victims}: Taker,
-  {model}: Need,
-): LoadOption[] {
-  const neededMb = engine.modelMb(model);
+function listOptions(taker: Taker, {model}: Need): LoadOption[] {
+  const {engine, freeMb, victims} = taker;
+  const neededMb = engine.memory.modelMb(model);
   if (freeMb >= neededMb) {
-    return [{choice: {engine, victim: null}, near, loss: 0}];
+    return [{choice: {engine, victim: null}, taker, loss: 0}];
   }
   return victims
     .filter(({memoryMb}) => freeMb + memoryMb >= neededMb)
-    .map(({victim, loss}) => ({choice: {engine, victim}, near, loss}));
+    .map(({victim, loss}) => ({choice: {engine, victim}, taker, loss}));
 }
 
 function mayLoad(
   {rate, copies, wantedCopies}: Need,
-  {choice, near, loss}: LoadOption,
+  {choice, taker, loss}: LoadOption,
   load: 'busy' | 'idle',
 ): boolean {
-  const {engine, victim} = choice;
   const isSpare = copies < ENOUGH_COPIES && rate >= SPARE_RATE;
-  if (!victim) return near < engine.placeCount || copies === 0 || isSpare;
+  if (!choice.victim) return taker.isNearlyEmpty || copies === 0 || isSpare;
   if (copies === 0) return loss <= rate;
   if (copies < wantedCopies) return loss <= rate * OVERLOAD_VICTIM_PART;
   return isSpare && load === 'idle' && loss <= rate * SPARE_VICTIM_PART;
--- a/packages/schedule-models/src/swap_options.ts
+++ b/packages/schedule-models/src/swap_options.ts
@@ -22,7 +22,9 @@
     .filter(engine => canOrder(engine, service, nowMs))
     .filter(engine => !engine.residents.has(model))
     .filter(({id}) => requests.some(request => mayReach(request, id)))
-    .flatMap(engine => listOnEngine(engine, engine.modelMb(model), nowMs));
+    .flatMap(engine =>
+      listOnEngine(engine, engine.memory.modelMb(model), nowMs),
+    );
 }
 
 /** Requests a second that would miss the victim, over its copies. */
@@ -55,11 +57,11 @@
   neededMb: number,
   nowMs: number,
 ): SwapChoice[] {
-  const {freeMb} = engine;
+  const {freeMb} = engine.memory;
   if (freeMb >= neededMb) return [{engine, victim: null}];
   return [...engine.residents.values()]
     .filter(resident => isIdle(resident, nowMs))
-    .filter(resident => freeMb + engine.memoryOf(resident) >= neededMb)
+    .filter(resident => freeMb + engine.memory.memoryOf(resident) >= neededMb)
     .map(victim => ({engine, victim}));
 }
 
