--- a/eslint.config.js
+++ b/eslint.config.js
@@ -60,6 +60,34 @@
       ],
     },
   },
+  {
+    // The time of day jumps on users' hosts: nothing may be decided by it but
+    // through the clock that is passed in. Programs that only measure, stand-ins
+    // and fixtures run on hosts of their own.
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+    ignores: [
+      'packages/clock/**',
+      'packages/{demo,fakes,stand-ins,unrepeatable-bench}/**',
+      'platform/src/stand_ins/**',
+      '**/{measure_main,stress_main}.ts',
+      '**/*{fixture,fixtures,test}.ts',
+    ],
+    rules: {
+      'no-restricted-properties': [
+        'error',
+        ...[
+          ['Date', 'now'],
+          ['performance', 'now'],
+          ['performance', 'timeOrigin'],
+          ['process', 'hrtime'],
+          ['Math', 'random'],
+        ].map(([object, property]) => ({
+          ...{object, property},
+          message: 'Take the clock or the random source that is passed in.',
+        })),
+      ],
+    },
+  },
   {
     files: ['packages/**/*.test.ts', 'platform/**/*.test.ts'],
     rules: {'max-lines-per-function': 'off'},
