--- a/packages/schedule-models/src/swap_policy.ts
+++ b/packages/schedule-models/src/swap_policy.ts
@@ -32,7 +32,7 @@
   /** Engines that have to hold a model, for all its prompts to be read. */
   wantedCopiesOf: (service: ServiceName, model: ModelName) => number;
   /** Whether the weight store bears one more load now. */
-  mayLoadFromStore: (service: ServiceName, model: ModelName) => boolean;
+  mayLoadFromStore: (service: ServiceName) => boolean;
 }
 
 /** A load on one engine, with the model that makes room; null if none must. */
