Gather what nodes pass on in one class

The class knows the followers, and says of each topic how far this node is. Fixtures of the register's test became functions. Behaviour unchanged.

--- a/packages/serving-node/src/node_register.test.ts
+++ b/packages/serving-node/src/node_register.test.ts
@@ -41,6 +41,23 @@
   return {register: made, passedOn};
 }
 
+/** A node that has started, and its store. */
+async function startFollower(isTold: boolean) {
+  const clock = new ManualClock();
+  const topic = new MemoryKeyedTopic();
+  const {register: follower} = makeRegister(clock, topic, {
+    ...{nodeName: 'n0', isTold: () => isTold},
+  });
+  follower.start();
+  await pass(clock, SETTLE_MS);
+  return {clock, topic, follower};
+}
+
+async function enter(topic: MemoryKeyedTopic, nodeName: string): Promise<void> {
+  const value = encodeNode(makeNode(nodeName));
+  await topic.append([{key: nodeName, value}]);
+}
+
 /** Lets reads that wait go on, as they do between timers. */
 async function pass(clock: ManualClock, durationMs: number): Promise<void> {
   for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
@@ -87,8 +104,7 @@
   await pass(clock, SETTLE_MS);
   const before = passedOn.length;
   for (let index = 1; index <= 20; index += 1) {
-    const node = makeNode(`n${index}`);
-    await topic.append([{key: node.nodeName, value: encodeNode(node)}]);
+    await enter(topic, `n${index}`);
     await pass(clock, STEP_MS);
   }
   await pass(clock, SETTLE_MS);
@@ -105,15 +121,8 @@
  * it, though it hears its heartbeats.
  */
 register('a node that others name for long is read of', async () => {
-  const clock = new ManualClock();
-  const topic = new MemoryKeyedTopic();
-  const {register: follower} = makeRegister(clock, topic, {
-    ...{nodeName: 'n0', isTold: () => true},
-  });
-  follower.start();
-  await pass(clock, SETTLE_MS);
-  const node = makeNode('n1');
-  await topic.append([{key: node.nodeName, value: encodeNode(node)}]);
+  const {clock, topic, follower} = await startFollower(true);
+  await enter(topic, 'n1');
   for (let heartbeat = 0; heartbeat < 16; heartbeat += 1) {
     follower.noteNames(['n0', 'n1']);
     await pass(clock, 250);
@@ -126,15 +135,8 @@
 });
 
 register('a node that nobody tells reads by itself', async () => {
-  const clock = new ManualClock();
-  const topic = new MemoryKeyedTopic();
-  const {register: follower} = makeRegister(clock, topic, {
-    ...{nodeName: 'n0', isTold: () => false},
-  });
-  follower.start();
-  await pass(clock, SETTLE_MS);
-  const node = makeNode('n1');
-  await topic.append([{key: node.nodeName, value: encodeNode(node)}]);
+  const {clock, topic, follower} = await startFollower(false);
+  await enter(topic, 'n1');
   await pass(clock, SETTLE_MS);
   assert.is(follower.list().length, 2);
   follower.stop();
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -9,7 +9,6 @@
   type KnownNode,
   NodeLinks,
   type NodeStatus,
-  type SharedTopic,
 } from '@mimosatack/node-links';
 import {type RandomSource} from '@mimosatack/random';
 import {type PrometheusMetrics} from '@mimosatack/metrics';
@@ -33,11 +32,7 @@
 import {logServerChange} from './log_server_change.js';
 import {ServerFollower} from './server_follower.js';
 import {reloadSettings} from './settings_reload.js';
-import {
-  type SharedTables,
-  exchangeRecords,
-  readRecords,
-} from './shared_records.js';
+import {SharedRecords} from './shared_records.js';
 import {StatusServer} from './status_server.js';
 
 /** What a node is built from. */
@@ -73,6 +68,7 @@
   private readonly servers: ServerFollower;
   private readonly configuration: ConfigurationFollower;
   private readonly register: NodeRegister;
+  private readonly shared: SharedRecords;
   private readonly duty: SchedulingDuty;
   private readonly links: NodeLinks;
   private readonly chooser: ScheduledChooser;
@@ -97,6 +93,12 @@
     this.configuration = this.makeConfiguration();
     this.servers = this.makeServers();
     this.register = this.makeRegister();
+    this.shared = new SharedRecords({
+      ...{configuration: this.configuration, servers: this.servers},
+      nodes: this.register,
+      isReader: () => this.duty.isHeld,
+      broadcast: message => this.links.broadcastRecords(message),
+    });
     this.duty = this.makeDuty();
     this.links = this.makeLinks();
     this.chooser = this.makeChooser();
@@ -225,9 +227,7 @@
     return {
       isServing: this.isServing,
       uptimeMs: this.options.clock.monotonicMs() - this.startedAtMs,
-      configurationVersion: this.configuration.version,
-      serversEndOffset: this.servers.passedOn.endOffset,
-      nodesEndOffset: this.register.table.endOffset,
+      ...this.shared.describe(),
     };
   }
 
@@ -263,25 +263,12 @@
       onChanges: changes => this.duty.takeServers(changes),
       onState: change =>
         logServerChange(options.logger, change, this.duty.isHeld),
-      onRead: fromOffset => this.passOn('servers', fromOffset),
+      onRead: fromOffset => this.shared.passOn('servers', fromOffset),
       onFault: thrown => this.faults.note(thrown, 'servers'),
       ...this.faults.watch('servers'),
     });
   }
 
-  /** The node that schedules tells the others what it has read. */
-  private passOn(topic: SharedTopic, fromOffset: number): void {
-    if (!this.duty.isHeld) return;
-    this.links.broadcastRecords(
-      readRecords(topic, fromOffset, this.sharedTables),
-    );
-  }
-
-  private get sharedTables(): SharedTables {
-    const {configuration, servers, register: nodes} = this;
-    return {configuration, servers, nodes};
-  }
-
   private makeRegister(): NodeRegister {
     const {clock, random, platform} = this.options;
     return new NodeRegister({
@@ -289,7 +276,7 @@
       topic: platform.nodesTopic,
       isReader: () => this.duty.isHeld,
       isTold: () => this.links.isToldOfNodes,
-      onRead: fromOffset => this.passOn('nodes', fromOffset),
+      onRead: fromOffset => this.shared.passOn('nodes', fromOffset),
       onStruck: nodeName =>
         this.options.logger.log('node-lost', {lostNodeName: nodeName}),
       ...this.faults.watch('nodes'),
@@ -348,9 +335,8 @@
       listNodes: () => this.register.list(),
       readStatus: () => this.readStatus(),
       serversAgeMs: () => this.servers.ageMs,
-      readRecords: (topic, fromOffset) =>
-        readRecords(topic, fromOffset, this.sharedTables),
-      onRecords: message => exchangeRecords(message, this.sharedTables),
+      readRecords: (topic, fromOffset) => this.shared.read(topic, fromOffset),
+      onRecords: message => this.shared.take(message),
       onHolder: holder => this.duty.noteHolder(holder),
       onNodes: nodes => this.register.noteTold(nodes),
       onNodeLost: node => void this.register.strike(node),
