Log which request it was when a server's connection is cut under it

Callers saw answers break off and 502 while engines ended one after the other. The lines of attempts name requests by the id of one try alone, so that they can not tell whether the same request ends server after server under new ids, or whether requests that have nothing in common break off at servers that end for another reason. A fingerprint of host, method, path and body tells that. It is computed only where a connection was cut, so that nothing is paid while no server ends.

No change of what requests do.

--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -57,6 +57,8 @@
       outcome: 'how it ended',
       status: 'the status that the server answered with, if it did',
       error: 'what failed, if something did',
+      fingerprint:
+        'which request it is under whatever id, if the connection was cut',
       tookMs: 'time since it was sent',
       headMs: 'time until the head of the answer, if one came',
       longestGapMs: 'the longest time between two pieces of the answer',
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -26,8 +26,11 @@
   | {status: 'not-run'; error: TypedError; reason: NotRunReason}
   /** The server answered with a failure that was not handed over. */
   | {status: 'refusing'; error: TypedError}
-  /** The request may have run; what was handed over so far stays. */
-  | {status: 'broken'; error: TypedError}
+  /**
+   * The request may have run; what was handed over so far stays. `isCut`: the
+   * connection ended before the answer, as it does when the server ends.
+   */
+  | {status: 'broken'; error: TypedError; isCut: boolean}
   /** Ended from this side. */
   | {status: 'aborted'};
 
@@ -96,7 +99,7 @@
 
   /** Ends the attempt as one that failed, so that another can go on. */
   giveUpOn(error: TypedError): void {
-    this.finish({status: 'broken', error});
+    this.finish({status: 'broken', error, isCut: false});
     this.handle?.abort();
   }
 
@@ -122,7 +125,7 @@
       return;
     }
     if (isSuccess(facts.status) && !facts.isGenuine) {
-      this.giveUp({status: 'broken', error: makeForeignAnswer()});
+      this.giveUp({status: 'broken', error: makeForeignAnswer(), isCut: false});
       return;
     }
     if (consumer.onHead(facts) === 'discard') {
@@ -138,14 +141,16 @@
   onEnd(): void {
     if (this.isOver) return;
     const error = this.options.consumer.onEnd();
-    this.finish(error ? {status: 'broken', error} : {status: 'answered'});
+    this.finish(
+      error ? {status: 'broken', error, isCut: true} : {status: 'answered'},
+    );
   }
 
   onFailure(error: TypedError): void {
     if (error.run === 'not-run' && !this.hasHead) {
       this.finish({status: 'not-run', error, reason: 'unreachable'});
     } else {
-      this.finish({status: 'broken', error});
+      this.finish({status: 'broken', error, isCut: true});
     }
   }
 
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -5,6 +5,7 @@
 import {type ServiceRoute} from '@mimosatack/types';
 import {type AttemptOutcome} from './attempt.js';
 import {type CallerRequest} from './caller_request.js';
+import {makeFingerprint} from './fingerprint.js';
 import {type ChosenServer} from './server_chooser.js';
 
 /** What a caller got in the end. */
@@ -93,6 +94,7 @@
       outcome: outcome.status,
       status: this.status,
       error: 'error' in outcome ? outcome.error.message : undefined,
+      fingerprint: isCut(outcome) ? makeFingerprint(this.request) : undefined,
       tookMs: Math.round(this.nowMs() - sentAtMs),
       headMs: headMs === null ? null : Math.round(headMs),
       longestGapMs: Math.round(this.longestGapMs),
@@ -117,3 +119,8 @@
     return this.options.clock.monotonicMs();
   }
 }
+
+/** Servers that end under requests are looked into by what these have in common. */
+function isCut(outcome: AttemptOutcome): boolean {
+  return outcome.status === 'broken' && outcome.isCut;
+}
