Contain requests under which three servers have ended

Cause: a request was known by the id of one try at one node. Its repeats came under new ids at all nodes, each of which sent each id to as many servers as its route allows (two), and nothing that a node had seen outlived the id or reached another node. The class: a bound on retries that counts tries and not what is tried (a request of death).

Ruled out: retries of the system alone (no id reached more than two servers) and orders (engines ended under runs; 24 of 24 attempts that were cut in the reproduction bear one fingerprint under twelve ids).

Change: packages/contain-requests. A node notes the fingerprint of a request whose server's connection is cut, and tells the others with the heartbeats that are sent anyway. From three lives of servers on, the request is refused at once at all nodes, kind contained, status 500 and no time to come back. One that stood beside a worse one at each end is not contained, and a whole answer clears a request.

Why it holds: the fingerprint is made of what the request asks, so that a new id changes nothing; facts are merged as sets, so that none counts twice, and each node and the holder tell each other what the other lacks, whoever restarted or became the holder.

Not mended here: what is known is lost when all nodes end at once.

--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -53,6 +53,11 @@
   ),
   'backend-unreachable': fact(502, true, 'Try again later.'),
   'backend-failed': fact(502, true, 'Try again later.'),
+  contained: fact(
+    500,
+    false,
+    'Do not send it again: servers crashed under it. Change the request.',
+  ),
   'outcome-unknown': fact(
     409,
     false,
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -81,6 +81,27 @@
       lastEventId: 'the last event that the caller was given, of a stream',
     },
   },
+  'request-contained': {
+    number: 4013,
+    level: 'warn',
+    message: 'Servers ended under a request; it is sent to none any more.',
+    fields: {
+      fingerprint: 'which request it is under whatever id',
+      serverLives: 'the servers that ended under it',
+      forMs: 'how long after the last of these it is refused',
+    },
+    remedy:
+      'Find its ids by the fingerprint in events 4011; tell its caller, or mend the servers.',
+  },
+  'request-released': {
+    number: 4014,
+    level: 'info',
+    message: 'A request that was contained may be sent to servers again.',
+    fields: {
+      fingerprint: 'which request it is under whatever id',
+      cuts: 'servers that ended under it and are not explained otherwise',
+    },
+  },
   'backend-suspected': {
     number: 4100,
     level: 'warn',
--- /dev/null
+++ b/packages/node-links/src/make_transport.ts
@@ -0,0 +1,29 @@
+/** The connections between nodes, with the limits of their messages. */
+import {PeerTransport} from '@mimosatack/peer-transport';
+import {type NodeMessage, messageSchema} from './messages.js';
+import {type NodeLinksOptions} from './node_links_options.js';
+
+const MAX_CONNECTIONS = 1_000;
+const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
+const REQUEST_TIMEOUT_MS = 500;
+
+/** Listens and connects once it is started. */
+export function makeTransport(
+  options: NodeLinksOptions,
+  onMessage: (from: string, message: NodeMessage) => NodeMessage | undefined,
+): PeerTransport<NodeMessage> {
+  const {clock, self, listenAddress, clusterSecret, onFault} = options;
+  return new PeerTransport<NodeMessage>({
+    listenHost: listenAddress.ip,
+    listenPort: listenAddress.port,
+    selfAddress: self.peerAddress,
+    nodeName: self.nodeName,
+    ...{clusterSecret, clock},
+    maxConnections: MAX_CONNECTIONS,
+    maxMessageBytes: MAX_MESSAGE_BYTES,
+    requestTimeoutMs: REQUEST_TIMEOUT_MS,
+    schema: messageSchema,
+    onMessage: (from, message) => onMessage(from.address, message),
+    onFault,
+  });
+}
--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -1,4 +1,8 @@
 /** All messages between nodes. */
+import {
+  crashReplySchema,
+  crashReportSchema,
+} from '@mimosatack/contain-requests';
 import {fromHolderSchema, toHolderSchema} from '@mimosatack/schedule-service';
 import * as z from 'zod';
 import {nodeSchema} from './known_node.js';
@@ -15,6 +19,8 @@
   nodesEndOffset: z.number().default(0),
   /** The list of serving nodes that it has from the holder; null for none. */
   servingListId: z.string().nullable().default(null),
+  /** Of servers that ended under requests; null from the release before. */
+  crashes: crashReportSchema.nullable().default(null),
   /**
    * Not to claim the duty from the holder of this token for `forMs`, counted
    * from the holder's own time `beatMs`, which its last welcome told.
@@ -70,6 +76,7 @@
     configurationVersion: z.number(),
     serversEndOffset: z.number(),
     nodesEndOffset: z.number().default(0),
+    crashes: crashReplySchema.nullable().default(null),
   }),
   /**
    * From the holder to a node that it does not hear: one that has just started
@@ -103,6 +110,7 @@
 
 /** What nodes say to each other. */
 export type NodeMessage = z.infer<typeof messageSchema>;
+export type HelloStatus = z.infer<typeof statusSchema>;
 export type LastOrdersMessage = Extract<NodeMessage, {type: 'last-orders'}>;
 export type Welcome = Extract<NodeMessage, {type: 'welcome'}>;
 export type RecordsMessage = z.infer<typeof recordsSchema>;
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -3,9 +3,10 @@
  * node that schedules and hears of all others through it, so that what a node
  * has to say does not grow with their number.
  */
+import {type CrashReport} from '@mimosatack/contain-requests';
 import {toTypedError} from '@mimosatack/errors';
 import {type DutyHolder, type HolderContact} from '@mimosatack/hold-duty';
-import {PeerTransport} from '@mimosatack/peer-transport';
+import {type PeerTransport} from '@mimosatack/peer-transport';
 import {type FromHolder, type ToHolder} from '@mimosatack/schedule-service';
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {HolderContacts} from './holder_contacts.js';
@@ -14,23 +15,21 @@
 import {chooseSuccessor, findDutyRank} from './duty_order.js';
 import {DutyPromises, START_QUIET_MS} from './duty_promises.js';
 import {
+  type HelloStatus,
   type LastOrdersMessage,
   type NodeMessage,
   type RecordsMessage,
   type Welcome,
-  messageSchema,
 } from './messages.js';
+import {makeTransport} from './make_transport.js';
 import {type DutyPromise, NodeRoster} from './node_roster.js';
 import {type NodeLinksOptions, type Successor} from './node_links_options.js';
 import {RecordCatchUp} from './record_catch_up.js';
 import {KnownServingList, ServingList} from './serving_list.js';
 import {SilentNodes} from './silent_nodes.js';
 
-const MAX_CONNECTIONS = 1_000;
-const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
 /** Heartbeats; several fit into the time after which a holder counts as silent. */
 const HELLO_INTERVAL_MS = 250;
-const HELLO_TIMEOUT_MS = 500;
 /** A node that has read the servers lately lacks nothing for long. */
 const READ_LATELY_MS = 1_000;
 /**
@@ -58,7 +57,7 @@
   private wasAlive = false;
 
   constructor(private readonly options: NodeLinksOptions) {
-    const {clock, self, listenAddress, clusterSecret} = options;
+    const {clock, self} = options;
     this.contacts = new HolderContacts(clock);
     this.roster = new NodeRoster(clock);
     this.promises = new DutyPromises(clock);
@@ -72,19 +71,9 @@
       readsServers: () => options.serversAgeMs() < READ_LATELY_MS,
       request: (address, message) => this.transport.request(address, message),
     });
-    this.transport = new PeerTransport<NodeMessage>({
-      listenHost: listenAddress.ip,
-      listenPort: listenAddress.port,
-      selfAddress: self.peerAddress,
-      nodeName: self.nodeName,
-      ...{clusterSecret, clock},
-      maxConnections: MAX_CONNECTIONS,
-      maxMessageBytes: MAX_MESSAGE_BYTES,
-      requestTimeoutMs: HELLO_TIMEOUT_MS,
-      schema: messageSchema,
-      onMessage: (from, message) => this.receive(from.address, message),
-      onFault: error => options.onFault(error),
-    });
+    this.transport = makeTransport(options, (from, message) =>
+      this.receive(from, message),
+    );
   }
 
   async start(): Promise<void> {
@@ -251,7 +240,7 @@
       type: 'hello',
       status: {
         ...{nodeName, incarnation, promise},
-        ...{servingListId: null, ...this.options.readStatus()},
+        ...{servingListId: null, crashes: null, ...this.options.readStatus()},
       },
     });
   }
@@ -276,17 +265,19 @@
     const {self, readStatus} = this.options;
     const {nodeName, incarnation} = self;
     const promise = this.makePromise(holder);
+    const crashes = this.options.crashes.makeReport(holder.incarnation);
     const sentAtMs = this.options.clock.monotonicMs();
     try {
       const reply = await this.transport.request(holder.address, {
         type: 'hello',
         status: {
           ...{nodeName, incarnation, promise, ...readStatus()},
-          servingListId: this.knownServing.id,
+          ...{servingListId: this.knownServing.id, crashes},
         },
       });
       if (reply.type !== 'welcome') return;
       this.takeWelcome(holder, reply);
+      this.takeCrashes(crashes, reply);
       const isOwn = reply.incarnation === holder.incarnation;
       if (promise && isOwn) this.promises.noteAnswered(holder, sentAtMs);
     } catch (thrown) {
@@ -314,6 +305,11 @@
     this.catchUp.look(holder.address, welcome);
   }
 
+  private takeCrashes(report: CrashReport, {crashes, ...of}: Welcome): void {
+    if (!crashes) return;
+    this.options.crashes.takeReply(of.incarnation, report, crashes);
+  }
+
   private async askOthers(holder: DutyHolder): Promise<void> {
     const {self, listNodes} = this.options;
     const silentForMs = this.contacts.sinceContactMs(holder);
@@ -333,7 +329,7 @@
       case 'hello':
         this.roster.note(from, message.status);
         this.catchUp.look(from, message.status);
-        return this.makeWelcome(message.status.servingListId);
+        return this.makeWelcome(message.status);
       case 'introduction':
         options.onNodes(message.nodes);
         options.onHolder(message.holder);
@@ -359,7 +355,7 @@
     }
   }
 
-  private makeWelcome(knownListId: string | null): Welcome {
+  private makeWelcome({servingListId, crashes}: HelloStatus): Welcome {
     const {options} = this;
     const {configurationVersion, serversEndOffset, nodesEndOffset} =
       options.readStatus();
@@ -369,7 +365,8 @@
       incarnation: options.self.incarnation,
       beatMs: options.clock.monotonicMs(),
       holder: options.holder(),
-      ...this.servingList.tell(knownListId),
+      ...this.servingList.tell(servingListId),
+      crashes: crashes && options.crashes.answer(crashes),
       serversAgeMs: Number.isFinite(ageMs) ? ageMs : null,
       ...{configurationVersion, serversEndOffset, nodesEndOffset},
     };
--- a/packages/node-links/src/node_links_options.ts
+++ b/packages/node-links/src/node_links_options.ts
@@ -1,5 +1,6 @@
 /** What the links between nodes are built from. */
 import {type Clock} from '@mimosatack/clock';
+import {type CrashExchange} from '@mimosatack/contain-requests';
 import {type TypedError} from '@mimosatack/errors';
 import {type DutyHolder, type LastOrders} from '@mimosatack/hold-duty';
 import {type RandomSource} from '@mimosatack/random';
@@ -27,6 +28,8 @@
   /** All registered nodes. */
   listNodes: () => readonly KnownNode[];
   readStatus: () => NodeStatus;
+  /** Passes on which servers ended under which requests. */
+  crashes: CrashExchange;
   /** How long ago this node read the servers from the store. */
   serversAgeMs: () => number;
   readRecords: (topic: SharedTopic, fromOffset: number) => RecordsMessage;
--- a/packages/serve-requests/src/index.ts
+++ b/packages/serve-requests/src/index.ts
@@ -18,6 +18,7 @@
   type RetryAllowanceOptions,
 } from './retry_allowance.js';
 export {RouteTable} from './route_table.js';
+export {type CrashWatch} from './crash_guard.js';
 export {HeadTimes} from './head_times.js';
 export {
   type AttemptResult,
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -5,7 +5,7 @@
 import {type ServiceRoute} from '@mimosatack/types';
 import {type AttemptOutcome} from './attempt.js';
 import {type CallerRequest} from './caller_request.js';
-import {makeFingerprint} from './fingerprint.js';
+import {type CrashGuard} from './crash_guard.js';
 import {type ChosenServer} from './server_chooser.js';
 
 /** What a caller got in the end. */
@@ -45,6 +45,7 @@
     private readonly options: RequestLogOptions,
     private readonly request: CallerRequest,
     private readonly target: {route: ServiceRoute; version: number},
+    private readonly guard: CrashGuard,
   ) {}
 
   /** Until the answer of the last attempt began; null if it did not. */
@@ -94,7 +95,7 @@
       outcome: outcome.status,
       status: this.status,
       error: 'error' in outcome ? outcome.error.message : undefined,
-      fingerprint: isCut(outcome) ? makeFingerprint(this.request) : undefined,
+      fingerprint: isCut(outcome) ? this.guard.fingerprint : undefined,
       tookMs: Math.round(this.nowMs() - sentAtMs),
       headMs: headMs === null ? null : Math.round(headMs),
       longestGapMs: Math.round(this.longestGapMs),
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -11,6 +11,7 @@
 } from '@mimosatack/types';
 import {type BackendDialect} from './backend_dialect.js';
 import {type AnswerSink, type CallerRequest} from './caller_request.js';
+import {type CrashWatch} from './crash_guard.js';
 import {type HeadTimes} from './head_times.js';
 import {pickService} from './pick_service.js';
 import {RequestRun} from './request_run.js';
@@ -28,6 +29,7 @@
   retries: RetryAllowance;
   logger: EventLogger;
   headTimes: HeadTimes;
+  crashes: CrashWatch;
 }
 
 const NOT_CONFIGURED_RETRY_MS = 500;
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -5,6 +5,7 @@
 import {AnswerRelay} from './answer_relay.js';
 import {Attempt, type AttemptOutcome, type NotRunReason} from './attempt.js';
 import {type AnswerSink, type CallerRequest} from './caller_request.js';
+import {CrashGuard, makeContained} from './crash_guard.js';
 import {type FailedAttempt, decideNext, isRepeatable} from './decide_next.js';
 import {type FinalResult, RequestLog} from './request_log.js';
 import {type PipelineOptions, type RequestTarget} from './request_pipeline.js';
@@ -44,6 +45,7 @@
   private readonly ending = new AbortController();
   private readonly relay: AnswerRelay;
   private readonly log: RequestLog;
+  private readonly guard: CrashGuard;
   private readonly isRepeatable: boolean;
   private attempt: Attempt | null = null;
   private rescue: StallRescue | null = null;
@@ -66,7 +68,8 @@
     const waitMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
     this.endsAtMs = request.receivedAtMs + waitMs;
     this.isRepeatable = isRepeatable(route);
-    this.log = new RequestLog(options, request, target);
+    this.guard = new CrashGuard(options.crashes, request);
+    this.log = new RequestLog(options, request, target, this.guard);
     this.relay = new AnswerRelay({
       sink,
       isStream: route.kind === 'streaming',
@@ -97,7 +100,7 @@
   private async attemptUntilDone(): Promise<void> {
     let next: ServerChoice | null = null;
     for (;;) {
-      const choice: ServerChoice = next ?? (await this.choose());
+      const choice = await this.choose(next);
       if (this.endCause) return this.finishEnded(choice);
       if (choice.status === 'refused') return this.giveUp(choice.error);
       const outcome = await this.attemptAt(choice);
@@ -107,6 +110,7 @@
         this.log.noteAttempt(outcome, 'end');
         return this.finishEnded(next);
       }
+      if (this.guard.isContained) return this.stopContained(outcome, next);
       const goesOn = next !== null || (await this.mayGoOn(outcome, choice));
       this.log.noteAttempt(outcome, this.nameNext(goesOn));
       if (this.endCause) return this.finishEnded(next);
@@ -119,8 +123,35 @@
     return goesOn ? 'try-elsewhere' : 'give-up';
   }
 
-  private choose(): Promise<ServerChoice> {
-    return this.options.chooser.choose(this.makeAsk(this.tried));
+  /**
+   * Refuses what is contained, also when that became known while it waited.
+   *
+   * Guards against a request that ends server after server: it comes again under
+   * new ids at all nodes, each of which would send each id to as many servers as
+   * its route allows. What a request is does not change with its id, and what one
+   * node has seen is known to all.
+   */
+  private async choose(rescued: ChosenServer | null): Promise<ServerChoice> {
+    const {chooser} = this.options;
+    if (!rescued && this.guard.isContained) return this.refuseContained();
+    const choice = rescued ?? (await chooser.choose(this.makeAsk(this.tried)));
+    if (choice.status === 'refused' || !this.guard.isContained) return choice;
+    chooser.release(choice);
+    return this.refuseContained();
+  }
+
+  /** One more server has ended under it, and that was enough. */
+  private stopContained(
+    outcome: AttemptOutcome,
+    unused: ServerChoice | null,
+  ): void {
+    this.log.noteAttempt(outcome, 'give-up');
+    if (unused?.status === 'chosen') this.options.chooser.release(unused);
+    this.giveUp(makeContained(this.mayHaveRun));
+  }
+
+  private refuseContained(): ServerChoice {
+    return {status: 'refused', error: makeContained(this.mayHaveRun)};
   }
 
   private async attemptAt(choice: ChosenServer): Promise<AttemptOutcome> {
@@ -137,6 +168,7 @@
     this.attempt = null;
     this.rescue?.stop();
     chooser.noteDone(choice, toResult(outcome), this.log.headMs);
+    this.guard.note(outcome, server);
     const hasRun = outcome.status === 'broken' || outcome.status === 'refusing';
     if (hasRun) this.mayHaveRun = true;
     const reason = outcome.status === 'not-run' ? outcome.reason : null;
@@ -257,6 +289,7 @@
 
   /** Never says "not run" once any attempt may have run. */
   private giveUp(error: TypedError): void {
+    if (error.kind === 'contained') return this.endWith(error);
     if (this.mayHaveRun) {
       return this.endWith(
         new TypedError('backend-failed', error.summary, {run: 'unknown'}),
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -2,6 +2,7 @@
 import {type BackendConnections} from '@mimosatack/backend-connections';
 import {CallerEdge} from '@mimosatack/caller-edge';
 import {type Clock, sleep} from '@mimosatack/clock';
+import {CrashExchange, RequestContainment} from '@mimosatack/contain-requests';
 import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
 import {type DutyHolder} from '@mimosatack/hold-duty';
 import {type EventLogger} from '@mimosatack/logger';
@@ -34,6 +35,7 @@
 import {reloadSettings} from './settings_reload.js';
 import {SharedRecords} from './shared_records.js';
 import {StatusServer} from './status_server.js';
+import {END_MARGIN_MS, LEAVE_PART, TELL_CALLERS_MS} from './stop_times.js';
 
 /** What a node is built from. */
 export interface ServingNodeOptions {
@@ -47,18 +49,6 @@
 }
 
 const DUTY_KEY = 'scheduler';
-/**
- * Callers that still know the address find it open for this long. They ask the
- * directory again after 1.5 s, and requests sent within 3 s have to be served.
- */
-const TELL_CALLERS_MS = 2_500;
-/**
- * Kept from the time that a stop may take, to end in order: callers that are
- * cut off get 500 ms to hear of it, and timers are late on a busy host.
- */
-const END_MARGIN_MS = 900;
-/** Part of what is left of a stop in which the duty may still be given away. */
-const LEAVE_PART = 0.8;
 const EXPIRY_INTERVAL_MS = 1_000;
 
 /** A node of the system, before backend servers that it does not run. */
@@ -70,6 +60,7 @@
   private readonly register: NodeRegister;
   private readonly shared: SharedRecords;
   private readonly duty: SchedulingDuty;
+  private readonly containment: RequestContainment;
   private readonly links: NodeLinks;
   private readonly chooser: ScheduledChooser;
   private readonly pipeline: RequestPipeline;
@@ -100,6 +91,7 @@
       broadcast: message => this.links.broadcastRecords(message),
     });
     this.duty = this.makeDuty();
+    this.containment = new RequestContainment(options);
     this.links = this.makeLinks();
     this.chooser = this.makeChooser();
     this.pipeline = this.makePipeline();
@@ -334,6 +326,10 @@
       holder: () => this.duty.holder,
       listNodes: () => this.register.list(),
       readStatus: () => this.readStatus(),
+      crashes: new CrashExchange({
+        ...{clock, incarnation: this.self.incarnation},
+        containment: this.containment,
+      }),
       serversAgeMs: () => this.servers.ageMs,
       readRecords: (topic, fromOffset) => this.shared.read(topic, fromOffset),
       onRecords: message => this.shared.take(message),
@@ -381,6 +377,7 @@
       ...{clock, random, logger, connections: this.connections},
       headTimes: new HeadTimes(),
       dialect: platform.backendDialect,
+      crashes: this.containment,
       chooser: this.chooser,
       retries: new RetryAllowance({
         clock,
