Keep what is contained when all nodes end at once

After a loss of all nodes the same request ends three more servers.

Cause: what nodes know of requests lived in their processes alone.

Change: who holds the duty writes which requests are contained into one record beside those of the nodes, whenever it differs from what the store has. Each node reads that topic once when it starts and hears of its changes from the holder already, so that no call is added while nothing is contained.

Why it holds: a node that starts takes the record before it is ready, and three lives of servers in it contain the request without any other node.

Ruled out: a topic of its own (a call a node at each start), the topic of the duty (its records are written on the condition that nothing else was).

--- a/packages/contain-requests/src/index.ts
+++ b/packages/contain-requests/src/index.ts
@@ -1,3 +1,4 @@
+export {decodeContained, encodeContained} from './contained_record.js';
 export {
   type CrashReply,
   type CrashReport,
--- a/packages/contain-requests/src/request_containment.ts
+++ b/packages/contain-requests/src/request_containment.ts
@@ -36,6 +36,13 @@
     return !this.evidence.isEmpty;
   }
 
+  /** Those that are contained now, whoever was cut most lately last. */
+  get contained(): RequestFingerprint[] {
+    return [...this.evidence.byRequest.keys()].filter(fingerprint =>
+      this.isContained(fingerprint),
+    );
+  }
+
   isContained(fingerprint: RequestFingerprint): boolean {
     const untilMs = this.untilMs.get(fingerprint);
     return untilMs !== undefined && this.nowMs() < untilMs;
--- a/packages/serving-node/src/node_register.test.ts
+++ b/packages/serving-node/src/node_register.test.ts
@@ -35,6 +35,7 @@
     ...{clock, topic, random: new SeededRandom(1), self: makeNode(nodeName)},
     ...{isReader: () => isReader, isTold},
     onRead: fromOffset => passedOn.push(fromOffset),
+    onContained: () => undefined,
     ...{onStruck: () => undefined, onLost: () => undefined},
     onRegained: () => undefined,
   });
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -10,6 +10,7 @@
 } from '@mimosatack/keyed-store';
 import {type KnownNode, decodeNode, encodeNode} from '@mimosatack/node-links';
 import {type RandomSource} from '@mimosatack/random';
+import {CONTAINED_KEY} from './containment_task.js';
 
 /** What the register is built from. */
 export interface NodeRegisterOptions {
@@ -23,6 +24,8 @@
   isTold: () => boolean;
   /** Told of records that came from the store, to pass on. */
   onRead: (fromOffset: number) => void;
+  /** Told of the record that is kept beside those of the nodes. */
+  onContained: (value: Uint8Array | null) => void;
   /** A lost node was taken off the list. */
   onStruck: (nodeName: string) => void;
   onLost: (error: TypedError) => void;
@@ -178,14 +181,17 @@
   }
 
   private take(changes: readonly KeyedChange[]): void {
-    const {self} = this.options;
+    const {self, onContained} = this.options;
+    changes
+      .filter(({key}) => key === CONTAINED_KEY)
+      .forEach(({value}) => onContained(value));
     const isStruck = changes.some(
       ({key, value}) => key === self.nodeName && value === null,
     );
     // It stood still for long, and the others took it for lost.
     if (isStruck) void this.register();
     changes
-      .filter(({key}) => key !== self.nodeName)
+      .filter(({key}) => key !== self.nodeName && key !== CONTAINED_KEY)
       .forEach(({key, value}) => {
         const node = value && decodeNode(value);
         if (node) this.nodes.set(key, node);
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -1,18 +1,14 @@
 /** One node: its tasks and its listeners, wired together. */
 import {type BackendConnections} from '@mimosatack/backend-connections';
 import {CallerEdge} from '@mimosatack/caller-edge';
-import {type Clock, sleep} from '@mimosatack/clock';
-import {CrashExchange, RequestContainment} from '@mimosatack/contain-requests';
+import {sleep} from '@mimosatack/clock';
 import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
 import {type DutyHolder} from '@mimosatack/hold-duty';
-import {type EventLogger} from '@mimosatack/logger';
 import {
   type KnownNode,
   NodeLinks,
   type NodeStatus,
 } from '@mimosatack/node-links';
-import {type RandomSource} from '@mimosatack/random';
-import {type PrometheusMetrics} from '@mimosatack/metrics';
 import {ScheduledChooser} from '@mimosatack/schedule-service';
 import {
   HeadTimes,
@@ -22,32 +18,22 @@
 } from '@mimosatack/serve-requests';
 import {type ServingConfiguration} from '@mimosatack/types';
 import {ConfigurationFollower} from './configuration_follower.js';
+import {ContainmentTask} from './containment_task.js';
 import {describeSelf} from './describe_self.js';
 import {EntryPoints} from './entry_points.js';
 import {FaultLog} from './fault_log.js';
 import {NodeRegister} from './node_register.js';
 import {type NodeSettings} from './node_settings.js';
 import {noteNodeState} from './node_state_metrics.js';
-import {type PlatformAdapter} from './platform_adapter.js';
 import {SchedulingDuty} from './scheduling_duty.js';
 import {logServerChange} from './log_server_change.js';
 import {ServerFollower} from './server_follower.js';
 import {reloadSettings} from './settings_reload.js';
+import {type ServingNodeOptions} from './serving_node_options.js';
 import {SharedRecords} from './shared_records.js';
 import {StatusServer} from './status_server.js';
 import {END_MARGIN_MS, LEAVE_PART, TELL_CALLERS_MS} from './stop_times.js';
 
-/** What a node is built from. */
-export interface ServingNodeOptions {
-  settings: NodeSettings;
-  clock: Clock;
-  random: RandomSource;
-  logger: EventLogger;
-  platform: PlatformAdapter;
-  connections: BackendConnections;
-  metrics: PrometheusMetrics;
-}
-
 const DUTY_KEY = 'scheduler';
 const EXPIRY_INTERVAL_MS = 1_000;
 
@@ -60,7 +46,7 @@
   private readonly register: NodeRegister;
   private readonly shared: SharedRecords;
   private readonly duty: SchedulingDuty;
-  private readonly containment: RequestContainment;
+  private readonly containment: ContainmentTask;
   private readonly links: NodeLinks;
   private readonly chooser: ScheduledChooser;
   private readonly pipeline: RequestPipeline;
@@ -83,6 +69,7 @@
     this.connections = options.connections;
     this.configuration = this.makeConfiguration();
     this.servers = this.makeServers();
+    this.containment = this.makeContainment();
     this.register = this.makeRegister();
     this.shared = new SharedRecords({
       ...{configuration: this.configuration, servers: this.servers},
@@ -91,7 +78,6 @@
       broadcast: message => this.links.broadcastRecords(message),
     });
     this.duty = this.makeDuty();
-    this.containment = new RequestContainment(options);
     this.links = this.makeLinks();
     this.chooser = this.makeChooser();
     this.pipeline = this.makePipeline();
@@ -269,12 +255,23 @@
       isReader: () => this.duty.isHeld,
       isTold: () => this.links.isToldOfNodes,
       onRead: fromOffset => this.shared.passOn('nodes', fromOffset),
+      onContained: value => this.containment.take(value),
       onStruck: nodeName =>
         this.options.logger.log('node-lost', {lostNodeName: nodeName}),
       ...this.faults.watch('nodes'),
     });
   }
 
+  private makeContainment(): ContainmentTask {
+    const {clock, logger, platform} = this.options;
+    return new ContainmentTask({
+      ...{clock, logger, incarnation: this.self.incarnation},
+      topic: platform.nodesTopic,
+      isWriter: () => this.duty.isHeld,
+      onFault: error => this.faults.note(error, 'containment'),
+    });
+  }
+
   private makeDuty(): SchedulingDuty {
     const {clock, random, platform, settings, logger} = this.options;
     const {nodeName, incarnation, peerAddress} = this.self;
@@ -326,10 +323,7 @@
       holder: () => this.duty.holder,
       listNodes: () => this.register.list(),
       readStatus: () => this.readStatus(),
-      crashes: new CrashExchange({
-        ...{clock, incarnation: this.self.incarnation},
-        containment: this.containment,
-      }),
+      crashes: this.containment.exchange,
       serversAgeMs: () => this.servers.ageMs,
       readRecords: (topic, fromOffset) => this.shared.read(topic, fromOffset),
       onRecords: message => this.shared.take(message),
@@ -377,7 +371,7 @@
       ...{clock, random, logger, connections: this.connections},
       headTimes: new HeadTimes(),
       dialect: platform.backendDialect,
-      crashes: this.containment,
+      crashes: this.containment.containment,
       chooser: this.chooser,
       retries: new RetryAllowance({
         clock,
@@ -390,6 +384,7 @@
   private scheduleExpiry(): void {
     this.options.clock.setTimer(EXPIRY_INTERVAL_MS, () => {
       this.connections.closeExpired();
+      void this.containment.look();
       this.scheduleExpiry();
     });
   }
--- /dev/null
+++ b/packages/serving-node/src/serving_node_options.ts
@@ -0,0 +1,19 @@
+/** What a node is built from. */
+import {type BackendConnections} from '@mimosatack/backend-connections';
+import {type Clock} from '@mimosatack/clock';
+import {type EventLogger} from '@mimosatack/logger';
+import {type PrometheusMetrics} from '@mimosatack/metrics';
+import {type RandomSource} from '@mimosatack/random';
+import {type NodeSettings} from './node_settings.js';
+import {type PlatformAdapter} from './platform_adapter.js';
+
+/** Made by the program that starts the node. */
+export interface ServingNodeOptions {
+  settings: NodeSettings;
+  clock: Clock;
+  random: RandomSource;
+  logger: EventLogger;
+  platform: PlatformAdapter;
+  connections: BackendConnections;
+  metrics: PrometheusMetrics;
+}
