Clear a suspected request by a success alone

What callers would see: three more servers end under a request that was known to crash them.

Cause: any whole answer cleared a request of its cuts, also a failure. One that waits in a server's queue until its time is over is answered 504 and has begun to run nowhere.

Change: only a whole success clears. Test: crash_guard.test, 'only a success clears it' (the outcome told nothing of the status before, so that the test does not compile on the code before; it was not seen to fail otherwise).

Why it holds: a success is sent by a server that has run the request and lives.

--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -21,7 +21,7 @@
 /** How an attempt ended. */
 export type AttemptOutcome =
   /** The answer is whole and was handed over. */
-  | {status: 'answered'}
+  | {status: 'answered'; isSuccess: boolean}
   /** The server has not run the request and won't. */
   | {status: 'not-run'; error: TypedError; reason: NotRunReason}
   /** The server answered with a failure that was not handed over. */
@@ -69,6 +69,7 @@
   private resolve!: (outcome: AttemptOutcome) => void;
   private handle: CallHandle | null = null;
   private isOver = false;
+  private isSuccess = false;
 
   constructor(private readonly options: AttemptOptions) {
     this.outcome = new Promise(resolve => (this.resolve = resolve));
@@ -115,6 +116,7 @@
     const {dialect, request, consumer, onLoad, onStatus} = this.options;
     const facts = dialect.readHead(head, request);
     onStatus(facts.status);
+    this.isSuccess = isSuccess(facts.status);
     if (facts.load) onLoad(facts.load);
     if (facts.isNotRun) {
       this.giveUp({
@@ -124,7 +126,7 @@
       });
       return;
     }
-    if (isSuccess(facts.status) && !facts.isGenuine) {
+    if (this.isSuccess && !facts.isGenuine) {
       this.giveUp({status: 'broken', error: makeForeignAnswer(), isCut: false});
       return;
     }
@@ -142,7 +144,9 @@
     if (this.isOver) return;
     const error = this.options.consumer.onEnd();
     this.finish(
-      error ? {status: 'broken', error, isCut: true} : {status: 'answered'},
+      error
+        ? {status: 'broken', error, isCut: true}
+        : {status: 'answered', isSuccess: this.isSuccess},
     );
   }
 
--- /dev/null
+++ b/packages/serve-requests/src/crash_guard.test.ts
@@ -0,0 +1,71 @@
+/** Which ends of an attempt tell for or against a request. */
+import {TypedError} from '@mimosatack/errors';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {type AttemptOutcome} from './attempt.js';
+import {CrashGuard, type CrashWatch} from './crash_guard.js';
+import {makeRequest, makeServer} from './test_fixtures.js';
+
+const test = suite('what an attempt tells of its request');
+
+const error = new TypedError('backend-failed', 'It failed.', {run: 'unknown'});
+
+/** Keeps what it is told. */
+class RecordingWatch implements CrashWatch {
+  isWatching = true;
+  readonly told: string[] = [];
+
+  isContained(): boolean {
+    return false;
+  }
+
+  noteCut(_fingerprint: string, serverLife: string): void {
+    this.told.push(`cut at ${serverLife}`);
+  }
+
+  noteServed(): void {
+    this.told.push('served');
+  }
+}
+
+function tell(outcome: AttemptOutcome, watch = new RecordingWatch()): string[] {
+  const server = makeServer({id: 'i-1', startedAtMs: 7});
+  new CrashGuard(watch, makeRequest()).note(outcome, server);
+  return watch.told;
+}
+
+test('a connection that is cut tells against it, with the life of the server', () => {
+  assert.equal(tell({status: 'broken', error, isCut: true}), ['cut at i-1@7']);
+});
+
+test('what does not show that a server ended tells nothing', () => {
+  const outcomes: AttemptOutcome[] = [
+    {status: 'broken', error, isCut: false},
+    {status: 'refusing', error},
+    {status: 'not-run', error, reason: 'not-taken'},
+    {status: 'not-run', error, reason: 'unreachable'},
+    {status: 'aborted'},
+  ];
+  assert.equal(
+    outcomes.flatMap(outcome => tell(outcome)),
+    [],
+  );
+});
+
+/*
+ * A request that crashes servers waits in the queue of one until its time is over
+ * and is answered with a failure. It has not begun to run there; were it cleared
+ * by that, it would end three more servers.
+ */
+test('only a success clears it', () => {
+  assert.equal(tell({status: 'answered', isSuccess: true}), ['served']);
+  assert.equal(tell({status: 'answered', isSuccess: false}), []);
+});
+
+test('nothing is told of a success while nobody is suspected', () => {
+  const watch = new RecordingWatch();
+  watch.isWatching = false;
+  assert.equal(tell({status: 'answered', isSuccess: true}, watch), []);
+});
+
+test.run();
--- a/packages/serve-requests/src/crash_guard.ts
+++ b/packages/serve-requests/src/crash_guard.ts
@@ -15,7 +15,7 @@
   isContained(fingerprint: RequestFingerprint): boolean;
   /** A server's connection was cut while it had the request. */
   noteCut(fingerprint: RequestFingerprint, serverLife: string): void;
-  /** A server has answered the request whole. */
+  /** A server has answered the request whole, with a success. */
   noteServed(fingerprint: RequestFingerprint): void;
 }
 
@@ -41,9 +41,12 @@
     if (outcome.status === 'broken' && outcome.isCut) {
       this.watch.noteCut(this.fingerprint, nameLife(server));
     }
-    if (outcome.status === 'answered' && this.watch.isWatching) {
-      this.watch.noteServed(this.fingerprint);
-    }
+    if (outcome.status === 'answered' && outcome.isSuccess) this.noteSuccess();
+  }
+
+  /** A failure may come before the request has begun to run. */
+  private noteSuccess(): void {
+    if (this.watch.isWatching) this.watch.noteServed(this.fingerprint);
   }
 }
 
