Contain requests by the ends of servers alone

Binds: who stands beside bad requests. Hypothesis: a request whose ends are all explained by a worse one is innocent, and letting it go costs nothing.

Conclusion: wrong.

No test of the whole program changes.

--- a/packages/contain-requests/src/request_containment.ts
+++ b/packages/contain-requests/src/request_containment.ts
@@ -7,7 +7,6 @@
   CrashEvidence,
   type ServerLife,
 } from './crash_evidence.js';
-import {CRASHES_TO_CONTAIN, findContained} from './find_contained.js';
 
 /** What it is built from. */
 export interface RequestContainmentOptions {
@@ -15,6 +14,14 @@
   logger: EventLogger;
 }
 
+/**
+ * Servers that may end under a request before it is contained.
+ *
+ * What only stood beside a bad request is rarely at three ends, since it is
+ * served first. It is not told apart by the ends that other requests explain:
+ * where several bad ones come at once, that blames innocents for their ends.
+ */
+const CRASHES_TO_CONTAIN = 3;
 /**
  * For how long after the last end of a server. The cuts are remembered longer,
  * so that one more end contains the request again.
@@ -36,7 +43,7 @@
     return !this.evidence.isEmpty;
   }
 
-  /** Those that are contained now, whoever was cut most lately last. */
+  /** Those that are contained now, the one that was cut most lately last. */
   get contained(): RequestFingerprint[] {
     return [...this.evidence.byRequest.keys()].filter(fingerprint =>
       this.isContained(fingerprint),
@@ -70,11 +77,12 @@
     const {byRequest} = this.evidence;
     const before = this.untilMs;
     this.untilMs = new Map(
-      [...findContained(byRequest)].map(fingerprint => [
-        fingerprint,
-        Math.max(...(byRequest.get(fingerprint)?.values() ?? [])) +
-          CONTAINED_MS,
-      ]),
+      [...byRequest]
+        .filter(([, lives]) => lives.size >= CRASHES_TO_CONTAIN)
+        .map(([fingerprint, lives]) => [
+          fingerprint,
+          Math.max(...lives.values()) + CONTAINED_MS,
+        ]),
     );
     this.logChange(before, this.untilMs);
   }
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -99,7 +99,7 @@
     message: 'A request that was contained may be sent to servers again.',
     fields: {
       fingerprint: 'which request it is under whatever id',
-      cuts: 'servers that ended under it and are not explained otherwise',
+      cuts: 'servers that ended under it and still count',
     },
   },
   'backend-suspected': {
