Explain why a request is contained, and count such requests

On call, somebody with the id of a refused request found that it had reached no server, and nothing of the ends under other ids. explain now names the servers and lists the attempts of the same request under other ids, whenever they were; the last line of a contained request bears its fingerprint; two gauges tell how many requests are contained and suspected. Test: explain_request.test, 'names the ends under which a request was contained' (written with the change).

--- a/packages/explain-request/src/explain_request.test.ts
+++ b/packages/explain-request/src/explain_request.test.ts
@@ -123,10 +123,6 @@
   assert.match(verdict.cause, /e1 began to answer after 44 ms/);
 });
 
-/*
- * A node was killed in the middle of a line, and a collector put its own words
- * before each. Neither may hide what the other lines tell.
- */
 /*
  * A server took a request at once and never answered. On call, somebody was sent
  * to look for a load or for the node that schedules.
@@ -146,6 +142,10 @@
   assert.match(verdict.advice, /log and the load of e1/);
 });
 
+/*
+ * A node was killed in the middle of a line, and a collector put its own words
+ * before each. Neither may hide what the other lines tell.
+ */
 test('half a line is counted and left out', () => {
   const whole = sentTo('e1');
   const {lines, skipped} = parseLog(
@@ -155,6 +155,37 @@
   assert.is(skipped, 1);
 });
 
+/*
+ * A caller asks why it is refused at once. Its own request reached no server; the
+ * servers ended under others with the same body, minutes before, at other nodes.
+ */
+test('names the ends under which a request was contained', () => {
+  const {verdict, related} = explain(
+    'r9',
+    writeLine('entry-2', 0, 'attempt-ended', {
+      ...{requestId: 'r1', backendServerId: 'e1', outcome: 'broken'},
+      fingerprint: 'f00d',
+    }),
+    writeLine('entry-2', 1, 'attempt-ended', {
+      ...{requestId: 'r2', backendServerId: 'e2', outcome: 'broken'},
+      fingerprint: 'another',
+    }),
+    writeLine('entry-1', 500, 'request-contained', {
+      ...{fingerprint: 'f00d', serverLives: ['e1', 'e7', 'e8']},
+    }),
+    writeLine('entry-1', 600_000, 'request-finished', {
+      ...{requestId: 'r9', result: 'refused', kind: 'contained'},
+      fingerprint: 'f00d',
+    }),
+  );
+  assert.is(verdict.result, 'refused');
+  assert.match(verdict.cause, /f00d: \["e1","e7","e8"\]/);
+  assert.equal(
+    related.map(({fields}) => fields['requestId']),
+    ['r1', undefined],
+  );
+});
+
 test('an unknown request is told apart', () => {
   assert.is(explainRequest('r2', parseLog(sentTo('e1')).lines), null);
 });
--- a/packages/explain-request/src/explain_request.ts
+++ b/packages/explain-request/src/explain_request.ts
@@ -27,6 +27,10 @@
 ];
 /** Events that tell of one backend server. */
 const SERVER_EVENTS: readonly string[] = ['server-changed', 'engine-ordered'];
+/** Events that tell of the same request under other ids, at any time. */
+const REPEAT_EVENTS: readonly string[] = [
+  ...['attempt-ended', 'request-contained', 'request-released'],
+];
 
 /** Null when no line names the request. */
 export function explainRequest(
@@ -44,12 +48,16 @@
   const nodes = new Set(own.map(({nodeName}) => nodeName));
   const servers = new Set(own.map(({fields}) => fields['backendServerId']));
   const models = new Set(own.flatMap(({fields}) => fields['model'] ?? []));
+  const prints = new Set(
+    own.flatMap(({fields}) => fields['fingerprint'] ?? []),
+  );
   const related = sortByTime(
     lines.filter(
       line =>
-        line.atMs >= sinceMs &&
-        line.atMs <= untilMs &&
-        isRelated(line, {nodes, servers, models}),
+        isRepeat(line, requestId, prints) ||
+        (line.atMs >= sinceMs &&
+          line.atMs <= untilMs &&
+          isRelated(line, {nodes, servers, models})),
     ),
   );
   return {
@@ -74,6 +82,18 @@
   return servers.has(fields['backendServerId']) || models.has(fields['model']);
 }
 
+function isRepeat(
+  {eventName, fields}: LogLine,
+  requestId: string,
+  prints: ReadonlySet<unknown>,
+): boolean {
+  return (
+    REPEAT_EVENTS.includes(eventName) &&
+    prints.has(fields['fingerprint']) &&
+    fields['requestId'] !== requestId
+  );
+}
+
 function sortByTime(lines: readonly LogLine[]): LogLine[] {
   return [...lines].sort((a, b) => a.atMs - b.atMs);
 }
--- a/packages/explain-request/src/find_verdict.ts
+++ b/packages/explain-request/src/find_verdict.ts
@@ -101,6 +101,9 @@
       advice: `See the orders for ${show(decided.fields['model'])} below; ${show(decided.fields['waiting'])} other requests waited.`,
     };
   }
+  if (finished.fields['kind'] === 'contained') {
+    return {result: 'refused', ...findContainedCause(related, finished)};
+  }
   if (findLastAttempt(own)) {
     return {result: 'refused', ...findAttemptCause(own, related, finished)};
   }
@@ -111,6 +114,22 @@
   };
 }
 
+/** Of a request that is sent to no server, since servers have ended under it. */
+function findContainedCause(
+  related: readonly LogLine[],
+  finished: LogLine,
+): Omit<Verdict, 'result'> {
+  const contained = related.find(
+    ({eventName}) => eventName === 'request-contained',
+  );
+  const lives = show(contained?.fields['serverLives']);
+  return {
+    cause: `Servers had ended under the same request, whose fingerprint is ${show(finished.fields['fingerprint'])}: ${lives}.`,
+    advice:
+      'The lines attempt-ended below name the ids under which they did. Tell its caller, or mend the servers.',
+  };
+}
+
 /** Of a request whose last attempt failed. */
 function findAttemptCause(
   own: readonly LogLine[],
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -79,6 +79,7 @@
       attempts: 'how many servers it was sent to',
       tookMs: 'time since it arrived',
       lastEventId: 'the last event that the caller was given, of a stream',
+      fingerprint: 'which request it is under whatever id, if it is contained',
     },
   },
   'request-contained': {
--- a/packages/measure-events/src/measuring_event_logger.test.ts
+++ b/packages/measure-events/src/measuring_event_logger.test.ts
@@ -13,6 +13,7 @@
     ...{requestId: 'r1', result: 'refused', kind: 'not-warm', reason: 'full'},
     ...{run: 'not-run', retryAfterMs: 500, attempts: 0, tookMs: 12},
     lastEventId: null,
+    fingerprint: undefined,
   });
   assert.equal(metrics.samples, [
     {
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -104,6 +104,14 @@
   'duties.taken': counter('Changes of the node that schedules.', {
     holder: '`self` or `other`',
   }),
+  'containment.contained': gauge(
+    'Requests that are sent to no server, since servers ended under them.',
+    {},
+  ),
+  'containment.suspected': gauge(
+    'Requests that were cut at a server that may have ended under them.',
+    {},
+  ),
   'configuration.version': gauge('The configuration in force.', {}),
   'servers.known': gauge('Backend servers in the list.', {}),
   'servers.age_ms': gauge('Time since the list was read from the store.', {}),
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -112,6 +112,8 @@
       reason: error?.summary,
       run: error?.run,
       retryAfterMs: error?.retryAfterMs,
+      fingerprint:
+        error?.kind === 'contained' ? this.guard.fingerprint : undefined,
       tookMs: Math.round(this.nowMs() - this.request.receivedAtMs),
     });
   }
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -95,6 +95,7 @@
       attempts: 0,
       tookMs: this.options.clock.monotonicMs() - receivedAtMs,
       lastEventId: null,
+      fingerprint: undefined,
     });
   }
 }
--- a/packages/serving-node/src/containment_task.ts
+++ b/packages/serving-node/src/containment_task.ts
@@ -47,6 +47,13 @@
     this.exchange = new CrashExchange({clock, incarnation, containment});
   }
 
+  get figures(): {containedRequests: number; suspectedRequests: number} {
+    const {contained, evidence} = this.containment;
+    const containedRequests = contained.length;
+    const suspectedRequests = evidence.byRequest.size - containedRequests;
+    return {containedRequests, suspectedRequests};
+  }
+
   /** Takes the record, from the store or from a peer. */
   take(value: Uint8Array | null): void {
     this.recorded = value;
--- a/packages/serving-node/src/node_state_metrics.ts
+++ b/packages/serving-node/src/node_state_metrics.ts
@@ -7,6 +7,8 @@
   servers: number;
   serversAgeMs: number;
   dutiesHeld: number;
+  containedRequests: number;
+  suspectedRequests: number;
 }
 
 export function noteNodeState(
@@ -17,5 +19,7 @@
   metrics.gauge('servers.known', figures.servers, {});
   metrics.gauge('servers.age_ms', figures.serversAgeMs, {});
   metrics.gauge('duties.held', figures.dutiesHeld, {});
+  metrics.gauge('containment.contained', figures.containedRequests, {});
+  metrics.gauge('containment.suspected', figures.suspectedRequests, {});
   metrics.gauge('process.resident_bytes', process.memoryUsage.rss(), {});
 }
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -178,6 +178,7 @@
       servers: this.servers.count,
       serversAgeMs: this.servers.ageMs,
       dutiesHeld: this.duty.isHeld ? 1 : 0,
+      ...this.containment.figures,
     });
     return metrics.format();
   }
