Try contained requests at one server now and then

What callers would see: a request that many send is refused everywhere for an hour after three servers that had it were lost at once for another reason. Nobody could clear it, since it was sent to no server.

Cause: being contained ended by time alone, and all nodes would have tried at once when it did.

Change: the node that schedules tries a contained request that reaches it, one at a time, 30 s after the last end and eight times later with each server that a try ends (30 s, 240 s, 1,920 s). A success clears it at all nodes. Of many ends the newest and those of tries are remembered, also in the store's record.

Why it holds: one node tries for all, so that no two servers end at once; the waits are counted by facts that every node and the record have, so that neither another holder nor a restart tries sooner than 30 s after it knows.

--- a/packages/contain-requests/src/contained_record.ts
+++ b/packages/contain-requests/src/contained_record.ts
@@ -7,7 +7,10 @@
 const MAX_RECORDED = 500;
 
 const recordSchema = z.array(
-  z.object({fingerprint: z.string(), serverLives: z.array(z.string())}),
+  z.object({
+    fingerprint: z.string(),
+    cuts: z.array(z.object({serverLife: z.string(), isTry: z.boolean()})),
+  }),
 );
 
 /** The form of the record; null for a record that is not needed. */
@@ -18,7 +21,9 @@
   if (contained.length === 0) return null;
   const entries = contained.slice(-MAX_RECORDED).map(fingerprint => ({
     fingerprint,
-    serverLives: [...(cuts.get(fingerprint)?.keys() ?? [])].sort(),
+    cuts: [...(cuts.get(fingerprint) ?? [])]
+      .map(([serverLife, {isTry}]) => ({serverLife, isTry}))
+      .sort((a, b) => (a.serverLife < b.serverLife ? -1 : 1)),
   }));
   return Buffer.from(JSON.stringify(entries));
 }
@@ -33,13 +38,11 @@
 ): CrashFact[] | null {
   try {
     const text = Buffer.from(value).toString('utf8');
-    return recordSchema
-      .parse(JSON.parse(text))
-      .flatMap(({fingerprint, serverLives}) =>
-        serverLives.map(serverLife => ({
-          ...{kind: 'cut' as const, fingerprint, serverLife, atMs: nowMs},
-        })),
-      );
+    return recordSchema.parse(JSON.parse(text)).flatMap(({fingerprint, cuts}) =>
+      cuts.map(cut => ({
+        ...{kind: 'cut' as const, fingerprint, ...cut, atMs: nowMs},
+      })),
+    );
   } catch {
     return null;
   }
--- a/packages/contain-requests/src/crash_evidence.ts
+++ b/packages/contain-requests/src/crash_evidence.ts
@@ -13,12 +13,17 @@
       fingerprint: RequestFingerprint;
       serverLife: ServerLife;
       atMs: number;
+      /** It was contained and tried once more. */
+      isTry: boolean;
     }
   /** A server has answered it whole, so that it crashes none. */
   | {kind: 'served'; fingerprint: RequestFingerprint; atMs: number};
 
-/** Under which servers a request was cut, and when. */
-export type CutsByLife = ReadonlyMap<ServerLife, number>;
+/** One cut of a request. */
+export type Cut = Pick<Extract<CrashFact, {kind: 'cut'}>, 'atMs' | 'isTry'>;
+
+/** At which lives of servers a request was cut. */
+export type CutsByLife = ReadonlyMap<ServerLife, Cut>;
 
 /**
  * Requests that are remembered. Beyond it the oldest go first of those that are
@@ -26,7 +31,7 @@
  * of the known ones.
  */
 const MAX_REQUESTS = 2_000;
-/** Lives kept of each request; more tell nothing new. */
+/** Lives kept of each request: the newest, and those that tries ended. */
 const MAX_LIVES = 8;
 /** What is older is forgotten. */
 const MEMORY_MS = 24 * 3_600_000;
@@ -42,10 +47,7 @@
  */
 export class CrashEvidence {
   private readonly facts = new Map<string, NumberedFact>();
-  private readonly cuts = new Map<
-    RequestFingerprint,
-    Map<ServerLife, number>
-  >();
+  private readonly cuts = new Map<RequestFingerprint, Map<ServerLife, Cut>>();
   private readonly servedAtMs = new Map<RequestFingerprint, number>();
   private sequence = 0;
 
@@ -87,7 +89,7 @@
   expire(): void {
     const oldestMs = this.clock.monotonicMs() - MEMORY_MS;
     this.cuts.forEach((lives, fingerprint) => {
-      if (Math.max(...lives.values()) < oldestMs) this.dropCuts(fingerprint);
+      if (findNewestMs(lives) < oldestMs) this.dropCuts(fingerprint);
     });
     this.servedAtMs.forEach((atMs, fingerprint) => {
       if (atMs < oldestMs) this.dropServed(fingerprint);
@@ -95,11 +97,11 @@
   }
 
   private addCut(fact: Extract<CrashFact, {kind: 'cut'}>): boolean {
-    const {fingerprint, serverLife, atMs} = fact;
+    const {fingerprint, serverLife, atMs, isTry} = fact;
     if (atMs <= (this.servedAtMs.get(fingerprint) ?? -Infinity)) return false;
-    const lives = this.cuts.get(fingerprint) ?? new Map<ServerLife, number>();
-    if (lives.has(serverLife) || lives.size >= MAX_LIVES) return false;
-    lives.set(serverLife, atMs);
+    const lives = this.cuts.get(fingerprint) ?? new Map<ServerLife, Cut>();
+    if (lives.has(serverLife) || !this.hasPlace(fact)) return false;
+    lives.set(serverLife, {atMs, isTry});
     // Put last, as the one that was cut most lately.
     this.cuts.delete(fingerprint);
     this.cuts.set(fingerprint, lives);
@@ -108,10 +110,26 @@
     return true;
   }
 
+  /** Makes room among the lives of a request for one that is newer. */
+  private hasPlace({
+    fingerprint,
+    atMs,
+  }: Extract<CrashFact, {kind: 'cut'}>): boolean {
+    const lives = [...(this.cuts.get(fingerprint) ?? [])];
+    if (lives.length < MAX_LIVES) return true;
+    const slight = lives.filter(([, {isTry}]) => !isTry);
+    const [oldest] = (slight.length > 0 ? slight : lives).sort(
+      ([, one], [, other]) => one.atMs - other.atMs,
+    );
+    if (!oldest || oldest[1].atMs >= atMs) return false;
+    this.dropCut(fingerprint, oldest[0]);
+    return true;
+  }
+
   private addServed(fact: Extract<CrashFact, {kind: 'served'}>): boolean {
     const {fingerprint, atMs} = fact;
     const refuted = [...(this.cuts.get(fingerprint) ?? [])].filter(
-      ([, cutAtMs]) => cutAtMs <= atMs,
+      ([, cut]) => cut.atMs <= atMs,
     );
     // A fact that comes back from another node looks a little younger.
     if (this.servedAtMs.has(fingerprint) && refuted.length === 0) return false;
@@ -168,6 +186,11 @@
   }
 }
 
+/** When a request was cut last. */
+export function findNewestMs(cuts: CutsByLife): number {
+  return Math.max(...[...cuts.values()].map(({atMs}) => atMs));
+}
+
 function makeCutKey(
   fingerprint: RequestFingerprint,
   serverLife: ServerLife,
--- a/packages/contain-requests/src/crash_messages.ts
+++ b/packages/contain-requests/src/crash_messages.ts
@@ -9,6 +9,7 @@
     serverLife: z.string(),
     /** Times are told as spans, since the clocks of two nodes differ. */
     ageMs: z.number().nonnegative(),
+    isTry: z.boolean(),
   }),
   z.object({
     kind: z.literal('served'),
--- a/packages/contain-requests/src/request_containment.ts
+++ b/packages/contain-requests/src/request_containment.ts
@@ -5,13 +5,17 @@
 import {
   type CrashFact,
   CrashEvidence,
+  type CutsByLife,
   type ServerLife,
+  findNewestMs,
 } from './crash_evidence.js';
 
 /** What it is built from. */
 export interface RequestContainmentOptions {
   clock: Clock;
   logger: EventLogger;
+  /** Whether this node tries contained requests for all nodes. */
+  isTrier: () => boolean;
 }
 
 /**
@@ -22,17 +26,18 @@
  * where several bad ones come at once, that blames innocents for their ends.
  */
 const CRASHES_TO_CONTAIN = 3;
-/**
- * For how long after the last end of a server. The cuts are remembered longer,
- * so that one more end contains the request again.
- */
-const CONTAINED_MS = 3_600_000;
+/** From the last end of a server until a contained request is tried. */
+const FIRST_TRY_MS = 30_000;
+/** The wait for the next try grows by this with each server that a try ends. */
+const TRY_GROWTH = 8;
 
 /** Takes what this node and others have seen, and answers for one request. */
 export class RequestContainment {
   readonly evidence: CrashEvidence;
-  /** Until when each is contained. */
-  private untilMs: ReadonlyMap<RequestFingerprint, number> = new Map();
+  /** Those that are contained, each with the time of its next try. */
+  private tryAtMs: ReadonlyMap<RequestFingerprint, number> = new Map();
+  /** Those that are being tried. */
+  private readonly tried = new Set<RequestFingerprint>();
 
   constructor(private readonly options: RequestContainmentOptions) {
     this.evidence = new CrashEvidence(options.clock, CRASHES_TO_CONTAIN);
@@ -43,7 +48,7 @@
     return !this.evidence.isEmpty;
   }
 
-  /** Those that are contained now, the one that was cut most lately last. */
+  /** Those that are contained, the one that was cut most lately last. */
   get contained(): RequestFingerprint[] {
     return [...this.evidence.byRequest.keys()].filter(fingerprint =>
       this.isContained(fingerprint),
@@ -51,16 +56,38 @@
   }
 
   isContained(fingerprint: RequestFingerprint): boolean {
-    const untilMs = this.untilMs.get(fingerprint);
-    return untilMs !== undefined && this.nowMs() < untilMs;
+    return this.tryAtMs.has(fingerprint);
+  }
+
+  /**
+   * Whether a contained request may go to one server now; to be given back by
+   * `endTry`.
+   *
+   * Guards against a request that is contained for good though it crashes nothing:
+   * many callers send the same one, and three servers that had it were lost at
+   * once for another reason. One node alone tries, one request at a time, and
+   * ever more rarely, so that one that does crash servers gets few of them.
+   */
+  claimTry(fingerprint: RequestFingerprint): boolean {
+    const atMs = this.tryAtMs.get(fingerprint) ?? Infinity;
+    const isDue = this.nowMs() >= atMs && this.options.isTrier();
+    if (!isDue || this.tried.has(fingerprint)) return false;
+    this.tried.add(fingerprint);
+    return true;
+  }
+
+  endTry(fingerprint: RequestFingerprint): void {
+    this.tried.delete(fingerprint);
   }
 
   /** The server's connection was cut while it had the request. */
   noteCut(fingerprint: RequestFingerprint, serverLife: ServerLife): void {
-    this.take([{kind: 'cut', fingerprint, serverLife, atMs: this.nowMs()}]);
+    const atMs = this.nowMs();
+    const isTry = this.tried.has(fingerprint);
+    this.take([{kind: 'cut', fingerprint, serverLife, atMs, isTry}]);
   }
 
-  /** A server has answered the request whole. */
+  /** A server has answered the request whole, with a success. */
   noteServed(fingerprint: RequestFingerprint): void {
     if (!this.evidence.byRequest.has(fingerprint)) return;
     this.take([{kind: 'served', fingerprint, atMs: this.nowMs()}]);
@@ -74,17 +101,13 @@
 
   private decide(): void {
     this.evidence.expire();
-    const {byRequest} = this.evidence;
-    const before = this.untilMs;
-    this.untilMs = new Map(
-      [...byRequest]
-        .filter(([, lives]) => lives.size >= CRASHES_TO_CONTAIN)
-        .map(([fingerprint, lives]) => [
-          fingerprint,
-          Math.max(...lives.values()) + CONTAINED_MS,
-        ]),
+    const before = this.tryAtMs;
+    this.tryAtMs = new Map(
+      [...this.evidence.byRequest]
+        .filter(([, cuts]) => cuts.size >= CRASHES_TO_CONTAIN)
+        .map(([fingerprint, cuts]) => [fingerprint, findTryMs(cuts)]),
     );
-    this.logChange(before, this.untilMs);
+    this.logChange(before, this.tryAtMs);
   }
 
   private logChange(
@@ -93,13 +116,13 @@
   ): void {
     const {logger} = this.options;
     const {byRequest} = this.evidence;
-    [...after.keys()]
-      .filter(fingerprint => !before.has(fingerprint))
-      .forEach(fingerprint =>
+    [...after]
+      .filter(([fingerprint, atMs]) => before.get(fingerprint) !== atMs)
+      .forEach(([fingerprint, atMs]) =>
         logger.log('request-contained', {
           fingerprint,
           serverLives: [...(byRequest.get(fingerprint)?.keys() ?? [])],
-          forMs: CONTAINED_MS,
+          tryInMs: Math.round(atMs - this.nowMs()),
         }),
       );
     [...before.keys()]
@@ -116,3 +139,8 @@
     return this.options.clock.monotonicMs();
   }
 }
+
+function findTryMs(cuts: CutsByLife): number {
+  const failedTries = [...cuts.values()].filter(({isTry}) => isTry).length;
+  return findNewestMs(cuts) + FIRST_TRY_MS * TRY_GROWTH ** failedTries;
+}
--- a/packages/contain-requests/src/virtual_fleet.ts
+++ b/packages/contain-requests/src/virtual_fleet.ts
@@ -87,7 +87,9 @@
       const {clock} = this;
       const incarnation = `n${at}`;
       const logger = new MemoryEventLogger();
-      const containment = new RequestContainment({clock, logger});
+      const containment = new RequestContainment({
+        ...{clock, logger, isTrier: () => false},
+      });
       const exchange = new CrashExchange({clock, incarnation, containment});
       return {incarnation, containment, exchange, logger};
     });
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -89,7 +89,7 @@
     fields: {
       fingerprint: 'which request it is under whatever id',
       serverLives: 'the servers that ended under it',
-      forMs: 'how long after the last of these it is refused',
+      tryInMs: 'when the node that schedules tries it at one server',
     },
     remedy:
       'Find its ids by the fingerprint in events 4011; tell its caller, or mend the servers.',
--- a/packages/serve-requests/src/crash_guard.ts
+++ b/packages/serve-requests/src/crash_guard.ts
@@ -13,6 +13,9 @@
   /** Whether any request is suspected. */
   readonly isWatching: boolean;
   isContained(fingerprint: RequestFingerprint): boolean;
+  /** Whether a contained request may go to one server; see `endTry`. */
+  claimTry(fingerprint: RequestFingerprint): boolean;
+  endTry(fingerprint: RequestFingerprint): void;
   /** A server's connection was cut while it had the request. */
   noteCut(fingerprint: RequestFingerprint, serverLife: string): void;
   /** A server has answered the request whole, with a success. */
@@ -22,6 +25,7 @@
 /** One request before the watch; nothing is hashed while nobody is suspected. */
 export class CrashGuard {
   private known: RequestFingerprint | null = null;
+  private isTry = false;
 
   constructor(
     private readonly watch: CrashWatch,
@@ -33,15 +37,30 @@
     return this.known;
   }
 
+  /** Whether it must not be sent to a server now. */
   get isContained(): boolean {
+    if (this.isTry) return false;
     return this.watch.isWatching && this.watch.isContained(this.fingerprint);
   }
 
+  /** Has the request tried at one server, if it is contained and that is due. */
+  claimTry(): void {
+    if (this.isContained) this.isTry = this.watch.claimTry(this.fingerprint);
+  }
+
+  /** To be called once the request has ended. */
+  end(): void {
+    if (this.isTry) this.watch.endTry(this.fingerprint);
+    this.isTry = false;
+  }
+
   note(outcome: AttemptOutcome, server: BackendServerEntry): void {
     if (outcome.status === 'broken' && outcome.isCut) {
       this.watch.noteCut(this.fingerprint, nameLife(server));
     }
     if (outcome.status === 'answered' && outcome.isSuccess) this.noteSuccess();
+    // A try is over with the first server that may have run it.
+    if (outcome.status !== 'not-run') this.end();
   }
 
   /** A failure may come before the request has begun to run. */
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -89,10 +89,12 @@
     const onGone = () => this.endBy('caller-gone');
     this.sink.gone.addEventListener('abort', onGone, {once: true});
     if (this.sink.gone.aborted) onGone();
+    this.guard.claimTry();
     try {
       await this.attemptUntilDone();
     } finally {
       timer.cancel();
+      this.guard.end();
       this.sink.gone.removeEventListener('abort', onGone);
     }
   }
--- a/packages/serving-node/src/containment_task.ts
+++ b/packages/serving-node/src/containment_task.ts
@@ -42,7 +42,9 @@
 
   constructor(private readonly options: ContainmentTaskOptions) {
     const {clock, incarnation} = options;
-    this.containment = new RequestContainment(options);
+    this.containment = new RequestContainment({
+      ...{clock, logger: options.logger, isTrier: options.isWriter},
+    });
     const {containment} = this;
     this.exchange = new CrashExchange({clock, incarnation, containment});
   }
