Hash no body while nobody with its path is suspected

Binds: the price of looking at requests while one is suspected.

Change: a fingerprint is a part for host, method and path and a part for the body. Only where the first is that of a suspected request is the body hashed.

Nothing is hashed while nobody is suspected, as before. Test: crash_guard.test, 'no body is read while nobody with its path is suspected'.

--- a/packages/contain-requests/src/request_containment.ts
+++ b/packages/contain-requests/src/request_containment.ts
@@ -1,7 +1,11 @@
 /** Which requests are kept from servers, by all that this node knows. */
 import {type Clock} from '@mimosatack/clock';
 import {type EventLogger} from '@mimosatack/logger';
-import {type RequestFingerprint} from '@mimosatack/types';
+import {
+  type PathPrint,
+  type RequestFingerprint,
+  toPathPrint,
+} from '@mimosatack/types';
 import {
   type CrashFact,
   CrashEvidence,
@@ -36,6 +40,8 @@
   readonly evidence: CrashEvidence;
   /** Those that are contained, each with the time of its next try. */
   private tryAtMs: ReadonlyMap<RequestFingerprint, number> = new Map();
+  /** The paths of all that are suspected. */
+  private paths: ReadonlySet<PathPrint> = new Set();
   /** Those that are being tried. */
   private readonly tried = new Set<RequestFingerprint>();
 
@@ -48,6 +54,10 @@
     return !this.evidence.isEmpty;
   }
 
+  isPathWatched(pathPrint: PathPrint): boolean {
+    return this.paths.has(pathPrint);
+  }
+
   /** Those that are contained, the one that was cut most lately last. */
   get contained(): RequestFingerprint[] {
     return [...this.evidence.byRequest.keys()].filter(fingerprint =>
@@ -101,6 +111,7 @@
 
   private decide(): void {
     this.evidence.expire();
+    this.paths = new Set([...this.evidence.byRequest.keys()].map(toPathPrint));
     const before = this.tryAtMs;
     this.tryAtMs = new Map(
       [...this.evidence.byRequest]
--- a/packages/serve-requests/src/crash_guard.test.ts
+++ b/packages/serve-requests/src/crash_guard.test.ts
@@ -18,6 +18,10 @@
   isKnown = false;
   isTryDue = false;
 
+  isPathWatched(): boolean {
+    return this.isWatching;
+  }
+
   isContained(): boolean {
     return this.isKnown;
   }
@@ -74,6 +78,20 @@
   assert.equal(tell({status: 'answered', isSuccess: false}), []);
 });
 
+/* Bodies are large; one suspected request must not cost all others a hash. */
+test('no body is read while nobody with its path is suspected', () => {
+  const watch = new RecordingWatch();
+  watch.isPathWatched = () => false;
+  const request = makeRequest();
+  Object.defineProperty(request, 'body', {
+    get: () => assert.unreachable('the body was read'),
+  });
+  const guard = new CrashGuard(watch, request);
+  assert.not(guard.isContained);
+  guard.note({status: 'answered', isSuccess: true}, makeServer());
+  assert.equal(watch.told, []);
+});
+
 test('nothing is told of a success while nobody is suspected', () => {
   const watch = new RecordingWatch();
   watch.isWatching = false;
--- a/packages/serve-requests/src/crash_guard.ts
+++ b/packages/serve-requests/src/crash_guard.ts
@@ -2,16 +2,19 @@
 import {TypedError} from '@mimosatack/errors';
 import {
   type BackendServerEntry,
+  type PathPrint,
   type RequestFingerprint,
 } from '@mimosatack/types';
 import {type AttemptOutcome} from './attempt.js';
 import {type CallerRequest} from './caller_request.js';
-import {makeFingerprint} from './fingerprint.js';
+import {makeFingerprint, makePathPrint} from './fingerprint.js';
 
 /** Knows, over all nodes, under which requests servers have ended. */
 export interface CrashWatch {
   /** Whether any request is suspected. */
   readonly isWatching: boolean;
+  /** Whether any request with this path is. */
+  isPathWatched(pathPrint: PathPrint): boolean;
   isContained(fingerprint: RequestFingerprint): boolean;
   /** Whether a contained request may go to one server; see `endTry`. */
   claimTry(fingerprint: RequestFingerprint): boolean;
@@ -22,9 +25,13 @@
   noteServed(fingerprint: RequestFingerprint): void;
 }
 
-/** One request before the watch; nothing is hashed while nobody is suspected. */
+/**
+ * One request before the watch. Nothing is hashed while nobody is suspected, and
+ * no body while nobody with its path is.
+ */
 export class CrashGuard {
   private known: RequestFingerprint | null = null;
+  private pathPrint: PathPrint | null = null;
   private isTry = false;
 
   constructor(
@@ -32,6 +39,12 @@
     private readonly request: CallerRequest,
   ) {}
 
+  private get isWatched(): boolean {
+    if (!this.watch.isWatching) return false;
+    this.pathPrint ??= makePathPrint(this.request);
+    return this.watch.isPathWatched(this.pathPrint);
+  }
+
   get fingerprint(): RequestFingerprint {
     this.known ??= makeFingerprint(this.request);
     return this.known;
@@ -40,7 +53,7 @@
   /** Whether it must not be sent to a server now. */
   get isContained(): boolean {
     if (this.isTry) return false;
-    return this.watch.isWatching && this.watch.isContained(this.fingerprint);
+    return this.isWatched && this.watch.isContained(this.fingerprint);
   }
 
   /** Has the request tried at one server, if it is contained and that is due. */
@@ -65,7 +78,7 @@
 
   /** A failure may come before the request has begun to run. */
   private noteSuccess(): void {
-    if (this.watch.isWatching) this.watch.noteServed(this.fingerprint);
+    if (this.isWatched) this.watch.noteServed(this.fingerprint);
   }
 }
 
--- a/packages/types/src/identifiers.ts
+++ b/packages/types/src/identifiers.ts
@@ -20,7 +20,5 @@
 export type TemplateName = string;
 /** A decided replica of a model on one backend server. */
 export type SlotId = string;
-/** What tells a request from others, whichever caller's id it bears. */
-export type RequestFingerprint = string;
 /** The place of a record in the log. */
 export type LogOffset = number;
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,4 +1,5 @@
 export * from './identifiers.js';
+export * from './request_fingerprint.js';
 export * from './backend.js';
 export * from './server_life.js';
 export * from './serving.js';
