Say nothing of ended servers in heartbeats while none has ended

Binds: bytes between nodes. Each heartbeat and each reply carried an empty list and the holder's incarnation, some 80 bytes of names and values, at every node four times a second, also where no server has ever ended; docs said that nothing is sent then.

Change: no report until there is a fact, and none of the incarnation: a reply of another process at the holder's address is not taken, and the next report starts anew. Test: crash_exchange.test, 'nothing is told twice, and nothing while nothing happens' (failed on the change of its expectation), 'another process at the address of the holder is told all later' (written with the change).

--- a/packages/contain-requests/src/crash_exchange.ts
+++ b/packages/contain-requests/src/crash_exchange.ts
@@ -12,8 +12,6 @@
 /** What an exchange is built from. */
 export interface CrashExchangeOptions {
   clock: Clock;
-  /** Of this process. */
-  incarnation: NodeIncarnation;
   containment: RequestContainment;
 }
 
@@ -35,27 +33,29 @@
 
   constructor(private readonly options: CrashExchangeOptions) {}
 
-  /** What a heartbeat to the holder tells. */
-  makeReport(holder: NodeIncarnation): CrashReport {
+  /** What a heartbeat to the holder tells; null while nothing is known. */
+  makeReport(holder: NodeIncarnation): CrashReport | null {
     if (holder !== this.holder) {
       this.holder = holder;
       this.knownSequence = 0;
       this.toldSequence = 0;
     }
-    return {
-      ...this.listFacts(this.toldSequence),
-      known: {incarnation: holder, sequence: this.knownSequence},
-    };
+    const {knownSequence} = this;
+    if (knownSequence === 0 && this.evidence.lastSequence === 0) return null;
+    return {...this.listFacts(this.toldSequence), knownSequence};
   }
 
-  /** Takes what the holder said to a report. */
+  /**
+   * Takes what a holder said to a report. What another one says, which has started
+   * at its address meanwhile, tells nothing of what this one knows.
+   */
   takeReply(
     holder: NodeIncarnation,
-    report: CrashReport,
+    report: CrashReport | null,
     reply: CrashReply,
   ): void {
     if (holder !== this.holder) return;
-    this.toldSequence = Math.max(this.toldSequence, report.sequence);
+    this.toldSequence = Math.max(this.toldSequence, report?.sequence ?? 0);
     this.knownSequence = reply.sequence;
     const hasToldAll = this.toldSequence === this.evidence.lastSequence;
     this.take(reply);
@@ -64,11 +64,10 @@
   }
 
   /** At the holder: takes a report and tells what its sender lacks. */
-  answer(report: CrashReport): CrashReply {
-    this.take(report);
-    const {incarnation, sequence} = report.known;
-    const isOwn = incarnation === this.options.incarnation;
-    return this.listFacts(isOwn ? sequence : 0);
+  answer(report: CrashReport | null): CrashReply | null {
+    if (report) this.take(report);
+    if (this.evidence.lastSequence === 0) return null;
+    return this.listFacts(report?.knownSequence ?? 0);
   }
 
   private get evidence(): RequestContainment['evidence'] {
--- a/packages/contain-requests/src/crash_messages.ts
+++ b/packages/contain-requests/src/crash_messages.ts
@@ -24,8 +24,8 @@
   facts: z.array(toldFactSchema),
   /** The last of its own facts that these reach. */
   sequence: z.number(),
-  /** The last of the holder's facts that it has, and in which life of it. */
-  known: z.object({incarnation: z.string(), sequence: z.number()}),
+  /** The last of the holder's facts that it has. */
+  knownSequence: z.number(),
 });
 
 /** From the holder, with its reply. */
--- a/packages/contain-requests/src/virtual_fleet.ts
+++ b/packages/contain-requests/src/virtual_fleet.ts
@@ -90,7 +90,7 @@
       const containment = new RequestContainment({
         ...{clock, logger, isTrier: () => false},
       });
-      const exchange = new CrashExchange({clock, incarnation, containment});
+      const exchange = new CrashExchange({clock, containment});
       return {incarnation, containment, exchange, logger};
     });
     this.servers = Array.from({length: options.servers}, (_, name) => ({
@@ -135,7 +135,7 @@
     this.nodes.slice(1).forEach(({exchange}) => {
       const report = exchange.makeReport(holder.incarnation);
       const reply = holder.exchange.answer(report);
-      exchange.takeReply(holder.incarnation, report, reply);
+      if (reply) exchange.takeReply(holder.incarnation, report, reply);
     });
   }
 
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -305,9 +305,12 @@
     this.catchUp.look(holder.address, welcome);
   }
 
-  private takeCrashes(report: CrashReport, {crashes, ...of}: Welcome): void {
+  private takeCrashes(
+    report: CrashReport | null,
+    {incarnation, crashes}: Welcome,
+  ): void {
     if (!crashes) return;
-    this.options.crashes.takeReply(of.incarnation, report, crashes);
+    this.options.crashes.takeReply(incarnation, report, crashes);
   }
 
   private async askOthers(holder: DutyHolder): Promise<void> {
@@ -366,7 +369,7 @@
       beatMs: options.clock.monotonicMs(),
       holder: options.holder(),
       ...this.servingList.tell(servingListId),
-      crashes: crashes && options.crashes.answer(crashes),
+      crashes: options.crashes.answer(crashes),
       serversAgeMs: Number.isFinite(ageMs) ? ageMs : null,
       ...{configurationVersion, serversEndOffset, nodesEndOffset},
     };
--- a/packages/serving-node/src/containment_task.ts
+++ b/packages/serving-node/src/containment_task.ts
@@ -9,7 +9,6 @@
 import {TypedError, toTypedError} from '@mimosatack/errors';
 import {type KeyedTopic} from '@mimosatack/keyed-store';
 import {type EventLogger} from '@mimosatack/logger';
-import {type NodeIncarnation} from '@mimosatack/types';
 
 /** The key of the record; no node has such a name. */
 export const CONTAINED_KEY = ':contained';
@@ -18,7 +17,6 @@
 export interface ContainmentTaskOptions {
   clock: Clock;
   logger: EventLogger;
-  incarnation: NodeIncarnation;
   /** The topic that every node reads when it starts. */
   topic: KeyedTopic;
   /** Whether this node writes for all. */
@@ -41,12 +39,12 @@
   private isWriting = false;
 
   constructor(private readonly options: ContainmentTaskOptions) {
-    const {clock, incarnation} = options;
+    const {clock} = options;
     this.containment = new RequestContainment({
       ...{clock, logger: options.logger, isTrier: options.isWriter},
     });
     const {containment} = this;
-    this.exchange = new CrashExchange({clock, incarnation, containment});
+    this.exchange = new CrashExchange({clock, containment});
   }
 
   get figures(): {containedRequests: number; suspectedRequests: number} {
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -266,8 +266,7 @@
   private makeContainment(): ContainmentTask {
     const {clock, logger, platform} = this.options;
     return new ContainmentTask({
-      ...{clock, logger, incarnation: this.self.incarnation},
-      topic: platform.nodesTopic,
+      ...{clock, logger, topic: platform.nodesTopic},
       isWriter: () => this.duty.isHeld,
       onFault: error => this.faults.note(error, 'containment'),
     });
