Count a load that its engine names before it can have ended

Change: such a load counts until it can have ended, and teaches nothing of the store's speed, as before. Test: store_loads.test, 'loads that are told of while they go on still count' (failed before: a third load might begin at 5.9 s of 6).

Why it holds: the least time that a load takes is configured, and nothing that is told within it ends the count.

--- a/packages/schedule-models/src/store_loads.test.ts
+++ b/packages/schedule-models/src/store_loads.test.ts
@@ -126,4 +126,18 @@
   assert.ok(loads.mayBegin(PLENTY_PER_SECOND, 100_000));
 });
 
+/*
+ * Engines name a model as soon as they begin to load it. Each load is taken for
+ * ended, more are begun on top, and all of them slow each other.
+ */
+test('loads that are told of while they go on still count', () => {
+  const loads = new StoreLoads();
+  ['e1', 'e2'].forEach(id => {
+    loads.noteBegun(id, 'm', 6_000, 0);
+    loads.noteHeld(id, ['m'], 1_000);
+  });
+  assert.not(loads.mayBegin(PLENTY_PER_SECOND, 5_900));
+  assert.ok(loads.mayBegin(PLENTY_PER_SECOND, 6_100));
+});
+
 test.run();
--- a/packages/schedule-models/src/store_loads.ts
+++ b/packages/schedule-models/src/store_loads.ts
@@ -34,6 +34,8 @@
   durationMs: number;
   /** The most that went on at once while it did, itself included. */
   alongside: number;
+  /** The engine has named the model before the load can have ended. */
+  isToldEarly: boolean;
 }
 
 /**
@@ -76,6 +78,7 @@
     const alongside = this.running.size + 1;
     this.running.set(engineId, {
       ...{model, durationMs, alongside, beganAtMs: nowMs},
+      isToldEarly: false,
     });
     this.running.forEach(load => {
       load.alongside = Math.max(load.alongside, alongside);
@@ -90,8 +93,12 @@
   ): void {
     const load = this.running.get(engineId);
     if (!load || !models.includes(load.model)) return;
+    if (nowMs - load.beganAtMs < load.durationMs) {
+      load.isToldEarly = true;
+      return;
+    }
     this.running.delete(engineId);
-    this.learn(load, nowMs);
+    if (!load.isToldEarly) this.learn(load, nowMs);
   }
 
   /** The engine has left, or was refused the load. */
@@ -104,8 +111,6 @@
     nowMs: number,
   ): void {
     const tookMs = nowMs - beganAtMs;
-    // Told before it can have ended, it says nothing of the store's speed.
-    if (tookMs < durationMs) return;
     const factor = Math.max(1, (tookMs - TOLD_LATE_MS) / durationMs);
     if (factor > SLOWED_FACTOR) {
       const borne = Math.max(1, Math.floor(alongside / factor));
@@ -122,10 +127,15 @@
     return this.atOnce + 1 < this.tooMany || isLongAgo;
   }
 
+  /**
+   * Drops loads of which nothing more will be heard. One that was told of early
+   * counts until it can have ended: some engines name a model that they load.
+   */
   private forgetLost(nowMs: number): void {
-    this.running.forEach(({beganAtMs, durationMs}, engineId) => {
-      const isLost = nowMs - beganAtMs > LOST_AFTER_TIMES * durationMs;
-      if (isLost) this.running.delete(engineId);
+    this.running.forEach(({beganAtMs, durationMs, isToldEarly}, engineId) => {
+      const times = isToldEarly ? 1 : LOST_AFTER_TIMES;
+      const isOver = nowMs - beganAtMs > times * durationMs;
+      if (isOver) this.running.delete(engineId);
     });
   }
 }
