--- a/packages/node-links/src/messages_fuzz.test.ts
+++ b/packages/node-links/src/messages_fuzz.test.ts
@@ -44,6 +44,27 @@
   );
 });
 
+/* What is taken of it would decide which requests are kept from all servers. */
+test('a report of ended servers in another form is refused', () => {
+  const whole = {facts: [], sequence: 1, knownSequence: 0};
+  const parse = (crashes: unknown) =>
+    messageSchema.safeParse({type: 'hello', status: {...STATUS, crashes}});
+  assert.ok(parse(whole).success);
+  const fact = {kind: 'cut', fingerprint: 'f', serverLife: 'a', isTry: false};
+  assert.ok(parse({...whole, facts: [{...fact, ageMs: 1}]}).success);
+  const wrong = fc.oneof(
+    fc.constantFrom({}, {...whole, sequence: NaN}, {...whole, facts: {}}),
+    fc.constantFrom(-1, NaN, Infinity, '1').map(ageMs => ({
+      ...{...whole, facts: [{...fact, ageMs}]},
+    })),
+    fc.object({maxDepth: 2}),
+  );
+  fc.assert(
+    fc.property(wrong, crashes => assert.not(parse(crashes).success)),
+    RUNS,
+  );
+});
+
 test('anything else is refused and never thrown over', () => {
   fc.assert(
     fc.property(fc.anything({maxDepth: 3, withNullPrototype: true}), value => {
