Show the ids under which a contained request came before

explain said that the lines below name these ids, and its output left all ids out, since a request's own lines bear one. Found by running it on nodes before stand-ins. Ids of other requests are now shown. Test: explain_request.test, 'names the ends under which a request was contained' (failed before).

--- a/packages/explain-request/src/explain_request.test.ts
+++ b/packages/explain-request/src/explain_request.test.ts
@@ -160,7 +160,7 @@
  * servers ended under others with the same body, minutes before, at other nodes.
  */
 test('names the ends under which a request was contained', () => {
-  const {verdict, related} = explain(
+  const explanation = explain(
     'r9',
     writeLine('entry-2', 0, 'attempt-ended', {
       ...{requestId: 'r1', backendServerId: 'e1', outcome: 'broken'},
@@ -178,12 +178,16 @@
       fingerprint: 'f00d',
     }),
   );
+  const {verdict, related} = explanation;
   assert.is(verdict.result, 'refused');
   assert.match(verdict.cause, /f00d: \["e1","e7","e8"\]/);
   assert.equal(
     related.map(({fields}) => fields['requestId']),
     ['r1', undefined],
   );
+  const text = formatExplanation(explanation);
+  assert.match(text, /attempt-ended {2}requestId=r1 /);
+  assert.not.match(text, /requestId=r9/);
 });
 
 test('an unknown request is told apart', () => {
--- a/packages/explain-request/src/format_explanation.ts
+++ b/packages/explain-request/src/format_explanation.ts
@@ -5,7 +5,7 @@
 /** Fields that stand elsewhere in the line, or mean nothing to people. */
 const HIDDEN: readonly string[] = [
   ...['name', 'hostname', 'pid', 'level', 'msg', 'time', 'v', 'nodeName'],
-  ...['eventName', 'eventNumber', 'requestId'],
+  ...['eventName', 'eventNumber'],
 ];
 
 export function formatExplanation({
@@ -15,7 +15,7 @@
   related,
 }: Explanation): string {
   const startMs = own[0]?.atMs ?? 0;
-  const format = (line: LogLine) => formatLine(line, startMs);
+  const format = (line: LogLine) => formatLine(line, {requestId, startMs});
   return [
     `Request ${requestId}: ${verdict.result}`,
     `Cause: ${verdict.cause}`,
@@ -30,10 +30,15 @@
   ].join('\n');
 }
 
-function formatLine(line: LogLine, startMs: number): string {
+/** The id is shown where it is another one's: of the same request, come again. */
+function formatLine(
+  line: LogLine,
+  {requestId, startMs}: {requestId: string; startMs: number},
+): string {
   const {atMs, nodeName, eventName, fields} = line;
   const shown = Object.entries(fields)
     .filter(([name, value]) => !HIDDEN.includes(name) && value !== null)
+    .filter(([name, value]) => name !== 'requestId' || value !== requestId)
     .map(([name, value]) => `${name}=${toText(value)}`);
   const sinceMs = String(atMs - startMs).padStart(6);
   return `  ${sinceMs} ms  ${nodeName}  ${eventName}  ${shown.join(' ')}`;
