--- a/packages/cli/src/commands/nodes/index.ts
+++ b/packages/cli/src/commands/nodes/index.ts
@@ -41,6 +41,7 @@
       {title: 'configuration', read: node => node.configurationVersion},
       {title: 'servers', read: node => node.serversKnown},
       {title: 'list age ms', read: node => node.serversAgeMs},
+      {title: 'contained', read: node => node.containedRequests},
       {title: 'error', read: node => node.error},
     ]);
     return {
--- a/packages/cli/src/commands/nodes/nodes.test.ts
+++ b/packages/cli/src/commands/nodes/nodes.test.ts
@@ -15,6 +15,8 @@
     `mimosatack_duties_held ${duties}`,
     '# TYPE mimosatack_servers_known gauge',
     'mimosatack_servers_known 17',
+    '# TYPE mimosatack_containment_contained gauge',
+    'mimosatack_containment_contained 2',
     '',
   ].join('\n');
 }
@@ -48,6 +50,14 @@
   }
 }
 
+/* Servers end one after the other; is one of the callers' requests the cause? */
+test('how many requests a node contains is shown', () =>
+  withNodes([formatMetrics(7, 1)], async urls => {
+    const {stdout} = await runWith(['nodes', ...urls]);
+    assert.match(stdout, / contained /);
+    assert.match(stdout, /yes +7 +17 .*2/);
+  }));
+
 test('who schedules and which configuration each node has is shown', () =>
   withNodes([formatMetrics(7, 1), formatMetrics(7, 0)], async urls => {
     const {exitCode, stdout} = await runWith(['nodes', ...urls]);
--- a/packages/cli/src/commands/nodes/read_node_metrics.ts
+++ b/packages/cli/src/commands/nodes/read_node_metrics.ts
@@ -11,6 +11,8 @@
   /** Since the node's list of backend servers was last known to be whole. */
   serversAgeMs: number | null;
   isScheduling: boolean | null;
+  /** Requests that are sent to no server, since servers ended under them. */
+  containedRequests: number | null;
 }
 
 /** @param text metrics in the text format of Prometheus. */
@@ -28,13 +30,14 @@
     serversKnown: read('mimosatack_servers_known'),
     serversAgeMs: read('mimosatack_servers_age_ms'),
     isScheduling: duties === null ? null : duties > 0,
+    containedRequests: read('mimosatack_containment_contained'),
   };
 }
 
 export function makeSilentNode(metricsUrl: string, error: string): NodeState {
   return {
     ...{metricsUrl, error, configurationVersion: null, serversKnown: null},
-    ...{serversAgeMs: null, isScheduling: null},
+    ...{serversAgeMs: null, isScheduling: null, containedRequests: null},
   };
 }
 
