Look keys and tokens up in one index by their hashes

The platform's requests carry keys of teams, the product's own edge bearer tokens. Both are found by hash in one index at a cost that does not grow with their number, instead of a second way to authenticate beside the first. No behaviour of the product's own edge changes.

--- a/packages/authenticate/src/authenticate.ts
+++ b/packages/authenticate/src/authenticate.ts
@@ -2,7 +2,8 @@
 import {type AgreedState, type TokenRole} from '@mimosatack/agreed-state';
 import {TypedError} from '@mimosatack/errors';
 import {mayDo, requireAction} from './permissions.js';
-import {hashToken, indexTokens, isSameHash} from './token_index.js';
+import {hashToken, isSameHash} from './key_index.js';
+import {indexTokens} from './token_index.js';
 
 /** Who sent a caller's request. */
 export interface Caller {
--- a/packages/authenticate/src/index.ts
+++ b/packages/authenticate/src/index.ts
@@ -12,4 +12,5 @@
   mayDo,
   requireAction,
 } from './permissions.js';
-export {hashToken} from './token_index.js';
+export {hashToken} from './key_index.js';
+export {TeamKeys, authenticateKey} from './team_keys.js';
--- /dev/null
+++ b/packages/authenticate/src/team_keys.test.ts
@@ -0,0 +1,44 @@
+import {TypedError} from '@mimosatack/errors';
+import {type TeamSpec} from '@mimosatack/types';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {TeamKeys, authenticateKey, hashToken} from './index.js';
+
+const test = suite('keys of teams');
+
+function makeTeam(team: string, keys: readonly string[]): TeamSpec {
+  return {team, keyHashes: keys.map(hashToken), priority: null, quota: null};
+}
+
+const KEYS = new TeamKeys([
+  makeTeam('link', ['one', 'two']),
+  makeTeam('aurora', ['three']),
+  makeTeam('keyless', []),
+]);
+
+function find(...keys: string[]): string {
+  const found = authenticateKey(keys, KEYS);
+  return found instanceof TypedError ? found.summary : found.team;
+}
+
+test('each key names its team', () => {
+  assert.equal(
+    ['one', 'two', 'three'].map(key => find(key)),
+    ['link', 'link', 'aurora'],
+  );
+});
+
+test('what is no key of a team is refused for its reason', () => {
+  assert.is(find(), 'The request carries no key.');
+  assert.is(find(''), 'The request carries no key.');
+  assert.is(find('four'), 'The key is not known.');
+  assert.is(find('one', 'one'), 'The request carries more than one key.');
+});
+
+// Guards against a refusal that tells the key to whoever reads the log.
+test('a refusal does not name the key', () => {
+  const found = authenticateKey(['secret-key'], KEYS);
+  assert.not(JSON.stringify(found).includes('secret-key'));
+});
+
+test.run();
--- /dev/null
+++ b/packages/authenticate/src/team_keys.ts
@@ -0,0 +1,47 @@
+/** Finds out which team sent a request, from the key that it carries. */
+import {TypedError} from '@mimosatack/errors';
+import {type TeamSpec} from '@mimosatack/types';
+import {KeyIndex, hashToken} from './key_index.js';
+
+const REMEDY = 'Send one valid key of your team.';
+
+/** The keys of all teams in one configuration. */
+export class TeamKeys {
+  private readonly index: KeyIndex<TeamSpec>;
+
+  constructor(teams: readonly TeamSpec[]) {
+    this.index = new KeyIndex(
+      teams.flatMap(owner =>
+        owner.keyHashes.map(keyHash => ({keyHash, owner})),
+      ),
+    );
+  }
+
+  find(key: string): TeamSpec | undefined {
+    return this.index.find(hashToken(key));
+  }
+}
+
+/**
+ * The team of the key that a request carries, or `unauthorized`.
+ *
+ * @param keys as they stand in the request, which should have one.
+ */
+export function authenticateKey(
+  keys: readonly string[],
+  teamKeys: TeamKeys,
+): TeamSpec | TypedError {
+  const [key] = keys;
+  if (!key) return makeUnauthorized('The request carries no key.');
+  if (keys.length > 1) {
+    return makeUnauthorized('The request carries more than one key.');
+  }
+  return teamKeys.find(key) ?? makeUnauthorized('The key is not known.');
+}
+
+function makeUnauthorized(message: string): TypedError {
+  return new TypedError('unauthorized', message, {
+    run: 'not-run',
+    remedy: REMEDY,
+  });
+}
