--- a/packages/caller-edge/src/caller_edge.ts
+++ b/packages/caller-edge/src/caller_edge.ts
@@ -13,7 +13,11 @@
 import {type Clock} from '@mimosatack/clock';
 import {type DrainGate} from '@mimosatack/drain-node';
 import {TypedError, toTypedError} from '@mimosatack/errors';
-import {type AnswerSink, type CallerRequest} from '@mimosatack/serve-requests';
+import {
+  type AnswerSink,
+  type CallerRequest,
+  type RequestHead,
+} from '@mimosatack/serve-requests';
 import {type CallerLimits, type SocketAddress} from '@mimosatack/types';
 import {type EdgeDialect} from './edge_dialect.js';
 import {HttpAnswerSink} from './http_answer_sink.js';
@@ -24,6 +28,8 @@
   clock: Clock;
   gate: DrainGate;
   dialect: EdgeDialect;
+  /** Why a request is not served at all, told before its body is read. */
+  screen: (head: RequestHead) => TypedError | null;
   serve: (request: CallerRequest, sink: AnswerSink) => Promise<void>;
   onFault: (error: TypedError) => void;
 }
@@ -126,7 +132,7 @@
   }
 
   private async serveRead(
-    read: Omit<CallerRequest, 'body'> | TypedError,
+    read: RequestHead | TypedError,
     incoming: IncomingMessage,
     sink: HttpAnswerSink,
   ): Promise<void> {
@@ -134,6 +140,8 @@
     if (this.options.gate.state === 'refusing') {
       return sink.refuse(makeStopping());
     }
+    const barred = this.options.screen(read);
+    if (barred) return sink.refuse(barred);
     const body = await this.readBodyOf(incoming);
     if (body instanceof TypedError) return sink.refuse(body);
     if (body) await this.options.serve({...read, body}, sink);
--- a/packages/cli/src/commands/nodes/index.ts
+++ b/packages/cli/src/commands/nodes/index.ts
@@ -8,6 +8,7 @@
 import {
   type NodeState,
   findNodeFaults,
+  listTeams,
   makeSilentNode,
   readNodeMetrics,
 } from './read_node_metrics.js';
@@ -41,12 +42,24 @@
       {title: 'configuration', read: node => node.configurationVersion},
       {title: 'servers', read: node => node.serversKnown},
       {title: 'list age ms', read: node => node.serversAgeMs},
+      {title: 'keys age ms', read: node => node.configurationAgeMs},
       {title: 'contained', read: node => node.containedRequests},
       {title: 'error', read: node => node.error},
     ]);
+    const teams = listTeams(nodes);
+    const teamTable = formatTable(teams, [
+      {title: 'team', read: ({team}) => team},
+      {title: 'quota a second', read: ({rate}) => rate},
+      {title: 'left', read: ({left}) => Math.round(left)},
+      {title: 'spent unsettled', read: ({unsettled}) => unsettled},
+    ]);
     return {
-      json: {nodes, faults},
-      text: [table, ...faults.map(fault => `${fault}\n`)].join(''),
+      json: {nodes, teams, faults},
+      text: [
+        table,
+        teams.length > 0 ? teamTable : '',
+        ...faults.map(fault => `${fault}\n`),
+      ].join(''),
       exitCode: faults.length === 0 ? EXIT_CODES.ok : EXIT_CODES.refused,
     };
   }
--- a/packages/cli/src/commands/nodes/nodes.test.ts
+++ b/packages/cli/src/commands/nodes/nodes.test.ts
@@ -58,6 +58,29 @@
     assert.match(stdout, /yes +7 +17 .*2/);
   }));
 
+// Guards against a team whose refusals nobody can explain from the nodes' state.
+test('how much each team has left is shown', () => {
+  const teams = [
+    '# TYPE mimosatack_configuration_age_ms gauge',
+    'mimosatack_configuration_age_ms 480',
+    '# TYPE mimosatack_quotas_rate gauge',
+    'mimosatack_quotas_rate{team="link"} 4200',
+    '# TYPE mimosatack_quotas_level gauge',
+    'mimosatack_quotas_level{team="link"} -120.4',
+    '# TYPE mimosatack_quotas_unsettled gauge',
+    'mimosatack_quotas_unsettled{team="link"} 200',
+    '',
+  ].join('\n');
+  return withNodes(
+    [formatMetrics(7, 1) + teams, formatMetrics(7, 0) + teams],
+    async urls => {
+      const {stdout} = await runWith(['nodes', ...urls]);
+      assert.match(stdout, /yes +7 +17 .*480/);
+      assert.match(stdout, /link +4200 +-120 +400/);
+    },
+  );
+});
+
 test('who schedules and which configuration each node has is shown', () =>
   withNodes([formatMetrics(7, 1), formatMetrics(7, 0)], async urls => {
     const {exitCode, stdout} = await runWith(['nodes', ...urls]);
--- a/packages/cli/src/commands/nodes/read_node_metrics.ts
+++ b/packages/cli/src/commands/nodes/read_node_metrics.ts
@@ -13,6 +13,19 @@
   isScheduling: boolean | null;
   /** Requests that are sent to no server, since servers ended under them. */
   containedRequests: number | null;
+  /** Since its configuration, and so its keys, were known to be the newest. */
+  configurationAgeMs: number | null;
+  teams: readonly TeamState[];
+}
+
+/** What a node knows of one team's quota. */
+export interface TeamState {
+  team: string;
+  /** The quota a second. */
+  rate: number;
+  left: number;
+  /** Spent at the node and not yet known to the node that holds the quotas. */
+  unsettled: number;
 }
 
 /** @param text metrics in the text format of Prometheus. */
@@ -23,6 +36,17 @@
       ?.value;
     return value === undefined ? null : Number(value);
   };
+  const readTeams = (name: string): Map<string, number> => {
+    const metrics = families.find(family => family.name === name)?.metrics;
+    return new Map(
+      (metrics ?? []).map(({labels, value}) => [
+        labels?.['team'] ?? '',
+        Number(value),
+      ]),
+    );
+  };
+  const left = readTeams('mimosatack_quotas_level');
+  const unsettled = readTeams('mimosatack_quotas_unsettled');
   const duties = read('mimosatack_duties_held');
   return {
     ...{metricsUrl, error: null},
@@ -31,6 +55,11 @@
     serversAgeMs: read('mimosatack_servers_age_ms'),
     isScheduling: duties === null ? null : duties > 0,
     containedRequests: read('mimosatack_containment_contained'),
+    configurationAgeMs: read('mimosatack_configuration_age_ms'),
+    teams: [...readTeams('mimosatack_quotas_rate')].map(([team, rate]) => ({
+      ...{team, rate, left: left.get(team) ?? 0},
+      unsettled: unsettled.get(team) ?? 0,
+    })),
   };
 }
 
@@ -38,6 +67,7 @@
   return {
     ...{metricsUrl, error, configurationVersion: null, serversKnown: null},
     ...{serversAgeMs: null, isScheduling: null, containedRequests: null},
+    ...{configurationAgeMs: null, teams: []},
   };
 }
 
@@ -57,3 +87,15 @@
   ];
   return checks.filter(([isFault]) => isFault).map(([, fault]) => fault);
 }
+
+/** The teams' quotas, as the node that schedules holds them. */
+export function listTeams(nodes: readonly NodeState[]): TeamState[] {
+  const held = nodes.find(({isScheduling}) => isScheduling)?.teams ?? [];
+  return held.map(state => ({
+    ...state,
+    unsettled: nodes
+      .flatMap(({teams}) => teams)
+      .filter(({team}) => team === state.team)
+      .reduce((sum, {unsettled}) => sum + unsettled, 0),
+  }));
+}
--- a/packages/explain-request/src/explain_request.test.ts
+++ b/packages/explain-request/src/explain_request.test.ts
@@ -190,6 +190,30 @@
   assert.not.match(text, /requestId=r9/);
 });
 
+// Guards against a refusal that nobody can tell from one for want of room.
+test('names the quota or the key for which a request was refused', () => {
+  const refused = {requestId: 'r1', result: 'refused'};
+  const overQuota = explain(
+    'r1',
+    writeLine('entry-2', 0, 'quota-refused', {
+      ...{requestId: 'r1', team: 'link', amount: 1_100, left: 40},
+      ...{decidedBy: 'holder', retryAfterMs: 252},
+    }),
+    writeLine('entry-1', 1, 'request-finished', refused),
+  );
+  assert.match(overQuota.verdict.cause, /link had 40 .* counts 1100; entry-2/);
+  assert.match(overQuota.verdict.advice, /252 ms/);
+  const unknownKey = explain(
+    'r1',
+    writeLine('entry-1', 0, 'key-refused', {
+      ...{requestId: 'r1', kind: 'unauthorized', configurationVersion: 7},
+      ...{reason: 'The key is not known.', configurationAgeMs: 310},
+    }),
+    writeLine('entry-1', 1, 'request-finished', refused),
+  );
+  assert.match(unknownKey.verdict.cause, /configuration 7.* 310 ms.*not known/);
+});
+
 test('an unknown request is told apart', () => {
   assert.is(explainRequest('r2', parseLog(sentTo('e1')).lines), null);
 });
--- a/packages/explain-request/src/find_verdict.ts
+++ b/packages/explain-request/src/find_verdict.ts
@@ -12,6 +12,12 @@
 /** A server that changed this near to a failure is taken for its cause. */
 const NEAR_MS = 3_000;
 
+/** Events that tell why a request was not let in. */
+const BARRING_EVENTS: ReadonlySet<string> = new Set([
+  'key-refused',
+  'quota-refused',
+]);
+
 /** Reasons of the node that schedules, in words. */
 const REASONS: ReadonlyMap<unknown, string> = new Map([
   [
@@ -101,6 +107,8 @@
       advice: `See the orders for ${show(decided.fields['model'])} below; ${show(decided.fields['waiting'])} other requests waited.`,
     };
   }
+  const barred = findBarredCause(own);
+  if (barred) return {result: 'refused', ...barred};
   if (finished.fields['kind'] === 'contained') {
     return {result: 'refused', ...findContainedCause(related, finished)};
   }
@@ -114,6 +122,25 @@
   };
 }
 
+/** Of a request that was refused for its key, or beyond its team's quota. */
+function findBarredCause(
+  own: readonly LogLine[],
+): Omit<Verdict, 'result'> | null {
+  const line = own.findLast(({eventName}) => BARRING_EVENTS.has(eventName));
+  if (!line) return null;
+  const {nodeName, fields} = line;
+  if (line.eventName === 'key-refused') {
+    return {
+      cause: `${nodeName} refused its key by configuration ${show(fields['configurationVersion'])}, known to be the newest ${show(fields['configurationAgeMs'])} ms before: ${show(fields['reason'])}`,
+      advice: 'docs/operators/teams.md says what to do about each reason.',
+    };
+  }
+  return {
+    cause: `The team ${show(fields['team'])} had ${show(fields['left'])} left of its quota, and the request counts ${show(fields['amount'])}; ${nodeName} decided that as ${show(fields['decidedBy'])}.`,
+    advice: `The caller was told to come back after ${show(fields['retryAfterMs'])} ms; raise the quota if the team is to be served more.`,
+  };
+}
+
 /** Of a request that is sent to no server, since servers have ended under it. */
 function findContainedCause(
   related: readonly LogLine[],
--- a/packages/keyed-store/src/keyed_follower.test.ts
+++ b/packages/keyed-store/src/keyed_follower.test.ts
@@ -1,4 +1,4 @@
-import {ManualClock} from '@mimosatack/clock';
+import {ManualClock, sleep} from '@mimosatack/clock';
 import {settle} from '@mimosatack/fakes';
 import {SeededRandom} from '@mimosatack/random';
 import {suite} from 'uvu';
@@ -181,4 +181,27 @@
   follower.stop();
 });
 
+// Guards against a read of a large record that is begun anew until it never ends.
+test('a read that does not wait goes on when others are asked for', async () => {
+  const {clock, topic, follower, seen, pass} = startFollower({
+    waitMs: () => 0,
+  });
+  topic.put('config', '1');
+  follower.start();
+  await pass(100);
+  const readFrom = topic.readFrom.bind(topic);
+  topic.readFrom = async (offset, waitMs, signal) => {
+    await sleep(clock, 600, signal);
+    if (signal?.aborted) throw new Error('The read was ended.');
+    return readFrom(offset, waitMs);
+  };
+  topic.put('config', '2');
+  for (let passed = 0; passed < 2_000; passed += 250) {
+    follower.refresh();
+    await pass(250);
+  }
+  assert.equal(seen, ['config=1', 'config=2']);
+  follower.stop();
+});
+
 test.run();
--- a/packages/keyed-store/src/keyed_follower.ts
+++ b/packages/keyed-store/src/keyed_follower.ts
@@ -51,6 +51,7 @@
   private isInStep = false;
   private hasSnapshot = false;
   private succeededAtMs = -Infinity;
+  private inStepAsOfMs = -Infinity;
   private failures = 0;
 
   constructor(private readonly options: KeyedFollowerOptions) {}
@@ -65,12 +66,22 @@
     return this.succeededAtMs;
   }
 
+  /**
+   * When the last read that succeeded was begun, on the monotonic clock: what the
+   * store took before then is known.
+   */
+  get asOfMs(): number {
+    return this.inStepAsOfMs;
+  }
+
   start(): void {
     void this.run();
   }
 
   /**
-   * Ends a read that waits and reads at once. Guards against a connection that
+   * Ends a read that waits and reads at once. A read that does not wait goes on:
+   * its answer may be large and its link slow, and one that is begun anew again
+   * and again never ends. Guards against a connection that
    * has gone silent for good, which a read that waits long can't tell from a
    * topic without changes; whoever learns that it has missed one calls this.
    */
@@ -106,12 +117,14 @@
   }
 
   private async readOnce(signal: AbortSignal): Promise<void> {
+    const startedAtMs = this.options.clock.monotonicMs();
     try {
       const changes = this.canReadOn
         ? await this.readOn()
         : await this.readAll();
       if (signal.aborted) return;
       this.noteSuccess();
+      if (this.hasSnapshot) this.inStepAsOfMs = startedAtMs;
       if (changes.length > 0) this.options.onChanges(changes);
     } catch (thrown) {
       if (signal.aborted) return;
@@ -134,12 +147,13 @@
   }
 
   private async readOn(): Promise<KeyedChange[]> {
-    const {topic, table, waitMs} = this.options;
+    const {topic, table} = this.options;
     const fromOffset = table.endOffset;
+    const waitMs = this.options.waitMs();
     const outcome = await topic.readFrom(
       fromOffset,
-      waitMs(),
-      this.waiting.signal,
+      waitMs,
+      waitMs > 0 ? this.openWait() : undefined,
     );
     if (outcome.status === 'expired') {
       this.hasSnapshot = false;
@@ -148,6 +162,11 @@
     return table.applyRecords(fromOffset, outcome.records, outcome.endOffset);
   }
 
+  private openWait(): AbortSignal {
+    if (this.waiting.signal.aborted) this.waiting = new AbortController();
+    return this.waiting.signal;
+  }
+
   private findRetryDelayMs(): number {
     const {retryDelayMs, maxRetryDelayMs} = this.options;
     const grownMs = retryDelayMs * 2 ** (this.failures - 1);
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -103,6 +103,32 @@
       cuts: 'servers that ended under it and still count',
     },
   },
+  'key-refused': {
+    number: 4015,
+    level: 'info',
+    message: 'A request was refused for its key.',
+    fields: {
+      requestId: 'the request',
+      kind: 'the kind of the refusal',
+      reason: 'why, in words; never the key',
+      configurationVersion: 'the configuration whose keys were looked at',
+      configurationAgeMs:
+        'how long ago that was known to be the newest; null for never',
+    },
+  },
+  'quota-refused': {
+    number: 4016,
+    level: 'info',
+    message: 'A request was refused beyond the quota of its team.',
+    fields: {
+      requestId: 'the request',
+      team: 'the team',
+      amount: 'what the request counts, in the unit of the quota',
+      left: 'what the team had left; below 0 when it had overspent',
+      decidedBy: '`holder` of the buckets, or the `node` by what it was told',
+      retryAfterMs: 'when the caller was told to come back',
+    },
+  },
   'backend-suspected': {
     number: 4100,
     level: 'warn',
--- a/packages/measure-events/src/measuring_event_logger.ts
+++ b/packages/measure-events/src/measuring_event_logger.ts
@@ -18,6 +18,17 @@
   ['attempt-ended', measureAttempt],
   ['ask-decided', measureDecision],
   ['engine-ordered', measureOrder],
+  [
+    'key-refused',
+    (metrics, {kind}) => metrics.count('keys.refused', {kind: toTag(kind)}),
+  ],
+  [
+    'quota-refused',
+    (metrics, {team, decidedBy}) =>
+      metrics.count('quotas.refused', {
+        ...{team: toTag(team), decidedBy: toTag(decidedBy)},
+      }),
+  ],
   [
     'dependency-lost',
     (metrics, {dependency}) =>
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -113,6 +113,25 @@
     {},
   ),
   'configuration.version': gauge('The configuration in force.', {}),
+  'configuration.age_ms': gauge(
+    'Time since the configuration was known to be the newest.',
+    {},
+  ),
+  'keys.refused': counter('Requests refused for their keys.', {
+    kind: 'the kind of the refusal',
+  }),
+  'quotas.refused': counter("Requests refused beyond their team's quota.", {
+    team: 'the team',
+    decidedBy: '`holder` or `node`',
+  }),
+  'quotas.rate': gauge("A team's quota a second.", {team: 'the team'}),
+  'quotas.level': gauge('What a team has left, as this node knows.', {
+    team: 'the team',
+  }),
+  'quotas.unsettled': gauge(
+    'What a team has spent here that the holder does not know of.',
+    {team: 'the team'},
+  ),
   'servers.known': gauge('Backend servers in the list.', {}),
   'servers.age_ms': gauge('Time since the list was read from the store.', {}),
   'duties.held': gauge('1 while this node schedules, else 0.', {}),
--- a/packages/node-links/src/index.ts
+++ b/packages/node-links/src/index.ts
@@ -2,4 +2,10 @@
 export {type RecordsMessage, type SharedTopic} from './messages.js';
 export {NodeLinks} from './node_links.js';
 export {type NodeStatus} from './node_status.js';
-export {type NodeLinksOptions, type Successor} from './node_links_options.js';
+export {
+  type ConfigurationConfirmation,
+  type NodeLinksOptions,
+  type QuotaExchange,
+  type Successor,
+} from './node_links_options.js';
+export {ToldConfirmation} from './told_confirmation.js';
--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -4,6 +4,7 @@
   crashReportSchema,
 } from '@mimosatack/contain-requests';
 import {fromHolderSchema, toHolderSchema} from '@mimosatack/schedule-service';
+import {quotaReplySchema, quotaReportSchema} from '@mimosatack/team-quotas';
 import * as z from 'zod';
 import {nodeSchema} from './known_node.js';
 
@@ -21,6 +22,13 @@
   servingListId: z.string().nullable().default(null),
   /** Of servers that ended under requests; null from the release before. */
   crashes: crashReportSchema.nullable().default(null),
+  /** What it spent of teams' quotas; null from the release before. */
+  quotas: quotaReportSchema.nullable().default(null),
+  /**
+   * As of when it knows that its configuration is the newest, on the holder's
+   * own clock, by the last welcome; null when it can't tell.
+   */
+  confirmedBeatMs: z.number().nullable().default(null),
   /**
    * Not to claim the duty from the holder of this token for `forMs`, counted
    * from the holder's own time `beatMs`, which its last welcome told.
@@ -77,6 +85,11 @@
     serversEndOffset: z.number(),
     nodesEndOffset: z.number().default(0),
     crashes: crashReplySchema.nullable().default(null),
+    quotas: quotaReplySchema.nullable().default(null),
+    /** When it was sent, on a clock of the sender that counts suspension. */
+    awakeBeatMs: z.number().nullable().default(null),
+    /** How long ago its configuration was known to be the newest. */
+    confirmedAgeMs: z.number().nullable().default(null),
   }),
   /**
    * From the holder to a node that it does not hear: one that has just started
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -27,6 +27,7 @@
 import {RecordCatchUp} from './record_catch_up.js';
 import {KnownServingList, ServingList} from './serving_list.js';
 import {SilentNodes} from './silent_nodes.js';
+import {ToldConfirmation} from './told_confirmation.js';
 
 /** Heartbeats; several fit into the time after which a holder counts as silent. */
 const HELLO_INTERVAL_MS = 250;
@@ -50,6 +51,7 @@
   private periodics: Periodic[] = [];
   private readonly promises: DutyPromises;
   private readonly silentNodes: SilentNodes;
+  private readonly told: ToldConfirmation;
   private readonly servingList: ServingList;
   private readonly knownServing = new KnownServingList();
   private readonly quietEndsAtMs: number;
@@ -62,6 +64,7 @@
     this.roster = new NodeRoster(clock);
     this.promises = new DutyPromises(clock);
     this.silentNodes = new SilentNodes(clock);
+    this.told = new ToldConfirmation(options.confirmation);
     this.servingList = new ServingList(clock, self.incarnation, () =>
       this.listServing(),
     );
@@ -69,7 +72,8 @@
     this.catchUp = new RecordCatchUp({
       ...options,
       readsServers: () => options.serversAgeMs() < READ_LATELY_MS,
-      request: (address, message) => this.transport.request(address, message),
+      request: (address, message, timeoutMs) =>
+        this.transport.request(address, message, timeoutMs),
     });
     this.transport = makeTransport(options, (from, message) =>
       this.receive(from, message),
@@ -241,6 +245,7 @@
       status: {
         ...{nodeName, incarnation, promise},
         ...{servingListId: null, crashes: null, ...this.options.readStatus()},
+        ...{quotas: this.options.quotas.makeReport(), confirmedBeatMs: null},
       },
     });
   }
@@ -266,19 +271,27 @@
     const {nodeName, incarnation} = self;
     const promise = this.makePromise(holder);
     const crashes = this.options.crashes.makeReport(holder.incarnation);
+    const quotas = this.options.quotas.makeReport();
+    const confirmedBeatMs = this.told.findBeatMs(holder.incarnation);
     const sentAtMs = this.options.clock.monotonicMs();
+    const sentAwakeMs = this.options.confirmation.nowMs;
     try {
       const reply = await this.transport.request(holder.address, {
         type: 'hello',
         status: {
           ...{nodeName, incarnation, promise, ...readStatus()},
           ...{servingListId: this.knownServing.id, crashes},
+          ...{quotas, confirmedBeatMs},
         },
       });
       if (reply.type !== 'welcome') return;
       this.takeWelcome(holder, reply);
       this.takeCrashes(crashes, reply);
       const isOwn = reply.incarnation === holder.incarnation;
+      if (isOwn) {
+        this.told.takeWelcome(holder.incarnation, reply, sentAwakeMs);
+        if (reply.quotas) this.options.quotas.takeReply(reply.quotas);
+      }
       if (promise && isOwn) this.promises.noteAnswered(holder, sentAtMs);
     } catch (thrown) {
       this.contacts.noteFailure(holder, toTypedError(thrown));
@@ -332,6 +345,7 @@
       case 'hello':
         this.roster.note(from, message.status);
         this.catchUp.look(from, message.status);
+        this.told.takeHello(message.status);
         return this.makeWelcome(message.status);
       case 'introduction':
         options.onNodes(message.nodes);
@@ -358,7 +372,8 @@
     }
   }
 
-  private makeWelcome({servingListId, crashes}: HelloStatus): Welcome {
+  private makeWelcome(status: HelloStatus): Welcome {
+    const {servingListId, crashes, quotas, incarnation} = status;
     const {options} = this;
     const {configurationVersion, serversEndOffset, nodesEndOffset} =
       options.readStatus();
@@ -370,6 +385,8 @@
       holder: options.holder(),
       ...this.servingList.tell(servingListId),
       crashes: options.crashes.answer(crashes),
+      quotas: options.quotas.answer(incarnation, quotas),
+      ...this.told.describe(),
       serversAgeMs: Number.isFinite(ageMs) ? ageMs : null,
       ...{configurationVersion, serversEndOffset, nodesEndOffset},
     };
--- a/packages/node-links/src/node_links_options.ts
+++ b/packages/node-links/src/node_links_options.ts
@@ -5,7 +5,8 @@
 import {type DutyHolder, type LastOrders} from '@mimosatack/hold-duty';
 import {type RandomSource} from '@mimosatack/random';
 import {type FromHolder, type ToHolder} from '@mimosatack/schedule-service';
-import {type SocketAddress} from '@mimosatack/types';
+import {type QuotaReply, type QuotaReport} from '@mimosatack/team-quotas';
+import {type NodeIncarnation, type SocketAddress} from '@mimosatack/types';
 import {type KnownNode} from './known_node.js';
 import {type RecordsMessage, type SharedTopic} from './messages.js';
 import {type NodeStatus} from './node_status.js';
@@ -17,6 +18,23 @@
   address: string;
 }
 
+/** What nodes tell each other of teams' quotas. */
+export interface QuotaExchange {
+  makeReport(): QuotaReport | null;
+  takeReply(reply: QuotaReply): void;
+  answer(node: NodeIncarnation, report: QuotaReport | null): QuotaReply | null;
+}
+
+/** As of when this node knows that its configuration is the newest. */
+export interface ConfigurationConfirmation {
+  /** A clock that counts suspension. */
+  readonly nowMs: number;
+  /** On the clock of `nowMs`; minus infinity for never. */
+  readonly asOfMs: number;
+  /** Another node knows that a version was the newest. */
+  noteConfirmed(version: number, asOfMs: number): void;
+}
+
 /** What the links are built from. */
 export interface NodeLinksOptions {
   clock: Clock;
@@ -30,6 +48,8 @@
   readStatus: () => NodeStatus;
   /** Passes on which servers ended under which requests. */
   crashes: CrashExchange;
+  quotas: QuotaExchange;
+  confirmation: ConfigurationConfirmation;
   /** How long ago this node read the servers from the store. */
   serversAgeMs: () => number;
   readRecords: (topic: SharedTopic, fromOffset: number) => RecordsMessage;
--- a/packages/schedule-service/src/ask_terms.ts
+++ b/packages/schedule-service/src/ask_terms.ts
@@ -16,6 +16,7 @@
   nowMs: number,
 ): AskTerms | null {
   const {request, route, service, excluded, allowed, hasBegun} = ask;
+  const {charge, priority} = ask;
   const {generation} = request;
   if (!generation) return null;
   const {maxOutputTokens, expectedOutputTokens} = generation;
@@ -29,7 +30,7 @@
     outputTokens: Math.round(
       expectedOutputTokens ?? maxOutputTokens * USUAL_OUTPUT_PART,
     ),
-    priority: route.priority,
+    priority,
     // A caller in the middle of a stream waits for its next event.
     waitedMs: hasBegun ? 0 : nowMs - request.receivedAtMs,
     dueInMs: hasBegun
@@ -39,6 +40,7 @@
     endsInMs: findPatienceEndMs(ask, nowMs) - nowMs,
     excluded: [...excluded],
     allowed: allowed && [...allowed],
+    charge,
   };
 }
 
--- a/packages/schedule-service/src/index.ts
+++ b/packages/schedule-service/src/index.ts
@@ -12,7 +12,12 @@
   toHolderSchema,
 } from './messages.js';
 export {
+  type LocalQuotas,
   ScheduledChooser,
   type ScheduledChooserOptions,
 } from './scheduled_chooser.js';
-export {SchedulingHost, type SchedulingHostOptions} from './scheduling_host.js';
+export {
+  type HeldQuotas,
+  SchedulingHost,
+  type SchedulingHostOptions,
+} from './scheduling_host.js';
--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -19,6 +19,11 @@
   endsInMs: z.number(),
   excluded: z.array(z.string()),
   allowed: z.array(z.string()).nullable(),
+  /** What it takes out of its team's quota; null from the release before. */
+  charge: z
+    .object({team: z.string(), amount: z.number(), isForced: z.boolean()})
+    .nullable()
+    .default(null),
 });
 
 const runResultSchema = z.enum([
@@ -41,6 +46,8 @@
     result: runResultSchema,
     /** Until the answer began; null if it did not. */
     headMs: z.number().nullable(),
+    /** Whether it was not sent to the engine at all. */
+    isUnsent: z.boolean().default(false),
   }),
   /** All that a node has under way, for a node that has just taken over. */
   z.object({
@@ -60,7 +67,12 @@
   z.object({
     type: z.literal('refused'),
     askId: z.string(),
-    reason: z.enum(['unknown-model', 'weights-remote', 'no-room']),
+    reason: z.enum([
+      'unknown-model',
+      'weights-remote',
+      'no-room',
+      'over-quota',
+    ]),
     retryAfterMs: z.number(),
   }),
   /** This node does not schedule, whatever the other one has heard. */
--- a/packages/schedule-service/src/open_ask.ts
+++ b/packages/schedule-service/src/open_ask.ts
@@ -39,12 +39,14 @@
     this.current = {...this.current, excluded};
   }
 
-  settle(choice: ServerChoice): void {
-    if (this.isSettled) return;
+  /** False when another choice came first. */
+  settle(choice: ServerChoice): boolean {
+    if (this.isSettled) return false;
     this.isSettled = true;
     this.current.signal.removeEventListener('abort', this.onAbort);
     this.events.onSettled();
     this.resolve(choice);
+    return true;
   }
 
   private withdraw(): void {
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -15,6 +15,7 @@
   type ServerLoad,
 } from '@mimosatack/serve-requests';
 import {type BackendServerEntry, type BackendServerId} from '@mimosatack/types';
+import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
 import {toAskTerms} from './ask_terms.js';
 import {type AskTerms, type FromHolder, type ToHolder} from './messages.js';
 import {OpenAsk} from './open_ask.js';
@@ -29,6 +30,19 @@
   findServer: (id: BackendServerId) => BackendServerEntry | undefined;
   /** False when nobody schedules just now. */
   sendToHolder: (message: ToHolder) => boolean;
+  quotas: LocalQuotas;
+  /** Told of a request that this node found beyond its team's quota. */
+  onQuotaRefused: (
+    requestId: string,
+    charge: QuotaCharge,
+    refusal: QuotaRefusal,
+  ) => void;
+}
+
+/** Charges requests that the node that schedules is not asked for. */
+export interface LocalQuotas {
+  charge(charge: QuotaCharge): QuotaRefusal | null;
+  giveBack(charge: QuotaCharge): void;
 }
 
 /**
@@ -58,12 +72,12 @@
   }
 
   async choose(ask: ServerAsk): Promise<ServerChoice> {
-    const {clock, askPrefix, local, sendToHolder} = this.options;
+    const {clock, askPrefix, sendToHolder} = this.options;
     const askId = `${askPrefix}.${this.nextNumber++}`;
     const terms = ask.service.engine
       ? toAskTerms(askId, ask, clock.monotonicMs())
       : null;
-    if (!terms) return local.choose(ask);
+    if (!terms) return this.chooseCharged(ask);
     const opened = this.openAsk(askId, ask);
     opened.isHeard = sendToHolder({type: 'ask', ask: terms});
     if (!opened.isHeard) this.chooseHere(opened);
@@ -74,7 +88,10 @@
   receive(message: FromHolder): void {
     const opened = this.open.get(message.askId);
     if (message.type === 'refused') {
-      opened?.settle({status: 'refused', error: makeRefusal(message)});
+      opened?.settle({
+        status: 'refused',
+        error: makeRefusal(message, opened.ask.charge),
+      });
       return;
     }
     if (message.type === 'not-scheduling') {
@@ -84,7 +101,8 @@
     const {askId, engineId} = message;
     const server = this.options.findServer(engineId);
     if (opened && server) return this.assign(opened, server);
-    this.tellEnd(askId, engineId, opened ? 'unreachable' : 'neutral', null);
+    const result = opened ? 'unreachable' : 'neutral';
+    this.tellEnd(askId, engineId, result, null, true);
     if (opened) this.askAgain(opened, engineId);
   }
 
@@ -107,7 +125,8 @@
 
   release(choice: ChosenServer): void {
     this.options.local.release(choice);
-    this.endRun(choice, 'neutral', null);
+    this.giveBack(choice);
+    this.endRun(choice, 'neutral', null, true);
   }
 
   noteSent(choice: ChosenServer): void {
@@ -124,6 +143,7 @@
     headMs: number | null,
   ): void {
     this.options.local.noteDone(choice, result, headMs);
+    if (NOT_RUN.has(result)) this.giveBack(choice);
     this.endRun(choice, result === 'answered' ? 'served' : result, headMs);
   }
 
@@ -131,9 +151,30 @@
     {askId, server}: ChosenServer,
     result: RunResult,
     headMs: number | null,
+    isUnsent = false,
   ): void {
     if (askId === null || !this.runs.delete(askId)) return;
-    this.tellEnd(askId, server.id, result, headMs);
+    this.tellEnd(askId, server.id, result, headMs, isUnsent);
+  }
+
+  /** By this node's own view; what is beyond the quota goes nowhere. */
+  private async chooseCharged(ask: ServerAsk): Promise<ServerChoice> {
+    const {local, quotas} = this.options;
+    const {charge} = ask;
+    const refusal = charge && quotas.charge(charge);
+    if (charge && refusal) {
+      const {retryAfterMs} = refusal;
+      this.options.onQuotaRefused(ask.request.requestId, charge, refusal);
+      return {status: 'refused', error: makeOverQuota(charge, retryAfterMs)};
+    }
+    const choice = await local.choose(ask);
+    if (choice.status === 'chosen') return {...choice, charge};
+    if (charge) quotas.giveBack(charge);
+    return choice;
+  }
+
+  private giveBack({charge}: ChosenServer): void {
+    if (charge) this.options.quotas.giveBack(charge);
   }
 
   private openAsk(askId: string, ask: ServerAsk): OpenAsk {
@@ -176,9 +217,12 @@
   }
 
   private chooseHere(opened: OpenAsk): void {
-    const {local, clock} = this.options;
-    void local.choose(opened.ask).then(choice => {
-      if (choice.status === 'chosen') return opened.settle(choice);
+    const {clock} = this.options;
+    void this.chooseCharged(opened.ask).then(choice => {
+      if (choice.status === 'chosen') {
+        if (!opened.settle(choice)) this.release(choice);
+        return;
+      }
       clock.setTimer(ORPHAN_WAIT_MS, () => {
         if (!opened.isHeard) opened.settle(choice);
       });
@@ -195,20 +239,41 @@
     engineId: BackendServerId,
     result: RunResult,
     headMs: number | null,
+    isUnsent = false,
   ): void {
     this.options.sendToHolder({
-      ...{type: 'run-ended', askId, engineId, result, headMs},
+      ...{type: 'run-ended', askId, engineId, result, headMs, isUnsent},
     });
   }
 }
 
-function makeRefusal({
-  reason,
-  retryAfterMs,
-}: Extract<FromHolder, {type: 'refused'}>): TypedError {
+/** Results that say that the server has not run the request. */
+const NOT_RUN: ReadonlySet<AttemptResult> = new Set([
+  'not-taken',
+  'not-held',
+  'unreachable',
+]);
+
+function makeRefusal(
+  {reason, retryAfterMs}: Extract<FromHolder, {type: 'refused'}>,
+  charge: QuotaCharge | null,
+): TypedError {
+  if (reason === 'over-quota') return makeOverQuota(charge, retryAfterMs);
   return new TypedError('not-warm', `No engine can serve it now: ${reason}.`, {
     run: 'not-run',
     retryAfterMs: Math.max(retryAfterMs, RETRY_AFTER_MS / 2),
     info: {reason},
   });
 }
+
+function makeOverQuota(
+  charge: QuotaCharge | null,
+  retryAfterMs: number,
+): TypedError {
+  const team = charge?.team ?? '';
+  return new TypedError(
+    'rate-limited',
+    `The team ${team} has used up its quota.`,
+    {run: 'not-run', retryAfterMs, info: {team, amount: charge?.amount}},
+  );
+}
--- a/packages/schedule-service/src/scheduling_host.test.ts
+++ b/packages/schedule-service/src/scheduling_host.test.ts
@@ -8,10 +8,12 @@
 } from '@mimosatack/fakes';
 import {MemoryEventLogger} from '@mimosatack/logger';
 import {BatchWorthPolicy, type EngineReport} from '@mimosatack/schedule-models';
+import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {type EngineOrders, type SentOrder} from './engine_orders.js';
-import {SchedulingHost} from './scheduling_host.js';
+import {type FromHolder, type ToHolder} from './messages.js';
+import {type HeldQuotas, SchedulingHost} from './scheduling_host.js';
 
 const test = suite('scheduling for all nodes');
 
@@ -36,29 +38,53 @@
   }
 }
 
-function startHost(orders: EngineOrders) {
+/** Quotas of one team that has no room for more than an amount. */
+class FakeQuotas implements HeldQuotas {
+  charged = 0;
+
+  constructor(private readonly room: number) {}
+
+  chargeAsked({amount}: QuotaCharge): QuotaRefusal | null {
+    if (this.charged + amount > this.room) {
+      return {level: this.room - this.charged, retryAfterMs: 700};
+    }
+    this.charged += amount;
+    return null;
+  }
+
+  giveBackAsked({amount}: QuotaCharge): void {
+    this.charged -= amount;
+  }
+}
+
+function makeAsk(askId: string, charge: QuotaCharge | null): ToHolder {
+  return {
+    type: 'ask',
+    ask: {
+      ...{askId, requestId: `of-${askId}`, service: ENGINE_SERVICE},
+      ...{model: 'm0', adapter: null, promptTokens: 10, outputTokens: 10},
+      ...{priority: 0, waitedMs: 0, dueInMs: 500, gapMs: 300},
+      ...{endsInMs: 8_000, excluded: [], allowed: null, charge},
+    },
+  };
+}
+
+function startHost(orders: EngineOrders, quotas = new FakeQuotas(100)) {
+  const sent: FromHolder[] = [];
   const clock = new ManualClock();
   const logger = new MemoryEventLogger();
   const host = new SchedulingHost({
-    ...{clock, logger, orders, policy: new BatchWorthPolicy()},
+    ...{clock, logger, orders, quotas, policy: new BatchWorthPolicy()},
     authority: () => ({holder: 'a', fencingToken: 1}),
     quietUntilMs: () => -Infinity,
-    send: () => undefined,
+    send: (_address, message) => sent.push(message),
     onFenced: () => undefined,
   });
   const engine = {...makeEngineEntry('e1'), residents: []};
   const near = {inHostMemory: [], onDisk: ['m0']};
   host.start([makeEngineService()], [{...engine, near}]);
-  host.receive('n1', {
-    type: 'ask',
-    ask: {
-      ...{askId: 'a1', requestId: 'r1', service: ENGINE_SERVICE, model: 'm0'},
-      ...{adapter: null, promptTokens: 10, outputTokens: 10, priority: 0},
-      ...{waitedMs: 0, dueInMs: 500, gapMs: 300, endsInMs: 8_000},
-      ...{excluded: [], allowed: null},
-    },
-  });
-  return {clock, logger, host};
+  host.receive('n1', makeAsk('a1', null));
+  return {clock, logger, host, quotas, sent};
 }
 
 /*
@@ -118,4 +144,41 @@
   host.stop();
 });
 
+// Guards against a team beyond its quota that takes waiting room from others.
+test('an ask beyond its quota is refused before it waits', () => {
+  const {host, sent, logger} = startHost(new FakeOrders());
+  const charge = {team: 'link', amount: 80, isForced: false};
+  host.receive('n1', makeAsk('a2', charge));
+  host.receive('n1', makeAsk('a3', charge));
+  assert.equal(sent, [
+    {type: 'refused', askId: 'a3', reason: 'over-quota', retryAfterMs: 700},
+  ]);
+  const [line] = logger.fieldsOf('quota-refused');
+  assert.is(line?.['requestId'], 'of-a3');
+  host.stop();
+});
+
+// Guards against quotas that are used up by requests which never ran.
+test('what provably has not run is given back, and once', () => {
+  const {host, quotas} = startHost(new FakeOrders());
+  const charge = {team: 'link', amount: 10, isForced: false};
+  const end = (askId: string, result: 'not-taken' | 'served' | 'neutral') =>
+    host.receive('n1', {
+      ...{type: 'run-ended', askId, engineId: 'e1', result},
+      ...{headMs: null, isUnsent: false},
+    });
+  ['a2', 'a3', 'a4', 'a5'].forEach(askId =>
+    host.receive('n1', makeAsk(askId, charge)),
+  );
+  host.receive('n1', makeAsk('a2', charge));
+  assert.is(quotas.charged, 40);
+  host.receive('n1', {type: 'withdraw', askId: 'a2'});
+  end('a2', 'not-taken');
+  end('a3', 'not-taken');
+  end('a4', 'served');
+  end('a5', 'neutral');
+  assert.is(quotas.charged, 20);
+  host.stop();
+});
+
 test.run();
--- a/packages/schedule-service/src/scheduling_host.ts
+++ b/packages/schedule-service/src/scheduling_host.ts
@@ -6,6 +6,7 @@
   type Decision,
   ModelScheduler,
   type PlannedOrder,
+  type RunResult,
   type SwapPolicy,
 } from '@mimosatack/schedule-models';
 import {
@@ -13,6 +14,7 @@
   type BackendServerId,
   type ServiceSpec,
 } from '@mimosatack/types';
+import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
 import {toScheduledRequest} from './ask_terms.js';
 import {
   type EngineOrderAge,
@@ -33,10 +35,17 @@
   /** No order may go to the engine before this time. */
   quietUntilMs: (engineId: BackendServerId) => number;
   send: (nodeAddress: string, message: FromHolder) => void;
+  quotas: HeldQuotas;
   /** A later holder gives orders; this one has to stop. */
   onFenced: (fencingToken: number) => void;
 }
 
+/** The quotas of all teams, which this node holds with the duty. */
+export interface HeldQuotas {
+  chargeAsked(charge: QuotaCharge): QuotaRefusal | null;
+  giveBackAsked(charge: QuotaCharge): void;
+}
+
 /** Older orders matter to nobody: leases are some seconds long. */
 const REMEMBERED_ORDERS_MS = 60_000;
 /** The longest sleep between two decisions. */
@@ -55,6 +64,8 @@
   model: string;
   adapter: string | null;
   arrivedAtMs: number;
+  /** What it took out of its team's quota. */
+  charge: QuotaCharge | null;
 }
 
 /** Owns the scheduler and carries out what it decides. */
@@ -134,7 +145,7 @@
         break;
       case 'withdraw':
         this.scheduler.withdraw(message.askId);
-        this.asks.delete(message.askId);
+        this.forget(message.askId, false);
         break;
       case 'run-ended':
         this.scheduler.noteEnd(
@@ -144,7 +155,7 @@
           message.headMs,
           nowMs,
         );
-        this.asks.delete(message.askId);
+        this.forget(message.askId, hasRun(message));
         break;
       case 'under-way':
         message.asks.forEach(ask => this.takeAsk(ask, nodeAddress, nowMs));
@@ -160,14 +171,47 @@
   }
 
   private takeAsk(ask: AskTerms, nodeAddress: string, nowMs: number): void {
-    const {askId, requestId, model, adapter, waitedMs} = ask;
+    const {askId, requestId, model, adapter, waitedMs, charge} = ask;
+    // One that asks again is charged already.
+    const isCharged = this.asks.has(askId);
     const arrivedAtMs = nowMs - waitedMs;
     this.asks.set(askId, {
-      ...{nodeAddress, requestId, model, adapter, arrivedAtMs},
+      ...{nodeAddress, requestId, model, adapter, arrivedAtMs, charge},
     });
+    const refusal =
+      charge && !isCharged ? this.options.quotas.chargeAsked(charge) : null;
+    if (charge && refusal) return this.refuseCharge(askId, charge, refusal);
     this.scheduler.ask(toScheduledRequest(ask, nodeAddress, nowMs), nowMs);
   }
 
+  /**
+   * Guards against a team beyond its quota that takes waiting room and the
+   * scheduler's time from the others: it is refused before anything is decided.
+   */
+  private refuseCharge(
+    askId: string,
+    {team, amount}: QuotaCharge,
+    {level, retryAfterMs}: QuotaRefusal,
+  ): void {
+    const known = this.asks.get(askId);
+    this.asks.delete(askId);
+    if (!known) return;
+    const {requestId, nodeAddress} = known;
+    this.options.logger.log('quota-refused', {
+      ...{requestId, team, amount, retryAfterMs, decidedBy: 'holder'},
+      left: Math.round(level),
+    });
+    this.options.send(nodeAddress, {
+      ...{type: 'refused', askId, reason: 'over-quota', retryAfterMs},
+    });
+  }
+
+  private forget(askId: string, hasRunIt: boolean): void {
+    const charge = this.asks.get(askId)?.charge;
+    if (charge && !hasRunIt) this.options.quotas.giveBackAsked(charge);
+    this.asks.delete(askId);
+  }
+
   /** Several events in one turn are decided on together. */
   private requestDecision(): void {
     if (this.isDecisionDue || this.isStopped) return;
@@ -213,7 +257,7 @@
     this.options.send(nodeAddress, {
       ...{type: 'refused', askId, reason, retryAfterMs},
     });
-    this.asks.delete(askId);
+    this.forget(askId, false);
   }
 
   private logDecision(
@@ -291,3 +335,17 @@
     return this.options.clock.monotonicMs();
   }
 }
+
+/** Whether an engine may have run a request that has ended. */
+function hasRun({
+  result,
+  isUnsent,
+}: Extract<ToHolder, {type: 'run-ended'}>): boolean {
+  return !isUnsent && !NOT_RUN.has(result);
+}
+
+const NOT_RUN: ReadonlySet<RunResult> = new Set([
+  'not-taken',
+  'not-held',
+  'unreachable',
+]);
--- a/packages/serve-requests/src/backend_dialect.ts
+++ b/packages/serve-requests/src/backend_dialect.ts
@@ -1,6 +1,6 @@
 /** How requests are put to backend servers, and what their answers say. */
 import {type AnswerHead} from '@mimosatack/backend-connections';
-import {type BackendServerEntry} from '@mimosatack/types';
+import {type BackendServerEntry, type TeamName} from '@mimosatack/types';
 import {type CallerRequest} from './caller_request.js';
 
 /** What this system says to a backend server beside the caller's request. */
@@ -10,6 +10,8 @@
   remainingMs: number;
   /** From 0, the most urgent; null leaves the server's own default. */
   priority: number | null;
+  /** The team whose key the caller sent; null where it needs none. */
+  team: TeamName | null;
   /** Events up to this one are there already; null for a whole answer. */
   lastEventId: number | null;
 }
--- a/packages/serve-requests/src/caller_request.ts
+++ b/packages/serve-requests/src/caller_request.ts
@@ -36,6 +36,10 @@
   /** The last event that the caller has of an answer it resumes. */
   lastEventId: number | null;
   generation: GenerationTerms | null;
+  /** Keys that the caller sent; a proper request has one at most. */
+  keys: readonly string[];
+  /** Tokens that the request counts for a quota; null where it names none. */
+  tokenCount: number | null;
 }
 
 /** Takes the answer. Exactly one of `refuse`, `end` and `abort` ends it. */
--- a/packages/serve-requests/src/index.ts
+++ b/packages/serve-requests/src/index.ts
@@ -1,3 +1,8 @@
+export {
+  type AccessCheck,
+  type AccessRequest,
+  type GrantedAccess,
+} from './access_check.js';
 export {
   type AnswerFacts,
   type BackendDialect,
@@ -11,7 +16,11 @@
   type PromptPart,
 } from './caller_request.js';
 export {LeastLoadedChooser} from './least_loaded_chooser.js';
-export {RequestPipeline, type PipelineOptions} from './request_pipeline.js';
+export {
+  type PipelineOptions,
+  type RequestHead,
+  RequestPipeline,
+} from './request_pipeline.js';
 export {
   type RetryBound,
   RetryAllowance,
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -9,6 +9,7 @@
   type ServiceSpec,
   type ServingConfiguration,
 } from '@mimosatack/types';
+import {type AccessCheck, type GrantedAccess} from './access_check.js';
 import {type BackendDialect} from './backend_dialect.js';
 import {type AnswerSink, type CallerRequest} from './caller_request.js';
 import {type CrashWatch} from './crash_guard.js';
@@ -30,6 +31,7 @@
   logger: EventLogger;
   headTimes: HeadTimes;
   crashes: CrashWatch;
+  access: AccessCheck;
 }
 
 const NOT_CONFIGURED_RETRY_MS = 500;
@@ -58,6 +60,19 @@
     };
   }
 
+  /**
+   * Why a request is not served at all; null for one that may be. Needs no body,
+   * so that nothing is spent on a caller that is not known.
+   */
+  screen(head: RequestHead): TypedError | null {
+    const route = this.findRoute(head);
+    if (route instanceof TypedError) return null;
+    const access = this.options.access.check(head, route);
+    if (!(access instanceof TypedError)) return null;
+    this.logUnrouted(head, access);
+    return access;
+  }
+
   /** Resolves once the request has its final answer. */
   async serve(request: CallerRequest, sink: AnswerSink): Promise<void> {
     const target = this.findTarget(request);
@@ -70,19 +85,31 @@
     await new RequestRun(this.options, request, sink, target).run();
   }
 
+  private findRoute({host, path}: RequestHead): ServiceRoute | TypedError {
+    if (!this.active) return makeNotConfigured();
+    const route = this.active.routes.find(host, path);
+    if (route) return route;
+    return this.options.access.isConfirmed
+      ? makeNoRoute(host, path)
+      : makeNotConfigured();
+  }
+
   private findTarget(request: CallerRequest): RequestTarget | TypedError {
     const {active} = this;
-    if (!active) return makeNotConfigured();
-    const route = active.routes.find(request.host, request.path);
-    if (!route) return makeNoRoute(request);
+    const route = this.findRoute(request);
+    if (!active || route instanceof TypedError) {
+      return route instanceof TypedError ? route : makeNotConfigured();
+    }
+    const access = this.options.access.check(request, route);
+    if (access instanceof TypedError) return access;
     const name = pickService(route.traffic, this.options.random);
     const service = name === null ? undefined : active.services.get(name);
     const {version} = active;
-    return service ? {route, service, version} : makeNotConfigured();
+    return service ? {route, service, version, access} : makeNotConfigured();
   }
 
   private logUnrouted(
-    {requestId, receivedAtMs}: CallerRequest,
+    {requestId, receivedAtMs}: RequestHead,
     error: TypedError,
   ): void {
     this.options.logger.log('request-finished', {
@@ -100,17 +127,23 @@
   }
 }
 
+/** A request before its body is read. */
+export type RequestHead = Omit<CallerRequest, 'body'>;
+
 /** Where a request goes by its configuration. */
 export interface RequestTarget {
   route: ServiceRoute;
   service: ServiceSpec;
   /** Of the configuration that decided it. */
   version: number;
+  /** In whose name it was admitted. */
+  access: GrantedAccess;
 }
 
 /**
- * A node that has no configuration yet can't tell an unknown path from one
- * that it has not learnt of, so it never answers that there is no such route.
+ * A node that has no configuration yet, or an old one, can't tell an unknown path
+ * from one that it has not learnt of, so it does not answer that there is no such
+ * route.
  */
 function makeNotConfigured(): TypedError {
   return new TypedError('platform-unavailable', 'Not configured yet.', {
@@ -119,7 +152,7 @@
   });
 }
 
-function makeNoRoute({host, path}: CallerRequest): TypedError {
+function makeNoRoute(host: string, path: string): TypedError {
   return new TypedError('not-found', `No route takes ${host}${path}.`, {
     run: 'not-run',
   });
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -1,9 +1,10 @@
 /** One request on its way: attempts, retries, and one final answer. */
 import {type Timer, sleep} from '@mimosatack/clock';
-import {TypedError} from '@mimosatack/errors';
+import {TypedError, describeKind} from '@mimosatack/errors';
 import {type BackendServerId} from '@mimosatack/types';
 import {AnswerRelay} from './answer_relay.js';
 import {Attempt, type AttemptOutcome, type NotRunReason} from './attempt.js';
+import {type GrantedAccess} from './access_check.js';
 import {type AnswerSink, type CallerRequest} from './caller_request.js';
 import {CrashGuard, makeContained} from './crash_guard.js';
 import {type FailedAttempt, decideNext, isRepeatable} from './decide_next.js';
@@ -15,6 +16,7 @@
   type ServerAsk,
   type ServerChoice,
 } from './server_chooser.js';
+import {findCharge} from './quota_charges.js';
 import {findPauseMs} from './refusal_pause.js';
 import {StallRescue} from './stall_rescue.js';
 
@@ -47,6 +49,7 @@
   private readonly log: RequestLog;
   private readonly guard: CrashGuard;
   private readonly isRepeatable: boolean;
+  private access: GrantedAccess;
   private attempt: Attempt | null = null;
   private rescue: StallRescue | null = null;
   private attempts = 0;
@@ -65,6 +68,7 @@
     private readonly target: RequestTarget,
   ) {
     const {route} = target;
+    this.access = target.access;
     const waitMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
     this.endsAtMs = request.receivedAtMs + waitMs;
     this.isRepeatable = isRepeatable(route);
@@ -105,6 +109,9 @@
       const choice = await this.choose(next);
       if (this.endCause) return this.finishEnded(choice);
       if (choice.status === 'refused') return this.giveUp(choice.error);
+      const access = this.recheckAccess();
+      if (access instanceof TypedError) return this.stopBarred(access, choice);
+      this.access = access;
       const outcome = await this.attemptAt(choice);
       next = this.rescue?.takeChoice() ?? null;
       if (outcome.status === 'answered') return this.noteAnswered(outcome);
@@ -152,6 +159,19 @@
     this.giveUp(makeContained(this.mayHaveRun));
   }
 
+  /**
+   * Guards against a request that runs though its key was taken away while it
+   * waited, or before it is sent once more.
+   */
+  private recheckAccess(): GrantedAccess | TypedError {
+    return this.options.access.check(this.request, this.target.route);
+  }
+
+  private stopBarred(error: TypedError, unused: ChosenServer): void {
+    this.options.chooser.release(unused);
+    this.giveUp(error);
+  }
+
   private refuseContained(): ServerChoice {
     return {status: 'refused', error: makeContained(this.mayHaveRun)};
   }
@@ -203,7 +223,8 @@
       terms: {
         server,
         remainingMs: this.endsAtMs - clock.monotonicMs(),
-        priority: target.service.engine ? target.route.priority : null,
+        priority: target.service.engine ? this.priority : null,
+        team: this.access.team?.team ?? null,
         lastEventId: relay.lastEventId,
       },
       consumer: relay,
@@ -297,11 +318,14 @@
         new TypedError('backend-failed', error.summary, {run: 'unknown'}),
       );
     }
+    const mayReturn = describeKind(error.kind).retryable;
     this.endWith(
       new TypedError(error.kind, error.summary, {
         ...error.details,
         run: 'not-run',
-        retryAfterMs: error.retryAfterMs ?? RETRY_AFTER_MS,
+        retryAfterMs: mayReturn
+          ? (error.retryAfterMs ?? RETRY_AFTER_MS)
+          : undefined,
       }),
     );
   }
@@ -357,6 +381,11 @@
     this.attempt?.abort();
   }
 
+  /** A team's own goes before that of the route. */
+  private get priority(): number {
+    return this.access.team?.priority ?? this.target.route.priority;
+  }
+
   private makeAsk(excluded: ReadonlySet<BackendServerId>): ServerAsk {
     const {route, service} = this.target;
     const isFull = this.sentTo.size >= route.maxAttempts;
@@ -366,6 +395,8 @@
       allowed: isFull ? this.sentTo : null,
       endsAtMs: this.endsAtMs,
       hasBegun: this.sink.hasBegun,
+      charge: findCharge(this.request, this.access.team, this.attempts > 0),
+      priority: this.priority,
       signal: this.ending.signal,
     };
   }
--- a/packages/serve-requests/src/server_chooser.ts
+++ b/packages/serve-requests/src/server_chooser.ts
@@ -1,5 +1,6 @@
 /** Who chooses the backend server that a request is sent to. */
 import {type TypedError} from '@mimosatack/errors';
+import {type QuotaCharge} from '@mimosatack/team-quotas';
 import {
   type BackendServerEntry,
   type BackendServerId,
@@ -25,6 +26,10 @@
   endsAtMs: number;
   /** Whether the caller has a part of the answer and waits for the rest. */
   hasBegun: boolean;
+  /** What it takes out of its team's quota; null where nothing is counted. */
+  charge: QuotaCharge | null;
+  /** Of its team, or of its route; 0 is the most urgent. */
+  priority: number;
   /** Aborted when the request no longer waits. */
   signal: AbortSignal;
 }
@@ -50,6 +55,8 @@
   basis: ChoiceBasis;
   /** By which the chooser knows the choice again; null when it need not. */
   askId: string | null;
+  /** What was charged at this node, to be given back if it has not run. */
+  charge?: QuotaCharge | null;
 }
 
 /** The server to send to, or why there is none. */
--- a/packages/serve-requests/src/test_fixtures.ts
+++ b/packages/serve-requests/src/test_fixtures.ts
@@ -21,6 +21,7 @@
     traffic: [{service: 'writers', weight: 1}],
     hasSessionAffinity: false,
     isResumable: false,
+    isPublic: false,
     ...change,
   };
 }
@@ -63,6 +64,8 @@
     allowed: null,
     endsAtMs: 1_000,
     hasBegun: false,
+    charge: null,
+    priority: 1,
     signal: new AbortController().signal,
     ...change,
   };
@@ -83,6 +86,8 @@
     deadlineMs: null,
     lastEventId: null,
     generation: null,
+    keys: [],
+    tokenCount: null,
     ...change,
   };
 }
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -1,5 +1,5 @@
 /** Keeps the newest configuration, whoever brings it. */
-import {type Clock} from '@mimosatack/clock';
+import {type Clock, SuspensionAwareClock} from '@mimosatack/clock';
 import {type TypedError} from '@mimosatack/errors';
 import {
   type KeyedChange,
@@ -8,6 +8,7 @@
   KeyedTable,
 } from '@mimosatack/keyed-store';
 import {type RandomSource} from '@mimosatack/random';
+import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {type ServingConfiguration} from '@mimosatack/types';
 import {type PlatformAdapter} from './platform_adapter.js';
 
@@ -15,9 +16,16 @@
 export interface ConfigurationFollowerOptions {
   clock: Clock;
   random: RandomSource;
-  platform: PlatformAdapter;
+  platform: Pick<
+    PlatformAdapter,
+    'configurationTopic' | 'configurationKey' | 'decodeConfiguration'
+  >;
   /** Whether this node has to notice a change for the others too. */
   isReader: () => boolean;
+  /** How many other nodes read before this one when nobody confirms. */
+  findRank: () => number;
+  /** What was taken back is served no longer than this; null for no bound. */
+  revokeMs: () => number | null;
   onConfiguration: (configuration: ServingConfiguration) => void;
   onFault: (error: unknown) => void;
   onLost: (error: TypedError) => void;
@@ -36,6 +44,19 @@
 const RETRY_DELAY_MS = 200;
 /** The node that reads for the others notices sooner, and tells them. */
 const MAX_RETRY_DELAY_MS = 2_000;
+/** The same, as part of the time in which what is taken back is served. */
+const READER_WAIT_PART = 0.2;
+/** A node reads by itself when nobody has confirmed for this long. */
+const UNCONFIRMED_MS = 1_500;
+const UNCONFIRMED_PART = 0.3;
+/**
+ * The next node does so this much later: what one has read is confirmed for all
+ * within two heartbeats.
+ */
+const READ_STEP_MS = 50;
+/** All read by themselves after that, whatever their rank. */
+const MAX_READ_STEPS_MS = 1_200;
+const LOOK_INTERVAL_MS = 250;
 
 /**
  * Guards against a configuration that goes back: an old version may come from
@@ -44,14 +65,19 @@
 export class ConfigurationFollower {
   readonly table = new KeyedTable();
   private readonly follower: KeyedFollower;
+  private readonly clock: SuspensionAwareClock;
   private current: ServingConfiguration | null = null;
+  /** As of when others have confirmed the configuration in force. */
+  private toldAsOfMs = -Infinity;
+  private periodic: Periodic | null = null;
 
   constructor(private readonly options: ConfigurationFollowerOptions) {
-    const {clock, random, platform} = options;
+    const {random, platform} = options;
+    this.clock = new SuspensionAwareClock(options.clock);
     this.follower = new KeyedFollower({
-      ...{clock, random, table: this.table},
+      ...{clock: this.clock, random, table: this.table},
       topic: platform.configurationTopic,
-      waitMs: () => (options.isReader() ? READER_WAIT_MS : WAIT_MS),
+      waitMs: () => this.findWaitMs(),
       minIntervalMs: MIN_INTERVAL_MS,
       retryDelayMs: RETRY_DELAY_MS,
       maxRetryDelayMs: () =>
@@ -71,12 +97,69 @@
     return this.current?.version ?? -1;
   }
 
+  /**
+   * As of when this node knows that its configuration is the newest, on a clock
+   * that counts suspension; see `nowMs`.
+   *
+   * Guards against a node that serves what was taken back long ago, since it was
+   * cut off, frozen or suspended: it knows how old its knowledge is, from the
+   * moment at which the read that confirmed it was begun.
+   */
+  get asOfMs(): number {
+    return Math.max(this.follower.asOfMs, this.toldAsOfMs);
+  }
+
+  /** On the clock of `asOfMs`. */
+  get nowMs(): number {
+    return this.clock.monotonicMs();
+  }
+
+  get ageMs(): number {
+    return this.nowMs - this.asOfMs;
+  }
+
+  /**
+   * Another node knows that a version was the newest; so whoever has that one,
+   * or a later one, knows all that came before.
+   *
+   * @param asOfMs no later than its read, on the clock of this node's `nowMs`.
+   */
+  noteConfirmed(version: number, asOfMs: number): void {
+    if (version > this.version) return;
+    this.toldAsOfMs = Math.max(this.toldAsOfMs, asOfMs);
+  }
+
   start(): void {
     this.follower.start();
+    this.periodic = startPeriodic(this.options.clock, LOOK_INTERVAL_MS, () => {
+      if (this.isUnconfirmed) this.follower.refresh();
+    });
   }
 
   stop(): void {
     this.follower.stop();
+    this.periodic?.stop();
+  }
+
+  /** Whether this node has to look by itself whether something is new. */
+  private get isUnconfirmed(): boolean {
+    const {isReader, findRank} = this.options;
+    // Without a configuration nothing can be confirmed, and the reads go on.
+    if (!this.current || isReader()) return false;
+    const stepsMs = Math.min(MAX_READ_STEPS_MS, findRank() * READ_STEP_MS);
+    return this.ageMs > this.bound(UNCONFIRMED_MS, UNCONFIRMED_PART) + stepsMs;
+  }
+
+  private findWaitMs(): number {
+    if (this.options.isReader()) {
+      return this.bound(READER_WAIT_MS, READER_WAIT_PART);
+    }
+    return this.isUnconfirmed ? 0 : WAIT_MS;
+  }
+
+  private bound(mostMs: number, partOfRevoke: number): number {
+    const revokeMs = this.options.revokeMs() ?? Infinity;
+    return Math.min(mostMs, partOfRevoke * revokeMs);
   }
 
   /** Takes records that a peer has passed on. */
--- a/packages/serving-node/src/node_settings.ts
+++ b/packages/serving-node/src/node_settings.ts
@@ -1,5 +1,6 @@
 /** What a node is told of itself and of the bounds that it keeps. */
 import {type RetryBound} from '@mimosatack/serve-requests';
+import {type QuotaBounds} from '@mimosatack/team-quotas';
 import {
   type FailureDomain,
   type Region,
@@ -29,6 +30,9 @@
   /** Callers keep an answer of the directory no longer than this. */
   maxEntriesTtlMs: number;
   retryBound: RetryBound;
+  /** A key that was taken away serves nobody after this time; null for no bound. */
+  revokeMs: number | null;
+  quotaBounds: QuotaBounds;
   /** Whether engines refuse orders with an old fencing token. */
   isFenced: boolean;
   /** Orders of two nodes to one engine are at least this far apart. */
--- a/packages/serving-node/src/node_state_metrics.ts
+++ b/packages/serving-node/src/node_state_metrics.ts
@@ -1,5 +1,6 @@
 /** Gauges of one node, set when they are asked for. */
 import {type PrometheusMetrics} from '@mimosatack/metrics';
+import {type TeamLevel} from '@mimosatack/team-quotas';
 
 /** What is told of a node. */
 export interface NodeStateFigures {
@@ -9,6 +10,8 @@
   dutiesHeld: number;
   containedRequests: number;
   suspectedRequests: number;
+  configurationAgeMs: number;
+  teams: readonly TeamLevel[];
 }
 
 export function noteNodeState(
@@ -16,6 +19,12 @@
   figures: NodeStateFigures,
 ): void {
   metrics.gauge('configuration.version', figures.configurationVersion, {});
+  metrics.gauge('configuration.age_ms', figures.configurationAgeMs, {});
+  figures.teams.forEach(({team, ratePerSecond, level, unsettled}) => {
+    metrics.gauge('quotas.rate', ratePerSecond, {team});
+    metrics.gauge('quotas.level', level, {team});
+    metrics.gauge('quotas.unsettled', unsettled, {team});
+  });
   metrics.gauge('servers.known', figures.servers, {});
   metrics.gauge('servers.age_ms', figures.serversAgeMs, {});
   metrics.gauge('duties.held', figures.dutiesHeld, {});
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -31,7 +31,7 @@
       ...{askId, requestId: askId, service: ENGINE_SERVICE, model: 'm0'},
       ...{adapter: null, promptTokens: 10, outputTokens: 10, priority: 0},
       ...{waitedMs: 0, dueInMs: 500, gapMs: 300, endsInMs: 2_000},
-      ...{excluded: [], allowed: null},
+      ...{excluded: [], allowed: null, charge: null},
     },
   };
 }
@@ -61,6 +61,12 @@
       onLost: () => undefined,
       onRegained: () => undefined,
     },
+    quotas: {
+      chargeAsked: () => null,
+      giveBackAsked: () => undefined,
+      startHolding: () => undefined,
+      stopHolding: () => undefined,
+    },
     orders: {
       send: () => {
         orders += 1;
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -14,18 +14,26 @@
   type EngineOrderAge,
   type EngineOrders,
   type FromHolder,
+  type HeldQuotas,
   SchedulingHost,
   type ToHolder,
 } from '@mimosatack/schedule-service';
 import {type BackendServerEntry, type ServiceSpec} from '@mimosatack/types';
 import {type ServerChange} from './server_follower.js';
 
+/** The teams' quotas are held by whoever schedules. */
+export interface DutyQuotas extends HeldQuotas {
+  startHolding(): void;
+  stopHolding(): void;
+}
+
 /** What the duty is built from. */
 export interface SchedulingDutyOptions {
   clock: Clock;
   logger: EventLogger;
   duty: Omit<DutyTaskOptions, 'onHolder' | 'clock'>;
   orders: EngineOrders;
+  quotas: DutyQuotas;
   send: (nodeAddress: string, message: FromHolder) => void;
   /** Tells nodes, or all, which engines this one has ordered lately. */
   tellLastOrders: (
@@ -174,17 +182,19 @@
   }
 
   private startHost(): SchedulingHost {
-    const {clock, logger, orders, send, listServices, listServers} =
+    const {clock, logger, orders, quotas, send, listServices, listServers} =
       this.options;
+    quotas.startHolding();
     const host = new SchedulingHost({
-      ...{clock, logger, orders, send, policy: new BatchWorthPolicy()},
+      ...{clock, logger, orders, quotas, send},
+      policy: new BatchWorthPolicy(),
       authority: () => this.findAuthority(),
       quietUntilMs: engineId => this.task.findQuietUntilMs(engineId),
       onFenced: fencingToken => {
         logger.log('duty-lost', {fencingToken});
         this.task.refresh();
-        host.stop();
-        if (this.host === host) this.host = null;
+        if (this.host === host) this.stopHost();
+        else host.stop();
       },
     });
     host.start(listServices(), listServers());
@@ -197,6 +207,7 @@
   }
 
   private stopHost(): void {
+    this.options.quotas.stopHolding();
     this.host?.stop();
     this.host = null;
   }
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -16,7 +16,9 @@
   RequestPipeline,
   RetryAllowance,
 } from '@mimosatack/serve-requests';
+import {TeamQuotas} from '@mimosatack/team-quotas';
 import {type ServingConfiguration} from '@mimosatack/types';
+import {CallerAccess} from './caller_access.js';
 import {ConfigurationFollower} from './configuration_follower.js';
 import {ContainmentTask} from './containment_task.js';
 import {describeSelf} from './describe_self.js';
@@ -47,6 +49,8 @@
   private readonly shared: SharedRecords;
   private readonly duty: SchedulingDuty;
   private readonly containment: ContainmentTask;
+  private readonly access: CallerAccess;
+  private readonly quotas: TeamQuotas;
   private readonly links: NodeLinks;
   private readonly chooser: ScheduledChooser;
   private readonly pipeline: RequestPipeline;
@@ -70,6 +74,8 @@
     this.configuration = this.makeConfiguration();
     this.servers = this.makeServers();
     this.containment = this.makeContainment();
+    this.access = this.makeAccess();
+    this.quotas = this.makeQuotas();
     this.register = this.makeRegister();
     this.shared = new SharedRecords({
       ...{configuration: this.configuration, servers: this.servers},
@@ -91,6 +97,7 @@
     this.edge = new CallerEdge({
       ...{clock, gate: this.gate},
       dialect: options.platform.callerDialect,
+      screen: head => this.pipeline.screen(head),
       serve: (request, sink) => this.pipeline.serve(request, sink),
       onFault: error => this.faults.note(error, 'callers'),
     });
@@ -178,6 +185,8 @@
       servers: this.servers.count,
       serversAgeMs: this.servers.ageMs,
       dutiesHeld: this.duty.isHeld ? 1 : 0,
+      configurationAgeMs: this.configuration.ageMs,
+      teams: this.quotas.list(),
       ...this.containment.figures,
     });
     return metrics.format();
@@ -198,7 +207,8 @@
     return (
       !this.shutdown.isStopping &&
       this.configuration.version >= 0 &&
-      this.servers.hasServers
+      this.servers.hasServers &&
+      this.access.isConfirmed
     );
   }
 
@@ -215,6 +225,8 @@
     return new ConfigurationFollower({
       ...{clock, random, platform},
       isReader: () => this.duty.isHeld,
+      findRank: () => this.links.findRank(),
+      revokeMs: () => this.options.settings.revokeMs,
       onConfiguration: configuration => this.configure(configuration),
       onFault: thrown => this.faults.note(thrown, 'configuration'),
       ...this.faults.watch('configuration'),
@@ -223,6 +235,8 @@
 
   private configure(configuration: ServingConfiguration): void {
     this.pipeline.configure(configuration);
+    this.access.configure(configuration.version, configuration.teams);
+    this.quotas.configure(configuration.teams ?? []);
     this.edge.setLimits(configuration.limits);
     this.duty.configure(configuration.services);
     this.options.logger.log('configuration-applied', {
@@ -272,11 +286,30 @@
     });
   }
 
+  private makeAccess(): CallerAccess {
+    const {logger, settings} = this.options;
+    return new CallerAccess({
+      logger,
+      configurationAgeMs: () => this.configuration.ageMs,
+      revokeMs: () => settings.revokeMs,
+    });
+  }
+
+  private makeQuotas(): TeamQuotas {
+    const {clock, settings} = this.options;
+    return new TeamQuotas({
+      clock,
+      bounds: () => settings.quotaBounds,
+      countNodes: () => this.register.list().length,
+    });
+  }
+
   private makeDuty(): SchedulingDuty {
     const {clock, random, platform, settings, logger} = this.options;
     const {nodeName, incarnation, peerAddress} = this.self;
     return new SchedulingDuty({
       ...{clock, logger, orders: platform.engineOrders},
+      quotas: this.quotas,
       duty: {
         ...{random, topic: platform.dutyTopic, key: DUTY_KEY},
         self: {nodeName, incarnation, address: peerAddress},
@@ -324,6 +357,7 @@
       listNodes: () => this.register.list(),
       readStatus: () => this.readStatus(),
       crashes: this.containment.exchange,
+      ...{quotas: this.quotas, confirmation: this.configuration},
       serversAgeMs: () => this.servers.ageMs,
       readRecords: (topic, fromOffset) => this.shared.read(topic, fromOffset),
       onRecords: message => this.shared.take(message),
@@ -352,7 +386,7 @@
   }
 
   private makeChooser(): ScheduledChooser {
-    const {clock, random, settings} = this.options;
+    const {clock, random, settings, logger} = this.options;
     return new ScheduledChooser({
       clock,
       askPrefix: this.self.incarnation,
@@ -362,6 +396,12 @@
       }),
       findServer: id => this.servers.find(id),
       sendToHolder: message => this.links.sendToHolder(message),
+      quotas: this.quotas,
+      onQuotaRefused: (requestId, {team, amount}, {level, retryAfterMs}) =>
+        logger.log('quota-refused', {
+          ...{requestId, team, amount, retryAfterMs, decidedBy: 'node'},
+          left: Math.round(level),
+        }),
     });
   }
 
@@ -372,6 +412,7 @@
       headTimes: new HeadTimes(),
       dialect: platform.backendDialect,
       crashes: this.containment.containment,
+      access: this.access,
       chooser: this.chooser,
       retries: new RetryAllowance({
         clock,
--- a/packages/serving-node/src/settings_reload.ts
+++ b/packages/serving-node/src/settings_reload.ts
@@ -12,6 +12,8 @@
 /** Settings that are looked up each time that they are needed. */
 const LIVE: ReadonlyArray<keyof NodeSettings> = [
   'retryBound',
+  'revokeMs',
+  'quotaBounds',
   'maxEntriesTtlMs',
   'seeds',
 ];
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -3,3 +3,4 @@
 export * from './backend.js';
 export * from './server_life.js';
 export * from './serving.js';
+export * from './team.js';
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -6,6 +6,7 @@
   type ModelName,
 } from './identifiers.js';
 import {type ServerStartMs} from './server_life.js';
+import {type TeamSpec} from './team.js';
 
 /** A set of backend servers that serve the same thing, as operators name it. */
 export type ServiceName = string;
@@ -44,6 +45,8 @@
   hasSessionAffinity: boolean;
   /** Whether a stream may go on at another backend server. */
   isResumable: boolean;
+  /** Whether it takes requests without a key. */
+  isPublic: boolean;
 }
 
 /** A model as the engines of a service can load it. */
@@ -99,6 +102,8 @@
   version: number;
   routes: readonly ServiceRoute[];
   services: readonly ServiceSpec[];
+  /** Null where requests carry no keys. */
+  teams: readonly TeamSpec[] | null;
   limits: CallerLimits;
 }
 
