--- a/packages/authenticate/src/team_keys.ts
+++ b/packages/authenticate/src/team_keys.ts
@@ -1,7 +1,7 @@
 /** Finds out which team sent a request, from the key that it carries. */
 import {TypedError} from '@mimosatack/errors';
 import {type TeamSpec} from '@mimosatack/types';
-import {KeyIndex, hashToken} from './key_index.js';
+import {KeyIndex} from './key_index.js';
 
 const REMEDY = 'Send one valid key of your team.';
 
@@ -17,26 +17,28 @@
     );
   }
 
-  find(key: string): TeamSpec | undefined {
-    return this.index.find(hashToken(key));
+  find(keyHash: string): TeamSpec | undefined {
+    return this.index.find(keyHash);
   }
 }
 
 /**
  * The team of the key that a request carries, or `unauthorized`.
  *
- * @param keys as they stand in the request, which should have one.
+ * @param keyHashes of the keys in the request, which should have one.
  */
 export function authenticateKey(
-  keys: readonly string[],
+  keyHashes: readonly string[],
   teamKeys: TeamKeys,
 ): TeamSpec | TypedError {
-  const [key] = keys;
-  if (!key) return makeUnauthorized('The request carries no key.');
-  if (keys.length > 1) {
+  const [keyHash] = keyHashes;
+  if (keyHash === undefined) {
+    return makeUnauthorized('The request carries no key.');
+  }
+  if (keyHashes.length > 1) {
     return makeUnauthorized('The request carries more than one key.');
   }
-  return teamKeys.find(key) ?? makeUnauthorized('The key is not known.');
+  return teamKeys.find(keyHash) ?? makeUnauthorized('The key is not known.');
 }
 
 function makeUnauthorized(message: string): TypedError {
--- a/packages/serve-requests/src/access_check.ts
+++ b/packages/serve-requests/src/access_check.ts
@@ -4,7 +4,7 @@
 import {type CallerRequest} from './caller_request.js';
 
 /** What is looked at. */
-export type AccessRequest = Pick<CallerRequest, 'requestId' | 'keys'>;
+export type AccessRequest = Pick<CallerRequest, 'requestId' | 'keyHashes'>;
 
 /** The team that sends it; null where the route needs none. */
 export interface GrantedAccess {
--- a/packages/serve-requests/src/caller_request.ts
+++ b/packages/serve-requests/src/caller_request.ts
@@ -36,8 +36,8 @@
   /** The last event that the caller has of an answer it resumes. */
   lastEventId: number | null;
   generation: GenerationTerms | null;
-  /** Keys that the caller sent; a proper request has one at most. */
-  keys: readonly string[];
+  /** Hashes of the keys that came with it; a proper request has one at most. */
+  keyHashes: readonly string[];
   /** Tokens that the request counts for a quota; null where it names none. */
   tokenCount: number | null;
 }
--- a/packages/serving-node/src/caller_access.ts
+++ b/packages/serving-node/src/caller_access.ts
@@ -56,7 +56,7 @@
     const {keys} = this;
     if (!keys) return {team: null};
     const found = this.isConfirmed
-      ? authenticateKey(request.keys, keys)
+      ? authenticateKey(request.keyHashes, keys)
       : makeUnconfirmed();
     if (!(found instanceof TypedError)) return {team: found};
     if (isPublic) return {team: null};
