Split what had grown: final errors, news of the holder, a node's departure

No behaviour changes, but for one message: a contained request is told that three backend servers crashed while running it, in place of 'Servers have crashed under it.'

--- a/packages/node-links/src/holder_inquiry.ts
+++ b/packages/node-links/src/holder_inquiry.ts
@@ -68,3 +68,15 @@
     return false;
   }
 }
+
+/**
+ * A node asks whether others hear a silent holder this much later for each node
+ * that claims before it: well before its own claim is due, 150 ms for each, and
+ * mostly not at all, since one of the first has claimed by then.
+ */
+const ASKING_STEP_MS = 100;
+
+/** How long a holder is silent before a node of this rank asks others. */
+export function findAskingDelayMs(rank: number): number {
+  return rank * ASKING_STEP_MS;
+}
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -11,7 +11,12 @@
 import {type Periodic, startPeriodic} from '@mimosatack/tasks';
 import {HolderContacts} from './holder_contacts.js';
 import {readLastOrders} from './holder_farewell.js';
-import {chooseWitnesses, isHeardByAny} from './holder_inquiry.js';
+import {
+  chooseWitnesses,
+  findAskingDelayMs,
+  isHeardByAny,
+} from './holder_inquiry.js';
+import {HolderNews} from './holder_news.js';
 import {chooseSuccessor, findDutyRank} from './duty_order.js';
 import {DutyPromises, START_QUIET_MS} from './duty_promises.js';
 import {
@@ -33,12 +38,6 @@
 const HELLO_INTERVAL_MS = 250;
 /** A node that has read the servers lately lacks nothing for long. */
 const READ_LATELY_MS = 1_000;
-/**
- * A node asks whether others hear a silent holder this much later for each node
- * that claims before it: well before its own claim is due, 150 ms for each, and
- * mostly not at all, since one of the first has claimed by then.
- */
-const ASKING_STEP_MS = 100;
 /** As many as one answer of the directory names. */
 const MAX_TOLD_NODES = 64;
 
@@ -55,7 +54,7 @@
   private readonly servingList: ServingList;
   private readonly knownServing = new KnownServingList();
   private readonly quietEndsAtMs: number;
-  private lastWelcome: Welcome | null = null;
+  private readonly news = new HolderNews();
   private wasAlive = false;
 
   constructor(private readonly options: NodeLinksOptions) {
@@ -128,23 +127,17 @@
 
   /** How old the holder's knowledge of the servers was when it last spoke. */
   get holderServersAgeMs(): number {
-    const {lastWelcome} = this;
     const holder = this.options.holder();
-    if (!lastWelcome || !holder || this.isSelf(holder)) return Infinity;
+    if (!holder || this.isSelf(holder)) return Infinity;
     const sinceMs = this.contacts.sinceContactMs(holder);
-    return sinceMs + (lastWelcome.serversAgeMs ?? Infinity);
+    return sinceMs + this.news.serversAgeMs;
   }
 
   /** Whether another node, which is heard, passes the registered nodes on. */
   get isToldOfNodes(): boolean {
-    const {lastWelcome} = this;
     const holder = this.options.holder();
-    if (!lastWelcome || !holder || this.isSelf(holder)) return false;
-    return (
-      lastWelcome.incarnation === holder.incarnation &&
-      lastWelcome.nodesEndOffset > 0 &&
-      this.contactWith(holder) === 'alive'
-    );
+    if (!holder || this.isSelf(holder)) return false;
+    return this.news.hasNodesOf(holder) && this.contactWith(holder) === 'alive';
   }
 
   sendToHolder(message: ToHolder): boolean {
@@ -191,7 +184,7 @@
     if (!holder) return;
     if (this.isSelf(holder)) {
       this.contacts.noteHeard(holder);
-      this.tellServing(this.servingList.names);
+      this.options.onServingNodes(this.servingList.names);
       this.lookAfterSilent(holder);
     } else {
       this.silentNodes.forget();
@@ -300,10 +293,9 @@
 
   /** Binding from the moment at which it is sent; none to one that is silent. */
   private makePromise(holder: DutyHolder, forMs?: number): DutyPromise | null {
-    const {lastWelcome} = this;
     if (this.contactWith(holder) !== 'alive') return null;
-    if (lastWelcome?.incarnation !== holder.incarnation) return null;
-    return this.promises.make(holder, lastWelcome, forMs);
+    const welcome = this.news.findWelcomeOf(holder);
+    return welcome && this.promises.make(holder, welcome, forMs);
   }
 
   private takeWelcome(holder: DutyHolder, welcome: Welcome): void {
@@ -312,9 +304,9 @@
       this.contacts.noteEnded(holder);
       return;
     }
-    this.lastWelcome = welcome;
+    this.news.take(welcome);
     this.contacts.noteHeard(holder);
-    this.tellServing(this.knownServing.take(welcome));
+    this.options.onServingNodes(this.knownServing.take(welcome));
     this.catchUp.look(holder.address, welcome);
   }
 
@@ -329,7 +321,7 @@
   private async askOthers(holder: DutyHolder): Promise<void> {
     const {self, listNodes} = this.options;
     const silentForMs = this.contacts.sinceContactMs(holder);
-    if (silentForMs < this.findRank() * ASKING_STEP_MS) return;
+    if (silentForMs < findAskingDelayMs(this.findRank())) return;
     const addresses = chooseWitnesses(self, holder, listNodes()).map(
       ({peerAddress}) => peerAddress,
     );
@@ -406,10 +398,6 @@
     return readStatus().isServing ? [self.nodeName, ...others] : others;
   }
 
-  private tellServing(nodeNames: readonly string[]): void {
-    this.options.onServingNodes(nodeNames);
-  }
-
   private isSelf({incarnation}: DutyHolder): boolean {
     return incarnation === this.options.self.incarnation;
   }
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -14,6 +14,7 @@
   type ServerLoad,
 } from './backend_dialect.js';
 import {type CallerRequest} from './caller_request.js';
+import {type AttemptResult} from './server_chooser.js';
 
 /** Why a server has not run a request. */
 export type NotRunReason = 'unreachable' | 'not-held' | 'not-taken';
@@ -34,6 +35,20 @@
   /** Ended from this side. */
   | {status: 'aborted'};
 
+/** What an outcome tells of the server. */
+export function toAttemptResult(outcome: AttemptOutcome): AttemptResult {
+  switch (outcome.status) {
+    case 'answered':
+      return 'answered';
+    case 'not-run':
+      return outcome.reason;
+    case 'aborted':
+      return 'neutral';
+    default:
+      return 'failed';
+  }
+}
+
 /** Takes the answer of an attempt as it comes. */
 export interface AnswerConsumer {
   /** Whether the answer is wanted; a failure may be sent elsewhere instead. */
--- a/packages/serve-requests/src/crash_guard.ts
+++ b/packages/serve-requests/src/crash_guard.ts
@@ -84,9 +84,13 @@
 
 /** The refusal of a request that is contained. */
 export function makeContained(mayHaveRun: boolean): TypedError {
-  return new TypedError('contained', 'Servers have crashed under it.', {
-    run: mayHaveRun ? 'unknown' : 'not-run',
-  });
+  return new TypedError(
+    'contained',
+    'Three backend servers crashed while running this request.',
+    {
+      run: mayHaveRun ? 'unknown' : 'not-run',
+    },
+  );
 }
 
 /** A server that starts again may do so under its id. */
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -1,17 +1,22 @@
 /** One request on its way: attempts, retries, and one final answer. */
 import {type Timer, sleep} from '@mimosatack/clock';
-import {TypedError, describeKind} from '@mimosatack/errors';
+import {TypedError} from '@mimosatack/errors';
 import {type BackendServerId} from '@mimosatack/types';
 import {AnswerRelay} from './answer_relay.js';
-import {Attempt, type AttemptOutcome, type NotRunReason} from './attempt.js';
+import {
+  Attempt,
+  type AttemptOutcome,
+  type NotRunReason,
+  toAttemptResult,
+} from './attempt.js';
 import {type GrantedAccess} from './access_check.js';
 import {type AnswerSink, type CallerRequest} from './caller_request.js';
 import {CrashGuard, makeContained} from './crash_guard.js';
 import {type FailedAttempt, decideNext, isRepeatable} from './decide_next.js';
+import {makeFinalError, makeTimedOut} from './final_error.js';
 import {type FinalResult, RequestLog} from './request_log.js';
 import {type PipelineOptions, type RequestTarget} from './request_pipeline.js';
 import {
-  type AttemptResult,
   type ChosenServer,
   type ServerAsk,
   type ServerChoice,
@@ -27,7 +32,6 @@
  * for longer, since the other side may be closing it just then.
  */
 const MAX_IDLE_ONCE_MS = 1_000;
-const RETRY_AFTER_MS = 1_000;
 /**
  * An engine that still says so is not the one that is meant: another one has its
  * address, or it has started again.
@@ -189,7 +193,7 @@
     const outcome = await attempt.outcome;
     this.attempt = null;
     this.rescue?.stop();
-    chooser.noteDone(choice, toResult(outcome), this.log.headMs);
+    chooser.noteDone(choice, toAttemptResult(outcome), this.log.headMs);
     this.guard.note(outcome, server);
     const hasRun = outcome.status === 'broken' || outcome.status === 'refusing';
     if (hasRun) this.mayHaveRun = true;
@@ -310,24 +314,8 @@
     this.noteFinished('answered', null);
   }
 
-  /** Never says "not run" once any attempt may have run. */
   private giveUp(error: TypedError): void {
-    if (error.kind === 'contained') return this.endWith(error);
-    if (this.mayHaveRun) {
-      return this.endWith(
-        new TypedError('backend-failed', error.summary, {run: 'unknown'}),
-      );
-    }
-    const mayReturn = describeKind(error.kind).retryable;
-    this.endWith(
-      new TypedError(error.kind, error.summary, {
-        ...error.details,
-        run: 'not-run',
-        retryAfterMs: mayReturn
-          ? (error.retryAfterMs ?? RETRY_AFTER_MS)
-          : undefined,
-      }),
-    );
+    this.endWith(makeFinalError(error, this.mayHaveRun));
   }
 
   /** Refuses, or breaks an answer off that has begun. */
@@ -346,18 +334,7 @@
     if (this.endCause === 'caller-gone') {
       return this.noteFinished('caller-gone', null);
     }
-    this.endWith(this.makeTimedOut());
-  }
-
-  /** What no server has taken up may come again; what may have run must not. */
-  private makeTimedOut(): TypedError {
-    return this.mayHaveRun
-      ? new TypedError('deadline-exceeded', 'No answer came in time.', {
-          run: 'unknown',
-        })
-      : new TypedError('overloaded', 'No server took it in time.', {
-          ...{run: 'not-run', retryAfterMs: RETRY_AFTER_MS},
-        });
+    this.endWith(makeTimedOut(this.mayHaveRun));
   }
 
   private noteFinished(result: FinalResult, error: TypedError | null): void {
@@ -401,16 +378,3 @@
     };
   }
 }
-
-function toResult(outcome: AttemptOutcome): AttemptResult {
-  switch (outcome.status) {
-    case 'answered':
-      return 'answered';
-    case 'not-run':
-      return outcome.reason;
-    case 'aborted':
-      return 'neutral';
-    default:
-      return 'failed';
-  }
-}
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -1,7 +1,6 @@
 /** One node: its tasks and its listeners, wired together. */
 import {type BackendConnections} from '@mimosatack/backend-connections';
 import {CallerEdge} from '@mimosatack/caller-edge';
-import {sleep} from '@mimosatack/clock';
 import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
 import {type DutyHolder} from '@mimosatack/hold-duty';
 import {
@@ -16,14 +15,15 @@
   RequestPipeline,
   RetryAllowance,
 } from '@mimosatack/serve-requests';
-import {TeamQuotas} from '@mimosatack/team-quotas';
+import {type TeamQuotas} from '@mimosatack/team-quotas';
 import {type ServingConfiguration} from '@mimosatack/types';
-import {CallerAccess} from './caller_access.js';
+import {type CallerAccess} from './caller_access.js';
 import {ConfigurationFollower} from './configuration_follower.js';
 import {ContainmentTask} from './containment_task.js';
 import {describeSelf} from './describe_self.js';
 import {EntryPoints} from './entry_points.js';
 import {FaultLog} from './fault_log.js';
+import {NodeDeparture} from './node_departure.js';
 import {NodeRegister} from './node_register.js';
 import {type NodeSettings} from './node_settings.js';
 import {noteNodeState} from './node_state_metrics.js';
@@ -34,7 +34,8 @@
 import {type ServingNodeOptions} from './serving_node_options.js';
 import {SharedRecords} from './shared_records.js';
 import {StatusServer} from './status_server.js';
-import {END_MARGIN_MS, LEAVE_PART, TELL_CALLERS_MS} from './stop_times.js';
+import {logQuotaRefusal, makeTeamTasks} from './team_tasks.js';
+import {END_MARGIN_MS, TELL_CALLERS_MS} from './stop_times.js';
 
 const DUTY_KEY = 'scheduler';
 const EXPIRY_INTERVAL_MS = 1_000;
@@ -62,8 +63,7 @@
   private greetedHolder = '';
   private readonly gate: DrainGate;
   private readonly shutdown: ShutdownTask;
-  private handedOver: Promise<void> = Promise.resolve();
-  private stopRequestedAtMs = 0;
+  private readonly departure: NodeDeparture;
 
   constructor(private readonly options: ServingNodeOptions) {
     const {clock, settings} = options;
@@ -74,8 +74,12 @@
     this.configuration = this.makeConfiguration();
     this.servers = this.makeServers();
     this.containment = this.makeContainment();
-    this.access = this.makeAccess();
-    this.quotas = this.makeQuotas();
+    const teams = makeTeamTasks(options, {
+      configurationAgeMs: () => this.configuration.ageMs,
+      countNodes: () => this.register.list().length,
+    });
+    this.access = teams.access;
+    this.quotas = teams.quotas;
     this.register = this.makeRegister();
     this.shared = new SharedRecords({
       ...{configuration: this.configuration, servers: this.servers},
@@ -101,6 +105,10 @@
       serve: (request, sink) => this.pipeline.serve(request, sink),
       onFault: error => this.faults.note(error, 'callers'),
     });
+    this.departure = new NodeDeparture({
+      ...{clock, graceMs: settings.graceMs, edge: this.edge},
+      ...{duty: this.duty, links: this.links, register: this.register},
+    });
     this.status = new StatusServer({
       platform: options.platform,
       isReady: () => this.isServing,
@@ -147,7 +155,7 @@
 
   /** Begins a graceful shutdown; a second call ends it at once. */
   requestStop(signal: string): void {
-    this.stopRequestedAtMs = this.options.clock.monotonicMs();
+    this.departure.noteRequested();
     this.shutdown.requestStop(signal);
   }
 
@@ -159,14 +167,8 @@
       graceMs: settings.graceMs - END_MARGIN_MS,
       actions: {
         abortStart: () => undefined,
-        announce: () => {
-          this.edge.closeIdle();
-          this.handedOver = this.duty.handOver(() =>
-            this.links.findSuccessor(),
-          );
-          clock.setTimer(TELL_CALLERS_MS, () => this.edge.stopListening());
-        },
-        handOver: () => this.leave(),
+        announce: () => this.departure.announce(),
+        handOver: () => this.departure.leave(),
         close: async () => this.edge.closeAll(),
       },
     });
@@ -192,17 +194,6 @@
     return metrics.format();
   }
 
-  /** Schedules for the others while nobody can take that over. */
-  private async leave(): Promise<void> {
-    const {clock, settings} = this.options;
-    const usedMs = clock.monotonicMs() - this.stopRequestedAtMs;
-    const leftMs = settings.graceMs - END_MARGIN_MS - usedMs;
-    await Promise.race([this.handedOver, sleep(clock, LEAVE_PART * leftMs)]);
-    this.duty.retire();
-    this.links.sayGoodbye();
-    await this.register.leave();
-  }
-
   private get isServing(): boolean {
     return (
       !this.shutdown.isStopping &&
@@ -286,24 +277,6 @@
     });
   }
 
-  private makeAccess(): CallerAccess {
-    const {logger, settings} = this.options;
-    return new CallerAccess({
-      logger,
-      configurationAgeMs: () => this.configuration.ageMs,
-      revokeMs: () => settings.revokeMs,
-    });
-  }
-
-  private makeQuotas(): TeamQuotas {
-    const {clock, settings} = this.options;
-    return new TeamQuotas({
-      clock,
-      bounds: () => settings.quotaBounds,
-      countNodes: () => this.register.list().length,
-    });
-  }
-
   private makeDuty(): SchedulingDuty {
     const {clock, random, platform, settings, logger} = this.options;
     const {nodeName, incarnation, peerAddress} = this.self;
@@ -397,11 +370,8 @@
       findServer: id => this.servers.find(id),
       sendToHolder: message => this.links.sendToHolder(message),
       quotas: this.quotas,
-      onQuotaRefused: (requestId, {team, amount}, {level, retryAfterMs}) =>
-        logger.log('quota-refused', {
-          ...{requestId, team, amount, retryAfterMs, decidedBy: 'node'},
-          left: Math.round(level),
-        }),
+      onQuotaRefused: (requestId, charge, refusal) =>
+        logQuotaRefusal(logger, requestId, charge, refusal),
     });
   }
 
