Refuse nobody who is within the quota

Cause of the first: two requests of one team that came to one node between two heartbeats went beyond that node's part. It asks the holder for such a request now. Cause of the second: a process that was never told what teams have left began with nothing. It begins with 0.3 of the tolerance now; nodes spend 0.35 of it unknown to the holder in place of 0.5, so that the sum still fits.

Also: a confirmation that comes before the version it is for is kept for it.

--- a/packages/node-links/src/confirmation_fixture.ts
+++ b/packages/node-links/src/confirmation_fixture.ts
@@ -9,6 +9,7 @@
   readonly told = new ToldConfirmation(this);
   asOfMs = -Infinity;
   version = 3;
+  readonly ownReadMs = 1_000;
 
   get nowMs(): number {
     return this.clock.monotonicMs();
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -71,6 +71,7 @@
     this.catchUp = new RecordCatchUp({
       ...options,
       readsServers: () => options.serversAgeMs() < READ_LATELY_MS,
+      ownReadMs: () => options.confirmation.ownReadMs,
       request: (address, message, timeoutMs) =>
         this.transport.request(address, message, timeoutMs),
     });
--- a/packages/node-links/src/node_links_options.ts
+++ b/packages/node-links/src/node_links_options.ts
@@ -31,6 +31,8 @@
   readonly nowMs: number;
   /** On the clock of `nowMs`; minus infinity for never. */
   readonly asOfMs: number;
+  /** By then a node that the store answers has read a change by itself. */
+  readonly ownReadMs: number;
   /** Another node knows that a version was the newest. */
   noteConfirmed(version: number, asOfMs: number): void;
 }
--- a/packages/node-links/src/record_catch_up.test.ts
+++ b/packages/node-links/src/record_catch_up.test.ts
@@ -26,6 +26,7 @@
     },
     readStatus: () => own,
     readsServers: () => false,
+    ownReadMs: () => 1_000,
     onRecords: message => taken.push(message),
   });
   const look = (configurationVersion: number) =>
--- a/packages/node-links/src/record_catch_up.ts
+++ b/packages/node-links/src/record_catch_up.ts
@@ -16,13 +16,13 @@
     timeoutMs: number,
   ) => Promise<NodeMessage>;
   readStatus: () => NodeStatus;
+  /** By then a node that the store answers has read a change by itself. */
+  ownReadMs: () => number;
   /** Whether this node reads the servers from the store itself. */
   readsServers: () => boolean;
   onRecords: (message: RecordsMessage, from: string) => void;
 }
 
-/** By then a node that the store answers has read a change by itself. */
-const OWN_READ_MS = 1_000;
 /** The largest configuration takes as long on a slow link. */
 const FETCH_TIMEOUT_MS = 3_000;
 
@@ -70,7 +70,7 @@
     this.behindSinceMs ??= nowMs;
     // One that knows nothing yet has nothing to serve by.
     const isNew = own.configurationVersion < 0;
-    return isNew || nowMs - this.behindSinceMs >= OWN_READ_MS;
+    return isNew || nowMs - this.behindSinceMs >= this.options.ownReadMs();
   }
 
   private async fetch(address: string, topic: SharedTopic): Promise<void> {
--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -1,6 +1,12 @@
 /** What nodes and the node that schedules say to each other. */
 import * as z from 'zod';
 
+const chargeSchema = z.object({
+  team: z.string(),
+  amount: z.number(),
+  isForced: z.boolean(),
+});
+
 const askSchema = z.object({
   askId: z.string(),
   /** The caller's id, so that both nodes' log lines can be found by it. */
@@ -20,10 +26,7 @@
   excluded: z.array(z.string()),
   allowed: z.array(z.string()).nullable(),
   /** What it takes out of its team's quota; null from the release before. */
-  charge: z
-    .object({team: z.string(), amount: z.number(), isForced: z.boolean()})
-    .nullable()
-    .default(null),
+  charge: chargeSchema.nullable().default(null),
 });
 
 const runResultSchema = z.enum([
@@ -49,6 +52,12 @@
     /** Whether it was not sent to the engine at all. */
     isUnsent: z.boolean().default(false),
   }),
+  /** A plain request that its own node must not charge by itself. */
+  z.object({
+    type: z.literal('charge'),
+    askId: z.string(),
+    charge: chargeSchema,
+  }),
   /** All that a node has under way, for a node that has just taken over. */
   z.object({
     type: z.literal('under-way'),
@@ -75,6 +84,19 @@
     ]),
     retryAfterMs: z.number(),
   }),
+  /** The answer to `charge`; null when it is charged. */
+  z.object({
+    type: z.literal('charged'),
+    askId: z.string(),
+    refusal: z
+      .object({
+        level: z.number(),
+        retryAfterMs: z.number(),
+        isUnsettled: z.boolean(),
+        decidedBy: z.enum(['holder', 'node']),
+      })
+      .nullable(),
+  }),
   /** This node does not schedule, whatever the other one has heard. */
   z.object({type: z.literal('not-scheduling'), askId: z.string()}),
 ]);
--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -75,10 +75,11 @@
 function startChooser(room: number) {
   const sent: ToHolder[] = [];
   const local = new FixedChooser();
-  const state = {charged: 0, isHeld: true};
+  const state = {charged: 0, isHeld: true, isUnsettled: false};
+  const clock = new ManualClock();
   const refused: string[] = [];
   const chooser = new ScheduledChooser({
-    ...{clock: new ManualClock(), askPrefix: 'n1', local},
+    ...{clock, askPrefix: 'n1', local},
     findServer: () => SERVER,
     sendToHolder: message => {
       if (state.isHeld) sent.push(message);
@@ -87,7 +88,12 @@
     quotas: {
       charge: ({amount}) => {
         const level = room - state.charged;
-        if (level < amount) return {level, retryAfterMs: 400};
+        if (level < amount) {
+          return {
+            ...{level, retryAfterMs: 400, isUnsettled: state.isUnsettled},
+            decidedBy: 'node',
+          };
+        }
         state.charged += amount;
         return null;
       },
@@ -95,7 +101,7 @@
     },
     onQuotaRefused: requestId => refused.push(requestId),
   });
-  return {chooser, local, sent, state, refused};
+  return {chooser, clock, local, sent, state, refused};
 }
 
 function expectChosen(choice: ServerChoice) {
@@ -113,6 +119,37 @@
   assert.is(second.status === 'refused' && second.error.retryAfterMs, 400);
 });
 
+// Guards against the second of two requests that is refused though there is enough.
+test('what this node may not spend by itself the holder is asked for', async () => {
+  const {chooser, sent, state} = startChooser(0);
+  state.isUnsettled = true;
+  const choosing = chooser.choose(makeAsk(false));
+  const [message] = sent;
+  if (message?.type !== 'charge') throw new Error('The holder was not asked.');
+  assert.equal(message.charge, CHARGE);
+  const {askId} = message;
+  chooser.receive({type: 'charged', askId, refusal: null});
+  expectChosen(await choosing);
+});
+
+test('the holder refuses, or says nothing in time', async () => {
+  const {chooser, clock, sent, state} = startChooser(0);
+  state.isUnsettled = true;
+  const refusal = {
+    ...{level: 5, retryAfterMs: 900, isUnsettled: false},
+    decidedBy: 'holder' as const,
+  };
+  const refused = chooser.choose(makeAsk(false));
+  const askId = sent[0]?.type === 'charge' ? sent[0].askId : '';
+  chooser.receive({type: 'charged', askId, refusal});
+  const first = await refused;
+  assert.is(first.status === 'refused' && first.error.retryAfterMs, 900);
+  const unheard = chooser.choose(makeAsk(false));
+  clock.advance(1_000);
+  const second = await unheard;
+  assert.is(second.status === 'refused' && second.error.retryAfterMs, 400);
+});
+
 // Guards against quotas that are used up by requests which never ran.
 test('what has not run is given back', async () => {
   const {chooser, local, state} = startChooser(100);
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -17,6 +17,7 @@
 import {type BackendServerEntry, type BackendServerId} from '@mimosatack/types';
 import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
 import {toAskTerms} from './ask_terms.js';
+import {Charging} from './charging.js';
 import {type AskTerms, type FromHolder, type ToHolder} from './messages.js';
 import {OpenAsk} from './open_ask.js';
 
@@ -62,9 +63,12 @@
 export class ScheduledChooser implements ServerChooser {
   private readonly open = new Map<string, OpenAsk>();
   private readonly runs = new Map<string, Run>();
+  private readonly charging: Charging;
   private nextNumber = 1;
 
-  constructor(private readonly options: ScheduledChooserOptions) {}
+  constructor(private readonly options: ScheduledChooserOptions) {
+    this.charging = new Charging(options);
+  }
 
   /** Requests that wait for an answer of the node that schedules. */
   get openCount(): number {
@@ -86,6 +90,7 @@
 
   /** Takes an answer of the node that schedules. */
   receive(message: FromHolder): void {
+    if (this.charging.take(message) || message.type === 'charged') return;
     const opened = this.open.get(message.askId);
     if (message.type === 'refused') {
       opened?.settle({
@@ -161,7 +166,7 @@
   private async chooseCharged(ask: ServerAsk): Promise<ServerChoice> {
     const {local, quotas} = this.options;
     const {charge} = ask;
-    const refusal = charge && quotas.charge(charge);
+    const refusal = charge && (await this.charge(charge));
     if (charge && refusal) {
       const {retryAfterMs} = refusal;
       this.options.onQuotaRefused(ask.request.requestId, charge, refusal);
@@ -173,6 +178,18 @@
     return choice;
   }
 
+  /**
+   * Guards against requests that are refused though their team has enough left:
+   * two of a team that come to one node between two heartbeats. The holder is
+   * asked for those alone.
+   */
+  private async charge(charge: QuotaCharge): Promise<QuotaRefusal | null> {
+    const refusal = this.options.quotas.charge(charge);
+    if (!refusal?.isUnsettled) return refusal;
+    const askId = `${this.options.askPrefix}.${this.nextNumber++}`;
+    return this.charging.ask(askId, charge, refusal);
+  }
+
   private giveBack({charge}: ChosenServer): void {
     if (charge) this.options.quotas.giveBack(charge);
   }
--- a/packages/schedule-service/src/scheduling_host.test.ts
+++ b/packages/schedule-service/src/scheduling_host.test.ts
@@ -46,7 +46,10 @@
 
   chargeAsked({amount}: QuotaCharge): QuotaRefusal | null {
     if (this.charged + amount > this.room) {
-      return {level: this.room - this.charged, retryAfterMs: 700};
+      return {
+        ...{level: this.room - this.charged, retryAfterMs: 700},
+        ...{isUnsettled: false, decidedBy: 'holder'},
+      };
     }
     this.charged += amount;
     return null;
--- a/packages/schedule-service/src/scheduling_host.ts
+++ b/packages/schedule-service/src/scheduling_host.ts
@@ -157,6 +157,8 @@
         );
         this.forget(message.askId, hasRun(message));
         break;
+      case 'charge':
+        return this.answerCharge(message, nodeAddress);
       case 'under-way':
         message.asks.forEach(ask => this.takeAsk(ask, nodeAddress, nowMs));
         message.runs.forEach(({ask, engineId}) =>
@@ -191,14 +193,14 @@
   private refuseCharge(
     askId: string,
     {team, amount}: QuotaCharge,
-    {level, retryAfterMs}: QuotaRefusal,
+    {level, retryAfterMs, decidedBy}: QuotaRefusal,
   ): void {
     const known = this.asks.get(askId);
     this.asks.delete(askId);
     if (!known) return;
     const {requestId, nodeAddress} = known;
     this.options.logger.log('quota-refused', {
-      ...{requestId, team, amount, retryAfterMs, decidedBy: 'holder'},
+      ...{requestId, team, amount, retryAfterMs, decidedBy},
       left: Math.round(level),
     });
     this.options.send(nodeAddress, {
@@ -206,6 +208,14 @@
     });
   }
 
+  private answerCharge(
+    {askId, charge}: Extract<ToHolder, {type: 'charge'}>,
+    nodeAddress: string,
+  ): void {
+    const refusal = this.options.quotas.chargeAsked(charge);
+    this.options.send(nodeAddress, {type: 'charged', askId, refusal});
+  }
+
   private forget(askId: string, hasRunIt: boolean): void {
     const charge = this.asks.get(askId)?.charge;
     if (charge && !hasRunIt) this.options.quotas.giveBackAsked(charge);
--- a/packages/serving-node/src/configuration_follower.test.ts
+++ b/packages/serving-node/src/configuration_follower.test.ts
@@ -121,4 +121,18 @@
   assert.is(follower.ageMs, 30);
 });
 
+// Guards against keys that are refused since what was told came before its version.
+test('a version that comes after its confirmation is confirmed by it', async () => {
+  const {topic, follower, pass} = startFollower();
+  await pass(1_000);
+  topic.isDown = true;
+  await pass(6_000);
+  follower.noteConfirmed(2, follower.nowMs - 30);
+  assert.ok(follower.ageMs > 5_000);
+  const value = Buffer.from('2');
+  follower.takeFromPeer([{key: KEY, value, offset: 5}]);
+  assert.is(follower.version, 2);
+  assert.is(follower.ageMs, 30);
+});
+
 test.run();
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -32,6 +32,12 @@
   onRegained: () => void;
 }
 
+/** A version that was the newest as of a time. */
+interface ToldConfirmation {
+  version: number;
+  asOfMs: number;
+}
+
 /** A read waits for the next change for this long. */
 const WAIT_MS = 20_000;
 /**
@@ -46,6 +52,9 @@
 const MAX_RETRY_DELAY_MS = 2_000;
 /** The same, as part of the time in which what is taken back is served. */
 const READER_WAIT_PART = 0.2;
+/** A large change takes as long to arrive at all nodes. */
+const OWN_READ_MS = 1_000;
+const OWN_READ_PART = 0.2;
 /** A node reads by itself when nobody has confirmed for this long. */
 const UNCONFIRMED_MS = 1_500;
 const UNCONFIRMED_PART = 0.3;
@@ -69,6 +78,8 @@
   private current: ServingConfiguration | null = null;
   /** As of when others have confirmed the configuration in force. */
   private toldAsOfMs = -Infinity;
+  /** The same of a version that this node does not have yet. */
+  private toldOfNewer: ToldConfirmation | null = null;
   private periodic: Periodic | null = null;
 
   constructor(private readonly options: ConfigurationFollowerOptions) {
@@ -118,6 +129,10 @@
     return this.nowMs - this.asOfMs;
   }
 
+  get ownReadMs(): number {
+    return this.bound(OWN_READ_MS, OWN_READ_PART);
+  }
+
   /**
    * Another node knows that a version was the newest; so whoever has that one,
    * or a later one, knows all that came before.
@@ -125,8 +140,8 @@
    * @param asOfMs no later than its read, on the clock of this node's `nowMs`.
    */
   noteConfirmed(version: number, asOfMs: number): void {
-    if (version > this.version) return;
-    this.toldAsOfMs = Math.max(this.toldAsOfMs, asOfMs);
+    if (version > this.version) this.toldOfNewer = {version, asOfMs};
+    else this.toldAsOfMs = Math.max(this.toldAsOfMs, asOfMs);
   }
 
   start(): void {
@@ -177,6 +192,8 @@
       const decoded = platform.decodeConfiguration(newest.value);
       if (decoded.version <= this.version) return;
       this.current = decoded;
+      const told = this.toldOfNewer;
+      if (told) this.noteConfirmed(told.version, told.asOfMs);
       onConfiguration(decoded);
     } catch (thrown) {
       // The last good one stays in force.
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -154,8 +154,8 @@
   receive(nodeAddress: string, message: ToHolder): void {
     if (this.host) {
       this.host.receive(nodeAddress, message);
-    } else if (message.type === 'ask') {
-      const {askId} = message.ask;
+    } else if (message.type === 'ask' || message.type === 'charge') {
+      const {askId} = message.type === 'ask' ? message.ask : message;
       this.options.send(nodeAddress, {type: 'not-scheduling', askId});
     }
   }
--- a/packages/serving-node/src/team_tasks.ts
+++ b/packages/serving-node/src/team_tasks.ts
@@ -36,10 +36,10 @@
   logger: EventLogger,
   requestId: string,
   {team, amount}: QuotaCharge,
-  {level, retryAfterMs}: QuotaRefusal,
+  {level, retryAfterMs, decidedBy}: QuotaRefusal,
 ): void {
   logger.log('quota-refused', {
-    ...{requestId, team, amount, retryAfterMs, decidedBy: 'node'},
+    ...{requestId, team, amount, retryAfterMs, decidedBy},
     left: Math.round(level),
   });
 }
--- a/packages/team-quotas/src/quota_bounds.ts
+++ b/packages/team-quotas/src/quota_bounds.ts
@@ -18,7 +18,12 @@
  */
 const BUCKET_PART = 0.25;
 /** Part of it that nodes may spend before the holder knows. */
-const UNSETTLED_PART = 0.5;
+const UNSETTLED_PART = 0.35;
+/**
+ * Part of it with which a process begins that was never told what teams have left:
+ * whatever was served before all nodes were lost, this much more is allowed.
+ */
+const START_PART = 0.3;
 
 /** What may be served in one window beyond the quota. */
 export function findTolerance(
@@ -38,6 +43,11 @@
   return {ratePerSecond, capacity: burst + spare};
 }
 
+/** What a team has at a process that was never told. */
+export function findStartLevel(quota: TeamQuota, bounds: QuotaBounds): number {
+  return START_PART * findTolerance(quota, bounds);
+}
+
 /** What one of `nodeCount` nodes may spend before the holder knows. */
 export function findUnsettledShare(
   quota: TeamQuota,
--- a/packages/team-quotas/src/quota_charge.ts
+++ b/packages/team-quotas/src/quota_charge.ts
@@ -16,4 +16,11 @@
   level: number;
   /** When there is room for this request, after those refused before it. */
   retryAfterMs: number;
+  /**
+   * Whether the team seems to have enough left, and only this node may not spend
+   * more of it before the holder knows.
+   */
+  isUnsettled: boolean;
+  /** The holder of the buckets, or a node by what it was told. */
+  decidedBy: 'holder' | 'node';
 }
--- a/packages/team-quotas/src/quota_fleet_fixture.ts
+++ b/packages/team-quotas/src/quota_fleet_fixture.ts
@@ -5,6 +5,7 @@
 import {ManualClock} from '@mimosatack/clock';
 import {type TeamQuota, type TeamSpec} from '@mimosatack/types';
 import {type QuotaBounds} from './quota_bounds.js';
+import {type QuotaRefusal} from './quota_charge.js';
 import {type QuotaReply, type QuotaReport} from './quota_messages.js';
 import {TeamQuotas} from './team_quotas.js';
 
@@ -93,6 +94,12 @@
     return isAdmitted;
   }
 
+  /** Why a request that is charged at its node is refused there. */
+  findRefusal(at: number, amount: number): QuotaRefusal | null {
+    const charge = {team: TEAM, amount, isForced: false};
+    return this.nodeAt(at).quotas.charge(charge);
+  }
+
   /** A request that asks the holder; at the node while nobody holds. */
   sendAsking(at: number, amount: number): boolean {
     const {holder} = this;
--- a/packages/team-quotas/src/team_quotas.test.ts
+++ b/packages/team-quotas/src/team_quotas.test.ts
@@ -101,6 +101,20 @@
   assert.ok(most <= bound, `${most} of ${bound}`);
 });
 
+// Guards against callers that come back after a loss of all nodes and are refused.
+test('a team within its quota is served right after all nodes are lost', () => {
+  const {fleet, play} = startFleet(20_000);
+  fleet.clock.advance(3_000);
+  fleet.hold(0);
+  play(4_000, 20_000 / 1.8);
+  Array.from({length: 87}, (_, at) => fleet.restart(at));
+  fleet.clock.advance(600);
+  fleet.hold(5);
+  fleet.greet();
+  const {sent, served} = play(4_000, 20_000);
+  assert.ok(served >= 0.995 * sent, `${served} of ${sent}`);
+});
+
 // Guards against all requests being refused while nobody holds the buckets.
 test('a team within its quota is served while the holder is lost', () => {
   const rate = 60_000;
@@ -150,6 +164,19 @@
   assert.ok(fleet.sendAsking(2, capacity - 5_000));
 });
 
+// Guards against a node that takes its own bound for the team's.
+test('a node tells a team at its limit from a node at its own', () => {
+  const {fleet} = startFleet(4_200);
+  fleet.clock.advance(10_000);
+  fleet.hold(0);
+  fleet.greet();
+  assert.is(fleet.findRefusal(1, 200), null);
+  assert.is(fleet.findRefusal(1, 200)?.isUnsettled, true);
+  while (fleet.sendAsking(2, 1_000));
+  fleet.greet();
+  assert.is(fleet.findRefusal(1, 1_000)?.isUnsettled, false);
+});
+
 test('a lower quota is in force at once', () => {
   const rate = 20_000;
   const {fleet, play} = startFleet(rate);
--- a/packages/team-quotas/src/team_quotas.ts
+++ b/packages/team-quotas/src/team_quotas.ts
@@ -9,6 +9,7 @@
 import {
   type QuotaBounds,
   findBucketTerms,
+  findStartLevel,
   findUnsettledShare,
 } from './quota_bounds.js';
 import {type QuotaCharge, type QuotaRefusal} from './quota_charge.js';
@@ -41,10 +42,14 @@
   terms: BucketTerms;
   /** As the holder told it last. */
   told: TokenBucket;
+  /** Whether it was far from its limit then. */
+  isAmple: boolean;
 }
 
 /** A holder that has not answered for longer than this charges nothing. */
 const TOLD_LATELY_MS = 1_000;
+/** By then a heartbeat has told the holder what is unsettled. */
+const SETTLED_MS = 400;
 /** Part of what a team had left that nodes spend while nobody holds. */
 const ABSENCE_PART = 0.5;
 
@@ -75,8 +80,11 @@
       const terms = findBucketTerms(quota, bounds);
       const known = this.teams.get(team);
       known?.told.retune(terms, nowMs);
-      const told = known?.told ?? new TokenBucket(terms, 0, this.startedAtMs);
-      this.teams.set(team, {quota, terms, told});
+      const told =
+        known?.told ??
+        new TokenBucket(terms, findStartLevel(quota, bounds), this.startedAtMs);
+      const isAmple = known?.isAmple ?? true;
+      this.teams.set(team, {quota, terms, told, isAmple});
     });
     this.buckets?.configure(this.listStarts(), nowMs);
   }
@@ -111,6 +119,7 @@
     this.teams.forEach((known, team) => {
       const level = buckets.find(team)?.levelAt(nowMs) ?? 0;
       known.told = new TokenBucket(known.terms, level, nowMs);
+      known.isAmple = level >= findUntoldLevel(known.terms);
     });
     this.toldAtMs = nowMs;
     this.buckets = null;
@@ -167,6 +176,7 @@
     const levels = new Map(low.map(({team, level}) => [team, level]));
     this.teams.forEach((known, team) => {
       const level = levels.get(team) ?? findUntoldLevel(known.terms);
+      known.isAmple = !levels.has(team);
       known.told = new TokenBucket(known.terms, level, nowMs);
     });
     this.toldAtMs = nowMs;
@@ -192,27 +202,36 @@
     nowMs: number,
   ): boolean {
     const unsettled = this.unsettled.sum(team);
-    const left = known.told.levelAt(nowMs) - unsettled;
-    if (left < Math.min(amount, known.terms.capacity)) return false;
-    if (unsettled <= 0) return true;
+    if (!hasLeft(amount, known, unsettled, nowMs)) return false;
+    // A team at its limit waits for the next holder.
+    const mayBegin = known.isAmple || this.isToldLately(nowMs);
+    if (unsettled <= 0 && mayBegin) return true;
     return unsettled + amount <= this.findAllowance(known, nowMs);
   }
 
   private findAllowance({quota, told}: KnownTeam, nowMs: number): number {
     const nodeCount = Math.max(1, this.options.countNodes());
     const share = findUnsettledShare(quota, this.options.bounds(), nodeCount);
-    if (nowMs - this.toldAtMs < TOLD_LATELY_MS) return share;
+    if (this.isToldLately(nowMs)) return share;
     const left = Math.max(0, told.levelAt(nowMs));
     return share + (ABSENCE_PART * left) / nodeCount;
   }
 
+  private isToldLately(nowMs: number): boolean {
+    return nowMs - this.toldAtMs < TOLD_LATELY_MS;
+  }
+
   private refuse(
     {team, amount}: QuotaCharge,
-    {told}: KnownTeam,
+    known: KnownTeam,
     nowMs: number,
   ): QuotaRefusal {
-    const level = told.levelAt(nowMs) - this.unsettled.sum(team);
-    return {level, retryAfterMs: told.findWaitMs(amount - level)};
+    const unsettled = this.unsettled.sum(team);
+    const level = known.told.levelAt(nowMs) - unsettled;
+    const isUnsettled = hasLeft(amount, known, unsettled, nowMs);
+    const waitMs = known.told.findWaitMs(amount - level);
+    const retryAfterMs = isUnsettled ? SETTLED_MS : waitMs;
+    return {level, retryAfterMs, isUnsettled, decidedBy: 'node'};
   }
 
   private chargeBucket(
@@ -226,7 +245,8 @@
     }
     const retryAfterMs = bucket.tryTake(amount, nowMs);
     if (retryAfterMs === null) return null;
-    return {level: bucket.levelAt(nowMs), retryAfterMs};
+    const level = bucket.levelAt(nowMs);
+    return {level, retryAfterMs, isUnsettled: false, decidedBy: 'holder'};
   }
 
   private listStarts(): TeamStart[] {
@@ -240,3 +260,13 @@
     return this.options.clock.monotonicMs();
   }
 }
+
+/** Whether a team seems to have enough left for a request. */
+function hasLeft(
+  amount: number,
+  {told, terms}: KnownTeam,
+  unsettled: number,
+  nowMs: number,
+): boolean {
+  return told.levelAt(nowMs) - unsettled >= Math.min(amount, terms.capacity);
+}
