--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -51,7 +51,7 @@
 /** The node that reads for the others notices sooner, and tells them. */
 const MAX_RETRY_DELAY_MS = 2_000;
 /** The same, as part of the time in which what is taken back is served. */
-const READER_WAIT_PART = 0.2;
+const READER_WAIT_PART = 0.1;
 /** A large change takes as long to arrive at all nodes. */
 const OWN_READ_MS = 1_000;
 const OWN_READ_PART = 0.2;
--- a/packages/team-quotas/src/team_buckets.ts
+++ b/packages/team-quotas/src/team_buckets.ts
@@ -12,6 +12,8 @@
 
 /** Teams above this part of a full bucket need not be told of. */
 const LOW_PART = 0.5;
+/** The list is made anew at most this often, however many heartbeats ask. */
+const REMAKE_MS = 20;
 /** Nodes that are gone for good are forgotten once there are so many others. */
 const MAX_REPORTS = 2_000;
 
@@ -20,6 +22,8 @@
   private readonly buckets = new Map<TeamName, TokenBucket>();
   /** The last report of each node. */
   private readonly reports = new Map<NodeIncarnation, QuotaReport>();
+  private low: QuotaReply['low'] = [];
+  private listedAtMs = -Infinity;
 
   constructor(starts: readonly TeamStart[], nowMs: number) {
     this.configure(starts, nowMs);
@@ -49,11 +53,17 @@
     nowMs: number,
   ): QuotaReply {
     if (report) this.count(node, report, nowMs);
-    const low = [...this.buckets]
+    return {reportId: report?.reportId ?? null, low: this.listLow(nowMs)};
+  }
+
+  private listLow(nowMs: number): QuotaReply['low'] {
+    if (nowMs - this.listedAtMs < REMAKE_MS) return this.low;
+    this.listedAtMs = nowMs;
+    this.low = [...this.buckets]
       .map(([team, bucket]) => ({team, bucket, level: bucket.levelAt(nowMs)}))
       .filter(({bucket, level}) => level < LOW_PART * bucket.capacity)
       .map(({team, level}) => ({team, level: Math.floor(level)}));
-    return {reportId: report?.reportId ?? null, low};
+    return this.low;
   }
 
   /**
