--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -8,7 +8,7 @@
 import {type DutyHolder, type HolderContact} from '@mimosatack/hold-duty';
 import {type PeerTransport} from '@mimosatack/peer-transport';
 import {type FromHolder, type ToHolder} from '@mimosatack/schedule-service';
-import {type Periodic, startPeriodic} from '@mimosatack/tasks';
+import {startPeriodic} from '@mimosatack/tasks';
 import {HolderContacts} from './holder_contacts.js';
 import {readLastOrders} from './holder_farewell.js';
 import {
@@ -47,7 +47,6 @@
   private readonly contacts: HolderContacts;
   private readonly roster: NodeRoster;
   private readonly catchUp: RecordCatchUp;
-  private periodics: Periodic[] = [];
   private readonly promises: DutyPromises;
   private readonly silentNodes: SilentNodes;
   private readonly told: ToldConfirmation;
@@ -82,14 +81,7 @@
 
   async start(): Promise<void> {
     await this.transport.start();
-    this.periodics = [
-      startPeriodic(this.options.clock, HELLO_INTERVAL_MS, () => this.tick()),
-    ];
-  }
-
-  async stop(): Promise<void> {
-    this.periodics.forEach(periodic => periodic.stop());
-    await this.transport.stop();
+    startPeriodic(this.options.clock, HELLO_INTERVAL_MS, () => this.tick());
   }
 
   /** What the heartbeats tell of a holder. */
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -122,7 +122,9 @@
     await this.edge.listen(settings.callerAddress);
     await this.status.listen(settings.readyAddress);
     await this.status.listen(settings.directoryAddress);
-    await this.listenForMetrics();
+    await this.status.tryListen(settings.metricsAddress, thrown =>
+      this.faults.note(thrown, 'metrics'),
+    );
     await this.links.start();
     this.configuration.start();
     this.servers.start();
@@ -138,16 +140,6 @@
     this.shutdown.noteStarted(true);
   }
 
-  /** Callers are served all the same when nobody can read the metrics. */
-  private async listenForMetrics(): Promise<void> {
-    const {metricsAddress} = this.options.settings;
-    try {
-      if (metricsAddress) await this.status.listen(metricsAddress);
-    } catch (thrown) {
-      this.faults.note(thrown, 'metrics');
-    }
-  }
-
   /** Resolves with the exit code once the node has stopped. */
   get stopped(): Promise<number> {
     return this.shutdown.exited;
--- a/packages/serving-node/src/status_server.ts
+++ b/packages/serving-node/src/status_server.ts
@@ -50,6 +50,18 @@
     });
   }
 
+  /** Callers are served all the same when nobody can read the metrics. */
+  async tryListen(
+    address: SocketAddress | null,
+    onFault: (thrown: unknown) => void,
+  ): Promise<void> {
+    try {
+      if (address) await this.listen(address);
+    } catch (thrown) {
+      onFault(thrown);
+    }
+  }
+
   close(): void {
     this.servers.forEach(server => {
       server.close();
--- a/packages/team-quotas/src/quota_fleet_fixture.ts
+++ b/packages/team-quotas/src/quota_fleet_fixture.ts
@@ -6,7 +6,6 @@
 import {type TeamQuota, type TeamSpec} from '@mimosatack/types';
 import {type QuotaBounds} from './quota_bounds.js';
 import {type QuotaRefusal} from './quota_charge.js';
-import {type QuotaReply, type QuotaReport} from './quota_messages.js';
 import {TeamQuotas} from './team_quotas.js';
 
 const TEAM = 'link';
@@ -21,9 +20,6 @@
   quotas: TeamQuotas;
   incarnation: string;
   isCut: boolean;
-  /** Its heartbeat and the holder's answer, while that is on its way. */
-  report: QuotaReport | null;
-  reply: QuotaReply | null;
 }
 
 /** How the fleet is set up. */
@@ -139,10 +135,7 @@
     });
     quotas.configure([makeTeam(options.quota)]);
     this.lives += 1;
-    return {
-      ...{quotas, incarnation: `n${this.lives}`},
-      ...{isCut: false, report: null, reply: null},
-    };
+    return {quotas, incarnation: `n${this.lives}`, isCut: false};
   }
 
   private nodeAt(at: number): FleetNode {
