--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -46,12 +46,12 @@
  * the others learn of it from that node.
  */
 const READER_WAIT_MS = 900;
+/** Times that end in `PART` are parts of the time for which a key may live on. */
+const READER_WAIT_PART = 0.1;
 const MIN_INTERVAL_MS = 50;
 const RETRY_DELAY_MS = 200;
 /** The node that reads for the others notices sooner, and tells them. */
 const MAX_RETRY_DELAY_MS = 2_000;
-/** The same, as part of the time in which what is taken back is served. */
-const READER_WAIT_PART = 0.1;
 /** A large change takes as long to arrive at all nodes. */
 const OWN_READ_MS = 1_000;
 const OWN_READ_PART = 0.2;
@@ -129,8 +129,9 @@
     return this.nowMs - this.asOfMs;
   }
 
+  /** By then a node that the store answers has read a change by itself. */
   get ownReadMs(): number {
-    return this.bound(OWN_READ_MS, OWN_READ_PART);
+    return this.limitByRevocation(OWN_READ_MS, OWN_READ_PART);
   }
 
   /**
@@ -162,17 +163,20 @@
     // Without a configuration nothing can be confirmed, and the reads go on.
     if (!this.current || isReader()) return false;
     const stepsMs = Math.min(MAX_READ_STEPS_MS, findRank() * READ_STEP_MS);
-    return this.ageMs > this.bound(UNCONFIRMED_MS, UNCONFIRMED_PART) + stepsMs;
+    return (
+      this.ageMs >
+      this.limitByRevocation(UNCONFIRMED_MS, UNCONFIRMED_PART) + stepsMs
+    );
   }
 
   private findWaitMs(): number {
     if (this.options.isReader()) {
-      return this.bound(READER_WAIT_MS, READER_WAIT_PART);
+      return this.limitByRevocation(READER_WAIT_MS, READER_WAIT_PART);
     }
     return this.isUnconfirmed ? 0 : WAIT_MS;
   }
 
-  private bound(mostMs: number, partOfRevoke: number): number {
+  private limitByRevocation(mostMs: number, partOfRevoke: number): number {
     const revokeMs = this.options.revokeMs() ?? Infinity;
     return Math.min(mostMs, partOfRevoke * revokeMs);
   }
