Keep to the growing pauses while a read is asked for in an outage

Cause: a node that nobody confirms asks for a read every 250 ms; while the store fails, that marked the next failure as one that was asked for, so that it was neither noted nor paused after, and each pause of an outage was followed by two calls. Ruled out: the reads of the node that schedules (one node, twice a second). Only a read that waits is ended now, and only its own end counts as asked for. The test counted 14 calls in ten seconds of outage before, 7 without asking; 7 now.

--- a/packages/keyed-store/src/keyed_follower.test.ts
+++ b/packages/keyed-store/src/keyed_follower.test.ts
@@ -204,4 +204,25 @@
   follower.stop();
 });
 
+// Guards against an outage that costs twice the calls, since others were asked for.
+test('what is asked for during an outage adds no calls', async () => {
+  const play = async (refreshes: boolean) => {
+    const {topic, follower, pass} = startFollower({
+      ...{waitMs: () => 0, maxRetryDelayMs: () => 2_000},
+    });
+    topic.put('config', '1');
+    follower.start();
+    await pass(100);
+    topic.isDown = true;
+    const before = topic.readCount;
+    for (let passed = 0; passed < 10_000; passed += 250) {
+      if (refreshes) follower.refresh();
+      await pass(250);
+    }
+    follower.stop();
+    return topic.readCount - before;
+  };
+  assert.is(await play(true), await play(false));
+});
+
 test.run();
--- a/packages/keyed-store/src/keyed_follower.ts
+++ b/packages/keyed-store/src/keyed_follower.ts
@@ -3,7 +3,11 @@
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {type RandomSource, addJitter} from '@mimosatack/random';
 import {type KeyedTable} from './keyed_table.js';
-import {type KeyedChange, type KeyedTopic} from './keyed_topic.js';
+import {
+  type KeyedChange,
+  type KeyedTopic,
+  type ReadOutcome,
+} from './keyed_topic.js';
 
 /** What a follower is built from. */
 export interface KeyedFollowerOptions {
@@ -47,7 +51,8 @@
 /** Reads a topic until it is stopped. */
 export class KeyedFollower {
   private readonly stopping = new AbortController();
-  private waiting = new AbortController();
+  /** Of the read that waits, while there is one. */
+  private waiting: AbortController | null = null;
   private isInStep = false;
   private hasSnapshot = false;
   private succeededAtMs = -Infinity;
@@ -86,13 +91,13 @@
    * topic without changes; whoever learns that it has missed one calls this.
    */
   refresh(): void {
-    this.waiting.abort();
+    this.waiting?.abort();
   }
 
   /** Takes no more changes. */
   stop(): void {
     this.stopping.abort();
-    this.waiting.abort();
+    this.waiting?.abort();
   }
 
   private async run(): Promise<void> {
@@ -128,10 +133,7 @@
       if (changes.length > 0) this.options.onChanges(changes);
     } catch (thrown) {
       if (signal.aborted) return;
-      if (this.waiting.signal.aborted) {
-        this.waiting = new AbortController();
-        return;
-      }
+      if (thrown instanceof RefreshedRead) return;
       this.noteFailure(toTypedError(thrown));
       const {clock, random} = this.options;
       const delayMs = addJitter(random, this.findRetryDelayMs(), RETRY_SPREAD);
@@ -150,11 +152,10 @@
     const {topic, table} = this.options;
     const fromOffset = table.endOffset;
     const waitMs = this.options.waitMs();
-    const outcome = await topic.readFrom(
-      fromOffset,
-      waitMs,
-      waitMs > 0 ? this.openWait() : undefined,
-    );
+    const outcome =
+      waitMs > 0
+        ? await this.waitFrom(fromOffset, waitMs)
+        : await topic.readFrom(fromOffset, waitMs);
     if (outcome.status === 'expired') {
       this.hasSnapshot = false;
       return [];
@@ -162,9 +163,21 @@
     return table.applyRecords(fromOffset, outcome.records, outcome.endOffset);
   }
 
-  private openWait(): AbortSignal {
-    if (this.waiting.signal.aborted) this.waiting = new AbortController();
-    return this.waiting.signal;
+  /** Throws `RefreshedRead` when `refresh` has ended it. */
+  private async waitFrom(
+    fromOffset: number,
+    waitMs: number,
+  ): Promise<ReadOutcome> {
+    const waiting = new AbortController();
+    this.waiting = waiting;
+    try {
+      const {topic} = this.options;
+      return await topic.readFrom(fromOffset, waitMs, waiting.signal);
+    } catch (thrown) {
+      throw waiting.signal.aborted ? new RefreshedRead() : thrown;
+    } finally {
+      this.waiting = null;
+    }
   }
 
   private findRetryDelayMs(): number {
@@ -191,3 +204,6 @@
     this.options.onLost(error);
   }
 }
+
+/** A read that waited was ended, so as to read at once. */
+class RefreshedRead extends Error {}
