--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -20,6 +20,7 @@
 import {Charging} from './charging.js';
 import {type AskTerms, type FromHolder, type ToHolder} from './messages.js';
 import {OpenAsk} from './open_ask.js';
+import {saysNotRun} from './says_not_run.js';
 
 /** What the chooser is built from. */
 export interface ScheduledChooserOptions {
@@ -148,7 +149,7 @@
     headMs: number | null,
   ): void {
     this.options.local.noteDone(choice, result, headMs);
-    if (NOT_RUN.has(result)) this.giveBack(choice);
+    if (saysNotRun(result)) this.giveBack(choice);
     this.endRun(choice, result === 'answered' ? 'served' : result, headMs);
   }
 
@@ -264,13 +265,6 @@
   }
 }
 
-/** Results that say that the server has not run the request. */
-const NOT_RUN: ReadonlySet<AttemptResult> = new Set([
-  'not-taken',
-  'not-held',
-  'unreachable',
-]);
-
 function makeRefusal(
   {reason, retryAfterMs}: Extract<FromHolder, {type: 'refused'}>,
   charge: QuotaCharge | null,
--- a/packages/schedule-service/src/scheduling_host.ts
+++ b/packages/schedule-service/src/scheduling_host.ts
@@ -6,7 +6,6 @@
   type Decision,
   ModelScheduler,
   type PlannedOrder,
-  type RunResult,
   type SwapPolicy,
 } from '@mimosatack/schedule-models';
 import {
@@ -23,6 +22,7 @@
   type SentOrder,
 } from './engine_orders.js';
 import {type AskTerms, type FromHolder, type ToHolder} from './messages.js';
+import {saysNotRun} from './says_not_run.js';
 
 /** What a host is built from. */
 export interface SchedulingHostOptions {
@@ -351,11 +351,5 @@
   result,
   isUnsent,
 }: Extract<ToHolder, {type: 'run-ended'}>): boolean {
-  return !isUnsent && !NOT_RUN.has(result);
+  return !isUnsent && !saysNotRun(result);
 }
-
-const NOT_RUN: ReadonlySet<RunResult> = new Set([
-  'not-taken',
-  'not-held',
-  'unreachable',
-]);
