Log what each decision on a retry rests on

The logs of the retries beyond the bound could not tell a process that forgets at its restart from one that counts itself alone: they name neither the nodes that the constant part is divided by nor what was counted. Event 4017 and the counter retries.decided do.

--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -129,6 +129,20 @@
       retryAfterMs: 'when the caller was told to come back',
     },
   },
+  'retry-decided': {
+    number: 4017,
+    level: 'info',
+    message: 'A retry was allowed or held back by the bound on retries.',
+    fields: {
+      requestId: 'the request',
+      service: 'the service that it is for',
+      isAllowed: 'whether it may be sent to a server again',
+      retries: 'retries of this process in the window, with this one',
+      requests: 'requests of this process in the window',
+      allowed: 'retries that this process may send in the window',
+      nodes: 'the nodes that it counts as sharing the bound',
+    },
+  },
   'backend-suspected': {
     number: 4100,
     level: 'warn',
--- a/packages/measure-events/src/measuring_event_logger.ts
+++ b/packages/measure-events/src/measuring_event_logger.ts
@@ -18,6 +18,7 @@
 >([
   ['request-finished', recordFinished],
   ['attempt-ended', recordAttempt],
+  ['retry-decided', recordRetry],
   ['ask-decided', recordDecision],
   ['engine-ordered', recordOrder],
   [
@@ -79,6 +80,11 @@
   if (typeof headMs === 'number') metrics.timing('attempts.head', headMs, {});
 }
 
+function recordRetry(metrics: Metrics, {service, isAllowed}: Fields): void {
+  const decision = isAllowed === true ? 'allowed' : 'held-back';
+  metrics.count('retries.decided', {service: toTag(service), decision});
+}
+
 function recordDecision(
   metrics: Metrics,
   {decision, reason, waitedMs}: Fields,
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -75,6 +75,10 @@
     next: 'what was done with the request: `end`, `try-elsewhere`, `give-up`',
   }),
   'attempts.head': timing('Time until a backend server began its answer.', {}),
+  'retries.decided': counter('Retries that the bound allowed or held back.', {
+    service: 'the service',
+    decision: '`allowed` or `held-back`',
+  }),
   'schedule.decided': counter('Requests for models that were decided on.', {
     decision: '`assign` or `refuse`',
     reason: 'why it was refused, empty for an assignment',
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -2,10 +2,11 @@
 import {type Clock} from '@mimosatack/clock';
 import {type TypedError} from '@mimosatack/errors';
 import {type EventLogger} from '@mimosatack/logger';
-import {type ServiceRoute} from '@mimosatack/types';
+import {type ServiceName, type ServiceRoute} from '@mimosatack/types';
 import {type AttemptOutcome} from './attempt.js';
 import {type CallerRequest} from './caller_request.js';
 import {type CrashGuard} from './crash_guard.js';
+import {type RetryUsage} from './retry_allowance.js';
 import {type ChosenServer} from './server_chooser.js';
 
 /** The final result for the caller. */
@@ -101,6 +102,15 @@
     });
   }
 
+  logRetry(service: ServiceName, isAllowed: boolean, usage: RetryUsage): void {
+    const {allowed, ...counts} = usage;
+    this.options.logger.log('retry-decided', {
+      requestId: this.request.requestId,
+      ...{service, isAllowed, allowed: roundToTenth(allowed)},
+      ...counts,
+    });
+  }
+
   logFinished(finished: FinishedRequest): void {
     const {result, error, attempts, lastEventId} = finished;
     this.options.logger.log('request-finished', {
@@ -125,3 +135,7 @@
 function isConnectionLost(outcome: AttemptOutcome): boolean {
   return outcome.status === 'broken' && outcome.isConnectionLost;
 }
+
+function roundToTenth(value: number): number {
+  return Math.round(10 * value) / 10;
+}
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -307,7 +307,11 @@
   }
 
   private spendRetry(): boolean {
-    return this.options.retries.trySpend(this.target.service.name);
+    const {name} = this.target.service;
+    const {retries} = this.options;
+    const isAllowed = retries.trySpend(name);
+    this.log.logRetry(name, isAllowed, retries.describeUsage(name));
+    return isAllowed;
   }
 
   private finishAnswered(outcome: AttemptOutcome): void {
--- a/packages/serve-requests/src/retry_allowance.ts
+++ b/packages/serve-requests/src/retry_allowance.ts
@@ -19,6 +19,17 @@
   countNodes: () => number;
 }
 
+/** What a decision on a retry rests on, as logged. */
+export interface RetryUsage {
+  /** Within the window, as are the requests. */
+  retries: number;
+  requests: number;
+  /** Retries that this process may send within the window. */
+  allowed: number;
+  /** Nodes that share the bound, as far as this process knows. */
+  nodes: number;
+}
+
 /** The rest covers uneven request rates and outdated node counts. */
 const USED_FRACTION = 0.7;
 /** The window slides by one bucket. */
@@ -47,15 +58,20 @@
   /** Spends one retry if the allowance has one left. */
   trySpend(service: ServiceName): boolean {
     const current = this.getCurrentBucket(service);
+    const {retries, allowed} = this.describeUsage(service);
+    if (retries + 1 > allowed) return false;
+    current.retries += 1;
+    return true;
+  }
+
+  describeUsage(service: ServiceName): RetryUsage {
     const buckets = this.windows.get(service) ?? [];
     const {ratio, slack} = this.options.bound();
     const requests = buckets.reduce((sum, b) => sum + b.requests, 0);
     const retries = buckets.reduce((sum, b) => sum + b.retries, 0);
     const nodes = Math.max(1, this.options.countNodes());
     const allowed = USED_FRACTION * (ratio * requests + slack / nodes);
-    if (retries + 1 > allowed) return false;
-    current.retries += 1;
-    return true;
+    return {retries, requests, allowed, nodes};
   }
 
   private getCurrentBucket(service: ServiceName): Bucket {
