Give a host its share of the retry slack only while it can know it

Cause: each process divided the constant part of the bound by the nodes it knew and counted from nothing. A restarted process spent the host's part again, as often as it was restarted within the window; one that had not yet read the others' names took all of it. Class: a bound of all hosts that each process enforces by what it has seen itself since it started.

Change: HostShare (new package share-limits). No share until one and a half windows after the process was registered and in touch; none while it is not in touch with a holder that itself reaches most nodes; after five seconds away, or suspended, as after a start; a node that leaves stays counted for as long. The part that follows from a process's own requests needs no knowledge of others and stays. The allowance counts on a clock that includes suspension.

Why it holds: in any window at most one process of a host has a share, and whoever has one is counted by all others that have one.

The fixture plays cuts and suspensions now; its check of the bound is the same.

--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -140,7 +140,8 @@
       retries: 'retries of this process in the window, with this one',
       requests: 'requests of this process in the window',
       allowed: 'retries that this process may send in the window',
-      nodes: 'the nodes that it counts as sharing the bound',
+      share:
+        'the fraction of the slack that this host may use; 0 after its start or while it cannot know how many share it',
     },
   },
   'backend-suspected': {
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -79,6 +79,10 @@
     service: 'the service',
     decision: '`allowed` or `held-back`',
   }),
+  'retries.share': gauge(
+    'The fraction of the slack for retries that this node may use; 0 after its start and while it cannot know how many nodes share it.',
+    {},
+  ),
   'schedule.decided': counter('Requests for models that were decided on.', {
     decision: '`assign` or `refuse`',
     reason: 'why it was refused, empty for an assignment',
--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -87,6 +87,8 @@
     configurationVersion: z.number(),
     serversEndOffset: z.number(),
     nodesEndOffset: z.number().default(0),
+    /** Whether the sender's list of nodes is current; false if unknown. */
+    isNodeListConfirmed: z.boolean().default(false),
     crashes: crashReplySchema.nullable().default(null),
     quotas: quotaReplySchema.nullable().default(null),
     /** Send time on the sender's clock that includes host suspension. */
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -138,6 +138,23 @@
     );
   }
 
+  /**
+   * Whether this node would learn of a change of the registered nodes: it reaches
+   * the holder, and the holder reaches most of them.
+   */
+  get isNodeListConfirmed(): boolean {
+    const {holder: findHolder, readStatus, listNodes, self} = this.options;
+    const holder = findHolder();
+    if (!holder || readStatus().nodesEndOffset === 0) return false;
+    if (!this.isSelf(holder)) {
+      const welcome = this.lastWelcome.findFrom(holder);
+      const isAlive = this.findContact(holder) === 'alive';
+      return isAlive && welcome?.isNodeListConfirmed === true;
+    }
+    const names = listNodes().map(({nodeName}) => nodeName);
+    return this.roster.reachesMost(names, self.nodeName);
+  }
+
   sendToHolder(message: ToHolderMessage): boolean {
     const {holder: findHolder, onToHolder, self} = this.options;
     const holder = findHolder();
@@ -384,6 +401,7 @@
       ...this.confirmations.describe(),
       serversAgeMs: Number.isFinite(ageMs) ? ageMs : null,
       ...{configurationVersion, serversEndOffset, nodesEndOffset},
+      isNodeListConfirmed: this.isNodeListConfirmed,
     };
   }
 
--- a/packages/node-links/src/node_roster.ts
+++ b/packages/node-links/src/node_roster.ts
@@ -28,7 +28,7 @@
   heardAtMs: number;
 }
 
-/** Callers are not sent to a node that was silent for this long. */
+/** A node that was silent for this long counts as out of reach. */
 const SERVING_TIMEOUT_MS = 900;
 /** A node that was silent for this long is removed from the roster. */
 const ENTRY_TTL_MS = 10_000;
@@ -58,6 +58,15 @@
     );
   }
 
+  /** Whether more than half of the nodes are this one or are in reach. */
+  reachesMost(nodeNames: readonly string[], ownName: string): boolean {
+    const sinceMs = this.clock.monotonicMs() - SERVING_TIMEOUT_MS;
+    const reached = nodeNames.filter(
+      nodeName => nodeName === ownName || this.heardAtMs(nodeName) >= sinceMs,
+    );
+    return 2 * reached.length > nodeNames.length;
+  }
+
   /**
    * Returns when the first of these nodes' grants to the holder of `token`
    * expires, in ms on the holder's clock; -Infinity if a node has issued none
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -103,11 +103,12 @@
   }
 
   logRetry(service: ServiceName, isAllowed: boolean, usage: RetryUsage): void {
-    const {allowed, ...counts} = usage;
+    const {allowed, share, ...counts} = usage;
     this.options.logger.log('retry-decided', {
       requestId: this.request.requestId,
-      ...{service, isAllowed, allowed: roundToTenth(allowed)},
-      ...counts,
+      ...{service, isAllowed, ...counts},
+      allowed: round(allowed, 1),
+      share: round(share, 4),
     });
   }
 
@@ -136,6 +137,6 @@
   return outcome.status === 'broken' && outcome.isConnectionLost;
 }
 
-function roundToTenth(value: number): number {
-  return Math.round(10 * value) / 10;
+function round(value: number, digits: number): number {
+  return Number(value.toFixed(digits));
 }
--- a/packages/serve-requests/src/retry_allowance.test.ts
+++ b/packages/serve-requests/src/retry_allowance.test.ts
@@ -18,7 +18,7 @@
   const clock = new ManualClock();
   const granted = Array.from({length: 8}, () => {
     const allowance = new RetryAllowance({
-      ...{clock, bound: () => BOUND, countNodes: () => 8},
+      ...{clock, bound: () => BOUND, findShare: () => 1 / 8},
     });
     Array.from({length: 50}, () => allowance.recordRequest('writers'));
     return countGranted(allowance, 50);
@@ -31,7 +31,7 @@
 test('a spent retry is available again after the window', () => {
   const clock = new ManualClock();
   const allowance = new RetryAllowance({
-    ...{clock, bound: () => BOUND, countNodes: () => 1},
+    ...{clock, bound: () => BOUND, findShare: () => 1},
   });
   assert.ok(countGranted(allowance, 100) > 0);
   assert.is(countGranted(allowance, 1), 0);
--- a/packages/serve-requests/src/retry_allowance.ts
+++ b/packages/serve-requests/src/retry_allowance.ts
@@ -15,8 +15,8 @@
   clock: Clock;
   /** The current bound. */
   bound: () => RetryLimit;
-  /** The number of nodes that share the bound. */
-  countNodes: () => number;
+  /** The fraction of the slack that this host may use, from 0 to 1. */
+  findShare: () => number;
 }
 
 /** What a decision on a retry rests on, as logged. */
@@ -26,11 +26,11 @@
   requests: number;
   /** Retries that this process may send within the window. */
   allowed: number;
-  /** Nodes that share the bound, as far as this process knows. */
-  nodes: number;
+  /** The fraction of the slack that this host may use, from 0 to 1. */
+  share: number;
 }
 
-/** The rest covers uneven request rates and outdated node counts. */
+/** The rest covers uneven request rates. */
 const USED_FRACTION = 0.7;
 /** The window slides by one bucket. */
 const BUCKETS_PER_WINDOW = 10;
@@ -69,9 +69,9 @@
     const {ratio, slack} = this.options.bound();
     const requests = buckets.reduce((sum, b) => sum + b.requests, 0);
     const retries = buckets.reduce((sum, b) => sum + b.retries, 0);
-    const nodes = Math.max(1, this.options.countNodes());
-    const allowed = USED_FRACTION * (ratio * requests + slack / nodes);
-    return {retries, requests, allowed, nodes};
+    const share = this.options.findShare();
+    const allowed = USED_FRACTION * (ratio * requests + slack * share);
+    return {retries, requests, allowed, share};
   }
 
   private getCurrentBucket(service: ServiceName): Bucket {
--- a/packages/serve-requests/src/retry_allowance_properties.test.ts
+++ b/packages/serve-requests/src/retry_allowance_properties.test.ts
@@ -41,7 +41,7 @@
         {length: NODES},
         () =>
           new RetryAllowance({
-            ...{clock, bound: () => BOUND, countNodes: () => NODES},
+            ...{clock, bound: () => BOUND, findShare: () => 1 / NODES},
           }),
       );
       const requests: number[] = [];
--- a/packages/serve-requests/src/retry_fleet.test.ts
+++ b/packages/serve-requests/src/retry_fleet.test.ts
@@ -50,4 +50,26 @@
   });
 });
 
+// Guards against a returning host that the others no longer count.
+test('hosts that are cut off or suspended stay within the bound', () => {
+  checkAllSizes((fleet, {hostCount, requestsPerHost}) => {
+    const away = Array.from({length: Math.ceil(hostCount / 2)}, (_, i) => i);
+    for (let second = 0; second < 60; second += 1) {
+      if (second === 18) {
+        away.forEach(index => {
+          if (index % 2 === 0) fleet.setCut(index, true);
+          else fleet.setSuspended(index, true);
+        });
+      }
+      if (second === 45) {
+        away.forEach(index => {
+          fleet.setCut(index, false);
+          fleet.setSuspended(index, false);
+        });
+      }
+      fleet.serveFailingForSecond(requestsPerHost);
+    }
+  });
+});
+
 test.run();
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -58,6 +58,7 @@
   private isReadForced = false;
   private isStopped = false;
   private isRemoving = false;
+  private hasRegistered = false;
 
   constructor(private readonly options: NodeRegisterOptions) {
     const {clock, random, topic, self} = options;
@@ -75,6 +76,11 @@
     });
   }
 
+  /** Whether the other nodes can read the record of this process. */
+  get isRegistered(): boolean {
+    return this.hasRegistered;
+  }
+
   list(): RegisteredNode[] {
     return [...this.nodes.values()];
   }
@@ -167,8 +173,10 @@
   private async register(retryDelayMs = RETRY_DELAY_MS): Promise<void> {
     const {topic, self, clock, onLost} = this.options;
     if (this.isStopped) return;
+    this.hasRegistered = false;
     try {
       await topic.append([{key: self.nodeName, value: encodeNode(self)}]);
+      this.hasRegistered = true;
     } catch (thrown) {
       onLost(toTypedError(thrown));
       const nextDelayMs = Math.min(2 * retryDelayMs, MAX_RETRY_DELAY_MS);
--- a/packages/serving-node/src/node_state_metrics.ts
+++ b/packages/serving-node/src/node_state_metrics.ts
@@ -10,6 +10,7 @@
   containedRequests: number;
   suspectedRequests: number;
   configurationAgeMs: number;
+  retryShare: number;
   teams: readonly TeamLevel[];
 }
 
@@ -26,6 +27,7 @@
   });
   metrics.gauge('servers.known', figures.servers, {});
   metrics.gauge('servers.age_ms', figures.serversAgeMs, {});
+  metrics.gauge('retries.share', figures.retryShare, {});
   metrics.gauge('duties.held', figures.dutiesHeld, {});
   metrics.gauge('containment.contained', figures.containedRequests, {});
   metrics.gauge('containment.suspected', figures.suspectedRequests, {});
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -1,6 +1,7 @@
 /** Wires the tasks and listeners of one serving node. */
 import {type BackendConnections} from '@mimosatack/backend-connections';
 import {CallerEdge} from '@mimosatack/caller-edge';
+import {SuspensionAwareClock} from '@mimosatack/clock';
 import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
 import {type DutyHolder} from '@mimosatack/hold-duty';
 import {
@@ -16,6 +17,7 @@
   RetryAllowance,
 } from '@mimosatack/serve-requests';
 import {type TeamQuotas} from '@mimosatack/team-quotas';
+import {HostShare} from '@mimosatack/share-limits';
 import {type ServingConfiguration} from '@mimosatack/types';
 import {type CallerAccess} from './caller_access.js';
 import {ConfigurationFollower} from './configuration_follower.js';
@@ -39,6 +41,8 @@
 
 const DUTY_KEY = 'scheduler';
 const MAINTENANCE_INTERVAL_MS = 1_000;
+/** The rest covers the time in which a change of the nodes reaches all. */
+const SETTLE_WINDOWS = 1.5;
 
 /** Routes requests to backend servers that the platform runs. */
 export class ServingNode {
@@ -53,6 +57,7 @@
   private readonly access: CallerAccess;
   private readonly quotas: TeamQuotas;
   private readonly links: NodeLinks;
+  private readonly retryShare: HostShare;
   private readonly chooser: ScheduledChooser;
   private readonly pipeline: RequestPipeline;
   private readonly edge: CallerEdge;
@@ -89,6 +94,7 @@
     });
     this.duty = this.makeDuty();
     this.links = this.makeLinks();
+    this.retryShare = this.makeRetryShare();
     this.chooser = this.makeChooser();
     this.pipeline = this.makePipeline();
     this.entryPoints = new EntryPoints({
@@ -179,6 +185,7 @@
       servers: this.servers.count,
       serversAgeMs: this.servers.ageMs,
       dutiesHeld: this.duty.isHeld ? 1 : 0,
+      retryShare: this.retryShare.fraction,
       configurationAgeMs: this.configuration.ageMs,
       teams: this.quotas.listLevels(),
       ...this.containment.gauges,
@@ -370,6 +377,19 @@
     });
   }
 
+  private makeRetryShare(): HostShare {
+    const {clock, settings} = this.options;
+    return new HostShare({
+      clock: new SuspensionAwareClock(clock),
+      settleMs: () => SETTLE_WINDOWS * settings.retryBound.windowMs,
+      view: () => ({
+        count: this.register.list().length,
+        isConfirmed:
+          this.register.isRegistered && this.links.isNodeListConfirmed,
+      }),
+    });
+  }
+
   private makePipeline(): RequestPipeline {
     const {clock, random, platform, settings, logger} = this.options;
     return new RequestPipeline({
@@ -380,9 +400,9 @@
       access: this.access,
       chooser: this.chooser,
       retries: new RetryAllowance({
-        clock,
+        clock: new SuspensionAwareClock(clock),
         bound: () => settings.retryBound,
-        countNodes: () => this.register.list().length,
+        findShare: () => this.retryShare.fraction,
       }),
     });
   }
@@ -390,6 +410,7 @@
   private scheduleMaintenance(): void {
     this.options.clock.setTimer(MAINTENANCE_INTERVAL_MS, () => {
       this.connections.closeExpired();
+      this.retryShare.observe();
       void this.containment.syncRecord();
       this.scheduleMaintenance();
     });
--- /dev/null
+++ b/packages/share-limits/src/index.ts
@@ -0,0 +1,5 @@
+export {
+  HostShare,
+  type HostShareOptions,
+  type HostsView,
+} from './host_share.js';
