Count a retry for the whole window, however late in its bucket

Callers' servers could get the whole slack twice within a window: ten buckets made up the window, and one was dropped when its start had left it, so that a retry late in a bucket was forgotten after nine tenths. Two bursts 9.1 to 10 s apart each got the full allowance. A bucket's retries count until its last one has left the window; its requests as before.

--- a/packages/serve-requests/src/retry_allowance.test.ts
+++ b/packages/serve-requests/src/retry_allowance.test.ts
@@ -41,4 +41,28 @@
   assert.is(countGranted(allowance, 1), 1);
 });
 
+// Guards against a retry that is forgotten before its window has passed.
+test('a retry counts for the whole window, however late in its bucket', () => {
+  const clock = new ManualClock();
+  const allowance = new RetryAllowance({
+    ...{clock, bound: () => BOUND, findShare: () => 1},
+  });
+  allowance.recordRequest('writers');
+  clock.advance(900);
+  assert.ok(countGranted(allowance, 100) > 0);
+  clock.advance(9_200);
+  assert.is(countGranted(allowance, 1), 0);
+});
+
+// Guards against a request that is counted beside requests of a later window.
+test('requests count towards the bound for one window only', () => {
+  const clock = new ManualClock();
+  const allowance = new RetryAllowance({
+    ...{clock, bound: () => BOUND, findShare: () => 0},
+  });
+  Array.from({length: 100}, () => allowance.recordRequest('writers'));
+  clock.advance(10_000);
+  assert.is(countGranted(allowance, 1), 0);
+});
+
 test.run();
--- a/packages/serve-requests/src/retry_allowance.ts
+++ b/packages/serve-requests/src/retry_allowance.ts
@@ -39,6 +39,7 @@
   startsAtMs: number;
   requests: number;
   retries: number;
+  lastRetryAtMs: number;
 }
 
 /**
@@ -61,14 +62,21 @@
     const {retries, allowed} = this.describeUsage(service);
     if (retries + 1 > allowed) return false;
     current.retries += 1;
+    current.lastRetryAtMs = this.options.clock.monotonicMs();
     return true;
   }
 
   describeUsage(service: ServiceName): RetryUsage {
     const buckets = this.windows.get(service) ?? [];
-    const {ratio, slack} = this.options.bound();
-    const requests = buckets.reduce((sum, b) => sum + b.requests, 0);
-    const retries = buckets.reduce((sum, b) => sum + b.retries, 0);
+    const {ratio, slack, windowMs} = this.options.bound();
+    const windowStartMs = this.options.clock.monotonicMs() - windowMs;
+    const requests = buckets
+      .filter(({startsAtMs}) => startsAtMs > windowStartMs)
+      .reduce((sum, bucket) => sum + bucket.requests, 0);
+    // A bucket that began before the window may hold retries within it.
+    const retries = buckets
+      .filter(({lastRetryAtMs}) => lastRetryAtMs > windowStartMs)
+      .reduce((sum, bucket) => sum + bucket.retries, 0);
     const share = this.options.findShare();
     const allowed = USED_FRACTION * (ratio * requests + slack * share);
     return {retries, requests, allowed, share};
@@ -79,13 +87,19 @@
     const {windowMs} = this.options.bound();
     const lengthMs = windowMs / BUCKETS_PER_WINDOW;
     const known = this.windows.get(service) ?? [];
-    const kept = known.filter(bucket => bucket.startsAtMs > nowMs - windowMs);
+    const kept = known.filter(
+      ({startsAtMs, lastRetryAtMs}) =>
+        Math.max(startsAtMs, lastRetryAtMs) > nowMs - windowMs,
+    );
     const last = kept[kept.length - 1];
     if (last && nowMs < last.startsAtMs + lengthMs) {
       if (kept.length < known.length) this.windows.set(service, kept);
       return last;
     }
-    const opened = {startsAtMs: nowMs, requests: 0, retries: 0};
+    const opened = {
+      ...{startsAtMs: nowMs, lastRetryAtMs: -Infinity},
+      ...{requests: 0, retries: 0},
+    };
     this.windows.set(service, [...kept, opened]);
     return opened;
   }
