Rest retries on half of the ratio and all of the slack

Retries late in a window are earned by requests of up to two windows: a process counts back a window from each retry, while the bound counts the requests of one (that window, the one before or the one half a window before, whichever has most). With 0.7 of both parts, two bursts of 500 requests 9 s apart earned 168 retries where 140 are allowed. Sums of up to two windows are at most twice the larger, so half of the ratio holds in any pattern; the slack has been shared out exactly since hosts have shares, so all of it can be used.

The new test failed before. The older property test checked against the sum of two windows, which is weaker than the bound; it checks the bound as stated now. The fleet property runs 1,000 cases; 20,000 pass.

--- a/packages/serve-requests/src/retry_allowance.test.ts
+++ b/packages/serve-requests/src/retry_allowance.test.ts
@@ -65,4 +65,19 @@
   assert.is(countGranted(allowance, 1), 0);
 });
 
+// Guards against requests of two windows that together earn retries in one.
+test('two bursts of requests earn no more than the bound counts', () => {
+  const clock = new ManualClock();
+  const allowance = new RetryAllowance({
+    ...{clock, bound: () => BOUND, findShare: () => 1},
+  });
+  const serve = () =>
+    Array.from({length: 500}, () => allowance.recordRequest('writers'));
+  serve();
+  clock.advance(9_000);
+  serve();
+  const granted = countGranted(allowance, 1_000);
+  assert.ok(granted <= BOUND.ratio * 500 + BOUND.slack, `${granted}`);
+});
+
 test.run();
--- a/packages/serve-requests/src/retry_allowance.ts
+++ b/packages/serve-requests/src/retry_allowance.ts
@@ -30,8 +30,11 @@
   share: number;
 }
 
-/** The rest covers uneven request rates. */
-const USED_FRACTION = 0.7;
+/**
+ * The bound counts the requests of one window, but a retry may rest on those of
+ * up to two: a process that retries late in a window counts back from there.
+ */
+const USED_RATIO_FRACTION = 0.5;
 /** The window slides by one bucket. */
 const BUCKETS_PER_WINDOW = 10;
 
@@ -78,7 +81,7 @@
       .filter(({lastRetryAtMs}) => lastRetryAtMs > windowStartMs)
       .reduce((sum, bucket) => sum + bucket.retries, 0);
     const share = this.options.findShare();
-    const allowed = USED_FRACTION * (ratio * requests + slack * share);
+    const allowed = USED_RATIO_FRACTION * ratio * requests + slack * share;
     return {retries, requests, allowed, share};
   }
 
--- a/packages/serve-requests/src/retry_allowance_properties.test.ts
+++ b/packages/serve-requests/src/retry_allowance_properties.test.ts
@@ -29,10 +29,8 @@
   {maxLength: 80},
 );
 
-/*
- * Guards against bursts at few nodes that exceed the bound, counted over the
- * requests of a window and the window before.
- */
+// Guards against bursts at few nodes that exceed the bound, which counts the requests
+// of a window, the one before or the one half a window before.
 test('no window holds more retries than the bound allows', () => {
   fc.assert(
     fc.property(steps, all => {
@@ -60,7 +58,12 @@
       });
       retries.forEach(endMs => {
         const spent = countWithin(retries, endMs - BOUND.windowMs, endMs);
-        const asked = countWithin(requests, endMs - 2 * BOUND.windowMs, endMs);
+        const asked = Math.max(
+          ...[0, BOUND.windowMs / 2, BOUND.windowMs].map(earlierMs => {
+            const untilMs = endMs - earlierMs;
+            return countWithin(requests, untilMs - BOUND.windowMs, untilMs);
+          }),
+        );
         assert.ok(
           spent <= BOUND.ratio * asked + BOUND.slack,
           `${spent} retries for ${asked} requests until ${endMs}`,
--- a/packages/serve-requests/src/retry_fleet_properties.test.ts
+++ b/packages/serve-requests/src/retry_fleet_properties.test.ts
@@ -10,7 +10,7 @@
 const HOSTS = 3;
 const MAX_HOSTS = 5;
 /** The environment variable raises the number of runs for long tests. */
-const RUNS = Number(process.env['MIMOSATACK_PROPERTY_RUNS'] ?? 60);
+const RUNS = Number(process.env['MIMOSATACK_PROPERTY_RUNS'] ?? 1_000);
 const SEED = 20_261_203;
 
 const EVENTS = [
