Read the limits that servers name, and log their changes

Neither logs nor metrics told that a server had named Server-Limit, so that requests sent against it could not be told from others. Each node decodes the header now (one non-negative decimal number; anything else is reported once and ignored) and logs when a server names, changes or lifts its limit (event 4018; servers.limited). Nothing decides by it yet.

--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -144,6 +144,24 @@
         'the fraction of the slack that this host may use; 0 after its start or while it cannot know how many share it',
     },
   },
+  'server-limit-changed': {
+    number: 4018,
+    level: 'info',
+    message: 'A backend server has named, changed or lifted its limit.',
+    fields: {
+      backendServerId: 'the backend server',
+      perSecond:
+        'requests a second that it takes from all hosts; null for no limit',
+      previousPerSecond: 'the limit before; null for none',
+    },
+  },
+  'server-limit-invalid': {
+    number: 4019,
+    level: 'warn',
+    message: 'A backend server names a limit that cannot be read; ignored.',
+    fields: {backendServerId: 'the backend server'},
+    remedy: 'Let the server name one non-negative decimal number.',
+  },
   'backend-suspected': {
     number: 4100,
     level: 'warn',
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -139,6 +139,7 @@
     {team: 'the team'},
   ),
   'servers.known': gauge('Backend servers in the list.', {}),
+  'servers.limited': gauge('Backend servers that name a limit.', {}),
   'servers.age_ms': gauge('Time since the list was read from the store.', {}),
   'duties.held': gauge('1 while this node schedules, else 0.', {}),
   'logs.dropped': counter('Log lines that were left out.', {}),
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -14,6 +14,7 @@
   type ServerLoad,
 } from './backend_dialect.js';
 import {type CallerRequest} from './caller_request.js';
+import {type NamedLimit} from '@mimosatack/share-limits';
 import {type AttemptResult} from './server_chooser.js';
 
 export type NotRunReason = 'unreachable' | 'not-held' | 'not-taken';
@@ -69,6 +70,8 @@
   maxIdleMs: number;
   onLoad: (load: ServerLoad) => void;
   onStatus: (status: number) => void;
+  /** Called with the limit of each response of the chosen server. */
+  onLimit: (limit: NamedLimit) => void;
 }
 
 const STATUS_OK_MIN = 200;
@@ -129,6 +132,10 @@
     onStatus(facts.status);
     this.isSuccess = isSuccess(facts.status);
     if (facts.load) onLoad(facts.load);
+    const isOfChosenServer = facts.isNotRun || facts.isGenuine;
+    if (isOfChosenServer && !facts.isMisdirected) {
+      this.options.onLimit(facts.limit);
+    }
     if (facts.isNotRun) {
       this.finishAtHead({
         status: 'not-run',
--- a/packages/serve-requests/src/backend_dialect.ts
+++ b/packages/serve-requests/src/backend_dialect.ts
@@ -1,5 +1,6 @@
 /** Interface of the protocol between this system and backend servers. */
 import {type AnswerHead} from '@mimosatack/backend-connections';
+import {type NamedLimit} from '@mimosatack/share-limits';
 import {type BackendServerEntry, type TeamName} from '@mimosatack/types';
 import {type CallerRequest} from './caller_request.js';
 
@@ -35,6 +36,8 @@
   /** Whether the response is from the chosen server and to this request. */
   isGenuine: boolean;
   load: ServerLoad | null;
+  /** Requests per second that the server takes from all hosts together. */
+  limit: NamedLimit;
 }
 
 /** Encodes request headers and decodes response heads. */
--- a/packages/serve-requests/src/index.ts
+++ b/packages/serve-requests/src/index.ts
@@ -26,6 +26,7 @@
   RetryAllowance,
   type RetryAllowanceOptions,
 } from './retry_allowance.js';
+export {type NamedLimit} from '@mimosatack/share-limits';
 export {RouteTable} from './route_table.js';
 export {type CrashWatch} from './crash_guard.js';
 export {ResponseHeadTimes} from './response_head_times.js';
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -4,6 +4,7 @@
 import {TypedError} from '@mimosatack/errors';
 import {type EventLogger} from '@mimosatack/logger';
 import {type RandomSource} from '@mimosatack/random';
+import {type ServerLimits} from '@mimosatack/share-limits';
 import {
   type ServiceRoute,
   type ServiceSpec,
@@ -31,6 +32,7 @@
   headTimes: ResponseHeadTimes;
   crashes: CrashWatch;
   access: AccessCheck;
+  limits: Pick<ServerLimits, 'recordResponse'>;
 }
 
 const NOT_CONFIGURED_RETRY_MS = 500;
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -233,6 +233,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxIdleMs: this.isRepeatable ? Infinity : MAX_IDLE_NON_REPEATABLE_MS,
       onLoad: load => chooser.recordLoad(server, load),
+      onLimit: limit => this.options.limits.recordResponse(server, limit),
       onStatus: status => {
         this.log.recordHead(status);
         this.stallFailover?.recordHead();
--- a/packages/serving-node/src/node_state_metrics.ts
+++ b/packages/serving-node/src/node_state_metrics.ts
@@ -6,6 +6,7 @@
   configurationVersion: number;
   servers: number;
   serversAgeMs: number;
+  serversLimited: number;
   dutiesHeld: number;
   containedRequests: number;
   suspectedRequests: number;
@@ -26,6 +27,7 @@
     metrics.gauge('quotas.unsettled', unsettled, {team});
   });
   metrics.gauge('servers.known', figures.servers, {});
+  metrics.gauge('servers.limited', figures.serversLimited, {});
   metrics.gauge('servers.age_ms', figures.serversAgeMs, {});
   metrics.gauge('retries.share', figures.retryShare, {});
   metrics.gauge('duties.held', figures.dutiesHeld, {});
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -17,7 +17,7 @@
   RetryAllowance,
 } from '@mimosatack/serve-requests';
 import {type TeamQuotas} from '@mimosatack/team-quotas';
-import {HostShare} from '@mimosatack/share-limits';
+import {HostShare, type ServerLimits} from '@mimosatack/share-limits';
 import {type ServingConfiguration} from '@mimosatack/types';
 import {type CallerAccess} from './caller_access.js';
 import {ConfigurationFollower} from './configuration_follower.js';
@@ -31,6 +31,7 @@
 import {recordNodeState} from './node_state_metrics.js';
 import {SchedulingDuty} from './scheduling_duty.js';
 import {logServerChange} from './log_server_change.js';
+import {makeServerLimits} from './make_server_limits.js';
 import {ServerFollower} from './server_follower.js';
 import {reloadSettings} from './settings_reload.js';
 import {type ServingNodeOptions} from './serving_node_options.js';
@@ -58,6 +59,7 @@
   private readonly quotas: TeamQuotas;
   private readonly links: NodeLinks;
   private readonly retryShare: HostShare;
+  private readonly limits: ServerLimits;
   private readonly chooser: ScheduledChooser;
   private readonly pipeline: RequestPipeline;
   private readonly edge: CallerEdge;
@@ -79,6 +81,7 @@
     this.configuration = this.makeConfiguration();
     this.servers = this.makeServers();
     this.containment = this.makeContainment();
+    this.limits = makeServerLimits(options);
     const teams = makeTeamTasks(options, {
       configurationAgeMs: () => this.configuration.ageMs,
       countNodes: () => this.register.list().length,
@@ -184,6 +187,7 @@
       configurationVersion: this.configuration.version,
       servers: this.servers.count,
       serversAgeMs: this.servers.ageMs,
+      serversLimited: this.limits.limitedCount,
       dutiesHeld: this.duty.isHeld ? 1 : 0,
       retryShare: this.retryShare.fraction,
       configurationAgeMs: this.configuration.ageMs,
@@ -398,6 +402,7 @@
       dialect: platform.backendDialect,
       crashes: this.containment.containment,
       access: this.access,
+      limits: this.limits,
       chooser: this.chooser,
       retries: new RetryAllowance({
         clock: new SuspensionAwareClock(clock),
--- a/packages/share-limits/src/index.ts
+++ b/packages/share-limits/src/index.ts
@@ -3,3 +3,11 @@
   type HostShareOptions,
   type HostsView,
 } from './host_share.js';
+export {
+  type LimitChange,
+  type NamedLimit,
+  type RequestRate,
+  type ServerIncarnation,
+  ServerLimits,
+  type ServerLimitsOptions,
+} from './server_limits.js';
