--- a/packages/share-limits/src/index.ts
+++ b/packages/share-limits/src/index.ts
@@ -11,3 +11,4 @@
   ServerLimits,
   type ServerLimitsOptions,
 } from './server_limits.js';
+export {type BucketLimits, TokenBucket} from './token_bucket.js';
--- a/packages/team-quotas/src/quota_bounds.ts
+++ b/packages/team-quotas/src/quota_bounds.ts
@@ -1,6 +1,6 @@
 /** How far all nodes together may exceed a quota, and how that is divided. */
 import {type TeamQuota} from '@mimosatack/types';
-import {type BucketLimits} from './token_bucket.js';
+import {type BucketLimits} from '@mimosatack/share-limits';
 
 /** The limit on what is served in any time window. */
 export interface QuotaBounds {
--- a/packages/team-quotas/src/team_buckets.ts
+++ b/packages/team-quotas/src/team_buckets.ts
@@ -1,7 +1,7 @@
 /** The token buckets of all teams, at the holder. */
 import {type NodeIncarnation, type TeamName} from '@mimosatack/types';
 import {type QuotaReply, type QuotaReport} from './quota_messages.js';
-import {type BucketLimits, TokenBucket} from './token_bucket.js';
+import {type BucketLimits, TokenBucket} from '@mimosatack/share-limits';
 
 /** The initial state of a team's bucket. */
 export interface InitialBucket {
--- a/packages/team-quotas/src/team_quotas.ts
+++ b/packages/team-quotas/src/team_quotas.ts
@@ -19,7 +19,7 @@
   type InitialBucket,
   findUnlistedLevel,
 } from './team_buckets.js';
-import {type BucketLimits, TokenBucket} from './token_bucket.js';
+import {type BucketLimits, TokenBucket} from '@mimosatack/share-limits';
 import {UnsettledSpending} from './unsettled_spending.js';
 
 export interface TeamQuotasOptions {
