Keep the limits that servers name at all nodes together

Callers' servers that named Server-Limit (requests a second from all hosts together) got more than one and a half times that: engines with a limit of 1 a second got 13 and 18 requests in 4 s, 11 allowed, and no less than before they named it.

Cause: nothing read the header. The scheduling node chose engines by room and cost; nodes chose plain servers by load. Class: a limit of one server that many senders share and that nobody accounts for.

Change: the node that schedules holds one bucket for each limited server. It takes a place for each engine that it assigns, and gives permits to nodes that choose a plain server by themselves. Engines without a place count as full: others are used and loaded first; waiting requests get places by urgency, and one whose turn comes too late is refused at once with that time. Nodes tell the holder what responses say with their heartbeats and learn all limits from its answers, so that a new holder and restarted nodes know them. Without a holder a host spends 1/hosts of a limit, nothing before it has been in touch once.

Why it holds: a bucket begins empty and holds half a second's worth, so that two holders in turn spend no more than the limit allows by a fraction, inside the half and the five that are allowed on top.

--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -7,6 +7,7 @@
   fromHolderMessageSchema,
   toHolderMessageSchema,
 } from '@mimosatack/schedule-service';
+import {limitReplySchema, limitReportSchema} from '@mimosatack/share-limits';
 import {quotaReplySchema, quotaReportSchema} from '@mimosatack/team-quotas';
 import * as z from 'zod';
 import {nodeSchema} from './registered_node.js';
@@ -27,6 +28,8 @@
   crashes: crashReportSchema.nullable().default(null),
   /** Usage of team quotas; null from the previous release. */
   quotas: quotaReportSchema.nullable().default(null),
+  /** Limits that servers name; null from the previous release. */
+  limits: limitReportSchema.nullable().default(null),
   /**
    * When the sender's configuration was last known to be current, on the
    * holder's clock (see `awakeBeatMs`); null if unknown.
@@ -91,6 +94,7 @@
     isNodeListConfirmed: z.boolean().default(false),
     crashes: crashReplySchema.nullable().default(null),
     quotas: quotaReplySchema.nullable().default(null),
+    limits: limitReplySchema.nullable().default(null),
     /** Send time on the sender's clock that includes host suspension. */
     awakeBeatMs: z.number().nullable().default(null),
     /** Time since the sender's configuration was known to be current. */
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -5,6 +5,7 @@
 import {type CrashReport} from '@mimosatack/contain-requests';
 import {toTypedError} from '@mimosatack/errors';
 import {type DutyHolder, type HolderContact} from '@mimosatack/hold-duty';
+import {type LimitReport} from '@mimosatack/share-limits';
 import {type PeerTransport} from '@mimosatack/peer-transport';
 import {
   type FromHolderMessage,
@@ -32,6 +33,7 @@
 import {type LeaseGrant, NodeRoster} from './node_roster.js';
 import {type NodeLinksOptions, type Successor} from './node_links_options.js';
 import {RecordCatchUp} from './record_catch_up.js';
+import {ViaHolder} from './via_holder.js';
 import {ReceivedServingList, ServingList} from './serving_list.js';
 import {SilentNodes} from './silent_nodes.js';
 import {ConfirmationExchange} from './confirmation_exchange.js';
@@ -56,6 +58,8 @@
   private readonly receivedServingList = new ReceivedServingList();
   private readonly holdOffEndsAtMs: number;
   private readonly lastWelcome = new LastWelcome();
+  /** What this node knows through the holder. */
+  readonly viaHolder: ViaHolder;
   private wasAlive = false;
 
   constructor(private readonly options: NodeLinksOptions) {
@@ -68,6 +72,11 @@
     this.servingList = new ServingList(clock, self.incarnation, () =>
       this.listServing(),
     );
+    const {contacts, lastWelcome, roster} = this;
+    this.viaHolder = new ViaHolder({
+      ...options,
+      ...{contacts, lastWelcome, roster},
+    });
     this.holdOffEndsAtMs = clock.monotonicMs() + STARTUP_HOLD_OFF_MS;
     this.catchUp = new RecordCatchUp({
       ...options,
@@ -120,41 +129,6 @@
     return this.roster.findGrantEndMs([...names], token, sinceMs);
   }
 
-  /** Age of the holder's server records; Infinity without another holder. */
-  get holderServersAgeMs(): number {
-    const holder = this.options.holder();
-    if (!holder || this.isSelf(holder)) return Infinity;
-    const sinceMs = this.contacts.sinceContactMs(holder);
-    return sinceMs + this.lastWelcome.serversAgeMs;
-  }
-
-  /** Whether a live holder forwards the registered nodes to this node. */
-  get receivesNodeRecords(): boolean {
-    const holder = this.options.holder();
-    if (!holder || this.isSelf(holder)) return false;
-    return (
-      this.lastWelcome.relaysNodes(holder) &&
-      this.findContact(holder) === 'alive'
-    );
-  }
-
-  /**
-   * Whether this node would learn of a change of the registered nodes: it reaches
-   * the holder, and the holder reaches most of them.
-   */
-  get isNodeListConfirmed(): boolean {
-    const {holder: findHolder, readStatus, listNodes, self} = this.options;
-    const holder = findHolder();
-    if (!holder || readStatus().nodesEndOffset === 0) return false;
-    if (!this.isSelf(holder)) {
-      const welcome = this.lastWelcome.findFrom(holder);
-      const isAlive = this.findContact(holder) === 'alive';
-      return isAlive && welcome?.isNodeListConfirmed === true;
-    }
-    const names = listNodes().map(({nodeName}) => nodeName);
-    return this.roster.reachesMost(names, self.nodeName);
-  }
-
   sendToHolder(message: ToHolderMessage): boolean {
     const {holder: findHolder, onToHolder, self} = this.options;
     const holder = findHolder();
@@ -244,16 +218,12 @@
   sendFinalGrant(): void {
     const holder = this.options.holder();
     if (!holder || this.isSelf(holder)) return;
-    const {nodeName, incarnation} = this.options.self;
     const promise = this.issueGrant(holder, STARTUP_HOLD_OFF_MS);
     if (!promise) return;
+    const status = this.makeHelloStatus(promise, null, null);
     this.transport.send(holder.address, {
       type: 'hello',
-      status: {
-        ...{nodeName, incarnation, promise},
-        ...{servingListId: null, crashes: null, ...this.options.readStatus()},
-        ...{quotas: this.options.quotas.makeReport(), confirmedBeatMs: null},
-      },
+      status: {...status, servingListId: null, confirmedBeatMs: null},
     });
   }
 
@@ -273,25 +243,33 @@
     if (holder && isHolder && message.isEnding) this.contacts.noteEnded(holder);
   }
 
-  private async sendHello(holder: DutyHolder): Promise<void> {
-    const {self, readStatus} = this.options;
+  private makeHelloStatus(
+    promise: LeaseGrant | null,
+    crashes: CrashReport | null,
+    limits: LimitReport | null,
+  ): HelloStatus {
+    const {self, readStatus, quotas} = this.options;
     const {nodeName, incarnation} = self;
+    return {
+      ...{nodeName, incarnation, promise, ...readStatus()},
+      ...{servingListId: this.receivedServingList.id, crashes, limits},
+      ...{quotas: quotas.makeReport(), confirmedBeatMs: null},
+    };
+  }
+
+  private async sendHello(holder: DutyHolder): Promise<void> {
     const promise = this.issueGrant(holder);
     const crashes = this.options.crashes.makeReport(holder.incarnation);
-    const quotas = this.options.quotas.makeReport();
+    const limits = this.options.limits.makeReport(holder.incarnation);
     const confirmedBeatMs = this.confirmations.findConfirmedBeatMs(
       holder.incarnation,
     );
+    const status = this.makeHelloStatus(promise, crashes, limits);
     const sentAtMs = this.options.clock.monotonicMs();
     const sentAtSuspensionAwareMs = this.options.confirmation.nowMs;
     try {
       const reply = await this.transport.request(holder.address, {
-        type: 'hello',
-        status: {
-          ...{nodeName, incarnation, promise, ...readStatus()},
-          ...{servingListId: this.receivedServingList.id, crashes},
-          ...{quotas, confirmedBeatMs},
-        },
+        ...{type: 'hello', status: {...status, confirmedBeatMs}},
       });
       if (reply.type !== 'welcome') return;
       this.handleWelcome(holder, reply);
@@ -304,6 +282,9 @@
           sentAtSuspensionAwareMs,
         );
         if (reply.quotas) this.options.quotas.applyReply(reply.quotas);
+        if (reply.limits) {
+          this.options.limits.applyReply(holder.incarnation, reply.limits);
+        }
       }
       if (promise && isFromHolder) this.grants.noteReply(holder, sentAtMs);
     } catch (thrown) {
@@ -385,7 +366,7 @@
   }
 
   private makeWelcome(status: HelloStatus): Welcome {
-    const {servingListId, crashes, quotas, incarnation} = status;
+    const {servingListId, crashes, quotas, limits, incarnation} = status;
     const {options} = this;
     const {configurationVersion, serversEndOffset, nodesEndOffset} =
       options.readStatus();
@@ -398,10 +379,11 @@
       ...this.servingList.describeFor(servingListId),
       crashes: options.crashes.handleReport(crashes),
       quotas: options.quotas.answerReport(incarnation, quotas),
+      limits: options.limits.answerReport(limits),
       ...this.confirmations.describe(),
       serversAgeMs: Number.isFinite(ageMs) ? ageMs : null,
       ...{configurationVersion, serversEndOffset, nodesEndOffset},
-      isNodeListConfirmed: this.isNodeListConfirmed,
+      isNodeListConfirmed: this.viaHolder.isNodeListConfirmed,
     };
   }
 
--- a/packages/node-links/src/node_links_options.ts
+++ b/packages/node-links/src/node_links_options.ts
@@ -8,6 +8,7 @@
   type FromHolderMessage,
   type ToHolderMessage,
 } from '@mimosatack/schedule-service';
+import {type LimitExchange} from '@mimosatack/share-limits';
 import {type QuotaReply, type QuotaReport} from '@mimosatack/team-quotas';
 import {type NodeIncarnation, type SocketAddress} from '@mimosatack/types';
 import {type RegisteredNode} from './registered_node.js';
@@ -57,6 +58,8 @@
   /** Exchanges reports of servers that crashed while serving a request. */
   crashes: CrashExchange;
   quotas: QuotaExchange;
+  /** Exchanges the limits that servers name. */
+  limits: LimitExchange;
   confirmation: ConfigurationConfirmation;
   /** Time since this node last read the servers from the store. */
   serversAgeMs: () => number;
--- /dev/null
+++ b/packages/node-links/src/via_holder.ts
@@ -0,0 +1,61 @@
+/** What a node knows of the others through the duty holder. */
+import {type DutyHolder} from '@mimosatack/hold-duty';
+import {type HolderContacts} from './holder_contacts.js';
+import {type LastWelcome} from './last_welcome.js';
+import {type NodeLinksOptions} from './node_links_options.js';
+import {type NodeRoster} from './node_roster.js';
+
+export interface ViaHolderOptions extends Pick<
+  NodeLinksOptions,
+  'self' | 'holder' | 'listNodes' | 'readStatus'
+> {
+  contacts: HolderContacts;
+  lastWelcome: LastWelcome;
+  roster: NodeRoster;
+}
+
+export class ViaHolder {
+  constructor(private readonly options: ViaHolderOptions) {}
+
+  /** Age of the holder's server records; Infinity without another holder. */
+  get serversAgeMs(): number {
+    const {contacts, lastWelcome} = this.options;
+    const holder = this.findOtherHolder();
+    if (!holder) return Infinity;
+    return contacts.sinceContactMs(holder) + lastWelcome.serversAgeMs;
+  }
+
+  /** Whether a live holder forwards the registered nodes to this node. */
+  get receivesNodeRecords(): boolean {
+    const {contacts, lastWelcome} = this.options;
+    const holder = this.findOtherHolder();
+    if (!holder) return false;
+    return lastWelcome.relaysNodes(holder) && contacts.find(holder) === 'alive';
+  }
+
+  /**
+   * Whether this node would learn of a change of the registered nodes: it reaches
+   * the holder, and the holder reaches most of them.
+   */
+  get isNodeListConfirmed(): boolean {
+    const {holder, readStatus, contacts, lastWelcome} = this.options;
+    if (!holder() || readStatus().nodesEndOffset === 0) return false;
+    const other = this.findOtherHolder();
+    if (!other) return this.reachesMostNodes();
+    const isAlive = contacts.find(other) === 'alive';
+    return isAlive && lastWelcome.findFrom(other)?.isNodeListConfirmed === true;
+  }
+
+  private reachesMostNodes(): boolean {
+    const {self, listNodes, roster} = this.options;
+    const names = listNodes().map(({nodeName}) => nodeName);
+    return roster.reachesMost(names, self.nodeName);
+  }
+
+  /** Null if this node is the holder or knows none. */
+  private findOtherHolder(): DutyHolder | null {
+    const {self, holder: findHolder} = this.options;
+    const holder = findHolder();
+    return holder?.incarnation === self.incarnation ? null : holder;
+  }
+}
--- a/packages/schedule-models/src/engine_index.test.ts
+++ b/packages/schedule-models/src/engine_index.test.ts
@@ -1,4 +1,5 @@
 import {makeEngineService} from '@mimosatack/fakes';
+import {UNLIMITED} from '@mimosatack/share-limits';
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -45,6 +46,7 @@
   const views: EngineViews = new EngineViews({
     catalogue: new ModelCatalogue([makeEngineService()]),
     speed: new PrefillSpeed(),
+    findLimiter: () => UNLIMITED,
     ordersBlockedUntilMs: () => -Infinity,
     onRemoved: () => undefined,
     onEnginesChanged: () => index.invalidate(),
--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -1,4 +1,5 @@
 /** The scheduler's view of one engine. */
+import {type ServerLimiter} from '@mimosatack/share-limits';
 import {
   type AdapterName,
   type BackendServerEntry,
@@ -8,6 +9,7 @@
   type ServerStartMs,
   compareIncarnations,
 } from '@mimosatack/types';
+import {EngineLimit} from './engine_limit.js';
 import {EngineMemory} from './engine_memory.js';
 import {EnginePrefill} from './engine_prefill.js';
 import {type ModelCatalogue} from './model_catalogue.js';
@@ -56,6 +58,7 @@
 export interface EngineViewContext {
   catalogue: ModelCatalogue;
   speed: PrefillSpeed;
+  limiter: ServerLimiter;
   /** No order may be sent before this time. */
   ordersBlockedUntilMs: () => number;
   /** Orders to an earlier incarnation that may still be executed. */
@@ -80,6 +83,7 @@
   cooldownUntilMs = 0;
   readonly orders: OrderGate;
   readonly memory: EngineMemory;
+  readonly limit: EngineLimit;
   private cachedWeights: CachedWeights;
   private readonly prefill: EnginePrefill;
   private readonly catalogue: ModelCatalogue;
@@ -90,12 +94,14 @@
     {
       catalogue,
       speed,
+      limiter,
       inFlightOrders,
       ordersBlockedUntilMs: ordersBlockedUntilMs,
     }: EngineViewContext,
     private readonly createdAtMs: number,
   ) {
     this.catalogue = catalogue;
+    this.limit = new EngineLimit(() => this.entry, limiter);
     this.cachedWeights = new CachedWeights(entry.near);
     this.orders = new OrderGate(inFlightOrders, ordersBlockedUntilMs);
     this.memory = new EngineMemory({
@@ -298,7 +304,8 @@
       resident.readyAtMs,
       ...[...resident.adapters.values()].map(({readyAtMs}) => readyAtMs),
     ]);
-    const later = [...times, this.orders.nextOrderMs].filter(
+    const nextRequestMs = this.limit.findNextRequestMs(nowMs);
+    const later = [...times, this.orders.nextOrderMs, nextRequestMs].filter(
       timeMs => timeMs > nowMs,
     );
     return Math.min(Infinity, ...later);
--- a/packages/schedule-models/src/engine_views.ts
+++ b/packages/schedule-models/src/engine_views.ts
@@ -1,4 +1,5 @@
 /** Manages the views of all engines, by engine id. */
+import {type ServerLimiter} from '@mimosatack/share-limits';
 import {
   type BackendServerEntry,
   type BackendServerId,
@@ -12,6 +13,7 @@
 export interface EngineViewsOptions {
   catalogue: ModelCatalogue;
   speed: PrefillSpeed;
+  findLimiter: () => ServerLimiter;
   /** No order may be sent to the engine before this time. */
   ordersBlockedUntilMs: (id: BackendServerId) => number;
   /**
@@ -93,16 +95,11 @@
     inFlightOrders: readonly PlannedOrder[],
     nowMs: number,
   ): void {
-    const {
-      catalogue,
-      speed,
-      ordersBlockedUntilMs: ordersBlockedUntilMs,
-    } = this.options;
+    const {catalogue, speed, findLimiter, ordersBlockedUntilMs} = this.options;
     const quiet = () => ordersBlockedUntilMs(entry.id);
     const context = {
-      catalogue,
-      speed,
-      inFlightOrders,
+      ...{catalogue, speed, inFlightOrders},
+      limiter: findLimiter(),
       ordersBlockedUntilMs: quiet,
     };
     this.views.set(entry.id, new EngineView(entry, context, nowMs));
--- a/packages/schedule-models/src/find_refusal.ts
+++ b/packages/schedule-models/src/find_refusal.ts
@@ -1,4 +1,5 @@
 /** Decides which waiting requests to refuse and when a retry makes sense. */
+import {QueuePositions} from './queue_positions.js';
 import {estimateStart, type StartEstimateContext} from './start_estimate.js';
 import {
   type RefusalReason,
@@ -19,8 +20,22 @@
 /** Minimum retry delay, since a retried request has to wait again. */
 const NO_ROOM_RETRY_MS = 800;
 
+/** The waiting requests that cannot be served in time. */
+export function listRefusals(
+  waiting: readonly ScheduledRequest[],
+  byUrgency: readonly ScheduledRequest[],
+  context: Omit<StartEstimateContext, 'countAhead'>,
+): Array<{request: ScheduledRequest; refusal: Refusal}> {
+  const queue = new QueuePositions(byUrgency);
+  return waiting.flatMap(request => {
+    const countAhead = () => queue.countAhead(request);
+    const refusal = findRefusal(request, {...context, countAhead});
+    return refusal ? [{request, refusal}] : [];
+  });
+}
+
 /** Null if the request may still be served in time. */
-export function findRefusal(
+function findRefusal(
   request: ScheduledRequest,
   context: StartEstimateContext,
 ): Refusal | null {
--- a/packages/schedule-models/src/find_store_load.ts
+++ b/packages/schedule-models/src/find_store_load.ts
@@ -3,7 +3,12 @@
 import {toModelKey} from './model_key.js';
 import {type EngineView} from './engine_view.js';
 import {type ResidentModel} from './resident_model.js';
-import {canOrder, findEvictionLoss, isEvictable} from './swap_options.js';
+import {
+  canOrder,
+  findEvictionLoss,
+  preferUnlimited,
+  isEvictable,
+} from './swap_options.js';
 import {type SwapChoice, type SwapContext} from './swap_policy.js';
 import {findTargetCopies} from './target_copies.js';
 
@@ -149,8 +154,10 @@
 /** Computed once for all needs. */
 function listCandidates(context: SwapContext): Candidate[] {
   const {engines, nowMs} = context;
-  return engines
-    .filter(engine => canOrder(engine, engine.entry.service, nowMs))
+  const available = engines.filter(engine =>
+    canOrder(engine, engine.entry.service, nowMs),
+  );
+  return preferUnlimited(available)
     .map(engine => ({engine, availableCount: engine.availableModelCount}))
     .map(({engine, availableCount}) => ({
       ...{engine, availableCount, freeMb: engine.memory.freeMb},
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -3,6 +3,7 @@
  * Does no I/O and has no clock: callers pass in events with their times and
  * execute the decisions.
  */
+import {type ServerLimiter, UNLIMITED} from '@mimosatack/share-limits';
 import {
   type AdapterName,
   type BackendServerEntry,
@@ -41,7 +42,7 @@
 import {groupBatches} from './waiting_batches.js';
 import {WaitingRequests} from './waiting_requests.js';
 import {chooseExtraCopy} from './extra_copy.js';
-import {findRefusal, findWaitDeadlineMs} from './find_refusal.js';
+import {findWaitDeadlineMs, listRefusals} from './find_refusal.js';
 
 /** Interval of decisions while requests are deferred. */
 const PACING_POLL_MS = 15;
@@ -53,6 +54,8 @@
 
 export interface ModelSchedulerOptions {
   policy: SwapPolicy;
+  /** Spends the limits that engines name; none by default. */
+  limiter?: ServerLimiter;
   /** No order may be sent to the engine before this time. */
   ordersBlockedUntilMs?: (engineId: BackendServerId) => number;
 }
@@ -67,6 +70,7 @@
   private readonly speed = new PrefillSpeed();
   private readonly engines = new EngineViews({
     ...{catalogue: this.catalogue, speed: this.speed},
+    findLimiter: () => this.options.limiter ?? UNLIMITED,
     onEnginesChanged: () => this.index.invalidate(),
     onRemoved: id => this.removeEngineState(id),
     ordersBlockedUntilMs: id =>
@@ -242,14 +246,17 @@
   private assignWaiting(nowMs: number): Decision[] {
     return this.waiting.listByUrgency().flatMap(request => {
       const ready = listReadyEngines(this.listHolders(request), request, nowMs);
-      const usable = ready.filter(({id}) =>
-        this.health.isUsable(id, request.nodeId, nowMs),
+      const usable = ready.filter(
+        engine =>
+          this.health.isUsable(engine.id, request.nodeId, nowMs) &&
+          engine.limit.findNextRequestMs(nowMs) <= nowMs,
       );
       const engine = this.deferred.pickEngine(request, usable, nowMs);
       if (!engine) return [];
       this.dequeue(request.askId);
       this.refusals.reset(request.service, request.model);
       engine.startRun(request, nowMs);
+      engine.limit.recordAssigned(nowMs);
       return [
         {
           kind: 'assign' as const,
@@ -355,19 +362,18 @@
   }
 
   private refuseUnservable(nowMs: number): Decision[] {
-    return this.waiting.list().flatMap(request => {
-      const refusal = findRefusal(request, {
-        nowMs,
-        catalogue: this.catalogue,
-        listHolders: (service, model) => this.index.listHolders(service, model),
-        listCaching: (service, model) => this.index.listCaching(service, model),
-      });
-      if (!refusal) return [];
+    const {catalogue, waiting} = this;
+    const refused = listRefusals(waiting.list(), waiting.listByUrgency(), {
+      ...{nowMs, catalogue},
+      listHolders: (service, model) => this.index.listHolders(service, model),
+      listCaching: (service, model) => this.index.listCaching(service, model),
+    });
+    return refused.map(({request, refusal}) => {
       this.dequeue(request.askId);
       if (refusal.reason !== 'unknown-model') {
         this.refusals.recordRefusal(request.service, request.model);
       }
-      return [{kind: 'refuse' as const, askId: request.askId, ...refusal}];
+      return {kind: 'refuse' as const, askId: request.askId, ...refusal};
     });
   }
 
--- a/packages/schedule-models/src/scheduler_fixture.ts
+++ b/packages/schedule-models/src/scheduler_fixture.ts
@@ -17,7 +17,7 @@
 const BATCH_STEP_MS = 7;
 
 /** A service whose engines hold three of the models at a time. */
-function makeService(): ServiceSpec {
+export function makeService(): ServiceSpec {
   const {engine, ...service} = makeEngineService();
   const [model] = engine?.models ?? [];
   if (!engine || !model) throw new Error('The service has no models.');
@@ -38,7 +38,7 @@
   };
 }
 
-function makeRequest(askId: string, model: string, nowMs: number) {
+export function makeRequest(askId: string, model: string, nowMs: number) {
   const request: ScheduledRequest = {
     ...{askId, model, service: ENGINE_SERVICE, adapter: null},
     ...{promptTokens: PROMPT_TOKENS, outputTokens: 100, priority: 0},
--- a/packages/schedule-models/src/start_estimate.ts
+++ b/packages/schedule-models/src/start_estimate.ts
@@ -27,26 +27,48 @@
     service: ServiceName,
     model: ModelName,
   ) => readonly EngineView[];
+  /** The number of more urgent requests that wait for the same model. */
+  countAhead: () => number;
 }
 
 export function estimateStart(
   request: ScheduledRequest,
-  {nowMs, catalogue, listHolders, listCaching}: StartEstimateContext,
+  context: StartEstimateContext,
 ): StartEstimate {
+  const {nowMs, catalogue, listHolders, listCaching} = context;
   const {service, model, adapter} = request;
   if (!catalogue.has(service, model, adapter)) return {kind: 'unknown'};
   const isAvailable = (engine: EngineView) =>
     engine.acceptsWorkAt(nowMs) && isEngineAllowed(request, engine.id);
   const holders = listHolders(service, model).filter(isAvailable);
   const readyAtMs = Math.min(
-    ...holders.map(engine => engine.findReadyAtMs(model, nowMs)),
+    ...holders.map(engine => findBeginMs(engine, model, context)),
   );
-  if (Number.isFinite(readyAtMs)) return {kind: 'held', beginsAtMs: readyAtMs};
-  const caching = listCaching(service, model).filter(isAvailable);
-  if (caching.length > 0) {
-    const loadMs = Math.min(...caching.map(engine => engine.findLoadMs(model)));
-    return {kind: 'cached', beginsAtMs: nowMs + loadMs};
+  const isHeld = Number.isFinite(readyAtMs);
+  if (isHeld && holders.some(({limit}) => !limit.isNamed)) {
+    return {kind: 'held', beginsAtMs: readyAtMs};
+  }
+  const caching = listCaching(service, model)
+    .filter(isAvailable)
+    .filter(engine => !engine.limit.isNamed || !holders.includes(engine));
+  const cachedAtMs =
+    nowMs + Math.min(...caching.map(engine => engine.findLoadMs(model)));
+  if (isHeld || caching.length > 0) {
+    const kind = readyAtMs <= cachedAtMs ? 'held' : 'cached';
+    return {kind, beginsAtMs: Math.min(readyAtMs, cachedAtMs)};
   }
   const spec = catalogue.findModel(service, model);
   return {kind: 'remote', beginsAtMs: nowMs + (spec?.storeLoadMs ?? 0)};
 }
+
+/** Requests ahead delay the request only at an engine that names a limit. */
+function findBeginMs(
+  engine: EngineView,
+  model: ModelName,
+  {nowMs, countAhead}: StartEstimateContext,
+): number {
+  const readyAtMs = engine.findReadyAtMs(model, nowMs);
+  return engine.limit.isNamed
+    ? Math.max(readyAtMs, engine.limit.findRoomAfterMs(countAhead(), nowMs))
+    : readyAtMs;
+}
--- a/packages/schedule-models/src/swap_options.ts
+++ b/packages/schedule-models/src/swap_options.ts
@@ -20,13 +20,21 @@
   {listCaching, nowMs}: SwapContext,
 ): SwapChoice[] {
   const {service, model, requests} = batch;
-  return listCaching(service, model)
+  const engines = listCaching(service, model)
     .filter(engine => canOrder(engine, service, nowMs))
     .filter(engine => !engine.residents.has(model))
-    .filter(({id}) => requests.some(request => isEngineAllowed(request, id)))
-    .flatMap(engine =>
-      listEngineSwaps(engine, engine.memory.modelMb(model), nowMs),
-    );
+    .filter(({id}) => requests.some(request => isEngineAllowed(request, id)));
+  return preferUnlimited(engines).flatMap(engine =>
+    listEngineSwaps(engine, engine.memory.modelMb(model), nowMs),
+  );
+}
+
+/** Engines that name a limit are used for loads only if no other can be. */
+export function preferUnlimited(
+  engines: readonly EngineView[],
+): readonly EngineView[] {
+  const unlimited = engines.filter(engine => !engine.limit.isNamed);
+  return unlimited.length > 0 ? unlimited : engines;
 }
 
 /**
--- a/packages/schedule-service/src/index.ts
+++ b/packages/schedule-service/src/index.ts
@@ -21,3 +21,4 @@
   SchedulingService,
   type SchedulingServiceOptions,
 } from './scheduling_service.js';
+export {PermitClient, type PermitClientOptions} from './permit_client.js';
--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -58,6 +58,14 @@
     askId: z.string(),
     charge: chargeSchema,
   }),
+  /** Asks to send one request to a server that names a limit. */
+  z.object({
+    type: z.literal('permit'),
+    askId: z.string(),
+    serverId: z.string(),
+    /** Whether the request waits for this server. */
+    mayWait: z.boolean(),
+  }),
   /** A node's pending asks and running requests, for a new scheduling node. */
   z.object({
     type: z.literal('under-way'),
@@ -97,7 +105,13 @@
       })
       .nullable(),
   }),
-  /** The ask or charge reached a node that is not the scheduling node. */
+  /** The answer to `permit`: 0, or the time until the request may be sent. */
+  z.object({
+    type: z.literal('permitted'),
+    askId: z.string(),
+    waitMs: z.number(),
+  }),
+  /** The ask, charge or permit reached a node that is not the scheduling node. */
   z.object({type: z.literal('not-scheduling'), askId: z.string()}),
 ]);
 
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -23,6 +23,7 @@
   type FromHolderMessage,
   type ToHolderMessage,
 } from './messages.js';
+import {type PermitClient} from './permit_client.js';
 import {PendingAsk} from './pending_ask.js';
 import {isKnownNotRun} from './is_known_not_run.js';
 
@@ -36,6 +37,7 @@
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
   quotas: LocalQuotas;
+  permits: Pick<PermitClient, 'settle'>;
   /** Called when a request that is charged locally exceeds its team's quota. */
   onQuotaRefused: (
     requestId: string,
@@ -94,7 +96,9 @@
 
   /** Handles a message of the scheduling node. */
   receive(message: FromHolderMessage): void {
-    if (this.chargeClient.settle(message) || message.type === 'charged') return;
+    if (this.options.permits.settle(message)) return;
+    if (this.chargeClient.settle(message)) return;
+    if (message.type === 'charged' || message.type === 'permitted') return;
     const pending = this.pendingAsks.get(message.askId);
     if (message.type === 'refused') {
       pending?.settle({
--- a/packages/schedule-service/src/scheduling_service.test.ts
+++ b/packages/schedule-service/src/scheduling_service.test.ts
@@ -9,6 +9,7 @@
 import {MemoryEventLogger} from '@mimosatack/logger';
 import {BatchWorthPolicy, type EngineReport} from '@mimosatack/schedule-models';
 import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
+import {UNLIMITED} from '@mimosatack/share-limits';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {type EngineOrders, type OrderResult} from './engine_orders.js';
@@ -78,6 +79,7 @@
   const logger = new MemoryEventLogger();
   const host = new SchedulingService({
     ...{clock, logger, orders, quotas, policy: new BatchWorthPolicy()},
+    limiter: UNLIMITED,
     authority: () => ({holder: 'a', fencingToken: 1}),
     ordersBlockedUntilMs: () => -Infinity,
     send: (_address, message) => sent.push(message),
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -8,6 +8,7 @@
   type PlannedOrder,
   type SwapPolicy,
 } from '@mimosatack/schedule-models';
+import {type ServerLimiter} from '@mimosatack/share-limits';
 import {
   type BackendServerEntry,
   type BackendServerId,
@@ -39,6 +40,8 @@
   ordersBlockedUntilMs: (engineId: BackendServerId) => number;
   send: (nodeAddress: string, message: FromHolderMessage) => void;
   quotas: HolderQuotas;
+  /** Spends the limits that servers name, for all nodes. */
+  limiter: ServerLimiter;
   /** Called when an engine has refused this node's fencing token. */
   onFenced: (fencingToken: number) => void;
 }
@@ -52,6 +55,8 @@
 /** Longer than any lease; the next scheduling node needs no older orders. */
 const ORDER_HISTORY_MS = 60_000;
 const MAX_DECISION_INTERVAL_MS = 250;
+/** Wait before the next attempt without a share of a server's limit. */
+const NO_SHARE_WAIT_MS = 250;
 
 /** The duty was lost or the engine removed after the order was planned. */
 const NOT_SENT: OrderResult = {
@@ -85,6 +90,7 @@
   constructor(private readonly options: SchedulingServiceOptions) {
     this.scheduler = new ModelScheduler({
       policy: options.policy,
+      limiter: options.limiter,
       ordersBlockedUntilMs: options.ordersBlockedUntilMs,
     });
   }
@@ -160,6 +166,8 @@
         break;
       case 'charge':
         return this.answerCharge(message, nodeAddress);
+      case 'permit':
+        return this.answerPermit(message, nodeAddress);
       case 'under-way':
         message.asks.forEach(ask => this.acceptAsk(ask, nodeAddress, nowMs));
         message.runs.forEach(({ask, engineId}) =>
@@ -217,6 +225,28 @@
     this.options.send(nodeAddress, {type: 'charged', askId, refusal});
   }
 
+  private answerPermit(
+    {askId, serverId, mayWait}: Extract<ToHolderMessage, {type: 'permit'}>,
+    nodeAddress: string,
+  ): void {
+    const server = this.servers.get(serverId);
+    const waitMs = server ? this.findPermitWaitMs(server, mayWait) : 0;
+    this.options.send(nodeAddress, {type: 'permitted', askId, waitMs});
+  }
+
+  private findPermitWaitMs(
+    server: BackendServerEntry,
+    mayWait: boolean,
+  ): number {
+    const {limiter} = this.options;
+    const nowMs = this.nowMs();
+    const nextMs = limiter.findNextMs(server, nowMs);
+    const isFree = nextMs <= nowMs;
+    const waitMs =
+      isFree || mayWait ? limiter.tryTake(server, nowMs) : nextMs - nowMs;
+    return Number.isFinite(waitMs) ? waitMs : NO_SHARE_WAIT_MS;
+  }
+
   private dropAsk(askId: string, mayHaveRun: boolean): void {
     const charge = this.asks.get(askId)?.charge;
     if (charge && !mayHaveRun) this.options.quotas.refundAtHolder(charge);
--- a/packages/serve-requests/src/index.ts
+++ b/packages/serve-requests/src/index.ts
@@ -15,7 +15,10 @@
   type GenerationParameters,
   type PromptPart,
 } from './caller_request.js';
-export {LeastLoadedChooser} from './least_loaded_chooser.js';
+export {
+  LeastLoadedChooser,
+  type ServerPermits,
+} from './least_loaded_chooser.js';
 export {
   type PipelineOptions,
   type RequestHead,
--- a/packages/serve-requests/src/least_loaded_chooser.test.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.test.ts
@@ -13,6 +13,7 @@
   return new LeastLoadedChooser({
     ...{clock: new ManualClock(), random: new SeededRandom(1)},
     ...{ownDomain: 'hall-a', listServers},
+    permits: {isLimited: () => false, request: () => Promise.resolve(0)},
   });
 }
 
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -1,5 +1,5 @@
 /** Chooses the least loaded server that can serve a request. */
-import {type Clock} from '@mimosatack/clock';
+import {type Clock, sleep} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type RandomSource} from '@mimosatack/random';
 import {
@@ -24,6 +24,20 @@
   ownDomain: FailureDomain;
   /** The servers of a service that accept new requests. */
   listServers: (service: string) => readonly BackendServerEntry[];
+  permits: ServerPermits;
+}
+
+/** Permits for requests to servers that name a limit. */
+export interface ServerPermits {
+  isLimited(server: BackendServerEntry): boolean;
+  /**
+   * Resolves with 0 if the request may be sent to the server now, else with the time
+   * until it may be.
+   *
+   * @param mayWait whether the request waits for this server, so that the time is
+   *     reserved for it.
+   */
+  request(server: BackendServerEntry, mayWait: boolean): Promise<number>;
 }
 
 /** Loads change within a second. */
@@ -31,6 +45,11 @@
 /** A failed server is avoided for this long while others are available. */
 const FAILURE_COOLDOWN_MS = 500;
 const RETRY_AFTER_MS = 1_000;
+/**
+ * The fraction of a request's time that it may wait for a permit; the rest is left
+ * for its run and for a retry of its caller.
+ */
+const MAX_WAIT_FRACTION = 0.6;
 
 interface ServerStats {
   /** Start of the server incarnation that the stats describe. */
@@ -50,27 +69,62 @@
   constructor(private readonly options: LeastLoadedOptions) {}
 
   async choose(ask: ServerAsk): Promise<ServerChoice> {
-    const servers = this.options
+    const {clock} = this.options;
+    for (;;) {
+      const servers = this.listCandidates(ask);
+      const choice = await this.tryChoose(servers);
+      if (choice.server) return this.makeChoice(choice.server, servers);
+      if (!Number.isFinite(choice.waitMs)) return makeRefusal(RETRY_AFTER_MS);
+      const beginsAtMs = clock.monotonicMs() + choice.waitMs;
+      const isInTime = beginsAtMs <= findWaitDeadlineMs(ask);
+      if (!isInTime || ask.signal.aborted) return makeRefusal(choice.waitMs);
+      await sleep(clock, choice.waitMs, ask.signal);
+    }
+  }
+
+  private listCandidates(ask: ServerAsk): BackendServerEntry[] {
+    return this.options
       .listServers(ask.service.name)
       .filter(server => isAllowed(server, ask) && canServe(server, ask));
-    const best = this.pickCheapest(servers);
-    if (best) {
-      const ownRequests = this.statsByServer.get(best.id)?.inFlight ?? 0;
-      const alternatives = servers.length - 1;
-      return {
-        status: 'chosen',
-        server: best,
-        basis: {by: 'own-view', ownRequests, alternatives},
-        askId: null,
-      };
-    }
+  }
+
+  private makeChoice(
+    server: BackendServerEntry,
+    candidates: readonly BackendServerEntry[],
+  ): ChosenServer {
+    const ownRequests = this.statsByServer.get(server.id)?.inFlight ?? 0;
+    const alternatives = candidates.length - 1;
     return {
-      status: 'refused',
-      error: new TypedError('overloaded', 'No backend server can serve it.', {
-        run: 'not-run',
-        retryAfterMs: RETRY_AFTER_MS,
-      }),
+      status: 'chosen',
+      server,
+      basis: {by: 'own-view', ownRequests, alternatives},
+      askId: null,
+    };
+  }
+
+  /** The cheapest server that may get the request, or the time until one may. */
+  private async tryChoose(
+    servers: readonly BackendServerEntry[],
+  ): Promise<{server: BackendServerEntry | null; waitMs: number}> {
+    const {permits} = this.options;
+    const isUnlimited = (server: BackendServerEntry) =>
+      !permits.isLimited(server);
+    let left = servers;
+    let soonest: {server: BackendServerEntry | null; waitMs: number} = {
+      ...{server: null, waitMs: Infinity},
     };
+    for (;;) {
+      const best = this.pickCheapest(left);
+      if (!best) break;
+      if (isUnlimited(best)) return {server: best, waitMs: 0};
+      const waitMs = await permits.request(best, false);
+      if (waitMs === 0) return {server: best, waitMs};
+      if (waitMs < soonest.waitMs) soonest = {server: best, waitMs};
+      left = left.filter(server => server !== best);
+    }
+    if (!soonest.server) return soonest;
+    const waitMs = await permits.request(soonest.server, true);
+    return {server: waitMs === 0 ? soonest.server : null, waitMs};
   }
 
   release(): void {
@@ -156,6 +210,21 @@
   };
 }
 
+function makeRefusal(retryAfterMs: number): ServerChoice {
+  return {
+    status: 'refused',
+    error: new TypedError('overloaded', 'No backend server can serve it.', {
+      run: 'not-run',
+      retryAfterMs,
+    }),
+  };
+}
+
+function findWaitDeadlineMs({request, endsAtMs}: ServerAsk): number {
+  const {receivedAtMs} = request;
+  return receivedAtMs + MAX_WAIT_FRACTION * (endsAtMs - receivedAtMs);
+}
+
 /** Breaks ties only: less than one request at a server with 64 slots. */
 const MAX_TIE_BREAK_COST = 0.01;
 /** Equals one request at a server with 20 slots. */
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -49,6 +49,7 @@
   const duty: SchedulingDuty = new SchedulingDuty({
     clock,
     logger: new MemoryEventLogger(),
+    limits: {findLimit: () => null, findShare: () => 1},
     duty: {
       ...{topic, random: new SeededRandom(1), key: 'scheduler'},
       self: {nodeName: 'a', incarnation: 'a.1', address: 'a:1'},
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -18,6 +18,10 @@
   SchedulingService,
   type ToHolderMessage,
 } from '@mimosatack/schedule-service';
+import {
+  ServerLimiter,
+  type ServerLimiterOptions,
+} from '@mimosatack/share-limits';
 import {type BackendServerEntry, type ServiceSpec} from '@mimosatack/types';
 import {type ServerChange} from './server_follower.js';
 
@@ -33,6 +37,7 @@
   duty: Omit<DutyTaskOptions, 'onHolder' | 'clock'>;
   orders: EngineOrders;
   quotas: DutyQuotas;
+  limits: ServerLimiterOptions;
   send: (nodeAddress: string, message: FromHolderMessage) => void;
   /** Sends this node's recent engine orders to some nodes, or to all. */
   sendLastOrders: (
@@ -153,8 +158,9 @@
   receive(nodeAddress: string, message: ToHolderMessage): void {
     if (this.scheduler) {
       this.scheduler.receive(nodeAddress, message);
-    } else if (message.type === 'ask' || message.type === 'charge') {
-      const {askId} = message.type === 'ask' ? message.ask : message;
+    } else {
+      const askId = findAskId(message);
+      if (askId === null) return;
       this.options.send(nodeAddress, {type: 'not-scheduling', askId});
     }
   }
@@ -187,6 +193,7 @@
     const scheduler = new SchedulingService({
       ...{clock, logger, orders, quotas, send},
       policy: new BatchWorthPolicy(),
+      limiter: new ServerLimiter(this.options.limits),
       authority: () => this.findAuthority(),
       ordersBlockedUntilMs: engineId =>
         this.task.findOrdersBlockedUntilMs(engineId),
@@ -212,3 +219,16 @@
     this.scheduler = null;
   }
 }
+
+/** Null for a message that needs no answer. */
+function findAskId(message: ToHolderMessage): string | null {
+  switch (message.type) {
+    case 'ask':
+      return message.ask.askId;
+    case 'charge':
+    case 'permit':
+      return message.askId;
+    default:
+      return null;
+  }
+}
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -9,7 +9,11 @@
   NodeLinks,
   type NodeStatus,
 } from '@mimosatack/node-links';
-import {ScheduledChooser} from '@mimosatack/schedule-service';
+import {
+  PermitClient,
+  ScheduledChooser,
+  type ToHolderMessage,
+} from '@mimosatack/schedule-service';
 import {
   ResponseHeadTimes,
   LeastLoadedChooser,
@@ -17,7 +21,6 @@
   RetryAllowance,
 } from '@mimosatack/serve-requests';
 import {type TeamQuotas} from '@mimosatack/team-quotas';
-import {HostShare, type ServerLimits} from '@mimosatack/share-limits';
 import {type ServingConfiguration} from '@mimosatack/types';
 import {type CallerAccess} from './caller_access.js';
 import {ConfigurationFollower} from './configuration_follower.js';
@@ -31,10 +34,10 @@
 import {recordNodeState} from './node_state_metrics.js';
 import {SchedulingDuty} from './scheduling_duty.js';
 import {logServerChange} from './log_server_change.js';
-import {makeServerLimits} from './make_server_limits.js';
 import {ServerFollower} from './server_follower.js';
 import {reloadSettings} from './settings_reload.js';
 import {type ServingNodeOptions} from './serving_node_options.js';
+import {SharedLimits} from './shared_limits.js';
 import {SharedRecords} from './shared_records.js';
 import {StatusServer} from './status_server.js';
 import {logQuotaRefusal, makeTeamTasks} from './team_tasks.js';
@@ -42,8 +45,6 @@
 
 const DUTY_KEY = 'scheduler';
 const MAINTENANCE_INTERVAL_MS = 1_000;
-/** The rest covers the time in which a change of the nodes reaches all. */
-const SETTLE_WINDOWS = 1.5;
 
 /** Routes requests to backend servers that the platform runs. */
 export class ServingNode {
@@ -58,8 +59,7 @@
   private readonly access: CallerAccess;
   private readonly quotas: TeamQuotas;
   private readonly links: NodeLinks;
-  private readonly retryShare: HostShare;
-  private readonly limits: ServerLimits;
+  private readonly limits: SharedLimits;
   private readonly chooser: ScheduledChooser;
   private readonly pipeline: RequestPipeline;
   private readonly edge: CallerEdge;
@@ -81,7 +81,7 @@
     this.configuration = this.makeConfiguration();
     this.servers = this.makeServers();
     this.containment = this.makeContainment();
-    this.limits = makeServerLimits(options);
+    this.limits = this.makeLimits();
     const teams = makeTeamTasks(options, {
       configurationAgeMs: () => this.configuration.ageMs,
       countNodes: () => this.register.list().length,
@@ -97,7 +97,6 @@
     });
     this.duty = this.makeDuty();
     this.links = this.makeLinks();
-    this.retryShare = this.makeRetryShare();
     this.chooser = this.makeChooser();
     this.pipeline = this.makePipeline();
     this.entryPoints = new EntryPoints({
@@ -187,9 +186,9 @@
       configurationVersion: this.configuration.version,
       servers: this.servers.count,
       serversAgeMs: this.servers.ageMs,
-      serversLimited: this.limits.limitedCount,
+      serversLimited: this.limits.servers.limitedCount,
       dutiesHeld: this.duty.isHeld ? 1 : 0,
-      retryShare: this.retryShare.fraction,
+      retryShare: this.limits.retryShare.fraction,
       configurationAgeMs: this.configuration.ageMs,
       teams: this.quotas.listLevels(),
       ...this.containment.gauges,
@@ -246,7 +245,7 @@
     return new ServerFollower({
       ...{clock, random, platform},
       isReader: () => this.duty.isHeld,
-      peerAgeMs: () => this.links.holderServersAgeMs,
+      peerAgeMs: () => this.links.viaHolder.serversAgeMs,
       onChanges: changes => this.duty.updateServers(changes),
       onStateChange: change =>
         logServerChange(options.logger, change, this.duty.isHeld),
@@ -263,7 +262,7 @@
       ...{clock, random, self: this.self},
       topic: platform.nodesTopic,
       isReader: () => this.duty.isHeld,
-      isUpdatedByPeer: () => this.links.receivesNodeRecords,
+      isUpdatedByPeer: () => this.links.viaHolder.receivesNodeRecords,
       onRead: fromOffset =>
         this.sharedRecords.broadcastSince('nodes', fromOffset),
       onContainmentRecord: value => this.containment.applyRecord(value),
@@ -288,6 +287,7 @@
     return new SchedulingDuty({
       ...{clock, logger, orders: platform.engineOrders},
       quotas: this.quotas,
+      limits: this.limits.asHolder,
       duty: {
         ...{random, topic: platform.dutyTopic, key: DUTY_KEY},
         self: {nodeName, incarnation, address: peerAddress},
@@ -336,6 +336,7 @@
       readStatus: () => this.readStatus(),
       crashes: this.containment.exchange,
       ...{quotas: this.quotas, confirmation: this.configuration},
+      limits: this.limits.exchange,
       serversAgeMs: () => this.servers.ageMs,
       readRecords: (topic, fromOffset) =>
         this.sharedRecords.read(topic, fromOffset),
@@ -366,30 +367,36 @@
 
   private makeChooser(): ScheduledChooser {
     const {clock, random, settings, logger} = this.options;
+    const askIdPrefix = this.self.incarnation;
+    const sendToHolder = (message: ToHolderMessage) =>
+      this.links.sendToHolder(message);
+    const permits = new PermitClient({
+      ...{clock, askIdPrefix, sendToHolder},
+      limiter: this.limits.ownLimiter,
+    });
     return new ScheduledChooser({
-      clock,
-      askIdPrefix: this.self.incarnation,
+      ...{clock, askIdPrefix, sendToHolder, permits},
       local: new LeastLoadedChooser({
         ...{clock, random, ownDomain: settings.failureDomain},
         listServers: service => this.servers.listReady(service),
+        permits,
       }),
       findServer: id => this.servers.find(id),
-      sendToHolder: message => this.links.sendToHolder(message),
       quotas: this.quotas,
       onQuotaRefused: (requestId, charge, refusal) =>
         logQuotaRefusal(logger, requestId, charge, refusal),
     });
   }
 
-  private makeRetryShare(): HostShare {
-    const {clock, settings} = this.options;
-    return new HostShare({
-      clock: new SuspensionAwareClock(clock),
-      settleMs: () => SETTLE_WINDOWS * settings.retryBound.windowMs,
-      view: () => ({
+  private makeLimits(): SharedLimits {
+    return new SharedLimits({
+      ...this.options,
+      incarnation: this.self.incarnation,
+      viewHosts: () => ({
         count: this.register.list().length,
         isConfirmed:
-          this.register.isRegistered && this.links.isNodeListConfirmed,
+          this.register.isRegistered &&
+          this.links.viaHolder.isNodeListConfirmed,
       }),
     });
   }
@@ -402,12 +409,12 @@
       dialect: platform.backendDialect,
       crashes: this.containment.containment,
       access: this.access,
-      limits: this.limits,
+      limits: this.limits.servers,
       chooser: this.chooser,
       retries: new RetryAllowance({
         clock: new SuspensionAwareClock(clock),
         bound: () => settings.retryBound,
-        findShare: () => this.retryShare.fraction,
+        findShare: () => this.limits.retryShare.fraction,
       }),
     });
   }
@@ -415,7 +422,7 @@
   private scheduleMaintenance(): void {
     this.options.clock.setTimer(MAINTENANCE_INTERVAL_MS, () => {
       this.connections.closeExpired();
-      this.retryShare.observe();
+      this.limits.retryShare.observe();
       void this.containment.syncRecord();
       this.scheduleMaintenance();
     });
--- /dev/null
+++ b/packages/serving-node/src/shared_limits.ts
@@ -0,0 +1,73 @@
+/** The limits that bind all nodes together: of retries, and of servers. */
+import {SuspensionAwareClock} from '@mimosatack/clock';
+import {
+  HostShare,
+  type HostsView,
+  LimitExchange,
+  ServerLimiter,
+  type ServerLimiterOptions,
+  ServerLimits,
+} from '@mimosatack/share-limits';
+import {type ServingNodeOptions} from './serving_node_options.js';
+
+export interface SharedLimitsOptions extends Pick<
+  ServingNodeOptions,
+  'clock' | 'logger' | 'settings'
+> {
+  /** Unique to this process among all nodes. */
+  incarnation: string;
+  viewHosts: () => HostsView;
+}
+
+/** The rest covers the time in which a change of the nodes reaches all. */
+const SETTLE_WINDOWS = 1.5;
+
+export class SharedLimits {
+  readonly retryShare: HostShare;
+  readonly servers: ServerLimits;
+  readonly exchange: LimitExchange;
+  /** For this node's own requests while no node schedules. */
+  readonly ownLimiter: ServerLimiter;
+
+  constructor(private readonly options: SharedLimitsOptions) {
+    const {clock, settings, incarnation, viewHosts} = options;
+    const awakeClock = new SuspensionAwareClock(clock);
+    this.retryShare = new HostShare({
+      clock: awakeClock,
+      view: viewHosts,
+      settleMs: () => SETTLE_WINDOWS * settings.retryBound.windowMs,
+    });
+    this.servers = this.makeServerLimits(awakeClock);
+    this.exchange = new LimitExchange(this.servers, incarnation);
+    this.ownLimiter = new ServerLimiter({
+      findLimit: server => this.servers.find(server),
+      findShare: () => this.retryShare.lastKnownFraction,
+    });
+  }
+
+  /**
+   * For the requests of all nodes while this node schedules. A holder that most nodes
+   * do not reach may have been replaced, and spends only the share of its host.
+   */
+  get asHolder(): ServerLimiterOptions {
+    const {viewHosts} = this.options;
+    return {
+      findLimit: server => this.servers.find(server),
+      findShare: () =>
+        viewHosts().isConfirmed ? 1 : this.retryShare.lastKnownFraction,
+    };
+  }
+
+  private makeServerLimits(clock: SuspensionAwareClock): ServerLimits {
+    const {logger} = this.options;
+    return new ServerLimits({
+      clock,
+      onChange: ({serverId, ...rates}) =>
+        logger.log('server-limit-changed', {
+          ...{backendServerId: serverId, ...rates},
+        }),
+      onInvalid: backendServerId =>
+        logger.log('server-limit-invalid', {backendServerId}),
+    });
+  }
+}
--- a/packages/share-limits/src/host_share.ts
+++ b/packages/share-limits/src/host_share.ts
@@ -47,7 +47,22 @@
     const nowMs = this.options.clock.monotonicMs();
     const isConfirmed = this.observe();
     const isSettled = nowMs - this.settlesFromMs >= this.options.settleMs();
-    if (!isConfirmed || !isSettled) return 0;
+    return isConfirmed && isSettled ? this.findFraction() : 0;
+  }
+
+  /**
+   * The fraction by the last confirmed view, also without contact to other hosts; 0
+   * until the share has settled once. For limits that are not kept more strictly than
+   * the last view allows.
+   */
+  get lastKnownFraction(): number {
+    const {clock, settleMs} = this.options;
+    this.observe();
+    const isSettled = clock.monotonicMs() - this.settlesFromMs >= settleMs();
+    return isSettled && this.periods.length > 0 ? this.findFraction() : 0;
+  }
+
+  private findFraction(): number {
     return 1 / Math.max(1, ...this.periods.map(({count}) => count));
   }
 
--- a/packages/share-limits/src/server_limits.ts
+++ b/packages/share-limits/src/server_limits.ts
@@ -5,6 +5,7 @@
   type ServerStartMs,
   compareIncarnations,
 } from '@mimosatack/types';
+import {type LimitEntry} from './limit_messages.js';
 
 /** Requests per second that a server accepts; null if it names no limit. */
 export type RequestRate = number | null;
@@ -36,6 +37,8 @@
  */
 const LIFT_DELAY_MS = 1_000;
 
+/** How long a lifted limit is reported to others. */
+const REPORT_LIFTED_MS = 10_000;
 /** Time after the last response that was recorded. */
 const FORGET_AFTER_MS = 600_000;
 
@@ -51,6 +54,7 @@
 /** Limits by server; a new incarnation of a server has none. */
 export class ServerLimits {
   private readonly states = new Map<BackendServerId, LimitState>();
+  private changeCount = 0;
 
   constructor(private readonly options: ServerLimitsOptions) {}
 
@@ -67,6 +71,34 @@
       .length;
   }
 
+  /** Increases with each change. */
+  get version(): number {
+    return this.changeCount;
+  }
+
+  /** The limits and the recently lifted ones, for other processes. */
+  list(): LimitEntry[] {
+    const nowMs = this.options.clock.monotonicMs();
+    return [...this.states]
+      .map(([serverId, {startedAtMs, perSecond, changedAtMs}]) => ({
+        ...{serverId, startedAtMs, perSecond},
+        ageMs: nowMs - changedAtMs,
+      }))
+      .filter(({perSecond, ageMs}) =>
+        perSecond === null ? ageMs < REPORT_LIFTED_MS : true,
+      );
+  }
+
+  /** Applies what another process knows, unless this one knows of a later change. */
+  applyReported({serverId, startedAtMs, perSecond, ageMs}: LimitEntry): void {
+    const state = this.getOrAddState({id: serverId, startedAtMs});
+    const atMs = this.options.clock.monotonicMs() - ageMs;
+    if (!state || atMs <= state.changedAtMs) return;
+    state.lastHeardAtMs = Math.max(state.lastHeardAtMs, atMs);
+    if (perSecond !== null) state.namedAtMs = Math.max(state.namedAtMs, atMs);
+    this.change(serverId, state, perSecond, atMs);
+  }
+
   /** Records what a response of the server says. */
   recordResponse(server: ServerIncarnation, named: NamedLimit): void {
     if (named === 'invalid') return this.reportInvalid(server);
@@ -90,6 +122,7 @@
     const previousPerSecond = state.perSecond;
     if (perSecond === previousPerSecond) return;
     Object.assign(state, {perSecond, changedAtMs: atMs});
+    this.changeCount += 1;
     this.options.onChange({serverId, perSecond, previousPerSecond});
   }
 
