Tell a new holder of limits that were lifted long ago

A node that was cut off while a server lifted its limit could tell a holder that had just started of the old limit; the others had reported the lift for 10 s only and said nothing any more, so that callers' requests for that server waited until the holder's own node got a response from it. Lifted limits are reported as long as they are known (10 minutes). The new test failed before.

--- a/packages/share-limits/src/limit_exchange.test.ts
+++ b/packages/share-limits/src/limit_exchange.test.ts
@@ -72,6 +72,25 @@
   assert.is(node.limits.find(SERVER), null);
 });
 
+// Guards against a returning node that tells a new holder of a limit lifted long ago.
+test('a limit that was lifted meanwhile does not come back', () => {
+  const clock = new ManualClock();
+  const holder = makeNode(clock, 'a');
+  const cutOff = makeNode(clock, 'b');
+  const other = makeNode(clock, 'c');
+  holder.limits.recordResponse(SERVER, 3);
+  [cutOff, other].forEach(node => sendHeartbeat(node, holder));
+  clock.advance(2_000);
+  holder.limits.recordResponse(SERVER, null);
+  sendHeartbeat(other, holder);
+  clock.advance(60_000);
+  const nextHolder = makeNode(clock, 'd');
+  [cutOff, other].forEach(node => sendHeartbeat(node, nextHolder));
+  assert.is(nextHolder.limits.find(SERVER), null);
+  sendHeartbeat(cutOff, nextHolder);
+  assert.is(cutOff.limits.find(SERVER), null);
+});
+
 // Guards against an old report that undoes a later change.
 test('the later change wins', () => {
   const clock = new ManualClock();
--- a/packages/share-limits/src/server_limits.ts
+++ b/packages/share-limits/src/server_limits.ts
@@ -37,8 +37,6 @@
  */
 const LIFT_DELAY_MS = 1_000;
 
-/** How long a lifted limit is reported to others. */
-const REPORT_LIFTED_MS = 10_000;
 /** Time after the last response that was recorded. */
 const FORGET_AFTER_MS = 600_000;
 
@@ -76,17 +74,15 @@
     return this.changeCount;
   }
 
-  /** The limits and the recently lifted ones, for other processes. */
+  /** The limits and the lifted ones, for other processes. */
   list(): LimitEntry[] {
     const nowMs = this.options.clock.monotonicMs();
     return [...this.states]
+      .filter(([, {changedAtMs}]) => Number.isFinite(changedAtMs))
       .map(([serverId, {startedAtMs, perSecond, changedAtMs}]) => ({
         ...{serverId, startedAtMs, perSecond},
         ageMs: nowMs - changedAtMs,
-      }))
-      .filter(({perSecond, ageMs}) =>
-        perSecond === null ? ageMs < REPORT_LIFTED_MS : true,
-      );
+      }));
   }
 
   /** Applies what another process knows, unless this one knows of a later change. */
