Reserve places at limited servers only for requests that wait for them

A request that could go elsewhere, or whose deadline came before its place, reserved a place in the server's bucket all the same: later callers were refused, with too long a time to come back, while places stayed free. A permit carries how long the request waits; a longer wait reserves nothing, and a node remembers a denial only for requests that do not wait. The holder's view of the nodes is read once a heartbeat instead of for each request, and a server that the holder does not list is limited all the same. server_limiter.test failed before on the place of the last one.

--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -63,8 +63,8 @@
     type: z.literal('permit'),
     askId: z.string(),
     serverId: z.string(),
-    /** Whether the request waits for this server. */
-    mayWait: z.boolean(),
+    /** How long the request waits for this server; 0 if it does not. */
+    maxWaitMs: z.number(),
   }),
   /** A node's pending asks and running requests, for a new scheduling node. */
   z.object({
--- a/packages/schedule-service/src/permit_client.test.ts
+++ b/packages/schedule-service/src/permit_client.test.ts
@@ -32,10 +32,10 @@
 
 test('the scheduling node decides', async () => {
   const {client, answer} = makeClient({hasHolder: true});
-  const first = client.request(SERVER, false);
+  const first = client.request(SERVER, 0);
   answer(0);
   assert.is(await first, 0);
-  const second = client.request(SERVER, true);
+  const second = client.request(SERVER, 5_000);
   answer(700);
   assert.is(await second, 700);
 });
@@ -43,29 +43,29 @@
 // Guards against a message to the scheduling node for each request.
 test('a denied server is not asked for again until it has room', async () => {
   const {clock, client, sent, answer} = makeClient({hasHolder: true});
-  const first = client.request(SERVER, false);
+  const first = client.request(SERVER, 0);
   answer(700);
   await first;
   clock.advance(300);
-  assert.is(await client.request(SERVER, false), 400);
+  assert.is(await client.request(SERVER, 0), 400);
   assert.is(sent.length, 0);
   clock.advance(400);
-  void client.request(SERVER, false);
+  void client.request(SERVER, 0);
   assert.is(sent.length, 1);
 });
 
 // Guards against limited servers that get nothing, or all, while no node schedules.
 test('without a scheduling node the host spends its own share', async () => {
   const {clock, client} = makeClient({hasHolder: false});
-  assert.is(await client.request(SERVER, true), 1_000);
+  assert.is(await client.request(SERVER, 5_000), 1_000);
   clock.advance(1_000);
-  assert.is(await client.request(SERVER, true), 0);
-  assert.ok((await client.request(SERVER, true)) > 0);
+  assert.is(await client.request(SERVER, 5_000), 0);
+  assert.ok((await client.request(SERVER, 5_000)) > 0);
 });
 
 test('a scheduling node that does not answer is not waited for', async () => {
   const {clock, client} = makeClient({hasHolder: true});
-  const waiting = client.request(SERVER, false);
+  const waiting = client.request(SERVER, 0);
   clock.advance(300);
   assert.is(await waiting, 1_000);
 });
--- a/packages/schedule-service/src/permit_client.ts
+++ b/packages/schedule-service/src/permit_client.ts
@@ -35,14 +35,21 @@
     return isLimited;
   }
 
-  async request(server: BackendServerEntry, mayWait: boolean): Promise<number> {
+  async request(
+    server: BackendServerEntry,
+    maxWaitMs: number,
+  ): Promise<number> {
     const deniedForMs = (this.deniedUntilMs.get(server.id) ?? 0) - this.nowMs();
     // Saves a message for each request that another server can serve.
-    if (!mayWait && deniedForMs > 0) return deniedForMs;
-    const answer = await this.askHolder(server, mayWait);
+    if (maxWaitMs === 0 && deniedForMs > 0) return deniedForMs;
+    const answer = await this.askHolder(server, maxWaitMs);
     const waitMs =
-      answer.kind === 'decided' ? answer.waitMs : this.takeOwnShare(server);
-    if (waitMs > 0) this.deniedUntilMs.set(server.id, this.nowMs() + waitMs);
+      answer.kind === 'decided'
+        ? answer.waitMs
+        : this.takeOwnShare(server, maxWaitMs);
+    if (maxWaitMs === 0) {
+      this.deniedUntilMs.set(server.id, this.nowMs() + waitMs);
+    }
     return waitMs;
   }
 
@@ -60,7 +67,7 @@
 
   private async askHolder(
     {id}: BackendServerEntry,
-    mayWait: boolean,
+    maxWaitMs: number,
   ): Promise<Answer> {
     const {clock, askIdPrefix, sendToHolder} = this.options;
     const askId = `${askIdPrefix}.permit.${this.nextAskNumber++}`;
@@ -72,7 +79,7 @@
       );
     });
     const isSent = sendToHolder({
-      ...{type: 'permit', askId, serverId: id, mayWait},
+      ...{type: 'permit', askId, serverId: id, maxWaitMs},
     });
     if (!isSent) this.pending.get(askId)?.({kind: 'undecided'});
     const settled = await answer;
@@ -81,8 +88,9 @@
     return settled;
   }
 
-  private takeOwnShare(server: BackendServerEntry): number {
-    const waitMs = this.options.limiter.tryTake(server, this.nowMs());
+  private takeOwnShare(server: BackendServerEntry, maxWaitMs: number): number {
+    const {limiter} = this.options;
+    const waitMs = limiter.tryTake(server, this.nowMs(), maxWaitMs);
     return Number.isFinite(waitMs) ? waitMs : NO_SHARE_WAIT_MS;
   }
 
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -226,25 +226,16 @@
   }
 
   private answerPermit(
-    {askId, serverId, mayWait}: Extract<ToHolderMessage, {type: 'permit'}>,
+    {askId, serverId, maxWaitMs}: Extract<ToHolderMessage, {type: 'permit'}>,
     nodeAddress: string,
   ): void {
-    const server = this.servers.get(serverId);
-    const waitMs = server ? this.findPermitWaitMs(server, mayWait) : 0;
-    this.options.send(nodeAddress, {type: 'permitted', askId, waitMs});
-  }
-
-  private findPermitWaitMs(
-    server: BackendServerEntry,
-    mayWait: boolean,
-  ): number {
     const {limiter} = this.options;
-    const nowMs = this.nowMs();
-    const nextMs = limiter.findNextMs(server, nowMs);
-    const isFree = nextMs <= nowMs;
-    const waitMs =
-      isFree || mayWait ? limiter.tryTake(server, nowMs) : nextMs - nowMs;
-    return Number.isFinite(waitMs) ? waitMs : NO_SHARE_WAIT_MS;
+    const server = this.servers.get(serverId) ?? {
+      ...{id: serverId, startedAtMs: null},
+    };
+    const wantedMs = limiter.tryTake(server, this.nowMs(), maxWaitMs);
+    const waitMs = Number.isFinite(wantedMs) ? wantedMs : NO_SHARE_WAIT_MS;
+    this.options.send(nodeAddress, {type: 'permitted', askId, waitMs});
   }
 
   private dropAsk(askId: string, mayHaveRun: boolean): void {
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -34,10 +34,10 @@
    * Resolves with 0 if the request may be sent to the server now, else with the time
    * until it may be.
    *
-   * @param mayWait whether the request waits for this server, so that the time is
-   *     reserved for it.
+   * @param maxWaitMs how long the request waits for this server; a shorter time is
+   *     reserved for it. 0 if it does not wait.
    */
-  request(server: BackendServerEntry, mayWait: boolean): Promise<number>;
+  request(server: BackendServerEntry, maxWaitMs: number): Promise<number>;
 }
 
 /** Loads change within a second. */
@@ -72,11 +72,11 @@
     const {clock} = this.options;
     for (;;) {
       const servers = this.listCandidates(ask);
-      const choice = await this.tryChoose(servers);
+      const maxWaitMs = findWaitDeadlineMs(ask) - clock.monotonicMs();
+      const choice = await this.tryChoose(servers, Math.max(0, maxWaitMs));
       if (choice.server) return this.makeChoice(choice.server, servers);
       if (!Number.isFinite(choice.waitMs)) return makeRefusal(RETRY_AFTER_MS);
-      const beginsAtMs = clock.monotonicMs() + choice.waitMs;
-      const isInTime = beginsAtMs <= findWaitDeadlineMs(ask);
+      const isInTime = choice.waitMs <= maxWaitMs;
       if (!isInTime || ask.signal.aborted) return makeRefusal(choice.waitMs);
       await sleep(clock, choice.waitMs, ask.signal);
     }
@@ -105,6 +105,7 @@
   /** The cheapest server that may get the request, or the time until one may. */
   private async tryChoose(
     servers: readonly BackendServerEntry[],
+    maxWaitMs: number,
   ): Promise<{server: BackendServerEntry | null; waitMs: number}> {
     const {permits} = this.options;
     const isUnlimited = (server: BackendServerEntry) =>
@@ -117,13 +118,13 @@
       const best = this.pickCheapest(left);
       if (!best) break;
       if (isUnlimited(best)) return {server: best, waitMs: 0};
-      const waitMs = await permits.request(best, false);
+      const waitMs = await permits.request(best, 0);
       if (waitMs === 0) return {server: best, waitMs};
       if (waitMs < soonest.waitMs) soonest = {server: best, waitMs};
       left = left.filter(server => server !== best);
     }
     if (!soonest.server) return soonest;
-    const waitMs = await permits.request(soonest.server, true);
+    const waitMs = await permits.request(soonest.server, maxWaitMs);
     return {server: waitMs === 0 ? soonest.server : null, waitMs};
   }
 
--- a/packages/serving-node/src/shared_limits.ts
+++ b/packages/serving-node/src/shared_limits.ts
@@ -22,6 +22,9 @@
 /** The rest covers the time in which a change of the nodes reaches all. */
 const SETTLE_WINDOWS = 1.5;
 
+/** One heartbeat: finding it takes longer the more nodes there are. */
+const HOLDER_SHARE_TTL_MS = 250;
+
 export class SharedLimits {
   readonly retryShare: HostShare;
   readonly servers: ServerLimits;
@@ -29,6 +32,9 @@
   /** For this node's own requests while no node schedules. */
   readonly ownLimiter: ServerLimiter;
 
+  private holderShare = 0;
+  private holderShareAtMs = -Infinity;
+
   constructor(private readonly options: SharedLimitsOptions) {
     const {clock, settings, incarnation, viewHosts} = options;
     const awakeClock = new SuspensionAwareClock(clock);
@@ -50,14 +56,25 @@
    * do not reach may have been replaced, and spends only the share of its host.
    */
   get asHolder(): ServerLimiterOptions {
-    const {viewHosts} = this.options;
     return {
       findLimit: server => this.servers.find(server),
-      findShare: () =>
-        viewHosts().isConfirmed ? 1 : this.retryShare.lastKnownFraction,
+      findShare: () => this.findHolderShare(),
     };
   }
 
+  private findHolderShare(): number {
+    const {clock, viewHosts} = this.options;
+    const nowMs = clock.monotonicMs();
+    if (nowMs - this.holderShareAtMs < HOLDER_SHARE_TTL_MS) {
+      return this.holderShare;
+    }
+    this.holderShareAtMs = nowMs;
+    this.holderShare = viewHosts().isConfirmed
+      ? 1
+      : this.retryShare.lastKnownFraction;
+    return this.holderShare;
+  }
+
   private makeServerLimits(clock: SuspensionAwareClock): ServerLimits {
     const {logger} = this.options;
     return new ServerLimits({
--- a/packages/share-limits/src/index.ts
+++ b/packages/share-limits/src/index.ts
@@ -12,7 +12,11 @@
   type ServerLimitsOptions,
 } from './server_limits.js';
 export {type BucketLimits, TokenBucket} from './token_bucket.js';
-export {ServerLimiter, type ServerLimiterOptions, UNLIMITED} from './server_limiter.js';
+export {
+  ServerLimiter,
+  type ServerLimiterOptions,
+  UNLIMITED,
+} from './server_limiter.js';
 export {LimitExchange} from './limit_exchange.js';
 export {
   type LimitReply,
--- a/packages/share-limits/src/server_limiter.test.ts
+++ b/packages/share-limits/src/server_limiter.test.ts
@@ -83,14 +83,16 @@
 test('without a share of the limit there is no room', () => {
   const limiter = new ServerLimiter({findLimit: () => 5, findShare: () => 0});
   assert.is(limiter.findNextMs(SERVER, 0), Infinity);
-  assert.is(limiter.tryTake(SERVER, 0), Infinity);
+  assert.is(limiter.tryTake(SERVER, 0, 0), Infinity);
   assert.is(limiter.findDurationMs(SERVER, 1), Infinity);
 });
 
 test('requests that wait are given different times', () => {
   const limiter = new ServerLimiter({findLimit: () => 2, findShare: () => 1});
-  const waits = [1, 2, 3].map(() => limiter.tryTake(SERVER, 0));
+  const waits = [1, 2, 3].map(() => limiter.tryTake(SERVER, 0, 1_000));
   assert.equal(waits, [500, 1_000, 1_500]);
+  // The last one does not wait for so long, and its time is free again.
+  assert.is(limiter.tryTake(SERVER, 0, 2_000), 1_500);
 });
 
 test.run();
--- a/packages/share-limits/src/server_limiter.ts
+++ b/packages/share-limits/src/server_limiter.ts
@@ -43,13 +43,16 @@
 
   /**
    * Records a request to the server if it may get one now, and returns 0; else returns
-   * the time until a slot that is reserved for this request.
+   * the time until the server may get it.
+   *
+   * @param maxWaitMs the time is reserved for the request if it is no longer than this.
    */
-  tryTake(server: ServerIncarnation, nowMs: number): number {
+  tryTake(server: ServerIncarnation, nowMs: number, maxWaitMs: number): number {
     const rate = this.findRate(server);
     if (rate === null) return 0;
     if (rate === 0) return Infinity;
-    return this.getBucket(server.id, rate, nowMs).tryTake(1, nowMs) ?? 0;
+    const bucket = this.getBucket(server.id, rate, nowMs);
+    return bucket.tryTake(1, nowMs, maxWaitMs) ?? 0;
   }
 
   /** Records a request to the server. */
--- a/packages/share-limits/src/token_bucket.ts
+++ b/packages/share-limits/src/token_bucket.ts
@@ -9,7 +9,7 @@
 }
 
 const MS_PER_SECOND = 1_000;
-/** No slot is reserved for a longer wait, since few callers retry that late. */
+/** Few callers retry later than that. */
 const MAX_RESERVED_WAIT_MS = 10_000;
 
 /** All times are monotonic times of one process. */
@@ -35,8 +35,16 @@
     return Math.min(capacity, this.level + refilled);
   }
 
-  /** Takes the amount and returns null, or returns the time until a retry. */
-  tryTake(amount: number, nowMs: number): number | null {
+  /**
+   * Takes the amount and returns null, or returns the time until a retry.
+   *
+   * @param maxWaitMs no slot is reserved for a longer wait.
+   */
+  tryTake(
+    amount: number,
+    nowMs: number,
+    maxWaitMs = MAX_RESERVED_WAIT_MS,
+  ): number | null {
     const level = this.levelAt(nowMs);
     // An amount above the capacity is taken from a full bucket.
     const needed = Math.min(amount, this.limits.capacity);
@@ -44,7 +52,7 @@
       this.take(amount, nowMs);
       return null;
     }
-    return this.reserveRetrySlot(needed - level, amount, nowMs);
+    return this.reserveRetrySlot(needed - level, amount, nowMs, maxWaitMs);
   }
 
   /** Takes the amount, even if that overdraws the bucket. */
@@ -80,6 +88,7 @@
     deficit: number,
     amount: number,
     nowMs: number,
+    maxWaitMs: number,
   ): number {
     const {ratePerSecond} = this.limits;
     const refilledAtMs = nowMs + (deficit / ratePerSecond) * MS_PER_SECOND;
@@ -87,7 +96,7 @@
       this.lastRetryAtMs + (amount / ratePerSecond) * MS_PER_SECOND;
     const retryAtMs = Math.max(refilledAtMs, slotAtMs);
     const waitMs = Math.ceil(retryAtMs - nowMs);
-    if (waitMs <= MAX_RESERVED_WAIT_MS) this.lastRetryAtMs = retryAtMs;
+    if (waitMs <= maxWaitMs) this.lastRetryAtMs = retryAtMs;
     return waitMs;
   }
 }
