Add a failing test: nodes that see no other each spend a team's whole tolerance

Found while looking for the cause of the retries beyond the bound in other things that hosts count on their own: team quotas divide what nodes may spend unreported by the nodes that a process knows, which is one right after a start without a holder. 20 nodes spend 104,000 tokens in a window where 26,900 are allowed.

--- a/packages/team-quotas/src/quota_fleet_fixture.ts
+++ b/packages/team-quotas/src/quota_fleet_fixture.ts
@@ -51,11 +51,11 @@
     this.nodeAt(index).isPartitioned = isPartitioned;
   }
 
-  /** Replaces a node by a new process without state. */
-  restart(index: number): void {
+  /** Replaces a node by a new process without state, which may see no other node. */
+  restart(index: number, seesOthers = true): void {
     const old = this.nodeAt(index);
     if (this.holder === old) this.holder = null;
-    this.nodes[this.nodes.indexOf(old)] = this.makeNode();
+    this.nodes[this.nodes.indexOf(old)] = this.makeNode(seesOthers);
   }
 
   setQuota(quota: TeamQuota): void {
@@ -125,12 +125,12 @@
     this.admitted.push({atMs: this.clock.monotonicMs(), amount});
   }
 
-  private makeNode(): FleetNode {
+  private makeNode(seesOthers = true): FleetNode {
     const {options, clock} = this;
     const quotas = new TeamQuotas({
       clock,
       bounds: () => options.bounds,
-      countNodes: () => options.nodeCount,
+      countNodes: () => (seesOthers ? options.nodeCount : 1),
     });
     quotas.configure([makeTeam(options.quota)]);
     this.startedCount += 1;
--- a/packages/team-quotas/src/team_quotas.test.ts
+++ b/packages/team-quotas/src/team_quotas.test.ts
@@ -102,6 +102,17 @@
 });
 
 // Guards against refusing teams within their quota after all nodes restart.
+// Guards against nodes that see no other and each spend what all share.
+test('a team keeps to its quota while restarted nodes see no other', () => {
+  const {fleet, bound} = startFleet(1_000, 20);
+  Array.from({length: 20}, (_, index) => fleet.restart(index, false));
+  for (let sent = 0; sent < 20 * 200; sent += 1) {
+    fleet.sendToNode(sent, PLAIN_TOKENS);
+  }
+  const served = fleet.findMaxInWindow();
+  assert.ok(served <= bound, `${served} > ${bound}`);
+});
+
 test('a team within its quota is served right after all nodes restart', () => {
   const {fleet, sendLoad} = startFleet(20_000);
   fleet.clock.advance(3_000);
