Let hosts save up no places at limited servers while the holder spends them

Each host's own bucket filled while the scheduling node spent the limit, so that all hosts together had as many places more as there are hosts whenever that node was lost: callers' servers got 12 requests in 4 s where 11 are allowed (three hosts, limit 1, the holder lost three times), and 60 places at once with 60 hosts. A host counts its share from when the holder was lost.

--- a/packages/schedule-service/src/permit_client.test.ts
+++ b/packages/schedule-service/src/permit_client.test.ts
@@ -63,6 +63,15 @@
   assert.ok((await client.request(SERVER, 5_000)) > 0);
 });
 
+// Guards against hosts that each begin with a place when the scheduling node is lost.
+test('a share that was not spent is not saved up', async () => {
+  const {clock, client} = makeClient({hasHolder: false});
+  await client.request(SERVER, 0);
+  clock.advance(60_000);
+  client.handleHolderLost();
+  assert.is(await client.request(SERVER, 5_000), 1_000);
+});
+
 test('a scheduling node that does not answer is not waited for', async () => {
   const {clock, client} = makeClient({hasHolder: true});
   const waiting = client.request(SERVER, 0);
--- a/packages/schedule-service/src/permit_client.ts
+++ b/packages/schedule-service/src/permit_client.ts
@@ -26,9 +26,15 @@
   private readonly pending = new Map<string, (answer: Answer) => void>();
   private readonly deniedUntilMs = new Map<BackendServerId, number>();
   private nextAskNumber = 1;
+  private spendsOwnShare = false;
 
   constructor(private readonly options: PermitClientOptions) {}
 
+  /** Called when the contact to the scheduling node is lost. */
+  handleHolderLost(): void {
+    this.spendsOwnShare = false;
+  }
+
   isLimited(server: BackendServerEntry): boolean {
     const isLimited = this.options.limiter.isLimited(server);
     if (!isLimited) this.deniedUntilMs.delete(server.id);
@@ -43,6 +49,7 @@
     // Saves a message for each request that another server can serve.
     if (maxWaitMs === 0 && deniedForMs > 0) return deniedForMs;
     const answer = await this.askHolder(server, maxWaitMs);
+    if (answer.kind === 'decided') this.spendsOwnShare = false;
     const waitMs =
       answer.kind === 'decided'
         ? answer.waitMs
@@ -90,6 +97,9 @@
 
   private takeOwnShare(server: BackendServerEntry, maxWaitMs: number): number {
     const {limiter} = this.options;
+    // Guards against what all hosts have saved up while another node spent the limit.
+    if (!this.spendsOwnShare) limiter.clear();
+    this.spendsOwnShare = true;
     const waitMs = limiter.tryTake(server, this.nowMs(), maxWaitMs);
     return Number.isFinite(waitMs) ? waitMs : NO_SHARE_WAIT_MS;
   }
--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -83,7 +83,7 @@
   const refused: string[] = [];
   const chooser = new ScheduledChooser({
     ...{clock, askIdPrefix: 'n1', local},
-    permits: {settle: () => false},
+    permits: {settle: () => false, handleHolderLost: () => undefined},
     findServer: () => SERVER,
     sendToHolder: message => {
       if (state.hasHolder) sent.push(message);
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -37,7 +37,7 @@
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
   quotas: LocalQuotas;
-  permits: Pick<PermitClient, 'settle'>;
+  permits: Pick<PermitClient, 'settle' | 'handleHolderLost'>;
   /** Called when a request that is charged locally exceeds its team's quota. */
   onQuotaRefused: (
     requestId: string,
@@ -121,6 +121,7 @@
 
   /** Chooses locally for all pending asks when the scheduling node is lost. */
   handleHolderLost(): void {
+    this.options.permits.handleHolderLost();
     [...this.pendingAsks.values()].forEach(pending =>
       this.fallBackToLocal(pending),
     );
--- a/packages/share-limits/src/server_limiter.ts
+++ b/packages/share-limits/src/server_limiter.ts
@@ -71,6 +71,11 @@
     return rate === 0 ? Infinity : (count / rate) * MS_PER_SECOND;
   }
 
+  /** Begins with empty buckets, after a time in which others spent the limits. */
+  clear(): void {
+    this.buckets.clear();
+  }
+
   /** Requests per second that may be sent from here; null without a limit. */
   private findRate(server: ServerIncarnation): number | null {
     const {findLimit, findShare} = this.options;
