Let a host share the slack for retries a window and 2 s after its start

An earlier process's use has left the window after one window; 2 s cover the time in which a change of the nodes reaches all. The share is observed with each heartbeat.

--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -357,7 +357,9 @@
     });
   }
 
+  /** Called with each heartbeat. */
   private updateServingNodes(nodeNames: readonly string[]): void {
+    this.limits.retryShare.observe();
     this.reportOpenRequests(this.duty.holder);
     this.register.checkServingNames(nodeNames);
     if (this.entryPoints.updateServingNodes(nodeNames)) {
@@ -422,7 +424,6 @@
   private scheduleMaintenance(): void {
     this.options.clock.setTimer(MAINTENANCE_INTERVAL_MS, () => {
       this.connections.closeExpired();
-      this.limits.retryShare.observe();
       void this.containment.syncRecord();
       this.scheduleMaintenance();
     });
--- a/packages/serving-node/src/shared_limits.ts
+++ b/packages/serving-node/src/shared_limits.ts
@@ -19,8 +19,8 @@
   viewHosts: () => HostsView;
 }
 
-/** The rest covers the time in which a change of the nodes reaches all. */
-const SETTLE_WINDOWS = 1.5;
+/** A change of the nodes has reached all that are in touch after this time. */
+const LIST_DELAY_MS = 2_000;
 
 /** One heartbeat: finding it takes longer the more nodes there are. */
 const HOLDER_SHARE_TTL_MS = 250;
@@ -41,7 +41,7 @@
     this.retryShare = new HostShare({
       clock: awakeClock,
       view: viewHosts,
-      settleMs: () => SETTLE_WINDOWS * settings.retryBound.windowMs,
+      settleMs: () => settings.retryBound.windowMs + LIST_DELAY_MS,
     });
     this.servers = this.makeServerLimits(awakeClock);
     this.exchange = new LimitExchange(this.servers, incarnation);
