Divide what waits among the limited engines that hold its model

Callers were refused at once as if each engine with a limit had to serve all requests that waited for a model, also where several held it: 10 of 16 at four engines with 1 a second, for whose turn there was time. The new test failed before.

--- a/packages/schedule-models/src/limited_engines.test.ts
+++ b/packages/schedule-models/src/limited_engines.test.ts
@@ -92,6 +92,22 @@
   );
 });
 
+// Guards against refusals as if each engine had to serve all that wait.
+test('what waits is divided among the limited engines', () => {
+  const ids = ['e1', 'e2', 'e3', 'e4'];
+  const limits = Object.fromEntries(ids.map(id => [id, 1]));
+  const scheduler = makeScheduler(ids, limits);
+  for (let asked = 0; asked < 16; asked += 1) {
+    const request = makeRequest(`r${asked}`, 'hot', 0);
+    scheduler.enqueue({...request, endsAtMs: 10_000}, 0);
+  }
+  const decisions = [0, 1_000, 2_000, 3_000, 4_000].flatMap(nowMs =>
+    scheduler.decide(nowMs),
+  );
+  assert.is(decisions.filter(({kind}) => kind === 'refuse').length, 0);
+  assert.is(decisions.filter(({kind}) => kind === 'assign').length, 16);
+});
+
 test('the most urgent request gets the next place', () => {
   const scheduler = makeScheduler(['e1'], {e1: 1});
   const ask = (askId: string, priority: number) =>
--- a/packages/schedule-models/src/start_estimate.ts
+++ b/packages/schedule-models/src/start_estimate.ts
@@ -42,7 +42,7 @@
     engine.acceptsWorkAt(nowMs) && isEngineAllowed(request, engine.id);
   const holders = listHolders(service, model).filter(isAvailable);
   const readyAtMs = Math.min(
-    ...holders.map(engine => findBeginMs(engine, model, context)),
+    ...holders.map(engine => findBeginMs(engine, holders, model, context)),
   );
   const isHeld = Number.isFinite(readyAtMs);
   if (isHeld && holders.some(({limit}) => !limit.isNamed)) {
@@ -61,14 +61,18 @@
   return {kind: 'remote', beginsAtMs: nowMs + (spec?.storeLoadMs ?? 0)};
 }
 
-/** Requests ahead delay the request only at an engine that names a limit. */
+/**
+ * Requests ahead delay the request only at an engine that names a limit; they are
+ * divided among the engines that hold the model.
+ */
 function findBeginMs(
   engine: EngineView,
+  holders: readonly EngineView[],
   model: ModelName,
   {nowMs, countAhead}: StartEstimateContext,
 ): number {
   const readyAtMs = engine.findReadyAtMs(model, nowMs);
-  return engine.limit.isNamed
-    ? Math.max(readyAtMs, engine.limit.findRoomAfterMs(countAhead(), nowMs))
-    : readyAtMs;
+  if (!engine.limit.isNamed) return readyAtMs;
+  const ahead = Math.floor(countAhead() / holders.length);
+  return Math.max(readyAtMs, engine.limit.findRoomAfterMs(ahead, nowMs));
 }
