Save up a second of a server's limit for requests that come together

A server with a limit of 1 a second got one request at a time, however long it had had none, so that of two requests that came together one waited or was refused.

--- a/packages/share-limits/src/server_limiter.ts
+++ b/packages/share-limits/src/server_limiter.ts
@@ -10,8 +10,9 @@
 }
 
 const MS_PER_SECOND = 1_000;
-/** A limit may be spent ahead by what it allows in this time. */
-const BURST_SECONDS = 0.5;
+/** What a limit allows in this time may be saved up for requests that come together. */
+const BURST_SECONDS = 1;
+const MIN_BURST = 2;
 /**
  * Least rate at which a limited server gets requests. Guards against a server that
  * stays without requests since only a response can lift its limit.
@@ -91,7 +92,7 @@
     ratePerSecond: number,
     nowMs: number,
   ): TokenBucket {
-    const capacity = Math.max(1, BURST_SECONDS * ratePerSecond);
+    const capacity = Math.max(MIN_BURST, BURST_SECONDS * ratePerSecond);
     const known = this.buckets.get(id);
     if (!known) {
       const added = new TokenBucket({ratePerSecond, capacity}, 0, nowMs);
