Log what servers say about leaving, and for how long they want no requests

Responses are decoded into a typed fact, each host keeps it for one incarnation of the server (packages/track-availability) and logs 4020, 4021 and 4022; attempt-ended names the pause; two gauges count such servers. Nothing reads it yet: no decision changes. Unreadable headers (a date, a negative number, several) are ignored with one event.

--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -56,6 +56,7 @@
       backendServerId: 'the backend server',
       outcome: 'how it ended',
       status: 'the status that the server answered with, if it did',
+      pauseMs: 'for how long the server wants no request of this host',
       error: 'what failed, if something did',
       fingerprint:
         'which request it is under whatever id, if the connection was cut',
@@ -162,6 +163,34 @@
     fields: {backendServerId: 'the backend server'},
     remedy: 'Let the server name one non-negative decimal number.',
   },
+  'server-leaving': {
+    number: 4020,
+    level: 'info',
+    message: 'A backend server says in a response that it is leaving.',
+    fields: {backendServerId: 'the backend server'},
+  },
+  'server-paused': {
+    number: 4021,
+    level: 'info',
+    message:
+      'A backend server has rejected a request of this host and named a time to come back.',
+    fields: {
+      backendServerId: 'the backend server',
+      pauseMs: 'for how long it wants no request of this host',
+    },
+  },
+  'server-availability-invalid': {
+    number: 4022,
+    level: 'warn',
+    message:
+      'A backend server sends a header that cannot be read; the header is ignored.',
+    fields: {
+      backendServerId: 'the backend server',
+      header: 'the name of the header',
+    },
+    remedy:
+      'Let the server send `Retry-After` as one non-negative decimal number of seconds, and `Server-Leaving` as 1.',
+  },
   'backend-suspected': {
     number: 4100,
     level: 'warn',
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -140,6 +140,14 @@
   ),
   'servers.known': gauge('Backend servers in the list.', {}),
   'servers.limited': gauge('Backend servers that name a limit.', {}),
+  'servers.leaving': gauge(
+    'Backend servers that said in a response that they are leaving.',
+    {},
+  ),
+  'servers.paused': gauge(
+    'Backend servers that want no request of this host for some time.',
+    {},
+  ),
   'servers.age_ms': gauge('Time since the list was read from the store.', {}),
   'duties.held': gauge('1 while this node schedules, else 0.', {}),
   'logs.dropped': counter('Log lines that were left out.', {}),
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -15,6 +15,7 @@
 } from './backend_dialect.js';
 import {type CallerRequest} from './caller_request.js';
 import {type NamedLimit} from '@mimosatack/share-limits';
+import {type AvailabilityFacts} from '@mimosatack/track-availability';
 import {type AttemptResult} from './server_chooser.js';
 
 export type NotRunReason = 'unreachable' | 'not-held' | 'not-taken';
@@ -70,6 +71,8 @@
   maxIdleMs: number;
   onLoad: (load: ServerLoad) => void;
   onStatus: (status: number) => void;
+  /** Called with what each response says, unless another server responded. */
+  onAvailability: (availability: AvailabilityFacts) => void;
   /** Called with the limit of each response of the chosen server. */
   onLimit: (limit: NamedLimit) => void;
 }
@@ -136,6 +139,7 @@
     if (isOfChosenServer && !facts.isMisdirected) {
       this.options.onLimit(facts.limit);
     }
+    if (!facts.isMisdirected) this.options.onAvailability(facts.availability);
     if (facts.isNotRun) {
       this.finishAtHead({
         status: 'not-run',
--- a/packages/serve-requests/src/backend_dialect.ts
+++ b/packages/serve-requests/src/backend_dialect.ts
@@ -1,6 +1,7 @@
 /** Interface of the protocol between this system and backend servers. */
 import {type AnswerHead} from '@mimosatack/backend-connections';
 import {type NamedLimit} from '@mimosatack/share-limits';
+import {type AvailabilityFacts} from '@mimosatack/track-availability';
 import {type BackendServerEntry, type TeamName} from '@mimosatack/types';
 import {type CallerRequest} from './caller_request.js';
 
@@ -38,6 +39,7 @@
   load: ServerLoad | null;
   /** Requests per second that the server takes from all hosts together. */
   limit: NamedLimit;
+  availability: AvailabilityFacts;
 }
 
 /** Encodes request headers and decodes response heads. */
--- a/packages/serve-requests/src/index.ts
+++ b/packages/serve-requests/src/index.ts
@@ -30,6 +30,7 @@
   type RetryAllowanceOptions,
 } from './retry_allowance.js';
 export {type NamedLimit} from '@mimosatack/share-limits';
+export {type AvailabilityFacts} from '@mimosatack/track-availability';
 export {RouteTable} from './route_table.js';
 export {type CrashWatch} from './crash_guard.js';
 export {ResponseHeadTimes} from './response_head_times.js';
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -37,6 +37,7 @@
   private lastChunkAtMs: number | null = null;
   private longestGapMs = 0;
   private status: number | null = null;
+  private pauseMs: number | null = null;
   private backendServerId = '';
 
   constructor(
@@ -57,6 +58,7 @@
     this.lastChunkAtMs = null;
     this.longestGapMs = 0;
     this.status = null;
+    this.pauseMs = null;
     this.backendServerId = choice.server.id;
     this.options.logger.log('request-sent', {
       requestId: this.request.requestId,
@@ -74,6 +76,11 @@
     this.status = status;
   }
 
+  /** Records for how long the server wants no request of this host. */
+  recordPause(pauseMs: number | null): void {
+    this.pauseMs = pauseMs;
+  }
+
   recordChunk(): void {
     const nowMs = this.nowMs();
     const gapMs = nowMs - (this.lastChunkAtMs ?? nowMs);
@@ -91,6 +98,7 @@
       backendServerId: this.backendServerId,
       outcome: outcome.status,
       status: this.status,
+      pauseMs: this.pauseMs,
       error: 'error' in outcome ? outcome.error.message : undefined,
       fingerprint: isConnectionLost(outcome)
         ? this.guard.fingerprint
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -5,6 +5,7 @@
 import {type EventLogger} from '@mimosatack/logger';
 import {type RandomSource} from '@mimosatack/random';
 import {type ServerLimits} from '@mimosatack/share-limits';
+import {type ServerAvailability} from '@mimosatack/track-availability';
 import {
   type ServiceRoute,
   type ServiceSpec,
@@ -33,6 +34,7 @@
   crashes: CrashWatch;
   access: AccessCheck;
   limits: Pick<ServerLimits, 'recordResponse'>;
+  availability: Pick<ServerAvailability, 'recordResponse'>;
 }
 
 const NOT_CONFIGURED_RETRY_MS = 500;
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -234,6 +234,10 @@
       maxIdleMs: this.isRepeatable ? Infinity : MAX_IDLE_NON_REPEATABLE_MS,
       onLoad: load => chooser.recordLoad(server, load),
       onLimit: limit => this.options.limits.recordResponse(server, limit),
+      onAvailability: facts => {
+        this.log.recordPause(facts.pauseMs);
+        this.options.availability.recordResponse(server, facts);
+      },
       onStatus: status => {
         this.log.recordHead(status);
         this.stallFailover?.recordHead();
--- a/packages/serving-node/src/node_state_metrics.ts
+++ b/packages/serving-node/src/node_state_metrics.ts
@@ -7,6 +7,8 @@
   servers: number;
   serversAgeMs: number;
   serversLimited: number;
+  serversLeaving: number;
+  serversPaused: number;
   dutiesHeld: number;
   containedRequests: number;
   suspectedRequests: number;
@@ -28,6 +30,8 @@
   });
   metrics.gauge('servers.known', figures.servers, {});
   metrics.gauge('servers.limited', figures.serversLimited, {});
+  metrics.gauge('servers.leaving', figures.serversLeaving, {});
+  metrics.gauge('servers.paused', figures.serversPaused, {});
   metrics.gauge('servers.age_ms', figures.serversAgeMs, {});
   metrics.gauge('retries.share', figures.retryShare, {});
   metrics.gauge('duties.held', figures.dutiesHeld, {});
--- /dev/null
+++ b/packages/serving-node/src/server_availability_log.ts
@@ -0,0 +1,24 @@
+/** Logs what backend servers say about whether they take requests. */
+import {SuspensionAwareClock} from '@mimosatack/clock';
+import {ServerAvailability} from '@mimosatack/track-availability';
+import {type ServingNodeOptions} from './serving_node_options.js';
+
+export function makeServerAvailability({
+  clock,
+  random,
+  logger,
+}: Pick<
+  ServingNodeOptions,
+  'clock' | 'random' | 'logger'
+>): ServerAvailability {
+  return new ServerAvailability({
+    clock: new SuspensionAwareClock(clock),
+    random,
+    onLeaving: backendServerId =>
+      logger.log('server-leaving', {backendServerId}),
+    onPaused: (backendServerId, pauseMs) =>
+      logger.log('server-paused', {backendServerId, pauseMs}),
+    onInvalid: (backendServerId, header) =>
+      logger.log('server-availability-invalid', {backendServerId, header}),
+  });
+}
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -21,6 +21,7 @@
   RetryAllowance,
 } from '@mimosatack/serve-requests';
 import {type TeamQuotas} from '@mimosatack/team-quotas';
+import {type ServerAvailability} from '@mimosatack/track-availability';
 import {type ServingConfiguration} from '@mimosatack/types';
 import {type CallerAccess} from './caller_access.js';
 import {ConfigurationFollower} from './configuration_follower.js';
@@ -34,6 +35,7 @@
 import {recordNodeState} from './node_state_metrics.js';
 import {SchedulingDuty} from './scheduling_duty.js';
 import {logServerChange} from './log_server_change.js';
+import {makeServerAvailability} from './server_availability_log.js';
 import {ServerFollower} from './server_follower.js';
 import {reloadSettings} from './settings_reload.js';
 import {type ServingNodeOptions} from './serving_node_options.js';
@@ -60,6 +62,7 @@
   private readonly quotas: TeamQuotas;
   private readonly links: NodeLinks;
   private readonly limits: SharedLimits;
+  private readonly availability: ServerAvailability;
   private readonly chooser: ScheduledChooser;
   private readonly pipeline: RequestPipeline;
   private readonly edge: CallerEdge;
@@ -82,6 +85,7 @@
     this.servers = this.makeServers();
     this.containment = this.makeContainment();
     this.limits = this.makeLimits();
+    this.availability = makeServerAvailability(options);
     const teams = makeTeamTasks(options, {
       configurationAgeMs: () => this.configuration.ageMs,
       countNodes: () => this.register.list().length,
@@ -187,6 +191,8 @@
       servers: this.servers.count,
       serversAgeMs: this.servers.ageMs,
       serversLimited: this.limits.servers.limitedCount,
+      serversLeaving: this.availability.leavingCount,
+      serversPaused: this.availability.pausedCount,
       dutiesHeld: this.duty.isHeld ? 1 : 0,
       retryShare: this.limits.retryShare.fraction,
       configurationAgeMs: this.configuration.ageMs,
@@ -412,6 +418,7 @@
       crashes: this.containment.containment,
       access: this.access,
       limits: this.limits.servers,
+      availability: this.availability,
       chooser: this.chooser,
       retries: new RetryAllowance({
         clock: new SuspensionAwareClock(clock),
--- /dev/null
+++ b/packages/track-availability/src/index.ts
@@ -0,0 +1,5 @@
+export {
+  type AvailabilityFacts,
+  ServerAvailability,
+  type ServerAvailabilityOptions,
+} from './server_availability.js';
--- /dev/null
+++ b/packages/track-availability/src/server_availability.test.ts
@@ -0,0 +1,59 @@
+import {ManualClock} from '@mimosatack/clock';
+import {SeededRandom} from '@mimosatack/random';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {type AvailabilityFacts, ServerAvailability} from './index.js';
+
+const test = suite('what servers say about their availability');
+
+const SERVER = {id: 'e1', startedAtMs: 1_000};
+
+function makeFacts(change: Partial<AvailabilityFacts> = {}): AvailabilityFacts {
+  return {isLeaving: false, pauseMs: null, invalidHeaders: [], ...change};
+}
+
+function createFixture() {
+  const clock = new ManualClock();
+  const events: string[] = [];
+  const availability = new ServerAvailability({
+    ...{clock, random: new SeededRandom(1)},
+    onLeaving: id => events.push(`${id} leaves`),
+    onPaused: (id, pauseMs) => events.push(`${id} paused for ${pauseMs}`),
+    onInvalid: (id, header) => events.push(`${id} sent ${header}`),
+  });
+  return {clock, availability, events};
+}
+
+test('a server that is leaving is reported once', () => {
+  const {availability, events} = createFixture();
+  availability.recordResponse(SERVER, makeFacts({isLeaving: true}));
+  availability.recordResponse(SERVER, makeFacts());
+  availability.recordResponse(SERVER, makeFacts({isLeaving: true}));
+  assert.equal(events, ['e1 leaves']);
+  assert.is(availability.leavingCount, 1);
+});
+
+test('a pause is reported when it begins', () => {
+  const {clock, availability, events} = createFixture();
+  availability.recordResponse(SERVER, makeFacts({pauseMs: 3_000}));
+  clock.advance(1_000);
+  availability.recordResponse(SERVER, makeFacts({pauseMs: 3_000}));
+  clock.advance(3_000 - 1);
+  assert.is(availability.pausedCount, 1);
+  clock.advance(301);
+  assert.is(availability.pausedCount, 0);
+  availability.recordResponse(SERVER, makeFacts({pauseMs: 500}));
+  assert.equal(events, ['e1 paused for 3000', 'e1 paused for 500']);
+});
+
+// Guards against a header that nobody can read and that fills the log.
+test('an unreadable header is reported once for each incarnation', () => {
+  const {availability, events} = createFixture();
+  const facts = makeFacts({invalidHeaders: ['retry-after']});
+  availability.recordResponse(SERVER, facts);
+  availability.recordResponse(SERVER, facts);
+  availability.recordResponse({...SERVER, startedAtMs: 2_000}, facts);
+  assert.equal(events, ['e1 sent retry-after', 'e1 sent retry-after']);
+});
+
+test.run();
--- /dev/null
+++ b/packages/track-availability/src/server_availability.ts
@@ -0,0 +1,135 @@
+/** What backend servers say in their responses about taking further requests. */
+import {type Clock} from '@mimosatack/clock';
+import {type RandomSource} from '@mimosatack/random';
+import {
+  type BackendServerEntry,
+  type BackendServerId,
+  type ServerStartMs,
+  compareIncarnations,
+} from '@mimosatack/types';
+
+/** What one response says. */
+export interface AvailabilityFacts {
+  isLeaving: boolean;
+  /** How long the server wants no request of this host; null if it does not say. */
+  pauseMs: number | null;
+  /** Headers that cannot be read and are ignored. */
+  invalidHeaders: readonly string[];
+}
+
+/** One incarnation of a backend server. */
+type ServerIncarnation = Pick<BackendServerEntry, 'id' | 'startedAtMs'>;
+
+export interface ServerAvailabilityOptions {
+  clock: Clock;
+  random: RandomSource;
+  onLeaving: (serverId: BackendServerId) => void;
+  /** Called when a pause begins, not when it is prolonged. */
+  onPaused: (serverId: BackendServerId, pauseMs: number) => void;
+  /** Called once for each incarnation of a server. */
+  onInvalid: (serverId: BackendServerId, header: string) => void;
+}
+
+/** Bounds how long one response can keep a server out of use. */
+const MAX_PAUSE_MS = 600_000;
+/** Extends pauses at random, so that hosts do not return at the same moment. */
+const MAX_JITTER_FRACTION = 0.1;
+const MAX_JITTER_MS = 500;
+/** Allows three ids for each server at the target size. */
+const MAX_TRACKED_SERVERS = 2_000;
+
+interface ServerState {
+  startedAtMs: ServerStartMs;
+  isLeaving: boolean;
+  pausedUntilMs: number;
+  isInvalidReported: boolean;
+}
+
+/** Keyed by server; a new incarnation of a server is available. */
+export class ServerAvailability {
+  private readonly states = new Map<BackendServerId, ServerState>();
+
+  constructor(private readonly options: ServerAvailabilityOptions) {}
+
+  get leavingCount(): number {
+    return this.count(({isLeaving}) => isLeaving);
+  }
+
+  get pausedCount(): number {
+    const nowMs = this.options.clock.monotonicMs();
+    return this.count(({pausedUntilMs}) => pausedUntilMs > nowMs);
+  }
+
+  /** Records what a response of the server says. */
+  recordResponse(server: ServerIncarnation, facts: AvailabilityFacts): void {
+    const {isLeaving, pauseMs, invalidHeaders} = facts;
+    if (isLeaving) this.recordLeaving(server);
+    if (pauseMs !== null && pauseMs > 0) this.recordPause(server, pauseMs);
+    const [header] = invalidHeaders;
+    if (header !== undefined) this.reportInvalid(server, header);
+  }
+
+  /** A server that is leaving stays so until its next incarnation. */
+  private recordLeaving(server: ServerIncarnation): void {
+    const state = this.getOrAddState(server);
+    if (!state || state.isLeaving) return;
+    state.isLeaving = true;
+    this.options.onLeaving(server.id);
+  }
+
+  /** A later response prolongs a pause and does not shorten it. */
+  private recordPause(server: ServerIncarnation, pauseMs: number): void {
+    const {clock, random, onPaused} = this.options;
+    const state = this.getOrAddState(server);
+    if (!state) return;
+    const boundedMs = Math.min(pauseMs, MAX_PAUSE_MS);
+    const maxJitterMs = Math.min(
+      boundedMs * MAX_JITTER_FRACTION,
+      MAX_JITTER_MS,
+    );
+    const nowMs = clock.monotonicMs();
+    const untilMs = nowMs + boundedMs + random.nextFraction() * maxJitterMs;
+    const isBeginning = state.pausedUntilMs <= nowMs;
+    state.pausedUntilMs = Math.max(state.pausedUntilMs, untilMs);
+    if (isBeginning) onPaused(server.id, boundedMs);
+  }
+
+  private reportInvalid(server: ServerIncarnation, header: string): void {
+    const state = this.getOrAddState(server);
+    if (!state || state.isInvalidReported) return;
+    state.isInvalidReported = true;
+    this.options.onInvalid(server.id, header);
+  }
+
+  private count(matches: (state: ServerState) => boolean): number {
+    return [...this.states.values()].filter(matches).length;
+  }
+
+  /** Null for a late response of an earlier incarnation. */
+  private getOrAddState({
+    id,
+    startedAtMs,
+  }: ServerIncarnation): ServerState | null {
+    const known = this.states.get(id);
+    const order = known && compareIncarnations(startedAtMs, known.startedAtMs);
+    if (order === 'earlier') return null;
+    if (known && order === 'same') {
+      known.startedAtMs ??= startedAtMs;
+      return known;
+    }
+    const added: ServerState = {
+      ...{startedAtMs, isLeaving: false, pausedUntilMs: -Infinity},
+      isInvalidReported: false,
+    };
+    this.states.delete(id);
+    this.states.set(id, added);
+    this.removeOldest();
+    return added;
+  }
+
+  private removeOldest(): void {
+    const [oldest] = this.states.keys();
+    if (this.states.size <= MAX_TRACKED_SERVERS || oldest === undefined) return;
+    this.states.delete(oldest);
+  }
+}
