Send nothing to a server that has said in a response that it is leaving

Cause: no process read the header; a leaving server was known from the store alone. Class: what a server says to a host is not a fact that everything that sends there asks.

Change: ServerAvailability keeps the fact for one incarnation of the server. A node asks it when it chooses a server and once more right before each send, also of a request that was assigned, waited, is retried or resumed; a server that became unavailable is given back and another is chosen (4023). The node tells the scheduling node at once, again with its open requests when there is a new one, and again when an assignment shows that it does not know; the scheduler counts such an engine as draining. The report rides on under-way, which nodes of the previous release accept. What a server says holds until its next incarnation, and does not depend on the store.

--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -191,6 +191,18 @@
     remedy:
       'Let the server send `Retry-After` as one non-negative decimal number of seconds, and `Server-Leaving` as 1.',
   },
+  'request-withheld': {
+    number: 4023,
+    level: 'info',
+    message:
+      'A request was not sent to the server chosen for it, which is leaving or paused.',
+    fields: {
+      requestId: 'the request',
+      backendServerId: 'the backend server',
+      waitMs:
+        'time until the server may get requests of this host; null while it is leaving',
+    },
+  },
   'backend-suspected': {
     number: 4100,
     level: 'warn',
--- a/packages/schedule-models/src/engine_index.test.ts
+++ b/packages/schedule-models/src/engine_index.test.ts
@@ -47,6 +47,7 @@
     catalogue: new ModelCatalogue([makeEngineService()]),
     speed: new PrefillSpeed(),
     findLimiter: () => UNLIMITED,
+    isLeaving: () => false,
     ordersBlockedUntilMs: () => -Infinity,
     onRemoved: () => undefined,
     onEnginesChanged: () => index.invalidate(),
--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -1,5 +1,6 @@
 /** The scheduler's view of one engine. */
 import {type ServerLimiter} from '@mimosatack/share-limits';
+import {type ServerIncarnation} from '@mimosatack/track-availability';
 import {
   type AdapterName,
   type BackendServerEntry,
@@ -59,6 +60,8 @@
   catalogue: ModelCatalogue;
   speed: PrefillSpeed;
   limiter: ServerLimiter;
+  /** Whether the engine has said that it is leaving. */
+  isLeaving: (server: ServerIncarnation) => boolean;
   /** No order may be sent before this time. */
   ordersBlockedUntilMs: () => number;
   /** Orders to an earlier incarnation that may still be executed. */
@@ -87,6 +90,7 @@
   private cachedWeights: CachedWeights;
   private readonly prefill: EnginePrefill;
   private readonly catalogue: ModelCatalogue;
+  private readonly isLeaving: (server: ServerIncarnation) => boolean;
   private usedTokens = 0;
 
   constructor(
@@ -95,12 +99,14 @@
       catalogue,
       speed,
       limiter,
+      isLeaving,
       inFlightOrders,
       ordersBlockedUntilMs: ordersBlockedUntilMs,
     }: EngineViewContext,
     private readonly createdAtMs: number,
   ) {
     this.catalogue = catalogue;
+    this.isLeaving = isLeaving;
     this.limit = new EngineLimit(() => this.entry, limiter);
     this.cachedWeights = new CachedWeights(entry.near);
     this.orders = new OrderGate(inFlightOrders, ordersBlockedUntilMs);
@@ -127,8 +133,13 @@
     return this.catalogue.findEngine(this.entry.service) ?? NO_ENGINE;
   }
 
+  /** False while the engine is leaving, by its entry or by its responses. */
+  get isStaying(): boolean {
+    return this.entry.state === 'ready' && !this.isLeaving(this.entry);
+  }
+
   acceptsWorkAt(nowMs: number): boolean {
-    return this.entry.state === 'ready' && this.cooldownUntilMs <= nowMs;
+    return this.isStaying && this.cooldownUntilMs <= nowMs;
   }
 
   /**
--- a/packages/schedule-models/src/engine_views.ts
+++ b/packages/schedule-models/src/engine_views.ts
@@ -1,8 +1,10 @@
 /** Manages the views of all engines, by engine id. */
 import {type ServerLimiter} from '@mimosatack/share-limits';
+import {type ServerIncarnation} from '@mimosatack/track-availability';
 import {
   type BackendServerEntry,
   type BackendServerId,
+  type ServiceName,
   compareIncarnations,
 } from '@mimosatack/types';
 import {EngineView} from './engine_view.js';
@@ -14,6 +16,7 @@
   catalogue: ModelCatalogue;
   speed: PrefillSpeed;
   findLimiter: () => ServerLimiter;
+  isLeaving: (server: ServerIncarnation) => boolean;
   /** No order may be sent to the engine before this time. */
   ordersBlockedUntilMs: (id: BackendServerId) => number;
   /**
@@ -40,6 +43,15 @@
     return this.cachedList;
   }
 
+  /** Whether all engines of the service are leaving; false if none is known. */
+  areAllLeaving(service: ServiceName): boolean {
+    const isOfService = ({entry}: EngineView) => entry.service === service;
+    const hasStaying = this.list().some(
+      engine => isOfService(engine) && engine.isStaying,
+    );
+    return !hasStaying && this.list().some(isOfService);
+  }
+
   /** Adds an engine or applies its changed entry. */
   put(entry: BackendServerEntry, nowMs: number): void {
     const view = this.views.get(entry.id);
@@ -95,10 +107,11 @@
     inFlightOrders: readonly PlannedOrder[],
     nowMs: number,
   ): void {
-    const {catalogue, speed, findLimiter, ordersBlockedUntilMs} = this.options;
+    const {catalogue, speed, findLimiter, isLeaving, ordersBlockedUntilMs} =
+      this.options;
     const quiet = () => ordersBlockedUntilMs(entry.id);
     const context = {
-      ...{catalogue, speed, inFlightOrders},
+      ...{catalogue, speed, isLeaving, inFlightOrders},
       limiter: findLimiter(),
       ordersBlockedUntilMs: quiet,
     };
--- a/packages/schedule-models/src/find_refusal.ts
+++ b/packages/schedule-models/src/find_refusal.ts
@@ -44,6 +44,9 @@
   if (estimate.kind === 'unknown') {
     return {reason: 'unknown-model', retryAfterMs: UNKNOWN_RETRY_MS};
   }
+  if (estimate.kind === 'leaving') {
+    return {reason: 'no-room', retryAfterMs: UNKNOWN_RETRY_MS};
+  }
   const waitEndMs = findWaitDeadlineMs(request);
   const retryAfterMs = Math.max(NO_ROOM_RETRY_MS, estimate.beginsAtMs - nowMs);
   if (estimate.beginsAtMs > waitEndMs) {
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -4,6 +4,7 @@
  * execute the decisions.
  */
 import {type ServerLimiter, UNLIMITED} from '@mimosatack/share-limits';
+import {type ServerIncarnation} from '@mimosatack/track-availability';
 import {
   type AdapterName,
   type BackendServerEntry,
@@ -56,6 +57,8 @@
   policy: SwapPolicy;
   /** Spends the limits that engines name; none by default. */
   limiter?: ServerLimiter;
+  /** Whether an engine has said that it is leaving; none has by default. */
+  isLeaving?: (engine: ServerIncarnation) => boolean;
   /** No order may be sent to the engine before this time. */
   ordersBlockedUntilMs?: (engineId: BackendServerId) => number;
 }
@@ -71,6 +74,7 @@
   private readonly engines = new EngineViews({
     ...{catalogue: this.catalogue, speed: this.speed},
     findLimiter: () => this.options.limiter ?? UNLIMITED,
+    isLeaving: engine => this.options.isLeaving?.(engine) ?? false,
     onEnginesChanged: () => this.index.invalidate(),
     onRemoved: id => this.removeEngineState(id),
     ordersBlockedUntilMs: id =>
@@ -365,6 +369,7 @@
     const {catalogue, waiting} = this;
     const refused = listRefusals(waiting.list(), waiting.listByUrgency(), {
       ...{nowMs, catalogue},
+      areAllLeaving: service => this.engines.areAllLeaving(service),
       listHolders: (service, model) => this.index.listHolders(service, model),
       listCaching: (service, model) => this.index.listCaching(service, model),
     });
--- a/packages/schedule-models/src/start_estimate.ts
+++ b/packages/schedule-models/src/start_estimate.ts
@@ -11,6 +11,8 @@
   | {kind: 'cached'; beginsAtMs: number}
   /** The weights have to be fetched from the weight store. */
   | {kind: 'remote'; beginsAtMs: number}
+  /** All engines of the service are leaving. */
+  | {kind: 'leaving'}
   /** The model or the adapter is not configured. */
   | {kind: 'unknown'};
 
@@ -27,6 +29,7 @@
     service: ServiceName,
     model: ModelName,
   ) => readonly EngineView[];
+  areAllLeaving: (service: ServiceName) => boolean;
   /** The number of more urgent requests that wait for the same model. */
   countAhead: () => number;
 }
@@ -57,6 +60,7 @@
     const kind = readyAtMs <= cachedAtMs ? 'held' : 'cached';
     return {kind, beginsAtMs: Math.min(readyAtMs, cachedAtMs)};
   }
+  if (context.areAllLeaving(service)) return {kind: 'leaving'};
   const spec = catalogue.findModel(service, model);
   return {kind: 'remote', beginsAtMs: nowMs + (spec?.storeLoadMs ?? 0)};
 }
--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -1,4 +1,5 @@
 /** Messages between the nodes and the scheduling node. */
+import {availabilityReportSchema} from '@mimosatack/track-availability';
 import * as z from 'zod';
 
 const chargeSchema = z.object({
@@ -66,11 +67,16 @@
     /** How long the request waits for this server; 0 if it does not. */
     maxWaitMs: z.number(),
   }),
-  /** A node's pending asks and running requests, for a new scheduling node. */
+  /**
+   * A node's pending asks and running requests and what it knows of servers, for a new
+   * scheduling node; or what it has just learned of a server.
+   */
   z.object({
     type: z.literal('under-way'),
     asks: z.array(askSchema),
     runs: z.array(z.object({ask: askSchema, engineId: z.string()})),
+    /** The previous release sends none. */
+    servers: z.array(availabilityReportSchema).default([]),
   }),
 ]);
 
--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -10,6 +10,7 @@
   type ServerChooser,
 } from '@mimosatack/serve-requests';
 import {type QuotaCharge} from '@mimosatack/team-quotas';
+import {type AvailabilityReport} from '@mimosatack/track-availability';
 import {type BackendServerEntry} from '@mimosatack/types';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -78,12 +79,14 @@
 function startChooser(limit: number) {
   const sent: ToHolderMessage[] = [];
   const local = new FixedChooser();
-  const state = {charged: 0, hasHolder: true, isUnsettled: false};
+  const reports: AvailabilityReport[] = [];
+  const state = {charged: 0, hasHolder: true, isUnsettled: false, reports};
   const clock = new ManualClock();
   const refused: string[] = [];
   const chooser = new ScheduledChooser({
     ...{clock, askIdPrefix: 'n1', local},
     permits: {settle: () => false, handleHolderLost: () => undefined},
+    availability: {describe: () => state.reports, list: () => state.reports},
     findServer: () => SERVER,
     sendToHolder: message => {
       if (state.hasHolder) sent.push(message);
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -16,6 +16,10 @@
 } from '@mimosatack/serve-requests';
 import {type BackendServerEntry, type BackendServerId} from '@mimosatack/types';
 import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
+import {
+  type AvailabilityReport,
+  type ServerAvailability,
+} from '@mimosatack/track-availability';
 import {toAskPayload} from './ask_payload.js';
 import {ChargeClient} from './charge_client.js';
 import {
@@ -38,6 +42,7 @@
   sendToHolder: (message: ToHolderMessage) => boolean;
   quotas: LocalQuotas;
   permits: Pick<PermitClient, 'settle' | 'handleHolderLost'>;
+  availability: Pick<ServerAvailability, 'describe' | 'list'>;
   /** Called when a request that is charged locally exceeds its team's quota. */
   onQuotaRefused: (
     requestId: string,
@@ -135,11 +140,30 @@
     const runs = [...this.runs.values()].flatMap(({askId, ask, engineId}) =>
       this.toPayloads(askId, ask).map(payload => ({ask: payload, engineId})),
     );
-    const isSent = this.options.sendToHolder({type: 'under-way', asks, runs});
+    const servers = this.options.availability.list();
+    const isSent = this.options.sendToHolder({
+      ...{type: 'under-way', asks, runs, servers},
+    });
     this.pendingAsks.forEach(pending => (pending.isSubmitted ||= isSent));
   }
 
+  /** Tells the scheduling node what a server has said. */
+  reportAvailability(id: BackendServerId): void {
+    this.sendAvailability(this.options.availability.describe(id));
+  }
+
+  private sendAvailability(servers: AvailabilityReport[]): void {
+    if (servers.length === 0) return;
+    const asks: AskPayload[] = [];
+    this.options.sendToHolder({type: 'under-way', asks, runs: [], servers});
+  }
+
+  /**
+   * Reports the server again if it is unavailable. Guards against a scheduling node that
+   * goes on assigning it since the first report was lost.
+   */
   release(choice: ChosenServer): void {
+    this.reportAvailability(choice.server.id);
     this.options.local.release(choice);
     this.refundCharge(choice);
     this.endRun(choice, 'neutral', null, true);
--- a/packages/schedule-service/src/scheduling_service.test.ts
+++ b/packages/schedule-service/src/scheduling_service.test.ts
@@ -80,6 +80,7 @@
   const host = new SchedulingService({
     ...{clock, logger, orders, quotas, policy: new BatchWorthPolicy()},
     limiter: UNLIMITED,
+    availability: {isLeaving: () => false, applyReported: () => undefined},
     authority: () => ({holder: 'a', fencingToken: 1}),
     ordersBlockedUntilMs: () => -Infinity,
     send: (_address, message) => sent.push(message),
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -15,6 +15,7 @@
   type ServiceSpec,
 } from '@mimosatack/types';
 import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
+import {type ServerAvailability} from '@mimosatack/track-availability';
 import {toScheduledRequest} from './ask_payload.js';
 import {
   type EngineOrderAge,
@@ -42,6 +43,7 @@
   quotas: HolderQuotas;
   /** Spends the limits that servers name, for all nodes. */
   limiter: ServerLimiter;
+  availability: Pick<ServerAvailability, 'isLeaving' | 'applyReported'>;
   /** Called when an engine has refused this node's fencing token. */
   onFenced: (fencingToken: number) => void;
 }
@@ -91,6 +93,7 @@
     this.scheduler = new ModelScheduler({
       policy: options.policy,
       limiter: options.limiter,
+      isLeaving: engine => options.availability.isLeaving(engine),
       ordersBlockedUntilMs: options.ordersBlockedUntilMs,
     });
   }
@@ -169,6 +172,9 @@
       case 'permit':
         return this.answerPermit(message, nodeAddress);
       case 'under-way':
+        message.servers.forEach(report =>
+          this.options.availability.applyReported(report),
+        );
         message.asks.forEach(ask => this.acceptAsk(ask, nodeAddress, nowMs));
         message.runs.forEach(({ask, engineId}) =>
           this.scheduler.recordRunning(
--- a/packages/serve-requests/src/least_loaded_chooser.test.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.test.ts
@@ -14,6 +14,7 @@
     ...{clock: new ManualClock(), random: new SeededRandom(1)},
     ...{ownDomain: 'hall-a', listServers},
     permits: {isLimited: () => false, request: () => Promise.resolve(0)},
+    availability: {findWaitMs: () => 0},
   });
 }
 
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -9,6 +9,7 @@
   type ServerStartMs,
   compareIncarnations,
 } from '@mimosatack/types';
+import {type ServerAvailability} from '@mimosatack/track-availability';
 import {type ServerLoad} from './backend_dialect.js';
 import {
   type AttemptResult,
@@ -25,6 +26,7 @@
   /** The servers of a service that accept new requests. */
   listServers: (service: string) => readonly BackendServerEntry[];
   permits: ServerPermits;
+  availability: Pick<ServerAvailability, 'findWaitMs'>;
 }
 
 /** Permits for requests to servers that name a limit. */
@@ -110,9 +112,11 @@
     const {permits} = this.options;
     const isUnlimited = (server: BackendServerEntry) =>
       !permits.isLimited(server);
-    let left = servers;
+    const {availability} = this.options;
+    const waits = servers.map(server => availability.findWaitMs(server));
+    let left = servers.filter((_, index) => waits[index] === 0);
     let soonest: {server: BackendServerEntry | null; waitMs: number} = {
-      ...{server: null, waitMs: Infinity},
+      ...{server: null, waitMs: Math.min(Infinity, ...waits.filter(Boolean))},
     };
     for (;;) {
       const best = this.pickCheapest(left);
--- a/packages/serve-requests/src/limited_servers.test.ts
+++ b/packages/serve-requests/src/limited_servers.test.ts
@@ -18,6 +18,7 @@
       isLimited: ({id}) => waits[id] !== null,
       request: ({id}) => Promise.resolve(waits[id] ?? 0),
     },
+    availability: {findWaitMs: () => 0},
   });
   return {clock, chooser};
 }
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -71,6 +71,14 @@
     });
   }
 
+  logWithheld(backendServerId: string, waitMs: number): void {
+    this.options.logger.log('request-withheld', {
+      requestId: this.request.requestId,
+      backendServerId,
+      waitMs: Number.isFinite(waitMs) ? Math.round(waitMs) : null,
+    });
+  }
+
   recordHead(status: number): void {
     this.headAtMs = this.nowMs();
     this.status = status;
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -34,7 +34,7 @@
   crashes: CrashWatch;
   access: AccessCheck;
   limits: Pick<ServerLimits, 'recordResponse'>;
-  availability: Pick<ServerAvailability, 'recordResponse'>;
+  availability: Pick<ServerAvailability, 'findWaitMs' | 'recordResponse'>;
 }
 
 const NOT_CONFIGURED_RETRY_MS = 500;
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -38,6 +38,9 @@
  */
 const MAX_NOT_HELD_RETRIES = 2;
 
+/** An unavailable server that is chosen more often is excluded for the request. */
+const MAX_WITHHELD = 3;
+
 /** Why this node aborted the request. */
 type AbortCause = 'caller-gone' | 'timeout';
 
@@ -57,6 +60,8 @@
   private capacityRefusals = 0;
   /** How often an engine did not hold the requested model. */
   private notHeldCount = 0;
+  /** How often a chosen server turned out to be unavailable. */
+  private withheldCount = 0;
   /** Whether a server may have run the request without a complete response. */
   private mayHaveRun = false;
   private abortCause: AbortCause | null = null;
@@ -109,6 +114,10 @@
       const choice = await this.chooseServer(next);
       if (this.abortCause) return this.finishAborted(choice);
       if (choice.status === 'refused') return this.finishFailed(choice.error);
+      if (this.withhold(choice)) {
+        next = null;
+        continue;
+      }
       const access = this.recheckAccess();
       if (access instanceof TypedError) return this.denyAccess(access, choice);
       this.access = access;
@@ -128,6 +137,23 @@
     }
   }
 
+  /**
+   * Gives back a server that has become unavailable since it was chosen.
+   *
+   * Guards against requests to a leaving server that were assigned by a scheduling node
+   * that does not know, or that waited when the server said so.
+   */
+  private withhold(choice: ChosenServer): boolean {
+    const {server} = choice;
+    const waitMs = this.options.availability.findWaitMs(server);
+    if (waitMs === 0) return false;
+    this.log.logWithheld(server.id, waitMs);
+    this.withheldCount += 1;
+    if (this.withheldCount >= MAX_WITHHELD) this.excludedServers.add(server.id);
+    this.options.chooser.release(choice);
+    return true;
+  }
+
   private describeNextStep(
     willRetry: boolean,
   ): 'end' | 'try-elsewhere' | 'give-up' {
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -50,6 +50,7 @@
     clock,
     logger: new MemoryEventLogger(),
     limits: {findLimit: () => null, findShare: () => 1},
+    availability: {isLeaving: () => false, applyReported: () => undefined},
     duty: {
       ...{topic, random: new SeededRandom(1), key: 'scheduler'},
       self: {nodeName: 'a', incarnation: 'a.1', address: 'a:1'},
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -22,6 +22,7 @@
   ServerLimiter,
   type ServerLimiterOptions,
 } from '@mimosatack/share-limits';
+import {type ServerAvailability} from '@mimosatack/track-availability';
 import {type BackendServerEntry, type ServiceSpec} from '@mimosatack/types';
 import {type ServerChange} from './server_follower.js';
 
@@ -38,6 +39,7 @@
   orders: EngineOrders;
   quotas: DutyQuotas;
   limits: ServerLimiterOptions;
+  availability: Pick<ServerAvailability, 'isLeaving' | 'applyReported'>;
   send: (nodeAddress: string, message: FromHolderMessage) => void;
   /** Sends this node's recent engine orders to some nodes, or to all. */
   sendLastOrders: (
@@ -189,9 +191,10 @@
   private startScheduler(): SchedulingService {
     const {clock, logger, orders, quotas, send, listServices, listServers} =
       this.options;
+    const {availability} = this.options;
     quotas.startHolding();
     const scheduler = new SchedulingService({
-      ...{clock, logger, orders, quotas, send},
+      ...{clock, logger, orders, quotas, send, availability},
       policy: new BatchWorthPolicy(),
       limiter: new ServerLimiter(this.options.limits),
       authority: () => this.findAuthority(),
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -85,7 +85,9 @@
     this.servers = this.makeServers();
     this.containment = this.makeContainment();
     this.limits = this.makeLimits();
-    this.availability = makeServerAvailability(options);
+    this.availability = makeServerAvailability(options, id =>
+      this.chooser.reportAvailability(id),
+    );
     const teams = makeTeamTasks(options, {
       configurationAgeMs: () => this.configuration.ageMs,
       countNodes: () => this.register.list().length,
@@ -294,6 +296,7 @@
       ...{clock, logger, orders: platform.engineOrders},
       quotas: this.quotas,
       limits: this.limits.asHolder,
+      availability: this.availability,
       duty: {
         ...{random, topic: platform.dutyTopic, key: DUTY_KEY},
         self: {nodeName, incarnation, address: peerAddress},
@@ -388,7 +391,9 @@
         ...{clock, random, ownDomain: settings.failureDomain},
         listServers: service => this.servers.listReady(service),
         permits,
+        availability: this.availability,
       }),
+      availability: this.availability,
       findServer: id => this.servers.find(id),
       quotas: this.quotas,
       onQuotaRefused: (requestId, charge, refusal) =>
--- a/packages/track-availability/src/server_availability.test.ts
+++ b/packages/track-availability/src/server_availability.test.ts
@@ -33,6 +33,47 @@
   assert.is(availability.leavingCount, 1);
 });
 
+// Guards against requests to a leaving server after a response without the header.
+test('a server that is leaving gets no requests until it starts again', () => {
+  const {availability} = createFixture();
+  assert.is(availability.findWaitMs(SERVER), 0);
+  availability.recordResponse(SERVER, makeFacts({isLeaving: true}));
+  availability.recordResponse(SERVER, makeFacts());
+  assert.is(availability.findWaitMs(SERVER), Infinity);
+  assert.is(availability.findWaitMs({...SERVER, startedAtMs: null}), Infinity);
+  assert.is(availability.findWaitMs({...SERVER, startedAtMs: 2_000}), 0);
+});
+
+// Guards against a late response that takes a restarted server out of use.
+test('a late response of an earlier incarnation changes nothing', () => {
+  const {availability} = createFixture();
+  const restarted = {...SERVER, startedAtMs: 2_000};
+  availability.recordResponse(restarted, makeFacts({pauseMs: 1}));
+  availability.recordResponse(SERVER, makeFacts({isLeaving: true}));
+  assert.is(availability.isLeaving(restarted), false);
+});
+
+// Guards against a server without a start time that is never used again.
+test('a start time that becomes known later tells incarnations apart', () => {
+  const {availability} = createFixture();
+  availability.recordResponse(
+    {id: 'e1', startedAtMs: null},
+    makeFacts({isLeaving: true}),
+  );
+  assert.is(availability.isLeaving(SERVER), true);
+  assert.is(availability.isLeaving({...SERVER, startedAtMs: 2_000}), false);
+});
+
+test('what one host was told holds at another', () => {
+  const told = createFixture().availability;
+  told.recordResponse(SERVER, makeFacts({isLeaving: true}));
+  const {availability, events} = createFixture();
+  told.list().forEach(report => availability.applyReported(report));
+  told.list().forEach(report => availability.applyReported(report));
+  assert.is(availability.isLeaving(SERVER), true);
+  assert.equal(events, ['e1 leaves']);
+});
+
 test('a pause is reported when it begins', () => {
   const {clock, availability, events} = createFixture();
   availability.recordResponse(SERVER, makeFacts({pauseMs: 3_000}));
--- a/packages/track-availability/src/server_availability.ts
+++ b/packages/track-availability/src/server_availability.ts
@@ -1,6 +1,7 @@
 /** What backend servers say in their responses about taking further requests. */
 import {type Clock} from '@mimosatack/clock';
 import {type RandomSource} from '@mimosatack/random';
+import {type AvailabilityReport} from './availability_messages.js';
 import {
   type BackendServerEntry,
   type BackendServerId,
@@ -18,7 +19,7 @@
 }
 
 /** One incarnation of a backend server. */
-type ServerIncarnation = Pick<BackendServerEntry, 'id' | 'startedAtMs'>;
+export type ServerIncarnation = Pick<BackendServerEntry, 'id' | 'startedAtMs'>;
 
 export interface ServerAvailabilityOptions {
   clock: Clock;
@@ -60,6 +61,36 @@
     return this.count(({pausedUntilMs}) => pausedUntilMs > nowMs);
   }
 
+  isLeaving(server: ServerIncarnation): boolean {
+    return this.findState(server)?.isLeaving ?? false;
+  }
+
+  /**
+   * Time until this host may send the server a request: 0 if it may now, Infinity if it
+   * may not until the server starts again.
+   */
+  findWaitMs(server: ServerIncarnation): number {
+    return this.isLeaving(server) ? Infinity : 0;
+  }
+
+  /** What the scheduling node has to know of a server. */
+  describe(serverId: BackendServerId): AvailabilityReport[] {
+    const state = this.states.get(serverId);
+    if (!state?.isLeaving) return [];
+    const {startedAtMs, isLeaving} = state;
+    return [{serverId, startedAtMs, isLeaving}];
+  }
+
+  /** What the scheduling node has to know of all servers. */
+  list(): AvailabilityReport[] {
+    return [...this.states.keys()].flatMap(id => this.describe(id));
+  }
+
+  /** Applies what another host was told; it holds for all hosts. */
+  applyReported({serverId, startedAtMs, isLeaving}: AvailabilityReport): void {
+    if (isLeaving) this.recordLeaving({id: serverId, startedAtMs});
+  }
+
   /** Records what a response of the server says. */
   recordResponse(server: ServerIncarnation, facts: AvailabilityFacts): void {
     const {isLeaving, pauseMs, invalidHeaders} = facts;
@@ -105,6 +136,18 @@
     return [...this.states.values()].filter(matches).length;
   }
 
+  /** Undefined for an incarnation that has said nothing yet. */
+  private findState({
+    id,
+    startedAtMs,
+  }: ServerIncarnation): ServerState | undefined {
+    const state = this.states.get(id);
+    if (!state) return undefined;
+    const order = compareIncarnations(startedAtMs, state.startedAtMs);
+    if (order === 'same') state.startedAtMs ??= startedAtMs;
+    return order === 'later' ? undefined : state;
+  }
+
   /** Null for a late response of an earlier incarnation. */
   private getOrAddState({
     id,
