Send nothing to a server for as long as it asked this host to wait

A 503 that says 'not run' counted as a server without a free slot, for 40 ms at an engine and for one request at a plain server. A server that rejects at once has nothing in flight, so that it is ranked first. Class: that of the leaving servers, what a server says to a host is not a fact that all senders ask.

Change: ServerAvailability keeps the end of the pause for this host; later responses prolong it and do not shorten it, and up to a tenth is added at random so that hosts do not return together. The same question before each choice and each send keeps it. The host tells the scheduling node, which leaves the engine out for that host, prefers engines that no host is kept from, loads a model elsewhere if that is sooner than the end of the pause, and refuses at once a request whose pauses end too late, with that time. A plain server's pause is waited for by what can wait so long.

Why it holds: the pause is counted from the arrival of the response, after the server began to count it. One response keeps a server out for ten minutes at most.

--- a/packages/schedule-models/src/find_store_load.ts
+++ b/packages/schedule-models/src/find_store_load.ts
@@ -6,7 +6,7 @@
 import {
   canOrder,
   findEvictionLoss,
-  preferUnlimited,
+  preferUnrestricted,
   isEvictable,
 } from './swap_options.js';
 import {type SwapChoice, type SwapContext} from './swap_policy.js';
@@ -157,7 +157,7 @@
   const available = engines.filter(engine =>
     canOrder(engine, engine.entry.service, nowMs),
   );
-  return preferUnlimited(available)
+  return preferUnrestricted(available, context)
     .map(engine => ({engine, availableCount: engine.availableModelCount}))
     .map(({engine, availableCount}) => ({
       ...{engine, availableCount, freeMb: engine.memory.freeMb},
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -4,15 +4,20 @@
  * execute the decisions.
  */
 import {type ServerLimiter, UNLIMITED} from '@mimosatack/share-limits';
-import {type ServerIncarnation} from '@mimosatack/track-availability';
+import {
+  type AvailabilityReport,
+  type ServerIncarnation,
+} from '@mimosatack/track-availability';
 import {
   type AdapterName,
   type BackendServerEntry,
   type BackendServerId,
   type ModelName,
   type ServiceSpec,
+  compareIncarnations,
 } from '@mimosatack/types';
 import {EngineHealth} from './engine_health.js';
+import {EnginePauses} from './engine_pauses.js';
 import {findStoreLoad} from './find_store_load.js';
 import {StoreLoads} from './store_loads.js';
 import {CopyCounts} from './copy_counts.js';
@@ -34,6 +39,7 @@
   type ScheduledRequest,
 } from './scheduled_request.js';
 import {
+  type Batch,
   type SwapChoice,
   type SwapContext,
   type SwapPolicy,
@@ -70,6 +76,7 @@
   private readonly deferred = new DeferredRequests();
   private readonly demand = new DemandRates();
   private readonly health = new EngineHealth();
+  private readonly pauses = new EnginePauses();
   private readonly speed = new PrefillSpeed();
   private readonly engines = new EngineViews({
     ...{catalogue: this.catalogue, speed: this.speed},
@@ -130,6 +137,7 @@
   private removeEngineState(id: BackendServerId): void {
     this.storeLoads.recordEnd(id);
     this.health.remove(id);
+    this.pauses.remove(id);
     this.speed.remove(id);
   }
 
@@ -193,6 +201,20 @@
     if (result === 'not-taken') engine.delayReadiness(request.model, nowMs);
   }
 
+  /** Records that an engine wants no requests of a node for some time. */
+  recordPause(
+    {serverId, startedAtMs, pauseMs}: AvailabilityReport,
+    nodeId: string,
+    nowMs: number,
+  ): void {
+    const engine = this.engines.get(serverId);
+    const isEarlier =
+      compareIncarnations(startedAtMs, engine?.startedAtMs ?? null) ===
+      'earlier';
+    if (!engine || isEarlier || pauseMs === 0) return;
+    this.pauses.record(serverId, nodeId, nowMs + pauseMs, nowMs);
+  }
+
   recordOrderSent(order: PlannedOrder): void {
     this.engines.get(order.engineId)?.orders.recordSent(order);
   }
@@ -244,7 +266,8 @@
     );
     const waitEnds = this.waiting.list().map(findWaitDeadlineMs);
     const paces = this.deferred.isEmpty ? [] : [nowMs + PACING_POLL_MS];
-    return Math.min(Infinity, ...engines, ...waitEnds, ...paces);
+    const pauseEnds = waitEnds.length > 0 ? this.pauses.listEndsMs(nowMs) : [];
+    return Math.min(Infinity, ...engines, ...waitEnds, ...paces, ...pauseEnds);
   }
 
   private assignWaiting(nowMs: number): Decision[] {
@@ -253,9 +276,13 @@
       const usable = ready.filter(
         engine =>
           this.health.isUsable(engine.id, request.nodeId, nowMs) &&
+          !this.pauses.isPaused(engine.id, request.nodeId, nowMs) &&
           engine.limit.findNextRequestMs(nowMs) <= nowMs,
       );
-      const engine = this.deferred.pickEngine(request, usable, nowMs);
+      // A request that no holder may be sent is served by a load elsewhere.
+      if (usable.length === 0) this.deferred.remove(request.askId);
+      const preferred = this.pauses.preferUnpaused(usable, nowMs);
+      const engine = this.deferred.pickEngine(request, preferred, nowMs);
       if (!engine) return [];
       this.dequeue(request.askId);
       this.refusals.reset(request.service, request.model);
@@ -306,7 +333,8 @@
     );
     const swaps = policy.rank(batches, context).flatMap(batch => {
       const choice = policy.choose(batch, context);
-      return choice ? [this.startSwap(batch.model, choice, nowMs)] : [];
+      if (!choice || this.endsPauseBefore(batch, choice, nowMs)) return [];
+      return [this.startSwap(batch.model, choice, nowMs)];
     });
     return [
       ...swaps,
@@ -315,6 +343,19 @@
     ];
   }
 
+  /** Whether the pauses of holders end before the model is loaded elsewhere. */
+  private endsPauseBefore(
+    {service, model, requests}: Batch,
+    {engine}: SwapChoice,
+    nowMs: number,
+  ): boolean {
+    const holders = this.index.listHolders(service, model);
+    const loadedAtMs = nowMs + engine.findLoadMs(model);
+    return requests.every(({nodeId}) =>
+      this.pauses.endsBefore(loadedAtMs, holders, nodeId, nowMs),
+    );
+  }
+
   /** Adds copies of models whose demand exceeds the prefill capacity. */
   private startExtraCopies(context: SwapContext): Decision[] {
     if (this.deferred.isEmpty) return [];
@@ -359,9 +400,10 @@
     this.copies = new CopyCounts(engines, nowMs);
     const {index, catalogue, demand, refusals, speed, storeLoads, copies} =
       this;
+    const {pauses} = this;
     return makeSwapContext(nowMs, {
       ...{engines, index, copies, catalogue},
-      ...{demand, refusals, speed, storeLoads},
+      ...{demand, refusals, speed, storeLoads, pauses},
     });
   }
 
@@ -370,6 +412,8 @@
     const refused = listRefusals(waiting.list(), waiting.listByUrgency(), {
       ...{nowMs, catalogue},
       areAllLeaving: service => this.engines.areAllLeaving(service),
+      findPauseEndMs: (engine, nodeId) =>
+        this.pauses.findEndMs(engine.id, nodeId, nowMs),
       listHolders: (service, model) => this.index.listHolders(service, model),
       listCaching: (service, model) => this.index.listCaching(service, model),
     });
--- a/packages/schedule-models/src/start_estimate.ts
+++ b/packages/schedule-models/src/start_estimate.ts
@@ -29,6 +29,8 @@
     service: ServiceName,
     model: ModelName,
   ) => readonly EngineView[];
+  /** When the engine takes requests of the node; `nowMs` or before if it does now. */
+  findPauseEndMs: (engine: EngineView, nodeId: string) => number;
   areAllLeaving: (service: ServiceName) => boolean;
   /** The number of more urgent requests that wait for the same model. */
   countAhead: () => number;
@@ -44,16 +46,19 @@
   const isAvailable = (engine: EngineView) =>
     engine.acceptsWorkAt(nowMs) && isEngineAllowed(request, engine.id);
   const holders = listHolders(service, model).filter(isAvailable);
+  const isUnrestricted = (engine: EngineView) =>
+    !engine.limit.isNamed &&
+    context.findPauseEndMs(engine, request.nodeId) <= nowMs;
   const readyAtMs = Math.min(
-    ...holders.map(engine => findBeginMs(engine, holders, model, context)),
+    ...holders.map(engine => findBeginMs(engine, holders, request, context)),
   );
   const isHeld = Number.isFinite(readyAtMs);
-  if (isHeld && holders.some(({limit}) => !limit.isNamed)) {
+  if (isHeld && holders.some(isUnrestricted)) {
     return {kind: 'held', beginsAtMs: readyAtMs};
   }
   const caching = listCaching(service, model)
     .filter(isAvailable)
-    .filter(engine => !engine.limit.isNamed || !holders.includes(engine));
+    .filter(engine => isUnrestricted(engine) || !holders.includes(engine));
   const cachedAtMs =
     nowMs + Math.min(...caching.map(engine => engine.findLoadMs(model)));
   if (isHeld || caching.length > 0) {
@@ -72,10 +77,13 @@
 function findBeginMs(
   engine: EngineView,
   holders: readonly EngineView[],
-  model: ModelName,
-  {nowMs, countAhead}: StartEstimateContext,
+  {model, nodeId}: ScheduledRequest,
+  {nowMs, countAhead, findPauseEndMs}: StartEstimateContext,
 ): number {
-  const readyAtMs = engine.findReadyAtMs(model, nowMs);
+  const readyAtMs = Math.max(
+    engine.findReadyAtMs(model, nowMs),
+    findPauseEndMs(engine, nodeId),
+  );
   if (!engine.limit.isNamed) return readyAtMs;
   const ahead = Math.floor(countAhead() / holders.length);
   return Math.max(readyAtMs, engine.limit.findRoomAfterMs(ahead, nowMs));
--- a/packages/schedule-models/src/swap_context.ts
+++ b/packages/schedule-models/src/swap_context.ts
@@ -3,6 +3,7 @@
 import {type DemandRates} from './demand.js';
 import {type EngineIndex} from './engine_index.js';
 import {type EngineView} from './engine_view.js';
+import {type EnginePauses} from './engine_pauses.js';
 import {type RefusalCounts} from './refusal_counts.js';
 import {type ModelCatalogue} from './model_catalogue.js';
 import {type PrefillSpeed} from './prefill_speed.js';
@@ -19,6 +20,7 @@
   refusals: RefusalCounts;
   speed: PrefillSpeed;
   storeLoads: StoreLoads;
+  pauses: EnginePauses;
 }
 
 export function makeSwapContext(
@@ -26,9 +28,10 @@
   sources: SwapContextSources,
 ): SwapContext {
   const {engines, index, copies, catalogue, demand} = sources;
-  const {refusals, speed, storeLoads} = sources;
+  const {refusals, speed, storeLoads, pauses} = sources;
   return {
     ...{nowMs, engines},
+    isPaused: id => pauses.isPausedForAny(id, nowMs),
     listCaching: (service, model) => index.listCaching(service, model),
     copiesOf: model => copies.find(model),
     listDemand: () => demand.listCurrent(nowMs),
--- a/packages/schedule-models/src/swap_options.ts
+++ b/packages/schedule-models/src/swap_options.ts
@@ -17,24 +17,28 @@
  */
 export function listCachedSwaps(
   batch: Batch,
-  {listCaching, nowMs}: SwapContext,
+  context: SwapContext,
 ): SwapChoice[] {
+  const {listCaching, nowMs} = context;
   const {service, model, requests} = batch;
   const engines = listCaching(service, model)
     .filter(engine => canOrder(engine, service, nowMs))
     .filter(engine => !engine.residents.has(model))
     .filter(({id}) => requests.some(request => isEngineAllowed(request, id)));
-  return preferUnlimited(engines).flatMap(engine =>
+  return preferUnrestricted(engines, context).flatMap(engine =>
     listEngineSwaps(engine, engine.memory.modelMb(model), nowMs),
   );
 }
 
-/** Engines that name a limit are used for loads only if no other can be. */
-export function preferUnlimited(
+/** Limited and paused engines are used for loads only if no other can be. */
+export function preferUnrestricted(
   engines: readonly EngineView[],
+  {isPaused}: SwapContext,
 ): readonly EngineView[] {
-  const unlimited = engines.filter(engine => !engine.limit.isNamed);
-  return unlimited.length > 0 ? unlimited : engines;
+  const unrestricted = engines.filter(
+    ({id, limit}) => !limit.isNamed && !isPaused(id),
+  );
+  return unrestricted.length > 0 ? unrestricted : engines;
 }
 
 /**
--- a/packages/schedule-models/src/swap_policy.ts
+++ b/packages/schedule-models/src/swap_policy.ts
@@ -1,5 +1,9 @@
 /** Interface of the policies that select which models to load and to evict. */
-import {type ModelName, type ServiceName} from '@mimosatack/types';
+import {
+  type BackendServerId,
+  type ModelName,
+  type ServiceName,
+} from '@mimosatack/types';
 import {type ModelDemand} from './demand.js';
 import {type EngineView} from './engine_view.js';
 import {type ResidentModel} from './resident_model.js';
@@ -17,6 +21,8 @@
 export interface SwapContext {
   nowMs: number;
   engines: readonly EngineView[];
+  /** Whether the engine wants no requests of at least one node. */
+  isPaused: (id: BackendServerId) => boolean;
   /** Engines that can load the model without the weight store. */
   listCaching: (
     service: ServiceName,
--- a/packages/schedule-models/src/unavailable_engines.test.ts
+++ b/packages/schedule-models/src/unavailable_engines.test.ts
@@ -1,3 +1,4 @@
+import {type AvailabilityReport} from '@mimosatack/track-availability';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {BatchWorthPolicy} from './policies.js';
@@ -35,6 +36,17 @@
   );
 }
 
+function listOrders(decisions: readonly Decision[]): string[][] {
+  return decisions.flatMap(decision => {
+    if (decision.kind !== 'order') return [];
+    return [[decision.order.engineId, decision.order.model]];
+  });
+}
+
+function makePause(serverId: string, pauseMs: number): AvailabilityReport {
+  return {serverId, startedAtMs: null, isLeaving: false, pauseMs};
+}
+
 // Guards against assignments to a leaving engine whose entry still says ready.
 test('a leaving engine gets no request', () => {
   const {scheduler, leaving} = createFixture([
@@ -54,13 +66,7 @@
   ]);
   leaving.add('e1 null');
   scheduler.enqueue(makeRequest('r1', 'hot', 0), 0);
-  const orders = scheduler
-    .decide(0)
-    .flatMap(decision => (decision.kind === 'order' ? [decision.order] : []));
-  assert.equal(
-    orders.map(({engineId, model}) => [engineId, model]),
-    [['e2', 'hot']],
-  );
+  assert.equal(listOrders(scheduler.decide(0)), [['e2', 'hot']]);
 });
 
 test('a request that only a leaving engine could serve is refused at once', () => {
@@ -83,4 +89,67 @@
   assert.equal(listAssigned(scheduler.decide(100)), ['e1']);
 });
 
+// Guards against an idle engine that draws all requests since it rejects them.
+test('a paused engine gets no request of the node until its pause ends', () => {
+  const {scheduler} = createFixture([makeEngine('e1', ['hot'])]);
+  scheduler.recordPause(makePause('e1', 1_000), 'n1', 0);
+  scheduler.enqueue(makeRequest('r1', 'hot', 0), 0);
+  assert.equal(scheduler.decide(0), []);
+  assert.ok(scheduler.nextDecisionMs(0) <= 1_000);
+  assert.equal(listAssigned(scheduler.decide(1_000)), ['e1']);
+});
+
+// Guards against each node learning by a rejected request what one was told.
+test('an engine that is paused for one node is the last choice for others', () => {
+  const engines = [makeEngine('e1', ['hot']), makeEngine('e2', ['hot'])];
+  const {scheduler} = createFixture(engines);
+  scheduler.recordPause(makePause('e1', 1_000), 'n2', 0);
+  scheduler.enqueue(makeRequest('r1', 'hot', 0), 0);
+  assert.equal(listAssigned(scheduler.decide(0)), ['e2']);
+  scheduler.removeEngine('e2');
+  scheduler.enqueue(makeRequest('r2', 'hot', 0), 0);
+  assert.equal(listAssigned(scheduler.decide(0)), ['e1']);
+});
+
+// Guards against a request that waits for a pause longer than its caller does.
+test('a request is refused at once when the pause ends too late', () => {
+  const {scheduler} = createFixture([makeEngine('e1', ['hot'])]);
+  scheduler.recordPause(makePause('e1', 6_000), 'n1', 0);
+  scheduler.enqueue(makeRequest('r1', 'hot', 0), 0);
+  assert.equal(scheduler.decide(0), [
+    {kind: 'refuse', askId: 'r1', reason: 'no-room', retryAfterMs: 6_000},
+  ]);
+});
+
+// Guards against callers that wait for a paused engine while another is idle.
+test('a model that only a paused engine holds is loaded at another', () => {
+  const {scheduler} = createFixture([
+    makeEngine('e1', ['hot']),
+    makeEngine('e2', ['other'], ['hot', 'other']),
+  ]);
+  scheduler.recordPause(makePause('e1', 60_000), 'n1', 0);
+  scheduler.enqueue(makeRequest('r1', 'hot', 0), 0);
+  assert.equal(listOrders(scheduler.decide(0)), [['e2', 'hot']]);
+});
+
+// Guards against an eviction for a load that ends after the pause.
+test('no load is started for a pause that ends before it', () => {
+  const {scheduler} = createFixture([
+    makeEngine('e1', ['hot']),
+    makeEngine('e2', ['other'], ['hot', 'other']),
+  ]);
+  scheduler.recordPause(makePause('e1', 20), 'n1', 0);
+  scheduler.enqueue(makeRequest('r1', 'hot', 0), 0);
+  assert.equal(listOrders(scheduler.decide(0)), []);
+});
+
+test('the pause of an earlier incarnation is ignored', () => {
+  const engine = {...makeEngine('e1', ['hot']), startedAtMs: 2_000};
+  const {scheduler} = createFixture([engine]);
+  const pause = {...makePause('e1', 1_000), startedAtMs: 1_000};
+  scheduler.recordPause(pause, 'n1', 0);
+  scheduler.enqueue(makeRequest('r1', 'hot', 0), 0);
+  assert.equal(listAssigned(scheduler.decide(0)), ['e1']);
+});
+
 test.run();
--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -211,4 +211,38 @@
   assert.is(choice.status === 'refused' && choice.error.retryAfterMs, 250);
 });
 
+const REPORT: AvailabilityReport = {
+  ...{serverId: SERVER.id, startedAtMs: null, isLeaving: false, pauseMs: 900},
+};
+
+test('the scheduling node is told what a server says', () => {
+  const {chooser, sent, state} = startChooser(100);
+  chooser.reportAvailability(SERVER.id);
+  assert.equal(sent, []);
+  state.reports.push(REPORT);
+  chooser.reportAvailability(SERVER.id);
+  assert.equal(sent, [
+    {type: 'under-way', asks: [], runs: [], servers: [REPORT]},
+  ]);
+});
+
+// Guards against a new scheduling node that assigns unavailable servers.
+test('a new scheduling node is told what servers have said', () => {
+  const {chooser, sent, state} = startChooser(100);
+  state.reports.push(REPORT);
+  chooser.sendStateToHolder();
+  const [message] = sent;
+  assert.equal(message?.type === 'under-way' && message.servers, [REPORT]);
+});
+
+// Guards against a report that was lost and is never repeated.
+test('the scheduling node is told again when a choice is given back', async () => {
+  const {chooser, sent, state} = startChooser(100);
+  const choice = expectChosen(await chooser.choose(makeAsk(false)));
+  state.reports.push(REPORT);
+  chooser.release(choice);
+  const [message] = sent;
+  assert.equal(message?.type === 'under-way' && message.servers, [REPORT]);
+});
+
 test.run();
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -172,9 +172,10 @@
       case 'permit':
         return this.answerPermit(message, nodeAddress);
       case 'under-way':
-        message.servers.forEach(report =>
-          this.options.availability.applyReported(report),
-        );
+        message.servers.forEach(report => {
+          this.options.availability.applyReported(report);
+          this.scheduler.recordPause(report, nodeAddress, nowMs);
+        });
         message.asks.forEach(ask => this.acceptAsk(ask, nodeAddress, nowMs));
         message.runs.forEach(({ask, engineId}) =>
           this.scheduler.recordRunning(
--- a/packages/serve-requests/src/limited_servers.test.ts
+++ b/packages/serve-requests/src/limited_servers.test.ts
@@ -4,7 +4,7 @@
 import * as assert from 'uvu/assert';
 import {LeastLoadedChooser} from './least_loaded_chooser.js';
 import {type ServerChoice} from './server_chooser.js';
-import {makeAsk, makeServer} from './test_fixtures.js';
+import {makeAsk, makeServer, settle} from './test_fixtures.js';
 
 const test = suite('choice among servers that name a limit');
 
@@ -27,10 +27,6 @@
   return choice.status === 'chosen' ? choice.server.id : 'none';
 }
 
-async function settle(): Promise<void> {
-  for (let turns = 0; turns < 10; turns += 1) await Promise.resolve();
-}
-
 test('a server without room is left for another', async () => {
   const {chooser} = makeChooser({limited: 900, other: null});
   assert.is(findServerId(await chooser.choose(makeAsk())), 'other');
--- a/packages/serve-requests/src/test_fixtures.ts
+++ b/packages/serve-requests/src/test_fixtures.ts
@@ -91,3 +91,8 @@
     ...change,
   };
 }
+
+/** Lets pending promises settle that need no time. */
+export async function settle(): Promise<void> {
+  for (let turns = 0; turns < 10; turns += 1) await Promise.resolve();
+}
--- a/packages/serving-node/src/server_availability_log.ts
+++ b/packages/serving-node/src/server_availability_log.ts
@@ -15,14 +15,11 @@
   return new ServerAvailability({
     clock: new SuspensionAwareClock(clock),
     random,
-    onLeaving: backendServerId => {
-      logger.log('server-leaving', {backendServerId});
-      onChange(backendServerId);
-    },
-    onPaused: (backendServerId, pauseMs) => {
-      logger.log('server-paused', {backendServerId, pauseMs});
-      onChange(backendServerId);
-    },
+    onChange,
+    onLeaving: backendServerId =>
+      logger.log('server-leaving', {backendServerId}),
+    onPaused: (backendServerId, pauseMs) =>
+      logger.log('server-paused', {backendServerId, pauseMs}),
     onInvalid: (backendServerId, header) =>
       logger.log('server-availability-invalid', {backendServerId, header}),
   });
--- a/packages/track-availability/src/availability_messages.ts
+++ b/packages/track-availability/src/availability_messages.ts
@@ -6,6 +6,8 @@
   /** Start of the server's incarnation; null if unknown. */
   startedAtMs: z.number().nullable(),
   isLeaving: z.boolean(),
+  /** How long the server wants no request of the reporting node; 0 for no pause. */
+  pauseMs: z.number().nonnegative(),
 });
 
 export type AvailabilityReport = z.infer<typeof availabilityReportSchema>;
--- a/packages/track-availability/src/server_availability.test.ts
+++ b/packages/track-availability/src/server_availability.test.ts
@@ -12,16 +12,18 @@
   return {isLeaving: false, pauseMs: null, invalidHeaders: [], ...change};
 }
 
-function createFixture() {
+function createFixture(seed = 1) {
   const clock = new ManualClock();
   const events: string[] = [];
+  const changed: string[] = [];
   const availability = new ServerAvailability({
-    ...{clock, random: new SeededRandom(1)},
+    ...{clock, random: new SeededRandom(seed)},
+    onChange: id => changed.push(id),
     onLeaving: id => events.push(`${id} leaves`),
     onPaused: (id, pauseMs) => events.push(`${id} paused for ${pauseMs}`),
     onInvalid: (id, header) => events.push(`${id} sent ${header}`),
   });
-  return {clock, availability, events};
+  return {clock, availability, events, changed};
 }
 
 test('a server that is leaving is reported once', () => {
@@ -87,6 +89,39 @@
   assert.equal(events, ['e1 paused for 3000', 'e1 paused for 500']);
 });
 
+// Guards against requests to a server that wants none for some time.
+test('a pause ends by itself and is not shortened by later responses', () => {
+  const {clock, availability, changed} = createFixture();
+  availability.recordResponse(SERVER, makeFacts({pauseMs: 3_000}));
+  availability.recordResponse(SERVER, makeFacts({pauseMs: 500}));
+  availability.recordResponse(SERVER, makeFacts());
+  assert.ok(availability.findWaitMs(SERVER) >= 3_000);
+  assert.is(availability.findWaitMs({...SERVER, startedAtMs: 2_000}), 0);
+  assert.equal(changed, ['e1', 'e1']);
+  clock.advance(3_300);
+  assert.is(availability.findWaitMs(SERVER), 0);
+  assert.equal(availability.list(), []);
+});
+
+// Guards against all hosts that return to a server at the same moment.
+test('hosts end the same pause at different times', () => {
+  const waits = [1, 2, 3, 4].map(seed => {
+    const {availability} = createFixture(seed);
+    availability.recordResponse(SERVER, makeFacts({pauseMs: 3_000}));
+    return availability.findWaitMs(SERVER);
+  });
+  assert.is(new Set(waits).size, waits.length);
+  waits.forEach(waitMs => assert.ok(waitMs >= 3_000 && waitMs <= 3_300));
+});
+
+// Guards against a server that is kept out of use by an absurd time.
+test('a pause is bounded', () => {
+  const {clock, availability} = createFixture();
+  availability.recordResponse(SERVER, makeFacts({pauseMs: 1e12}));
+  clock.advance(601_000);
+  assert.is(availability.findWaitMs(SERVER), 0);
+});
+
 // Guards against a header that nobody can read and that fills the log.
 test('an unreadable header is reported once for each incarnation', () => {
   const {availability, events} = createFixture();
--- a/packages/track-availability/src/server_availability.ts
+++ b/packages/track-availability/src/server_availability.ts
@@ -25,6 +25,8 @@
   clock: Clock;
   random: RandomSource;
   onLeaving: (serverId: BackendServerId) => void;
+  /** Called when the scheduling node has to be told of the server. */
+  onChange: (serverId: BackendServerId) => void;
   /** Called when a pause begins, not when it is prolonged. */
   onPaused: (serverId: BackendServerId, pauseMs: number) => void;
   /** Called once for each incarnation of a server. */
@@ -57,8 +59,7 @@
   }
 
   get pausedCount(): number {
-    const nowMs = this.options.clock.monotonicMs();
-    return this.count(({pausedUntilMs}) => pausedUntilMs > nowMs);
+    return this.count(state => this.findPauseMs(state) > 0);
   }
 
   isLeaving(server: ServerIncarnation): boolean {
@@ -70,15 +71,19 @@
    * may not until the server starts again.
    */
   findWaitMs(server: ServerIncarnation): number {
-    return this.isLeaving(server) ? Infinity : 0;
+    const state = this.findState(server);
+    if (!state) return 0;
+    return state.isLeaving ? Infinity : this.findPauseMs(state);
   }
 
   /** What the scheduling node has to know of a server. */
   describe(serverId: BackendServerId): AvailabilityReport[] {
     const state = this.states.get(serverId);
-    if (!state?.isLeaving) return [];
+    if (!state) return [];
     const {startedAtMs, isLeaving} = state;
-    return [{serverId, startedAtMs, isLeaving}];
+    const pauseMs = this.findPauseMs(state);
+    if (!isLeaving && pauseMs === 0) return [];
+    return [{serverId, startedAtMs, isLeaving, pauseMs}];
   }
 
   /** What the scheduling node has to know of all servers. */
@@ -86,7 +91,7 @@
     return [...this.states.keys()].flatMap(id => this.describe(id));
   }
 
-  /** Applies what another host was told; it holds for all hosts. */
+  /** Applies what holds for all hosts of what another one was told. */
   applyReported({serverId, startedAtMs, isLeaving}: AvailabilityReport): void {
     if (isLeaving) this.recordLeaving({id: serverId, startedAtMs});
   }
@@ -106,11 +111,12 @@
     if (!state || state.isLeaving) return;
     state.isLeaving = true;
     this.options.onLeaving(server.id);
+    this.options.onChange(server.id);
   }
 
   /** A later response prolongs a pause and does not shorten it. */
   private recordPause(server: ServerIncarnation, pauseMs: number): void {
-    const {clock, random, onPaused} = this.options;
+    const {clock, random, onPaused, onChange} = this.options;
     const state = this.getOrAddState(server);
     if (!state) return;
     const boundedMs = Math.min(pauseMs, MAX_PAUSE_MS);
@@ -123,6 +129,11 @@
     const isBeginning = state.pausedUntilMs <= nowMs;
     state.pausedUntilMs = Math.max(state.pausedUntilMs, untilMs);
     if (isBeginning) onPaused(server.id, boundedMs);
+    onChange(server.id);
+  }
+
+  private findPauseMs({pausedUntilMs}: ServerState): number {
+    return Math.max(0, pausedUntilMs - this.options.clock.monotonicMs());
   }
 
   private reportInvalid(server: ServerIncarnation, header: string): void {
