Split what decides which engines and servers may be sent to out of large files

EngineAccess holds failures and pauses of engines, SendGate the check before a send, server_chooser the wiring of the choosers.

--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -14,10 +14,8 @@
   type BackendServerId,
   type ModelName,
   type ServiceSpec,
-  compareIncarnations,
 } from '@mimosatack/types';
-import {EngineHealth} from './engine_health.js';
-import {EnginePauses} from './engine_pauses.js';
+import {EngineAccess} from './engine_access.js';
 import {findStoreLoad} from './find_store_load.js';
 import {StoreLoads} from './store_loads.js';
 import {CopyCounts} from './copy_counts.js';
@@ -75,8 +73,7 @@
   private readonly waiting = new WaitingRequests();
   private readonly deferred = new DeferredRequests();
   private readonly demand = new DemandRates();
-  private readonly health = new EngineHealth();
-  private readonly pauses = new EnginePauses();
+  private readonly access = new EngineAccess();
   private readonly speed = new PrefillSpeed();
   private readonly engines = new EngineViews({
     ...{catalogue: this.catalogue, speed: this.speed},
@@ -136,8 +133,7 @@
 
   private removeEngineState(id: BackendServerId): void {
     this.storeLoads.recordEnd(id);
-    this.health.remove(id);
-    this.pauses.remove(id);
+    this.access.remove(id);
     this.speed.remove(id);
   }
 
@@ -193,8 +189,7 @@
     const request = engine?.runs.get(askId);
     if (!engine || !request) return;
     engine.endRun(askId, result === 'served' ? ttfbMs : null, nowMs);
-    this.health.record(engineId, request.nodeId, result, nowMs);
-    if (this.health.isLost(engineId, nowMs)) engine.startCooldown(nowMs);
+    this.access.recordResult(engine, request, result, nowMs);
     if (result === 'not-held') {
       engine.recordMissing(request.model, request.adapter, nowMs);
     }
@@ -202,17 +197,9 @@
   }
 
   /** Records that an engine wants no requests of a node for some time. */
-  recordPause(
-    {serverId, startedAtMs, pauseMs}: AvailabilityReport,
-    nodeId: string,
-    nowMs: number,
-  ): void {
-    const engine = this.engines.get(serverId);
-    const isEarlier =
-      compareIncarnations(startedAtMs, engine?.startedAtMs ?? null) ===
-      'earlier';
-    if (!engine || isEarlier || pauseMs === 0) return;
-    this.pauses.record(serverId, nodeId, nowMs + pauseMs, nowMs);
+  recordPause(report: AvailabilityReport, nodeId: string, nowMs: number): void {
+    const engine = this.engines.get(report.serverId);
+    if (engine) this.access.recordPause(engine, report, nodeId, nowMs);
   }
 
   recordOrderSent(order: PlannedOrder): void {
@@ -266,23 +253,18 @@
     );
     const waitEnds = this.waiting.list().map(findWaitDeadlineMs);
     const paces = this.deferred.isEmpty ? [] : [nowMs + PACING_POLL_MS];
-    const pauseEnds = waitEnds.length > 0 ? this.pauses.listEndsMs(nowMs) : [];
+    const pauseEnds =
+      waitEnds.length > 0 ? this.access.pauses.listEndsMs(nowMs) : [];
     return Math.min(Infinity, ...engines, ...waitEnds, ...paces, ...pauseEnds);
   }
 
   private assignWaiting(nowMs: number): Decision[] {
     return this.waiting.listByUrgency().flatMap(request => {
       const ready = listReadyEngines(this.listHolders(request), request, nowMs);
-      const usable = ready.filter(
-        engine =>
-          this.health.isUsable(engine.id, request.nodeId, nowMs) &&
-          !this.pauses.isPaused(engine.id, request.nodeId, nowMs) &&
-          engine.limit.findNextRequestMs(nowMs) <= nowMs,
-      );
+      const usable = this.access.listUsable(ready, request, nowMs);
       // A request that no holder may be sent is served by a load elsewhere.
       if (usable.length === 0) this.deferred.remove(request.askId);
-      const preferred = this.pauses.preferUnpaused(usable, nowMs);
-      const engine = this.deferred.pickEngine(request, preferred, nowMs);
+      const engine = this.deferred.pickEngine(request, usable, nowMs);
       if (!engine) return [];
       this.dequeue(request.askId);
       this.refusals.reset(request.service, request.model);
@@ -352,7 +334,7 @@
     const holders = this.index.listHolders(service, model);
     const loadedAtMs = nowMs + engine.findLoadMs(model);
     return requests.every(({nodeId}) =>
-      this.pauses.endsBefore(loadedAtMs, holders, nodeId, nowMs),
+      this.access.pauses.endsBefore(loadedAtMs, holders, nodeId, nowMs),
     );
   }
 
@@ -400,7 +382,7 @@
     this.copies = new CopyCounts(engines, nowMs);
     const {index, catalogue, demand, refusals, speed, storeLoads, copies} =
       this;
-    const {pauses} = this;
+    const {pauses} = this.access;
     return makeSwapContext(nowMs, {
       ...{engines, index, copies, catalogue},
       ...{demand, refusals, speed, storeLoads, pauses},
@@ -413,7 +395,7 @@
       ...{nowMs, catalogue},
       areAllLeaving: service => this.engines.areAllLeaving(service),
       findPauseEndMs: (engine, nodeId) =>
-        this.pauses.findEndMs(engine.id, nodeId, nowMs),
+        this.access.pauses.findEndMs(engine.id, nodeId, nowMs),
       listHolders: (service, model) => this.index.listHolders(service, model),
       listCaching: (service, model) => this.index.listCaching(service, model),
     });
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -23,6 +23,7 @@
 } from './server_chooser.js';
 import {findCharge} from './quota_charges.js';
 import {findBackoffMs} from './refusal_pause.js';
+import {SendGate} from './send_gate.js';
 import {StallFailover} from './stall_failover.js';
 
 /** A slower connection fails, and the request goes to another server. */
@@ -38,9 +39,6 @@
  */
 const MAX_NOT_HELD_RETRIES = 2;
 
-/** An unavailable server that is chosen more often is excluded for the request. */
-const MAX_WITHHELD = 3;
-
 /** Why this node aborted the request. */
 type AbortCause = 'caller-gone' | 'timeout';
 
@@ -52,6 +50,7 @@
   private readonly relay: AnswerRelay;
   private readonly log: RequestLog;
   private readonly guard: CrashGuard;
+  private readonly gate: SendGate;
   private readonly isRepeatable: boolean;
   private access: GrantedAccess;
   private attempt: Attempt | null = null;
@@ -60,8 +59,6 @@
   private capacityRefusals = 0;
   /** How often an engine did not hold the requested model. */
   private notHeldCount = 0;
-  /** How often a chosen server turned out to be unavailable. */
-  private withheldCount = 0;
   /** Whether a server may have run the request without a complete response. */
   private mayHaveRun = false;
   private abortCause: AbortCause | null = null;
@@ -79,6 +76,11 @@
     this.isRepeatable = isRepeatable(route);
     this.guard = new CrashGuard(options.crashes, request);
     this.log = new RequestLog(options, request, target, this.guard);
+    this.gate = new SendGate({
+      availability: options.availability,
+      excludedServers: this.excludedServers,
+      onWithheld: (id, waitMs) => this.log.logWithheld(id, waitMs),
+    });
     this.relay = new AnswerRelay({
       sink,
       isStream: route.kind === 'streaming',
@@ -114,7 +116,8 @@
       const choice = await this.chooseServer(next);
       if (this.abortCause) return this.finishAborted(choice);
       if (choice.status === 'refused') return this.finishFailed(choice.error);
-      if (this.withhold(choice)) {
+      if (!this.gate.allows(choice.server)) {
+        this.options.chooser.release(choice);
         next = null;
         continue;
       }
@@ -137,23 +140,6 @@
     }
   }
 
-  /**
-   * Gives back a server that has become unavailable since it was chosen.
-   *
-   * Guards against requests to a leaving server that were assigned by a scheduling node
-   * that does not know, or that waited when the server said so.
-   */
-  private withhold(choice: ChosenServer): boolean {
-    const {server} = choice;
-    const waitMs = this.options.availability.findWaitMs(server);
-    if (waitMs === 0) return false;
-    this.log.logWithheld(server.id, waitMs);
-    this.withheldCount += 1;
-    if (this.withheldCount >= MAX_WITHHELD) this.excludedServers.add(server.id);
-    this.options.chooser.release(choice);
-    return true;
-  }
-
   private describeNextStep(
     willRetry: boolean,
   ): 'end' | 'try-elsewhere' | 'give-up' {
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -9,14 +9,9 @@
   NodeLinks,
   type NodeStatus,
 } from '@mimosatack/node-links';
-import {
-  PermitClient,
-  ScheduledChooser,
-  type ToHolderMessage,
-} from '@mimosatack/schedule-service';
+import {type ScheduledChooser} from '@mimosatack/schedule-service';
 import {
   ResponseHeadTimes,
-  LeastLoadedChooser,
   RequestPipeline,
   RetryAllowance,
 } from '@mimosatack/serve-requests';
@@ -36,13 +31,14 @@
 import {SchedulingDuty} from './scheduling_duty.js';
 import {logServerChange} from './log_server_change.js';
 import {makeServerAvailability} from './server_availability_log.js';
+import {makeServerChooser} from './server_chooser.js';
 import {ServerFollower} from './server_follower.js';
 import {reloadSettings} from './settings_reload.js';
 import {type ServingNodeOptions} from './serving_node_options.js';
 import {SharedLimits} from './shared_limits.js';
 import {SharedRecords} from './shared_records.js';
 import {StatusServer} from './status_server.js';
-import {logQuotaRefusal, makeTeamTasks} from './team_tasks.js';
+import {makeTeamTasks} from './team_tasks.js';
 import {CLOSE_MARGIN_MS, KEEP_LISTENING_MS} from './stop_times.js';
 
 const DUTY_KEY = 'scheduler';
@@ -377,27 +373,14 @@
   }
 
   private makeChooser(): ScheduledChooser {
-    const {clock, random, settings, logger} = this.options;
-    const askIdPrefix = this.self.incarnation;
-    const sendToHolder = (message: ToHolderMessage) =>
-      this.links.sendToHolder(message);
-    const permits = new PermitClient({
-      ...{clock, askIdPrefix, sendToHolder},
+    return makeServerChooser({
+      ...this.options,
+      incarnation: this.self.incarnation,
+      servers: this.servers,
       limiter: this.limits.ownLimiter,
-    });
-    return new ScheduledChooser({
-      ...{clock, askIdPrefix, sendToHolder, permits},
-      local: new LeastLoadedChooser({
-        ...{clock, random, ownDomain: settings.failureDomain},
-        listServers: service => this.servers.listReady(service),
-        permits,
-        availability: this.availability,
-      }),
       availability: this.availability,
-      findServer: id => this.servers.find(id),
       quotas: this.quotas,
-      onQuotaRefused: (requestId, charge, refusal) =>
-        logQuotaRefusal(logger, requestId, charge, refusal),
+      sendToHolder: message => this.links.sendToHolder(message),
     });
   }
 
--- a/packages/track-availability/src/server_availability.ts
+++ b/packages/track-availability/src/server_availability.ts
@@ -1,13 +1,13 @@
 /** What backend servers say in their responses about taking further requests. */
 import {type Clock} from '@mimosatack/clock';
 import {type RandomSource} from '@mimosatack/random';
-import {type AvailabilityReport} from './availability_messages.js';
 import {
   type BackendServerEntry,
   type BackendServerId,
   type ServerStartMs,
   compareIncarnations,
 } from '@mimosatack/types';
+import {type AvailabilityReport} from './availability_messages.js';
 
 /** What one response says. */
 export interface AvailabilityFacts {
