--- a/packages/serving-node/src/server_availability_log.ts
+++ b/packages/serving-node/src/server_availability_log.ts
@@ -1,5 +1,4 @@
 /** Logs what backend servers say about whether they take requests. */
-import {SuspensionAwareClock} from '@mimosatack/clock';
 import {ServerAvailability} from '@mimosatack/track-availability';
 import {type BackendServerId} from '@mimosatack/types';
 import {type ServingNodeOptions} from './serving_node_options.js';
@@ -13,8 +12,7 @@
   onChange: (serverId: BackendServerId) => void,
 ): ServerAvailability {
   return new ServerAvailability({
-    clock: new SuspensionAwareClock(clock),
-    random,
+    ...{clock, random},
     onChange,
     onLeaving: backendServerId =>
       logger.log('server-leaving', {backendServerId}),
