Count no preemption between two clock readings as a suspension

Cause: the clock reads the wall and then the monotonic clock. A process that is preempted in between sees a wall clock that lost time, and at the next reading one that gained it, which counts as a suspension: the clock runs ahead by each preemption over 50 ms. Class: two readings taken as one.

Evidence: the new test failed before (320 ms passed in 160).

--- a/packages/clock/src/suspension_aware_clock.test.ts
+++ b/packages/clock/src/suspension_aware_clock.test.ts
@@ -1,6 +1,6 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {ManualClock, SuspensionAwareClock} from './index.js';
+import {type Clock, ManualClock, SuspensionAwareClock} from './index.js';
 
 const test = suite('suspension-aware clock');
 
@@ -36,4 +36,25 @@
   assert.is(clock.monotonicMs(), 3_500);
 });
 
+// Guards against time that passes too fast while the process is preempted often.
+test('a preemption between two readings is no suspension', () => {
+  const hostClock = new ManualClock(1_000_000);
+  let preemptedMs = 0;
+  const preemptedClock: Clock = {
+    monotonicMs: () => hostClock.monotonicMs(),
+    setTimer: (delayMs, callback) => hostClock.setTimer(delayMs, callback),
+    wallMs: () => {
+      const wallMs = hostClock.wallMs();
+      hostClock.advance(preemptedMs);
+      return wallMs;
+    },
+  };
+  const clock = new SuspensionAwareClock(preemptedClock);
+  [80, 0, 80, 0].forEach(durationMs => {
+    preemptedMs = durationMs;
+    clock.monotonicMs();
+  });
+  assert.is(clock.monotonicMs(), hostClock.monotonicMs());
+});
+
 test.run();
--- a/packages/clock/src/suspension_aware_clock.ts
+++ b/packages/clock/src/suspension_aware_clock.ts
@@ -18,7 +18,7 @@
   private wallOffsetMs: number;
 
   constructor(private readonly clock: Clock) {
-    this.wallOffsetMs = this.measureWallOffset();
+    this.wallOffsetMs = this.measureWallOffset().offsetMs;
   }
 
   wallMs(): number {
@@ -26,10 +26,7 @@
   }
 
   monotonicMs(): number {
-    const wallOffsetMs = this.measureWallOffset();
-    const gainedMs = wallOffsetMs - this.wallOffsetMs;
-    if (Math.abs(gainedMs) > MAX_DRIFT_MS) this.wallOffsetMs = wallOffsetMs;
-    if (gainedMs > MAX_DRIFT_MS) this.suspendedMs += gainedMs;
+    this.recordSuspension();
     return this.clock.monotonicMs() + this.suspendedMs;
   }
 
@@ -37,7 +34,22 @@
     return this.clock.setTimer(delayMs, callback);
   }
 
-  private measureWallOffset(): number {
-    return this.clock.wallMs() - this.clock.monotonicMs();
+  private recordSuspension(): void {
+    const {offsetMs, errorMs} = this.measureWallOffset();
+    if (errorMs > MAX_DRIFT_MS / 2) return;
+    const gainedMs = offsetMs - this.wallOffsetMs;
+    if (Math.abs(gainedMs) > MAX_DRIFT_MS) this.wallOffsetMs = offsetMs;
+    if (gainedMs > MAX_DRIFT_MS) this.suspendedMs += gainedMs;
+  }
+
+  /**
+   * Reads both clocks. Guards against a preemption between the two readings, which
+   * looks like a wall clock that lost time and then gained it.
+   */
+  private measureWallOffset(): {offsetMs: number; errorMs: number} {
+    const beforeMs = this.clock.monotonicMs();
+    const wallMs = this.clock.wallMs();
+    const errorMs = this.clock.monotonicMs() - beforeMs;
+    return {offsetMs: wallMs - beforeMs, errorMs};
   }
 }
