Log and count the attempts with requests under which servers may have ended

request-sent did not say which request it was, so that copies of a crashing one that ran at once, and probes, could not be told from the logs. It names the fingerprint while the request is suspected, and whether the attempt is a probe; containment.sent counts both. No decision changes.

--- a/packages/contain-requests/src/request_containment.ts
+++ b/packages/contain-requests/src/request_containment.ts
@@ -61,6 +61,11 @@
     );
   }
 
+  /** Whether a connection was lost under the request since it was last served. */
+  isSuspected(fingerprint: RequestFingerprint): boolean {
+    return this.evidence.cutsByRequest.has(fingerprint);
+  }
+
   isContained(fingerprint: RequestFingerprint): boolean {
     return this.probeAtMs.has(fingerprint);
   }
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -45,6 +45,9 @@
       remainingMs: 'time that is left for its answer',
       configurationVersion: 'the configuration that decided the route',
       chosenBy: 'how the server was chosen, with what that rested on',
+      fingerprint:
+        'which request it is under whatever id, if servers may have ended under it',
+      isProbe: 'whether it is contained and tried at one server',
     },
   },
   'attempt-ended': {
--- a/packages/measure-events/src/measuring_event_logger.test.ts
+++ b/packages/measure-events/src/measuring_event_logger.test.ts
@@ -26,6 +26,27 @@
   assert.is(inner.events.length, 1);
 });
 
+test('attempts with suspected requests are counted, others are not', () => {
+  const metrics = new MemoryMetrics();
+  const logger = new MetricsEventLogger(new MemoryEventLogger(), metrics);
+  const log = (fingerprint: string | undefined, isProbe: boolean) =>
+    logger.log('request-sent', {
+      ...{requestId: 'r1', route: 'a', backendServerId: 'i-1', attempt: 1},
+      ...{remainingMs: 9, configurationVersion: 1, chosenBy: {}},
+      ...{fingerprint, isProbe},
+    });
+  log(undefined, false);
+  log('f1', false);
+  log('f1', true);
+  assert.equal(
+    metrics.samples.map(({name, tags}) => ({name, tags})),
+    [
+      {name: 'containment.sent', tags: {reason: 'suspected'}},
+      {name: 'containment.sent', tags: {reason: 'probe'}},
+    ],
+  );
+});
+
 test('an event without a metric is only logged', () => {
   const inner = new MemoryEventLogger();
   const metrics = new MemoryMetrics();
--- a/packages/measure-events/src/measuring_event_logger.ts
+++ b/packages/measure-events/src/measuring_event_logger.ts
@@ -17,6 +17,7 @@
   MetricsUpdate
 >([
   ['request-finished', recordFinished],
+  ['request-sent', recordSent],
   ['attempt-ended', recordAttempt],
   ['retry-decided', recordRetry],
   ['ask-decided', recordDecision],
@@ -72,6 +73,12 @@
   metrics.timing('answers.duration', toNumber(tookMs), {result: tag});
 }
 
+function recordSent(metrics: Metrics, {fingerprint, isProbe}: Fields): void {
+  if (fingerprint === undefined) return;
+  const reason = isProbe === true ? 'probe' : 'suspected';
+  metrics.count('containment.sent', {reason});
+}
+
 function recordAttempt(
   metrics: Metrics,
   {outcome, next, headMs}: Fields,
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -118,6 +118,10 @@
     'Requests that were cut at a server that may have ended under them.',
     {},
   ),
+  'containment.sent': counter(
+    'Attempts with requests under which servers may have ended.',
+    {reason: '`suspected`, or `probe` of a contained one'},
+  ),
   'configuration.version': gauge('The configuration in force.', {}),
   'configuration.age_ms': gauge(
     'Time since the configuration was known to be the newest.',
--- a/packages/serve-requests/src/crash_guard.test.ts
+++ b/packages/serve-requests/src/crash_guard.test.ts
@@ -21,6 +21,10 @@
     return this.hasSuspects;
   }
 
+  isSuspected(): boolean {
+    return this.hasSuspects;
+  }
+
   isContained(): boolean {
     return this.isRequestContained;
   }
--- a/packages/serve-requests/src/crash_guard.ts
+++ b/packages/serve-requests/src/crash_guard.ts
@@ -15,6 +15,8 @@
   readonly hasSuspects: boolean;
   /** Whether any suspected request has this path. */
   isPathSuspected(pathPrint: PathFingerprint): boolean;
+  /** Whether a connection was lost under the request since it was last served. */
+  isSuspected(fingerprint: RequestFingerprint): boolean;
   isContained(fingerprint: RequestFingerprint): boolean;
   /** Whether a contained request may probe one server; see `endProbe`. */
   openProbe(fingerprint: RequestFingerprint): boolean;
@@ -53,6 +55,16 @@
     return this.cachedFingerprint;
   }
 
+  /** Whether servers may have crashed under this request. */
+  get isSuspected(): boolean {
+    return this.isWatched && this.watch.isSuspected(this.fingerprint);
+  }
+
+  /** Whether the request is sent to a server to find out if it crashes that one too. */
+  get isProbing(): boolean {
+    return this.isProbe;
+  }
+
   /** Whether the request must not be sent to a server now. */
   get isContained(): boolean {
     if (this.isProbe) return false;
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -68,9 +68,19 @@
       remainingMs: Math.round(deadlineAtMs - this.sentAtMs),
       configurationVersion: this.target.version,
       chosenBy: {...choice.basis},
+      ...this.describeSuspicion(),
     });
   }
 
+  private describeSuspicion(): Record<
+    'fingerprint' | 'isProbe',
+    string | boolean | undefined
+  > {
+    const {guard} = this;
+    if (!guard.isSuspected) return {fingerprint: undefined, isProbe: undefined};
+    return {fingerprint: guard.fingerprint, isProbe: guard.isProbing};
+  }
+
   logWithheld(backendServerId: string, waitMs: number): void {
     this.options.logger.log('request-withheld', {
       requestId: this.request.requestId,
--- a/packages/serve-requests/src/withheld_requests.test.ts
+++ b/packages/serve-requests/src/withheld_requests.test.ts
@@ -105,6 +105,7 @@
     }),
     headTimes: new ResponseHeadTimes(),
     crashes: {
+      isSuspected: () => false,
       hasSuspects: false,
       isPathSuspected: () => false,
       isContained: () => false,
