Send copies of a request that may crash servers one at a time

Callers saw: a request that three servers had ended under went on to servers.

Cause: a request was contained by the servers that are known to have ended. Until then nothing bounded how many copies of it were under way, and an end with several copies counted as one. Class: a bound on known results that does not bound what is in flight.

Change: a request under which a server may have ended is sent under a lease on its fingerprint, which the node that schedules grants to one run at a time. The ask, the decision and the release carry what both nodes know of it, so that the next copy is decided on with the result of the one before. A success releases all that wait. A copy whose turn does not come in six tenths of its time is told to come back. Without a node that schedules, each node leases to itself, and a request one crash from containment waits.

--- a/packages/contain-requests/src/crash_evidence.ts
+++ b/packages/contain-requests/src/crash_evidence.ts
@@ -79,6 +79,18 @@
       .slice(0, limit);
   }
 
+  /** Returns what is known of one request. */
+  listOf(fingerprint: RequestFingerprint): CrashFact[] {
+    const cuts = [...(this.cuts.get(fingerprint) ?? [])].map(
+      ([serverLife, cut]): CrashFact => ({
+        ...{kind: 'cut', fingerprint, serverLife, ...cut},
+      }),
+    );
+    const atMs = this.servedAtMs.get(fingerprint);
+    if (atMs === undefined) return cuts;
+    return [{kind: 'served', fingerprint, atMs}, ...cuts];
+  }
+
   /** Returns false for a fact that is known, expired or outdated. */
   add(fact: CrashFact): boolean {
     if (this.clock.monotonicMs() - fact.atMs > FACT_MAX_AGE_MS) return false;
--- a/packages/contain-requests/src/crash_messages.ts
+++ b/packages/contain-requests/src/crash_messages.ts
@@ -2,7 +2,7 @@
 import * as z from 'zod';
 import {type CrashFact} from './crash_evidence.js';
 
-const wireFactSchema = z.discriminatedUnion('kind', [
+export const wireFactSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('cut'),
     fingerprint: z.string(),
--- a/packages/contain-requests/src/request_containment.ts
+++ b/packages/contain-requests/src/request_containment.ts
@@ -66,6 +66,11 @@
     return this.evidence.cutsByRequest.has(fingerprint);
   }
 
+  isOneCrashFromContained(fingerprint: RequestFingerprint): boolean {
+    const count = this.evidence.cutsByRequest.get(fingerprint)?.size ?? 0;
+    return count === CRASHES_TO_CONTAIN - 1;
+  }
+
   isContained(fingerprint: RequestFingerprint): boolean {
     return this.probeAtMs.has(fingerprint);
   }
--- a/packages/node-links/src/make_transport.ts
+++ b/packages/node-links/src/make_transport.ts
@@ -7,10 +7,14 @@
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 500;
 
+/** Undefined for a message that has no reply. */
+export type MessageReply =
+  NodeMessage | undefined | Promise<NodeMessage | undefined>;
+
 /** Creates a transport that listens and connects after `start()`. */
 export function makeTransport(
   options: NodeLinksOptions,
-  onMessage: (from: string, message: NodeMessage) => NodeMessage | undefined,
+  onMessage: (from: string, message: NodeMessage) => MessageReply,
 ): PeerTransport<NodeMessage> {
   const {clock, self, listenAddress, clusterSecret, onFault} = options;
   return new PeerTransport<NodeMessage>({
--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -2,6 +2,9 @@
 import {
   crashReplySchema,
   crashReportSchema,
+  suspectAskSchema,
+  suspectDecisionSchema,
+  suspectReleaseSchema,
 } from '@mimosatack/contain-requests';
 import {
   fromHolderMessageSchema,
@@ -129,6 +132,9 @@
   recordsSchema,
   z.object({type: z.literal('to-holder'), body: toHolderMessageSchema}),
   z.object({type: z.literal('from-holder'), body: fromHolderMessageSchema}),
+  suspectAskSchema,
+  suspectDecisionSchema,
+  suspectReleaseSchema,
 ]);
 
 export type NodeMessage = z.infer<typeof messageSchema>;
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -7,11 +7,9 @@
 import {type DutyHolder, type HolderContact} from '@mimosatack/hold-duty';
 import {type LimitReport} from '@mimosatack/share-limits';
 import {type PeerTransport} from '@mimosatack/peer-transport';
-import {
-  type FromHolderMessage,
-  type ToHolderMessage,
-} from '@mimosatack/schedule-service';
+import {type FromHolderMessage} from '@mimosatack/schedule-service';
 import {startPeriodic} from '@mimosatack/tasks';
+import {HolderChannel} from './holder_channel.js';
 import {HolderContacts} from './holder_contacts.js';
 import {toLastOrders} from './last_orders.js';
 import {
@@ -29,7 +27,7 @@
   type RecordsMessage,
   type Welcome,
 } from './messages.js';
-import {makeTransport} from './make_transport.js';
+import {type MessageReply, makeTransport} from './make_transport.js';
 import {type LeaseGrant, NodeRoster} from './node_roster.js';
 import {type NodeLinksOptions, type Successor} from './node_links_options.js';
 import {RecordCatchUp} from './record_catch_up.js';
@@ -48,6 +46,7 @@
 /** Sends heartbeats to the duty holder and routes messages between nodes. */
 export class NodeLinks {
   private readonly transport: PeerTransport<NodeMessage>;
+  private readonly channel: HolderChannel;
   private readonly contacts: HolderContacts;
   private readonly roster: NodeRoster;
   private readonly catchUp: RecordCatchUp;
@@ -88,6 +87,8 @@
     this.transport = makeTransport(options, (from, message) =>
       this.receive(from, message),
     );
+    const {transport} = this;
+    this.channel = new HolderChannel({...options, contacts, transport});
   }
 
   async start(): Promise<void> {
@@ -129,15 +130,9 @@
     return this.roster.findGrantEndMs([...names], token, sinceMs);
   }
 
-  sendToHolder(message: ToHolderMessage): boolean {
-    const {holder: findHolder, onToHolder, self} = this.options;
-    const holder = findHolder();
-    if (!holder || this.findContact(holder) !== 'alive') return false;
-    if (this.isSelf(holder)) onToHolder(self.peerAddress, message);
-    else {
-      this.transport.send(holder.address, {type: 'to-holder', body: message});
-    }
-    return true;
+  /** For messages to the holder while this node is in contact with it. */
+  get holderChannel(): HolderChannel {
+    return this.channel;
   }
 
   sendToNode(address: string, message: FromHolderMessage): void {
@@ -332,7 +327,7 @@
     this.contacts.notePeerReports(holder, isHeard);
   }
 
-  private receive(from: string, message: NodeMessage): NodeMessage | undefined {
+  private receive(from: string, message: NodeMessage): MessageReply {
     const {options} = this;
     switch (message.type) {
       case 'hello':
@@ -357,6 +352,11 @@
       case 'to-holder':
         options.onToHolder(from, message.body);
         return undefined;
+      case 'suspect-ask':
+        return options.suspects.handleAsk(message);
+      case 'suspect-release':
+        options.suspects.handleRelease(message);
+        return undefined;
       case 'from-holder':
         options.onFromHolder(message.body);
         return undefined;
--- a/packages/node-links/src/node_links_options.ts
+++ b/packages/node-links/src/node_links_options.ts
@@ -1,6 +1,9 @@
 /** Dependencies and callbacks of `NodeLinks`. */
 import {type Clock} from '@mimosatack/clock';
-import {type CrashExchange} from '@mimosatack/contain-requests';
+import {
+  type CrashExchange,
+  type SuspectRuns,
+} from '@mimosatack/contain-requests';
 import {type TypedError} from '@mimosatack/errors';
 import {type DutyHolder, type LastOrders} from '@mimosatack/hold-duty';
 import {type RandomSource} from '@mimosatack/random';
@@ -57,6 +60,8 @@
   readStatus: () => NodeStatus;
   /** Exchanges reports of servers that crashed while serving a request. */
   crashes: CrashExchange;
+  /** Grants leases on suspected requests while this node is the holder. */
+  suspects: Pick<SuspectRuns, 'handleAsk' | 'handleRelease'>;
   quotas: QuotaExchange;
   /** Exchanges the limits that servers name. */
   limits: LimitExchange;
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -18,6 +18,7 @@
   type ServerChoice,
   type ServerChooser,
 } from './server_chooser.js';
+import {findWaitDeadlineMs} from './wait_deadline.js';
 
 export interface LeastLoadedOptions {
   clock: Clock;
@@ -47,11 +48,6 @@
 /** A failed server is avoided for this long while others are available. */
 const FAILURE_COOLDOWN_MS = 500;
 const RETRY_AFTER_MS = 1_000;
-/**
- * The fraction of a request's time that it may wait for a permit; the rest is left
- * for its run and for a retry of its caller.
- */
-const MAX_WAIT_FRACTION = 0.6;
 
 interface ServerStats {
   /** Start of the server incarnation that the stats describe. */
@@ -74,7 +70,8 @@
     const {clock} = this.options;
     for (;;) {
       const servers = this.listCandidates(ask);
-      const maxWaitMs = findWaitDeadlineMs(ask) - clock.monotonicMs();
+      const maxWaitMs =
+        findWaitDeadlineMs(ask.request, ask.endsAtMs) - clock.monotonicMs();
       const choice = await this.tryChoose(servers, Math.max(0, maxWaitMs));
       if (choice.server) return this.makeChoice(choice.server, servers);
       if (!Number.isFinite(choice.waitMs)) return makeRefusal(RETRY_AFTER_MS);
@@ -225,11 +222,6 @@
   };
 }
 
-function findWaitDeadlineMs({request, endsAtMs}: ServerAsk): number {
-  const {receivedAtMs} = request;
-  return receivedAtMs + MAX_WAIT_FRACTION * (endsAtMs - receivedAtMs);
-}
-
 /** Breaks ties only: less than one request at a server with 64 slots. */
 const MAX_TIE_BREAK_COST = 0.01;
 /** Equals one request at a server with 20 slots. */
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -21,6 +21,7 @@
 import {type RetryAllowance} from './retry_allowance.js';
 import {RouteTable} from './route_table.js';
 import {type ServerChooser} from './server_chooser.js';
+import {type SuspectLeaser} from './suspect_lease.js';
 
 export interface PipelineOptions {
   clock: Clock;
@@ -32,6 +33,7 @@
   logger: EventLogger;
   headTimes: ResponseHeadTimes;
   crashes: CrashWatch;
+  suspects: SuspectLeaser;
   access: AccessCheck;
   limits: Pick<ServerLimits, 'recordResponse'>;
   availability: Pick<ServerAvailability, 'findWaitMs' | 'recordResponse'>;
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -25,6 +25,7 @@
 import {findBackoffMs} from './refusal_pause.js';
 import {SendGate} from './send_gate.js';
 import {StallFailover} from './stall_failover.js';
+import {SuspectLease} from './suspect_lease.js';
 
 /** A slower connection fails, and the request goes to another server. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -51,6 +52,7 @@
   private readonly log: RequestLog;
   private readonly guard: CrashGuard;
   private readonly gate: SendGate;
+  private readonly lease: SuspectLease;
   private readonly isRepeatable: boolean;
   private access: GrantedAccess;
   private attempt: Attempt | null = null;
@@ -76,6 +78,11 @@
     this.isRepeatable = isRepeatable(route);
     this.guard = new CrashGuard(options.crashes, request);
     this.log = new RequestLog(options, request, target, this.guard);
+    this.lease = new SuspectLease({
+      ...{clock: options.clock, leaser: options.suspects, guard: this.guard},
+      ...{request, endsAtMs: this.deadlineAtMs},
+      signal: this.abortController.signal,
+    });
     this.gate = new SendGate({
       availability: options.availability,
       excludedServers: this.excludedServers,
@@ -106,6 +113,7 @@
     } finally {
       timer.cancel();
       this.guard.endProbe();
+      this.lease.release();
       this.sink.gone.removeEventListener('abort', onCallerGone);
     }
   }
@@ -157,12 +165,20 @@
     replacement: ChosenServer | null,
   ): Promise<ServerChoice> {
     const {chooser} = this.options;
-    if (!replacement && this.guard.isContained) return this.refuseContained();
-    const choice =
-      replacement ?? (await chooser.choose(this.makeAsk(this.excludedServers)));
-    if (choice.status === 'refused' || !this.guard.isContained) return choice;
-    chooser.release(choice);
-    return this.refuseContained();
+    let choice: ServerChoice | null = replacement;
+    for (;;) {
+      if (!choice && this.guard.isContained) return this.refuseContained();
+      if (!choice) {
+        const error = await this.lease.acquire();
+        if (error) return {status: 'refused', error};
+        if (this.guard.isContained) return this.refuseContained();
+      }
+      choice ??= await chooser.choose(this.makeAsk(this.excludedServers));
+      if (choice.status === 'refused') return choice;
+      if (!this.guard.isContained && !this.lease.isNeeded) return choice;
+      chooser.release(choice);
+      choice = null;
+    }
   }
 
   /** Ends a request that became contained through its last attempt. */
--- a/packages/serve-requests/src/withheld_requests.test.ts
+++ b/packages/serve-requests/src/withheld_requests.test.ts
@@ -114,6 +114,11 @@
       recordConnectionLoss: () => undefined,
       recordSuccess: () => undefined,
     },
+    suspects: {
+      makeRunId: () => 'run-1',
+      acquire: () => Promise.resolve(true),
+      release: () => undefined,
+    },
     access: {isConfirmed: true, check: () => ({team: null})},
     limits: {recordResponse: () => undefined},
     availability: {
--- a/packages/serving-node/src/containment_task.test.ts
+++ b/packages/serving-node/src/containment_task.test.ts
@@ -12,6 +12,8 @@
   const faults: TypedError[] = [];
   const task = new ContainmentTask({
     ...{clock: new ManualClock(), logger: new MemoryEventLogger(), topic},
+    ...{incarnation: 'n1', askHolder: () => Promise.resolve(null)},
+    tellHolder: () => undefined,
     ...{isWriter: () => isWriter, onFault: error => faults.push(error)},
   });
   return {task, faults};
--- a/packages/serving-node/src/containment_task.ts
+++ b/packages/serving-node/src/containment_task.ts
@@ -3,6 +3,8 @@
 import {
   CrashExchange,
   RequestContainment,
+  SuspectRuns,
+  type SuspectRunsOptions,
   decodeContained,
   encodeContained,
 } from '@mimosatack/contain-requests';
@@ -13,8 +15,13 @@
 /** Key of the record in the nodes topic; not a valid node name. */
 export const CONTAINED_KEY = ':contained';
 
-export interface ContainmentTaskOptions {
+export interface ContainmentTaskOptions extends Pick<
+  SuspectRunsOptions,
+  'askHolder' | 'tellHolder'
+> {
   clock: Clock;
+  /** Unique to this process among all nodes. */
+  incarnation: string;
   logger: EventLogger;
   /** Topic that every node reads when it starts. */
   topic: KeyedTopic;
@@ -33,6 +40,7 @@
 export class ContainmentTask {
   readonly containment: RequestContainment;
   readonly exchange: CrashExchange;
+  readonly suspects: SuspectRuns;
   /** Last value known to be in the store. */
   private storedRecord: Uint8Array | null = null;
   private isWriting = false;
@@ -44,6 +52,11 @@
     });
     const {containment} = this;
     this.exchange = new CrashExchange({clock, containment});
+    this.suspects = new SuspectRuns({
+      ...{clock, containment, isHolder: options.isWriter},
+      ...{askHolder: options.askHolder, tellHolder: options.tellHolder},
+      runIdPrefix: options.incarnation,
+    });
   }
 
   get gauges(): {containedRequests: number; suspectedRequests: number} {
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -280,7 +280,11 @@
     const {clock, logger, platform} = this.options;
     return new ContainmentTask({
       ...{clock, logger, topic: platform.nodesTopic},
+      incarnation: this.self.incarnation,
       isWriter: () => this.duty.isHeld,
+      askHolder: (ask, timeoutMs) =>
+        this.links.holderChannel.askForLease(ask, timeoutMs),
+      tellHolder: release => this.links.holderChannel.releaseLease(release),
       onFault: error => this.faults.logTaskFailure(error, 'containment'),
     });
   }
@@ -340,6 +344,7 @@
       listNodes: () => this.register.list(),
       readStatus: () => this.readStatus(),
       crashes: this.containment.exchange,
+      suspects: this.containment.suspects,
       ...{quotas: this.quotas, confirmation: this.configuration},
       limits: this.limits.exchange,
       serversAgeMs: () => this.servers.ageMs,
@@ -380,7 +385,7 @@
       limiter: this.limits.ownLimiter,
       availability: this.availability,
       quotas: this.quotas,
-      sendToHolder: message => this.links.sendToHolder(message),
+      sendToHolder: message => this.links.holderChannel.send(message),
     });
   }
 
@@ -404,6 +409,7 @@
       headTimes: new ResponseHeadTimes(),
       dialect: platform.backendDialect,
       crashes: this.containment.containment,
+      suspects: this.containment.suspects,
       access: this.access,
       limits: this.limits.servers,
       availability: this.availability,
