Delay the next probe of a contained request when a probe has no result

Callers saw: nothing yet; found while looking for the cause of the crashing request that was sent on. The node that schedules probes a contained request 30 s after its last crash. A probe that stalled, was given up on or got an error left the time of the next one as it was, so that each further copy at that node was a probe too. A host that reaches no server, or a server that answers with errors, gives such results.

Any result but a success, or a proof that the server did not run it, counts as a failed probe.

--- a/packages/serve-requests/src/crash_guard.test.ts
+++ b/packages/serve-requests/src/crash_guard.test.ts
@@ -131,4 +131,26 @@
   ]);
 });
 
+// Guards against probing with each copy when no result of a probe is known.
+test('a probe without a known result delays the next one', () => {
+  const outcomes: AttemptOutcome[] = [
+    {status: 'aborted'},
+    {status: 'refusing', error},
+    {status: 'broken', error, isConnectionLost: false},
+    {status: 'answered', isSuccess: false},
+  ];
+  outcomes.forEach(outcome => {
+    const watch = new RecordingWatch();
+    Object.assign(watch, {isRequestContained: true, isProbeDue: true});
+    const guard = new CrashGuard(watch, makeRequest());
+    guard.openProbe();
+    guard.recordOutcome(outcome, makeServer());
+    assert.equal(watch.calls, [
+      'claimed a probe',
+      'cut at i-1',
+      'ended the probe',
+    ]);
+  });
+});
+
 test.run();
--- a/packages/serve-requests/src/crash_guard.ts
+++ b/packages/serve-requests/src/crash_guard.ts
@@ -83,7 +83,7 @@
   }
 
   recordOutcome(outcome: AttemptOutcome, server: BackendServerEntry): void {
-    if (outcome.status === 'broken' && outcome.isConnectionLost) {
+    if (this.isCrash(outcome)) {
       this.watch.recordConnectionLoss(
         this.fingerprint,
         formatIncarnation(server),
@@ -94,6 +94,15 @@
     if (outcome.status !== 'not-run') this.endProbe();
   }
 
+  /** A probe without a known result counts, so that the next one is delayed. */
+  private isCrash(outcome: AttemptOutcome): boolean {
+    if (outcome.status === 'broken' && outcome.isConnectionLost) return true;
+    const isUndisturbed =
+      outcome.status === 'not-run' ||
+      (outcome.status === 'answered' && outcome.isSuccess);
+    return this.isProbe && !isUndisturbed;
+  }
+
   /** Errors do not count: a server may send one before the request runs. */
   private markServed(): void {
     if (this.isWatched) this.watch.recordSuccess(this.fingerprint);
