Count later crashes of a server under the same id

Callers saw: nothing yet; found while looking for the cause of the crashing request that was sent on. A crash is kept under the server's id and the start that its entry names. A server that is born again under its id while the entry is out of date (a silent store), or names no start, ended again and again as one crash, and the request was never contained.

A cut a second or more after the last one at the same server is another crash; a restart takes longer. The test failed before.

--- a/packages/contain-requests/src/crash_exchange.test.ts
+++ b/packages/contain-requests/src/crash_exchange.test.ts
@@ -146,6 +146,22 @@
   assert.not(second.containment.isContained('common'));
 });
 
+// Guards against a server that is born again under its id while its entry is out of date,
+// so that each of its crashes counts as the first.
+test('later crashes of a server under the same id count', () => {
+  const {containment} = makeNode('n1');
+  const crash = () => containment.recordConnectionLoss('bad', 'a');
+  crash();
+  clock.advance(500);
+  crash();
+  clock.advance(3_000);
+  crash();
+  assert.not(containment.isContained('bad'));
+  clock.advance(3_000);
+  crash();
+  assert.ok(containment.isContained('bad'));
+});
+
 test('each probe that crashes a server delays the next one', () => {
   const {containment} = makeNode('n1', true);
   ['a', 'b', 'c'].forEach(serverLife =>
--- a/packages/contain-requests/src/request_containment.ts
+++ b/packages/contain-requests/src/request_containment.ts
@@ -28,6 +28,8 @@
  * leaving them out would blame harmless ones.
  */
 const CRASHES_TO_CONTAIN = 3;
+/** Cuts at one server within this time are of one crash. */
+const MIN_RESTART_MS = 1_000;
 /** From the last crash until the first probe of a contained request. */
 const FIRST_PROBE_DELAY_MS = 30_000;
 /** Each probe that crashes a server multiplies the delay of the next one. */
@@ -101,7 +103,30 @@
   ): void {
     const atMs = this.nowMs();
     const isTry = this.activeProbes.has(fingerprint);
-    this.mergeFacts([{kind: 'cut', fingerprint, serverLife, atMs, isTry}]);
+    const incarnation = this.findIncarnation(fingerprint, serverLife, atMs);
+    this.mergeFacts([
+      {kind: 'cut', fingerprint, serverLife: incarnation, atMs, isTry},
+    ]);
+  }
+
+  /**
+   * Tells a restarted server from its earlier incarnation under the same id while its
+   * entry, which would name its start, is out of date.
+   */
+  private findIncarnation(
+    fingerprint: RequestFingerprint,
+    serverLife: ServerIncarnation,
+    atMs: number,
+  ): ServerIncarnation {
+    const cuts = this.evidence.cutsByRequest.get(fingerprint);
+    const known = [...(cuts ?? [])].filter(
+      ([life]) => life === serverLife || life.startsWith(`${serverLife}#`),
+    );
+    const [last] = known.at(-1) ?? [];
+    if (!cuts || last === undefined) return serverLife;
+    const lastAtMs = findLastCutMs(new Map(known));
+    if (atMs - lastAtMs < MIN_RESTART_MS) return last;
+    return `${serverLife}#${known.length + 1}`;
   }
 
   /** Records a complete success response. */
