Reset the connection of a call that is given up on

Callers saw: nothing yet; found while looking for the cause of the crashing request that was sent on. A host that loses the path to a server goes on writing to its open connections. When it gave up on the call it closed the connection, and the kernel kept the unsent bytes and delivered them once the path was back: the server then ran a request that nobody waited for, and a crashing one crashed it unseen. A reset discards them. The test failed before.

--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -141,7 +141,9 @@
   abort(): void {
     if (this.isAborted) return;
     this.isAborted = true;
-    this.socket.destroy();
+    // A reset discards unsent bytes. After a close the kernel would still deliver them,
+    // and the server would run a request that nobody waits for.
+    this.socket.resetAndDestroy();
     this.abortCall?.();
   }
 
--- a/packages/backend-connections/src/backend_connections.test.ts
+++ b/packages/backend-connections/src/backend_connections.test.ts
@@ -246,4 +246,31 @@
   );
 });
 
+// Guards against a request that the network holds up, is given up on, and reaches the
+// server once the network has healed.
+test('a call that is aborted resets its connection', async () => {
+  const closed = new Promise<string>(resolve => {
+    void withServer(
+      socket => {
+        socket.once('error', (cause: NodeJS.ErrnoException) =>
+          resolve(cause.code ?? ''),
+        );
+        socket.once('end', () => resolve('end'));
+      },
+      async (connections, {port}) => {
+        const handle = connections.send(makeCall(port), {
+          onHead: () => undefined,
+          onData: () => true,
+          onEnd: () => undefined,
+          onFailure: () => undefined,
+        });
+        await new Promise(done => setTimeout(done, 100));
+        handle.abort();
+        await closed;
+      },
+    );
+  });
+  assert.is(await closed, 'ECONNRESET');
+});
+
 test.run();
