Reach servers through another host while this host reaches none

Requests waited for connections that hung, or were refused; the scheduling node was among these hosts, could order no engine, and callers of all hosts were refused as weights-remote and no-room.

Cause: a host did its work at servers itself or not at all, although it reached other hosts that did reach them. Class: one path without an alternative.

Change: a host that fails to connect to two servers checks four others. If it reaches none, it opens its connections through other hosts (of other failure domains first), which pass the bytes on, ends as ends and resets as resets, until a check each half second reaches a server again. Relaying is for nodes that know the cluster's secret, and to registered servers only. Orders to engines are never relayed, since engines tell holders apart by their hosts: a scheduling node that is cut off hands over to one that reaches servers, and does not claim the duty.

--- a/packages/backend-connections/src/backend_call.ts
+++ b/packages/backend-connections/src/backend_call.ts
@@ -17,6 +17,8 @@
    */
   maxIdleMs: number;
   connectTimeoutMs: number;
+  /** Whether only a connection from this host itself may carry the call. */
+  mustBeDirect?: boolean;
 }
 
 /** Status and headers of a response. */
--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -37,6 +37,8 @@
   listener: ConnectionListener;
   /** Keep-alive time when the server announces no timeout. */
   idleLimitMs: number;
+  /** Whether another host passes the bytes on. */
+  isRelayed: boolean;
 }
 
 /** An established connection. */
@@ -46,6 +48,7 @@
   /** Time after which the server may close the idle connection. */
   expiresAtMs = Infinity;
   idleSinceMs: number;
+  readonly isRelayed: boolean;
   private readonly client: Client;
   private keepAliveMs: number;
   private isClosed = false;
@@ -55,6 +58,7 @@
     private readonly socket: Socket,
   ) {
     this.key = formatAddress(options.address);
+    this.isRelayed = options.isRelayed;
     this.keepAliveMs = options.idleLimitMs;
     this.idleSinceMs = options.clock.monotonicMs();
     this.client = makeSingleUseClient(options.address, socket);
--- a/packages/backend-connections/src/backend_connections.ts
+++ b/packages/backend-connections/src/backend_connections.ts
@@ -7,7 +7,8 @@
   type BackendCall,
   type CallHandle,
 } from './backend_call.js';
-import {BackendConnection, openSocket} from './backend_connection.js';
+import {BackendConnection} from './backend_connection.js';
+import {type ConnectionDialer, DirectDialer} from './connection_dialer.js';
 
 export interface BackendConnectionsOptions {
   clock: Clock;
@@ -21,8 +22,16 @@
   private readonly openByAddress = new Map<string, Set<BackendConnection>>();
   private readonly connectingCounts = new Map<string, number>();
   private isStopped = false;
+  private dialer: ConnectionDialer;
 
-  constructor(private readonly options: BackendConnectionsOptions) {}
+  constructor(private readonly options: BackendConnectionsOptions) {
+    this.dialer = new DirectDialer(options.clock);
+  }
+
+  /** Replaces how connections are opened; without it, from this host. */
+  useDialer(dialer: ConnectionDialer): void {
+    this.dialer = dialer;
+  }
 
   /** Counts the open connections and connection attempts to an address. */
   countConnections(address: SocketAddress): number {
@@ -50,6 +59,13 @@
     idle.forEach(connection => connection.close());
   }
 
+  /** Closes all idle connections, as their path may have been lost. */
+  closeAllIdle(): void {
+    [...this.idleByAddress.values()]
+      .flat()
+      .forEach(connection => connection.close());
+  }
+
   /** Closes idle connections that the server may be about to close. */
   closeExpired(): void {
     const nowMs = this.options.clock.monotonicMs();
@@ -90,10 +106,13 @@
     const key = formatAddress(address);
     this.connectingCounts.set(key, (this.connectingCounts.get(key) ?? 0) + 1);
     try {
-      const socket = await openSocket(clock, address, call.connectTimeoutMs);
+      const {socket, isRelayed} = await this.dialer.connect(address, {
+        timeoutMs: call.connectTimeoutMs,
+        mustBeDirect: call.mustBeDirect ?? false,
+      });
       const connection = new BackendConnection(
         {
-          ...{clock, address, idleLimitMs},
+          ...{clock, address, idleLimitMs, isRelayed},
           listener: {
             onIdle: released => this.addIdle(released),
             onClosed: closed => this.removeConnection(key, closed),
@@ -117,7 +136,8 @@
       const isFresh =
         connection.expiresAtMs > nowMs &&
         nowMs - connection.idleSinceMs <= call.maxIdleMs;
-      if (isFresh && connection.isUsable) {
+      const isAllowed = !(call.mustBeDirect && connection.isRelayed);
+      if (isFresh && isAllowed && connection.isUsable) {
         idle.splice(index, 1);
         return connection;
       }
--- a/packages/backend-connections/src/index.ts
+++ b/packages/backend-connections/src/index.ts
@@ -9,3 +9,10 @@
   BackendConnections,
 } from './backend_connections.js';
 export {type CollectedAnswer, collectAnswer} from './collect_answer.js';
+export {createUnreachableError, openSocket} from './backend_connection.js';
+export {BackendSocket} from './backend_socket.js';
+export {
+  type ConnectionDialer,
+  type DialTerms,
+  type DialedSocket,
+} from './connection_dialer.js';
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -206,6 +206,15 @@
         'time until the server may get requests of this host; null while it is leaving',
     },
   },
+  'server-path-changed': {
+    number: 4103,
+    level: 'warn',
+    message: 'This node has lost or regained its path to the backend servers.',
+    fields: {
+      isCutOff: 'whether it reaches servers only through other nodes',
+    },
+    remedy: 'Mend the network between this host and the backend servers.',
+  },
   'backend-suspected': {
     number: 4100,
     level: 'warn',
--- a/packages/node-links/src/duty_order.test.ts
+++ b/packages/node-links/src/duty_order.test.ts
@@ -11,7 +11,13 @@
 
 function makeEntry(nodeName: string, uptimeMs: number): RosterEntry {
   return {
-    ...{nodeName, uptimeMs, incarnation: `${nodeName}.1`, isServing: true},
+    ...{
+      nodeName,
+      uptimeMs,
+      incarnation: `${nodeName}.1`,
+      isServing: true,
+      reachesServers: true,
+    },
     ...{promise: null, address: `${nodeName}:1`, heardAtMs: 0},
   };
 }
--- a/packages/node-links/src/make_transport.ts
+++ b/packages/node-links/src/make_transport.ts
@@ -28,6 +28,7 @@
     requestTimeoutMs: REQUEST_TIMEOUT_MS,
     schema: messageSchema,
     onMessage: (from, message) => onMessage(from.address, message),
+    onRelay: options.onRelay,
     onFault,
   });
 }
--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -21,6 +21,8 @@
   /** Whether the node accepts requests from callers. */
   isServing: z.boolean(),
   uptimeMs: z.number(),
+  /** Absent in messages of the previous release. */
+  reachesServers: z.boolean().default(true),
   configurationVersion: z.number(),
   serversEndOffset: z.number(),
   /** Absent in messages of the previous release. */
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -135,6 +135,13 @@
     return this.channel;
   }
 
+  /** Opens a connection to a server through another node. */
+  openRelay(
+    ...terms: Parameters<PeerTransport<NodeMessage>['openRelay']>
+  ): ReturnType<PeerTransport<NodeMessage>['openRelay']> {
+    return this.transport.openRelay(...terms);
+  }
+
   sendToNode(address: string, message: FromHolderMessage): void {
     const {self, onFromHolder} = this.options;
     if (address === self.peerAddress) onFromHolder(message);
@@ -159,7 +166,8 @@
     const {incarnation: own} = this.options.self;
     const others = this.roster
       .listServing()
-      .filter(({incarnation}) => incarnation !== own);
+      .filter(({incarnation}) => incarnation !== own)
+      .filter(({reachesServers}) => reachesServers);
     return chooseSuccessor(others, this.options.listNodes());
   }
 
--- a/packages/node-links/src/node_links_options.ts
+++ b/packages/node-links/src/node_links_options.ts
@@ -6,6 +6,7 @@
 } from '@mimosatack/contain-requests';
 import {type TypedError} from '@mimosatack/errors';
 import {type DutyHolder, type LastOrders} from '@mimosatack/hold-duty';
+import {type RelayDecision} from '@mimosatack/peer-transport';
 import {type RandomSource} from '@mimosatack/random';
 import {
   type FromHolderMessage,
@@ -62,6 +63,8 @@
   crashes: CrashExchange;
   /** Grants leases on suspected requests while this node is the holder. */
   suspects: Pick<SuspectRuns, 'handleAsk' | 'handleRelease'>;
+  /** Decides whether this node relays a connection of another node to a server. */
+  onRelay: (target: string) => Promise<RelayDecision>;
   quotas: QuotaExchange;
   /** Exchanges the limits that servers name. */
   limits: LimitExchange;
--- a/packages/node-links/src/node_roster.test.ts
+++ b/packages/node-links/src/node_roster.test.ts
@@ -21,6 +21,7 @@
         promise,
       },
       isServing: true,
+      reachesServers: true,
     }),
   );
   return roster;
@@ -49,6 +50,7 @@
   roster.note('10.0.0.0:1', {
     ...{nodeName: 'entry-0', incarnation: 'next', uptimeMs: 0, promise: null},
     isServing: false,
+    reachesServers: true,
   });
   assert.is(roster.findGrantEndMs(['entry-0'], 7, 0), 2_500);
 });
--- a/packages/node-links/src/node_roster.ts
+++ b/packages/node-links/src/node_roster.ts
@@ -7,6 +7,7 @@
   incarnation: string;
   isServing: boolean;
   uptimeMs: number;
+  reachesServers: boolean;
   promise: LeaseGrant | null;
 }
 
@@ -40,12 +41,13 @@
   constructor(private readonly clock: Clock) {}
 
   note(address: string, status: NodeHeartbeat): void {
-    const {nodeName, incarnation, isServing, uptimeMs} = status;
+    const {nodeName, incarnation, isServing, uptimeMs, reachesServers} = status;
     // A grant binds the node until it expires, across restarts of its process.
     const promise =
       status.promise ?? this.entries.get(nodeName)?.promise ?? null;
     this.entries.set(nodeName, {
       ...{address, nodeName, incarnation, isServing, uptimeMs, promise},
+      reachesServers,
       heardAtMs: this.clock.monotonicMs(),
     });
   }
--- a/packages/node-links/src/node_status.ts
+++ b/packages/node-links/src/node_status.ts
@@ -2,6 +2,8 @@
 export interface NodeStatus {
   isServing: boolean;
   uptimeMs: number;
+  /** False while the node reaches backend servers only through other nodes. */
+  reachesServers: boolean;
   configurationVersion: number;
   /** End offset of the server records that the node has read. */
   serversEndOffset: number;
--- a/packages/node-links/src/record_catch_up.test.ts
+++ b/packages/node-links/src/record_catch_up.test.ts
@@ -12,7 +12,12 @@
 function startCatchUp(ownVersion: number) {
   const clock = new ManualClock();
   const own = {
-    ...{isServing: true, uptimeMs: 0, configurationVersion: ownVersion},
+    ...{
+      isServing: true,
+      reachesServers: true,
+      uptimeMs: 0,
+      configurationVersion: ownVersion,
+    },
     ...{serversEndOffset: 5, nodesEndOffset: 5},
   };
   const requests: NodeMessage[] = [];
--- a/packages/node-links/src/record_catch_up.ts
+++ b/packages/node-links/src/record_catch_up.ts
@@ -39,7 +39,7 @@
   /** Compares a node's versions with this node's and fetches what is missing. */
   compare(
     address: string,
-    remote: Omit<NodeStatus, 'isServing' | 'uptimeMs'>,
+    remote: Omit<NodeStatus, 'isServing' | 'uptimeMs' | 'reachesServers'>,
   ): void {
     const own = this.options.readStatus();
     if (this.lacksConfiguration(remote, own)) {
--- a/packages/node-links/src/via_holder.test.ts
+++ b/packages/node-links/src/via_holder.test.ts
@@ -35,13 +35,23 @@
     holder: () => holder || null,
     listNodes: () => NAMES.map(makeNode),
     readStatus: () => ({
-      ...{isServing: true, uptimeMs: 0, configurationVersion: 1},
+      ...{
+        isServing: true,
+        reachesServers: true,
+        uptimeMs: 0,
+        configurationVersion: 1,
+      },
       ...{serversEndOffset: 1, nodesEndOffset: 1},
     }),
   });
   const hear = (nodeName: string) =>
     roster.note(`${nodeName}:1`, {
-      ...{nodeName, incarnation: `${nodeName}.1`, isServing: true},
+      ...{
+        nodeName,
+        incarnation: `${nodeName}.1`,
+        isServing: true,
+        reachesServers: true,
+      },
       ...{uptimeMs: 0, promise: null},
     });
   const welcome = (isNodeListConfirmed: boolean) => {
--- a/packages/peer-transport/src/index.ts
+++ b/packages/peer-transport/src/index.ts
@@ -3,5 +3,6 @@
   type PeerCounters,
   type PeerIdentity,
   type PeerTransportOptions,
+  type RelayDecision,
 } from './options.js';
 export {PeerTransport} from './peer_transport.js';
--- a/packages/peer-transport/src/options.ts
+++ b/packages/peer-transport/src/options.ts
@@ -1,4 +1,5 @@
 /** Options and counters of a transport. */
+import {type Socket} from 'node:net';
 import {type Clock} from '@mimosatack/clock';
 import {type ErrorKind, type TypedError} from '@mimosatack/errors';
 import type * as z from 'zod';
@@ -13,6 +14,12 @@
   nodeName: string;
 }
 
+/** Whether this node relays a connection of a peer. */
+export type RelayDecision =
+  | {status: 'refused' | 'unreachable'}
+  /** `join` passes the bytes of the peer's connection on. */
+  | {status: 'open'; join: (caller: Socket) => void};
+
 /** Dependencies and options of a transport; `M` is the message type. */
 export interface PeerTransportOptions<M> {
   listenHost: string;
@@ -36,6 +43,11 @@
   schema: z.ZodType<M>;
   /** Handles a message; the result is the reply if the message is a request. */
   onMessage(from: PeerIdentity, message: M): Promise<M | void> | M | void;
+  /**
+   * Decides on a relayed connection to a server, as IP:PORT; without it, every request
+   * to relay is refused.
+   */
+  onRelay?(target: string): Promise<RelayDecision>;
   /** Receives errors that indicate a wrong configuration or a faulty node. */
   onFault(error: TypedError): void;
 }
--- a/packages/peer-transport/src/peer_failures.test.ts
+++ b/packages/peer-transport/src/peer_failures.test.ts
@@ -1,4 +1,4 @@
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, Socket} from 'node:net';
 import {ManualClock, sleep} from '@mimosatack/clock';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -8,6 +8,7 @@
 import {
   HOST,
   MAX_MESSAGE_BYTES,
+  type TestPeer,
   TIMEOUT_MS,
   SECRET,
   type TestMessage,
@@ -171,6 +172,36 @@
   );
 });
 
+// Guards against a process that reaches backend servers through a node it is no peer of.
+failures('relays only for peers that know the secret', async () => {
+  const targets: string[] = [];
+  const onRelay = (target: string) => {
+    targets.push(target);
+    return Promise.resolve({status: 'unreachable' as const});
+  };
+  const relay = await startPeer('relay', {onRelay});
+  const open = (from: TestPeer) =>
+    catchError(
+      from.transport.openRelay(
+        ...([relay.address, '10.0.0.1:80', 500] as const),
+        () => new Socket(),
+      ),
+    );
+  const stranger = await startPeer('stranger', {clusterSecret: 'other'});
+  assert.is((await open(stranger)).kind, 'peer-unreachable');
+  assert.equal(targets, []);
+  assert.is((await open(await startPeer('peer'))).kind, 'backend-unreachable');
+  assert.equal(targets, ['10.0.0.1:80']);
+  const silent = await startPeer('silent');
+  const error = await catchError(
+    relay.transport.openRelay(
+      ...([silent.address, '10.0.0.1:80', 500] as const),
+      () => new Socket(),
+    ),
+  );
+  assert.is(error.kind, 'peer-unreachable');
+});
+
 failures('refuses expired, replayed and missing signatures', async () => {
   const b = await startPeer('b');
   const origin = {address: '127.0.0.1:1', nodeName: 'raw'};
--- a/packages/peer-transport/src/peer_server.ts
+++ b/packages/peer-transport/src/peer_server.ts
@@ -5,7 +5,7 @@
   type ServerResponse,
   createServer,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {type WebSocket, WebSocketServer} from 'ws';
@@ -14,6 +14,7 @@
   createNodeNameHeader,
 } from './authentication.js';
 import {type PeerIdentity} from './options.js';
+import {RELAY_PROTOCOL, readRelayTarget} from './relay_handshake.js';
 
 export interface PeerServerOptions {
   listenHost: string;
@@ -22,6 +23,8 @@
   maxMessageBytes: number;
   verifier: ConnectionVerifier;
   onConnection(peer: PeerIdentity, socket: WebSocket): void;
+  /** Called with the address of the server that a peer wants to be connected to. */
+  onRelay(target: string, socket: Socket): void;
   onFault(error: TypedError): void;
 }
 
@@ -78,6 +81,11 @@
     socket.on('error', () => socket.destroy());
     try {
       const peer = this.options.verifier.verify(request.headers);
+      if (request.headers.upgrade === RELAY_PROTOCOL) {
+        const target = readRelayTarget(request.headers);
+        this.options.onRelay(target, socket as Socket);
+        return;
+      }
       this.webSocketServer.handleUpgrade(request, socket, head, webSocket =>
         this.options.onConnection(peer, webSocket),
       );
--- a/packages/peer-transport/src/peer_transport.ts
+++ b/packages/peer-transport/src/peer_transport.ts
@@ -2,6 +2,7 @@
  * Messages between nodes over WebSocket. Connections are opened when needed,
  * used in both directions, and closed when idle or when there are too many.
  */
+import {type Socket} from 'node:net';
 import {type Timer} from '@mimosatack/clock';
 import {TypedError, toTypedError} from '@mimosatack/errors';
 import {type WebSocket} from 'ws';
@@ -22,6 +23,7 @@
 import {type OutgoingFrame, PeerChannel} from './peer_channel.js';
 import {type LinkContext, PeerLink} from './peer_link.js';
 import {PeerServer} from './peer_server.js';
+import {RELAY_ACCEPTED, RELAY_REFUSALS, openRelay} from './relay_handshake.js';
 import {PendingRequests} from './pending_requests.js';
 
 const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
@@ -53,6 +55,7 @@
       maxMessageBytes: options.maxMessageBytes,
       verifier: new ConnectionVerifier(clusterSecret, clock),
       onConnection: (peer, socket) => this.accept(peer, socket),
+      onRelay: (target, socket) => void this.relay(target, socket),
       onFault: error => this.reportFault(error),
     });
     this.linkContext = {
@@ -101,6 +104,22 @@
     );
   }
 
+  /** Opens a connection to a server through a peer; see `openRelay`. */
+  openRelay(
+    address: string,
+    target: string,
+    timeoutMs: number,
+    createSocket: () => Socket,
+  ): Promise<Socket> {
+    if (this.stopping.signal.aborted) return Promise.reject(shutdownError());
+    const {nodeName, clusterSecret, clock} = this.options;
+    const self = {address: this.selfAddress, nodeName};
+    const headers = createAuthHeaders(self, clusterSecret, clock);
+    return openRelay({
+      ...{address, target, headers, timeoutMs, clock, createSocket},
+    });
+  }
+
   /** Closes all connections and rejects pending requests. */
   async stop(): Promise<void> {
     this.stopping.abort();
@@ -110,6 +129,18 @@
     await this.server.stop();
   }
 
+  private async relay(target: string, socket: Socket): Promise<void> {
+    const decision = (await this.options.onRelay?.(target)) ?? {
+      ...{status: 'refused' as const},
+    };
+    if (decision.status !== 'open') {
+      socket.end(RELAY_REFUSALS[decision.status]);
+      return;
+    }
+    socket.write(RELAY_ACCEPTED);
+    decision.join(socket);
+  }
+
   private channelTo(address: string): PeerChannel<M> {
     const known = this.channels.get(address);
     if (known) return known;
--- /dev/null
+++ b/packages/relay-connections/src/index.ts
@@ -0,0 +1,3 @@
+export {type PathListener, ServerPath} from './server_path.js';
+export {type RelayHelper, ServerDialer} from './server_dialer.js';
+export {RelayServer} from './relay_server.js';
--- /dev/null
+++ b/packages/relay-connections/src/relay_server.test.ts
@@ -0,0 +1,105 @@
+import {once} from 'node:events';
+import {type AddressInfo, Socket, createServer} from 'node:net';
+import {type SocketAddress} from '@mimosatack/types';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {RelayServer} from './relay_server.js';
+
+const test = suite('relaying for another host');
+
+const OTHER_PORT = 9;
+
+function connect({port}: Pick<SocketAddress, 'port'>): Promise<Socket> {
+  return new Promise((resolve, reject) => {
+    const socket = new Socket();
+    socket.once('error', reject);
+    socket.connect({host: '127.0.0.1', port}, () => resolve(socket));
+  });
+}
+
+/** A relay to a raw server, between a caller and that server. */
+async function withRelay(
+  run: (fixture: {
+    relays: RelayServer;
+    caller: Socket;
+    server: Socket;
+  }) => Promise<void>,
+): Promise<void> {
+  const listeners = [createServer(), createServer()];
+  listeners.forEach(listener => listener.listen(0, '127.0.0.1'));
+  await Promise.all(listeners.map(listener => once(listener, 'listening')));
+  const [relayPort = 0, serverPort = 0] = listeners.map(
+    listener => (listener.address() as AddressInfo).port,
+  );
+  const [atRelay, atServer] = listeners.map(
+    listener => once(listener, 'connection') as Promise<[Socket]>,
+  );
+  const relays = new RelayServer({
+    isCutOff: () => false,
+    listServers: () => [{ip: '127.0.0.1', port: serverPort}],
+    openDirect: connect,
+  });
+  const caller = await connect({port: relayPort});
+  const decision = await relays.open(`127.0.0.1:${serverPort}`);
+  if (decision.status === 'open') decision.join((await atRelay!)[0]);
+  const [server] = await atServer!;
+  [caller, server].forEach(socket => socket.on('error', () => undefined));
+  try {
+    await run({relays, caller, server});
+  } finally {
+    [caller, server].forEach(socket => socket.destroy());
+    listeners.forEach(listener => listener.close());
+  }
+}
+
+test('bytes pass both ways, and an end is passed on as an end', async () => {
+  await withRelay(async ({relays, caller, server}) => {
+    assert.is(relays.openRelays, 1);
+    caller.write('ask');
+    assert.is(String((await once(server, 'data'))[0]), 'ask');
+    server.end('answer');
+    assert.is(String((await once(caller, 'data'))[0]), 'answer');
+    await once(caller, 'end');
+  });
+});
+
+// Guards against a server crash that looks like the end of a response.
+test('a reset of the server reaches the caller as a reset', async () => {
+  await withRelay(async ({caller, server}) => {
+    const failed = once(caller, 'error');
+    server.resetAndDestroy();
+    const [cause] = (await failed) as [NodeJS.ErrnoException];
+    assert.is(cause.code, 'ECONNRESET');
+  });
+});
+
+// Guards against a server that goes on with a request that was given up on.
+test('a reset of the caller reaches the server', async () => {
+  await withRelay(async ({relays, caller, server}) => {
+    const failed = once(server, 'error');
+    caller.resetAndDestroy();
+    const [cause] = (await failed) as [NodeJS.ErrnoException];
+    assert.is(cause.code, 'ECONNRESET');
+    assert.is(relays.openRelays, 0);
+  });
+});
+
+// Guards against a way through a node to other processes than servers.
+test('only registered servers are relayed to, and none by a host that is cut off', async () => {
+  const makeRelays = (isCutOff: boolean) =>
+    new RelayServer({
+      isCutOff: () => isCutOff,
+      listServers: () => [{ip: '127.0.0.1', port: OTHER_PORT}],
+      openDirect: () => Promise.reject(new Error('refused')),
+    });
+  assert.equal(await makeRelays(false).open('127.0.0.1:22'), {
+    ...{status: 'refused', reason: 'unknown-server'},
+  });
+  const known = `127.0.0.1:${OTHER_PORT}`;
+  assert.equal(await makeRelays(true).open(known), {
+    ...{status: 'refused', reason: 'cut-off'},
+  });
+  assert.equal(await makeRelays(false).open(known), {status: 'unreachable'});
+});
+
+test.run();
--- /dev/null
+++ b/packages/serving-node/src/server_paths.ts
@@ -0,0 +1,83 @@
+/** Reaches backend servers through other nodes while this node reaches none. */
+import {
+  type BackendConnections,
+  BackendSocket,
+  openSocket,
+} from '@mimosatack/backend-connections';
+import {type NodeLinks, type RegisteredNode} from '@mimosatack/node-links';
+import {
+  RelayServer,
+  ServerDialer,
+  ServerPath,
+} from '@mimosatack/relay-connections';
+import {
+  type BackendServerEntry,
+  type SocketAddress,
+  formatAddress,
+} from '@mimosatack/types';
+import {type ServingNodeOptions} from './serving_node_options.js';
+
+export interface ServerPathsOptions extends Pick<
+  ServingNodeOptions,
+  'clock' | 'random' | 'logger' | 'settings'
+> {
+  connections: BackendConnections;
+  self: RegisteredNode;
+  listServers: () => readonly BackendServerEntry[];
+  listNodes: () => readonly RegisteredNode[];
+  openRelay: NodeLinks['openRelay'];
+  /** Called when this node has lost its path to all servers. */
+  onCutOff: () => void;
+}
+
+export class ServerPaths {
+  readonly relays: RelayServer;
+  private readonly path: ServerPath;
+
+  constructor(private readonly options: ServerPathsOptions) {
+    const {clock, random, settings, self, connections} = options;
+    const listServers = () => options.listServers().map(({address}) => address);
+    const openDirect = (address: SocketAddress, timeoutMs: number) =>
+      openSocket(clock, address, timeoutMs);
+    this.path = new ServerPath({
+      ...{clock, random, listServers},
+      tryConnect: (address, timeoutMs) =>
+        openDirect(address, timeoutMs).then(
+          socket => Boolean(socket.destroy()),
+          () => false,
+        ),
+      onPathChange: isCutOff => this.handlePathChange(isCutOff),
+    });
+    this.relays = new RelayServer({
+      ...{listServers, openDirect, isCutOff: () => this.isCutOff},
+    });
+    connections.useDialer(
+      new ServerDialer({
+        ...{clock, random, openDirect, path: this.path},
+        ownDomain: settings.failureDomain,
+        listHelpers: () =>
+          options
+            .listNodes()
+            .filter(({nodeName}) => nodeName !== self.nodeName),
+        openRelayed: ({peerAddress}, address, timeoutMs) =>
+          options.openRelay(
+            ...([peerAddress, formatAddress(address), timeoutMs] as const),
+            () => new BackendSocket(),
+          ),
+      }),
+    );
+  }
+
+  /** Whether this node reaches no server itself. */
+  get isCutOff(): boolean {
+    return this.path.isCutOff;
+  }
+
+  /** Idle connections on the path that was left may hang, or burden another node. */
+  private handlePathChange(isCutOff: boolean): void {
+    const {connections, logger, onCutOff} = this.options;
+    connections.closeAllIdle();
+    logger.log('server-path-changed', {isCutOff});
+    if (isCutOff) onCutOff();
+  }
+}
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -35,6 +35,7 @@
 import {ServerFollower} from './server_follower.js';
 import {reloadSettings} from './settings_reload.js';
 import {type ServingNodeOptions} from './serving_node_options.js';
+import {ServerPaths} from './server_paths.js';
 import {SharedLimits} from './shared_limits.js';
 import {SharedRecords} from './shared_records.js';
 import {StatusServer} from './status_server.js';
@@ -64,6 +65,7 @@
   private readonly edge: CallerEdge;
   private readonly status: StatusServer;
   private readonly entryPoints: EntryPoints;
+  private readonly paths: ServerPaths;
   private readonly connections: BackendConnections;
   private readonly startedAtMs: number;
   private notifiedHolder = '';
@@ -99,6 +101,7 @@
     });
     this.duty = this.makeDuty();
     this.links = this.makeLinks();
+    this.paths = this.makePaths();
     this.chooser = this.makeChooser();
     this.pipeline = this.makePipeline();
     this.entryPoints = new EntryPoints({
@@ -212,6 +215,7 @@
   private readStatus(): NodeStatus {
     return {
       isServing: this.isServing,
+      reachesServers: !this.paths.isCutOff,
       uptimeMs: this.options.clock.monotonicMs() - this.startedAtMs,
       ...this.sharedRecords.describeProgress(),
     };
@@ -311,7 +315,9 @@
         isFenced: settings.isFenced,
         leaseMs: settings.leaseMs,
         isEligible: () =>
-          !this.shutdown.isStopping && this.configuration.version >= 0,
+          !this.shutdown.isStopping &&
+          !this.paths.isCutOff &&
+          this.configuration.version >= 0,
         ...this.faults.watchDependency('duty'),
       },
       send: (address, message) => this.links.sendToNode(address, message),
@@ -345,6 +351,7 @@
       readStatus: () => this.readStatus(),
       crashes: this.containment.exchange,
       suspects: this.containment.suspects,
+      onRelay: target => this.paths.relays.open(target),
       ...{quotas: this.quotas, confirmation: this.configuration},
       limits: this.limits.exchange,
       serversAgeMs: () => this.servers.ageMs,
@@ -377,6 +384,17 @@
     }
   }
 
+  private makePaths(): ServerPaths {
+    return new ServerPaths({
+      ...{...this.options, self: this.self},
+      listServers: () => this.servers.list(),
+      listNodes: () => this.register.list(),
+      openRelay: (...terms) => this.links.openRelay(...terms),
+      // Engines take orders from the host of the scheduling node only.
+      onCutOff: () => void this.duty.handOver(() => this.links.findSuccessor()),
+    });
+  }
+
   private makeChooser(): ScheduledChooser {
     return makeServerChooser({
       ...this.options,
--- a/packages/serving-node/src/shared_records.ts
+++ b/packages/serving-node/src/shared_records.ts
@@ -24,7 +24,10 @@
   constructor(private readonly options: SharedRecordsOptions) {}
 
   /** How far this node has followed each topic. */
-  describeProgress(): Omit<NodeStatus, 'isServing' | 'uptimeMs'> {
+  describeProgress(): Omit<
+    NodeStatus,
+    'isServing' | 'uptimeMs' | 'reachesServers'
+  > {
     const {configuration, servers, nodes} = this.options;
     return {
       configurationVersion: configuration.version,
