--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -152,6 +152,14 @@
     'Backend servers that want no request of this host for some time.',
     {},
   ),
+  'servers.cut_off': gauge(
+    '1 while this node reaches backend servers only through other nodes.',
+    {},
+  ),
+  'servers.relays': gauge(
+    'Connections to backend servers that this node holds for other nodes.',
+    {},
+  ),
   'servers.age_ms': gauge('Time since the list was read from the store.', {}),
   'duties.held': gauge('1 while this node schedules, else 0.', {}),
   'logs.dropped': counter('Log lines that were left out.', {}),
--- a/packages/serving-node/src/node_state_metrics.ts
+++ b/packages/serving-node/src/node_state_metrics.ts
@@ -9,6 +9,8 @@
   serversLimited: number;
   serversLeaving: number;
   serversPaused: number;
+  isCutOff: boolean;
+  openRelays: number;
   dutiesHeld: number;
   containedRequests: number;
   suspectedRequests: number;
@@ -32,6 +34,8 @@
   metrics.gauge('servers.limited', figures.serversLimited, {});
   metrics.gauge('servers.leaving', figures.serversLeaving, {});
   metrics.gauge('servers.paused', figures.serversPaused, {});
+  metrics.gauge('servers.cut_off', figures.isCutOff ? 1 : 0, {});
+  metrics.gauge('servers.relays', figures.openRelays, {});
   metrics.gauge('servers.age_ms', figures.serversAgeMs, {});
   metrics.gauge('retries.share', figures.retryShare, {});
   metrics.gauge('duties.held', figures.dutiesHeld, {});
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -194,6 +194,8 @@
       serversLimited: this.limits.servers.limitedCount,
       serversLeaving: this.availability.leavingCount,
       serversPaused: this.availability.pausedCount,
+      isCutOff: this.paths.isCutOff,
+      openRelays: this.paths.relays.openRelays,
       dutiesHeld: this.duty.isHeld ? 1 : 0,
       retryShare: this.limits.retryShare.fraction,
       configurationAgeMs: this.configuration.ageMs,
