Hand the duty over again until a node that reaches servers has taken it

A scheduling node that is cut off handed over once, when its path was lost. If no other node reached servers at that moment, it went on scheduling for engines that it could not order. It tries each second now, and a handover in progress is joined, as a stop may begin one too.

--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -28,7 +28,7 @@
   type Welcome,
 } from './messages.js';
 import {type MessageReply, makeTransport} from './make_transport.js';
-import {type LeaseGrant, NodeRoster} from './node_roster.js';
+import {type LeaseGrant, NodeRoster, type RosterEntry} from './node_roster.js';
 import {type NodeLinksOptions, type Successor} from './node_links_options.js';
 import {RecordCatchUp} from './record_catch_up.js';
 import {ViaHolder} from './via_holder.js';
@@ -161,14 +161,27 @@
     return findDutyRank(self, listNodes());
   }
 
-  /** Chooses the node that takes over the duty when this node stops. */
+  /** Chooses the node that takes over the duty; one that reaches servers if any does. */
   findSuccessor(): Successor | null {
+    const others = this.listOthersServing();
+    const reaching = others.filter(({reachesServers}) => reachesServers);
+    const candidates = reaching.length > 0 ? reaching : others;
+    return chooseSuccessor(candidates, this.options.listNodes());
+  }
+
+  /** Like `findSuccessor`; null if no other node reaches servers. */
+  findReachingSuccessor(): Successor | null {
+    const reaching = this.listOthersServing().filter(
+      ({reachesServers}) => reachesServers,
+    );
+    return chooseSuccessor(reaching, this.options.listNodes());
+  }
+
+  private listOthersServing(): RosterEntry[] {
     const {incarnation: own} = this.options.self;
-    const others = this.roster
+    return this.roster
       .listServing()
-      .filter(({incarnation}) => incarnation !== own)
-      .filter(({reachesServers}) => reachesServers);
-    return chooseSuccessor(others, this.options.listNodes());
+      .filter(({incarnation}) => incarnation !== own);
   }
 
   private async tick(): Promise<void> {
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -166,6 +166,17 @@
   assert.is(await ask('r1'), 'not-scheduling');
 });
 
+// Guards against two handovers at once, of a node that is cut off and told to stop.
+test('a second handover joins the first', async () => {
+  const {duty, sentOrders} = await startDuty();
+  await Promise.all([
+    duty.handOver(() => SUCCESSOR),
+    duty.handOver(() => SUCCESSOR),
+  ]);
+  assert.not(duty.isHeld);
+  assert.is(sentOrders.length, 1);
+});
+
 test('a handover ends when there is no successor', async () => {
   const {duty, ask} = await startDuty();
   await duty.handOver(() => null);
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -60,6 +60,8 @@
   private readonly task: DutyTask;
   private scheduler: SchedulingService | null = null;
   private isHandingOver = false;
+  /** The handover in progress, which further calls join. */
+  private handover: Promise<void> | null = null;
   /** Stays set even if the handover fails. */
   private hasStoppedOrdering = false;
 
@@ -97,7 +99,16 @@
    * Guards against unscheduled requests while the store is unavailable: other
    * nodes keep sending requests here, so this node schedules between attempts.
    */
-  async handOver(findSuccessor: () => Successor | null): Promise<void> {
+  handOver(findSuccessor: () => Successor | null): Promise<void> {
+    this.handover ??= this.tryHandOver(findSuccessor).finally(
+      () => (this.handover = null),
+    );
+    return this.handover;
+  }
+
+  private async tryHandOver(
+    findSuccessor: () => Successor | null,
+  ): Promise<void> {
     while (this.task.isHeld) {
       const successor = findSuccessor();
       if (!successor) return;
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -392,11 +392,16 @@
       listServers: () => this.servers.list(),
       listNodes: () => this.register.list(),
       openRelay: (...terms) => this.links.openRelay(...terms),
-      // Engines take orders from the host of the scheduling node only.
-      onCutOff: () => void this.duty.handOver(() => this.links.findSuccessor()),
+      onCutOff: () => this.handOverIfCutOff(),
     });
   }
 
+  /** Engines take orders from the host of the scheduling node only. */
+  private handOverIfCutOff(): void {
+    if (!this.paths.isCutOff || !this.duty.isHeld) return;
+    void this.duty.handOver(() => this.links.findReachingSuccessor());
+  }
+
   private makeChooser(): ScheduledChooser {
     return makeServerChooser({
       ...this.options,
@@ -446,6 +451,7 @@
     this.options.clock.setTimer(MAINTENANCE_INTERVAL_MS, () => {
       this.connections.closeExpired();
       void this.containment.syncRecord();
+      this.handOverIfCutOff();
       this.scheduleMaintenance();
     });
   }
