Split server selection and successors out of large files

ServerSelection asks in one place whether a request may be sent to a server now: contained, suspected without a lease, or a server that is unavailable. It gives back what may not be used. Successors of the duty are found in a file of their own.

--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -18,7 +18,7 @@
   isHeardByAny,
 } from './holder_inquiry.js';
 import {LastWelcome} from './last_welcome.js';
-import {chooseSuccessor, findDutyRank} from './duty_order.js';
+import {findDutyRank} from './duty_order.js';
 import {LeaseGrants, STARTUP_HOLD_OFF_MS} from './lease_grants.js';
 import {
   type HelloStatus,
@@ -28,12 +28,13 @@
   type Welcome,
 } from './messages.js';
 import {type MessageReply, makeTransport} from './make_transport.js';
-import {type LeaseGrant, NodeRoster, type RosterEntry} from './node_roster.js';
-import {type NodeLinksOptions, type Successor} from './node_links_options.js';
+import {type LeaseGrant, NodeRoster} from './node_roster.js';
+import {type NodeLinksOptions} from './node_links_options.js';
 import {RecordCatchUp} from './record_catch_up.js';
 import {ViaHolder} from './via_holder.js';
 import {ReceivedServingList, ServingList} from './serving_list.js';
 import {SilentNodes} from './silent_nodes.js';
+import {SuccessorFinder} from './successor_finder.js';
 import {ConfirmationExchange} from './confirmation_exchange.js';
 
 /** Several heartbeats fit into the time after which a holder counts as silent. */
@@ -46,7 +47,6 @@
 /** Sends heartbeats to the duty holder and routes messages between nodes. */
 export class NodeLinks {
   private readonly transport: PeerTransport<NodeMessage>;
-  private readonly channel: HolderChannel;
   private readonly contacts: HolderContacts;
   private readonly roster: NodeRoster;
   private readonly catchUp: RecordCatchUp;
@@ -59,6 +59,8 @@
   private readonly lastWelcome = new LastWelcome();
   /** What this node knows through the holder. */
   readonly viaHolder: ViaHolder;
+  readonly holderChannel: HolderChannel;
+  readonly successors: SuccessorFinder;
   private wasAlive = false;
 
   constructor(private readonly options: NodeLinksOptions) {
@@ -88,7 +90,8 @@
       this.receive(from, message),
     );
     const {transport} = this;
-    this.channel = new HolderChannel({...options, contacts, transport});
+    this.holderChannel = new HolderChannel({...options, contacts, transport});
+    this.successors = new SuccessorFinder({...options, roster});
   }
 
   async start(): Promise<void> {
@@ -130,11 +133,6 @@
     return this.roster.findGrantEndMs([...names], token, sinceMs);
   }
 
-  /** For messages to the holder while this node is in contact with it. */
-  get holderChannel(): HolderChannel {
-    return this.channel;
-  }
-
   /** Opens a connection to a server through another node. */
   openRelay(
     ...terms: Parameters<PeerTransport<NodeMessage>['openRelay']>
@@ -161,29 +159,6 @@
     return findDutyRank(self, listNodes());
   }
 
-  /** Chooses the node that takes over the duty; one that reaches servers if any does. */
-  findSuccessor(): Successor | null {
-    const others = this.listOthersServing();
-    const reaching = others.filter(({reachesServers}) => reachesServers);
-    const candidates = reaching.length > 0 ? reaching : others;
-    return chooseSuccessor(candidates, this.options.listNodes());
-  }
-
-  /** Like `findSuccessor`; null if no other node reaches servers. */
-  findReachingSuccessor(): Successor | null {
-    const reaching = this.listOthersServing().filter(
-      ({reachesServers}) => reachesServers,
-    );
-    return chooseSuccessor(reaching, this.options.listNodes());
-  }
-
-  private listOthersServing(): RosterEntry[] {
-    const {incarnation: own} = this.options.self;
-    return this.roster
-      .listServing()
-      .filter(({incarnation}) => incarnation !== own);
-  }
-
   private async tick(): Promise<void> {
     const holder = this.options.holder();
     if (!holder) return;
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -24,6 +24,7 @@
 import {findCharge} from './quota_charges.js';
 import {findBackoffMs} from './refusal_pause.js';
 import {SendGate} from './send_gate.js';
+import {ServerSelection} from './server_selection.js';
 import {StallFailover} from './stall_failover.js';
 import {SuspectLease} from './suspect_lease.js';
 
@@ -51,7 +52,7 @@
   private readonly relay: AnswerRelay;
   private readonly log: RequestLog;
   private readonly guard: CrashGuard;
-  private readonly gate: SendGate;
+  private readonly selection: ServerSelection;
   private readonly lease: SuspectLease;
   private readonly isRepeatable: boolean;
   private access: GrantedAccess;
@@ -83,11 +84,7 @@
       ...{request, endsAtMs: this.deadlineAtMs},
       signal: this.abortController.signal,
     });
-    this.gate = new SendGate({
-      availability: options.availability,
-      excludedServers: this.excludedServers,
-      onWithheld: (id, waitMs) => this.log.logWithheld(id, waitMs),
-    });
+    this.selection = this.makeSelection();
     this.relay = new AnswerRelay({
       sink,
       isStream: route.kind === 'streaming',
@@ -121,14 +118,9 @@
   private async runAttempts(): Promise<void> {
     let next: ServerChoice | null = null;
     for (;;) {
-      const choice = await this.chooseServer(next);
+      const choice = await this.selection.select(next);
       if (this.abortCause) return this.finishAborted(choice);
       if (choice.status === 'refused') return this.finishFailed(choice.error);
-      if (!this.gate.allows(choice.server)) {
-        this.options.chooser.release(choice);
-        next = null;
-        continue;
-      }
       const access = this.recheckAccess();
       if (access instanceof TypedError) return this.denyAccess(access, choice);
       this.access = access;
@@ -155,32 +147,6 @@
     return willRetry ? 'try-elsewhere' : 'give-up';
   }
 
-  /**
-   * Refuses a contained request, also one that became contained while waiting.
-   *
-   * Guards against a request that crashes one server after another when callers
-   * resend it to other nodes under new ids.
-   */
-  private async chooseServer(
-    replacement: ChosenServer | null,
-  ): Promise<ServerChoice> {
-    const {chooser} = this.options;
-    let choice: ServerChoice | null = replacement;
-    for (;;) {
-      if (!choice && this.guard.isContained) return this.refuseContained();
-      if (!choice) {
-        const error = await this.lease.acquire();
-        if (error) return {status: 'refused', error};
-        if (this.guard.isContained) return this.refuseContained();
-      }
-      choice ??= await chooser.choose(this.makeAsk(this.excludedServers));
-      if (choice.status === 'refused') return choice;
-      if (!this.guard.isContained && !this.lease.isNeeded) return choice;
-      chooser.release(choice);
-      choice = null;
-    }
-  }
-
   /** Ends a request that became contained through its last attempt. */
   private finishContained(
     outcome: AttemptOutcome,
@@ -201,10 +167,6 @@
     this.finishFailed(error);
   }
 
-  private refuseContained(): ServerChoice {
-    return {status: 'refused', error: makeContainedError(this.mayHaveRun)};
-  }
-
   private async runAttempt(choice: ChosenServer): Promise<AttemptOutcome> {
     const {chooser} = this.options;
     const {server} = choice;
@@ -274,6 +236,19 @@
     });
   }
 
+  private makeSelection(): ServerSelection {
+    const {availability, chooser} = this.options;
+    const {excludedServers, guard, lease, abortController} = this;
+    const onWithheld = (id: BackendServerId, waitMs: number) =>
+      this.log.logWithheld(id, waitMs);
+    return new ServerSelection({
+      ...{chooser, guard, lease, signal: abortController.signal},
+      gate: new SendGate({availability, excludedServers, onWithheld}),
+      makeAsk: () => this.makeAsk(excludedServers),
+      mayHaveRun: () => this.mayHaveRun,
+    });
+  }
+
   /** Null for a request that must not go to another server. */
   private makeStallFailover(
     choice: ChosenServer,
--- /dev/null
+++ b/packages/serve-requests/src/server_selection.ts
@@ -0,0 +1,67 @@
+/** Selects a server that a request may be sent to now. */
+import {type CrashGuard, makeContainedError} from './crash_guard.js';
+import {type SendGate} from './send_gate.js';
+import {
+  type ChosenServer,
+  type ServerAsk,
+  type ServerChoice,
+  type ServerChooser,
+} from './server_chooser.js';
+import {type SuspectLease} from './suspect_lease.js';
+
+export interface ServerSelectionOptions {
+  chooser: Pick<ServerChooser, 'choose' | 'release'>;
+  guard: CrashGuard;
+  lease: SuspectLease;
+  gate: SendGate;
+  makeAsk: () => ServerAsk;
+  /** Whether a server may have run the request already. */
+  mayHaveRun: () => boolean;
+  /** Aborted when the request no longer needs a server. */
+  signal: AbortSignal;
+}
+
+export class ServerSelection {
+  constructor(private readonly options: ServerSelectionOptions) {}
+
+  /**
+   * Gives back what may not be used any more: the request became contained or suspected,
+   * or the server unavailable, while the request waited.
+   *
+   * @param replacement a server that is chosen already
+   */
+  async select(replacement: ChosenServer | null): Promise<ServerChoice> {
+    let chosen = replacement;
+    for (;;) {
+      const choice: ServerChoice = chosen ?? (await this.choose());
+      if (choice.status === 'refused' || this.maySend(choice)) return choice;
+      this.options.chooser.release(choice);
+      chosen = null;
+    }
+  }
+
+  /**
+   * Guards against a request that crashes one server after another when callers
+   * resend it to other nodes under new ids.
+   */
+  private async choose(): Promise<ServerChoice> {
+    const {guard, lease, chooser, makeAsk} = this.options;
+    if (guard.isContained) return this.refuseContained();
+    const error = await lease.acquire();
+    if (error) return {status: 'refused', error};
+    if (guard.isContained) return this.refuseContained();
+    return chooser.choose(makeAsk());
+  }
+
+  /** A choice of an aborted request is given back by its run. */
+  private maySend({server}: ChosenServer): boolean {
+    const {guard, lease, gate, signal} = this.options;
+    if (signal.aborted) return true;
+    return !guard.isContained && !lease.isNeeded && gate.allows(server);
+  }
+
+  private refuseContained(): ServerChoice {
+    const error = makeContainedError(this.options.mayHaveRun());
+    return {status: 'refused', error};
+  }
+}
--- a/packages/serving-node/src/node_departure.ts
+++ b/packages/serving-node/src/node_departure.ts
@@ -35,7 +35,7 @@
   announce(): void {
     const {clock, edge, duty, links} = this.options;
     edge.closeIdle();
-    this.handover = duty.handOver(() => links.findSuccessor());
+    this.handover = duty.handOver(() => links.successors.find());
     clock.setTimer(KEEP_LISTENING_MS, () => edge.stopListening());
   }
 
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -399,7 +399,7 @@
   /** Engines take orders from the host of the scheduling node only. */
   private handOverIfCutOff(): void {
     if (!this.paths.isCutOff || !this.duty.isHeld) return;
-    void this.duty.handOver(() => this.links.findReachingSuccessor());
+    void this.duty.handOver(() => this.links.successors.findReaching());
   }
 
   private makeChooser(): ScheduledChooser {
