Relay nothing while stopping, and keep nothing open for a host that has left

A host that is about to stop took new relays, which its exit would cut, and a connection to a server stayed open and counted if the host in need had left while it was opened.

--- a/packages/relay-connections/src/relay_server.test.ts
+++ b/packages/relay-connections/src/relay_server.test.ts
@@ -35,7 +35,7 @@
     listener => once(listener, 'connection') as Promise<[Socket]>,
   );
   const relays = new RelayServer({
-    isCutOff: () => false,
+    mayRelay: () => true,
     listServers: () => [{ip: '127.0.0.1', port: serverPort}],
     openDirect: connect,
   });
@@ -84,22 +84,36 @@
   });
 });
 
+// Guards against a connection to a server that is kept for a host that has left.
+test('a caller that left before the server was reached keeps nothing open', async () => {
+  const server = new Socket();
+  const relays = new RelayServer({
+    mayRelay: () => true,
+    listServers: () => [{ip: '127.0.0.1', port: OTHER_PORT}],
+    openDirect: () => Promise.resolve(server),
+  });
+  const decision = await relays.open(`127.0.0.1:${OTHER_PORT}`);
+  if (decision.status === 'open') decision.join(new Socket().destroy());
+  await once(server, 'close');
+  assert.is(relays.openRelays, 0);
+});
+
 // Guards against a way through a node to other processes than servers.
-test('only registered servers are relayed to, and none by a host that is cut off', async () => {
-  const makeRelays = (isCutOff: boolean) =>
+test('only registered servers are relayed to, and none by a host that is cut off or stops', async () => {
+  const makeRelays = (mayRelay: boolean) =>
     new RelayServer({
-      isCutOff: () => isCutOff,
+      mayRelay: () => mayRelay,
       listServers: () => [{ip: '127.0.0.1', port: OTHER_PORT}],
       openDirect: () => Promise.reject(new Error('refused')),
     });
-  assert.equal(await makeRelays(false).open('127.0.0.1:22'), {
+  assert.equal(await makeRelays(true).open('127.0.0.1:22'), {
     ...{status: 'refused', reason: 'unknown-server'},
   });
   const known = `127.0.0.1:${OTHER_PORT}`;
-  assert.equal(await makeRelays(true).open(known), {
-    ...{status: 'refused', reason: 'cut-off'},
+  assert.equal(await makeRelays(false).open(known), {
+    ...{status: 'refused', reason: 'unavailable'},
   });
-  assert.equal(await makeRelays(false).open(known), {status: 'unreachable'});
+  assert.equal(await makeRelays(true).open(known), {status: 'unreachable'});
 });
 
 test.run();
--- a/packages/relay-connections/src/relay_server.ts
+++ b/packages/relay-connections/src/relay_server.ts
@@ -3,8 +3,8 @@
 import {type SocketAddress, formatAddress} from '@mimosatack/types';
 
 export interface RelayServerOptions {
-  /** Whether this host has lost its own path to the servers. */
-  isCutOff: () => boolean;
+  /** False while this host is about to stop, or reaches no server itself. */
+  mayRelay: () => boolean;
   /** Only registered servers are relayed to. */
   listServers: () => readonly SocketAddress[];
   openDirect: (address: SocketAddress, timeoutMs: number) => Promise<Socket>;
@@ -12,7 +12,7 @@
 
 /** Outcome of a relay request, before any byte is passed on. */
 export type RelayDecision =
-  | {status: 'refused'; reason: 'unknown-server' | 'busy' | 'cut-off'}
+  | {status: 'refused'; reason: 'unknown-server' | 'busy' | 'unavailable'}
   | {status: 'unreachable'}
   | {status: 'open'; join: (caller: Socket) => void};
 
@@ -30,12 +30,12 @@
   }
 
   async open(target: string): Promise<RelayDecision> {
-    const {isCutOff, listServers, openDirect} = this.options;
+    const {mayRelay, listServers, openDirect} = this.options;
     const address = listServers().find(
       known => formatAddress(known) === target,
     );
     if (!address) return {status: 'refused', reason: 'unknown-server'};
-    if (isCutOff()) return {status: 'refused', reason: 'cut-off'};
+    if (!mayRelay()) return {status: 'refused', reason: 'unavailable'};
     if (this.relayCount >= MAX_RELAYS) {
       return {status: 'refused', reason: 'busy'};
     }
@@ -56,6 +56,11 @@
  * like the end of a response, and an aborted request that the server goes on with.
  */
 function joinSockets(caller: Socket, server: Socket): void {
+  // The caller may have left while the connection to the server was opened.
+  if (caller.destroyed) {
+    server.destroy();
+    return;
+  }
   caller.setNoDelay(true);
   caller.pipe(server);
   server.pipe(caller);
--- a/packages/serving-node/src/server_paths.ts
+++ b/packages/serving-node/src/server_paths.ts
@@ -26,6 +26,7 @@
   listServers: () => readonly BackendServerEntry[];
   listNodes: () => readonly RegisteredNode[];
   openRelay: NodeLinks['openRelay'];
+  isStopping: () => boolean;
   /** Called when this node has lost its path to all servers. */
   onCutOff: () => void;
 }
@@ -49,7 +50,8 @@
       onPathChange: isCutOff => this.handlePathChange(isCutOff),
     });
     this.relays = new RelayServer({
-      ...{listServers, openDirect, isCutOff: () => this.isCutOff},
+      ...{listServers, openDirect},
+      mayRelay: () => !this.isCutOff && !options.isStopping(),
     });
     connections.useDialer(
       new ServerDialer({
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -392,6 +392,7 @@
       listServers: () => this.servers.list(),
       listNodes: () => this.register.list(),
       openRelay: (...terms) => this.links.openRelay(...terms),
+      isStopping: () => this.shutdown.isStopping,
       onCutOff: () => this.handOverIfCutOff(),
     });
   }
