Let a denied run of a suspected request wait before it asks again

Found by reading the fix: where the holder denies at once and this node does not yet know why, the run asked again with each answer until six tenths of its time were over. It waits 50 ms between two asks. The lease of a request has tests of its own; the one of the denial failed before by its count of asks.

--- a/packages/serve-requests/src/suspect_lease.ts
+++ b/packages/serve-requests/src/suspect_lease.ts
@@ -1,5 +1,5 @@
 /** Keeps a request that may crash servers to one copy at a time over all nodes. */
-import {type Clock} from '@mimosatack/clock';
+import {type Clock, sleep} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type RequestFingerprint} from '@mimosatack/types';
 import {type CallerRequest} from './caller_request.js';
@@ -37,6 +37,8 @@
 const MAX_ASK_MS = 1_000;
 /** Time for the release to arrive once the request has ended. */
 const HOLD_MARGIN_MS = 1_000;
+/** Bounds the messages of a run that is denied without a wait. */
+const DENIED_WAIT_MS = 50;
 const RETRY_AFTER_MS = 1_000;
 
 /**
@@ -89,6 +91,7 @@
       maxHoldMs: endsAtMs - nowMs + HOLD_MARGIN_MS,
     });
     this.isHeld = await Promise.race([granted, this.untilAborted()]);
+    if (!this.isHeld) await sleep(clock, DENIED_WAIT_MS, this.options.signal);
     return true;
   }
 }
