--- a/packages/bench-scheduling/src/virtual_engine.ts
+++ b/packages/bench-scheduling/src/virtual_engine.ts
@@ -69,6 +69,7 @@
       id: this.id,
       startedAtMs: null,
       service: SERVICE_NAME,
+      softwareVersion: 'v1',
       address: {ip: '127.0.0.1', port: 1},
       failureDomain: 'a',
       slots: this.spec.slots,
--- a/packages/fakes/src/engine_fixtures.ts
+++ b/packages/fakes/src/engine_fixtures.ts
@@ -31,6 +31,7 @@
 export function makeEngineEntry(id: string): BackendServerEntry {
   return {
     ...{id, startedAtMs: null, service: ENGINE_SERVICE},
+    softwareVersion: 'v1',
     address: {ip: '127.0.0.1', port: 1},
     ...{failureDomain: 'a', slots: 32, state: 'ready', leavesInMs: null},
     residents: [{model: 'm0', version: 1, adapters: []}],
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -41,6 +41,9 @@
       requestId: 'the request',
       route: 'the route that took it',
       backendServerId: 'the backend server',
+      softwareVersion: 'the software version that its entry states',
+      resumedRequestId:
+        'the request that brought the first event of the stream, if it is resumed',
       attempt: 'which attempt it is, from 1',
       remainingMs: 'time that is left for its answer',
       configurationVersion: 'the configuration that decided the route',
--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -27,6 +27,7 @@
     fields: {
       backendServerId: 'the backend server',
       state: 'ready, draining or gone',
+      softwareVersion: 'the software version that its entry states',
       offset: 'offset of the record that told it',
       source: 'the store, or the peer that passed it on',
     },
--- a/packages/measure-events/src/measuring_event_logger.test.ts
+++ b/packages/measure-events/src/measuring_event_logger.test.ts
@@ -34,6 +34,7 @@
       ...{requestId: 'r1', route: 'a', backendServerId: 'i-1', attempt: 1},
       ...{remainingMs: 9, configurationVersion: 1, chosenBy: {}},
       ...{fingerprint, isProbe},
+      ...{softwareVersion: 'v1', resumedRequestId: undefined},
     });
   log(undefined, false);
   log('f1', false);
--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -23,6 +23,7 @@
 
 const SERVER: BackendServerEntry = {
   ...{id: 'e1', startedAtMs: null, service: ENGINE_SERVICE},
+  softwareVersion: 'v1',
   ...{address: {ip: '127.0.0.1', port: 1}, failureDomain: 'hall-a'},
   ...{slots: 4, state: 'ready', leavesInMs: null, residents: []},
   near: {inHostMemory: [], onDisk: []},
@@ -58,7 +59,7 @@
     request: {
       ...{requestId: 'r1', host: 'h', method: 'POST', path: '/a', headers: []},
       ...{body: new Uint8Array(), receivedAtMs: 0, deadlineMs: null},
-      ...{lastEventId: null, keyHashes: [], tokenCount: 30},
+      ...{lastEventId: null, resumedRequestId: null, keyHashes: [], tokenCount: 30},
       generation: isEngineRequest ? generation : null,
     },
     route: {
--- a/packages/serve-requests/src/caller_request.ts
+++ b/packages/serve-requests/src/caller_request.ts
@@ -35,6 +35,8 @@
   deadlineMs: number | null;
   /** The last event that the caller has of a resumed response. */
   lastEventId: number | null;
+  /** The request that brought the first event of a resumed response. */
+  resumedRequestId: string | null;
   generation: GenerationParameters | null;
   /** Hashes of the keys in the request; a valid request has at most one. */
   keyHashes: readonly string[];
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -64,6 +64,8 @@
       requestId: this.request.requestId,
       route: this.target.route.name,
       backendServerId: this.backendServerId,
+      softwareVersion: choice.server.softwareVersion,
+      resumedRequestId: this.request.resumedRequestId ?? undefined,
       attempt,
       remainingMs: Math.round(deadlineAtMs - this.sentAtMs),
       configurationVersion: this.target.version,
--- a/packages/serving-node/src/log_server_change.ts
+++ b/packages/serving-node/src/log_server_change.ts
@@ -10,6 +10,7 @@
   logger.log('server-changed', {
     backendServerId: id,
     state: entry?.state ?? 'gone',
+    softwareVersion: entry?.softwareVersion,
     offset,
     source: isReader ? 'store' : 'store or peer',
   });
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -131,6 +131,8 @@
   /** Start time of the incarnation that the entry describes. */
   startedAtMs: ServerStartMs;
   service: ServiceName;
+  /** The version of the server's software, not of its models; null if not stated. */
+  softwareVersion: string | null;
   address: SocketAddress;
   failureDomain: FailureDomain;
   slots: number;
