--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -59,7 +59,12 @@
     request: {
       ...{requestId: 'r1', host: 'h', method: 'POST', path: '/a', headers: []},
       ...{body: new Uint8Array(), receivedAtMs: 0, deadlineMs: null},
-      ...{lastEventId: null, resumedRequestId: null, keyHashes: [], tokenCount: 30},
+      ...{
+        lastEventId: null,
+        resumedRequestId: null,
+        keyHashes: [],
+        tokenCount: 30,
+      },
       generation: isEngineRequest ? generation : null,
     },
     route: {
