--- a/packages/serving-node/src/server_follower.test.ts
+++ b/packages/serving-node/src/server_follower.test.ts
@@ -53,13 +53,19 @@
 
 const JSON_DECODER = {
   decodeServer: (id: string, value: Uint8Array) => {
-    const {state, holds, startedAtMs} = JSON.parse(
+    const {state, holds, startedAtMs, softwareVersion} = JSON.parse(
       Buffer.from(value).toString(),
-    ) as {state: 'ready' | 'draining'; holds: string; startedAtMs?: number};
+    ) as {
+      state: 'ready' | 'draining';
+      holds: string;
+      startedAtMs?: number;
+      softwareVersion?: string;
+    };
     const residents = [{model: holds, version: 1, adapters: []}];
     return {
       ...makeEngineEntry(id),
       ...{state, residents, startedAtMs: startedAtMs ?? null},
+      softwareVersion: softwareVersion ?? 'v1',
     };
   },
 } as unknown as PlatformAdapter;
@@ -113,6 +119,19 @@
   reader.stop();
 });
 
+// Guards against peers that take a restarted server for one of its earlier version.
+test('a new software version under the same id is passed on', async () => {
+  const {reader, broadcasts, write, advance} = makeReader();
+  await write('s1', {state: 'ready', holds: 'm1'});
+  reader.start();
+  await advance(1_000);
+  await write('s1', {state: 'ready', holds: 'm1', softwareVersion: 'v2'});
+  await advance(1_000);
+  assert.equal(broadcasts, [['s1'], ['s1']]);
+  assert.is(reader.find('s1')?.softwareVersion, 'v2');
+  reader.stop();
+});
+
 // Guards against a delayed heartbeat that names models of an earlier process.
 test('a delayed entry of an earlier process is neither applied nor passed on', async () => {
   const {reader, broadcasts, write, advance} = makeReader();
--- a/packages/serving-node/src/server_follower.ts
+++ b/packages/serving-node/src/server_follower.ts
@@ -177,6 +177,7 @@
       entry.state !== known.state ||
       entry.service !== known.service ||
       entry.startedAtMs !== known.startedAtMs ||
+      entry.softwareVersion !== known.softwareVersion ||
       formatAddress(entry.address) !== formatAddress(known.address)
     );
   }
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -131,8 +131,8 @@
   /** Start time of the incarnation that the entry describes. */
   startedAtMs: ServerStartMs;
   service: ServiceName;
-  /** The version of the server's software, not of its models; null if not stated. */
-  softwareVersion: string | null;
+  /** The version of the server's software, not of its models. */
+  softwareVersion: string;
   address: SocketAddress;
   failureDomain: FailureDomain;
   slots: number;
@@ -143,6 +143,17 @@
   near: NearWeights;
 }
 
+/**
+ * Whether a server may continue what the software version wrote, null for any. What two
+ * versions write must not be joined in one stream.
+ */
+export function isVersionAllowed(
+  {softwareVersion}: {softwareVersion: string | null},
+  entry: Pick<BackendServerEntry, 'softwareVersion'>,
+): boolean {
+  return softwareVersion === null || softwareVersion === entry.softwareVersion;
+}
+
 /** Formats an address as `ip:port`, for logs and as a key. */
 export function formatAddress({ip, port}: SocketAddress): string {
   return `${ip}:${port}`;
