--- a/packages/bench-scheduling/src/engine_batch.test.ts
+++ b/packages/bench-scheduling/src/engine_batch.test.ts
@@ -18,6 +18,7 @@
       gapMs: 300,
       endsAtMs: 8_000,
       excluded: new Set(),
+      softwareVersion: null,
       allowed: null,
       nodeId: 'n1',
     },
--- a/packages/bench-scheduling/src/traffic.ts
+++ b/packages/bench-scheduling/src/traffic.ts
@@ -110,6 +110,7 @@
         gapMs: kind.gapMs,
         endsAtMs: atMs + kind.patienceMs,
         excluded: new Set(),
+        softwareVersion: null,
         allowed: null,
         nodeId: 'n1',
       },
--- a/packages/explain-request/src/find_verdict.ts
+++ b/packages/explain-request/src/find_verdict.ts
@@ -28,6 +28,10 @@
     'weights-remote',
     'no engine has the weights near, and fetching them takes longer than the caller waits',
   ],
+  [
+    'version-gone',
+    'the stream began at a software version of which no engine is left',
+  ],
   ['unknown-model', 'no configuration lists the model or the adapter'],
 ]);
 
--- a/packages/schedule-models/src/adapter_plan.ts
+++ b/packages/schedule-models/src/adapter_plan.ts
@@ -49,7 +49,7 @@
   return (
     engine.acceptsWorkAt(nowMs) &&
     engine.entry.service === request.service &&
-    isEngineAllowed(request, engine.id) &&
+    isEngineAllowed(request, engine.entry) &&
     engine.residents.get(request.model)?.isReady(nowMs) === true
   );
 }
--- a/packages/schedule-models/src/choose_engine.ts
+++ b/packages/schedule-models/src/choose_engine.ts
@@ -36,7 +36,7 @@
   return (
     engine.acceptsWorkAt(nowMs) &&
     engine.entry.service === request.service &&
-    isEngineAllowed(request, engine.id) &&
+    isEngineAllowed(request, engine.entry) &&
     resident !== undefined &&
     resident.isReady(nowMs) &&
     resident.hasAdapter(request.adapter, nowMs)
--- a/packages/schedule-models/src/engine_views.ts
+++ b/packages/schedule-models/src/engine_views.ts
@@ -6,11 +6,16 @@
   type BackendServerId,
   type ServiceName,
   compareIncarnations,
+  isVersionAllowed,
 } from '@mimosatack/types';
 import {EngineView} from './engine_view.js';
 import {type ModelCatalogue} from './model_catalogue.js';
 import {type PrefillSpeed} from './prefill_speed.js';
-import {type EngineReport, type PlannedOrder} from './scheduled_request.js';
+import {
+  type EngineReport,
+  type PlannedOrder,
+  type ScheduledRequest,
+} from './scheduled_request.js';
 
 export interface EngineViewsOptions {
   catalogue: ModelCatalogue;
@@ -52,6 +57,19 @@
     return !hasStaying && this.list().some(isOfService);
   }
 
+  /** Whether engines of the service are known, and all with the version are leaving. */
+  isVersionGone(request: ScheduledRequest): boolean {
+    const known = this.list().filter(
+      ({entry}) => entry.service === request.service,
+    );
+    return (
+      known.length > 0 &&
+      !known.some(
+        engine => engine.isStaying && isVersionAllowed(request, engine.entry),
+      )
+    );
+  }
+
   /** Adds an engine or applies its changed entry. */
   put(entry: BackendServerEntry, nowMs: number): void {
     const view = this.views.get(entry.id);
@@ -61,11 +79,12 @@
       return;
     }
     const order = compareIncarnations(entry.startedAtMs, view.startedAtMs);
-    if (order === 'same') {
+    const isSameVersion = entry.softwareVersion === view.entry.softwareVersion;
+    if (order === 'same' && isSameVersion) {
       if (view.update(entry)) this.options.onEnginesChanged();
       return;
     }
-    if (order === 'later') return this.startIncarnation(view, entry, nowMs);
+    if (order !== 'earlier') return this.startIncarnation(view, entry, nowMs);
     // The entry is outdated or a clock was set back; a report decides which.
     view.orders.needsReport = true;
   }
--- a/packages/schedule-models/src/find_refusal.ts
+++ b/packages/schedule-models/src/find_refusal.ts
@@ -44,6 +44,9 @@
   if (estimate.kind === 'unknown') {
     return {reason: 'unknown-model', retryAfterMs: UNKNOWN_RETRY_MS};
   }
+  if (estimate.kind === 'version-gone') {
+    return {reason: 'version-gone', retryAfterMs: UNKNOWN_RETRY_MS};
+  }
   if (estimate.kind === 'leaving') {
     return {reason: 'no-room', retryAfterMs: UNKNOWN_RETRY_MS};
   }
--- a/packages/schedule-models/src/prompt_pacing.test.ts
+++ b/packages/schedule-models/src/prompt_pacing.test.ts
@@ -27,6 +27,7 @@
       endsAtMs: 8_000,
       excluded: new Set(),
       allowed: null,
+      softwareVersion: null,
       nodeId: 'n1',
     },
   };
--- a/packages/schedule-models/src/scheduled_request.ts
+++ b/packages/schedule-models/src/scheduled_request.ts
@@ -1,10 +1,12 @@
 /** The inputs and decisions of the scheduler. */
 import {
   type AdapterName,
+  type BackendServerEntry,
   type BackendServerId,
   type ModelName,
   type ServerStartMs,
   type ServiceName,
+  isVersionAllowed,
 } from '@mimosatack/types';
 
 /** A request that waits for an engine. Times are on the monotonic clock. */
@@ -30,15 +32,22 @@
   excluded: ReadonlySet<BackendServerId>;
   /** The only engines to which the request may be sent; null for any. */
   allowed: ReadonlySet<BackendServerId> | null;
+  /** The only software version that a stream may continue at; null for any. */
+  softwareVersion: string | null;
   /** The requesting node; engines may be unreachable from some nodes only. */
   nodeId: string;
 }
 
 export function isEngineAllowed(
-  {excluded, allowed}: ScheduledRequest,
-  id: BackendServerId,
+  request: ScheduledRequest,
+  entry: BackendServerEntry,
 ): boolean {
-  return !excluded.has(id) && (allowed?.has(id) ?? true);
+  const {excluded, allowed} = request;
+  return (
+    isVersionAllowed(request, entry) &&
+    !excluded.has(entry.id) &&
+    (allowed?.has(entry.id) ?? true)
+  );
 }
 
 /** How an assigned request has ended. */
@@ -59,7 +68,9 @@
   /** No engine caches the weights, and fetching them takes too long. */
   | 'weights-remote'
   /** No engine will have a free slot in time. */
-  | 'no-room';
+  | 'no-room'
+  /** No engine has the software version that the stream began at. */
+  | 'version-gone';
 
 /**
  * An order to one engine. The engine rejects the order unless it has accepted
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -14,6 +14,7 @@
   type BackendServerId,
   type ModelName,
   type ServiceSpec,
+  isVersionAllowed,
 } from '@mimosatack/types';
 import {EngineAccess} from './engine_access.js';
 import {findStoreLoad} from './find_store_load.js';
@@ -311,7 +312,7 @@
       .listByUrgency()
       .filter(request => !this.deferred.has(request));
     const batches = groupBatches(unserved).filter(
-      ({service, model}) => !this.isBeingLoaded(service, model, context),
+      batch => !this.isBeingLoaded(batch, context),
     );
     const swaps = policy.rank(batches, context).flatMap(batch => {
       const choice = policy.choose(batch, context);
@@ -345,7 +346,7 @@
       .listByUrgency()
       .filter(request => this.deferred.has(request));
     return groupBatches(heldBack).flatMap(batch => {
-      if (this.isBeingLoaded(batch.service, batch.model, context)) return [];
+      if (this.isBeingLoaded(batch, context)) return [];
       const choice = chooseExtraCopy(batch, this.options.policy, context);
       return choice ? [this.startSwap(batch.model, choice, context.nowMs)] : [];
     });
@@ -394,6 +395,7 @@
     const refused = listRefusals(waiting.list(), waiting.listByUrgency(), {
       ...{nowMs, catalogue},
       areAllLeaving: service => this.engines.areAllLeaving(service),
+      isVersionGone: request => this.engines.isVersionGone(request),
       findPauseEndMs: (engine, nodeId) =>
         this.access.pauses.findEndMs(engine.id, nodeId, nowMs),
       listHolders: (service, model) => this.index.listHolders(service, model),
@@ -409,15 +411,14 @@
   }
 
   /**
-   * Whether an engine is already loading the model or evicting another for it.
+   * Whether an engine that may serve the batch is already loading the model or evicting
+   * another for it.
    */
-  private isBeingLoaded(
-    service: string,
-    model: ModelName,
-    {nowMs}: SwapContext,
-  ): boolean {
+  private isBeingLoaded(batch: Batch, {nowMs}: SwapContext): boolean {
+    const {service, model} = batch;
     return this.index
       .listHolders(service, model)
+      .filter(({entry}) => isVersionAllowed(batch, entry))
       .some(engine => engine.isAcquiring(model, nowMs));
   }
 
--- a/packages/schedule-models/src/scheduler_fixture.ts
+++ b/packages/schedule-models/src/scheduler_fixture.ts
@@ -44,7 +44,12 @@
     ...{promptTokens: PROMPT_TOKENS, outputTokens: 100, priority: 0},
     ...{arrivedAtMs: nowMs, dueAtMs: nowMs + 600, endsAtMs: nowMs + 2_400},
     gapMs: 300,
-    ...{excluded: new Set(), allowed: null, nodeId: 'n1'},
+    ...{
+      excluded: new Set(),
+      allowed: null,
+      softwareVersion: null,
+      nodeId: 'n1',
+    },
   };
   return request;
 }
--- a/packages/schedule-models/src/start_estimate.ts
+++ b/packages/schedule-models/src/start_estimate.ts
@@ -13,6 +13,8 @@
   | {kind: 'remote'; beginsAtMs: number}
   /** All engines of the service are leaving. */
   | {kind: 'leaving'}
+  /** The stream began at a software version of which no engine is left. */
+  | {kind: 'version-gone'}
   /** The model or the adapter is not configured. */
   | {kind: 'unknown'};
 
@@ -32,6 +34,7 @@
   /** When the engine takes requests of the node; `nowMs` or before if it does now. */
   findPauseEndMs: (engine: EngineView, nodeId: string) => number;
   areAllLeaving: (service: ServiceName) => boolean;
+  isVersionGone: (request: ScheduledRequest) => boolean;
   /** The number of more urgent requests that wait for the same model. */
   countAhead: () => number;
 }
@@ -43,8 +46,11 @@
   const {nowMs, catalogue, listHolders, listCaching} = context;
   const {service, model, adapter} = request;
   if (!catalogue.has(service, model, adapter)) return {kind: 'unknown'};
+  if (request.softwareVersion !== null && context.isVersionGone(request)) {
+    return {kind: 'version-gone'};
+  }
   const isAvailable = (engine: EngineView) =>
-    engine.acceptsWorkAt(nowMs) && isEngineAllowed(request, engine.id);
+    engine.acceptsWorkAt(nowMs) && isEngineAllowed(request, engine.entry);
   const holders = listHolders(service, model).filter(isAvailable);
   const isUnrestricted = (engine: EngineView) =>
     !engine.limit.isNamed &&
--- a/packages/schedule-models/src/swap_options.ts
+++ b/packages/schedule-models/src/swap_options.ts
@@ -24,7 +24,9 @@
   const engines = listCaching(service, model)
     .filter(engine => canOrder(engine, service, nowMs))
     .filter(engine => !engine.residents.has(model))
-    .filter(({id}) => requests.some(request => isEngineAllowed(request, id)));
+    .filter(({entry}) =>
+      requests.some(request => isEngineAllowed(request, entry)),
+    );
   return preferUnrestricted(engines, context).flatMap(engine =>
     listEngineSwaps(engine, engine.memory.modelMb(model), nowMs),
   );
--- a/packages/schedule-models/src/swap_policy.ts
+++ b/packages/schedule-models/src/swap_policy.ts
@@ -9,10 +9,12 @@
 import {type ResidentModel} from './resident_model.js';
 import {type ScheduledRequest} from './scheduled_request.js';
 
-/** The requests that wait for one model. */
+/** The requests that wait for one model, all at the same software version or at any. */
 export interface Batch {
   service: ServiceName;
   model: ModelName;
+  /** The software version that the requests need; null for any. */
+  softwareVersion: string | null;
   /** In order of arrival. */
   requests: readonly ScheduledRequest[];
 }
--- a/packages/schedule-models/src/waiting_batches.ts
+++ b/packages/schedule-models/src/waiting_batches.ts
@@ -1,13 +1,17 @@
-/** Groups waiting requests by model. */
+/** Groups waiting requests by model and software version. */
 import {toModelKey} from './model_key.js';
 import {type ScheduledRequest} from './scheduled_request.js';
 import {type Batch} from './swap_policy.js';
 
-/** Returns one batch for each model and keeps the order of the requests. */
+/**
+ * Returns one batch for each model and required software version, and keeps the order of
+ * the requests.
+ */
 export function groupBatches(requests: readonly ScheduledRequest[]): Batch[] {
   const groups = new Map<string, ScheduledRequest[]>();
   requests.forEach(request => {
-    const key = toModelKey(request.service, request.model);
+    const {service, model, softwareVersion} = request;
+    const key = JSON.stringify([toModelKey(service, model), softwareVersion]);
     const group = groups.get(key);
     if (group) group.push(request);
     else groups.set(key, [request]);
@@ -15,6 +19,7 @@
   return [...groups.values()].flatMap(group => {
     const [first] = group;
     if (!first) return [];
-    return [{service: first.service, model: first.model, requests: group}];
+    const {service, model, softwareVersion} = first;
+    return [{service, model, softwareVersion, requests: group}];
   });
 }
--- a/packages/schedule-models/src/wrong_speed.test.ts
+++ b/packages/schedule-models/src/wrong_speed.test.ts
@@ -18,7 +18,12 @@
     ...{promptTokens: PROMPT_TOKENS, outputTokens: 70, priority: 0},
     ...{arrivedAtMs: nowMs, dueAtMs: nowMs + 600, endsAtMs: nowMs + 4_800},
     gapMs: 300,
-    ...{excluded: new Set<string>(), allowed: null, nodeId: 'n1'},
+    ...{
+      excluded: new Set<string>(),
+      allowed: null,
+      softwareVersion: null,
+      nodeId: 'n1',
+    },
   };
 }
 
--- a/packages/schedule-service/src/ask_payload.ts
+++ b/packages/schedule-service/src/ask_payload.ts
@@ -40,6 +40,7 @@
     endsInMs: findCallerTimeoutAtMs(ask, nowMs) - nowMs,
     excluded: [...excluded],
     allowed: allowed && [...allowed],
+    softwareVersion: ask.softwareVersion,
     charge,
   };
 }
@@ -70,7 +71,7 @@
   const {service, model, adapter, promptTokens, outputTokens, priority} =
     payload;
   const {askId, waitedMs, dueInMs, gapMs, endsInMs} = payload;
-  const {excluded, allowed} = payload;
+  const {excluded, allowed, softwareVersion} = payload;
   return {
     ...{askId, service, model, adapter},
     ...{promptTokens, outputTokens, priority},
@@ -80,6 +81,6 @@
     endsAtMs: nowMs + endsInMs,
     excluded: new Set(excluded),
     allowed: allowed && new Set(allowed),
-    nodeId,
+    ...{softwareVersion, nodeId},
   };
 }
--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -26,6 +26,8 @@
   endsInMs: z.number(),
   excluded: z.array(z.string()),
   allowed: z.array(z.string()).nullable(),
+  /** The software version that the stream began at; the previous release sends none. */
+  softwareVersion: z.string().nullable().default(null),
   /** The charge to the team's quota; the previous release sends none. */
   charge: chargeSchema.nullable().default(null),
 });
@@ -86,6 +88,8 @@
     type: z.literal('assigned'),
     askId: z.string(),
     engineId: z.string(),
+    /** The engine's software version; the previous release sends none. */
+    softwareVersion: z.string().nullable().default(null),
   }),
   z.object({
     type: z.literal('refused'),
@@ -94,6 +98,7 @@
       'unknown-model',
       'weights-remote',
       'no-room',
+      'version-gone',
       'over-quota',
     ]),
     retryAfterMs: z.number(),
--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -77,6 +77,7 @@
       ? makeEngineService()
       : {name: 'p', healthPath: '/', maxConnections: 9, engine: null},
     ...{excluded: new Set<string>(), allowed: null, endsAtMs: 5_000},
+    softwareVersion: null,
     ...{hasBegun: false, charge: CHARGE, priority: 0},
     signal: new AbortController().signal,
   };
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -14,7 +14,11 @@
   type ServerChooser,
   type ServerLoad,
 } from '@mimosatack/serve-requests';
-import {type BackendServerEntry, type BackendServerId} from '@mimosatack/types';
+import {
+  type BackendServerEntry,
+  type BackendServerId,
+  isVersionAllowed,
+} from '@mimosatack/types';
 import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
 import {
   type AvailabilityReport,
@@ -117,13 +121,27 @@
       return;
     }
     const {askId, engineId} = message;
-    const server = this.options.findServer(engineId);
-    if (pending && server) return this.assign(pending, server);
+    const server = this.findAssigned(message);
+    if (pending && server && isVersionAllowed(pending.ask, server)) {
+      return this.assign(pending, server);
+    }
     const result = pending ? 'unreachable' : 'neutral';
     this.sendRunEnded(askId, engineId, result, null, true);
     if (pending) this.resubmit(pending, engineId);
   }
 
+  /** The scheduling node learns of a server's next incarnation before this node. */
+  private findAssigned({
+    engineId,
+    softwareVersion,
+  }: Extract<FromHolderMessage, {type: 'assigned'}>):
+    BackendServerEntry | undefined {
+    const server = this.options.findServer(engineId);
+    return server && softwareVersion !== null
+      ? {...server, softwareVersion}
+      : server;
+  }
+
   /** Chooses locally for all pending asks when the scheduling node is lost. */
   handleHolderLost(): void {
     this.options.permits.handleHolderLost();
--- a/packages/schedule-service/src/scheduling_service.test.ts
+++ b/packages/schedule-service/src/scheduling_service.test.ts
@@ -69,6 +69,7 @@
       ...{model: 'm0', adapter: null, promptTokens: 10, outputTokens: 10},
       ...{priority: 0, waitedMs: 0, dueInMs: 500, gapMs: 300},
       ...{endsInMs: 8_000, excluded: [], allowed: null, charge},
+      softwareVersion: null,
     },
   };
 }
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -291,7 +291,10 @@
     const {nodeAddress} = known;
     if (decision.kind === 'assign') {
       const {askId, engineId} = decision;
-      this.options.send(nodeAddress, {type: 'assigned', askId, engineId});
+      const {softwareVersion = null} = this.servers.get(engineId) ?? {};
+      this.options.send(nodeAddress, {
+        ...{type: 'assigned', askId, engineId, softwareVersion},
+      });
       return;
     }
     const {askId, reason, retryAfterMs} = decision;
--- a/packages/serve-requests/src/answer_relay.ts
+++ b/packages/serve-requests/src/answer_relay.ts
@@ -14,6 +14,8 @@
   resume: () => void;
   /** Spends a retry on a server error; false if the error must be relayed. */
   spendRetry: () => boolean;
+  /** Called before the caller receives the beginning of the response. */
+  onBegin: () => void;
   /** Called for each chunk. */
   onProgress: () => void;
 }
@@ -109,8 +111,9 @@
   }
 
   private begin(): void {
-    const {sink} = this.options;
+    const {sink, onBegin} = this.options;
     if (sink.hasBegun || !this.head) return;
+    onBegin();
     sink.begin(this.head.status, this.head.headers);
   }
 }
--- a/packages/serve-requests/src/least_loaded_chooser.test.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.test.ts
@@ -48,4 +48,17 @@
   assert.is(await pickId(chooser), 's1');
 });
 
+// Guards against a stream that goes on at a version that did not begin it.
+test('a resumed stream goes to a server of its version or to none', async () => {
+  const old = makeServer({id: 's1', softwareVersion: 'v1'});
+  const servers = [old, makeServer({id: 's2', softwareVersion: 'v2'})];
+  const chooser = makeChooser(() => servers);
+  [1, 2, 3].forEach(() => chooser.recordSent(toChoice(old)));
+  const chooseAt = (softwareVersion: string) =>
+    chooser.choose(makeAsk({softwareVersion}));
+  const choice = await chooseAt('v1');
+  assert.is(choice.status === 'chosen' && choice.server.id, 's1');
+  assert.is((await chooseAt('v3')).status, 'refused');
+});
+
 test.run();
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -8,6 +8,7 @@
   type FailureDomain,
   type ServerStartMs,
   compareIncarnations,
+  isVersionAllowed,
 } from '@mimosatack/types';
 import {type ServerAvailability} from '@mimosatack/track-availability';
 import {type ServerLoad} from './backend_dialect.js';
@@ -229,8 +230,13 @@
 /** Ranks a failed server below others with fewer than two requests per slot. */
 const RECENT_FAILURE_COST = 2;
 
-function isAllowed({id}: BackendServerEntry, ask: ServerAsk): boolean {
-  return !ask.excluded.has(id) && (ask.allowed?.has(id) ?? true);
+function isAllowed(server: BackendServerEntry, ask: ServerAsk): boolean {
+  const {id} = server;
+  return (
+    isVersionAllowed(ask, server) &&
+    !ask.excluded.has(id) &&
+    (ask.allowed?.has(id) ?? true)
+  );
 }
 
 function canServe(server: BackendServerEntry, ask: ServerAsk): boolean {
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -111,7 +111,7 @@
     const service = name === null ? undefined : active.services.get(name);
     const {version} = active;
     return service
-      ? {route, service, version, access}
+      ? {route, service, version, access, softwareVersion: null}
       : makeNotConfiguredError();
   }
 
@@ -145,6 +145,8 @@
   version: number;
   /** The access that the request was admitted with. */
   access: GrantedAccess;
+  /** The software version that began the stream which the request resumes, or null. */
+  softwareVersion: string | null;
 }
 
 /**
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -57,7 +57,10 @@
   private readonly isRepeatable: boolean;
   private access: GrantedAccess;
   private attempt: Attempt | null = null;
+  private attemptVersion: string | null = null;
   private stallFailover: StallFailover | null = null;
+  /** The software version that the stream has to go on at; null for any. */
+  private softwareVersion: string | null;
   private attempts = 0;
   private capacityRefusals = 0;
   /** How often an engine did not hold the requested model. */
@@ -74,6 +77,7 @@
   ) {
     const {route} = target;
     this.access = target.access;
+    this.softwareVersion = target.softwareVersion;
     const waitMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
     this.deadlineAtMs = request.receivedAtMs + waitMs;
     this.isRepeatable = isRepeatable(route);
@@ -91,6 +95,7 @@
       lastEventId: request.lastEventId,
       resume: () => this.attempt?.resume(),
       spendRetry: () => this.spendFailureRetry(),
+      onBegin: () => (this.softwareVersion ??= this.attemptVersion),
       onProgress: () => {
         this.log.recordChunk();
         this.stallFailover?.recordProgress();
@@ -174,6 +179,7 @@
     this.log.logSent(choice, this.attempts, this.deadlineAtMs);
     const attempt = this.makeAttempt(choice);
     this.attempt = attempt;
+    this.attemptVersion = server.softwareVersion;
     this.stallFailover = this.makeStallFailover(choice, attempt);
     chooser.recordSent(choice);
     attempt.start();
@@ -384,6 +390,7 @@
       request: this.request,
       ...{route, service, excluded},
       allowed: isServerLimitReached ? this.reachedServers : null,
+      softwareVersion: this.softwareVersion,
       endsAtMs: this.deadlineAtMs,
       hasBegun: this.sink.hasBegun,
       charge: findCharge(this.request, this.access.team, this.attempts > 0),
--- a/packages/serve-requests/src/server_chooser.ts
+++ b/packages/serve-requests/src/server_chooser.ts
@@ -22,6 +22,8 @@
    * its route allows; null for any.
    */
   allowed: ReadonlySet<BackendServerId> | null;
+  /** The only software version that a stream may continue at; null for any. */
+  softwareVersion: string | null;
   /** The deadline of the complete response, on the monotonic clock. */
   endsAtMs: number;
   /** Whether the caller has received the beginning of the response. */
--- a/packages/serve-requests/src/test_fixtures.ts
+++ b/packages/serve-requests/src/test_fixtures.ts
@@ -62,6 +62,7 @@
     route: makeRoute(),
     service: makeService(),
     excluded: new Set(),
+    softwareVersion: null,
     allowed: null,
     endsAtMs: 1_000,
     hasBegun: false,
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -35,6 +35,7 @@
       ...{adapter: null, promptTokens: 10, outputTokens: 10, priority: 0},
       ...{waitedMs: 0, dueInMs: 500, gapMs: 300, endsInMs: 2_000},
       ...{excluded: [], allowed: null, charge: null},
+      softwareVersion: null,
     },
   };
 }
