--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -209,6 +209,23 @@
         'time until the server may get requests of this host; null while it is leaving',
     },
   },
+  'stream-origin-found': {
+    number: 4024,
+    level: 'info',
+    message: 'A request resumes a stream; it goes on where the stream began.',
+    fields: {
+      requestId: 'the request',
+      resumedRequestId:
+        'the request that brought the first event of the stream; null if not told',
+      source:
+        '`own`, `other-host` or `only-version` of the service; `unknown`: it is refused',
+      service: 'the service',
+      softwareVersion:
+        'the version at which the stream began; null for unknown',
+      askedHosts: 'how many other hosts were asked for the stream',
+      answers: 'how many of them had answered',
+    },
+  },
   'server-path-changed': {
     number: 4103,
     level: 'warn',
--- a/packages/measure-events/src/measuring_event_logger.ts
+++ b/packages/measure-events/src/measuring_event_logger.ts
@@ -20,6 +20,11 @@
   ['request-sent', recordSent],
   ['attempt-ended', recordAttempt],
   ['retry-decided', recordRetry],
+  [
+    'stream-origin-found',
+    (metrics, {source}) =>
+      metrics.count('streams.resumed', {source: toTag(source)}),
+  ],
   ['ask-decided', recordDecision],
   ['engine-ordered', recordOrder],
   [
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -75,6 +75,18 @@
     next: 'what was done with the request: `end`, `try-elsewhere`, `give-up`',
   }),
   'attempts.head': timing('Time until a backend server began its answer.', {}),
+  'streams.resumed': counter('Requests that resume a stream.', {
+    source:
+      'how its software version is known: `own`, `other-host`, `only-version`; `unknown`: refused',
+  }),
+  'streams.known': gauge(
+    'Streams whose software version this node knows, its own and copies.',
+    {},
+  ),
+  'streams.mixed_services': gauge(
+    'Services that run at several software versions, or did in the last minute.',
+    {},
+  ),
   'retries.decided': counter('Retries that the bound allowed or held back.', {
     service: 'the service',
     decision: '`allowed` or `held-back`',
--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -11,6 +11,11 @@
   toHolderMessageSchema,
 } from '@mimosatack/schedule-service';
 import {limitReplySchema, limitReportSchema} from '@mimosatack/share-limits';
+import {
+  askStreamSchema,
+  streamReplySchema,
+  streamsBegunSchema,
+} from '@mimosatack/track-streams';
 import {quotaReplySchema, quotaReportSchema} from '@mimosatack/team-quotas';
 import * as z from 'zod';
 import {nodeSchema} from './registered_node.js';
@@ -137,6 +142,9 @@
   suspectAskSchema,
   suspectDecisionSchema,
   suspectReleaseSchema,
+  streamsBegunSchema,
+  askStreamSchema,
+  streamReplySchema,
 ]);
 
 export type NodeMessage = z.infer<typeof messageSchema>;
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -9,6 +9,11 @@
 import {type PeerTransport} from '@mimosatack/peer-transport';
 import {type FromHolderMessage} from '@mimosatack/schedule-service';
 import {startPeriodic} from '@mimosatack/tasks';
+import {
+  type AskStream,
+  type StreamReply,
+  type StreamsBegun,
+} from '@mimosatack/track-streams';
 import {HolderChannel} from './holder_channel.js';
 import {HolderContacts} from './holder_contacts.js';
 import {toLastOrders} from './last_orders.js';
@@ -146,6 +151,25 @@
     else this.transport.send(address, {type: 'from-holder', body: message});
   }
 
+  sendStreamsBegun(address: string, message: StreamsBegun): void {
+    this.transport.send(address, message);
+  }
+
+  /** Resolves with null if the node does not answer in time. */
+  async askForStream(
+    address: string,
+    ask: AskStream,
+    timeoutMs: number,
+  ): Promise<StreamReply | null> {
+    try {
+      const reply = await this.transport.request(address, ask, timeoutMs);
+      return reply.type === 'stream-reply' ? reply : null;
+    } catch (thrown) {
+      this.options.onFault(toTypedError(thrown));
+      return null;
+    }
+  }
+
   /** Sends records to all nodes with a recent heartbeat. */
   broadcastRecords(message: RecordsMessage): void {
     this.roster
@@ -353,6 +377,11 @@
       case 'suspect-release':
         options.suspects.handleRelease(message);
         return undefined;
+      case 'streams-begun':
+        options.streams.handleBegun(message);
+        return undefined;
+      case 'ask-stream':
+        return options.streams.handleAsk(message);
       case 'from-holder':
         options.onFromHolder(message.body);
         return undefined;
--- a/packages/node-links/src/node_links_options.ts
+++ b/packages/node-links/src/node_links_options.ts
@@ -14,6 +14,7 @@
 } from '@mimosatack/schedule-service';
 import {type LimitExchange} from '@mimosatack/share-limits';
 import {type QuotaReply, type QuotaReport} from '@mimosatack/team-quotas';
+import {type StreamOrigins} from '@mimosatack/track-streams';
 import {type NodeIncarnation, type SocketAddress} from '@mimosatack/types';
 import {type RegisteredNode} from './registered_node.js';
 import {type RecordsMessage, type SharedTopic} from './messages.js';
@@ -63,6 +64,8 @@
   crashes: CrashExchange;
   /** Grants leases on suspected requests while this node is the holder. */
   suspects: Pick<SuspectRuns, 'handleAsk' | 'handleRelease'>;
+  /** Keeps copies of the origins of streams that other nodes begin. */
+  streams: Pick<StreamOrigins, 'handleBegun' | 'handleAsk'>;
   /** Decides whether this node relays a connection of another node to a server. */
   onRelay: (target: string) => Promise<RelayDecision>;
   quotas: QuotaExchange;
--- a/packages/serve-requests/src/index.ts
+++ b/packages/serve-requests/src/index.ts
@@ -32,6 +32,7 @@
 export {type NamedLimit} from '@mimosatack/share-limits';
 export {type AvailabilityFacts} from '@mimosatack/track-availability';
 export {RouteTable} from './route_table.js';
+export {type StreamLookup} from './continue_stream.js';
 export {type CrashWatch} from './crash_guard.js';
 export {ResponseHeadTimes} from './response_head_times.js';
 export {
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -14,6 +14,13 @@
 import {type AccessCheck, type GrantedAccess} from './access_check.js';
 import {type BackendDialect} from './backend_dialect.js';
 import {type AnswerSink, type CallerRequest} from './caller_request.js';
+import {
+  type StreamLookup,
+  findOrigin,
+  isResumedStream,
+  chooseService,
+  makeOriginUnknownError,
+} from './continue_stream.js';
 import {type CrashWatch} from './crash_guard.js';
 import {type ResponseHeadTimes} from './response_head_times.js';
 import {pickService} from './pick_service.js';
@@ -37,6 +44,7 @@
   access: AccessCheck;
   limits: Pick<ServerLimits, 'recordResponse'>;
   availability: Pick<ServerAvailability, 'findWaitMs' | 'recordResponse'>;
+  streams: StreamLookup;
 }
 
 const NOT_CONFIGURED_RETRY_MS = 500;
@@ -80,7 +88,7 @@
 
   /** Resolves once the request is finished and logged. */
   async serve(request: CallerRequest, sink: AnswerSink): Promise<void> {
-    const target = this.findTarget(request);
+    const target = await this.continueStream(request, this.findTarget(request));
     if (target instanceof TypedError) {
       sink.refuse(target);
       this.logRefused(request, target);
@@ -90,6 +98,22 @@
     await new RequestRun(this.options, request, sink, target).run();
   }
 
+  /** Guards against a stream that goes on at another software version. */
+  private async continueStream(
+    request: CallerRequest,
+    target: RequestTarget | TypedError,
+  ): Promise<RequestTarget | TypedError> {
+    if (target instanceof TypedError || !isResumedStream(request, target)) {
+      return target;
+    }
+    const origin = await findOrigin(request, target, this.options);
+    if (!origin) return makeOriginUnknownError();
+    const {softwareVersion} = origin;
+    const name = chooseService(target, origin);
+    const service = this.active?.services.get(name) ?? target.service;
+    return {...target, service, softwareVersion};
+  }
+
   private findRoute({host, path}: RequestHead): ServiceRoute | TypedError {
     if (!this.active) return makeNotConfiguredError();
     const route = this.active.routes.find(host, path);
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -1,7 +1,7 @@
 /** Executes one request: its attempts, retries and final response. */
 import {type Timer, sleep} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
-import {type BackendServerId} from '@mimosatack/types';
+import {type BackendServerEntry, type BackendServerId} from '@mimosatack/types';
 import {AnswerRelay} from './answer_relay.js';
 import {
   Attempt,
@@ -180,6 +180,7 @@
     const attempt = this.makeAttempt(choice);
     this.attempt = attempt;
     this.attemptVersion = server.softwareVersion;
+    this.recordOrigin(server);
     this.stallFailover = this.makeStallFailover(choice, attempt);
     chooser.recordSent(choice);
     attempt.start();
@@ -197,6 +198,17 @@
     return outcome;
   }
 
+  /** Lets other hosts continue the stream at the version that may begin it now. */
+  private recordOrigin({service, softwareVersion}: BackendServerEntry): void {
+    const {request, sink, target, access} = this;
+    if (target.route.kind !== 'streaming' || sink.hasBegun) return;
+    const requestId = request.resumedRequestId ?? request.requestId;
+    this.options.streams.record(
+      {requestId, team: access.team?.team ?? null},
+      {service, softwareVersion},
+    );
+  }
+
   /**
    * Whether a server that has not run the request may receive it again: a
    * server without capacity, or an engine that does not hold the model yet.
--- a/packages/serve-requests/src/withheld_requests.test.ts
+++ b/packages/serve-requests/src/withheld_requests.test.ts
@@ -104,6 +104,10 @@
       findShare: () => 1,
     }),
     headTimes: new ResponseHeadTimes(),
+    streams: {
+      record: () => undefined,
+      find: () => Promise.reject(new Error('not resumed')),
+    },
     crashes: {
       isSuspected: () => false,
       hasSuspects: false,
--- a/packages/serving-node/src/containment_task.ts
+++ b/packages/serving-node/src/containment_task.ts
@@ -8,9 +8,10 @@
   decodeContained,
   encodeContained,
 } from '@mimosatack/contain-requests';
-import {TypedError, toTypedError} from '@mimosatack/errors';
+import {TypedError} from '@mimosatack/errors';
 import {type KeyedTopic} from '@mimosatack/keyed-store';
 import {type EventLogger} from '@mimosatack/logger';
+import {StoredRecord} from './stored_record.js';
 
 /** Key of the record in the nodes topic; not a valid node name. */
 export const CONTAINED_KEY = ':contained';
@@ -41,9 +42,7 @@
   readonly containment: RequestContainment;
   readonly exchange: CrashExchange;
   readonly suspects: SuspectRuns;
-  /** Last value known to be in the store. */
-  private storedRecord: Uint8Array | null = null;
-  private isWriting = false;
+  private readonly record: StoredRecord;
 
   constructor(private readonly options: ContainmentTaskOptions) {
     const {clock} = options;
@@ -57,6 +56,15 @@
       ...{askHolder: options.askHolder, tellHolder: options.tellHolder},
       runIdPrefix: options.incarnation,
     });
+    this.record = new StoredRecord({
+      ...options,
+      key: CONTAINED_KEY,
+      encode: () =>
+        encodeContained(
+          containment.contained,
+          containment.evidence.cutsByRequest,
+        ),
+    });
   }
 
   get gauges(): {containedRequests: number; suspectedRequests: number} {
@@ -68,7 +76,7 @@
 
   /** Applies the record, read from the store or received from a peer. */
   applyRecord(value: Uint8Array | null): void {
-    this.storedRecord = value;
+    this.record.noteStored(value);
     if (!value) return;
     const facts = decodeContained(value, this.options.clock.monotonicMs());
     if (facts) this.containment.mergeFacts(facts);
@@ -76,30 +84,11 @@
   }
 
   /** Writes the record if it has changed; has to be called periodically. */
-  async syncRecord(): Promise<void> {
-    const {topic, isWriter, onFault} = this.options;
-    if (this.isWriting || !isWriter()) return;
-    const {contained, evidence} = this.containment;
-    const value = encodeContained(contained, evidence.cutsByRequest);
-    if (areEqual(value, this.storedRecord)) return;
-    this.isWriting = true;
-    try {
-      await topic.append([{key: CONTAINED_KEY, value}]);
-      this.storedRecord = value;
-    } catch (thrown) {
-      // The next call writes the record again.
-      onFault(toTypedError(thrown));
-    } finally {
-      this.isWriting = false;
-    }
+  syncRecord(): Promise<void> {
+    return this.record.sync();
   }
 }
 
-function areEqual(one: Uint8Array | null, other: Uint8Array | null): boolean {
-  if (one === null || other === null) return one === other;
-  return Buffer.from(one).equals(other);
-}
-
 function makeInvalidRecordError(): TypedError {
   return new TypedError(
     'record-invalid',
--- a/packages/serving-node/src/node_register.test.ts
+++ b/packages/serving-node/src/node_register.test.ts
@@ -39,7 +39,7 @@
     ...{clock, topic, random: new SeededRandom(1), self: makeNode(nodeName)},
     ...{isReader: () => isReader, isUpdatedByPeer},
     onRead: fromOffset => broadcastOffsets.push(fromOffset),
-    onContainmentRecord: () => undefined,
+    recordReaders: new Map(),
     ...{onRemoved: () => undefined, onLost: () => undefined},
     onRegained: () => undefined,
   });
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -14,7 +14,6 @@
   encodeNode,
 } from '@mimosatack/node-links';
 import {type RandomSource} from '@mimosatack/random';
-import {CONTAINED_KEY} from './containment_task.js';
 
 export interface NodeRegisterOptions {
   clock: Clock;
@@ -27,8 +26,8 @@
   isUpdatedByPeer: () => boolean;
   /** Called with the first offset of new records for peers. */
   onRead: (fromOffset: number) => void;
-  /** Called with the record of contained requests, kept in the same topic. */
-  onContainmentRecord: (value: Uint8Array | null) => void;
+  /** Other records in the same topic, by key; called with their values. */
+  recordReaders: ReadonlyMap<string, (value: Uint8Array | null) => void>;
   onRemoved: (nodeName: string) => void;
   onLost: (error: TypedError) => void;
   onRegained: () => void;
@@ -186,17 +185,15 @@
   }
 
   private applyChanges(changes: readonly KeyedChange[]): void {
-    const {self, onContainmentRecord} = this.options;
-    changes
-      .filter(({key}) => key === CONTAINED_KEY)
-      .forEach(({value}) => onContainmentRecord(value));
+    const {self, recordReaders} = this.options;
+    changes.forEach(({key, value}) => recordReaders.get(key)?.(value));
     const wasRemoved = changes.some(
       ({key, value}) => key === self.nodeName && value === null,
     );
     // Another node may remove this one as lost after a long freeze.
     if (wasRemoved) void this.register();
     changes
-      .filter(({key}) => key !== self.nodeName && key !== CONTAINED_KEY)
+      .filter(({key}) => key !== self.nodeName && !recordReaders.has(key))
       .forEach(({key, value}) => {
         const node = value && decodeNode(value);
         if (node) this.nodes.set(key, node);
--- a/packages/serving-node/src/node_state_metrics.ts
+++ b/packages/serving-node/src/node_state_metrics.ts
@@ -14,6 +14,8 @@
   dutiesHeld: number;
   containedRequests: number;
   suspectedRequests: number;
+  knownStreams: number;
+  mixedServices: number;
   configurationAgeMs: number;
   retryShare: number;
   teams: readonly TeamLevel[];
@@ -41,5 +43,7 @@
   metrics.gauge('duties.held', figures.dutiesHeld, {});
   metrics.gauge('containment.contained', figures.containedRequests, {});
   metrics.gauge('containment.suspected', figures.suspectedRequests, {});
+  metrics.gauge('streams.known', figures.knownStreams, {});
+  metrics.gauge('streams.mixed_services', figures.mixedServices, {});
   metrics.gauge('process.resident_bytes', process.memoryUsage.rss(), {});
 }
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -20,7 +20,7 @@
 import {type ServingConfiguration} from '@mimosatack/types';
 import {type CallerAccess} from './caller_access.js';
 import {ConfigurationFollower} from './configuration_follower.js';
-import {ContainmentTask} from './containment_task.js';
+import {CONTAINED_KEY, ContainmentTask} from './containment_task.js';
 import {describeSelf} from './describe_self.js';
 import {EntryPoints} from './entry_points.js';
 import {FaultLog} from './fault_log.js';
@@ -39,11 +39,17 @@
 import {SharedLimits} from './shared_limits.js';
 import {SharedRecords} from './shared_records.js';
 import {StatusServer} from './status_server.js';
+import {
+  MIXED_SERVICES_KEY,
+  StreamVersionsTask,
+} from './stream_versions_task.js';
 import {makeTeamTasks} from './team_tasks.js';
 import {CLOSE_MARGIN_MS, KEEP_LISTENING_MS} from './stop_times.js';
 
 const DUTY_KEY = 'scheduler';
 const MAINTENANCE_INTERVAL_MS = 1_000;
+/** Leaves a caller who resumes a stream most of the time for the stream itself. */
+const STREAM_ASK_TIMEOUT_MS = 400;
 
 /** Routes requests to backend servers that the platform runs. */
 export class ServingNode {
@@ -59,6 +65,7 @@
   private readonly quotas: TeamQuotas;
   private readonly links: NodeLinks;
   private readonly limits: SharedLimits;
+  private readonly streams: StreamVersionsTask;
   private readonly availability: ServerAvailability;
   private readonly chooser: ScheduledChooser;
   private readonly pipeline: RequestPipeline;
@@ -83,6 +90,7 @@
     this.servers = this.makeServers();
     this.containment = this.makeContainment();
     this.limits = this.makeLimits();
+    this.streams = this.makeStreams();
     this.availability = makeServerAvailability(options, id =>
       this.chooser.reportAvailability(id),
     );
@@ -201,6 +209,7 @@
       configurationAgeMs: this.configuration.ageMs,
       teams: this.quotas.listLevels(),
       ...this.containment.gauges,
+      ...this.streams.gauges,
     });
     return metrics.format();
   }
@@ -256,7 +265,10 @@
       ...{clock, random, platform},
       isReader: () => this.duty.isHeld,
       peerAgeMs: () => this.links.viaHolder.serversAgeMs,
-      onChanges: changes => this.duty.updateServers(changes),
+      onChanges: changes => {
+        this.streams.updateServers();
+        this.duty.updateServers(changes);
+      },
       onStateChange: change =>
         logServerChange(options.logger, change, this.duty.isHeld),
       onRead: fromOffset =>
@@ -275,7 +287,10 @@
       isUpdatedByPeer: () => this.links.viaHolder.receivesNodeRecords,
       onRead: fromOffset =>
         this.sharedRecords.broadcastSince('nodes', fromOffset),
-      onContainmentRecord: value => this.containment.applyRecord(value),
+      recordReaders: new Map([
+        [CONTAINED_KEY, value => this.containment.applyRecord(value)],
+        [MIXED_SERVICES_KEY, value => this.streams.applyRecord(value)],
+      ]),
       onRemoved: nodeName =>
         this.options.logger.log('node-lost', {lostNodeName: nodeName}),
       ...this.faults.watchDependency('nodes'),
@@ -295,6 +310,28 @@
     });
   }
 
+  private makeStreams(): StreamVersionsTask {
+    const {clock, platform} = this.options;
+    return new StreamVersionsTask({
+      ...{clock, topic: platform.nodesTopic},
+      isWriter: () => this.duty.isHeld,
+      listServers: () => this.servers.list(),
+      listHosts: () => this.listOtherNodes(),
+      serversAgeMs: () =>
+        Math.min(this.servers.ageMs, this.links.viaHolder.serversAgeMs),
+      send: (address, message) => this.links.sendStreamsBegun(address, message),
+      ask: (address, ask) =>
+        this.links.askForStream(address, ask, STREAM_ASK_TIMEOUT_MS),
+      onFault: error => this.faults.logTaskFailure(error, 'streams'),
+    });
+  }
+
+  private listOtherNodes(): RegisteredNode[] {
+    return this.register
+      .list()
+      .filter(({nodeName}) => nodeName !== this.self.nodeName);
+  }
+
   private makeDuty(): SchedulingDuty {
     const {clock, random, platform, settings, logger} = this.options;
     const {nodeName, incarnation, peerAddress} = this.self;
@@ -356,6 +393,7 @@
       onRelay: target => this.paths.relays.open(target),
       ...{quotas: this.quotas, confirmation: this.configuration},
       limits: this.limits.exchange,
+      streams: this.streams.origins,
       serversAgeMs: () => this.servers.ageMs,
       readRecords: (topic, fromOffset) =>
         this.sharedRecords.read(topic, fromOffset),
@@ -439,6 +477,7 @@
       access: this.access,
       limits: this.limits.servers,
       availability: this.availability,
+      streams: this.streams.origins,
       chooser: this.chooser,
       retries: new RetryAllowance({
         clock: new SuspensionAwareClock(clock),
@@ -452,6 +491,8 @@
     this.options.clock.setTimer(MAINTENANCE_INTERVAL_MS, () => {
       this.connections.closeExpired();
       void this.containment.syncRecord();
+      this.streams.updateServers();
+      void this.streams.syncRecord();
       this.handOverIfCutOff();
       this.scheduleMaintenance();
     });
--- /dev/null
+++ b/packages/serving-node/src/stream_versions_task.ts
@@ -0,0 +1,76 @@
+/** Shares with other nodes at which software version streams began. */
+import {type Clock} from '@mimosatack/clock';
+import {TypedError} from '@mimosatack/errors';
+import {type KeyedTopic} from '@mimosatack/keyed-store';
+import {
+  StreamOrigins,
+  type StreamOriginsOptions,
+  decodeMixedServices,
+  encodeMixedServices,
+} from '@mimosatack/track-streams';
+import {type BackendServerEntry} from '@mimosatack/types';
+import {StoredRecord} from './stored_record.js';
+
+/** Key of the record in the nodes topic; not a valid node name. */
+export const MIXED_SERVICES_KEY = ':mixed-services';
+
+export interface StreamVersionsTaskOptions extends StreamOriginsOptions {
+  clock: Clock;
+  /** Topic that every node reads when it starts. */
+  topic: KeyedTopic;
+  /** Whether this node writes the record for all nodes. */
+  isWriter: () => boolean;
+  listServers: () => readonly BackendServerEntry[];
+  onFault: (error: TypedError) => void;
+}
+
+/**
+ * Keeps a record of the services that run at several versions. Guards against nodes that
+ * all restart at once, see one version and continue streams that began at another.
+ */
+export class StreamVersionsTask {
+  readonly origins: StreamOrigins;
+  private readonly record: StoredRecord;
+
+  constructor(private readonly options: StreamVersionsTaskOptions) {
+    this.origins = new StreamOrigins(options);
+    const {versions} = this.origins;
+    this.record = new StoredRecord({
+      ...options,
+      key: MIXED_SERVICES_KEY,
+      encode: () => encodeMixedServices(versions.listMixed()),
+    });
+  }
+
+  get gauges(): {knownStreams: number; mixedServices: number} {
+    const {knownStreams, versions} = this.origins;
+    return {knownStreams, mixedServices: versions.listMixed().length};
+  }
+
+  /** Has to be called periodically, and after each change of the servers. */
+  updateServers(): void {
+    this.origins.updateServers(this.options.listServers());
+  }
+
+  /** Applies the record, read from the store or received from a peer. */
+  applyRecord(value: Uint8Array | null): void {
+    this.record.noteStored(value);
+    if (!value) return;
+    const services = decodeMixedServices(value);
+    if (services) this.origins.versions.applyRecorded(services);
+    else this.options.onFault(makeInvalidRecordError());
+  }
+
+  /** Writes the record if it has changed; has to be called periodically. */
+  syncRecord(): Promise<void> {
+    return this.record.sync();
+  }
+}
+
+function makeInvalidRecordError(): TypedError {
+  return new TypedError(
+    'record-invalid',
+    'The record of services at several software versions has another form.',
+    {run: 'not-run'},
+  );
+}
--- /dev/null
+++ b/packages/track-streams/src/stream_origins.ts
@@ -0,0 +1,239 @@
+/** Knows at which software version streams began, also those of other hosts. */
+import {type Clock} from '@mimosatack/clock';
+import {
+  type BackendServerEntry,
+  type ServiceName,
+  type TeamName,
+} from '@mimosatack/types';
+import {
+  type CopyHost,
+  HostRing,
+  MAX_COPIES,
+  StreamRate,
+  findCopyCount,
+} from './origin_copies.js';
+import {ServiceVersions} from './service_versions.js';
+import {
+  type StreamId,
+  type StreamOrigin,
+  makeStreamId,
+} from './stream_origin.js';
+import {StreamOriginTable} from './stream_origin_table.js';
+import {
+  type AskStream,
+  type StreamReply,
+  type StreamsBegun,
+} from './stream_messages.js';
+
+/** A stream by the request that brought its first event. */
+export interface StreamKey {
+  requestId: string;
+  team: TeamName | null;
+}
+
+export interface StreamQuery {
+  /** Null if the caller does not say which request began the stream. */
+  stream: StreamKey | null;
+  /** The service that would continue the stream. */
+  service: ServiceName;
+}
+
+/** How an origin became known. */
+export type OriginSource =
+  /** This host has begun the stream, or keeps a copy of its origin. */
+  | 'own'
+  /** Another host knows it. */
+  | 'other-host'
+  /** All servers of the service have run at one version for long enough. */
+  | 'only-version'
+  | 'unknown';
+
+export interface OriginAnswer {
+  origin: StreamOrigin | null;
+  source: OriginSource;
+  /** Hosts that were asked, and those that answered. */
+  askedHosts: number;
+  answers: number;
+}
+
+export interface StreamOriginsOptions {
+  clock: Clock;
+  /** All other hosts. */
+  listHosts: () => readonly CopyHost[];
+  /** Age of this host's list of servers. */
+  serversAgeMs: () => number;
+  send: (address: string, message: StreamsBegun) => void;
+  /** Resolves with null if no answer comes in time. */
+  ask: (address: string, ask: AskStream) => Promise<StreamReply | null>;
+}
+
+/** A server that is new since then has no stream that broke already. */
+const MAX_VIEW_AGE_MS = 2_000;
+
+/**
+ * Guards against a stream that goes on at a software version which did not begin it,
+ * when a caller resumes it at another host, or at one that has restarted.
+ *
+ * While a service runs at one version, nothing is sent. Otherwise each host sends the
+ * origins of its streams to a few others before their first event, and asks those for
+ * streams that it does not know.
+ */
+export class StreamOrigins {
+  readonly versions: ServiceVersions;
+  private readonly own: StreamOriginTable;
+  private readonly copies: StreamOriginTable;
+  private readonly ring: HostRing;
+  private readonly rate = new StreamRate();
+
+  constructor(private readonly options: StreamOriginsOptions) {
+    const {clock, listHosts} = options;
+    this.own = new StreamOriginTable(clock);
+    this.copies = new StreamOriginTable(clock);
+    this.ring = new HostRing(listHosts);
+    this.versions = new ServiceVersions(clock, service =>
+      this.sendAllOf(service),
+    );
+  }
+
+  get knownStreams(): number {
+    return this.own.size + this.copies.size;
+  }
+
+  updateServers(servers: readonly BackendServerEntry[]): void {
+    this.versions.update(servers);
+  }
+
+  /** Has to be called before a request that may begin a stream is sent to a server. */
+  record({requestId, team}: StreamKey, origin: StreamOrigin): void {
+    const id = makeStreamId(requestId, team);
+    this.own.record(id, origin);
+    if (!this.versions.isMixed(origin.service)) return;
+    const copyCount = findCopyCount(
+      this.rate.record(this.options.clock.monotonicMs()),
+    );
+    this.sendCopies([id], origin, copyCount);
+  }
+
+  async find({stream, service}: StreamQuery): Promise<OriginAnswer> {
+    const id = stream && makeStreamId(stream.requestId, stream.team);
+    const known = id && (this.own.find(id) ?? this.copies.find(id));
+    if (known) return makeAnswer(known, 'own');
+    const softwareVersion = this.versions.findOnly(service);
+    const only = softwareVersion === null ? null : {service, softwareVersion};
+    if (only && this.options.serversAgeMs() <= MAX_VIEW_AGE_MS) {
+      return makeAnswer(only, 'only-version');
+    }
+    if (!id) return makeAnswer(null, 'unknown');
+    return this.askOthers(id, service, only);
+  }
+
+  /** Called at the hosts that keep copies. */
+  handleBegun({ids, service, softwareVersion}: StreamsBegun): void {
+    ids.forEach(id => this.copies.record(id, {service, softwareVersion}));
+  }
+
+  handleAsk({id, service}: AskStream): StreamReply {
+    const origin = this.own.find(id) ?? this.copies.find(id);
+    const isMixed = this.versions.isMixed(service);
+    const onlyVersion = this.versions.findOnly(service);
+    return {type: 'stream-reply', origin, isMixed, onlyVersion};
+  }
+
+  /**
+   * @param only the version at which this host knows all servers of the service to run;
+   *     used if the asked hosts agree, since this host's list may be old.
+   */
+  private async askOthers(
+    id: StreamId,
+    service: ServiceName,
+    only: StreamOrigin | null,
+  ): Promise<OriginAnswer> {
+    const hosts = this.ring.listFollowing(id, MAX_COPIES);
+    const replies = await this.collectReplies(hosts, {
+      ...{type: 'ask-stream', id, service},
+    });
+    const origin = replies.find(reply => reply.origin)?.origin;
+    const counts = {askedHosts: hosts.length, answers: replies.length};
+    if (origin) {
+      this.copies.record(id, origin);
+      return {origin, source: 'other-host', ...counts};
+    }
+    return only && isAgreed(only, hosts.length, replies)
+      ? {origin: only, source: 'only-version', ...counts}
+      : {origin: null, source: 'unknown', ...counts};
+  }
+
+  /** Resolves once a reply names the origin or all hosts have answered or failed. */
+  private collectReplies(
+    hosts: readonly CopyHost[],
+    ask: AskStream,
+  ): Promise<StreamReply[]> {
+    const replies: StreamReply[] = [];
+    return new Promise(resolve => {
+      const asked = hosts.map(async ({peerAddress}) => {
+        const reply = await this.options.ask(peerAddress, ask);
+        if (reply) replies.push(reply);
+        if (reply?.origin) resolve(replies);
+      });
+      void Promise.all(asked).then(() => resolve(replies));
+    });
+  }
+
+  /** Streams that began while the service ran at one version are on no other host. */
+  private sendAllOf(service: ServiceName): void {
+    const byVersion = new Map<string, StreamId[]>();
+    this.own.listOf(service).forEach(([id, {softwareVersion}]) => {
+      const ids = byVersion.get(softwareVersion);
+      if (ids) ids.push(id);
+      else byVersion.set(softwareVersion, [id]);
+    });
+    byVersion.forEach((ids, softwareVersion) =>
+      this.sendCopies(
+        ids,
+        {service, softwareVersion},
+        findCopyCount(ids.length),
+      ),
+    );
+  }
+
+  private sendCopies(
+    ids: readonly StreamId[],
+    origin: StreamOrigin,
+    copyCount: number,
+  ): void {
+    const idsByAddress = new Map<string, StreamId[]>();
+    ids.forEach(id =>
+      this.ring.listFollowing(id, copyCount).forEach(({peerAddress}) => {
+        const known = idsByAddress.get(peerAddress);
+        if (known) known.push(id);
+        else idsByAddress.set(peerAddress, [id]);
+      }),
+    );
+    idsByAddress.forEach((sent, address) =>
+      this.options.send(address, {type: 'streams-begun', ...origin, ids: sent}),
+    );
+  }
+}
+
+/** Whether half of the asked hosts know the same only version, and none another. */
+function isAgreed(
+  {softwareVersion}: StreamOrigin,
+  askedHosts: number,
+  replies: readonly StreamReply[],
+): boolean {
+  const agreeing = replies.filter(
+    ({onlyVersion}) => onlyVersion === softwareVersion,
+  );
+  const isOpposed = replies.some(
+    ({isMixed, onlyVersion}) =>
+      isMixed || (onlyVersion !== null && onlyVersion !== softwareVersion),
+  );
+  return !isOpposed && 2 * agreeing.length >= askedHosts;
+}
+
+function makeAnswer(
+  origin: StreamOrigin | null,
+  source: OriginSource,
+): OriginAnswer {
+  return {origin, source, askedHosts: 0, answers: 0};
+}
