--- a/packages/schedule-models/src/choose_engine.ts
+++ b/packages/schedule-models/src/choose_engine.ts
@@ -9,6 +9,9 @@
  */
 const PACKED_UTILIZATION = 0.3;
 
+/** More than a full engine costs. */
+const NO_SUCCESSOR_COST = 1;
+
 /** Whether requests may be sent to an engine that has failed recently. */
 export type IsUsable = (
   engine: EngineView,
@@ -43,15 +46,22 @@
   );
 }
 
+/** Whether another engine could continue a stream that begins at the engine. */
+export type IsContinuable = (engine: EngineView) => boolean;
+
 /** The engine with the lowest cost; undefined for an empty list. */
 export function pickEngine(
   engines: readonly EngineView[],
+  isContinuable: IsContinuable,
 ): EngineView | undefined {
-  return engines.reduce<EngineView | undefined>(
-    (best, engine) =>
-      best && findCost(best) <= findCost(engine) ? best : engine,
+  const rated = engines.map(engine => ({
+    engine,
+    cost: findCost(engine) + (isContinuable(engine) ? 0 : NO_SUCCESSOR_COST),
+  }));
+  return rated.reduce<(typeof rated)[number] | undefined>(
+    (best, next) => (best && best.cost <= next.cost ? best : next),
     undefined,
-  );
+  )?.engine;
 }
 
 /** Decreases up to the packed utilization, then increases. */
--- a/packages/schedule-models/src/deferred_requests.ts
+++ b/packages/schedule-models/src/deferred_requests.ts
@@ -1,5 +1,5 @@
 /** Requests that are deferred although an engine holds what they need. */
-import {pickEngine} from './choose_engine.js';
+import {type IsContinuable, pickEngine} from './choose_engine.js';
 import {type EngineView} from './engine_view.js';
 import {type ScheduledRequest} from './scheduled_request.js';
 
@@ -35,12 +35,15 @@
     request: ScheduledRequest,
     engines: readonly EngineView[],
     nowMs: number,
+    isContinuable: IsContinuable,
   ): EngineView | undefined {
     const sinceMs = this.deferredSinceMs.get(request.askId) ?? nowMs;
-    if (nowMs - sinceMs >= MAX_DEFERRAL_MS) return pickEngine(engines);
+    const isOverdue = nowMs - sinceMs >= MAX_DEFERRAL_MS;
+    if (isOverdue) return pickEngine(engines, isContinuable);
     if (engines.length > 0) this.deferredSinceMs.set(request.askId, sinceMs);
     return pickEngine(
       engines.filter(engine => engine.hasPrefillCapacity(request, nowMs)),
+      isContinuable,
     );
   }
 }
--- a/packages/schedule-models/src/engine_views.ts
+++ b/packages/schedule-models/src/engine_views.ts
@@ -32,10 +32,22 @@
   onRemoved: (id: BackendServerId) => void;
 }
 
+function findMixedServices(engines: readonly EngineView[]): Set<ServiceName> {
+  const firstVersions = new Map<ServiceName, string>();
+  return new Set(
+    engines.flatMap(({entry: {service, softwareVersion}}) => {
+      const first = firstVersions.get(service) ?? softwareVersion;
+      firstVersions.set(service, first);
+      return first === softwareVersion ? [] : [service];
+    }),
+  );
+}
+
 /** Keeps one view for the current incarnation of each engine. */
 export class EngineViews {
   private readonly views = new Map<BackendServerId, EngineView>();
   private cachedList: readonly EngineView[] | null = null;
+  private mixedServices: ReadonlySet<ServiceName> | null = null;
 
   constructor(private readonly options: EngineViewsOptions) {}
 
@@ -70,6 +82,12 @@
     );
   }
 
+  /** Whether the engines of the service run at several software versions. */
+  isMixed(service: ServiceName): boolean {
+    this.mixedServices ??= findMixedServices(this.list());
+    return this.mixedServices.has(service);
+  }
+
   /** Adds an engine or applies its changed entry. */
   put(entry: BackendServerEntry, nowMs: number): void {
     const view = this.views.get(entry.id);
@@ -140,6 +158,7 @@
 
   private invalidateList(): void {
     this.cachedList = null;
+    this.mixedServices = null;
     this.options.onEnginesChanged();
   }
 }
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -265,7 +265,9 @@
       const usable = this.access.listUsable(ready, request, nowMs);
       // Models are loaded elsewhere only for requests that are not deferred.
       if (usable.length === 0) this.deferred.remove(request.askId);
-      const engine = this.deferred.pickEngine(request, usable, nowMs);
+      const engine = this.deferred.pickEngine(request, usable, nowMs, one =>
+        this.isContinuable(one, request, nowMs),
+      );
       if (!engine) return [];
       this.dequeue(request.askId);
       this.refusals.reset(request.service, request.model);
@@ -281,6 +283,29 @@
     });
   }
 
+  /**
+   * Whether another engine of the same software version holds the model or can load it
+   * without the weight store. Guards against streams that are lost with their engine since
+   * all other copies of the model are at other versions.
+   */
+  private isContinuable(
+    engine: EngineView,
+    {service, model}: ScheduledRequest,
+    nowMs: number,
+  ): boolean {
+    if (!this.engines.isMixed(service)) return true;
+    const holders = this.index
+      .listHolders(service, model)
+      .filter(({residents}) => residents.get(model)?.isReady(nowMs));
+    const caching = this.index.listCaching(service, model);
+    return [...holders, ...caching].some(
+      other =>
+        other !== engine &&
+        other.acceptsWorkAt(nowMs) &&
+        isVersionAllowed(engine.entry, other.entry),
+    );
+  }
+
   /** Sends the next order of each pending swap. */
   private continueSwaps(nowMs: number): Decision[] {
     return this.listEngines().flatMap(engine => {
--- a/packages/schedule-models/src/software_versions.test.ts
+++ b/packages/schedule-models/src/software_versions.test.ts
@@ -113,4 +113,16 @@
   assert.equal(scheduler.decide(20).map(describe), ['r1 to e2']);
 });
 
+// Guards against streams that are lost with their engine although they could have begun
+// where another engine of the same version has the model.
+test('a stream begins where another engine could continue it', () => {
+  const scheduler = makeScheduler([
+    makeVersioned('v2', 'e1', ['hot']),
+    makeVersioned('v1', 'e2', ['hot']),
+    makeVersioned('v1', 'e3', ['other'], ['hot', 'other']),
+  ]);
+  scheduler.enqueue(makeRequest('r1', 'hot', 0), 0);
+  assert.equal(scheduler.decide(0).map(describe), ['r1 to e2']);
+});
+
 test.run();
