--- a/packages/schedule-models/src/find_store_load.ts
+++ b/packages/schedule-models/src/find_store_load.ts
@@ -47,6 +47,9 @@
   choice: SwapChoice;
 }
 
+/** The engines that hold or cache a model, by their software version. */
+type CopiesByVersion = Map<string, number>;
+
 /** A model that should be loaded or cached on more engines. */
 interface CopyNeed {
   service: ServiceName;
@@ -54,6 +57,7 @@
   rate: number;
   /** Number of engines that hold or cache the model. */
   copies: number;
+  copiesByVersion: CopiesByVersion;
   /** Number of copies that demand can use. */
   targetCopies: number;
 }
@@ -126,7 +130,7 @@
     .map(demand => ({
       ...{service: demand.service, model: demand.model},
       rate: demand.requestsPerSecond,
-      copies: copies.get(toModelKey(demand.service, demand.model)) ?? 0,
+      ...describeCopies(copies.get(toModelKey(demand.service, demand.model))),
       targetCopies: findTargetCopies(
         demand,
         context.msPerPromptToken(demand.service),
@@ -137,9 +141,15 @@
 }
 
 /** Whether a copy is worth evicting another model. */
-function needsCopy({rate, copies, targetCopies}: CopyNeed): boolean {
-  const needsSpare = copies < REDUNDANT_COPIES && rate >= REDUNDANCY_RATE;
-  return copies === 0 || copies < targetCopies || needsSpare;
+function needsCopy(need: CopyNeed): boolean {
+  const {copies, targetCopies} = need;
+  return copies === 0 || copies < targetCopies || needsSpare(need);
+}
+
+/** Copies at different software versions can't continue each other's streams. */
+function needsSpare({rate, copiesByVersion}: CopyNeed): boolean {
+  const most = Math.max(0, ...copiesByVersion.values());
+  return most < REDUNDANT_COPIES && rate >= REDUNDANCY_RATE;
 }
 
 function hasFreeMemory(
@@ -173,14 +183,32 @@
     }));
 }
 
-function countCopies({engines, nowMs}: SwapContext): Map<string, number> {
-  const copies = new Map<string, number>();
+function describeCopies(
+  copiesByVersion: CopiesByVersion = new Map(),
+): Pick<CopyNeed, 'copies' | 'copiesByVersion'> {
+  const counts = [...copiesByVersion.values()];
+  const copies = counts.reduce((sum, count) => sum + count, 0);
+  return {copies, copiesByVersion};
+}
+
+/** By model key. */
+function countCopies({
+  engines,
+  nowMs,
+}: SwapContext): Map<string, CopiesByVersion> {
+  const copies = new Map<string, CopiesByVersion>();
   engines
     .filter(engine => engine.acceptsWorkAt(nowMs))
     .forEach(engine =>
       engine.listAvailableModels().forEach(model => {
-        const key = toModelKey(engine.entry.service, model);
-        copies.set(key, (copies.get(key) ?? 0) + 1);
+        const {service, softwareVersion} = engine.entry;
+        const key = toModelKey(service, model);
+        const byVersion = copies.get(key) ?? new Map<string, number>();
+        copies.set(key, byVersion);
+        byVersion.set(
+          softwareVersion,
+          (byVersion.get(softwareVersion) ?? 0) + 1,
+        );
       }),
     );
   return copies;
@@ -228,15 +256,18 @@
 }
 
 function isWorthwhile(
-  {rate, copies, targetCopies}: CopyNeed,
+  need: CopyNeed,
   {choice, candidate, loss}: LoadOption,
   load: 'busy' | 'idle',
 ): boolean {
-  const needsSpare = copies < REDUNDANT_COPIES && rate >= REDUNDANCY_RATE;
-  if (!choice.victim) return candidate.isSparse || copies === 0 || needsSpare;
+  const {rate, copies, targetCopies, copiesByVersion} = need;
+  const isSpare =
+    needsSpare(need) &&
+    copiesByVersion.has(choice.engine.entry.softwareVersion);
+  if (!choice.victim) return candidate.isSparse || copies === 0 || isSpare;
   if (copies === 0) return loss <= rate;
   if (copies < targetCopies) return loss <= rate * OVERLOAD_VICTIM_FRACTION;
   return (
-    needsSpare && load === 'idle' && loss <= rate * REDUNDANCY_VICTIM_FRACTION
+    isSpare && load === 'idle' && loss <= rate * REDUNDANCY_VICTIM_FRACTION
   );
 }
--- a/packages/schedule-models/src/software_versions.test.ts
+++ b/packages/schedule-models/src/software_versions.test.ts
@@ -3,7 +3,12 @@
 import {BatchWorthPolicy} from './policies.js';
 import {type Decision, type ScheduledRequest} from './scheduled_request.js';
 import {ModelScheduler} from './scheduler.js';
-import {makeEngine, makeRequest, makeService} from './scheduler_fixture.js';
+import {
+  SchedulerSimulation,
+  makeEngine,
+  makeRequest,
+  makeService,
+} from './scheduler_fixture.js';
 
 const test = suite('streams that need one software version');
 
@@ -125,4 +130,21 @@
   assert.equal(scheduler.decide(0).map(describe), ['r1 to e2']);
 });
 
+// Guards against a spare copy of a popular model that can't continue any of its streams.
+test('a spare copy is loaded at the version that has a copy', () => {
+  const makeSpec = (
+    version: string,
+    id: string,
+    held: readonly string[],
+  ): Engine => makeVersioned(version, id, held);
+  const simulation = new SchedulerSimulation([
+    makeSpec('v1', 'e1', ['hot', 'warm', 'other']),
+    makeSpec('v2', 'e2', ['hot', 'warm', 'other']),
+    makeSpec('v2', 'e3', ['rare', 'warm', 'other']),
+  ]);
+  simulation.run(5_000, {hot: 4});
+  const loads = simulation.loads.map(({engineId, model}) => [engineId, model]);
+  assert.equal(loads, [['e3', 'hot']]);
+});
+
 test.run();
