--- /dev/null
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -0,0 +1,133 @@
+/** A request pipeline with stand-ins for all that it depends on. */
+import {type BackendConnections} from '@mimosatack/backend-connections';
+import {ManualClock} from '@mimosatack/clock';
+import {type TypedError} from '@mimosatack/errors';
+import {MemoryEventLogger} from '@mimosatack/logger';
+import {SeededRandom} from '@mimosatack/random';
+import {
+  type BackendServerEntry,
+  type BackendServerId,
+  type ServiceRoute,
+} from '@mimosatack/types';
+import {type AnswerSink, type CallerRequest} from './caller_request.js';
+import {type StreamLookup} from './continue_stream.js';
+import {RequestPipeline} from './request_pipeline.js';
+import {ResponseHeadTimes} from './response_head_times.js';
+import {RetryAllowance} from './retry_allowance.js';
+import {type ChosenServer, type ServerAsk} from './server_chooser.js';
+import {makeServer, makeService} from './test_fixtures.js';
+
+export class RecordingSink implements AnswerSink {
+  readonly gone: AnswerSink['gone'] = new AbortController().signal;
+  hasBegun = false;
+  status = 0;
+  error: TypedError | null = null;
+
+  refuse(error: TypedError): void {
+    this.error = error;
+  }
+
+  begin(status: number): void {
+    this.hasBegun = true;
+    this.status = status;
+  }
+
+  write(): boolean {
+    return true;
+  }
+
+  onDrain(): void {}
+  end(): void {}
+  abort(): void {}
+}
+
+export interface PipelineFixtureOptions {
+  routes: readonly ServiceRoute[];
+  connections: BackendConnections;
+  choose: (ask: ServerAsk) => BackendServerEntry | undefined;
+  /** Time until a server may get requests, by id; 0 by default. */
+  waits?: Readonly<Record<BackendServerId, number>>;
+  streams?: StreamLookup;
+}
+
+export class PipelineFixture {
+  readonly logger = new MemoryEventLogger();
+  readonly released: BackendServerId[] = [];
+  readonly sink = new RecordingSink();
+  private readonly pipeline: RequestPipeline;
+
+  constructor(private readonly options: PipelineFixtureOptions) {
+    this.pipeline = this.makePipeline();
+    this.pipeline.configure({
+      ...{version: 1, routes: options.routes, services: [makeService()]},
+      teams: null,
+      limits: {
+        ...{maxHeaderBytes: 1, maxBodyBytes: 1},
+        ...{headerTimeoutMs: 1, idleTimeoutMs: 1},
+      },
+    });
+  }
+
+  serve(request: CallerRequest): Promise<void> {
+    return this.pipeline.serve(request, this.sink);
+  }
+
+  private makePipeline(): RequestPipeline {
+    const {connections, choose, waits = {}, streams} = this.options;
+    const clock = new ManualClock();
+    return new RequestPipeline({
+      ...{clock, logger: this.logger, random: new SeededRandom(1)},
+      connections,
+      dialect: {
+        makeHeaders: () => [],
+        readHead: ({status}) => ({
+          ...{status, headers: [], isNotRun: false, isMisdirected: false},
+          ...{isGenuine: true, load: null, limit: null},
+          availability: {isLeaving: false, pauseMs: null, invalidHeaders: []},
+        }),
+      },
+      chooser: {
+        choose: ask => Promise.resolve(makeChoice(choose(ask))),
+        release: ({server}) => this.released.push(server.id),
+        recordSent: () => undefined,
+        recordLoad: () => undefined,
+        recordResult: () => undefined,
+      },
+      retries: new RetryAllowance({
+        clock,
+        bound: () => ({ratio: 0.2, slack: 10, windowMs: 10_000}),
+        findShare: () => 1,
+      }),
+      headTimes: new ResponseHeadTimes(),
+      streams: streams ?? {
+        record: () => undefined,
+        find: () => Promise.reject(new Error('No stream is resumed.')),
+      },
+      crashes: {
+        isSuspected: () => false,
+        hasSuspects: false,
+        isPathSuspected: () => false,
+        isContained: () => false,
+        openProbe: () => false,
+        endProbe: () => undefined,
+        recordConnectionLoss: () => undefined,
+        recordSuccess: () => undefined,
+      },
+      suspects: {
+        makeRunId: () => 'run-1',
+        acquire: () => Promise.resolve(true),
+        release: () => undefined,
+      },
+      access: {isConfirmed: true, check: () => ({team: null})},
+      limits: {recordResponse: () => undefined},
+      availability: {
+        findWaitMs: ({id}) => waits[id] ?? 0,
+        recordResponse: () => undefined,
+      },
+    });
+  }
+}
+
+export function makeChoice(server = makeServer()): ChosenServer {
+  return {status: 'chosen', server, basis: {by: 'schedule'}, askId: 'a1'};
+}
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -57,7 +57,7 @@
   private readonly isRepeatable: boolean;
   private access: GrantedAccess;
   private attempt: Attempt | null = null;
-  private attemptVersion: string | null = null;
+  private attemptServer: BackendServerEntry | null = null;
   private stallFailover: StallFailover | null = null;
   /** The software version that the stream has to go on at; null for any. */
   private softwareVersion: string | null;
@@ -95,7 +95,7 @@
       lastEventId: request.lastEventId,
       resume: () => this.attempt?.resume(),
       spendRetry: () => this.spendFailureRetry(),
-      onBegin: () => (this.softwareVersion ??= this.attemptVersion),
+      onBegin: () => this.recordBegin(),
       onProgress: () => {
         this.log.recordChunk();
         this.stallFailover?.recordProgress();
@@ -179,8 +179,7 @@
     this.log.logSent(choice, this.attempts, this.deadlineAtMs);
     const attempt = this.makeAttempt(choice);
     this.attempt = attempt;
-    this.attemptVersion = server.softwareVersion;
-    this.recordOrigin(server);
+    this.attemptServer = server;
     this.stallFailover = this.makeStallFailover(choice, attempt);
     chooser.recordSent(choice);
     attempt.start();
@@ -198,10 +197,15 @@
     return outcome;
   }
 
-  /** Lets other hosts continue the stream at the version that may begin it now. */
-  private recordOrigin({service, softwareVersion}: BackendServerEntry): void {
-    const {request, sink, target, access} = this;
-    if (target.route.kind !== 'streaming' || sink.hasBegun) return;
+  /**
+   * Called before the first event. Earlier, another server might still answer, and other
+   * hosts would not learn of it if the link to them broke meanwhile.
+   */
+  private recordBegin(): void {
+    const {request, target, access, attemptServer} = this;
+    if (!attemptServer || target.route.kind !== 'streaming') return;
+    const {service, softwareVersion} = attemptServer;
+    this.softwareVersion ??= softwareVersion;
     const requestId = request.resumedRequestId ?? request.requestId;
     this.options.streams.record(
       {requestId, team: access.team?.team ?? null},
--- /dev/null
+++ b/packages/serve-requests/src/stream_origins.test.ts
@@ -0,0 +1,61 @@
+import {
+  type AnswerReceiver,
+  type BackendCall,
+  type BackendConnections,
+} from '@mimosatack/backend-connections';
+import {TypedError} from '@mimosatack/errors';
+import {type StreamOrigin} from '@mimosatack/track-streams';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {PipelineFixture} from './pipeline_fixture.js';
+import {makeRequest, makeRoute, makeServer} from './test_fixtures.js';
+
+const test = suite('origins of streams that requests begin');
+
+const ROUTE = makeRoute({
+  ...{kind: 'streaming', isResumable: true, maxAttempts: 3},
+});
+const SERVERS = [
+  makeServer({id: 's1', softwareVersion: 'v1'}),
+  makeServer({id: 's2', softwareVersion: 'v2'}),
+];
+const EVENT = Buffer.from('id: 1\ndata: a\n\n');
+
+/** The first server breaks off before its first event; the second answers. */
+function makeConnections(): BackendConnections {
+  let calls = 0;
+  const answer = (receiver: AnswerReceiver, isFirst: boolean) => {
+    receiver.onHead({status: 200, headers: []});
+    if (isFirst) {
+      return receiver.onFailure(new TypedError('backend-failed', 'Broken.'));
+    }
+    receiver.onData(EVENT);
+    receiver.onEnd();
+  };
+  return {
+    send: (_: BackendCall, receiver: AnswerReceiver) => {
+      calls += 1;
+      const isFirst = calls === 1;
+      queueMicrotask(() => answer(receiver, isFirst));
+      return {resume: () => undefined, abort: () => undefined};
+    },
+  } as unknown as BackendConnections;
+}
+
+// Guards against other hosts that are told of a server which did not begin the stream.
+test('only the server that brings the first event is recorded', async () => {
+  const recorded: Array<[string, StreamOrigin]> = [];
+  const fixture = new PipelineFixture({
+    ...{routes: [ROUTE], connections: makeConnections()},
+    choose: ({excluded}) => SERVERS.find(({id}) => !excluded.has(id)),
+    streams: {
+      record: ({requestId}, origin) => recorded.push([requestId, origin]),
+      find: () => Promise.reject(new Error('No stream is resumed.')),
+    },
+  });
+  await fixture.serve(makeRequest());
+  assert.is(fixture.sink.status, 200);
+  assert.equal(recorded, [['r1', {service: 'writers', softwareVersion: 'v2'}]]);
+});
+
+test.run();
--- a/packages/track-streams/src/stream_origin_table.ts
+++ b/packages/track-streams/src/stream_origin_table.ts
@@ -29,7 +29,7 @@
     return {service, softwareVersion};
   }
 
-  /** Replaces what was recorded before: a stream that has not begun may move. */
+  /** Prolongs the memory of a stream that is recorded already. */
   record(id: StreamId, origin: StreamOrigin): void {
     this.entries.delete(id);
     this.entries.set(id, {...origin, recordedAtMs: this.clock.monotonicMs()});
--- a/packages/track-streams/src/stream_origins.ts
+++ b/packages/track-streams/src/stream_origins.ts
@@ -103,7 +103,7 @@
     this.versions.update(servers);
   }
 
-  /** Has to be called before a request that may begin a stream is sent to a server. */
+  /** Has to be called right before the caller receives the first event of an attempt. */
   record({requestId, team}: StreamKey, origin: StreamOrigin): void {
     const id = makeStreamId(requestId, team);
     this.own.record(id, origin);
