--- a/packages/serving-node/src/stream_versions_task.ts
+++ b/packages/serving-node/src/stream_versions_task.ts
@@ -1,5 +1,5 @@
 /** Shares with other nodes at which software version streams began. */
-import {type Clock} from '@mimosatack/clock';
+import {type Clock, SuspensionAwareClock} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type KeyedTopic} from '@mimosatack/keyed-store';
 import {
@@ -24,6 +24,11 @@
   onFault: (error: TypedError) => void;
 }
 
+/** After a suspension the list of servers is current again within this time. */
+const SETTLE_MS = 2_000;
+/** Less is attributed to the delay between two readings of the clock. */
+const MIN_SUSPENSION_MS = 100;
+
 /**
  * Keeps a record of the services that run at several versions. Guards against nodes that
  * all restart at once, see one version and continue streams that began at another.
@@ -31,9 +36,16 @@
 export class StreamVersionsTask {
   readonly origins: StreamOrigins;
   private readonly record: StoredRecord;
+  private readonly awakeClock: SuspensionAwareClock;
+  private suspendedMs = 0;
+  private resumedAtMs = -Infinity;
 
   constructor(private readonly options: StreamVersionsTaskOptions) {
-    this.origins = new StreamOrigins(options);
+    this.awakeClock = new SuspensionAwareClock(options.clock);
+    this.origins = new StreamOrigins({
+      ...options,
+      serversAgeMs: () => this.findServersAgeMs(),
+    });
     const {versions} = this.origins;
     this.record = new StoredRecord({
       ...options,
@@ -61,6 +73,18 @@
     else this.options.onFault(makeInvalidRecordError());
   }
 
+  /** Ages on the monotonic clock leave out the time of a suspension. */
+  private findServersAgeMs(): number {
+    const {clock, serversAgeMs} = this.options;
+    const suspendedMs = this.awakeClock.monotonicMs() - clock.monotonicMs();
+    if (suspendedMs - this.suspendedMs > MIN_SUSPENSION_MS) {
+      this.suspendedMs = suspendedMs;
+      this.resumedAtMs = clock.monotonicMs();
+    }
+    const awakeForMs = clock.monotonicMs() - this.resumedAtMs;
+    return awakeForMs < SETTLE_MS ? Infinity : serversAgeMs();
+  }
+
   /** Writes the record if it has changed; has to be called periodically. */
   syncRecord(): Promise<void> {
     return this.record.sync();
