--- a/packages/schedule-models/src/engine_views.ts
+++ b/packages/schedule-models/src/engine_views.ts
@@ -32,17 +32,6 @@
   onRemoved: (id: BackendServerId) => void;
 }
 
-function findMixedServices(engines: readonly EngineView[]): Set<ServiceName> {
-  const firstVersions = new Map<ServiceName, string>();
-  return new Set(
-    engines.flatMap(({entry: {service, softwareVersion}}) => {
-      const first = firstVersions.get(service) ?? softwareVersion;
-      firstVersions.set(service, first);
-      return first === softwareVersion ? [] : [service];
-    }),
-  );
-}
-
 /** Keeps one view for the current incarnation of each engine. */
 export class EngineViews {
   private readonly views = new Map<BackendServerId, EngineView>();
@@ -162,3 +151,14 @@
     this.options.onEnginesChanged();
   }
 }
+
+function findMixedServices(engines: readonly EngineView[]): Set<ServiceName> {
+  const firstVersions = new Map<ServiceName, string>();
+  return new Set(
+    engines.flatMap(({entry: {service, softwareVersion}}) => {
+      const first = firstVersions.get(service) ?? softwareVersion;
+      firstVersions.set(service, first);
+      return first === softwareVersion ? [] : [service];
+    }),
+  );
+}
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -1,7 +1,7 @@
 /** Executes one request: its attempts, retries and final response. */
 import {type Timer, sleep} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
-import {type BackendServerEntry, type BackendServerId} from '@mimosatack/types';
+import {type BackendServerId, type TeamName} from '@mimosatack/types';
 import {AnswerRelay} from './answer_relay.js';
 import {
   Attempt,
@@ -26,6 +26,7 @@
 import {SendGate} from './send_gate.js';
 import {ServerSelection} from './server_selection.js';
 import {StallFailover} from './stall_failover.js';
+import {StreamVersion} from './stream_version.js';
 import {SuspectLease} from './suspect_lease.js';
 
 /** A slower connection fails, and the request goes to another server. */
@@ -57,10 +58,8 @@
   private readonly isRepeatable: boolean;
   private access: GrantedAccess;
   private attempt: Attempt | null = null;
-  private attemptServer: BackendServerEntry | null = null;
   private stallFailover: StallFailover | null = null;
-  /** The software version that the stream has to go on at; null for any. */
-  private softwareVersion: string | null;
+  private readonly version: StreamVersion;
   private attempts = 0;
   private capacityRefusals = 0;
   /** How often an engine did not hold the requested model. */
@@ -77,7 +76,7 @@
   ) {
     const {route} = target;
     this.access = target.access;
-    this.softwareVersion = target.softwareVersion;
+    this.version = new StreamVersion(options.streams, request, target);
     const waitMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
     this.deadlineAtMs = request.receivedAtMs + waitMs;
     this.isRepeatable = isRepeatable(route);
@@ -95,7 +94,7 @@
       lastEventId: request.lastEventId,
       resume: () => this.attempt?.resume(),
       spendRetry: () => this.spendFailureRetry(),
-      onBegin: () => this.recordBegin(),
+      onBegin: () => this.version.recordBegin(this.team),
       onProgress: () => {
         this.log.recordChunk();
         this.stallFailover?.recordProgress();
@@ -179,7 +178,7 @@
     this.log.logSent(choice, this.attempts, this.deadlineAtMs);
     const attempt = this.makeAttempt(choice);
     this.attempt = attempt;
-    this.attemptServer = server;
+    this.version.recordSent(server);
     this.stallFailover = this.makeStallFailover(choice, attempt);
     chooser.recordSent(choice);
     attempt.start();
@@ -197,22 +196,6 @@
     return outcome;
   }
 
-  /**
-   * Called before the first event. Earlier, another server might still answer, and other
-   * hosts would not learn of it if the link to them broke meanwhile.
-   */
-  private recordBegin(): void {
-    const {request, target, access, attemptServer} = this;
-    if (!attemptServer || target.route.kind !== 'streaming') return;
-    const {service, softwareVersion} = attemptServer;
-    this.softwareVersion ??= softwareVersion;
-    const requestId = request.resumedRequestId ?? request.requestId;
-    this.options.streams.record(
-      {requestId, team: access.team?.team ?? null},
-      {service, softwareVersion},
-    );
-  }
-
   /**
    * Whether a server that has not run the request may receive it again: a
    * server without capacity, or an engine that does not hold the model yet.
@@ -239,7 +222,7 @@
         server,
         remainingMs: this.deadlineAtMs - clock.monotonicMs(),
         priority: target.service.engine ? this.priority : null,
-        team: this.access.team?.team ?? null,
+        team: this.team,
         lastEventId: relay.lastEventId,
       },
       consumer: relay,
@@ -394,6 +377,10 @@
     this.attempt?.abort();
   }
 
+  private get team(): TeamName | null {
+    return this.access.team?.team ?? null;
+  }
+
   /** The team's priority overrides that of the route. */
   private get priority(): number {
     return this.access.team?.priority ?? this.target.route.priority;
@@ -406,7 +393,7 @@
       request: this.request,
       ...{route, service, excluded},
       allowed: isServerLimitReached ? this.reachedServers : null,
-      softwareVersion: this.softwareVersion,
+      softwareVersion: this.version.required,
       endsAtMs: this.deadlineAtMs,
       hasBegun: this.sink.hasBegun,
       charge: findCharge(this.request, this.access.team, this.attempts > 0),
--- /dev/null
+++ b/packages/serve-requests/src/stream_version.ts
@@ -0,0 +1,40 @@
+/** Keeps the answer to one request at the software version that began it. */
+import {type BackendServerEntry, type TeamName} from '@mimosatack/types';
+import {type CallerRequest} from './caller_request.js';
+import {type StreamLookup} from './continue_stream.js';
+import {type RequestTarget} from './request_pipeline.js';
+
+export class StreamVersion {
+  private begunAt: string | null;
+  private server: BackendServerEntry | null = null;
+
+  constructor(
+    private readonly streams: StreamLookup,
+    private readonly request: CallerRequest,
+    private readonly target: RequestTarget,
+  ) {
+    this.begunAt = target.softwareVersion;
+  }
+
+  /** The version that the next server has to have; null for any. */
+  get required(): string | null {
+    return this.begunAt;
+  }
+
+  recordSent(server: BackendServerEntry): void {
+    this.server = server;
+  }
+
+  /**
+   * Called before the first event. Earlier, another server might still answer, and other
+   * hosts would not learn of it if the link to them broke meanwhile.
+   */
+  recordBegin(team: TeamName | null): void {
+    const {server, request, target} = this;
+    if (!server || target.route.kind !== 'streaming') return;
+    const {service, softwareVersion} = server;
+    this.begunAt ??= softwareVersion;
+    const requestId = request.resumedRequestId ?? request.requestId;
+    this.streams.record({requestId, team}, {service, softwareVersion});
+  }
+}
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -41,15 +41,14 @@
 import {StatusServer} from './status_server.js';
 import {
   MIXED_SERVICES_KEY,
-  StreamVersionsTask,
+  type StreamVersionsTask,
 } from './stream_versions_task.js';
+import {makeStreamVersions} from './make_stream_versions.js';
 import {makeTeamTasks} from './team_tasks.js';
 import {CLOSE_MARGIN_MS, KEEP_LISTENING_MS} from './stop_times.js';
 
 const DUTY_KEY = 'scheduler';
 const MAINTENANCE_INTERVAL_MS = 1_000;
-/** Leaves a caller who resumes a stream most of the time for the stream itself. */
-const STREAM_ASK_TIMEOUT_MS = 400;
 
 /** Routes requests to backend servers that the platform runs. */
 export class ServingNode {
@@ -311,27 +310,15 @@
   }
 
   private makeStreams(): StreamVersionsTask {
-    const {clock, platform} = this.options;
-    return new StreamVersionsTask({
-      ...{clock, topic: platform.nodesTopic},
+    return makeStreamVersions({
+      ...this.options,
+      ...{self: this.self, servers: this.servers, faults: this.faults},
       isWriter: () => this.duty.isHeld,
-      listServers: () => this.servers.list(),
-      listHosts: () => this.listOtherNodes(),
-      serversAgeMs: () =>
-        Math.min(this.servers.ageMs, this.links.viaHolder.serversAgeMs),
-      send: (address, message) => this.links.sendStreamsBegun(address, message),
-      ask: (address, ask) =>
-        this.links.askForStream(address, ask, STREAM_ASK_TIMEOUT_MS),
-      onFault: error => this.faults.logTaskFailure(error, 'streams'),
+      listNodes: () => this.register.list(),
+      findLinks: () => this.links,
     });
   }
 
-  private listOtherNodes(): RegisteredNode[] {
-    return this.register
-      .list()
-      .filter(({nodeName}) => nodeName !== this.self.nodeName);
-  }
-
   private makeDuty(): SchedulingDuty {
     const {clock, random, platform, settings, logger} = this.options;
     const {nodeName, incarnation, peerAddress} = this.self;
