--- a/packages/track-streams/src/origin_copies.ts
+++ b/packages/track-streams/src/origin_copies.ts
@@ -6,10 +6,10 @@
   peerAddress: string;
 }
 
-/** Hosts that are asked for a stream. */
+/** Also the number of hosts that are asked for a stream. */
 export const MAX_COPIES = 7;
 const MIN_COPIES = 3;
-/** Copies that a host sends in a second at most while each stream has `MIN_COPIES`. */
+/** A host that would send more keeps fewer copies of each stream, `MIN_COPIES` at least. */
 const MAX_COPIES_PER_SECOND = 60;
 const MS_PER_SECOND = 1_000;
 
--- a/packages/track-streams/src/stream_origins.ts
+++ b/packages/track-streams/src/stream_origins.ts
@@ -67,7 +67,7 @@
   ask: (address: string, ask: AskStream) => Promise<StreamReply | null>;
 }
 
-/** A server that is new since then has no stream that broke already. */
+/** Within this time no server that is new can have begun a stream and lost it. */
 const MAX_VIEW_AGE_MS = 2_000;
 
 /**
