Log the prompt parts of requests that were lost with a server

Tells whether requests that are not alike have a part in common: attempt-ended names the parts next to the fingerprint, for lost connections only, 32 at most.

--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -66,6 +66,8 @@
       error: 'what failed, if something did',
       fingerprint:
         'which request it is under whatever id, if the connection was cut',
+      promptParts:
+        'the parts of its prompt in order, if the connection was cut; some of many',
       tookMs: 'time since it was sent',
       headMs: 'time until the head of the answer, if one came',
       longestGapMs: 'the longest time between two pieces of the answer',
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -31,6 +31,9 @@
   logger: EventLogger;
 }
 
+const MAX_LOGGED_PARTS = 32;
+const MAX_LOGGED_ID_CHARS = 40;
+
 export class RequestLog {
   private sentAtMs = 0;
   private headAtMs: number | null = null;
@@ -123,6 +126,9 @@
       fingerprint: isConnectionLost(outcome)
         ? this.guard.fingerprint
         : undefined,
+      promptParts: isConnectionLost(outcome)
+        ? listPartIds(this.request)
+        : undefined,
       tookMs: Math.round(this.nowMs() - sentAtMs),
       headMs: headMs === null ? null : Math.round(headMs),
       longestGapMs: Math.round(this.longestGapMs),
@@ -165,6 +171,13 @@
   return outcome.status === 'broken' && outcome.isConnectionLost;
 }
 
+/** The parts tell which of them crashes servers under requests that are not alike. */
+function listPartIds({generation}: CallerRequest): string[] | undefined {
+  return generation?.promptParts
+    .slice(0, MAX_LOGGED_PARTS)
+    .map(({id}) => id.slice(0, MAX_LOGGED_ID_CHARS));
+}
+
 function round(value: number, digits: number): number {
   return Number(value.toFixed(digits));
 }
