--- a/packages/contain-requests/src/contained_record.test.ts
+++ b/packages/contain-requests/src/contained_record.test.ts
@@ -5,11 +5,14 @@
 
 const test = suite('record of contained requests');
 
+/** The last cut is dated to 90 ms, when the record is read; the others keep their distance. */
+const AT_MS: Readonly<Record<string, number>> = {b: 70, a: 80, c: 90};
+
 const makeCuts = (names: string) =>
   new Map(
     [...names].map((serverLife, atMs) => [
       serverLife,
-      {atMs, isTry: serverLife === 'c'},
+      {atMs: 10 * atMs, isTry: serverLife === 'c', recentUses: 4},
     ]),
   );
 const cuts = new Map([
@@ -20,17 +23,17 @@
 test('only contained requests are recorded', () => {
   const value = encodeContained(['bad'], cuts);
   assert.equal(
-    value && decodeContained(value, 9),
+    value && decodeContained(value, 90),
     ['a', 'b', 'c'].map(serverLife => ({
-      ...{kind: 'cut', fingerprint: 'bad', serverLife, atMs: 9},
-      isTry: serverLife === 'c',
+      ...{kind: 'cut', fingerprint: 'bad', serverLife, recentUses: 4},
+      ...{isTry: serverLife === 'c', atMs: AT_MS[serverLife]},
     })),
   );
   assert.is(encodeContained([], cuts), null);
 });
 
 test('the same facts make the same record in any order of arrival', () => {
-  const other = new Map([['bad', makeCuts('cab')]]);
+  const other = new Map([['bad', new Map([...makeCuts('bac')].reverse())]]);
   assert.equal(encodeContained(['bad'], cuts), encodeContained(['bad'], other));
 });
 
--- a/packages/contain-requests/src/contained_record.ts
+++ b/packages/contain-requests/src/contained_record.ts
@@ -1,35 +1,55 @@
-/** Encodes and decodes the stored record of contained requests. */
-import {type RequestFingerprint} from '@mimosatack/types';
+/** Encodes and decodes the stored record of contained requests and prompt parts. */
+import {type Suspect} from '@mimosatack/types';
 import * as z from 'zod';
-import {type CrashFact, type CutsByIncarnation} from './crash_evidence.js';
+import {
+  type CrashFact,
+  type CutsByIncarnation,
+  findLastCutMs,
+} from './crash_evidence.js';
 
-/** Limited by the record size; requests with the latest cuts are kept. */
-const MAX_RECORDED_REQUESTS = 500;
+/** Limited by the record size; suspects with the latest cuts are kept. */
+const MAX_RECORDED_SUSPECTS = 500;
 
 const recordSchema = z.array(
   z.object({
     fingerprint: z.string(),
-    cuts: z.array(z.object({serverLife: z.string(), isTry: z.boolean()})),
+    cuts: z.array(
+      z.object({
+        serverLife: z.string(),
+        isTry: z.boolean(),
+        /** Time from this cut to the last one; the previous release writes none. */
+        beforeLastMs: z.number().nonnegative().default(0),
+        recentUses: z.number().nonnegative().default(0),
+      }),
+    ),
   }),
 );
 
-/** Null if no request is contained. */
+/** Null if nothing is contained. */
 export function encodeContained(
-  contained: readonly RequestFingerprint[],
-  cuts: ReadonlyMap<RequestFingerprint, CutsByIncarnation>,
+  contained: readonly Suspect[],
+  cuts: ReadonlyMap<Suspect, CutsByIncarnation>,
 ): Uint8Array | null {
   if (contained.length === 0) return null;
-  const entries = contained.slice(-MAX_RECORDED_REQUESTS).map(fingerprint => ({
+  const entries = contained.slice(-MAX_RECORDED_SUSPECTS).map(fingerprint => ({
     fingerprint,
-    cuts: [...(cuts.get(fingerprint) ?? [])]
-      .map(([serverLife, {isTry}]) => ({serverLife, isTry}))
-      .sort((a, b) => (a.serverLife < b.serverLife ? -1 : 1)),
+    cuts: listCuts(cuts.get(fingerprint) ?? new Map()),
   }));
   return Buffer.from(JSON.stringify(entries));
 }
 
+function listCuts(cuts: CutsByIncarnation) {
+  const lastMs = findLastCutMs(cuts);
+  return [...cuts]
+    .map(([serverLife, {atMs, isTry, recentUses}]) => ({
+      ...{serverLife, isTry, recentUses},
+      beforeLastMs: Math.round(lastMs - atMs),
+    }))
+    .sort((a, b) => (a.serverLife < b.serverLife ? -1 : 1));
+}
+
 /**
- * Dates the recorded facts to now, since a wall clock that could date them may
+ * Dates the last recorded cut to now, since a wall clock that could date it may
  * jump. Null for a record with an invalid format.
  */
 export function decodeContained(
@@ -39,8 +59,9 @@
   try {
     const text = Buffer.from(value).toString('utf8');
     return recordSchema.parse(JSON.parse(text)).flatMap(({fingerprint, cuts}) =>
-      cuts.map(cut => ({
-        ...{kind: 'cut' as const, fingerprint, ...cut, atMs: nowMs},
+      cuts.map(({beforeLastMs, ...cut}) => ({
+        ...{kind: 'cut' as const, fingerprint, ...cut},
+        atMs: nowMs - beforeLastMs,
       })),
     );
   } catch {
--- a/packages/contain-requests/src/crash_evidence.test.ts
+++ b/packages/contain-requests/src/crash_evidence.test.ts
@@ -21,7 +21,10 @@
   atMs = 0,
   isTry = false,
 ): CrashFact {
-  return {kind: 'cut', fingerprint, serverLife, atMs, isTry};
+  return {
+    ...{kind: 'cut', fingerprint, serverLife, atMs, isTry},
+    recentUses: 0,
+  };
 }
 
 function served(fingerprint: string, atMs: number): CrashFact {
@@ -30,7 +33,7 @@
 
 /** Sorted, so that the order of arrival does not matter. */
 function listCuts(evidence: CrashEvidence): string[] {
-  return [...evidence.cutsByRequest]
+  return [...evidence.cutsBySuspect]
     .flatMap(([fingerprint, cuts]) =>
       [...cuts.keys()].map(serverLife => `${fingerprint} ${serverLife}`),
     )
@@ -44,6 +47,7 @@
     serverLife: fc.constantFrom('a', 'b', 'c', 'd'),
     atMs: fc.integer({min: -50, max: 0}),
     isTry: fc.constant(false),
+    recentUses: fc.constant(0),
   }),
   fc.record({
     kind: fc.constant('served' as const),
@@ -59,7 +63,7 @@
       const evidence = makeEvidence();
       facts.forEach(fact => evidence.add(fact));
       const before = listCuts(evidence);
-      const repeated = [...evidence.cutsByRequest].flatMap(
+      const repeated = [...evidence.cutsBySuspect].flatMap(
         ([fingerprint, cuts]) =>
           [...cuts].map(([serverLife, {atMs}]) =>
             cut(fingerprint, serverLife, atMs),
@@ -117,10 +121,10 @@
   Array.from({length: 100_000}, (_, at) =>
     evidence.add(cut(`other-${at}`, 'a')),
   );
-  assert.is(evidence.cutsByRequest.get('bad')?.size, 3);
+  assert.is(evidence.cutsBySuspect.get('bad')?.size, 3);
   assert.ok(
-    evidence.cutsByRequest.size <= 2_000,
-    `${evidence.cutsByRequest.size}`,
+    evidence.cutsBySuspect.size <= 2_000,
+    `${evidence.cutsBySuspect.size}`,
   );
   assert.ok(evidence.listSince(0, Infinity).length <= 2_002);
 });
@@ -132,7 +136,7 @@
   assert.ok(evidence.add(cut('f', 'tried', -5, true)));
   assert.not(evidence.add(cut('f', '0', -20)));
   assert.ok(evidence.add(cut('f', 'late', -1)));
-  const incarnations = [...(evidence.cutsByRequest.get('f')?.keys() ?? [])];
+  const incarnations = [...(evidence.cutsBySuspect.get('f')?.keys() ?? [])];
   assert.equal(incarnations, ['3', '4', '5', '6', '7', '8', 'tried', 'late']);
 });
 
--- a/packages/contain-requests/src/crash_evidence.ts
+++ b/packages/contain-requests/src/crash_evidence.ts
@@ -1,36 +1,44 @@
-/** Evidence of which requests crash servers, collected from all nodes. */
+/** Evidence of which requests and prompt parts crash servers, collected from all nodes. */
 import {type Clock} from '@mimosatack/clock';
-import {type RequestFingerprint} from '@mimosatack/types';
+import {type Suspect} from '@mimosatack/types';
 
 /** Identifies a server process; a restarted server is another incarnation. */
 export type ServerIncarnation = string;
 
 /** An observation of a node; times are on this node's monotonic clock. */
 export type CrashFact =
-  /** A connection was lost while the server had the request. */
+  /** A connection was lost while the server had a request with the suspect. */
   | {
       kind: 'cut';
-      fingerprint: RequestFingerprint;
+      fingerprint: Suspect;
       serverLife: ServerIncarnation;
       atMs: number;
-      /** Whether the request was a probe of a contained one. */
+      /** Whether the request was a probe of a contained suspect. */
       isTry: boolean;
+      /**
+       * How often the node had of late seen requests with the part served, at least 1 for
+       * the first part of a prompt, which many requests share. 0 for a request.
+       */
+      recentUses: number;
     }
-  /** A server completed the request with a success. */
-  | {kind: 'served'; fingerprint: RequestFingerprint; atMs: number};
+  /** A server completed a request with the suspect with a success. */
+  | {kind: 'served'; fingerprint: Suspect; atMs: number};
 
-export type Cut = Pick<Extract<CrashFact, {kind: 'cut'}>, 'atMs' | 'isTry'>;
+export type Cut = Pick<
+  Extract<CrashFact, {kind: 'cut'}>,
+  'atMs' | 'isTry' | 'recentUses'
+>;
 
-/** The server incarnations that lost their connection under a request. */
+/** The server incarnations that lost their connection under a suspect. */
 export type CutsByIncarnation = ReadonlyMap<ServerIncarnation, Cut>;
 
 /**
- * Beyond this number the oldest requests that are not contained are evicted
- * first, so that other requests never displace contained ones.
+ * Beyond this number the oldest suspects that are not contained are evicted
+ * first, so that other suspects never displace contained ones.
  */
-const MAX_REQUESTS = 2_000;
+const MAX_SUSPECTS = 2_000;
 /** The newest cuts and those of probes are kept. */
-const MAX_CUTS_PER_REQUEST = 8;
+const MAX_CUTS_PER_SUSPECT = 8;
 const FACT_MAX_AGE_MS = 24 * 3_600_000;
 
 interface SequencedFact {
@@ -44,16 +52,13 @@
  */
 export class CrashEvidence {
   private readonly facts = new Map<string, SequencedFact>();
-  private readonly cuts = new Map<
-    RequestFingerprint,
-    Map<ServerIncarnation, Cut>
-  >();
-  private readonly servedAtMs = new Map<RequestFingerprint, number>();
+  private readonly cuts = new Map<Suspect, Map<ServerIncarnation, Cut>>();
+  private readonly servedAtMs = new Map<Suspect, number>();
   private sequence = 0;
 
   constructor(
     private readonly clock: Clock,
-    /** Requests with at least this many cuts are evicted last. */
+    /** Suspects with at least this many cuts are evicted last. */
     private readonly minProtectedCuts: number,
   ) {}
 
@@ -66,8 +71,8 @@
     return this.cuts.size === 0;
   }
 
-  /** The cuts of each request that was not served since. */
-  get cutsByRequest(): ReadonlyMap<RequestFingerprint, CutsByIncarnation> {
+  /** The cuts of each suspect that was not served since. */
+  get cutsBySuspect(): ReadonlyMap<Suspect, CutsByIncarnation> {
     return this.cuts;
   }
 
@@ -79,8 +84,8 @@
       .slice(0, limit);
   }
 
-  /** Returns what is known of one request. */
-  listOf(fingerprint: RequestFingerprint): CrashFact[] {
+  /** Returns what is known of one suspect. */
+  listOf(fingerprint: Suspect): CrashFact[] {
     const cuts = [...(this.cuts.get(fingerprint) ?? [])].map(
       ([serverLife, cut]): CrashFact => ({
         ...{kind: 'cut', fingerprint, serverLife, ...cut},
@@ -108,27 +113,27 @@
   }
 
   private addCut(fact: Extract<CrashFact, {kind: 'cut'}>): boolean {
-    const {fingerprint, serverLife, atMs, isTry} = fact;
+    const {fingerprint, serverLife, atMs, isTry, recentUses} = fact;
     if (atMs <= (this.servedAtMs.get(fingerprint) ?? -Infinity)) return false;
     const cuts =
       this.cuts.get(fingerprint) ?? new Map<ServerIncarnation, Cut>();
     if (cuts.has(serverLife) || !this.makeRoomForCut(fact)) return false;
-    cuts.set(serverLife, {atMs, isTry});
-    // Moves the request to the end, since eviction starts with the first.
+    cuts.set(serverLife, {atMs, isTry, recentUses});
+    // Moves the suspect to the end, since eviction starts with the first.
     this.cuts.delete(fingerprint);
     this.cuts.set(fingerprint, cuts);
     this.assignSequence(makeCutKey(fingerprint, serverLife), fact);
-    if (this.cuts.size > MAX_REQUESTS) this.evictRequest();
+    if (this.cuts.size > MAX_SUSPECTS) this.evictSuspect();
     return true;
   }
 
-  /** Evicts an older cut of the request; false if all are newer. */
+  /** Evicts an older cut of the suspect; false if all are newer. */
   private makeRoomForCut({
     fingerprint,
     atMs,
   }: Extract<CrashFact, {kind: 'cut'}>): boolean {
     const cuts = [...(this.cuts.get(fingerprint) ?? [])];
-    if (cuts.length < MAX_CUTS_PER_REQUEST) return true;
+    if (cuts.length < MAX_CUTS_PER_SUSPECT) return true;
     const evictable = cuts.filter(([, {isTry}]) => !isTry);
     const [oldest] = (evictable.length > 0 ? evictable : cuts).sort(
       ([, one], [, other]) => one.atMs - other.atMs,
@@ -149,7 +154,7 @@
     this.servedAtMs.set(fingerprint, atMs);
     this.assignSequence(fingerprint, fact);
     outdated.forEach(([serverLife]) => this.dropCut(fingerprint, serverLife));
-    if (this.servedAtMs.size > MAX_REQUESTS) this.dropOldestServed();
+    if (this.servedAtMs.size > MAX_SUSPECTS) this.dropOldestServed();
     return true;
   }
 
@@ -158,28 +163,25 @@
     this.facts.set(key, {sequence: this.sequence, fact});
   }
 
-  private evictRequest(): void {
+  private evictSuspect(): void {
     const [oldest] = this.cuts.keys();
     const fingerprint = this.findOldestUnprotected() ?? oldest;
     if (fingerprint !== undefined) this.dropCuts(fingerprint);
   }
 
-  private findOldestUnprotected(): RequestFingerprint | undefined {
+  private findOldestUnprotected(): Suspect | undefined {
     for (const [fingerprint, {size}] of this.cuts) {
       if (size < this.minProtectedCuts) return fingerprint;
     }
     return undefined;
   }
 
-  private dropCuts(fingerprint: RequestFingerprint): void {
+  private dropCuts(fingerprint: Suspect): void {
     const incarnations = [...(this.cuts.get(fingerprint)?.keys() ?? [])];
     incarnations.forEach(serverLife => this.dropCut(fingerprint, serverLife));
   }
 
-  private dropCut(
-    fingerprint: RequestFingerprint,
-    serverLife: ServerIncarnation,
-  ): void {
+  private dropCut(fingerprint: Suspect, serverLife: ServerIncarnation): void {
     const cuts = this.cuts.get(fingerprint);
     cuts?.delete(serverLife);
     if (cuts?.size === 0) this.cuts.delete(fingerprint);
@@ -191,7 +193,7 @@
     if (fingerprint !== undefined) this.dropServed(fingerprint);
   }
 
-  private dropServed(fingerprint: RequestFingerprint): void {
+  private dropServed(fingerprint: Suspect): void {
     this.servedAtMs.delete(fingerprint);
     this.facts.delete(fingerprint);
   }
@@ -202,7 +204,7 @@
 }
 
 function makeCutKey(
-  fingerprint: RequestFingerprint,
+  fingerprint: Suspect,
   serverLife: ServerIncarnation,
 ): string {
   return `${fingerprint} ${serverLife}`;
--- a/packages/contain-requests/src/crash_exchange.test.ts
+++ b/packages/contain-requests/src/crash_exchange.test.ts
@@ -35,9 +35,9 @@
     makeNode(name),
   );
   if (!holder || !second || !third) throw new Error('expected three nodes');
-  holder.containment.recordConnectionLoss('bad', 'a');
-  second.containment.recordConnectionLoss('bad', 'b');
-  third.containment.recordConnectionLoss('bad', 'c');
+  holder.containment.recordConnectionLoss({fingerprint: 'bad', parts: []}, 'a');
+  second.containment.recordConnectionLoss({fingerprint: 'bad', parts: []}, 'b');
+  third.containment.recordConnectionLoss({fingerprint: 'bad', parts: []}, 'c');
   exchangeHeartbeat(second, holder);
   exchangeHeartbeat(third, holder);
   assert.ok(holder.containment.isContained('bad'));
@@ -52,9 +52,9 @@
   if (!holder || !second) throw new Error('expected two nodes');
   assert.is(second.exchange.makeReport(holder.incarnation), null);
   assert.is(holder.exchange.handleReport(null), null);
-  second.containment.recordConnectionLoss('bad', 'a');
+  second.containment.recordConnectionLoss({fingerprint: 'bad', parts: []}, 'a');
   assert.is(exchangeHeartbeat(second, holder)[0], 1);
-  holder.containment.recordConnectionLoss('bad', 'b');
+  holder.containment.recordConnectionLoss({fingerprint: 'bad', parts: []}, 'b');
   exchangeHeartbeat(second, holder);
   assert.equal(exchangeHeartbeat(second, holder), [0, 0]);
 });
@@ -62,12 +62,12 @@
 test('facts of a lost reply are sent again', () => {
   const [holder, second] = ['n1', 'n2'].map(name => makeNode(name));
   if (!holder || !second) throw new Error('expected two nodes');
-  holder.containment.recordConnectionLoss('bad', 'a');
-  second.containment.recordConnectionLoss('bad', 'b');
+  holder.containment.recordConnectionLoss({fingerprint: 'bad', parts: []}, 'a');
+  second.containment.recordConnectionLoss({fingerprint: 'bad', parts: []}, 'b');
   holder.exchange.handleReport(second.exchange.makeReport(holder.incarnation));
   exchangeHeartbeat(second, holder);
-  assert.is(second.containment.evidence.cutsByRequest.get('bad')?.size, 2);
-  assert.is(holder.containment.evidence.cutsByRequest.get('bad')?.size, 2);
+  assert.is(second.containment.evidence.cutsBySuspect.get('bad')?.size, 2);
+  assert.is(holder.containment.evidence.cutsBySuspect.get('bad')?.size, 2);
 });
 
 /* Guards against losing the facts of a holder that crashes. */
@@ -75,7 +75,10 @@
   const [first, second, third] = ['n1', 'n2', 'n3'].map(name => makeNode(name));
   if (!first || !second || !third) throw new Error('expected three nodes');
   ['a', 'b', 'c'].forEach(serverLife =>
-    second.containment.recordConnectionLoss('bad', serverLife),
+    second.containment.recordConnectionLoss(
+      {fingerprint: 'bad', parts: []},
+      serverLife,
+    ),
   );
   exchangeHeartbeat(second, first);
   exchangeHeartbeat(second, third);
@@ -89,7 +92,7 @@
 test('a restarted holder at the same address receives all facts', () => {
   const [first, second] = ['n1', 'n2'].map(name => makeNode(name));
   if (!first || !second) throw new Error('expected two nodes');
-  second.containment.recordConnectionLoss('bad', 'a');
+  second.containment.recordConnectionLoss({fingerprint: 'bad', parts: []}, 'a');
   exchangeHeartbeat(second, first);
   const restarted = makeNode('n1-again');
   const report = second.exchange.makeReport(first.incarnation);
@@ -106,22 +109,28 @@
   const [holder, second] = ['n1', 'n2'].map(name => makeNode(name));
   if (!holder || !second) throw new Error('expected two nodes');
   Array.from({length: 450}, (_, at) =>
-    second.containment.recordConnectionLoss(`f-${at}`, 'a'),
+    second.containment.recordConnectionLoss(
+      {fingerprint: `f-${at}`, parts: []},
+      'a',
+    ),
   );
   const sent = [0, 0, 0, 0].map(() => exchangeHeartbeat(second, holder)[0]);
   assert.equal(sent, [200, 200, 50, 0]);
-  assert.is(holder.containment.evidence.cutsByRequest.size, 450);
+  assert.is(holder.containment.evidence.cutsBySuspect.size, 450);
 });
 
 test('a success releases the request at all nodes', () => {
   const [holder, second] = ['n1', 'n2'].map(name => makeNode(name));
   if (!holder || !second) throw new Error('expected two nodes');
   ['a', 'b', 'c'].forEach(serverLife =>
-    second.containment.recordConnectionLoss('slow', serverLife),
+    second.containment.recordConnectionLoss(
+      {fingerprint: 'slow', parts: []},
+      serverLife,
+    ),
   );
   exchangeHeartbeat(second, holder);
   clock.advance(1);
-  holder.containment.recordSuccess('slow');
+  holder.containment.recordSuccess(['slow']);
   exchangeHeartbeat(second, holder);
   assert.not(second.containment.isContained('slow'));
   assert.is(second.logger.fieldsOf('request-released').length, 1);
@@ -132,16 +141,19 @@
 test('one node probes a contained request, once at a time', () => {
   const [holder, second] = [makeNode('n1', true), makeNode('n2')];
   ['a', 'b', 'c'].forEach(serverLife =>
-    holder.containment.recordConnectionLoss('common', serverLife),
+    holder.containment.recordConnectionLoss(
+      {fingerprint: 'common', parts: []},
+      serverLife,
+    ),
   );
   exchangeHeartbeat(second, holder);
-  assert.not(holder.containment.openProbe('common'));
+  assert.not(holder.containment.openProbe(['common']));
   clock.advance(30_000);
-  assert.not(second.containment.openProbe('common'));
-  assert.ok(holder.containment.openProbe('common'));
-  assert.not(holder.containment.openProbe('common'));
-  holder.containment.recordSuccess('common');
-  holder.containment.endProbe('common');
+  assert.not(second.containment.openProbe(['common']));
+  assert.ok(holder.containment.openProbe(['common']));
+  assert.not(holder.containment.openProbe(['common']));
+  holder.containment.recordSuccess(['common']);
+  holder.containment.endProbe(['common']);
   exchangeHeartbeat(second, holder);
   assert.not(second.containment.isContained('common'));
 });
@@ -150,7 +162,8 @@
 // so that each of its crashes counts as the first.
 test('later crashes of a server under the same id count', () => {
   const {containment} = makeNode('n1');
-  const crash = () => containment.recordConnectionLoss('bad', 'a');
+  const crash = () =>
+    containment.recordConnectionLoss({fingerprint: 'bad', parts: []}, 'a');
   crash();
   clock.advance(500);
   crash();
@@ -165,13 +178,19 @@
 test('each probe that crashes a server delays the next one', () => {
   const {containment} = makeNode('n1', true);
   ['a', 'b', 'c'].forEach(serverLife =>
-    containment.recordConnectionLoss('bad', serverLife),
+    containment.recordConnectionLoss(
+      {fingerprint: 'bad', parts: []},
+      serverLife,
+    ),
   );
   const delaysS = ['d', 'e', 'f'].map(serverLife => {
     const startedAtMs = clock.monotonicMs();
-    while (!containment.openProbe('bad')) clock.advance(1_000);
-    containment.recordConnectionLoss('bad', serverLife);
-    containment.endProbe('bad');
+    while (!containment.openProbe(['bad'])) clock.advance(1_000);
+    containment.recordConnectionLoss(
+      {fingerprint: 'bad', parts: []},
+      serverLife,
+    );
+    containment.endProbe(['bad']);
     return (clock.monotonicMs() - startedAtMs) / 1_000;
   });
   assert.equal(delaysS, [30, 240, 1_920]);
--- a/packages/contain-requests/src/crash_messages.ts
+++ b/packages/contain-requests/src/crash_messages.ts
@@ -10,6 +10,8 @@
     /** An age instead of a time, since the clocks of two nodes differ. */
     ageMs: z.number().nonnegative(),
     isTry: z.boolean(),
+    /** The previous release sends none. */
+    recentUses: z.number().nonnegative().default(0),
   }),
   z.object({
     kind: z.literal('served'),
--- /dev/null
+++ b/packages/contain-requests/src/decide_containment.ts
@@ -0,0 +1,102 @@
+/** Decides which requests and prompt parts explain the crashes of servers. */
+import {type Suspect, isPartSuspect} from '@mimosatack/types';
+import {
+  type Cut,
+  type CutsByIncarnation,
+  type ServerIncarnation,
+} from './crash_evidence.js';
+
+/**
+ * Guards against containing a harmless request that ran beside a crashing one:
+ * such a request is usually served before it loses three servers.
+ */
+export const CRASHES_TO_CONTAIN = 3;
+/**
+ * Servers that are lost together count as one crash of a part. Guards against blaming the
+ * parts that are in use when a rack fails or a host loses its connections.
+ */
+const MIN_GAP_MS = 100;
+/** Time for successes, and for the cuts of other parts, to arrive from all nodes. */
+const SETTLE_MS = 2_000;
+
+export interface Containment {
+  suspect: Suspect;
+  /** On the monotonic clock; the suspect is contained from then on. */
+  fromMs: number;
+}
+
+interface PartCuts {
+  part: Suspect;
+  cuts: CutsByIncarnation;
+  recentUses: number;
+}
+
+/** Contains each request that lost enough servers, and the fewest parts that explain the rest. */
+export function decideContainment(
+  cutsBySuspect: ReadonlyMap<Suspect, CutsByIncarnation>,
+): Containment[] {
+  const suspects = [...cutsBySuspect].filter(
+    ([, cuts]) => cuts.size >= CRASHES_TO_CONTAIN,
+  );
+  const requests = suspects
+    .filter(([suspect]) => !isPartSuspect(suspect))
+    .map(([suspect]) => ({suspect, fromMs: -Infinity}));
+  const parts = suspects
+    .filter(([suspect]) => isPartSuspect(suspect))
+    .map(([part, cuts]) => ({part, cuts, recentUses: findRecentUses(cuts)}));
+  return [...requests, ...explainCrashes(parts)];
+}
+
+/**
+ * A part is contained only for crashes that no part before it explains. Parts that were
+ * not served of late come first. Guards against containing what most prompts share, which
+ * is lost with each server, or what was only beside the part that crashes servers.
+ */
+function explainCrashes(parts: readonly PartCuts[]): Containment[] {
+  const explained = new Set<ServerIncarnation>();
+  return [...parts].sort(compareParts).flatMap(part => {
+    const fromMs = findContainedFromMs(part, explained);
+    if (!Number.isFinite(fromMs)) return [];
+    [...part.cuts.keys()].forEach(life => explained.add(life));
+    return [{suspect: part.part, fromMs}];
+  });
+}
+
+function compareParts(one: PartCuts, other: PartCuts): number {
+  return (
+    one.recentUses - other.recentUses ||
+    other.cuts.size - one.cuts.size ||
+    (one.part < other.part ? -1 : 1)
+  );
+}
+
+/** Infinity for a part that is not contained. */
+function findContainedFromMs(
+  {cuts, recentUses}: PartCuts,
+  explained: ReadonlySet<ServerIncarnation>,
+): number {
+  const unexplained = [...cuts]
+    .filter(([life]) => !explained.has(life))
+    .map(([, cut]) => cut);
+  if (unexplained.length === 0) return Infinity;
+  return recentUses === 0
+    ? findLastCrashMs([...cuts.values()])
+    : findLastCrashMs(unexplained) + SETTLE_MS;
+}
+
+/** When a part has crashed enough servers; Infinity if it has not. */
+function findLastCrashMs(cuts: readonly Cut[]): number {
+  const sortedMs = cuts.map(({atMs}) => atMs).sort((a, b) => a - b);
+  const crashesMs = sortedMs.reduce<number[]>(
+    (crashes, atMs) =>
+      atMs - (crashes.at(-1) ?? -Infinity) < MIN_GAP_MS
+        ? crashes
+        : [...crashes, atMs],
+    [],
+  );
+  return crashesMs[CRASHES_TO_CONTAIN - 1] ?? Infinity;
+}
+
+function findRecentUses(cuts: CutsByIncarnation): number {
+  return Math.max(...[...cuts.values()].map(({recentUses}) => recentUses));
+}
--- a/packages/contain-requests/src/request_containment.ts
+++ b/packages/contain-requests/src/request_containment.ts
@@ -1,9 +1,11 @@
-/** Decides which requests are kept from servers because they crash them. */
-import {type Clock} from '@mimosatack/clock';
+/** Decides which requests are kept from servers because they, or parts of them, crash them. */
+import {type Clock, type Timer} from '@mimosatack/clock';
 import {type EventLogger} from '@mimosatack/logger';
 import {
   type PathFingerprint,
-  type RequestFingerprint,
+  type RequestSuspects,
+  type Suspect,
+  isPartSuspect,
   toPathFingerprint,
 } from '@mimosatack/types';
 import {
@@ -13,24 +15,23 @@
   type ServerIncarnation,
   findLastCutMs,
 } from './crash_evidence.js';
+import {
+  type Containment,
+  CRASHES_TO_CONTAIN,
+  decideContainment,
+} from './decide_containment.js';
+import {ServedParts} from './served_parts.js';
 
 export interface RequestContainmentOptions {
   clock: Clock;
   logger: EventLogger;
-  /** Whether this node probes contained requests on behalf of all nodes. */
+  /** Whether this node probes contained suspects on behalf of all nodes. */
   isProbingNode: () => boolean;
 }
 
-/**
- * Guards against containing a harmless request that ran beside a crashing one:
- * such a request is usually served before it loses three servers. Crashes that other
- * requests may explain count as well: where several requests crash servers at once,
- * leaving them out would blame harmless ones.
- */
-const CRASHES_TO_CONTAIN = 3;
 /** Cuts at one server within this time are of one crash. */
 const MIN_RESTART_MS = 1_000;
-/** From the last crash until the first probe of a contained request. */
+/** From the last crash until the first probe of a contained suspect. */
 const FIRST_PROBE_DELAY_MS = 30_000;
 /** Each probe that crashes a server multiplies the delay of the next one. */
 const PROBE_DELAY_FACTOR = 8;
@@ -38,16 +39,20 @@
 /** Merges the facts of all nodes and decides on single requests. */
 export class RequestContainment {
   readonly evidence: CrashEvidence;
-  /** The contained requests, each with the time of its next probe. */
-  private probeAtMs: ReadonlyMap<RequestFingerprint, number> = new Map();
+  private readonly servedParts: ServedParts;
+  /** The contained suspects, each with the time of its next probe. */
+  private probeAtMs: ReadonlyMap<Suspect, number> = new Map();
+  /** Ends when the next suspect is contained. */
+  private timer: Timer | null = null;
   private suspectedPaths: ReadonlySet<PathFingerprint> = new Set();
-  private readonly activeProbes = new Set<RequestFingerprint>();
+  private readonly activeProbes = new Set<Suspect>();
 
   constructor(private readonly options: RequestContainmentOptions) {
     this.evidence = new CrashEvidence(options.clock, CRASHES_TO_CONTAIN);
+    this.servedParts = new ServedParts(options.clock);
   }
 
-  /** Whether any request is suspected; otherwise no request needs a check. */
+  /** Whether anything is suspected; otherwise no request needs a check. */
   get hasSuspects(): boolean {
     return !this.evidence.isEmpty;
   }
@@ -56,57 +61,79 @@
     return this.suspectedPaths.has(pathPrint);
   }
 
-  /** The contained requests; the one with the latest cut comes last. */
-  get contained(): RequestFingerprint[] {
-    return [...this.evidence.cutsByRequest.keys()].filter(fingerprint =>
-      this.isContained(fingerprint),
+  /** The contained suspects; the one with the latest cut comes last. */
+  get contained(): Suspect[] {
+    return [...this.evidence.cutsBySuspect.keys()].filter(suspect =>
+      this.isContained(suspect),
     );
   }
 
-  /** Whether a connection was lost under the request since it was last served. */
-  isSuspected(fingerprint: RequestFingerprint): boolean {
-    return this.evidence.cutsByRequest.has(fingerprint);
+  /** Whether a connection was lost under the suspect since it was last served. */
+  isSuspected(suspect: Suspect): boolean {
+    return this.evidence.cutsBySuspect.has(suspect);
   }
 
-  isOneCrashFromContained(fingerprint: RequestFingerprint): boolean {
-    const count = this.evidence.cutsByRequest.get(fingerprint)?.size ?? 0;
+  isOneCrashFromContained(suspect: Suspect): boolean {
+    const count = this.evidence.cutsBySuspect.get(suspect)?.size ?? 0;
     return count === CRASHES_TO_CONTAIN - 1;
   }
 
-  isContained(fingerprint: RequestFingerprint): boolean {
-    return this.probeAtMs.has(fingerprint);
+  isContained(suspect: Suspect): boolean {
+    return this.probeAtMs.has(suspect);
   }
 
   /**
-   * Whether a contained request may probe one server now; must be followed by
-   * `endProbe`.
+   * Whether a request with these contained suspects may probe one server now; must be
+   * followed by `endProbe`.
    *
-   * Guards against containing a harmless request forever. A single node sends
-   * one probe of a request at a time, with growing delays, to limit crashes.
+   * Guards against containing something harmless forever. A single node sends
+   * one probe of a suspect at a time, with growing delays, to limit crashes.
    */
-  openProbe(fingerprint: RequestFingerprint): boolean {
-    const atMs = this.probeAtMs.get(fingerprint) ?? Infinity;
-    const isDue = this.nowMs() >= atMs && this.options.isProbingNode();
-    if (!isDue || this.activeProbes.has(fingerprint)) return false;
-    this.activeProbes.add(fingerprint);
+  openProbe(suspects: readonly Suspect[]): boolean {
+    const isDue = suspects.every(suspect => this.isProbeDue(suspect));
+    if (!isDue || !this.options.isProbingNode()) return false;
+    suspects.forEach(suspect => this.activeProbes.add(suspect));
     return true;
   }
 
-  endProbe(fingerprint: RequestFingerprint): void {
-    this.activeProbes.delete(fingerprint);
+  private isProbeDue(suspect: Suspect): boolean {
+    const atMs = this.probeAtMs.get(suspect) ?? Infinity;
+    return this.nowMs() >= atMs && !this.activeProbes.has(suspect);
+  }
+
+  endProbe(suspects: readonly Suspect[]): void {
+    suspects.forEach(suspect => this.activeProbes.delete(suspect));
   }
 
   /** Records a connection that was lost while the server had the request. */
   recordConnectionLoss(
-    fingerprint: RequestFingerprint,
+    {fingerprint, parts}: RequestSuspects,
     serverLife: ServerIncarnation,
   ): void {
+    const cuts = [
+      this.makeCut(fingerprint, serverLife, 0),
+      ...parts.map((part, at) =>
+        this.makeCut(part, serverLife, this.countUses(part, at === 0)),
+      ),
+    ];
+    this.mergeFacts(cuts);
+  }
+
+  private countUses(part: Suspect, isFirst: boolean): number {
+    return Math.max(this.servedParts.count(part), isFirst ? 1 : 0);
+  }
+
+  private makeCut(
+    suspect: Suspect,
+    serverLife: ServerIncarnation,
+    recentUses: number,
+  ): CrashFact {
     const atMs = this.nowMs();
-    const isTry = this.activeProbes.has(fingerprint);
-    const incarnation = this.findIncarnation(fingerprint, serverLife, atMs);
-    this.mergeFacts([
-      {kind: 'cut', fingerprint, serverLife: incarnation, atMs, isTry},
-    ]);
+    return {
+      ...{kind: 'cut', fingerprint: suspect, atMs, recentUses},
+      serverLife: this.findIncarnation(suspect, serverLife, atMs),
+      isTry: this.activeProbes.has(suspect),
+    };
   }
 
   /**
@@ -114,11 +141,11 @@
    * entry, which would name its start, is out of date.
    */
   private findIncarnation(
-    fingerprint: RequestFingerprint,
+    suspect: Suspect,
     serverLife: ServerIncarnation,
     atMs: number,
   ): ServerIncarnation {
-    const cuts = this.evidence.cutsByRequest.get(fingerprint);
+    const cuts = this.evidence.cutsBySuspect.get(suspect);
     const known = [...(cuts ?? [])].filter(
       ([life]) => life === serverLife || life.startsWith(`${serverLife}#`),
     );
@@ -129,10 +156,18 @@
     return `${serverLife}#${known.length + 1}`;
   }
 
-  /** Records a complete success response. */
-  recordSuccess(fingerprint: RequestFingerprint): void {
-    if (!this.evidence.cutsByRequest.has(fingerprint)) return;
-    this.mergeFacts([{kind: 'served', fingerprint, atMs: this.nowMs()}]);
+  /** Records a complete success response to a request with these suspects. */
+  recordSuccess(suspects: readonly Suspect[]): void {
+    const atMs = this.nowMs();
+    const facts = suspects
+      .filter(suspect => this.isSuspected(suspect))
+      .map(fingerprint => ({kind: 'served' as const, fingerprint, atMs}));
+    this.mergeFacts(facts);
+  }
+
+  /** Has to be called for each request that was served. */
+  recordServedParts(parts: readonly Suspect[]): void {
+    this.servedParts.record(parts);
   }
 
   /** Merges facts of this node or of others. */
@@ -143,30 +178,51 @@
 
   private updateContained(): void {
     this.evidence.expire();
+    const {cutsBySuspect} = this.evidence;
     this.suspectedPaths = new Set(
-      [...this.evidence.cutsByRequest.keys()].map(toPathFingerprint),
+      [...cutsBySuspect.keys()]
+        .filter(suspect => !isPartSuspect(suspect))
+        .map(toPathFingerprint),
     );
+    const nowMs = this.nowMs();
+    const decided = decideContainment(cutsBySuspect);
     const before = this.probeAtMs;
     this.probeAtMs = new Map(
-      [...this.evidence.cutsByRequest]
-        .filter(([, cuts]) => cuts.size >= CRASHES_TO_CONTAIN)
-        .map(([fingerprint, cuts]) => [fingerprint, findNextProbeMs(cuts)]),
+      decided
+        .filter(({fromMs}) => fromMs <= nowMs)
+        .map(({suspect}) => [
+          suspect,
+          findNextProbeMs(cutsBySuspect.get(suspect) ?? new Map()),
+        ]),
     );
+    this.scheduleUpdate(decided, nowMs);
     this.logChanges(before, this.probeAtMs);
   }
 
+  private scheduleUpdate(decided: readonly Containment[], nowMs: number): void {
+    this.timer?.cancel();
+    const nextMs = Math.min(
+      ...decided.map(({fromMs}) => fromMs).filter(fromMs => fromMs > nowMs),
+    );
+    this.timer = Number.isFinite(nextMs)
+      ? this.options.clock.setTimer(nextMs - nowMs, () =>
+          this.updateContained(),
+        )
+      : null;
+  }
+
   private logChanges(
-    before: ReadonlyMap<RequestFingerprint, number>,
-    after: ReadonlyMap<RequestFingerprint, number>,
+    before: ReadonlyMap<Suspect, number>,
+    after: ReadonlyMap<Suspect, number>,
   ): void {
     const {logger} = this.options;
-    const {cutsByRequest} = this.evidence;
+    const {cutsBySuspect} = this.evidence;
     [...after]
       .filter(([fingerprint, atMs]) => before.get(fingerprint) !== atMs)
       .forEach(([fingerprint, atMs]) =>
         logger.log('request-contained', {
           fingerprint,
-          serverLives: [...(cutsByRequest.get(fingerprint)?.keys() ?? [])],
+          serverLives: [...(cutsBySuspect.get(fingerprint)?.keys() ?? [])],
           tryInMs: Math.round(atMs - this.nowMs()),
         }),
       );
@@ -175,7 +231,7 @@
       .forEach(fingerprint =>
         logger.log('request-released', {
           fingerprint,
-          cuts: cutsByRequest.get(fingerprint)?.size ?? 0,
+          cuts: cutsBySuspect.get(fingerprint)?.size ?? 0,
         }),
       );
   }
--- a/packages/contain-requests/src/suspect_leases.ts
+++ b/packages/contain-requests/src/suspect_leases.ts
@@ -1,6 +1,6 @@
 /** Leases under which one copy at a time of a suspected request may run. */
 import {type Clock, type Timer} from '@mimosatack/clock';
-import {type RequestFingerprint} from '@mimosatack/types';
+import {type Suspect} from '@mimosatack/types';
 
 export interface LeaseTerms {
   /** How long the copy waits for the lease. */
@@ -24,13 +24,13 @@
 
 /** Grants the lease on each request to one run, then to the next that waits. */
 export class SuspectLeases {
-  private readonly queues = new Map<RequestFingerprint, LeaseQueue>();
+  private readonly queues = new Map<Suspect, LeaseQueue>();
 
   constructor(private readonly clock: Clock) {}
 
   /** Resolves with false if the lease is not granted in time. */
   acquire(
-    fingerprint: RequestFingerprint,
+    fingerprint: Suspect,
     runId: string,
     terms: LeaseTerms,
   ): Promise<boolean> {
@@ -45,7 +45,7 @@
   }
 
   /** Has no effect for a run that does not hold the lease or wait for it. */
-  release(fingerprint: RequestFingerprint, runId: string): void {
+  release(fingerprint: Suspect, runId: string): void {
     const queue = this.queues.get(fingerprint);
     if (!queue) return;
     if (queue.holderRunId === runId) return this.grantNext(fingerprint, queue);
@@ -55,7 +55,7 @@
   }
 
   /** Settles all that wait: a request no longer needs a lease, or may not run. */
-  settleAll(fingerprint: RequestFingerprint, isGranted: boolean): void {
+  settleAll(fingerprint: Suspect, isGranted: boolean): void {
     const queue = this.queues.get(fingerprint);
     if (!queue) return;
     queue.expiry.cancel();
@@ -64,7 +64,7 @@
   }
 
   private grant(
-    fingerprint: RequestFingerprint,
+    fingerprint: Suspect,
     runId: string,
     maxHoldMs: number,
     waiters: Waiter[],
@@ -76,7 +76,7 @@
     this.queues.set(fingerprint, {holderRunId: runId, expiry, waiters});
   }
 
-  private grantNext(fingerprint: RequestFingerprint, queue: LeaseQueue): void {
+  private grantNext(fingerprint: Suspect, queue: LeaseQueue): void {
     const [next] = queue.waiters;
     if (!next) {
       queue.expiry.cancel();
--- a/packages/contain-requests/src/suspect_runs.test.ts
+++ b/packages/contain-requests/src/suspect_runs.test.ts
@@ -55,7 +55,7 @@
   {containment}: {containment: RequestContainment},
   serverLife: string,
 ): void {
-  containment.recordConnectionLoss('bad', serverLife);
+  containment.recordConnectionLoss({fingerprint: 'bad', parts: []}, serverLife);
 }
 
 test('copies at all nodes run one after another until the third crash', async () => {
@@ -80,7 +80,7 @@
   const first = acquire(1);
   [2, 3, 0].forEach(acquire);
   await readDecisions();
-  nodeAt(1).containment.recordSuccess('bad');
+  nodeAt(1).containment.recordSuccess(['bad']);
   nodeAt(1).runs.release('bad', first);
   const granted = ['0 granted', '2 granted', '3 granted'];
   assert.equal((await readDecisions()).sort(), granted);
--- a/packages/contain-requests/src/suspect_runs.ts
+++ b/packages/contain-requests/src/suspect_runs.ts
@@ -1,6 +1,6 @@
 /** Lets nodes run suspected requests one copy at a time. */
 import {type Clock, sleep} from '@mimosatack/clock';
-import {type RequestFingerprint} from '@mimosatack/types';
+import {type Suspect} from '@mimosatack/types';
 import {fromWireFact, toWireFact} from './crash_messages.js';
 import {type RequestContainment} from './request_containment.js';
 import {type LeaseTerms, SuspectLeases} from './suspect_leases.js';
@@ -51,7 +51,7 @@
    * not come in time, or the request is contained.
    */
   async acquire(
-    fingerprint: RequestFingerprint,
+    fingerprint: Suspect,
     runId: string,
     terms: LeaseTerms,
   ): Promise<boolean> {
@@ -68,7 +68,7 @@
   }
 
   /** Has to be called for each run that acquired a lease or stopped waiting. */
-  release(fingerprint: RequestFingerprint, runId: string): void {
+  release(fingerprint: Suspect, runId: string): void {
     const facts = this.describe(fingerprint);
     this.releaseHere(fingerprint, runId);
     if (this.options.isHolder()) return;
@@ -100,7 +100,7 @@
   }
 
   private acquireHere(
-    fingerprint: RequestFingerprint,
+    fingerprint: Suspect,
     runId: string,
     {maxWaitMs, maxHoldMs}: LeaseTerms,
   ): Promise<boolean> {
@@ -115,7 +115,7 @@
    * each node, and lets requests that were cut once go on.
    */
   private async acquireAlone(
-    fingerprint: RequestFingerprint,
+    fingerprint: Suspect,
     runId: string,
     terms: LeaseTerms,
   ): Promise<boolean> {
@@ -127,7 +127,7 @@
     return false;
   }
 
-  private releaseHere(fingerprint: RequestFingerprint, runId: string): void {
+  private releaseHere(fingerprint: Suspect, runId: string): void {
     const {containment} = this.options;
     const isContained = containment.isContained(fingerprint);
     if (isContained || !containment.isSuspected(fingerprint)) {
@@ -137,7 +137,7 @@
     }
   }
 
-  private describe(fingerprint: RequestFingerprint): SuspectAsk['facts'] {
+  private describe(fingerprint: Suspect): SuspectAsk['facts'] {
     const {clock, containment} = this.options;
     const nowMs = clock.monotonicMs();
     return containment.evidence
--- a/packages/explain-request/src/find_verdict.ts
+++ b/packages/explain-request/src/find_verdict.ts
@@ -157,9 +157,9 @@
   );
   const crashedServers = formatValue(contained?.fields['serverLives']);
   return {
-    cause: `Servers had ended under the same request, whose fingerprint is ${formatValue(finished.fields['fingerprint'])}: ${crashedServers}.`,
+    cause: `Servers had ended under the same request, or under others with the same part of their prompts, whose fingerprint is ${formatValue(finished.fields['fingerprint'])}: ${crashedServers}.`,
     advice:
-      'The lines attempt-ended below name the ids under which they did. Tell its caller, or mend the servers.',
+      'The lines attempt-ended with that fingerprint or part name the ids under which they did. Tell its caller, or mend the servers.',
   };
 }
 
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -94,21 +94,25 @@
   'request-contained': {
     number: 4013,
     level: 'warn',
-    message: 'Servers ended under a request; it is sent to none any more.',
+    message:
+      'Servers ended under a request, or requests with one part in their prompts; it is sent to none any more.',
     fields: {
-      fingerprint: 'which request it is under whatever id',
+      fingerprint:
+        'which request it is under whatever id, or `part:` and the id of a part of prompts',
       serverLives: 'the servers that ended under it',
       tryInMs: 'when the node that schedules tries it at one server',
     },
     remedy:
-      'Find its ids by the fingerprint in events 4011; tell its caller, or mend the servers.',
+      'Find its ids by the fingerprint or the part in events 4011; tell its caller, or mend the servers.',
   },
   'request-released': {
     number: 4014,
     level: 'info',
-    message: 'A request that was contained may be sent to servers again.',
+    message:
+      'A request or part of prompts that was contained may be sent to servers again.',
     fields: {
-      fingerprint: 'which request it is under whatever id',
+      fingerprint:
+        'which request it is under whatever id, or `part:` and the id of a part of prompts',
       cuts: 'servers that ended under it and still count',
     },
   },
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -126,8 +126,12 @@
     'Requests that are sent to no server, since servers ended under them.',
     {},
   ),
+  'containment.contained_parts': gauge(
+    'Parts of prompts with which requests are sent to no server.',
+    {},
+  ),
   'containment.suspected': gauge(
-    'Requests that were cut at a server that may have ended under them.',
+    'Requests and parts of prompts that were cut at a server that may have ended under them.',
     {},
   ),
   'containment.sent': counter(
--- a/packages/serve-requests/src/crash_guard.test.ts
+++ b/packages/serve-requests/src/crash_guard.test.ts
@@ -1,5 +1,6 @@
 /** Guards against containing or clearing a request after the wrong outcome. */
 import {TypedError} from '@mimosatack/errors';
+import {type RequestSuspects} from '@mimosatack/types';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {type AttemptOutcome} from './attempt.js';
@@ -15,6 +16,7 @@
   readonly calls: string[] = [];
 
   isRequestContained = false;
+  containedPart = '';
   isProbeDue = false;
 
   isPathSuspected(): boolean {
@@ -25,8 +27,8 @@
     return this.hasSuspects;
   }
 
-  isContained(): boolean {
-    return this.isRequestContained;
+  isContained(suspect: string): boolean {
+    return this.isRequestContained || suspect === this.containedPart;
   }
 
   openProbe(): boolean {
@@ -38,13 +40,15 @@
     this.calls.push('ended the probe');
   }
 
-  recordConnectionLoss(_fingerprint: string, serverLife: string): void {
-    this.calls.push(`cut at ${serverLife}`);
+  recordConnectionLoss({parts}: RequestSuspects, serverLife: string): void {
+    this.calls.push(['cut at', serverLife, ...parts].join(' '));
   }
 
   recordSuccess(): void {
     this.calls.push('served');
   }
+
+  recordServedParts(): void {}
 }
 
 function recordOutcome(
@@ -153,4 +157,48 @@
   });
 });
 
+function makePrompt(...ids: string[]) {
+  const promptParts = ids.map(id => ({id, tokens: 1}));
+  return makeRequest({
+    generation: {
+      ...{model: 'm0', adapter: null, promptTokens: 1, maxOutputTokens: 1},
+      ...{expectedOutputTokens: null, promptParts},
+    },
+  });
+}
+
+// Guards against parts that are missed, or without bound, as callers may write any.
+test('the parts of a prompt but the last are suspected, whatever they look like', () => {
+  const listCutParts = (...ids: string[]) => {
+    const watch = new RecordingWatch();
+    new CrashGuard(watch, makePrompt(...ids)).recordOutcome(
+      {status: 'broken', error, isConnectionLost: true},
+      makeServer(),
+    );
+    return watch.calls.join().split(' ').slice(3);
+  };
+  assert.equal(listCutParts('5A', 'bad', '5a', '', 'e1'), [
+    'part:5a',
+    'part:bad',
+  ]);
+  assert.equal(listCutParts('e1'), []);
+  assert.equal(listCutParts(), []);
+  const many = Array.from({length: 500}, (_, at) => `${at}`);
+  assert.is(listCutParts(...many).length, 64);
+  const [long = ''] = listCutParts('f'.repeat(4_000), 'e1');
+  assert.is(long.length, 'part:'.length + 32);
+});
+
+test('a request with a contained part may not be sent, nor hashed for it', () => {
+  const watch = new RecordingWatch();
+  watch.isPathSuspected = () => false;
+  watch.containedPart = 'part:bad';
+  const request = makePrompt('5a', 'bad', 'e1');
+  Object.defineProperty(request, 'body', {
+    get: () => assert.unreachable('the body was read'),
+  });
+  assert.equal(new CrashGuard(watch, request).containedSuspects, ['part:bad']);
+  assert.not(new CrashGuard(watch, makePrompt('5a', 'bad')).isContained);
+});
+
 test.run();
--- a/packages/serve-requests/src/crash_guard.ts
+++ b/packages/serve-requests/src/crash_guard.ts
@@ -1,33 +1,36 @@
-/** Keeps a request from servers after it has crashed others. */
+/** Keeps a request from servers after it, or a part of its prompt, has crashed others. */
 import {TypedError} from '@mimosatack/errors';
 import {
   type BackendServerEntry,
   type PathFingerprint,
   type RequestFingerprint,
+  type RequestSuspects,
+  type Suspect,
+  isPartSuspect,
 } from '@mimosatack/types';
 import {type AttemptOutcome} from './attempt.js';
 import {type CallerRequest} from './caller_request.js';
 import {makeFingerprint, makePathPrint} from './fingerprint.js';
+import {listPartSuspects} from './request_suspects.js';
 
-/** Tracks, over all nodes, which requests may have crashed servers. */
+/** Tracks, over all nodes, which requests and prompt parts may have crashed servers. */
 export interface CrashWatch {
-  /** Whether any request is suspected. */
+  /** Whether anything is suspected. */
   readonly hasSuspects: boolean;
   /** Whether any suspected request has this path. */
   isPathSuspected(pathPrint: PathFingerprint): boolean;
-  /** Whether a connection was lost under the request since it was last served. */
-  isSuspected(fingerprint: RequestFingerprint): boolean;
-  isContained(fingerprint: RequestFingerprint): boolean;
-  /** Whether a contained request may probe one server; see `endProbe`. */
-  openProbe(fingerprint: RequestFingerprint): boolean;
-  endProbe(fingerprint: RequestFingerprint): void;
+  /** Whether a connection was lost under the suspect since it was last served. */
+  isSuspected(suspect: Suspect): boolean;
+  isContained(suspect: Suspect): boolean;
+  /** Whether a request with contained suspects may probe one server; see `endProbe`. */
+  openProbe(suspects: readonly Suspect[]): boolean;
+  endProbe(suspects: readonly Suspect[]): void;
   /** Records a connection that was lost while the server had the request. */
-  recordConnectionLoss(
-    fingerprint: RequestFingerprint,
-    serverLife: string,
-  ): void;
+  recordConnectionLoss(suspects: RequestSuspects, serverLife: string): void;
   /** Records a complete success response. */
-  recordSuccess(fingerprint: RequestFingerprint): void;
+  recordSuccess(suspects: readonly Suspect[]): void;
+  /** Records the parts of a request that was served, suspected or not. */
+  recordServedParts(parts: readonly Suspect[]): void;
 }
 
 /**
@@ -36,14 +39,16 @@
  */
 export class CrashGuard {
   private cachedFingerprint: RequestFingerprint | null = null;
+  private cachedParts: readonly Suspect[] | null = null;
   private pathPrint: PathFingerprint | null = null;
-  private isProbe = false;
+  private probedSuspects: readonly Suspect[] = [];
 
   constructor(
     private readonly watch: CrashWatch,
     private readonly request: CallerRequest,
   ) {}
 
+  /** Whether a request with this path is suspected. */
   private get isWatched(): boolean {
     if (!this.watch.hasSuspects) return false;
     this.pathPrint ??= makePathPrint(this.request);
@@ -55,6 +60,11 @@
     return this.cachedFingerprint;
   }
 
+  private get parts(): readonly Suspect[] {
+    this.cachedParts ??= listPartSuspects(this.request);
+    return this.cachedParts;
+  }
+
   /** Whether servers may have crashed under this request. */
   get isSuspected(): boolean {
     return this.isWatched && this.watch.isSuspected(this.fingerprint);
@@ -62,30 +72,40 @@
 
   /** Whether the request is sent to a server to find out if it crashes that one too. */
   get isProbing(): boolean {
-    return this.isProbe;
+    return this.probedSuspects.length > 0;
+  }
+
+  /** What the request must not be sent to a server for now. */
+  get containedSuspects(): Suspect[] {
+    if (this.isProbing || !this.watch.hasSuspects) return [];
+    const suspects = this.isWatched
+      ? [this.fingerprint, ...this.parts]
+      : this.parts;
+    return suspects.filter(suspect => this.watch.isContained(suspect));
   }
 
-  /** Whether the request must not be sent to a server now. */
   get isContained(): boolean {
-    if (this.isProbe) return false;
-    return this.isWatched && this.watch.isContained(this.fingerprint);
+    return this.containedSuspects.length > 0;
   }
 
   /** Lets a contained request probe one server if a probe is due. */
   openProbe(): void {
-    if (this.isContained) this.isProbe = this.watch.openProbe(this.fingerprint);
+    const suspects = this.containedSuspects;
+    if (suspects.length === 0 || !this.watch.openProbe(suspects)) return;
+    this.probedSuspects = suspects;
   }
 
   /** Must be called once the request has ended. */
   endProbe(): void {
-    if (this.isProbe) this.watch.endProbe(this.fingerprint);
-    this.isProbe = false;
+    if (this.isProbing) this.watch.endProbe(this.probedSuspects);
+    this.probedSuspects = [];
   }
 
   recordOutcome(outcome: AttemptOutcome, server: BackendServerEntry): void {
     if (this.isCrash(outcome)) {
+      const {fingerprint, parts} = this;
       this.watch.recordConnectionLoss(
-        this.fingerprint,
+        {fingerprint, parts},
         formatIncarnation(server),
       );
     }
@@ -100,21 +120,31 @@
     const isUndisturbed =
       outcome.status === 'not-run' ||
       (outcome.status === 'answered' && outcome.isSuccess);
-    return this.isProbe && !isUndisturbed;
+    return this.isProbing && !isUndisturbed;
   }
 
   /** Errors do not count: a server may send one before the request runs. */
   private markServed(): void {
-    if (this.isWatched) this.watch.recordSuccess(this.fingerprint);
+    const {watch, parts} = this;
+    watch.recordServedParts(parts);
+    const fingerprints = this.isWatched ? [this.fingerprint] : [];
+    const suspects = [...fingerprints, ...parts];
+    if (watch.hasSuspects && suspects.length > 0) watch.recordSuccess(suspects);
   }
 }
 
-export function makeContainedError(mayHaveRun: boolean): TypedError {
+export function makeContainedError(
+  suspects: readonly Suspect[],
+  mayHaveRun: boolean,
+): TypedError {
   return new TypedError(
     'contained',
-    'Three backend servers crashed while running this request.',
+    suspects.every(isPartSuspect)
+      ? 'Backend servers crashed while running requests with the same part of a prompt.'
+      : 'Three backend servers crashed while running this request.',
     {
       run: mayHaveRun ? 'unknown' : 'not-run',
+      info: {suspects},
     },
   );
 }
--- a/packages/serve-requests/src/fingerprint.ts
+++ b/packages/serve-requests/src/fingerprint.ts
@@ -15,7 +15,7 @@
  * left out, since they differ between resends. The hash reveals no content.
  */
 export function makeFingerprint(request: HashedParts): RequestFingerprint {
-  return joinFingerprint(makePathPrint(request), hash(request.body));
+  return joinFingerprint(makePathPrint(request), hashText(request.body));
 }
 
 /** Tells most requests apart without hashing their bodies. */
@@ -24,9 +24,9 @@
   method,
   path,
 }: Omit<HashedParts, 'body'>): PathFingerprint {
-  return toPathFingerprint(hash(JSON.stringify([host, method, path])));
+  return toPathFingerprint(hashText(JSON.stringify([host, method, path])));
 }
 
-function hash(data: string | Uint8Array): string {
+export function hashText(data: string | Uint8Array): string {
   return createHash('sha256').update(data).digest('hex');
 }
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -112,6 +112,7 @@
         endProbe: () => undefined,
         recordConnectionLoss: () => undefined,
         recordSuccess: () => undefined,
+        recordServedParts: () => undefined,
       },
       suspects: {
         makeRunId: () => 'run-1',
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -82,7 +82,9 @@
     string | boolean | undefined
   > {
     const {guard} = this;
-    if (!guard.isSuspected) return {fingerprint: undefined, isProbe: undefined};
+    if (!guard.isSuspected && !guard.isProbing) {
+      return {fingerprint: undefined, isProbe: undefined};
+    }
     return {fingerprint: guard.fingerprint, isProbe: guard.isProbing};
   }
 
@@ -156,7 +158,9 @@
       run: error?.run,
       retryAfterMs: error?.retryAfterMs,
       fingerprint:
-        error?.kind === 'contained' ? this.guard.fingerprint : undefined,
+        error?.kind === 'contained'
+          ? (this.guard.containedSuspects[0] ?? this.guard.fingerprint)
+          : undefined,
       tookMs: Math.round(this.nowMs() - this.request.receivedAtMs),
     });
   }
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -158,7 +158,8 @@
   ): void {
     this.log.logAttempt(outcome, 'give-up');
     if (unused?.status === 'chosen') this.options.chooser.release(unused);
-    this.finishFailed(makeContainedError(this.mayHaveRun));
+    const suspects = this.guard.containedSuspects;
+    this.finishFailed(makeContainedError(suspects, this.mayHaveRun));
   }
 
   /** Guards against sending a request whose key was revoked while it waited. */
--- a/packages/serve-requests/src/server_selection.ts
+++ b/packages/serve-requests/src/server_selection.ts
@@ -61,7 +61,8 @@
   }
 
   private refuseContained(): ServerChoice {
-    const error = makeContainedError(this.options.mayHaveRun());
+    const {guard, mayHaveRun} = this.options;
+    const error = makeContainedError(guard.containedSuspects, mayHaveRun());
     return {status: 'refused', error};
   }
 }
--- a/packages/serve-requests/src/suspect_lease.test.ts
+++ b/packages/serve-requests/src/suspect_lease.test.ts
@@ -19,6 +19,7 @@
     endProbe: () => undefined,
     recordConnectionLoss: () => undefined,
     recordSuccess: () => undefined,
+    recordServedParts: () => undefined,
   };
 }
 
--- a/packages/serving-node/src/containment_task.test.ts
+++ b/packages/serving-node/src/containment_task.test.ts
@@ -21,7 +21,7 @@
 
 function contain({containment}: ContainmentTask): void {
   ['a', 'b', 'c'].forEach(life =>
-    containment.recordConnectionLoss('bad', life),
+    containment.recordConnectionLoss({fingerprint: 'bad', parts: []}, life),
   );
 }
 
@@ -33,7 +33,7 @@
 test('nothing is written while no request is contained', async () => {
   const topic = new MemoryKeyedTopic();
   const {task} = makeTask(topic);
-  task.containment.recordConnectionLoss('once', 'a');
+  task.containment.recordConnectionLoss({fingerprint: 'once', parts: []}, 'a');
   await task.syncRecord();
   assert.is(topic.endOffset, 0);
 });
@@ -65,7 +65,7 @@
   const {task} = makeTask(topic);
   contain(task);
   await task.syncRecord();
-  task.containment.recordSuccess('bad');
+  task.containment.recordSuccess(['bad']);
   await task.syncRecord();
   assert.is(await readRecord(topic), null);
 });
--- a/packages/serving-node/src/containment_task.ts
+++ b/packages/serving-node/src/containment_task.ts
@@ -1,4 +1,4 @@
-/** Shares the requests that crash servers with other nodes. */
+/** Shares the requests and prompt parts that crash servers with other nodes. */
 import {type Clock} from '@mimosatack/clock';
 import {
   CrashExchange,
@@ -11,6 +11,7 @@
 import {TypedError} from '@mimosatack/errors';
 import {type KeyedTopic} from '@mimosatack/keyed-store';
 import {type EventLogger} from '@mimosatack/logger';
+import {isPartSuspect} from '@mimosatack/types';
 import {StoredRecord} from './stored_record.js';
 
 /** Key of the record in the nodes topic; not a valid node name. */
@@ -32,11 +33,11 @@
 }
 
 /**
- * Keeps the record of contained requests in the store up to date.
+ * Keeps the record of what is contained in the store up to date.
  *
- * Guards against losing the contained requests when all nodes restart at once,
- * after which each crashes servers again. Nothing is written without contained
- * requests.
+ * Guards against losing what is contained when all nodes restart at once, after
+ * which each request crashes servers again. Nothing is written while nothing is
+ * contained.
  */
 export class ContainmentTask {
   readonly containment: RequestContainment;
@@ -62,16 +63,23 @@
       encode: () =>
         encodeContained(
           containment.contained,
-          containment.evidence.cutsByRequest,
+          containment.evidence.cutsBySuspect,
         ),
     });
   }
 
-  get gauges(): {containedRequests: number; suspectedRequests: number} {
+  get gauges(): {
+    containedRequests: number;
+    containedParts: number;
+    suspected: number;
+  } {
     const {contained, evidence} = this.containment;
-    const containedRequests = contained.length;
-    const suspectedRequests = evidence.cutsByRequest.size - containedRequests;
-    return {containedRequests, suspectedRequests};
+    const containedParts = contained.filter(isPartSuspect).length;
+    return {
+      containedRequests: contained.length - containedParts,
+      containedParts,
+      suspected: evidence.cutsBySuspect.size - contained.length,
+    };
   }
 
   /** Applies the record, read from the store or received from a peer. */
--- a/packages/serving-node/src/node_state_metrics.ts
+++ b/packages/serving-node/src/node_state_metrics.ts
@@ -13,7 +13,8 @@
   openRelays: number;
   dutiesHeld: number;
   containedRequests: number;
-  suspectedRequests: number;
+  containedParts: number;
+  suspected: number;
   knownStreams: number;
   mixedServices: number;
   configurationAgeMs: number;
@@ -42,7 +43,8 @@
   metrics.gauge('retries.share', figures.retryShare, {});
   metrics.gauge('duties.held', figures.dutiesHeld, {});
   metrics.gauge('containment.contained', figures.containedRequests, {});
-  metrics.gauge('containment.suspected', figures.suspectedRequests, {});
+  metrics.gauge('containment.contained_parts', figures.containedParts, {});
+  metrics.gauge('containment.suspected', figures.suspected, {});
   metrics.gauge('streams.known', figures.knownStreams, {});
   metrics.gauge('streams.mixed_services', figures.mixedServices, {});
   metrics.gauge('process.resident_bytes', process.memoryUsage.rss(), {});
