Take no answer that its connection ends for proof that the server lives

A stream may come with neither a length nor chunks and end with its connection. A server that crashes between two events then looks like one that is done, and the success cleared what is suspected.

crash_guard.test failed: such a success cleared the request. A probe still ends by one, since a server that never delimits its answers could not clear anything.

--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -21,8 +21,12 @@
 export type NotRunReason = 'unreachable' | 'not-held' | 'not-taken';
 
 export type AttemptOutcome =
-  /** The consumer received the complete response. */
-  | {status: 'answered'; isSuccess: boolean}
+  /**
+   * The consumer received the complete response.
+   * `isDelimited`: the response says where it ends; otherwise it ended with its
+   * connection, as it may in a server crash, too.
+   */
+  | {status: 'answered'; isSuccess: boolean; isDelimited: boolean}
   /** The server has not run the request and will not run it. */
   | {status: 'not-run'; error: TypedError; reason: NotRunReason}
   /** The consumer discarded an error response of the server. */
@@ -79,6 +83,10 @@
 
 const STATUS_OK_MIN = 200;
 const STATUS_OK_MAX = 299;
+const DELIMITING_HEADERS: ReadonlySet<string> = new Set([
+  'content-length',
+  'transfer-encoding',
+]);
 
 export class Attempt implements AnswerReceiver {
   readonly outcome: Promise<AttemptOutcome>;
@@ -87,6 +95,7 @@
   private handle: CallHandle | null = null;
   private isFinished = false;
   private isSuccess = false;
+  private isDelimited = false;
 
   constructor(private readonly options: AttemptOptions) {
     this.outcome = new Promise(resolve => (this.resolve = resolve));
@@ -134,6 +143,7 @@
     const facts = dialect.readHead(head, request);
     onStatus(facts.status);
     this.isSuccess = isSuccess(facts.status);
+    this.isDelimited = isDelimited(head);
     if (facts.load) onLoad(facts.load);
     const isOfChosenServer = facts.isNotRun || facts.isGenuine;
     if (isOfChosenServer && !facts.isMisdirected) {
@@ -175,7 +185,10 @@
     this.finish(
       error
         ? {status: 'broken', error, isConnectionLost: true}
-        : {status: 'answered', isSuccess: this.isSuccess},
+        : {
+            ...{status: 'answered', isSuccess: this.isSuccess},
+            isDelimited: this.isDelimited,
+          },
     );
   }
 
@@ -211,6 +224,12 @@
   return status >= STATUS_OK_MIN && status <= STATUS_OK_MAX;
 }
 
+function isDelimited({headers}: AnswerHead): boolean {
+  return headers.some(
+    (name, at) => at % 2 === 0 && DELIMITING_HEADERS.has(name.toLowerCase()),
+  );
+}
+
 /** An unparsable response is no sign of a crash: the server is running. */
 function isParseError({details}: TypedError): boolean {
   return details.cause?.name === 'HTTPParserError';
--- a/packages/serve-requests/src/crash_guard.test.ts
+++ b/packages/serve-requests/src/crash_guard.test.ts
@@ -11,6 +11,10 @@
 
 const error = new TypedError('backend-failed', 'It failed.', {run: 'unknown'});
 
+const SERVED: AttemptOutcome = {
+  ...{status: 'answered', isSuccess: true, isDelimited: true},
+};
+
 class RecordingWatch implements CrashWatch {
   hasSuspects = true;
   readonly calls: string[] = [];
@@ -83,10 +87,21 @@
 
 /* Guards against clearing a crashing request by an error sent before it ran. */
 test('only a success clears the request', () => {
-  assert.equal(recordOutcome({status: 'answered', isSuccess: true}), [
-    'served',
-  ]);
-  assert.equal(recordOutcome({status: 'answered', isSuccess: false}), []);
+  assert.equal(recordOutcome(SERVED), ['served']);
+  assert.equal(recordOutcome({...SERVED, isSuccess: false}), []);
+});
+
+// Guards against a server that crashes between two events of a stream without a length,
+// which looks complete.
+test('a success that ended with its connection clears nothing but a probed request', () => {
+  const ended: AttemptOutcome = {...SERVED, isDelimited: false};
+  assert.equal(recordOutcome(ended), []);
+  const watch = new RecordingWatch();
+  Object.assign(watch, {isRequestContained: true, isProbeDue: true});
+  const guard = new CrashGuard(watch, makeRequest());
+  guard.openProbe();
+  guard.recordOutcome(ended, makeServer());
+  assert.equal(watch.calls, ['claimed a probe', 'served', 'ended the probe']);
 });
 
 /* Guards against hashing every large body because of one suspected request. */
@@ -99,14 +114,14 @@
   });
   const guard = new CrashGuard(watch, request);
   assert.not(guard.isContained);
-  guard.recordOutcome({status: 'answered', isSuccess: true}, makeServer());
+  guard.recordOutcome(SERVED, makeServer());
   assert.equal(watch.calls, []);
 });
 
 test('a success is not recorded while no request is suspected', () => {
   const watch = new RecordingWatch();
   watch.hasSuspects = false;
-  assert.equal(recordOutcome({status: 'answered', isSuccess: true}, watch), []);
+  assert.equal(recordOutcome(SERVED, watch), []);
 });
 
 /* Guards against a probe that crashes more than one server. */
@@ -141,7 +156,7 @@
     {status: 'aborted'},
     {status: 'refusing', error},
     {status: 'broken', error, isConnectionLost: false},
-    {status: 'answered', isSuccess: false},
+    {...SERVED, isSuccess: false},
   ];
   outcomes.forEach(outcome => {
     const watch = new RecordingWatch();
--- a/packages/serve-requests/src/crash_guard.ts
+++ b/packages/serve-requests/src/crash_guard.ts
@@ -109,7 +109,9 @@
         formatIncarnation(server),
       );
     }
-    if (outcome.status === 'answered' && outcome.isSuccess) this.markServed();
+    if (outcome.status === 'answered' && outcome.isSuccess) {
+      this.markServed(outcome.isDelimited);
+    }
     // A probe ends at the first server that may have run the request.
     if (outcome.status !== 'not-run') this.endProbe();
   }
@@ -123,10 +125,14 @@
     return this.isProbing && !isUndisturbed;
   }
 
-  /** Errors do not count: a server may send one before the request runs. */
-  private markServed(): void {
+  /**
+   * Errors do not count: a server may send one before the request runs. Nor does an answer
+   * that its connection ended, unless it was a probe: the server may have crashed after it.
+   */
+  private markServed(isDelimited: boolean): void {
     const {watch, parts} = this;
     watch.recordServedParts(parts);
+    if (!isDelimited && !this.isProbing) return;
     const fingerprints = this.isWatched ? [this.fingerprint] : [];
     const suspects = [...fingerprints, ...parts];
     if (watch.hasSuspects && suspects.length > 0) watch.recordSuccess(suspects);
