Notice when the store comes back from an older copy, and keep what is newer

What callers saw: a configuration was not in force 2 s after the store had confirmed it, and requests reached a server 3.5 s after it had said that it leaves.

Cause: offsets were taken for an order that never ends. After a restore the store gives them out again. Fencing tokens, conditions of appends and the progress that nodes tell each other are offsets as well.

Change: an offset is counted over all eras of the store, era first, so that everything ordered by it keeps its order.

Why it holds: an era only rises, so nothing of an earlier one is compared as newer; an answer of an earlier era is dropped; what nodes vouch for is written again by the one that holds it, under the same conditions as before.

--- a/packages/hold-duty/src/duty_fixture.ts
+++ b/packages/hold-duty/src/duty_fixture.ts
@@ -21,6 +21,10 @@
 
   constructor(private readonly topic: MemoryKeyedTopic) {}
 
+  get era() {
+    return this.topic.era;
+  }
+
   async readSnapshot() {
     this.failIfCut();
     return this.topic.readSnapshot();
--- a/packages/hold-duty/src/duty_task.test.ts
+++ b/packages/hold-duty/src/duty_task.test.ts
@@ -214,4 +214,34 @@
   stop();
 });
 
+// Guards against a holder whose record is lost, and against tokens that go back.
+test('a holder claims the duty again in a store that came back from a copy', async () => {
+  const {topic, nodes, listHolders, passTime, stop} = startNodes(['a', 'b']);
+  await passTime(500);
+  findNode(nodes, 'b').contact = 'gone';
+  await passTime(500);
+  findNode(nodes, 'a').contact = 'alive';
+  assert.equal(listHolders(), ['b']);
+  const before = findNode(nodes, 'b').task.findAuthority()?.fencingToken ?? 0;
+  // The copy names the first holder.
+  topic.restore(1);
+  await passTime(500);
+  assert.equal(listHolders(), ['b']);
+  const after = findNode(nodes, 'b').task.findAuthority()?.fencingToken ?? 0;
+  assert.ok(after > before, `${after} after ${before}`);
+  assert.is(findNode(nodes, 'a').task.holder?.nodeName, 'b');
+  assert.is(topic.endOffset - topic.records.length, after - 2);
+  stop();
+});
+
+test('a store that came back twice leaves one holder', async () => {
+  const {topic, listHolders, passTime, stop} = startNodes(['a', 'b', 'c']);
+  await passTime(500);
+  topic.restore(0);
+  topic.restore(0);
+  await passTime(1_000);
+  assert.is(listHolders().length, 1);
+  stop();
+});
+
 test.run();
--- a/packages/hold-duty/src/duty_task.ts
+++ b/packages/hold-duty/src/duty_task.ts
@@ -11,6 +11,8 @@
   KeyedFollower,
   KeyedTable,
   type KeyedTopic,
+  type ReadKind,
+  findEra,
 } from '@mimosatack/keyed-store';
 import {type RandomSource} from '@mimosatack/random';
 import {type HolderContact, decideClaim} from './decide_claim.js';
@@ -32,8 +34,24 @@
 
 /** Encodes a holder as the value of its record. */
 export class DutyHolderCodec {
-  static encode({nodeName, incarnation, address}: DutyHolder): Uint8Array {
-    return Buffer.from(JSON.stringify({nodeName, incarnation, address}));
+  /** @param era in which the record is written; a copy of the store keeps an earlier one */
+  static encode(
+    {nodeName, incarnation, address}: Omit<DutyHolder, 'token'>,
+    era: number,
+  ): Uint8Array {
+    return Buffer.from(JSON.stringify({nodeName, incarnation, address, era}));
+  }
+
+  /** Whether the store has come back from a copy since the record was written. */
+  static isFromCopy(value: Uint8Array, offset: number): boolean {
+    try {
+      const {era = 0} = JSON.parse(Buffer.from(value).toString('utf8')) as {
+        era?: number;
+      };
+      return era < findEra(offset);
+    } catch {
+      return true;
+    }
   }
 
   /** Returns null for a malformed value. */
@@ -153,7 +171,7 @@
         this.isHeld || options.findRank() < FAST_RETRY_RANKS
           ? RETRY_DELAY_MS
           : MAX_RETRY_DELAY_MS,
-      onChanges: changes => this.applyChanges(changes),
+      onChanges: (changes, kind) => this.applyChanges(changes, kind),
       onLost: error => options.onLost(error),
       onRegained: () => options.onRegained(),
     });
@@ -242,7 +260,7 @@
   async handOver(successor: Omit<DutyHolder, 'token'>): Promise<boolean> {
     if (!this.isHeld) return false;
     const {topic, key, onLost} = this.options;
-    const value = DutyHolderCodec.encode({...successor, token: 0});
+    const value = DutyHolderCodec.encode(successor, topic.era.number);
     try {
       const outcome = await topic.append([{key, value}], {
         atOffset: this.table.endOffset,
@@ -283,7 +301,9 @@
       rank: findRank(),
       isReachedByOthers: isReachedByOthers(),
     });
-    if (isDue || this.isRenewalDue(nowMs)) void this.claim();
+    if (isDue || this.isRenewalDue(nowMs) || this.isRecordLost) {
+      void this.claim();
+    }
   }
 
   /**
@@ -298,6 +318,16 @@
     return this.contact !== 'gone' && nowMs < ownGrantEndsAtMs();
   }
 
+  /** Whether this node holds the duty by a record that the store may not have any more. */
+  private get isRecordLost(): boolean {
+    const {topic} = this.options;
+    return (
+      this.isHeld &&
+      this.current !== null &&
+      findEra(this.current.token) < topic.era.number
+    );
+  }
+
   private isRenewalDue(nowMs: number): boolean {
     const {isFenced, leaseMs} = this.options;
     if (isFenced || !this.current || !this.isHeld) return false;
@@ -320,7 +350,7 @@
     this.isClaiming = true;
     this.nextClaimAtMs = sentAtMs + CLAIM_INTERVAL_MS;
     try {
-      const value = DutyHolderCodec.encode({...self, token: 0});
+      const value = DutyHolderCodec.encode(self, topic.era.number);
       const outcome = await topic.append([{key, value}], {
         atOffset: this.table.endOffset,
       });
@@ -339,12 +369,18 @@
     }
   }
 
-  private applyChanges(changes: readonly KeyedChange[]): void {
+  private applyChanges(changes: readonly KeyedChange[], kind: ReadKind): void {
     changes
       .filter(({key}) => key === this.options.key)
       .forEach(({value, offset}) => {
         const holder = value && DutyHolderCodec.decode(value, offset);
-        if (holder) this.noteHolder(holder);
+        if (!holder) return;
+        // A copy names an earlier holder than the one that is known.
+        const isOutdated =
+          kind === 'restored' &&
+          this.current !== null &&
+          DutyHolderCodec.isFromCopy(value, offset);
+        if (!isOutdated) this.noteHolder(holder);
       });
   }
 
--- a/packages/keyed-store/src/index.ts
+++ b/packages/keyed-store/src/index.ts
@@ -8,6 +8,11 @@
   type KeyedWrite,
   type ReadOutcome,
 } from './keyed_topic.js';
-export {KeyedFollower, type KeyedFollowerOptions} from './keyed_follower.js';
+export {
+  KeyedFollower,
+  type KeyedFollowerOptions,
+  type ReadKind,
+} from './keyed_follower.js';
 export {KeyedTable} from './keyed_table.js';
 export {type AppendFault, MemoryKeyedTopic} from './memory_keyed_topic.js';
+export {StoreEra, findEra, toGlobalOffset, toStoreOffset} from './store_era.js';
--- a/packages/keyed-store/src/keyed_follower.test.ts
+++ b/packages/keyed-store/src/keyed_follower.test.ts
@@ -216,4 +216,41 @@
   assert.is(await countReads(true), await countReads(false));
 });
 
+// Guards against going on from an offset that the store gives out again.
+test('a topic that came back from a copy is read anew', async () => {
+  const kinds: string[] = [];
+  const {topic, table, follower, pass} = startFollower({
+    onChanges: (changes, kind) => kinds.push(`${kind} ${changes.length}`),
+  });
+  ['1', '2', '3'].forEach(text => topic.put('config', text));
+  topic.put('lost', '1');
+  follower.start();
+  await pass(100);
+  topic.restore(1);
+  ['a', 'b', 'c', 'd', 'e'].forEach(key => topic.put(key, 'x'));
+  await pass(300);
+  topic.put('config', '4');
+  await pass(100);
+  assert.equal(kinds, ['snapshot 2', 'restored 7', 'increment 1']);
+  assert.is(table.get('lost'), undefined);
+  assert.is(table.endOffset, topic.endOffset);
+  assert.is(String(table.get('config')?.value), '4');
+  follower.stop();
+});
+
+// Guards against waiting out a delay, or a read that nothing completes.
+test('a topic that came back is read at once, also if it is not needed', async () => {
+  const {topic, table, follower, pass} = startFollower({
+    isNeeded: () => false,
+  });
+  topic.put('config', '1');
+  follower.start();
+  await pass(100);
+  topic.restore(0);
+  topic.put('config', '2');
+  await pass(50);
+  assert.is(String(table.get('config')?.value), '2');
+  follower.stop();
+});
+
 test.run();
--- a/packages/keyed-store/src/keyed_follower.ts
+++ b/packages/keyed-store/src/keyed_follower.ts
@@ -3,12 +3,20 @@
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {type RandomSource, addJitter} from '@mimosatack/random';
 import {type KeyedTable} from './keyed_table.js';
+import {findEra} from './store_era.js';
 import {
   type KeyedChange,
   type KeyedTopic,
   type ReadOutcome,
 } from './keyed_topic.js';
 
+/**
+ * `increment`: records since the last read. `snapshot`: the newest record of each key.
+ * `restored`: the first snapshot since the store came back from a copy; its records may
+ * hold older values than those known before.
+ */
+export type ReadKind = 'increment' | 'snapshot' | 'restored';
+
 export interface KeyedFollowerOptions {
   clock: Clock;
   random: RandomSource;
@@ -37,7 +45,8 @@
   maxRetryDelayMs?: () => number;
   /** False while the table is kept up to date by other means. */
   isNeeded?: () => boolean;
-  onChanges: (changes: readonly KeyedChange[]) => void;
+  /** Called for changes, and for each snapshot. */
+  onChanges: (changes: readonly KeyedChange[], kind: ReadKind) => void;
   /** Called on the first of consecutive failures. */
   onLost: (error: TypedError) => void;
   /** Called on the first success, and on the first after a failure. */
@@ -55,13 +64,18 @@
 export class KeyedFollower {
   private readonly stopping = new AbortController();
   private longPollController: AbortController | null = null;
+  private pauseController: AbortController | null = null;
   private isLastReadOk = false;
   private hasSnapshot = false;
+  /** The era of the last snapshot; null before the first one. */
+  private snapshotEra: number | null = null;
   private succeededAtMs = -Infinity;
   private lastSuccessStartedAtMs = -Infinity;
   private consecutiveFailures = 0;
 
-  constructor(private readonly options: KeyedFollowerOptions) {}
+  constructor(private readonly options: KeyedFollowerOptions) {
+    options.topic.era.onRestored(() => this.reload());
+  }
 
   /** Whether the last read succeeded. */
   get isReachable(): boolean {
@@ -95,9 +109,17 @@
     this.longPollController?.abort();
   }
 
+  /** Reads a snapshot at once. */
+  reload(): void {
+    this.hasSnapshot = false;
+    this.refresh();
+    this.pauseController?.abort();
+  }
+
   stop(): void {
     this.stopping.abort();
     this.longPollController?.abort();
+    this.pauseController?.abort();
   }
 
   private async run(): Promise<void> {
@@ -107,10 +129,18 @@
       const startedAtMs = clock.monotonicMs();
       if (this.shouldRead) await this.readOnce(signal);
       const remainingMs = startedAtMs + minIntervalMs - clock.monotonicMs();
-      if (remainingMs > 0) await sleep(clock, remainingMs, signal);
+      if (remainingMs > 0) await this.pause(remainingMs);
     }
   }
 
+  /** Ends early on `reload` and `stop`. */
+  private async pause(durationMs: number): Promise<void> {
+    const controller = new AbortController();
+    this.pauseController = controller;
+    await sleep(this.options.clock, durationMs, controller.signal);
+    this.pauseController = null;
+  }
+
   private get shouldRead(): boolean {
     return !this.hasSnapshot || (this.options.isNeeded?.() ?? true);
   }
@@ -124,35 +154,42 @@
   private async readOnce(signal: AbortSignal): Promise<void> {
     const startedAtMs = this.options.clock.monotonicMs();
     try {
-      const changes = this.canReadIncrementally
+      const {changes, kind} = this.canReadIncrementally
         ? await this.loadIncrement()
         : await this.loadSnapshot();
       if (signal.aborted) return;
       this.recordSuccess();
       if (this.hasSnapshot) this.lastSuccessStartedAtMs = startedAtMs;
-      if (changes.length > 0) this.options.onChanges(changes);
+      if (changes.length > 0 || kind !== 'increment') {
+        this.options.onChanges(changes, kind);
+      }
     } catch (thrown) {
       if (signal.aborted) return;
       if (thrown instanceof ReadAbortedByRefresh) return;
       this.recordFailure(toTypedError(thrown));
-      const {clock, random} = this.options;
+      const {random} = this.options;
       const delayMs = addJitter(
         random,
         this.computeRetryDelayMs(),
         RETRY_JITTER,
       );
-      await sleep(clock, delayMs, signal);
+      if (!this.stopping.signal.aborted) await this.pause(delayMs);
     }
   }
 
-  private async loadSnapshot(): Promise<KeyedChange[]> {
+  private async loadSnapshot(): Promise<KeyedRead> {
     const {topic, table} = this.options;
     const snapshot = await topic.readSnapshot();
-    this.hasSnapshot = true;
-    return table.applySnapshot(snapshot);
+    const era = findEra(snapshot.endOffset);
+    const isRestored = this.snapshotEra !== null && era > this.snapshotEra;
+    this.snapshotEra = era;
+    // The store may have come back from another copy meanwhile.
+    this.hasSnapshot = era === topic.era.number;
+    const changes = table.applySnapshot(snapshot);
+    return {changes, kind: isRestored ? 'restored' : 'snapshot'};
   }
 
-  private async loadIncrement(): Promise<KeyedChange[]> {
+  private async loadIncrement(): Promise<KeyedRead> {
     const {topic, table} = this.options;
     const fromOffset = table.endOffset;
     const waitMs = this.options.waitMs();
@@ -162,9 +199,11 @@
         : await topic.readFrom(fromOffset, waitMs);
     if (outcome.status === 'expired') {
       this.hasSnapshot = false;
-      return [];
+      return {changes: [], kind: 'increment'};
     }
-    return table.applyRecords(fromOffset, outcome.records, outcome.endOffset);
+    const {records, endOffset} = outcome;
+    const changes = table.applyRecords(fromOffset, records, endOffset);
+    return {changes, kind: 'increment'};
   }
 
   /** Throws `ReadAbortedByRefresh` if `refresh` aborted the read. */
@@ -215,4 +254,9 @@
   }
 }
 
+interface KeyedRead {
+  changes: KeyedChange[];
+  kind: ReadKind;
+}
+
 class ReadAbortedByRefresh extends Error {}
--- a/packages/keyed-store/src/keyed_topic.ts
+++ b/packages/keyed-store/src/keyed_topic.ts
@@ -1,7 +1,10 @@
 /**
- * A compacted topic, which retains the newest record of each key. Offsets only
- * increase: of two records of a key, the higher offset is the newer one.
+ * A compacted topic, which retains the newest record of each key. Offsets here are
+ * those in the order of all eras of the store, see `StoreEra`: of two records of a
+ * key the higher offset was written later. A record of a later era may still hold an
+ * older value, if the store came back from a copy.
  */
+import {type StoreEra} from './store_era.js';
 
 /** A record; a null value deletes the key. */
 export interface KeyedRecord {
@@ -17,7 +20,7 @@
   endOffset: number;
 }
 
-/** `expired`: the store no longer retains the requested offset. */
+/** `expired`: the store does not have the requested offset any more. */
 export type ReadOutcome =
   | {status: 'read'; records: readonly KeyedRecord[]; endOffset: number}
   | {status: 'expired'};
@@ -50,6 +53,7 @@
  * store is unreachable.
  */
 export interface KeyedTopic {
+  readonly era: StoreEra;
   readSnapshot(): Promise<KeyedSnapshot>;
   /** Waits up to `waitMs` if there is no record at `offset` yet. */
   readFrom(
--- a/packages/keyed-store/src/memory_keyed_topic.ts
+++ b/packages/keyed-store/src/memory_keyed_topic.ts
@@ -8,6 +8,7 @@
   type KeyedWrite,
   type ReadOutcome,
 } from './keyed_topic.js';
+import {StoreEra, findEra, toGlobalOffset, toStoreOffset} from './store_era.js';
 
 /**
  * How an append fails: `refused` appends nothing, `lost` appends the records
@@ -18,7 +19,8 @@
 
 /** A topic in memory with fault injection for tests. */
 export class MemoryKeyedTopic implements KeyedTopic {
-  readonly records: KeyedRecord[] = [];
+  readonly era = new StoreEra();
+  records: KeyedRecord[] = [];
   /** Whether every call fails. */
   isDown = false;
   appendFault: AppendFault = 'none';
@@ -30,7 +32,7 @@
   private readonly waiters = new Set<() => void>();
 
   get endOffset(): number {
-    return this.records.length;
+    return toGlobalOffset(this.era.number, this.records.length);
   }
 
   async readSnapshot(): Promise<KeyedSnapshot> {
@@ -51,12 +53,13 @@
   ): Promise<ReadOutcome> {
     this.readCount += 1;
     this.failIfDown();
-    if (offset < this.firstOffset) return {status: 'expired'};
+    if (this.lacks(offset)) return {status: 'expired'};
     if (offset >= this.endOffset && waitMs > 0) await this.wait(signal);
     this.failIfDown();
+    if (this.lacks(offset)) return {status: 'expired'};
     return {
       status: 'read',
-      records: this.records.slice(offset),
+      records: this.records.slice(toStoreOffset(offset)),
       endOffset: this.endOffset,
     };
   }
@@ -83,6 +86,24 @@
     this.delayed.splice(0).forEach(apply => apply());
   }
 
+  /** Comes back from a copy with the first records; their offsets are of the next era. */
+  restore(recordCount: number): void {
+    const era = this.era.number + 1;
+    this.records = this.records
+      .slice(0, recordCount)
+      .map((record, at) => ({...record, offset: toGlobalOffset(era, at)}));
+    this.era.assumeNext();
+  }
+
+  private lacks(offset: number): boolean {
+    const storeOffset = toStoreOffset(offset);
+    return (
+      findEra(offset) !== this.era.number ||
+      storeOffset < this.firstOffset ||
+      storeOffset > this.records.length
+    );
+  }
+
   /** Appends a record as another client would, free of append faults. */
   put(key: string, text: string | null): void {
     this.apply([{key, value: text === null ? null : Buffer.from(text)}]);
--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -32,6 +32,26 @@
       source: 'the store, or the peer that passed it on',
     },
   },
+  'store-restored': {
+    number: 2203,
+    level: 'warn',
+    message:
+      'The store came back from a copy that lacks its last records; all is read anew.',
+    fields: {
+      era: 'how often the store has come back, as it counts',
+      isAssumed:
+        'whether the store names no era, and is known by its offsets only',
+    },
+    remedy:
+      'None for the nodes; see which records of others the copy lacks, and write them again.',
+  },
+  'store-era-unreadable': {
+    number: 2204,
+    level: 'warn',
+    message: 'The store names its era in a form that cannot be read.',
+    fields: {text: 'what the header holds'},
+    remedy: 'Check what answers at the address of the store.',
+  },
   'node-list-changed': {
     number: 3400,
     level: 'info',
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -116,6 +116,10 @@
   'store.duration': timing("Time until the platform's store answered.", {
     call: 'the call; a read waits for a change on purpose',
   }),
+  'store.era': gauge(
+    'How often the platform\'s store has come back from a copy, as it counts.',
+    {},
+  ),
   'dependencies.lost': counter('Times that a dependency was lost.', {
     dependency: 'what was lost',
   }),
--- a/packages/serving-node/src/configuration_follower.test.ts
+++ b/packages/serving-node/src/configuration_follower.test.ts
@@ -135,4 +135,44 @@
   assert.is(follower.ageMs, 30);
 });
 
+// Guards against falling back to the older configuration of a copy of the store.
+test('a copy of the store does not replace the configuration in force', async () => {
+  const {topic, follower, advance} = startFollower({isReader: true});
+  topic.put(KEY, '5');
+  await advance(1_000);
+  topic.restore(1);
+  await advance(1_000);
+  assert.is(follower.version, 5);
+  assert.equal(
+    follower.recordsInForce.map(({value}) => String(value)),
+    ['5'],
+  );
+});
+
+// Guards against missing what the operator writes next, whatever its version.
+test('what is written after a copy came back is in force', async () => {
+  const {topic, follower, advance} = startFollower({isReader: true});
+  topic.put(KEY, '5');
+  await advance(1_000);
+  topic.restore(1);
+  await advance(1_000);
+  topic.put(KEY, '4');
+  await advance(1_000);
+  assert.is(follower.version, 4);
+  // A peer that has not read it yet.
+  follower.applyFromPeer([{key: KEY, value: Buffer.from('5'), offset: 1}]);
+  assert.is(follower.version, 4);
+  topic.put(KEY, '6');
+  await advance(1_000);
+  assert.is(follower.version, 6);
+});
+
+// Guards against a new node that stays at the version of the copy.
+test('a peer passes on the version in force to a node that read a copy', async () => {
+  const {follower, advance} = startFollower();
+  await advance(100);
+  follower.applyFromPeer([{key: KEY, value: Buffer.from('5'), offset: 0}]);
+  assert.is(follower.version, 5);
+});
+
 test.run();
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -6,6 +6,7 @@
   KeyedFollower,
   type KeyedRecord,
   KeyedTable,
+  type ReadKind,
 } from '@mimosatack/keyed-store';
 import {type RandomSource} from '@mimosatack/random';
 import {type PeriodicTimer, startPeriodic} from '@mimosatack/tasks';
@@ -65,14 +66,18 @@
 const CHECK_INTERVAL_MS = 250;
 
 /**
- * Guards against reverting to an older version, received from a lagging peer or
- * a slow read: within a process, versions only increase.
+ * Guards against reverting to an older version, received from a lagging peer, a slow read
+ * or a store that came back from a copy: only what the store writes after another version
+ * may replace it with a lower one.
  */
 export class ConfigurationFollower {
   readonly table = new KeyedTable();
   private readonly follower: KeyedFollower;
   private readonly clock: SuspensionAwareClock;
   private current: ServingConfiguration | null = null;
+  private inForce: KeyedRecord | null = null;
+  /** Whether the store wrote it while this node followed; a snapshot may be of a copy. */
+  private isLatestWrite = false;
   /** Time as of which other nodes have confirmed the current version. */
   private peerConfirmedAsOfMs = -Infinity;
   /** Confirms a version that this node has not received yet. */
@@ -90,7 +95,7 @@
       retryDelayMs: RETRY_DELAY_MS,
       maxRetryDelayMs: () =>
         options.isReader() ? RETRY_DELAY_MS : MAX_RETRY_DELAY_MS,
-      onChanges: changes => this.applyChanges(changes),
+      onChanges: (changes, kind) => this.applyRead(changes, kind),
       onLost: error => options.onLost(error),
       onRegained: () => options.onRegained(),
     });
@@ -182,26 +187,57 @@
     return Math.min(maxMs, revokeFraction * revokeMs);
   }
 
+  /** The record of the configuration in force, for peers; a copy may hold an older one. */
+  get recordsInForce(): readonly KeyedRecord[] {
+    return this.inForce ? [this.inForce] : [];
+  }
+
   applyFromPeer(records: readonly KeyedRecord[]): void {
-    this.applyChanges(this.table.applyRecords(Infinity, records, 0));
+    this.table.applyRecords(Infinity, records, 0);
+    const {inForce, isLatestWrite} = this;
+    const isApplied = this.apply(
+      records.filter(
+        ({offset}) => !isLatestWrite || offset > (inForce?.offset ?? -1),
+      ),
+      version => version > this.version,
+    );
+    if (isApplied) this.isLatestWrite = false;
   }
 
-  private applyChanges(changes: readonly KeyedChange[]): void {
+  private applyRead(changes: readonly KeyedChange[], kind: ReadKind): void {
+    const isApplied = this.apply(changes, version =>
+      kind === 'restored' ? version > this.version : version !== this.version,
+    );
+    if (isApplied) this.isLatestWrite = kind === 'increment';
+  }
+
+  /**
+   * Returns whether the newest configuration is now in force.
+   *
+   * @param mayReplace whether a version may replace the one in force
+   */
+  private apply(
+    changes: readonly KeyedChange[],
+    mayReplace: (version: number) => boolean,
+  ): boolean {
     const {platform, onConfiguration, onFault} = this.options;
     const newest = changes.findLast(
       ({key, value}) => key === platform.configurationKey && value !== null,
     );
-    if (!newest?.value) return;
+    if (!newest?.value) return false;
     try {
       const decoded = platform.decodeConfiguration(newest.value);
-      if (decoded.version <= this.version) return;
+      if (!mayReplace(decoded.version)) return false;
       this.current = decoded;
+      this.inForce = newest;
       const pending = this.pendingConfirmation;
       if (pending) this.noteConfirmed(pending.version, pending.asOfMs);
       onConfiguration(decoded);
+      return true;
     } catch (thrown) {
       // The last valid configuration stays in effect.
       onFault(thrown);
+      return false;
     }
   }
 }
--- a/packages/serving-node/src/containment_task.test.ts
+++ b/packages/serving-node/src/containment_task.test.ts
@@ -95,4 +95,17 @@
   assert.is.not(await readRecord(topic), null);
 });
 
+// Guards against a record that is lost with the store's last records and never written again.
+test('the record is written again after a copy without it came back', async () => {
+  const topic = new MemoryKeyedTopic();
+  const {task} = makeTask(topic);
+  contain(task);
+  const written = task.syncRecord();
+  topic.restore(0);
+  task.applyRecord(null);
+  await written;
+  await task.syncRecord();
+  assert.is.not(await readRecord(topic), null);
+});
+
 test.run();
--- a/packages/serving-node/src/node_register.test.ts
+++ b/packages/serving-node/src/node_register.test.ts
@@ -144,4 +144,32 @@
   follower.stop();
 });
 
+// Guards against a node that stays unregistered since it believes that its record is there.
+register(
+  'nodes register again in a store that came back from a copy',
+  async () => {
+    const {clock, topic, follower} = await startFollower(true);
+    await registerNode(topic, 'n1');
+    topic.restore(0);
+    await advance(clock, 200);
+    const listKeys = async () => {
+      const {records} = await topic.readSnapshot();
+      return records.map(({key}) => key).sort();
+    };
+    assert.equal(await listKeys(), ['n0']);
+    topic.restore(0);
+    topic.put(
+      'n0',
+      String(encodeNode({...makeNode('n0'), incarnation: 'old'})),
+    );
+    await advance(clock, 200);
+    const {records} = await topic.readSnapshot();
+    assert.equal(
+      records.map(({value}) => String(value)),
+      [String(encodeNode(makeNode('n0')))],
+    );
+    follower.stop();
+  },
+);
+
 register.run();
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -7,6 +7,7 @@
   type KeyedRecord,
   KeyedTable,
   type KeyedTopic,
+  type ReadKind,
 } from '@mimosatack/keyed-store';
 import {
   type RegisteredNode,
@@ -41,6 +42,8 @@
 const MIN_INTERVAL_MS = 100;
 const RETRY_DELAY_MS = 300;
 const MAX_RETRY_DELAY_MS = 2_400;
+/** Time for nodes to register again after the store came back from a copy. */
+const KEEP_UNLISTED_MS = 5_000;
 /** Longer than the reader takes to pass on a new node. */
 const UNKNOWN_GRACE_MS = 1_000;
 
@@ -54,6 +57,8 @@
   private readonly nodes = new Map<string, RegisteredNode>();
   readonly table = new KeyedTable();
   private unknownSinceMs = Infinity;
+  /** Nodes that a copy lacks, and the next snapshot has to list. */
+  private unconfirmed: RegisteredNode[] = [];
   /** Makes the next read due although another node passes records on. */
   private isReadForced = false;
   private isStopped = false;
@@ -70,7 +75,7 @@
       ...{retryDelayMs: RETRY_DELAY_MS},
       maxRetryDelayMs: () => MAX_RETRY_DELAY_MS,
       isNeeded: () => this.isReadDue(),
-      onChanges: changes => this.applyRead(changes),
+      onChanges: (changes, kind) => this.applyRead(changes, kind),
       onLost: error => options.onLost(error),
       onRegained: () => options.onRegained(),
     });
@@ -164,10 +169,39 @@
     return isDue;
   }
 
-  private applyRead(changes: readonly KeyedChange[]): void {
-    const first = Math.min(...changes.map(({offset}) => offset));
-    this.applyChanges(changes);
-    this.options.onRead(first);
+  private applyRead(changes: readonly KeyedChange[], kind: ReadKind): void {
+    if (kind === 'restored') this.applyRestored(changes);
+    else this.applyChanges(changes);
+    if (kind === 'snapshot') this.dropUnconfirmed();
+    if (changes.length === 0) return;
+    this.options.onRead(Math.min(...changes.map(({offset}) => offset)));
+  }
+
+  /**
+   * Keeps the nodes that the copy lacks until they have had time to register again, and
+   * writes the record of this node again if the copy lacks it.
+   */
+  private applyRestored(changes: readonly KeyedChange[]): void {
+    const {clock, self, recordReaders} = this.options;
+    this.applyChanges(changes.filter(({value}) => value !== null));
+    recordReaders.forEach((read, key) =>
+      read(this.table.get(key)?.value ?? null),
+    );
+    const stored = this.table.get(self.nodeName)?.value;
+    if (!stored || !isRecordOf(self, stored)) void this.register();
+    clock.setTimer(KEEP_UNLISTED_MS, () => {
+      this.unconfirmed = this.list().filter(
+        ({nodeName}) => nodeName !== self.nodeName && !this.table.get(nodeName),
+      );
+      if (this.unconfirmed.length > 0) this.follower.reload();
+    });
+  }
+
+  private dropUnconfirmed(): void {
+    this.unconfirmed
+      .filter(({nodeName}) => !this.table.get(nodeName))
+      .forEach(({nodeName}) => this.nodes.delete(nodeName));
+    this.unconfirmed = [];
   }
 
   private async register(retryDelayMs = RETRY_DELAY_MS): Promise<void> {
@@ -201,3 +235,7 @@
       });
   }
 }
+
+function isRecordOf(node: RegisteredNode, value: Uint8Array): boolean {
+  return Buffer.from(encodeNode(node)).equals(value);
+}
--- a/packages/serving-node/src/server_follower.test.ts
+++ b/packages/serving-node/src/server_follower.test.ts
@@ -22,7 +22,7 @@
   const faults: unknown[] = [];
   const follower = new ServerFollower({
     ...{clock: new ManualClock(), random: new SeededRandom(1)},
-    platform: START_TIME_DECODER,
+    platform: {...START_TIME_DECODER, serversTopic: new MemoryKeyedTopic()},
     ...{isReader: () => false, peerAgeMs: () => 0},
     ...{onChanges: () => undefined, onStateChange: () => undefined},
     ...{onRead: () => undefined, onFault: error => faults.push(error)},
@@ -173,4 +173,50 @@
   assert.is(follower.find('s1')?.startedAtMs, 1_000);
 });
 
+function makeRestored() {
+  const made = makeReader();
+  const {reader, write} = made;
+  const put = (id: string, state = 'ready') => write(id, {state, holds: 'm0'});
+  const listReady = () => reader.listReady('writers').map(({id}) => id);
+  return {...made, put, listReady};
+}
+
+// Guards against using servers that left since the copy was made.
+test('a copy of the store makes no server ready that leaves or has left', async () => {
+  const {topic, reader, write, put, advance, listReady} = makeRestored();
+  for (const id of ['s1', 's2', 's3']) await put(id);
+  reader.start();
+  await advance(1_000);
+  await put('s1', 'draining');
+  await write('s2', null);
+  await advance(1_000);
+  topic.restore(3);
+  await advance(1_000);
+  assert.equal(listReady(), ['s3']);
+  // Written again late, from before it left.
+  await put('s1');
+  await advance(1_000);
+  assert.equal(listReady(), ['s3']);
+  await put('s3', 'draining');
+  await advance(1_000);
+  assert.equal(listReady(), []);
+  reader.stop();
+});
+
+// Guards against losing servers that started since the copy was made, and against
+// keeping those that have gone.
+test('servers that a copy lacks stay until they had time to write again', async () => {
+  const {topic, reader, put, advance, listReady} = makeRestored();
+  for (const id of ['s1', 's2']) await put(id);
+  reader.start();
+  await advance(1_000);
+  topic.restore(0);
+  await advance(1_000);
+  assert.equal(listReady(), ['s1', 's2']);
+  await put('s1');
+  await advance(2_500);
+  assert.equal(listReady(), ['s1']);
+  reader.stop();
+});
+
 test.run();
--- a/packages/serving-node/src/server_follower.ts
+++ b/packages/serving-node/src/server_follower.ts
@@ -6,14 +6,17 @@
   KeyedFollower,
   type KeyedRecord,
   KeyedTable,
+  type ReadKind,
 } from '@mimosatack/keyed-store';
 import {type RandomSource} from '@mimosatack/random';
 import {
   type BackendServerEntry,
   type BackendServerId,
   type ServiceName,
+  compareIncarnations,
   formatAddress,
 } from '@mimosatack/types';
+import {DepartedServers} from './departed_servers.js';
 import {type PlatformAdapter} from './platform_adapter.js';
 import {ServerIncarnations} from './server_incarnations.js';
 
@@ -56,6 +59,10 @@
 const MAX_RETRY_DELAY_MS = 2_000;
 /** Twice the interval at which each server rewrites its entry. */
 const SNAPSHOT_AFTER_MS = 2_400;
+/** Time for servers to write their entries again after the store was restored. */
+const KEEP_UNLISTED_MS = 2_000;
+/** Time for servers to have written again all that the copy lacks. */
+const KEEP_LEAVING_MS = 10_000;
 /** Bounds the memory for errors that are reported only once. */
 const MAX_INVALID_IDS = 1_000;
 
@@ -76,6 +83,11 @@
   private readonly lives = new ServerIncarnations();
   /** Servers whose newest record could not be decoded. */
   private readonly invalidIds = new Set<BackendServerId>();
+  private readonly departed = new DepartedServers();
+  /** Servers that a copy lacks, and the next snapshot has to list. */
+  private unconfirmedIds: BackendServerId[] = [];
+  /** Until when entries of servers that had said that they leave are not believed. */
+  private leavingUntilMs = -Infinity;
   private readAtMs = -Infinity;
 
   constructor(private readonly options: ServerFollowerOptions) {
@@ -89,7 +101,7 @@
       maxRetryDelayMs: () =>
         options.isReader() ? RETRY_DELAY_MS : MAX_RETRY_DELAY_MS,
       isNeeded: () => this.isReadDue(),
-      onChanges: changes => this.applyRead(changes),
+      onChanges: (changes, kind) => this.applyRead(changes, kind),
       onLost: error => options.onLost(error),
       onRegained: () => options.onRegained(),
     });
@@ -139,7 +151,7 @@
     this.routingTable.applyRecords(fromOffset, records, endOffset);
     // Keeps the read offset, because peers pass on only some of the changes.
     const newer = this.table.applyRecords(Infinity, records, 0);
-    this.apply(newer.flatMap(change => this.decode(change)));
+    this.apply(this.keepLeaving(newer.flatMap(change => this.decode(change))));
   }
 
   private isReadDue(): boolean {
@@ -151,10 +163,74 @@
     return true;
   }
 
-  private applyRead(changes: readonly KeyedChange[]): void {
-    const decoded = changes
+  private applyRead(changes: readonly KeyedChange[], kind: ReadKind): void {
+    const current = changes
       .flatMap(change => this.decode(change))
       .filter(change => this.isCurrent(change));
+    const decoded =
+      kind === 'restored' ? this.reconcile(current) : this.keepLeaving(current);
+    this.applyDecoded(changes, decoded);
+    if (kind === 'snapshot') this.dropUnconfirmed();
+  }
+
+  /**
+   * Takes from a copy of the store only what cannot be older than what is known: servers
+   * that were not known, those that leave, and later processes. The servers that it lacks
+   * stay until they have had time to write their entries again.
+   */
+  private reconcile(decoded: readonly ServerChange[]): ServerChange[] {
+    const {clock} = this.options;
+    this.leavingUntilMs = clock.monotonicMs() + KEEP_LEAVING_MS;
+    this.departed.recordRestored(
+      this.list().filter(({id}) => !this.invalidIds.has(id)),
+    );
+    clock.setTimer(KEEP_UNLISTED_MS, () => {
+      this.unconfirmedIds = [...this.entries.keys()].filter(
+        id => !this.table.get(id),
+      );
+      if (this.unconfirmedIds.length > 0) this.follower.reload();
+    });
+    return decoded.filter(({id, entry}) => {
+      if (!entry || this.departed.hasDeparted(entry)) return false;
+      const known = this.entries.get(id);
+      return (
+        !known ||
+        entry.state === 'draining' ||
+        compareIncarnations(entry.startedAtMs, known.startedAtMs) === 'later'
+      );
+    });
+  }
+
+  /**
+   * A server that had said that it leaves does not become ready again by an entry that is
+   * written again after the store was restored.
+   */
+  private keepLeaving(decoded: readonly ServerChange[]): ServerChange[] {
+    const isOver = this.options.clock.monotonicMs() >= this.leavingUntilMs;
+    if (isOver) return [...decoded];
+    return decoded.map(change =>
+      change.entry && this.departed.hadSaidSo(change.entry)
+        ? {...change, entry: {...change.entry, state: 'draining'}}
+        : change,
+    );
+  }
+
+  private dropUnconfirmed(): void {
+    const offset = this.table.endOffset - 1;
+    const missing = this.unconfirmedIds
+      .filter(id => !this.table.get(id))
+      .map(key => ({key, value: null, offset}));
+    this.unconfirmedIds = [];
+    this.applyDecoded(
+      missing,
+      missing.map(({key}) => ({id: key, entry: null, offset})),
+    );
+  }
+
+  private applyDecoded(
+    changes: readonly KeyedChange[],
+    decoded: readonly ServerChange[],
+  ): void {
     const ids = new Set(
       decoded.filter(change => this.affectsRouting(change)).map(({id}) => id),
     );
@@ -188,6 +264,10 @@
       if (this.entries.get(id)?.state !== entry?.state) {
         this.options.onStateChange(change);
       }
+      const known = this.entries.get(id);
+      if (known && !entry && !this.invalidIds.has(id)) {
+        this.departed.recordRemoved(known);
+      }
       if (entry) this.entries.set(id, entry);
       else this.entries.delete(id);
     });
--- a/packages/serving-node/src/shared_records.ts
+++ b/packages/serving-node/src/shared_records.ts
@@ -42,7 +42,10 @@
     return {
       type: 'records',
       ...{topic, fromOffset, endOffset: table.endOffset},
-      records: table.listSince(fromOffset),
+      records:
+        topic === 'configuration'
+          ? [...this.options.configuration.recordsInForce]
+          : table.listSince(fromOffset),
     };
   }
 
--- a/packages/serving-node/src/stored_record.ts
+++ b/packages/serving-node/src/stored_record.ts
@@ -17,12 +17,15 @@
   /** Last value known to be in the store. */
   private stored: Uint8Array | null = null;
   private isWriting = false;
+  /** How often a stored value was noted. */
+  private notes = 0;
 
   constructor(private readonly options: StoredRecordOptions) {}
 
   /** Has to be called with each value that is read from the store. */
   noteStored(value: Uint8Array | null): void {
     this.stored = value;
+    this.notes += 1;
   }
 
   /** Writes the record if it has changed; has to be called periodically. */
@@ -32,9 +35,11 @@
     const value = encode();
     if (areEqual(value, this.stored)) return;
     this.isWriting = true;
+    const {notes} = this;
     try {
       await topic.append([{key, value}]);
-      this.stored = value;
+      // A value that was read meanwhile may be from a copy without this record.
+      if (notes === this.notes) this.stored = value;
     } catch (thrown) {
       // The next call writes the record again.
       onFault(toTypedError(thrown));
