Take no older value of a node or a record from a copy of the store for newer

What would be seen: a request that had been served since the copy was made is contained again, and hosts that registered again since count under their former processes, or not at all, until they write again.

Cause: records of the nodes' topic that a copy holds were applied like records that are written, by the node that reads and by those that it passes them on to.

Change: from a copy only unknown nodes are taken; after 5 s what the store lists replaces what was kept. Records of contained requests and of services at several versions are noted as what the store holds, so that the writer replaces them, and not applied.

Tests: node_register and containment_task failed with the older incarnation, and with the request contained again.

--- a/packages/serving-node/src/containment_task.test.ts
+++ b/packages/serving-node/src/containment_task.test.ts
@@ -102,10 +102,26 @@
   contain(task);
   const written = task.syncRecord();
   topic.restore(0);
-  task.applyRecord(null);
+  task.noteStored(null);
   await written;
   await task.syncRecord();
   assert.is.not(await readRecord(topic), null);
 });
 
+// Guards against containing again what was served since the copy was made.
+test('the record of a copy contains nothing and is replaced', async () => {
+  const topic = new MemoryKeyedTopic();
+  const {task} = makeTask(topic);
+  contain(task);
+  await task.syncRecord();
+  const old = await readRecord(topic);
+  task.containment.recordSuccess(['bad']);
+  await task.syncRecord();
+  topic.restore(1);
+  task.noteStored(old);
+  assert.not(task.containment.isContained('bad'));
+  await task.syncRecord();
+  assert.is(await readRecord(topic), null);
+});
+
 test.run();
--- a/packages/serving-node/src/containment_task.ts
+++ b/packages/serving-node/src/containment_task.ts
@@ -82,6 +82,11 @@
     };
   }
 
+  /** Takes the record as what the store holds, without believing it. */
+  noteStored(value: Uint8Array | null): void {
+    this.record.noteStored(value);
+  }
+
   /** Applies the record, read from the store or received from a peer. */
   applyRecord(value: Uint8Array | null): void {
     this.record.noteStored(value);
--- a/packages/serving-node/src/node_register.test.ts
+++ b/packages/serving-node/src/node_register.test.ts
@@ -144,6 +144,35 @@
   follower.stop();
 });
 
+// Guards against older records of other nodes, and against nodes that the copy lacks.
+register(
+  'nodes are kept while a copy holds older records of them',
+  async () => {
+    const {clock, topic, follower} = await startFollower(false);
+    const put = (name: string, incarnation: string) =>
+      topic.put(name, String(encodeNode({...makeNode(name), incarnation})));
+    const list = () =>
+      follower
+        .list()
+        .map(({nodeName, incarnation}) => `${nodeName}/${incarnation}`);
+    put('n1', 'first');
+    put('n1', 'second');
+    put('n2', 'first');
+    await advance(clock, 200);
+    const known = ['n0/n0-life', 'n1/second', 'n2/first'];
+    assert.equal(list(), known);
+    topic.restore(2);
+    await advance(clock, 200);
+    assert.equal(list(), known);
+    put('n1', 'third');
+    await advance(clock, 200);
+    assert.equal(list(), ['n0/n0-life', 'n1/third', 'n2/first']);
+    await advance(clock, 6_000);
+    assert.equal(list(), ['n0/n0-life', 'n1/third']);
+    follower.stop();
+  },
+);
+
 // Guards against a node that stays unregistered since it believes that its record is there.
 register(
   'nodes register again in a store that came back from a copy',
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -8,6 +8,7 @@
   KeyedTable,
   type KeyedTopic,
   type ReadKind,
+  findEra,
 } from '@mimosatack/keyed-store';
 import {
   type RegisteredNode,
@@ -16,6 +17,14 @@
 } from '@mimosatack/node-links';
 import {type RandomSource} from '@mimosatack/random';
 
+/** Receives the values of one record. */
+export interface RecordReader {
+  /** Called with each value that is written. */
+  applyRecord(value: Uint8Array | null): void;
+  /** Called with the value in a copy of the store, which may be older than known ones. */
+  noteStored(value: Uint8Array | null): void;
+}
+
 export interface NodeRegisterOptions {
   clock: Clock;
   random: RandomSource;
@@ -27,8 +36,8 @@
   isUpdatedByPeer: () => boolean;
   /** Called with the first offset of new records for peers. */
   onRead: (fromOffset: number) => void;
-  /** Other records in the same topic, by key; called with their values. */
-  recordReaders: ReadonlyMap<string, (value: Uint8Array | null) => void>;
+  /** Readers of other records in the same topic, by key. */
+  recordReaders: ReadonlyMap<string, RecordReader>;
   onRemoved: (nodeName: string) => void;
   onLost: (error: TypedError) => void;
   onRegained: () => void;
@@ -43,7 +52,7 @@
 const RETRY_DELAY_MS = 300;
 const MAX_RETRY_DELAY_MS = 2_400;
 /** Time for nodes to register again after the store came back from a copy. */
-const KEEP_UNLISTED_MS = 5_000;
+const KEEP_KNOWN_MS = 5_000;
 /** Longer than the reader takes to pass on a new node. */
 const UNKNOWN_GRACE_MS = 1_000;
 
@@ -57,8 +66,8 @@
   private readonly nodes = new Map<string, RegisteredNode>();
   readonly table = new KeyedTable();
   private unknownSinceMs = Infinity;
-  /** Nodes that a copy lacks, and the next snapshot has to list. */
-  private unconfirmed: RegisteredNode[] = [];
+  /** Whether the next snapshot replaces what was kept after the store was restored. */
+  private isAdoptionDue = false;
   /** Makes the next read due although another node passes records on. */
   private isReadForced = false;
   private isStopped = false;
@@ -139,7 +148,11 @@
     records: readonly KeyedRecord[],
     endOffset: number,
   ): void {
-    this.applyChanges(this.table.applyRecords(fromOffset, records, endOffset));
+    const isNextEra = findEra(endOffset) > findEra(this.table.endOffset);
+    const isFromCopy = isNextEra && this.table.endOffset > 0;
+    const changes = this.table.applyRecords(fromOffset, records, endOffset);
+    if (isFromCopy) this.applyCopy(changes);
+    else this.applyChanges(changes);
   }
 
   /** Reads the store when other nodes keep naming a node unknown here. */
@@ -172,36 +185,56 @@
   private applyRead(changes: readonly KeyedChange[], kind: ReadKind): void {
     if (kind === 'restored') this.applyRestored(changes);
     else this.applyChanges(changes);
-    if (kind === 'snapshot') this.dropUnconfirmed();
+    if (kind === 'snapshot' && this.isAdoptionDue) this.adoptTable();
     if (changes.length === 0) return;
     this.options.onRead(Math.min(...changes.map(({offset}) => offset)));
   }
 
-  /**
-   * Keeps the nodes that the copy lacks until they have had time to register again, and
-   * writes the record of this node again if the copy lacks it.
-   */
+  /** Writes the record of this node again if the copy lacks it. */
   private applyRestored(changes: readonly KeyedChange[]): void {
-    const {clock, self, recordReaders} = this.options;
-    this.applyChanges(changes.filter(({value}) => value !== null));
-    recordReaders.forEach((read, key) =>
-      read(this.table.get(key)?.value ?? null),
-    );
+    const {clock, self} = this.options;
+    this.applyCopy(changes);
     const stored = this.table.get(self.nodeName)?.value;
     if (!stored || !isRecordOf(self, stored)) void this.register();
-    clock.setTimer(KEEP_UNLISTED_MS, () => {
-      this.unconfirmed = this.list().filter(
-        ({nodeName}) => nodeName !== self.nodeName && !this.table.get(nodeName),
-      );
-      if (this.unconfirmed.length > 0) this.follower.reload();
+    clock.setTimer(KEEP_KNOWN_MS, () => {
+      this.isAdoptionDue = true;
+      this.follower.reload();
     });
   }
 
-  private dropUnconfirmed(): void {
-    this.unconfirmed
-      .filter(({nodeName}) => !this.table.get(nodeName))
-      .forEach(({nodeName}) => this.nodes.delete(nodeName));
-    this.unconfirmed = [];
+  /**
+   * Takes from a copy of the store only what is not known. What it lacks, or holds older
+   * values of, stays until the nodes have had time to write again.
+   */
+  private applyCopy(changes: readonly KeyedChange[]): void {
+    const {self, recordReaders} = this.options;
+    recordReaders.forEach((reader, key) =>
+      reader.noteStored(this.table.get(key)?.value ?? null),
+    );
+    const isKept = ({key, value}: KeyedChange) =>
+      recordReaders.has(key) ||
+      (key !== self.nodeName && (value === null || this.nodes.has(key)));
+    this.applyChanges(changes.filter(change => !isKept(change)));
+  }
+
+  /** Replaces all known nodes by those in the store. */
+  private adoptTable(): void {
+    const {self} = this.options;
+    this.isAdoptionDue = false;
+    this.nodes.clear();
+    this.nodes.set(self.nodeName, self);
+    this.setNodes(this.table.list());
+  }
+
+  private setNodes(records: readonly KeyedChange[]): void {
+    const {self, recordReaders} = this.options;
+    records
+      .filter(({key}) => key !== self.nodeName && !recordReaders.has(key))
+      .forEach(({key, value}) => {
+        const node = value && decodeNode(value);
+        if (node) this.nodes.set(key, node);
+        else this.nodes.delete(key);
+      });
   }
 
   private async register(retryDelayMs = RETRY_DELAY_MS): Promise<void> {
@@ -220,19 +253,15 @@
 
   private applyChanges(changes: readonly KeyedChange[]): void {
     const {self, recordReaders} = this.options;
-    changes.forEach(({key, value}) => recordReaders.get(key)?.(value));
+    changes.forEach(({key, value}) =>
+      recordReaders.get(key)?.applyRecord(value),
+    );
     const wasRemoved = changes.some(
       ({key, value}) => key === self.nodeName && value === null,
     );
     // Another node may remove this one as lost after a long freeze.
     if (wasRemoved) void this.register();
-    changes
-      .filter(({key}) => key !== self.nodeName && !recordReaders.has(key))
-      .forEach(({key, value}) => {
-        const node = value && decodeNode(value);
-        if (node) this.nodes.set(key, node);
-        else this.nodes.delete(key);
-      });
+    this.setNodes(changes);
   }
 }
 
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -25,7 +25,7 @@
 import {EntryPoints} from './entry_points.js';
 import {FaultLog} from './fault_log.js';
 import {NodeDeparture} from './node_departure.js';
-import {NodeRegister} from './node_register.js';
+import {NodeRegister, type RecordReader} from './node_register.js';
 import {type NodeSettings} from './node_settings.js';
 import {recordNodeState} from './node_state_metrics.js';
 import {SchedulingDuty} from './scheduling_duty.js';
@@ -286,9 +286,9 @@
       isUpdatedByPeer: () => this.links.viaHolder.receivesNodeRecords,
       onRead: fromOffset =>
         this.sharedRecords.broadcastSince('nodes', fromOffset),
-      recordReaders: new Map([
-        [CONTAINED_KEY, value => this.containment.applyRecord(value)],
-        [MIXED_SERVICES_KEY, value => this.streams.applyRecord(value)],
+      recordReaders: new Map<string, RecordReader>([
+        [CONTAINED_KEY, this.containment],
+        [MIXED_SERVICES_KEY, this.streams],
       ]),
       onRemoved: nodeName =>
         this.options.logger.log('node-lost', {lostNodeName: nodeName}),
--- a/packages/serving-node/src/stream_versions_task.ts
+++ b/packages/serving-node/src/stream_versions_task.ts
@@ -64,6 +64,11 @@
     this.origins.updateServers(this.options.listServers());
   }
 
+  /** Takes the record as what the store holds, without believing it. */
+  noteStored(value: Uint8Array | null): void {
+    this.record.noteStored(value);
+  }
+
   /** Applies the record, read from the store or received from a peer. */
   applyRecord(value: Uint8Array | null): void {
     this.record.noteStored(value);
