--- a/packages/serving-node/src/containment_task.test.ts
+++ b/packages/serving-node/src/containment_task.test.ts
@@ -8,10 +8,14 @@
 
 const test = suite('record of contained requests');
 
-function makeTask(topic: MemoryKeyedTopic, isWriter = true) {
+function makeTask(
+  topic: MemoryKeyedTopic,
+  isWriter = true,
+  clock = new ManualClock(),
+) {
   const faults: TypedError[] = [];
   const task = new ContainmentTask({
-    ...{clock: new ManualClock(), logger: new MemoryEventLogger(), topic},
+    ...{clock, logger: new MemoryEventLogger(), topic},
     ...{incarnation: 'n1', askHolder: () => Promise.resolve(null)},
     tellHolder: () => undefined,
     ...{isWriter: () => isWriter, onFault: error => faults.push(error)},
@@ -111,12 +115,14 @@
 // Guards against containing again what was served since the copy was made.
 test('the record of a copy contains nothing and is replaced', async () => {
   const topic = new MemoryKeyedTopic();
-  const {task} = makeTask(topic);
+  const clock = new ManualClock();
+  const {task} = makeTask(topic, true, clock);
   contain(task);
   await task.syncRecord();
   const old = await readRecord(topic);
   task.containment.recordSuccess(['bad']);
   await task.syncRecord();
+  clock.advance(1);
   topic.restore(1);
   task.noteStored(old);
   assert.not(task.containment.isContained('bad'));
