Decide on suspects once for many facts

With 1,000 to 2,000 suspects each fact cost 0.7 ms, as all suspects are looked at again; the scheduling node of 370 hosts takes facts with 1,480 heartbeats a second while servers crash. Parts of prompts make more suspects of each crash. Now the decision is made when a request asks for it, or after 50 ms: 0.03 to 0.06 ms a fact (both on a busy machine).

A test took a request for contained at a node that was told of its crashes and its success at once; it now says that the node has contained it in between, which it asserts.

--- a/packages/contain-requests/src/crash_exchange.test.ts
+++ b/packages/contain-requests/src/crash_exchange.test.ts
@@ -129,6 +129,7 @@
     ),
   );
   exchangeHeartbeat(second, holder);
+  assert.ok(second.containment.isContained('slow'));
   clock.advance(1);
   holder.containment.recordSuccess(['slow']);
   exchangeHeartbeat(second, holder);
--- a/packages/contain-requests/src/request_containment.ts
+++ b/packages/contain-requests/src/request_containment.ts
@@ -31,6 +31,8 @@
 
 /** Cuts at one server within this time are of one crash. */
 const MIN_RESTART_MS = 1_000;
+/** Bounds the time until a decision is logged that no request asks for. */
+const MAX_DECISION_DELAY_MS = 50;
 /** From the last crash until the first probe of a contained suspect. */
 const FIRST_PROBE_DELAY_MS = 30_000;
 /** Each probe that crashes a server multiplies the delay of the next one. */
@@ -40,9 +42,11 @@
 export class RequestContainment {
   readonly evidence: CrashEvidence;
   private readonly servedParts: ServedParts;
-  /** The contained suspects, each with the time of its next probe. */
+  /** The contained suspects, each with the time of its next probe; see `decide`. */
   private probeAtMs: ReadonlyMap<Suspect, number> = new Map();
-  /** Ends when the next suspect is contained. */
+  /** Whether facts were added since the last decision. */
+  private isOutdated = false;
+  /** Ends when the next decision is due. */
   private timer: Timer | null = null;
   private suspectedPaths: ReadonlySet<PathFingerprint> = new Set();
   private readonly activeProbes = new Set<Suspect>();
@@ -58,6 +62,7 @@
   }
 
   isPathSuspected(pathPrint: PathFingerprint): boolean {
+    this.decideIfOutdated();
     return this.suspectedPaths.has(pathPrint);
   }
 
@@ -79,6 +84,7 @@
   }
 
   isContained(suspect: Suspect): boolean {
+    this.decideIfOutdated();
     return this.probeAtMs.has(suspect);
   }
 
@@ -90,6 +96,7 @@
    * one probe of a suspect at a time, with growing delays, to limit crashes.
    */
   openProbe(suspects: readonly Suspect[]): boolean {
+    this.decideIfOutdated();
     const isDue = suspects.every(suspect => this.isProbeDue(suspect));
     if (!isDue || !this.options.isProbingNode()) return false;
     suspects.forEach(suspect => this.activeProbes.add(suspect));
@@ -173,10 +180,18 @@
   /** Merges facts of this node or of others. */
   mergeFacts(facts: readonly CrashFact[]): void {
     const isChanged = facts.map(fact => this.evidence.add(fact)).some(Boolean);
-    if (isChanged) this.updateContained();
+    if (!isChanged || this.isOutdated) return;
+    this.isOutdated = true;
+    this.scheduleDecision(MAX_DECISION_DELAY_MS);
   }
 
-  private updateContained(): void {
+  /** Decides at most once on many facts, since all suspects are looked at. */
+  private decideIfOutdated(): void {
+    if (this.isOutdated) this.decide();
+  }
+
+  private decide(): void {
+    this.isOutdated = false;
     this.evidence.expire();
     const {cutsBySuspect} = this.evidence;
     this.suspectedPaths = new Set(
@@ -195,20 +210,25 @@
           findNextProbeMs(cutsBySuspect.get(suspect) ?? new Map()),
         ]),
     );
-    this.scheduleUpdate(decided, nowMs);
+    this.scheduleNextDecision(decided, nowMs);
     this.logChanges(before, this.probeAtMs);
   }
 
-  private scheduleUpdate(decided: readonly Containment[], nowMs: number): void {
-    this.timer?.cancel();
+  /** Parts may be contained at a later time without another fact. */
+  private scheduleNextDecision(
+    decided: readonly Containment[],
+    nowMs: number,
+  ): void {
     const nextMs = Math.min(
       ...decided.map(({fromMs}) => fromMs).filter(fromMs => fromMs > nowMs),
     );
-    this.timer = Number.isFinite(nextMs)
-      ? this.options.clock.setTimer(nextMs - nowMs, () =>
-          this.updateContained(),
-        )
-      : null;
+    this.timer?.cancel();
+    if (Number.isFinite(nextMs)) this.scheduleDecision(nextMs - nowMs);
+  }
+
+  private scheduleDecision(delayMs: number): void {
+    this.timer?.cancel();
+    this.timer = this.options.clock.setTimer(delayMs, () => this.decide());
   }
 
   private logChanges(
