Let a lower configuration version replace another one only across a restore

What is written after the store came back from a copy may have any version. Within an era a lower one, such as a write that is carried out late, is still not taken: configuration_follower.test failed with version 3 in place of 6.

--- a/packages/serving-node/src/configuration_follower.test.ts
+++ b/packages/serving-node/src/configuration_follower.test.ts
@@ -164,6 +164,8 @@
   assert.is(follower.version, 4);
   topic.put(KEY, '6');
   await advance(1_000);
+  topic.put(KEY, '3');
+  await advance(1_000);
   assert.is(follower.version, 6);
 });
 
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -7,6 +7,7 @@
   type KeyedRecord,
   KeyedTable,
   type ReadKind,
+  findEra,
 } from '@mimosatack/keyed-store';
 import {type RandomSource} from '@mimosatack/random';
 import {type PeriodicTimer, startPeriodic} from '@mimosatack/tasks';
@@ -67,8 +68,7 @@
 
 /**
  * Guards against reverting to an older version, received from a lagging peer, a slow read
- * or a store that came back from a copy: only what the store writes after another version
- * may replace it with a lower one.
+ * or a store that came back from a copy: within an era of the store versions only increase.
  */
 export class ConfigurationFollower {
   readonly table = new KeyedTable();
@@ -195,30 +195,41 @@
   applyFromPeer(records: readonly KeyedRecord[]): void {
     this.table.applyRecords(Infinity, records, 0);
     const {inForce, isLatestWrite} = this;
-    const isApplied = this.apply(
-      records.filter(
-        ({offset}) => !isLatestWrite || offset > (inForce?.offset ?? -1),
-      ),
-      version => version > this.version,
-    );
+    const isApplied = this.apply(records, ({offset}, version) => {
+      const isOlderWrite = isLatestWrite && offset <= (inForce?.offset ?? -1);
+      return version > this.version && !isOlderWrite;
+    });
     if (isApplied) this.isLatestWrite = false;
   }
 
   private applyRead(changes: readonly KeyedChange[], kind: ReadKind): void {
-    const isApplied = this.apply(changes, version =>
-      kind === 'restored' ? version > this.version : version !== this.version,
+    const isApplied = this.apply(
+      changes,
+      (record, version) =>
+        version > this.version ||
+        (kind === 'increment' && this.isWrittenSinceRestore(record)),
     );
     if (isApplied) this.isLatestWrite = kind === 'increment';
   }
 
+  /** Whether the store lacks the configuration in force and has been given another. */
+  private isWrittenSinceRestore({offset, value}: KeyedChange): boolean {
+    const {inForce} = this;
+    if (!inForce?.value || !value) return false;
+    return (
+      findEra(offset) > findEra(inForce.offset) &&
+      !Buffer.from(inForce.value).equals(value)
+    );
+  }
+
   /**
    * Returns whether the newest configuration is now in force.
    *
-   * @param mayReplace whether a version may replace the one in force
+   * @param mayReplace whether a record of a version may replace the one in force
    */
   private apply(
     changes: readonly KeyedChange[],
-    mayReplace: (version: number) => boolean,
+    mayReplace: (record: KeyedChange, version: number) => boolean,
   ): boolean {
     const {platform, onConfiguration, onFault} = this.options;
     const newest = changes.findLast(
@@ -227,7 +238,7 @@
     if (!newest?.value) return false;
     try {
       const decoded = platform.decodeConfiguration(newest.value);
-      if (!mayReplace(decoded.version)) return false;
+      if (!mayReplace(newest, decoded.version)) return false;
       this.current = decoded;
       this.inForce = newest;
       const pending = this.pendingConfirmation;
