--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -117,7 +117,7 @@
     call: 'the call; a read waits for a change on purpose',
   }),
   'store.era': gauge(
-    'How often the platform\'s store has come back from a copy, as it counts.',
+    "How often the platform's store has come back from a copy, as it counts.",
     {},
   ),
   'dependencies.lost': counter('Times that a dependency was lost.', {
