Let a request run again that was lost only beside a part that crashes servers

Cause: a request is judged by its own crashes alone.

Change: if contained parts explain all crashes of a request, it is contained for 5 s after the last one, and then runs under its lease, one copy at a time.

--- a/packages/contain-requests/src/decide_containment.test.ts
+++ b/packages/contain-requests/src/decide_containment.test.ts
@@ -25,7 +25,8 @@
 test('a part that was lost with three servers is contained at once', () => {
   const cuts = makeCuts('abc');
   const [only] = decideContainment(new Map([['part:bad', cuts]]));
-  assert.equal(only, {suspect: 'part:bad', fromMs: cuts.get('c')?.atMs});
+  assert.is(only?.suspect, 'part:bad');
+  assert.is(only?.fromMs, cuts.get('c')?.atMs);
   assert.equal(decide({'part:bad': makeCuts('ab')}), []);
 });
 
@@ -43,7 +44,7 @@
     ]),
   );
   const fromMs = (cuts.get('c')?.atMs ?? 0) + 2_000;
-  assert.equal(decided, [{suspect: 'part:bad', fromMs}]);
+  assert.equal(decided, [{suspect: 'part:bad', fromMs, untilMs: Infinity}]);
 });
 
 test('servers that are lost together count as one crash', () => {
@@ -65,4 +66,19 @@
   assert.equal(decide(cuts), ['part:b1', 'part:b2']);
 });
 
+// Guards against refusing a request for long that was lost with three servers beside a part
+// that crashes them.
+test('a request that was beside a crashing part is contained for 5 s', () => {
+  const findUntilMs = (servers: string) =>
+    decideContainment(
+      new Map([
+        ['part:bad', makeCuts('abcde')],
+        ['beside', makeCuts(servers)],
+      ]),
+    ).find(({suspect}) => suspect === 'beside')?.untilMs;
+  const lastCutMs = makeCuts('d').get('d')?.atMs ?? 0;
+  assert.is(findUntilMs('bcd'), lastCutMs + 5_000);
+  assert.is(findUntilMs('def'), Infinity);
+});
+
 test.run();
--- a/packages/contain-requests/src/decide_containment.ts
+++ b/packages/contain-requests/src/decide_containment.ts
@@ -4,6 +4,7 @@
   type Cut,
   type CutsByIncarnation,
   type ServerIncarnation,
+  findLastCutMs,
 } from './crash_evidence.js';
 
 /**
@@ -19,10 +20,17 @@
 /** Time for successes, and for the cuts of other parts, to arrive from all nodes. */
 const SETTLE_MS = 2_000;
 
+/**
+ * After its last crash a request that was only beside parts that crash servers may run
+ * again, one copy at a time.
+ */
+const MAX_EXPLAINED_MS = 5_000;
+
+/** Times are on the monotonic clock. */
 export interface Containment {
   suspect: Suspect;
-  /** On the monotonic clock; the suspect is contained from then on. */
   fromMs: number;
+  untilMs: number;
 }
 
 interface PartCuts {
@@ -38,27 +46,44 @@
   const suspects = [...cutsBySuspect].filter(
     ([, cuts]) => cuts.size >= CRASHES_TO_CONTAIN,
   );
-  const requests = suspects
-    .filter(([suspect]) => !isPartSuspect(suspect))
-    .map(([suspect]) => ({suspect, fromMs: -Infinity}));
   const parts = suspects
     .filter(([suspect]) => isPartSuspect(suspect))
     .map(([part, cuts]) => ({part, cuts, recentUses: findRecentUses(cuts)}));
-  return [...requests, ...explainCrashes(parts)];
+  const explained = new Set<ServerIncarnation>();
+  const containedParts = explainCrashes(parts, explained);
+  const requests = suspects
+    .filter(([suspect]) => !isPartSuspect(suspect))
+    .map(([suspect, cuts]) => containRequest(suspect, cuts, explained));
+  return [...requests, ...containedParts];
+}
+
+function containRequest(
+  suspect: Suspect,
+  cuts: CutsByIncarnation,
+  explained: ReadonlySet<ServerIncarnation>,
+): Containment {
+  const isExplained = [...cuts.keys()].every(life => explained.has(life));
+  return {
+    ...{suspect, fromMs: -Infinity},
+    untilMs: isExplained ? findLastCutMs(cuts) + MAX_EXPLAINED_MS : Infinity,
+  };
 }
 
 /**
  * A part is contained only for crashes that no part before it explains. Parts that were
  * not served of late come first. Guards against containing what most prompts share, which
- * is lost with each server, or what was only beside the part that crashes servers.
+ * is lost with each server, or what was only beside the part that crashes servers. Adds the
+ * crashes to `explained`.
  */
-function explainCrashes(parts: readonly PartCuts[]): Containment[] {
-  const explained = new Set<ServerIncarnation>();
+function explainCrashes(
+  parts: readonly PartCuts[],
+  explained: Set<ServerIncarnation>,
+): Containment[] {
   return [...parts].sort(compareParts).flatMap(part => {
     const fromMs = findContainedFromMs(part, explained);
     if (!Number.isFinite(fromMs)) return [];
     [...part.cuts.keys()].forEach(life => explained.add(life));
-    return [{suspect: part.part, fromMs}];
+    return [{suspect: part.part, fromMs, untilMs: Infinity}];
   });
 }
 
--- a/packages/contain-requests/src/request_containment.ts
+++ b/packages/contain-requests/src/request_containment.ts
@@ -204,7 +204,7 @@
     const before = this.probeAtMs;
     this.probeAtMs = new Map(
       decided
-        .filter(({fromMs}) => fromMs <= nowMs)
+        .filter(({fromMs, untilMs}) => fromMs <= nowMs && nowMs < untilMs)
         .map(({suspect}) => [
           suspect,
           findNextProbeMs(cutsBySuspect.get(suspect) ?? new Map()),
@@ -214,13 +214,15 @@
     this.logChanges(before, this.probeAtMs);
   }
 
-  /** Parts may be contained at a later time without another fact. */
+  /** Containment may begin or end at a later time without another fact. */
   private scheduleNextDecision(
     decided: readonly Containment[],
     nowMs: number,
   ): void {
     const nextMs = Math.min(
-      ...decided.map(({fromMs}) => fromMs).filter(fromMs => fromMs > nowMs),
+      ...decided
+        .flatMap(({fromMs, untilMs}) => [fromMs, untilMs])
+        .filter(atMs => atMs > nowMs),
     );
     this.timer?.cancel();
     if (Number.isFinite(nextMs)) this.scheduleDecision(nextMs - nowMs);
