--- /dev/null
+++ b/packages/share-capacity/src/team_lane.ts
@@ -0,0 +1,114 @@
+/** The waiting items of one team. */
+import {type ShareItem} from './share_item.js';
+
+/**
+ * Share of a team's capacity that a less urgent priority gets while it waits. It keeps work with
+ * a distant objective going, and takes too little to delay urgent requests noticeably.
+ */
+export const MIN_PRIORITY_SHARE = 0.1;
+
+/** The waiting items of one priority, earliest objective first. */
+class PriorityQueue<T extends ShareItem> {
+  readonly items: T[] = [];
+  /** Cost started since the queue was last empty, plus what was not owed before. */
+  startedCost = 0;
+
+  constructor(readonly priority: number) {}
+
+  add(item: T): void {
+    this.items.splice(this.countDueBy(item.dueAtMs), 0, item);
+  }
+
+  remove(item: T): void {
+    const at = this.items.indexOf(item);
+    if (at >= 0) this.items.splice(at, 1);
+  }
+
+  /** The number of items that are due at the time or before. */
+  countDueBy(timeMs: number): number {
+    let low = 0;
+    let high = this.items.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if ((this.items[middle] as T).dueAtMs <= timeMs) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+}
+
+export class TeamLane<T extends ShareItem> {
+  /** Most urgent first. */
+  private queues: PriorityQueue<T>[] = [];
+  private startedCost = 0;
+  private count = 0;
+
+  get size(): number {
+    return this.count;
+  }
+
+  /** Cost of all items that have started. */
+  get totalCost(): number {
+    return this.startedCost;
+  }
+
+  add(item: T): void {
+    const queue = this.getOrAddQueue(item.priority);
+    // A priority that did not wait has no claim on what was started meanwhile.
+    if (queue.items.length === 0) {
+      queue.startedCost = Math.max(
+        queue.startedCost,
+        MIN_PRIORITY_SHARE * this.startedCost,
+      );
+    }
+    queue.add(item);
+    this.count += 1;
+  }
+
+  remove(item: T): void {
+    this.findQueue(item.priority)?.remove(item);
+    this.count -= 1;
+  }
+
+  recordStart({priority, cost}: ShareItem): void {
+    this.startedCost += cost;
+    this.getOrAddQueue(priority).startedCost += cost;
+  }
+
+  /** The waiting items of each priority, split by whether they can still be on time. */
+  split(nowMs: number): PrioritySplit<T>[] {
+    return this.queues
+      .filter(({items}) => items.length > 0)
+      .map(queue => {
+        const lateCount = queue.countDueBy(nowMs);
+        return {
+          priority: queue.priority,
+          startedCost: queue.startedCost,
+          onTime: queue.items.slice(lateCount),
+          late: queue.items.slice(0, lateCount),
+        };
+      });
+  }
+
+  private findQueue(priority: number): PriorityQueue<T> | undefined {
+    return this.queues.find(queue => queue.priority === priority);
+  }
+
+  private getOrAddQueue(priority: number): PriorityQueue<T> {
+    const known = this.findQueue(priority);
+    if (known) return known;
+    const added = new PriorityQueue<T>(priority);
+    this.queues = [...this.queues, added].sort(
+      (a, b) => a.priority - b.priority,
+    );
+    return added;
+  }
+}
+
+export interface PrioritySplit<T> {
+  priority: number;
+  /** Cost of the started items of the priority. */
+  startedCost: number;
+  onTime: T[];
+  late: T[];
+}
