Assign engines to waiting requests by the shares of teams

With one queue by urgency, the requests of a team that sends ten times its usual amount are ahead of all others, and small teams are refused. Where the configuration names two teams or more, the scheduling node now offers free places in the order of share-capacity: the team that has used least goes first, counted in prompt tokens and ten times the output tokens. Within a team, requests that can still be on time go first, then the urgent, and a less urgent priority keeps a tenth.

Asks carry the team; without teams, and from nodes of the previous release, the order is as before. Tested without a network; not yet measured.

--- a/packages/bench-scheduling/src/engine_batch.test.ts
+++ b/packages/bench-scheduling/src/engine_batch.test.ts
@@ -19,6 +19,7 @@
       endsAtMs: 8_000,
       excluded: new Set(),
       softwareVersion: null,
+      team: null,
       allowed: null,
       nodeId: 'n1',
     },
--- a/packages/bench-scheduling/src/traffic.ts
+++ b/packages/bench-scheduling/src/traffic.ts
@@ -111,6 +111,7 @@
         endsAtMs: atMs + kind.patienceMs,
         excluded: new Set(),
         softwareVersion: null,
+        team: null,
         allowed: null,
         nodeId: 'n1',
       },
--- a/packages/schedule-models/src/engine_replaced.test.ts
+++ b/packages/schedule-models/src/engine_replaced.test.ts
@@ -29,7 +29,7 @@
       ...{promptTokens: 100, outputTokens: 10, priority: 0, arrivedAtMs: 0},
       gapMs: 300,
       ...{dueAtMs: 2_000, endsAtMs: 8_000, excluded: new Set()},
-      ...{allowed: null, softwareVersion: null, nodeId: 'n1'},
+      ...{allowed: null, softwareVersion: null, team: null, nodeId: 'n1'},
     },
     0,
   );
--- a/packages/schedule-models/src/prompt_pacing.test.ts
+++ b/packages/schedule-models/src/prompt_pacing.test.ts
@@ -28,6 +28,7 @@
       excluded: new Set(),
       allowed: null,
       softwareVersion: null,
+      team: null,
       nodeId: 'n1',
     },
   };
--- a/packages/schedule-models/src/scheduled_request.ts
+++ b/packages/schedule-models/src/scheduled_request.ts
@@ -6,6 +6,7 @@
   type ModelName,
   type ServerStartMs,
   type ServiceName,
+  type TeamName,
   isVersionAllowed,
 } from '@mimosatack/types';
 
@@ -34,6 +35,8 @@
   allowed: ReadonlySet<BackendServerId> | null;
   /** The only software version that a stream may continue at; null for any. */
   softwareVersion: string | null;
+  /** The team of the caller; null for requests without a key. */
+  team: TeamName | null;
   /** The requesting node; engines may be unreachable from some nodes only. */
   nodeId: string;
 }
@@ -62,6 +65,13 @@
   | 'unreachable'
   | 'neutral';
 
+/** Whether the result proves that the engine has not run the request. */
+export function isNotRun(result: RunResult | 'answered'): boolean {
+  return (
+    result === 'not-taken' || result === 'not-held' || result === 'unreachable'
+  );
+}
+
 export type RefusalReason =
   /** The model or the adapter is not configured. */
   | 'unknown-model'
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -14,6 +14,7 @@
   type BackendServerId,
   type ModelName,
   type ServiceSpec,
+  type TeamName,
   isVersionAllowed,
 } from '@mimosatack/types';
 import {EngineAccess} from './engine_access.js';
@@ -36,6 +37,7 @@
   type PlannedOrder,
   type RunResult,
   type ScheduledRequest,
+  isNotRun,
 } from './scheduled_request.js';
 import {
   type Batch,
@@ -109,8 +111,13 @@
     return this.engines.list();
   }
 
-  configure(services: readonly ServiceSpec[]): void {
+  /** @param teamWeights shares of teams; null to serve requests by urgency alone. */
+  configure(
+    services: readonly ServiceSpec[],
+    teamWeights: ReadonlyMap<TeamName, number> | null = null,
+  ): void {
     this.catalogue.replace(services);
+    this.waiting.setShares(teamWeights);
   }
 
   /** Adds a server or applies its changed entry. */
@@ -165,7 +172,10 @@
     nowMs: number,
   ): void {
     this.dequeue(request.askId);
-    this.engines.get(engineId)?.startRun(request, nowMs);
+    const engine = this.engines.get(engineId);
+    if (!engine || engine.runs.has(request.askId)) return;
+    engine.startRun(request, nowMs);
+    this.waiting.recordRunning(request);
   }
 
   /** Removes a waiting request. */
@@ -191,6 +201,7 @@
     if (!engine || !request) return;
     engine.endRun(askId, result === 'served' ? ttfbMs : null, nowMs);
     this.access.recordResult(engine, request, result, nowMs);
+    if (isNotRun(result)) this.waiting.recordNotRun(request);
     if (result === 'not-held') {
       engine.recordMissing(request.model, request.adapter, nowMs);
     }
@@ -260,7 +271,8 @@
   }
 
   private assignWaiting(nowMs: number): Decision[] {
-    return this.waiting.listByUrgency().flatMap(request => {
+    const decisions: Decision[] = [];
+    this.waiting.startEach(nowMs, request => {
       const ready = listReadyEngines(this.listHolders(request), request, nowMs);
       const usable = this.access.listUsable(ready, request, nowMs);
       // Models are loaded elsewhere only for requests that are not deferred.
@@ -268,19 +280,17 @@
       const engine = this.deferred.pickEngine(request, usable, nowMs, one =>
         this.isContinuable(one, request, nowMs),
       );
-      if (!engine) return [];
-      this.dequeue(request.askId);
+      if (!engine) return false;
+      this.deferred.remove(request.askId);
       this.refusals.reset(request.service, request.model);
       engine.startRun(request, nowMs);
       engine.limit.recordAssigned(nowMs);
-      return [
-        {
-          kind: 'assign' as const,
-          askId: request.askId,
-          engineId: engine.id,
-        },
-      ];
+      decisions.push({
+        ...{kind: 'assign', askId: request.askId, engineId: engine.id},
+      });
+      return true;
     });
+    return decisions;
   }
 
   /**
@@ -320,7 +330,7 @@
 
   private orderAdapters(nowMs: number): Decision[] {
     return this.waiting
-      .listByUrgency()
+      .listInOrder(nowMs)
       .filter(({adapter}) => adapter !== null)
       .flatMap(request => {
         const plan = planAdapter(request, this.listHolders(request), nowMs);
@@ -334,7 +344,7 @@
     const {policy} = this.options;
     const context = this.makeSwapContext(nowMs);
     const unserved = this.waiting
-      .listByUrgency()
+      .listInOrder(nowMs)
       .filter(request => !this.deferred.has(request));
     const batches = groupBatches(unserved).filter(
       batch => !this.isBeingLoaded(batch, context),
@@ -368,7 +378,7 @@
   private startExtraCopies(context: SwapContext): Decision[] {
     if (this.deferred.isEmpty) return [];
     const heldBack = this.waiting
-      .listByUrgency()
+      .listInOrder(context.nowMs)
       .filter(request => this.deferred.has(request));
     return groupBatches(heldBack).flatMap(batch => {
       if (this.isBeingLoaded(batch, context)) return [];
@@ -417,7 +427,7 @@
 
   private refuseUnservable(nowMs: number): Decision[] {
     const {catalogue, waiting} = this;
-    const refused = listRefusals(waiting.list(), waiting.listByUrgency(), {
+    const refused = listRefusals(waiting.list(), waiting.listInOrder(nowMs), {
       ...{nowMs, catalogue},
       areAllLeaving: service => this.engines.areAllLeaving(service),
       isVersionGone: request => this.engines.isVersionGone(request),
--- a/packages/schedule-models/src/scheduler_fixture.ts
+++ b/packages/schedule-models/src/scheduler_fixture.ts
@@ -48,6 +48,7 @@
       excluded: new Set(),
       allowed: null,
       softwareVersion: null,
+      team: null,
       nodeId: 'n1',
     },
   };
--- a/packages/schedule-models/src/waiting_requests.ts
+++ b/packages/schedule-models/src/waiting_requests.ts
@@ -1,35 +1,123 @@
 /** The queue of waiting requests. */
+import {
+  ANONYMOUS_TEAM,
+  type FairOrder,
+  type ShareItem,
+  VirtualCounters,
+} from '@mimosatack/share-capacity';
+import {type TeamName} from '@mimosatack/types';
 import {type ScheduledRequest} from './scheduled_request.js';
 
-/** Caches the sorted list, which each decision reads several times. */
+/** Cost of an output token relative to a prompt token. */
+const OUTPUT_WEIGHT = 10;
+
+interface RequestItem extends ShareItem {
+  request: ScheduledRequest;
+}
+
+/**
+ * Orders requests by urgency, or by the shares of teams once these are set. Caches the list,
+ * which each decision reads several times.
+ */
 export class WaitingRequests {
   private readonly requests = new Map<string, ScheduledRequest>();
+  /** Null while requests go by urgency alone. */
+  private shares: FairOrder<RequestItem> | null = null;
   private ordered: readonly ScheduledRequest[] | null = null;
+  private orderedAtMs = -Infinity;
 
   get size(): number {
     return this.requests.size;
   }
 
+  /** @param weights of teams; null to serve requests by urgency alone. */
+  setShares(weights: ReadonlyMap<TeamName, number> | null): void {
+    this.ordered = null;
+    if (!weights) {
+      this.shares = null;
+      return;
+    }
+    const shares = this.shares ?? this.makeShares();
+    shares.setWeights(weights);
+    this.shares = shares;
+  }
+
   add(request: ScheduledRequest): void {
     this.requests.set(request.askId, request);
+    this.shares?.add(toItem(request));
     this.ordered = null;
   }
 
   delete(askId: string): void {
-    if (!this.requests.delete(askId) || !this.ordered) return;
+    if (!this.requests.delete(askId)) return;
+    this.shares?.remove(askId);
+    if (!this.ordered) return;
     this.ordered = this.ordered.filter(request => request.askId !== askId);
   }
 
+  /** Charges a request that another scheduler or a node has assigned. */
+  recordRunning(request: ScheduledRequest): void {
+    this.shares?.recordStart(toItem(request));
+  }
+
+  /** Returns the charge of an assigned request that has not run. */
+  recordNotRun(request: ScheduledRequest): void {
+    this.shares?.recordNotRun(toItem(request));
+  }
+
+  /** Offers each request in order; one that starts no longer waits. */
+  startEach(
+    nowMs: number,
+    tryStart: (request: ScheduledRequest) => boolean,
+  ): void {
+    if (!this.shares) {
+      this.listInOrder(nowMs).forEach(request => {
+        if (tryStart(request)) this.delete(request.askId);
+      });
+      return;
+    }
+    this.shares.startEach(nowMs, ({request}) => {
+      const hasStarted = tryStart(request);
+      if (hasStarted) this.requests.delete(request.askId);
+      return hasStarted;
+    });
+    this.ordered = null;
+  }
+
   /** In order of insertion. */
   list(): ScheduledRequest[] {
     return [...this.requests.values()];
   }
 
-  /** Sorted by priority, then by arrival. */
-  listByUrgency(): readonly ScheduledRequest[] {
-    this.ordered ??= this.list().sort(
-      (a, b) => a.priority - b.priority || a.arrivedAtMs - b.arrivedAtMs,
-    );
+  /** In the order in which they get capacity. */
+  listInOrder(nowMs: number): readonly ScheduledRequest[] {
+    if (this.shares && this.orderedAtMs !== nowMs) this.ordered = null;
+    this.orderedAtMs = nowMs;
+    this.ordered ??= this.sort(nowMs);
     return this.ordered;
   }
+
+  private sort(nowMs: number): ScheduledRequest[] {
+    return this.shares
+      ? this.shares.list(nowMs).map(({request}) => request)
+      : this.list().sort(compareUrgency);
+  }
+
+  private makeShares(): FairOrder<RequestItem> {
+    const shares = new VirtualCounters<RequestItem>();
+    this.requests.forEach(request => shares.add(toItem(request)));
+    return shares;
+  }
+}
+
+function toItem(request: ScheduledRequest): RequestItem {
+  const {askId, team, priority, promptTokens, outputTokens, dueAtMs} = request;
+  return {
+    ...{id: askId, team: team ?? ANONYMOUS_TEAM, priority, dueAtMs, request},
+    cost: promptTokens + OUTPUT_WEIGHT * outputTokens,
+  };
+}
+
+function compareUrgency(a: ScheduledRequest, b: ScheduledRequest): number {
+  return a.priority - b.priority || a.arrivedAtMs - b.arrivedAtMs;
 }
--- a/packages/schedule-models/src/wrong_speed.test.ts
+++ b/packages/schedule-models/src/wrong_speed.test.ts
@@ -22,6 +22,7 @@
       excluded: new Set<string>(),
       allowed: null,
       softwareVersion: null,
+      team: null,
       nodeId: 'n1',
     },
   };
--- a/packages/schedule-service/src/ask_payload.ts
+++ b/packages/schedule-service/src/ask_payload.ts
@@ -41,7 +41,7 @@
     excluded: [...excluded],
     allowed: allowed && [...allowed],
     softwareVersion: ask.softwareVersion,
-    charge,
+    ...{charge, team: ask.team},
   };
 }
 
@@ -71,7 +71,7 @@
   const {service, model, adapter, promptTokens, outputTokens, priority} =
     payload;
   const {askId, waitedMs, dueInMs, gapMs, endsInMs} = payload;
-  const {excluded, allowed, softwareVersion} = payload;
+  const {excluded, allowed, softwareVersion, team} = payload;
   return {
     ...{askId, service, model, adapter},
     ...{promptTokens, outputTokens, priority},
@@ -81,6 +81,6 @@
     endsAtMs: nowMs + endsInMs,
     excluded: new Set(excluded),
     allowed: allowed && new Set(allowed),
-    ...{softwareVersion, nodeId},
+    ...{softwareVersion, team, nodeId},
   };
 }
--- a/packages/schedule-service/src/index.ts
+++ b/packages/schedule-service/src/index.ts
@@ -20,5 +20,6 @@
   type HolderQuotas,
   SchedulingService,
   type SchedulingServiceOptions,
+  type TeamWeights,
 } from './scheduling_service.js';
 export {PermitClient, type PermitClientOptions} from './permit_client.js';
--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -30,6 +30,8 @@
   softwareVersion: z.string().nullable().default(null),
   /** The charge to the team's quota; the previous release sends none. */
   charge: chargeSchema.nullable().default(null),
+  /** The team of the caller's key; the previous release sends none. */
+  team: z.string().nullable().default(null),
 });
 
 const runResultSchema = z.enum([
--- a/packages/schedule-service/src/restarted_nodes.test.ts
+++ b/packages/schedule-service/src/restarted_nodes.test.ts
@@ -28,6 +28,7 @@
       ...{priority: 0, waitedMs: 0, dueInMs: 500, gapMs: 300},
       ...{endsInMs: 8_000, excluded: [], allowed: null, charge: null},
       softwareVersion: null,
+      team: null,
     },
   };
 }
--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -78,6 +78,7 @@
       : {name: 'p', healthPath: '/', maxConnections: 9, engine: null},
     ...{excluded: new Set<string>(), allowed: null, endsAtMs: 5_000},
     softwareVersion: null,
+    team: null,
     ...{hasBegun: false, charge: CHARGE, priority: 0},
     signal: new AbortController().signal,
   };
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -5,7 +5,7 @@
  */
 import {type Clock} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
-import {type RunResult} from '@mimosatack/schedule-models';
+import {type RunResult, isNotRun} from '@mimosatack/schedule-models';
 import {
   type AttemptResult,
   type ChosenServer,
@@ -33,7 +33,6 @@
 } from './messages.js';
 import {type PermitClient} from './permit_client.js';
 import {PendingAsk} from './pending_ask.js';
-import {isKnownNotRun} from './is_known_not_run.js';
 
 export interface ScheduledChooserOptions {
   clock: Clock;
@@ -201,7 +200,7 @@
     headMs: number | null,
   ): void {
     this.options.local.recordResult(choice, result, headMs);
-    if (isKnownNotRun(result)) this.refundCharge(choice);
+    if (isNotRun(result)) this.refundCharge(choice);
     this.endRun(choice, result === 'answered' ? 'served' : result, headMs);
   }
 
--- a/packages/schedule-service/src/scheduling_service.test.ts
+++ b/packages/schedule-service/src/scheduling_service.test.ts
@@ -70,6 +70,7 @@
       ...{priority: 0, waitedMs: 0, dueInMs: 500, gapMs: 300},
       ...{endsInMs: 8_000, excluded: [], allowed: null, charge},
       softwareVersion: null,
+      team: null,
     },
   };
 }
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -7,12 +7,14 @@
   ModelScheduler,
   type PlannedOrder,
   type SwapPolicy,
+  isNotRun,
 } from '@mimosatack/schedule-models';
 import {type ServerLimiter} from '@mimosatack/share-limits';
 import {
   type BackendServerEntry,
   type BackendServerId,
   type ServiceSpec,
+  type TeamName,
 } from '@mimosatack/types';
 import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
 import {type ServerAvailability} from '@mimosatack/track-availability';
@@ -28,7 +30,6 @@
   type FromHolderMessage,
   type ToHolderMessage,
 } from './messages.js';
-import {isKnownNotRun} from './is_known_not_run.js';
 
 export interface SchedulingServiceOptions {
   clock: Clock;
@@ -48,6 +49,9 @@
   onFenced: (fencingToken: number) => void;
 }
 
+/** Shares of teams relative to each other; null where teams have no shares. */
+export type TeamWeights = ReadonlyMap<TeamName, number> | null;
+
 /** The quotas of all teams, which the scheduling node holds. */
 export interface HolderQuotas {
   chargeAtHolder(charge: QuotaCharge): QuotaRefusal | null;
@@ -101,8 +105,9 @@
   start(
     services: readonly ServiceSpec[],
     servers: readonly BackendServerEntry[],
+    teamWeights: TeamWeights = null,
   ): void {
-    this.configure(services);
+    this.configure(services, teamWeights);
     this.putServers(servers);
   }
 
@@ -126,8 +131,12 @@
     }));
   }
 
-  configure(services: readonly ServiceSpec[]): void {
-    this.scheduler.configure(services);
+  /** @param teamWeights shares of teams; null to serve requests by urgency alone. */
+  configure(
+    services: readonly ServiceSpec[],
+    teamWeights: TeamWeights = null,
+  ): void {
+    this.scheduler.configure(services, teamWeights);
     this.putServers([...this.servers.values()]);
   }
 
@@ -388,5 +397,5 @@
   result,
   isUnsent,
 }: Extract<ToHolderMessage, {type: 'run-ended'}>): boolean {
-  return !isUnsent && !isKnownNotRun(result);
+  return !isUnsent && !isNotRun(result);
 }
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -398,7 +398,7 @@
       endsAtMs: this.deadlineAtMs,
       hasBegun: this.sink.hasBegun,
       charge: findCharge(this.request, this.access.team, this.attempts > 0),
-      priority: this.priority,
+      ...{team: this.team, priority: this.priority},
       signal: this.abortController.signal,
     };
   }
--- a/packages/serve-requests/src/server_chooser.ts
+++ b/packages/serve-requests/src/server_chooser.ts
@@ -6,6 +6,7 @@
   type BackendServerId,
   type ServiceRoute,
   type ServiceSpec,
+  type TeamName,
 } from '@mimosatack/types';
 import {type ServerLoad} from './backend_dialect.js';
 import {type CallerRequest} from './caller_request.js';
@@ -30,6 +31,8 @@
   hasBegun: boolean;
   /** The cost to the team's quota; null for a team without a quota. */
   charge: QuotaCharge | null;
+  /** The team of the caller's key; null where the route requires none. */
+  team: TeamName | null;
   /** The priority of the team or the route; 0 is the most urgent. */
   priority: number;
   /** Aborted when the request no longer needs a server. */
--- a/packages/serve-requests/src/test_fixtures.ts
+++ b/packages/serve-requests/src/test_fixtures.ts
@@ -63,6 +63,7 @@
     service: makeService(),
     excluded: new Set(),
     softwareVersion: null,
+    team: null,
     allowed: null,
     endsAtMs: 1_000,
     hasBegun: false,
--- a/packages/serving-node/src/node_settings.ts
+++ b/packages/serving-node/src/node_settings.ts
@@ -5,6 +5,7 @@
   type FailureDomain,
   type Region,
   type SocketAddress,
+  type TeamName,
 } from '@mimosatack/types';
 
 export interface NodeSettings {
@@ -32,6 +33,8 @@
   /** Longest time that a revoked key stays valid; null for no limit. */
   revokeMs: number | null;
   quotaBounds: QuotaBounds;
+  /** Shares of teams in scarce capacity; 1 for teams that are not listed. */
+  teamWeights: ReadonlyMap<TeamName, number>;
   /** Whether engines reject orders with an outdated fencing token. */
   isFenced: boolean;
   /** Shortest time between orders from two nodes to one engine. */
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -36,6 +36,7 @@
       ...{waitedMs: 0, dueInMs: 500, gapMs: 300, endsInMs: 2_000},
       ...{excluded: [], allowed: null, charge: null},
       softwareVersion: null,
+      team: null,
     },
   };
 }
@@ -85,6 +86,7 @@
     },
     sendLastOrders: ({isEnding}) => sentOrders.push({isEnding}),
     send: (_address, message) => sent.push(message),
+    findTeamWeights: () => null,
     listServices: () => [makeEngineService()],
     listServers: () => [
       report ? {...makeEngineEntry('e1'), ...NEAR_ONLY} : makeEngineEntry('e1'),
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -16,6 +16,7 @@
   type FromHolderMessage,
   type HolderQuotas,
   SchedulingService,
+  type TeamWeights,
   type ToHolderMessage,
 } from '@mimosatack/schedule-service';
 import {
@@ -47,6 +48,7 @@
     addresses?: readonly string[],
   ) => void;
   listServices: () => readonly ServiceSpec[];
+  findTeamWeights: () => TeamWeights;
   listServers: () => readonly BackendServerEntry[];
   /** Called when the holder of the scheduling duty has changed. */
   onHolder: (holder: DutyHolder | null, isSelf: boolean) => void;
@@ -155,7 +157,7 @@
   }
 
   configure(services: readonly ServiceSpec[]): void {
-    this.scheduler?.configure(services);
+    this.scheduler?.configure(services, this.options.findTeamWeights());
   }
 
   updateServers(changes: readonly ServerChange[]): void {
@@ -218,7 +220,11 @@
         else scheduler.stop();
       },
     });
-    scheduler.start(listServices(), listServers());
+    scheduler.start(
+      listServices(),
+      listServers(),
+      this.options.findTeamWeights(),
+    );
     return scheduler;
   }
 
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -45,6 +45,7 @@
 } from './stream_versions_task.js';
 import {makeStreamVersions} from './make_stream_versions.js';
 import {makeTeamTasks} from './team_tasks.js';
+import {findTeamWeights} from './team_weights.js';
 import {CLOSE_MARGIN_MS, KEEP_LISTENING_MS} from './stop_times.js';
 
 const DUTY_KEY = 'scheduler';
@@ -353,6 +354,11 @@
           addresses,
         ),
       listServices: () => this.configuration.configuration?.services ?? [],
+      findTeamWeights: () =>
+        findTeamWeights(
+          this.configuration.configuration?.teams ?? null,
+          settings.teamWeights,
+        ),
       listServers: () => this.servers.list(),
       onHolder: (holder, isSelf) => {
         if (isSelf) this.reportOpenRequests(holder);
--- a/packages/share-capacity/src/lane_visit.ts
+++ b/packages/share-capacity/src/lane_visit.ts
@@ -55,9 +55,10 @@
     return first && peekQueue(first);
   }
 
-  /** Whether a less urgent priority has got less than its minimum share while it waited. */
-  private isOwed({startedCost}: VisitQueue<T>): boolean {
-    return startedCost < MIN_PRIORITY_SHARE * this.totalCost;
+  /** Whether the next item of a less urgent priority is within its minimum share. */
+  private isOwed(queue: VisitQueue<T>): boolean {
+    const cost = peekQueue(queue)?.cost ?? 0;
+    return queue.startedCost + cost <= MIN_PRIORITY_SHARE * this.totalCost;
   }
 }
 
