End the requests of killed nodes at the scheduling node

Cause: the scheduling node ended a run only on its node's run-ended message. Runs of a killed process took places at engines and pinned models until the duty moved. Change: asks are tracked with their process and their own deadline (new ask field runEndsInMs, new under-way field incarnation, both null by default). Waiting asks are dequeued and refunded; assigned ones stay charged, since an engine may have run them. Late messages of a replaced process are ignored. Why it holds: an ask id begins with its process, and one address has one process at a time; each ask leaves the table when it ends, so that it is refunded at most once.

--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -85,6 +85,17 @@
       engines: 'engines that it has ordered lately',
     },
   },
+  'abandoned-requests-ended': {
+    number: 3412,
+    level: 'info',
+    message: 'Requests ended whose node will not say how they end.',
+    fields: {
+      cause: 'node-restarted, node-removed or deadline-passed',
+      nodeAddresses: 'the nodes that asked',
+      runs: 'requests that were assigned; the quotas stay charged for them',
+      waiting: 'requests that still waited',
+    },
+  },
   'duty-lost': {
     number: 3402,
     level: 'warn',
--- a/packages/schedule-service/src/ask_payload.ts
+++ b/packages/schedule-service/src/ask_payload.ts
@@ -41,7 +41,7 @@
     excluded: [...excluded],
     allowed: allowed && [...allowed],
     softwareVersion: ask.softwareVersion,
-    ...{charge, team: ask.team},
+    ...{charge, team: ask.team, runEndsInMs: ask.endsAtMs - nowMs},
   };
 }
 
--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -32,6 +32,8 @@
   charge: chargeSchema.nullable().default(null),
   /** The team of the caller's key; the previous release sends none. */
   team: z.string().nullable().default(null),
+  /** When the node ends the request at the latest; the previous release does not say. */
+  runEndsInMs: z.number().nullable().default(null),
 });
 
 const runResultSchema = z.enum([
@@ -77,6 +79,8 @@
    */
   z.object({
     type: z.literal('under-way'),
+    /** The sending process; the previous release sends none. */
+    incarnation: z.string().nullable().default(null),
     asks: z.array(askSchema),
     runs: z.array(z.object({ask: askSchema, engineId: z.string()})),
     /** The previous release sends none. */
--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -230,7 +230,10 @@
   state.reports.push(REPORT);
   chooser.reportAvailability(SERVER.id);
   assert.equal(sent, [
-    {type: 'under-way', asks: [], runs: [], servers: [REPORT]},
+    {
+      ...{type: 'under-way', incarnation: 'n1'},
+      ...{asks: [], runs: [], servers: [REPORT]},
+    },
   ]);
 });
 
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -158,8 +158,9 @@
       this.toPayloads(askId, ask).map(payload => ({ask: payload, engineId})),
     );
     const servers = this.options.availability.list();
+    const incarnation = this.options.askIdPrefix;
     const isSent = this.options.sendToHolder({
-      ...{type: 'under-way', asks, runs, servers},
+      ...{type: 'under-way', incarnation, asks, runs, servers},
     });
     this.pendingAsks.forEach(pending => (pending.isSubmitted ||= isSent));
   }
@@ -171,8 +172,11 @@
 
   private sendAvailability(servers: AvailabilityReport[]): void {
     if (servers.length === 0) return;
-    const asks: AskPayload[] = [];
-    this.options.sendToHolder({type: 'under-way', asks, runs: [], servers});
+    const incarnation = this.options.askIdPrefix;
+    const nothing = {asks: [], runs: []};
+    this.options.sendToHolder({
+      ...{type: 'under-way', incarnation, ...nothing, servers},
+    });
   }
 
   /**
--- a/packages/schedule-service/src/scheduling_service.test.ts
+++ b/packages/schedule-service/src/scheduling_service.test.ts
@@ -71,6 +71,7 @@
       ...{endsInMs: 8_000, excluded: [], allowed: null, charge},
       softwareVersion: null,
       team: null,
+      runEndsInMs: null,
     },
   };
 }
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -13,11 +13,13 @@
 import {
   type BackendServerEntry,
   type BackendServerId,
+  type NodeIncarnation,
   type ServiceSpec,
   type TeamName,
 } from '@mimosatack/types';
 import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
 import {type ServerAvailability} from '@mimosatack/track-availability';
+import {AbandonedRequests} from './abandoned_requests.js';
 import {toScheduledRequest} from './ask_payload.js';
 import {
   type EngineOrderAge,
@@ -30,6 +32,7 @@
   type FromHolderMessage,
   type ToHolderMessage,
 } from './messages.js';
+import {type TrackedAsk, TrackedAsks} from './tracked_asks.js';
 
 export interface SchedulingServiceOptions {
   clock: Clock;
@@ -70,21 +73,12 @@
   cause: 'not sent: no duty, or no such engine any more',
 };
 
-/** An ask, from its arrival until its request has ended. */
-interface TrackedAsk {
-  nodeAddress: string;
-  requestId: string;
-  model: string;
-  adapter: string | null;
-  arrivedAtMs: number;
-  charge: QuotaCharge | null;
-}
-
 /** Runs the scheduler and carries out its decisions. */
 export class SchedulingService {
   private readonly scheduler: ModelScheduler;
   private readonly servers = new Map<BackendServerId, BackendServerEntry>();
-  private readonly asks = new Map<string, TrackedAsk>();
+  private readonly asks = new TrackedAsks();
+  private readonly abandoned: AbandonedRequests;
   private readonly pendingReports = new Set<BackendServerId>();
   /** Engines whose state could not be read at the last attempt. */
   private readonly unresponsive = new Set<BackendServerId>();
@@ -100,6 +94,10 @@
       isLeaving: engine => options.availability.isLeaving(engine),
       ordersBlockedUntilMs: options.ordersBlockedUntilMs,
     });
+    this.abandoned = new AbandonedRequests({
+      ...{logger: options.logger, asks: this.asks, scheduler: this.scheduler},
+      refund: charge => options.quotas.refundAtHolder(charge),
+    });
   }
 
   start(
@@ -156,8 +154,15 @@
     this.scheduleDecision();
   }
 
+  /** Ends the requests of a node's process that has been lost. */
+  endRequestsOf(incarnation: NodeIncarnation): void {
+    this.abandoned.endRequestsOf(incarnation, this.nowMs());
+    this.scheduleDecision();
+  }
+
   receive(nodeAddress: string, message: ToHolderMessage): void {
     const nowMs = this.nowMs();
+    if (this.abandoned.isFromReplaced(nodeAddress, message, nowMs)) return;
     switch (message.type) {
       case 'ask':
         this.acceptAsk(message.ask, nodeAddress, nowMs);
@@ -186,25 +191,23 @@
           this.scheduler.recordPause(report, nodeAddress, nowMs);
         });
         message.asks.forEach(ask => this.acceptAsk(ask, nodeAddress, nowMs));
-        message.runs.forEach(({ask, engineId}) =>
+        message.runs.forEach(({ask, engineId}) => {
+          this.asks.addRunning(ask, engineId, nodeAddress, nowMs);
           this.scheduler.recordRunning(
             toScheduledRequest(ask, nodeAddress, nowMs),
             engineId,
             nowMs,
-          ),
-        );
+          );
+        });
     }
     this.scheduleDecision();
   }
 
   private acceptAsk(ask: AskPayload, nodeAddress: string, nowMs: number): void {
-    const {askId, requestId, model, adapter, waitedMs, charge} = ask;
+    const {askId, charge} = ask;
     // A repeated ask was charged the first time.
-    const isCharged = this.asks.has(askId);
-    const arrivedAtMs = nowMs - waitedMs;
-    this.asks.set(askId, {
-      ...{nodeAddress, requestId, model, adapter, arrivedAtMs, charge},
-    });
+    const isCharged = this.asks.get(askId) !== undefined;
+    this.asks.add(ask, nodeAddress, nowMs);
     const refusal =
       charge && !isCharged ? this.options.quotas.chargeAtHolder(charge) : null;
     if (charge && refusal) return this.refuseOverQuota(askId, charge, refusal);
@@ -220,8 +223,7 @@
     {team, amount}: QuotaCharge,
     {level, retryAfterMs, decidedBy}: QuotaRefusal,
   ): void {
-    const known = this.asks.get(askId);
-    this.asks.delete(askId);
+    const known = this.asks.remove(askId);
     if (!known) return;
     const {requestId, nodeAddress} = known;
     this.options.logger.log('quota-refused', {
@@ -255,9 +257,8 @@
   }
 
   private dropAsk(askId: string, mayHaveRun: boolean): void {
-    const charge = this.asks.get(askId)?.charge;
+    const charge = this.asks.remove(askId)?.charge;
     if (charge && !mayHaveRun) this.options.quotas.refundAtHolder(charge);
-    this.asks.delete(askId);
   }
 
   /** Coalesces all events of one event loop turn into one decision. */
@@ -273,6 +274,7 @@
   private decide(): void {
     const nowMs = this.nowMs();
     const mayOrder = this.options.authority() !== null;
+    this.abandoned.endOverdue(nowMs);
     this.scheduler
       .decide(nowMs, mayOrder)
       .forEach(decision => this.executeDecision(decision));
@@ -301,6 +303,7 @@
     if (decision.kind === 'assign') {
       const {askId, engineId} = decision;
       const {softwareVersion = null} = this.servers.get(engineId) ?? {};
+      known.engineId = engineId;
       this.options.send(nodeAddress, {
         ...{type: 'assigned', askId, engineId, softwareVersion},
       });
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -38,7 +38,8 @@
   onRead: (fromOffset: number) => void;
   /** Readers of other records in the same topic, by key. */
   recordReaders: ReadonlyMap<string, RecordReader>;
-  onRemoved: (nodeName: string) => void;
+  /** Called at the node that has removed a lost one. */
+  onRemoved: (node: RegisteredNode) => void;
   onLost: (error: TypedError) => void;
   onRegained: () => void;
 }
@@ -126,15 +127,15 @@
    * Removes a lost node, unless the topic has changed since it was last read:
    * the node may have registered again.
    */
-  async removeLost({nodeName}: RegisteredNode): Promise<void> {
+  async removeLost(node: RegisteredNode): Promise<void> {
     if (this.isRemoving || !this.follower.isReachable) return;
     this.isRemoving = true;
     try {
       const {status} = await this.options.topic.append(
-        [{key: nodeName, value: null}],
+        [{key: node.nodeName, value: null}],
         {atOffset: this.table.endOffset},
       );
-      if (status === 'appended') this.options.onRemoved(nodeName);
+      if (status === 'appended') this.options.onRemoved(node);
     } catch (thrown) {
       // Retried at the next check while the node stays silent.
       this.options.onLost(toTypedError(thrown));
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -37,6 +37,7 @@
       ...{excluded: [], allowed: null, charge: null},
       softwareVersion: null,
       team: null,
+      runEndsInMs: null,
     },
   };
 }
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -24,7 +24,11 @@
   type ServerLimiterOptions,
 } from '@mimosatack/share-limits';
 import {type ServerAvailability} from '@mimosatack/track-availability';
-import {type BackendServerEntry, type ServiceSpec} from '@mimosatack/types';
+import {
+  type BackendServerEntry,
+  type NodeIncarnation,
+  type ServiceSpec,
+} from '@mimosatack/types';
 import {type ServerChange} from './server_follower.js';
 
 /** Team quotas, which the scheduling node accounts for. */
@@ -170,6 +174,11 @@
     if (present.length > 0) scheduler.putServers(present);
   }
 
+  /** Ends the requests of a node's process that is no longer registered. */
+  endRequestsOf(incarnation: NodeIncarnation): void {
+    this.scheduler?.endRequestsOf(incarnation);
+  }
+
   receive(nodeAddress: string, message: ToHolderMessage): void {
     if (this.scheduler) {
       this.scheduler.receive(nodeAddress, message);
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -291,8 +291,10 @@
         [CONTAINED_KEY, this.containment],
         [MIXED_SERVICES_KEY, this.streams],
       ]),
-      onRemoved: nodeName =>
-        this.options.logger.log('node-lost', {lostNodeName: nodeName}),
+      onRemoved: ({nodeName, incarnation}) => {
+        this.options.logger.log('node-lost', {lostNodeName: nodeName});
+        this.duty.endRequestsOf(incarnation);
+      },
       ...this.faults.watchDependency('nodes'),
     });
   }
