Spend no quota at nodes whose view of the hosts has not settled

Cause: a node divided what nodes may spend unreported by the nodes it saw. Change: TeamQuotas takes the share of the node (findShare) in place of a count. It is the last known fraction of a HostShare with the window of quotas, 0 until the view of the hosts is confirmed and has settled. Beside a holder that answers, a node still has one unsettled request and asks the holder for the rest; a node that holds the duty charges its buckets. Why it holds: without a holder the shares of all nodes add up to at most 1, and a process that replaces another waits until what that spent has left the window.

--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -96,7 +96,7 @@
     );
     const teams = makeTeamTasks(options, {
       configurationAgeMs: () => this.configuration.ageMs,
-      countNodes: () => this.register.list().length,
+      findQuotaShare: () => this.limits.quotaShare.lastKnownFraction,
     });
     this.access = teams.access;
     this.quotas = teams.quotas;
@@ -411,7 +411,7 @@
 
   /** Called with each heartbeat. */
   private updateServingNodes(nodeNames: readonly string[]): void {
-    this.limits.retryShare.observe();
+    this.limits.observeHosts();
     this.reportOpenRequests(this.duty.holder);
     this.register.checkServingNames(nodeNames);
     if (this.entryPoints.updateServingNodes(nodeNames)) {
--- a/packages/serving-node/src/shared_limits.ts
+++ b/packages/serving-node/src/shared_limits.ts
@@ -1,4 +1,4 @@
-/** The limits that bind all nodes together: of retries, and of servers. */
+/** The limits that bind all nodes together: of retries, of servers and of teams. */
 import {SuspensionAwareClock} from '@mimosatack/clock';
 import {
   HostShare,
@@ -27,6 +27,8 @@
 
 export class SharedLimits {
   readonly retryShare: HostShare;
+  /** Of what all hosts may spend of the quotas of teams without the holder. */
+  readonly quotaShare: HostShare;
   readonly servers: ServerLimits;
   readonly exchange: LimitExchange;
   /** For this node's own requests while no node schedules. */
@@ -43,6 +45,11 @@
       view: viewHosts,
       settleMs: () => settings.retryBound.windowMs + LIST_DELAY_MS,
     });
+    this.quotaShare = new HostShare({
+      clock: awakeClock,
+      view: viewHosts,
+      settleMs: () => settings.quotaBounds.windowMs + LIST_DELAY_MS,
+    });
     this.servers = this.makeServerLimits(awakeClock);
     this.exchange = new LimitExchange(this.servers, incarnation);
     this.ownLimiter = new ServerLimiter({
@@ -51,6 +58,12 @@
     });
   }
 
+  /** Needs to be called with each heartbeat. */
+  observeHosts(): void {
+    this.retryShare.observe();
+    this.quotaShare.observe();
+  }
+
   /**
    * For the requests of all nodes while this node schedules. A holder that most nodes
    * do not reach may have been replaced, and spends only the share of its host.
--- a/packages/serving-node/src/team_tasks.ts
+++ b/packages/serving-node/src/team_tasks.ts
@@ -12,12 +12,13 @@
 export interface TeamTaskSources {
   /** Time since the configuration was last known to be the newest. */
   configurationAgeMs: () => number;
-  countNodes: () => number;
+  /** The fraction of the quotas that this node may spend unreported. */
+  findQuotaShare: () => number;
 }
 
 export function makeTeamTasks(
   {clock, logger, settings}: ServingNodeOptions,
-  {configurationAgeMs, countNodes}: TeamTaskSources,
+  {configurationAgeMs, findQuotaShare}: TeamTaskSources,
 ): {access: CallerAccess; quotas: TeamQuotas} {
   return {
     access: new CallerAccess({
@@ -25,7 +26,7 @@
       revokeMs: () => settings.revokeMs,
     }),
     quotas: new TeamQuotas({
-      ...{clock, countNodes},
+      ...{clock, findShare: findQuotaShare},
       bounds: () => settings.quotaBounds,
     }),
   };
--- a/packages/team-quotas/src/quota_bounds.ts
+++ b/packages/team-quotas/src/quota_bounds.ts
@@ -51,11 +51,11 @@
   return INITIAL_FRACTION * findTolerance(quota, bounds);
 }
 
-/** Amount that one of `nodeCount` nodes may spend before it is reported. */
+/** Amount that a node with a share of `share` may spend before it is reported. */
 export function findUnsettledShare(
   quota: TeamQuota,
   bounds: QuotaBounds,
-  nodeCount: number,
+  share: number,
 ): number {
-  return (UNSETTLED_FRACTION * findTolerance(quota, bounds)) / nodeCount;
+  return UNSETTLED_FRACTION * findTolerance(quota, bounds) * share;
 }
--- a/packages/team-quotas/src/team_quotas.test.ts
+++ b/packages/team-quotas/src/team_quotas.test.ts
@@ -101,7 +101,6 @@
   assert.ok(most <= bound, `${most} of ${bound}`);
 });
 
-// Guards against refusing teams within their quota after all nodes restart.
 // Guards against nodes that see no other and each spend what all share.
 test('a team keeps to its quota while restarted nodes see no other', () => {
   const {fleet, bound} = startFleet(1_000, 20);
@@ -113,6 +112,28 @@
   assert.ok(served <= bound, `${served} > ${bound}`);
 });
 
+// Guards against a restarted node that refuses all requests until its view has settled.
+test('a restarted node that sees no other serves beside a holder', () => {
+  const {fleet} = startFleet(4_200, 3);
+  fleet.clock.advance(3_000);
+  fleet.setHolder(0);
+  fleet.restart(1, false);
+  fleet.sendHeartbeats();
+  assert.ok(fleet.sendToNode(1, PLAIN_TOKENS));
+  assert.is(fleet.findRefusal(1, PLAIN_TOKENS)?.isUnsettled, true);
+  assert.ok(fleet.sendToHolder(1, PLAIN_TOKENS));
+});
+
+// Guards against a single node that waits for others to confirm its view.
+test('a node that is all there is serves once it holds the duty', () => {
+  const {fleet, sendLoad} = startFleet(20_000, 1);
+  fleet.restart(0, false);
+  fleet.setHolder(0);
+  const {sent, served} = sendLoad(8_000, 10_000);
+  assert.is(served, sent);
+});
+
+// Guards against refusing teams within their quota after all nodes restart.
 test('a team within its quota is served right after all nodes restart', () => {
   const {fleet, sendLoad} = startFleet(20_000);
   fleet.clock.advance(3_000);
--- a/packages/team-quotas/src/team_quotas.ts
+++ b/packages/team-quotas/src/team_quotas.ts
@@ -25,8 +25,11 @@
 export interface TeamQuotasOptions {
   clock: Clock;
   bounds: () => QuotaBounds;
-  /** Returns the number of nodes that share the quotas. */
-  countNodes: () => number;
+  /**
+   * Returns the fraction that this node may spend of what all nodes may spend unreported:
+   * 1 by the number of nodes, and 0 while that number is not certain.
+   */
+  findShare: () => number;
 }
 
 /** A team's quota state, for operators. */
@@ -201,8 +204,9 @@
 
   /**
    * Guards against nodes that each spend the whole quota: the unsettled
-   * spending of all nodes stays within the tolerance. A node may always have
-   * one unsettled request, since a small quota's share may not cover any.
+   * spending of all nodes stays within the tolerance. A node with a share, or with
+   * a holder, may have one unsettled request, since a small quota's share may not
+   * cover any.
    */
   private maySpend(
     {team, amount}: QuotaCharge,
@@ -212,17 +216,22 @@
     const unsettled = this.unsettled.sumFor(team);
     if (!hasEnoughLeft(amount, known, unsettled, nowMs)) return false;
     // Without a recent reply, a team that was low has to fit the allowance.
-    const mayStart = known.isAboveLow || this.hasRecentReply(nowMs);
+    const share = this.options.findShare();
+    const mayStart =
+      this.hasRecentReply(nowMs) || (known.isAboveLow && share > 0);
     if (unsettled <= 0 && mayStart) return true;
-    return unsettled + amount <= this.findAllowance(known, nowMs);
+    return unsettled + amount <= this.findAllowance(known, share, nowMs);
   }
 
-  private findAllowance({quota, estimate}: TeamState, nowMs: number): number {
-    const nodeCount = Math.max(1, this.options.countNodes());
-    const share = findUnsettledShare(quota, this.options.bounds(), nodeCount);
-    if (this.hasRecentReply(nowMs)) return share;
+  private findAllowance(
+    {quota, estimate}: TeamState,
+    share: number,
+    nowMs: number,
+  ): number {
+    const allowance = findUnsettledShare(quota, this.options.bounds(), share);
+    if (this.hasRecentReply(nowMs)) return allowance;
     const left = Math.max(0, estimate.levelAt(nowMs));
-    return share + (HOLDERLESS_FRACTION * left) / nodeCount;
+    return allowance + HOLDERLESS_FRACTION * left * share;
   }
 
   private hasRecentReply(nowMs: number): boolean {
