Select callers' addresses by failure domain and capacity of hosts

Cause: callers got all serving hosts alike and picked one uniformly, so a host with 0.243 cores got as many connections as one with 1.35, and callers left their failure domain.

Change: where the largest registered host has 1.5 times the cores of the smallest, the answer of GET /resolve names hosts of the caller's zone first (region and zone are read from the query), and each host in as many answers as its cores warrant. Elsewhere the answer is unchanged.

Why it holds: each host ranks the asked hosts of a domain by rendezvous hashing and is in the answers of the first of them, as many as its share of the largest host's cores, so counts are exact up to rounding and change by about one when a host comes or goes. Nodes that have left the register count as registered for 10 minutes, since lost ones are removed after 6 s and the rest of their domain would then count as whole.

--- a/packages/serving-node/src/entry_points.ts
+++ b/packages/serving-node/src/entry_points.ts
@@ -1,7 +1,14 @@
 /** Lists the addresses at which callers can connect. */
 import {type Clock} from '@mimosatack/clock';
 import {type RegisteredNode} from '@mimosatack/node-links';
-import {type EntryList} from './entry_list.js';
+import {
+  type EntryHost,
+  hasUnevenHosts,
+  selectEntryHosts,
+} from '@mimosatack/select-entry-hosts';
+import {type SocketAddress} from '@mimosatack/types';
+import {DepartedNodes} from './departed_nodes.js';
+import {type EntryList, type EntryQuery} from './entry_list.js';
 import {type NodeSettings} from './node_settings.js';
 
 export interface EntryPointsOptions {
@@ -21,6 +28,7 @@
 export class EntryPoints {
   private servingNodes: readonly string[] = [];
   private servingNodesAtMs = -Infinity;
+  private readonly departed = new DepartedNodes();
 
   constructor(private readonly options: EntryPointsOptions) {}
 
@@ -33,9 +41,20 @@
     return hasChanged;
   }
 
+  /** Selects nodes for the caller only where nodes differ in capacity. */
+  list(query: EntryQuery): EntryList {
+    const {settings, listNodes} = this.options;
+    const serving = this.listServing();
+    const addresses = hasUnevenHosts(listNodes())
+      ? this.selectFor(query, serving)
+      : serving.map(({callerAddress}) => callerAddress);
+    const ttlMs = Math.min(ADDRESS_LIST_TTL_MS, settings.maxEntriesTtlMs);
+    return {addresses, ttlMs};
+  }
+
   /** Includes all registered nodes when the last report is out of date. */
-  list(): EntryList {
-    const {clock, settings, self, listNodes, isServing} = this.options;
+  private listServing(): RegisteredNode[] {
+    const {clock, self, listNodes, isServing} = this.options;
     const isFresh =
       clock.monotonicMs() - this.servingNodesAtMs < SERVING_NODES_TTL_MS;
     const others = listNodes().filter(
@@ -43,11 +62,36 @@
         nodeName !== self.nodeName &&
         (!isFresh || this.servingNodes.includes(nodeName)),
     );
-    const nodes =
-      isServing() || others.length === 0 ? [self, ...others] : others;
-    return {
-      addresses: nodes.map(({callerAddress}) => callerAddress),
-      ttlMs: Math.min(ADDRESS_LIST_TTL_MS, settings.maxEntriesTtlMs),
-    };
+    return isServing() || others.length === 0 ? [self, ...others] : others;
+  }
+
+  private selectFor(
+    {region, failureDomain}: EntryQuery,
+    serving: readonly RegisteredNode[],
+  ): SocketAddress[] {
+    const {clock, settings, self, listNodes} = this.options;
+    const nodes = listNodes();
+    const departed = this.departed.update(nodes, clock.monotonicMs());
+    const servingNames = new Set(serving.map(({nodeName}) => nodeName));
+    // All nodes are in one region; domains of others may have the same names.
+    const isSameRegion = region === null || region === settings.region;
+    return selectEntryHosts({
+      hosts: [...nodes, ...departed].map(node =>
+        toEntryHost(node, servingNames.has(node.nodeName)),
+      ),
+      callerDomain: isSameRegion ? failureDomain : null,
+      askedHost: self.nodeName,
+    });
   }
 }
+
+function toEntryHost(
+  {nodeName, callerAddress, failureDomain, cores}: RegisteredNode,
+  isServing: boolean,
+): EntryHost {
+  return {
+    name: nodeName,
+    address: callerAddress,
+    ...{failureDomain, cores, isServing},
+  };
+}
--- a/packages/serving-node/src/index.ts
+++ b/packages/serving-node/src/index.ts
@@ -1,4 +1,4 @@
-export {type EntryList} from './entry_list.js';
+export {type EntryList, type EntryQuery} from './entry_list.js';
 export {type NodeSettings} from './node_settings.js';
 export {type PlatformAdapter} from './platform_adapter.js';
 export {ServingNode} from './serving_node.js';
--- a/packages/serving-node/src/platform_adapter.ts
+++ b/packages/serving-node/src/platform_adapter.ts
@@ -7,7 +7,7 @@
   type BackendServerEntry,
   type ServingConfiguration,
 } from '@mimosatack/types';
-import {type EntryList} from './entry_list.js';
+import {type EntryList, type EntryQuery} from './entry_list.js';
 
 /** Names, formats and clients of one platform. */
 export interface PlatformAdapter {
@@ -27,5 +27,7 @@
   decodeServer(id: string, value: Uint8Array): BackendServerEntry;
   readyPath: string;
   entriesPath: string;
+  /** Reads the part of a request's path after `?`. */
+  readEntriesQuery(query: string): EntryQuery;
   formatEntries(entries: EntryList): string;
 }
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -133,7 +133,7 @@
     this.status = new StatusServer({
       platform: options.platform,
       isReady: () => this.isServing,
-      listEntries: () => this.entryPoints.list(),
+      listEntries: query => this.entryPoints.list(query),
       formatMetrics: () => this.formatMetrics(),
     });
   }
--- a/packages/serving-node/src/status_server.ts
+++ b/packages/serving-node/src/status_server.ts
@@ -9,16 +9,16 @@
   createServer,
 } from 'node:http';
 import {type SocketAddress} from '@mimosatack/types';
-import {type EntryList} from './entry_list.js';
+import {type EntryList, type EntryQuery} from './entry_list.js';
 import {type PlatformAdapter} from './platform_adapter.js';
 
 export interface StatusServerOptions {
   platform: Pick<
     PlatformAdapter,
-    'readyPath' | 'entriesPath' | 'formatEntries'
+    'readyPath' | 'entriesPath' | 'formatEntries' | 'readEntriesQuery'
   >;
   isReady: () => boolean;
-  listEntries: () => EntryList;
+  listEntries: (query: EntryQuery) => EntryList;
   /** Metrics in the Prometheus text format. */
   formatMetrics: () => Promise<string>;
 }
@@ -68,11 +68,12 @@
 
   private answer(request: IncomingMessage, response: ServerResponse): void {
     const {platform, isReady, listEntries} = this.options;
-    const path = (request.url ?? '').split('?', 1)[0];
+    const [path = '', query = ''] = (request.url ?? '').split('?', 2);
     if (path === platform.readyPath) {
       response.writeHead(isReady() ? STATUS_OK : STATUS_NOT_READY).end();
     } else if (path === platform.entriesPath) {
-      const body = platform.formatEntries(listEntries());
+      const entries = listEntries(platform.readEntriesQuery(query));
+      const body = platform.formatEntries(entries);
       writeBody(response, body, 'application/json');
     } else if (path === METRICS_PATH) {
       void this.options
