Assign the places of plain servers from one place, in the new package schedule-places

Cause: nodes that each choose a server by themselves together send it more than it takes, and no team gets its share. Change: a module without network that decides which services are coordinated, finds how many requests each server takes at once, and starts waiting requests in the order of VirtualCounters. A pass over that order ends when no place is free, so that it does not grow with the queue. Nothing uses it yet.

--- /dev/null
+++ b/packages/schedule-places/src/place_request.ts
@@ -0,0 +1,76 @@
+/** Requests for places at plain servers, and what is decided about them. */
+import {type ShareItem} from '@mimosatack/share-capacity';
+import {
+  type BackendServerId,
+  type ServerStartMs,
+  type ServiceName,
+} from '@mimosatack/types';
+
+/** A request that waits for a place; times are on the monotonic clock of the scheduler. */
+export interface PlaceRequest extends ShareItem {
+  service: ServiceName;
+  nodeAddress: string;
+  /** The run of the node's process, which ends with its requests. */
+  incarnation: string;
+  /** The request is refused if it cannot start by then. */
+  waitDeadlineAtMs: number;
+  /** The deadline of the complete response. */
+  endsAtMs: number;
+  excluded: ReadonlySet<BackendServerId>;
+  /** The only eligible servers; null for any. */
+  allowed: ReadonlySet<BackendServerId> | null;
+}
+
+/** How a run ended. */
+export type PlaceResult =
+  | 'served'
+  /** The server rejected the request for want of room. */
+  | 'not-taken'
+  | 'failed'
+  | 'unreachable'
+  /** Ended for a reason unrelated to the server. */
+  | 'neutral'
+  /** Was never sent to the server. */
+  | 'unsent';
+
+export type PressureCause = 'rejection' | 'load' | 'brittle' | 'limit';
+
+/** A node's report of a server that requires coordination. */
+export interface Pressure {
+  service: ServiceName;
+  serverId: BackendServerId;
+  startedAtMs: ServerStartMs;
+  cause: PressureCause;
+  /** The rejections per second that the server tolerates; null if it does not say. */
+  brittlePerSecond: number | null;
+}
+
+export type PlaceDecision =
+  | {
+      kind: 'assign';
+      request: PlaceRequest;
+      serverId: BackendServerId;
+    }
+  | {
+      kind: 'refuse';
+      request: PlaceRequest;
+      /** Expected wait at the time of the decision; null if no server is eligible. */
+      forecastMs: number | null;
+      retryAfterMs: number;
+    }
+  /** The request waits. */
+  | {kind: 'queue'; request: PlaceRequest}
+  | {
+      kind: 'lower-limit';
+      service: ServiceName;
+      serverId: BackendServerId;
+      /** Requests that the server may have at once from now on. */
+      limit: number;
+      previousLimit: number;
+    }
+  | {
+      kind: 'coordinate';
+      service: ServiceName;
+      isCoordinated: boolean;
+      cause: PressureCause | 'no-pressure';
+    };
--- /dev/null
+++ b/packages/schedule-places/src/place_scheduler.ts
@@ -0,0 +1,224 @@
+/**
+ * Assigns the places of plain servers to the requests of all nodes. Answers a load in which nodes
+ * that each choose by themselves together send servers more than they take.
+ */
+import {type RandomSource} from '@mimosatack/random';
+import {
+  type BackendServerEntry,
+  type BackendServerId,
+  type ServiceName,
+  type TeamName,
+} from '@mimosatack/types';
+import {Coordination} from './coordination.js';
+import {type EstimateStart, estimateStart} from './estimate_start.js';
+import {
+  type PlaceDecision,
+  type PlaceRequest,
+  type PlaceResult,
+  type Pressure,
+} from './place_request.js';
+import {ServicePlaces, type ServicePlacesOptions} from './service_places.js';
+
+export interface PlaceSchedulerOptions extends Pick<
+  ServicePlacesOptions,
+  'mayStart'
+> {
+  random: RandomSource;
+  estimateStart?: EstimateStart;
+}
+
+export class PlaceScheduler {
+  private readonly services = new Map<ServiceName, ServicePlaces>();
+  private readonly serviceOfServer = new Map<BackendServerId, ServiceName>();
+  private readonly serviceOfAsk = new Map<string, ServiceName>();
+  /** The incarnation of each node that asked last. */
+  private readonly incarnations = new Map<string, string>();
+  private readonly coordination = new Coordination();
+  private weights: ReadonlyMap<TeamName, number> | null = null;
+  private pending: PlaceDecision[] = [];
+
+  constructor(private readonly options: PlaceSchedulerOptions) {}
+
+  /**
+   * @param services the services without models.
+   * @param weights shares of teams; null where teams have no shares.
+   */
+  configure(
+    services: readonly ServiceName[],
+    weights: ReadonlyMap<TeamName, number> | null,
+  ): void {
+    this.weights = weights;
+    services
+      .filter(name => !this.services.has(name))
+      .forEach(name => this.addService(name));
+    this.services.forEach(places => places.setWeights(weights ?? new Map()));
+  }
+
+  /** @param isKnown whether the servers served before this process knew of them. */
+  putServers(
+    entries: readonly BackendServerEntry[],
+    isKnown: boolean,
+    nowMs: number,
+  ): void {
+    entries.forEach(entry => {
+      const places = this.services.get(entry.service);
+      if (!places) return;
+      this.serviceOfServer.set(entry.id, entry.service);
+      places.servers.put(entry, isKnown, nowMs);
+    });
+  }
+
+  removeServer(id: BackendServerId): void {
+    const service = this.serviceOfServer.get(id);
+    if (service === undefined) return;
+    this.serviceOfServer.delete(id);
+    this.services.get(service)?.servers.remove(id);
+  }
+
+  /** Whether the request waits or runs here. */
+  has(askId: string): boolean {
+    return this.serviceOfAsk.has(askId);
+  }
+
+  /** Services whose requests all nodes have to ask a place for. */
+  listCoordinated(): ServiceName[] {
+    return this.coordination.list();
+  }
+
+  /** Load alone matters only where teams share capacity. */
+  recordPressure(pressure: Pressure, nowMs: number): void {
+    const {service, serverId, cause, brittlePerSecond} = pressure;
+    const places = this.services.get(service);
+    if (!places) return;
+    if (brittlePerSecond !== null) {
+      places.servers.setBrittle(serverId, brittlePerSecond);
+    }
+    const isOfLoad = cause === 'load' || cause === 'rejection';
+    if (isOfLoad && this.weights === null) return;
+    if (!this.coordination.record(service, nowMs)) return;
+    this.pending.push({
+      ...{kind: 'coordinate', service, isCoordinated: true, cause},
+    });
+  }
+
+  add(request: PlaceRequest, nowMs: number): void {
+    this.noteIncarnation(request);
+    const places = this.services.get(request.service);
+    if (!places) return;
+    this.serviceOfAsk.set(request.id, request.service);
+    const refusal = places.add(request, nowMs);
+    if (refusal) this.pending.push(refusal);
+  }
+
+  /** Records a request that runs already, after a change of the scheduling node. */
+  recordRunning(
+    request: PlaceRequest,
+    serverId: BackendServerId,
+    nowMs: number,
+  ): void {
+    this.noteIncarnation(request);
+    const places = this.services.get(request.service);
+    if (!places) return;
+    this.serviceOfAsk.set(request.id, request.service);
+    places.recordRunning(request, serverId, nowMs);
+  }
+
+  withdraw(askId: string): void {
+    this.findPlaces(askId)?.withdraw(askId);
+    this.serviceOfAsk.delete(askId);
+  }
+
+  recordEnd(askId: string, result: PlaceResult, nowMs: number): void {
+    const service = this.serviceOfAsk.get(askId);
+    if (service === undefined) return;
+    this.serviceOfAsk.delete(askId);
+    if (result === 'not-taken' && this.weights) {
+      this.coordination.prolong(service, nowMs);
+    }
+    const lowered = this.services.get(service)?.recordEnd(askId, result, nowMs);
+    if (lowered) this.pending.push({kind: 'lower-limit', service, ...lowered});
+  }
+
+  /** Ends all requests of a node that is gone. */
+  removeNode(nodeAddress: string): void {
+    this.incarnations.delete(nodeAddress);
+    this.endOfNode(nodeAddress, null);
+  }
+
+  decide(nowMs: number): PlaceDecision[] {
+    const pending = this.pending;
+    this.pending = [];
+    const decided = [...this.services.values()].flatMap(places =>
+      places.decide(nowMs),
+    );
+    const decisions = [...pending, ...decided, ...this.endCoordination(nowMs)];
+    decisions.forEach(decision => {
+      if (decision.kind !== 'refuse') return;
+      this.serviceOfAsk.delete(decision.request.id);
+    });
+    return decisions;
+  }
+
+  get waitingCount(): number {
+    return [...this.services.values()].reduce(
+      (sum, {waitingCount}) => sum + waitingCount,
+      0,
+    );
+  }
+
+  /** Limit and places taken of each server of a coordinated service. */
+  describe(
+    nowMs: number,
+  ): Array<{serverId: BackendServerId; limit: number; running: number}> {
+    return this.listCoordinated().flatMap(name =>
+      (this.services.get(name)?.servers.list() ?? []).map(
+        ({entry, limit, running}) => ({
+          ...{serverId: entry.id, limit: limit.find(nowMs), running},
+        }),
+      ),
+    );
+  }
+
+  private endCoordination(nowMs: number): PlaceDecision[] {
+    return this.coordination
+      .endWhere(nowMs, service => {
+        const places = this.services.get(service);
+        if (!places) return true;
+        return places.waitingCount === 0 && places.isUnderHalf(nowMs);
+      })
+      .map(service => ({
+        ...{kind: 'coordinate', service, isCoordinated: false},
+        cause: 'no-pressure',
+      }));
+  }
+
+  /** Guards against places that stay taken by requests of a process that was killed. */
+  private noteIncarnation({nodeAddress, incarnation}: PlaceRequest): void {
+    if (this.incarnations.get(nodeAddress) === incarnation) return;
+    this.incarnations.set(nodeAddress, incarnation);
+    this.endOfNode(nodeAddress, incarnation);
+  }
+
+  private endOfNode(nodeAddress: string, current: string | null): void {
+    this.services.forEach(places =>
+      places
+        .endOfNode(nodeAddress, current)
+        .forEach(askId => this.serviceOfAsk.delete(askId)),
+    );
+  }
+
+  private addService(name: ServiceName): void {
+    const {random, mayStart} = this.options;
+    this.services.set(
+      name,
+      new ServicePlaces({
+        ...{random, mayStart},
+        estimateStart: this.options.estimateStart ?? estimateStart,
+      }),
+    );
+  }
+
+  private findPlaces(askId: string): ServicePlaces | undefined {
+    return this.services.get(this.serviceOfAsk.get(askId) ?? '');
+  }
+}
--- /dev/null
+++ b/packages/schedule-places/src/service_places.ts
@@ -0,0 +1,206 @@
+/** Assigns the places of one service's servers to waiting requests. */
+import {type RandomSource} from '@mimosatack/random';
+import {
+  type BackendServerEntry,
+  type BackendServerId,
+  type TeamName,
+} from '@mimosatack/types';
+import {type EstimateStart} from './estimate_start.js';
+import {HeldTime} from './held_time.js';
+import {PlaceQueue} from './place_queue.js';
+import {
+  type PlaceDecision,
+  type PlaceRequest,
+  type PlaceResult,
+} from './place_request.js';
+import {ServiceServers} from './service_servers.js';
+
+export interface ServicePlacesOptions {
+  random: RandomSource;
+  estimateStart: EstimateStart;
+  /** Whether a request of the node may be sent to the server now. */
+  mayStart: (
+    server: BackendServerEntry,
+    nodeAddress: string,
+    nowMs: number,
+  ) => boolean;
+}
+
+/** A retry that comes earlier finds the same load. */
+const MIN_RETRY_AFTER_MS = 800;
+/** Keeps refused callers from returning at the same moment. */
+const MAX_JITTER_FRACTION = 1 / 3;
+const NOT_RUN: ReadonlySet<PlaceResult> = new Set([
+  ...(['not-taken', 'unreachable', 'unsent'] as const),
+]);
+/** Bounds the work of looking for requests that waited too long. */
+const EXPIRY_INTERVAL_MS = 100;
+
+export class ServicePlaces {
+  readonly servers = new ServiceServers();
+  private readonly queue = new PlaceQueue();
+  private readonly heldTime = new HeldTime();
+  /** Requests that have arrived since the last decision. */
+  private readonly arrivals = new Set<string>();
+  private expiredAtMs = -Infinity;
+
+  constructor(private readonly options: ServicePlacesOptions) {}
+
+  get waitingCount(): number {
+    return this.queue.size;
+  }
+
+  /** Ids of requests that wait or run. */
+  has(askId: string): boolean {
+    return this.queue.get(askId) !== undefined || this.servers.hasRun(askId);
+  }
+
+  setWeights(weights: ReadonlyMap<TeamName, number>): void {
+    this.queue.setWeights(weights);
+  }
+
+  isUnderHalf(nowMs: number): boolean {
+    const {runningCount} = this.servers;
+    return runningCount < this.servers.countPlaces(nowMs) / 2;
+  }
+
+  /** Returns the refusal of a request that cannot start in time. */
+  add(request: PlaceRequest, nowMs: number): PlaceDecision | null {
+    if (this.servers.hasRun(request.id)) return null;
+    const isRepeated = this.queue.get(request.id) !== undefined;
+    if (!this.servers.list().some(({entry}) => isEligible(request, entry))) {
+      this.queue.remove(request.id);
+      return this.refuse(request, null, MIN_RETRY_AFTER_MS);
+    }
+    const forecastMs = isRepeated ? 0 : this.findStartMs(request, nowMs);
+    const allowedMs = request.waitDeadlineAtMs - nowMs;
+    if (forecastMs > allowedMs) {
+      return this.refuse(request, forecastMs, forecastMs - allowedMs);
+    }
+    this.queue.add({...request, cost: this.heldTime.find(nowMs) ?? 1});
+    this.arrivals.add(request.id);
+    return null;
+  }
+
+  /** Records a request that runs already, after a change of the scheduling node. */
+  recordRunning(
+    request: PlaceRequest,
+    serverId: BackendServerId,
+    nowMs: number,
+  ): void {
+    this.queue.remove(request.id);
+    this.servers.start(request, serverId, nowMs);
+  }
+
+  withdraw(askId: string): void {
+    this.queue.remove(askId);
+  }
+
+  recordEnd(
+    askId: string,
+    result: PlaceResult,
+    nowMs: number,
+  ): {serverId: BackendServerId; limit: number; previousLimit: number} | null {
+    const lowered = this.servers.recordResult(askId, result, nowMs);
+    const run = this.servers.end(askId);
+    if (!run) return null;
+    if (result === 'served') {
+      this.heldTime.record(nowMs - run.startedAtMs, nowMs);
+    }
+    if (NOT_RUN.has(result)) this.queue.recordNotRun(run.request);
+    return lowered && {...lowered, serverId: run.serverId};
+  }
+
+  /** Ends what runs and waits for a node, or for its earlier incarnations. */
+  endOfNode(nodeAddress: string, currentIncarnation: string | null): string[] {
+    const isOver = (request: PlaceRequest) =>
+      request.nodeAddress === nodeAddress &&
+      request.incarnation !== currentIncarnation;
+    const runs = this.servers.listRuns(({request}) => isOver(request));
+    const waiting = this.queue.listWhere(isOver).map(({id}) => id);
+    runs.forEach(askId => this.servers.end(askId));
+    waiting.forEach(askId => this.queue.remove(askId));
+    return [...runs, ...waiting];
+  }
+
+  decide(nowMs: number): PlaceDecision[] {
+    const refused = this.expire(nowMs);
+    const assigned: PlaceDecision[] = [];
+    this.queue.startEach(
+      nowMs,
+      request => {
+        const serverId = this.pickServer(request, nowMs);
+        if (serverId === null) return false;
+        this.servers.start(request, serverId, nowMs);
+        assigned.push({kind: 'assign', request, serverId});
+        return true;
+      },
+      () => this.servers.hasRoom(nowMs),
+    );
+    return [...refused, ...assigned, ...this.listQueued()];
+  }
+
+  private listQueued(): PlaceDecision[] {
+    const queued = [...this.arrivals].flatMap((id): PlaceDecision[] => {
+      const request = this.queue.get(id);
+      return request ? [{kind: 'queue', request}] : [];
+    });
+    this.arrivals.clear();
+    return queued;
+  }
+
+  private pickServer(
+    request: PlaceRequest,
+    nowMs: number,
+  ): BackendServerId | null {
+    const {mayStart} = this.options;
+    return this.servers.pick(
+      entry =>
+        isEligible(request, entry) &&
+        mayStart(entry, request.nodeAddress, nowMs),
+      nowMs,
+    );
+  }
+
+  private findStartMs(request: PlaceRequest, nowMs: number): number {
+    const places = this.servers.countPlaces(nowMs);
+    return this.options.estimateStart({
+      aheadCount: this.queue.countAhead(request),
+      freePlaces: Math.max(0, places - this.servers.runningCount),
+      places,
+      heldMs: this.heldTime.find(nowMs),
+    });
+  }
+
+  /** Ends runs past their deadlines, and refuses requests that can no longer start in time. */
+  private expire(nowMs: number): PlaceDecision[] {
+    if (nowMs - this.expiredAtMs < EXPIRY_INTERVAL_MS) return [];
+    this.expiredAtMs = nowMs;
+    this.servers
+      .listRuns(({request}) => request.endsAtMs <= nowMs)
+      .forEach(askId => this.servers.end(askId));
+    return this.queue
+      .listWhere(({waitDeadlineAtMs}) => waitDeadlineAtMs <= nowMs)
+      .map(request => {
+        this.queue.remove(request.id);
+        return this.refuse(request, this.findStartMs(request, nowMs), 0);
+      });
+  }
+
+  private refuse(
+    request: PlaceRequest,
+    forecastMs: number | null,
+    waitMs: number,
+  ): PlaceDecision {
+    const jitter = MAX_JITTER_FRACTION * this.options.random.nextFraction();
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, waitMs) * (1 + jitter);
+    return {kind: 'refuse', request, forecastMs, retryAfterMs};
+  }
+}
+
+function isEligible(
+  {excluded, allowed}: PlaceRequest,
+  {id, state}: BackendServerEntry,
+): boolean {
+  return state === 'ready' && !excluded.has(id) && (allowed?.has(id) ?? true);
+}
--- a/packages/share-capacity/src/fair_order.ts
+++ b/packages/share-capacity/src/fair_order.ts
@@ -25,8 +25,15 @@
   /**
    * Offers each waiting item in fair order. An item for which `tryStart` returns true is
    * charged to its team and no longer waits; others are passed over.
+   *
+   * @param hasRoom ends the pass once it returns false, so that a pass does not grow with the
+   *     number of waiting items.
    */
-  startEach(nowMs: number, tryStart: (item: T) => boolean): void;
+  startEach(
+    nowMs: number,
+    tryStart: (item: T) => boolean,
+    hasRoom?: () => boolean,
+  ): void;
   /** The waiting items in the order in which they start if each can. */
   list(nowMs: number): T[];
 }
--- a/packages/share-capacity/src/virtual_counters.ts
+++ b/packages/share-capacity/src/virtual_counters.ts
@@ -63,13 +63,22 @@
     this.counters.set(item.team, Math.max(0, refunded));
   }
 
-  startEach(nowMs: number, tryStart: (item: T) => boolean): void {
-    this.visitEach(nowMs, item => {
-      if (!tryStart(item)) return false;
-      this.waiting.remove(item.id);
-      this.charge(item);
-      return true;
-    });
+  startEach(
+    nowMs: number,
+    tryStart: (item: T) => boolean,
+    hasRoom = () => true,
+  ): void {
+    if (!hasRoom()) return;
+    this.visitEach(
+      nowMs,
+      item => {
+        if (!tryStart(item)) return false;
+        this.waiting.remove(item.id);
+        this.charge(item);
+        return true;
+      },
+      hasRoom,
+    );
   }
 
   list(nowMs: number): T[] {
@@ -79,7 +88,11 @@
   }
 
   /** Adds the charge to the counter of the pass for each item that `visit` takes. */
-  private visitEach(nowMs: number, visit: (item: T) => boolean): void {
+  private visitEach(
+    nowMs: number,
+    visit: (item: T) => boolean,
+    hasRoom = () => true,
+  ): void {
     const contenders = this.waiting
       .listWaiting()
       .map(([team, lane]) => ({
@@ -94,6 +107,7 @@
       if (!item) continue;
       const hasStarted = visit(item);
       if (hasStarted) first.counter += this.findCharge(item);
+      if (!hasRoom()) return;
       first.visit.advance(hasStarted);
       insertSorted(contenders, first);
     }
