Visit waiting requests without an allocation for each

A pass over 100 waiting requests of 16 teams took 0.39 ms of processor time and takes 0.17 ms (one run each on a busy machine). The scheduling node makes such a pass for each event.

--- a/packages/share-capacity/src/lane_visit.ts
+++ b/packages/share-capacity/src/lane_visit.ts
@@ -2,13 +2,33 @@
 import {type ShareItem} from './share_item.js';
 import {
   MIN_PRIORITY_SHARE,
-  type PrioritySplit,
+  type PriorityItems,
   type TeamLane,
 } from './team_lane.js';
 
-interface VisitQueue<T> extends PrioritySplit<T> {
-  nextOnTime: number;
-  nextLate: number;
+/** The items of one priority: those that can still be on time, then the late ones. */
+class VisitQueue<T extends ShareItem> {
+  startedCost: number;
+  private visitedCount = 0;
+
+  constructor(private readonly source: PriorityItems<T>) {
+    this.startedCost = source.startedCost;
+  }
+
+  get next(): T | undefined {
+    const {items, lateCount} = this.source;
+    if (this.visitedCount === items.length) return undefined;
+    return items[(lateCount + this.visitedCount) % items.length];
+  }
+
+  get isNextOnTime(): boolean {
+    const {items, lateCount} = this.source;
+    return this.visitedCount < items.length - lateCount;
+  }
+
+  pass(): void {
+    this.visitedCount += 1;
+  }
 }
 
 /**
@@ -16,52 +36,53 @@
  * then late ones. Late items would otherwise keep all later ones from being on time.
  */
 export class LaneVisit<T extends ShareItem> {
-  private readonly queues: VisitQueue<T>[];
+  /** Most urgent first. */
+  private readonly queues: ReadonlyArray<VisitQueue<T>>;
   private totalCost: number;
-  private current: T | undefined;
+  private current: VisitQueue<T> | undefined;
 
   constructor(lane: TeamLane<T>, nowMs: number) {
     this.totalCost = lane.totalCost;
     this.queues = lane
-      .split(nowMs)
-      .map(split => ({...split, nextOnTime: 0, nextLate: 0}));
+      .listByPriority(nowMs)
+      .map(source => new VisitQueue(source));
+    this.current = this.findQueue();
   }
 
   /** The next item, which `advance` passes; undefined after the last one. */
   peek(): T | undefined {
-    this.current ??= this.findNext();
-    return this.current;
+    return this.current?.next;
   }
 
   /** @param hasStarted whether the current item takes capacity. */
   advance(hasStarted: boolean): void {
-    const item = this.peek();
-    const queue = this.queues.find(({priority}) => priority === item?.priority);
-    this.current = undefined;
-    if (!item || !queue) return;
-    if (queue.onTime[queue.nextOnTime] === item) queue.nextOnTime += 1;
-    else queue.nextLate += 1;
-    if (!hasStarted) return;
-    this.totalCost += item.cost;
-    queue.startedCost += item.cost;
+    const {current} = this;
+    const item = current?.next;
+    if (!current || !item) return;
+    current.pass();
+    if (hasStarted) {
+      this.totalCost += item.cost;
+      current.startedCost += item.cost;
+    }
+    this.current = this.findQueue();
   }
 
-  private findNext(): T | undefined {
-    const left = this.queues.filter(queue => peekQueue(queue) !== undefined);
-    const owed = left.slice(1).find(queue => this.isOwed(queue));
-    if (owed) return peekQueue(owed);
-    const onTime = left.find(({onTime, nextOnTime}) => onTime[nextOnTime]);
-    const first = onTime ?? left[0];
-    return first && peekQueue(first);
+  /** Called for each item, so that it allocates nothing. */
+  private findQueue(): VisitQueue<T> | undefined {
+    let mostUrgent: VisitQueue<T> | undefined;
+    let onTime: VisitQueue<T> | undefined;
+    for (const queue of this.queues) {
+      const item = queue.next;
+      if (!item) continue;
+      if (mostUrgent && this.isOwed(queue, item)) return queue;
+      mostUrgent ??= queue;
+      if (queue.isNextOnTime) onTime ??= queue;
+    }
+    return onTime ?? mostUrgent;
   }
 
   /** Whether the next item of a less urgent priority is within its minimum share. */
-  private isOwed(queue: VisitQueue<T>): boolean {
-    const cost = peekQueue(queue)?.cost ?? 0;
-    return queue.startedCost + cost <= MIN_PRIORITY_SHARE * this.totalCost;
+  private isOwed({startedCost}: VisitQueue<T>, {cost}: T): boolean {
+    return startedCost + cost <= MIN_PRIORITY_SHARE * this.totalCost;
   }
 }
-
-function peekQueue<T>(queue: VisitQueue<T>): T | undefined {
-  return queue.onTime[queue.nextOnTime] ?? queue.late[queue.nextLate];
-}
--- a/packages/share-capacity/src/team_lane.ts
+++ b/packages/share-capacity/src/team_lane.ts
@@ -75,19 +75,15 @@
     this.getOrAddQueue(priority).startedCost += cost;
   }
 
-  /** The waiting items of each priority, split by whether they can still be on time. */
-  split(nowMs: number): PrioritySplit<T>[] {
+  /** The waiting items of each priority, most urgent first. */
+  listByPriority(nowMs: number): PriorityItems<T>[] {
     return this.queues
       .filter(({items}) => items.length > 0)
-      .map(queue => {
-        const lateCount = queue.countDueBy(nowMs);
-        return {
-          priority: queue.priority,
-          startedCost: queue.startedCost,
-          onTime: queue.items.slice(lateCount),
-          late: queue.items.slice(0, lateCount),
-        };
-      });
+      .map(queue => ({
+        startedCost: queue.startedCost,
+        items: queue.items.slice(),
+        lateCount: queue.countDueBy(nowMs),
+      }));
   }
 
   private findQueue(priority: number): PriorityQueue<T> | undefined {
@@ -105,10 +101,11 @@
   }
 }
 
-export interface PrioritySplit<T> {
-  priority: number;
+export interface PriorityItems<T> {
   /** Cost of the started items of the priority. */
   startedCost: number;
-  onTime: T[];
-  late: T[];
+  /** Waiting items, earliest objective first. */
+  items: readonly T[];
+  /** The number of items that can no longer be on time. */
+  lateCount: number;
 }
