Refuse requests on arrival that would start too late by their team's share

Where teams have shares, StartForecast now estimates on arrival when it starts: from the mean time that a place is held, the places of the engines that hold its model, what teams ask for there, and the waiting cost ahead, corrected by observed waits. Requests that would be late are behind all later ones of their team, so they never start while the team asks for more than it gets.

--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -209,6 +209,13 @@
     );
   }
 
+  /** How many such requests run at once. */
+  countPlacesFor(request: ScheduledRequest): number {
+    const usable = USABLE_CACHE_FRACTION * this.spec.cacheCapacityTokens;
+    const fitting = Math.floor(usable / Math.max(1, countTokens(request)));
+    return Math.max(1, Math.min(this.spec.slots, fitting));
+  }
+
   /** Whether reading the prompt would not stall running streams. */
   hasPrefillCapacity(request: ScheduledRequest, nowMs: number): boolean {
     return this.prefill.hasCapacity(request, nowMs);
--- a/packages/schedule-models/src/find_refusal.ts
+++ b/packages/schedule-models/src/find_refusal.ts
@@ -4,11 +4,14 @@
 import {
   type RefusalReason,
   type ScheduledRequest,
+  type ShareForecast,
 } from './scheduled_request.js';
 
 export interface Refusal {
   reason: RefusalReason;
   retryAfterMs: number;
+  /** Set if the request was refused by the share of its team. */
+  share?: ShareForecast;
 }
 
 const UNKNOWN_RETRY_MS = 2_000;
--- a/packages/schedule-models/src/index.ts
+++ b/packages/schedule-models/src/index.ts
@@ -13,6 +13,7 @@
   type RefusalReason,
   type RunResult,
   type ScheduledRequest,
+  type ShareForecast,
   isNotRun,
 } from './scheduled_request.js';
 export {ModelScheduler, type ModelSchedulerOptions} from './scheduler.js';
--- a/packages/schedule-models/src/scheduled_request.ts
+++ b/packages/schedule-models/src/scheduled_request.ts
@@ -94,6 +94,16 @@
   expectedCount: number;
 }
 
+/** Why the share of a team leaves no room for a request. */
+export interface ShareForecast {
+  /** The share of the engines that hold the model. */
+  teamShare: number;
+  /** Infinite if it never starts while its team asks for as much as now. */
+  startsInMs: number;
+  /** Age of the newest observation behind the forecast. */
+  dataAgeMs: number;
+}
+
 export type Decision =
   | {kind: 'assign'; askId: string; engineId: BackendServerId}
   | {
@@ -102,6 +112,8 @@
       reason: RefusalReason;
       /** Delay in milliseconds after which a retry makes sense. */
       retryAfterMs: number;
+      /** Set if the request was refused by the share of its team. */
+      share?: ShareForecast;
     }
   | {kind: 'order'; order: PlannedOrder};
 
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -3,6 +3,7 @@
  * Does no I/O and has no clock: callers pass in events with their times and
  * execute the decisions.
  */
+import {type FairOrder} from '@mimosatack/share-capacity';
 import {type ServerLimiter, UNLIMITED} from '@mimosatack/share-limits';
 import {
   type AvailabilityReport,
@@ -24,6 +25,7 @@
 import {planAdapter} from './adapter_plan.js';
 import {listReadyEngines} from './choose_engine.js';
 import {DemandRates} from './demand.js';
+import {EngineForecast} from './engine_forecast.js';
 import {EngineIndex} from './engine_index.js';
 import {type EngineView} from './engine_view.js';
 import {EngineViews} from './engine_views.js';
@@ -48,7 +50,7 @@
 import {PrefillSpeed} from './prefill_speed.js';
 import {makeSwapContext} from './swap_context.js';
 import {groupBatches} from './waiting_batches.js';
-import {WaitingRequests} from './waiting_requests.js';
+import {type RequestItem, WaitingRequests} from './waiting_requests.js';
 import {chooseExtraCopy} from './extra_copy.js';
 import {findWaitDeadlineMs, listRefusals} from './find_refusal.js';
 
@@ -68,12 +70,15 @@
   isLeaving?: (engine: ServerIncarnation) => boolean;
   /** No order may be sent to the engine before this time. */
   ordersBlockedUntilMs?: (engineId: BackendServerId) => number;
+  /** Makes the order between teams; virtual counters by default. */
+  makeOrder?: () => FairOrder<RequestItem>;
 }
 
 /** Schedules the requests of one shard of engines. */
 export class ModelScheduler {
   private readonly catalogue = new ModelCatalogue([]);
-  private readonly waiting = new WaitingRequests();
+  private readonly waiting: WaitingRequests;
+  private readonly forecast = new EngineForecast();
   private readonly deferred = new DeferredRequests();
   private readonly demand = new DemandRates();
   private readonly access = new EngineAccess();
@@ -96,7 +101,9 @@
   private copies: CopyCounts | null = null;
   private readonly refusals = new RefusalCounts();
 
-  constructor(private readonly options: ModelSchedulerOptions) {}
+  constructor(private readonly options: ModelSchedulerOptions) {
+    this.waiting = new WaitingRequests(options.makeOrder);
+  }
 
   get waitingCount(): number {
     return this.waiting.size;
@@ -118,6 +125,7 @@
   ): void {
     this.catalogue.replace(services);
     this.waiting.setShares(teamWeights);
+    this.forecast.setShares(teamWeights);
   }
 
   /** Adds a server or applies its changed entry. */
@@ -143,6 +151,7 @@
     this.storeLoads.recordEnd(id);
     this.access.remove(id);
     this.speed.remove(id);
+    this.forecast.removeEngine(id);
   }
 
   /** Adds a waiting request. Ignores one that is already running. */
@@ -153,6 +162,7 @@
     if (isRunning) return;
     this.recordDemand(request, nowMs);
     this.waiting.add(request);
+    this.forecast.recordArrival(request, nowMs);
   }
 
   /**
@@ -182,6 +192,7 @@
   dequeue(askId: string): void {
     this.waiting.delete(askId);
     this.deferred.remove(askId);
+    this.forecast.forget(askId);
   }
 
   /**
@@ -201,6 +212,7 @@
     if (!engine || !request) return;
     engine.endRun(askId, result === 'served' ? ttfbMs : null, nowMs);
     this.access.recordResult(engine, request, result, nowMs);
+    this.forecast.recordEnd(request, engineId, result, nowMs);
     if (isNotRun(result)) this.waiting.recordNotRun(request);
     if (result === 'not-held') {
       engine.recordMissing(request.model, request.adapter, nowMs);
@@ -284,6 +296,7 @@
       this.deferred.remove(request.askId);
       this.refusals.reset(request.service, request.model);
       engine.startRun(request, nowMs);
+      this.forecast.recordStart(request, engine.id, nowMs);
       engine.limit.recordAssigned(nowMs);
       decisions.push({
         ...{kind: 'assign', askId: request.askId, engineId: engine.id},
@@ -436,7 +449,12 @@
       listHolders: (service, model) => this.index.listHolders(service, model),
       listCaching: (service, model) => this.index.listCaching(service, model),
     });
-    return refused.map(({request, refusal}) => {
+    refused.forEach(({request}) => this.forecast.recordRefused(request, nowMs));
+    const late = this.forecast.listRefusals({
+      ...{nowMs, inOrder: waiting.listInOrder(nowMs)},
+      listHolders: (service, model) => this.index.listHolders(service, model),
+    });
+    return [...refused, ...late].map(({request, refusal}) => {
       this.dequeue(request.askId);
       if (refusal.reason !== 'unknown-model') {
         this.refusals.recordRefusal(request.service, request.model);
--- a/packages/schedule-models/src/waiting_requests.ts
+++ b/packages/schedule-models/src/waiting_requests.ts
@@ -11,7 +11,7 @@
 /** Cost of an output token relative to a prompt token. */
 const OUTPUT_WEIGHT = 10;
 
-interface RequestItem extends ShareItem {
+export interface RequestItem extends ShareItem {
   request: ScheduledRequest;
 }
 
@@ -26,6 +26,11 @@
   private ordered: readonly ScheduledRequest[] | null = null;
   private orderedAtMs = -Infinity;
 
+  constructor(
+    private readonly makeOrder: () => FairOrder<RequestItem> = () =>
+      new VirtualCounters(),
+  ) {}
+
   get size(): number {
     return this.requests.size;
   }
@@ -104,13 +109,13 @@
   }
 
   private makeShares(): FairOrder<RequestItem> {
-    const shares = new VirtualCounters<RequestItem>();
+    const shares = this.makeOrder();
     this.requests.forEach(request => shares.add(toItem(request)));
     return shares;
   }
 }
 
-function toItem(request: ScheduledRequest): RequestItem {
+export function toItem(request: ScheduledRequest): RequestItem {
   const {askId, team, priority, promptTokens, outputTokens, dueAtMs} = request;
   return {
     ...{id: askId, team: team ?? ANONYMOUS_TEAM, priority, dueAtMs, request},
--- /dev/null
+++ b/packages/share-capacity/src/start_forecast.ts
@@ -0,0 +1,143 @@
+/** Forecasts when a waiting item starts, to refuse on arrival what would start too late. */
+import {type TeamName} from '@mimosatack/types';
+import {findClassRate} from './fair_rate.js';
+import {type ForecastServer, HeldTimes} from './held_times.js';
+import {RetryTimes} from './retry_times.js';
+import {type ShareItem} from './share_item.js';
+import {type ClassDemand, TeamDemand} from './team_demand.js';
+import {WaitCorrection} from './wait_correction.js';
+
+/** The capacity that an item competes for. */
+export interface ForecastPool {
+  /** The servers that can run the item. */
+  servers: readonly ForecastServer[];
+  /** When the first of them takes requests. */
+  readyAtMs: number;
+  /** The groups whose requests run on these servers, and which fraction of each does. */
+  overlaps: ReadonlyMap<string, number>;
+  /** Cost of the waiting items of the same team and priority that start before it. */
+  aheadCost: number;
+}
+
+export interface Forecast {
+  /** Infinite if it never starts while its team asks for as much as now. */
+  startsAtMs: number;
+  /** The forecast wait without correction. */
+  queuedMs: number;
+  /** Time in which there is capacity for one such item. */
+  intervalMs: number;
+  /** The share of the pool that the team gets. */
+  teamShare: number;
+  /** Age of the newest observation behind the forecast. */
+  dataAgeMs: number;
+}
+
+/**
+ * Waits differ from forecasts by about this factor. An item that is forecast to start just in time
+ * would often be late, and then wait behind all others of its team.
+ */
+const LATE_MARGIN = 1.2;
+
+/**
+ * Answers a load in which a team asks for more than its share for longer than callers wait: its
+ * requests would wait for most of their time and be refused then. Takes the rate at which
+ * the team's requests of a priority start (Little's law for the pool, max-min fairness between
+ * teams, the more urgent priorities first) and the waiting cost ahead.
+ */
+export class StartForecast {
+  private readonly demand = new TeamDemand();
+  private readonly heldTimes = new HeldTimes();
+  private readonly correction = new WaitCorrection();
+  private readonly retryTimes = new RetryTimes();
+  private weights: ReadonlyMap<TeamName, number> = new Map();
+
+  setWeights(weights: ReadonlyMap<TeamName, number>): void {
+    this.weights = weights;
+  }
+
+  /** @param group of requests that the same servers run, such as those for one model. */
+  recordArrival(group: string, item: ShareItem, nowMs: number): void {
+    this.demand.record(group, item, nowMs);
+    this.retryTimes.prune(nowMs);
+  }
+
+  /** Records that a server has run a request. */
+  recordHeld(
+    serverId: string,
+    cost: number,
+    heldMs: number,
+    nowMs: number,
+  ): void {
+    this.heldTimes.record(serverId, cost, heldMs, nowMs);
+  }
+
+  removeServer(serverId: string): void {
+    this.heldTimes.remove(serverId);
+  }
+
+  /** Compares a forecast with the wait; a request that never started may have waited longer. */
+  recordWait(
+    {team}: ShareItem,
+    {queuedMs}: Forecast,
+    waitedMs: number,
+    hasStarted: boolean,
+    nowMs: number,
+  ): void {
+    if (!hasStarted && waitedMs < queuedMs) return;
+    this.correction.record(team, queuedMs, waitedMs, nowMs);
+  }
+
+  /** Null without recent observations of the pool; nothing is refused then. */
+  find(item: ShareItem, pool: ForecastPool, nowMs: number): Forecast | null {
+    const throughput = this.heldTimes.findThroughput(pool.servers, nowMs);
+    if (!throughput) return null;
+    const {team, priority, cost, dueAtMs} = item;
+    const {ratePerMs, demandPerMs, teamShare} = findClassRate({
+      ...{team, priority, weights: this.weights},
+      demands: this.listDemands(pool, nowMs),
+      capacityPerMs: throughput.costPerMs,
+    });
+    const queuedMs = findQueuedMs(pool.aheadCost, cost, ratePerMs);
+    const correctedMs = queuedMs * this.correction.find(team, nowMs);
+    const fromMs = Math.max(nowMs, pool.readyAtMs);
+    const isLate = fromMs + correctedMs * LATE_MARGIN > dueAtMs;
+    // Once late, an item waits behind all that arrive on time.
+    const load = isLate ? Math.min(1, demandPerMs / ratePerMs) : 0;
+    const waitMs = correctedMs === 0 ? 0 : correctedMs / (1 - load);
+    return {
+      ...{startsAtMs: fromMs + waitMs, queuedMs, teamShare},
+      ...{intervalMs: cost / ratePerMs, dataAgeMs: throughput.ageMs},
+    };
+  }
+
+  /** When the team has capacity for a refused item. */
+  findRetryAfterMs(item: ShareItem, forecast: Forecast, nowMs: number): number {
+    const {team, priority, id} = item;
+    const {queuedMs, intervalMs} = forecast;
+    return this.retryTimes.findDelayMs({
+      ...{key: JSON.stringify([team, priority]), id, intervalMs, nowMs},
+      earliestMs: nowMs + queuedMs,
+    });
+  }
+
+  private listDemands(pool: ForecastPool, nowMs: number): ClassDemand[] {
+    return [...pool.overlaps].flatMap(([group, overlap]) =>
+      this.demand.list(group, nowMs).map(demand => ({
+        ...demand,
+        costPerMs: demand.costPerMs * overlap,
+      })),
+    );
+  }
+}
+
+/**
+ * The mean wait behind other items is half a turn longer than their cost. The first item of a
+ * class is never refused, since it alone shows when the class gets capacity.
+ */
+function findQueuedMs(
+  aheadCost: number,
+  ownCost: number,
+  ratePerMs: number,
+): number {
+  return aheadCost === 0 ? 0 : (aheadCost + ownCost / 2) / ratePerMs;
+}
