Send a waiting request to the limited server where its time is reserved

Cause, by a trace of the permits of a simulated scheduling node with three nodes and two servers: a request reserved a time at one server and, when it came, asked the server that its node believed free soonest. All requests of a node asked the same server until the denial of that one had passed, so that the other got none from 3006 to 5550 ms: 4 to 6 requests in 4 s where 8 are allowed, as in '6 requests, too few'. Change: the request first claims the time at the server where it is reserved. One whose caller has left while it waited asks for no further time. Why it holds: each reserved time is asked for by its own request, so no server's limit depends on which server looks free soonest.

--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -44,12 +44,27 @@
   request(server: BackendServerEntry, maxWaitMs: number): Promise<number>;
 }
 
+/**
+ * How much later than at the reserved time a request that comes back may be sent there: timers
+ * and clocks of two hosts differ by some milliseconds.
+ */
+const CLAIM_TOLERANCE_MS = 5;
 /** Loads change within a second. */
 const LOAD_MAX_AGE_MS = 1_000;
 /** A failed server is avoided for this long while others are available. */
 const FAILURE_COOLDOWN_MS = 500;
 const RETRY_AFTER_MS = 1_000;
 
+/** A choice between limited servers. */
+interface PermittedChoice {
+  /** Null if no server may get the request now. */
+  server: BackendServerEntry | null;
+  /** The time until a server may. */
+  waitMs: number;
+  /** Where that time is reserved for the request. */
+  reserved: BackendServerEntry | null;
+}
+
 interface ServerStats {
   /** Start of the server incarnation that the stats describe. */
   startedAtMs: ServerStartMs;
@@ -69,16 +84,21 @@
 
   async choose(ask: ServerAsk): Promise<ServerChoice> {
     const {clock} = this.options;
+    let reserved: BackendServerEntry | null = null;
     for (;;) {
       const servers = this.listCandidates(ask);
       const maxWaitMs =
         findWaitDeadlineMs(ask.request, ask.endsAtMs) - clock.monotonicMs();
-      const choice = await this.tryChoose(servers, Math.max(0, maxWaitMs));
+      const claimed = await this.claim(reserved, servers);
+      const choice: PermittedChoice =
+        claimed ?? (await this.tryChoose(servers, Math.max(0, maxWaitMs)));
       if (choice.server) return this.makeChoice(choice.server, servers);
       if (!Number.isFinite(choice.waitMs)) return makeRefusal(RETRY_AFTER_MS);
       const isInTime = choice.waitMs <= maxWaitMs;
       if (!isInTime || ask.signal.aborted) return makeRefusal(choice.waitMs);
+      reserved = choice.reserved;
       await sleep(clock, choice.waitMs, ask.signal);
+      if (ask.signal.aborted) return makeRefusal(choice.waitMs);
     }
   }
 
@@ -102,11 +122,30 @@
     };
   }
 
+  /**
+   * Sends a request that has waited to the server where its time is reserved; null if it
+   * may not go there. Guards against limits that stay unused: without this, requests whose
+   * times at one server have come all asked the other one.
+   */
+  private async claim(
+    reserved: BackendServerEntry | null,
+    candidates: readonly BackendServerEntry[],
+  ): Promise<PermittedChoice | null> {
+    const {availability, permits} = this.options;
+    const server = candidates.find(({id}) => id === reserved?.id);
+    if (!server || availability.findWaitMs(server) !== 0) return null;
+    const waitMs = await permits.request(server, CLAIM_TOLERANCE_MS);
+    if (waitMs === 0) return {server, waitMs, reserved};
+    return waitMs > CLAIM_TOLERANCE_MS
+      ? null
+      : {server: null, waitMs, reserved};
+  }
+
   /** The cheapest server that may get the request, or the time until one may. */
   private async tryChoose(
     servers: readonly BackendServerEntry[],
     maxWaitMs: number,
-  ): Promise<{server: BackendServerEntry | null; waitMs: number}> {
+  ): Promise<PermittedChoice> {
     const {permits} = this.options;
     const isUnlimited = (server: BackendServerEntry) =>
       !permits.isLimited(server);
@@ -119,15 +158,16 @@
     for (;;) {
       const best = this.pickCheapest(left);
       if (!best) break;
-      if (isUnlimited(best)) return {server: best, waitMs: 0};
+      if (isUnlimited(best)) return {server: best, waitMs: 0, reserved: null};
       const waitMs = await permits.request(best, 0);
-      if (waitMs === 0) return {server: best, waitMs};
+      if (waitMs === 0) return {server: best, waitMs, reserved: null};
       if (waitMs < soonest.waitMs) soonest = {server: best, waitMs};
       left = left.filter(server => server !== best);
     }
-    if (!soonest.server) return soonest;
-    const waitMs = await permits.request(soonest.server, maxWaitMs);
-    return {server: waitMs === 0 ? soonest.server : null, waitMs};
+    const {server: reserved} = soonest;
+    if (!reserved) return {...soonest, reserved};
+    const waitMs = await permits.request(reserved, maxWaitMs);
+    return {server: waitMs === 0 ? reserved : null, waitMs, reserved};
   }
 
   release(): void {
