Load models by the shares of teams

Loads went to the batch of the highest worth, which grows with each repeated ask, so a team that asks for many rare models got all loads while an ask of another team was refused. Where teams have shares, loads within a factor of two in worth count as equal, and the team that has used least goes first; more asks of one team for a model count as two, and more refusals of a model as three. Loads from the weight store follow the same order, by the team of the last request.

Without two teams the order is as before. Also returns what a served request has used of its team's share, and with a refusal for lack of room the forecast behind it, for events.

--- a/packages/schedule-models/src/demand.ts
+++ b/packages/schedule-models/src/demand.ts
@@ -1,5 +1,9 @@
 /** Tracks the request rate of each model. */
-import {type ModelName, type ServiceName} from '@mimosatack/types';
+import {
+  type ModelName,
+  type ServiceName,
+  type TeamName,
+} from '@mimosatack/types';
 import {toModelKey} from './model_key.js';
 import {type ScheduledRequest} from './scheduled_request.js';
 
@@ -20,12 +24,15 @@
    * null if it has none.
    */
   gapMs: number | null;
+  /** The team of the last request; null if it has none. */
+  team: TeamName | null;
 }
 
 const NO_DEMAND: Demand = {
   requestsPerSecond: 0,
   promptTokensPerSecond: 0,
   gapMs: null,
+  team: null,
 };
 
 export interface ModelDemand extends Demand {
@@ -45,7 +52,7 @@
   private readonly rates = new Map<string, StoredDemand>();
 
   record(
-    {service, model, promptTokens, gapMs}: ScheduledRequest,
+    {service, model, promptTokens, gapMs, team}: ScheduledRequest,
     nowMs: number,
   ): void {
     const decayed = this.find(service, model, nowMs);
@@ -55,8 +62,7 @@
       requestsPerSecond: decayed.requestsPerSecond + increment,
       promptTokensPerSecond:
         decayed.promptTokensPerSecond + increment * promptTokens,
-      gapMs,
-      atMs: nowMs,
+      ...{gapMs, team, atMs: nowMs},
     });
   }
 
@@ -87,6 +93,6 @@
   return {
     requestsPerSecond: rate.requestsPerSecond * left,
     promptTokensPerSecond: rate.promptTokensPerSecond * left,
-    gapMs: rate.gapMs,
+    ...{gapMs: rate.gapMs, team: rate.team},
   };
 }
--- a/packages/schedule-models/src/engine_forecast.ts
+++ b/packages/schedule-models/src/engine_forecast.ts
@@ -12,6 +12,8 @@
 import {
   type RunResult,
   type ScheduledRequest,
+  type ShareCharge,
+  type ShareRefusal,
   isEngineAllowed,
 } from './scheduled_request.js';
 import {type RequestItem, toItem} from './waiting_requests.js';
@@ -74,19 +76,26 @@
     this.forget(request.askId);
   }
 
-  /** Only complete responses tell how long a request holds its place. */
+  /**
+   * Returns what the request has used of its team's share; null if it was not served. Only
+   * complete responses tell how long a request holds its place.
+   */
   recordEnd(
     request: ScheduledRequest,
     engineId: BackendServerId,
     result: RunResult,
     nowMs: number,
-  ): void {
+  ): ShareCharge | null {
     const starts = this.startsMs.get(engineId);
     const startedAtMs = starts?.get(request.askId);
     starts?.delete(request.askId);
-    if (startedAtMs === undefined || result !== 'served') return;
+    if (!this.forecast || result !== 'served') return null;
+    const {team} = request;
     const {cost} = toItem(request);
-    this.forecast?.recordHeld(engineId, cost, nowMs - startedAtMs, nowMs);
+    if (startedAtMs !== undefined) {
+      this.forecast.recordHeld(engineId, cost, nowMs - startedAtMs, nowMs);
+    }
+    return {team, cost};
   }
 
   /** Records a request that was refused although it had been admitted. */
@@ -95,6 +104,17 @@
     this.forget(request.askId);
   }
 
+  /** The part of a decision to refuse that concerns shares. */
+  describeRefusal(
+    request: ScheduledRequest,
+    {reason, forecast}: Refusal,
+  ): {share?: ShareRefusal} {
+    if (!this.forecast || reason !== 'no-room') return {};
+    const {team} = request;
+    const {cost} = toItem(request);
+    return {share: {team, cost, forecast: forecast ?? null}};
+  }
+
   /** Called for requests that no longer wait. */
   forget(askId: string): void {
     this.arrived.delete(askId);
@@ -211,6 +231,6 @@
 ): Refusal {
   return {
     ...{reason: 'no-room', retryAfterMs},
-    share: {teamShare, dataAgeMs, startsInMs: startsAtMs - nowMs},
+    forecast: {teamShare, dataAgeMs, startsInMs: startsAtMs - nowMs},
   };
 }
--- a/packages/schedule-models/src/engine_index.ts
+++ b/packages/schedule-models/src/engine_index.ts
@@ -1,7 +1,12 @@
 /** Looks up engines by the models that they hold or cache. */
-import {type ModelName, type ServiceName} from '@mimosatack/types';
+import {
+  type ModelName,
+  type ServiceName,
+  isVersionAllowed,
+} from '@mimosatack/types';
 import {type EngineView} from './engine_view.js';
 import {toModelKey} from './model_key.js';
+import {type ScheduledRequest} from './scheduled_request.js';
 
 type EnginesByModel = Map<string, EngineView[]>;
 
@@ -32,6 +37,27 @@
     return this.cachingEngines.get(toModelKey(service, model)) ?? NONE;
   }
 
+  /**
+   * Whether another engine of the same software version holds the model or can load it
+   * without the weight store. Guards against streams that are lost with their engine since
+   * all other copies of the model are at other versions.
+   */
+  isContinuable(
+    engine: EngineView,
+    {service, model}: ScheduledRequest,
+    nowMs: number,
+  ): boolean {
+    const holders = this.listHolders(service, model).filter(({residents}) =>
+      residents.get(model)?.isReady(nowMs),
+    );
+    return [...holders, ...this.listCaching(service, model)].some(
+      other =>
+        other !== engine &&
+        other.acceptsWorkAt(nowMs) &&
+        isVersionAllowed(engine.entry, other.entry),
+    );
+  }
+
   /** Call after the models that an engine holds have changed. */
   invalidateHolders(): void {
     this.holders = null;
--- a/packages/schedule-models/src/find_refusal.ts
+++ b/packages/schedule-models/src/find_refusal.ts
@@ -10,8 +10,8 @@
 export interface Refusal {
   reason: RefusalReason;
   retryAfterMs: number;
-  /** Set if the request was refused by the share of its team. */
-  share?: ShareForecast;
+  /** Set if the request was refused by the forecast for its team. */
+  forecast?: ShareForecast;
 }
 
 const UNKNOWN_RETRY_MS = 2_000;
--- a/packages/schedule-models/src/find_store_load.ts
+++ b/packages/schedule-models/src/find_store_load.ts
@@ -1,5 +1,10 @@
 /** Selects the next load from the weight store and the engine for it. */
-import {type ModelName, type ServiceName} from '@mimosatack/types';
+import {
+  type ModelName,
+  type ServiceName,
+  type TeamName,
+} from '@mimosatack/types';
+import {rankLoads} from './load_shares.js';
 import {toModelKey} from './model_key.js';
 import {type EngineView} from './engine_view.js';
 import {type ResidentModel} from './resident_model.js';
@@ -18,6 +23,8 @@
  * caller has left.
  */
 const MIN_FETCH_RATE = 0.02;
+/** The rate that two requests within some seconds count as. */
+const FIRST_COPY_RATE = 0.25;
 /**
  * Minimum requests per second for a second copy, which keeps a popular model
  * available when an engine is lost. At this rate, an engine that is lost for 4 s
@@ -54,6 +61,8 @@
 interface CopyNeed {
   service: ServiceName;
   model: ModelName;
+  /** The team of the last request for the model. */
+  team: TeamName | null;
   rate: number;
   /** Number of engines that hold or cache the model. */
   copies: number;
@@ -122,14 +131,13 @@
       .map(({entry}) => entry.service)
       .filter(service => context.canLoadFromStore(service)),
   );
-  const scoreOf = ({rate, copies}: CopyNeed) => rate / (1 + copies) ** 2;
-  return context
+  const needs = context
     .listDemand()
     .filter(({service}) => services.has(service))
     .filter(({requestsPerSecond}) => requestsPerSecond >= MIN_FETCH_RATE)
     .map(demand => ({
       ...{service: demand.service, model: demand.model},
-      rate: demand.requestsPerSecond,
+      ...{rate: demand.requestsPerSecond, team: demand.team},
       ...describeCopies(copies.get(toModelKey(demand.service, demand.model))),
       targetCopies: findTargetCopies(
         demand,
@@ -137,7 +145,21 @@
       ),
     }))
     .filter(need => needsCopy(need) || hasFreeMemory(need, candidates))
-    .sort((a, b) => scoreOf(b) - scoreOf(a));
+    .map(need => ({...need, worth: findCopyWorth(need, context)}));
+  return rankLoads(needs, context.findTeamUse);
+}
+
+/**
+ * Demand for each copy. With shares, the first copy of a model is worth no more for many asks than
+ * for two.
+ */
+function findCopyWorth(
+  {rate, copies}: CopyNeed,
+  {findTeamUse}: SwapContext,
+): number {
+  const isLimited = findTeamUse !== null && copies === 0;
+  const countedRate = isLimited ? Math.min(FIRST_COPY_RATE, rate) : rate;
+  return countedRate / (1 + copies) ** 2;
 }
 
 /** Whether a copy is worth evicting another model. */
--- a/packages/schedule-models/src/index.ts
+++ b/packages/schedule-models/src/index.ts
@@ -13,7 +13,9 @@
   type RefusalReason,
   type RunResult,
   type ScheduledRequest,
+  type ShareCharge,
   type ShareForecast,
+  type ShareRefusal,
   isNotRun,
 } from './scheduled_request.js';
 export {ModelScheduler, type ModelSchedulerOptions} from './scheduler.js';
--- a/packages/schedule-models/src/policies.ts
+++ b/packages/schedule-models/src/policies.ts
@@ -1,4 +1,5 @@
 /** Swap policies. */
+import {rankLoads, sumWorthByTeam} from './load_shares.js';
 import {findWorthAt} from './request_worth.js';
 import {findEvictionLoss, listCachedSwaps} from './swap_options.js';
 import {
@@ -51,10 +52,11 @@
 
   rank(batches: readonly Batch[], context: SwapContext): Batch[] {
     const rated = batches.map(batch => ({
-      batch,
-      worth: findBatchWorth(batch, context),
+      ...{batch, worth: findBatchWorth(batch, context)},
+      // With shares, the first request is of the team that has used least.
+      team: batch.requests[0]?.team ?? null,
     }));
-    return rated.sort((a, b) => b.worth - a.worth).map(({batch}) => batch);
+    return rankLoads(rated, context.findTeamUse).map(({batch}) => batch);
   }
 
   choose(batch: Batch, context: SwapContext): SwapChoice | null {
@@ -89,16 +91,24 @@
  */
 const REFUSAL_WEIGHT = 1;
 
+/** With shares, more refusals than this, as by a caller that repeats its ask, count no further. */
+const MAX_COUNTED_REFUSALS = 3;
+
 function findBatchWorth(
   {service, model, requests}: Batch,
-  {nowMs, refusalsOf}: SwapContext,
+  {nowMs, refusalsOf, findTeamUse}: SwapContext,
 ): number {
   const beginsAtMs = nowMs + MS_PER_SECOND;
-  const worth = requests.reduce(
-    (sum, request) => sum + findWorthAt(request, beginsAtMs),
-    0,
-  );
-  return worth * (1 + REFUSAL_WEIGHT * refusalsOf(service, model));
+  const refusals = refusalsOf(service, model);
+  const rated = requests.map(request => ({
+    ...{team: request.team, worth: findWorthAt(request, beginsAtMs)},
+  }));
+  if (findTeamUse) {
+    const counted = Math.min(MAX_COUNTED_REFUSALS, refusals);
+    return sumWorthByTeam(rated) * (1 + REFUSAL_WEIGHT * counted);
+  }
+  const worthSum = rated.reduce((sum, {worth}) => sum + worth, 0);
+  return worthSum * (1 + REFUSAL_WEIGHT * refusals);
 }
 
 function findArrivalMs({requests}: Batch): number {
--- a/packages/schedule-models/src/scheduled_request.ts
+++ b/packages/schedule-models/src/scheduled_request.ts
@@ -94,6 +94,13 @@
   expectedCount: number;
 }
 
+/** What a request uses of the share of its team. */
+export interface ShareCharge {
+  /** Null for requests without a key. */
+  team: TeamName | null;
+  cost: number;
+}
+
 /** Why the share of a team leaves no room for a request. */
 export interface ShareForecast {
   /** The share of the engines that hold the model. */
@@ -104,6 +111,12 @@
   dataAgeMs: number;
 }
 
+/** A refusal for lack of room where teams have shares. */
+export interface ShareRefusal extends ShareCharge {
+  /** Null if the request was refused after it had waited. */
+  forecast: ShareForecast | null;
+}
+
 export type Decision =
   | {kind: 'assign'; askId: string; engineId: BackendServerId}
   | {
@@ -112,8 +125,8 @@
       reason: RefusalReason;
       /** Delay in milliseconds after which a retry makes sense. */
       retryAfterMs: number;
-      /** Set if the request was refused by the share of its team. */
-      share?: ShareForecast;
+      /** Set for lack of room where teams have shares. */
+      share?: ShareRefusal;
     }
   | {kind: 'order'; order: PlannedOrder};
 
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -39,6 +39,7 @@
   type PlannedOrder,
   type RunResult,
   type ScheduledRequest,
+  type ShareCharge,
   isNotRun,
 } from './scheduled_request.js';
 import {
@@ -196,7 +197,8 @@
   }
 
   /**
-   * Records the end of an assigned request.
+   * Records the end of an assigned request. Returns what it used of its team's share; null if
+   * it was not served or teams have no shares.
    *
    * @param ttfbMs time until its response began; null if it did not.
    */
@@ -206,18 +208,18 @@
     result: RunResult,
     ttfbMs: number | null,
     nowMs: number,
-  ): void {
+  ): ShareCharge | null {
     const engine = this.engines.get(engineId);
     const request = engine?.runs.get(askId);
-    if (!engine || !request) return;
+    if (!engine || !request) return null;
     engine.endRun(askId, result === 'served' ? ttfbMs : null, nowMs);
     this.access.recordResult(engine, request, result, nowMs);
-    this.forecast.recordEnd(request, engineId, result, nowMs);
     if (isNotRun(result)) this.waiting.recordNotRun(request);
     if (result === 'not-held') {
       engine.recordMissing(request.model, request.adapter, nowMs);
     }
     if (result === 'not-taken') engine.delayReadiness(request.model, nowMs);
+    return this.forecast.recordEnd(request, engineId, result, nowMs);
   }
 
   /** Records that an engine wants no requests of a node for some time. */
@@ -290,7 +292,9 @@
       // Models are loaded elsewhere only for requests that are not deferred.
       if (usable.length === 0) this.deferred.remove(request.askId);
       const engine = this.deferred.pickEngine(request, usable, nowMs, one =>
-        this.isContinuable(one, request, nowMs),
+        this.engines.isMixed(request.service)
+          ? this.index.isContinuable(one, request, nowMs)
+          : true,
       );
       if (!engine) return false;
       this.deferred.remove(request.askId);
@@ -306,29 +310,6 @@
     return decisions;
   }
 
-  /**
-   * Whether another engine of the same software version holds the model or can load it
-   * without the weight store. Guards against streams that are lost with their engine since
-   * all other copies of the model are at other versions.
-   */
-  private isContinuable(
-    engine: EngineView,
-    {service, model}: ScheduledRequest,
-    nowMs: number,
-  ): boolean {
-    if (!this.engines.isMixed(service)) return true;
-    const holders = this.index
-      .listHolders(service, model)
-      .filter(({residents}) => residents.get(model)?.isReady(nowMs));
-    const caching = this.index.listCaching(service, model);
-    return [...holders, ...caching].some(
-      other =>
-        other !== engine &&
-        other.acceptsWorkAt(nowMs) &&
-        isVersionAllowed(engine.entry, other.entry),
-    );
-  }
-
   /** Sends the next order of each pending swap. */
   private continueSwaps(nowMs: number): Decision[] {
     return this.listEngines().flatMap(engine => {
@@ -432,9 +413,10 @@
     const {index, catalogue, demand, refusals, speed, storeLoads, copies} =
       this;
     const {pauses} = this.access;
+    const {findTeamUse} = this.waiting;
     return makeSwapContext(nowMs, {
       ...{engines, index, copies, catalogue},
-      ...{demand, refusals, speed, storeLoads, pauses},
+      ...{demand, refusals, speed, storeLoads, pauses, findTeamUse},
     });
   }
 
@@ -454,12 +436,15 @@
       ...{nowMs, inOrder: waiting.listInOrder(nowMs)},
       listHolders: (service, model) => this.index.listHolders(service, model),
     });
-    return [...refused, ...late].map(({request, refusal}) => {
+    return [...refused, ...late].map(({request, refusal}): Decision => {
       this.dequeue(request.askId);
       if (refusal.reason !== 'unknown-model') {
         this.refusals.recordRefusal(request.service, request.model);
       }
-      return {kind: 'refuse' as const, askId: request.askId, ...refusal};
+      const {askId} = request;
+      const {reason, retryAfterMs} = refusal;
+      const shared = this.forecast.describeRefusal(request, refusal);
+      return {kind: 'refuse', askId, reason, retryAfterMs, ...shared};
     });
   }
 
--- a/packages/schedule-models/src/swap_context.ts
+++ b/packages/schedule-models/src/swap_context.ts
@@ -4,6 +4,7 @@
 import {type EngineIndex} from './engine_index.js';
 import {type EngineView} from './engine_view.js';
 import {type EnginePauses} from './engine_pauses.js';
+import {type FindTeamUse} from './load_shares.js';
 import {type RefusalCounts} from './refusal_counts.js';
 import {type ModelCatalogue} from './model_catalogue.js';
 import {type PrefillSpeed} from './prefill_speed.js';
@@ -21,6 +22,7 @@
   speed: PrefillSpeed;
   storeLoads: StoreLoads;
   pauses: EnginePauses;
+  findTeamUse: FindTeamUse | null;
 }
 
 export function makeSwapContext(
@@ -28,9 +30,9 @@
   sources: SwapContextSources,
 ): SwapContext {
   const {engines, index, copies, catalogue, demand} = sources;
-  const {refusals, speed, storeLoads, pauses} = sources;
+  const {refusals, speed, storeLoads, pauses, findTeamUse} = sources;
   return {
-    ...{nowMs, engines},
+    ...{nowMs, engines, findTeamUse},
     isPaused: id => pauses.isPausedForAny(id, nowMs),
     listCaching: (service, model) => index.listCaching(service, model),
     copiesOf: model => copies.find(model),
--- a/packages/schedule-models/src/swap_policy.ts
+++ b/packages/schedule-models/src/swap_policy.ts
@@ -6,6 +6,7 @@
 } from '@mimosatack/types';
 import {type ModelDemand} from './demand.js';
 import {type EngineView} from './engine_view.js';
+import {type FindTeamUse} from './load_shares.js';
 import {type ResidentModel} from './resident_model.js';
 import {type ScheduledRequest} from './scheduled_request.js';
 
@@ -48,6 +49,8 @@
   targetCopiesOf: (service: ServiceName, model: ModelName) => number;
   /** Whether the weight store can serve one more load now. */
   canLoadFromStore: (service: ServiceName) => boolean;
+  /** What a team has used of its share; null while teams have no shares. */
+  findTeamUse: FindTeamUse | null;
 }
 
 /** A load on one engine and the model to evict for it; null if none. */
--- a/packages/schedule-models/src/waiting_requests.ts
+++ b/packages/schedule-models/src/waiting_requests.ts
@@ -6,6 +6,7 @@
   VirtualCounters,
 } from '@mimosatack/share-capacity';
 import {type TeamName} from '@mimosatack/types';
+import {type FindTeamUse} from './load_shares.js';
 import {type ScheduledRequest} from './scheduled_request.js';
 
 /** Cost of an output token relative to a prompt token. */
@@ -89,6 +90,12 @@
     this.ordered = null;
   }
 
+  /** What teams have used; null while requests go by urgency alone. */
+  get findTeamUse(): FindTeamUse | null {
+    const {shares} = this;
+    return shares && (team => shares.findUse(team ?? ANONYMOUS_TEAM));
+  }
+
   /** In order of insertion. */
   list(): ScheduledRequest[] {
     return [...this.requests.values()];
--- a/packages/schedule-service/src/abandoned_requests.ts
+++ b/packages/schedule-service/src/abandoned_requests.ts
@@ -67,7 +67,8 @@
     ended.forEach(({askId, engineId, charge}) => {
       asks.remove(askId);
       if (engineId !== null) {
-        return scheduler.recordEnd(askId, engineId, 'neutral', null, nowMs);
+        scheduler.recordEnd(askId, engineId, 'neutral', null, nowMs);
+        return;
       }
       scheduler.dequeue(askId);
       if (charge) refund(charge);
--- a/packages/share-capacity/src/deficit_round_robin.ts
+++ b/packages/share-capacity/src/deficit_round_robin.ts
@@ -52,6 +52,10 @@
     this.waiting.recordStart(item);
   }
 
+  findUse(team: TeamName): number {
+    return -this.findDeficit(team) / (this.weights.get(team) ?? 1);
+  }
+
   recordNotRun(item: T): void {
     this.deficits.set(item.team, this.findDeficit(item.team) + item.cost);
   }
--- a/packages/share-capacity/src/fair_order.ts
+++ b/packages/share-capacity/src/fair_order.ts
@@ -20,6 +20,8 @@
   get(id: string): T | undefined;
   /** Charges an item that has started without waiting here, such as at another node. */
   recordStart(item: T): void;
+  /** What a team has used of its share; only comparable between teams. */
+  findUse(team: TeamName): number;
   /** Returns the charge of an item that has not run. */
   recordNotRun(item: T): void;
   /**
--- a/packages/share-capacity/src/virtual_counters.ts
+++ b/packages/share-capacity/src/virtual_counters.ts
@@ -58,6 +58,12 @@
     this.charge(item);
   }
 
+  findUse(team: TeamName): number {
+    const isWaiting = this.waiting.isWaiting(team);
+    const counter = this.findCounter(team);
+    return isWaiting ? counter : Math.max(counter, this.virtualTime);
+  }
+
   recordNotRun(item: T): void {
     const refunded = this.findCounter(item.team) - this.findCharge(item);
     this.counters.set(item.team, Math.max(0, refunded));
--- a/packages/share-capacity/src/waiting_lanes.ts
+++ b/packages/share-capacity/src/waiting_lanes.ts
@@ -37,6 +37,10 @@
     this.getOrAddLane(item.team).recordStart(item);
   }
 
+  isWaiting(team: TeamName): boolean {
+    return (this.lanes.get(team)?.size ?? 0) > 0;
+  }
+
   /** The lanes with waiting items. */
   listWaiting(): Array<[TeamName, TeamLane<T>]> {
     return [...this.lanes].filter(([, lane]) => lane.size > 0);
