Log refusals by share, and count served and refused cost by team

Operators could not tell a refusal by a team's share from a lack of engines. The event share-refused has the team, its share, the forecast start, the age of the data and the retry time; shares.served_cost and shares.refused_cost name the 20 teams that cost most.

--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -149,4 +149,33 @@
       fencingToken: 'of the node that decided, which is the one that logs',
     },
   },
+  'share-refused': {
+    number: 3407,
+    level: 'info',
+    message: "A request was refused for lack of room in its team's share.",
+    fields: {
+      requestId: 'the request',
+      model: 'the model, if one was named',
+      team: 'the team; none for a request without a key',
+      cost: 'what it would have used: prompt tokens and ten times the output tokens',
+      isOnArrival: 'whether it was refused by a forecast, before it waited',
+      teamShare: 'the share of the capacity that its team gets at this time',
+      startsInMs:
+        'when it would have started; none if not while the team asks for as much',
+      dataAgeMs: 'age of the newest observation behind the forecast',
+      retryAfterMs: 'when the caller is told to come back',
+    },
+    remedy:
+      'If the team should be served, add engines, or raise its weight in MIMOSATACK_TEAM_WEIGHTS.',
+  },
+  'share-used': {
+    number: 3408,
+    level: 'debug',
+    message: "A request was served and counts toward its team's share.",
+    fields: {
+      requestId: 'the request, if it is known',
+      team: 'the team; none for a request without a key',
+      cost: 'what it used: prompt tokens and ten times the output tokens',
+    },
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/measure-events/src/measuring_event_logger.test.ts
+++ b/packages/measure-events/src/measuring_event_logger.test.ts
@@ -48,6 +48,20 @@
   );
 });
 
+// Guards against one series for each of any number of teams.
+test('costs name the 20 teams that cost most, and the rest as one', () => {
+  const metrics = new MemoryMetrics();
+  const logger = new MetricsEventLogger(new MemoryEventLogger(), metrics);
+  for (let team = 0; team < 100; team += 1) {
+    const requestId = `r${team}`;
+    logger.log('share-used', {requestId, team: `t${team}`, cost: 100 - team});
+  }
+  logger.log('share-used', {requestId: 'r', team: undefined, cost: 5});
+  const tags = new Set(metrics.samples.map(({tags: {team}}) => team));
+  assert.is(tags.size, 22);
+  assert.ok(tags.has('t0') && tags.has('(other)') && tags.has('(none)'));
+});
+
 test('an event without a metric is only logged', () => {
   const inner = new MemoryEventLogger();
   const metrics = new MemoryMetrics();
--- a/packages/measure-events/src/measuring_event_logger.ts
+++ b/packages/measure-events/src/measuring_event_logger.ts
@@ -6,6 +6,7 @@
   type FieldValue,
 } from '@mimosatack/logger';
 import {type Metrics} from '@mimosatack/metrics';
+import {TeamTags} from './team_tags.js';
 
 type Fields = Readonly<Record<string, FieldValue>>;
 
@@ -56,17 +57,37 @@
   ],
 ]);
 
+/** Costs by team, of which only the largest are named. */
+const SHARE_METRICS: ReadonlyMap<
+  EventName,
+  'shares.served_cost' | 'shares.refused_cost'
+> = new Map([
+  ['share-used', 'shares.served_cost'],
+  ['share-refused', 'shares.refused_cost'],
+]);
+
 /** Updates metrics also for events that the log level suppresses. */
 export class MetricsEventLogger implements EventLogger {
+  private readonly teamTags = new TeamTags();
+
   constructor(
     private readonly inner: EventLogger,
     private readonly metrics: Metrics,
   ) {}
 
   log<N extends EventName>(name: N, fields: EventFields<N>): void {
+    this.recordShare(name, fields);
     UPDATES_BY_EVENT.get(name)?.(this.metrics, fields);
     this.inner.log(name, fields);
   }
+
+  private recordShare(name: EventName, {team, cost}: Fields): void {
+    const metric = SHARE_METRICS.get(name);
+    if (!metric) return;
+    const amount = toNumber(cost);
+    const tag = this.teamTags.record(toTag(team), amount);
+    this.metrics.count(metric, {team: tag}, amount);
+  }
 }
 
 function recordFinished(
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -14,6 +14,9 @@
   kind: 'the route, such as `POST /v1/chat/completions`',
 } as const;
 
+const SHARE_TEAM_TAG =
+  'the team; `(none)` for requests without a key; `(other)` for all but the 20 that cost most';
+
 /** All metrics by name; timings are in milliseconds. */
 export const METRIC_CATALOGUE = {
   'requests.received': counter('Requests that arrived.', INTERFACE_TAGS),
@@ -102,6 +105,14 @@
   'schedule.waited': timing('Time that requests for models waited.', {
     decision: '`assign` or `refuse`',
   }),
+  'shares.served_cost': counter(
+    'Cost of requests that were served, of the node that schedules.',
+    {team: SHARE_TEAM_TAG},
+  ),
+  'shares.refused_cost': counter(
+    'Cost of requests that were refused for lack of room, of the node that schedules.',
+    {team: SHARE_TEAM_TAG},
+  ),
   'orders.sent': counter('Orders to engines, of the node that schedules.', {
     operation: '`load` or `unload`',
     outcome: 'what the engine answered',
--- a/packages/schedule-service/src/scheduling_service.test.ts
+++ b/packages/schedule-service/src/scheduling_service.test.ts
@@ -181,4 +181,34 @@
   host.stop();
 });
 
+// Guards against refusals by share that operators can't tell from a lack of engines.
+test('refusals by share are logged with their reasons, and what is served', async () => {
+  const {clock, host, logger, sent} = startHost(new FakeOrders());
+  const weights = new Map(['a', 'b'].map(team => [team, 1] as const));
+  host.configure([makeEngineService()], weights);
+  host.putServers([makeEngineEntry('e2')]);
+  const ask = async (askId: string) => {
+    const message = makeAsk(askId, null);
+    if (message.type !== 'ask') return;
+    host.receive('n1', {...message, ask: {...message.ask, team: 'a'}});
+    await flushPendingCallbacks();
+  };
+  await ask('n.first');
+  clock.advance(500);
+  host.receive('n1', {
+    ...{type: 'run-ended', askId: 'n.first', engineId: 'e2', result: 'served'},
+    ...{headMs: 20, isUnsent: false},
+  });
+  for (let count = 0; count < 200; count += 1) await ask(`n.${count}`);
+  const used = logger.fieldsOf('share-used');
+  assert.equal(used, [{requestId: 'of-n.first', team: 'a', cost: 110}]);
+  const [refused] = logger.fieldsOf('share-refused');
+  assert.is(refused?.['team'], 'a');
+  assert.is(refused?.['isOnArrival'], true);
+  assert.is(refused?.['teamShare'], 1);
+  assert.is(refused?.['dataAgeMs'], 0);
+  assert.ok(sent.some(({type}) => type === 'refused'));
+  host.stop();
+});
+
 test.run();
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -32,6 +32,7 @@
   type FromHolderMessage,
   type ToHolderMessage,
 } from './messages.js';
+import {logShareRefusal} from './share_log.js';
 import {type TrackedAsk, TrackedAsks} from './tracked_asks.js';
 
 export interface SchedulingServiceOptions {
@@ -172,13 +173,7 @@
         this.dropAsk(message.askId, false);
         break;
       case 'run-ended':
-        this.scheduler.recordEnd(
-          message.askId,
-          message.engineId,
-          message.result,
-          message.headMs,
-          nowMs,
-        );
+        this.recordEnd(message, nowMs);
         this.dropAsk(message.askId, mayRequestHaveRun(message));
         break;
       case 'charge':
@@ -256,6 +251,20 @@
     this.options.send(nodeAddress, {type: 'permitted', askId, waitMs});
   }
 
+  private recordEnd(
+    {askId, engineId, result, headMs}: EndMessage,
+    nowMs: number,
+  ): void {
+    const used = this.scheduler.recordEnd(
+      ...([askId, engineId, result, headMs, nowMs] as const),
+    );
+    if (!used) return;
+    const requestId = this.asks.get(askId)?.requestId;
+    this.options.logger.log('share-used', {
+      ...{requestId, team: used.team ?? undefined, cost: used.cost},
+    });
+  }
+
   private dropAsk(askId: string, mayHaveRun: boolean): void {
     const charge = this.asks.remove(askId)?.charge;
     if (charge && !mayHaveRun) this.options.quotas.refundAtHolder(charge);
@@ -299,6 +308,7 @@
     const known = this.asks.get(decision.askId);
     if (!known) return;
     this.logDecision(decision, known);
+    logShareRefusal(this.options.logger, decision, known);
     const {nodeAddress} = known;
     if (decision.kind === 'assign') {
       const {askId, engineId} = decision;
@@ -395,10 +405,9 @@
   }
 }
 
+type EndMessage = Extract<ToHolderMessage, {type: 'run-ended'}>;
+
 /** Whether the engine may have run a request that has ended. */
-function mayRequestHaveRun({
-  result,
-  isUnsent,
-}: Extract<ToHolderMessage, {type: 'run-ended'}>): boolean {
+function mayRequestHaveRun({result, isUnsent}: EndMessage): boolean {
   return !isUnsent && !isNotRun(result);
 }
