Refuse at once what only leaving servers could serve, also without a scheduling node

Cause, by a trace with the scheduling node frozen for 950 ms: a node that has no touch with the scheduling node for 800 ms, as when the machine is busy, let each request that no server of its own view could take wait TAKEOVER_WAIT_MS for the next one. Refusals of callers whom only leaving servers could serve took 1503 to 1511 ms (3 of 150), with status and Retry-After right. When the same node was back in touch, waiting asks were not sent again. Change: a node that knows that all servers of the service are leaving refuses at once; asks that wait are sent again as soon as the scheduling node is back in touch. Why it holds: a next scheduling node has the same servers.

--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -88,7 +88,10 @@
   const sent: ToHolderMessage[] = [];
   const local = new FixedChooser();
   const reports: AvailabilityReport[] = [];
-  const state = {charged: 0, hasHolder: true, isUnsettled: false, reports};
+  const state = {
+    ...{charged: 0, hasHolder: true, isUnsettled: false, reports},
+    areAllLeaving: false,
+  };
   const clock = new ManualClock();
   const refused: string[] = [];
   const chooser = new ScheduledChooser({
@@ -96,6 +99,7 @@
     permits: {settle: () => false, handleHolderLost: () => undefined},
     availability: {describe: () => state.reports, list: () => state.reports},
     findServer: () => SERVER,
+    areAllLeaving: () => state.areAllLeaving,
     sendToHolder: message => {
       if (state.hasHolder) sent.push(message);
       return state.hasHolder;
@@ -219,6 +223,36 @@
   assert.is(choice.status === 'refused' && choice.error.retryAfterMs, 250);
 });
 
+// Guards against callers that wait in vain for the next scheduling node.
+test('without a scheduling node only leaving servers refuse at once', async () => {
+  const {chooser, local, state} = startChooser(100);
+  Object.assign(state, {hasHolder: false, areAllLeaving: true});
+  local.hasServer = false;
+  const choice = await chooser.choose(makeAsk(true));
+  assert.is(choice.status, 'refused');
+});
+
+// Guards against asks that wait for the next scheduling node when this one is back.
+test('a scheduling node that is in touch again is asked again', async () => {
+  const {chooser, local, sent, state} = startChooser(100);
+  Object.assign(state, {hasHolder: false});
+  local.hasServer = false;
+  const pending = chooser.choose(makeAsk(true));
+  await flushPendingCallbacks();
+  state.hasHolder = true;
+  chooser.handleHolderBack();
+  chooser.handleHolderBack();
+  assert.equal(
+    sent.map(({type}) => type),
+    ['ask'],
+  );
+  const [ask] = sent;
+  const askId = ask?.type === 'ask' ? ask.ask.askId : '';
+  const refusal = {reason: 'no-room', retryAfterMs: 900} as const;
+  chooser.receive({type: 'refused', askId, ...refusal});
+  assert.is((await pending).status, 'refused');
+});
+
 const REPORT: AvailabilityReport = {
   ...{serverId: SERVER.id, startedAtMs: null, isLeaving: false, pauseMs: 900},
 };
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -41,6 +41,8 @@
   /** Chooses for unscheduled requests, and for all if no node schedules. */
   local: ServerChooser;
   findServer: (id: BackendServerId) => BackendServerEntry | undefined;
+  /** Whether all servers of a service that are known have said that they are leaving. */
+  areAllLeaving: (service: string) => boolean;
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
   quotas: LocalQuotas;
@@ -149,6 +151,20 @@
     );
   }
 
+  /**
+   * Asks a scheduling node that is in touch again, since it did not get the asks of the
+   * meantime and learns of no other way.
+   */
+  handleHolderBack(): void {
+    this.pendingAsks.forEach(pending => {
+      if (pending.isSubmitted) return;
+      const {askId, ask} = pending;
+      pending.isSubmitted = this.toPayloads(askId, ask).some(payload =>
+        this.options.sendToHolder({type: 'ask', ask: payload}),
+      );
+    });
+  }
+
   /** Sends all pending asks and running requests to a new scheduling node. */
   sendStateToHolder(): void {
     const asks = [...this.pendingAsks.values()].flatMap(({askId, ask}) =>
@@ -292,13 +308,21 @@
     this.chooseLocally(pending);
   }
 
+  /**
+   * Guards against callers that wait for the next scheduling node although it has no server
+   * for them either.
+   */
   private chooseLocally(pending: PendingAsk): void {
-    const {clock} = this.options;
+    const {clock, areAllLeaving} = this.options;
     void this.chargeAndChooseLocally(pending.ask).then(choice => {
       if (choice.status === 'chosen') {
         if (!pending.settle(choice)) this.release(choice);
         return;
       }
+      if (areAllLeaving(pending.ask.service.name)) {
+        pending.settle(choice);
+        return;
+      }
       clock.setTimer(TAKEOVER_WAIT_MS, () => {
         if (!pending.isSubmitted) pending.settle(choice);
       });
--- a/packages/serving-node/src/server_chooser.ts
+++ b/packages/serving-node/src/server_chooser.ts
@@ -44,6 +44,12 @@
       listServers: service => servers.listReady(service),
     }),
     findServer: id => servers.find(id),
+    areAllLeaving: service => {
+      const ready = servers.listReady(service);
+      return (
+        ready.length > 0 && ready.every(one => availability.isLeaving(one))
+      );
+    },
     onQuotaRefused: (requestId, charge, refusal) =>
       logQuotaRefusal(logger, requestId, charge, refusal),
   });
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -401,7 +401,7 @@
       onFromHolder: message => this.chooser.receive(message),
       onServingNodes: names => this.updateServingNodes(names),
       onHolderContactChange: isAlive => {
-        if (isAlive) return;
+        if (isAlive) return this.chooser.handleHolderBack();
         this.chooser.handleHolderLost();
         this.duty.refresh();
       },
