Assign the places of plain servers at the scheduling node while they are under pressure or brittle

Cause: nobody reads Server-Brittle, and nodes choose plain servers each by itself, so that all of them together make servers reject and fall over. Change: nodes report pressure, Server-Brittle and Server-Limit; the scheduling node tells all nodes with the heartbeat reply and at once which services it coordinates, and answers their asks without a model by PlaceScheduler. A node chooses by itself after 300 ms without an answer. Services that are not coordinated send no message.

--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -138,4 +138,43 @@
       fencingToken: 'of the node that decided, which is the one that logs',
     },
   },
+  'service-coordination-changed': {
+    number: 3420,
+    level: 'info',
+    message:
+      'The scheduling node has begun or has ceased to assign the places of a plain service.',
+    fields: {
+      service: 'the service',
+      isCoordinated: 'whether it assigns them from now on',
+      cause:
+        'rejection or load of a server, brittle or limit named by one, or no-pressure',
+    },
+  },
+  'server-concurrency-lowered': {
+    number: 3421,
+    level: 'info',
+    message: 'A plain server gets fewer requests at once, after a rejection.',
+    fields: {
+      service: 'the service',
+      backendServerId: 'the server',
+      limit: 'requests that it may have at once from now on',
+      previousLimit: 'the limit before',
+    },
+    remedy:
+      'If it comes often, the server has fewer slots than its entry states.',
+  },
+  'place-refused': {
+    number: 3422,
+    level: 'info',
+    message: 'A request was refused a place at the servers of a plain service.',
+    fields: {
+      requestId: 'the request',
+      service: 'the service',
+      team: 'the team, empty for requests without one',
+      forecastMs:
+        'when it would have started, from its ask on; null if no server may serve it',
+      retryAfterMs: 'when the caller is told to come back',
+      waiting: 'requests that wait at all plain services',
+    },
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -105,6 +105,8 @@
     crashes: crashReplySchema.nullable().default(null),
     quotas: quotaReplySchema.nullable().default(null),
     limits: limitReplySchema.nullable().default(null),
+    /** Services without models whose places the sender assigns. */
+    coordinatedServices: z.array(z.string()).default([]),
     /** Send time on the sender's clock that includes host suspension. */
     awakeBeatMs: z.number().nullable().default(null),
     /** Time since the sender's configuration was known to be current. */
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -151,6 +151,15 @@
     else this.transport.send(address, {type: 'from-holder', body: message});
   }
 
+  /** Sends a message to all nodes with a recent heartbeat, and to this one. */
+  sendToAllNodes(message: FromHolderMessage): void {
+    const {peerAddress} = this.options.self;
+    const others = this.roster.listAddresses();
+    [...others.filter(other => other !== peerAddress), peerAddress].forEach(
+      address => this.sendToNode(address, message),
+    );
+  }
+
   sendStreamsBegun(address: string, message: StreamsBegun): void {
     this.transport.send(address, message);
   }
@@ -322,6 +331,10 @@
     }
     this.lastWelcome.record(welcome);
     this.contacts.noteHeard(holder);
+    this.options.onFromHolder({
+      type: 'coordinated-services',
+      services: welcome.coordinatedServices,
+    });
     this.options.onServingNodes(this.receivedServingList.apply(welcome));
     this.catchUp.compare(holder.address, welcome);
   }
@@ -405,6 +418,7 @@
       crashes: options.crashes.handleReport(crashes),
       quotas: options.quotas.answerReport(incarnation, quotas),
       limits: options.limits.answerReport(limits),
+      coordinatedServices: [...options.listCoordinated()],
       ...this.confirmations.describe(),
       serversAgeMs: Number.isFinite(ageMs) ? ageMs : null,
       ...{configurationVersion, serversEndOffset, nodesEndOffset},
--- a/packages/node-links/src/node_links_options.ts
+++ b/packages/node-links/src/node_links_options.ts
@@ -86,6 +86,8 @@
   /** Called with a message for this node's scheduler. */
   onToHolder: (from: string, message: ToHolderMessage) => void;
   onFromHolder: (message: FromHolderMessage) => void;
+  /** Services without models whose places this node assigns as the holder. */
+  listCoordinated: () => readonly string[];
   onServingNodes: (nodeNames: readonly string[]) => void;
   /** Called when contact with the duty holder is established or lost. */
   onHolderContactChange: (isAlive: boolean) => void;
--- a/packages/schedule-service/src/ask_payload.ts
+++ b/packages/schedule-service/src/ask_payload.ts
@@ -1,15 +1,24 @@
 /** Converts requests to and from the `ask` message of the scheduling node. */
 import {type ScheduledRequest} from '@mimosatack/schedule-models';
-import {type ServerAsk} from '@mimosatack/serve-requests';
-import {type AskPayload} from './messages.js';
+import {type PlaceRequest} from '@mimosatack/schedule-places';
+import {
+  type GenerationParameters,
+  type ServerAsk,
+  findWaitDeadlineMs,
+} from '@mimosatack/serve-requests';
+import {ANONYMOUS_TEAM} from '@mimosatack/share-capacity';
+import {type AskPayload, type ModelAsk} from './messages.js';
 
 /** Share of the output limit that is assumed when a request has no estimate. */
 const DEFAULT_OUTPUT_FRACTION = 0.5;
+const NO_MODEL = {
+  ...{model: null, adapter: null, promptTokens: 0, outputTokens: 0},
+};
 const MIN_CALLER_TIMEOUT_MS = 2_000;
 const TIMEOUT_PER_TARGET_LATENCY = 4;
 const TIMEOUT_PER_TARGET_GAP = 8;
 
-/** Null for a request that needs no model. */
+/** Null for a request to engines that names no model. */
 export function toAskPayload(
   askId: string,
   ask: ServerAsk,
@@ -18,18 +27,12 @@
   const {request, route, service, excluded, allowed, hasBegun} = ask;
   const {charge, priority} = ask;
   const {generation} = request;
-  if (!generation) return null;
-  const {maxOutputTokens, expectedOutputTokens} = generation;
+  if (service.engine && !generation) return null;
   return {
     askId,
     requestId: request.requestId,
     service: service.name,
-    model: generation.model,
-    adapter: generation.adapter,
-    promptTokens: generation.promptTokens,
-    outputTokens: Math.round(
-      expectedOutputTokens ?? maxOutputTokens * DEFAULT_OUTPUT_FRACTION,
-    ),
+    ...(service.engine && generation ? describeWork(generation) : NO_MODEL),
     priority,
     // Once the answer has begun, the caller waits for its next event only.
     waitedMs: hasBegun ? 0 : nowMs - request.receivedAtMs,
@@ -45,6 +48,19 @@
   };
 }
 
+function describeWork({
+  model,
+  adapter,
+  promptTokens,
+  maxOutputTokens,
+  expectedOutputTokens,
+}: GenerationParameters) {
+  const outputTokens = Math.round(
+    expectedOutputTokens ?? maxOutputTokens * DEFAULT_OUTPUT_FRACTION,
+  );
+  return {model, adapter, promptTokens, outputTokens};
+}
+
 /**
  * When the caller is expected to abandon a stream that sends no events. The
  * timeout is the longest of two seconds, four times the target latency and
@@ -64,7 +80,7 @@
 }
 
 export function toScheduledRequest(
-  payload: AskPayload,
+  payload: ModelAsk,
   nodeId: string,
   nowMs: number,
 ): ScheduledRequest {
@@ -84,3 +100,23 @@
     ...{softwareVersion, team, nodeId},
   };
 }
+
+/** For an ask of a place at a plain server. */
+export function toPlaceRequest(
+  payload: AskPayload,
+  nodeAddress: string,
+  nowMs: number,
+): PlaceRequest {
+  const {askId, service, team, priority, excluded, allowed} = payload;
+  const receivedAtMs = nowMs - payload.waitedMs;
+  const endsAtMs = nowMs + payload.endsInMs;
+  return {
+    ...{id: askId, service, team: team ?? ANONYMOUS_TEAM, priority, cost: 1},
+    ...{dueAtMs: nowMs + payload.dueInMs, nodeAddress, endsAtMs},
+    // Ask ids are the incarnation of the node and a number.
+    incarnation: askId.slice(0, Math.max(0, askId.lastIndexOf('.'))),
+    waitDeadlineAtMs: findWaitDeadlineMs({receivedAtMs}, endsAtMs),
+    excluded: new Set(excluded),
+    allowed: allowed && new Set(allowed),
+  };
+}
--- a/packages/schedule-service/src/charge_client.ts
+++ b/packages/schedule-service/src/charge_client.ts
@@ -1,7 +1,7 @@
 /** Charges requests at the node that holds the quotas. */
 import {type Clock, type Timer} from '@mimosatack/clock';
 import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
-import {type FromHolderMessage, type ToHolderMessage} from './messages.js';
+import {type HolderAnswer, type ToHolderMessage} from './messages.js';
 
 export interface ChargeClientOptions {
   clock: Clock;
@@ -43,7 +43,7 @@
   }
 
   /** Returns false for a message that answers no pending charge. */
-  settle(message: FromHolderMessage): boolean {
+  settle(message: HolderAnswer): boolean {
     const resolve = this.pending.get(message.askId);
     if (message.type !== 'charged' || !resolve) return false;
     resolve(message.refusal ?? 'charged');
--- a/packages/schedule-service/src/index.ts
+++ b/packages/schedule-service/src/index.ts
@@ -22,4 +22,6 @@
   type SchedulingServiceOptions,
   type TeamWeights,
 } from './scheduling_service.js';
+export {PlacingService, type PlacingServiceOptions} from './placing_service.js';
+export {PressureReporter} from './pressure_reporter.js';
 export {PermitClient, type PermitClientOptions} from './permit_client.js';
--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -13,7 +13,8 @@
   /** The caller's request id, which correlates the log lines of both nodes. */
   requestId: z.string(),
   service: z.string(),
-  model: z.string(),
+  /** Null for a place at a plain server; the previous release always names one. */
+  model: z.string().nullable(),
   adapter: z.string().nullable(),
   promptTokens: z.number(),
   outputTokens: z.number(),
@@ -71,6 +72,15 @@
     /** How long the request waits for this server; 0 if it does not. */
     maxWaitMs: z.number(),
   }),
+  /** A server is under pressure, or names terms that require coordination. */
+  z.object({
+    type: z.literal('pressure'),
+    service: z.string(),
+    serverId: z.string(),
+    startedAtMs: z.number().nullable(),
+    cause: z.enum(['rejection', 'load', 'brittle', 'limit']),
+    brittlePerSecond: z.number().nullable(),
+  }),
   /**
    * A node's pending asks and running requests and what it knows of servers, for a new
    * scheduling node; or what it has just learned of a server.
@@ -124,11 +134,30 @@
     askId: z.string(),
     waitMs: z.number(),
   }),
+  /** The ask waits for a place: the scheduling node is there, and decides later. */
+  z.object({type: z.literal('queued'), askId: z.string()}),
+  /** The services whose places the scheduling node assigns, whenever the set changes. */
+  z.object({
+    type: z.literal('coordinated-services'),
+    services: z.array(z.string()),
+  }),
   /** The ask, charge or permit reached a node that is not the scheduling node. */
   z.object({type: z.literal('not-scheduling'), askId: z.string()}),
 ]);
 
 /** A request as it is described to the scheduling node. */
 export type AskPayload = z.infer<typeof askSchema>;
+/** An ask for an engine that holds a model. */
+export type ModelAsk = AskPayload & {model: string};
 export type ToHolderMessage = z.infer<typeof toHolderMessageSchema>;
 export type FromHolderMessage = z.infer<typeof fromHolderMessageSchema>;
+
+/** A message that answers a pending request of the node. */
+export type HolderAnswer = Exclude<
+  FromHolderMessage,
+  {type: 'coordinated-services'}
+>;
+
+export function isModelAsk(ask: AskPayload): ask is ModelAsk {
+  return ask.model !== null;
+}
--- a/packages/schedule-service/src/pending_ask.ts
+++ b/packages/schedule-service/src/pending_ask.ts
@@ -1,4 +1,5 @@
 /** A request that waits for a backend server to be chosen. */
+import {type Timer} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type ServerAsk, type ServerChoice} from '@mimosatack/serve-requests';
 import {type BackendServerId} from '@mimosatack/types';
@@ -16,6 +17,7 @@
   isSubmitted = false;
   private resolve!: (choice: ServerChoice) => void;
   private isSettled = false;
+  private timer: Timer | null = null;
   private readonly onAbort = () => this.withdraw();
 
   constructor(
@@ -32,6 +34,16 @@
     return this.current;
   }
 
+  /** The timer is cancelled once the ask is settled. */
+  setTimer(timer: Timer): void {
+    this.timer = timer;
+    if (this.isSettled) timer.cancel();
+  }
+
+  cancelTimer(): void {
+    this.timer?.cancel();
+  }
+
   exclude(id: BackendServerId): void {
     const excluded = new Set([...this.current.excluded, id]);
     this.current = {...this.current, excluded};
@@ -41,6 +53,7 @@
   settle(choice: ServerChoice): boolean {
     if (this.isSettled) return false;
     this.isSettled = true;
+    this.cancelTimer();
     this.current.signal.removeEventListener('abort', this.onAbort);
     this.events.onSettled();
     this.resolve(choice);
--- a/packages/schedule-service/src/permit_client.ts
+++ b/packages/schedule-service/src/permit_client.ts
@@ -3,7 +3,7 @@
 import {type ServerPermits} from '@mimosatack/serve-requests';
 import {type ServerLimiter} from '@mimosatack/share-limits';
 import {type BackendServerEntry, type BackendServerId} from '@mimosatack/types';
-import {type FromHolderMessage, type ToHolderMessage} from './messages.js';
+import {type HolderAnswer, type ToHolderMessage} from './messages.js';
 
 export interface PermitClientOptions {
   clock: Clock;
@@ -65,7 +65,7 @@
   }
 
   /** Returns false for a message that answers no pending request. */
-  settle(message: FromHolderMessage): boolean {
+  settle(message: HolderAnswer): boolean {
     const resolve = this.pending.get(message.askId);
     if (!resolve) return false;
     resolve(
--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -15,6 +15,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {type ToHolderMessage} from './messages.js';
+import {PressureReporter} from './pressure_reporter.js';
 import {ScheduledChooser} from './scheduled_chooser.js';
 
 const test = suite('quota charges of the scheduled chooser');
@@ -47,6 +48,7 @@
   release(): void {}
   recordSent(): void {}
   recordLoad(): void {}
+  recordTerms(): void {}
   recordResult(): void {}
 }
 
@@ -88,18 +90,23 @@
   const sent: ToHolderMessage[] = [];
   const local = new FixedChooser();
   const reports: AvailabilityReport[] = [];
-  const state = {charged: 0, hasHolder: true, isUnsettled: false, reports};
+  const state = {
+    ...{charged: 0, hasHolder: true, isUnsettled: false, reports},
+    hasTeamShares: true,
+  };
   const clock = new ManualClock();
   const refused: string[] = [];
+  const sendToHolder = (message: ToHolderMessage) => {
+    if (state.hasHolder) sent.push(message);
+    return state.hasHolder;
+  };
+  const hasTeamShares = () => state.hasTeamShares;
   const chooser = new ScheduledChooser({
-    ...{clock, askIdPrefix: 'n1', local},
+    ...{clock, askIdPrefix: 'n1', local, sendToHolder},
+    pressure: new PressureReporter({clock, hasTeamShares, sendToHolder}),
     permits: {settle: () => false, handleHolderLost: () => undefined},
     availability: {describe: () => state.reports, list: () => state.reports},
     findServer: () => SERVER,
-    sendToHolder: message => {
-      if (state.hasHolder) sent.push(message);
-      return state.hasHolder;
-    },
     quotas: {
       charge: ({amount}) => {
         const level = limit - state.charged;
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -12,11 +12,13 @@
   type ServerAsk,
   type ServerChoice,
   type ServerChooser,
+  type NamedTerms,
   type ServerLoad,
 } from '@mimosatack/serve-requests';
 import {
   type BackendServerEntry,
   type BackendServerId,
+  type ServiceName,
   isVersionAllowed,
 } from '@mimosatack/types';
 import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
@@ -32,6 +34,7 @@
   type ToHolderMessage,
 } from './messages.js';
 import {type PermitClient} from './permit_client.js';
+import {type PressureReporter} from './pressure_reporter.js';
 import {PendingAsk} from './pending_ask.js';
 
 export interface ScheduledChooserOptions {
@@ -44,6 +47,7 @@
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
   quotas: LocalQuotas;
+  pressure: PressureReporter;
   permits: Pick<PermitClient, 'settle' | 'handleHolderLost'>;
   availability: Pick<ServerAvailability, 'describe' | 'list'>;
   /** Called when a request that is charged locally exceeds its team's quota. */
@@ -66,6 +70,11 @@
  */
 const TAKEOVER_WAIT_MS = 1_500;
 const RETRY_AFTER_MS = 1_000;
+/**
+ * How long a request for a place waits for an answer of the scheduling node, before this node
+ * chooses by itself. Bounds what a frozen scheduling node costs each request.
+ */
+const PLACE_ANSWER_TIMEOUT_MS = 300;
 
 interface Run {
   askId: string;
@@ -79,6 +88,8 @@
   private readonly runs = new Map<string, Run>();
   private readonly chargeClient: ChargeClient;
   private nextAskNumber = 1;
+  /** Services without models whose places the scheduling node assigns. */
+  private coordinated: ReadonlySet<ServiceName> = new Set();
 
   constructor(private readonly options: ScheduledChooserOptions) {
     this.chargeClient = new ChargeClient(options);
@@ -92,26 +103,43 @@
   async choose(ask: ServerAsk): Promise<ServerChoice> {
     const {clock, askIdPrefix, sendToHolder} = this.options;
     const askId = `${askIdPrefix}.${this.nextAskNumber++}`;
-    const payload = ask.service.engine
+    if (!ask.service.engine) {
+      this.options.pressure.addPlainService(ask.service.name);
+    }
+    const payload = this.isScheduled(ask)
       ? toAskPayload(askId, ask, clock.monotonicMs())
       : null;
     if (!payload) return this.chargeAndChooseLocally(ask);
     const pending = this.addPendingAsk(askId, ask);
+    if (!ask.service.engine) this.startAnswerTimer(pending);
     pending.isSubmitted = sendToHolder({type: 'ask', ask: payload});
     if (!pending.isSubmitted) this.chooseLocally(pending);
     return pending.choice;
   }
 
+  /** Sets the services without models whose places the scheduling node assigns. */
+  setCoordinated(services: readonly ServiceName[]): void {
+    this.coordinated = new Set(services);
+  }
+
+  private isScheduled({service}: ServerAsk): boolean {
+    return service.engine !== null || this.coordinated.has(service.name);
+  }
+
   /** Handles a message of the scheduling node. */
   receive(message: FromHolderMessage): void {
+    if (message.type === 'coordinated-services') {
+      return this.setCoordinated(message.services);
+    }
     if (this.options.permits.settle(message)) return;
     if (this.chargeClient.settle(message)) return;
     if (message.type === 'charged' || message.type === 'permitted') return;
     const pending = this.pendingAsks.get(message.askId);
+    if (message.type === 'queued') return pending?.cancelTimer();
     if (message.type === 'refused') {
       pending?.settle({
         status: 'refused',
-        error: makeRefusalError(message, pending.ask.charge),
+        error: makeRefusalError(message, pending.ask),
       });
       return;
     }
@@ -161,6 +189,7 @@
     const isSent = this.options.sendToHolder({
       ...{type: 'under-way', asks, runs, servers},
     });
+    this.options.pressure.repeatAll();
     this.pendingAsks.forEach(pending => (pending.isSubmitted ||= isSent));
   }
 
@@ -192,6 +221,11 @@
 
   recordLoad(server: BackendServerEntry, load: ServerLoad): void {
     this.options.local.recordLoad(server, load);
+    this.options.pressure.recordLoad(server, load);
+  }
+
+  recordTerms(server: BackendServerEntry, terms: NamedTerms): void {
+    this.options.pressure.recordTerms(server, terms);
   }
 
   recordResult(
@@ -201,6 +235,9 @@
   ): void {
     this.options.local.recordResult(choice, result, headMs);
     if (isNotRun(result)) this.refundCharge(choice);
+    if (result === 'not-taken') {
+      this.options.pressure.recordRejection(choice.server);
+    }
     this.endRun(choice, result === 'answered' ? 'served' : result, headMs);
   }
 
@@ -258,6 +295,17 @@
     return pending;
   }
 
+  private startAnswerTimer(pending: PendingAsk): void {
+    const {clock, sendToHolder} = this.options;
+    const {askId} = pending;
+    pending.setTimer(
+      clock.setTimer(PLACE_ANSWER_TIMEOUT_MS, () => {
+        sendToHolder({type: 'withdraw', askId});
+        this.fallBackToLocal(pending);
+      }),
+    );
+  }
+
   private assign(pending: PendingAsk, server: BackendServerEntry): void {
     const {ask, askId} = pending;
     const nowMs = this.options.clock.monotonicMs();
@@ -285,6 +333,7 @@
 
   private fallBackToLocal(pending: PendingAsk): void {
     pending.isSubmitted = false;
+    pending.cancelTimer();
     this.chooseLocally(pending);
   }
 
@@ -295,6 +344,8 @@
         if (!pending.settle(choice)) this.release(choice);
         return;
       }
+      // Engines may have to load a model, which needs the scheduling node.
+      if (!pending.ask.service.engine) return void pending.settle(choice);
       clock.setTimer(TAKEOVER_WAIT_MS, () => {
         if (!pending.isSubmitted) pending.settle(choice);
       });
@@ -321,9 +372,14 @@
 
 function makeRefusalError(
   {reason, retryAfterMs}: Extract<FromHolderMessage, {type: 'refused'}>,
-  charge: QuotaCharge | null,
+  {charge, service}: ServerAsk,
 ): TypedError {
   if (reason === 'over-quota') return makeOverQuotaError(charge, retryAfterMs);
+  if (!service.engine) {
+    return new TypedError('overloaded', 'No place is free in time.', {
+      ...{run: 'not-run', retryAfterMs, info: {reason}},
+    });
+  }
   return new TypedError('not-warm', `No engine can serve it now: ${reason}.`, {
     run: 'not-run',
     retryAfterMs: Math.max(retryAfterMs, RETRY_AFTER_MS / 2),
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -29,6 +29,7 @@
   type AskPayload,
   type FromHolderMessage,
   type ToHolderMessage,
+  isModelAsk,
 } from './messages.js';
 
 export interface SchedulingServiceOptions {
@@ -186,18 +187,17 @@
           this.scheduler.recordPause(report, nodeAddress, nowMs);
         });
         message.asks.forEach(ask => this.acceptAsk(ask, nodeAddress, nowMs));
-        message.runs.forEach(({ask, engineId}) =>
-          this.scheduler.recordRunning(
-            toScheduledRequest(ask, nodeAddress, nowMs),
-            engineId,
-            nowMs,
-          ),
-        );
+        message.runs.forEach(({ask, engineId}) => {
+          if (!isModelAsk(ask)) return;
+          const request = toScheduledRequest(ask, nodeAddress, nowMs);
+          this.scheduler.recordRunning(request, engineId, nowMs);
+        });
     }
     this.scheduleDecision();
   }
 
   private acceptAsk(ask: AskPayload, nodeAddress: string, nowMs: number): void {
+    if (!isModelAsk(ask)) return;
     const {askId, requestId, model, adapter, waitedMs, charge} = ask;
     // A repeated ask was charged the first time.
     const isCharged = this.asks.has(askId);
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -10,6 +10,7 @@
 import {
   type AnswerFacts,
   type BackendDialect,
+  type NamedTerms,
   type SendParameters,
   type ServerLoad,
 } from './backend_dialect.js';
@@ -79,6 +80,7 @@
   onAvailability: (availability: AvailabilityFacts) => void;
   /** Called with the limit of each response of the chosen server. */
   onLimit: (limit: NamedLimit) => void;
+  onTerms: (terms: NamedTerms) => void;
 }
 
 const STATUS_OK_MIN = 200;
@@ -148,6 +150,7 @@
     const isOfChosenServer = facts.isNotRun || facts.isGenuine;
     if (isOfChosenServer && !facts.isMisdirected) {
       this.options.onLimit(facts.limit);
+      this.options.onTerms(toTerms(facts));
     }
     if (!facts.isMisdirected) this.options.onAvailability(facts.availability);
     if (facts.isNotRun) {
@@ -220,6 +223,10 @@
   }
 }
 
+function toTerms({brittlePerSecond, limit}: AnswerFacts): NamedTerms {
+  return {brittlePerSecond, isLimited: typeof limit === 'number'};
+}
+
 function isSuccess(status: number): boolean {
   return status >= STATUS_OK_MIN && status <= STATUS_OK_MAX;
 }
--- a/packages/serve-requests/src/backend_dialect.ts
+++ b/packages/serve-requests/src/backend_dialect.ts
@@ -25,6 +25,14 @@
   slots: number;
 }
 
+/** What a server says of the load that it takes from all hosts. */
+export interface NamedTerms {
+  /** The rejections per second that it tolerates; null if it does not say. */
+  brittlePerSecond: number | null;
+  /** Whether it names a limit. */
+  isLimited: boolean;
+}
+
 /** The decoded head of a response. */
 export interface AnswerFacts {
   status: number;
@@ -39,6 +47,8 @@
   load: ServerLoad | null;
   /** Requests per second that the server takes from all hosts together. */
   limit: NamedLimit;
+  /** Rejections per second beyond which the server fails; null if it does not say. */
+  brittlePerSecond: number | null;
   availability: AvailabilityFacts;
 }
 
--- a/packages/serve-requests/src/index.ts
+++ b/packages/serve-requests/src/index.ts
@@ -6,6 +6,7 @@
 export {
   type AnswerFacts,
   type BackendDialect,
+  type NamedTerms,
   type SendParameters,
   type ServerLoad,
 } from './backend_dialect.js';
@@ -42,3 +43,4 @@
   type ServerChoice,
   type ServerChooser,
 } from './server_chooser.js';
+export {findWaitDeadlineMs} from './wait_deadline.js';
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -145,6 +145,10 @@
     stats.loadAtMs = this.options.clock.monotonicMs();
   }
 
+  recordTerms(): void {
+    // A limit is kept by permits; rejections of all hosts are not known here.
+  }
+
   recordResult({server}: ChosenServer, result: AttemptResult): void {
     const stats = this.getOrCreateStats(server);
     stats.inFlight = Math.max(0, stats.inFlight - 1);
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -82,7 +82,7 @@
         makeHeaders: () => [],
         readHead: ({status}) => ({
           ...{status, headers: [], isNotRun: false, isMisdirected: false},
-          ...{isGenuine: true, load: null, limit: null},
+          ...{isGenuine: true, load: null, limit: null, brittlePerSecond: null},
           availability: {isLeaving: false, pauseMs: null, invalidHeaders: []},
         }),
       },
@@ -91,6 +91,7 @@
         release: ({server}) => this.released.push(server.id),
         recordSent: () => undefined,
         recordLoad: () => undefined,
+        recordTerms: () => undefined,
         recordResult: () => undefined,
       },
       retries: new RetryAllowance({
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -230,6 +230,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxIdleMs: this.isRepeatable ? Infinity : MAX_IDLE_NON_REPEATABLE_MS,
       onLoad: load => chooser.recordLoad(server, load),
+      onTerms: terms => chooser.recordTerms(server, terms),
       onLimit: limit => this.options.limits.recordResponse(server, limit),
       onAvailability: facts => {
         this.log.recordPause(facts.pauseMs);
--- a/packages/serve-requests/src/server_chooser.ts
+++ b/packages/serve-requests/src/server_chooser.ts
@@ -8,7 +8,7 @@
   type ServiceSpec,
   type TeamName,
 } from '@mimosatack/types';
-import {type ServerLoad} from './backend_dialect.js';
+import {type NamedTerms, type ServerLoad} from './backend_dialect.js';
 import {type CallerRequest} from './caller_request.js';
 
 /** The request and the constraints that a server is chosen for. */
@@ -85,6 +85,7 @@
   release(choice: ChosenServer): void;
   recordSent(choice: ChosenServer): void;
   recordLoad(server: BackendServerEntry, load: ServerLoad): void;
+  recordTerms(server: BackendServerEntry, terms: NamedTerms): void;
   /** @param headMs time to the response head; null if none arrived. */
   recordResult(
     choice: ChosenServer,
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -84,6 +84,8 @@
           report ?? new TypedError('backend-unreachable', 'No answer.'),
         ),
     },
+    random: new SeededRandom(1),
+    broadcast: () => undefined,
     sendLastOrders: ({isEnding}) => sentOrders.push({isEnding}),
     send: (_address, message) => sent.push(message),
     findTeamWeights: () => null,
@@ -105,7 +107,8 @@
   const ask = async (askId: string) => {
     duty.receive('b:1', makeAsk(askId));
     await flushPendingCallbacks();
-    return sent.find(message => message.askId === askId)?.type;
+    return sent.find(message => 'askId' in message && message.askId === askId)
+      ?.type;
   };
   const countOrders = () => orders;
   return {topic, duty, advance, ask, sentOrders, countOrders};
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -15,6 +15,7 @@
   type EngineOrders,
   type FromHolderMessage,
   type HolderQuotas,
+  PlacingService,
   SchedulingService,
   type TeamWeights,
   type ToHolderMessage,
@@ -23,6 +24,7 @@
   ServerLimiter,
   type ServerLimiterOptions,
 } from '@mimosatack/share-limits';
+import {type RandomSource} from '@mimosatack/random';
 import {type ServerAvailability} from '@mimosatack/track-availability';
 import {type BackendServerEntry, type ServiceSpec} from '@mimosatack/types';
 import {type ServerChange} from './server_follower.js';
@@ -41,7 +43,10 @@
   quotas: DutyQuotas;
   limits: ServerLimiterOptions;
   availability: Pick<ServerAvailability, 'isLeaving' | 'applyReported'>;
+  random: RandomSource;
   send: (nodeAddress: string, message: FromHolderMessage) => void;
+  /** Sends a message to all nodes, this one included. */
+  broadcast: (message: FromHolderMessage) => void;
   /** Sends this node's recent engine orders to some nodes, or to all. */
   sendLastOrders: (
     message: {orders: readonly EngineOrderAge[]; isEnding: boolean},
@@ -61,6 +66,7 @@
 export class SchedulingDuty {
   private readonly task: DutyTask;
   private scheduler: SchedulingService | null = null;
+  private placing: PlacingService | null = null;
   private isHandingOver = false;
   /** The handover in progress, which further calls join. */
   private handover: Promise<void> | null = null;
@@ -157,21 +163,29 @@
   }
 
   configure(services: readonly ServiceSpec[]): void {
-    this.scheduler?.configure(services, this.options.findTeamWeights());
+    const teamWeights = this.options.findTeamWeights();
+    this.scheduler?.configure(services, teamWeights);
+    this.placing?.configure(services, teamWeights);
   }
 
   updateServers(changes: readonly ServerChange[]): void {
-    const {scheduler} = this;
-    if (!scheduler) return;
+    const {scheduler, placing} = this;
+    if (!scheduler || !placing) return;
     changes
       .filter(({entry}) => !entry)
-      .forEach(({id}) => scheduler.removeServer(id));
+      .forEach(({id}) => {
+        scheduler.removeServer(id);
+        placing.removeServer(id);
+      });
     const present = changes.flatMap(({entry}) => (entry ? [entry] : []));
-    if (present.length > 0) scheduler.putServers(present);
+    if (present.length === 0) return;
+    scheduler.putServers(present);
+    placing.putServers(present);
   }
 
   receive(nodeAddress: string, message: ToHolderMessage): void {
     if (this.scheduler) {
+      if (this.placing?.receive(nodeAddress, message)) return;
       this.scheduler.receive(nodeAddress, message);
     } else {
       const askId = findAskId(message);
@@ -180,6 +194,21 @@
     }
   }
 
+  /** Ends what runs for a node that is gone. */
+  removeNode(nodeAddress: string): void {
+    this.placing?.removeNode(nodeAddress);
+  }
+
+  /** Services without models whose places this node assigns. */
+  listCoordinated(): readonly string[] {
+    return this.placing?.listCoordinated() ?? [];
+  }
+
+  /** Limit and places taken of each server of a coordinated service. */
+  describePlaces(): ReturnType<PlacingService['describePlaces']> {
+    return this.placing?.describePlaces() ?? [];
+  }
+
   private handleHolderChange(holder: DutyHolder | null): void {
     const isSelf = this.task.isHeld;
     this.options.logger.log('duty-holder-changed', {
@@ -206,10 +235,11 @@
       this.options;
     const {availability} = this.options;
     quotas.startHolding();
+    const limiter = new ServerLimiter(this.options.limits);
     const scheduler = new SchedulingService({
       ...{clock, logger, orders, quotas, send, availability},
       policy: new BatchWorthPolicy(),
-      limiter: new ServerLimiter(this.options.limits),
+      limiter,
       authority: () => this.findAuthority(),
       ordersBlockedUntilMs: engineId =>
         this.task.findOrdersBlockedUntilMs(engineId),
@@ -225,6 +255,12 @@
       listServers(),
       this.options.findTeamWeights(),
     );
+    this.placing = new PlacingService({...this.options, limiter});
+    this.placing.start(
+      listServices(),
+      listServers(),
+      this.options.findTeamWeights(),
+    );
     return scheduler;
   }
 
@@ -237,6 +273,8 @@
     this.options.quotas.stopHolding();
     this.scheduler?.stop();
     this.scheduler = null;
+    this.placing?.stop();
+    this.placing = null;
   }
 }
 
--- a/packages/serving-node/src/server_chooser.ts
+++ b/packages/serving-node/src/server_chooser.ts
@@ -1,6 +1,7 @@
 /** Builds the choosers of one node. */
 import {
   PermitClient,
+  PressureReporter,
   ScheduledChooser,
   type ToHolderMessage,
 } from '@mimosatack/schedule-service';
@@ -23,6 +24,8 @@
   limiter: ServerLimiter;
   availability: ServerAvailability;
   quotas: TeamQuotas;
+  /** Whether teams share capacity. */
+  hasTeamShares: () => boolean;
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
 }
@@ -37,6 +40,7 @@
   const permits = new PermitClient({...asks, limiter});
   return new ScheduledChooser({
     ...asks,
+    pressure: new PressureReporter(options),
     ...{permits, availability, quotas},
     local: new LeastLoadedChooser({
       ...{clock, random, permits, availability},
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -45,7 +45,7 @@
 } from './stream_versions_task.js';
 import {makeStreamVersions} from './make_stream_versions.js';
 import {makeTeamTasks} from './team_tasks.js';
-import {findTeamWeights} from './team_weights.js';
+import {TeamWeightsReader} from './team_weights.js';
 import {CLOSE_MARGIN_MS, KEEP_LISTENING_MS} from './stop_times.js';
 
 const DUTY_KEY = 'scheduler';
@@ -63,6 +63,7 @@
   private readonly containment: ContainmentTask;
   private readonly access: CallerAccess;
   private readonly quotas: TeamQuotas;
+  private readonly teamWeights: TeamWeightsReader;
   private readonly links: NodeLinks;
   private readonly limits: SharedLimits;
   private readonly streams: StreamVersionsTask;
@@ -87,6 +88,7 @@
     this.startedAtMs = clock.monotonicMs();
     this.connections = options.connections;
     this.configuration = this.makeConfiguration();
+    this.teamWeights = new TeamWeightsReader(settings, this.configuration);
     this.servers = this.makeServers();
     this.containment = this.makeContainment();
     this.limits = this.makeLimits();
@@ -324,7 +326,8 @@
     const {clock, random, platform, settings, logger} = this.options;
     const {nodeName, incarnation, peerAddress} = this.self;
     return new SchedulingDuty({
-      ...{clock, logger, orders: platform.engineOrders},
+      ...{clock, logger, random, orders: platform.engineOrders},
+      broadcast: message => this.links.sendToAllNodes(message),
       quotas: this.quotas,
       limits: this.limits.asHolder,
       availability: this.availability,
@@ -354,14 +357,12 @@
           addresses,
         ),
       listServices: () => this.configuration.configuration?.services ?? [],
-      findTeamWeights: () =>
-        findTeamWeights(
-          this.configuration.configuration?.teams ?? null,
-          settings.teamWeights,
-        ),
+      findTeamWeights: () => this.teamWeights.find(),
       listServers: () => this.servers.list(),
       onHolder: (holder, isSelf) => {
-        if (isSelf) this.reportOpenRequests(holder);
+        if (!isSelf) return;
+        this.chooser.setCoordinated(this.duty.listCoordinated());
+        this.reportOpenRequests(holder);
       },
     });
   }
@@ -393,10 +394,14 @@
       onRecords: message => this.sharedRecords.applyFromPeer(message),
       onHolder: holder => this.duty.noteHolder(holder),
       onNodesIntroduced: nodes => this.register.addUnknown(nodes),
-      onNodeLost: node => void this.register.removeLost(node),
+      onNodeLost: node => {
+        this.duty.removeNode(node.peerAddress);
+        void this.register.removeLost(node);
+      },
       onLastOrders: lastOrders => this.duty.noteLastOrders(lastOrders),
       onToHolder: (from, message) => this.duty.receive(from, message),
       onFromHolder: message => this.chooser.receive(message),
+      listCoordinated: () => this.duty.listCoordinated(),
       onServingNodes: names => this.updateServingNodes(names),
       onHolderContactChange: isAlive => {
         if (isAlive) return;
@@ -442,6 +447,7 @@
       limiter: this.limits.ownLimiter,
       availability: this.availability,
       quotas: this.quotas,
+      hasTeamShares: () => this.teamWeights.find() !== null,
       sendToHolder: message => this.links.holderChannel.send(message),
     });
   }
--- a/packages/serving-node/src/team_weights.ts
+++ b/packages/serving-node/src/team_weights.ts
@@ -1,6 +1,8 @@
 /** Decides whether teams share scarce capacity, and in which proportion. */
 import {type TeamWeights} from '@mimosatack/schedule-service';
 import {type TeamName, type TeamSpec} from '@mimosatack/types';
+import {type ConfigurationFollower} from './configuration_follower.js';
+import {type NodeSettings} from './node_settings.js';
 
 /** A single team would share with nobody. */
 const MIN_TEAMS = 2;
@@ -17,3 +19,16 @@
   if (!teams || teams.length < MIN_TEAMS) return null;
   return new Map(teams.map(({team}) => [team, weights.get(team) ?? 1]));
 }
+
+/** Reads the shares that are in force at this node. */
+export class TeamWeightsReader {
+  constructor(
+    private readonly settings: Pick<NodeSettings, 'teamWeights'>,
+    private readonly follower: Pick<ConfigurationFollower, 'configuration'>,
+  ) {}
+
+  find(): TeamWeights {
+    const teams = this.follower.configuration?.teams ?? null;
+    return findTeamWeights(teams, this.settings.teamWeights);
+  }
+}
