Send brittle servers nothing until an unexpected rejection has settled

Requests under way when a server takes less hid how much it takes, and nodes that choose by themselves did not count rejections. Change: after an unexpected rejection a brittle server gets no request until those sent before have ended; a node that chooses by itself spares it in proportion to its share of the hosts.

--- a/packages/schedule-places/src/concurrency_limit.ts
+++ b/packages/schedule-places/src/concurrency_limit.ts
@@ -34,6 +34,12 @@
   private isReached = false;
   /** The limit that the last rejection led to; Infinity before. */
   private rejectedLimit = Infinity;
+  /**
+   * Requests that were sent before an unexpected rejection and have not ended: what the server
+   * takes is known once they have.
+   */
+  private unsettledCount = 0;
+  private lastRejectionAtMs = -Infinity;
   private readonly probesAtMs: number[] = [];
 
   /** @param slowStartAtMs -Infinity for a server that is known to serve. */
@@ -65,7 +71,7 @@
 
   /** Whether the server may get another request beside those that it has. */
   allows(running: number, nowMs: number): boolean {
-    if (running >= this.find(nowMs)) return false;
+    if (this.unsettledCount > 0 || running >= this.find(nowMs)) return false;
     const isProbe = running >= this.rejectedLimit;
     return !isProbe || this.countProbes(nowMs) < this.maxProbesPerSecond;
   }
@@ -85,6 +91,12 @@
    */
   recordRejection(running: number, nowMs: number): boolean {
     const previous = this.limit;
+    const isExpected =
+      Number.isFinite(this.rejectedLimit) && running - 1 <= this.rejectedLimit;
+    if (this.terms.brittlePerSecond !== null && !isExpected) {
+      this.unsettledCount = running;
+      this.lastRejectionAtMs = nowMs;
+    }
     this.limit = Math.min(previous, Math.max(1, running - 1));
     this.rejectedLimit = this.limit;
     this.increasesHeldUntilMs = nowMs + HOLD_AFTER_REJECTION_MS;
@@ -102,6 +114,12 @@
     this.limit = Math.min(this.limit + 1, this.maxLimit);
   }
 
+  /** Called after the result of each request at the server. */
+  recordEnd(startedAtMs: number): void {
+    if (startedAtMs > this.lastRejectionAtMs) return;
+    this.unsettledCount = Math.max(0, this.unsettledCount - 1);
+  }
+
   recordUnreachable(nowMs: number): void {
     this.slowStartAtMs = nowMs + UNREACHABLE_PAUSE_MS;
   }
--- a/packages/schedule-places/src/service_servers.ts
+++ b/packages/schedule-places/src/service_servers.ts
@@ -124,7 +124,9 @@
     if (!run) return null;
     this.runs.delete(askId);
     const server = this.servers.get(run.serverId);
-    if (server) server.running = Math.max(0, server.running - 1);
+    if (!server) return run;
+    server.running = Math.max(0, server.running - 1);
+    server.limit.recordEnd(run.startedAtMs);
     return run;
   }
 
--- a/packages/serve-requests/src/least_loaded_chooser.test.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.test.ts
@@ -9,10 +9,14 @@
 
 const test = suite('least loaded server');
 
-function makeChooser(listServers: () => BackendServerEntry[]) {
+function makeChooser(
+  listServers: () => BackendServerEntry[],
+  clock = new ManualClock(),
+) {
   return new LeastLoadedChooser({
-    ...{clock: new ManualClock(), random: new SeededRandom(1)},
+    ...{clock, random: new SeededRandom(1)},
     ...{ownDomain: 'hall-a', listServers},
+    findHostShare: () => 0.25,
     permits: {isLimited: () => false, request: () => Promise.resolve(0)},
     availability: {findWaitMs: () => 0},
   });
@@ -61,4 +65,19 @@
   assert.is((await chooseAt('v3')).status, 'refused');
 });
 
+// Guards against brittle servers that fall over while no node schedules.
+test('after a rejection a brittle server is spared for a time', async () => {
+  const brittle = makeServer({id: 's1'});
+  const clock = new ManualClock();
+  const chooser = makeChooser(() => [brittle, makeServer({id: 's2'})], clock);
+  [1, 2, 3].forEach(() => chooser.recordSent(toChoice(makeServer({id: 's2'}))));
+  assert.is(await pickId(chooser), 's1');
+  chooser.recordTerms(brittle, {brittlePerSecond: 8, isLimited: false});
+  chooser.recordResult(toChoice(brittle), 'not-taken');
+  clock.advance(990);
+  assert.is(await pickId(chooser), 's2');
+  clock.advance(10);
+  assert.is(await pickId(chooser), 's1');
+});
+
 test.run();
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -11,7 +11,7 @@
   isVersionAllowed,
 } from '@mimosatack/types';
 import {type ServerAvailability} from '@mimosatack/track-availability';
-import {type ServerLoad} from './backend_dialect.js';
+import {type NamedTerms, type ServerLoad} from './backend_dialect.js';
 import {
   type AttemptResult,
   type ChosenServer,
@@ -29,6 +29,8 @@
   listServers: (service: string) => readonly BackendServerEntry[];
   permits: ServerPermits;
   availability: Pick<ServerAvailability, 'findWaitMs'>;
+  /** The fraction of what servers tolerate that this host may use, from 0 to 1. */
+  findHostShare: () => number;
 }
 
 /** Permits for requests to servers that name a limit. */
@@ -49,6 +51,14 @@
 /** A failed server is avoided for this long while others are available. */
 const FAILURE_COOLDOWN_MS = 500;
 const RETRY_AFTER_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+/**
+ * All hosts together cause at most one in this many of the rejections that a brittle server
+ * tolerates. Half of them are left to requests that are under way at the first rejection.
+ */
+const SPARE_FACTOR = 2;
+/** A brittle server is tried at least this often by each host. */
+const MAX_SPARE_MS = 10_000;
 
 interface ServerStats {
   /** Start of the server incarnation that the stats describe. */
@@ -59,6 +69,10 @@
   inFlightAtLoad: number;
   loadAtMs: number;
   failedAtMs: number;
+  /** Rejections per second that the server tolerates; null if it does not say. */
+  brittlePerSecond: number | null;
+  /** Until when the server gets no request by this node's own choice. */
+  spareUntilMs: number;
 }
 
 /** Ranks servers by this node's requests in flight and by reported loads. */
@@ -110,8 +124,7 @@
     const {permits} = this.options;
     const isUnlimited = (server: BackendServerEntry) =>
       !permits.isLimited(server);
-    const {availability} = this.options;
-    const waits = servers.map(server => availability.findWaitMs(server));
+    const waits = servers.map(server => this.findWaitMs(server));
     let left = servers.filter((_, index) => waits[index] === 0);
     let soonest: {server: BackendServerEntry | null; waitMs: number} = {
       ...{server: null, waitMs: Math.min(Infinity, ...waits.filter(Boolean))},
@@ -145,8 +158,13 @@
     stats.loadAtMs = this.options.clock.monotonicMs();
   }
 
-  recordTerms(): void {
-    // A limit is kept by permits; rejections of all hosts are not known here.
+  recordTerms(
+    server: BackendServerEntry,
+    {brittlePerSecond}: NamedTerms,
+  ): void {
+    const known = this.statsByServer.get(server.id);
+    if (brittlePerSecond === null && !known) return;
+    this.getOrCreateStats(server).brittlePerSecond = brittlePerSecond;
   }
 
   recordResult({server}: ChosenServer, result: AttemptResult): void {
@@ -155,6 +173,20 @@
     if (result === 'failed' || result === 'unreachable') {
       stats.failedAtMs = this.options.clock.monotonicMs();
     }
+    const {brittlePerSecond} = stats;
+    if (result !== 'not-taken' || brittlePerSecond === null) return;
+    const tolerated = brittlePerSecond * this.options.findHostShare();
+    stats.spareUntilMs =
+      this.options.clock.monotonicMs() +
+      Math.min(MAX_SPARE_MS, (SPARE_FACTOR * MS_PER_SECOND) / tolerated);
+  }
+
+  /** Time until the server may get a request by this node's own choice. */
+  private findWaitMs(server: BackendServerEntry): number {
+    const {availability, clock} = this.options;
+    const spareUntilMs = this.statsByServer.get(server.id)?.spareUntilMs;
+    const spareMs = (spareUntilMs ?? -Infinity) - clock.monotonicMs();
+    return Math.max(0, spareMs, availability.findWaitMs(server));
   }
 
   private pickCheapest(
@@ -214,6 +246,7 @@
     inFlightAtLoad: 0,
     loadAtMs: -Infinity,
     failedAtMs: -Infinity,
+    ...{brittlePerSecond: null, spareUntilMs: -Infinity},
   };
 }
 
--- a/packages/serve-requests/src/limited_servers.test.ts
+++ b/packages/serve-requests/src/limited_servers.test.ts
@@ -14,6 +14,7 @@
   const chooser = new LeastLoadedChooser({
     ...{clock, random: new SeededRandom(1), ownDomain: 'hall-a'},
     listServers: () => Object.keys(waits).map(id => makeServer({id})),
+    findHostShare: () => 0.25,
     permits: {
       isLimited: ({id}) => waits[id] !== null,
       request: ({id}) => Promise.resolve(waits[id] ?? 0),
--- a/packages/serve-requests/src/unavailable_servers.test.ts
+++ b/packages/serve-requests/src/unavailable_servers.test.ts
@@ -14,6 +14,7 @@
   const chooser = new LeastLoadedChooser({
     ...{clock, random: new SeededRandom(1), ownDomain: 'hall-a'},
     listServers: () => Object.keys(waits).map(id => makeServer({id})),
+    findHostShare: () => 0.25,
     permits: {isLimited: () => false, request: () => Promise.resolve(0)},
     availability: {findWaitMs: ({id}) => waits[id] ?? 0},
   });
--- a/packages/serving-node/src/server_chooser.ts
+++ b/packages/serving-node/src/server_chooser.ts
@@ -24,6 +24,8 @@
   limiter: ServerLimiter;
   availability: ServerAvailability;
   quotas: TeamQuotas;
+  /** The fraction of what all hosts may do that this one may, from 0 to 1. */
+  findHostShare: () => number;
   /** Whether teams share capacity. */
   hasTeamShares: () => boolean;
   /** Returns false when no scheduling node is known. */
@@ -44,6 +46,7 @@
     ...{permits, availability, quotas},
     local: new LeastLoadedChooser({
       ...{clock, random, permits, availability},
+      findHostShare: options.findHostShare,
       ownDomain: settings.failureDomain,
       listServers: service => servers.listReady(service),
     }),
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -447,6 +447,7 @@
       limiter: this.limits.ownLimiter,
       availability: this.availability,
       quotas: this.quotas,
+      findHostShare: () => this.limits.retryShare.lastKnownFraction,
       hasTeamShares: () => this.teamWeights.find() !== null,
       sendToHolder: message => this.links.holderChannel.send(message),
     });
