--- a/packages/schedule-places/src/place_request.ts
+++ b/packages/schedule-places/src/place_request.ts
@@ -60,6 +60,13 @@
     }
   /** The request waits. */
   | {kind: 'queue'; request: PlaceRequest}
+  /** The requests have ended without a message of their node. */
+  | {
+      kind: 'abandon';
+      cause: 'node-restarted' | 'node-removed' | 'deadline-passed';
+      running: readonly PlaceRequest[];
+      waiting: readonly PlaceRequest[];
+    }
   | {
       kind: 'lower-limit';
       service: ServiceName;
--- a/packages/schedule-places/src/service_servers.ts
+++ b/packages/schedule-places/src/service_servers.ts
@@ -159,14 +159,12 @@
     }
   }
 
-  listRuns(isWanted: (run: PlaceRun) => boolean): string[] {
-    return [...this.runs.values()]
-      .filter(isWanted)
-      .map(({request}) => request.id);
+  listRuns(isWanted: (run: PlaceRun) => boolean): PlaceRequest[] {
+    return [...this.runs.values()].filter(isWanted).map(({request}) => request);
   }
 
   private endRunsAt(id: BackendServerId): void {
-    this.listRuns(({serverId}) => serverId === id).forEach(askId =>
+    this.listRuns(({serverId}) => serverId === id).forEach(({id: askId}) =>
       this.runs.delete(askId),
     );
   }
--- a/packages/schedule-service/src/ask_payload.ts
+++ b/packages/schedule-service/src/ask_payload.ts
@@ -8,6 +8,7 @@
 } from '@mimosatack/serve-requests';
 import {ANONYMOUS_TEAM} from '@mimosatack/share-capacity';
 import {type AskPayload, type ModelAsk} from './messages.js';
+import {findIncarnation} from './tracked_asks.js';
 
 /** Share of the output limit that is assumed when a request has no estimate. */
 const DEFAULT_OUTPUT_FRACTION = 0.5;
@@ -44,7 +45,7 @@
     excluded: [...excluded],
     allowed: allowed && [...allowed],
     softwareVersion: ask.softwareVersion,
-    ...{charge, team: ask.team},
+    ...{charge, team: ask.team, runEndsInMs: ask.endsAtMs - nowMs},
   };
 }
 
@@ -113,8 +114,7 @@
   return {
     ...{id: askId, service, team: team ?? ANONYMOUS_TEAM, priority, cost: 1},
     ...{dueAtMs: nowMs + payload.dueInMs, nodeAddress, endsAtMs},
-    // Ask ids are the incarnation of the node and a number.
-    incarnation: askId.slice(0, Math.max(0, askId.lastIndexOf('.'))),
+    incarnation: findIncarnation(askId),
     waitDeadlineAtMs: findWaitDeadlineMs({receivedAtMs}, endsAtMs),
     excluded: new Set(excluded),
     allowed: allowed && new Set(allowed),
--- a/packages/schedule-service/src/placing_service.ts
+++ b/packages/schedule-service/src/placing_service.ts
@@ -16,6 +16,7 @@
 import {
   type BackendServerEntry,
   type BackendServerId,
+  type NodeIncarnation,
   type ServiceSpec,
 } from '@mimosatack/types';
 import {toPlaceRequest} from './ask_payload.js';
@@ -100,8 +101,9 @@
     this.scheduler.removeServer(id);
   }
 
-  removeNode(nodeAddress: string): void {
-    this.scheduler.removeNode(nodeAddress);
+  /** Ends the requests of a node's process that has been lost. */
+  endRequestsOf(incarnation: NodeIncarnation): void {
+    this.scheduler.endRequestsOf(incarnation);
     this.scheduleDecision();
   }
 
@@ -235,6 +237,8 @@
         return this.options.send(decision.request.nodeAddress, {
           ...{type: 'queued', askId: decision.request.id},
         });
+      case 'abandon':
+        return this.abandon(decision);
       case 'lower-limit': {
         const {service, serverId, limit, previousLimit} = decision;
         return this.options.logger.log('server-concurrency-lowered', {
@@ -276,6 +280,21 @@
     this.charges.drop(askId, false);
   }
 
+  /** The quota stays charged for requests that a server may have run. */
+  private abandon({
+    cause,
+    running,
+    waiting,
+  }: Extract<PlaceDecision, {kind: 'abandon'}>): void {
+    const nodes = [...running, ...waiting].map(({nodeAddress}) => nodeAddress);
+    this.options.logger.log('abandoned-requests-ended', {
+      ...{cause, runs: running.length, waiting: waiting.length},
+      nodeAddresses: [...new Set(nodes)],
+    });
+    running.forEach(({id}) => this.charges.drop(id, true));
+    waiting.forEach(({id}) => this.charges.drop(id, false));
+  }
+
   private announce({
     service,
     isCoordinated,
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -26,7 +26,11 @@
 } from '@mimosatack/share-limits';
 import {type RandomSource} from '@mimosatack/random';
 import {type ServerAvailability} from '@mimosatack/track-availability';
-import {type BackendServerEntry, type ServiceSpec} from '@mimosatack/types';
+import {
+  type BackendServerEntry,
+  type NodeIncarnation,
+  type ServiceSpec,
+} from '@mimosatack/types';
 import {type ServerChange} from './server_follower.js';
 
 /** Team quotas, which the scheduling node accounts for. */
@@ -183,6 +187,12 @@
     placing.putServers(present);
   }
 
+  /** Ends the requests of a node's process that is no longer registered. */
+  endRequestsOf(incarnation: NodeIncarnation): void {
+    this.scheduler?.endRequestsOf(incarnation);
+    this.placing?.endRequestsOf(incarnation);
+  }
+
   receive(nodeAddress: string, message: ToHolderMessage): void {
     if (this.scheduler) {
       if (this.placing?.receive(nodeAddress, message)) return;
@@ -194,11 +204,6 @@
     }
   }
 
-  /** Ends what runs for a node that is gone. */
-  removeNode(nodeAddress: string): void {
-    this.placing?.removeNode(nodeAddress);
-  }
-
   /** Services without models whose places this node assigns. */
   listCoordinated(): readonly string[] {
     return this.placing?.listCoordinated() ?? [];
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -98,7 +98,7 @@
     );
     const teams = makeTeamTasks(options, {
       configurationAgeMs: () => this.configuration.ageMs,
-      countNodes: () => this.register.list().length,
+      findQuotaShare: () => this.limits.quotaShare.lastKnownFraction,
     });
     this.access = teams.access;
     this.quotas = teams.quotas;
@@ -135,7 +135,7 @@
     this.status = new StatusServer({
       platform: options.platform,
       isReady: () => this.isServing,
-      listEntries: () => this.entryPoints.list(),
+      listEntries: query => this.entryPoints.list(query),
       formatMetrics: () => this.formatMetrics(),
     });
   }
@@ -293,8 +293,10 @@
         [CONTAINED_KEY, this.containment],
         [MIXED_SERVICES_KEY, this.streams],
       ]),
-      onRemoved: nodeName =>
-        this.options.logger.log('node-lost', {lostNodeName: nodeName}),
+      onRemoved: ({nodeName, incarnation}) => {
+        this.options.logger.log('node-lost', {lostNodeName: nodeName});
+        this.duty.endRequestsOf(incarnation);
+      },
       ...this.faults.watchDependency('nodes'),
     });
   }
@@ -394,10 +396,7 @@
       onRecords: message => this.sharedRecords.applyFromPeer(message),
       onHolder: holder => this.duty.noteHolder(holder),
       onNodesIntroduced: nodes => this.register.addUnknown(nodes),
-      onNodeLost: node => {
-        this.duty.removeNode(node.peerAddress);
-        void this.register.removeLost(node);
-      },
+      onNodeLost: node => void this.register.removeLost(node),
       onLastOrders: lastOrders => this.duty.noteLastOrders(lastOrders),
       onToHolder: (from, message) => this.duty.receive(from, message),
       onFromHolder: message => this.chooser.receive(message),
@@ -414,7 +413,7 @@
 
   /** Called with each heartbeat. */
   private updateServingNodes(nodeNames: readonly string[]): void {
-    this.limits.retryShare.observe();
+    this.limits.observeHosts();
     this.reportOpenRequests(this.duty.holder);
     this.register.checkServingNames(nodeNames);
     if (this.entryPoints.updateServingNodes(nodeNames)) {
