--- a/packages/schedule-places/src/place_scheduler.test.ts
+++ b/packages/schedule-places/src/place_scheduler.test.ts
@@ -119,7 +119,7 @@
   const scheduling = new TestScheduling([makeServer('s1')]);
   scheduling.ask(4);
   assert.is(scheduling.ask(4, {incarnation: 'i2'}).length, 4);
-  scheduling.scheduler.removeNode('n1');
+  scheduling.scheduler.endRequestsOf('i2');
   assert.is(scheduling.ask(4, {nodeAddress: 'n2'}).length, 4);
 });
 
--- a/packages/schedule-places/src/service_servers.ts
+++ b/packages/schedule-places/src/service_servers.ts
@@ -124,7 +124,9 @@
     if (!run) return null;
     this.runs.delete(askId);
     const server = this.servers.get(run.serverId);
-    if (server) server.running = Math.max(0, server.running - 1);
+    if (!server) return run;
+    server.running = Math.max(0, server.running - 1);
+    server.limit.recordEnd(run.startedAtMs);
     return run;
   }
 
@@ -157,14 +159,12 @@
     }
   }
 
-  listRuns(isWanted: (run: PlaceRun) => boolean): string[] {
-    return [...this.runs.values()]
-      .filter(isWanted)
-      .map(({request}) => request.id);
+  listRuns(isWanted: (run: PlaceRun) => boolean): PlaceRequest[] {
+    return [...this.runs.values()].filter(isWanted).map(({request}) => request);
   }
 
   private endRunsAt(id: BackendServerId): void {
-    this.listRuns(({serverId}) => serverId === id).forEach(askId =>
+    this.listRuns(({serverId}) => serverId === id).forEach(({id: askId}) =>
       this.runs.delete(askId),
     );
   }
--- a/packages/schedule-service/src/limited_servers.test.ts
+++ b/packages/schedule-service/src/limited_servers.test.ts
@@ -58,6 +58,7 @@
       ...{clock, random, permits, ownDomain: 'a'},
       listServers: () => SERVERS,
       availability: {findWaitMs: () => 0},
+      findHostShare: () => 1,
     });
   });
   return {clock, choosers};
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -31,6 +31,7 @@
   type AskPayload,
   type FromHolderMessage,
   type ToHolderMessage,
+  isModelAsk,
 } from './messages.js';
 import {logShareRefusal} from './share_log.js';
 import {type TrackedAsk, TrackedAsks} from './tracked_asks.js';
@@ -187,18 +188,17 @@
         });
         message.asks.forEach(ask => this.acceptAsk(ask, nodeAddress, nowMs));
         message.runs.forEach(({ask, engineId}) => {
+          if (!isModelAsk(ask)) return;
           this.asks.addRunning(ask, engineId, nodeAddress, nowMs);
-          this.scheduler.recordRunning(
-            toScheduledRequest(ask, nodeAddress, nowMs),
-            engineId,
-            nowMs,
-          );
+          const request = toScheduledRequest(ask, nodeAddress, nowMs);
+          this.scheduler.recordRunning(request, engineId, nowMs);
         });
     }
     this.scheduleDecision();
   }
 
   private acceptAsk(ask: AskPayload, nodeAddress: string, nowMs: number): void {
+    if (!isModelAsk(ask)) return;
     const {askId, charge} = ask;
     // A repeated ask was charged the first time.
     const isCharged = this.asks.get(askId) !== undefined;
--- a/packages/schedule-service/src/tracked_asks.ts
+++ b/packages/schedule-service/src/tracked_asks.ts
@@ -1,7 +1,7 @@
 /** The asks of all nodes that the scheduling node knows of. */
 import {type BackendServerId, type NodeIncarnation} from '@mimosatack/types';
 import {type QuotaCharge} from '@mimosatack/team-quotas';
-import {type AskPayload} from './messages.js';
+import {type ModelAsk} from './messages.js';
 
 /** An ask, from its arrival until its request has ended. */
 export interface TrackedAsk {
@@ -46,7 +46,7 @@
 
   /** Adds an ask that waits, or replaces the one with the same id. */
   add(
-    {askId, requestId, model, adapter, ...ask}: AskPayload,
+    {askId, requestId, model, adapter, ...ask}: ModelAsk,
     nodeAddress: string,
     nowMs: number,
   ): TrackedAsk {
@@ -66,7 +66,7 @@
    * nothing is refunded: the level that this node took over may not show the charge.
    */
   addRunning(
-    ask: AskPayload,
+    ask: ModelAsk,
     engineId: BackendServerId,
     nodeAddress: string,
     nowMs: number,
