Choose plain servers by when they would complete a request

Requests per slot hide that servers differ in speed and are slowed down for some 100 ms at a time. Without a figure nothing is tracked, and a property test holds that neither times nor the cost change a choice. Event 4030 tells when a service begins or ceases to spill, the counter attempts.sent how many requests leave the domain.

--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -215,6 +215,21 @@
         'time until the server may get requests of this host; null while it is leaving',
     },
   },
+  'service-spill-changed': {
+    number: 4030,
+    level: 'info',
+    message:
+      'A service has begun or ceased to send requests to other failure domains.',
+    fields: {
+      service: 'the service',
+      isSpilling: 'whether requests leave the failure domain of this node',
+      sent: 'requests of this node for the service in the window',
+      left: 'how many of them were sent to other failure domains',
+      windowMs: 'the window',
+      crossDomainCostMs:
+        'how much later a server of the own failure domain may be',
+    },
+  },
   'stream-origin-found': {
     number: 4024,
     level: 'info',
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -70,6 +70,10 @@
   'answers.duration': timing('Time until the final answer.', {
     result: '`answered`, `refused`, `broken-off` or `caller-gone`',
   }),
+  'attempts.sent': counter('Requests sent to backend servers.', {
+    isSameDomain:
+      '`true` for servers in the failure domain of the node, else `false`',
+  }),
   'attempts.ended': counter('Attempts at backend servers that have ended.', {
     outcome: 'how, such as `answered`, `not-run` or `broken`',
     next: 'what was done with the request: `end`, `try-elsewhere`, `give-up`',
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -202,8 +202,9 @@
     choice: ChosenServer,
     result: AttemptResult,
     headMs: number | null,
+    isSuccess = false,
   ): void {
-    this.options.local.recordResult(choice, result, headMs);
+    this.options.local.recordResult(choice, result, headMs, isSuccess);
     if (isNotRun(result)) this.refundCharge(choice);
     this.endRun(choice, result === 'answered' ? 'served' : result, headMs);
   }
--- a/packages/serve-requests/src/backend_dialect.ts
+++ b/packages/serve-requests/src/backend_dialect.ts
@@ -23,6 +23,11 @@
   running: number;
   waiting: number;
   slots: number;
+  /**
+   * How long work takes on the machine at this moment, in percent of the usual time; null
+   * if the server does not say it in a readable form.
+   */
+  slowdownPercent: number | null;
 }
 
 /** The decoded head of a response. */
--- a/packages/serve-requests/src/index.ts
+++ b/packages/serve-requests/src/index.ts
@@ -19,6 +19,7 @@
   LeastLoadedChooser,
   type ServerPermits,
 } from './least_loaded_chooser.js';
+export {type SpillChange, SpillWatch} from './spill_watch.js';
 export {
   type PipelineOptions,
   type RequestHead,
--- a/packages/serve-requests/src/least_loaded_chooser.test.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.test.ts
@@ -1,23 +1,36 @@
 import {ManualClock} from '@mimosatack/clock';
 import {SeededRandom} from '@mimosatack/random';
 import {type BackendServerEntry} from '@mimosatack/types';
+import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
+import {type ServerLoad} from './backend_dialect.js';
 import {LeastLoadedChooser} from './least_loaded_chooser.js';
 import {type ChosenServer} from './server_chooser.js';
 import {makeAsk, makeServer} from './test_fixtures.js';
 
 const test = suite('least loaded server');
 
-function makeChooser(listServers: () => BackendServerEntry[]) {
+function makeChooser(
+  listServers: () => BackendServerEntry[],
+  crossDomainCostMs = 5,
+  clock = new ManualClock(),
+) {
   return new LeastLoadedChooser({
-    ...{clock: new ManualClock(), random: new SeededRandom(1)},
-    ...{ownDomain: 'hall-a', listServers},
+    ...{clock, random: new SeededRandom(1)},
+    ...{ownDomain: 'hall-a', crossDomainCostMs, listServers},
     permits: {isLimited: () => false, request: () => Promise.resolve(0)},
     availability: {findWaitMs: () => 0},
   });
 }
 
+function makeLoad(
+  slowdownPercent: number | null,
+  change: Partial<ServerLoad> = {},
+): ServerLoad {
+  return {running: 0, waiting: 0, slots: 4, slowdownPercent, ...change};
+}
+
 function toChoice(server: BackendServerEntry): ChosenServer {
   return {status: 'chosen', server, basis: {by: 'own-view'}, askId: null};
 }
@@ -43,8 +56,8 @@
   servers = [restarted, other];
   chooser.recordSent(toChoice(restarted));
   chooser.recordSent(toChoice(other));
-  chooser.recordLoad(old, {running: 4, waiting: 8, slots: 4});
-  chooser.recordResult(toChoice(old), 'unreachable');
+  chooser.recordLoad(old, makeLoad(null, {running: 4, waiting: 8}));
+  chooser.recordResult(toChoice(old), 'unreachable', null);
   assert.is(await pickId(chooser), 's1');
 });
 
@@ -61,4 +74,53 @@
   assert.is((await chooseAt('v3')).status, 'refused');
 });
 
+// Guards against other choices at services whose servers send no slowdown figure.
+test('without a figure neither times nor the cost change a choice', async () => {
+  const servers = ['hall-a', 'hall-a', 'hall-b'].map((failureDomain, index) =>
+    makeServer({id: `s${index}`, failureDomain}),
+  );
+  const event = fc.record({
+    ...{at: fc.nat(2), tookMs: fc.nat(2_000), running: fc.nat(9)},
+    percent: fc.constantFrom(null, 9, 2_001),
+  });
+  await fc.assert(
+    fc.asyncProperty(fc.array(event), async events => {
+      const play = async (costMs: number, isSuccess: boolean) => {
+        const clock = new ManualClock();
+        const chooser = makeChooser(() => servers, costMs, clock);
+        events.forEach(({at, tookMs, running, percent}) => {
+          const choice = toChoice(servers[at] ?? servers[0]!);
+          chooser.recordSent(choice);
+          clock.advance(tookMs);
+          chooser.recordLoad(choice.server, makeLoad(percent, {running}));
+          chooser.recordResult(choice, 'answered', null, isSuccess);
+        });
+        return pickId(chooser);
+      };
+      assert.is(await play(0, true), await play(60_000, false));
+    }),
+  );
+});
+
+// Guards against requests to a machine that does other work at the moment.
+test('a server that says it is slowed down gets fewer requests', async () => {
+  const servers = ['s1', 's2'].map(id => makeServer({id}));
+  const clock = new ManualClock();
+  const chooser = makeChooser(() => servers, 5, clock);
+  const serve = (server: BackendServerEntry, percent: number) => {
+    const choice = toChoice(server);
+    chooser.recordLoad(server, makeLoad(percent));
+    chooser.recordSent(choice);
+    clock.advance(percent);
+    chooser.recordLoad(server, makeLoad(percent));
+    chooser.recordResult(choice, 'answered', null, true);
+  };
+  servers.forEach(server => serve(server, 100));
+  serve(servers[1]!, 250);
+  assert.is(await pickId(chooser), 's1');
+  serve(servers[1]!, 100);
+  serve(servers[0]!, 250);
+  assert.is(await pickId(chooser), 's2');
+});
+
 test.run();
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -1,4 +1,7 @@
-/** Chooses the least loaded server that can serve a request. */
+/**
+ * Chooses the least loaded server that can serve a request, or the one that would complete
+ * it first if servers of its service report how much they are slowed down.
+ */
 import {type Clock, sleep} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type RandomSource} from '@mimosatack/random';
@@ -12,6 +15,7 @@
 } from '@mimosatack/types';
 import {type ServerAvailability} from '@mimosatack/track-availability';
 import {type ServerLoad} from './backend_dialect.js';
+import {CompletionChoices} from './completion_choices.js';
 import {
   type AttemptResult,
   type ChosenServer,
@@ -25,6 +29,13 @@
   clock: Clock;
   random: RandomSource;
   ownDomain: FailureDomain;
+  /**
+   * How much later than one of another failure domain a server of the own domain may be;
+   * for services whose servers report slowdowns.
+   */
+  crossDomainCostMs: number;
+  /** Called for each request that is sent to a server. */
+  onSent?: (choice: ChosenServer, isSameDomain: boolean) => void;
   /** The servers of a service that accept new requests. */
   listServers: (service: string) => readonly BackendServerEntry[];
   permits: ServerPermits;
@@ -64,8 +75,11 @@
 /** Ranks servers by this node's requests in flight and by reported loads. */
 export class LeastLoadedChooser implements ServerChooser {
   private readonly statsByServer = new Map<BackendServerId, ServerStats>();
+  private readonly completion: CompletionChoices;
 
-  constructor(private readonly options: LeastLoadedOptions) {}
+  constructor(private readonly options: LeastLoadedOptions) {
+    this.completion = new CompletionChoices(options);
+  }
 
   async choose(ask: ServerAsk): Promise<ServerChoice> {
     const {clock} = this.options;
@@ -134,8 +148,11 @@
     // Choices are not tracked until their requests are sent.
   }
 
-  recordSent({server}: ChosenServer): void {
+  recordSent(choice: ChosenServer): void {
+    const {server} = choice;
     this.getOrCreateStats(server).inFlight += 1;
+    this.completion.recordSent(choice, this.options.clock.monotonicMs());
+    this.options.onSent?.(choice, this.isSameDomain(server));
   }
 
   recordLoad(server: BackendServerEntry, load: ServerLoad): void {
@@ -143,14 +160,22 @@
     stats.load = load;
     stats.inFlightAtLoad = stats.inFlight;
     stats.loadAtMs = this.options.clock.monotonicMs();
+    this.completion.recordLoad(server, load, stats.loadAtMs);
   }
 
-  recordResult({server}: ChosenServer, result: AttemptResult): void {
-    const stats = this.getOrCreateStats(server);
+  recordResult(
+    choice: ChosenServer,
+    result: AttemptResult,
+    _headMs: number | null,
+    isSuccess = false,
+  ): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const stats = this.getOrCreateStats(choice.server);
     stats.inFlight = Math.max(0, stats.inFlight - 1);
     if (result === 'failed' || result === 'unreachable') {
-      stats.failedAtMs = this.options.clock.monotonicMs();
+      stats.failedAtMs = nowMs;
     }
+    this.completion.recordResult(choice, result, isSuccess, nowMs);
   }
 
   private pickCheapest(
@@ -158,6 +183,9 @@
   ): BackendServerEntry | undefined {
     const {random, clock} = this.options;
     const nowMs = clock.monotonicMs();
+    const ranking =
+      servers[0] && this.completion.findRanking(servers[0].service);
+    if (ranking) return ranking.pick(servers, nowMs);
     const costs = servers.map(server => ({
       server,
       cost:
@@ -171,8 +199,7 @@
 
   private cost(server: BackendServerEntry, nowMs: number): number {
     const stats = this.statsByServer.get(server.id);
-    const isSameDomain = server.failureDomain === this.options.ownDomain;
-    const domainCost = isSameDomain ? 0 : CROSS_DOMAIN_COST;
+    const domainCost = this.isSameDomain(server) ? 0 : CROSS_DOMAIN_COST;
     if (!stats) return domainCost;
     const isLoadFresh = nowMs - stats.loadAtMs < LOAD_MAX_AGE_MS;
     const reportedLoad = isLoadFresh && stats.load;
@@ -190,6 +217,10 @@
     );
   }
 
+  private isSameDomain({failureDomain}: BackendServerEntry): boolean {
+    return failureDomain === this.options.ownDomain;
+  }
+
   /** Stats start empty after each restart of a server. */
   private getOrCreateStats({id, startedAtMs}: BackendServerEntry): ServerStats {
     const known = this.statsByServer.get(id);
--- a/packages/serve-requests/src/limited_servers.test.ts
+++ b/packages/serve-requests/src/limited_servers.test.ts
@@ -12,7 +12,12 @@
 function makeChooser(waits: Record<string, number | null>) {
   const clock = new ManualClock();
   const chooser = new LeastLoadedChooser({
-    ...{clock, random: new SeededRandom(1), ownDomain: 'hall-a'},
+    ...{
+      clock,
+      random: new SeededRandom(1),
+      ownDomain: 'hall-a',
+      crossDomainCostMs: 5,
+    },
     listServers: () => Object.keys(waits).map(id => makeServer({id})),
     permits: {
       isLimited: ({id}) => waits[id] !== null,
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -186,7 +186,9 @@
     const outcome = await attempt.outcome;
     this.attempt = null;
     this.stallFailover?.stop();
-    chooser.recordResult(choice, toAttemptResult(outcome), this.log.headMs);
+    const isSuccess = outcome.status === 'answered' && outcome.isSuccess;
+    const result = toAttemptResult(outcome);
+    chooser.recordResult(choice, result, this.log.headMs, isSuccess);
     this.guard.recordOutcome(outcome, server);
     const mayHaveStarted =
       outcome.status === 'broken' || outcome.status === 'refusing';
--- a/packages/serve-requests/src/server_chooser.ts
+++ b/packages/serve-requests/src/server_chooser.ts
@@ -85,10 +85,14 @@
   release(choice: ChosenServer): void;
   recordSent(choice: ChosenServer): void;
   recordLoad(server: BackendServerEntry, load: ServerLoad): void;
-  /** @param headMs time to the response head; null if none arrived. */
+  /**
+   * @param headMs time to the response head; null if none arrived.
+   * @param isSuccess whether the response was complete and a success; false by default.
+   */
   recordResult(
     choice: ChosenServer,
     result: AttemptResult,
     headMs: number | null,
+    isSuccess?: boolean,
   ): void;
 }
--- a/packages/serve-requests/src/unavailable_servers.test.ts
+++ b/packages/serve-requests/src/unavailable_servers.test.ts
@@ -12,7 +12,12 @@
 function createFixture(waits: Record<string, number>) {
   const clock = new ManualClock();
   const chooser = new LeastLoadedChooser({
-    ...{clock, random: new SeededRandom(1), ownDomain: 'hall-a'},
+    ...{
+      clock,
+      random: new SeededRandom(1),
+      ownDomain: 'hall-a',
+      crossDomainCostMs: 5,
+    },
     listServers: () => Object.keys(waits).map(id => makeServer({id})),
     permits: {isLimited: () => false, request: () => Promise.resolve(0)},
     availability: {findWaitMs: ({id}) => waits[id] ?? 0},
--- a/packages/serving-node/src/node_settings.ts
+++ b/packages/serving-node/src/node_settings.ts
@@ -35,6 +35,11 @@
   quotaBounds: QuotaBounds;
   /** Shares of teams in scarce capacity; 1 for teams that are not listed. */
   teamWeights: ReadonlyMap<TeamName, number>;
+  /**
+   * How much later a server of the own failure domain may be than one of another; for
+   * services whose servers report slowdowns.
+   */
+  crossDomainCostMs: number;
   /** Whether engines reject orders with an outdated fencing token. */
   isFenced: boolean;
   /** Shortest time between orders from two nodes to one engine. */
--- a/packages/serving-node/src/server_chooser.ts
+++ b/packages/serving-node/src/server_chooser.ts
@@ -4,7 +4,7 @@
   ScheduledChooser,
   type ToHolderMessage,
 } from '@mimosatack/schedule-service';
-import {LeastLoadedChooser} from '@mimosatack/serve-requests';
+import {LeastLoadedChooser, SpillWatch} from '@mimosatack/serve-requests';
 import {type ServerLimiter} from '@mimosatack/share-limits';
 import {type TeamQuotas} from '@mimosatack/team-quotas';
 import {type ServerAvailability} from '@mimosatack/track-availability';
@@ -14,7 +14,7 @@
 
 export interface ServerChooserOptions extends Pick<
   ServingNodeOptions,
-  'clock' | 'random' | 'settings' | 'logger'
+  'clock' | 'random' | 'settings' | 'logger' | 'metrics'
 > {
   /** Unique to this process among all nodes. */
   incarnation: string;
@@ -32,16 +32,29 @@
   options: ServerChooserOptions,
 ): ScheduledChooser {
   const {clock, random, settings, logger, servers, availability} = options;
-  const {sendToHolder, quotas, limiter, incarnation} = options;
+  const {sendToHolder, quotas, limiter, incarnation, metrics} = options;
+  const {failureDomain, crossDomainCostMs} = settings;
   const asks = {clock, sendToHolder, askIdPrefix: incarnation};
   const permits = new PermitClient({...asks, limiter});
+  const spill = new SpillWatch(({windowMs, ...change}) =>
+    logger.log('service-spill-changed', {
+      ...change,
+      ...{windowMs: Math.round(windowMs), crossDomainCostMs},
+    }),
+  );
   return new ScheduledChooser({
     ...asks,
     ...{permits, availability, quotas},
     local: new LeastLoadedChooser({
       ...{clock, random, permits, availability},
-      ownDomain: settings.failureDomain,
+      ...{ownDomain: failureDomain, crossDomainCostMs},
       listServers: service => servers.listReady(service),
+      onSent: ({server, askId}, isSameDomain) => {
+        metrics.count('attempts.sent', {isSameDomain: String(isSameDomain)});
+        // The scheduling node assigns engines by the models that they hold.
+        if (askId !== null) return;
+        spill.recordSent(server.service, isSameDomain, clock.monotonicMs());
+      },
     }),
     findServer: id => servers.find(id),
     onQuotaRefused: (requestId, charge, refusal) =>
--- a/packages/serving-node/src/settings_reload.test.ts
+++ b/packages/serving-node/src/settings_reload.test.ts
@@ -24,6 +24,7 @@
     quotaBounds: {windowMs: 8_000, overage: 0.1, slack: 17_000},
     ...{isFenced: true, leaseMs: 3_000, clusterSecret: ''},
     teamWeights: new Map(),
+    crossDomainCostMs: 5,
     ...change,
   };
 }
