Bound the memory that a node holds for callers

Cause: nothing bounded what all callers together make a node hold. A body was kept for retries, and a response that is not read held up to 64 KB unsent and 64 KB read ahead.

Change: a budget of a quarter of limits.memory_mb counts bodies, held-back, unsent and read-ahead bytes and the state of each request. Over 0.75 of it, responses that hold the most for the longest are read one chunk at a time. At the limit, requests get 503 with Retry-After before their body is read, the node is left out of answers to callers, and those that read nothing for 2 s since are cut off with one event each.

Without pressure there is no timer. Requests that were admitted before the limit was reached can still add a chunk each; the limit is a quarter of the host for that.

--- a/packages/caller-edge/src/caller_edge.ts
+++ b/packages/caller-edge/src/caller_edge.ts
@@ -19,7 +19,12 @@
 import {type CallerLimits, type SocketAddress} from '@mimosatack/types';
 import {type EdgeDialect} from './edge_dialect.js';
 import {HttpAnswerSink} from './http_answer_sink.js';
-import {readBody} from './read_body.js';
+import {type MemoryWatch, type RequestMemory} from './memory_watch.js';
+import {
+  countDeclaredBytes,
+  makeBodyTooLargeError,
+  readBody,
+} from './read_body.js';
 
 export interface CallerEdgeOptions {
   clock: Clock;
@@ -27,6 +32,10 @@
   dialect: EdgeDialect;
   /** Returns an error to reject a request before its body is read, or null. */
   checkHead: (head: RequestHead) => TypedError | null;
+  /** Bounds what callers hold. */
+  memory: MemoryWatch;
+  /** Called for a request that there is no memory for. */
+  onNoMemory: (head: RequestHead, error: TypedError) => void;
   serve: (request: CallerRequest, sink: AnswerSink) => Promise<void>;
   onFault: (error: TypedError) => void;
 }
@@ -139,22 +148,53 @@
     }
     const rejection = this.options.checkHead(parsed);
     if (rejection) return sink.refuse(rejection);
-    const body = await this.readLimitedBody(incoming);
+    const excess = this.checkSize(incoming);
+    if (excess) return sink.refuse(excess);
+    const memory = this.reserveMemory(parsed, incoming, sink);
+    if (memory instanceof TypedError) return sink.refuse(memory);
+    const body = await this.readBody(incoming, memory);
     if (body instanceof TypedError) return sink.refuse(body);
     if (body) await this.options.serve({...parsed, body}, sink);
   }
 
-  private async readLimitedBody(
+  private checkSize(incoming: IncomingMessage): TypedError | null {
+    const {maxHeaderBytes, maxBodyBytes} = this.limits;
+    if (countHeaderBytes(incoming) > maxHeaderBytes) {
+      return makeHeadersTooLargeError(maxHeaderBytes);
+    }
+    return countDeclaredBytes(incoming) > maxBodyBytes
+      ? makeBodyTooLargeError(maxBodyBytes)
+      : null;
+  }
+
+  private reserveMemory(
+    head: RequestHead,
+    incoming: IncomingMessage,
+    sink: HttpAnswerSink,
+  ): RequestMemory | TypedError {
+    const {memory, onNoMemory} = this.options;
+    const {requestId} = head;
+    const reserved = memory.admit(
+      {requestId, cutOff: () => sink.cutOff()},
+      countDeclaredBytes(incoming),
+    );
+    if (reserved instanceof TypedError) onNoMemory(head, reserved);
+    else sink.countIn(reserved);
+    return reserved;
+  }
+
+  private async readBody(
     incoming: IncomingMessage,
+    memory: RequestMemory,
   ): Promise<Uint8Array | TypedError | null> {
     const {maxBodyBytes, idleTimeoutMs} = this.limits;
-    if (countHeaderBytes(incoming) > this.limits.maxHeaderBytes) {
-      return makeHeadersTooLargeError(this.limits.maxHeaderBytes);
-    }
     try {
       return await readBody(
         incoming,
-        {maxBytes: maxBodyBytes, idleTimeoutMs},
+        {
+          ...{maxBytes: maxBodyBytes, idleTimeoutMs},
+          reserve: bytes => memory.growBody(bytes),
+        },
         this.options.clock,
       );
     } catch (thrown) {
--- a/packages/caller-edge/src/index.ts
+++ b/packages/caller-edge/src/index.ts
@@ -1,2 +1,3 @@
 export {CallerEdge, type CallerEdgeOptions} from './caller_edge.js';
+export {type MemoryObserver, MemoryWatch} from './memory_watch.js';
 export {type EdgeDialect, type RefusalForm} from './edge_dialect.js';
--- a/packages/caller-edge/src/read_body.ts
+++ b/packages/caller-edge/src/read_body.ts
@@ -7,6 +7,8 @@
   maxBytes: number;
   /** Maximum time between two chunks of the body. */
   idleTimeoutMs: number;
+  /** Returns an error if a body of so many bytes can not be kept. */
+  reserve: (bytes: number) => TypedError | null;
 }
 
 /** Resolves with the body, or null when the connection closes early. */
@@ -15,10 +17,6 @@
   limits: BodyLimits,
   clock: Clock,
 ): Promise<Uint8Array | null> {
-  const declared = Number(incoming.headers['content-length'] ?? 0);
-  if (declared > limits.maxBytes) {
-    return Promise.reject(makeBodyTooLargeError(limits.maxBytes));
-  }
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let byteCount = 0;
@@ -31,10 +29,11 @@
     };
     incoming.on('data', (chunk: Buffer) => {
       byteCount += chunk.length;
-      if (byteCount > limits.maxBytes) {
+      const error = checkByteCount(byteCount, limits);
+      if (error) {
         incoming.pause();
         timer?.cancel();
-        return reject(makeBodyTooLargeError(limits.maxBytes));
+        return reject(error);
       }
       chunks.push(chunk);
       resetIdleTimer();
@@ -42,6 +41,8 @@
     incoming.once('end', () => {
       timer?.cancel();
       resolve(concatChunks(chunks));
+      // The listeners keep the list for as long as the request, which doubled its body.
+      chunks.length = 0;
     });
     incoming.once('close', () => {
       timer?.cancel();
@@ -52,12 +53,26 @@
   });
 }
 
+/** 0 if the length is not declared. */
+export function countDeclaredBytes({headers}: IncomingMessage): number {
+  return Number(headers['content-length'] ?? 0);
+}
+
+function checkByteCount(
+  byteCount: number,
+  {maxBytes, reserve}: BodyLimits,
+): TypedError | null {
+  return byteCount > maxBytes
+    ? makeBodyTooLargeError(maxBytes)
+    : reserve(byteCount);
+}
+
 function concatChunks(chunks: readonly Buffer[]): Uint8Array {
   const [single] = chunks;
   return chunks.length === 1 && single ? single : Buffer.concat(chunks);
 }
 
-function makeBodyTooLargeError(maxBytes: number): TypedError {
+export function makeBodyTooLargeError(maxBytes: number): TypedError {
   return new TypedError(
     'body-too-large',
     `The body has more than ${maxBytes} bytes.`,
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -232,6 +232,41 @@
       answers: 'how many of them had answered',
     },
   },
+  'memory-pressure-began': {
+    number: 4050,
+    level: 'warn',
+    message:
+      'Requests hold over 0.75 of the memory limit; responses that callers do not read are paused.',
+    fields: {
+      heldBytes: 'what bodies, responses and the state of requests hold',
+      limitBytes: 'the memory limit',
+    },
+    remedy:
+      'Look for callers that read slowly (events 4052) or send large bodies; give the host more memory.',
+  },
+  'memory-pressure-ended': {
+    number: 4051,
+    level: 'info',
+    message: 'Requests hold less than 0.75 of the memory limit again.',
+    fields: {
+      heldBytes: 'what bodies, responses and the state of requests hold',
+      limitBytes: 'the memory limit',
+    },
+  },
+  'slow-caller-cut-off': {
+    number: 4052,
+    level: 'warn',
+    message:
+      'A caller was cut off that read nothing of a response while the memory limit was reached.',
+    fields: {
+      requestId: 'the request',
+      heldBytes: 'what the request held',
+      unreadMs: 'how long the caller had read nothing',
+      totalHeldBytes: 'what all requests held',
+      limitBytes: 'the memory limit',
+    },
+    remedy: 'Ask its owner to read responses as they come.',
+  },
   'server-path-changed': {
     number: 4103,
     level: 'warn',
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -182,6 +182,19 @@
   ),
   'servers.age_ms': gauge('Time since the list was read from the store.', {}),
   'duties.held': gauge('1 while this node schedules, else 0.', {}),
+  'memory.held_bytes': gauge(
+    'Memory that requests hold: bodies, responses held back or not read, and their state.',
+    {},
+  ),
+  'memory.limit_bytes': gauge(
+    'The limit for it: a quarter of the memory of the host, at least 16 MB.',
+    {},
+  ),
+  'memory.refused': counter('Requests refused since no memory was left.', {}),
+  'memory.cut_off': counter(
+    'Callers cut off that read nothing for 2 s while no memory was left.',
+    {},
+  ),
   'logs.dropped': counter('Log lines that were left out.', {}),
   'process.resident_bytes': gauge('Resident memory of the process.', {}),
 } as const satisfies Record<string, MetricDefinition>;
--- a/packages/serve-requests/src/answer_relay.ts
+++ b/packages/serve-requests/src/answer_relay.ts
@@ -53,6 +53,7 @@
     this.boundary = new EventBoundary(this.boundary.lastEventId);
     this.buffered = [];
     this.bufferedBytes = 0;
+    this.options.sink.setHeldBack(0);
     const isServerError = facts.status >= STATUS_SERVER_ERROR_MIN;
     if (isServerError && this.options.spendRetry()) return 'discard';
     if (this.options.sink.hasBegun && facts.status > STATUS_SUCCESS_MAX) {
@@ -68,7 +69,9 @@
     if (this.options.sink.hasBegun) return this.write(chunk);
     this.buffered.push(chunk);
     this.bufferedBytes += chunk.length;
-    return this.bufferedBytes <= MAX_BUFFERED_BYTES || this.flush();
+    if (this.bufferedBytes > MAX_BUFFERED_BYTES) return this.flush();
+    this.options.sink.setHeldBack(this.bufferedBytes);
+    return true;
   }
 
   onEnd(): TypedError | null {
@@ -92,12 +95,15 @@
 
   private writeEvents(chunk: Uint8Array): boolean {
     const completeEvents = this.boundary.push(chunk);
+    this.options.sink.setHeldBack(this.boundary.partialBytes);
     return completeEvents.length === 0 || this.write(completeEvents);
   }
 
   private flush(): boolean {
     const {buffered} = this;
     this.buffered = [];
+    this.bufferedBytes = 0;
+    this.options.sink.setHeldBack(0);
     this.begin();
     return buffered.map(chunk => this.write(chunk)).every(Boolean);
   }
--- a/packages/serve-requests/src/caller_request.ts
+++ b/packages/serve-requests/src/caller_request.ts
@@ -57,6 +57,8 @@
   write(chunk: Uint8Array): boolean;
   /** Calls back once when more can be written. */
   onDrain(callback: () => void): void;
+  /** Says how many bytes of the response are held back for now. */
+  setHeldBack(bytes: number): void;
   end(): void;
   /** Ends a response so that the caller recognizes it as incomplete. */
   abort(): void;
--- a/packages/serve-requests/src/event_boundary.ts
+++ b/packages/serve-requests/src/event_boundary.ts
@@ -19,7 +19,12 @@
   }
 
   get hasPartialEvent(): boolean {
-    return this.partial.length > 0;
+    return this.partialBytes > 0;
+  }
+
+  /** Bytes that wait for the end of their event. */
+  get partialBytes(): number {
+    return this.partial.length;
   }
 
   /** Returns the events that the chunk completes. */
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -37,6 +37,7 @@
   }
 
   onDrain(): void {}
+  setHeldBack(): void {}
   end(): void {}
   abort(): void {}
 }
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -139,10 +139,8 @@
       : makeNotConfiguredError();
   }
 
-  private logRefused(
-    {requestId, receivedAtMs}: RequestHead,
-    error: TypedError,
-  ): void {
+  /** Logs a request that was refused before it was passed to `serve`, or by it. */
+  logRefused({requestId, receivedAtMs}: RequestHead, error: TypedError): void {
     this.options.logger.log('request-finished', {
       requestId,
       result: 'refused',
--- a/packages/serving-node/src/node_settings.ts
+++ b/packages/serving-node/src/node_settings.ts
@@ -15,6 +15,8 @@
   region: Region;
   /** CPU cores that this node may use. */
   cores: number;
+  /** Memory of the host. */
+  memoryMb: number;
   callerAddress: SocketAddress;
   readyAddress: SocketAddress;
   directoryAddress: SocketAddress;
--- a/packages/serving-node/src/node_state_metrics.ts
+++ b/packages/serving-node/src/node_state_metrics.ts
@@ -19,6 +19,8 @@
   mixedServices: number;
   configurationAgeMs: number;
   retryShare: number;
+  memoryHeldBytes: number;
+  memoryLimitBytes: number;
   teams: readonly TeamLevel[];
 }
 
@@ -41,6 +43,8 @@
   metrics.gauge('servers.relays', figures.openRelays, {});
   metrics.gauge('servers.age_ms', figures.serversAgeMs, {});
   metrics.gauge('retries.share', figures.retryShare, {});
+  metrics.gauge('memory.held_bytes', figures.memoryHeldBytes, {});
+  metrics.gauge('memory.limit_bytes', figures.memoryLimitBytes, {});
   metrics.gauge('duties.held', figures.dutiesHeld, {});
   metrics.gauge('containment.contained', figures.containedRequests, {});
   metrics.gauge('containment.contained_parts', figures.containedParts, {});
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -1,6 +1,6 @@
 /** Wires the tasks and listeners of one serving node. */
 import {type BackendConnections} from '@mimosatack/backend-connections';
-import {CallerEdge} from '@mimosatack/caller-edge';
+import {CallerEdge, type MemoryWatch} from '@mimosatack/caller-edge';
 import {SuspensionAwareClock} from '@mimosatack/clock';
 import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
 import {type DutyHolder} from '@mimosatack/hold-duty';
@@ -20,10 +20,12 @@
 import {type ServingConfiguration} from '@mimosatack/types';
 import {type CallerAccess} from './caller_access.js';
 import {ConfigurationFollower} from './configuration_follower.js';
-import {CONTAINED_KEY, ContainmentTask} from './containment_task.js';
+import {CONTAINED_KEY, type ContainmentTask} from './containment_task.js';
 import {describeSelf} from './describe_self.js';
 import {EntryPoints} from './entry_points.js';
 import {FaultLog} from './fault_log.js';
+import {makeContainment} from './make_containment.js';
+import {makeMemoryWatch} from './make_memory_watch.js';
 import {NodeDeparture} from './node_departure.js';
 import {NodeRegister, type RecordReader} from './node_register.js';
 import {type NodeSettings} from './node_settings.js';
@@ -69,6 +71,7 @@
   private readonly availability: ServerAvailability;
   private readonly chooser: ScheduledChooser;
   private readonly pipeline: RequestPipeline;
+  private readonly memory: MemoryWatch;
   private readonly edge: CallerEdge;
   private readonly status: StatusServer;
   private readonly entryPoints: EntryPoints;
@@ -115,14 +118,17 @@
     this.entryPoints = new EntryPoints({
       ...{clock, settings, self: this.self},
       listNodes: () => this.register.list(),
-      isServing: () => this.isServing,
+      isServing: () => this.acceptsCallers,
     });
     this.gate = new DrainGate(new InFlight(clock));
     this.shutdown = this.makeShutdown();
+    this.memory = makeMemoryWatch(options);
     this.edge = new CallerEdge({
       ...{clock, gate: this.gate},
       dialect: options.platform.callerDialect,
       checkHead: head => this.pipeline.checkAccess(head),
+      memory: this.memory,
+      onNoMemory: (head, error) => this.pipeline.logRefused(head, error),
       serve: (request, sink) => this.pipeline.serve(request, sink),
       onFault: error => this.faults.logTaskFailure(error, 'callers'),
     });
@@ -207,6 +213,7 @@
       dutiesHeld: this.duty.isHeld ? 1 : 0,
       retryShare: this.limits.retryShare.fraction,
       configurationAgeMs: this.configuration.ageMs,
+      ...this.memory.gauges,
       teams: this.quotas.listLevels(),
       ...this.containment.gauges,
       ...this.streams.gauges,
@@ -223,9 +230,14 @@
     );
   }
 
+  /** Whether callers should come here; a node without memory stays ready. */
+  private get acceptsCallers(): boolean {
+    return this.isServing && !this.memory.budget.isExhausted;
+  }
+
   private readStatus(): NodeStatus {
     return {
-      isServing: this.isServing,
+      isServing: this.acceptsCallers,
       reachesServers: !this.paths.isCutOff,
       uptimeMs: this.options.clock.monotonicMs() - this.startedAtMs,
       ...this.sharedRecords.describeProgress(),
@@ -298,15 +310,10 @@
   }
 
   private makeContainment(): ContainmentTask {
-    const {clock, logger, platform} = this.options;
-    return new ContainmentTask({
-      ...{clock, logger, topic: platform.nodesTopic},
-      incarnation: this.self.incarnation,
+    return makeContainment({
+      ...{...this.options, self: this.self, faults: this.faults},
       isWriter: () => this.duty.isHeld,
-      askHolder: (ask, timeoutMs) =>
-        this.links.holderChannel.askForLease(ask, timeoutMs),
-      tellHolder: release => this.links.holderChannel.releaseLease(release),
-      onFault: error => this.faults.logTaskFailure(error, 'containment'),
+      findLinks: () => this.links,
     });
   }
 
--- a/packages/serving-node/src/settings_reload.test.ts
+++ b/packages/serving-node/src/settings_reload.test.ts
@@ -12,7 +12,7 @@
     ...{
       nodeName: 'entry-1',
       ip: '127.0.0.1',
-      cores: 1,
+      ...{cores: 1, memoryMb: 256},
       failureDomain: 'a',
       region: 'r',
     },
