--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -45,12 +45,12 @@
   MIXED_SERVICES_KEY,
   type StreamVersionsTask,
 } from './stream_versions_task.js';
+import {makeDutyTaskOptions} from './make_duty_task_options.js';
 import {makeStreamVersions} from './make_stream_versions.js';
 import {makeTeamTasks} from './team_tasks.js';
 import {TeamWeightsReader} from './team_weights.js';
 import {CLOSE_MARGIN_MS, KEEP_LISTENING_MS} from './stop_times.js';
 
-const DUTY_KEY = 'scheduler';
 const MAINTENANCE_INTERVAL_MS = 1_000;
 
 /** Routes requests to backend servers that the platform runs. */
@@ -332,33 +332,22 @@
   }
 
   private makeDuty(): SchedulingDuty {
-    const {clock, random, platform, settings, logger} = this.options;
-    const {nodeName, incarnation, peerAddress} = this.self;
+    const {clock, random, platform, logger} = this.options;
+    const {incarnation} = this.self;
     return new SchedulingDuty({
       ...{clock, logger, random, orders: platform.engineOrders},
       broadcast: message => this.links.sendToAllNodes(message),
       quotas: this.quotas,
       limits: this.limits.asHolder,
       availability: this.availability,
-      duty: {
-        ...{random, topic: platform.dutyTopic, key: DUTY_KEY},
-        self: {nodeName, incarnation, address: peerAddress},
-        findHolderContact: holder => this.links.findContact(holder),
-        findRank: () => this.links.findRank(),
-        isReachedByOthers: () => this.links.isHolderHeardByOthers,
-        ownGrantEndsAtMs: () => this.links.ownGrantEndsAtMs,
-        claimHoldOffUntilMs: () => this.links.claimHoldOffUntilMs,
-        isGrantorOf: process => this.links.isGrantorOf(process),
-        findGrantsEndMs: (token, sinceMs) =>
-          this.links.findGrantsEndMs(token, sinceMs),
-        isFenced: settings.isFenced,
-        leaseMs: settings.leaseMs,
+      duty: makeDutyTaskOptions({
+        ...{...this.options, self: this.self, faults: this.faults},
+        findLinks: () => this.links,
         isEligible: () =>
           !this.shutdown.isStopping &&
           !this.paths.isCutOff &&
           this.configuration.version >= 0,
-        ...this.faults.watchDependency('duty'),
-      },
+      }),
       send: (address, message) => this.links.sendToNode(address, message),
       sendLastOrders: ({orders, isEnding}, addresses) =>
         this.links.sendLastOrders(
