Make the checks of due loads also when their time has passed

Cause, by reading the code path and a trace of the test with a load due 200 ms after its decision: a successor looked at an engine 0.3, 0.6 and 1.2 s after a load was due, and at no later time. It makes no check before it has known the slot for 1.5 s, and none counted that the engine did not answer or whose timer a tick cancelled. On a busy machine all three passed, and the load was never ordered ('Never held' at the wait for the load). The first node could also carry out the load by a step that it had scheduled itself, so that the second never claimed ('Never held' at the wait for the claim). Change: a check is done only when the engine has answered since it was due; one that is late is made at once, and again every second while the engine does not answer. In the test the first node no longer reads the log when the load is decided, so that it cannot order it; the expectations are the same. Why it holds: each check is kept until the engine has been read for it.

--- a/packages/node/src/engine_watch.test.ts
+++ b/packages/node/src/engine_watch.test.ts
@@ -120,6 +120,33 @@
   assert.is(takeoverMs, null);
 });
 
+// Guards against a due load that nobody orders since its slot was read late.
+test('checks a load whose slot was read shortly before it was due', async () => {
+  const readAtMs = LOAD_AT_MS - 100;
+  const takeoverMs = await findTakeoverMs(
+    () => Promise.resolve(makeEngine(false)),
+    nowMs => (nowMs < readAtMs ? [] : [makeSlot(LOAD_AT_MS)]),
+    LOAD_AT_MS + 3_000,
+  );
+  assert.ok(takeoverMs !== null && takeoverMs <= LOAD_AT_MS + 2_000);
+});
+
+// Guards against a due load that nobody orders since an engine was briefly unreachable.
+test('checks a load again when the engine did not answer', async () => {
+  let reads = 0;
+  const takeoverMs = await findTakeoverMs(
+    () => {
+      reads += 1;
+      return reads <= 3
+        ? Promise.reject(new Error('no answer'))
+        : Promise.resolve(makeEngine(false));
+    },
+    () => [makeSlot(LOAD_AT_MS)],
+    LOAD_AT_MS + 6_000,
+  );
+  assert.is(takeoverMs, LOAD_AT_MS + TAKEOVER_DELAY_MS + 3 * 1_000);
+});
+
 test('leaves the holder time for a load that is due when decided', async () => {
   // Guards against a takeover from a healthy holder that learns of an immediate
   // load only at its next tick.
--- a/packages/node/src/steward_task.test.ts
+++ b/packages/node/src/steward_task.test.ts
@@ -79,8 +79,10 @@
     await first.tickUntil(
       () => first.follower.state.stewardship.findClaim('r1') !== undefined,
     );
+    // A step that the first node has scheduled itself must not order the load.
+    await first.follower.stop();
     const loadAtMs = Date.now() + 1_800;
-    await decideSlot(first, 's1', 'saturday', {loadAtMs});
+    await decideSlot(second, 's1', 'saturday', {loadAtMs});
     await second.tickUntil(() => listLoaded(bench).includes('s1'));
     const {stewardship} = second.follower.state;
     await second.tickUntil(
--- a/packages/steward-orders/src/succession.ts
+++ b/packages/steward-orders/src/succession.ts
@@ -31,11 +31,15 @@
   incomplete: Set<string>;
 }
 
-/** When a standby of this rank should check next; null if no load is ahead. */
+/**
+ * When a standby of this rank should check next; null if no check is left.
+ *
+ * @param checkedAtMs checks that were due by then are done.
+ */
 export function findNextCheckMs(
   slots: readonly Slot[],
   rank: number,
-  nowMs: number,
+  checkedAtMs: number,
 ): number | null {
   const waitMs = rank * TAKEOVER_DELAY_MS;
   const checkTimesMs = slots
@@ -45,7 +49,7 @@
       loadAtMs + 2 * waitMs,
       loadAtMs + 4 * waitMs,
     ])
-    .filter(atMs => atMs > nowMs);
+    .filter(atMs => atMs > checkedAtMs);
   return checkTimesMs.length === 0 ? null : Math.min(...checkTimesMs);
 }
 
