Bound the cost of forecasts, and correct them by team and model

Each check walked all requests ahead, and after a change of the scheduling node every decision checked all waiting requests again until there was data. What waits ahead is now summed once for each decision, nothing is checked without data, and the throughput of a service is kept for 50 ms.

--- a/packages/schedule-models/src/engine_forecast.ts
+++ b/packages/schedule-models/src/engine_forecast.ts
@@ -1,11 +1,16 @@
 /** Refuses requests on arrival that would start too late by the shares of teams. */
-import {type Forecast, StartForecast} from '@mimosatack/share-capacity';
+import {
+  type Forecast,
+  type ForecastServer,
+  StartForecast,
+} from '@mimosatack/share-capacity';
 import {
   type BackendServerId,
   type ModelName,
   type ServiceName,
   type TeamName,
 } from '@mimosatack/types';
+import {AheadCosts} from './ahead_costs.js';
 import {type EngineView} from './engine_view.js';
 import {type Refusal, findWaitDeadlineMs} from './find_refusal.js';
 import {toModelKey} from './model_key.js';
@@ -36,6 +41,9 @@
   refusal: Refusal;
 }
 
+/** Short beside the time in which engines come and go. */
+const SERVERS_TTL_MS = 50;
+
 interface Check {
   item: RequestItem;
   atMs: number;
@@ -49,6 +57,10 @@
   private readonly checks = new Map<string, Check>();
   /** Forecasts of waiting requests. */
   private readonly admitted = new Map<string, Forecast>();
+  private readonly serviceServers = new Map<
+    ServiceName,
+    {servers: readonly ForecastServer[]; atMs: number}
+  >();
   /** Start times of runs, by engine and ask id. */
   private readonly startsMs = new Map<BackendServerId, Map<string, number>>();
 
@@ -135,6 +147,7 @@
 
   removeEngine(id: BackendServerId): void {
     this.startsMs.delete(id);
+    this.serviceServers.clear();
     this.forecast?.removeServer(id);
   }
 
@@ -146,22 +159,38 @@
     const {forecast} = this;
     if (!forecast || this.checks.size === 0) return [];
     const {nowMs, inOrder} = context;
-    return inOrder.flatMap((request, position) => {
-      const {item, atMs} = this.checks.get(request.askId) ?? {atMs: Infinity};
-      if (!item || atMs > nowMs) return [];
-      const found = this.find(item, inOrder.slice(0, position), context);
-      // Checked again once there is data, such as after a change of the scheduling node.
-      if (!found) return [];
-      this.checks.delete(request.askId);
-      if (found.startsAtMs <= findWaitDeadlineMs(request)) {
-        this.admit(item, found, nowMs);
+    if (!forecast.hasData(nowMs)) return [];
+    const ahead = new AheadCosts();
+    return inOrder.flatMap(request => {
+      const found = this.check(request, ahead, context);
+      if (!found || found.startsAtMs <= findWaitDeadlineMs(request)) {
+        ahead.add(request);
         return [];
       }
+      const item = toItem(request);
       const retryAfterMs = forecast.findRetryAfterMs(item, found, nowMs);
       return [{request, refusal: makeRefusal(found, retryAfterMs, nowMs)}];
     });
   }
 
+  /** Null if no check is due, or without data; the request is checked again then. */
+  private check(
+    request: ScheduledRequest,
+    ahead: AheadCosts,
+    context: EngineForecastContext,
+  ): Forecast | null {
+    const {nowMs} = context;
+    const {item, atMs} = this.checks.get(request.askId) ?? {atMs: Infinity};
+    if (!item || atMs > nowMs) return null;
+    const found = this.find(item, ahead, context);
+    if (!found) return null;
+    this.checks.delete(request.askId);
+    if (found.startsAtMs <= findWaitDeadlineMs(request)) {
+      this.admit(item, found, nowMs);
+    }
+    return found;
+  }
+
   private admit(item: RequestItem, found: Forecast, nowMs: number): void {
     const {id, dueAtMs} = item;
     if (!this.admitted.has(id)) this.admitted.set(id, found);
@@ -170,7 +199,7 @@
 
   private find(
     item: RequestItem,
-    ahead: readonly ScheduledRequest[],
+    ahead: AheadCosts,
     context: EngineForecastContext,
   ): Forecast | null {
     const {nowMs} = context;
@@ -182,7 +211,6 @@
     const readyAtMs = Math.min(
       ...holders.map(engine => engine.findReadyAtMs(model, nowMs)),
     );
-    const sameClass = ahead.filter(other => isSameClass(other, item.request));
     const pool = new Set(holders);
     const others = [
       ...new Set(holders.flatMap(engine => engine.listResidentAndPending())),
@@ -195,23 +223,41 @@
           pool.has(engine),
         ),
     );
-    const toServers = (engines: readonly EngineView[]) =>
-      engines.map(engine => ({
-        ...{id: engine.id, places: engine.countPlacesFor(item.request)},
-      }));
     const scopes = [
       {
-        servers: toServers(holders),
+        servers: holders.map(engine => ({
+          ...{id: engine.id, places: engine.countPlacesFor(item.request)},
+        })),
         groups: bound.map(other => toModelKey(service, other)),
-        aheadCost: sumCosts(sameClass, bound),
+        aheadCost: ahead.sum(item.request, bound),
       },
       {
-        servers: toServers(context.listEngines(service)),
+        servers: this.listServiceServers(service, context),
         groups: [service],
-        aheadCost: sumCosts(sameClass, others),
+        aheadCost: ahead.sum(item.request, others),
       },
     ];
-    return this.forecast?.find(item, {readyAtMs, scopes}, nowMs) ?? null;
+    return (
+      this.forecast?.find(
+        item,
+        {group: toModelKey(service, model), readyAtMs, scopes},
+        nowMs,
+      ) ?? null
+    );
+  }
+
+  /** Kept for some decisions, since its cost grows with the number of engines. */
+  private listServiceServers(
+    service: ServiceName,
+    {listEngines, nowMs}: EngineForecastContext,
+  ): readonly ForecastServer[] {
+    const known = this.serviceServers.get(service);
+    if (known && nowMs - known.atMs < SERVERS_TTL_MS) return known.servers;
+    const servers = listEngines(service).map(({id, spec}) => ({
+      ...{id, places: spec.slots},
+    }));
+    this.serviceServers.set(service, {servers, atMs: nowMs});
+    return servers;
   }
 
   private recordWait(
@@ -222,9 +268,17 @@
   ): void {
     const forecast = this.admitted.get(request.askId);
     if (!forecast) return;
+    const group = toModelKey(request.service, request.model);
     const waitedMs = waitEndMs - request.arrivedAtMs;
     this.forecast?.recordWait(
-      ...([toItem(request), forecast, waitedMs, hasStarted, nowMs] as const),
+      ...([
+        toItem(request),
+        group,
+        forecast,
+        waitedMs,
+        hasStarted,
+        nowMs,
+      ] as const),
     );
   }
 }
@@ -238,22 +292,6 @@
   );
 }
 
-/** The cost of the requests for the models. */
-function sumCosts(
-  requests: readonly ScheduledRequest[],
-  models: readonly ModelName[],
-): number {
-  return requests
-    .filter(({model}) => models.includes(model))
-    .reduce((sum, request) => sum + toItem(request).cost, 0);
-}
-
-function isSameClass(a: ScheduledRequest, b: ScheduledRequest): boolean {
-  return (
-    a.service === b.service && a.team === b.team && a.priority === b.priority
-  );
-}
-
 function makeRefusal(
   {startsAtMs, teamShare, dataAgeMs}: Forecast,
   retryAfterMs: number,
--- a/packages/schedule-service/src/place_asks.test.ts
+++ b/packages/schedule-service/src/place_asks.test.ts
@@ -69,6 +69,7 @@
     permits: {settle: () => false, handleHolderLost: () => undefined},
     availability: {describe: () => [], list: () => []},
     quotas: {charge: () => null, refund: () => undefined},
+    areAllLeaving: () => false,
     findServer: () => SERVER,
     onQuotaRefused: () => undefined,
   });
--- a/packages/share-capacity/src/held_times.ts
+++ b/packages/share-capacity/src/held_times.ts
@@ -2,6 +2,8 @@
 
 /** Older observations say nothing about the load of now. */
 export const MAX_DATA_AGE_MS = 10_000;
+/** In this time, the mean of some requests changes little. */
+const COMPUTED_TTL_MS = 50;
 /** Weight of one request in the moving average. */
 const SMOOTHING = 0.1;
 
@@ -26,9 +28,15 @@
 
 export class HeldTimes {
   private readonly servers = new Map<string, HeldTime>();
+  private newestMs = -Infinity;
+  private readonly computed = new WeakMap<
+    readonly ForecastServer[],
+    {throughput: Throughput | null; atMs: number}
+  >();
 
   record(serverId: string, cost: number, heldMs: number, nowMs: number): void {
     if (cost <= 0 || heldMs <= 0) return;
+    this.newestMs = nowMs;
     const sample = heldMs / cost;
     const before = this.findRecent(serverId, nowMs)?.msPerCost ?? sample;
     this.servers.set(serverId, {
@@ -41,11 +49,27 @@
     this.servers.delete(serverId);
   }
 
+  hasRecent(nowMs: number): boolean {
+    return nowMs - this.newestMs <= MAX_DATA_AGE_MS;
+  }
+
+  /** Kept for some decisions, since its cost grows with the number of servers. */
+  findThroughput(
+    pool: readonly ForecastServer[],
+    nowMs: number,
+  ): Throughput | null {
+    const known = this.computed.get(pool);
+    if (known && nowMs - known.atMs < COMPUTED_TTL_MS) return known.throughput;
+    const throughput = this.computeThroughput(pool, nowMs);
+    this.computed.set(pool, {throughput, atMs: nowMs});
+    return throughput;
+  }
+
   /**
    * By Little's law: the number of places divided by the time that one is held. A server
    * without recent observations counts as the mean of the others; null if none has any.
    */
-  findThroughput(
+  private computeThroughput(
     pool: readonly ForecastServer[],
     nowMs: number,
   ): Throughput | null {
--- a/packages/share-capacity/src/start_forecast.test.ts
+++ b/packages/share-capacity/src/start_forecast.test.ts
@@ -8,7 +8,7 @@
 const test = suite('forecast of the start of waiting items');
 
 const POOL: ForecastPool = {
-  readyAtMs: 0,
+  ...{group: 'm', readyAtMs: 0},
   scopes: [{servers: [{id: 's1', places: 4}], groups: ['m'], aheadCost: 20}],
 };
 
@@ -44,7 +44,7 @@
   const [item, before] = [makeItem(), makeForecast().find(makeItem(), POOL, 0)];
   assert.ok(before);
   for (let count = 0; count < 100; count += 1) {
-    forecast.recordWait(item, before, 100 * before.queuedMs, true, 0);
+    forecast.recordWait(item, 'm', before, 100 * before.queuedMs, true, 0);
   }
   const ratio =
     (forecast.find(item, POOL, 0)?.startsAtMs ?? 0) / before.queuedMs;
--- a/packages/share-capacity/src/start_forecast.ts
+++ b/packages/share-capacity/src/start_forecast.ts
@@ -18,6 +18,8 @@
 
 /** The capacity that an item competes for. */
 export interface ForecastPool {
+  /** The requests that compete for the same places, such as those for one model. */
+  group: string;
   /** When the first server takes requests. */
   readyAtMs: number;
   /**
@@ -89,21 +91,30 @@
 
   /** Compares a forecast with the wait; a request that never started may have waited longer. */
   recordWait(
-    {team}: ShareItem,
+    item: ShareItem,
+    group: string,
     {queuedMs}: Forecast,
     waitedMs: number,
     hasStarted: boolean,
     nowMs: number,
   ): void {
     if (!hasStarted && waitedMs < queuedMs) return;
-    this.correction.record(team, queuedMs, waitedMs, nowMs);
+    this.correction.record(findKind(item, {group}), queuedMs, waitedMs, nowMs);
+  }
+
+  /** Whether any server was observed recently. */
+  hasData(nowMs: number): boolean {
+    return this.heldTimes.hasRecent(nowMs);
   }
 
   /** Null without recent observations of the pool; nothing is refused then. */
   find(item: ShareItem, pool: ForecastPool, nowMs: number): Forecast | null {
     const fromMs = Math.max(nowMs, pool.readyAtMs);
+    const factor = this.correction.find(findKind(item, pool), nowMs);
     return pool.scopes
-      .flatMap(scope => this.findInScope(item, scope, fromMs, nowMs) ?? [])
+      .flatMap(
+        scope => this.findInScope(item, scope, {fromMs, factor, nowMs}) ?? [],
+      )
       .reduce<Forecast | null>(
         (last, next) =>
           last && last.startsAtMs >= next.startsAtMs ? last : next,
@@ -124,8 +135,7 @@
   private findInScope(
     {team, priority, cost, dueAtMs}: ShareItem,
     {servers, groups, aheadCost}: ForecastScope,
-    fromMs: number,
-    nowMs: number,
+    {fromMs, factor, nowMs}: {fromMs: number; factor: number; nowMs: number},
   ): Forecast | null {
     const throughput = this.heldTimes.findThroughput(servers, nowMs);
     if (!throughput) return null;
@@ -135,7 +145,7 @@
       capacityPerMs: throughput.costPerMs,
     });
     const queuedMs = findQueuedMs(aheadCost, cost, ratePerMs);
-    const correctedMs = queuedMs * this.correction.find(team, nowMs);
+    const correctedMs = queuedMs * factor;
     const isLate = fromMs + correctedMs * LATE_MARGIN > dueAtMs;
     // Once late, an item waits behind all that arrive on time.
     const load = isLate ? Math.min(1, demandPerMs / ratePerMs) : 0;
@@ -158,3 +168,10 @@
 ): number {
   return aheadCost === 0 ? 0 : (aheadCost + ownCost / 2) / ratePerMs;
 }
+
+function findKind(
+  {team}: ShareItem,
+  {group}: Pick<ForecastPool, 'group'>,
+): string {
+  return JSON.stringify([team, group]);
+}
--- a/packages/share-capacity/src/wait_correction.ts
+++ b/packages/share-capacity/src/wait_correction.ts
@@ -1,5 +1,4 @@
 /** Corrects forecasts by the waits that were observed. */
-import {type TeamName} from '@mimosatack/types';
 import {MAX_DATA_AGE_MS} from './held_times.js';
 
 const MIN_FACTOR = 0.25;
@@ -14,31 +13,42 @@
   updatedAtMs: number;
 }
 
-/** Kept by team, since the waits of each team differ from forecasts for reasons of its own. */
+/** Kept by kind of requests, since the waits of each differ from forecasts for reasons of its own. */
 export class WaitCorrection {
-  private readonly corrections = new Map<TeamName, Correction>();
+  private readonly corrections = new Map<string, Correction>();
+  private nextPruneMs = 0;
 
   /** @param forecastMs the forecast without a correction. */
   record(
-    team: TeamName,
+    kind: string,
     forecastMs: number,
     waitedMs: number,
     nowMs: number,
   ): void {
     if (forecastMs < MIN_FORECAST_MS) return;
     const sample = clamp(waitedMs / forecastMs);
-    const before = this.find(team, nowMs);
+    const before = this.find(kind, nowMs);
     const factor = clamp(before + SMOOTHING * (sample - before));
-    this.corrections.set(team, {factor, updatedAtMs: nowMs});
+    this.corrections.set(kind, {factor, updatedAtMs: nowMs});
+    this.prune(nowMs);
   }
 
-  find(team: TeamName, nowMs: number): number {
-    const known = this.corrections.get(team);
-    if (!known) return 1;
-    if (nowMs - known.updatedAtMs <= MAX_DATA_AGE_MS) return known.factor;
-    this.corrections.delete(team);
-    return 1;
+  find(kind: string, nowMs: number): number {
+    const known = this.corrections.get(kind);
+    return known && isRecent(known, nowMs) ? known.factor : 1;
   }
+
+  private prune(nowMs: number): void {
+    if (nowMs < this.nextPruneMs) return;
+    this.nextPruneMs = nowMs + MAX_DATA_AGE_MS;
+    this.corrections.forEach((correction, kind) => {
+      if (!isRecent(correction, nowMs)) this.corrections.delete(kind);
+    });
+  }
+}
+
+function isRecent({updatedAtMs}: Correction, nowMs: number): boolean {
+  return nowMs - updatedAtMs <= MAX_DATA_AGE_MS;
 }
 
 function clamp(factor: number): number {
