--- a/packages/schedule-models/src/engine_forecast.ts
+++ b/packages/schedule-models/src/engine_forecast.ts
@@ -1,11 +1,16 @@
 /** Refuses requests on arrival that would start too late by the shares of teams. */
-import {type Forecast, StartForecast} from '@mimosatack/share-capacity';
+import {
+  type Forecast,
+  type ForecastServer,
+  StartForecast,
+} from '@mimosatack/share-capacity';
 import {
   type BackendServerId,
   type ModelName,
   type ServiceName,
   type TeamName,
 } from '@mimosatack/types';
+import {AheadCosts} from './ahead_costs.js';
 import {type EngineView} from './engine_view.js';
 import {type Refusal, findWaitDeadlineMs} from './find_refusal.js';
 import {toModelKey} from './model_key.js';
@@ -27,6 +32,8 @@
     service: ServiceName,
     model: ModelName,
   ) => readonly EngineView[];
+  /** Engines of the service that accept work. */
+  listEngines: (service: ServiceName) => readonly EngineView[];
 }
 
 interface ForecastRefusal {
@@ -34,21 +41,33 @@
   refusal: Refusal;
 }
 
+/** Short beside the time in which engines come and go. */
+const SERVERS_TTL_MS = 50;
+
+interface Check {
+  item: RequestItem;
+  atMs: number;
+}
+
 /** Has no effect until shares are set. */
 export class EngineForecast {
   /** Null while requests go by urgency alone. */
   private forecast: StartForecast | null = null;
-  /** Waiting requests that have not been checked. */
-  private readonly arrived = new Map<string, RequestItem>();
+  /** When waiting requests are checked: on arrival, and once more when they are late. */
+  private readonly checks = new Map<string, Check>();
   /** Forecasts of waiting requests. */
   private readonly admitted = new Map<string, Forecast>();
+  private readonly serviceServers = new Map<
+    ServiceName,
+    {servers: readonly ForecastServer[]; atMs: number}
+  >();
   /** Start times of runs, by engine and ask id. */
   private readonly startsMs = new Map<BackendServerId, Map<string, number>>();
 
   setShares(weights: ReadonlyMap<TeamName, number> | null): void {
     if (!weights) {
       this.forecast = null;
-      [this.arrived, this.admitted, this.startsMs].forEach(map => map.clear());
+      [this.checks, this.admitted, this.startsMs].forEach(map => map.clear());
       return;
     }
     this.forecast ??= new StartForecast();
@@ -58,9 +77,10 @@
   recordArrival(request: ScheduledRequest, nowMs: number): void {
     if (!this.forecast || this.admitted.has(request.askId)) return;
     const item = toItem(request);
-    const group = toModelKey(request.service, request.model);
-    this.forecast.recordArrival(group, item, nowMs);
-    this.arrived.set(request.askId, item);
+    const {service, model} = request;
+    const groups = [toModelKey(service, model), service];
+    this.forecast.recordArrival(groups, item, nowMs);
+    this.checks.set(request.askId, {item, atMs: nowMs});
   }
 
   recordStart(
@@ -72,7 +92,7 @@
     const starts = this.startsMs.get(engineId) ?? new Map<string, number>();
     this.startsMs.set(engineId, starts);
     starts.set(request.askId, nowMs);
-    this.recordWait(request, true, nowMs);
+    this.recordWait(request, nowMs, true, nowMs);
     this.forget(request.askId);
   }
 
@@ -98,9 +118,13 @@
     return {team, cost};
   }
 
-  /** Records a request that was refused although it had been admitted. */
+  /**
+   * Records a request that was refused although it had been admitted. It would have waited until
+   * its deadline at least.
+   */
   recordRefused(request: ScheduledRequest, nowMs: number): void {
-    this.recordWait(request, false, nowMs);
+    const waitEndMs = findWaitDeadlineMs(request);
+    this.recordWait(request, Math.max(nowMs, waitEndMs), false, nowMs);
     this.forget(request.askId);
   }
 
@@ -117,110 +141,154 @@
 
   /** Called for requests that no longer wait. */
   forget(askId: string): void {
-    this.arrived.delete(askId);
+    this.checks.delete(askId);
     this.admitted.delete(askId);
   }
 
   removeEngine(id: BackendServerId): void {
     this.startsMs.delete(id);
+    this.serviceServers.clear();
     this.forecast?.removeServer(id);
   }
 
-  /** Checks each request once, on its arrival if there is data, and returns those to refuse. */
+  /**
+   * Returns the requests to refuse. Each is checked on its arrival, if there is data, and when it
+   * can no longer be on time, since it then waits behind all of its team that can.
+   */
   listRefusals(context: EngineForecastContext): ForecastRefusal[] {
     const {forecast} = this;
-    if (!forecast || this.arrived.size === 0) return [];
+    if (!forecast || this.checks.size === 0) return [];
     const {nowMs, inOrder} = context;
-    return inOrder.flatMap((request, position) => {
-      const item = this.arrived.get(request.askId);
-      if (!item) return [];
-      const found = this.find(item, inOrder.slice(0, position), context);
-      // Checked again once there is data, such as after a change of the scheduling node.
-      if (!found) return [];
-      this.arrived.delete(request.askId);
-      if (found.startsAtMs <= findWaitDeadlineMs(request)) {
-        this.admitted.set(request.askId, found);
+    if (!forecast.hasData(nowMs)) return [];
+    const ahead = new AheadCosts();
+    return inOrder.flatMap(request => {
+      const found = this.check(request, ahead, context);
+      if (!found || found.startsAtMs <= findWaitDeadlineMs(request)) {
+        ahead.add(request);
         return [];
       }
+      const item = toItem(request);
       const retryAfterMs = forecast.findRetryAfterMs(item, found, nowMs);
       return [{request, refusal: makeRefusal(found, retryAfterMs, nowMs)}];
     });
   }
 
+  /** Null if no check is due, or without data; the request is checked again then. */
+  private check(
+    request: ScheduledRequest,
+    ahead: AheadCosts,
+    context: EngineForecastContext,
+  ): Forecast | null {
+    const {nowMs} = context;
+    const {item, atMs} = this.checks.get(request.askId) ?? {atMs: Infinity};
+    if (!item || atMs > nowMs) return null;
+    const found = this.find(item, ahead, context);
+    if (!found) return null;
+    this.checks.delete(request.askId);
+    if (found.startsAtMs <= findWaitDeadlineMs(request)) {
+      this.admit(item, found, nowMs);
+    }
+    return found;
+  }
+
+  private admit(item: RequestItem, found: Forecast, nowMs: number): void {
+    const {id, dueAtMs} = item;
+    if (!this.admitted.has(id)) this.admitted.set(id, found);
+    if (dueAtMs > nowMs) this.checks.set(id, {item, atMs: dueAtMs});
+  }
+
   private find(
     item: RequestItem,
-    ahead: readonly ScheduledRequest[],
-    {nowMs, listHolders}: EngineForecastContext,
+    ahead: AheadCosts,
+    context: EngineForecastContext,
   ): Forecast | null {
-    const {request} = item;
-    const listAvailable = (model: ModelName) =>
-      listHolders(request.service, model).filter(engine =>
-        engine.acceptsWorkAt(nowMs),
-      );
-    const pool = new Set(
-      listAvailable(request.model).filter(({entry}) =>
-        isEngineAllowed(request, entry),
-      ),
+    const {nowMs} = context;
+    const {service, model} = item.request;
+    const holders = listAvailable(item.request, context).filter(({entry}) =>
+      isEngineAllowed(item.request, entry),
     );
-    const engines = [...pool];
-    if (engines.length === 0) return null;
-    const models = new Set(
-      engines.flatMap(engine => engine.listResidentAndPending()),
+    if (holders.length === 0) return null;
+    const readyAtMs = Math.min(
+      ...holders.map(engine => engine.findReadyAtMs(model, nowMs)),
     );
-    const overlaps = new Map(
-      [...models].map(model => {
-        const holders = listAvailable(model);
-        const shared = holders.filter(engine => pool.has(engine)).length;
-        return [model, shared / Math.max(1, holders.length)];
-      }),
+    const pool = new Set(holders);
+    const others = [
+      ...new Set(holders.flatMap(engine => engine.listResidentAndPending())),
+    ];
+    // Requests for other models that also run elsewhere make room for those that do not.
+    const bound = others.filter(
+      other =>
+        other === model ||
+        listAvailable({service, model: other}, context).every(engine =>
+          pool.has(engine),
+        ),
     );
-    const aheadCost = ahead
-      .filter(other => isSameClass(other, request))
-      .reduce(
-        (sum, other) =>
-          sum + toItem(other).cost * (overlaps.get(other.model) ?? 0),
-        0,
-      );
+    const scopes = [
+      {
+        servers: holders.map(engine => ({
+          ...{id: engine.id, places: engine.countPlacesFor(item.request)},
+        })),
+        groups: bound.map(other => toModelKey(service, other)),
+        aheadCost: ahead.sum(item.request, bound),
+      },
+      {
+        servers: this.listServiceServers(service, context),
+        groups: [service],
+        aheadCost: ahead.sum(item.request, others),
+      },
+    ];
     return (
       this.forecast?.find(
         item,
-        {
-          servers: engines.map(engine => ({
-            ...{id: engine.id, places: engine.countPlacesFor(request)},
-          })),
-          readyAtMs: Math.min(
-            ...engines.map(one => one.findReadyAtMs(request.model, nowMs)),
-          ),
-          overlaps: new Map(
-            [...overlaps].map(([model, overlap]) => [
-              toModelKey(request.service, model),
-              overlap,
-            ]),
-          ),
-          aheadCost,
-        },
+        {group: toModelKey(service, model), readyAtMs, scopes},
         nowMs,
       ) ?? null
     );
   }
 
+  /** Kept for some decisions, since its cost grows with the number of engines. */
+  private listServiceServers(
+    service: ServiceName,
+    {listEngines, nowMs}: EngineForecastContext,
+  ): readonly ForecastServer[] {
+    const known = this.serviceServers.get(service);
+    if (known && nowMs - known.atMs < SERVERS_TTL_MS) return known.servers;
+    const servers = listEngines(service).map(({id, spec}) => ({
+      ...{id, places: spec.slots},
+    }));
+    this.serviceServers.set(service, {servers, atMs: nowMs});
+    return servers;
+  }
+
   private recordWait(
     request: ScheduledRequest,
+    waitEndMs: number,
     hasStarted: boolean,
     nowMs: number,
   ): void {
     const forecast = this.admitted.get(request.askId);
     if (!forecast) return;
-    const waitedMs = nowMs - request.arrivedAtMs;
+    const group = toModelKey(request.service, request.model);
+    const waitedMs = waitEndMs - request.arrivedAtMs;
     this.forecast?.recordWait(
-      ...([toItem(request), forecast, waitedMs, hasStarted, nowMs] as const),
+      ...([
+        toItem(request),
+        group,
+        forecast,
+        waitedMs,
+        hasStarted,
+        nowMs,
+      ] as const),
     );
   }
 }
 
-function isSameClass(a: ScheduledRequest, b: ScheduledRequest): boolean {
-  return (
-    a.service === b.service && a.team === b.team && a.priority === b.priority
+function listAvailable(
+  {service, model}: Pick<ScheduledRequest, 'service' | 'model'>,
+  {listHolders, nowMs}: EngineForecastContext,
+): EngineView[] {
+  return listHolders(service, model).filter(engine =>
+    engine.acceptsWorkAt(nowMs),
   );
 }
 
