Refuse a team's request without an ask when its turn is known to be too late

Cause: most requests of a burst were refused, each with two messages and a decision, and delayed nodes fell back to their own choice with the answer already in their buffers. Change: the refusal carries the forecast, which the node applies for 500 ms to requests of the same service, team and priority; a node reads what has arrived before it falls back.

--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -118,6 +118,8 @@
       'over-quota',
     ]),
     retryAfterMs: z.number(),
+    /** When the request would have started; null if unknown, as with the previous release. */
+    forecastMs: z.number().nullish(),
   }),
   /** The answer to `charge`; `refusal` is null when the quota was charged. */
   z.object({
--- a/packages/schedule-service/src/pending_ask.ts
+++ b/packages/schedule-service/src/pending_ask.ts
@@ -30,6 +30,11 @@
     if (current.signal.aborted) this.withdraw();
   }
 
+  /** Whether the scheduling node has not answered, and the ask is not settled. */
+  get isWaitingForAnswer(): boolean {
+    return this.timer !== null;
+  }
+
   get ask(): ServerAsk {
     return this.current;
   }
@@ -42,6 +47,7 @@
 
   cancelTimer(): void {
     this.timer?.cancel();
+    this.timer = null;
   }
 
   exclude(id: BackendServerId): void {
--- a/packages/schedule-service/src/place_asks.test.ts
+++ b/packages/schedule-service/src/place_asks.test.ts
@@ -93,6 +93,7 @@
   chooser.setCoordinated([SERVICE]);
   const choice = chooser.choose(makeAsk());
   clock.advance(300);
+  await flushPendingCallbacks();
   assert.is(findBasis(await choice), 'own-view');
   assert.equal(listSent(), ['ask', 'withdraw']);
 });
@@ -126,6 +127,24 @@
   assert.is(choice.status === 'refused' && choice.error.retryAfterMs, 900);
 });
 
+// Guards against messages for requests whose refusal is known already.
+test('what was just refused for its team is refused without an ask', async () => {
+  const {chooser, clock, listSent} = startChooser();
+  chooser.setCoordinated([SERVICE]);
+  const first = chooser.choose(makeAsk());
+  chooser.receive({
+    ...{type: 'refused', askId: 'n1.1', reason: 'no-room', retryAfterMs: 900},
+    forecastMs: 4_000,
+  });
+  assert.is((await first).status, 'refused');
+  assert.is((await chooser.choose(makeAsk())).status, 'refused');
+  assert.equal(listSent(), ['ask']);
+  void chooser.choose({...makeAsk(), team: 'south'});
+  clock.advance(501);
+  void chooser.choose(makeAsk());
+  assert.equal(listSent(), ['ask', 'ask', 'ask']);
+});
+
 // Guards against a message for each response of a server under pressure.
 test('pressure is reported once a second, and only where it matters', async () => {
   const {chooser, clock, listSent} = startChooser();
--- a/packages/schedule-service/src/placing_service.ts
+++ b/packages/schedule-service/src/placing_service.ts
@@ -275,7 +275,7 @@
       waiting: this.scheduler.waitingCount,
     });
     this.options.send(nodeAddress, {
-      ...{type: 'refused', askId, reason: 'no-room', retryAfterMs},
+      ...{type: 'refused', askId, reason: 'no-room', retryAfterMs, forecastMs},
     });
     this.charges.drop(askId, false);
   }
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -4,7 +4,6 @@
  * that needs a model load waits briefly for the next scheduling node.
  */
 import {type Clock} from '@mimosatack/clock';
-import {TypedError} from '@mimosatack/errors';
 import {type RunResult, isNotRun} from '@mimosatack/schedule-models';
 import {
   type AttemptResult,
@@ -35,6 +34,12 @@
 } from './messages.js';
 import {type PermitClient} from './permit_client.js';
 import {type PressureReporter} from './pressure_reporter.js';
+import {
+  makeNoPlaceError,
+  makeOverQuotaError,
+  makeRefusalError,
+} from './refusal_errors.js';
+import {RecentRefusals} from './recent_refusals.js';
 import {PendingAsk} from './pending_ask.js';
 
 export interface ScheduledChooserOptions {
@@ -69,7 +74,6 @@
  * scheduling node, which takes over about 2 s after the previous one is lost.
  */
 const TAKEOVER_WAIT_MS = 1_500;
-const RETRY_AFTER_MS = 1_000;
 /**
  * How long a request for a place waits for an answer of the scheduling node, before this node
  * chooses by itself. Bounds what a frozen scheduling node costs each request.
@@ -87,6 +91,7 @@
   private readonly pendingAsks = new Map<string, PendingAsk>();
   private readonly runs = new Map<string, Run>();
   private readonly chargeClient: ChargeClient;
+  private readonly refusals = new RecentRefusals();
   private nextAskNumber = 1;
   /** Services without models whose places the scheduling node assigns. */
   private coordinated: ReadonlySet<ServiceName> = new Set();
@@ -110,6 +115,10 @@
       ? toAskPayload(askId, ask, clock.monotonicMs())
       : null;
     if (!payload) return this.chargeAndChooseLocally(ask);
+    const refusedForMs = this.findRecentRefusal(ask);
+    if (refusedForMs !== null) {
+      return {status: 'refused', error: makeNoPlaceError(refusedForMs)};
+    }
     const pending = this.addPendingAsk(askId, ask);
     if (!ask.service.engine) this.startAnswerTimer(pending);
     pending.isSubmitted = sendToHolder({type: 'ask', ask: payload});
@@ -122,6 +131,12 @@
     this.coordinated = new Set(services);
   }
 
+  /** Only for requests that a caller has just sent, and that are charged with their ask. */
+  private findRecentRefusal(ask: ServerAsk): number | null {
+    if (ask.service.engine) return null;
+    return this.refusals.find(ask, this.options.clock.monotonicMs());
+  }
+
   private isScheduled({service}: ServerAsk): boolean {
     return service.engine !== null || this.coordinated.has(service.name);
   }
@@ -137,6 +152,7 @@
     const pending = this.pendingAsks.get(message.askId);
     if (message.type === 'queued') return pending?.cancelTimer();
     if (message.type === 'refused') {
+      this.recordRefusal(message, pending);
       pending?.settle({
         status: 'refused',
         error: makeRefusalError(message, pending.ask),
@@ -299,15 +315,30 @@
     return pending;
   }
 
+  private recordRefusal(
+    {forecastMs, retryAfterMs}: Extract<FromHolderMessage, {type: 'refused'}>,
+    pending: PendingAsk | undefined,
+  ): void {
+    if (!pending || typeof forecastMs !== 'number') return;
+    const nowMs = this.options.clock.monotonicMs();
+    this.refusals.record(pending.ask, forecastMs, retryAfterMs, nowMs);
+  }
+
+  /**
+   * Timers run before messages that have arrived are read. Guards against falling back since
+   * this process was delayed, and not the scheduling node.
+   */
   private startAnswerTimer(pending: PendingAsk): void {
-    const {clock, sendToHolder} = this.options;
+    const {clock} = this.options;
+    const onTimeout = () => setImmediate(() => this.giveUpAnswer(pending));
+    pending.setTimer(clock.setTimer(PLACE_ANSWER_TIMEOUT_MS, onTimeout));
+  }
+
+  private giveUpAnswer(pending: PendingAsk): void {
+    if (!pending.isWaitingForAnswer) return;
     const {askId} = pending;
-    pending.setTimer(
-      clock.setTimer(PLACE_ANSWER_TIMEOUT_MS, () => {
-        sendToHolder({type: 'withdraw', askId});
-        this.fallBackToLocal(pending);
-      }),
-    );
+    this.options.sendToHolder({type: 'withdraw', askId});
+    this.fallBackToLocal(pending);
   }
 
   private assign(pending: PendingAsk, server: BackendServerEntry): void {
@@ -373,32 +404,3 @@
     });
   }
 }
-
-function makeRefusalError(
-  {reason, retryAfterMs}: Extract<FromHolderMessage, {type: 'refused'}>,
-  {charge, service}: ServerAsk,
-): TypedError {
-  if (reason === 'over-quota') return makeOverQuotaError(charge, retryAfterMs);
-  if (!service.engine) {
-    return new TypedError('overloaded', 'No place is free in time.', {
-      ...{run: 'not-run', retryAfterMs, info: {reason}},
-    });
-  }
-  return new TypedError('not-warm', `No engine can serve it now: ${reason}.`, {
-    run: 'not-run',
-    retryAfterMs: Math.max(retryAfterMs, RETRY_AFTER_MS / 2),
-    info: {reason},
-  });
-}
-
-function makeOverQuotaError(
-  charge: QuotaCharge | null,
-  retryAfterMs: number,
-): TypedError {
-  const team = charge?.team ?? '';
-  return new TypedError(
-    'rate-limited',
-    `The team ${team} has used up its quota.`,
-    {run: 'not-run', retryAfterMs, info: {team, amount: charge?.amount}},
-  );
-}
