--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -215,6 +215,21 @@
         'time until the server may get requests of this host; null while it is leaving',
     },
   },
+  'service-spill-changed': {
+    number: 4030,
+    level: 'info',
+    message:
+      'A service has begun or ceased to send requests to other failure domains.',
+    fields: {
+      service: 'the service',
+      isSpilling: 'whether requests leave the failure domain of this node',
+      sent: 'requests of this node for the service in the window',
+      left: 'how many of them were sent to other failure domains',
+      windowMs: 'the window',
+      crossDomainCostMs:
+        'how much later a server of the own failure domain may be',
+    },
+  },
   'stream-origin-found': {
     number: 4024,
     level: 'info',
@@ -232,6 +247,41 @@
       answers: 'how many of them had answered',
     },
   },
+  'memory-pressure-began': {
+    number: 4050,
+    level: 'warn',
+    message:
+      'Requests hold over 0.75 of the memory limit; responses that callers do not read are paused.',
+    fields: {
+      heldBytes: 'what bodies, responses and the state of requests hold',
+      limitBytes: 'the memory limit',
+    },
+    remedy:
+      'Look for callers that read slowly (events 4052) or send large bodies; give the host more memory.',
+  },
+  'memory-pressure-ended': {
+    number: 4051,
+    level: 'info',
+    message: 'Requests hold less than 0.75 of the memory limit again.',
+    fields: {
+      heldBytes: 'what bodies, responses and the state of requests hold',
+      limitBytes: 'the memory limit',
+    },
+  },
+  'slow-caller-cut-off': {
+    number: 4052,
+    level: 'warn',
+    message:
+      'A caller was cut off that read nothing of a response while the memory limit was reached.',
+    fields: {
+      requestId: 'the request',
+      heldBytes: 'what the request held',
+      unreadMs: 'how long the caller had read nothing',
+      totalHeldBytes: 'what all requests held',
+      limitBytes: 'the memory limit',
+    },
+    remedy: 'Ask its owner to read responses as they come.',
+  },
   'server-path-changed': {
     number: 4103,
     level: 'warn',
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -14,6 +14,9 @@
   kind: 'the route, such as `POST /v1/chat/completions`',
 } as const;
 
+const SHARE_TEAM_TAG =
+  'the team; `(none)` for requests without a key; `(other)` for all but the 20 that cost most';
+
 /** All metrics by name; timings are in milliseconds. */
 export const METRIC_CATALOGUE = {
   'requests.received': counter('Requests that arrived.', INTERFACE_TAGS),
@@ -70,6 +73,10 @@
   'answers.duration': timing('Time until the final answer.', {
     result: '`answered`, `refused`, `broken-off` or `caller-gone`',
   }),
+  'attempts.sent': counter('Requests sent to backend servers.', {
+    isSameDomain:
+      '`true` for servers in the failure domain of the node, else `false`',
+  }),
   'attempts.ended': counter('Attempts at backend servers that have ended.', {
     outcome: 'how, such as `answered`, `not-run` or `broken`',
     next: 'what was done with the request: `end`, `try-elsewhere`, `give-up`',
@@ -102,6 +109,14 @@
   'schedule.waited': timing('Time that requests for models waited.', {
     decision: '`assign` or `refuse`',
   }),
+  'shares.served_cost': counter(
+    'Cost of requests that were served, of the node that schedules.',
+    {team: SHARE_TEAM_TAG},
+  ),
+  'shares.refused_cost': counter(
+    'Cost of requests that were refused for lack of room, of the node that schedules.',
+    {team: SHARE_TEAM_TAG},
+  ),
   'orders.sent': counter('Orders to engines, of the node that schedules.', {
     operation: '`load` or `unload`',
     outcome: 'what the engine answered',
@@ -182,6 +197,19 @@
   ),
   'servers.age_ms': gauge('Time since the list was read from the store.', {}),
   'duties.held': gauge('1 while this node schedules, else 0.', {}),
+  'memory.held_bytes': gauge(
+    'Memory that requests hold: bodies, responses held back or not read, and their state.',
+    {},
+  ),
+  'memory.limit_bytes': gauge(
+    'The limit for it: a quarter of the memory of the host, at least 16 MB.',
+    {},
+  ),
+  'memory.refused': counter('Requests refused since no memory was left.', {}),
+  'memory.cut_off': counter(
+    'Callers cut off that read nothing for 2 s while no memory was left.',
+    {},
+  ),
   'logs.dropped': counter('Log lines that were left out.', {}),
   'process.resident_bytes': gauge('Resident memory of the process.', {}),
 } as const satisfies Record<string, MetricDefinition>;
--- a/packages/schedule-service/src/limited_servers.test.ts
+++ b/packages/schedule-service/src/limited_servers.test.ts
@@ -55,7 +55,7 @@
       },
     });
     return new LeastLoadedChooser({
-      ...{clock, random, permits, ownDomain: 'a'},
+      ...{clock, random, permits, ownDomain: 'a', crossDomainCostMs: 5},
       listServers: () => SERVERS,
       availability: {findWaitMs: () => 0},
       findHostShare: () => 1,
--- a/packages/schedule-service/src/place_asks.test.ts
+++ b/packages/schedule-service/src/place_asks.test.ts
@@ -69,6 +69,7 @@
     permits: {settle: () => false, handleHolderLost: () => undefined},
     availability: {describe: () => [], list: () => []},
     quotas: {charge: () => null, refund: () => undefined},
+    areAllLeaving: () => false,
     findServer: () => SERVER,
     onQuotaRefused: () => undefined,
   });
@@ -150,7 +151,12 @@
   const {chooser, clock, listSent} = startChooser();
   await chooser.choose(makeAsk());
   const record = (running: number) =>
-    chooser.recordLoad(SERVER, {running, waiting: 0, slots: 4});
+    chooser.recordLoad(SERVER, {
+      running,
+      waiting: 0,
+      slots: 4,
+      slowdownPercent: null,
+    });
   record(2);
   assert.equal(listSent(), []);
   [3, 4, 4].forEach(record);
@@ -160,7 +166,12 @@
   assert.is(listSent().length, 2);
   const alone = startChooser(false);
   await alone.chooser.choose(makeAsk());
-  alone.chooser.recordLoad(SERVER, {running: 4, waiting: 9, slots: 4});
+  alone.chooser.recordLoad(SERVER, {
+    running: 4,
+    waiting: 9,
+    slots: 4,
+    slowdownPercent: null,
+  });
   assert.equal(alone.listSent(), []);
   const terms = {brittlePerSecond: 3, isLimited: false};
   alone.chooser.recordTerms(SERVER, terms);
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -49,6 +49,8 @@
   /** Chooses for unscheduled requests, and for all if no node schedules. */
   local: ServerChooser;
   findServer: (id: BackendServerId) => BackendServerEntry | undefined;
+  /** Whether all servers of a service that are known have said that they are leaving. */
+  areAllLeaving: (service: string) => boolean;
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
   quotas: LocalQuotas;
@@ -193,6 +195,20 @@
     );
   }
 
+  /**
+   * Asks a scheduling node that is in touch again, since it did not get the asks of the
+   * meantime and learns of no other way.
+   */
+  handleHolderBack(): void {
+    this.pendingAsks.forEach(pending => {
+      if (pending.isSubmitted) return;
+      const {askId, ask} = pending;
+      pending.isSubmitted = this.toPayloads(askId, ask).some(payload =>
+        this.options.sendToHolder({type: 'ask', ask: payload}),
+      );
+    });
+  }
+
   /** Sends all pending asks and running requests to a new scheduling node. */
   sendStateToHolder(): void {
     const asks = [...this.pendingAsks.values()].flatMap(({askId, ask}) =>
@@ -252,8 +268,9 @@
     choice: ChosenServer,
     result: AttemptResult,
     headMs: number | null,
+    isSuccess = false,
   ): void {
-    this.options.local.recordResult(choice, result, headMs);
+    this.options.local.recordResult(choice, result, headMs, isSuccess);
     if (isNotRun(result)) this.refundCharge(choice);
     if (result === 'not-taken') {
       this.options.pressure.recordRejection(choice.server);
@@ -372,15 +389,23 @@
     this.chooseLocally(pending);
   }
 
+  /**
+   * Guards against callers that wait for the next scheduling node although it has no server
+   * for them either.
+   */
   private chooseLocally(pending: PendingAsk): void {
-    const {clock} = this.options;
+    const {clock, areAllLeaving} = this.options;
     void this.chargeAndChooseLocally(pending.ask).then(choice => {
       if (choice.status === 'chosen') {
         if (!pending.settle(choice)) this.release(choice);
         return;
       }
       // Engines may have to load a model, which needs the scheduling node.
-      if (!pending.ask.service.engine) return void pending.settle(choice);
+      const {service} = pending.ask;
+      if (!service.engine || areAllLeaving(service.name)) {
+        pending.settle(choice);
+        return;
+      }
       clock.setTimer(TAKEOVER_WAIT_MS, () => {
         if (!pending.isSubmitted) pending.settle(choice);
       });
--- a/packages/serve-requests/src/server_chooser.ts
+++ b/packages/serve-requests/src/server_chooser.ts
@@ -86,10 +86,14 @@
   recordSent(choice: ChosenServer): void;
   recordLoad(server: BackendServerEntry, load: ServerLoad): void;
   recordTerms(server: BackendServerEntry, terms: NamedTerms): void;
-  /** @param headMs time to the response head; null if none arrived. */
+  /**
+   * @param headMs time to the response head; null if none arrived.
+   * @param isSuccess whether the response was complete and a success; false by default.
+   */
   recordResult(
     choice: ChosenServer,
     result: AttemptResult,
     headMs: number | null,
+    isSuccess?: boolean,
   ): void;
 }
--- a/packages/serving-node/src/node_settings.ts
+++ b/packages/serving-node/src/node_settings.ts
@@ -15,6 +15,8 @@
   region: Region;
   /** CPU cores that this node may use. */
   cores: number;
+  /** Memory of the host. */
+  memoryMb: number;
   callerAddress: SocketAddress;
   readyAddress: SocketAddress;
   directoryAddress: SocketAddress;
@@ -35,6 +37,11 @@
   quotaBounds: QuotaBounds;
   /** Shares of teams in scarce capacity; 1 for teams that are not listed. */
   teamWeights: ReadonlyMap<TeamName, number>;
+  /**
+   * How much later a server of the own failure domain may be than one of another; for
+   * services whose servers report slowdowns.
+   */
+  crossDomainCostMs: number;
   /** Whether engines reject orders with an outdated fencing token. */
   isFenced: boolean;
   /** Shortest time between orders from two nodes to one engine. */
