Rank engines that hold a model by their slowdown and learned speed

The scheduling node saw neither that an engine's machine was slowed down nor that engines differ in speed. run-ended now carries the slowdown that the node has heard within 300 ms (null by default), and engines of a service that has sent one are ranked by the completion estimate. Engines that are about as fast are still filled one after the other, and without a figure the packing rule is unchanged.

--- a/packages/estimate-completion/src/completion_estimate.ts
+++ b/packages/estimate-completion/src/completion_estimate.ts
@@ -43,6 +43,8 @@
 
 /** A setup takes one round trip within a region. */
 const DEFAULT_SETUP_MS = 1;
+/** Until a request is complete, loads and slowdowns rank servers. */
+const UNKNOWN_WORK_MS = 100;
 const SERVICE_WEIGHT = 0.01;
 const UTILIZATION_WEIGHT = 0.05;
 /** Speeds relative to the mean outside these bounds are measurement errors. */
@@ -70,10 +72,19 @@
     return this.hasFigure;
   }
 
-  /** The time until a request sent now would be complete. */
-  findMs(server: EstimatedServer, nowMs: number): number {
+  /**
+   * The time until a request sent now would be complete.
+   *
+   * @param knownCount the requests at the server, where the caller knows them exactly.
+   */
+  findMs(
+    server: EstimatedServer,
+    nowMs: number,
+    knownCount: number | null = null,
+  ): number {
     const state = this.getState(server);
-    const concurrency = this.findRequestCount(state, nowMs) + 1;
+    const count = knownCount ?? this.findRequestCount(state, nowMs);
+    const concurrency = count + 1;
     const setupMs = state.hasIdleConnection(nowMs)
       ? 0
       : this.options.connectionSetupMs;
@@ -96,9 +107,14 @@
     return this.getState(server).avoidedUntilMs > nowMs;
   }
 
-  recordSent(server: EstimatedServer, nowMs: number): SentRequest {
+  recordSent(
+    server: EstimatedServer,
+    nowMs: number,
+    knownCount: number | null = null,
+  ): SentRequest {
     const state = this.getState(server);
-    const concurrency = this.findRequestCount(state, nowMs) + 1;
+    const count = knownCount ?? this.findRequestCount(state, nowMs);
+    const concurrency = count + 1;
     state.recordSent(nowMs);
     return {server, sentAtMs: nowMs, concurrency};
   }
@@ -112,12 +128,18 @@
     this.utilization.record((load.running + load.waiting) / state.slots);
   }
 
-  recordEnd(sent: SentRequest, end: RequestEnd, nowMs: number): void {
+  /** @param tookMs the time of a usual request, where requests differ in a known way. */
+  recordEnd(
+    sent: SentRequest,
+    end: RequestEnd,
+    nowMs: number,
+    tookMs = nowMs - sent.sentAtMs,
+  ): void {
     const state = this.getState(sent.server);
     state.recordEnd();
     if (end === 'failed') state.avoidedUntilMs = nowMs + AVOIDANCE_MS;
     if (end !== 'completed') return;
-    const usualMs = (nowMs - sent.sentAtMs) / state.slowdown.findFactor(nowMs);
+    const usualMs = tookMs / state.slowdown.findFactor(nowMs);
     const workMs = usualMs / state.curve.findBacklogFactor(sent.concurrency);
     state.curve.record(sent.concurrency, usualMs);
     state.workMs.record(workMs);
@@ -126,7 +148,7 @@
 
   /** The mean time of the service, corrected by the learned speed of the server. */
   private findWorkMs({workMs}: ServerState): number {
-    const meanMs = this.serviceWorkMs.value ?? 0;
+    const meanMs = this.serviceWorkMs.value ?? UNKNOWN_WORK_MS;
     if (workMs.value === null || meanMs === 0) return meanMs;
     const ratio = workMs.value / meanMs;
     return meanMs * Math.min(MAX_TIME_RATIO, Math.max(MIN_TIME_RATIO, ratio));
--- a/packages/estimate-completion/src/slowdown_figure.ts
+++ b/packages/estimate-completion/src/slowdown_figure.ts
@@ -26,6 +26,11 @@
     this.atMs = nowMs;
   }
 
+  /** The figure as it was sent; null if there is none or an old one. */
+  findPercent(nowMs: number): number | null {
+    return nowMs - this.atMs < MAX_AGE_MS ? this.percent : null;
+  }
+
   /** How many times as long work takes as usual; decays to 1 with age. */
   findFactor(nowMs: number): number {
     const freshness = Math.max(0, 1 - (nowMs - this.atMs) / MAX_AGE_MS);
--- a/packages/schedule-models/src/choose_engine.ts
+++ b/packages/schedule-models/src/choose_engine.ts
@@ -9,6 +9,9 @@
  */
 const PACKED_UTILIZATION = 0.3;
 
+/** Learned speeds of equal engines differ by about this factor. */
+const SIMILAR_TIMES = 1.1;
+
 /** More than a full engine costs. */
 const NO_SUCCESSOR_COST = 1;
 
@@ -49,10 +52,50 @@
 /** Whether another engine could continue a stream that begins at the engine. */
 export type IsContinuable = (engine: EngineView) => boolean;
 
+/**
+ * When an engine that runs at least this many requests would complete another one; null if
+ * that is not known.
+ */
+export type FindCompletionMs = (
+  engine: EngineView,
+  minRuns: number,
+) => number | null;
+
 /** The engine with the lowest cost; undefined for an empty list. */
 export function pickEngine(
   engines: readonly EngineView[],
   isContinuable: IsContinuable,
+  findCompletionMs: FindCompletionMs = () => null,
+): EngineView | undefined {
+  const continuable = engines.filter(isContinuable);
+  const candidates = continuable.length > 0 ? continuable : engines;
+  const soonest = listSoonest(candidates, findCompletionMs);
+  return pickPacked(soonest ?? engines, isContinuable);
+}
+
+/**
+ * The engines that would complete the request about as soon as the first one; null if
+ * that is not known. An engine below the packed utilization counts as that full, so that
+ * equally fast engines are still filled one after the other.
+ */
+function listSoonest(
+  engines: readonly EngineView[],
+  findCompletionMs: FindCompletionMs,
+): EngineView[] | null {
+  const rated = engines.map(engine => ({
+    engine,
+    ms: findCompletionMs(engine, PACKED_UTILIZATION * engine.spec.slots),
+  }));
+  if (rated.some(({ms}) => ms === null)) return null;
+  const firstMs = Math.min(...rated.map(({ms}) => ms ?? 0));
+  return rated
+    .filter(({ms}) => (ms ?? 0) <= firstMs * SIMILAR_TIMES)
+    .map(({engine}) => engine);
+}
+
+function pickPacked(
+  engines: readonly EngineView[],
+  isContinuable: IsContinuable,
 ): EngineView | undefined {
   const rated = engines.map(engine => ({
     engine,
--- a/packages/schedule-models/src/deferred_requests.ts
+++ b/packages/schedule-models/src/deferred_requests.ts
@@ -1,5 +1,9 @@
 /** Requests that are deferred although an engine holds what they need. */
-import {type IsContinuable, pickEngine} from './choose_engine.js';
+import {
+  type FindCompletionMs,
+  type IsContinuable,
+  pickEngine,
+} from './choose_engine.js';
 import {type EngineView} from './engine_view.js';
 import {type ScheduledRequest} from './scheduled_request.js';
 
@@ -36,14 +40,18 @@
     engines: readonly EngineView[],
     nowMs: number,
     isContinuable: IsContinuable,
+    findCompletionMs?: FindCompletionMs,
   ): EngineView | undefined {
     const sinceMs = this.deferredSinceMs.get(request.askId) ?? nowMs;
     const isOverdue = nowMs - sinceMs >= MAX_DEFERRAL_MS;
-    if (isOverdue) return pickEngine(engines, isContinuable);
+    if (isOverdue) {
+      return pickEngine(engines, isContinuable, findCompletionMs);
+    }
     if (engines.length > 0) this.deferredSinceMs.set(request.askId, sinceMs);
     return pickEngine(
       engines.filter(engine => engine.hasPrefillCapacity(request, nowMs)),
       isContinuable,
+      findCompletionMs,
     );
   }
 }
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -24,6 +24,7 @@
 import {planAdapter} from './adapter_plan.js';
 import {listReadyEngines} from './choose_engine.js';
 import {DemandRates} from './demand.js';
+import {EngineCompletion} from './engine_completion.js';
 import {EngineIndex} from './engine_index.js';
 import {type EngineView} from './engine_view.js';
 import {EngineViews} from './engine_views.js';
@@ -77,6 +78,7 @@
   private readonly deferred = new DeferredRequests();
   private readonly demand = new DemandRates();
   private readonly access = new EngineAccess();
+  private readonly completion = new EngineCompletion();
   private readonly speed = new PrefillSpeed();
   private readonly engines = new EngineViews({
     ...{catalogue: this.catalogue, speed: this.speed},
@@ -174,10 +176,17 @@
     this.dequeue(request.askId);
     const engine = this.engines.get(engineId);
     if (!engine || engine.runs.has(request.askId)) return;
+    this.completion.recordStart(engine, request, nowMs);
     engine.startRun(request, nowMs);
     this.waiting.recordRunning(request);
   }
 
+  /** Records how long work takes at an engine, in percent of the usual time. */
+  recordSlowdown(id: BackendServerId, percent: number, nowMs: number): void {
+    const engine = this.engines.get(id);
+    if (engine) this.completion.recordSlowdown(engine, percent, nowMs);
+  }
+
   /** Removes a waiting request. */
   dequeue(askId: string): void {
     this.waiting.delete(askId);
@@ -199,7 +208,9 @@
     const engine = this.engines.get(engineId);
     const request = engine?.runs.get(askId);
     if (!engine || !request) return;
-    engine.endRun(askId, result === 'served' ? ttfbMs : null, nowMs);
+    const isServed = result === 'served';
+    engine.endRun(askId, isServed ? ttfbMs : null, nowMs);
+    this.completion.recordEnd(engine, request, isServed, nowMs);
     this.access.recordResult(engine, request, result, nowMs);
     if (isNotRun(result)) this.waiting.recordNotRun(request);
     if (result === 'not-held') {
@@ -277,12 +288,17 @@
       const usable = this.access.listUsable(ready, request, nowMs);
       // Models are loaded elsewhere only for requests that are not deferred.
       if (usable.length === 0) this.deferred.remove(request.askId);
-      const engine = this.deferred.pickEngine(request, usable, nowMs, one =>
-        this.isContinuable(one, request, nowMs),
+      const engine = this.deferred.pickEngine(
+        request,
+        usable,
+        nowMs,
+        one => this.isContinuable(one, request, nowMs),
+        (one, minRuns) => this.completion.findMs(one, minRuns, nowMs),
       );
       if (!engine) return false;
       this.deferred.remove(request.askId);
       this.refusals.reset(request.service, request.model);
+      this.completion.recordStart(engine, request, nowMs);
       engine.startRun(request, nowMs);
       engine.limit.recordAssigned(nowMs);
       decisions.push({
--- a/packages/schedule-service/src/messages.ts
+++ b/packages/schedule-service/src/messages.ts
@@ -58,6 +58,11 @@
     headMs: z.number().nullable(),
     /** Whether the request was never sent to the engine. */
     isUnsent: z.boolean().default(false),
+    /**
+     * How long work takes on the engine's machine at this moment, in percent of the usual
+     * time; null if the engine has not said it. The previous release sends none.
+     */
+    slowdownPercent: z.number().nullable().default(null),
   }),
   /** A charge that exceeds the unsettled share of the sending node. */
   z.object({
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -31,6 +31,7 @@
   type FromHolderMessage,
   type ToHolderMessage,
 } from './messages.js';
+import {HeardSlowdowns} from './heard_slowdowns.js';
 import {type PermitClient} from './permit_client.js';
 import {PendingAsk} from './pending_ask.js';
 
@@ -78,6 +79,7 @@
   private readonly pendingAsks = new Map<string, PendingAsk>();
   private readonly runs = new Map<string, Run>();
   private readonly chargeClient: ChargeClient;
+  private readonly slowdowns = new HeardSlowdowns();
   private nextAskNumber = 1;
 
   constructor(private readonly options: ScheduledChooserOptions) {
@@ -195,7 +197,10 @@
   }
 
   recordLoad(server: BackendServerEntry, load: ServerLoad): void {
-    this.options.local.recordLoad(server, load);
+    const {clock, local} = this.options;
+    local.recordLoad(server, load);
+    const {slowdownPercent} = load;
+    this.slowdowns.record(server.id, slowdownPercent, clock.monotonicMs());
   }
 
   recordResult(
@@ -318,8 +323,11 @@
     headMs: number | null,
     isUnsent = false,
   ): void {
-    this.options.sendToHolder({
+    const {clock, sendToHolder} = this.options;
+    const nowMs = clock.monotonicMs();
+    sendToHolder({
       ...{type: 'run-ended', askId, engineId, result, headMs, isUnsent},
+      slowdownPercent: this.slowdowns.find(engineId, nowMs),
     });
   }
 }
--- a/packages/schedule-service/src/scheduling_service.test.ts
+++ b/packages/schedule-service/src/scheduling_service.test.ts
@@ -165,7 +165,7 @@
   const end = (askId: string, result: 'not-taken' | 'served' | 'neutral') =>
     host.receive('n1', {
       ...{type: 'run-ended', askId, engineId: 'e1', result},
-      ...{headMs: null, isUnsent: false},
+      ...{headMs: null, isUnsent: false, slowdownPercent: null},
     });
   ['a2', 'a3', 'a4', 'a5'].forEach(askId =>
     host.receive('n1', makeAsk(askId, charge)),
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -172,6 +172,10 @@
         this.dropAsk(message.askId, false);
         break;
       case 'run-ended':
+        if (message.slowdownPercent !== null) {
+          const {engineId, slowdownPercent} = message;
+          this.scheduler.recordSlowdown(engineId, slowdownPercent, nowMs);
+        }
         this.scheduler.recordEnd(
           message.askId,
           message.engineId,
