--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -149,4 +149,72 @@
       fencingToken: 'of the node that decided, which is the one that logs',
     },
   },
+  'share-refused': {
+    number: 3407,
+    level: 'info',
+    message: "A request was refused for lack of room in its team's share.",
+    fields: {
+      requestId: 'the request',
+      model: 'the model, if one was named',
+      team: 'the team; none for a request without a key',
+      cost: 'what it would have used: prompt tokens and ten times the output tokens',
+      isOnArrival: 'whether it was refused by a forecast, before it waited',
+      teamShare: 'the share of the capacity that its team gets at this time',
+      startsInMs:
+        'when it would have started; none if not while the team asks for as much',
+      dataAgeMs: 'age of the newest observation behind the forecast',
+      retryAfterMs: 'when the caller is told to come back',
+    },
+    remedy:
+      'If the team should be served, add engines, or raise its weight in MIMOSATACK_TEAM_WEIGHTS.',
+  },
+  'share-used': {
+    number: 3408,
+    level: 'debug',
+    message: "A request was served and counts toward its team's share.",
+    fields: {
+      requestId: 'the request, if it is known',
+      team: 'the team; none for a request without a key',
+      cost: 'what it used: prompt tokens and ten times the output tokens',
+    },
+  },
+  'service-coordination-changed': {
+    number: 3420,
+    level: 'info',
+    message:
+      'The scheduling node has begun or has ceased to assign the places of a plain service.',
+    fields: {
+      service: 'the service',
+      isCoordinated: 'whether it assigns them from now on',
+      cause:
+        'rejection or load of a server, brittle or limit named by one, or no-pressure',
+    },
+  },
+  'server-concurrency-lowered': {
+    number: 3421,
+    level: 'info',
+    message: 'A plain server gets fewer requests at once, after a rejection.',
+    fields: {
+      service: 'the service',
+      backendServerId: 'the server',
+      limit: 'requests that it may have at once from now on',
+      previousLimit: 'the limit before',
+    },
+    remedy:
+      'If it comes often, the server has fewer slots than its entry states.',
+  },
+  'place-refused': {
+    number: 3422,
+    level: 'info',
+    message: 'A request was refused a place at the servers of a plain service.',
+    fields: {
+      requestId: 'the request',
+      service: 'the service',
+      team: 'the team, empty for requests without one',
+      forecastMs:
+        'when it would have started, from its ask on; null if no server may serve it',
+      retryAfterMs: 'when the caller is told to come back',
+      waiting: 'requests that wait at all plain services',
+    },
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/schedule-places/src/place_scheduler.ts
+++ b/packages/schedule-places/src/place_scheduler.ts
@@ -27,12 +27,18 @@
   estimateStart?: EstimateStart;
 }
 
+interface NodeProcess {
+  current: string;
+  /** Its messages may arrive after the first of the current one. */
+  previous: string | null;
+}
+
 export class PlaceScheduler {
   private readonly services = new Map<ServiceName, ServicePlaces>();
   private readonly serviceOfServer = new Map<BackendServerId, ServiceName>();
   private readonly serviceOfAsk = new Map<string, ServiceName>();
-  /** The incarnation of each node that asked last. */
-  private readonly incarnations = new Map<string, string>();
+  /** The processes that asked last, by the address of the node. */
+  private readonly processes = new Map<string, NodeProcess>();
   private readonly coordination = new Coordination();
   private weights: ReadonlyMap<TeamName, number> | null = null;
   private pending: PlaceDecision[] = [];
@@ -102,7 +108,7 @@
   }
 
   add(request: PlaceRequest, nowMs: number): void {
-    this.noteIncarnation(request);
+    if (!this.noteProcess(request)) return;
     const places = this.services.get(request.service);
     if (!places) return;
     this.serviceOfAsk.set(request.id, request.service);
@@ -116,7 +122,7 @@
     serverId: BackendServerId,
     nowMs: number,
   ): void {
-    this.noteIncarnation(request);
+    if (!this.noteProcess(request)) return;
     const places = this.services.get(request.service);
     if (!places) return;
     this.serviceOfAsk.set(request.id, request.service);
@@ -139,10 +145,18 @@
     if (lowered) this.pending.push({kind: 'lower-limit', service, ...lowered});
   }
 
-  /** Ends all requests of a node that is gone. */
-  removeNode(nodeAddress: string): void {
-    this.incarnations.delete(nodeAddress);
-    this.endOfNode(nodeAddress, null);
+  /** Ends the requests of a node's process that is gone. */
+  endRequestsOf(
+    incarnation: string,
+    cause: 'node-restarted' | 'node-removed' = 'node-removed',
+  ): void {
+    const ended = [...this.services.values()].map(places =>
+      places.endRequestsOf(incarnation),
+    );
+    const running = ended.flatMap(requests => requests.running);
+    const waiting = ended.flatMap(requests => requests.waiting);
+    if (running.length + waiting.length === 0) return;
+    this.pending.push({kind: 'abandon', cause, running, waiting});
   }
 
   decide(nowMs: number): PlaceDecision[] {
@@ -152,10 +166,9 @@
       places.decide(nowMs),
     );
     const decisions = [...pending, ...decided, ...this.endCoordination(nowMs)];
-    decisions.forEach(decision => {
-      if (decision.kind !== 'refuse') return;
-      this.serviceOfAsk.delete(decision.request.id);
-    });
+    decisions
+      .flatMap(decision => listEnded(decision))
+      .forEach(({id}) => this.serviceOfAsk.delete(id));
     return decisions;
   }
 
@@ -192,19 +205,18 @@
       }));
   }
 
-  /** Guards against places that stay taken by requests of a process that was killed. */
-  private noteIncarnation({nodeAddress, incarnation}: PlaceRequest): void {
-    if (this.incarnations.get(nodeAddress) === incarnation) return;
-    this.incarnations.set(nodeAddress, incarnation);
-    this.endOfNode(nodeAddress, incarnation);
-  }
-
-  private endOfNode(nodeAddress: string, current: string | null): void {
-    this.services.forEach(places =>
-      places
-        .endOfNode(nodeAddress, current)
-        .forEach(askId => this.serviceOfAsk.delete(askId)),
-    );
+  /**
+   * Guards against places that stay taken by requests of a process that was killed. Returns
+   * false for a late message of a process that was replaced.
+   */
+  private noteProcess({nodeAddress, incarnation}: PlaceRequest): boolean {
+    const known = this.processes.get(nodeAddress);
+    if (known?.current === incarnation) return true;
+    if (known?.previous === incarnation) return false;
+    const previous = known?.current ?? null;
+    this.processes.set(nodeAddress, {current: incarnation, previous});
+    if (previous !== null) this.endRequestsOf(previous, 'node-restarted');
+    return true;
   }
 
   private addService(name: ServiceName): void {
@@ -222,3 +234,15 @@
     return this.services.get(this.serviceOfAsk.get(askId) ?? '');
   }
 }
+
+/** The requests that the decision ends. */
+function listEnded(decision: PlaceDecision): readonly PlaceRequest[] {
+  switch (decision.kind) {
+    case 'refuse':
+      return [decision.request];
+    case 'abandon':
+      return [...decision.running, ...decision.waiting];
+    default:
+      return [];
+  }
+}
--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -15,6 +15,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {type ToHolderMessage} from './messages.js';
+import {PressureReporter} from './pressure_reporter.js';
 import {ScheduledChooser} from './scheduled_chooser.js';
 
 const test = suite('quota charges of the scheduled chooser');
@@ -47,6 +48,7 @@
   release(): void {}
   recordSent(): void {}
   recordLoad(): void {}
+  recordTerms(): void {}
   recordResult(): void {}
 }
 
@@ -88,18 +90,25 @@
   const sent: ToHolderMessage[] = [];
   const local = new FixedChooser();
   const reports: AvailabilityReport[] = [];
-  const state = {charged: 0, hasHolder: true, isUnsettled: false, reports};
+  const state = {
+    ...{charged: 0, hasHolder: true, isUnsettled: false, reports},
+    areAllLeaving: false,
+    hasTeamShares: true,
+  };
   const clock = new ManualClock();
   const refused: string[] = [];
+  const sendToHolder = (message: ToHolderMessage) => {
+    if (state.hasHolder) sent.push(message);
+    return state.hasHolder;
+  };
+  const hasTeamShares = () => state.hasTeamShares;
   const chooser = new ScheduledChooser({
-    ...{clock, askIdPrefix: 'n1', local},
+    ...{clock, askIdPrefix: 'n1', local, sendToHolder},
+    pressure: new PressureReporter({clock, hasTeamShares, sendToHolder}),
     permits: {settle: () => false, handleHolderLost: () => undefined},
     availability: {describe: () => state.reports, list: () => state.reports},
     findServer: () => SERVER,
-    sendToHolder: message => {
-      if (state.hasHolder) sent.push(message);
-      return state.hasHolder;
-    },
+    areAllLeaving: () => state.areAllLeaving,
     quotas: {
       charge: ({amount}) => {
         const level = limit - state.charged;
@@ -219,6 +228,36 @@
   assert.is(choice.status === 'refused' && choice.error.retryAfterMs, 250);
 });
 
+// Guards against callers that wait in vain for the next scheduling node.
+test('without a scheduling node only leaving servers refuse at once', async () => {
+  const {chooser, local, state} = startChooser(100);
+  Object.assign(state, {hasHolder: false, areAllLeaving: true});
+  local.hasServer = false;
+  const choice = await chooser.choose(makeAsk(true));
+  assert.is(choice.status, 'refused');
+});
+
+// Guards against asks that wait for the next scheduling node when this one is back.
+test('a scheduling node that is in touch again is asked again', async () => {
+  const {chooser, local, sent, state} = startChooser(100);
+  Object.assign(state, {hasHolder: false});
+  local.hasServer = false;
+  const pending = chooser.choose(makeAsk(true));
+  await flushPendingCallbacks();
+  state.hasHolder = true;
+  chooser.handleHolderBack();
+  chooser.handleHolderBack();
+  assert.equal(
+    sent.map(({type}) => type),
+    ['ask'],
+  );
+  const [ask] = sent;
+  const askId = ask?.type === 'ask' ? ask.ask.askId : '';
+  const refusal = {reason: 'no-room', retryAfterMs: 900} as const;
+  chooser.receive({type: 'refused', askId, ...refusal});
+  assert.is((await pending).status, 'refused');
+});
+
 const REPORT: AvailabilityReport = {
   ...{serverId: SERVER.id, startedAtMs: null, isLeaving: false, pauseMs: 900},
 };
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -12,11 +12,13 @@
   type ServerAsk,
   type ServerChoice,
   type ServerChooser,
+  type NamedTerms,
   type ServerLoad,
 } from '@mimosatack/serve-requests';
 import {
   type BackendServerEntry,
   type BackendServerId,
+  type ServiceName,
   isVersionAllowed,
 } from '@mimosatack/types';
 import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
@@ -33,6 +35,7 @@
 } from './messages.js';
 import {HeardSlowdowns} from './heard_slowdowns.js';
 import {type PermitClient} from './permit_client.js';
+import {type PressureReporter} from './pressure_reporter.js';
 import {PendingAsk} from './pending_ask.js';
 
 export interface ScheduledChooserOptions {
@@ -42,9 +45,12 @@
   /** Chooses for unscheduled requests, and for all if no node schedules. */
   local: ServerChooser;
   findServer: (id: BackendServerId) => BackendServerEntry | undefined;
+  /** Whether all servers of a service that are known have said that they are leaving. */
+  areAllLeaving: (service: string) => boolean;
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
   quotas: LocalQuotas;
+  pressure: PressureReporter;
   permits: Pick<PermitClient, 'settle' | 'handleHolderLost'>;
   availability: Pick<ServerAvailability, 'describe' | 'list'>;
   /** Called when a request that is charged locally exceeds its team's quota. */
@@ -67,6 +73,11 @@
  */
 const TAKEOVER_WAIT_MS = 1_500;
 const RETRY_AFTER_MS = 1_000;
+/**
+ * How long a request for a place waits for an answer of the scheduling node, before this node
+ * chooses by itself. Bounds what a frozen scheduling node costs each request.
+ */
+const PLACE_ANSWER_TIMEOUT_MS = 300;
 
 interface Run {
   askId: string;
@@ -81,6 +92,8 @@
   private readonly chargeClient: ChargeClient;
   private readonly slowdowns = new HeardSlowdowns();
   private nextAskNumber = 1;
+  /** Services without models whose places the scheduling node assigns. */
+  private coordinated: ReadonlySet<ServiceName> = new Set();
 
   constructor(private readonly options: ScheduledChooserOptions) {
     this.chargeClient = new ChargeClient(options);
@@ -94,26 +107,43 @@
   async choose(ask: ServerAsk): Promise<ServerChoice> {
     const {clock, askIdPrefix, sendToHolder} = this.options;
     const askId = `${askIdPrefix}.${this.nextAskNumber++}`;
-    const payload = ask.service.engine
+    if (!ask.service.engine) {
+      this.options.pressure.addPlainService(ask.service.name);
+    }
+    const payload = this.isScheduled(ask)
       ? toAskPayload(askId, ask, clock.monotonicMs())
       : null;
     if (!payload) return this.chargeAndChooseLocally(ask);
     const pending = this.addPendingAsk(askId, ask);
+    if (!ask.service.engine) this.startAnswerTimer(pending);
     pending.isSubmitted = sendToHolder({type: 'ask', ask: payload});
     if (!pending.isSubmitted) this.chooseLocally(pending);
     return pending.choice;
   }
 
+  /** Sets the services without models whose places the scheduling node assigns. */
+  setCoordinated(services: readonly ServiceName[]): void {
+    this.coordinated = new Set(services);
+  }
+
+  private isScheduled({service}: ServerAsk): boolean {
+    return service.engine !== null || this.coordinated.has(service.name);
+  }
+
   /** Handles a message of the scheduling node. */
   receive(message: FromHolderMessage): void {
+    if (message.type === 'coordinated-services') {
+      return this.setCoordinated(message.services);
+    }
     if (this.options.permits.settle(message)) return;
     if (this.chargeClient.settle(message)) return;
     if (message.type === 'charged' || message.type === 'permitted') return;
     const pending = this.pendingAsks.get(message.askId);
+    if (message.type === 'queued') return pending?.cancelTimer();
     if (message.type === 'refused') {
       pending?.settle({
         status: 'refused',
-        error: makeRefusalError(message, pending.ask.charge),
+        error: makeRefusalError(message, pending.ask),
       });
       return;
     }
@@ -151,6 +181,20 @@
     );
   }
 
+  /**
+   * Asks a scheduling node that is in touch again, since it did not get the asks of the
+   * meantime and learns of no other way.
+   */
+  handleHolderBack(): void {
+    this.pendingAsks.forEach(pending => {
+      if (pending.isSubmitted) return;
+      const {askId, ask} = pending;
+      pending.isSubmitted = this.toPayloads(askId, ask).some(payload =>
+        this.options.sendToHolder({type: 'ask', ask: payload}),
+      );
+    });
+  }
+
   /** Sends all pending asks and running requests to a new scheduling node. */
   sendStateToHolder(): void {
     const asks = [...this.pendingAsks.values()].flatMap(({askId, ask}) =>
@@ -164,6 +208,7 @@
     const isSent = this.options.sendToHolder({
       ...{type: 'under-way', incarnation, asks, runs, servers},
     });
+    this.options.pressure.repeatAll();
     this.pendingAsks.forEach(pending => (pending.isSubmitted ||= isSent));
   }
 
@@ -199,10 +244,15 @@
   recordLoad(server: BackendServerEntry, load: ServerLoad): void {
     const {clock, local} = this.options;
     local.recordLoad(server, load);
+    this.options.pressure.recordLoad(server, load);
     const {slowdownPercent} = load;
     this.slowdowns.record(server.id, slowdownPercent, clock.monotonicMs());
   }
 
+  recordTerms(server: BackendServerEntry, terms: NamedTerms): void {
+    this.options.pressure.recordTerms(server, terms);
+  }
+
   recordResult(
     choice: ChosenServer,
     result: AttemptResult,
@@ -211,6 +261,9 @@
   ): void {
     this.options.local.recordResult(choice, result, headMs, isSuccess);
     if (isNotRun(result)) this.refundCharge(choice);
+    if (result === 'not-taken') {
+      this.options.pressure.recordRejection(choice.server);
+    }
     this.endRun(choice, result === 'answered' ? 'served' : result, headMs);
   }
 
@@ -268,6 +321,17 @@
     return pending;
   }
 
+  private startAnswerTimer(pending: PendingAsk): void {
+    const {clock, sendToHolder} = this.options;
+    const {askId} = pending;
+    pending.setTimer(
+      clock.setTimer(PLACE_ANSWER_TIMEOUT_MS, () => {
+        sendToHolder({type: 'withdraw', askId});
+        this.fallBackToLocal(pending);
+      }),
+    );
+  }
+
   private assign(pending: PendingAsk, server: BackendServerEntry): void {
     const {ask, askId} = pending;
     const nowMs = this.options.clock.monotonicMs();
@@ -295,16 +359,27 @@
 
   private fallBackToLocal(pending: PendingAsk): void {
     pending.isSubmitted = false;
+    pending.cancelTimer();
     this.chooseLocally(pending);
   }
 
+  /**
+   * Guards against callers that wait for the next scheduling node although it has no server
+   * for them either.
+   */
   private chooseLocally(pending: PendingAsk): void {
-    const {clock} = this.options;
+    const {clock, areAllLeaving} = this.options;
     void this.chargeAndChooseLocally(pending.ask).then(choice => {
       if (choice.status === 'chosen') {
         if (!pending.settle(choice)) this.release(choice);
         return;
       }
+      // Engines may have to load a model, which needs the scheduling node.
+      const {service} = pending.ask;
+      if (!service.engine || areAllLeaving(service.name)) {
+        pending.settle(choice);
+        return;
+      }
       clock.setTimer(TAKEOVER_WAIT_MS, () => {
         if (!pending.isSubmitted) pending.settle(choice);
       });
@@ -334,9 +409,14 @@
 
 function makeRefusalError(
   {reason, retryAfterMs}: Extract<FromHolderMessage, {type: 'refused'}>,
-  charge: QuotaCharge | null,
+  {charge, service}: ServerAsk,
 ): TypedError {
   if (reason === 'over-quota') return makeOverQuotaError(charge, retryAfterMs);
+  if (!service.engine) {
+    return new TypedError('overloaded', 'No place is free in time.', {
+      ...{run: 'not-run', retryAfterMs, info: {reason}},
+    });
+  }
   return new TypedError('not-warm', `No engine can serve it now: ${reason}.`, {
     run: 'not-run',
     retryAfterMs: Math.max(retryAfterMs, RETRY_AFTER_MS / 2),
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -31,7 +31,9 @@
   type AskPayload,
   type FromHolderMessage,
   type ToHolderMessage,
+  isModelAsk,
 } from './messages.js';
+import {logShareRefusal} from './share_log.js';
 import {type TrackedAsk, TrackedAsks} from './tracked_asks.js';
 
 export interface SchedulingServiceOptions {
@@ -172,17 +174,7 @@
         this.dropAsk(message.askId, false);
         break;
       case 'run-ended':
-        if (message.slowdownPercent !== null) {
-          const {engineId, slowdownPercent} = message;
-          this.scheduler.recordSlowdown(engineId, slowdownPercent, nowMs);
-        }
-        this.scheduler.recordEnd(
-          message.askId,
-          message.engineId,
-          message.result,
-          message.headMs,
-          nowMs,
-        );
+        this.recordEnd(message, nowMs);
         this.dropAsk(message.askId, mayRequestHaveRun(message));
         break;
       case 'charge':
@@ -196,18 +188,17 @@
         });
         message.asks.forEach(ask => this.acceptAsk(ask, nodeAddress, nowMs));
         message.runs.forEach(({ask, engineId}) => {
+          if (!isModelAsk(ask)) return;
           this.asks.addRunning(ask, engineId, nodeAddress, nowMs);
-          this.scheduler.recordRunning(
-            toScheduledRequest(ask, nodeAddress, nowMs),
-            engineId,
-            nowMs,
-          );
+          const request = toScheduledRequest(ask, nodeAddress, nowMs);
+          this.scheduler.recordRunning(request, engineId, nowMs);
         });
     }
     this.scheduleDecision();
   }
 
   private acceptAsk(ask: AskPayload, nodeAddress: string, nowMs: number): void {
+    if (!isModelAsk(ask)) return;
     const {askId, charge} = ask;
     // A repeated ask was charged the first time.
     const isCharged = this.asks.get(askId) !== undefined;
@@ -260,6 +251,23 @@
     this.options.send(nodeAddress, {type: 'permitted', askId, waitMs});
   }
 
+  private recordEnd(
+    {askId, engineId, result, headMs, slowdownPercent}: EndMessage,
+    nowMs: number,
+  ): void {
+    if (slowdownPercent !== null) {
+      this.scheduler.recordSlowdown(engineId, slowdownPercent, nowMs);
+    }
+    const used = this.scheduler.recordEnd(
+      ...([askId, engineId, result, headMs, nowMs] as const),
+    );
+    if (!used) return;
+    const requestId = this.asks.get(askId)?.requestId;
+    this.options.logger.log('share-used', {
+      ...{requestId, team: used.team ?? undefined, cost: used.cost},
+    });
+  }
+
   private dropAsk(askId: string, mayHaveRun: boolean): void {
     const charge = this.asks.remove(askId)?.charge;
     if (charge && !mayHaveRun) this.options.quotas.refundAtHolder(charge);
@@ -303,6 +311,7 @@
     const known = this.asks.get(decision.askId);
     if (!known) return;
     this.logDecision(decision, known);
+    logShareRefusal(this.options.logger, decision, known);
     const {nodeAddress} = known;
     if (decision.kind === 'assign') {
       const {askId, engineId} = decision;
@@ -399,10 +408,9 @@
   }
 }
 
+type EndMessage = Extract<ToHolderMessage, {type: 'run-ended'}>;
+
 /** Whether the engine may have run a request that has ended. */
-function mayRequestHaveRun({
-  result,
-  isUnsent,
-}: Extract<ToHolderMessage, {type: 'run-ended'}>): boolean {
+function mayRequestHaveRun({result, isUnsent}: EndMessage): boolean {
   return !isUnsent && !isNotRun(result);
 }
--- a/packages/serve-requests/src/least_loaded_chooser.test.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.test.ts
@@ -19,6 +19,7 @@
   return new LeastLoadedChooser({
     ...{clock, random: new SeededRandom(1)},
     ...{ownDomain: 'hall-a', crossDomainCostMs, listServers},
+    findHostShare: () => 0.25,
     permits: {isLimited: () => false, request: () => Promise.resolve(0)},
     availability: {findWaitMs: () => 0},
   });
@@ -74,6 +75,25 @@
   assert.is((await chooseAt('v3')).status, 'refused');
 });
 
+// Guards against brittle servers that fall over while no node schedules.
+test('after a rejection a brittle server is spared for a time', async () => {
+  const brittle = makeServer({id: 's1'});
+  const clock = new ManualClock();
+  const chooser = makeChooser(
+    () => [brittle, makeServer({id: 's2'})],
+    5,
+    clock,
+  );
+  [1, 2, 3].forEach(() => chooser.recordSent(toChoice(makeServer({id: 's2'}))));
+  assert.is(await pickId(chooser), 's1');
+  chooser.recordTerms(brittle, {brittlePerSecond: 8, isLimited: false});
+  chooser.recordResult(toChoice(brittle), 'not-taken', null);
+  clock.advance(990);
+  assert.is(await pickId(chooser), 's2');
+  clock.advance(10);
+  assert.is(await pickId(chooser), 's1');
+});
+
 // Guards against other choices at services whose servers send no slowdown figure.
 test('without a figure neither times nor the cost change a choice', async () => {
   const servers = ['hall-a', 'hall-a', 'hall-b'].map((failureDomain, index) =>
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -14,7 +14,7 @@
   isVersionAllowed,
 } from '@mimosatack/types';
 import {type ServerAvailability} from '@mimosatack/track-availability';
-import {type ServerLoad} from './backend_dialect.js';
+import {type NamedTerms, type ServerLoad} from './backend_dialect.js';
 import {CompletionChoices} from './completion_choices.js';
 import {
   type AttemptResult,
@@ -40,6 +40,8 @@
   listServers: (service: string) => readonly BackendServerEntry[];
   permits: ServerPermits;
   availability: Pick<ServerAvailability, 'findWaitMs'>;
+  /** The fraction of what servers tolerate that this host may use, from 0 to 1. */
+  findHostShare: () => number;
 }
 
 /** Permits for requests to servers that name a limit. */
@@ -55,11 +57,34 @@
   request(server: BackendServerEntry, maxWaitMs: number): Promise<number>;
 }
 
+/**
+ * How much later than at the reserved time a request that comes back may be sent there: timers
+ * and clocks of two hosts differ by some milliseconds.
+ */
+const CLAIM_TOLERANCE_MS = 5;
 /** Loads change within a second. */
 const LOAD_MAX_AGE_MS = 1_000;
 /** A failed server is avoided for this long while others are available. */
 const FAILURE_COOLDOWN_MS = 500;
 const RETRY_AFTER_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+/**
+ * All hosts together cause at most one in this many of the rejections that a brittle server
+ * tolerates. Half of them are left to requests that are under way at the first rejection.
+ */
+const SPARE_FACTOR = 2;
+/** A brittle server is tried at least this often by each host. */
+const MAX_SPARE_MS = 10_000;
+
+/** A choice between limited servers. */
+interface PermittedChoice {
+  /** Null if no server may get the request now. */
+  server: BackendServerEntry | null;
+  /** The time until a server may. */
+  waitMs: number;
+  /** Where that time is reserved for the request. */
+  reserved: BackendServerEntry | null;
+}
 
 interface ServerStats {
   /** Start of the server incarnation that the stats describe. */
@@ -70,6 +95,10 @@
   inFlightAtLoad: number;
   loadAtMs: number;
   failedAtMs: number;
+  /** Rejections per second that the server tolerates; null if it does not say. */
+  brittlePerSecond: number | null;
+  /** Until when the server gets no request by this node's own choice. */
+  spareUntilMs: number;
 }
 
 /** Ranks servers by this node's requests in flight and by reported loads. */
@@ -83,16 +112,21 @@
 
   async choose(ask: ServerAsk): Promise<ServerChoice> {
     const {clock} = this.options;
+    let reserved: BackendServerEntry | null = null;
     for (;;) {
       const servers = this.listCandidates(ask);
       const maxWaitMs =
         findWaitDeadlineMs(ask.request, ask.endsAtMs) - clock.monotonicMs();
-      const choice = await this.tryChoose(servers, Math.max(0, maxWaitMs));
+      const claimed = await this.claim(reserved, servers);
+      const choice: PermittedChoice =
+        claimed ?? (await this.tryChoose(servers, Math.max(0, maxWaitMs)));
       if (choice.server) return this.makeChoice(choice.server, servers);
       if (!Number.isFinite(choice.waitMs)) return makeRefusal(RETRY_AFTER_MS);
       const isInTime = choice.waitMs <= maxWaitMs;
       if (!isInTime || ask.signal.aborted) return makeRefusal(choice.waitMs);
+      reserved = choice.reserved;
       await sleep(clock, choice.waitMs, ask.signal);
+      if (ask.signal.aborted) return makeRefusal(choice.waitMs);
     }
   }
 
@@ -116,16 +150,34 @@
     };
   }
 
+  /**
+   * Sends a request that has waited to the server where its time is reserved; null if it
+   * may not go there. Guards against limits that stay unused: without this, requests whose
+   * times at one server have come all asked the other one.
+   */
+  private async claim(
+    reserved: BackendServerEntry | null,
+    candidates: readonly BackendServerEntry[],
+  ): Promise<PermittedChoice | null> {
+    const {availability, permits} = this.options;
+    const server = candidates.find(({id}) => id === reserved?.id);
+    if (!server || availability.findWaitMs(server) !== 0) return null;
+    const waitMs = await permits.request(server, CLAIM_TOLERANCE_MS);
+    if (waitMs === 0) return {server, waitMs, reserved};
+    return waitMs > CLAIM_TOLERANCE_MS
+      ? null
+      : {server: null, waitMs, reserved};
+  }
+
   /** The cheapest server that may get the request, or the time until one may. */
   private async tryChoose(
     servers: readonly BackendServerEntry[],
     maxWaitMs: number,
-  ): Promise<{server: BackendServerEntry | null; waitMs: number}> {
+  ): Promise<PermittedChoice> {
     const {permits} = this.options;
     const isUnlimited = (server: BackendServerEntry) =>
       !permits.isLimited(server);
-    const {availability} = this.options;
-    const waits = servers.map(server => availability.findWaitMs(server));
+    const waits = servers.map(server => this.findWaitMs(server));
     let left = servers.filter((_, index) => waits[index] === 0);
     let soonest: {server: BackendServerEntry | null; waitMs: number} = {
       ...{server: null, waitMs: Math.min(Infinity, ...waits.filter(Boolean))},
@@ -133,15 +185,16 @@
     for (;;) {
       const best = this.pickCheapest(left);
       if (!best) break;
-      if (isUnlimited(best)) return {server: best, waitMs: 0};
+      if (isUnlimited(best)) return {server: best, waitMs: 0, reserved: null};
       const waitMs = await permits.request(best, 0);
-      if (waitMs === 0) return {server: best, waitMs};
+      if (waitMs === 0) return {server: best, waitMs, reserved: null};
       if (waitMs < soonest.waitMs) soonest = {server: best, waitMs};
       left = left.filter(server => server !== best);
     }
-    if (!soonest.server) return soonest;
-    const waitMs = await permits.request(soonest.server, maxWaitMs);
-    return {server: waitMs === 0 ? soonest.server : null, waitMs};
+    const {server: reserved} = soonest;
+    if (!reserved) return {...soonest, reserved};
+    const waitMs = await permits.request(reserved, maxWaitMs);
+    return {server: waitMs === 0 ? reserved : null, waitMs, reserved};
   }
 
   release(): void {
@@ -163,6 +216,15 @@
     this.completion.recordLoad(server, load, stats.loadAtMs);
   }
 
+  recordTerms(
+    server: BackendServerEntry,
+    {brittlePerSecond}: NamedTerms,
+  ): void {
+    const known = this.statsByServer.get(server.id);
+    if (brittlePerSecond === null && !known) return;
+    this.getOrCreateStats(server).brittlePerSecond = brittlePerSecond;
+  }
+
   recordResult(
     choice: ChosenServer,
     result: AttemptResult,
@@ -176,6 +238,20 @@
       stats.failedAtMs = nowMs;
     }
     this.completion.recordResult(choice, result, isSuccess, nowMs);
+    const {brittlePerSecond} = stats;
+    if (result !== 'not-taken' || brittlePerSecond === null) return;
+    const tolerated = brittlePerSecond * this.options.findHostShare();
+    stats.spareUntilMs =
+      nowMs +
+      Math.min(MAX_SPARE_MS, (SPARE_FACTOR * MS_PER_SECOND) / tolerated);
+  }
+
+  /** Time until the server may get a request by this node's own choice. */
+  private findWaitMs(server: BackendServerEntry): number {
+    const {availability, clock} = this.options;
+    const spareUntilMs = this.statsByServer.get(server.id)?.spareUntilMs;
+    const spareMs = (spareUntilMs ?? -Infinity) - clock.monotonicMs();
+    return Math.max(0, spareMs, availability.findWaitMs(server));
   }
 
   private pickCheapest(
@@ -241,6 +317,7 @@
     inFlightAtLoad: 0,
     loadAtMs: -Infinity,
     failedAtMs: -Infinity,
+    ...{brittlePerSecond: null, spareUntilMs: -Infinity},
   };
 }
 
--- a/packages/serve-requests/src/limited_servers.test.ts
+++ b/packages/serve-requests/src/limited_servers.test.ts
@@ -19,6 +19,7 @@
       crossDomainCostMs: 5,
     },
     listServers: () => Object.keys(waits).map(id => makeServer({id})),
+    findHostShare: () => 0.25,
     permits: {
       isLimited: ({id}) => waits[id] !== null,
       request: ({id}) => Promise.resolve(waits[id] ?? 0),
--- a/packages/serve-requests/src/unavailable_servers.test.ts
+++ b/packages/serve-requests/src/unavailable_servers.test.ts
@@ -19,6 +19,7 @@
       crossDomainCostMs: 5,
     },
     listServers: () => Object.keys(waits).map(id => makeServer({id})),
+    findHostShare: () => 0.25,
     permits: {isLimited: () => false, request: () => Promise.resolve(0)},
     availability: {findWaitMs: ({id}) => waits[id] ?? 0},
   });
--- a/packages/serving-node/src/server_chooser.ts
+++ b/packages/serving-node/src/server_chooser.ts
@@ -1,6 +1,7 @@
 /** Builds the choosers of one node. */
 import {
   PermitClient,
+  PressureReporter,
   ScheduledChooser,
   type ToHolderMessage,
 } from '@mimosatack/schedule-service';
@@ -23,6 +24,10 @@
   limiter: ServerLimiter;
   availability: ServerAvailability;
   quotas: TeamQuotas;
+  /** The fraction of what all hosts may do that this one may, from 0 to 1. */
+  findHostShare: () => number;
+  /** Whether teams share capacity. */
+  hasTeamShares: () => boolean;
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
 }
@@ -44,9 +49,11 @@
   );
   return new ScheduledChooser({
     ...asks,
+    pressure: new PressureReporter(options),
     ...{permits, availability, quotas},
     local: new LeastLoadedChooser({
       ...{clock, random, permits, availability},
+      findHostShare: options.findHostShare,
       ...{ownDomain: failureDomain, crossDomainCostMs},
       listServers: service => servers.listReady(service),
       onSent: ({server, askId}, isSameDomain) => {
@@ -57,6 +64,12 @@
       },
     }),
     findServer: id => servers.find(id),
+    areAllLeaving: service => {
+      const ready = servers.listReady(service);
+      return (
+        ready.length > 0 && ready.every(one => availability.isLeaving(one))
+      );
+    },
     onQuotaRefused: (requestId, charge, refusal) =>
       logQuotaRefusal(logger, requestId, charge, refusal),
   });
