--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -32,6 +32,7 @@
   type FromHolderMessage,
   type ToHolderMessage,
 } from './messages.js';
+import {HeardSlowdowns} from './heard_slowdowns.js';
 import {type PermitClient} from './permit_client.js';
 import {type PressureReporter} from './pressure_reporter.js';
 import {
@@ -94,6 +95,7 @@
   private readonly runs = new Map<string, Run>();
   private readonly chargeClient: ChargeClient;
   private readonly refusals = new RecentRefusals();
+  private readonly slowdowns = new HeardSlowdowns();
   private nextAskNumber = 1;
   /** Services without models whose places the scheduling node assigns. */
   private coordinated: ReadonlySet<ServiceName> = new Set();
@@ -256,8 +258,11 @@
   }
 
   recordLoad(server: BackendServerEntry, load: ServerLoad): void {
-    this.options.local.recordLoad(server, load);
+    const {clock, local} = this.options;
+    local.recordLoad(server, load);
     this.options.pressure.recordLoad(server, load);
+    const {slowdownPercent} = load;
+    this.slowdowns.record(server.id, slowdownPercent, clock.monotonicMs());
   }
 
   recordTerms(server: BackendServerEntry, terms: NamedTerms): void {
@@ -424,8 +429,11 @@
     headMs: number | null,
     isUnsent = false,
   ): void {
-    this.options.sendToHolder({
+    const {clock, sendToHolder} = this.options;
+    const nowMs = clock.monotonicMs();
+    sendToHolder({
       ...{type: 'run-ended', askId, engineId, result, headMs, isUnsent},
+      slowdownPercent: this.slowdowns.find(engineId, nowMs),
     });
   }
 }
--- a/packages/schedule-service/src/scheduling_service.test.ts
+++ b/packages/schedule-service/src/scheduling_service.test.ts
@@ -165,7 +165,7 @@
   const end = (askId: string, result: 'not-taken' | 'served' | 'neutral') =>
     host.receive('n1', {
       ...{type: 'run-ended', askId, engineId: 'e1', result},
-      ...{headMs: null, isUnsent: false},
+      ...{headMs: null, isUnsent: false, slowdownPercent: null},
     });
   ['a2', 'a3', 'a4', 'a5'].forEach(askId =>
     host.receive('n1', makeAsk(askId, charge)),
@@ -197,7 +197,7 @@
   clock.advance(500);
   host.receive('n1', {
     ...{type: 'run-ended', askId: 'n.first', engineId: 'e2', result: 'served'},
-    ...{headMs: 20, isUnsent: false},
+    ...{headMs: 20, isUnsent: false, slowdownPercent: null},
   });
   for (let count = 0; count < 200; count += 1) await ask(`n.${count}`);
   const used = logger.fieldsOf('share-used');
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -252,9 +252,12 @@
   }
 
   private recordEnd(
-    {askId, engineId, result, headMs}: EndMessage,
+    {askId, engineId, result, headMs, slowdownPercent}: EndMessage,
     nowMs: number,
   ): void {
+    if (slowdownPercent !== null) {
+      this.scheduler.recordSlowdown(engineId, slowdownPercent, nowMs);
+    }
     const used = this.scheduler.recordEnd(
       ...([askId, engineId, result, headMs, nowMs] as const),
     );
