--- /dev/null
+++ b/packages/schedule-models/src/make_order.ts
@@ -0,0 +1,20 @@
+/** Makes the order that is due next at an engine. */
+import {type AdapterName, type ModelName} from '@mimosatack/types';
+import {type EngineView} from './engine_view.js';
+import {type Decision, type PlannedOrder} from './scheduled_request.js';
+
+/** Records the order as sent, so that the engine gets one at a time. */
+export function makeOrder(
+  engine: EngineView,
+  operation: PlannedOrder['operation'],
+  model: ModelName,
+  adapter: AdapterName | null,
+): Decision {
+  const order: PlannedOrder = {
+    engineId: engine.id,
+    ...{operation, model, adapter},
+    expectedCount: engine.orders.acceptedCount,
+  };
+  engine.orders.recordSent(order);
+  return {kind: 'order', order};
+}
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -50,6 +50,7 @@
   type SwapPolicy,
 } from './swap_policy.js';
 import {PrefillSpeed} from './prefill_speed.js';
+import {makeOrder} from './make_order.js';
 import {makeSwapContext} from './swap_context.js';
 import {groupBatches} from './waiting_batches.js';
 import {type RequestItem, WaitingRequests} from './waiting_requests.js';
@@ -334,8 +335,8 @@
       if (!swap || !engine.orders.canSend(nowMs)) return [];
       const {victim, model} = swap;
       return victim !== null && engine.residents.has(victim)
-        ? [this.makeOrder(engine, 'unload', victim, null)]
-        : [this.makeOrder(engine, 'load', model, null)];
+        ? [makeOrder(engine, 'unload', victim, null)]
+        : [makeOrder(engine, 'load', model, null)];
     });
   }
 
@@ -347,7 +348,7 @@
         const plan = planAdapter(request, this.listHolders(request), nowMs);
         if (!plan) return [];
         const {engine, operation, model, adapter} = plan;
-        return [this.makeOrder(engine, operation, model, adapter)];
+        return [makeOrder(engine, operation, model, adapter)];
       });
   }
 
@@ -419,9 +420,9 @@
     engine.swap = {model, victim: victim?.model ?? null};
     this.index.invalidateHolders();
     this.copies?.invalidate();
-    if (!victim) return this.makeOrder(engine, 'load', model, null);
+    if (!victim) return makeOrder(engine, 'load', model, null);
     victim.isUnloading = true;
-    return this.makeOrder(engine, 'unload', victim.model, null);
+    return makeOrder(engine, 'unload', victim.model, null);
   }
 
   private makeSwapContext(nowMs: number): SwapContext {
@@ -487,19 +488,4 @@
   private listHolders(request: ScheduledRequest): readonly EngineView[] {
     return this.index.listHolders(request.service, request.model);
   }
-
-  private makeOrder(
-    engine: EngineView,
-    operation: 'load' | 'unload',
-    model: ModelName,
-    adapter: AdapterName | null,
-  ): Decision {
-    const order: PlannedOrder = {
-      engineId: engine.id,
-      ...{operation, model, adapter},
-      expectedCount: engine.orders.acceptedCount,
-    };
-    engine.orders.recordSent(order);
-    return {kind: 'order', order};
-  }
 }
