--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -10,7 +10,6 @@
   type ServerIncarnation,
 } from '@mimosatack/track-availability';
 import {
-  type AdapterName,
   type BackendServerEntry,
   type BackendServerId,
   type ModelName,
