--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -3,6 +3,7 @@
  * Does no I/O and has no clock: callers pass in events with their times and
  * execute the decisions.
  */
+import {type FairOrder} from '@mimosatack/share-capacity';
 import {type ServerLimiter, UNLIMITED} from '@mimosatack/share-limits';
 import {
   type AvailabilityReport,
@@ -24,6 +25,7 @@
 import {planAdapter} from './adapter_plan.js';
 import {listReadyEngines} from './choose_engine.js';
 import {DemandRates} from './demand.js';
+import {EngineForecast} from './engine_forecast.js';
 import {EngineIndex} from './engine_index.js';
 import {type EngineView} from './engine_view.js';
 import {EngineViews} from './engine_views.js';
@@ -37,6 +39,7 @@
   type PlannedOrder,
   type RunResult,
   type ScheduledRequest,
+  type ShareCharge,
   isNotRun,
 } from './scheduled_request.js';
 import {
@@ -48,7 +51,7 @@
 import {PrefillSpeed} from './prefill_speed.js';
 import {makeSwapContext} from './swap_context.js';
 import {groupBatches} from './waiting_batches.js';
-import {WaitingRequests} from './waiting_requests.js';
+import {type RequestItem, WaitingRequests} from './waiting_requests.js';
 import {chooseExtraCopy} from './extra_copy.js';
 import {findWaitDeadlineMs, listRefusals} from './find_refusal.js';
 
@@ -68,12 +71,15 @@
   isLeaving?: (engine: ServerIncarnation) => boolean;
   /** No order may be sent to the engine before this time. */
   ordersBlockedUntilMs?: (engineId: BackendServerId) => number;
+  /** Makes the order between teams; virtual counters by default. */
+  makeOrder?: () => FairOrder<RequestItem>;
 }
 
 /** Schedules the requests of one shard of engines. */
 export class ModelScheduler {
   private readonly catalogue = new ModelCatalogue([]);
-  private readonly waiting = new WaitingRequests();
+  private readonly waiting: WaitingRequests;
+  private readonly forecast = new EngineForecast();
   private readonly deferred = new DeferredRequests();
   private readonly demand = new DemandRates();
   private readonly access = new EngineAccess();
@@ -96,7 +102,9 @@
   private copies: CopyCounts | null = null;
   private readonly refusals = new RefusalCounts();
 
-  constructor(private readonly options: ModelSchedulerOptions) {}
+  constructor(private readonly options: ModelSchedulerOptions) {
+    this.waiting = new WaitingRequests(options.makeOrder);
+  }
 
   get waitingCount(): number {
     return this.waiting.size;
@@ -118,6 +126,7 @@
   ): void {
     this.catalogue.replace(services);
     this.waiting.setShares(teamWeights);
+    this.forecast.setShares(teamWeights);
   }
 
   /** Adds a server or applies its changed entry. */
@@ -143,6 +152,7 @@
     this.storeLoads.recordEnd(id);
     this.access.remove(id);
     this.speed.remove(id);
+    this.forecast.removeEngine(id);
   }
 
   /** Adds a waiting request. Ignores one that is already running. */
@@ -153,6 +163,7 @@
     if (isRunning) return;
     this.recordDemand(request, nowMs);
     this.waiting.add(request);
+    this.forecast.recordArrival(request, nowMs);
   }
 
   /**
@@ -182,10 +193,12 @@
   dequeue(askId: string): void {
     this.waiting.delete(askId);
     this.deferred.remove(askId);
+    this.forecast.forget(askId);
   }
 
   /**
-   * Records the end of an assigned request.
+   * Records the end of an assigned request. Returns what it used of its team's share; null if
+   * it was not served or teams have no shares.
    *
    * @param ttfbMs time until its response began; null if it did not.
    */
@@ -195,10 +208,10 @@
     result: RunResult,
     ttfbMs: number | null,
     nowMs: number,
-  ): void {
+  ): ShareCharge | null {
     const engine = this.engines.get(engineId);
     const request = engine?.runs.get(askId);
-    if (!engine || !request) return;
+    if (!engine || !request) return null;
     engine.endRun(askId, result === 'served' ? ttfbMs : null, nowMs);
     this.access.recordResult(engine, request, result, nowMs);
     if (isNotRun(result)) this.waiting.recordNotRun(request);
@@ -206,6 +219,7 @@
       engine.recordMissing(request.model, request.adapter, nowMs);
     }
     if (result === 'not-taken') engine.delayReadiness(request.model, nowMs);
+    return this.forecast.recordEnd(request, engineId, result, nowMs);
   }
 
   /** Records that an engine wants no requests of a node for some time. */
@@ -278,12 +292,15 @@
       // Models are loaded elsewhere only for requests that are not deferred.
       if (usable.length === 0) this.deferred.remove(request.askId);
       const engine = this.deferred.pickEngine(request, usable, nowMs, one =>
-        this.isContinuable(one, request, nowMs),
+        this.engines.isMixed(request.service)
+          ? this.index.isContinuable(one, request, nowMs)
+          : true,
       );
       if (!engine) return false;
       this.deferred.remove(request.askId);
       this.refusals.reset(request.service, request.model);
       engine.startRun(request, nowMs);
+      this.forecast.recordStart(request, engine.id, nowMs);
       engine.limit.recordAssigned(nowMs);
       decisions.push({
         ...{kind: 'assign', askId: request.askId, engineId: engine.id},
@@ -293,29 +310,6 @@
     return decisions;
   }
 
-  /**
-   * Whether another engine of the same software version holds the model or can load it
-   * without the weight store. Guards against streams that are lost with their engine since
-   * all other copies of the model are at other versions.
-   */
-  private isContinuable(
-    engine: EngineView,
-    {service, model}: ScheduledRequest,
-    nowMs: number,
-  ): boolean {
-    if (!this.engines.isMixed(service)) return true;
-    const holders = this.index
-      .listHolders(service, model)
-      .filter(({residents}) => residents.get(model)?.isReady(nowMs));
-    const caching = this.index.listCaching(service, model);
-    return [...holders, ...caching].some(
-      other =>
-        other !== engine &&
-        other.acceptsWorkAt(nowMs) &&
-        isVersionAllowed(engine.entry, other.entry),
-    );
-  }
-
   /** Sends the next order of each pending swap. */
   private continueSwaps(nowMs: number): Decision[] {
     return this.listEngines().flatMap(engine => {
@@ -419,9 +413,10 @@
     const {index, catalogue, demand, refusals, speed, storeLoads, copies} =
       this;
     const {pauses} = this.access;
+    const {findTeamUse} = this.waiting;
     return makeSwapContext(nowMs, {
       ...{engines, index, copies, catalogue},
-      ...{demand, refusals, speed, storeLoads, pauses},
+      ...{demand, refusals, speed, storeLoads, pauses, findTeamUse},
     });
   }
 
@@ -436,12 +431,20 @@
       listHolders: (service, model) => this.index.listHolders(service, model),
       listCaching: (service, model) => this.index.listCaching(service, model),
     });
-    return refused.map(({request, refusal}) => {
+    refused.forEach(({request}) => this.forecast.recordRefused(request, nowMs));
+    const late = this.forecast.listRefusals({
+      ...{nowMs, inOrder: waiting.listInOrder(nowMs)},
+      listHolders: (service, model) => this.index.listHolders(service, model),
+    });
+    return [...refused, ...late].map(({request, refusal}): Decision => {
       this.dequeue(request.askId);
       if (refusal.reason !== 'unknown-model') {
         this.refusals.recordRefusal(request.service, request.model);
       }
-      return {kind: 'refuse' as const, askId: request.askId, ...refusal};
+      const {askId} = request;
+      const {reason, retryAfterMs} = refusal;
+      const shared = this.forecast.describeRefusal(request, refusal);
+      return {kind: 'refuse', askId, reason, retryAfterMs, ...shared};
     });
   }
 
--- a/packages/schedule-models/src/waiting_requests.ts
+++ b/packages/schedule-models/src/waiting_requests.ts
@@ -6,12 +6,13 @@
   VirtualCounters,
 } from '@mimosatack/share-capacity';
 import {type TeamName} from '@mimosatack/types';
+import {type FindTeamUse} from './load_shares.js';
 import {type ScheduledRequest} from './scheduled_request.js';
 
 /** Cost of an output token relative to a prompt token. */
 const OUTPUT_WEIGHT = 10;
 
-interface RequestItem extends ShareItem {
+export interface RequestItem extends ShareItem {
   request: ScheduledRequest;
 }
 
@@ -26,6 +27,11 @@
   private ordered: readonly ScheduledRequest[] | null = null;
   private orderedAtMs = -Infinity;
 
+  constructor(
+    private readonly makeOrder: () => FairOrder<RequestItem> = () =>
+      new VirtualCounters(),
+  ) {}
+
   get size(): number {
     return this.requests.size;
   }
@@ -84,6 +90,12 @@
     this.ordered = null;
   }
 
+  /** What teams have used; null while requests go by urgency alone. */
+  get findTeamUse(): FindTeamUse | null {
+    const {shares} = this;
+    return shares && (team => shares.findUse(team ?? ANONYMOUS_TEAM));
+  }
+
   /** In order of insertion. */
   list(): ScheduledRequest[] {
     return [...this.requests.values()];
@@ -104,13 +116,13 @@
   }
 
   private makeShares(): FairOrder<RequestItem> {
-    const shares = new VirtualCounters<RequestItem>();
+    const shares = this.makeOrder();
     this.requests.forEach(request => shares.add(toItem(request)));
     return shares;
   }
 }
 
-function toItem(request: ScheduledRequest): RequestItem {
+export function toItem(request: ScheduledRequest): RequestItem {
   const {askId, team, priority, promptTokens, outputTokens, dueAtMs} = request;
   return {
     ...{id: askId, team: team ?? ANONYMOUS_TEAM, priority, dueAtMs, request},
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -99,7 +99,7 @@
     );
     const teams = makeTeamTasks(options, {
       configurationAgeMs: () => this.configuration.ageMs,
-      countNodes: () => this.register.list().length,
+      findQuotaShare: () => this.limits.quotaShare.lastKnownFraction,
     });
     this.access = teams.access;
     this.quotas = teams.quotas;
@@ -303,8 +303,10 @@
         [CONTAINED_KEY, this.containment],
         [MIXED_SERVICES_KEY, this.streams],
       ]),
-      onRemoved: nodeName =>
-        this.options.logger.log('node-lost', {lostNodeName: nodeName}),
+      onRemoved: ({nodeName, incarnation}) => {
+        this.options.logger.log('node-lost', {lostNodeName: nodeName});
+        this.duty.endRequestsOf(incarnation);
+      },
       ...this.faults.watchDependency('nodes'),
     });
   }
@@ -406,7 +408,7 @@
       onFromHolder: message => this.chooser.receive(message),
       onServingNodes: names => this.updateServingNodes(names),
       onHolderContactChange: isAlive => {
-        if (isAlive) return;
+        if (isAlive) return this.chooser.handleHolderBack();
         this.chooser.handleHolderLost();
         this.duty.refresh();
       },
@@ -416,7 +418,7 @@
 
   /** Called with each heartbeat. */
   private updateServingNodes(nodeNames: readonly string[]): void {
-    this.limits.retryShare.observe();
+    this.limits.observeHosts();
     this.reportOpenRequests(this.duty.holder);
     this.register.checkServingNames(nodeNames);
     if (this.entryPoints.updateServingNodes(nodeNames)) {
--- a/packages/share-capacity/src/fair_order.ts
+++ b/packages/share-capacity/src/fair_order.ts
@@ -20,13 +20,22 @@
   get(id: string): T | undefined;
   /** Charges an item that has started without waiting here, such as at another node. */
   recordStart(item: T): void;
+  /** What a team has used of its share; only comparable between teams. */
+  findUse(team: TeamName): number;
   /** Returns the charge of an item that has not run. */
   recordNotRun(item: T): void;
   /**
    * Offers each waiting item in fair order. An item for which `tryStart` returns true is
    * charged to its team and no longer waits; others are passed over.
+   *
+   * @param hasRoom ends the pass once it returns false, so that a pass does not grow with the
+   *     number of waiting items.
    */
-  startEach(nowMs: number, tryStart: (item: T) => boolean): void;
+  startEach(
+    nowMs: number,
+    tryStart: (item: T) => boolean,
+    hasRoom?: () => boolean,
+  ): void;
   /** The waiting items in the order in which they start if each can. */
   list(nowMs: number): T[];
 }
