Cut off only callers that read nothing, and pass on the whole query

Cause: the kernel takes the next bytes of a response only once a third of its buffer of some MB is free. On loopback it took none for 12 s from a caller that read 50 KB/s, so that this caller counted as reading nothing at the memory limit. A second '?' ended the query of a request for addresses.

Change: while the limit is reached, the node reads once a second what connections have not acknowledged, and cuts off only callers for whom this has not changed for 2 s.

Where Linux does not tell it, callers are judged as before.

--- a/packages/bound-memory/src/index.ts
+++ b/packages/bound-memory/src/index.ts
@@ -1,4 +1,5 @@
 export {
+  MAX_UNREAD_MS,
   type MemoryRefusal,
   type MemoryReview,
   MemoryBudget,
--- a/packages/caller-edge/src/caller_edge.ts
+++ b/packages/caller-edge/src/caller_edge.ts
@@ -175,7 +175,7 @@
     const {memory, onNoMemory} = this.options;
     const {requestId} = head;
     const reserved = memory.admit(
-      {requestId, cutOff: () => sink.cutOff()},
+      {requestId, peer: incoming.socket, cutOff: () => sink.cutOff()},
       countDeclaredBytes(incoming),
     );
     if (reserved instanceof TypedError) onNoMemory(head, reserved);
--- a/packages/caller-edge/src/memory_watch.ts
+++ b/packages/caller-edge/src/memory_watch.ts
@@ -1,11 +1,14 @@
 /** Applies the memory budget to the requests of callers. */
 import {
+  MAX_UNREAD_MS,
   MemoryBudget,
   type MemoryHolding,
   type MemoryRefusal,
 } from '@mimosatack/bound-memory';
 import {type Clock} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
+import {ReadProgress} from './read_progress.js';
+import {type PeerAddress, type SendQueues} from './send_queues.js';
 
 /** Receives what is done to bound the memory. */
 export interface MemoryObserver {
@@ -17,8 +20,17 @@
 /** Much shorter than the time after which a caller is cut off. */
 const REVIEW_INTERVAL_MS = 250;
 
+export interface MemoryWatchOptions {
+  clock: Clock;
+  limitBytes: number;
+  observer: MemoryObserver;
+  /** Reads what the kernel holds for callers' connections; null if unknown. */
+  readSendQueues: () => Promise<SendQueues | null>;
+}
+
 interface OpenRequest {
   requestId: string;
+  peer: PeerAddress;
   cutOff: () => void;
 }
 
@@ -26,14 +38,21 @@
 export class MemoryWatch {
   readonly budget: MemoryBudget;
   private readonly requests = new Map<MemoryHolding, OpenRequest>();
+  private readonly progress: ReadProgress<MemoryHolding>;
+  private readonly clock: Clock;
+  private readonly observer: MemoryObserver;
   private isReviewing = false;
 
-  constructor(
-    private readonly clock: Clock,
-    limitBytes: number,
-    private readonly observer: MemoryObserver,
-  ) {
+  constructor({
+    clock,
+    limitBytes,
+    observer,
+    readSendQueues,
+  }: MemoryWatchOptions) {
+    this.clock = clock;
+    this.observer = observer;
     this.budget = new MemoryBudget(limitBytes, () => this.startReviews());
+    this.progress = new ReadProgress(clock, readSendQueues);
   }
 
   get gauges(): {memoryHeldBytes: number; memoryLimitBytes: number} {
@@ -68,13 +87,10 @@
 
   private review(): void {
     const nowMs = this.clock.monotonicMs();
-    this.budget.review(nowMs).cutOff.forEach(holding => {
-      const {bytes, lastReadAtMs} = holding;
-      const request = this.requests.get(holding);
-      if (!request) return;
-      this.observer.onCutOff(request.requestId, bytes, nowMs - lastReadAtMs);
-      request.cutOff();
-    });
+    const {cutOff} = this.budget.review(nowMs);
+    cutOff.forEach(holding => this.cutOffIfUnread(holding, nowMs));
+    if (this.budget.isExhausted) void this.recordReading();
+    else this.progress.clear();
     if (this.budget.isUnderPressure) {
       this.clock.setTimer(REVIEW_INTERVAL_MS, () => this.review());
     } else {
@@ -82,6 +98,25 @@
       this.observer.onPressure(false);
     }
   }
+
+  private cutOffIfUnread(holding: MemoryHolding, nowMs: number): void {
+    const request = this.requests.get(holding);
+    if (!request) return;
+    const {requestId, peer} = request;
+    if (!this.progress.isUnread(holding, peer, MAX_UNREAD_MS)) return;
+    const unreadMs = nowMs - holding.lastReadAtMs;
+    this.observer.onCutOff(requestId, holding.bytes, unreadMs);
+    request.cutOff();
+  }
+
+  /** Guards against cutting off a caller that reads, but slowly. */
+  private async recordReading(): Promise<void> {
+    const unsent = [...this.requests].filter(([{unsentBytes}]) => unsentBytes);
+    const peers = new Map(unsent.map(([holding, {peer}]) => [holding, peer]));
+    const reading = await this.progress.findReading(peers);
+    const nowMs = this.clock.monotonicMs();
+    reading.forEach(holding => holding.recordRead(nowMs));
+  }
 }
 
 interface RequestMemoryOptions {
--- a/packages/caller-edge/src/slow_callers.test.ts
+++ b/packages/caller-edge/src/slow_callers.test.ts
@@ -2,13 +2,15 @@
 import {type AddressInfo, Socket, createServer} from 'node:net';
 import {once} from 'node:events';
 import {SystemClock} from '@mimosatack/clock';
+import {TypedError} from '@mimosatack/errors';
 import {DrainGate, InFlight} from '@mimosatack/drain-node';
 import {type AnswerSink, type CallerRequest} from '@mimosatack/serve-requests';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {CallerEdge} from './caller_edge.js';
 import {type EdgeDialect} from './edge_dialect.js';
-import {MemoryWatch} from './memory_watch.js';
+import {MemoryWatch, RequestMemory} from './memory_watch.js';
+import {readSendQueues} from './send_queues.js';
 
 const test = suite('callers that read slowly');
 
@@ -16,6 +18,8 @@
 const CHUNK = Buffer.alloc(65_536, 'x');
 const RESPONSE_CHUNKS = 400;
 
+const REST = {requestId: 'rest', peer: {}, cutOff: () => undefined};
+
 const DIALECT: EdgeDialect = {
   readRequest: ({headers, url}: IncomingMessage) =>
     ({requestId: url, headers: [], host: headers.host}) as unknown as Omit<
@@ -52,10 +56,15 @@
   const clock = new SystemClock();
   const cutOff: string[] = [];
   const pressures: boolean[] = [];
-  const memory = new MemoryWatch(clock, LIMIT_BYTES, {
-    onPressure: isUnderPressure => pressures.push(isUnderPressure),
-    onCutOff: requestId => cutOff.push(requestId),
-    onRefused: () => undefined,
+  const port = await findFreePort();
+  const memory = new MemoryWatch({
+    ...{clock, limitBytes: LIMIT_BYTES},
+    observer: {
+      onPressure: isUnderPressure => pressures.push(isUnderPressure),
+      onCutOff: requestId => cutOff.push(requestId),
+      onRefused: () => undefined,
+    },
+    readSendQueues: () => readSendQueues(port),
   });
   const edge = new CallerEdge({
     ...{clock, memory, dialect: DIALECT, serve: respond},
@@ -64,7 +73,6 @@
     onNoMemory: () => undefined,
     onFault: error => assert.unreachable(error.message),
   });
-  const port = await findFreePort();
   await edge.listen({ip: '127.0.0.1', port});
   return {edge, port, memory, cutOff, pressures};
 }
@@ -105,7 +113,7 @@
     mostBytes = Math.max(mostBytes, memory.budget.usedBytes);
   }, 1);
   const reading = sendRequest(port, '/reading');
-  const reader = setInterval(() => void reading.read(), 10);
+  const reader = setInterval(() => void reading.read(2_048), 10);
   const unread: Socket[] = [];
   let refusal = '';
   for (let at = 0; at < 20 && refusal === ''; at += 1) {
@@ -135,4 +143,28 @@
   edge.stopListening();
 });
 
+// Guards against cutting off a caller whose connection takes no bytes for seconds, since
+// the kernel has some MB for it, although it reads.
+test('a caller that reads slowly is cut off only once it stops', async () => {
+  const {edge, port, memory, cutOff} = await startEdge();
+  const socket = sendRequest(port, '/slow');
+  const reader = setInterval(() => void socket.read(10_240), 50);
+  await waitFor(
+    'the response to be unread',
+    () => memory.budget.usedBytes > CHUNK.length,
+  );
+  const rest = memory.admit(REST, 0.8 * LIMIT_BYTES);
+  assert.instance(memory.admit(REST, LIMIT_BYTES), TypedError);
+  await waitMs(5_000);
+  assert.equal(cutOff, []);
+  clearInterval(reader);
+  await waitFor('the caller to be cut off', () => cutOff.length > 0);
+  assert.equal(cutOff, ['/slow']);
+  assert.instance(rest, RequestMemory);
+  (rest as RequestMemory).close();
+  socket.destroy();
+  edge.closeAll();
+  edge.stopListening();
+});
+
 test.run();
--- a/packages/serving-node/src/make_memory_watch.ts
+++ b/packages/serving-node/src/make_memory_watch.ts
@@ -1,6 +1,10 @@
 /** Reports how memory that callers hold is bounded, as events and metrics. */
 import {findMemoryLimitBytes} from '@mimosatack/bound-memory';
-import {MemoryWatch} from '@mimosatack/caller-edge';
+import {
+  type MemoryObserver,
+  MemoryWatch,
+  readSendQueues,
+} from '@mimosatack/caller-edge';
 import {type ServingNodeOptions} from './serving_node_options.js';
 
 export function makeMemoryWatch({
@@ -13,7 +17,7 @@
   'clock' | 'logger' | 'metrics' | 'settings'
 >): MemoryWatch {
   const limitBytes = findMemoryLimitBytes(settings.memoryMb);
-  const watch: MemoryWatch = new MemoryWatch(clock, limitBytes, {
+  const observer: MemoryObserver = {
     onPressure: isUnderPressure =>
       logger.log(
         isUnderPressure ? 'memory-pressure-began' : 'memory-pressure-ended',
@@ -27,6 +31,10 @@
       });
     },
     onRefused: () => metrics.count('memory.refused', {}),
+  };
+  const watch = new MemoryWatch({
+    ...{clock, limitBytes, observer},
+    readSendQueues: () => readSendQueues(settings.callerAddress.port),
   });
   return watch;
 }
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -91,7 +91,7 @@
     this.connections = options.connections;
     this.configuration = this.makeConfiguration();
     this.servers = this.makeServers();
-    this.containment = this.makeContainment();
+    this.containment = makeContainment(this.recordParts);
     this.limits = this.makeLimits();
     this.streams = this.makeStreams();
     this.availability = makeServerAvailability(options, id =>
@@ -311,21 +311,19 @@
     });
   }
 
-  private makeContainment(): ContainmentTask {
-    return makeContainment({
+  /** What the tasks that keep records for all nodes have in common. */
+  private get recordParts() {
+    return {
       ...{...this.options, self: this.self, faults: this.faults},
       isWriter: () => this.duty.isHeld,
       findLinks: () => this.links,
-    });
+    };
   }
 
   private makeStreams(): StreamVersionsTask {
     return makeStreamVersions({
-      ...this.options,
-      ...{self: this.self, servers: this.servers, faults: this.faults},
-      isWriter: () => this.duty.isHeld,
+      ...{...this.recordParts, servers: this.servers},
       listNodes: () => this.register.list(),
-      findLinks: () => this.links,
     });
   }
 
--- a/packages/serving-node/src/status_server.ts
+++ b/packages/serving-node/src/status_server.ts
@@ -68,7 +68,8 @@
 
   private answer(request: IncomingMessage, response: ServerResponse): void {
     const {platform, isReady, listEntries} = this.options;
-    const [path = '', query = ''] = (request.url ?? '').split('?', 2);
+    const [path = '', ...rest] = (request.url ?? '').split('?');
+    const query = rest.join('?');
     if (path === platform.readyPath) {
       response.writeHead(isReady() ? STATUS_OK : STATUS_NOT_READY).end();
     } else if (path === platform.entriesPath) {
