Tell the next scheduling node of requests that nodes sent to engines by themselves

Cause, by a trace of a killed scheduling node: under-way named assigned requests only. The next scheduling node took the engines of the others for free, and engines rejected what it assigned there. Change: a request for an engine that is chosen without a scheduling node is kept under its ask id, so that under-way names it and run-ended frees its place. Why it holds: every request that a node has at an engine for an ask is in one table. The scheduling node ignores the end of a request that it was not told of.

--- a/packages/schedule-service/src/scheduled_chooser.test.ts
+++ b/packages/schedule-service/src/scheduled_chooser.test.ts
@@ -253,6 +253,20 @@
   assert.is((await pending).status, 'refused');
 });
 
+// Guards against a new scheduling node that takes an engine for free.
+test('a new scheduling node is told of requests that were sent without one', async () => {
+  const {chooser, sent, state} = startChooser(100);
+  state.hasHolder = false;
+  const choice = expectChosen(await chooser.choose(makeAsk(true)));
+  state.hasHolder = true;
+  chooser.sendStateToHolder();
+  chooser.recordResult(choice, 'answered', 5);
+  const [told, ended] = sent;
+  const runs = told?.type === 'under-way' ? told.runs : [];
+  assert.is(runs[0]?.engineId, SERVER.id);
+  assert.is(ended?.type === 'run-ended' && ended.askId, runs[0]?.ask.askId);
+});
+
 const REPORT: AvailabilityReport = {
   ...{serverId: SERVER.id, startedAtMs: null, isLeaving: false, pauseMs: 900},
 };
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -315,10 +315,7 @@
   private chooseLocally(pending: PendingAsk): void {
     const {clock, areAllLeaving} = this.options;
     void this.chargeAndChooseLocally(pending.ask).then(choice => {
-      if (choice.status === 'chosen') {
-        if (!pending.settle(choice)) this.release(choice);
-        return;
-      }
+      if (choice.status === 'chosen') return this.runLocally(pending, choice);
       if (areAllLeaving(pending.ask.service.name)) {
         pending.settle(choice);
         return;
@@ -329,6 +326,17 @@
     });
   }
 
+  /**
+   * Guards against a next scheduling node that takes engines for free which run the requests
+   * that nodes have sent there by themselves.
+   */
+  private runLocally(pending: PendingAsk, choice: ChosenServer): void {
+    const {ask, askId} = pending;
+    const isSettled = pending.settle({...choice, askId});
+    if (!isSettled) return this.release(choice);
+    this.runs.set(askId, {askId, ask, engineId: choice.server.id});
+  }
+
   private toPayloads(askId: string, ask: ServerAsk): AskPayload[] {
     const payload = toAskPayload(askId, ask, this.options.clock.monotonicMs());
     return payload ? [payload] : [];
