Give teams places at engines in turn while no node schedules

Cause, by a trace of a killed scheduling node beside a flood: when contact was lost, each node chose engines by itself for all asks that waited, at once. Engines rejected those of all teams alike (17 to 200 rejections), the bound on retries was used up, and streams of the small teams were refused: up to 5 of 24. Change: where the configuration names two teams or more, a node starts at most its part of the slots by itself, in the fair order that the scheduling node uses. The others wait for a place or the next scheduling node, at most 1.5 s. What it did meanwhile it also tells a scheduling node that is in touch again. Why it holds: the parts of all nodes add up to the slots, and a small team's counter is the lowest.

--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -4,7 +4,6 @@
  * that needs a model load waits briefly for the next scheduling node.
  */
 import {type Clock} from '@mimosatack/clock';
-import {TypedError} from '@mimosatack/errors';
 import {type RunResult, isNotRun} from '@mimosatack/schedule-models';
 import {
   type AttemptResult,
@@ -31,8 +30,14 @@
   type FromHolderMessage,
   type ToHolderMessage,
 } from './messages.js';
+import {LocalTurns} from './local_turns.js';
 import {type PermitClient} from './permit_client.js';
 import {PendingAsk} from './pending_ask.js';
+import {
+  makeNoTurnError,
+  makeOverQuotaError,
+  makeRefusalError,
+} from './refusal_errors.js';
 
 export interface ScheduledChooserOptions {
   clock: Clock;
@@ -43,6 +48,11 @@
   findServer: (id: BackendServerId) => BackendServerEntry | undefined;
   /** Whether all servers of a service that are known have said that they are leaving. */
   areAllLeaving: (service: string) => boolean;
+  /**
+   * How many requests this node may run at the engines of a service while no node schedules;
+   * null for any number.
+   */
+  findLocalLimit: (service: string) => number | null;
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
   quotas: LocalQuotas;
@@ -67,7 +77,6 @@
  * scheduling node, which takes over about 2 s after the previous one is lost.
  */
 const TAKEOVER_WAIT_MS = 1_500;
-const RETRY_AFTER_MS = 1_000;
 
 interface Run {
   askId: string;
@@ -80,10 +89,21 @@
   private readonly pendingAsks = new Map<string, PendingAsk>();
   private readonly runs = new Map<string, Run>();
   private readonly chargeClient: ChargeClient;
+  private readonly turns: LocalTurns;
+  /** Asks for which this node chooses a server by itself right now. */
+  private readonly starting = new Set<PendingAsk>();
   private nextAskNumber = 1;
+  /** Whether the scheduling node has not been told of all asks and runs. */
+  private isStateUntold = false;
 
   constructor(private readonly options: ScheduledChooserOptions) {
     this.chargeClient = new ChargeClient(options);
+    this.turns = new LocalTurns({
+      clock: options.clock,
+      findLimit: options.findLocalLimit,
+      countRuns: service => this.countRuns(service),
+      start: pending => this.startLocally(pending),
+    });
   }
 
   /** Requests that wait for a server to be chosen. */
@@ -151,18 +171,9 @@
     );
   }
 
-  /**
-   * Asks a scheduling node that is in touch again, since it did not get the asks of the
-   * meantime and learns of no other way.
-   */
+  /** Tells a scheduling node that is in touch again what it did not get meanwhile. */
   handleHolderBack(): void {
-    this.pendingAsks.forEach(pending => {
-      if (pending.isSubmitted) return;
-      const {askId, ask} = pending;
-      pending.isSubmitted = this.toPayloads(askId, ask).some(payload =>
-        this.options.sendToHolder({type: 'ask', ask: payload}),
-      );
-    });
+    if (this.isStateUntold) this.sendStateToHolder();
   }
 
   /** Sends all pending asks and running requests to a new scheduling node. */
@@ -178,7 +189,12 @@
     const isSent = this.options.sendToHolder({
       ...{type: 'under-way', incarnation, asks, runs, servers},
     });
-    this.pendingAsks.forEach(pending => (pending.isSubmitted ||= isSent));
+    if (!isSent) return;
+    this.isStateUntold = false;
+    this.pendingAsks.forEach(pending => {
+      pending.isSubmitted = true;
+      this.turns.remove(pending.askId);
+    });
   }
 
   /** Tells the scheduling node what a server has said. */
@@ -232,6 +248,7 @@
   ): void {
     if (askId === null || !this.runs.delete(askId)) return;
     this.sendRunEnded(askId, server.id, result, headMs, isUnsent);
+    this.turns.startDue();
   }
 
   /** Refunds the charge when no server can be chosen. */
@@ -271,7 +288,10 @@
 
   private addPendingAsk(askId: string, ask: ServerAsk): PendingAsk {
     const pending = new PendingAsk(askId, ask, {
-      onSettled: () => this.pendingAsks.delete(askId),
+      onSettled: () => {
+        this.pendingAsks.delete(askId);
+        this.turns.remove(askId);
+      },
       onWithdrawn: () => this.options.sendToHolder({type: 'withdraw', askId}),
     });
     if (!ask.signal.aborted) this.pendingAsks.set(askId, pending);
@@ -314,8 +334,24 @@
    */
   private chooseLocally(pending: PendingAsk): void {
     const {clock, areAllLeaving} = this.options;
+    this.isStateUntold = true;
+    if (areAllLeaving(pending.ask.service.name)) {
+      return this.startLocally(pending);
+    }
+    this.turns.add(pending);
+    clock.setTimer(TAKEOVER_WAIT_MS, () => {
+      if (!this.turns.remove(pending.askId)) return;
+      pending.settle({status: 'refused', error: makeNoTurnError()});
+    });
+  }
+
+  private startLocally(pending: PendingAsk): void {
+    const {clock, areAllLeaving} = this.options;
+    this.starting.add(pending);
     void this.chargeAndChooseLocally(pending.ask).then(choice => {
+      this.starting.delete(pending);
       if (choice.status === 'chosen') return this.runLocally(pending, choice);
+      this.turns.startDue();
       if (areAllLeaving(pending.ask.service.name)) {
         pending.settle(choice);
         return;
@@ -326,6 +362,12 @@
     });
   }
 
+  private countRuns(service: string): number {
+    return [...this.runs.values(), ...this.starting].filter(
+      ({ask}) => ask.service.name === service,
+    ).length;
+  }
+
   /**
    * Guards against a next scheduling node that takes engines for free which run the requests
    * that nodes have sent there by themselves.
@@ -354,27 +396,3 @@
     });
   }
 }
-
-function makeRefusalError(
-  {reason, retryAfterMs}: Extract<FromHolderMessage, {type: 'refused'}>,
-  charge: QuotaCharge | null,
-): TypedError {
-  if (reason === 'over-quota') return makeOverQuotaError(charge, retryAfterMs);
-  return new TypedError('not-warm', `No engine can serve it now: ${reason}.`, {
-    run: 'not-run',
-    retryAfterMs: Math.max(retryAfterMs, RETRY_AFTER_MS / 2),
-    info: {reason},
-  });
-}
-
-function makeOverQuotaError(
-  charge: QuotaCharge | null,
-  retryAfterMs: number,
-): TypedError {
-  const team = charge?.team ?? '';
-  return new TypedError(
-    'rate-limited',
-    `The team ${team} has used up its quota.`,
-    {run: 'not-run', retryAfterMs, info: {team, amount: charge?.amount}},
-  );
-}
--- a/packages/serving-node/src/server_chooser.ts
+++ b/packages/serving-node/src/server_chooser.ts
@@ -23,6 +23,9 @@
   limiter: ServerLimiter;
   availability: ServerAvailability;
   quotas: TeamQuotas;
+  /** Whether teams have shares in scarce capacity. */
+  hasTeamShares: () => boolean;
+  countNodes: () => number;
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
 }
@@ -44,6 +47,13 @@
       listServers: service => servers.listReady(service),
     }),
     findServer: id => servers.find(id),
+    findLocalLimit: service => {
+      if (!options.hasTeamShares()) return null;
+      const slots = servers
+        .listReady(service)
+        .reduce((sum, server) => sum + server.slots, 0);
+      return Math.ceil(slots / Math.max(1, options.countNodes()));
+    },
     areAllLeaving: service => {
       const ready = servers.listReady(service);
       return (
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -45,7 +45,7 @@
 } from './stream_versions_task.js';
 import {makeStreamVersions} from './make_stream_versions.js';
 import {makeTeamTasks} from './team_tasks.js';
-import {findTeamWeights} from './team_weights.js';
+import {findTeamWeights, hasShares} from './team_weights.js';
 import {CLOSE_MARGIN_MS, KEEP_LISTENING_MS} from './stop_times.js';
 
 const DUTY_KEY = 'scheduler';
@@ -442,6 +442,8 @@
       incarnation: this.self.incarnation,
       servers: this.servers,
       limiter: this.limits.ownLimiter,
+      hasTeamShares: () => hasShares(this.configuration.configuration),
+      countNodes: () => this.register.list().length,
       availability: this.availability,
       quotas: this.quotas,
       sendToHolder: message => this.links.holderChannel.send(message),
--- a/packages/serving-node/src/team_weights.ts
+++ b/packages/serving-node/src/team_weights.ts
@@ -1,6 +1,10 @@
 /** Decides whether teams share scarce capacity, and in which proportion. */
 import {type TeamWeights} from '@mimosatack/schedule-service';
-import {type TeamName, type TeamSpec} from '@mimosatack/types';
+import {
+  type ServingConfiguration,
+  type TeamName,
+  type TeamSpec,
+} from '@mimosatack/types';
 
 /** A single team would share with nobody. */
 const MIN_TEAMS = 2;
@@ -14,6 +18,13 @@
   teams: readonly TeamSpec[] | null,
   weights: ReadonlyMap<TeamName, number>,
 ): TeamWeights {
-  if (!teams || teams.length < MIN_TEAMS) return null;
+  if (!teams || !hasShares({teams})) return null;
   return new Map(teams.map(({team}) => [team, weights.get(team) ?? 1]));
 }
+
+/** Whether teams have shares in scarce capacity. */
+export function hasShares(
+  configuration: Pick<ServingConfiguration, 'teams'> | null,
+): boolean {
+  return (configuration?.teams?.length ?? 0) >= MIN_TEAMS;
+}
