--- a/packages/schedule-places/src/service_places.ts
+++ b/packages/schedule-places/src/service_places.ts
@@ -15,6 +15,11 @@
 } from './place_request.js';
 import {ServiceServers} from './service_servers.js';
 
+export interface EndedRequests {
+  running: readonly PlaceRequest[];
+  waiting: readonly PlaceRequest[];
+}
+
 export interface ServicePlacesOptions {
   random: RandomSource;
   estimateStart: EstimateStart;
@@ -111,16 +116,15 @@
     return lowered && {...lowered, serverId: run.serverId};
   }
 
-  /** Ends what runs and waits for a node, or for its earlier incarnations. */
-  endOfNode(nodeAddress: string, currentIncarnation: string | null): string[] {
+  /** Ends what runs and waits for one process of a node, and returns it. */
+  endRequestsOf(incarnation: string): EndedRequests {
     const isOver = (request: PlaceRequest) =>
-      request.nodeAddress === nodeAddress &&
-      request.incarnation !== currentIncarnation;
-    const runs = this.servers.listRuns(({request}) => isOver(request));
-    const waiting = this.queue.listWhere(isOver).map(({id}) => id);
-    runs.forEach(askId => this.servers.end(askId));
-    waiting.forEach(askId => this.queue.remove(askId));
-    return [...runs, ...waiting];
+      request.incarnation === incarnation;
+    const running = this.servers.listRuns(({request}) => isOver(request));
+    const waiting = this.queue.listWhere(isOver);
+    running.forEach(({id}) => this.servers.end(id));
+    waiting.forEach(({id}) => this.queue.remove(id));
+    return {running, waiting};
   }
 
   decide(nowMs: number): PlaceDecision[] {
@@ -176,15 +180,22 @@
   private expire(nowMs: number): PlaceDecision[] {
     if (nowMs - this.expiredAtMs < EXPIRY_INTERVAL_MS) return [];
     this.expiredAtMs = nowMs;
-    this.servers
-      .listRuns(({request}) => request.endsAtMs <= nowMs)
-      .forEach(askId => this.servers.end(askId));
-    return this.queue
+    const overdue = this.servers.listRuns(
+      ({request}) => request.endsAtMs <= nowMs,
+    );
+    overdue.forEach(({id}) => this.servers.end(id));
+    const refused = this.queue
       .listWhere(({waitDeadlineAtMs}) => waitDeadlineAtMs <= nowMs)
       .map(request => {
         this.queue.remove(request.id);
         return this.refuse(request, this.findStartMs(request, nowMs), 0);
       });
+    if (overdue.length === 0) return refused;
+    const cause = 'deadline-passed';
+    return [
+      {kind: 'abandon', cause, running: overdue, waiting: []},
+      ...refused,
+    ];
   }
 
   private refuse(
--- a/packages/schedule-service/src/limited_servers.test.ts
+++ b/packages/schedule-service/src/limited_servers.test.ts
@@ -55,9 +55,10 @@
       },
     });
     return new LeastLoadedChooser({
-      ...{clock, random, permits, ownDomain: 'a'},
+      ...{clock, random, permits, ownDomain: 'a', crossDomainCostMs: 5},
       listServers: () => SERVERS,
       availability: {findWaitMs: () => 0},
+      findHostShare: () => 1,
     });
   });
   return {clock, choosers};
--- a/packages/schedule-service/src/pending_ask.ts
+++ b/packages/schedule-service/src/pending_ask.ts
@@ -1,4 +1,5 @@
 /** A request that waits for a backend server to be chosen. */
+import {type Timer} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type ServerAsk, type ServerChoice} from '@mimosatack/serve-requests';
 import {type BackendServerId} from '@mimosatack/types';
@@ -16,6 +17,7 @@
   isSubmitted = false;
   private resolve!: (choice: ServerChoice) => void;
   private isSettled = false;
+  private timer: Timer | null = null;
   private readonly onAbort = () => this.withdraw();
 
   constructor(
@@ -28,10 +30,26 @@
     if (current.signal.aborted) this.withdraw();
   }
 
+  /** Whether the scheduling node has not answered, and the ask is not settled. */
+  get isWaitingForAnswer(): boolean {
+    return this.timer !== null;
+  }
+
   get ask(): ServerAsk {
     return this.current;
   }
 
+  /** The timer is cancelled once the ask is settled. */
+  setTimer(timer: Timer): void {
+    this.timer = timer;
+    if (this.isSettled) timer.cancel();
+  }
+
+  cancelTimer(): void {
+    this.timer?.cancel();
+    this.timer = null;
+  }
+
   exclude(id: BackendServerId): void {
     const excluded = new Set([...this.current.excluded, id]);
     this.current = {...this.current, excluded};
@@ -41,6 +59,7 @@
   settle(choice: ServerChoice): boolean {
     if (this.isSettled) return false;
     this.isSettled = true;
+    this.cancelTimer();
     this.current.signal.removeEventListener('abort', this.onAbort);
     this.events.onSettled();
     this.resolve(choice);
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -11,11 +11,13 @@
   type ServerAsk,
   type ServerChoice,
   type ServerChooser,
+  type NamedTerms,
   type ServerLoad,
 } from '@mimosatack/serve-requests';
 import {
   type BackendServerEntry,
   type BackendServerId,
+  type ServiceName,
   isVersionAllowed,
 } from '@mimosatack/types';
 import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
@@ -32,12 +34,15 @@
 } from './messages.js';
 import {LocalTurns} from './local_turns.js';
 import {type PermitClient} from './permit_client.js';
-import {PendingAsk} from './pending_ask.js';
+import {type PressureReporter} from './pressure_reporter.js';
 import {
+  makeNoPlaceError,
   makeNoTurnError,
   makeOverQuotaError,
   makeRefusalError,
 } from './refusal_errors.js';
+import {RecentRefusals} from './recent_refusals.js';
+import {PendingAsk} from './pending_ask.js';
 
 export interface ScheduledChooserOptions {
   clock: Clock;
@@ -56,6 +61,7 @@
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
   quotas: LocalQuotas;
+  pressure: PressureReporter;
   permits: Pick<PermitClient, 'settle' | 'handleHolderLost'>;
   availability: Pick<ServerAvailability, 'describe' | 'list'>;
   /** Called when a request that is charged locally exceeds its team's quota. */
@@ -77,6 +83,11 @@
  * scheduling node, which takes over about 2 s after the previous one is lost.
  */
 const TAKEOVER_WAIT_MS = 1_500;
+/**
+ * How long a request for a place waits for an answer of the scheduling node, before this node
+ * chooses by itself. Bounds what a frozen scheduling node costs each request.
+ */
+const PLACE_ANSWER_TIMEOUT_MS = 300;
 
 interface Run {
   askId: string;
@@ -92,9 +103,12 @@
   private readonly turns: LocalTurns;
   /** Asks for which this node chooses a server by itself right now. */
   private readonly starting = new Set<PendingAsk>();
-  private nextAskNumber = 1;
   /** Whether the scheduling node has not been told of all asks and runs. */
   private isStateUntold = false;
+  private readonly refusals = new RecentRefusals();
+  private nextAskNumber = 1;
+  /** Services without models whose places the scheduling node assigns. */
+  private coordinated: ReadonlySet<ServiceName> = new Set();
 
   constructor(private readonly options: ScheduledChooserOptions) {
     this.chargeClient = new ChargeClient(options);
@@ -114,26 +128,54 @@
   async choose(ask: ServerAsk): Promise<ServerChoice> {
     const {clock, askIdPrefix, sendToHolder} = this.options;
     const askId = `${askIdPrefix}.${this.nextAskNumber++}`;
-    const payload = ask.service.engine
+    if (!ask.service.engine) {
+      this.options.pressure.addPlainService(ask.service.name);
+    }
+    const payload = this.isScheduled(ask)
       ? toAskPayload(askId, ask, clock.monotonicMs())
       : null;
     if (!payload) return this.chargeAndChooseLocally(ask);
+    const refusedForMs = this.findRecentRefusal(ask);
+    if (refusedForMs !== null) {
+      return {status: 'refused', error: makeNoPlaceError(refusedForMs)};
+    }
     const pending = this.addPendingAsk(askId, ask);
+    if (!ask.service.engine) this.startAnswerTimer(pending);
     pending.isSubmitted = sendToHolder({type: 'ask', ask: payload});
     if (!pending.isSubmitted) this.chooseLocally(pending);
     return pending.choice;
   }
 
+  /** Sets the services without models whose places the scheduling node assigns. */
+  setCoordinated(services: readonly ServiceName[]): void {
+    this.coordinated = new Set(services);
+  }
+
+  /** Only for requests that a caller has just sent, and that are charged with their ask. */
+  private findRecentRefusal(ask: ServerAsk): number | null {
+    if (ask.service.engine) return null;
+    return this.refusals.find(ask, this.options.clock.monotonicMs());
+  }
+
+  private isScheduled({service}: ServerAsk): boolean {
+    return service.engine !== null || this.coordinated.has(service.name);
+  }
+
   /** Handles a message of the scheduling node. */
   receive(message: FromHolderMessage): void {
+    if (message.type === 'coordinated-services') {
+      return this.setCoordinated(message.services);
+    }
     if (this.options.permits.settle(message)) return;
     if (this.chargeClient.settle(message)) return;
     if (message.type === 'charged' || message.type === 'permitted') return;
     const pending = this.pendingAsks.get(message.askId);
+    if (message.type === 'queued') return pending?.cancelTimer();
     if (message.type === 'refused') {
+      this.recordRefusal(message, pending);
       pending?.settle({
         status: 'refused',
-        error: makeRefusalError(message, pending.ask.charge),
+        error: makeRefusalError(message, pending.ask),
       });
       return;
     }
@@ -189,6 +231,7 @@
     const isSent = this.options.sendToHolder({
       ...{type: 'under-way', incarnation, asks, runs, servers},
     });
+    this.options.pressure.repeatAll();
     if (!isSent) return;
     this.isStateUntold = false;
     this.pendingAsks.forEach(pending => {
@@ -228,15 +271,24 @@
 
   recordLoad(server: BackendServerEntry, load: ServerLoad): void {
     this.options.local.recordLoad(server, load);
+    this.options.pressure.recordLoad(server, load);
+  }
+
+  recordTerms(server: BackendServerEntry, terms: NamedTerms): void {
+    this.options.pressure.recordTerms(server, terms);
   }
 
   recordResult(
     choice: ChosenServer,
     result: AttemptResult,
     headMs: number | null,
+    isSuccess = false,
   ): void {
-    this.options.local.recordResult(choice, result, headMs);
+    this.options.local.recordResult(choice, result, headMs, isSuccess);
     if (isNotRun(result)) this.refundCharge(choice);
+    if (result === 'not-taken') {
+      this.options.pressure.recordRejection(choice.server);
+    }
     this.endRun(choice, result === 'answered' ? 'served' : result, headMs);
   }
 
@@ -298,6 +350,32 @@
     return pending;
   }
 
+  private recordRefusal(
+    {forecastMs, retryAfterMs}: Extract<FromHolderMessage, {type: 'refused'}>,
+    pending: PendingAsk | undefined,
+  ): void {
+    if (!pending || typeof forecastMs !== 'number') return;
+    const nowMs = this.options.clock.monotonicMs();
+    this.refusals.record(pending.ask, forecastMs, retryAfterMs, nowMs);
+  }
+
+  /**
+   * Timers run before messages that have arrived are read. Guards against falling back since
+   * this process was delayed, and not the scheduling node.
+   */
+  private startAnswerTimer(pending: PendingAsk): void {
+    const {clock} = this.options;
+    const onTimeout = () => setImmediate(() => this.giveUpAnswer(pending));
+    pending.setTimer(clock.setTimer(PLACE_ANSWER_TIMEOUT_MS, onTimeout));
+  }
+
+  private giveUpAnswer(pending: PendingAsk): void {
+    if (!pending.isWaitingForAnswer) return;
+    const {askId} = pending;
+    this.options.sendToHolder({type: 'withdraw', askId});
+    this.fallBackToLocal(pending);
+  }
+
   private assign(pending: PendingAsk, server: BackendServerEntry): void {
     const {ask, askId} = pending;
     const nowMs = this.options.clock.monotonicMs();
@@ -325,6 +403,7 @@
 
   private fallBackToLocal(pending: PendingAsk): void {
     pending.isSubmitted = false;
+    pending.cancelTimer();
     this.chooseLocally(pending);
   }
 
@@ -334,8 +413,9 @@
    */
   private chooseLocally(pending: PendingAsk): void {
     const {clock, areAllLeaving} = this.options;
+    const {service} = pending.ask;
     this.isStateUntold = true;
-    if (areAllLeaving(pending.ask.service.name)) {
+    if (!service.engine || areAllLeaving(service.name)) {
       return this.startLocally(pending);
     }
     this.turns.add(pending);
@@ -352,7 +432,9 @@
       this.starting.delete(pending);
       if (choice.status === 'chosen') return this.runLocally(pending, choice);
       this.turns.startDue();
-      if (areAllLeaving(pending.ask.service.name)) {
+      // Engines may have to load a model, which needs the scheduling node.
+      const {service} = pending.ask;
+      if (!service.engine || areAllLeaving(service.name)) {
         pending.settle(choice);
         return;
       }
@@ -374,9 +456,10 @@
    */
   private runLocally(pending: PendingAsk, choice: ChosenServer): void {
     const {ask, askId} = pending;
-    const isSettled = pending.settle({...choice, askId});
+    const isKept = ask.service.engine !== null;
+    const isSettled = pending.settle(isKept ? {...choice, askId} : choice);
     if (!isSettled) return this.release(choice);
-    this.runs.set(askId, {askId, ask, engineId: choice.server.id});
+    if (isKept) this.runs.set(askId, {askId, ask, engineId: choice.server.id});
   }
 
   private toPayloads(askId: string, ask: ServerAsk): AskPayload[] {
--- a/packages/serve-requests/src/backend_dialect.ts
+++ b/packages/serve-requests/src/backend_dialect.ts
@@ -23,6 +23,19 @@
   running: number;
   waiting: number;
   slots: number;
+  /**
+   * How long work takes on the machine at this moment, in percent of the usual time; null
+   * if the server does not say it in a readable form.
+   */
+  slowdownPercent: number | null;
+}
+
+/** What a server says of the load that it takes from all hosts. */
+export interface NamedTerms {
+  /** The rejections per second that it tolerates; null if it does not say. */
+  brittlePerSecond: number | null;
+  /** Whether it names a limit. */
+  isLimited: boolean;
 }
 
 /** The decoded head of a response. */
@@ -39,6 +52,8 @@
   load: ServerLoad | null;
   /** Requests per second that the server takes from all hosts together. */
   limit: NamedLimit;
+  /** Rejections per second beyond which the server fails; null if it does not say. */
+  brittlePerSecond: number | null;
   availability: AvailabilityFacts;
 }
 
--- a/packages/serve-requests/src/index.ts
+++ b/packages/serve-requests/src/index.ts
@@ -6,6 +6,7 @@
 export {
   type AnswerFacts,
   type BackendDialect,
+  type NamedTerms,
   type SendParameters,
   type ServerLoad,
 } from './backend_dialect.js';
@@ -19,6 +20,7 @@
   LeastLoadedChooser,
   type ServerPermits,
 } from './least_loaded_chooser.js';
+export {type SpillChange, SpillWatch} from './spill_watch.js';
 export {
   type PipelineOptions,
   type RequestHead,
@@ -42,3 +44,4 @@
   type ServerChoice,
   type ServerChooser,
 } from './server_chooser.js';
+export {findWaitDeadlineMs} from './wait_deadline.js';
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -1,4 +1,7 @@
-/** Chooses the least loaded server that can serve a request. */
+/**
+ * Chooses the least loaded server that can serve a request, or the one that would complete
+ * it first if servers of its service report how much they are slowed down.
+ */
 import {type Clock, sleep} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type RandomSource} from '@mimosatack/random';
@@ -11,7 +14,8 @@
   isVersionAllowed,
 } from '@mimosatack/types';
 import {type ServerAvailability} from '@mimosatack/track-availability';
-import {type ServerLoad} from './backend_dialect.js';
+import {type NamedTerms, type ServerLoad} from './backend_dialect.js';
+import {CompletionChoices} from './completion_choices.js';
 import {
   type AttemptResult,
   type ChosenServer,
@@ -25,10 +29,19 @@
   clock: Clock;
   random: RandomSource;
   ownDomain: FailureDomain;
+  /**
+   * How much later than one of another failure domain a server of the own domain may be;
+   * for services whose servers report slowdowns.
+   */
+  crossDomainCostMs: number;
+  /** Called for each request that is sent to a server. */
+  onSent?: (choice: ChosenServer, isSameDomain: boolean) => void;
   /** The servers of a service that accept new requests. */
   listServers: (service: string) => readonly BackendServerEntry[];
   permits: ServerPermits;
   availability: Pick<ServerAvailability, 'findWaitMs'>;
+  /** The fraction of what servers tolerate that this host may use, from 0 to 1. */
+  findHostShare: () => number;
 }
 
 /** Permits for requests to servers that name a limit. */
@@ -54,6 +67,14 @@
 /** A failed server is avoided for this long while others are available. */
 const FAILURE_COOLDOWN_MS = 500;
 const RETRY_AFTER_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+/**
+ * All hosts together cause at most one in this many of the rejections that a brittle server
+ * tolerates. Half of them are left to requests that are under way at the first rejection.
+ */
+const SPARE_FACTOR = 2;
+/** A brittle server is tried at least this often by each host. */
+const MAX_SPARE_MS = 10_000;
 
 /** A choice between limited servers. */
 interface PermittedChoice {
@@ -74,13 +95,20 @@
   inFlightAtLoad: number;
   loadAtMs: number;
   failedAtMs: number;
+  /** Rejections per second that the server tolerates; null if it does not say. */
+  brittlePerSecond: number | null;
+  /** Until when the server gets no request by this node's own choice. */
+  spareUntilMs: number;
 }
 
 /** Ranks servers by this node's requests in flight and by reported loads. */
 export class LeastLoadedChooser implements ServerChooser {
   private readonly statsByServer = new Map<BackendServerId, ServerStats>();
+  private readonly completion: CompletionChoices;
 
-  constructor(private readonly options: LeastLoadedOptions) {}
+  constructor(private readonly options: LeastLoadedOptions) {
+    this.completion = new CompletionChoices(options);
+  }
 
   async choose(ask: ServerAsk): Promise<ServerChoice> {
     const {clock} = this.options;
@@ -149,8 +177,7 @@
     const {permits} = this.options;
     const isUnlimited = (server: BackendServerEntry) =>
       !permits.isLimited(server);
-    const {availability} = this.options;
-    const waits = servers.map(server => availability.findWaitMs(server));
+    const waits = servers.map(server => this.findWaitMs(server));
     let left = servers.filter((_, index) => waits[index] === 0);
     let soonest: {server: BackendServerEntry | null; waitMs: number} = {
       ...{server: null, waitMs: Math.min(Infinity, ...waits.filter(Boolean))},
@@ -174,8 +201,11 @@
     // Choices are not tracked until their requests are sent.
   }
 
-  recordSent({server}: ChosenServer): void {
+  recordSent(choice: ChosenServer): void {
+    const {server} = choice;
     this.getOrCreateStats(server).inFlight += 1;
+    this.completion.recordSent(choice, this.options.clock.monotonicMs());
+    this.options.onSent?.(choice, this.isSameDomain(server));
   }
 
   recordLoad(server: BackendServerEntry, load: ServerLoad): void {
@@ -183,14 +213,45 @@
     stats.load = load;
     stats.inFlightAtLoad = stats.inFlight;
     stats.loadAtMs = this.options.clock.monotonicMs();
+    this.completion.recordLoad(server, load, stats.loadAtMs);
   }
 
-  recordResult({server}: ChosenServer, result: AttemptResult): void {
-    const stats = this.getOrCreateStats(server);
+  recordTerms(
+    server: BackendServerEntry,
+    {brittlePerSecond}: NamedTerms,
+  ): void {
+    const known = this.statsByServer.get(server.id);
+    if (brittlePerSecond === null && !known) return;
+    this.getOrCreateStats(server).brittlePerSecond = brittlePerSecond;
+  }
+
+  recordResult(
+    choice: ChosenServer,
+    result: AttemptResult,
+    _headMs: number | null,
+    isSuccess = false,
+  ): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const stats = this.getOrCreateStats(choice.server);
     stats.inFlight = Math.max(0, stats.inFlight - 1);
     if (result === 'failed' || result === 'unreachable') {
-      stats.failedAtMs = this.options.clock.monotonicMs();
+      stats.failedAtMs = nowMs;
     }
+    this.completion.recordResult(choice, result, isSuccess, nowMs);
+    const {brittlePerSecond} = stats;
+    if (result !== 'not-taken' || brittlePerSecond === null) return;
+    const tolerated = brittlePerSecond * this.options.findHostShare();
+    stats.spareUntilMs =
+      nowMs +
+      Math.min(MAX_SPARE_MS, (SPARE_FACTOR * MS_PER_SECOND) / tolerated);
+  }
+
+  /** Time until the server may get a request by this node's own choice. */
+  private findWaitMs(server: BackendServerEntry): number {
+    const {availability, clock} = this.options;
+    const spareUntilMs = this.statsByServer.get(server.id)?.spareUntilMs;
+    const spareMs = (spareUntilMs ?? -Infinity) - clock.monotonicMs();
+    return Math.max(0, spareMs, availability.findWaitMs(server));
   }
 
   private pickCheapest(
@@ -198,6 +259,9 @@
   ): BackendServerEntry | undefined {
     const {random, clock} = this.options;
     const nowMs = clock.monotonicMs();
+    const ranking =
+      servers[0] && this.completion.findRanking(servers[0].service);
+    if (ranking) return ranking.pick(servers, nowMs);
     const costs = servers.map(server => ({
       server,
       cost:
@@ -211,8 +275,7 @@
 
   private cost(server: BackendServerEntry, nowMs: number): number {
     const stats = this.statsByServer.get(server.id);
-    const isSameDomain = server.failureDomain === this.options.ownDomain;
-    const domainCost = isSameDomain ? 0 : CROSS_DOMAIN_COST;
+    const domainCost = this.isSameDomain(server) ? 0 : CROSS_DOMAIN_COST;
     if (!stats) return domainCost;
     const isLoadFresh = nowMs - stats.loadAtMs < LOAD_MAX_AGE_MS;
     const reportedLoad = isLoadFresh && stats.load;
@@ -230,6 +293,10 @@
     );
   }
 
+  private isSameDomain({failureDomain}: BackendServerEntry): boolean {
+    return failureDomain === this.options.ownDomain;
+  }
+
   /** Stats start empty after each restart of a server. */
   private getOrCreateStats({id, startedAtMs}: BackendServerEntry): ServerStats {
     const known = this.statsByServer.get(id);
@@ -250,6 +317,7 @@
     inFlightAtLoad: 0,
     loadAtMs: -Infinity,
     failedAtMs: -Infinity,
+    ...{brittlePerSecond: null, spareUntilMs: -Infinity},
   };
 }
 
--- a/packages/serve-requests/src/limited_servers.test.ts
+++ b/packages/serve-requests/src/limited_servers.test.ts
@@ -12,8 +12,14 @@
 function makeChooser(waits: Record<string, number | null>) {
   const clock = new ManualClock();
   const chooser = new LeastLoadedChooser({
-    ...{clock, random: new SeededRandom(1), ownDomain: 'hall-a'},
+    ...{
+      clock,
+      random: new SeededRandom(1),
+      ownDomain: 'hall-a',
+      crossDomainCostMs: 5,
+    },
     listServers: () => Object.keys(waits).map(id => makeServer({id})),
+    findHostShare: () => 0.25,
     permits: {
       isLimited: ({id}) => waits[id] !== null,
       request: ({id}) => Promise.resolve(waits[id] ?? 0),
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -186,7 +186,9 @@
     const outcome = await attempt.outcome;
     this.attempt = null;
     this.stallFailover?.stop();
-    chooser.recordResult(choice, toAttemptResult(outcome), this.log.headMs);
+    const isSuccess = outcome.status === 'answered' && outcome.isSuccess;
+    const result = toAttemptResult(outcome);
+    chooser.recordResult(choice, result, this.log.headMs, isSuccess);
     this.guard.recordOutcome(outcome, server);
     const mayHaveStarted =
       outcome.status === 'broken' || outcome.status === 'refusing';
@@ -230,6 +232,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxIdleMs: this.isRepeatable ? Infinity : MAX_IDLE_NON_REPEATABLE_MS,
       onLoad: load => chooser.recordLoad(server, load),
+      onTerms: terms => chooser.recordTerms(server, terms),
       onLimit: limit => this.options.limits.recordResponse(server, limit),
       onAvailability: facts => {
         this.log.recordPause(facts.pauseMs);
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -1,6 +1,6 @@
 /** Wires the tasks and listeners of one serving node. */
 import {type BackendConnections} from '@mimosatack/backend-connections';
-import {CallerEdge} from '@mimosatack/caller-edge';
+import {CallerEdge, type MemoryWatch} from '@mimosatack/caller-edge';
 import {SuspensionAwareClock} from '@mimosatack/clock';
 import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
 import {type DutyHolder} from '@mimosatack/hold-duty';
@@ -20,10 +20,12 @@
 import {type ServingConfiguration} from '@mimosatack/types';
 import {type CallerAccess} from './caller_access.js';
 import {ConfigurationFollower} from './configuration_follower.js';
-import {CONTAINED_KEY, ContainmentTask} from './containment_task.js';
+import {CONTAINED_KEY, type ContainmentTask} from './containment_task.js';
 import {describeSelf} from './describe_self.js';
 import {EntryPoints} from './entry_points.js';
 import {FaultLog} from './fault_log.js';
+import {makeContainment} from './make_containment.js';
+import {makeMemoryWatch} from './make_memory_watch.js';
 import {NodeDeparture} from './node_departure.js';
 import {NodeRegister, type RecordReader} from './node_register.js';
 import {type NodeSettings} from './node_settings.js';
@@ -43,12 +45,12 @@
   MIXED_SERVICES_KEY,
   type StreamVersionsTask,
 } from './stream_versions_task.js';
+import {makeDutyTaskOptions} from './make_duty_task_options.js';
 import {makeStreamVersions} from './make_stream_versions.js';
 import {makeTeamTasks} from './team_tasks.js';
-import {findTeamWeights, hasShares} from './team_weights.js';
+import {TeamWeightsReader} from './team_weights.js';
 import {CLOSE_MARGIN_MS, KEEP_LISTENING_MS} from './stop_times.js';
 
-const DUTY_KEY = 'scheduler';
 const MAINTENANCE_INTERVAL_MS = 1_000;
 
 /** Routes requests to backend servers that the platform runs. */
@@ -63,12 +65,14 @@
   private readonly containment: ContainmentTask;
   private readonly access: CallerAccess;
   private readonly quotas: TeamQuotas;
+  private readonly teamWeights: TeamWeightsReader;
   private readonly links: NodeLinks;
   private readonly limits: SharedLimits;
   private readonly streams: StreamVersionsTask;
   private readonly availability: ServerAvailability;
   private readonly chooser: ScheduledChooser;
   private readonly pipeline: RequestPipeline;
+  private readonly memory: MemoryWatch;
   private readonly edge: CallerEdge;
   private readonly status: StatusServer;
   private readonly entryPoints: EntryPoints;
@@ -87,6 +91,7 @@
     this.startedAtMs = clock.monotonicMs();
     this.connections = options.connections;
     this.configuration = this.makeConfiguration();
+    this.teamWeights = new TeamWeightsReader(settings, this.configuration);
     this.servers = this.makeServers();
     this.containment = this.makeContainment();
     this.limits = this.makeLimits();
@@ -115,14 +120,17 @@
     this.entryPoints = new EntryPoints({
       ...{clock, settings, self: this.self},
       listNodes: () => this.register.list(),
-      isServing: () => this.isServing,
+      isServing: () => this.acceptsCallers,
     });
     this.gate = new DrainGate(new InFlight(clock));
     this.shutdown = this.makeShutdown();
+    this.memory = makeMemoryWatch(options);
     this.edge = new CallerEdge({
       ...{clock, gate: this.gate},
       dialect: options.platform.callerDialect,
       checkHead: head => this.pipeline.checkAccess(head),
+      memory: this.memory,
+      onNoMemory: (head, error) => this.pipeline.logRefused(head, error),
       serve: (request, sink) => this.pipeline.serve(request, sink),
       onFault: error => this.faults.logTaskFailure(error, 'callers'),
     });
@@ -207,6 +215,7 @@
       dutiesHeld: this.duty.isHeld ? 1 : 0,
       retryShare: this.limits.retryShare.fraction,
       configurationAgeMs: this.configuration.ageMs,
+      ...this.memory.gauges,
       teams: this.quotas.listLevels(),
       ...this.containment.gauges,
       ...this.streams.gauges,
@@ -223,9 +232,14 @@
     );
   }
 
+  /** Whether callers should come here; a node without memory stays ready. */
+  private get acceptsCallers(): boolean {
+    return this.isServing && !this.memory.budget.isExhausted;
+  }
+
   private readStatus(): NodeStatus {
     return {
-      isServing: this.isServing,
+      isServing: this.acceptsCallers,
       reachesServers: !this.paths.isCutOff,
       uptimeMs: this.options.clock.monotonicMs() - this.startedAtMs,
       ...this.sharedRecords.describeProgress(),
@@ -300,15 +314,10 @@
   }
 
   private makeContainment(): ContainmentTask {
-    const {clock, logger, platform} = this.options;
-    return new ContainmentTask({
-      ...{clock, logger, topic: platform.nodesTopic},
-      incarnation: this.self.incarnation,
+    return makeContainment({
+      ...{...this.options, self: this.self, faults: this.faults},
       isWriter: () => this.duty.isHeld,
-      askHolder: (ask, timeoutMs) =>
-        this.links.holderChannel.askForLease(ask, timeoutMs),
-      tellHolder: release => this.links.holderChannel.releaseLease(release),
-      onFault: error => this.faults.logTaskFailure(error, 'containment'),
+      findLinks: () => this.links,
     });
   }
 
@@ -323,32 +332,22 @@
   }
 
   private makeDuty(): SchedulingDuty {
-    const {clock, random, platform, settings, logger} = this.options;
-    const {nodeName, incarnation, peerAddress} = this.self;
+    const {clock, random, platform, logger} = this.options;
+    const {incarnation} = this.self;
     return new SchedulingDuty({
-      ...{clock, logger, orders: platform.engineOrders},
+      ...{clock, logger, random, orders: platform.engineOrders},
+      broadcast: message => this.links.sendToAllNodes(message),
       quotas: this.quotas,
       limits: this.limits.asHolder,
       availability: this.availability,
-      duty: {
-        ...{random, topic: platform.dutyTopic, key: DUTY_KEY},
-        self: {nodeName, incarnation, address: peerAddress},
-        findHolderContact: holder => this.links.findContact(holder),
-        findRank: () => this.links.findRank(),
-        isReachedByOthers: () => this.links.isHolderHeardByOthers,
-        ownGrantEndsAtMs: () => this.links.ownGrantEndsAtMs,
-        claimHoldOffUntilMs: () => this.links.claimHoldOffUntilMs,
-        isGrantorOf: process => this.links.isGrantorOf(process),
-        findGrantsEndMs: (token, sinceMs) =>
-          this.links.findGrantsEndMs(token, sinceMs),
-        isFenced: settings.isFenced,
-        leaseMs: settings.leaseMs,
+      duty: makeDutyTaskOptions({
+        ...{...this.options, self: this.self, faults: this.faults},
+        findLinks: () => this.links,
         isEligible: () =>
           !this.shutdown.isStopping &&
           !this.paths.isCutOff &&
           this.configuration.version >= 0,
-        ...this.faults.watchDependency('duty'),
-      },
+      }),
       send: (address, message) => this.links.sendToNode(address, message),
       sendLastOrders: ({orders, isEnding}, addresses) =>
         this.links.sendLastOrders(
@@ -356,14 +355,12 @@
           addresses,
         ),
       listServices: () => this.configuration.configuration?.services ?? [],
-      findTeamWeights: () =>
-        findTeamWeights(
-          this.configuration.configuration?.teams ?? null,
-          settings.teamWeights,
-        ),
+      findTeamWeights: () => this.teamWeights.find(),
       listServers: () => this.servers.list(),
       onHolder: (holder, isSelf) => {
-        if (isSelf) this.reportOpenRequests(holder);
+        if (!isSelf) return;
+        this.chooser.setCoordinated(this.duty.listCoordinated());
+        this.reportOpenRequests(holder);
       },
     });
   }
@@ -399,6 +396,7 @@
       onLastOrders: lastOrders => this.duty.noteLastOrders(lastOrders),
       onToHolder: (from, message) => this.duty.receive(from, message),
       onFromHolder: message => this.chooser.receive(message),
+      listCoordinated: () => this.duty.listCoordinated(),
       onServingNodes: names => this.updateServingNodes(names),
       onHolderContactChange: isAlive => {
         if (isAlive) return this.chooser.handleHolderBack();
@@ -442,10 +440,11 @@
       incarnation: this.self.incarnation,
       servers: this.servers,
       limiter: this.limits.ownLimiter,
-      hasTeamShares: () => hasShares(this.configuration.configuration),
       countNodes: () => this.register.list().length,
       availability: this.availability,
       quotas: this.quotas,
+      findHostShare: () => this.limits.retryShare.lastKnownFraction,
+      hasTeamShares: () => this.teamWeights.find() !== null,
       sendToHolder: message => this.links.holderChannel.send(message),
     });
   }
--- a/packages/serving-node/src/team_weights.ts
+++ b/packages/serving-node/src/team_weights.ts
@@ -1,10 +1,8 @@
 /** Decides whether teams share scarce capacity, and in which proportion. */
 import {type TeamWeights} from '@mimosatack/schedule-service';
-import {
-  type ServingConfiguration,
-  type TeamName,
-  type TeamSpec,
-} from '@mimosatack/types';
+import {type TeamName, type TeamSpec} from '@mimosatack/types';
+import {type ConfigurationFollower} from './configuration_follower.js';
+import {type NodeSettings} from './node_settings.js';
 
 /** A single team would share with nobody. */
 const MIN_TEAMS = 2;
@@ -18,13 +16,19 @@
   teams: readonly TeamSpec[] | null,
   weights: ReadonlyMap<TeamName, number>,
 ): TeamWeights {
-  if (!teams || !hasShares({teams})) return null;
+  if (!teams || teams.length < MIN_TEAMS) return null;
   return new Map(teams.map(({team}) => [team, weights.get(team) ?? 1]));
 }
 
-/** Whether teams have shares in scarce capacity. */
-export function hasShares(
-  configuration: Pick<ServingConfiguration, 'teams'> | null,
-): boolean {
-  return (configuration?.teams?.length ?? 0) >= MIN_TEAMS;
+/** Reads the shares that are in force at this node. */
+export class TeamWeightsReader {
+  constructor(
+    private readonly settings: Pick<NodeSettings, 'teamWeights'>,
+    private readonly follower: Pick<ConfigurationFollower, 'configuration'>,
+  ) {}
+
+  find(): TeamWeights {
+    const teams = this.follower.configuration?.teams ?? null;
+    return findTeamWeights(teams, this.settings.teamWeights);
+  }
 }
--- a/packages/share-capacity/src/start_forecast.test.ts
+++ b/packages/share-capacity/src/start_forecast.test.ts
@@ -8,8 +8,8 @@
 const test = suite('forecast of the start of waiting items');
 
 const POOL: ForecastPool = {
-  servers: [{id: 's1', places: 4}],
-  ...{readyAtMs: 0, overlaps: new Map([['m', 1]]), aheadCost: 20},
+  ...{group: 'm', readyAtMs: 0},
+  scopes: [{servers: [{id: 's1', places: 4}], groups: ['m'], aheadCost: 20}],
 };
 
 function makeItem(change: Partial<ShareItem> = {}): ShareItem {
@@ -44,7 +44,7 @@
   const [item, before] = [makeItem(), makeForecast().find(makeItem(), POOL, 0)];
   assert.ok(before);
   for (let count = 0; count < 100; count += 1) {
-    forecast.recordWait(item, before, 100 * before.queuedMs, true, 0);
+    forecast.recordWait(item, 'm', before, 100 * before.queuedMs, true, 0);
   }
   const ratio =
     (forecast.find(item, POOL, 0)?.startsAtMs ?? 0) / before.queuedMs;
@@ -56,7 +56,7 @@
   const forecast = makeForecast();
   const item = makeItem({dueAtMs: 100});
   for (let nowMs = 0; nowMs < 1_000; nowMs += 10) {
-    forecast.recordArrival('m', item, nowMs);
+    forecast.recordArrival(['m'], item, nowMs);
   }
   assert.is(forecast.find(item, POOL, 1_000)?.startsAtMs, Infinity);
 });
--- a/packages/share-capacity/src/start_forecast.ts
+++ b/packages/share-capacity/src/start_forecast.ts
@@ -4,19 +4,29 @@
 import {type ForecastServer, HeldTimes} from './held_times.js';
 import {RetryTimes} from './retry_times.js';
 import {type ShareItem} from './share_item.js';
-import {type ClassDemand, TeamDemand} from './team_demand.js';
+import {TeamDemand} from './team_demand.js';
 import {WaitCorrection} from './wait_correction.js';
 
+/** Servers, and the requests that only these servers run. */
+export interface ForecastScope {
+  servers: readonly ForecastServer[];
+  /** The groups of requests that compete for the servers. */
+  groups: readonly string[];
+  /** Cost of the waiting items of the same team and priority that start there before the item. */
+  aheadCost: number;
+}
+
 /** The capacity that an item competes for. */
 export interface ForecastPool {
-  /** The servers that can run the item. */
-  servers: readonly ForecastServer[];
-  /** When the first of them takes requests. */
+  /** The requests that compete for the same places, such as those for one model. */
+  group: string;
+  /** When the first server takes requests. */
   readyAtMs: number;
-  /** The groups whose requests run on these servers, and which fraction of each does. */
-  overlaps: ReadonlyMap<string, number>;
-  /** Cost of the waiting items of the same team and priority that start before it. */
-  aheadCost: number;
+  /**
+   * The servers that can run the item; and larger sets, if other requests may run on some of
+   * these servers and on others. The latest start counts.
+   */
+  scopes: readonly ForecastScope[];
 }
 
 export interface Forecast {
@@ -55,9 +65,13 @@
     this.weights = weights;
   }
 
-  /** @param group of requests that the same servers run, such as those for one model. */
-  recordArrival(group: string, item: ShareItem, nowMs: number): void {
-    this.demand.record(group, item, nowMs);
+  /** @param groups that the item belongs to, such as those for its model and its service. */
+  recordArrival(
+    groups: readonly string[],
+    item: ShareItem,
+    nowMs: number,
+  ): void {
+    groups.forEach(group => this.demand.record(group, item, nowMs));
     this.retryTimes.prune(nowMs);
   }
 
@@ -77,37 +91,35 @@
 
   /** Compares a forecast with the wait; a request that never started may have waited longer. */
   recordWait(
-    {team}: ShareItem,
+    item: ShareItem,
+    group: string,
     {queuedMs}: Forecast,
     waitedMs: number,
     hasStarted: boolean,
     nowMs: number,
   ): void {
     if (!hasStarted && waitedMs < queuedMs) return;
-    this.correction.record(team, queuedMs, waitedMs, nowMs);
+    this.correction.record(findKind(item, {group}), queuedMs, waitedMs, nowMs);
+  }
+
+  /** Whether any server was observed recently. */
+  hasData(nowMs: number): boolean {
+    return this.heldTimes.hasRecent(nowMs);
   }
 
   /** Null without recent observations of the pool; nothing is refused then. */
   find(item: ShareItem, pool: ForecastPool, nowMs: number): Forecast | null {
-    const throughput = this.heldTimes.findThroughput(pool.servers, nowMs);
-    if (!throughput) return null;
-    const {team, priority, cost, dueAtMs} = item;
-    const {ratePerMs, demandPerMs, teamShare} = findClassRate({
-      ...{team, priority, weights: this.weights},
-      demands: this.listDemands(pool, nowMs),
-      capacityPerMs: throughput.costPerMs,
-    });
-    const queuedMs = findQueuedMs(pool.aheadCost, cost, ratePerMs);
-    const correctedMs = queuedMs * this.correction.find(team, nowMs);
     const fromMs = Math.max(nowMs, pool.readyAtMs);
-    const isLate = fromMs + correctedMs * LATE_MARGIN > dueAtMs;
-    // Once late, an item waits behind all that arrive on time.
-    const load = isLate ? Math.min(1, demandPerMs / ratePerMs) : 0;
-    const waitMs = correctedMs === 0 ? 0 : correctedMs / (1 - load);
-    return {
-      ...{startsAtMs: fromMs + waitMs, queuedMs, teamShare},
-      ...{intervalMs: cost / ratePerMs, dataAgeMs: throughput.ageMs},
-    };
+    const factor = this.correction.find(findKind(item, pool), nowMs);
+    return pool.scopes
+      .flatMap(
+        scope => this.findInScope(item, scope, {fromMs, factor, nowMs}) ?? [],
+      )
+      .reduce<Forecast | null>(
+        (last, next) =>
+          last && last.startsAtMs >= next.startsAtMs ? last : next,
+        null,
+      );
   }
 
   /** When the team has capacity for a refused item. */
@@ -120,13 +132,28 @@
     });
   }
 
-  private listDemands(pool: ForecastPool, nowMs: number): ClassDemand[] {
-    return [...pool.overlaps].flatMap(([group, overlap]) =>
-      this.demand.list(group, nowMs).map(demand => ({
-        ...demand,
-        costPerMs: demand.costPerMs * overlap,
-      })),
-    );
+  private findInScope(
+    {team, priority, cost, dueAtMs}: ShareItem,
+    {servers, groups, aheadCost}: ForecastScope,
+    {fromMs, factor, nowMs}: {fromMs: number; factor: number; nowMs: number},
+  ): Forecast | null {
+    const throughput = this.heldTimes.findThroughput(servers, nowMs);
+    if (!throughput) return null;
+    const {ratePerMs, demandPerMs, teamShare} = findClassRate({
+      ...{team, priority, weights: this.weights},
+      demands: groups.flatMap(group => this.demand.list(group, nowMs)),
+      capacityPerMs: throughput.costPerMs,
+    });
+    const queuedMs = findQueuedMs(aheadCost, cost, ratePerMs);
+    const correctedMs = queuedMs * factor;
+    const isLate = fromMs + correctedMs * LATE_MARGIN > dueAtMs;
+    // Once late, an item waits behind all that arrive on time.
+    const load = isLate ? Math.min(1, demandPerMs / ratePerMs) : 0;
+    const waitMs = correctedMs === 0 ? 0 : correctedMs / (1 - load);
+    return {
+      ...{startsAtMs: fromMs + waitMs, queuedMs, teamShare},
+      ...{intervalMs: cost / ratePerMs, dataAgeMs: throughput.ageMs},
+    };
   }
 }
 
@@ -141,3 +168,10 @@
 ): number {
   return aheadCost === 0 ? 0 : (aheadCost + ownCost / 2) / ratePerMs;
 }
+
+function findKind(
+  {team}: ShareItem,
+  {group}: Pick<ForecastPool, 'group'>,
+): string {
+  return JSON.stringify([team, group]);
+}
