--- a/packages/schedule-service/src/place_asks.test.ts
+++ b/packages/schedule-service/src/place_asks.test.ts
@@ -70,6 +70,7 @@
     availability: {describe: () => [], list: () => []},
     quotas: {charge: () => null, refund: () => undefined},
     areAllLeaving: () => false,
+    findLocalLimit: () => null,
     findServer: () => SERVER,
     onQuotaRefused: () => undefined,
   });
--- a/packages/schedule-service/src/refusal_errors.ts
+++ b/packages/schedule-service/src/refusal_errors.ts
@@ -5,6 +5,8 @@
 import {type FromHolderMessage} from './messages.js';
 
 const MIN_RETRY_AFTER_MS = 500;
+/** Another node has taken over by then in most cases. */
+const NO_TURN_RETRY_AFTER_MS = 1_000;
 
 export function makeRefusalError(
   {reason, retryAfterMs}: Extract<FromHolderMessage, {type: 'refused'}>,
@@ -27,6 +29,14 @@
   });
 }
 
+export function makeNoTurnError(): TypedError {
+  return new TypedError(
+    'overloaded',
+    'No node schedules, and no place is free.',
+    {run: 'not-run', retryAfterMs: NO_TURN_RETRY_AFTER_MS},
+  );
+}
+
 export function makeOverQuotaError(
   charge: QuotaCharge | null,
   retryAfterMs: number,
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -33,10 +33,12 @@
   type ToHolderMessage,
 } from './messages.js';
 import {HeardSlowdowns} from './heard_slowdowns.js';
+import {LocalTurns} from './local_turns.js';
 import {type PermitClient} from './permit_client.js';
 import {type PressureReporter} from './pressure_reporter.js';
 import {
   makeNoPlaceError,
+  makeNoTurnError,
   makeOverQuotaError,
   makeRefusalError,
 } from './refusal_errors.js';
@@ -52,6 +54,11 @@
   findServer: (id: BackendServerId) => BackendServerEntry | undefined;
   /** Whether all servers of a service that are known have said that they are leaving. */
   areAllLeaving: (service: string) => boolean;
+  /**
+   * How many requests this node may run at the engines of a service while no node schedules;
+   * null for any number.
+   */
+  findLocalLimit: (service: string) => number | null;
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
   quotas: LocalQuotas;
@@ -94,6 +101,11 @@
   private readonly pendingAsks = new Map<string, PendingAsk>();
   private readonly runs = new Map<string, Run>();
   private readonly chargeClient: ChargeClient;
+  private readonly turns: LocalTurns;
+  /** Asks for which this node chooses a server by itself right now. */
+  private readonly starting = new Set<PendingAsk>();
+  /** Whether the scheduling node has not been told of all asks and runs. */
+  private isStateUntold = false;
   private readonly refusals = new RecentRefusals();
   private readonly slowdowns = new HeardSlowdowns();
   private nextAskNumber = 1;
@@ -102,6 +114,12 @@
 
   constructor(private readonly options: ScheduledChooserOptions) {
     this.chargeClient = new ChargeClient(options);
+    this.turns = new LocalTurns({
+      clock: options.clock,
+      findLimit: options.findLocalLimit,
+      countRuns: service => this.countRuns(service),
+      start: pending => this.startLocally(pending),
+    });
   }
 
   /** Requests that wait for a server to be chosen. */
@@ -197,18 +215,9 @@
     );
   }
 
-  /**
-   * Asks a scheduling node that is in touch again, since it did not get the asks of the
-   * meantime and learns of no other way.
-   */
+  /** Tells a scheduling node that is in touch again what it did not get meanwhile. */
   handleHolderBack(): void {
-    this.pendingAsks.forEach(pending => {
-      if (pending.isSubmitted) return;
-      const {askId, ask} = pending;
-      pending.isSubmitted = this.toPayloads(askId, ask).some(payload =>
-        this.options.sendToHolder({type: 'ask', ask: payload}),
-      );
-    });
+    if (this.isStateUntold) this.sendStateToHolder();
   }
 
   /** Sends all pending asks and running requests to a new scheduling node. */
@@ -225,7 +234,12 @@
       ...{type: 'under-way', incarnation, asks, runs, servers},
     });
     this.options.pressure.repeatAll();
-    this.pendingAsks.forEach(pending => (pending.isSubmitted ||= isSent));
+    if (!isSent) return;
+    this.isStateUntold = false;
+    this.pendingAsks.forEach(pending => {
+      pending.isSubmitted = true;
+      this.turns.remove(pending.askId);
+    });
   }
 
   /** Tells the scheduling node what a server has said. */
@@ -291,6 +305,7 @@
   ): void {
     if (askId === null || !this.runs.delete(askId)) return;
     this.sendRunEnded(askId, server.id, result, headMs, isUnsent);
+    this.turns.startDue();
   }
 
   /** Refunds the charge when no server can be chosen. */
@@ -330,7 +345,10 @@
 
   private addPendingAsk(askId: string, ask: ServerAsk): PendingAsk {
     const pending = new PendingAsk(askId, ask, {
-      onSettled: () => this.pendingAsks.delete(askId),
+      onSettled: () => {
+        this.pendingAsks.delete(askId);
+        this.turns.remove(askId);
+      },
       onWithdrawn: () => this.options.sendToHolder({type: 'withdraw', askId}),
     });
     if (!ask.signal.aborted) this.pendingAsks.set(askId, pending);
@@ -400,11 +418,25 @@
    */
   private chooseLocally(pending: PendingAsk): void {
     const {clock, areAllLeaving} = this.options;
+    const {service} = pending.ask;
+    this.isStateUntold = true;
+    if (!service.engine || areAllLeaving(service.name)) {
+      return this.startLocally(pending);
+    }
+    this.turns.add(pending);
+    clock.setTimer(TAKEOVER_WAIT_MS, () => {
+      if (!this.turns.remove(pending.askId)) return;
+      pending.settle({status: 'refused', error: makeNoTurnError()});
+    });
+  }
+
+  private startLocally(pending: PendingAsk): void {
+    const {clock, areAllLeaving} = this.options;
+    this.starting.add(pending);
     void this.chargeAndChooseLocally(pending.ask).then(choice => {
-      if (choice.status === 'chosen') {
-        if (!pending.settle(choice)) this.release(choice);
-        return;
-      }
+      this.starting.delete(pending);
+      if (choice.status === 'chosen') return this.runLocally(pending, choice);
+      this.turns.startDue();
       // Engines may have to load a model, which needs the scheduling node.
       const {service} = pending.ask;
       if (!service.engine || areAllLeaving(service.name)) {
@@ -417,6 +449,24 @@
     });
   }
 
+  private countRuns(service: string): number {
+    return [...this.runs.values(), ...this.starting].filter(
+      ({ask}) => ask.service.name === service,
+    ).length;
+  }
+
+  /**
+   * Guards against a next scheduling node that takes engines for free which run the requests
+   * that nodes have sent there by themselves.
+   */
+  private runLocally(pending: PendingAsk, choice: ChosenServer): void {
+    const {ask, askId} = pending;
+    const isKept = ask.service.engine !== null;
+    const isSettled = pending.settle(isKept ? {...choice, askId} : choice);
+    if (!isSettled) return this.release(choice);
+    if (isKept) this.runs.set(askId, {askId, ask, engineId: choice.server.id});
+  }
+
   private toPayloads(askId: string, ask: ServerAsk): AskPayload[] {
     const payload = toAskPayload(askId, ask, this.options.clock.monotonicMs());
     return payload ? [payload] : [];
--- a/packages/serving-node/src/server_chooser.ts
+++ b/packages/serving-node/src/server_chooser.ts
@@ -28,6 +28,7 @@
   findHostShare: () => number;
   /** Whether teams share capacity. */
   hasTeamShares: () => boolean;
+  countNodes: () => number;
   /** Returns false when no scheduling node is known. */
   sendToHolder: (message: ToHolderMessage) => boolean;
 }
@@ -64,6 +65,13 @@
       },
     }),
     findServer: id => servers.find(id),
+    findLocalLimit: service => {
+      if (!options.hasTeamShares()) return null;
+      const slots = servers
+        .listReady(service)
+        .reduce((sum, server) => sum + server.slots, 0);
+      return Math.ceil(slots / Math.max(1, options.countNodes()));
+    },
     areAllLeaving: service => {
       const ready = servers.listReady(service);
       return (
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -438,6 +438,7 @@
       incarnation: this.self.incarnation,
       servers: this.servers,
       limiter: this.limits.ownLimiter,
+      countNodes: () => this.register.list().length,
       availability: this.availability,
       quotas: this.quotas,
       findHostShare: () => this.limits.retryShare.lastKnownFraction,
