Refuse places by StartForecast, as engines do

Cause: the stand-in estimate knew neither what teams ask for nor how far forecasts are off. Change: PlaceForecast applies StartForecast of share-capacity to the servers of one service; requests from before the first measured time are not compared, since their costs are unknown.

--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -211,8 +211,11 @@
       requestId: 'the request',
       service: 'the service',
       team: 'the team, empty for requests without one',
-      forecastMs:
-        'when it would have started, from its ask on; null if no server may serve it',
+      isOnArrival: 'whether it was refused by a forecast, before it waited',
+      teamShare: 'the share of the places that its team gets at this time',
+      startsInMs:
+        'when it would have started; none if no server may serve it or without data',
+      dataAgeMs: 'age of the newest observation behind the forecast',
       retryAfterMs: 'when the caller is told to come back',
       waiting: 'requests that wait at all plain services',
     },
--- a/packages/schedule-places/src/index.ts
+++ b/packages/schedule-places/src/index.ts
@@ -1,5 +1,4 @@
 export {type ServerTerms} from './concurrency_limit.js';
-export {type EstimateStart, type StartQuery} from './estimate_start.js';
 export {PlaceScheduler, type PlaceSchedulerOptions} from './place_scheduler.js';
 export {
   type PlaceDecision,
@@ -7,4 +6,5 @@
   type PlaceResult,
   type Pressure,
   type PressureCause,
+  type RefusalForecast,
 } from './place_request.js';
--- a/packages/schedule-places/src/place_queue.ts
+++ b/packages/schedule-places/src/place_queue.ts
@@ -1,7 +1,6 @@
-/** The waiting requests of one service, in fair order, with the counts that estimates need. */
+/** The waiting requests of one service, in fair order, with the counts that forecasts need. */
 import {VirtualCounters} from '@mimosatack/share-capacity';
 import {type TeamName} from '@mimosatack/types';
-import {countAhead} from './estimate_start.js';
 import {type PlaceRequest} from './place_request.js';
 
 export class PlaceQueue {
@@ -9,14 +8,12 @@
   /** Waiting requests by team and priority. */
   private readonly counts = new Map<TeamName, Map<number, number>>();
   private readonly requests = new Map<string, PlaceRequest>();
-  private weights: ReadonlyMap<TeamName, number> = new Map();
 
   get size(): number {
     return this.order.size;
   }
 
   setWeights(weights: ReadonlyMap<TeamName, number>): void {
-    this.weights = weights;
     this.order.setWeights(weights);
   }
 
@@ -64,23 +61,9 @@
     return [...this.requests.values()].filter(isWanted);
   }
 
-  /** Waiting requests that start before one that is added now. */
+  /** Waiting requests of the same team and priority. */
   countAhead({team, priority}: PlaceRequest): number {
-    const own = [...(this.counts.get(team) ?? [])]
-      .filter(([other]) => other <= priority)
-      .reduce((sum, [, count]) => sum + count, 0);
-    const others = [...this.counts]
-      .filter(([other]) => other !== team)
-      .map(([other, byPriority]) => ({
-        team: other,
-        waiting: [...byPriority.values()].reduce((sum, next) => sum + next, 0),
-        weight: this.findWeight(other),
-      }));
-    return countAhead(own, this.findWeight(team), others);
-  }
-
-  private findWeight(team: TeamName): number {
-    return this.weights.get(team) ?? 1;
+    return this.counts.get(team)?.get(priority) ?? 0;
   }
 
   private count(request: PlaceRequest, change: 1 | -1): void {
--- a/packages/schedule-places/src/place_request.ts
+++ b/packages/schedule-places/src/place_request.ts
@@ -45,6 +45,15 @@
   brittlePerSecond: number | null;
 }
 
+/** What a refusal rests on. */
+export interface RefusalForecast {
+  startsInMs: number;
+  /** The share of the places that the team gets. */
+  teamShare: number;
+  /** Age of the newest observation behind the forecast. */
+  dataAgeMs: number;
+}
+
 export type PlaceDecision =
   | {
       kind: 'assign';
@@ -54,8 +63,10 @@
   | {
       kind: 'refuse';
       request: PlaceRequest;
-      /** Expected wait at the time of the decision; null if no server is eligible. */
-      forecastMs: number | null;
+      /** Null if no server is eligible, or without data. */
+      forecast: RefusalForecast | null;
+      /** Whether it is refused before it has waited. */
+      isOnArrival: boolean;
       retryAfterMs: number;
     }
   /** The request waits. */
--- a/packages/schedule-places/src/place_scheduler.ts
+++ b/packages/schedule-places/src/place_scheduler.ts
@@ -10,7 +10,6 @@
   type TeamName,
 } from '@mimosatack/types';
 import {Coordination} from './coordination.js';
-import {type EstimateStart, estimateStart} from './estimate_start.js';
 import {
   type PlaceDecision,
   type PlaceRequest,
@@ -24,7 +23,6 @@
   'mayStart'
 > {
   random: RandomSource;
-  estimateStart?: EstimateStart;
 }
 
 interface NodeProcess {
@@ -78,7 +76,7 @@
     const service = this.serviceOfServer.get(id);
     if (service === undefined) return;
     this.serviceOfServer.delete(id);
-    this.services.get(service)?.servers.remove(id);
+    this.services.get(service)?.removeServer(id);
   }
 
   /** Whether the request waits or runs here. */
@@ -221,13 +219,7 @@
 
   private addService(name: ServiceName): void {
     const {random, mayStart} = this.options;
-    this.services.set(
-      name,
-      new ServicePlaces({
-        ...{random, mayStart},
-        estimateStart: this.options.estimateStart ?? estimateStart,
-      }),
-    );
+    this.services.set(name, new ServicePlaces({random, mayStart}));
   }
 
   private findPlaces(askId: string): ServicePlaces | undefined {
--- a/packages/schedule-places/src/service_places.ts
+++ b/packages/schedule-places/src/service_places.ts
@@ -5,13 +5,14 @@
   type BackendServerId,
   type TeamName,
 } from '@mimosatack/types';
-import {type EstimateStart} from './estimate_start.js';
 import {HeldTime} from './held_time.js';
+import {PlaceForecast} from './place_forecast.js';
 import {PlaceQueue} from './place_queue.js';
 import {
   type PlaceDecision,
   type PlaceRequest,
   type PlaceResult,
+  type RefusalForecast,
 } from './place_request.js';
 import {ServiceServers} from './service_servers.js';
 
@@ -22,7 +23,6 @@
 
 export interface ServicePlacesOptions {
   random: RandomSource;
-  estimateStart: EstimateStart;
   /** Whether a request of the node may be sent to the server now. */
   mayStart: (
     server: BackendServerEntry,
@@ -35,6 +35,8 @@
 const MIN_RETRY_AFTER_MS = 800;
 /** Keeps refused callers from returning at the same moment. */
 const MAX_JITTER_FRACTION = 1 / 3;
+/** Of requests that arrive before any has ended; not comparable with measured ones. */
+const UNKNOWN_COST = 1;
 const NOT_RUN: ReadonlySet<PlaceResult> = new Set([
   ...(['not-taken', 'unreachable', 'unsent'] as const),
 ]);
@@ -44,6 +46,7 @@
 export class ServicePlaces {
   readonly servers = new ServiceServers();
   private readonly queue = new PlaceQueue();
+  private readonly forecast = new PlaceForecast();
   private readonly heldTime = new HeldTime();
   /** Requests that have arrived since the last decision. */
   private readonly arrivals = new Set<string>();
@@ -62,6 +65,7 @@
 
   setWeights(weights: ReadonlyMap<TeamName, number>): void {
     this.queue.setWeights(weights);
+    this.forecast.setWeights(weights);
   }
 
   isUnderHalf(nowMs: number): boolean {
@@ -73,16 +77,23 @@
   add(request: PlaceRequest, nowMs: number): PlaceDecision | null {
     if (this.servers.hasRun(request.id)) return null;
     const isRepeated = this.queue.get(request.id) !== undefined;
-    if (!this.servers.list().some(({entry}) => isEligible(request, entry))) {
+    const servers = this.servers
+      .list()
+      .filter(({entry}) => isEligible(request, entry));
+    if (servers.length === 0) {
       this.queue.remove(request.id);
-      return this.refuse(request, null, MIN_RETRY_AFTER_MS);
+      return this.refuse(request, null, this.findRetryAfterMs());
     }
-    const forecastMs = isRepeated ? 0 : this.findStartMs(request, nowMs);
-    const allowedMs = request.waitDeadlineAtMs - nowMs;
-    if (forecastMs > allowedMs) {
-      return this.refuse(request, forecastMs, forecastMs - allowedMs);
+    const item = this.toItem(request, nowMs);
+    if (!isRepeated) {
+      const places = servers.map(({entry, limit}) => ({
+        ...{id: entry.id, places: limit.find(nowMs)},
+      }));
+      const aheadCost = this.queue.countAhead(item) * item.cost;
+      const late = this.forecast.admit(item, places, aheadCost, nowMs);
+      if (late) return this.refuse(request, late, late.retryAfterMs);
     }
-    this.queue.add({...request, cost: this.heldTime.find(nowMs) ?? 1});
+    this.queue.add(item);
     this.arrivals.add(request.id);
     return null;
   }
@@ -94,11 +105,17 @@
     nowMs: number,
   ): void {
     this.queue.remove(request.id);
-    this.servers.start(request, serverId, nowMs);
+    this.servers.start(this.toItem(request, nowMs), serverId, nowMs);
+  }
+
+  removeServer(id: BackendServerId): void {
+    this.servers.remove(id);
+    this.forecast.removeServer(id);
   }
 
   withdraw(askId: string): void {
     this.queue.remove(askId);
+    this.forecast.forget(askId);
   }
 
   recordEnd(
@@ -110,7 +127,11 @@
     const run = this.servers.end(askId);
     if (!run) return null;
     if (result === 'served') {
-      this.heldTime.record(nowMs - run.startedAtMs, nowMs);
+      const heldMs = nowMs - run.startedAtMs;
+      this.heldTime.record(heldMs, nowMs);
+      if (run.request.cost !== UNKNOWN_COST) {
+        this.forecast.recordHeld(run.serverId, run.request, heldMs, nowMs);
+      }
     }
     if (NOT_RUN.has(result)) this.queue.recordNotRun(run.request);
     return lowered && {...lowered, serverId: run.serverId};
@@ -123,7 +144,7 @@
     const running = this.servers.listRuns(({request}) => isOver(request));
     const waiting = this.queue.listWhere(isOver);
     running.forEach(({id}) => this.servers.end(id));
-    waiting.forEach(({id}) => this.queue.remove(id));
+    waiting.forEach(({id}) => this.withdraw(id));
     return {running, waiting};
   }
 
@@ -136,6 +157,7 @@
         const serverId = this.pickServer(request, nowMs);
         if (serverId === null) return false;
         this.servers.start(request, serverId, nowMs);
+        this.forecast.recordWait(request, true, nowMs);
         assigned.push({kind: 'assign', request, serverId});
         return true;
       },
@@ -166,14 +188,10 @@
     );
   }
 
-  private findStartMs(request: PlaceRequest, nowMs: number): number {
-    const places = this.servers.countPlaces(nowMs);
-    return this.options.estimateStart({
-      aheadCount: this.queue.countAhead(request),
-      freePlaces: Math.max(0, places - this.servers.runningCount),
-      places,
-      heldMs: this.heldTime.find(nowMs),
-    });
+  /** The cost is the expected time for which the request holds a place, in ms. */
+  private toItem(request: PlaceRequest, nowMs: number): PlaceRequest {
+    const cost = this.heldTime.find(nowMs) ?? UNKNOWN_COST;
+    return {...request, cost, dueAtMs: request.dueAtMs - cost};
   }
 
   /** Ends runs past their deadlines, and refuses requests that can no longer start in time. */
@@ -188,7 +206,9 @@
       .listWhere(({waitDeadlineAtMs}) => waitDeadlineAtMs <= nowMs)
       .map(request => {
         this.queue.remove(request.id);
-        return this.refuse(request, this.findStartMs(request, nowMs), 0);
+        const forecast = this.forecast.findAdmitted(request, nowMs);
+        this.forecast.recordWait(request, false, nowMs);
+        return this.refuse(request, forecast, this.findRetryAfterMs(), false);
       });
     if (overdue.length === 0) return refused;
     const cause = 'deadline-passed';
@@ -200,12 +220,16 @@
 
   private refuse(
     request: PlaceRequest,
-    forecastMs: number | null,
-    waitMs: number,
+    forecast: RefusalForecast | null,
+    retryAfterMs: number,
+    isOnArrival = true,
   ): PlaceDecision {
+    return {kind: 'refuse', request, forecast, retryAfterMs, isOnArrival};
+  }
+
+  private findRetryAfterMs(): number {
     const jitter = MAX_JITTER_FRACTION * this.options.random.nextFraction();
-    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, waitMs) * (1 + jitter);
-    return {kind: 'refuse', request, forecastMs, retryAfterMs};
+    return MIN_RETRY_AFTER_MS * (1 + jitter);
   }
 }
 
--- a/packages/schedule-service/src/placing_service.ts
+++ b/packages/schedule-service/src/placing_service.ts
@@ -264,16 +264,22 @@
 
   private refuse({
     request,
-    forecastMs,
+    forecast,
+    isOnArrival,
     retryAfterMs,
   }: Extract<PlaceDecision, {kind: 'refuse'}>): void {
     const {id: askId, team, nodeAddress, service} = request;
+    const startsInMs = forecast && Math.round(forecast.startsInMs);
     this.options.logger.log('place-refused', {
       ...{requestId: this.charges.findRequestId(askId), service, team},
-      forecastMs: forecastMs === null ? null : Math.round(forecastMs),
+      ...{isOnArrival, startsInMs: startsInMs ?? undefined},
+      teamShare: forecast ? Number(forecast.teamShare.toFixed(3)) : undefined,
+      dataAgeMs: forecast ? Math.round(forecast.dataAgeMs) : undefined,
       retryAfterMs: Math.round(retryAfterMs),
       waiting: this.scheduler.waitingCount,
     });
+    // Only a forecast on arrival holds for the next request of the team.
+    const forecastMs = isOnArrival ? startsInMs : null;
     this.options.send(nodeAddress, {
       ...{type: 'refused', askId, reason: 'no-room', retryAfterMs, forecastMs},
     });
