--- a/packages/schedule-service/src/place_asks.test.ts
+++ b/packages/schedule-service/src/place_asks.test.ts
@@ -99,6 +99,24 @@
   assert.equal(listSent(), ['ask', 'withdraw']);
 });
 
+// Guards against nodes that add to the load of a scheduling node that is behind.
+test('while other asks are answered a node goes on waiting', async () => {
+  const {chooser, clock} = startChooser();
+  chooser.setCoordinated([SERVICE]);
+  const first = chooser.choose(makeAsk());
+  const second = chooser.choose(makeAsk());
+  clock.advance(250);
+  chooser.receive({
+    ...{type: 'assigned', askId: 'n1.1', engineId: 's1', softwareVersion: 'v1'},
+  });
+  clock.advance(50);
+  await flushPendingCallbacks();
+  assert.is(findBasis(await first), 'schedule');
+  assert.is(chooser.pendingCount, 1);
+  clock.advance(250);
+  assert.is(findBasis(await second), 'own-view');
+});
+
 // Guards against nodes that pass by the queue because it is long.
 test('a request that is queued waits for its place', async () => {
   const {chooser, clock, listSent} = startChooser();
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -13,6 +13,7 @@
   type ServerChooser,
   type NamedTerms,
   type ServerLoad,
+  findWaitDeadlineMs,
 } from '@mimosatack/serve-requests';
 import {
   type BackendServerEntry,
@@ -94,6 +95,7 @@
   private readonly runs = new Map<string, Run>();
   private readonly chargeClient: ChargeClient;
   private readonly refusals = new RecentRefusals();
+  private lastAnswerAtMs = -Infinity;
   private nextAskNumber = 1;
   /** Services without models whose places the scheduling node assigns. */
   private coordinated: ReadonlySet<ServiceName> = new Set();
@@ -148,6 +150,7 @@
     if (message.type === 'coordinated-services') {
       return this.setCoordinated(message.services);
     }
+    this.lastAnswerAtMs = this.options.clock.monotonicMs();
     if (this.options.permits.settle(message)) return;
     if (this.chargeClient.settle(message)) return;
     if (message.type === 'charged' || message.type === 'permitted') return;
@@ -345,15 +348,28 @@
    * Timers run before messages that have arrived are read. Guards against falling back since
    * this process was delayed, and not the scheduling node.
    */
-  private startAnswerTimer(pending: PendingAsk): void {
+  private startAnswerTimer(
+    pending: PendingAsk,
+    delayMs = PLACE_ANSWER_TIMEOUT_MS,
+  ): void {
     const {clock} = this.options;
-    const onTimeout = () => setImmediate(() => this.giveUpAnswer(pending));
-    pending.setTimer(clock.setTimer(PLACE_ANSWER_TIMEOUT_MS, onTimeout));
+    const onTimeout = () => setImmediate(() => this.checkAnswer(pending));
+    pending.setTimer(clock.setTimer(delayMs, onTimeout));
   }
 
-  private giveUpAnswer(pending: PendingAsk): void {
+  /**
+   * A scheduling node that answers other asks is behind, and not frozen. Guards against nodes
+   * that add their own choices to the load that it is behind with.
+   */
+  private checkAnswer(pending: PendingAsk): void {
     if (!pending.isWaitingForAnswer) return;
-    const {askId} = pending;
+    const {askId, ask} = pending;
+    const nowMs = this.options.clock.monotonicMs();
+    const silentMs = nowMs - this.lastAnswerAtMs;
+    const leftMs = PLACE_ANSWER_TIMEOUT_MS - silentMs;
+    const mayWait =
+      nowMs + leftMs < findWaitDeadlineMs(ask.request, ask.endsAtMs);
+    if (leftMs > 0 && mayWait) return this.startAnswerTimer(pending, leftMs);
     this.options.sendToHolder({type: 'withdraw', askId});
     this.fallBackToLocal(pending);
   }
