--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -187,6 +187,15 @@
     'Backend servers that want no request of this host for some time.',
     {},
   ),
+  'places.services': gauge(
+    'Plain services whose places this node assigns for all nodes.',
+    {},
+  ),
+  'places.limit': gauge(
+    'Requests that the servers of these services may have at once.',
+    {},
+  ),
+  'places.taken': gauge('Requests that these servers have.', {}),
   'servers.cut_off': gauge(
     '1 while this node reaches backend servers only through other nodes.',
     {},
--- a/packages/schedule-places/src/place_forecast.ts
+++ b/packages/schedule-places/src/place_forecast.ts
@@ -9,7 +9,6 @@
 
 /** The requests of one service run on the same servers. */
 const GROUP = 'service';
-const OVERLAPS: ReadonlyMap<string, number> = new Map([[GROUP, 1]]);
 /** Stands for a start that is not in sight, which JSON has no number for. */
 const MAX_STARTS_IN_MS = 60_000;
 
@@ -42,8 +41,9 @@
     aheadCost: number,
     nowMs: number,
   ): LateStart | null {
-    this.forecast.recordArrival(GROUP, request, nowMs);
-    const pool = {servers, readyAtMs: nowMs, overlaps: OVERLAPS, aheadCost};
+    this.forecast.recordArrival([GROUP], request, nowMs);
+    const scope = {servers, groups: [GROUP], aheadCost};
+    const pool = {group: GROUP, readyAtMs: nowMs, scopes: [scope]};
     const found = this.forecast.find(request, pool, nowMs);
     if (!found) return null;
     if (found.startsAtMs <= request.waitDeadlineAtMs) {
@@ -69,7 +69,8 @@
     this.admitted.delete(request.id);
     const waitedMs = nowMs - known.atMs;
     this.forecast.recordWait(
-      ...([request, known.forecast, waitedMs, hasStarted, nowMs] as const),
+      ...([request, GROUP, known.forecast] as const),
+      ...([waitedMs, hasStarted, nowMs] as const),
     );
   }
 
--- a/packages/serving-node/src/node_state_metrics.ts
+++ b/packages/serving-node/src/node_state_metrics.ts
@@ -9,6 +9,9 @@
   serversLimited: number;
   serversLeaving: number;
   serversPaused: number;
+  placesServices: number;
+  placesLimit: number;
+  placesTaken: number;
   isCutOff: boolean;
   openRelays: number;
   dutiesHeld: number;
@@ -39,6 +42,9 @@
   metrics.gauge('servers.limited', figures.serversLimited, {});
   metrics.gauge('servers.leaving', figures.serversLeaving, {});
   metrics.gauge('servers.paused', figures.serversPaused, {});
+  metrics.gauge('places.services', figures.placesServices, {});
+  metrics.gauge('places.limit', figures.placesLimit, {});
+  metrics.gauge('places.taken', figures.placesTaken, {});
   metrics.gauge('servers.cut_off', figures.isCutOff ? 1 : 0, {});
   metrics.gauge('servers.relays', figures.openRelays, {});
   metrics.gauge('servers.age_ms', figures.serversAgeMs, {});
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -209,9 +209,14 @@
     return this.placing?.listCoordinated() ?? [];
   }
 
-  /** Limit and places taken of each server of a coordinated service. */
-  describePlaces(): ReturnType<PlacingService['describePlaces']> {
-    return this.placing?.describePlaces() ?? [];
+  /** Of the services whose places this node assigns. */
+  get placeGauges() {
+    const servers = this.placing?.describePlaces() ?? [];
+    return {
+      placesServices: this.listCoordinated().length,
+      placesLimit: servers.reduce((sum, {limit}) => sum + limit, 0),
+      placesTaken: servers.reduce((sum, {running}) => sum + running, 0),
+    };
   }
 
   private handleHolderChange(holder: DutyHolder | null): void {
