Move the time limits of answers into a module of their own

Change: the timers of asks without an answer are in answer_timeouts.ts; a wrong comment on recent refusals is corrected. It holds since the behavior and its tests are unchanged.

--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -13,7 +13,6 @@
   type ServerChooser,
   type NamedTerms,
   type ServerLoad,
-  findWaitDeadlineMs,
 } from '@mimosatack/serve-requests';
 import {
   type BackendServerEntry,
@@ -26,6 +25,7 @@
   type AvailabilityReport,
   type ServerAvailability,
 } from '@mimosatack/track-availability';
+import {AnswerTimeouts} from './answer_timeouts.js';
 import {toAskPayload} from './ask_payload.js';
 import {ChargeClient} from './charge_client.js';
 import {
@@ -85,12 +85,6 @@
  * scheduling node, which takes over about 2 s after the previous one is lost.
  */
 const TAKEOVER_WAIT_MS = 1_500;
-/**
- * How long a request for a place waits for an answer of the scheduling node, before this node
- * chooses by itself. Bounds what a frozen scheduling node costs each request.
- */
-const PLACE_ANSWER_TIMEOUT_MS = 300;
-
 interface Run {
   askId: string;
   ask: ServerAsk;
@@ -102,6 +96,7 @@
   private readonly pendingAsks = new Map<string, PendingAsk>();
   private readonly runs = new Map<string, Run>();
   private readonly chargeClient: ChargeClient;
+  private readonly answers: AnswerTimeouts;
   private readonly turns: LocalTurns;
   /** Asks for which this node chooses a server by itself right now. */
   private readonly starting = new Set<PendingAsk>();
@@ -109,13 +104,16 @@
   private isStateUntold = false;
   private readonly refusals = new RecentRefusals();
   private readonly slowdowns = new HeardSlowdowns();
-  private lastAnswerAtMs = -Infinity;
   private nextAskNumber = 1;
   /** Services without models whose places the scheduling node assigns. */
   private coordinated: ReadonlySet<ServiceName> = new Set();
 
   constructor(private readonly options: ScheduledChooserOptions) {
     this.chargeClient = new ChargeClient(options);
+    this.answers = new AnswerTimeouts({
+      clock: options.clock,
+      giveUp: pending => this.giveUpAnswer(pending),
+    });
     this.turns = new LocalTurns({
       clock: options.clock,
       findLimit: options.findLocalLimit,
@@ -144,7 +142,7 @@
       return {status: 'refused', error: makeNoPlaceError(refusedForMs)};
     }
     const pending = this.addPendingAsk(askId, ask);
-    if (!ask.service.engine) this.startAnswerTimer(pending);
+    if (!ask.service.engine) this.answers.start(pending);
     pending.isSubmitted = sendToHolder({type: 'ask', ask: payload});
     if (!pending.isSubmitted) this.chooseLocally(pending);
     return pending.choice;
@@ -155,7 +153,7 @@
     this.coordinated = new Set(services);
   }
 
-  /** Only for requests that a caller has just sent, and that are charged with their ask. */
+  /** Applies to retries as well: nothing is charged for an ask that was not sent. */
   private findRecentRefusal(ask: ServerAsk): number | null {
     if (ask.service.engine) return null;
     return this.refusals.find(ask, this.options.clock.monotonicMs());
@@ -170,7 +168,7 @@
     if (message.type === 'coordinated-services') {
       return this.setCoordinated(message.services);
     }
-    this.lastAnswerAtMs = this.options.clock.monotonicMs();
+    this.answers.recordAnswer();
     if (this.options.permits.settle(message)) return;
     if (this.chargeClient.settle(message)) return;
     if (message.type === 'charged' || message.type === 'permitted') return;
@@ -367,32 +365,8 @@
     this.refusals.record(pending.ask, forecastMs, retryAfterMs, nowMs);
   }
 
-  /**
-   * Timers run before messages that have arrived are read. Guards against falling back since
-   * this process was delayed, and not the scheduling node.
-   */
-  private startAnswerTimer(
-    pending: PendingAsk,
-    delayMs = PLACE_ANSWER_TIMEOUT_MS,
-  ): void {
-    const {clock} = this.options;
-    const onTimeout = () => setImmediate(() => this.checkAnswer(pending));
-    pending.setTimer(clock.setTimer(delayMs, onTimeout));
-  }
-
-  /**
-   * A scheduling node that answers other asks is behind, and not frozen. Guards against nodes
-   * that add their own choices to the load that it is behind with.
-   */
-  private checkAnswer(pending: PendingAsk): void {
-    if (!pending.isWaitingForAnswer) return;
-    const {askId, ask} = pending;
-    const nowMs = this.options.clock.monotonicMs();
-    const silentMs = nowMs - this.lastAnswerAtMs;
-    const leftMs = PLACE_ANSWER_TIMEOUT_MS - silentMs;
-    const mayWait =
-      nowMs + leftMs < findWaitDeadlineMs(ask.request, ask.endsAtMs);
-    if (leftMs > 0 && mayWait) return this.startAnswerTimer(pending, leftMs);
+  private giveUpAnswer(pending: PendingAsk): void {
+    const {askId} = pending;
     this.options.sendToHolder({type: 'withdraw', askId});
     this.fallBackToLocal(pending);
   }
