Keep places and charges of requests that were assigned before a withdrawal

Cause: a withdrawal that crossed the assignment forgot the request, so that the end of its run freed no place, and its charge was refunded. A waiting request that ended stayed in the queue. Change: a withdrawal is ignored once the request runs; the end of a waiting request removes it. It holds since the node ends an assignment that it no longer wants with run-ended.

--- a/packages/schedule-places/src/place_scheduler.test.ts
+++ b/packages/schedule-places/src/place_scheduler.test.ts
@@ -175,4 +175,21 @@
   assert.equal(scheduling.scheduler.listCoordinated(), [SERVICE]);
 });
 
+// Guards against a place that is lost when a withdrawal crosses the assignment.
+test('a withdrawal leaves what was assigned to the end of its run', () => {
+  const scheduling = new TestScheduling([makeServer('s1', {slots: 1})]);
+  const assigned = scheduling.ask(1);
+  assert.is(scheduling.scheduler.withdraw('r1'), false);
+  scheduling.end(assigned);
+  assert.is(scheduling.ask(1).length, 1);
+});
+
+// Guards against a place for a request that has ended while it waited.
+test('a waiting request that has ended gets no place', () => {
+  const scheduling = new TestScheduling([makeServer('s1', {slots: 1})]);
+  const running = scheduling.ask(2);
+  scheduling.end(['r2', ...running]);
+  assert.equal(scheduling.decide(), []);
+});
+
 test.run();
--- a/packages/schedule-places/src/place_scheduler.ts
+++ b/packages/schedule-places/src/place_scheduler.ts
@@ -127,9 +127,16 @@
     places.recordRunning(request, serverId, nowMs);
   }
 
-  withdraw(askId: string): void {
-    this.findPlaces(askId)?.withdraw(askId);
+  /**
+   * Returns false for a request that was assigned meanwhile: its node reports its end once the
+   * assignment arrives there.
+   */
+  withdraw(askId: string): boolean {
+    const places = this.findPlaces(askId);
+    if (places?.servers.hasRun(askId)) return false;
+    places?.withdraw(askId);
     this.serviceOfAsk.delete(askId);
+    return true;
   }
 
   recordEnd(askId: string, result: PlaceResult, nowMs: number): void {
--- a/packages/schedule-places/src/service_places.ts
+++ b/packages/schedule-places/src/service_places.ts
@@ -123,6 +123,7 @@
     result: PlaceResult,
     nowMs: number,
   ): {serverId: BackendServerId; limit: number; previousLimit: number} | null {
+    if (this.queue.get(askId)) this.withdraw(askId);
     const lowered = this.servers.recordResult(askId, result, nowMs);
     const run = this.servers.end(askId);
     if (!run) return null;
--- a/packages/schedule-service/src/placing_service.ts
+++ b/packages/schedule-service/src/placing_service.ts
@@ -126,8 +126,9 @@
         break;
       case 'withdraw':
         if (!this.scheduler.has(message.askId)) return false;
-        this.scheduler.withdraw(message.askId);
-        this.charges.drop(message.askId, false);
+        if (this.scheduler.withdraw(message.askId)) {
+          this.charges.drop(message.askId, false);
+        }
         break;
       case 'run-ended':
         if (!this.scheduler.has(message.askId)) return false;
