Count each start of a decision against the limit of its server

Cause: permits of limited servers were taken after the whole decision, so that one decision assigned all waiting requests. Change: the permit is taken at each start. It holds since the next request of the same decision is compared with what is left.

--- a/packages/schedule-places/src/place_fixture.ts
+++ b/packages/schedule-places/src/place_fixture.ts
@@ -36,9 +36,12 @@
 /** Drives a scheduler and collects what it decides. */
 export class TestScheduling {
   readonly decisions: PlaceDecision[] = [];
+  /** Starts that the limits of servers allow. */
+  permits = Infinity;
   readonly scheduler = new PlaceScheduler({
     random: new SeededRandom(1),
-    mayStart: () => true,
+    mayStart: () => this.permits > 0,
+    onStart: () => (this.permits -= 1),
   });
   nowMs = 100_000;
   private nextId = 0;
--- a/packages/schedule-places/src/place_scheduler.test.ts
+++ b/packages/schedule-places/src/place_scheduler.test.ts
@@ -192,4 +192,11 @@
   assert.equal(scheduling.decide(), []);
 });
 
+// Guards against a server that gets all waiting requests at once in spite of its limit.
+test('each start of a decision counts for the next one', () => {
+  const scheduling = new TestScheduling([makeServer('s1')]);
+  scheduling.permits = 1;
+  assert.is(scheduling.ask(4).length, 1);
+});
+
 test.run();
--- a/packages/schedule-places/src/place_scheduler.ts
+++ b/packages/schedule-places/src/place_scheduler.ts
@@ -20,7 +20,7 @@
 
 export interface PlaceSchedulerOptions extends Pick<
   ServicePlacesOptions,
-  'mayStart'
+  'mayStart' | 'onStart'
 > {
   random: RandomSource;
 }
@@ -225,8 +225,8 @@
   }
 
   private addService(name: ServiceName): void {
-    const {random, mayStart} = this.options;
-    this.services.set(name, new ServicePlaces({random, mayStart}));
+    const {random, mayStart, onStart} = this.options;
+    this.services.set(name, new ServicePlaces({random, mayStart, onStart}));
   }
 
   private findPlaces(askId: string): ServicePlaces | undefined {
--- a/packages/schedule-places/src/service_places.ts
+++ b/packages/schedule-places/src/service_places.ts
@@ -29,6 +29,8 @@
     nodeAddress: string,
     nowMs: number,
   ) => boolean;
+  /** Called at each start, before `mayStart` is asked for the next request. */
+  onStart: (serverId: BackendServerId, nowMs: number) => void;
 }
 
 /** A retry that comes earlier finds the same load. */
@@ -158,6 +160,7 @@
         const serverId = this.pickServer(request, nowMs);
         if (serverId === null) return false;
         this.servers.start(request, serverId, nowMs);
+        this.options.onStart(serverId, nowMs);
         this.forecast.recordWait(request, true, nowMs);
         assigned.push({kind: 'assign', request, serverId});
         return true;
--- a/packages/schedule-service/src/placing_service.ts
+++ b/packages/schedule-service/src/placing_service.ts
@@ -65,6 +65,10 @@
       random,
       mayStart: (server, nodeAddress, nowMs) =>
         this.mayStart(server, nodeAddress, nowMs),
+      onStart: (serverId, nowMs) => {
+        const server = this.servers.get(serverId);
+        if (server) options.limiter.take(server, nowMs);
+      },
     });
   }
 
@@ -256,7 +260,6 @@
     serverId,
   }: Extract<PlaceDecision, {kind: 'assign'}>): void {
     const server = this.servers.get(serverId);
-    if (server) this.options.limiter.take(server, this.nowMs());
     this.options.send(request.nodeAddress, {
       ...{type: 'assigned', askId: request.id, engineId: serverId},
       softwareVersion: server?.softwareVersion ?? null,
