Raise the limit of brittle servers again after a rejection

Cause: only another rejection changed the rejected limit, so that one rejection at a low load capped a brittle server for good. Change: a limit that was reached and taken is no longer a rejected one, and servers that tolerate less than one rejection a second get a rare probe. It holds since every step above the rejected limit is still bounded as a probe.

--- a/packages/schedule-places/src/concurrency_limit.ts
+++ b/packages/schedule-places/src/concurrency_limit.ts
@@ -20,6 +20,11 @@
  */
 const MAX_PER_SLOT = 2;
 const MS_PER_SECOND = 1_000;
+/**
+ * A server that tolerates less than one rejection per second is probed only after this time
+ * without a rejection or a probe, so that one rejection does not cap it for ever.
+ */
+const RARE_PROBE_INTERVAL_MS = 10_000;
 
 /**
  * Answers servers that take less than they say, or that become slower: additive increase, and a
@@ -40,6 +45,8 @@
    */
   private unsettledCount = 0;
   private lastRejectionAtMs = -Infinity;
+  /** When the server last rejected a request, or last got one that it might reject. */
+  private riskedAtMs = -Infinity;
   private readonly probesAtMs: number[] = [];
 
   /** @param slowStartAtMs -Infinity for a server that is known to serve. */
@@ -73,7 +80,7 @@
   allows(running: number, nowMs: number): boolean {
     if (this.unsettledCount > 0 || running >= this.find(nowMs)) return false;
     const isProbe = running >= this.rejectedLimit;
-    return !isProbe || this.countProbes(nowMs) < this.maxProbesPerSecond;
+    return !isProbe || this.mayProbe(nowMs);
   }
 
   /** @param running requests at the server, without the started one. */
@@ -82,6 +89,7 @@
     const isProbe = running >= this.rejectedLimit;
     if (isProbe && this.terms.brittlePerSecond !== null) {
       this.probesAtMs.push(nowMs);
+      this.riskedAtMs = nowMs;
     }
   }
 
@@ -99,6 +107,7 @@
     }
     this.limit = Math.min(previous, Math.max(1, running - 1));
     this.rejectedLimit = this.limit;
+    this.riskedAtMs = nowMs;
     this.increasesHeldUntilMs = nowMs + HOLD_AFTER_REJECTION_MS;
     this.successCount = 0;
     this.isReached = false;
@@ -111,6 +120,8 @@
     if (this.successCount < this.limit) return;
     this.successCount = 0;
     this.isReached = false;
+    // The server has taken as many requests as the limit, which is no probe any more.
+    this.rejectedLimit = Math.max(this.rejectedLimit, this.limit);
     this.limit = Math.min(this.limit + 1, this.maxLimit);
   }
 
@@ -130,11 +141,13 @@
     return Math.max(1, perSlot * slots);
   }
 
-  /** A server that tolerates no rejection would fall over under the first probe. */
-  private get maxProbesPerSecond(): number {
+  private mayProbe(nowMs: number): boolean {
     const {brittlePerSecond} = this.terms;
-    if (brittlePerSecond === null) return Infinity;
-    return brittlePerSecond < 1 ? 0 : Math.max(1, brittlePerSecond / 2);
+    if (brittlePerSecond === null) return true;
+    if (brittlePerSecond < 1) {
+      return nowMs - this.riskedAtMs >= RARE_PROBE_INTERVAL_MS;
+    }
+    return this.countProbes(nowMs) < Math.max(1, brittlePerSecond / 2);
   }
 
   private countProbes(nowMs: number): number {
--- a/packages/schedule-places/src/place_scheduler.test.ts
+++ b/packages/schedule-places/src/place_scheduler.test.ts
@@ -199,4 +199,25 @@
   assert.is(scheduling.ask(4).length, 1);
 });
 
+// Guards against a brittle server that one rejection at a low load caps for ever.
+[0, 4].forEach(perSecond =>
+  test(`a brittle server of ${perSecond} takes all its slots again`, () => {
+    const scheduling = new TestScheduling([makeServer('s1')]);
+    scheduling.press('s1', perSecond);
+    const [first = '', ...others] = scheduling.ask(2);
+    scheduling.end([first], 'not-taken');
+    scheduling.end(others);
+    const counts: number[] = [];
+    for (let rounds = 0; rounds < 400; rounds += 1) {
+      scheduling.nowMs += 100;
+      const running = scheduling.ask(5);
+      counts.push(running.length);
+      scheduling.end(running);
+    }
+    assert.is(counts.at(-1), 4);
+    const inFirstSeconds = counts.slice(0, 90);
+    if (perSecond === 0) assert.is(Math.max(...inFirstSeconds), 1);
+  }),
+);
+
 test.run();
