Choose locally once for each ask, and bound the wait of queued asks

Cause: without a scheduling node the answer timer kept running beside a local choice and started another one with a charge and a permit of its own; nothing bounded the wait of an ask that the scheduling node had queued, or that was sent again. Change: the timer ends with the fall-back, one local choice runs for an ask at a time, and queued and repeated asks have a timer. It holds since a timer acts only while it is the current one of its ask.

--- a/packages/schedule-service/src/answer_timeouts.ts
+++ b/packages/schedule-service/src/answer_timeouts.ts
@@ -24,14 +24,38 @@
     this.lastAnswerAtMs = this.options.clock.monotonicMs();
   }
 
+  /** Bounds the wait for an answer to an ask that was just sent. */
+  start(pending: PendingAsk, delayMs = PLACE_ANSWER_TIMEOUT_MS): void {
+    this.setTimer(pending, delayMs, () => this.check(pending));
+  }
+
+  /** Bounds the wait of an ask that is queued, in case the scheduling node freezes. */
+  startQueued(pending: PendingAsk): void {
+    const {request, endsAtMs} = pending.ask;
+    const deadlineAtMs = Math.max(
+      findWaitDeadlineMs(request, endsAtMs),
+      this.options.clock.monotonicMs(),
+    );
+    const delayMs =
+      deadlineAtMs + PLACE_ANSWER_TIMEOUT_MS - this.options.clock.monotonicMs();
+    this.setTimer(pending, delayMs, () => this.options.giveUp(pending));
+  }
+
   /**
    * Timers run before messages that have arrived are read. Guards against falling back since
    * this process was delayed, and not the scheduling node.
    */
-  start(pending: PendingAsk, delayMs = PLACE_ANSWER_TIMEOUT_MS): void {
-    const {clock} = this.options;
-    const onTimeout = () => setImmediate(() => this.check(pending));
-    pending.setTimer(clock.setTimer(delayMs, onTimeout));
+  private setTimer(
+    pending: PendingAsk,
+    delayMs: number,
+    onElapsed: () => void,
+  ): void {
+    const timer = this.options.clock.setTimer(delayMs, () =>
+      setImmediate(() => {
+        if (pending.hasTimer(timer)) onElapsed();
+      }),
+    );
+    pending.setTimer(timer);
   }
 
   /**
@@ -39,7 +63,6 @@
    * that add their own choices to the load that it is behind with.
    */
   private check(pending: PendingAsk): void {
-    if (!pending.isWaitingForAnswer) return;
     const {ask} = pending;
     const nowMs = this.options.clock.monotonicMs();
     const silentMs = nowMs - this.lastAnswerAtMs;
--- a/packages/schedule-service/src/pending_ask.ts
+++ b/packages/schedule-service/src/pending_ask.ts
@@ -30,19 +30,20 @@
     if (current.signal.aborted) this.withdraw();
   }
 
-  /** Whether the scheduling node has not answered, and the ask is not settled. */
-  get isWaitingForAnswer(): boolean {
-    return this.timer !== null;
+  /** Whether the timer was neither cancelled nor replaced. */
+  hasTimer(timer: Timer): boolean {
+    return this.timer === timer;
   }
 
   get ask(): ServerAsk {
     return this.current;
   }
 
-  /** The timer is cancelled once the ask is settled. */
+  /** Replaces the timer, which is cancelled once the ask is settled. */
   setTimer(timer: Timer): void {
+    this.cancelTimer();
+    if (this.isSettled) return timer.cancel();
     this.timer = timer;
-    if (this.isSettled) timer.cancel();
   }
 
   cancelTimer(): void {
--- a/packages/schedule-service/src/place_asks.test.ts
+++ b/packages/schedule-service/src/place_asks.test.ts
@@ -43,13 +43,16 @@
   };
 }
 
-function makeLocal(): ServerChooser {
+function makeLocal(onChoose = () => undefined as void): ServerChooser {
   const choice: ServerChoice = {
     ...{status: 'chosen', server: SERVER, askId: null},
     basis: {by: 'own-view'},
   };
   return {
-    choose: () => Promise.resolve(choice),
+    choose: () => {
+      onChoose();
+      return Promise.resolve(choice);
+    },
     release: () => undefined,
     recordSent: () => undefined,
     recordLoad: () => undefined,
@@ -61,10 +64,13 @@
 function startChooser(teamShares = true) {
   const clock = new ManualClock();
   const sent: ToHolderMessage[] = [];
-  const sendToHolder = (message: ToHolderMessage) => sent.push(message) > 0;
+  const state = {hasHolder: true, localChoices: 0};
+  const sendToHolder = (message: ToHolderMessage) =>
+    state.hasHolder && sent.push(message) > 0;
+  const local = makeLocal(() => (state.localChoices += 1));
   const hasTeamShares = () => teamShares;
   const chooser = new ScheduledChooser({
-    ...{clock, askIdPrefix: 'n1', local: makeLocal(), sendToHolder},
+    ...{clock, askIdPrefix: 'n1', local, sendToHolder},
     pressure: new PressureReporter({clock, sendToHolder, hasTeamShares}),
     permits: {settle: () => false, handleHolderLost: () => undefined},
     availability: {describe: () => [], list: () => []},
@@ -75,7 +81,7 @@
     onQuotaRefused: () => undefined,
   });
   const listSent = () => sent.map(({type}) => type);
-  return {chooser, clock, sent, listSent};
+  return {chooser, clock, sent, listSent, state};
 }
 
 function findBasis(choice: ServerChoice): string | null {
@@ -197,4 +203,32 @@
   assert.equal(alone.listSent(), ['pressure']);
 });
 
+// Guards against a second charge and permit for a request of which this node decides.
+test('without a scheduling node a server is chosen once', async () => {
+  const {chooser, clock, state} = startChooser();
+  chooser.setCoordinated([SERVICE]);
+  state.hasHolder = false;
+  const choice = chooser.choose(makeAsk());
+  chooser.handleHolderLost();
+  clock.advance(300);
+  await flushPendingCallbacks();
+  assert.is(findBasis(await choice), 'own-view');
+  assert.is(state.localChoices, 1);
+});
+
+// Guards against requests that wait for a scheduling node that froze after it had queued them.
+test('a queued request waits no longer than its time to wait', async () => {
+  const {chooser, clock, listSent} = startChooser();
+  chooser.setCoordinated([SERVICE]);
+  const choice = chooser.choose(makeAsk());
+  chooser.receive({type: 'queued', askId: 'n1.1'});
+  clock.advance(3_200);
+  await flushPendingCallbacks();
+  assert.is(chooser.pendingCount, 1);
+  clock.advance(100);
+  await flushPendingCallbacks();
+  assert.is(findBasis(await choice), 'own-view');
+  assert.equal(listSent(), ['ask', 'withdraw']);
+});
+
 test.run();
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -144,7 +144,7 @@
     const pending = this.addPendingAsk(askId, ask);
     if (!ask.service.engine) this.answers.start(pending);
     pending.isSubmitted = sendToHolder({type: 'ask', ask: payload});
-    if (!pending.isSubmitted) this.chooseLocally(pending);
+    if (!pending.isSubmitted) this.fallBackToLocal(pending);
     return pending.choice;
   }
 
@@ -173,7 +173,11 @@
     if (this.chargeClient.settle(message)) return;
     if (message.type === 'charged' || message.type === 'permitted') return;
     const pending = this.pendingAsks.get(message.askId);
-    if (message.type === 'queued') return pending?.cancelTimer();
+    if (message.type === 'queued') {
+      // A message that crossed the fall-back to a local choice changes nothing.
+      if (pending?.isSubmitted) this.answers.startQueued(pending);
+      return;
+    }
     if (message.type === 'refused') {
       this.recordRefusal(message, pending);
       pending?.settle({
@@ -392,8 +396,9 @@
     pending.exclude(engineId);
     const [payload] = this.toPayloads(pending.askId, pending.ask);
     if (!payload || !this.options.sendToHolder({type: 'ask', ask: payload})) {
-      this.chooseLocally(pending);
+      return this.fallBackToLocal(pending);
     }
+    if (!pending.ask.service.engine) this.answers.start(pending);
   }
 
   private fallBackToLocal(pending: PendingAsk): void {
@@ -410,6 +415,8 @@
     const {clock, areAllLeaving} = this.options;
     const {service} = pending.ask;
     this.isStateUntold = true;
+    // A second choice would be charged, and take a permit, again.
+    if (this.starting.has(pending)) return;
     if (!service.engine || areAllLeaving(service.name)) {
       return this.startLocally(pending);
     }
