Keep the place of a stream until its own deadline

Cause: the place of a run that was not reported as ended was freed at the silence timeout of its caller, while a stream goes on for longer. Change: it is freed some seconds after the deadline of the response, as with engines. It holds since the time to wait still follows from the silence timeout.

--- a/packages/schedule-places/src/place_request.ts
+++ b/packages/schedule-places/src/place_request.ts
@@ -14,7 +14,7 @@
   incarnation: string;
   /** The request is refused if it cannot start by then. */
   waitDeadlineAtMs: number;
-  /** The deadline of the complete response. */
+  /** When a run that was not reported as ended frees its place. */
   endsAtMs: number;
   excluded: ReadonlySet<BackendServerId>;
   /** The only eligible servers; null for any. */
--- a/packages/schedule-service/src/ask_payload.ts
+++ b/packages/schedule-service/src/ask_payload.ts
@@ -8,7 +8,7 @@
 } from '@mimosatack/serve-requests';
 import {ANONYMOUS_TEAM} from '@mimosatack/share-capacity';
 import {type AskPayload, type ModelAsk} from './messages.js';
-import {findIncarnation} from './tracked_asks.js';
+import {END_MESSAGE_GRACE_MS, findIncarnation} from './tracked_asks.js';
 
 /** Share of the output limit that is assumed when a request has no estimate. */
 const DEFAULT_OUTPUT_FRACTION = 0.5;
@@ -110,12 +110,14 @@
 ): PlaceRequest {
   const {askId, service, team, priority, excluded, allowed} = payload;
   const receivedAtMs = nowMs - payload.waitedMs;
-  const endsAtMs = nowMs + payload.endsInMs;
+  const {endsInMs, runEndsInMs} = payload;
+  // A stream that sends events runs longer than its caller waits for one event.
+  const endsAtMs = nowMs + (runEndsInMs ?? endsInMs) + END_MESSAGE_GRACE_MS;
   return {
     ...{id: askId, service, team: team ?? ANONYMOUS_TEAM, priority, cost: 1},
     ...{dueAtMs: nowMs + payload.dueInMs, nodeAddress, endsAtMs},
     incarnation: findIncarnation(askId),
-    waitDeadlineAtMs: findWaitDeadlineMs({receivedAtMs}, endsAtMs),
+    waitDeadlineAtMs: findWaitDeadlineMs({receivedAtMs}, nowMs + endsInMs),
     excluded: new Set(excluded),
     allowed: allowed && new Set(allowed),
   };
--- a/packages/schedule-service/src/tracked_asks.ts
+++ b/packages/schedule-service/src/tracked_asks.ts
@@ -23,7 +23,7 @@
  * Added to a request's own deadline, since the message that it has ended takes longer from
  * a node that is short of processor time.
  */
-const END_MESSAGE_GRACE_MS = 3_000;
+export const END_MESSAGE_GRACE_MS = 3_000;
 
 interface NodeProcess {
   current: NodeIncarnation;
