Give retries free places, and none at servers that leave or are spared

Cause: a retry past its time to wait was refused although places were free; requests waited for servers that leave; a reserved time was used at a brittle server in its pause. Change: such a retry is admitted if it can start at once and expires only after places were assigned; leaving servers count as not eligible; a claim looks at the pause. It holds since a request without a free place is still refused at the same decision.

--- a/packages/schedule-places/src/place_fixture.ts
+++ b/packages/schedule-places/src/place_fixture.ts
@@ -36,11 +36,13 @@
 /** Drives a scheduler and collects what it decides. */
 export class TestScheduling {
   readonly decisions: PlaceDecision[] = [];
+  readonly leaving = new Set<string>();
   /** Starts that the limits of servers allow. */
   permits = Infinity;
   readonly scheduler = new PlaceScheduler({
     random: new SeededRandom(1),
     mayStart: () => this.permits > 0,
+    isLeaving: ({id}) => this.leaving.has(id),
     onStart: () => (this.permits -= 1),
   });
   nowMs = 100_000;
--- a/packages/schedule-places/src/place_forecast.ts
+++ b/packages/schedule-places/src/place_forecast.ts
@@ -46,7 +46,8 @@
     const pool = {group: GROUP, readyAtMs: nowMs, scopes: [scope]};
     const found = this.forecast.find(request, pool, nowMs);
     if (!found) return null;
-    if (found.startsAtMs <= request.waitDeadlineAtMs) {
+    // A retry past its time to wait may still start at once.
+    if (found.startsAtMs <= Math.max(nowMs, request.waitDeadlineAtMs)) {
       this.admitted.set(request.id, {forecast: found, atMs: nowMs});
       return null;
     }
--- a/packages/schedule-places/src/place_scheduler.test.ts
+++ b/packages/schedule-places/src/place_scheduler.test.ts
@@ -220,4 +220,25 @@
   }),
 );
 
+// Guards against retries that are refused although servers are idle.
+test('a retry past its time to wait gets a place that is free', () => {
+  const scheduling = new TestScheduling([makeServer('s1')]);
+  for (let rounds = 0; rounds < 20; rounds += 1) {
+    const running = scheduling.ask(1);
+    scheduling.nowMs += 100;
+    scheduling.end(running);
+  }
+  const waitDeadlineAtMs = scheduling.nowMs - 100;
+  assert.is(scheduling.ask(1, {waitDeadlineAtMs}).length, 1);
+  assert.is(scheduling.countRefused('north'), 0);
+});
+
+// Guards against requests that wait for servers that take no more.
+test('without a server that stays a request is refused at once', () => {
+  const scheduling = new TestScheduling([makeServer('s1')]);
+  scheduling.leaving.add('s1');
+  scheduling.ask(1);
+  assert.is(scheduling.countRefused('north'), 1);
+});
+
 test.run();
--- a/packages/schedule-places/src/place_scheduler.ts
+++ b/packages/schedule-places/src/place_scheduler.ts
@@ -20,7 +20,7 @@
 
 export interface PlaceSchedulerOptions extends Pick<
   ServicePlacesOptions,
-  'mayStart' | 'onStart'
+  'mayStart' | 'onStart' | 'isLeaving'
 > {
   random: RandomSource;
 }
@@ -225,8 +225,7 @@
   }
 
   private addService(name: ServiceName): void {
-    const {random, mayStart, onStart} = this.options;
-    this.services.set(name, new ServicePlaces({random, mayStart, onStart}));
+    this.services.set(name, new ServicePlaces(this.options));
   }
 
   private findPlaces(askId: string): ServicePlaces | undefined {
--- a/packages/schedule-places/src/service_places.ts
+++ b/packages/schedule-places/src/service_places.ts
@@ -29,6 +29,8 @@
     nodeAddress: string,
     nowMs: number,
   ) => boolean;
+  /** Whether the server has said that it takes no more requests. */
+  isLeaving: (server: BackendServerEntry) => boolean;
   /** Called at each start, before `mayStart` is asked for the next request. */
   onStart: (serverId: BackendServerId, nowMs: number) => void;
 }
@@ -81,7 +83,7 @@
     const isRepeated = this.queue.get(request.id) !== undefined;
     const servers = this.servers
       .list()
-      .filter(({entry}) => isEligible(request, entry));
+      .filter(({entry}) => this.isEligible(request, entry));
     if (servers.length === 0) {
       this.queue.remove(request.id);
       return this.refuse(request, null, this.findRetryAfterMs());
@@ -152,7 +154,9 @@
   }
 
   decide(nowMs: number): PlaceDecision[] {
-    const refused = this.expire(nowMs);
+    const isExpiryDue = nowMs - this.expiredAtMs >= EXPIRY_INTERVAL_MS;
+    if (isExpiryDue) this.expiredAtMs = nowMs;
+    const ended = isExpiryDue ? this.endOverdue(nowMs) : [];
     const assigned: PlaceDecision[] = [];
     this.queue.startEach(
       nowMs,
@@ -167,7 +171,9 @@
       },
       () => this.servers.hasRoom(nowMs),
     );
-    return [...refused, ...assigned, ...this.listQueued()];
+    // A retry may be past its time to wait: it still gets a place that is free.
+    const refused = isExpiryDue ? this.refuseLate(nowMs) : [];
+    return [...ended, ...refused, ...assigned, ...this.listQueued()];
   }
 
   private listQueued(): PlaceDecision[] {
@@ -186,7 +192,7 @@
     const {mayStart} = this.options;
     return this.servers.pick(
       entry =>
-        isEligible(request, entry) &&
+        this.isEligible(request, entry) &&
         mayStart(entry, request.nodeAddress, nowMs),
       nowMs,
     );
@@ -198,15 +204,20 @@
     return {...request, cost, dueAtMs: request.dueAtMs - cost};
   }
 
-  /** Ends runs past their deadlines, and refuses requests that can no longer start in time. */
-  private expire(nowMs: number): PlaceDecision[] {
-    if (nowMs - this.expiredAtMs < EXPIRY_INTERVAL_MS) return [];
-    this.expiredAtMs = nowMs;
-    const overdue = this.servers.listRuns(
+  /** Ends runs past their deadlines. */
+  private endOverdue(nowMs: number): PlaceDecision[] {
+    const running = this.servers.listRuns(
       ({request}) => request.endsAtMs <= nowMs,
     );
-    overdue.forEach(({id}) => this.servers.end(id));
-    const refused = this.queue
+    if (running.length === 0) return [];
+    running.forEach(({id}) => this.servers.end(id));
+    const cause = 'deadline-passed';
+    return [{kind: 'abandon', cause, running, waiting: []}];
+  }
+
+  /** Refuses requests that can no longer start in time. */
+  private refuseLate(nowMs: number): PlaceDecision[] {
+    return this.queue
       .listWhere(({waitDeadlineAtMs}) => waitDeadlineAtMs <= nowMs)
       .map(request => {
         this.queue.remove(request.id);
@@ -214,12 +225,6 @@
         this.forecast.recordWait(request, false, nowMs);
         return this.refuse(request, forecast, this.findRetryAfterMs(), false);
       });
-    if (overdue.length === 0) return refused;
-    const cause = 'deadline-passed';
-    return [
-      {kind: 'abandon', cause, running: overdue, waiting: []},
-      ...refused,
-    ];
   }
 
   private refuse(
@@ -235,11 +240,13 @@
     const jitter = MAX_JITTER_FRACTION * this.options.random.nextFraction();
     return MIN_RETRY_AFTER_MS * (1 + jitter);
   }
-}
 
-function isEligible(
-  {excluded, allowed}: PlaceRequest,
-  {id, state}: BackendServerEntry,
-): boolean {
-  return state === 'ready' && !excluded.has(id) && (allowed?.has(id) ?? true);
+  private isEligible(
+    {excluded, allowed}: PlaceRequest,
+    server: BackendServerEntry,
+  ): boolean {
+    const {id, state} = server;
+    const isWanted = !excluded.has(id) && (allowed?.has(id) ?? true);
+    return state === 'ready' && isWanted && !this.options.isLeaving(server);
+  }
 }
--- a/packages/schedule-service/src/placing_service.ts
+++ b/packages/schedule-service/src/placing_service.ts
@@ -65,6 +65,7 @@
       random,
       mayStart: (server, nodeAddress, nowMs) =>
         this.mayStart(server, nodeAddress, nowMs),
+      isLeaving: server => options.availability.isLeaving(server),
       onStart: (serverId, nowMs) => {
         const server = this.servers.get(serverId);
         if (server) options.limiter.take(server, nowMs);
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -159,9 +159,9 @@
     reserved: BackendServerEntry | null,
     candidates: readonly BackendServerEntry[],
   ): Promise<PermittedChoice | null> {
-    const {availability, permits} = this.options;
+    const {permits} = this.options;
     const server = candidates.find(({id}) => id === reserved?.id);
-    if (!server || availability.findWaitMs(server) !== 0) return null;
+    if (!server || this.findWaitMs(server) !== 0) return null;
     const waitMs = await permits.request(server, CLAIM_TOLERANCE_MS);
     if (waitMs === 0) return {server, waitMs, reserved};
     return waitMs > CLAIM_TOLERANCE_MS
--- a/packages/serve-requests/src/limited_servers.test.ts
+++ b/packages/serve-requests/src/limited_servers.test.ts
@@ -73,4 +73,21 @@
   assert.is((await choice).status, 'refused');
 });
 
+// Guards against a brittle server that gets a reserved request while it is spared.
+test('a reserved time is not used after a rejection', async () => {
+  const waits: Record<string, number | null> = {limited: 400};
+  const {clock, chooser} = makeChooser(waits);
+  const choice = chooser.choose(makeAsk());
+  await settle();
+  const server = makeServer({id: 'limited'});
+  chooser.recordTerms(server, {brittlePerSecond: 1, isLimited: true});
+  chooser.recordResult(
+    {status: 'chosen', server, basis: {by: 'own-view'}, askId: null},
+    ...(['not-taken', null] as const),
+  );
+  waits['limited'] = 0;
+  clock.advance(400);
+  assert.is((await choice).status, 'refused');
+});
+
 test.run();
