Heed incarnations in terms, and end the coordination of services without servers

Cause: late terms of a previous incarnation bounded the next one; a node cleared the terms that it had just recorded again, so that a third scheduling node learned none; 0 < 0 kept a service without servers coordinated. Change: earlier incarnations are ignored, the record is cleared before it is filled again, and half the places may be taken.

--- a/packages/schedule-places/src/place_scheduler.test.ts
+++ b/packages/schedule-places/src/place_scheduler.test.ts
@@ -241,4 +241,29 @@
   assert.is(scheduling.countRefused('north'), 1);
 });
 
+// Guards against terms of a server's previous incarnation that bound the next one.
+test('late terms of a previous incarnation are ignored', () => {
+  const scheduling = new TestScheduling([makeServer('s1', {startedAtMs: 2})]);
+  scheduling.press('s1', 0);
+  const [first = '', ...others] = scheduling.ask(2);
+  scheduling.end([first], 'not-taken');
+  assert.is(scheduling.ask(1).length, 0);
+  scheduling.end(others);
+  for (let rounds = 0; rounds < 40; rounds += 1) {
+    scheduling.nowMs += 100;
+    scheduling.end(scheduling.ask(5));
+  }
+  assert.ok(scheduling.ask(5).length > 1);
+});
+
+// Guards against a service without servers that is coordinated for ever.
+test('coordination ends without servers', () => {
+  const scheduling = new TestScheduling([makeServer('s1')]);
+  scheduling.press('s1', null);
+  scheduling.scheduler.removeServer('s1');
+  scheduling.nowMs += 3_500;
+  scheduling.decide();
+  assert.equal(scheduling.scheduler.listCoordinated(), []);
+});
+
 test.run();
--- a/packages/schedule-places/src/place_scheduler.ts
+++ b/packages/schedule-places/src/place_scheduler.ts
@@ -91,11 +91,11 @@
 
   /** Load alone matters only where teams share capacity. */
   recordPressure(pressure: Pressure, nowMs: number): void {
-    const {service, serverId, cause, brittlePerSecond} = pressure;
+    const {service, serverId, startedAtMs, cause, brittlePerSecond} = pressure;
     const places = this.services.get(service);
     if (!places) return;
     if (brittlePerSecond !== null) {
-      places.servers.setBrittle(serverId, brittlePerSecond);
+      places.servers.setBrittle(serverId, startedAtMs, brittlePerSecond);
     }
     const isOfLoad = cause === 'load' || cause === 'rejection';
     if (isOfLoad && this.weights === null) return;
--- a/packages/schedule-places/src/service_places.ts
+++ b/packages/schedule-places/src/service_places.ts
@@ -74,7 +74,7 @@
 
   isUnderHalf(nowMs: number): boolean {
     const {runningCount} = this.servers;
-    return runningCount < this.servers.countPlaces(nowMs) / 2;
+    return runningCount <= this.servers.countPlaces(nowMs) / 2;
   }
 
   /** Returns the refusal of a request that cannot start in time. */
--- a/packages/schedule-places/src/service_servers.ts
+++ b/packages/schedule-places/src/service_servers.ts
@@ -2,6 +2,7 @@
 import {
   type BackendServerEntry,
   type BackendServerId,
+  type ServerStartMs,
   compareIncarnations,
 } from '@mimosatack/types';
 import {ConcurrencyLimit} from './concurrency_limit.js';
@@ -62,9 +63,16 @@
     this.endRunsAt(id);
   }
 
-  setBrittle(id: BackendServerId, brittlePerSecond: number): void {
+  /** Ignores what a previous incarnation of the server has said. */
+  setBrittle(
+    id: BackendServerId,
+    startedAtMs: ServerStartMs,
+    brittlePerSecond: number,
+  ): void {
     const server = this.servers.get(id);
     if (!server) return;
+    const known = server.entry.startedAtMs;
+    if (compareIncarnations(startedAtMs, known) === 'earlier') return;
     server.brittlePerSecond = brittlePerSecond;
     server.limit.setTerms({slots: server.entry.slots, brittlePerSecond});
   }
--- a/packages/schedule-service/src/place_asks.test.ts
+++ b/packages/schedule-service/src/place_asks.test.ts
@@ -231,4 +231,16 @@
   assert.equal(listSent(), ['ask', 'withdraw']);
 });
 
+// Guards against a third scheduling node that does not learn which servers are brittle.
+test('each new scheduling node learns which servers are brittle', async () => {
+  const {chooser, clock, listSent} = startChooser();
+  await chooser.choose(makeAsk());
+  chooser.recordTerms(SERVER, {brittlePerSecond: 3, isLimited: false});
+  [1, 2].forEach(() => {
+    clock.advance(2_000);
+    chooser.sendStateToHolder();
+  });
+  assert.is(listSent().filter(type => type === 'pressure').length, 3);
+});
+
 test.run();
--- a/packages/schedule-service/src/pressure_reporter.ts
+++ b/packages/schedule-service/src/pressure_reporter.ts
@@ -66,10 +66,11 @@
   /** Tells a new scheduling node what servers have said recently. */
   repeatAll(): void {
     this.sentAtMs.clear();
-    this.brittle.forEach(({server, perSecond}) =>
+    const known = [...this.brittle.values()];
+    this.brittle.clear();
+    known.forEach(({server, perSecond}) =>
       this.recordTerms(server, {brittlePerSecond: perSecond, isLimited: false}),
     );
-    this.brittle.clear();
   }
 
   private reportLoad(server: BackendServerEntry, cause: Cause): void {
