End the places of a restarted node at its first message

Cause: the process of a node was noted only from asks that were accepted for plain servers, so that runs of the killed process kept their places; asks whose server was removed stayed tracked. Change: every ask and report of what is under way tells the process, before charges; with the end of a process all that is tracked for it is forgotten. It holds since ask ids name their process.

--- a/packages/schedule-places/src/place_request.ts
+++ b/packages/schedule-places/src/place_request.ts
@@ -78,6 +78,8 @@
       running: readonly PlaceRequest[];
       waiting: readonly PlaceRequest[];
     }
+  /** No request of the process is left; follows the decision that abandons them. */
+  | {kind: 'process-ended'; incarnation: string}
   | {
       kind: 'lower-limit';
       service: ServiceName;
--- a/packages/schedule-places/src/place_scheduler.ts
+++ b/packages/schedule-places/src/place_scheduler.ts
@@ -25,6 +25,11 @@
   random: RandomSource;
 }
 
+interface KnownAsk {
+  service: ServiceName;
+  incarnation: string;
+}
+
 interface NodeProcess {
   current: string;
   /** Its messages may arrive after the first of the current one. */
@@ -34,7 +39,7 @@
 export class PlaceScheduler {
   private readonly services = new Map<ServiceName, ServicePlaces>();
   private readonly serviceOfServer = new Map<BackendServerId, ServiceName>();
-  private readonly serviceOfAsk = new Map<string, ServiceName>();
+  private readonly asks = new Map<string, KnownAsk>();
   /** The processes that asked last, by the address of the node. */
   private readonly processes = new Map<string, NodeProcess>();
   private readonly coordination = new Coordination();
@@ -81,7 +86,7 @@
 
   /** Whether the request waits or runs here. */
   has(askId: string): boolean {
-    return this.serviceOfAsk.has(askId);
+    return this.asks.has(askId);
   }
 
   /** Services whose requests all nodes have to ask a place for. */
@@ -109,7 +114,7 @@
     if (!this.noteProcess(request)) return;
     const places = this.services.get(request.service);
     if (!places) return;
-    this.serviceOfAsk.set(request.id, request.service);
+    this.noteAsk(request);
     const refusal = places.add(request, nowMs);
     if (refusal) this.pending.push(refusal);
   }
@@ -123,7 +128,7 @@
     if (!this.noteProcess(request)) return;
     const places = this.services.get(request.service);
     if (!places) return;
-    this.serviceOfAsk.set(request.id, request.service);
+    this.noteAsk(request);
     places.recordRunning(request, serverId, nowMs);
   }
 
@@ -135,14 +140,14 @@
     const places = this.findPlaces(askId);
     if (places?.servers.hasRun(askId)) return false;
     places?.withdraw(askId);
-    this.serviceOfAsk.delete(askId);
+    this.asks.delete(askId);
     return true;
   }
 
   recordEnd(askId: string, result: PlaceResult, nowMs: number): void {
-    const service = this.serviceOfAsk.get(askId);
+    const service = this.asks.get(askId)?.service;
     if (service === undefined) return;
-    this.serviceOfAsk.delete(askId);
+    this.asks.delete(askId);
     if (result === 'not-taken' && this.weights) {
       this.coordination.prolong(service, nowMs);
     }
@@ -160,8 +165,14 @@
     );
     const running = ended.flatMap(requests => requests.running);
     const waiting = ended.flatMap(requests => requests.waiting);
-    if (running.length + waiting.length === 0) return;
-    this.pending.push({kind: 'abandon', cause, running, waiting});
+    // Runs at a server that was removed are known here alone.
+    this.asks.forEach((ask, id) => {
+      if (ask.incarnation === incarnation) this.asks.delete(id);
+    });
+    if (running.length + waiting.length > 0) {
+      this.pending.push({kind: 'abandon', cause, running, waiting});
+    }
+    this.pending.push({kind: 'process-ended', incarnation});
   }
 
   decide(nowMs: number): PlaceDecision[] {
@@ -173,10 +184,15 @@
     const decisions = [...pending, ...decided, ...this.endCoordination(nowMs)];
     decisions
       .flatMap(decision => listEnded(decision))
-      .forEach(({id}) => this.serviceOfAsk.delete(id));
+      .forEach(({id}) => this.asks.delete(id));
     return decisions;
   }
 
+  /** Whether there is something to decide before the next request or end. */
+  get hasPending(): boolean {
+    return this.pending.length > 0;
+  }
+
   get waitingCount(): number {
     return [...this.services.values()].reduce(
       (sum, {waitingCount}) => sum + waitingCount,
@@ -214,7 +230,10 @@
    * Guards against places that stay taken by requests of a process that was killed. Returns
    * false for a late message of a process that was replaced.
    */
-  private noteProcess({nodeAddress, incarnation}: PlaceRequest): boolean {
+  noteProcess({
+    nodeAddress,
+    incarnation,
+  }: Pick<PlaceRequest, 'nodeAddress' | 'incarnation'>): boolean {
     const known = this.processes.get(nodeAddress);
     if (known?.current === incarnation) return true;
     if (known?.previous === incarnation) return false;
@@ -224,12 +243,16 @@
     return true;
   }
 
+  private noteAsk({id, service, incarnation}: PlaceRequest): void {
+    this.asks.set(id, {service, incarnation});
+  }
+
   private addService(name: ServiceName): void {
     this.services.set(name, new ServicePlaces(this.options));
   }
 
   private findPlaces(askId: string): ServicePlaces | undefined {
-    return this.services.get(this.serviceOfAsk.get(askId) ?? '');
+    return this.services.get(this.asks.get(askId)?.service ?? '');
   }
 }
 
--- a/packages/schedule-service/src/abandoned_requests.ts
+++ b/packages/schedule-service/src/abandoned_requests.ts
@@ -82,7 +82,7 @@
 }
 
 /** The process that sent a message; null where the message does not tell. */
-function findSender(message: ToHolderMessage): NodeIncarnation | null {
+export function findSender(message: ToHolderMessage): NodeIncarnation | null {
   if (message.type === 'ask') return findIncarnation(message.ask.askId);
   if (message.type !== 'under-way') return null;
   const {incarnation, asks, runs} = message;
--- a/packages/schedule-service/src/placing_service.ts
+++ b/packages/schedule-service/src/placing_service.ts
@@ -19,6 +19,7 @@
   type NodeIncarnation,
   type ServiceSpec,
 } from '@mimosatack/types';
+import {findSender} from './abandoned_requests.js';
 import {toPlaceRequest} from './ask_payload.js';
 import {
   type AskPayload,
@@ -124,6 +125,9 @@
   /** Returns whether the message concerns plain servers alone. */
   receive(nodeAddress: string, message: ToHolderMessage): boolean {
     const nowMs = this.nowMs();
+    if (!this.noteSender(nodeAddress, message)) {
+      return message.type === 'ask' && message.ask.model === null;
+    }
     switch (message.type) {
       case 'ask':
         if (message.ask.model !== null) return false;
@@ -153,6 +157,15 @@
     return true;
   }
 
+  /** Returns false for a late message of a process that was replaced. */
+  private noteSender(nodeAddress: string, message: ToHolderMessage): boolean {
+    const incarnation = findSender(message);
+    if (incarnation === null) return true;
+    const isCurrent = this.scheduler.noteProcess({nodeAddress, incarnation});
+    if (this.scheduler.hasPending) this.scheduleDecision();
+    return isCurrent;
+  }
+
   private acceptAsk(ask: AskPayload, nodeAddress: string, nowMs: number): void {
     if (!this.charges.accept(ask, nodeAddress)) return;
     this.scheduler.add(toPlaceRequest(ask, nodeAddress, nowMs), nowMs);
@@ -245,6 +258,8 @@
         });
       case 'abandon':
         return this.abandon(decision);
+      case 'process-ended':
+        return this.charges.forgetAllOf(decision.incarnation);
       case 'lower-limit': {
         const {service, serverId, limit, previousLimit} = decision;
         return this.options.logger.log('server-concurrency-lowered', {
--- a/packages/schedule-service/src/tracked_charges.ts
+++ b/packages/schedule-service/src/tracked_charges.ts
@@ -1,8 +1,10 @@
 /** The charges to teams' quotas for asks, from their arrival until their requests have ended. */
 import {type EventLogger} from '@mimosatack/logger';
 import {type QuotaCharge, type QuotaRefusal} from '@mimosatack/team-quotas';
+import {type NodeIncarnation} from '@mimosatack/types';
 import {type AskPayload, type FromHolderMessage} from './messages.js';
 import {type HolderQuotas} from './scheduling_service.js';
+import {findIncarnation} from './tracked_asks.js';
 
 export interface TrackedChargesOptions {
   logger: EventLogger;
@@ -43,6 +45,13 @@
     this.asks.delete(askId);
   }
 
+  /** Forgets the asks of a process that is gone; what was charged for them stays so. */
+  forgetAllOf(incarnation: NodeIncarnation): void {
+    [...this.asks.keys()]
+      .filter(askId => findIncarnation(askId) === incarnation)
+      .forEach(askId => this.asks.delete(askId));
+  }
+
   private refuse(
     askId: string,
     requestId: string,
