Close a server for all nodes only when more than one report says that it is gone

Cause: one node that could not reach a server closed it for all nodes. Change: a report pauses the server for its node, and starts it slowly for all only when a second node reports it too, or the same one again, without a response in between. It holds since a server that is gone fails for the next node that is sent there.

--- a/packages/schedule-places/src/place_fixture.ts
+++ b/packages/schedule-places/src/place_fixture.ts
@@ -1,7 +1,11 @@
 /** A place scheduler with servers and requests, for tests. */
 import {SeededRandom} from '@mimosatack/random';
 import {type BackendServerEntry} from '@mimosatack/types';
-import {type PlaceDecision, type PlaceRequest} from './place_request.js';
+import {
+  type PlaceDecision,
+  type PlaceRequest,
+  type PlaceResult,
+} from './place_request.js';
 import {PlaceScheduler} from './place_scheduler.js';
 
 export const SERVICE = 'lists';
@@ -71,7 +75,7 @@
     );
   }
 
-  end(ids: readonly string[], result: 'served' | 'not-taken' = 'served'): void {
+  end(ids: readonly string[], result: PlaceResult = 'served'): void {
     ids.forEach(id => this.scheduler.recordEnd(id, result, this.nowMs));
   }
 
--- a/packages/schedule-places/src/place_scheduler.test.ts
+++ b/packages/schedule-places/src/place_scheduler.test.ts
@@ -266,4 +266,38 @@
   assert.equal(scheduling.scheduler.listCoordinated(), []);
 });
 
+// Guards against one node without a way to a server that closes it for all nodes.
+test('a server closes for all nodes once a second one does not reach it', () => {
+  const scheduling = new TestScheduling([makeServer('s1')]);
+  const n2 = {nodeAddress: 'n2', incarnation: 'i2'};
+  scheduling.end(scheduling.ask(2), 'unreachable');
+  assert.is(scheduling.ask(1).length, 0);
+  const ofOther = scheduling.ask(2, n2);
+  assert.is(ofOther.length, 2);
+  scheduling.end(ofOther.slice(0, 1), 'unreachable');
+  const n3 = {nodeAddress: 'n3', incarnation: 'i3'};
+  assert.is(scheduling.ask(1, n3).length, 0);
+});
+
+// Guards against a server that is gone and goes on getting requests of the only node.
+test('a server closes for all nodes when the same one misses it twice', () => {
+  const scheduling = new TestScheduling([makeServer('s1')]);
+  const n2 = {nodeAddress: 'n2', incarnation: 'i2'};
+  scheduling.end(scheduling.ask(1), 'unreachable');
+  scheduling.nowMs += 500;
+  scheduling.end(scheduling.ask(1), 'unreachable');
+  assert.is(scheduling.ask(1, n2).length, 0);
+});
+
+// Guards against a node without a way to a server that closes it while others reach it.
+test('a response to another node keeps the server open for all', () => {
+  const scheduling = new TestScheduling([makeServer('s1')]);
+  const n2 = {nodeAddress: 'n2', incarnation: 'i2'};
+  scheduling.end(scheduling.ask(1), 'unreachable');
+  scheduling.nowMs += 500;
+  scheduling.end(scheduling.ask(1, n2));
+  scheduling.end(scheduling.ask(1), 'unreachable');
+  assert.is(scheduling.ask(1, n2).length, 1);
+});
+
 test.run();
--- a/packages/schedule-places/src/service_places.ts
+++ b/packages/schedule-places/src/service_places.ts
@@ -194,6 +194,7 @@
       entry =>
         this.isEligible(request, entry) &&
         mayStart(entry, request.nodeAddress, nowMs),
+      request.nodeAddress,
       nowMs,
     );
   }
--- a/packages/schedule-places/src/service_servers.ts
+++ b/packages/schedule-places/src/service_servers.ts
@@ -6,6 +6,7 @@
   compareIncarnations,
 } from '@mimosatack/types';
 import {ConcurrencyLimit} from './concurrency_limit.js';
+import {NodeReach} from './node_reach.js';
 import {type PlaceRequest, type PlaceResult} from './place_request.js';
 
 /** A failed server is ranked last for this time, as with a choice of one node. */
@@ -15,6 +16,7 @@
 export interface ServerPlaces {
   entry: BackendServerEntry;
   limit: ConcurrencyLimit;
+  reach: NodeReach;
   brittlePerSecond: number | null;
   running: number;
   failedAtMs: number;
@@ -50,6 +52,7 @@
     }
     this.servers.set(entry.id, {
       ...{entry, running: 0, failedAtMs: -Infinity, brittlePerSecond: null},
+      reach: new NodeReach(),
       limit: new ConcurrencyLimit(
         {slots: entry.slots, brittlePerSecond: null},
         isKnown ? -Infinity : nowMs,
@@ -97,15 +100,18 @@
     return this.list().some(({limit, running}) => limit.allows(running, nowMs));
   }
 
-  /** The least used server that may get another request. */
+  /** The least used server that may get another request of the node. */
   pick(
     isEligible: (server: BackendServerEntry) => boolean,
+    nodeAddress: string,
     nowMs: number,
   ): BackendServerId | null {
     const best = this.list()
       .filter(
-        ({entry, limit, running}) =>
-          limit.allows(running, nowMs) && isEligible(entry),
+        ({entry, limit, reach, running}) =>
+          limit.allows(running, nowMs) &&
+          !reach.isPaused(nodeAddress, nowMs) &&
+          isEligible(entry),
       )
       .reduce<ServerPlaces | null>(
         (least, next) =>
@@ -144,9 +150,14 @@
     result: PlaceResult,
     nowMs: number,
   ): LoweredLimit | null {
-    const server = this.servers.get(this.runs.get(askId)?.serverId ?? '');
-    if (!server) return null;
-    const {limit, running} = server;
+    const run = this.runs.get(askId);
+    const server = this.servers.get(run?.serverId ?? '');
+    if (!run || !server) return null;
+    const {limit, reach, running} = server;
+    const {nodeAddress} = run.request;
+    if (result === 'served' || result === 'not-taken') {
+      reach.recordResponse(nodeAddress);
+    }
     const previousLimit = limit.find(nowMs);
     switch (result) {
       case 'served':
@@ -157,7 +168,9 @@
           ? {limit: limit.find(nowMs), previousLimit}
           : null;
       case 'unreachable':
-        limit.recordUnreachable(nowMs);
+        if (reach.recordUnreachable(nodeAddress, nowMs)) {
+          limit.recordUnreachable(nowMs);
+        }
         return null;
       case 'failed':
         server.failedAtMs = nowMs;
