Send messages about places only to nodes that understand them

Cause: the previous release closes the connection at pressure and coordinated-services. Change: heartbeats say whether a node knows of places, and replies name the coordinated services or null; queued already answers only asks without a model, which the previous release never sends. It holds since both fields default to the previous release's silence.

--- a/packages/node-links/src/holder_channel.ts
+++ b/packages/node-links/src/holder_channel.ts
@@ -16,7 +16,9 @@
   NodeLinksOptions,
   'self' | 'holder' | 'onToHolder' | 'onFault'
 > {
-  contacts: HolderContacts;
+  contacts: Pick<HolderContacts, 'find'>;
+  /** False for a holder of the previous release, or before its first reply. */
+  knowsPlaces: (holder: DutyHolder) => boolean;
   transport: Pick<PeerTransport<NodeMessage>, 'send' | 'request'>;
 }
 
@@ -25,14 +27,16 @@
 
   /** Returns false if the message is not sent. */
   send(message: ToHolderMessage): boolean {
-    const {onToHolder, self, transport} = this.options;
+    const {knowsPlaces, onToHolder, self, transport} = this.options;
     const holder = this.findAlive();
     if (!holder) return false;
     if (holder.incarnation === self.incarnation) {
       onToHolder(self.peerAddress, message);
-    } else {
-      transport.send(holder.address, {type: 'to-holder', body: message});
+      return true;
     }
+    // The previous release closes the connection at a message that it does not know.
+    if (message.type === 'pressure' && !knowsPlaces(holder)) return false;
+    transport.send(holder.address, {type: 'to-holder', body: message});
     return true;
   }
 
--- a/packages/node-links/src/last_welcome.ts
+++ b/packages/node-links/src/last_welcome.ts
@@ -20,6 +20,11 @@
     return this.welcome?.serversAgeMs ?? Infinity;
   }
 
+  /** Whether the holder understands messages about places. */
+  knowsPlaces(holder: DutyHolder): boolean {
+    return (this.findFrom(holder)?.coordinatedServices ?? null) !== null;
+  }
+
   /** Whether the holder forwards the records of registered nodes. */
   relaysNodes(holder: DutyHolder): boolean {
     return (this.findFrom(holder)?.nodesEndOffset ?? 0) > 0;
--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -40,6 +40,8 @@
   quotas: quotaReportSchema.nullable().default(null),
   /** Limits that servers name; null from the previous release. */
   limits: limitReportSchema.nullable().default(null),
+  /** Whether the node understands messages about places; absent in the previous release. */
+  knowsPlaces: z.boolean().default(false),
   /**
    * When the sender's configuration was last known to be current, on the
    * holder's clock (see `awakeBeatMs`); null if unknown.
@@ -105,8 +107,11 @@
     crashes: crashReplySchema.nullable().default(null),
     quotas: quotaReplySchema.nullable().default(null),
     limits: limitReplySchema.nullable().default(null),
-    /** Services without models whose places the sender assigns. */
-    coordinatedServices: z.array(z.string()).default([]),
+    /**
+     * Services without models whose places the sender assigns; null from the previous
+     * release, which closes the connection at a message about places.
+     */
+    coordinatedServices: z.array(z.string()).nullable().default(null),
     /** Send time on the sender's clock that includes host suspension. */
     awakeBeatMs: z.number().nullable().default(null),
     /** Time since the sender's configuration was known to be current. */
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -95,7 +95,10 @@
       this.receive(from, message),
     );
     const {transport} = this;
-    this.holderChannel = new HolderChannel({...options, contacts, transport});
+    this.holderChannel = new HolderChannel({
+      ...{...options, contacts, transport},
+      knowsPlaces: holder => lastWelcome.knowsPlaces(holder),
+    });
     this.successors = new SuccessorFinder({...options, roster});
   }
 
@@ -151,10 +154,10 @@
     else this.transport.send(address, {type: 'from-holder', body: message});
   }
 
-  /** Sends a message to all nodes with a recent heartbeat, and to this one. */
-  sendToAllNodes(message: FromHolderMessage): void {
+  /** Sends a message about places to this node, and to others that understand it. */
+  sendToPlaceNodes(message: FromHolderMessage): void {
     const {peerAddress} = this.options.self;
-    const others = this.roster.listAddresses();
+    const others = this.roster.listPlaceAddresses();
     [...others.filter(other => other !== peerAddress), peerAddress].forEach(
       address => this.sendToNode(address, message),
     );
@@ -278,6 +281,7 @@
       ...{nodeName, incarnation, promise, ...readStatus()},
       ...{servingListId: this.receivedServingList.id, crashes, limits},
       ...{quotas: quotas.makeReport(), confirmedBeatMs: null},
+      knowsPlaces: true,
     };
   }
 
@@ -333,7 +337,7 @@
     this.contacts.noteHeard(holder);
     this.options.onFromHolder({
       type: 'coordinated-services',
-      services: welcome.coordinatedServices,
+      services: welcome.coordinatedServices ?? [],
     });
     this.options.onServingNodes(this.receivedServingList.apply(welcome));
     this.catchUp.compare(holder.address, welcome);
--- a/packages/node-links/src/node_roster.test.ts
+++ b/packages/node-links/src/node_roster.test.ts
@@ -63,4 +63,15 @@
   assert.is(roster.findGrantEndMs(BOTH, 7, 999), 2_500);
 });
 
+// Guards against nodes of the previous release that close the connection.
+test('only nodes that say so get messages about places', () => {
+  const roster = makeRoster([null]);
+  const status = {nodeName: 'entry-9', incarnation: '9', uptimeMs: 0};
+  roster.note('10.0.0.9:1', {
+    ...{...status, promise: null, knowsPlaces: true},
+    ...{isServing: true, reachesServers: true},
+  });
+  assert.equal(roster.listPlaceAddresses(), ['10.0.0.9:1']);
+});
+
 test.run();
--- a/packages/node-links/src/node_roster.ts
+++ b/packages/node-links/src/node_roster.ts
@@ -9,6 +9,8 @@
   uptimeMs: number;
   reachesServers: boolean;
   promise: LeaseGrant | null;
+  /** Whether the node understands messages about places. */
+  knowsPlaces?: boolean;
 }
 
 /**
@@ -42,12 +44,13 @@
 
   note(address: string, status: NodeHeartbeat): void {
     const {nodeName, incarnation, isServing, uptimeMs, reachesServers} = status;
+    const {knowsPlaces = false} = status;
     // A grant binds the node until it expires, across restarts of its process.
     const promise =
       status.promise ?? this.entries.get(nodeName)?.promise ?? null;
     this.entries.set(nodeName, {
       ...{address, nodeName, incarnation, isServing, uptimeMs, promise},
-      reachesServers,
+      ...{reachesServers, knowsPlaces},
       heardAtMs: this.clock.monotonicMs(),
     });
   }
@@ -94,6 +97,14 @@
     return [...this.entries.values()].map(({address}) => address);
   }
 
+  /** Addresses of the nodes that understand messages about places. */
+  listPlaceAddresses(): string[] {
+    this.removeExpired();
+    return [...this.entries.values()]
+      .filter(({knowsPlaces}) => knowsPlaces)
+      .map(({address}) => address);
+  }
+
   /** Lists the nodes whose grants the lease needs, registered or not. */
   listNames(): string[] {
     this.removeExpired();
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -335,7 +335,7 @@
     const {incarnation} = this.self;
     return new SchedulingDuty({
       ...{clock, logger, random, orders: platform.engineOrders},
-      broadcast: message => this.links.sendToAllNodes(message),
+      broadcast: message => this.links.sendToPlaceNodes(message),
       quotas: this.quotas,
       limits: this.limits.asHolder,
       availability: this.availability,
