Pass over a server that has just rejected a request for want of room

Cause, by the trace of a killed scheduling node: a node without one sent a request to the same full engine up to five times within 50 ms, since a rejection did not count against the server. The bound on retries was used up, and requests of all teams were refused. Change: for 100 ms after a rejection for want of room, a server ranks as if it had one more request for each slot. Why it holds: the next attempt goes to a server with room if this node knows one.

--- a/packages/serve-requests/src/least_loaded_chooser.test.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.test.ts
@@ -62,6 +62,17 @@
   assert.is(await pickId(chooser), 's1');
 });
 
+// Guards against retries that all go to the full server that has rejected the request.
+test('a server that has just rejected a request is passed over', async () => {
+  const [full, busy] = [makeServer({id: 's1'}), makeServer({id: 's2'})];
+  const chooser = makeChooser(() => [full, busy]);
+  [1, 2].forEach(() => chooser.recordSent(toChoice(busy)));
+  assert.is(await pickId(chooser), 's1');
+  chooser.recordSent(toChoice(full));
+  chooser.recordResult(toChoice(full), 'not-taken', null);
+  assert.is(await pickId(chooser), 's2');
+});
+
 // Guards against a stream that goes on at a version that did not begin it.
 test('a resumed stream goes to a server of its version or to none', async () => {
   const old = makeServer({id: 's1', softwareVersion: 'v1'});
--- a/packages/serve-requests/src/least_loaded_chooser.ts
+++ b/packages/serve-requests/src/least_loaded_chooser.ts
@@ -66,6 +66,8 @@
 const LOAD_MAX_AGE_MS = 1_000;
 /** A failed server is avoided for this long while others are available. */
 const FAILURE_COOLDOWN_MS = 500;
+/** A full server has room again when some of its requests have ended. */
+const REJECTION_COOLDOWN_MS = 100;
 const RETRY_AFTER_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 /**
@@ -95,6 +97,8 @@
   inFlightAtLoad: number;
   loadAtMs: number;
   failedAtMs: number;
+  /** When the server last rejected a request for want of room. */
+  rejectedAtMs: number;
   /** Rejections per second that the server tolerates; null if it does not say. */
   brittlePerSecond: number | null;
   /** Until when the server gets no request by this node's own choice. */
@@ -237,6 +241,7 @@
     if (result === 'failed' || result === 'unreachable') {
       stats.failedAtMs = nowMs;
     }
+    if (result === 'not-taken') stats.rejectedAtMs = nowMs;
     this.completion.recordResult(choice, result, isSuccess, nowMs);
     const {brittlePerSecond} = stats;
     if (result !== 'not-taken' || brittlePerSecond === null) return;
@@ -286,10 +291,12 @@
         stats.inFlightAtLoad
       : stats.inFlight;
     const hasFailed = nowMs - stats.failedAtMs < FAILURE_COOLDOWN_MS;
+    const hasRejected = nowMs - stats.rejectedAtMs < REJECTION_COOLDOWN_MS;
     return (
       requestCount / Math.max(1, server.slots) +
       domainCost +
-      (hasFailed ? RECENT_FAILURE_COST : 0)
+      (hasFailed ? RECENT_FAILURE_COST : 0) +
+      (hasRejected ? RECENT_REJECTION_COST : 0)
     );
   }
 
@@ -317,6 +324,7 @@
     inFlightAtLoad: 0,
     loadAtMs: -Infinity,
     failedAtMs: -Infinity,
+    rejectedAtMs: -Infinity,
     ...{brittlePerSecond: null, spareUntilMs: -Infinity},
   };
 }
@@ -337,6 +345,8 @@
 const CROSS_DOMAIN_COST = 0.05;
 /** Ranks a failed server below others with fewer than two requests per slot. */
 const RECENT_FAILURE_COST = 2;
+/** A server that has rejected a request has at least as many as slots. */
+const RECENT_REJECTION_COST = 1;
 
 function isAllowed(server: BackendServerEntry, ask: ServerAsk): boolean {
   const {id} = server;
