--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -10,7 +10,6 @@
   type ServerIncarnation,
 } from '@mimosatack/track-availability';
 import {
-  type AdapterName,
   type BackendServerEntry,
   type BackendServerId,
   type ModelName,
@@ -25,6 +24,7 @@
 import {planAdapter} from './adapter_plan.js';
 import {listReadyEngines} from './choose_engine.js';
 import {DemandRates} from './demand.js';
+import {EngineCompletion} from './engine_completion.js';
 import {EngineForecast} from './engine_forecast.js';
 import {EngineIndex} from './engine_index.js';
 import {type EngineView} from './engine_view.js';
@@ -49,6 +49,7 @@
   type SwapPolicy,
 } from './swap_policy.js';
 import {PrefillSpeed} from './prefill_speed.js';
+import {makeOrder} from './make_order.js';
 import {makeSwapContext} from './swap_context.js';
 import {groupBatches} from './waiting_batches.js';
 import {type RequestItem, WaitingRequests} from './waiting_requests.js';
@@ -83,6 +84,7 @@
   private readonly deferred = new DeferredRequests();
   private readonly demand = new DemandRates();
   private readonly access = new EngineAccess();
+  private readonly completion = new EngineCompletion();
   private readonly speed = new PrefillSpeed();
   private readonly engines = new EngineViews({
     ...{catalogue: this.catalogue, speed: this.speed},
@@ -185,10 +187,17 @@
     this.dequeue(request.askId);
     const engine = this.engines.get(engineId);
     if (!engine || engine.runs.has(request.askId)) return;
+    this.completion.recordStart(engine, request, nowMs);
     engine.startRun(request, nowMs);
     this.waiting.recordRunning(request);
   }
 
+  /** Records how long work takes at an engine, in percent of the usual time. */
+  recordSlowdown(id: BackendServerId, percent: number, nowMs: number): void {
+    const engine = this.engines.get(id);
+    if (engine) this.completion.recordSlowdown(engine, percent, nowMs);
+  }
+
   /** Removes a waiting request. */
   dequeue(askId: string): void {
     this.waiting.delete(askId);
@@ -212,7 +221,9 @@
     const engine = this.engines.get(engineId);
     const request = engine?.runs.get(askId);
     if (!engine || !request) return null;
-    engine.endRun(askId, result === 'served' ? ttfbMs : null, nowMs);
+    const isServed = result === 'served';
+    engine.endRun(askId, isServed ? ttfbMs : null, nowMs);
+    this.completion.recordEnd(engine, request, isServed, nowMs);
     this.access.recordResult(engine, request, result, nowMs);
     if (isNotRun(result)) this.waiting.recordNotRun(request);
     if (result === 'not-held') {
@@ -291,14 +302,20 @@
       const usable = this.access.listUsable(ready, request, nowMs);
       // Models are loaded elsewhere only for requests that are not deferred.
       if (usable.length === 0) this.deferred.remove(request.askId);
-      const engine = this.deferred.pickEngine(request, usable, nowMs, one =>
-        this.engines.isMixed(request.service)
-          ? this.index.isContinuable(one, request, nowMs)
-          : true,
+      const engine = this.deferred.pickEngine(
+        request,
+        usable,
+        nowMs,
+        one =>
+          this.engines.isMixed(request.service)
+            ? this.index.isContinuable(one, request, nowMs)
+            : true,
+        (one, minRuns) => this.completion.findMs(one, minRuns, nowMs),
       );
       if (!engine) return false;
       this.deferred.remove(request.askId);
       this.refusals.reset(request.service, request.model);
+      this.completion.recordStart(engine, request, nowMs);
       engine.startRun(request, nowMs);
       this.forecast.recordStart(request, engine.id, nowMs);
       engine.limit.recordAssigned(nowMs);
@@ -317,8 +334,8 @@
       if (!swap || !engine.orders.canSend(nowMs)) return [];
       const {victim, model} = swap;
       return victim !== null && engine.residents.has(victim)
-        ? [this.makeOrder(engine, 'unload', victim, null)]
-        : [this.makeOrder(engine, 'load', model, null)];
+        ? [makeOrder(engine, 'unload', victim, null)]
+        : [makeOrder(engine, 'load', model, null)];
     });
   }
 
@@ -330,7 +347,7 @@
         const plan = planAdapter(request, this.listHolders(request), nowMs);
         if (!plan) return [];
         const {engine, operation, model, adapter} = plan;
-        return [this.makeOrder(engine, operation, model, adapter)];
+        return [makeOrder(engine, operation, model, adapter)];
       });
   }
 
@@ -402,9 +419,9 @@
     engine.swap = {model, victim: victim?.model ?? null};
     this.index.invalidateHolders();
     this.copies?.invalidate();
-    if (!victim) return this.makeOrder(engine, 'load', model, null);
+    if (!victim) return makeOrder(engine, 'load', model, null);
     victim.isUnloading = true;
-    return this.makeOrder(engine, 'unload', victim.model, null);
+    return makeOrder(engine, 'unload', victim.model, null);
   }
 
   private makeSwapContext(nowMs: number): SwapContext {
@@ -470,19 +487,4 @@
   private listHolders(request: ScheduledRequest): readonly EngineView[] {
     return this.index.listHolders(request.service, request.model);
   }
-
-  private makeOrder(
-    engine: EngineView,
-    operation: 'load' | 'unload',
-    model: ModelName,
-    adapter: AdapterName | null,
-  ): Decision {
-    const order: PlannedOrder = {
-      engineId: engine.id,
-      ...{operation, model, adapter},
-      expectedCount: engine.orders.acceptedCount,
-    };
-    engine.orders.recordSent(order);
-    return {kind: 'order', order};
-  }
 }
--- a/packages/schedule-service/src/scheduled_chooser.ts
+++ b/packages/schedule-service/src/scheduled_chooser.ts
@@ -32,6 +32,7 @@
   type FromHolderMessage,
   type ToHolderMessage,
 } from './messages.js';
+import {HeardSlowdowns} from './heard_slowdowns.js';
 import {LocalTurns} from './local_turns.js';
 import {type PermitClient} from './permit_client.js';
 import {type PressureReporter} from './pressure_reporter.js';
@@ -106,6 +107,7 @@
   /** Whether the scheduling node has not been told of all asks and runs. */
   private isStateUntold = false;
   private readonly refusals = new RecentRefusals();
+  private readonly slowdowns = new HeardSlowdowns();
   private nextAskNumber = 1;
   /** Services without models whose places the scheduling node assigns. */
   private coordinated: ReadonlySet<ServiceName> = new Set();
@@ -270,8 +272,11 @@
   }
 
   recordLoad(server: BackendServerEntry, load: ServerLoad): void {
-    this.options.local.recordLoad(server, load);
+    const {clock, local} = this.options;
+    local.recordLoad(server, load);
     this.options.pressure.recordLoad(server, load);
+    const {slowdownPercent} = load;
+    this.slowdowns.record(server.id, slowdownPercent, clock.monotonicMs());
   }
 
   recordTerms(server: BackendServerEntry, terms: NamedTerms): void {
@@ -474,8 +479,11 @@
     headMs: number | null,
     isUnsent = false,
   ): void {
-    this.options.sendToHolder({
+    const {clock, sendToHolder} = this.options;
+    const nowMs = clock.monotonicMs();
+    sendToHolder({
       ...{type: 'run-ended', askId, engineId, result, headMs, isUnsent},
+      slowdownPercent: this.slowdowns.find(engineId, nowMs),
     });
   }
 }
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -93,7 +93,7 @@
     this.configuration = this.makeConfiguration();
     this.teamWeights = new TeamWeightsReader(settings, this.configuration);
     this.servers = this.makeServers();
-    this.containment = this.makeContainment();
+    this.containment = makeContainment(this.recordParts);
     this.limits = this.makeLimits();
     this.streams = this.makeStreams();
     this.availability = makeServerAvailability(options, id =>
@@ -313,21 +313,19 @@
     });
   }
 
-  private makeContainment(): ContainmentTask {
-    return makeContainment({
+  /** What the tasks that keep records for all nodes have in common. */
+  private get recordParts() {
+    return {
       ...{...this.options, self: this.self, faults: this.faults},
       isWriter: () => this.duty.isHeld,
       findLinks: () => this.links,
-    });
+    };
   }
 
   private makeStreams(): StreamVersionsTask {
     return makeStreamVersions({
-      ...this.options,
-      ...{self: this.self, servers: this.servers, faults: this.faults},
-      isWriter: () => this.duty.isHeld,
+      ...{...this.recordParts, servers: this.servers},
       listNodes: () => this.register.list(),
-      findLinks: () => this.links,
     });
   }
 
