--- a/packages/caller-edge/src/caller_edge.ts
+++ b/packages/caller-edge/src/caller_edge.ts
@@ -118,6 +118,7 @@
   ): Promise<void> {
     const {clock, dialect, gate} = this.options;
     const work = gate.inFlight.begin(`${incoming.method} ${incoming.url}`);
+    closeWithConnection(incoming, response);
     response.once('close', () => work.end());
     const parsed = dialect.readRequest(incoming, clock.monotonicMs());
     const sink = new HttpAnswerSink({
@@ -203,6 +204,19 @@
   }
 }
 
+/**
+ * Node emits no `close` for a response that is still queued behind another one when their
+ * connection closes. What it holds would never be released.
+ */
+function closeWithConnection(
+  {socket}: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const close = () => response.emit('close');
+  socket.once('close', close);
+  response.once('close', () => socket.off('close', close));
+}
+
 function makeShutdownError(): TypedError {
   return new TypedError('shutting-down', 'This node is stopping.', {
     run: 'not-run',
--- a/packages/schedule-places/src/place_forecast.ts
+++ b/packages/schedule-places/src/place_forecast.ts
@@ -53,7 +53,12 @@
     }
     return {
       ...describe(found, nowMs),
-      retryAfterMs: this.forecast.findRetryAfterMs(request, found, nowMs),
+      retryAfterMs: this.forecast.findRetryAfterMs(
+        request,
+        GROUP,
+        found,
+        nowMs,
+      ),
     };
   }
 
--- a/packages/share-capacity/src/start_forecast.ts
+++ b/packages/share-capacity/src/start_forecast.ts
@@ -47,6 +47,11 @@
  * would often be late, and then wait behind all others of its team.
  */
 const LATE_MARGIN = 1.2;
+/**
+ * Demand over capacity at which late items count as never started. At less, such as after one
+ * batch of requests, many late items still start before their callers leave.
+ */
+const OVERLOAD_FACTOR = 1.5;
 
 /**
  * Answers a load in which a team asks for more than its share for longer than callers wait: its
@@ -123,11 +128,16 @@
   }
 
   /** When the team has capacity for a refused item. */
-  findRetryAfterMs(item: ShareItem, forecast: Forecast, nowMs: number): number {
+  findRetryAfterMs(
+    item: ShareItem,
+    group: string,
+    forecast: Forecast,
+    nowMs: number,
+  ): number {
     const {team, priority, id} = item;
     const {queuedMs, intervalMs} = forecast;
     return this.retryTimes.findDelayMs({
-      ...{key: JSON.stringify([team, priority]), id, intervalMs, nowMs},
+      ...{key: JSON.stringify([team, priority, group]), id, intervalMs, nowMs},
       earliestMs: nowMs + queuedMs,
     });
   }
@@ -148,7 +158,9 @@
     const correctedMs = queuedMs * factor;
     const isLate = fromMs + correctedMs * LATE_MARGIN > dueAtMs;
     // Once late, an item waits behind all that arrive on time.
-    const load = isLate ? Math.min(1, demandPerMs / ratePerMs) : 0;
+    const load = isLate
+      ? Math.min(1, demandPerMs / (OVERLOAD_FACTOR * ratePerMs))
+      : 0;
     const waitMs = correctedMs === 0 ? 0 : correctedMs / (1 - load);
     return {
       ...{startsAtMs: fromMs + waitMs, queuedMs, teamShare},
--- a/packages/share-capacity/src/team_lane.ts
+++ b/packages/share-capacity/src/team_lane.ts
@@ -54,11 +54,12 @@
 
   add(item: T): void {
     const queue = this.getOrAddQueue(item.priority);
-    // A priority that did not wait has no claim on what was started meanwhile.
+    // A priority that did not wait is owed no more than this item. Without that, one whose
+    // items expire one by one would never get its minimum share.
     if (queue.items.length === 0) {
       queue.startedCost = Math.max(
         queue.startedCost,
-        MIN_PRIORITY_SHARE * this.startedCost,
+        MIN_PRIORITY_SHARE * this.startedCost - item.cost,
       );
     }
     queue.add(item);
--- a/packages/share-capacity/src/virtual_counters.ts
+++ b/packages/share-capacity/src/virtual_counters.ts
@@ -53,6 +53,11 @@
   }
 
   recordStart(item: T): void {
+    // A waiting team keeps its counter, which may be behind the virtual time.
+    if (this.waiting.isWaiting(item.team)) {
+      this.charge(item);
+      return;
+    }
     const counter = Math.max(this.findCounter(item.team), this.virtualTime);
     this.counters.set(item.team, counter);
     this.charge(item);
