--- a/packages/estimate-completion/src/completion_ranking.ts
+++ b/packages/estimate-completion/src/completion_ranking.ts
@@ -23,14 +23,13 @@
 }
 
 /**
- * A second random candidate bounds the longest queue, further ones help little. The best
- * server of the last choice is no candidate: in the simulation 16 hosts that compare it, too,
- * use the fastest server 1.21 to 1.33 times as much as the mean, and 1.04 to 1.07 without it.
+ * A second random candidate bounds the longest queue, further ones help little. The best server
+ * of the last choice is no candidate: each host would keep to a server of its own.
  */
 const RANDOM_CANDIDATES = 2;
 /**
- * Own servers that one in another domain has to be better than. With 2, a domain whose servers
- * are used to 0.56 sends 0.27 to 0.32 of its requests away in the simulation, with 4, 0.13 to 0.18.
+ * Own servers that one in another domain has to be better than. With fewer, momentary
+ * differences between servers make a domain with free servers send requests away.
  */
 const OWN_COMPARED = 4;
 
--- a/packages/estimate-completion/src/server_state.ts
+++ b/packages/estimate-completion/src/server_state.ts
@@ -13,8 +13,8 @@
 }
 
 /**
- * Age at which a report counts for a third. Shorter ages let 40 hosts spread requests less
- * evenly in the simulation: 0.95 to 0.97 within 400 ms with 200 ms, 0.97 to 0.98 with 500 ms.
+ * Age at which a report counts for a third. With many hosts each hears a server rarely, and
+ * shorter ages would leave it without a report.
  */
 const LOAD_AGE_MS = 500;
 /** Weighs about the last three reports. */
