--- a/packages/schedule-service/src/pressure_reporter.ts
+++ b/packages/schedule-service/src/pressure_reporter.ts
@@ -18,10 +18,7 @@
 
 type Cause = Extract<ToHolderMessage, {type: 'pressure'}>['cause'];
 
-/**
- * Running and waiting requests per slot at which a request waits for a whole other one. At less,
- * asking the scheduling node and its loss cost callers more than they wait at the server.
- */
+/** Running and waiting requests per slot at which a request waits for a whole other one. */
 const PRESSURE_PER_SLOT = 2;
 /** A third of the time after which coordination without pressure ends. */
 const REPEAT_INTERVAL_MS = 1_000;
