--- a/packages/bound-memory/src/index.ts
+++ b/packages/bound-memory/src/index.ts
@@ -1,5 +1,4 @@
 export {
-  MAX_UNREAD_MS,
   type MemoryRefusal,
   type MemoryReview,
   MemoryBudget,
--- a/packages/bound-memory/src/memory_budget.ts
+++ b/packages/bound-memory/src/memory_budget.ts
@@ -14,7 +14,7 @@
 /** Leaves room for the responses that are being read when requests are paused. */
 const PRESSURE_FRACTION = 0.75;
 /** Shorter than the time after which servers cut off a response that is not read. */
-export const MAX_UNREAD_MS = 2_000;
+const MAX_UNREAD_MS = 2_000;
 /** Heap of an open request with its two connections, measured with 100 of them. */
 const REQUEST_BYTES = 32_768;
 /** Time in which callers that read nothing are cut off, and an address list expires. */
--- a/packages/caller-edge/src/memory_watch.ts
+++ b/packages/caller-edge/src/memory_watch.ts
@@ -1,6 +1,5 @@
 /** Applies the memory budget to the requests of callers. */
 import {
-  MAX_UNREAD_MS,
   MemoryBudget,
   type MemoryHolding,
   type MemoryRefusal,
@@ -19,6 +18,11 @@
 
 /** Much shorter than the time after which a caller is cut off. */
 const REVIEW_INTERVAL_MS = 250;
+/**
+ * For how long the send queue of a caller has to stay the same. That of a caller that reads
+ * 50 KB/s changes about every 2 s, and is looked at once a second.
+ */
+const MAX_UNCHANGED_MS = 4_000;
 
 export interface MemoryWatchOptions {
   clock: Clock;
@@ -103,7 +107,7 @@
     const request = this.requests.get(holding);
     if (!request) return;
     const {requestId, peer} = request;
-    if (!this.progress.isUnread(holding, peer, MAX_UNREAD_MS)) return;
+    if (!this.progress.isUnread(holding, peer, MAX_UNCHANGED_MS)) return;
     const unreadMs = nowMs - holding.lastReadAtMs;
     this.observer.onCutOff(requestId, holding.bytes, unreadMs);
     request.cutOff();
