--- a/packages/schedule-models/src/index.ts
+++ b/packages/schedule-models/src/index.ts
@@ -4,6 +4,7 @@
   FirstComePolicy,
   ResidentOnlyPolicy,
 } from './policies.js';
+export {findRequestCost} from './request_cost.js';
 export {findWorth} from './request_worth.js';
 export {
   type Decision,
--- a/packages/schedule-models/src/request_worth.ts
+++ b/packages/schedule-models/src/request_worth.ts
@@ -1,4 +1,5 @@
 /** Rates the worth of serving a request relative to others. */
+import {findRequestCost} from './request_cost.js';
 import {type ScheduledRequest} from './scheduled_request.js';
 
 /**
@@ -9,8 +10,6 @@
 const URGENCY_FACTOR = 3;
 /** Worth of a late response relative to one on time. */
 const LATE_FACTOR = 0.2;
-/** Cost of an output token relative to a prompt token. */
-const OUTPUT_WEIGHT = 10;
 /** Size of a typical request, which has a size factor of 1. */
 const REFERENCE_SIZE = 3_500;
 const FIXED_FRACTION = 0.3;
@@ -18,7 +17,7 @@
 
 /** The relative worth of serving a request on time. */
 export function findWorth(request: ScheduledRequest): number {
-  const size = request.promptTokens + OUTPUT_WEIGHT * request.outputTokens;
+  const size = findRequestCost(request);
   const sizeFactor = Math.min(
     MAX_SIZE_FACTOR,
     FIXED_FRACTION + (1 - FIXED_FRACTION) * (size / REFERENCE_SIZE),
--- a/packages/schedule-models/src/waiting_requests.ts
+++ b/packages/schedule-models/src/waiting_requests.ts
@@ -7,11 +7,9 @@
 } from '@mimosatack/share-capacity';
 import {type TeamName} from '@mimosatack/types';
 import {type FindTeamUse} from './load_shares.js';
+import {findRequestCost} from './request_cost.js';
 import {type ScheduledRequest} from './scheduled_request.js';
 
-/** Cost of an output token relative to a prompt token. */
-const OUTPUT_WEIGHT = 10;
-
 export interface RequestItem extends ShareItem {
   request: ScheduledRequest;
 }
@@ -122,10 +120,10 @@
 }
 
 export function toItem(request: ScheduledRequest): RequestItem {
-  const {askId, team, priority, promptTokens, outputTokens, dueAtMs} = request;
+  const {askId, team, priority, dueAtMs} = request;
   return {
     ...{id: askId, team: team ?? ANONYMOUS_TEAM, priority, dueAtMs, request},
-    cost: promptTokens + OUTPUT_WEIGHT * outputTokens,
+    cost: findRequestCost(request),
   };
 }
 
--- a/packages/schedule-service/src/local_turns.ts
+++ b/packages/schedule-service/src/local_turns.ts
@@ -1,5 +1,6 @@
 /** Orders what a node sends to engines by itself while no node schedules. */
 import {type Clock} from '@mimosatack/clock';
+import {findRequestCost} from '@mimosatack/schedule-models';
 import {
   ANONYMOUS_TEAM,
   type FairOrder,
@@ -21,11 +22,8 @@
   pending: PendingAsk;
 }
 
-/** Cost of an output token relative to a prompt token, as at the scheduling node. */
-const OUTPUT_WEIGHT = 10;
-
 /**
- * Answers the loss of the scheduling node while one team floods: all requests that wait would
+ * Answers the loss of the scheduling node while one team sends many times its share: all requests that wait would
  * otherwise go to full engines at once, which reject those of all teams alike, and the retries
  * of all would be used up.
  */
@@ -77,7 +75,7 @@
   const {promptTokens = 0, outputTokens = 0, dueInMs = 0} = payload ?? {};
   return {
     ...{id: askId, team: ask.team ?? ANONYMOUS_TEAM, priority: ask.priority},
-    cost: promptTokens + OUTPUT_WEIGHT * outputTokens,
+    cost: findRequestCost({promptTokens, outputTokens}),
     ...{dueAtMs: nowMs + dueInMs, pending},
   };
 }
