--- a/review/lib/scene.mjs
+++ b/review/lib/scene.mjs
@@ -1,6 +1,6 @@
 // The platform, runners and nodes of one case, and the end of all that it started.
 import {writeFileSync} from 'node:fs';
-import {Node} from './nodes.mjs';
+import {Node, pause} from './nodes.mjs';
 import {Store} from './store.mjs';
 
 const REGISTER_EVERY_MS = 400;
@@ -28,7 +28,7 @@
     this.record.push(words.join(' '));
   }
 
-  async start({runners, configuration, nodeNames, bounds}) {
+  async start({runners, configuration, nodeNames, bounds, startGapMs = 0}) {
     await this.store.listen();
     this.store.put('keyed.op', 'config', configuration);
     for (const runner of runners) {
@@ -45,7 +45,10 @@
       this.nodes.push(node);
     }
     const seeds = this.nodes.slice(0, 3).map(({seed}) => seed);
-    this.nodes.forEach(node => node.start(seeds));
+    for (const node of this.nodes) {
+      node.start(seeds);
+      if (startGapMs > 0) await pause(startGapMs);
+    }
     for (const node of this.nodes) await node.waitReady();
   }
 
