--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -3,12 +3,12 @@
 import {Agent} from 'node:http';
 import {dirname} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {call} from '../lib/caller.mjs';
-import {configuration, plainService, route} from '../lib/config.mjs';
-import {pause} from '../lib/nodes.mjs';
-import {PlainRunner} from '../lib/runner.mjs';
-import {HAS_TROUBLE, play} from '../lib/scene.mjs';
-import {StreamRunner} from '../lib/stream_runner.mjs';
+import {call} from '../caller.mjs';
+import {configuration, plainService, route} from '../config.mjs';
+import {pause} from '../nodes.mjs';
+import {PlainRunner} from '../runner.mjs';
+import {HAS_TROUBLE, play} from '../scene.mjs';
+import {StreamRunner} from '../stream_runner.mjs';
 
 const PLAIN = 'notify-app';
 const ENGINE = 'sage-llm';
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -3,11 +3,11 @@
 import {Agent} from 'node:http';
 import {dirname} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {call} from '../lib/caller.mjs';
-import {configuration, plainService, route} from '../lib/config.mjs';
-import {pause} from '../lib/nodes.mjs';
-import {PlainRunner} from '../lib/runner.mjs';
-import {HAS_TROUBLE, play} from '../lib/scene.mjs';
+import {call} from '../caller.mjs';
+import {configuration, plainService, route} from '../config.mjs';
+import {pause} from '../nodes.mjs';
+import {PlainRunner} from '../runner.mjs';
+import {HAS_TROUBLE, play} from '../scene.mjs';
 
 const SERVICE = 'notify-app';
 /** `garble`, `extra late`: x = 0.03 of the answers of share = 0.6 of the runners. */
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -3,11 +3,11 @@
 import {Agent} from 'node:http';
 import {dirname} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {AdapterRunner} from '../lib/adapter_runner.mjs';
-import {call} from '../lib/caller.mjs';
-import {configuration, plainService, route} from '../lib/config.mjs';
-import {pause} from '../lib/nodes.mjs';
-import {HAS_TROUBLE, play} from '../lib/scene.mjs';
+import {AdapterRunner} from '../adapter_runner.mjs';
+import {call} from '../caller.mjs';
+import {configuration, plainService, route} from '../config.mjs';
+import {pause} from '../nodes.mjs';
+import {HAS_TROUBLE, play} from '../scene.mjs';
 
 const ENGINE = 'crew-assist';
 const MODEL = 'm0';
--- a/review/lib/nodes.mjs
+++ b/review/nodes.mjs
@@ -7,7 +7,7 @@
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 
-export const ROOT = dirname(dirname(dirname(fileURLToPath(import.meta.url))));
+export const ROOT = dirname(dirname(fileURLToPath(import.meta.url)));
 
 const deploy = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
 const RUN = /^run = "(.*)"$/m.exec(deploy)[1].split(' ');
