Reject a response of another request before anything is read from it

Cause: a server that repeats a response sends the copy where the next response on the connection is expected. A copy of a refusal counted as the refusal of the request that was running, which was then sent again: the id of the request was compared for successes only, after "not run", load, limits, Retry-After and Server-Leaving had been taken from the head.

Change: BackendCall has an identity that classifies a head as own, unidentified or foreign, in Exchange.onHeaders, before anything is read. A foreign response fails the call as one that may have run and resets the connection, so that the real response, which follows, is matched to no other call. A call that must run once avoids connections on which a copy could not be told from its response: those with an earlier unidentified refusal, and those that carried the same request. Such a connection is closed when it is passed over, so that their number does not grow.

Why it holds: a copy has the id of the request that it answers, or none. With an id it is foreign unless the request itself was on the connection, without one it is accepted only for a refusal, and neither history is allowed for a call that must run once.

--- a/packages/backend-connections/src/backend_call.ts
+++ b/packages/backend-connections/src/backend_call.ts
@@ -19,6 +19,26 @@
   connectTimeoutMs: number;
   /** Whether only a connection from this host itself may carry the call. */
   mustBeDirect?: boolean;
+  /** Without it, every response on the connection counts as that to the call. */
+  identity?: ResponseIdentity;
+  /**
+   * Whether the call must not run twice. It then gets a connection on which no copy of
+   * an earlier response can be taken for the response to the call.
+   */
+  mustRunOnce?: boolean;
+}
+
+/** How a response is related to the call that waits on its connection. */
+export type ResponseOrigin =
+  | 'own'
+  /** Names no call, so a copy of it cannot be told from a later one. */
+  | 'unidentified'
+  /** Belongs to another call, or to none. */
+  | 'foreign';
+
+/** Tells the response to a call from copies of other responses. */
+export interface ResponseIdentity {
+  classify(head: AnswerHead): ResponseOrigin;
 }
 
 /** Status and headers of a response. */
@@ -40,7 +60,8 @@
   onEnd(): void;
   /**
    * Called when the call failed. `error.run` is `not-run` only if no byte of
-   * the call was written to a connection.
+   * the call was written to a connection. A foreign response fails the call before
+   * `onHead`; see `isForeignResponse`.
    */
   onFailure(error: TypedError): void;
 }
--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -9,10 +9,13 @@
 import {Client} from 'undici';
 import {BackendSocket} from './backend_socket.js';
 import {
+  type AnswerHead,
   type AnswerReceiver,
   type BackendCall,
   type CallHandle,
+  type ResponseIdentity,
 } from './backend_call.js';
+import {createForeignResponseError} from './foreign_response.js';
 
 /** Keeps the HTTP client from closing idle connections; see `expiresAtMs`. */
 const CLIENT_KEEP_ALIVE_MS = 600_000;
@@ -52,6 +55,8 @@
   private readonly client: Client;
   private keepAliveMs: number;
   private isClosed = false;
+  private hasUnidentifiedResponse = false;
+  private readonly carried = new WeakSet<ResponseIdentity>();
 
   constructor(
     private readonly options: ConnectionOptions,
@@ -69,10 +74,20 @@
     return !this.isClosed && !this.socket.destroyed && this.socket.writable;
   }
 
+  /** Whether a copy of an earlier response could be taken for that to the call. */
+  isAmbiguousFor({identity}: BackendCall): boolean {
+    if (identity === undefined) return false;
+    return this.hasUnidentifiedResponse || this.carried.has(identity);
+  }
+
   /** Sends a call; the connection has to be idle. */
   send(call: BackendCall, receiver: AnswerReceiver): CallHandle {
+    const {identity} = call;
+    if (identity) this.carried.add(identity);
     const exchange = new Exchange(this.socket, receiver, {
+      identity,
       onKeepAlive: keepAliveMs => (this.keepAliveMs = keepAliveMs),
+      onUnidentified: () => (this.hasUnidentifiedResponse = true),
       onDone: () => this.release(),
     });
     this.client.dispatch(
@@ -116,9 +131,11 @@
   }
 }
 
-/** Receives the events of an exchange. */
-interface ExchangeEvents {
+/** Identifies the response of an exchange and receives its events. */
+interface ExchangeOptions {
+  identity: ResponseIdentity | undefined;
   onKeepAlive: (keepAliveMs: number) => void;
+  onUnidentified: () => void;
   onDone: () => void;
 }
 
@@ -133,7 +150,7 @@
   constructor(
     private readonly socket: Socket,
     private readonly receiver: AnswerReceiver,
-    private readonly events: ExchangeEvents,
+    private readonly options: ExchangeOptions,
   ) {}
 
   resume(): void {
@@ -166,12 +183,27 @@
     // Ignores informational responses.
     if (status < 200) return true;
     const headers = rawHeaders.map(part => part.toString('latin1'));
-    const keepAliveMs = readKeepAliveMs(headers);
-    if (keepAliveMs !== null) this.events.onKeepAlive(keepAliveMs);
-    if (!this.isAborted) this.receiver.onHead({status, headers});
+    if (!this.isAborted) this.receiveHead({status, headers});
     return true;
   }
 
+  /** Nothing is read from a response before it is known to belong to the call. */
+  private receiveHead(head: AnswerHead): void {
+    const {identity, onKeepAlive, onUnidentified} = this.options;
+    const origin = identity?.classify(head) ?? 'own';
+    if (origin === 'foreign') return this.rejectForeign(head.status);
+    if (origin === 'unidentified') onUnidentified();
+    const keepAliveMs = readKeepAliveMs(head.headers);
+    if (keepAliveMs !== null) onKeepAlive(keepAliveMs);
+    this.receiver.onHead(head);
+  }
+
+  /** The response to the call may follow, so the connection cannot be used again. */
+  private rejectForeign(status: number): void {
+    this.abort();
+    this.receiver.onFailure(createForeignResponseError(status));
+  }
+
   onData(chunk: Buffer): boolean {
     if (this.isAborted) return true;
     this.isPaused = !this.receiver.onData(chunk);
@@ -180,7 +212,7 @@
 
   onComplete(): void {
     if (this.isAborted) return;
-    this.events.onDone();
+    this.options.onDone();
     this.receiver.onEnd();
   }
 
--- a/packages/backend-connections/src/backend_connections.test.ts
+++ b/packages/backend-connections/src/backend_connections.test.ts
@@ -9,8 +9,13 @@
 import {type TypedError} from '@mimosatack/errors';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {type AnswerReceiver, type BackendCall} from './backend_call.js';
+import {
+  type AnswerReceiver,
+  type BackendCall,
+  type ResponseIdentity,
+} from './backend_call.js';
 import {BackendConnections} from './backend_connections.js';
+import {isForeignResponse} from './foreign_response.js';
 
 const test = suite('connections to backend servers');
 
@@ -76,13 +81,14 @@
 function send(
   connections: BackendConnections,
   call: BackendCall,
+  heads: number[] = [],
 ): Promise<CallResult> {
   return new Promise(resolve => {
     const chunks: Uint8Array[] = [];
     const finish = (error: TypedError | null) =>
       resolve({body: Buffer.concat(chunks).toString(), error});
     const receiver: AnswerReceiver = {
-      onHead: () => undefined,
+      onHead: ({status}) => heads.push(status),
       onData: chunk => {
         chunks.push(chunk);
         return true;
@@ -219,6 +225,78 @@
   );
 });
 
+const NAMED_REFUSAL =
+  'HTTP/1.1 503 No\r\nFor: other\r\nContent-Length: 0\r\n\r\n';
+const BARE_REFUSAL = 'HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n';
+
+/** Reads the call that a response belongs to from its header `For`. */
+function makeIdentity(name: string): ResponseIdentity {
+  return {
+    classify: ({status, headers}) => {
+      const at = headers.indexOf('For');
+      if (at < 0) return status === 503 ? 'unidentified' : 'own';
+      return headers[at + 1] === name ? 'own' : 'foreign';
+    },
+  };
+}
+
+// Guards against status or headers of another call's response that are acted on, and
+// against the own response, which follows, being matched to the next call.
+test('fails a call that receives the response to another', async () => {
+  await withServer(
+    (socket, requestNumber) =>
+      socket.write(
+        requestNumber === 1 ? NAMED_REFUSAL + FULL_RESPONSE : FULL_RESPONSE,
+      ),
+    async (connections, {port, connectionCount}) => {
+      const call = makeCall(port, {identity: makeIdentity('own')});
+      const heads: number[] = [];
+      const {body, error} = await send(connections, call, heads);
+      assert.equal({heads, body}, {heads: [], body: ''});
+      assert.is(error?.run, 'unknown');
+      assert.ok(error && isForeignResponse(error));
+      assert.is((await send(connections, call)).body, 'ok');
+      assert.is(connectionCount(), 2);
+    },
+  );
+});
+
+// Guards against a copy of an unidentified response that is taken for that to a call.
+test('a call that must run once gets a connection without ambiguity', async () => {
+  await withServer(
+    socket => socket.write(BARE_REFUSAL),
+    async (connections, {port, connectionCount}) => {
+      const sendAs = async (name: string, mustRunOnce: boolean) => {
+        const identity = makeIdentity(name);
+        await send(connections, makeCall(port, {identity, mustRunOnce}));
+        await waitForRelease();
+        return connectionCount();
+      };
+      assert.is(await sendAs('first', true), 1);
+      assert.is(await sendAs('repeatable', false), 1);
+      assert.is(await sendAs('second', true), 2);
+      const address = {ip: '127.0.0.1', port};
+      assert.is(connections.countConnections(address), 1);
+    },
+  );
+});
+
+// Guards against a copy of the refusal of a call's first attempt that is taken for that of
+// its second one.
+test('a call that must run once is not sent again on its connection', async () => {
+  await withServer(
+    socket => socket.write(FULL_RESPONSE),
+    async (connections, {port, connectionCount}) => {
+      const identity = makeIdentity('own');
+      const call = makeCall(port, {identity, mustRunOnce: true});
+      await send(connections, call);
+      await waitForRelease();
+      await send(connections, call);
+      assert.is(connectionCount(), 2);
+    },
+  );
+});
+
 test('does not reuse a connection after its keep-alive timeout', async () => {
   await withServer(
     socket =>
--- a/packages/backend-connections/src/backend_connections.ts
+++ b/packages/backend-connections/src/backend_connections.ts
@@ -131,18 +131,21 @@
   private takeIdle(call: BackendCall): BackendConnection | undefined {
     const nowMs = this.options.clock.monotonicMs();
     const idle = this.idleByAddress.get(formatAddress(call.address)) ?? [];
-    for (let index = idle.length - 1; index >= 0; index -= 1) {
-      const connection = idle[index] as BackendConnection;
+    const candidates = idle.filter(connection => {
       const isFresh =
         connection.expiresAtMs > nowMs &&
         nowMs - connection.idleSinceMs <= call.maxIdleMs;
       const isAllowed = !(call.mustBeDirect && connection.isRelayed);
-      if (isFresh && isAllowed && connection.isUsable) {
-        idle.splice(index, 1);
-        return connection;
-      }
-    }
-    return undefined;
+      return isFresh && isAllowed && connection.isUsable;
+    });
+    const usable = candidates.filter(
+      connection => !(call.mustRunOnce && connection.isAmbiguousFor(call)),
+    );
+    const taken = usable.at(-1);
+    if (taken) idle.splice(idle.indexOf(taken), 1);
+    // The new connection replaces one, so that their number does not grow.
+    else candidates.at(-1)?.close();
+    return taken;
   }
 
   private addIdle(connection: BackendConnection): void {
--- a/packages/backend-connections/src/index.ts
+++ b/packages/backend-connections/src/index.ts
@@ -3,6 +3,8 @@
   type AnswerReceiver,
   type BackendCall,
   type CallHandle,
+  type ResponseIdentity,
+  type ResponseOrigin,
 } from './backend_call.js';
 export {
   type BackendConnectionsOptions,
@@ -10,6 +12,7 @@
 } from './backend_connections.js';
 export {type CollectedAnswer, collectAnswer} from './collect_answer.js';
 export {createUnreachableError, openSocket} from './backend_connection.js';
+export {isForeignResponse} from './foreign_response.js';
 export {BackendSocket} from './backend_socket.js';
 export {
   type ConnectionDialer,
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -4,6 +4,8 @@
   type AnswerReceiver,
   type BackendConnections,
   type CallHandle,
+  type ResponseIdentity,
+  isForeignResponse,
 } from '@mimosatack/backend-connections';
 import {type Clock} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
@@ -70,6 +72,8 @@
   dialect: BackendDialect;
   clock: Clock;
   request: CallerRequest;
+  identity: ResponseIdentity;
+  mustRunOnce: boolean;
   terms: SendParameters;
   consumer: AnswerConsumer;
   connectTimeoutMs: number;
@@ -105,6 +109,7 @@
 
   start(): void {
     const {connections, dialect, request, terms} = this.options;
+    const {identity, mustRunOnce} = this.options;
     const handle = connections.send(
       {
         address: terms.server.address,
@@ -114,6 +119,7 @@
         body: request.body.length > 0 ? request.body : null,
         maxIdleMs: this.options.maxIdleMs,
         connectTimeoutMs: this.options.connectTimeoutMs,
+        ...{identity, mustRunOnce},
       },
       this,
     );
@@ -141,8 +147,8 @@
   onHead(head: AnswerHead): void {
     if (this.isFinished) return;
     this.hasHead = true;
-    const {dialect, request, consumer, onLoad, onStatus} = this.options;
-    const facts = dialect.readHead(head, request);
+    const {dialect, consumer, onLoad, onStatus} = this.options;
+    const facts = dialect.readHead(head);
     onStatus(facts.status);
     this.isSuccess = isSuccess(facts.status);
     this.isDelimited = isDelimited(head);
@@ -202,7 +208,7 @@
       this.finish({
         status: 'broken',
         error,
-        isConnectionLost: !isParseError(error),
+        isConnectionLost: !isParseError(error) && !isForeignResponse(error),
       });
     }
   }
@@ -261,7 +267,7 @@
 function makeMismatchError(): TypedError {
   return new TypedError(
     'backend-failed',
-    'An answer came that is not to this request.',
+    'The backend server gave a response without its signature.',
     {run: 'unknown'},
   );
 }
--- a/packages/serve-requests/src/backend_dialect.ts
+++ b/packages/serve-requests/src/backend_dialect.ts
@@ -1,5 +1,8 @@
 /** Interface of the protocol between this system and backend servers. */
-import {type AnswerHead} from '@mimosatack/backend-connections';
+import {
+  type AnswerHead,
+  type ResponseIdentity,
+} from '@mimosatack/backend-connections';
 import {type NamedLimit} from '@mimosatack/share-limits';
 import {type AvailabilityFacts} from '@mimosatack/track-availability';
 import {type BackendServerEntry, type TeamName} from '@mimosatack/types';
@@ -47,7 +50,7 @@
   isNotRun: boolean;
   /** Whether another server responded, or one without the requested model. */
   isMisdirected: boolean;
-  /** Whether the response is from the chosen server and to this request. */
+  /** Whether the response is signed, and its body is as the server made it. */
   isGenuine: boolean;
   load: ServerLoad | null;
   /** Requests per second that the server takes from all hosts together. */
@@ -60,5 +63,8 @@
 /** Encodes request headers and decodes response heads. */
 export interface BackendDialect {
   makeHeaders(request: CallerRequest, terms: SendParameters): string[];
-  readHead(head: AnswerHead, request: CallerRequest): AnswerFacts;
+  /** Called once for each request; all its attempts share the identity. */
+  identify(request: CallerRequest): ResponseIdentity;
+  /** Decodes a response that belongs to the request. */
+  readHead(head: AnswerHead): AnswerFacts;
 }
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -81,6 +81,7 @@
       connections,
       dialect: {
         makeHeaders: () => [],
+        identify: () => ({classify: () => 'own'}),
         readHead: ({status}) => ({
           ...{status, headers: [], isNotRun: false, isMisdirected: false},
           ...{isGenuine: true, load: null, limit: null, brittlePerSecond: null},
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -1,4 +1,5 @@
 /** Executes one request: its attempts, retries and final response. */
+import {type ResponseIdentity} from '@mimosatack/backend-connections';
 import {type Timer, sleep} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type BackendServerId, type TeamName} from '@mimosatack/types';
@@ -56,6 +57,7 @@
   private readonly selection: ServerSelection;
   private readonly lease: SuspectLease;
   private readonly isRepeatable: boolean;
+  private readonly identity: ResponseIdentity;
   private access: GrantedAccess;
   private attempt: Attempt | null = null;
   private stallFailover: StallFailover | null = null;
@@ -80,6 +82,7 @@
     const waitMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
     this.deadlineAtMs = request.receivedAtMs + waitMs;
     this.isRepeatable = isRepeatable(route);
+    this.identity = options.dialect.identify(request);
     this.guard = new CrashGuard(options.crashes, request);
     this.log = new RequestLog(options, request, target, this.guard);
     this.lease = new SuspectLease({
@@ -218,9 +221,10 @@
 
   private makeAttempt({server}: ChosenServer): Attempt {
     const {connections, dialect, clock, chooser} = this.options;
-    const {request, target, relay} = this;
+    const {request, target, relay, identity} = this;
     return new Attempt({
-      ...{connections, dialect, clock, request},
+      ...{connections, dialect, clock, request, identity},
+      mustRunOnce: !this.isRepeatable,
       terms: {
         server,
         remainingMs: this.deadlineAtMs - clock.monotonicMs(),
