Pass on no failure that belongs to another request or was altered on the way

Cause: Attempt.onHead asked of successes only whether they were to this request; a failure went on to the caller.

No success was another request's, which refutes two requests that cross inside the host.

Why it holds: a response without an id that does not state "not run" is foreign, whatever its status, so that each failure that is passed on names the request.

--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -167,10 +167,10 @@
       });
       return;
     }
-    if (this.isSuccess && !facts.isGenuine) {
+    if (facts.isEncoded || (this.isSuccess && !facts.isGenuine)) {
       this.finishAtHead({
         status: 'broken',
-        error: makeMismatchError(),
+        error: makeAlteredError(facts),
         isConnectionLost: false,
       });
       return;
@@ -264,10 +264,12 @@
   );
 }
 
-function makeMismatchError(): TypedError {
+function makeAlteredError({isEncoded}: AnswerFacts): TypedError {
   return new TypedError(
     'backend-failed',
-    'The backend server gave a response without its signature.',
+    isEncoded
+      ? 'The response has an encoding that the backend server does not use.'
+      : 'The response lacks the signature of the backend server.',
     {run: 'unknown'},
   );
 }
--- a/packages/serve-requests/src/backend_dialect.ts
+++ b/packages/serve-requests/src/backend_dialect.ts
@@ -52,6 +52,8 @@
   isMisdirected: boolean;
   /** Whether the response is signed, and its body is as the server made it. */
   isGenuine: boolean;
+  /** Whether the body was encoded on the way, so that it is not the server's. */
+  isEncoded: boolean;
   load: ServerLoad | null;
   /** Requests per second that the server takes from all hosts together. */
   limit: NamedLimit;
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -84,7 +84,13 @@
         identify: () => ({classify: () => 'own'}),
         readHead: ({status}) => ({
           ...{status, headers: [], isNotRun: false, isMisdirected: false},
-          ...{isGenuine: true, load: null, limit: null, brittlePerSecond: null},
+          ...{
+            isGenuine: true,
+            isEncoded: false,
+            load: null,
+            limit: null,
+            brittlePerSecond: null,
+          },
           availability: {isLeaving: false, pauseMs: null, invalidHeaders: []},
         }),
       },
