Report the orders of all earlier holders to the successor of the duty

Cause: a holder that stops reported its own orders only. Its successor was taken to know the orders before that from its own process, which a process that started after the first handover does not. A holder that still waited for a lost one sent no report at all, so that its successor began to wait anew.

Change: a report holds what a successor still has to wait out, of all holders, as times that are passed on unchanged, and a bound for all engines where the orders of a lost holder are not known. It replaces what the receiver has noted. It names the term that it begins, so that a late or repeated one lifts no wait of another term. The record of a handover names who handed over: a process that reads as its first record that it holds the duty waits. A holder that ends right after it took over from a lost one no longer shortens the wait for that one. Reports of the previous release are not complete, and are not used.

Why it holds: each holder's report is complete if the one that it got was, or else it holds a bound that is later than every earlier order.

--- a/packages/hold-duty/src/duty_fixture.ts
+++ b/packages/hold-duty/src/duty_fixture.ts
@@ -50,7 +50,9 @@
 /** A node whose view of the holder is set by the test. */
 export interface TestNode {
   name: string;
+  incarnation: string;
   task: DutyTask;
+  makeTask: (incarnation: string) => DutyTask;
   storeLink: CuttableTopic;
   contact: HolderContact;
   /** Whether its heartbeats, with its lease grants, reach the holder. */
@@ -81,13 +83,8 @@
         ),
     );
   const storeLink = new CuttableTopic(topic);
-  const node: TestNode = {
-    ...{name, storeLink},
-    contact: 'alive',
-    isGranting: false,
-    grantEndsAtMs: -Infinity,
-    ...{hasCrashed: false, lastOrderAtMs: -Infinity},
-    task: new DutyTask({
+  const makeTask = (incarnation: string) =>
+    new DutyTask({
       ...{
         clock,
         isFenced,
@@ -95,7 +92,7 @@
         random: new SeededRandom(rank + 1),
       },
       key: 'scheduler',
-      self: {nodeName: name, incarnation: `${name}.1`, address: `${name}:1`},
+      self: {nodeName: name, incarnation, address: `${name}:1`},
       findHolderContact: () => (node.task.isHeld ? 'alive' : node.contact),
       findRank: () => rank,
       isReachedByOthers: () => false,
@@ -108,7 +105,15 @@
       onHolder: () => undefined,
       onLost: () => undefined,
       onRegained: () => undefined,
-    }),
+    });
+  const incarnation = `${name}.1`;
+  const node: TestNode = {
+    ...{name, incarnation, storeLink, makeTask},
+    contact: 'alive',
+    isGranting: false,
+    grantEndsAtMs: -Infinity,
+    ...{hasCrashed: false, lastOrderAtMs: -Infinity},
+    task: makeTask(incarnation),
   };
   return node;
 }
@@ -140,9 +145,20 @@
     !hasCrashed &&
     task.findAuthority() !== null &&
     clock.monotonicMs() >= task.findOrdersBlockedUntilMs(TARGET);
+  let restarts = 1;
+  /** Replaces the process of a node that does not hold the duty by a new one. */
+  const restart = (node: TestNode) => {
+    if (node.task.isHeld || node.hasCrashed) return;
+    node.task.stop();
+    restarts += 1;
+    node.incarnation = `${node.name}.${restarts}`;
+    node.task = node.makeTask(node.incarnation);
+    node.lastOrderAtMs = -Infinity;
+    node.task.start();
+  };
   const listHolders = () => nodes.filter(mayOrder).map(({name}) => name);
   const stop = () => nodes.forEach(({task}) => task.stop());
-  return {clock, topic, nodes, passTime, listHolders, mayOrder, stop};
+  return {clock, topic, nodes, passTime, listHolders, mayOrder, restart, stop};
 }
 
 export function findNode(nodes: readonly TestNode[], name: string): TestNode {
--- a/packages/hold-duty/src/duty_properties.test.ts
+++ b/packages/hold-duty/src/duty_properties.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import {LEASE_MS, TARGET, type TestNode, startNodes} from './duty_fixture.js';
+import {type LastOrders} from './takeover_wait.js';
 
 const test = suite('duty properties under random events');
 
@@ -19,6 +20,9 @@
   'suspend',
   'crash',
   'hand-over',
+  'hand-over-unreported',
+  'hand-over-to-new-process',
+  'late-report',
 ] as const;
 
 /** An event at a node or at the store. */
@@ -47,29 +51,40 @@
   });
 }
 
-/** Hands the duty over, with the time of the last order. */
+interface Report {
+  to: TestNode;
+  lastOrders: LastOrders;
+}
+
+/** Hands the duty over; resolves with the report that the successor should get. */
 async function handOver(
   nodes: readonly TestNode[],
   next: TestNode,
-): Promise<void> {
+): Promise<Report | null> {
   const holder = nodes.find(({task, hasCrashed}) => task.isHeld && !hasCrashed);
-  if (!holder || holder === next || next.hasCrashed) return;
-  const {name} = next;
-  const isDone = await holder.task.handOver({
-    ...{nodeName: name, incarnation: `${name}.1`, address: `${name}:1`},
+  if (!holder || holder === next || next.hasCrashed) return null;
+  const {name, incarnation} = next;
+  const orders = holder.task.listOrdersForSuccessor(
+    new Map([[TARGET, holder.lastOrderAtMs]]),
+  );
+  const successorToken = await holder.task.handOver({
+    ...{nodeName: name, incarnation, address: `${name}:1`},
   });
-  if (!isDone) return;
+  if (successorToken === null) return null;
   next.contact = 'alive';
-  next.task.noteLastOrders({
-    incarnation: `${holder.name}.1`,
-    atMsByTarget: new Map([[TARGET, holder.lastOrderAtMs]]),
-  });
+  return {
+    to: next,
+    lastOrders: {...orders, incarnation: holder.incarnation, successorToken},
+  };
 }
 
 async function runSteps(steps: readonly Step[], isFenced: boolean) {
   const names = ['a', 'b', 'c'];
   const started = startNodes(names, isFenced);
-  const {topic, nodes, passTime, stop} = started;
+  const {topic, nodes, passTime, restart, stop} = started;
+  const reports: Report[] = [];
+  const deliver = ({to, lastOrders}: Report) =>
+    to.task.noteLastOrders(lastOrders);
   const observed: Array<{name: string; token: number; atMs: number}> = [];
   const recordOrders = () =>
     nodes.filter(started.mayOrder).forEach(node => {
@@ -92,7 +107,13 @@
     if (kind === 'grant' && node) node.isGranting = true;
     if (kind === 'withhold-grants' && node) node.isGranting = false;
     if (kind === 'crash') crashHolder(nodes);
-    if (kind === 'hand-over' && node) await handOver(nodes, node);
+    if (kind === 'hand-over-to-new-process' && node) restart(node);
+    if (kind.startsWith('hand-over') && node) {
+      const report = await handOver(nodes, node);
+      if (report) reports.push(report);
+      if (kind !== 'hand-over-unreported') reports.forEach(deliver);
+    }
+    if (kind === 'late-report') reports.forEach(deliver);
     if (kind === 'suspend') started.clock.suspend(4_000);
     if (kind === 'down') topic.isDown = true;
     if (kind === 'up') topic.isDown = false;
@@ -111,7 +132,7 @@
 }
 
 /** Set the variable for a longer run. */
-const RUNS = Number(process.env['MIMOSATACK_PROPERTY_RUNS'] ?? 25);
+const RUNS = Number(process.env['MIMOSATACK_PROPERTY_RUNS'] ?? 100);
 const SEED = 20_261_202;
 
 test('with fences no token is ever used by two nodes', async () => {
--- a/packages/hold-duty/src/duty_task.test.ts
+++ b/packages/hold-duty/src/duty_task.test.ts
@@ -1,7 +1,14 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {decideClaim} from './decide_claim.js';
-import {LEASE_MS, GRANT_MS, findNode, startNodes} from './duty_fixture.js';
+import {
+  GRANT_MS,
+  LEASE_MS,
+  TARGET,
+  type TestNode,
+  findNode,
+  startNodes,
+} from './duty_fixture.js';
 import {type HolderContact} from './duty_task.js';
 
 const test = suite('duty task');
@@ -124,6 +131,61 @@
   stop();
 });
 
+/** Hands the duty of one node over to another one, without a report of its orders. */
+async function handOver(from: TestNode, to: TestNode): Promise<void> {
+  const {name: nodeName, incarnation} = to;
+  await from.task.handOver({nodeName, incarnation, address: `${nodeName}:1`});
+}
+
+// Guards against a process that has just started, reads as its first record that the duty
+// was handed over to it, and orders within the lease of the holder before.
+test('without fencing a new process waits though it knows no earlier holder', async () => {
+  const {clock, nodes, listHolders, passTime, restart, stop} = startNodes(
+    ['a', 'b'],
+    false,
+  );
+  const [first, second] = [findNode(nodes, 'a'), findNode(nodes, 'b')];
+  await passTime(2_000);
+  assert.equal(listHolders(), ['a']);
+  second.storeLink.isCut = true;
+  restart(second);
+  await passTime(200);
+  const handedOverAtMs = clock.monotonicMs();
+  await handOver(first, second);
+  second.storeLink.isCut = false;
+  while (!listHolders().includes('b')) await passTime(50);
+  assert.ok(clock.monotonicMs() - handedOverAtMs >= LEASE_MS);
+  stop();
+});
+
+// Guards against a wait that begins anew with each handover of a rolling restart.
+test('without fencing the wait ends in a rolling restart', async () => {
+  const {clock, nodes, mayOrder, passTime, restart, stop} = startNodes(
+    ['a', 'b', 'c'],
+    false,
+  );
+  await passTime(2_000);
+  const orderedAtMs = clock.monotonicMs();
+  const own = new Map([[TARGET, orderedAtMs]]);
+  let holder = findNode(nodes, 'a');
+  for (let turn = 1; turn <= 6; turn += 1) {
+    const next = nodes[turn % nodes.length] as TestNode;
+    restart(next);
+    const orders = holder.task.listOrdersForSuccessor(
+      turn === 1 ? own : new Map(),
+    );
+    const {incarnation} = holder;
+    await handOver(holder, next);
+    const successorToken = holder.task.holder?.token ?? 0;
+    next.task.noteLastOrders({...orders, incarnation, successorToken});
+    await passTime(900);
+    const isOver = clock.monotonicMs() - orderedAtMs >= LEASE_MS + 500;
+    assert.is(mayOrder(next), isOver, `${turn}`);
+    holder = next;
+  }
+  stop();
+});
+
 // Guards against a store outage that stops all orders although every other node
 // grants the lease, and against orders after one node has stopped granting it.
 test('without fencing grants of all other nodes extend the lease', async () => {
--- a/packages/hold-duty/src/duty_task.ts
+++ b/packages/hold-duty/src/duty_task.ts
@@ -17,7 +17,11 @@
 import {type RandomSource} from '@mimosatack/random';
 import {type HolderContact, decideClaim} from './decide_claim.js';
 import {SuspensionWatch} from './suspension_watch.js';
-import {type LastOrders, TakeoverWait} from './takeover_wait.js';
+import {
+  type KnownOrders,
+  type LastOrders,
+  TakeoverWait,
+} from './takeover_wait.js';
 
 export {type HolderContact} from './decide_claim.js';
 
@@ -30,16 +34,19 @@
   address: string;
   /** The fencing token, which increases with every record. */
   token: number;
+  /** The incarnation that handed the duty over; absent if this holder claimed it. */
+  handedOverBy?: string | undefined;
 }
 
 /** Encodes a holder as the value of its record. */
 export class DutyHolderCodec {
   /** @param era in which the record is written; a copy of the store keeps an earlier one */
   static encode(
-    {nodeName, incarnation, address}: Omit<DutyHolder, 'token'>,
+    {nodeName, incarnation, address, handedOverBy}: Omit<DutyHolder, 'token'>,
     era: number,
   ): Uint8Array {
-    return Buffer.from(JSON.stringify({nodeName, incarnation, address, era}));
+    const record = {nodeName, incarnation, address, era, handedOverBy};
+    return Buffer.from(JSON.stringify(record));
   }
 
   /** Whether the store has come back from a copy since the record was written. */
@@ -57,11 +64,11 @@
   /** Returns null for a malformed value. */
   static decode(value: Uint8Array, offset: number): DutyHolder | null {
     try {
-      const {nodeName, incarnation, address} = JSON.parse(
+      const {nodeName, incarnation, address, handedOverBy} = JSON.parse(
         Buffer.from(value).toString('utf8'),
       ) as Partial<DutyHolder>;
       if (!nodeName || !incarnation || !address) return null;
-      return {nodeName, incarnation, address, token: offset + 1};
+      return {nodeName, incarnation, address, token: offset + 1, handedOverBy};
     } catch {
       return null;
     }
@@ -152,6 +159,8 @@
   private leaseRenewedAtMs = -Infinity;
   /** When the newest holder record was read, or received from a peer. */
   private recordSeenAtMs = -Infinity;
+  /** When the first record of the current holder was read. */
+  private holderSeenAtMs = -Infinity;
   private readonly turnWait: TakeoverWait;
   private isClaiming = false;
   private isStopped = false;
@@ -226,6 +235,16 @@
       : this.turnWait.findBlockedUntilMs(target);
   }
 
+  /**
+   * The orders that a successor of this holder has to wait out.
+   *
+   * @param own the last order of this holder to each target
+   */
+  listOrdersForSuccessor(own: ReadonlyMap<string, number>): KnownOrders {
+    const nowMs = this.options.clock.monotonicMs();
+    return this.turnWait.listForSuccessor(own, nowMs);
+  }
+
   /** Handles the last orders of a holder that sends no more orders. */
   noteLastOrders(lastOrders: LastOrders): void {
     this.turnWait.noteLastOrders(lastOrders);
@@ -254,26 +273,28 @@
 
   /**
    * Hands the duty over to another node; the caller must not send orders
-   * meanwhile. Resolves with false when the record is not known to be written;
-   * a record whose answer was lost is read back later.
+   * meanwhile. Resolves with the successor's token, or with null when the record is not
+   * known to be written; a record whose answer was lost is read back later.
    */
-  async handOver(successor: Omit<DutyHolder, 'token'>): Promise<boolean> {
-    if (!this.isHeld) return false;
-    const {topic, key, onLost} = this.options;
-    const value = DutyHolderCodec.encode(successor, topic.era.number);
+  async handOver(successor: Omit<DutyHolder, 'token'>): Promise<number | null> {
+    if (!this.isHeld) return null;
+    const {topic, key, self, onLost} = this.options;
+    const handedOver = {...successor, handedOverBy: self.incarnation};
+    const value = DutyHolderCodec.encode(handedOver, topic.era.number);
     try {
       const outcome = await topic.append([{key, value}], {
         atOffset: this.table.endOffset,
       });
       if (outcome.status === 'appended') {
-        this.noteHolder({...successor, token: outcome.offset + 1});
-        return true;
+        const token = outcome.offset + 1;
+        this.noteHolder({...handedOver, token});
+        return token;
       }
       this.follower.refresh();
     } catch (thrown) {
       onLost(toTypedError(thrown));
     }
-    return false;
+    return null;
   }
 
   private scheduleTick(): void {
@@ -393,8 +414,11 @@
     const {clock, leaseMs, ownGrantEndsAtMs, isGrantorOf} = this.options;
     const nowMs = clock.monotonicMs();
     const renewedLeaseMs = RENEWED_LEASE_FRACTION * leaseMs;
-    const upperBoundMs = nowMs + renewedLeaseMs;
-    if (this.contact === 'ended') return nowMs;
+    const upperBoundMs = this.findRenewedLeaseEndMs();
+    // Of a holder that was lost just before, the lease may still run.
+    if (this.contact === 'ended') {
+      return Math.max(nowMs, this.holderSeenAtMs + renewedLeaseMs);
+    }
     if (!isGrantorOf(incarnation)) return upperBoundMs;
     const knownBoundMs = Math.max(
       this.recordSeenAtMs + renewedLeaseMs,
@@ -403,19 +427,37 @@
     return Math.min(upperBoundMs, knownBoundMs);
   }
 
+  /**
+   * A record of a handover names the holder before it. Guards against orders of a process
+   * that has just started: it may know no earlier holder, or one of long ago, and of a
+   * holder that was lost shortly before, the lease may still run.
+   */
+  private noteTakeover({token, handedOverBy}: DutyHolder): void {
+    const {current, turnWait} = this;
+    const lastOrderAtMs =
+      handedOverBy === undefined && current
+        ? this.findLatestOrderMs(current)
+        : this.findRenewedLeaseEndMs();
+    const previous = handedOverBy ?? current?.incarnation;
+    // Without a previous holder, nobody has sent orders.
+    if (previous === undefined) return;
+    turnWait.noteTakeover({previous, token, lastOrderAtMs});
+  }
+
+  /** When a lease ends at the latest that was renewed before now. */
+  private findRenewedLeaseEndMs(): number {
+    const {clock, leaseMs} = this.options;
+    return clock.monotonicMs() + RENEWED_LEASE_FRACTION * leaseMs;
+  }
+
   private setHolder(holder: DutyHolder): void {
     const {incarnation} = holder;
     const isNewHolder = this.current?.incarnation !== incarnation;
-    if (isNewHolder && this.current) {
-      const previous = this.current;
-      this.turnWait.noteTakeover(
-        previous.incarnation,
-        this.findLatestOrderMs(previous),
-      );
-    }
+    if (isNewHolder) this.noteTakeover(holder);
     this.recordSeenAtMs = this.options.clock.monotonicMs();
     this.current = holder;
     if (!isNewHolder) return;
+    this.holderSeenAtMs = this.recordSeenAtMs;
     this.turnWait.discardLastOrders(incarnation);
     this.contact = 'none';
     this.contactSinceMs = this.options.clock.monotonicMs();
--- a/packages/hold-duty/src/index.ts
+++ b/packages/hold-duty/src/index.ts
@@ -6,5 +6,5 @@
   type HolderContact,
   DutyTask,
 } from './duty_task.js';
-export {type LastOrders} from './takeover_wait.js';
+export {type KnownOrders, type LastOrders} from './takeover_wait.js';
 export {type DutyView, decideClaim} from './decide_claim.js';
--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -82,7 +82,9 @@
     message: 'A node that scheduled orders no more and tells its last orders.',
     fields: {
       holderIncarnation: 'the life of its process',
-      engines: 'engines that it has ordered lately',
+      engines: 'engines that it or a holder before it has ordered lately',
+      coversAllEngines: 'whether any other engine may have got an order too',
+      successorToken: 'the term that it names; null if its process ends',
     },
   },
   'abandoned-requests-ended': {
--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -79,6 +79,8 @@
   incarnation: z.string(),
   address: z.string(),
   token: z.number(),
+  /** Absent if the holder claimed the duty, and in the previous release. */
+  handedOverBy: z.string().optional(),
 });
 
 export const messageSchema = z.discriminatedUnion('type', [
@@ -126,11 +128,17 @@
     holder: holderSchema,
     nodes: z.array(nodeSchema),
   }),
-  /** Sent by a holder that stops scheduling: its recent orders per engine. */
+  /** Sent by a holder that stops scheduling: the recent orders per engine. */
   z.object({
     type: z.literal('last-orders'),
     incarnation: z.string(),
     orders: z.array(z.object({engineId: z.string(), ageMs: z.number()})),
+    /** Time since the last order to any engine, named or not; null for none. */
+    anyEngineAgeMs: z.number().nullable().default(null),
+    /** The token of the new holder; null if the process ends. */
+    successorToken: z.number().nullable().default(null),
+    /** Whether the orders of earlier holders are included; not in the previous release. */
+    isComplete: z.boolean().default(false),
     /** True if the process exits, false if it only handed over the duty. */
     isEnding: z.boolean(),
   }),
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -264,7 +264,8 @@
 
   private handleLastOrders(message: LastOrdersMessage): void {
     const {clock, holder: findHolder, onLastOrders} = this.options;
-    onLastOrders(toLastOrders(message, clock));
+    const lastOrders = toLastOrders(message, clock);
+    if (lastOrders) onLastOrders(lastOrders);
     const holder = findHolder();
     const isHolder = holder?.incarnation === message.incarnation;
     if (holder && isHolder && message.isEnding) this.contacts.noteEnded(holder);
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -6,6 +6,7 @@
   makeEngineService,
   flushPendingCallbacks,
 } from '@mimosatack/fakes';
+import {DutyHolderCodec} from '@mimosatack/hold-duty';
 import {MemoryKeyedTopic} from '@mimosatack/keyed-store';
 import {MemoryEventLogger} from '@mimosatack/logger';
 import {SeededRandom} from '@mimosatack/random';
@@ -47,7 +48,10 @@
   const clock = new ManualClock();
   const topic = new MemoryKeyedTopic();
   const sent: FromHolderMessage[] = [];
-  const sentOrders: Array<{isEnding: boolean}> = [];
+  const sentOrders: Array<{
+    isEnding: boolean;
+    orders: ReadonlyArray<{engineId: string; ageMs: number}>;
+  }> = [];
   let orders = 0;
   const duty: SchedulingDuty = new SchedulingDuty({
     clock,
@@ -87,7 +91,8 @@
     },
     random: new SeededRandom(1),
     broadcast: () => undefined,
-    sendLastOrders: ({isEnding}) => sentOrders.push({isEnding}),
+    sendLastOrders: ({isEnding, orders: reported}) =>
+      sentOrders.push({isEnding, orders: reported}),
     send: (_address, message) => sent.push(message),
     findTeamWeights: () => null,
     listServices: () => [makeEngineService()],
@@ -112,7 +117,8 @@
       ?.type;
   };
   const countOrders = () => orders;
-  return {topic, duty, advance, ask, sentOrders, countOrders};
+  const nowMs = () => clock.monotonicMs();
+  return {topic, duty, advance, ask, sentOrders, countOrders, nowMs};
 }
 
 // Guards against a successor that waits a whole lease before its first order
@@ -127,7 +133,32 @@
   assert.ok(countOrders() > 0);
   await duty.handOver(() => SUCCESSOR);
   assert.not(duty.isHeld);
-  assert.equal(sentOrders, [{isEnding: false}]);
+  assert.equal(
+    sentOrders.map(({isEnding}) => isEnding),
+    [false],
+  );
+});
+
+// Guards against a successor that orders engines within the lease of the holder before
+// this one: a process that started since then learns of those orders from nobody else.
+test('a handover also names the orders of the holder before', async () => {
+  const {topic, duty, advance, sentOrders, nowMs} = await startDuty(
+    EMPTY_REPORT,
+    false,
+  );
+  await duty.handOver(() => SUCCESSOR);
+  const self = {nodeName: 'a', incarnation: 'a.1', address: 'a:1'};
+  const value = DutyHolderCodec.encode({...self, handedOverBy: 'b.1'}, 0);
+  await topic.append([{key: 'scheduler', value}], {atOffset: topic.endOffset});
+  duty.noteLastOrders({
+    ...{incarnation: 'b.1', successorToken: topic.endOffset},
+    ...{anyTargetAtMs: -Infinity},
+    atMsByTarget: new Map([['e9', nowMs() - 400]]),
+  });
+  await advance(1_000);
+  assert.ok(duty.isHeld);
+  await duty.handOver(() => SUCCESSOR);
+  assert.equal(sentOrders.at(-1)?.orders, [{engineId: 'e9', ageMs: 1_400}]);
 });
 
 // Guards against orders from two nodes when a handover fails after the node has
@@ -146,7 +177,10 @@
   await ask('a2');
   await advance(2_000);
   assert.is(countOrders(), before);
-  assert.equal(sentOrders, [{isEnding: true}]);
+  assert.equal(
+    sentOrders.map(({isEnding}) => isEnding),
+    [true],
+  );
 });
 
 // Guards against unscheduled requests when the store is down during a shutdown.
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -39,6 +39,19 @@
   stopHolding(): void;
 }
 
+/** The recent orders of this node and of the holders before it. */
+export interface OrderAges {
+  orders: readonly EngineOrderAge[];
+  /** Time since the last order to any engine, named or not; null for none. */
+  anyEngineAgeMs: number | null;
+}
+
+export interface LastOrdersReport extends OrderAges {
+  /** The token of the holder that got the duty; null if this process ends. */
+  successorToken: number | null;
+  isEnding: boolean;
+}
+
 export interface SchedulingDutyOptions {
   clock: Clock;
   logger: EventLogger;
@@ -51,9 +64,9 @@
   send: (nodeAddress: string, message: FromHolderMessage) => void;
   /** Sends a message to all nodes, this one included. */
   broadcast: (message: FromHolderMessage) => void;
-  /** Sends this node's recent engine orders to some nodes, or to all. */
+  /** Sends the recent engine orders to some nodes, or to all. */
   sendLastOrders: (
-    message: {orders: readonly EngineOrderAge[]; isEnding: boolean},
+    report: LastOrdersReport,
     addresses?: readonly string[],
   ) => void;
   listServices: () => readonly ServiceSpec[];
@@ -127,41 +140,62 @@
       // An order sent now could arrive after the successor's first one.
       this.isHandingOver = true;
       const lastOrders = this.listLastOrders();
-      const isDone = await this.task.handOver(successor);
+      const token = await this.task.handOver(successor);
       this.isHandingOver = false;
-      if (isDone) this.sendOrdersTo(successor, lastOrders);
+      if (token !== null) this.sendOrdersTo(successor, token, lastOrders);
       else await sleep(this.options.clock, HAND_OVER_RETRY_MS);
     }
   }
 
   private sendOrdersTo(
     {address}: Successor,
-    orders: readonly EngineOrderAge[] | null,
+    successorToken: number,
+    orders: OrderAges | null,
   ): void {
     if (!orders) return;
-    this.options.sendLastOrders({orders, isEnding: false}, [address]);
+    this.options.sendLastOrders({...orders, successorToken, isEnding: false}, [
+      address,
+    ]);
   }
 
   /**
-   * Null while this node still waits out the previous holder's orders: without
-   * them, the list would be incomplete.
+   * This node's orders and those of earlier holders that a successor may not know of. Null
+   * if this node's own are no longer known.
    */
-  private listLastOrders(): readonly EngineOrderAge[] | null {
-    if (this.findQuietForMs() > 0) return null;
-    return this.scheduler?.listLastOrders() ?? [];
+  private listLastOrders(): OrderAges | null {
+    if (!this.scheduler) return null;
+    const nowMs = this.options.clock.monotonicMs();
+    const own = this.scheduler
+      .listLastOrders()
+      .map(({engineId, ageMs}) => [engineId, nowMs - ageMs] as const);
+    const {atMsByTarget, anyTargetAtMs} = this.task.listOrdersForSuccessor(
+      new Map(own),
+    );
+    return {
+      orders: [...atMsByTarget].map(([engineId, atMs]) => ({
+        ...{engineId, ageMs: nowMs - atMs},
+      })),
+      anyEngineAgeMs: Number.isFinite(anyTargetAtMs)
+        ? nowMs - anyTargetAtMs
+        : null,
+    };
   }
 
   /** Stops ordering before the process exits, and informs the other nodes. */
   stopOrdering(): void {
     this.hasStoppedOrdering = true;
     const orders = this.task.isHeld ? this.listLastOrders() : null;
-    if (orders) this.options.sendLastOrders({orders, isEnding: true});
+    if (!orders) return;
+    const report = {...orders, successorToken: null, isEnding: true};
+    this.options.sendLastOrders(report);
   }
 
   noteLastOrders(lastOrders: LastOrders): void {
     this.options.logger.log('last-orders-told', {
       holderIncarnation: lastOrders.incarnation,
       engines: lastOrders.atMsByTarget.size,
+      coversAllEngines: Number.isFinite(lastOrders.anyTargetAtMs),
+      successorToken: lastOrders.successorToken,
     });
     this.task.noteLastOrders(lastOrders);
   }
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -348,9 +348,12 @@
           this.configuration.version >= 0,
       }),
       send: (address, message) => this.links.sendToNode(address, message),
-      sendLastOrders: ({orders, isEnding}, addresses) =>
+      sendLastOrders: (report, addresses) =>
         this.links.sendLastOrders(
-          {type: 'last-orders', incarnation, orders: [...orders], isEnding},
+          {
+            ...{type: 'last-orders', incarnation, isComplete: true},
+            ...{...report, orders: [...report.orders]},
+          },
           addresses,
         ),
       listServices: () => this.configuration.configuration?.services ?? [],
