Close connections to servers with an error unless the response has ended

Cause: a host that ends an exchange closed the connection without an error. The HTTP client takes such a close for the end of a response without a length, or with Connection: close, and completes an aborted request or a paused parser. Its assertion fails in the socket's close event and ends the process. The 15 s: a failed assertion without a message makes the runtime parse the source from the start of the line, and the bundle's lines are long.

Found beside it: a shutdown made the part of a response without a length that had come count as the whole.

Change: BackendSocket.destroy, through which each local close goes, on direct and on relayed connections, has an error unless the response has ended. A complete exchange can't be aborted any more.

Why it holds: with an error the client fails the request and never finishes the parser.

--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -144,6 +144,8 @@
   private abortCall: (() => void) | null = null;
   private resumeReading: (() => void) | null = null;
   private isAborted = false;
+  /** Whether the response is complete; the connection may carry another call since. */
+  private isComplete = false;
   private isPaused = false;
   private initialBytesWritten = 0;
 
@@ -160,7 +162,7 @@
   }
 
   abort(): void {
-    if (this.isAborted) return;
+    if (this.isAborted || this.isComplete) return;
     this.isAborted = true;
     // A reset discards unsent bytes. After a close the kernel would still deliver them,
     // and the server would run a request that nobody waits for.
@@ -212,6 +214,7 @@
 
   onComplete(): void {
     if (this.isAborted) return;
+    this.isComplete = true;
     this.options.onDone();
     this.receiver.onEnd();
   }
--- a/packages/backend-connections/src/backend_socket.ts
+++ b/packages/backend-connections/src/backend_socket.ts
@@ -5,6 +5,11 @@
 /** Replaces the error code of a reset; see `BackendSocket`. */
 const ABORTED_CODE = 'ECONNABORTED';
 
+function makeClosedError(): Error {
+  const error = new Error('This host has closed the connection.');
+  return Object.assign(error, {code: ABORTED_CODE});
+}
+
 /**
  * Guards against a truncated response that is taken for a complete one. A
  * response without a length ends when the connection closes, and a server that
@@ -30,6 +35,16 @@
     });
   }
 
+  /**
+   * Guards against a response without a length that counts as complete because this host
+   * has closed the connection, and against an assertion of the HTTP client, which ends the
+   * process: without an error, the client takes a close for the end of the response.
+   */
+  override destroy(error?: Error): this {
+    const isEnded = this.readableEnded;
+    return super.destroy(error ?? (isEnded ? undefined : makeClosedError()));
+  }
+
   // eslint-disable-next-line @typescript-eslint/naming-convention -- Node's name.
   override _read(size: number): void {
     setImmediate(() => super._read(size));
