Continue streams after a restart of all hosts only at a version that is proven

Callers took up streams after all hosts had been killed at once, and got whole answers that joined two software versions, if the versions had changed meanwhile or just before.

Cause: what outlives all hosts was a record of the services that are mixed, written after a host had seen two versions. Hosts that came back took its absence for a proof: versions that came while all were away were the only ones listed, a version that had come just before had begun streams before the record, and a host could serve before it had read the record.

Change: the record names the versions of each service, also of one that isn't mixed, and the era of the store. A stream begins at a version only once the record names it: the request waits 1 s at most and then goes to a server of another version. Only a node that has read the record writes it. A node that finds no record, or one from before the store came back from a copy, knows of no only version for a minute, unless the settings say (bootstrap) that the whole system starts for the first time.

The tests "nothing is written while there is one version" and "the record is deleted a minute after the last server of a version" stated the old record. They are replaced: it is written once while there is one version, and a version leaves it a minute after its last server.

Why it holds: a version that no record names has begun no stream, and where the record names one version, no other has.

--- a/packages/serve-requests/src/continue_stream.ts
+++ b/packages/serve-requests/src/continue_stream.ts
@@ -7,7 +7,10 @@
 import {type RequestTarget} from './request_pipeline.js';
 
 /** Knows at which software version streams began. */
-export type StreamLookup = Pick<StreamOrigins, 'record' | 'find'>;
+export type StreamLookup = Pick<
+  StreamOrigins,
+  'record' | 'find' | 'mayBegin' | 'waitUntilRecorded'
+>;
 
 /** Time for another host that is only late to tell of the stream. */
 const UNKNOWN_RETRY_MS = 500;
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -110,6 +110,8 @@
       headTimes: new ResponseHeadTimes(),
       streams: streams ?? {
         record: () => undefined,
+        mayBegin: () => true,
+        waitUntilRecorded: () => Promise.resolve(true),
         find: () => Promise.reject(new Error('No stream is resumed.')),
       },
       crashes: {
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -256,6 +256,7 @@
       this.log.logWithheld(id, waitMs);
     return new ServerSelection({
       ...{chooser, guard, lease, signal: abortController.signal},
+      ...{version: this.version, excludedServers},
       gate: new SendGate({availability, excludedServers, onWithheld}),
       makeAsk: () => this.makeAsk(excludedServers),
       mayHaveRun: () => this.mayHaveRun,
--- a/packages/serve-requests/src/server_selection.ts
+++ b/packages/serve-requests/src/server_selection.ts
@@ -1,4 +1,5 @@
 /** Selects a server that a request may be sent to now. */
+import {type BackendServerId} from '@mimosatack/types';
 import {type CrashGuard, makeContainedError} from './crash_guard.js';
 import {type SendGate} from './send_gate.js';
 import {
@@ -7,6 +8,7 @@
   type ServerChoice,
   type ServerChooser,
 } from './server_chooser.js';
+import {type StreamVersion} from './stream_version.js';
 import {type SuspectLease} from './suspect_lease.js';
 
 export interface ServerSelectionOptions {
@@ -14,6 +16,9 @@
   guard: CrashGuard;
   lease: SuspectLease;
   gate: SendGate;
+  version: Pick<StreamVersion, 'mayBeginAt' | 'waitUntilRecorded'>;
+  /** Servers that must not be chosen for the request. */
+  excludedServers: Set<BackendServerId>;
   makeAsk: () => ServerAsk;
   /** Whether a server may have run the request already. */
   mayHaveRun: () => boolean;
@@ -34,7 +39,10 @@
     let chosen = replacement;
     for (;;) {
       const choice: ServerChoice = chosen ?? (await this.choose());
-      if (choice.status === 'refused' || this.maySend(choice)) return choice;
+      if (choice.status === 'refused') return choice;
+      if ((await this.isRecorded(choice)) && this.maySend(choice)) {
+        return choice;
+      }
       this.options.chooser.release(choice);
       chosen = null;
     }
@@ -53,6 +61,15 @@
     return chooser.choose(makeAsk());
   }
 
+  /** Excludes a server whose software version is not recorded in time. */
+  private async isRecorded({server}: ChosenServer): Promise<boolean> {
+    const {version, excludedServers, signal} = this.options;
+    if (version.mayBeginAt(server)) return true;
+    const isRecorded = await version.waitUntilRecorded(server, signal);
+    if (!isRecorded && !signal.aborted) excludedServers.add(server.id);
+    return isRecorded || signal.aborted;
+  }
+
   /** A choice of an aborted request is given back by its run. */
   private maySend({server}: ChosenServer): boolean {
     const {guard, lease, gate, signal} = this.options;
--- a/packages/serve-requests/src/stream_origins.test.ts
+++ b/packages/serve-requests/src/stream_origins.test.ts
@@ -21,8 +21,8 @@
 ];
 const EVENT = Buffer.from('id: 1\ndata: a\n\n');
 
-/** The first server breaks off before its first event; the second answers. */
-function makeConnections(): BackendConnections {
+/** The first server may break off before its first event; the others answer. */
+function makeConnections(isFirstBroken = true): BackendConnections {
   let calls = 0;
   const answer = (receiver: AnswerReceiver, isFirst: boolean) => {
     receiver.onHead({status: 200, headers: []});
@@ -35,7 +35,7 @@
   return {
     send: (_: BackendCall, receiver: AnswerReceiver) => {
       calls += 1;
-      const isFirst = calls === 1;
+      const isFirst = calls === 1 && isFirstBroken;
       queueMicrotask(() => answer(receiver, isFirst));
       return {resume: () => undefined, abort: () => undefined};
     },
@@ -51,6 +51,8 @@
     streams: {
       record: ({requestId}, origin) => recorded.push([requestId, origin]),
       find: () => Promise.reject(new Error('No stream is resumed.')),
+      mayBegin: () => true,
+      waitUntilRecorded: () => Promise.resolve(true),
     },
   });
   await fixture.serve(makeRequest());
@@ -58,4 +60,24 @@
   assert.equal(recorded, [['r1', {service: 'writers', softwareVersion: 'v2'}]]);
 });
 
+// Guards against a stream of a software version that no record names when all hosts are
+// lost, and against a stream that isn't served though a server of another one is free.
+test('a server whose version is not recorded in time is left for another', async () => {
+  const recorded: string[] = [];
+  const fixture = new PipelineFixture({
+    ...{routes: [ROUTE], connections: makeConnections(false)},
+    choose: ({excluded}) => SERVERS.find(({id}) => !excluded.has(id)),
+    streams: {
+      record: (_key, {softwareVersion}) => recorded.push(softwareVersion),
+      find: () => Promise.reject(new Error('No stream is resumed.')),
+      mayBegin: ({softwareVersion}) => softwareVersion !== 'v1',
+      waitUntilRecorded: () => Promise.resolve(false),
+    },
+  });
+  await fixture.serve(makeRequest());
+  assert.is(fixture.sink.status, 200);
+  assert.equal(recorded, ['v2']);
+  assert.equal(fixture.released, ['s1']);
+});
+
 test.run();
--- a/packages/serve-requests/src/stream_version.ts
+++ b/packages/serve-requests/src/stream_version.ts
@@ -21,6 +21,21 @@
     return this.begunAt;
   }
 
+  /** Whether the server may bring the first event now; see `waitUntilRecorded`. */
+  mayBeginAt(server: BackendServerEntry): boolean {
+    return (
+      this.target.route.kind !== 'streaming' || this.streams.mayBegin(server)
+    );
+  }
+
+  /** Resolves with whether the server may bring the first event after all. */
+  waitUntilRecorded(
+    server: BackendServerEntry,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    return this.streams.waitUntilRecorded(server, signal);
+  }
+
   recordSent(server: BackendServerEntry): void {
     this.server = server;
   }
--- a/packages/serving-node/src/make_stream_versions.ts
+++ b/packages/serving-node/src/make_stream_versions.ts
@@ -7,7 +7,7 @@
 
 export interface StreamVersionsParts extends Pick<
   ServingNodeOptions,
-  'clock' | 'platform'
+  'clock' | 'platform' | 'settings'
 > {
   self: RegisteredNode;
   servers: Pick<ServerFollower, 'list' | 'ageMs'>;
@@ -27,10 +27,11 @@
 export function makeStreamVersions(
   parts: StreamVersionsParts,
 ): StreamVersionsTask {
-  const {clock, platform, self, servers, isWriter, findLinks} = parts;
+  const {clock, platform, settings, self, servers, isWriter, findLinks} = parts;
   const isOther = ({nodeName}: RegisteredNode) => nodeName !== self.nodeName;
   return new StreamVersionsTask({
     ...{clock, topic: platform.nodesTopic, isWriter},
+    isFirstStart: settings.isFirstStart,
     listServers: () => servers.list(),
     listHosts: () => parts.listNodes().filter(isOther),
     serversAgeMs: () =>
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -23,6 +23,8 @@
   applyRecord(value: Uint8Array | null): void;
   /** Called with the value in a copy of the store, which may be older than known ones. */
   noteStored(value: Uint8Array | null): void;
+  /** Called once all records were read, from the store or from a peer. */
+  noteLoaded?(): void;
 }
 
 export interface NodeRegisterOptions {
@@ -154,6 +156,11 @@
     const changes = this.table.applyRecords(fromOffset, records, endOffset);
     if (isFromCopy) this.applyCopy(changes);
     else this.applyChanges(changes);
+    if (this.table.endOffset > 0) this.noteLoaded();
+  }
+
+  private noteLoaded(): void {
+    this.options.recordReaders.forEach(reader => reader.noteLoaded?.());
   }
 
   /** Reads the store when other nodes keep naming a node unknown here. */
@@ -186,6 +193,7 @@
   private applyRead(changes: readonly KeyedChange[], kind: ReadKind): void {
     if (kind === 'restored') this.applyRestored(changes);
     else this.applyChanges(changes);
+    this.noteLoaded();
     if (kind === 'snapshot' && this.isAdoptionDue) this.adoptTable();
     if (changes.length === 0) return;
     this.options.onRead(Math.min(...changes.map(({offset}) => offset)));
--- a/packages/serving-node/src/node_settings.ts
+++ b/packages/serving-node/src/node_settings.ts
@@ -42,6 +42,8 @@
    * services whose servers report slowdowns.
    */
   crossDomainCostMs: number;
+  /** Whether the whole system starts for the first time. */
+  isFirstStart: boolean;
   /** Whether engines reject orders with an outdated fencing token. */
   isFenced: boolean;
   /** Shortest time between orders from two nodes to one engine. */
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -42,7 +42,7 @@
 import {SharedRecords} from './shared_records.js';
 import {StatusServer} from './status_server.js';
 import {
-  MIXED_SERVICES_KEY,
+  SERVICE_VERSIONS_KEY,
   type StreamVersionsTask,
 } from './stream_versions_task.js';
 import {makeDutyTaskOptions} from './make_duty_task_options.js';
@@ -282,6 +282,7 @@
       peerAgeMs: () => this.links.viaHolder.serversAgeMs,
       onChanges: changes => {
         this.streams.updateServers();
+        void this.streams.syncRecord();
         this.duty.updateServers(changes);
       },
       onStateChange: change =>
@@ -304,7 +305,7 @@
         this.sharedRecords.broadcastSince('nodes', fromOffset),
       recordReaders: new Map<string, RecordReader>([
         [CONTAINED_KEY, this.containment],
-        [MIXED_SERVICES_KEY, this.streams],
+        [SERVICE_VERSIONS_KEY, this.streams],
       ]),
       onRemoved: ({nodeName, incarnation}) => {
         this.options.logger.log('node-lost', {lostNodeName: nodeName});
--- a/packages/serving-node/src/settings_reload.test.ts
+++ b/packages/serving-node/src/settings_reload.test.ts
@@ -22,7 +22,7 @@
     retryBound: {ratio: 0.2, slack: 56, windowMs: 10_000},
     revokeMs: 5_000,
     quotaBounds: {windowMs: 8_000, overage: 0.1, slack: 17_000},
-    ...{isFenced: true, leaseMs: 3_000, clusterSecret: ''},
+    ...{isFirstStart: true, isFenced: true, leaseMs: 3_000, clusterSecret: ''},
     teamWeights: new Map(),
     crossDomainCostMs: 5,
     ...change,
--- a/packages/serving-node/src/stream_versions_task.test.ts
+++ b/packages/serving-node/src/stream_versions_task.test.ts
@@ -1,11 +1,12 @@
 import {ManualClock} from '@mimosatack/clock';
 import {makeEngineEntry} from '@mimosatack/fakes';
 import {MemoryKeyedTopic} from '@mimosatack/keyed-store';
+import {decodeVersionRecord} from '@mimosatack/track-streams';
 import {type BackendServerEntry} from '@mimosatack/types';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
-  MIXED_SERVICES_KEY,
+  SERVICE_VERSIONS_KEY,
   StreamVersionsTask,
 } from './stream_versions_task.js';
 
@@ -21,11 +22,15 @@
   }));
 }
 
-function createFixture(topic = new MemoryKeyedTopic()) {
+/** A host that starts when its servers run at the versions. */
+function createFixture(
+  topic = new MemoryKeyedTopic(),
+  {isFirstStart = true, versions = ['v1']} = {},
+) {
   const clock = new ManualClock();
-  let servers = makeServers('v1');
+  let servers = makeServers(...versions);
   const task = new StreamVersionsTask({
-    ...{clock, topic, isWriter: () => true},
+    ...{clock, topic, isWriter: () => true, isFirstStart},
     ...{listServers: () => servers, listHosts: () => []},
     ...{serversAgeMs: () => 0, send: () => undefined},
     ask: () => Promise.resolve(null),
@@ -35,19 +40,46 @@
     servers = makeServers(...versions);
     task.updateServers();
   };
-  list('v1');
+  list(...versions);
   const resume = () => task.origins.find({stream: null, service: SERVICE});
-  return {clock, task, topic, list, resume};
+  /** Reads the record, as a host does when it starts, and after each change. */
+  const read = async () => {
+    const value = await readRecord(topic);
+    if (value) task.applyRecord(value);
+    task.noteLoaded();
+  };
+  const write = async () => {
+    await task.syncRecord();
+    await read();
+  };
+  const mayBegin = (softwareVersion: string) =>
+    task.origins.mayBegin({service: SERVICE, softwareVersion});
+  return {clock, task, topic, list, resume, read, write, mayBegin};
+}
+
+/** Hosts of a first start that have written their record. */
+async function createRunning(versions: string[]) {
+  const fixture = createFixture(new MemoryKeyedTopic(), {versions});
+  await fixture.read();
+  await fixture.write();
+  return fixture;
 }
 
 async function readRecord(topic: MemoryKeyedTopic) {
   const {records} = await topic.readSnapshot();
-  return records.find(({key}) => key === MIXED_SERVICES_KEY)?.value ?? null;
+  return records.find(({key}) => key === SERVICE_VERSIONS_KEY)?.value ?? null;
+}
+
+async function listRecorded(topic: MemoryKeyedTopic): Promise<string[]> {
+  const value = await readRecord(topic);
+  const record = value && decodeVersionRecord(value);
+  return [...(record?.services.get(SERVICE) ?? [])];
 }
 
 // Guards against a host that was suspended and still holds the list of servers from before.
 test('a list of servers from before a suspension counts as old', async () => {
-  const {clock, task, resume} = createFixture();
+  const {clock, task, resume, read} = createFixture();
+  await read();
   assert.is((await resume()).source, 'only-version');
   clock.suspend(10_000);
   assert.is((await resume()).source, 'unknown');
@@ -58,36 +90,123 @@
 
 // Guards against hosts that all restart at once and see only the version that is left.
 test('a host that has started knows that there were other versions', async () => {
-  const before = createFixture();
-  before.list('v1', 'v2');
-  await before.task.syncRecord();
-  const after = createFixture(before.topic);
-  after.task.applyRecord(await readRecord(before.topic));
+  const {topic} = await createRunning(['v1', 'v2']);
+  const after = createFixture(topic, {isFirstStart: false});
+  await after.read();
   assert.is((await after.resume()).source, 'unknown');
 });
 
+// Guards against streams that go on at a version that came while all hosts were away.
+test('hosts that have all started know the version that served before', async () => {
+  const {topic} = await createRunning(['v1']);
+  for (const versions of [['v2'], ['v1', 'v2']]) {
+    const after = createFixture(topic, {isFirstStart: false, versions});
+    await after.read();
+    assert.is((await after.resume()).source, 'unknown', versions.join());
+  }
+});
+
+// Guards against streams that are lost with all hosts though nothing else has changed.
+test('streams go on after a restart of all hosts at the only version', async () => {
+  const {topic} = await createRunning(['v1']);
+  const after = createFixture(topic, {isFirstStart: false});
+  await after.read();
+  const {origin, source} = await after.resume();
+  assert.is(origin?.softwareVersion, 'v1');
+  assert.is(source, 'only-version');
+});
+
+// Guards against a host that serves before it has read the record.
+test('a host that has not read the record continues no stream', async () => {
+  const {topic} = await createRunning(['v1']);
+  const after = createFixture(topic, {isFirstStart: false, versions: ['v2']});
+  assert.is((await after.resume()).source, 'unknown');
+  await after.task.syncRecord();
+  assert.equal(await listRecorded(topic), ['v1']);
+});
+
+// Guards against a record of hosts that know nothing of the time before, which those after
+// them would believe.
+test('without a record the versions of before are not known for a minute', async () => {
+  const first = createFixture(new MemoryKeyedTopic(), {isFirstStart: false});
+  await first.read();
+  await first.write();
+  assert.is((await first.resume()).source, 'unknown');
+  const second = createFixture(first.topic, {isFirstStart: false});
+  await second.read();
+  assert.is((await second.resume()).source, 'unknown');
+  first.clock.advance(MINUTE_MS);
+  first.list('v1');
+  await first.write();
+  assert.is((await first.resume()).source, 'only-version');
+  assert.equal(await listRecorded(first.topic), ['v1']);
+});
+
+// Guards against a record of seconds ago, in a store that came back from a copy.
+test('a record from a copy of the store does not tell of all versions', async () => {
+  const {topic} = await createRunning(['v1']);
+  topic.restore(1);
+  const after = createFixture(topic, {isFirstStart: false});
+  await after.read();
+  assert.is((await after.resume()).source, 'unknown');
+});
+
+// Guards against a stream of a version that no record names when all hosts are lost.
+test('a stream begins at a new version once the record names it', async () => {
+  const {list, mayBegin, task, write} = await createRunning(['v1']);
+  list('v1', 'v2');
+  assert.ok(mayBegin('v1'));
+  assert.not(mayBegin('v2'));
+  const wait = task.origins.waitUntilRecorded(
+    {service: SERVICE, softwareVersion: 'v2'},
+    new AbortController().signal,
+  );
+  await write();
+  assert.is(await wait, true);
+  assert.ok(mayBegin('v2'));
+});
+
+// Guards against a request that waits for a store that takes no record.
+test('the wait for the record ends', async () => {
+  const {clock, list, task} = await createRunning(['v1']);
+  list('v1', 'v2');
+  const origin = {service: SERVICE, softwareVersion: 'v2'};
+  const abort = new AbortController();
+  const waits = [
+    task.origins.waitUntilRecorded(origin, new AbortController().signal),
+    task.origins.waitUntilRecorded(origin, abort.signal),
+  ];
+  abort.abort();
+  assert.is(await waits[1], false);
+  clock.advance(1_000);
+  assert.is(await waits[0], false);
+});
+
 // Guards against a record that is deleted by a host that has not seen the other version.
-test('the record is deleted a minute after the last server of a version', async () => {
-  const before = createFixture();
-  before.list('v1', 'v2');
-  await before.task.syncRecord();
-  const {clock, task, topic} = createFixture(before.topic);
-  task.applyRecord(await readRecord(topic));
+test('a version leaves the record a minute after its last server', async () => {
+  const before = await createRunning(['v1', 'v2']);
+  const after = createFixture(before.topic, {isFirstStart: false});
+  await after.read();
+  const {clock, task, topic} = after;
   clock.advance(MINUTE_MS - 1);
   task.updateServers();
   await task.syncRecord();
-  assert.ok(await readRecord(topic));
+  assert.equal(await listRecorded(topic), ['v1', 'v2']);
   clock.advance(1);
   task.updateServers();
   await task.syncRecord();
-  assert.is(await readRecord(topic), null);
+  assert.equal(await listRecorded(topic), ['v1']);
 });
 
-// Guards against calls to the store on days on which each service has one version.
-test('nothing is written while there is one version', async () => {
-  const {task, topic} = createFixture();
-  await task.syncRecord();
-  assert.is(topic.endOffset, 0);
+// Guards against repeated calls to the store while each service has one version.
+test('the record is written once while there is one version', async () => {
+  const {clock, list, topic, write} = await createRunning(['v1']);
+  for (let minutes = 0; minutes < 5; minutes += 1) {
+    clock.advance(MINUTE_MS / 2);
+    list('v1');
+    await write();
+  }
+  assert.is(topic.endOffset, 1);
 });
 
 test.run();
--- a/packages/serving-node/src/stream_versions_task.ts
+++ b/packages/serving-node/src/stream_versions_task.ts
@@ -5,14 +5,14 @@
 import {
   StreamOrigins,
   type StreamOriginsOptions,
-  decodeMixedServices,
-  encodeMixedServices,
+  decodeVersionRecord,
+  encodeVersionRecord,
 } from '@mimosatack/track-streams';
 import {type BackendServerEntry} from '@mimosatack/types';
 import {StoredRecord} from './stored_record.js';
 
 /** Key of the record in the nodes topic; not a valid node name. */
-export const MIXED_SERVICES_KEY = ':mixed-services';
+export const SERVICE_VERSIONS_KEY = ':service-versions';
 
 export interface StreamVersionsTaskOptions extends StreamOriginsOptions {
   clock: Clock;
@@ -30,8 +30,8 @@
 const MIN_SUSPENSION_MS = 100;
 
 /**
- * Keeps a record of the services that run at several versions. Guards against nodes that
- * all restart at once, see one version and continue streams that began at another.
+ * Keeps a record of the software versions of each service. Guards against nodes that all
+ * restart at once, see one version and continue streams that began at another.
  */
 export class StreamVersionsTask {
   readonly origins: StreamOrigins;
@@ -49,8 +49,14 @@
     const {versions} = this.origins;
     this.record = new StoredRecord({
       ...options,
-      key: MIXED_SERVICES_KEY,
-      encode: () => encodeMixedServices(versions.listMixed()),
+      key: SERVICE_VERSIONS_KEY,
+      encode: () =>
+        encodeVersionRecord({
+          services: versions.listForRecord(),
+          era: options.topic.era.number,
+        }),
+      // Before it has read the record, this node does not know the versions of before.
+      isWriter: () => options.isWriter() && versions.isRecordKnown,
     });
   }
 
@@ -72,10 +78,16 @@
   /** Applies the record, read from the store or received from a peer. */
   applyRecord(value: Uint8Array | null): void {
     this.record.noteStored(value);
-    if (!value) return;
-    const services = decodeMixedServices(value);
-    if (services) this.origins.versions.applyRecorded(services);
-    else this.options.onFault(makeInvalidRecordError());
+    const record = value && decodeVersionRecord(value);
+    if (value && !record) this.options.onFault(makeInvalidRecordError());
+    const {services = new Map(), era = 0} = record ?? {};
+    this.origins.applyRecord(services, era < this.options.topic.era.number);
+  }
+
+  /** Called once all records were read; there may be none of the versions. */
+  noteLoaded(): void {
+    const {origins} = this;
+    if (!origins.versions.isRecordKnown) origins.applyRecord(new Map(), false);
   }
 
   /** Ages on the monotonic clock leave out the time of a suspension. */
@@ -99,7 +111,7 @@
 function makeInvalidRecordError(): TypedError {
   return new TypedError(
     'record-invalid',
-    'The record of services at several software versions has another form.',
+    'The record of the software versions of services has another form.',
     {run: 'not-run'},
   );
 }
--- a/packages/track-streams/src/index.ts
+++ b/packages/track-streams/src/index.ts
@@ -1,5 +1,10 @@
 export {type CopyHost} from './origin_copies.js';
-export {decodeMixedServices, encodeMixedServices} from './mixed_record.js';
+export {
+  type RecordedVersions,
+  type VersionRecord,
+  decodeVersionRecord,
+  encodeVersionRecord,
+} from './version_record.js';
 export {type StreamOrigin} from './stream_origin.js';
 export {
   type OriginAnswer,
--- a/packages/track-streams/src/origin_fleet_fixture.ts
+++ b/packages/track-streams/src/origin_fleet_fixture.ts
@@ -2,6 +2,7 @@
 import {ManualClock} from '@mimosatack/clock';
 import {type BackendServerEntry} from '@mimosatack/types';
 import {type StreamReply} from './stream_messages.js';
+import {type RecordedVersions} from './version_record.js';
 import {type StreamOrigin} from './stream_origin.js';
 import {type OriginAnswer, StreamOrigins} from './stream_origins.js';
 
@@ -20,12 +21,16 @@
 export class OriginFleet {
   readonly clock = new ManualClock();
   readonly hosts: FleetHost[];
+  /** What is in the store. */
+  private record: RecordedVersions = new Map();
   /** Messages that were sent between hosts. */
   messageCount = 0;
 
   constructor(hostCount: number, versions: readonly string[]) {
     this.hosts = Array.from({length: hostCount}, (_, at) => this.makeHost(at));
+    this.writeRecord();
     this.setVersions(versions);
+    this.writeRecord();
   }
 
   /** All hosts see servers of the versions. */
@@ -68,7 +73,8 @@
 
   /** Replaces the process of a host, which sees the versions. */
   restart(at: number, versions: readonly string[]): void {
-    this.hosts[at] = this.makeHost(at);
+    this.hosts[at] = this.makeHost(at, false);
+    this.loadRecord(at);
     this.setVersionsOf(at, versions);
   }
 
@@ -78,12 +84,24 @@
     return host;
   }
 
-  private makeHost(at: number): FleetHost {
+  /** Reads the record, as a host does when it starts. */
+  loadRecord(at: number): void {
+    this.find(at).origins.applyRecord(this.record, false);
+  }
+
+  /** Writes the record as the first host has it; all hosts read it. */
+  writeRecord(): void {
+    this.record = this.find(0).origins.versions.listForRecord();
+    this.hosts.forEach((_, at) => this.loadRecord(at));
+  }
+
+  private makeHost(at: number, isFirstStart = true): FleetHost {
     const nodeName = `front-${at}`;
     const host: FleetHost = {
       ...{nodeName, peerAddress: nodeName, isReachable: true, serversAgeMs: 0},
       origins: new StreamOrigins({
         clock: this.clock,
+        isFirstStart,
         listHosts: () =>
           this.hosts.filter(other => other.nodeName !== nodeName),
         serversAgeMs: () => host.serversAgeMs,
--- a/packages/track-streams/src/stream_origins.ts
+++ b/packages/track-streams/src/stream_origins.ts
@@ -19,6 +19,7 @@
   makeStreamId,
 } from './stream_origin.js';
 import {StreamOriginTable} from './stream_origin_table.js';
+import {type RecordedVersions} from './version_record.js';
 import {
   type AskStream,
   type StreamReply,
@@ -58,6 +59,8 @@
 
 export interface StreamOriginsOptions {
   clock: Clock;
+  /** Whether no stream can have begun before this process started. */
+  isFirstStart: boolean;
   /** All other hosts. */
   listHosts: () => readonly CopyHost[];
   /** Age of this host's list of servers. */
@@ -67,6 +70,8 @@
   ask: (address: string, ask: AskStream) => Promise<StreamReply | null>;
 }
 
+/** Longer than the record takes to be written and passed on. */
+const MAX_RECORD_WAIT_MS = 1_000;
 /** Within this time no server that is new can have begun a stream and lost it. */
 const MAX_VIEW_AGE_MS = 2_000;
 
@@ -84,15 +89,17 @@
   private readonly copies: StreamOriginTable;
   private readonly ring: HostRing;
   private readonly rate = new StreamRate();
+  private readonly recordWaiters = new Set<() => void>();
 
   constructor(private readonly options: StreamOriginsOptions) {
     const {clock, listHosts} = options;
     this.own = new StreamOriginTable(clock);
     this.copies = new StreamOriginTable(clock);
     this.ring = new HostRing(listHosts);
-    this.versions = new ServiceVersions(clock, service =>
-      this.sendAllOf(service),
-    );
+    this.versions = new ServiceVersions({
+      ...{clock, isFirstStart: options.isFirstStart},
+      onMixed: service => this.sendAllOf(service),
+    });
   }
 
   get knownStreams(): number {
@@ -103,6 +110,46 @@
     this.versions.update(servers);
   }
 
+  /** Applies the record in the store; see `ServiceVersions.applyRecord`. */
+  applyRecord(services: RecordedVersions, isFromCopy: boolean): void {
+    this.versions.applyRecord(services, isFromCopy);
+    this.recordWaiters.forEach(check => check());
+  }
+
+  /** Whether the record in the store lets a stream begin at the software version. */
+  mayBegin({service, softwareVersion}: StreamOrigin): boolean {
+    return this.versions.mayBegin(service, softwareVersion);
+  }
+
+  /**
+   * Resolves once a stream may begin at the software version, or with false if that takes
+   * too long. Guards against a version that is in no record when all hosts are lost, so
+   * that a stream of it goes on at another.
+   */
+  async waitUntilRecorded(
+    origin: StreamOrigin,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    if (this.mayBegin(origin)) return true;
+    await new Promise<void>(resolve => {
+      const finish = () => {
+        timer.cancel();
+        signal.removeEventListener('abort', finish);
+        this.recordWaiters.delete(check);
+        resolve();
+      };
+      const check = () => {
+        if (this.mayBegin(origin)) finish();
+      };
+      const timer = this.options.clock.setTimer(MAX_RECORD_WAIT_MS, finish);
+      signal.addEventListener('abort', finish, {once: true});
+      this.recordWaiters.add(check);
+      if (signal.aborted) finish();
+    });
+    // A host that can read no record serves all the same.
+    return this.mayBegin(origin) || !this.versions.isRecordKnown;
+  }
+
   /** Has to be called right before the caller receives the first event of an attempt. */
   record({requestId, team}: StreamKey, origin: StreamOrigin): void {
     const id = makeStreamId(requestId, team);
