Log what identifies a response and how often its connection was used

Nothing in the log told a refusal of the request from a copy of an earlier one: attempt-ended said `not-run` and the status for both. It says now whether the response bears the id of the request (`origin`) and how many calls the connection carried before (`earlierCalls`). A refusal without an id on a connection that was used before may be a copy; one on a new connection is not. No change of what is decided.

--- a/packages/backend-connections/src/backend_call.ts
+++ b/packages/backend-connections/src/backend_call.ts
@@ -41,6 +41,13 @@
   classify(head: AnswerHead): ResponseOrigin;
 }
 
+/** What the connection tells about a response. */
+export interface ResponseSource {
+  origin: Exclude<ResponseOrigin, 'foreign'>;
+  /** Calls that the connection carried before this one. */
+  earlierCalls: number;
+}
+
 /** Status and headers of a response. */
 export interface AnswerHead {
   status: number;
@@ -53,7 +60,7 @@
  * `onEnd` or `onFailure`. A call can fail before `onHead`.
  */
 export interface AnswerReceiver {
-  onHead(head: AnswerHead): void;
+  onHead(head: AnswerHead, source: ResponseSource): void;
   /** Returns false to pause the response until `CallHandle.resume`. */
   onData(chunk: Uint8Array): boolean;
   /** Called when the response is complete according to its framing. */
--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -56,6 +56,7 @@
   private keepAliveMs: number;
   private isClosed = false;
   private hasUnidentifiedResponse = false;
+  private callCount = 0;
   private readonly carried = new WeakSet<ResponseIdentity>();
 
   constructor(
@@ -86,10 +87,12 @@
     if (identity) this.carried.add(identity);
     const exchange = new Exchange(this.socket, receiver, {
       identity,
+      earlierCalls: this.callCount,
       onKeepAlive: keepAliveMs => (this.keepAliveMs = keepAliveMs),
       onUnidentified: () => (this.hasUnidentifiedResponse = true),
       onDone: () => this.release(),
     });
+    this.callCount += 1;
     this.client.dispatch(
       {
         path: call.path,
@@ -134,6 +137,7 @@
 /** Identifies the response of an exchange and receives its events. */
 interface ExchangeOptions {
   identity: ResponseIdentity | undefined;
+  earlierCalls: number;
   onKeepAlive: (keepAliveMs: number) => void;
   onUnidentified: () => void;
   onDone: () => void;
@@ -191,13 +195,13 @@
 
   /** Nothing is read from a response before it is known to belong to the call. */
   private receiveHead(head: AnswerHead): void {
-    const {identity, onKeepAlive, onUnidentified} = this.options;
+    const {identity, earlierCalls, onKeepAlive, onUnidentified} = this.options;
     const origin = identity?.classify(head) ?? 'own';
     if (origin === 'foreign') return this.rejectForeign(head.status);
     if (origin === 'unidentified') onUnidentified();
     const keepAliveMs = readKeepAliveMs(head.headers);
     if (keepAliveMs !== null) onKeepAlive(keepAliveMs);
-    this.receiver.onHead(head);
+    this.receiver.onHead(head, {origin, earlierCalls});
   }
 
   /** The response to the call may follow, so the connection cannot be used again. */
--- a/packages/backend-connections/src/index.ts
+++ b/packages/backend-connections/src/index.ts
@@ -4,6 +4,7 @@
   type BackendCall,
   type CallHandle,
   type ResponseIdentity,
+  type ResponseSource,
   type ResponseOrigin,
 } from './backend_call.js';
 export {
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -62,6 +62,9 @@
       backendServerId: 'the backend server',
       outcome: 'how it ended',
       status: 'the status that the server answered with, if it did',
+      origin:
+        'whether the answer bears the id of the request; an unidentified one may be a copy of an earlier answer on the connection',
+      earlierCalls: 'how many calls the connection carried before',
       pauseMs: 'for how long the server wants no request of this host',
       error: 'what failed, if something did',
       fingerprint:
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -5,6 +5,7 @@
   type BackendConnections,
   type CallHandle,
   type ResponseIdentity,
+  type ResponseSource,
   isForeignResponse,
 } from '@mimosatack/backend-connections';
 import {type Clock} from '@mimosatack/clock';
@@ -79,7 +80,8 @@
   connectTimeoutMs: number;
   maxIdleMs: number;
   onLoad: (load: ServerLoad) => void;
-  onStatus: (status: number) => void;
+  /** Called with the status of each response of the call. */
+  onStatus: (status: number, source: ResponseSource) => void;
   /** Called with what each response says, unless another server responded. */
   onAvailability: (availability: AvailabilityFacts) => void;
   /** Called with the limit of each response of the chosen server. */
@@ -144,12 +146,12 @@
     this.handle?.abort();
   }
 
-  onHead(head: AnswerHead): void {
+  onHead(head: AnswerHead, source: ResponseSource): void {
     if (this.isFinished) return;
     this.hasHead = true;
     const {dialect, consumer, onLoad, onStatus} = this.options;
     const facts = dialect.readHead(head);
-    onStatus(facts.status);
+    onStatus(facts.status, source);
     this.isSuccess = isSuccess(facts.status);
     this.isDelimited = isDelimited(head);
     if (facts.load) onLoad(facts.load);
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -1,4 +1,5 @@
 /** Logs the attempts of one request, their basis and the final result. */
+import {type ResponseSource} from '@mimosatack/backend-connections';
 import {type Clock} from '@mimosatack/clock';
 import {type TypedError} from '@mimosatack/errors';
 import {type EventLogger} from '@mimosatack/logger';
@@ -40,6 +41,7 @@
   private lastChunkAtMs: number | null = null;
   private longestGapMs = 0;
   private status: number | null = null;
+  private source: ResponseSource | null = null;
   private pauseMs: number | null = null;
   private backendServerId = '';
 
@@ -61,6 +63,7 @@
     this.lastChunkAtMs = null;
     this.longestGapMs = 0;
     this.status = null;
+    this.source = null;
     this.pauseMs = null;
     this.backendServerId = choice.server.id;
     this.options.logger.log('request-sent', {
@@ -96,9 +99,10 @@
     });
   }
 
-  recordHead(status: number): void {
+  recordHead(status: number, source: ResponseSource): void {
     this.headAtMs = this.nowMs();
     this.status = status;
+    this.source = source;
   }
 
   /** Records for how long the server wants no request of this host. */
@@ -123,6 +127,8 @@
       backendServerId: this.backendServerId,
       outcome: outcome.status,
       status: this.status,
+      origin: this.source?.origin,
+      earlierCalls: this.source?.earlierCalls,
       pauseMs: this.pauseMs,
       error: 'error' in outcome ? outcome.error.message : undefined,
       fingerprint: isConnectionLost(outcome)
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -242,8 +242,8 @@
         this.log.recordPause(facts.pauseMs);
         this.options.availability.recordResponse(server, facts);
       },
-      onStatus: status => {
-        this.log.recordHead(status);
+      onStatus: (status, source) => {
+        this.log.recordHead(status, source);
         this.stallFailover?.recordHead();
       },
     });
--- a/packages/serve-requests/src/stream_origins.test.ts
+++ b/packages/serve-requests/src/stream_origins.test.ts
@@ -25,7 +25,10 @@
 function makeConnections(isFirstBroken = true): BackendConnections {
   let calls = 0;
   const answer = (receiver: AnswerReceiver, isFirst: boolean) => {
-    receiver.onHead({status: 200, headers: []});
+    receiver.onHead(
+      {status: 200, headers: []},
+      {origin: 'own', earlierCalls: 0},
+    );
     if (isFirst) {
       return receiver.onFailure(new TypedError('backend-failed', 'Broken.'));
     }
--- a/packages/serve-requests/src/withheld_requests.test.ts
+++ b/packages/serve-requests/src/withheld_requests.test.ts
@@ -36,7 +36,10 @@
     send: (call: BackendCall, receiver: AnswerReceiver) => {
       sentPorts.push(call.address.port);
       queueMicrotask(() => {
-        receiver.onHead({status: 200, headers: []});
+        receiver.onHead(
+          {status: 200, headers: []},
+          {origin: 'own', earlierCalls: 0},
+        );
         receiver.onEnd();
       });
       return {resume: () => undefined, abort: () => undefined};
