Pass on no status that reads as 'not run' for a request that may have run

What callers saw: 503 for a non-idempotent request that a server had run (REFUSED).

Cause: a server's own response with status 408, 429 or 503 that bears the id and the seal, but does not state that the request has not run, was passed on as it was. Callers take these statuses as a promise. The host knew only that the server had failed.

Attempt, which decides whether a response proves 'not run', takes such a response without proof as a failure of a request that may have run. The caller gets 502, without the server's seal. Requests that may be repeated get the response as before.

--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -177,6 +177,14 @@
       });
       return;
     }
+    if (facts.claimsNotRun && this.options.mustRunOnce) {
+      // The server did not state that the request has not run, so it may have.
+      this.finish({
+        ...{status: 'broken', error: makeServerFailureError(facts)},
+        isConnectionLost: false,
+      });
+      return;
+    }
     if (consumer.onHead(facts) === 'discard') {
       this.finishAtHead({
         status: 'refusing',
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -84,6 +84,7 @@
         identify: () => ({classify: () => 'own'}),
         readHead: ({status}) => ({
           ...{status, headers: [], isNotRun: false, isMisdirected: false},
+          claimsNotRun: false,
           ...{
             isGenuine: true,
             isEncoded: false,
