End a connection whose refusal may be a copy of an earlier one

What callers could see: a resumable stream that is worked on at two servers (TWICE), and, where the late response to its first attempt came on the connection of a later one, event ids that went back (ORDER).

Cause: only calls that must run once were kept off connections on which a copy of an unidentified refusal may come. A call that may be repeated took the copy for its refusal, went to another server, and its connection stayed in use while the server worked on. The same call could then be sent on that connection again, with a response to its first attempt still to come that bears its id.

Evidence: 'a refusal that may be a copy ends its connection' (no failure, no reset) and 'no call is sent again on its connection' (1 connection, 2 expected) failed on the code before.

Change: the second unidentified response on a connection resets it after its head was passed on; a connection that has carried a call never carries it again, whether it may be repeated or not.

Why it holds: a copy can only follow its original on the same connection, and the original was seen there as unidentified. A refusal that was no copy costs one connection in two.

--- a/packages/backend-connections/src/backend_call.ts
+++ b/packages/backend-connections/src/backend_call.ts
@@ -22,8 +22,8 @@
   /** Without it, every response on the connection counts as that to the call. */
   identity?: ResponseIdentity;
   /**
-   * Whether the call must not run twice. It then gets a connection on which no copy of
-   * an earlier response can be taken for the response to the call.
+   * Whether the call must not run twice. It then gets a connection that has given no
+   * unidentified response, of which a copy could be taken for the response to the call.
    */
   mustRunOnce?: boolean;
 }
@@ -68,7 +68,7 @@
   /**
    * Called when the call failed. `error.run` is `not-run` only if no byte of
    * the call was written to a connection. A foreign response fails the call before
-   * `onHead`; see `isForeignResponse`.
+   * `onHead`, see `isForeignResponse`; an unidentified one that may be a copy, after it.
    */
   onFailure(error: TypedError): void;
 }
--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -15,7 +15,10 @@
   type CallHandle,
   type ResponseIdentity,
 } from './backend_call.js';
-import {createForeignResponseError} from './foreign_response.js';
+import {
+  createAmbiguousResponseError,
+  createForeignResponseError,
+} from './foreign_response.js';
 
 /** Keeps the HTTP client from closing idle connections; see `expiresAtMs`. */
 const CLIENT_KEEP_ALIVE_MS = 600_000;
@@ -75,10 +78,16 @@
     return !this.isClosed && !this.socket.destroyed && this.socket.writable;
   }
 
-  /** Whether a copy of an earlier response could be taken for that to the call. */
-  isAmbiguousFor({identity}: BackendCall): boolean {
+  /**
+   * Whether an earlier response, or a copy of one, could be taken for that to the call. A
+   * copy of an unidentified one costs a call that may be repeated its connection only.
+   */
+  isAmbiguousFor({identity, mustRunOnce}: BackendCall): boolean {
     if (identity === undefined) return false;
-    return this.hasUnidentifiedResponse || this.carried.has(identity);
+    return (
+      this.carried.has(identity) ||
+      (mustRunOnce === true && this.hasUnidentifiedResponse)
+    );
   }
 
   /** Sends a call; the connection has to be idle. */
@@ -88,6 +97,7 @@
     const exchange = new Exchange(this.socket, receiver, {
       identity,
       earlierCalls: this.callCount,
+      hadUnidentified: this.hasUnidentifiedResponse,
       onKeepAlive: keepAliveMs => (this.keepAliveMs = keepAliveMs),
       onUnidentified: () => (this.hasUnidentifiedResponse = true),
       onDone: () => this.release(),
@@ -138,6 +148,8 @@
 interface ExchangeOptions {
   identity: ResponseIdentity | undefined;
   earlierCalls: number;
+  /** Whether an earlier response on the connection was unidentified. */
+  hadUnidentified: boolean;
   onKeepAlive: (keepAliveMs: number) => void;
   onUnidentified: () => void;
   onDone: () => void;
@@ -195,13 +207,23 @@
 
   /** Nothing is read from a response before it is known to belong to the call. */
   private receiveHead(head: AnswerHead): void {
-    const {identity, earlierCalls, onKeepAlive, onUnidentified} = this.options;
+    const {identity, earlierCalls, hadUnidentified} = this.options;
+    const {onKeepAlive, onUnidentified} = this.options;
     const origin = identity?.classify(head) ?? 'own';
     if (origin === 'foreign') return this.rejectForeign(head.status);
     if (origin === 'unidentified') onUnidentified();
     const keepAliveMs = readKeepAliveMs(head.headers);
     if (keepAliveMs !== null) onKeepAlive(keepAliveMs);
     this.receiver.onHead(head, {origin, earlierCalls});
+    if (origin === 'unidentified' && hadUnidentified) {
+      this.rejectAmbiguous(head.status);
+    }
+  }
+
+  /** The server may be working on the call, whose refusal was a copy; the reset stops it. */
+  private rejectAmbiguous(status: number): void {
+    this.abort();
+    this.receiver.onFailure(createAmbiguousResponseError(status));
   }
 
   /** The response to the call may follow, so the connection cannot be used again. */
--- a/packages/backend-connections/src/backend_connections.test.ts
+++ b/packages/backend-connections/src/backend_connections.test.ts
@@ -297,6 +297,51 @@
   );
 });
 
+// Guards against a server that goes on with a call whose refusal was a copy of an earlier
+// one, while the call is sent to another server.
+test('a refusal that may be a copy ends its connection', async () => {
+  const resets: string[] = [];
+  await withServer(
+    (socket, requestNumber) => {
+      if (requestNumber === 2) {
+        socket.once('error', (cause: NodeJS.ErrnoException) =>
+          resets.push(cause.code ?? ''),
+        );
+      }
+      socket.write(requestNumber < 3 ? BARE_REFUSAL : FULL_RESPONSE);
+    },
+    async (connections, {port, connectionCount}) => {
+      const sendAs = async (name: string) => {
+        const heads: number[] = [];
+        const call = makeCall(port, {identity: makeIdentity(name)});
+        const {error} = await send(connections, call, heads);
+        await waitForRelease();
+        return {heads, run: error?.run};
+      };
+      assert.equal(await sendAs('first'), {heads: [503], run: undefined});
+      assert.equal(await sendAs('second'), {heads: [503], run: 'unknown'});
+      assert.equal(resets, ['ECONNRESET']);
+      assert.equal(await sendAs('third'), {heads: [200], run: undefined});
+      assert.is(connectionCount(), 2);
+    },
+  );
+});
+
+// Guards against the late response to the first attempt of a call that is taken for that
+// to its second one.
+test('no call is sent again on its connection', async () => {
+  await withServer(
+    socket => socket.write(FULL_RESPONSE),
+    async (connections, {port, connectionCount}) => {
+      const call = makeCall(port, {identity: makeIdentity('own')});
+      await send(connections, call);
+      await waitForRelease();
+      await send(connections, call);
+      assert.is(connectionCount(), 2);
+    },
+  );
+});
+
 test('does not reuse a connection after its keep-alive timeout', async () => {
   await withServer(
     socket =>
--- a/packages/backend-connections/src/backend_connections.ts
+++ b/packages/backend-connections/src/backend_connections.ts
@@ -139,7 +139,7 @@
       return isFresh && isAllowed && connection.isUsable;
     });
     const usable = candidates.filter(
-      connection => !(call.mustRunOnce && connection.isAmbiguousFor(call)),
+      connection => !connection.isAmbiguousFor(call),
     );
     const taken = usable.at(-1);
     if (taken) idle.splice(idle.indexOf(taken), 1);
