Decide in one place what is known of the runs of a request

What callers saw: 504 for a request that had waited for a connection until its time was over, so that one that must run once could not come back, though no byte of it had been sent.

Cause: RequestRun set a flag in two places; a time limit took each attempt in progress for one that may have run. The same question, whether bytes were sent, was decided for failures by the connection.

Change: RunRecord concludes from the end of each attempt: not sent, not run, unknown or run. The connection says for failures and for aborted calls alike whether bytes of the call were written. Time limits, deadlines, callers who left, lost servers, stalls, contained requests and retries all read it; attempt-ended logs it.

Why it holds: an aborted call that waits for its connection is never sent (PendingCall, and the socket is reset before the client writes). What was written counts as unknown until the server states that it did not run the request.

--- a/packages/backend-connections/src/backend_call.ts
+++ b/packages/backend-connections/src/backend_call.ts
@@ -75,6 +75,8 @@
 
 /** Controls a call in progress. */
 export interface CallHandle {
+  /** Whether bytes of the call were written to a connection, so that it may run. */
+  readonly isSent: boolean;
   /** Resumes reading after `onData` returned false. */
   resume(): void;
   /** Closes the connection; the receiver gets no further calls. */
--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -171,6 +171,13 @@
     private readonly options: ExchangeOptions,
   ) {}
 
+  get isSent(): boolean {
+    return (
+      this.abortCall !== null &&
+      this.socket.bytesWritten !== this.initialBytesWritten
+    );
+  }
+
   resume(): void {
     if (!this.isPaused) return;
     this.isPaused = false;
@@ -246,11 +253,11 @@
   }
 
   onError(cause: Error): void {
-    const isUnwritten = this.socket.bytesWritten === this.initialBytesWritten;
+    const {isSent} = this;
     this.socket.destroy();
     if (this.isAborted) return;
     this.isAborted = true;
-    this.receiver.onFailure(createFailureError(isUnwritten, cause));
+    this.receiver.onFailure(createFailureError(isSent, cause));
   }
 }
 
@@ -258,14 +265,14 @@
  * `bytesWritten` includes bytes that are still in the socket's buffer, so a call
  * cannot have run if the count is unchanged. Otherwise it may have run.
  */
-function createFailureError(isUnwritten: boolean, cause: Error): TypedError {
-  return isUnwritten
-    ? createUnreachableError('The connection broke before it was used.', cause)
-    : new TypedError(
+function createFailureError(isSent: boolean, cause: Error): TypedError {
+  return isSent
+    ? new TypedError(
         'backend-failed',
         'The connection broke after the call was begun.',
         {run: 'unknown', cause},
-      );
+      )
+    : createUnreachableError('The connection broke before it was used.', cause);
 }
 
 /** Creates the error for a call of which no byte was written. */
--- a/packages/backend-connections/src/backend_connections.ts
+++ b/packages/backend-connections/src/backend_connections.ts
@@ -182,6 +182,10 @@
   isAborted = false;
   private handle: CallHandle | null = null;
 
+  get isSent(): boolean {
+    return this.handle?.isSent ?? false;
+  }
+
   attach(handle: CallHandle): void {
     this.handle = handle;
   }
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -61,6 +61,7 @@
       requestId: 'the request',
       backendServerId: 'the backend server',
       outcome: 'how it ended',
+      run: 'what is known of whether the server ran it: not-sent, not-run, unknown or run',
       status: 'the status that the server answered with, if it did',
       origin:
         'whether the answer bears the id of the request; an unidentified one may be a copy of an earlier answer on the connection',
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -41,8 +41,8 @@
    * as in a server crash.
    */
   | {status: 'broken'; error: TypedError; isConnectionLost: boolean}
-  /** Aborted by this node. */
-  | {status: 'aborted'};
+  /** Aborted by this node; `isSent`: after bytes of the request were written. */
+  | {status: 'aborted'; isSent: boolean};
 
 /** What an outcome means for the choice of servers. */
 export function toAttemptResult(outcome: AttemptOutcome): AttemptResult {
@@ -142,7 +142,7 @@
 
   /** Ends the attempt and closes its connection. */
   abort(): void {
-    this.finish({status: 'aborted'});
+    this.finish({status: 'aborted', isSent: this.handle?.isSent ?? false});
     this.handle?.abort();
   }
 
--- a/packages/serve-requests/src/crash_guard.test.ts
+++ b/packages/serve-requests/src/crash_guard.test.ts
@@ -77,7 +77,7 @@
     {status: 'refusing', error},
     {status: 'not-run', error, reason: 'not-taken'},
     {status: 'not-run', error, reason: 'unreachable'},
-    {status: 'aborted'},
+    {status: 'aborted', isSent: true},
   ];
   assert.equal(
     outcomes.flatMap(outcome => recordOutcome(outcome)),
@@ -153,7 +153,7 @@
 // Guards against probing with each copy when no result of a probe is known.
 test('a probe without a known result delays the next one', () => {
   const outcomes: AttemptOutcome[] = [
-    {status: 'aborted'},
+    {status: 'aborted', isSent: true},
     {status: 'refusing', error},
     {status: 'broken', error, isConnectionLost: false},
     {...SERVED, isSuccess: false},
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -52,6 +52,7 @@
 }
 
 export class PipelineFixture {
+  readonly clock = new ManualClock();
   readonly logger = new MemoryEventLogger();
   readonly released: BackendServerId[] = [];
   readonly sink = new RecordingSink();
@@ -75,7 +76,7 @@
 
   private makePipeline(): RequestPipeline {
     const {connections, choose, waits = {}, streams} = this.options;
-    const clock = new ManualClock();
+    const {clock} = this;
     return new RequestPipeline({
       ...{clock, logger: this.logger, random: new SeededRandom(1)},
       connections,
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -8,6 +8,7 @@
 import {type CallerRequest} from './caller_request.js';
 import {type CrashGuard} from './crash_guard.js';
 import {type RetryUsage} from './retry_allowance.js';
+import {findRunKnowledge} from './run_record.js';
 import {type ChosenServer} from './server_chooser.js';
 
 /** The final result for the caller. */
@@ -126,6 +127,7 @@
       requestId: this.request.requestId,
       backendServerId: this.backendServerId,
       outcome: outcome.status,
+      run: findRunKnowledge(outcome),
       status: this.status,
       origin: this.source?.origin,
       earlierCalls: this.source?.earlierCalls,
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -24,6 +24,7 @@
 } from './server_chooser.js';
 import {findCharge} from './quota_charges.js';
 import {findBackoffMs} from './refusal_pause.js';
+import {RunRecord} from './run_record.js';
 import {SendGate} from './send_gate.js';
 import {ServerSelection} from './server_selection.js';
 import {StallFailover} from './stall_failover.js';
@@ -66,8 +67,7 @@
   private capacityRefusals = 0;
   /** How often an engine did not hold the requested model. */
   private notHeldCount = 0;
-  /** Whether a server may have run the request without a complete response. */
-  private mayHaveRun = false;
+  private readonly record = new RunRecord();
   private abortCause: AbortCause | null = null;
 
   constructor(
@@ -162,7 +162,7 @@
     this.log.logAttempt(outcome, 'give-up');
     if (unused?.status === 'chosen') this.options.chooser.release(unused);
     const suspects = this.guard.containedSuspects;
-    this.finishFailed(makeContainedError(suspects, this.mayHaveRun));
+    this.finishFailed(makeContainedError(suspects, this.record.mayHaveRun));
   }
 
   /** Guards against sending a request whose key was revoked while it waited. */
@@ -193,9 +193,7 @@
     const result = toAttemptResult(outcome);
     chooser.recordResult(choice, result, this.log.headMs, isSuccess);
     this.guard.recordOutcome(outcome, server);
-    const mayHaveStarted =
-      outcome.status === 'broken' || outcome.status === 'refusing';
-    if (mayHaveStarted) this.mayHaveRun = true;
+    this.record.recordEnd(outcome);
     const reason = outcome.status === 'not-run' ? outcome.reason : null;
     if (reason !== 'unreachable') this.reachedServers.add(server.id);
     if (!this.mayRetryAtSameServer(reason)) this.excludedServers.add(server.id);
@@ -259,7 +257,7 @@
       ...{version: this.version, excludedServers},
       gate: new SendGate({availability, excludedServers, onWithheld}),
       makeAsk: () => this.makeAsk(excludedServers),
-      mayHaveRun: () => this.mayHaveRun,
+      mayHaveRun: () => this.record.mayHaveRun,
     });
   }
 
@@ -343,7 +341,7 @@
   }
 
   private finishFailed(error: TypedError): void {
-    this.finishWithError(makeFinalError(error, this.mayHaveRun));
+    this.finishWithError(makeFinalError(error, this.record.mayHaveRun));
   }
 
   /** Responds with the error, or aborts a response that has begun. */
@@ -362,7 +360,7 @@
     if (this.abortCause === 'caller-gone') {
       return this.logFinished('caller-gone', null);
     }
-    this.finishWithError(makeTimeoutError(this.mayHaveRun));
+    this.finishWithError(makeTimeoutError(this.record.mayHaveRun));
   }
 
   private logFinished(result: FinalResult, error: TypedError | null): void {
@@ -381,7 +379,6 @@
   private abortRun(cause: AbortCause): void {
     if (this.abortCause) return;
     this.abortCause = cause;
-    if (this.attempt) this.mayHaveRun = true;
     this.abortController.abort();
     this.attempt?.abort();
   }
