Pass on no stream whose event ids go back

What callers could see: a stream that begins anew in its middle and ends as if it were whole (ORDER), where the server that continues it ignores the last event, or where its response is that of an earlier run.

Cause: events were passed on as they came. The id of the last one was read, to continue the stream elsewhere, and never compared with the next.

Change: EventBoundary compares each id with the one before, also with the caller's last event where the route allows a stream to be continued. An id that goes back fails the attempt: another server continues after the last event that was passed on, or the response is broken off.

Why it holds: ids increase within a stream, and every event passes EventBoundary.

Gaps between ids are not checked: nothing says that ids are consecutive.

--- a/packages/serve-requests/src/answer_relay.ts
+++ b/packages/serve-requests/src/answer_relay.ts
@@ -8,6 +8,8 @@
 export interface AnswerRelayOptions {
   sink: AnswerSink;
   isStream: boolean;
+  /** Whether the stream follows `lastEventId`; otherwise the server may ignore it. */
+  isResumable: boolean;
   /** The last event that the caller received before this request. */
   lastEventId: number | null;
   /** Continues reading after the response was paused. */
@@ -36,7 +38,8 @@
   private boundary: EventBoundary;
 
   constructor(private readonly options: AnswerRelayOptions) {
-    this.boundary = new EventBoundary(options.lastEventId);
+    const {lastEventId, isResumable} = options;
+    this.boundary = new EventBoundary(lastEventId, isResumable);
   }
 
   /** The last event that the caller received. */
@@ -50,7 +53,11 @@
   }
 
   onHead(facts: AnswerFacts): 'take' | 'discard' {
-    this.boundary = new EventBoundary(this.boundary.lastEventId);
+    const {sink, isResumable} = this.options;
+    this.boundary = new EventBoundary(
+      this.boundary.lastEventId,
+      isResumable || sink.hasBegun,
+    );
     this.buffered = [];
     this.bufferedBytes = 0;
     this.options.sink.setHeldBack(0);
@@ -63,7 +70,7 @@
     return 'take';
   }
 
-  onData(chunk: Uint8Array): boolean {
+  onData(chunk: Uint8Array): boolean | TypedError {
     this.options.onProgress();
     if (this.isEventStream) return this.writeEvents(chunk);
     if (this.options.sink.hasBegun) return this.write(chunk);
@@ -93,8 +100,9 @@
     );
   }
 
-  private writeEvents(chunk: Uint8Array): boolean {
+  private writeEvents(chunk: Uint8Array): boolean | TypedError {
     const completeEvents = this.boundary.push(chunk);
+    if (this.boundary.isOutOfOrder) return makeOutOfOrderError();
     this.options.sink.setHeldBack(this.boundary.partialBytes);
     return completeEvents.length === 0 || this.write(completeEvents);
   }
@@ -123,3 +131,11 @@
     sink.begin(this.head.status, this.head.headers);
   }
 }
+
+function makeOutOfOrderError(): TypedError {
+  return new TypedError(
+    'backend-failed',
+    'The stream repeats events, or goes on with an event before its last one.',
+    {run: 'unknown'},
+  );
+}
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -62,8 +62,8 @@
 export interface AnswerConsumer {
   /** `discard` drops an error response, so that the request can be retried. */
   onHead(facts: AnswerFacts): 'take' | 'discard';
-  /** False pauses the response until `Attempt.resume`. */
-  onData(chunk: Uint8Array): boolean;
+  /** False pauses the response until `Attempt.resume`; an error fails the attempt. */
+  onData(chunk: Uint8Array): boolean | TypedError;
   /** Called after the last byte; returns an error for incomplete content. */
   onEnd(): TypedError | null;
 }
@@ -134,7 +134,7 @@
     this.handle?.resume();
   }
 
-  /** Ends the attempt as failed, so that another server can take over. */
+  /** Ends the attempt as broken, so that another server can take over. */
   fail(error: TypedError): void {
     this.finish({status: 'broken', error, isConnectionLost: false});
     this.handle?.abort();
@@ -195,7 +195,10 @@
 
   onData(chunk: Uint8Array): boolean {
     if (this.isFinished) return true;
-    return this.options.consumer.onData(chunk);
+    const result = this.options.consumer.onData(chunk);
+    if (typeof result === 'boolean') return result;
+    this.fail(result);
+    return true;
   }
 
   onEnd(): void {
--- a/packages/serve-requests/src/event_boundary.test.ts
+++ b/packages/serve-requests/src/event_boundary.test.ts
@@ -30,4 +30,23 @@
   assert.is(boundary.lastEventId, 13);
 });
 
+// Guards against a server that begins a stream anew or repeats events: the ids would go back.
+test('passes on no event whose id does not follow the last one', () => {
+  const boundary = new EventBoundary(12);
+  assert.is(pushText(boundary, 'id: 13\ndata: a\n\n'), 'id: 13\ndata: a\n\n');
+  assert.is(pushText(boundary, 'id: 14\ndata: b\n\nid: 13\ndata: a\n\n'), '');
+  assert.ok(boundary.isOutOfOrder);
+  assert.is(boundary.lastEventId, 13);
+  const anew = new EventBoundary(12);
+  assert.is(pushText(anew, 'id: 1\ndata: a\n\n'), '');
+  assert.ok(anew.isOutOfOrder);
+});
+
+test('a stream that may not be continued starts at any id', () => {
+  const boundary = new EventBoundary(12, false);
+  assert.is(pushText(boundary, 'id: 1\ndata: a\n\n'), 'id: 1\ndata: a\n\n');
+  assert.not(boundary.isOutOfOrder);
+  assert.is(boundary.lastEventId, 1);
+});
+
 test.run();
--- a/packages/serve-requests/src/event_boundary.ts
+++ b/packages/serve-requests/src/event_boundary.ts
@@ -6,12 +6,26 @@
 
 /**
  * Passes on complete events only, so that a stream that breaks inside an event
- * can resume with that event at another server.
+ * can resume with that event at another server, and none whose id goes back.
  */
 export class EventBoundary {
   private partial: Uint8Array = new Uint8Array(0);
+  private hasGoneBack = false;
+  /** The id that the next one has to exceed. */
+  private minId: number;
 
-  constructor(private lastId: number | null) {}
+  /** @param isContinued whether the first event has to follow the last one. */
+  constructor(
+    private lastId: number | null,
+    isContinued = true,
+  ) {
+    this.minId = isContinued && lastId !== null ? lastId : -1;
+  }
+
+  /** Whether the ids have gone back; no event is passed on from then. */
+  get isOutOfOrder(): boolean {
+    return this.hasGoneBack;
+  }
 
   /** The id of the last event that was passed on. */
   get lastEventId(): number | null {
@@ -27,30 +41,33 @@
     return this.partial.length;
   }
 
-  /** Returns the events that the chunk completes. */
+  /** Returns the events that the chunk completes, or none once the ids have gone back. */
   push(chunk: Uint8Array): Uint8Array {
     const bytes =
       this.partial.length > 0 ? Buffer.concat([this.partial, chunk]) : chunk;
     const end = findLastEventEnd(bytes);
     this.partial = bytes.subarray(end);
     const completeEvents = bytes.subarray(0, end);
-    this.updateLastId(completeEvents);
+    const ids = readIds(completeEvents);
+    this.hasGoneBack ||= !this.isFollowedBy(ids);
+    if (this.hasGoneBack) return new Uint8Array(0);
+    const last = ids.at(-1);
+    if (last !== undefined) this.lastId = this.minId = last;
     return completeEvents;
   }
 
-  private updateLastId(completeEvents: Uint8Array): void {
-    if (completeEvents.length === 0) return;
-    const text = Buffer.from(
-      completeEvents.buffer,
-      completeEvents.byteOffset,
-      completeEvents.byteLength,
-    ).toString('latin1');
-    const ids = [...text.matchAll(ID_LINE)];
-    const last = ids[ids.length - 1]?.[1];
-    if (last !== undefined) this.lastId = Number(last);
+  private isFollowedBy(ids: readonly number[]): boolean {
+    return ids.every((id, at) => id > (ids[at - 1] ?? this.minId));
   }
 }
 
+function readIds(events: Uint8Array): number[] {
+  if (events.length === 0) return [];
+  const {buffer, byteOffset, byteLength} = events;
+  const text = Buffer.from(buffer, byteOffset, byteLength).toString('latin1');
+  return [...text.matchAll(ID_LINE)].map(([, id]) => Number(id));
+}
+
 /** The index after the last pair of line feeds; 0 if there is none. */
 function findLastEventEnd(bytes: Uint8Array): number {
   for (let at = bytes.length - 1; at > 0; at -= 1) {
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -94,6 +94,7 @@
     this.relay = new AnswerRelay({
       sink,
       isStream: route.kind === 'streaming',
+      isResumable: route.isResumable,
       lastEventId: request.lastEventId,
       resume: () => this.attempt?.resume(),
       spendRetry: () => this.spendFailureRetry(),
