Close a connection instead of answering 408 to a request that runs

What callers could see: 408, a promise that the request has not run, as the answer to a non-idempotent request that a server was running (REFUSED). The caller had sent a part of the headers of its next request meanwhile.

Cause: Node's HTTP server answers headers that are not complete in time, or can't be parsed, on the connection by itself; it looks only whether the response in progress has written its head. The edge had no handler for these errors.

Evidence: 'an unfinished second request does not refuse the first one' got 408 on the code before, in 3 of 3 runs.

Change: the edge counts the requests of a connection that have no complete response. While there is one, the connection is closed, which promises nothing; otherwise the rejection is written as before.

Measured: the test passes, caller-edge whole.

The product's own program, whose server is fastify's, has no such handler (open).

--- a/packages/caller-edge/src/caller_edge.ts
+++ b/packages/caller-edge/src/caller_edge.ts
@@ -8,6 +8,7 @@
   type ServerResponse,
   createServer,
 } from 'node:http';
+import {type Socket} from 'node:net';
 import {type Clock} from '@mimosatack/clock';
 import {type DrainGate} from '@mimosatack/drain-node';
 import {TypedError, toTypedError} from '@mimosatack/errors';
@@ -52,6 +53,14 @@
 /** Interval at which the server checks connections for timeouts. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 const BACKLOG = 1_024;
+/** Status lines for requests that Node's HTTP server rejects; 400 for all others. */
+const REJECTION_STATUSES: Readonly<Record<string, string>> = {
+  /* eslint-disable @typescript-eslint/naming-convention */
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  /* eslint-enable @typescript-eslint/naming-convention */
+};
 /** Short, because other nodes can serve the request immediately. */
 const STOPPING_RETRY_MS = 50;
 
@@ -59,6 +68,8 @@
 export class CallerEdge {
   private limits = DEFAULT_LIMITS;
   private readonly server: Server;
+  /** Requests without a complete response, by connection. */
+  private readonly pendingCounts = new WeakMap<Socket, number>();
 
   constructor(private readonly options: CallerEdgeOptions) {
     this.server = createServer(
@@ -70,6 +81,9 @@
       (incoming, response) => void this.handle(incoming, response),
     );
     this.server.requestTimeout = 0;
+    this.server.on('clientError', (error, socket) =>
+      this.rejectUnread(error, socket as Socket),
+    );
     this.applyLimits();
   }
 
@@ -119,6 +133,9 @@
     const {clock, dialect, gate} = this.options;
     const work = gate.inFlight.begin(`${incoming.method} ${incoming.url}`);
     closeWithConnection(incoming, response);
+    const {socket} = incoming;
+    this.countPending(socket, 1);
+    response.once('close', () => this.countPending(socket, -1));
     response.once('close', () => work.end());
     const parsed = dialect.readRequest(incoming, clock.monotonicMs());
     const sink = new HttpAnswerSink({
@@ -138,6 +155,24 @@
     }
   }
 
+  private countPending(socket: Socket, change: number): void {
+    const count = this.pendingCounts.get(socket) ?? 0;
+    this.pendingCounts.set(socket, count + change);
+  }
+
+  /**
+   * Rejects a request that was not read. While an earlier request of the connection has no
+   * complete response, the caller would take the rejection for that response.
+   */
+  private rejectUnread(error: NodeJS.ErrnoException, socket: Socket): void {
+    const isPending = (this.pendingCounts.get(socket) ?? 0) > 0;
+    if (!isPending && socket.writable) {
+      const status = REJECTION_STATUSES[error.code ?? ''] ?? '400 Bad Request';
+      socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+    }
+    socket.destroy(error);
+  }
+
   private async serveParsed(
     parsed: RequestHead | TypedError,
     incoming: IncomingMessage,
