Use a connection to a server for nothing after a refusal

What callers could see: 503 for a repeatable request that a server was running (a copy of an earlier refusal), the same for a caller that sends a refused request once more under its id, an order to an engine that counts as carried out though it was rejected, and a report older than the last one.

Cause: the fix before kept only calls that must run once from connections that may bring a copy of a refusal, and let the others conclude 'not run' from the copy. Calls without an id shared connections with each other, so that a copy of one's response was taken for that to the next.

Found by the review.

Change: one rule for all calls. A response of which a copy could be taken for a later one (a refusal, with the request's id or without) ends its connection; no connection carries a call twice; a call without an id gets a connection that has carried no other such call. 'Must run once' is no matter of connections any more.

Why it holds: a copy follows its original on the same connection, so that no refusal that is read is a copy. It costs one connection a refusal, as before for calls that must run once.

The tests 'a call that must run once gets a connection without ambiguity' and 'a refusal that may be a copy ends its connection' stated the old rule: a repeatable call on such a connection. They are replaced by 'no call is sent on a connection after an ambiguous response', for all calls; 'a call that must run once is not sent again on its connection' holds for all calls as well.

--- a/packages/backend-connections/src/backend_call.ts
+++ b/packages/backend-connections/src/backend_call.ts
@@ -21,23 +21,23 @@
   mustBeDirect?: boolean;
   /** Without it, every response on the connection counts as that to the call. */
   identity?: ResponseIdentity;
-  /**
-   * Whether the call must not run twice. It then gets a connection that has given no
-   * unidentified response, of which a copy could be taken for the response to the call.
-   */
-  mustRunOnce?: boolean;
 }
 
 /** How a response is related to the call that waits on its connection. */
 export type ResponseOrigin =
   | 'own'
-  /** Names no call, so a copy of it cannot be told from a later one. */
-  | 'unidentified'
+  /**
+   * A copy of it could be taken for a later response: it names no call, or refuses one that
+   * may be sent again. The connection carries no other call.
+   */
+  | 'ambiguous'
   /** Belongs to another call, or to none. */
   | 'foreign';
 
 /** Tells the response to a call from copies of other responses. */
 export interface ResponseIdentity {
+  /** Whether responses to the call bear its id; else it gets a connection without such calls. */
+  readonly isNamed: boolean;
   classify(head: AnswerHead): ResponseOrigin;
 }
 
@@ -68,7 +68,7 @@
   /**
    * Called when the call failed. `error.run` is `not-run` only if no byte of
    * the call was written to a connection. A foreign response fails the call before
-   * `onHead`, see `isForeignResponse`; an unidentified one that may be a copy, after it.
+   * `onHead`; see `isForeignResponse`.
    */
   onFailure(error: TypedError): void;
 }
--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -15,10 +15,7 @@
   type CallHandle,
   type ResponseIdentity,
 } from './backend_call.js';
-import {
-  createAmbiguousResponseError,
-  createForeignResponseError,
-} from './foreign_response.js';
+import {createForeignResponseError} from './foreign_response.js';
 
 /** Keeps the HTTP client from closing idle connections; see `expiresAtMs`. */
 const CLIENT_KEEP_ALIVE_MS = 600_000;
@@ -58,7 +55,8 @@
   private readonly client: Client;
   private keepAliveMs: number;
   private isClosed = false;
-  private hasUnidentifiedResponse = false;
+  private hasAmbiguousResponse = false;
+  private hasCarriedUnnamed = false;
   private callCount = 0;
   private readonly carried = new WeakSet<ResponseIdentity>();
 
@@ -78,15 +76,12 @@
     return !this.isClosed && !this.socket.destroyed && this.socket.writable;
   }
 
-  /**
-   * Whether an earlier response, or a copy of one, could be taken for that to the call. A
-   * copy of an unidentified one costs a call that may be repeated its connection only.
-   */
-  isAmbiguousFor({identity, mustRunOnce}: BackendCall): boolean {
+  /** Whether an earlier response, or a copy of one, could be taken for that to the call. */
+  isAmbiguousFor({identity}: BackendCall): boolean {
     if (identity === undefined) return false;
     return (
       this.carried.has(identity) ||
-      (mustRunOnce === true && this.hasUnidentifiedResponse)
+      (!identity.isNamed && this.hasCarriedUnnamed)
     );
   }
 
@@ -94,12 +89,12 @@
   send(call: BackendCall, receiver: AnswerReceiver): CallHandle {
     const {identity} = call;
     if (identity) this.carried.add(identity);
+    if (identity && !identity.isNamed) this.hasCarriedUnnamed = true;
     const exchange = new Exchange(this.socket, receiver, {
       identity,
       earlierCalls: this.callCount,
-      hadUnidentified: this.hasUnidentifiedResponse,
       onKeepAlive: keepAliveMs => (this.keepAliveMs = keepAliveMs),
-      onUnidentified: () => (this.hasUnidentifiedResponse = true),
+      onAmbiguous: () => (this.hasAmbiguousResponse = true),
       onDone: () => this.release(),
     });
     this.callCount += 1;
@@ -129,7 +124,8 @@
     // The HTTP client closes a connection that is not reusable only after
     // `onComplete` has returned.
     setImmediate(() => {
-      if (this.isUsable && this.expiresAtMs > nowMs) {
+      const isReusable = this.isUsable && !this.hasAmbiguousResponse;
+      if (isReusable && this.expiresAtMs > nowMs) {
         this.options.listener.onIdle(this);
       } else {
         this.close();
@@ -148,10 +144,8 @@
 interface ExchangeOptions {
   identity: ResponseIdentity | undefined;
   earlierCalls: number;
-  /** Whether an earlier response on the connection was unidentified. */
-  hadUnidentified: boolean;
   onKeepAlive: (keepAliveMs: number) => void;
-  onUnidentified: () => void;
+  onAmbiguous: () => void;
   onDone: () => void;
 }
 
@@ -214,23 +208,13 @@
 
   /** Nothing is read from a response before it is known to belong to the call. */
   private receiveHead(head: AnswerHead): void {
-    const {identity, earlierCalls, hadUnidentified} = this.options;
-    const {onKeepAlive, onUnidentified} = this.options;
+    const {identity, earlierCalls, onKeepAlive, onAmbiguous} = this.options;
     const origin = identity?.classify(head) ?? 'own';
     if (origin === 'foreign') return this.rejectForeign(head.status);
-    if (origin === 'unidentified') onUnidentified();
+    if (origin === 'ambiguous') onAmbiguous();
     const keepAliveMs = readKeepAliveMs(head.headers);
     if (keepAliveMs !== null) onKeepAlive(keepAliveMs);
     this.receiver.onHead(head, {origin, earlierCalls});
-    if (origin === 'unidentified' && hadUnidentified) {
-      this.rejectAmbiguous(head.status);
-    }
-  }
-
-  /** The server may be working on the call, whose refusal was a copy; the reset stops it. */
-  private rejectAmbiguous(status: number): void {
-    this.abort();
-    this.receiver.onFailure(createAmbiguousResponseError(status));
   }
 
   /** The response to the call may follow, so the connection cannot be used again. */
--- a/packages/backend-connections/src/backend_connections.test.ts
+++ b/packages/backend-connections/src/backend_connections.test.ts
@@ -230,11 +230,12 @@
 const BARE_REFUSAL = 'HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n';
 
 /** Reads the call that a response belongs to from its header `For`. */
-function makeIdentity(name: string): ResponseIdentity {
+function makeIdentity(name: string, isNamed = true): ResponseIdentity {
   return {
+    isNamed,
     classify: ({status, headers}) => {
       const at = headers.indexOf('For');
-      if (at < 0) return status === 503 ? 'unidentified' : 'own';
+      if (at < 0) return status === 503 ? 'ambiguous' : 'own';
       return headers[at + 1] === name ? 'own' : 'foreign';
     },
   };
@@ -261,83 +262,61 @@
   );
 });
 
-// Guards against a copy of an unidentified response that is taken for that to a call.
-test('a call that must run once gets a connection without ambiguity', async () => {
+// Guards against a copy of a response without an id that is taken for that to a later call.
+test('no call is sent on a connection after an ambiguous response', async () => {
   await withServer(
     socket => socket.write(BARE_REFUSAL),
     async (connections, {port, connectionCount}) => {
-      const sendAs = async (name: string, mustRunOnce: boolean) => {
+      const sendAs = async (name: string) => {
+        const heads: number[] = [];
         const identity = makeIdentity(name);
-        await send(connections, makeCall(port, {identity, mustRunOnce}));
+        await send(connections, makeCall(port, {identity}), heads);
         await waitForRelease();
-        return connectionCount();
+        return {heads, opened: connectionCount()};
       };
-      assert.is(await sendAs('first', true), 1);
-      assert.is(await sendAs('repeatable', false), 1);
-      assert.is(await sendAs('second', true), 2);
+      assert.equal(await sendAs('first'), {heads: [503], opened: 1});
+      assert.equal(await sendAs('second'), {heads: [503], opened: 2});
+      assert.equal(await sendAs('third'), {heads: [503], opened: 3});
       const address = {ip: '127.0.0.1', port};
-      assert.is(connections.countConnections(address), 1);
+      assert.is(connections.countConnections(address), 0);
     },
   );
 });
 
-// Guards against a copy of the refusal of a call's first attempt that is taken for that of
-// its second one.
-test('a call that must run once is not sent again on its connection', async () => {
+// Guards against the late response to the first attempt of a call, or a copy of its refusal,
+// that is taken for the response to its second one.
+test('no call is sent again on its connection', async () => {
   await withServer(
     socket => socket.write(FULL_RESPONSE),
     async (connections, {port, connectionCount}) => {
-      const identity = makeIdentity('own');
-      const call = makeCall(port, {identity, mustRunOnce: true});
+      const call = makeCall(port, {identity: makeIdentity('own')});
       await send(connections, call);
       await waitForRelease();
       await send(connections, call);
+      await waitForRelease();
       assert.is(connectionCount(), 2);
+      const address = {ip: '127.0.0.1', port};
+      assert.is(connections.countConnections(address), 1);
     },
   );
 });
 
-// Guards against a server that goes on with a call whose refusal was a copy of an earlier
-// one, while the call is sent to another server.
-test('a refusal that may be a copy ends its connection', async () => {
-  const resets: string[] = [];
+// Guards against a copy of a report that is taken for a newer one, or for the response to an
+// order: neither bears an id.
+test('a call without an id gets a connection that has carried none', async () => {
   await withServer(
-    (socket, requestNumber) => {
-      if (requestNumber === 2) {
-        socket.once('error', (cause: NodeJS.ErrnoException) =>
-          resets.push(cause.code ?? ''),
-        );
-      }
-      socket.write(requestNumber < 3 ? BARE_REFUSAL : FULL_RESPONSE);
-    },
+    socket => socket.write(FULL_RESPONSE),
     async (connections, {port, connectionCount}) => {
-      const sendAs = async (name: string) => {
-        const heads: number[] = [];
-        const call = makeCall(port, {identity: makeIdentity(name)});
-        const {error} = await send(connections, call, heads);
+      const sendAs = async (isNamed: boolean) => {
+        const identity = makeIdentity('own', isNamed);
+        await send(connections, makeCall(port, {identity}));
         await waitForRelease();
-        return {heads, run: error?.run};
+        return connectionCount();
       };
-      assert.equal(await sendAs('first'), {heads: [503], run: undefined});
-      assert.equal(await sendAs('second'), {heads: [503], run: 'unknown'});
-      assert.equal(resets, ['ECONNRESET']);
-      assert.equal(await sendAs('third'), {heads: [200], run: undefined});
-      assert.is(connectionCount(), 2);
-    },
-  );
-});
-
-// Guards against the late response to the first attempt of a call that is taken for that
-// to its second one.
-test('no call is sent again on its connection', async () => {
-  await withServer(
-    socket => socket.write(FULL_RESPONSE),
-    async (connections, {port, connectionCount}) => {
-      const call = makeCall(port, {identity: makeIdentity('own')});
-      await send(connections, call);
-      await waitForRelease();
-      await send(connections, call);
-      assert.is(connectionCount(), 2);
+      assert.is(await sendAs(true), 1);
+      assert.is(await sendAs(false), 1);
+      assert.is(await sendAs(true), 1);
+      assert.is(await sendAs(false), 2);
     },
   );
 });
--- a/packages/backend-connections/src/foreign_response.ts
+++ b/packages/backend-connections/src/foreign_response.ts
@@ -1,4 +1,4 @@
-/** Errors of calls that received, or may have received, a response to another call. */
+/** The error of a call that received a response to another call. */
 import {TypedError} from '@mimosatack/errors';
 
 const FOREIGN_RESPONSE = 'foreign-response';
@@ -12,15 +12,6 @@
   );
 }
 
-/** The call itself may have run. */
-export function createAmbiguousResponseError(status: number): TypedError {
-  return new TypedError(
-    'backend-failed',
-    `A response came that may be a copy of an earlier one (status ${status}).`,
-    {run: 'unknown'},
-  );
-}
-
 export function isForeignResponse({details}: TypedError): boolean {
   return details.info?.['reason'] === FOREIGN_RESPONSE;
 }
--- a/packages/caller-edge/src/caller_edge.ts
+++ b/packages/caller-edge/src/caller_edge.ts
@@ -55,11 +55,9 @@
 const BACKLOG = 1_024;
 /** Status lines for requests that Node's HTTP server rejects; 400 for all others. */
 const REJECTION_STATUSES: Readonly<Record<string, string>> = {
-  /* eslint-disable @typescript-eslint/naming-convention */
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-  /* eslint-enable @typescript-eslint/naming-convention */
 };
 /** Short, because other nodes can serve the request immediately. */
 const STOPPING_RETRY_MS = 50;
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -64,7 +64,7 @@
       run: 'what is known of whether the server ran it: not-sent, not-run, unknown or run',
       status: 'the status that the server answered with, if it did',
       origin:
-        'whether the answer bears the id of the request; an unidentified one may be a copy of an earlier answer on the connection',
+        'own if the answer bears the id of the request; ambiguous if it is a refusal, after which the connection is not used again',
       earlierCalls: 'how many calls the connection carried before',
       pauseMs: 'for how long the server wants no request of this host',
       error: 'what failed, if something did',
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -111,7 +111,7 @@
 
   start(): void {
     const {connections, dialect, request, terms} = this.options;
-    const {identity, mustRunOnce} = this.options;
+    const {identity} = this.options;
     const handle = connections.send(
       {
         address: terms.server.address,
@@ -121,7 +121,7 @@
         body: request.body.length > 0 ? request.body : null,
         maxIdleMs: this.options.maxIdleMs,
         connectTimeoutMs: this.options.connectTimeoutMs,
-        ...{identity, mustRunOnce},
+        identity,
       },
       this,
     );
@@ -177,9 +177,9 @@
       });
       return;
     }
-    if (facts.claimsNotRun && this.options.mustRunOnce) {
+    if (facts.readsAsNotRun && this.options.mustRunOnce) {
       // The server did not state that the request has not run, so it may have.
-      this.finish({
+      this.finishAtHead({
         ...{status: 'broken', error: makeServerFailureError(facts)},
         isConnectionLost: false,
       });
--- a/packages/serve-requests/src/backend_dialect.ts
+++ b/packages/serve-requests/src/backend_dialect.ts
@@ -49,7 +49,7 @@
   /** Whether the server states that it did not run the request. */
   isNotRun: boolean;
   /** Whether a caller who gets this status takes it that the request has not run. */
-  claimsNotRun: boolean;
+  readsAsNotRun: boolean;
   /** Whether another server responded, or one without the requested model. */
   isMisdirected: boolean;
   /** Whether the response is signed, and its body is as the server made it. */
--- a/packages/serve-requests/src/event_boundary.ts
+++ b/packages/serve-requests/src/event_boundary.ts
@@ -12,14 +12,14 @@
   private partial: Uint8Array = new Uint8Array(0);
   private hasGoneBack = false;
   /** The id that the next one has to exceed. */
-  private minId: number;
+  private previousId: number;
 
   /** @param isContinued whether the first event has to follow the last one. */
   constructor(
     private lastId: number | null,
     isContinued = true,
   ) {
-    this.minId = isContinued && lastId !== null ? lastId : -1;
+    this.previousId = isContinued && lastId !== null ? lastId : -1;
   }
 
   /** Whether the ids have gone back; no event is passed on from then. */
@@ -52,12 +52,12 @@
     this.hasGoneBack ||= !this.isFollowedBy(ids);
     if (this.hasGoneBack) return new Uint8Array(0);
     const last = ids.at(-1);
-    if (last !== undefined) this.lastId = this.minId = last;
+    if (last !== undefined) this.lastId = this.previousId = last;
     return completeEvents;
   }
 
   private isFollowedBy(ids: readonly number[]): boolean {
-    return ids.every((id, at) => id > (ids[at - 1] ?? this.minId));
+    return ids.every((id, at) => id > (ids[at - 1] ?? this.previousId));
   }
 }
 
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -82,10 +82,10 @@
       connections,
       dialect: {
         makeHeaders: () => [],
-        identify: () => ({classify: () => 'own'}),
+        identify: () => ({isNamed: true, classify: () => 'own'}),
         readHead: ({status}) => ({
           ...{status, headers: [], isNotRun: false, isMisdirected: false},
-          claimsNotRun: false,
+          readsAsNotRun: false,
           ...{
             isGenuine: true,
             isEncoded: false,
--- a/packages/serve-requests/src/run_record.ts
+++ b/packages/serve-requests/src/run_record.ts
@@ -1,7 +1,7 @@
 /** Decides what this host knows of whether backend servers have run a request. */
 import {type AttemptOutcome} from './attempt.js';
 
-/** From the least to the most that speaks for a run. */
+/** Ordered by how likely the request has run. */
 const KNOWLEDGE = ['not-sent', 'not-run', 'unknown', 'run'] as const;
 
 /**
