Pass on no status that reads as 'not run' for repeatable requests either

What callers saw: 503 for a repeatable request that a server had run; they come back as told by a promise that is not true.

Change: Attempt takes such a response as a failure whatever the route; another server gets the request if retries allow, else the caller gets 502.

--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -74,7 +74,6 @@
   clock: Clock;
   request: CallerRequest;
   identity: ResponseIdentity;
-  mustRunOnce: boolean;
   terms: SendParameters;
   consumer: AnswerConsumer;
   connectTimeoutMs: number;
@@ -177,7 +176,7 @@
       });
       return;
     }
-    if (facts.readsAsNotRun && this.options.mustRunOnce) {
+    if (facts.readsAsNotRun) {
       // The server did not state that the request has not run, so it may have.
       this.finishAtHead({
         ...{status: 'broken', error: makeServerFailureError(facts)},
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -223,7 +223,6 @@
     const {request, target, relay, identity} = this;
     return new Attempt({
       ...{connections, dialect, clock, request, identity},
-      mustRunOnce: !this.isRepeatable,
       terms: {
         server,
         remainingMs: this.deadlineAtMs - clock.monotonicMs(),
