Continue no stream that has begun without the id of its last event

What callers could see: events twice, where a resumable stream whose events bear no ids broke and went on at another server, which began it anew (ORDER).

Evidence: 'a stream that has begun is not continued without the id of its last event' got the first event twice on the code before (the review's test).

Change: a begun stream can be continued only if the id of its last event is known; else its response is broken off.

--- a/packages/serve-requests/src/answer_relay.ts
+++ b/packages/serve-requests/src/answer_relay.ts
@@ -49,7 +49,8 @@
 
   /** Whether another attempt can continue the response. */
   get canResume(): boolean {
-    return !this.options.sink.hasBegun || this.options.isStream;
+    const {sink, isStream} = this.options;
+    return !sink.hasBegun || (isStream && this.lastEventId !== null);
   }
 
   onHead(facts: AnswerFacts): 'take' | 'discard' {
