Hold no request that was never sent against it as a crash

What callers could see: a contained request that is tried at one server, and whose caller leaves before the connection is open, stays contained longer: the probe counted as one under which a server may have crashed.

Change: the crash guard reads what is known of the run from the same place as the answer does, and a probe that was not sent goes on.

--- a/packages/serve-requests/src/crash_guard.test.ts
+++ b/packages/serve-requests/src/crash_guard.test.ts
@@ -216,4 +216,19 @@
   assert.not(new CrashGuard(watch, makePrompt('5a', 'bad')).isContained);
 });
 
+// Guards against a crash that is held against a request of which nothing was sent, for example
+// because its caller left while the connection was opened.
+test('a probe that was never sent shows no crash', () => {
+  const watch = new RecordingWatch();
+  watch.isRequestContained = true;
+  watch.isProbeDue = true;
+  const guard = new CrashGuard(watch, makeRequest());
+  guard.openProbe();
+  guard.recordOutcome({status: 'aborted', isSent: false}, makeServer());
+  assert.equal(
+    watch.calls.filter(call => call.startsWith('cut at')),
+    [],
+  );
+});
+
 test.run();
--- a/packages/serve-requests/src/crash_guard.ts
+++ b/packages/serve-requests/src/crash_guard.ts
@@ -12,6 +12,7 @@
 import {type CallerRequest} from './caller_request.js';
 import {makeFingerprint, makePathPrint} from './fingerprint.js';
 import {listPartSuspects} from './request_suspects.js';
+import {findRunKnowledge} from './run_record.js';
 
 /** Tracks, over all nodes, which requests and prompt parts may have crashed servers. */
 export interface CrashWatch {
@@ -113,14 +114,14 @@
       this.markServed(outcome.isDelimited);
     }
     // A probe ends at the first server that may have run the request.
-    if (outcome.status !== 'not-run') this.endProbe();
+    if (!isKnownNotRun(outcome)) this.endProbe();
   }
 
   /** A probe without a known result counts, so that the next one is delayed. */
   private isCrash(outcome: AttemptOutcome): boolean {
     if (outcome.status === 'broken' && outcome.isConnectionLost) return true;
     const isUndisturbed =
-      outcome.status === 'not-run' ||
+      isKnownNotRun(outcome) ||
       (outcome.status === 'answered' && outcome.isSuccess);
     return this.isProbing && !isUndisturbed;
   }
@@ -155,6 +156,10 @@
   );
 }
 
+function isKnownNotRun(outcome: AttemptOutcome): boolean {
+  return ['not-sent', 'not-run'].includes(findRunKnowledge(outcome));
+}
+
 /** Tells a restarted server from its earlier incarnation under the same id. */
 function formatIncarnation({id, startedAtMs}: BackendServerEntry): string {
   return startedAtMs === null ? id : `${id}@${startedAtMs}`;
