End the connection of an unwanted response that does not end

What operators could see: connections to a server that stay open for good, one for each refusal or discarded failure whose body the server never completes; its limit of connections is used up in the end.

Cause: an attempt that does not want a response ends at its head and reads the rest to keep the connection. With the attempt, its deadline ended as well, and nothing else bounds the rest.

Change: the rest has a second, then the connection is reset.

--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -8,7 +8,7 @@
   type ResponseSource,
   isForeignResponse,
 } from '@mimosatack/backend-connections';
-import {type Clock} from '@mimosatack/clock';
+import {type Clock, type Timer} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {
   type AnswerFacts,
@@ -88,6 +88,8 @@
   onTerms: (terms: NamedTerms) => void;
 }
 
+/** Time for the rest of a response that is not wanted. */
+const MAX_DROP_MS = 1_000;
 const STATUS_OK_MIN = 200;
 const STATUS_OK_MAX = 299;
 const DELIMITING_HEADERS: ReadonlySet<string> = new Set([
@@ -101,6 +103,7 @@
   private resolve!: (outcome: AttemptOutcome) => void;
   private handle: CallHandle | null = null;
   private isFinished = false;
+  private dropTimer: Timer | null = null;
   private isSuccess = false;
   private isDelimited = false;
 
@@ -201,6 +204,7 @@
   }
 
   onEnd(): void {
+    this.dropTimer?.cancel();
     if (this.isFinished) return;
     const error = this.options.consumer.onEnd();
     this.finish(
@@ -214,6 +218,7 @@
   }
 
   onFailure(error: TypedError): void {
+    this.dropTimer?.cancel();
     if (error.run === 'not-run' && !this.hasHead) {
       this.finish({status: 'not-run', error, reason: 'unreachable'});
     } else {
@@ -227,11 +232,15 @@
 
   /**
    * Keeps the connection unless the attempt is broken: a short unwanted
-   * response is read to its end and dropped, see `AnswerReceiver`.
+   * response is read to its end and dropped, see `AnswerReceiver`. One that does not
+   * end soon would keep its connection for good.
    */
   private finishAtHead(outcome: AttemptOutcome): void {
     this.finish(outcome);
-    if (outcome.status === 'broken') this.handle?.abort();
+    if (outcome.status === 'broken') return this.handle?.abort();
+    this.dropTimer = this.options.clock.setTimer(MAX_DROP_MS, () =>
+      this.handle?.abort(),
+    );
   }
 
   private finish(outcome: AttemptOutcome): void {
