Leave out entries of servers that name none that can be used

What operators saw: after another writer had left odd entries in the list of servers, hosts refused callers, counted themselves as cut off from all servers and passed the scheduling duty on again and again. No process ended here.

An entry that is left out is logged as entry-left-out, 200 lines a minute at most, in place of task-failed, which says that a task starts again.

--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -52,6 +52,17 @@
     fields: {text: 'what the header holds'},
     remedy: 'Check what answers at the address of the store.',
   },
+  'entry-left-out': {
+    number: 2205,
+    level: 'warn',
+    message: 'An entry of a list can not be used and was left out.',
+    fields: {
+      list: 'the list',
+      key: 'the start of the key of the entry',
+      error: 'what is wrong with it',
+    },
+    remedy: 'Find out who wrote the entry, and correct or delete it.',
+  },
   'node-list-changed': {
     number: 3400,
     level: 'info',
--- a/packages/serving-node/src/configuration_follower.test.ts
+++ b/packages/serving-node/src/configuration_follower.test.ts
@@ -58,7 +58,7 @@
     findRank: () => rank,
     revokeMs: () => REVOKE_MS,
     onConfiguration: () => undefined,
-    onFault: () => undefined,
+    onLeftOut: () => undefined,
     onLost: () => undefined,
     onRegained: () => undefined,
   });
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -1,6 +1,6 @@
 /** Follows the newest configuration, from the store or from peers. */
 import {type Clock, SuspensionAwareClock} from '@mimosatack/clock';
-import {type TypedError} from '@mimosatack/errors';
+import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {
   type KeyedChange,
   KeyedFollower,
@@ -28,7 +28,8 @@
   /** Longest time that a revoked key stays valid; null for no limit. */
   revokeMs: () => number | null;
   onConfiguration: (configuration: ServingConfiguration) => void;
-  onFault: (error: unknown) => void;
+  /** Called with a record that can't be used. */
+  onLeftOut: (key: string, error: TypedError) => void;
   onLost: (error: TypedError) => void;
   onRegained: () => void;
 }
@@ -231,7 +232,7 @@
     changes: readonly KeyedChange[],
     mayReplace: (record: KeyedChange, version: number) => boolean,
   ): boolean {
-    const {platform, onConfiguration, onFault} = this.options;
+    const {platform, onConfiguration, onLeftOut} = this.options;
     const newest = changes.findLast(
       ({key, value}) => key === platform.configurationKey && value !== null,
     );
@@ -247,7 +248,7 @@
       return true;
     } catch (thrown) {
       // The last valid configuration stays in effect.
-      onFault(thrown);
+      onLeftOut(newest.key, toTypedError(thrown));
       return false;
     }
   }
--- a/packages/serving-node/src/fault_log.ts
+++ b/packages/serving-node/src/fault_log.ts
@@ -1,6 +1,7 @@
-/** Logs lost and regained dependencies and failed tasks of a node. */
+/** Logs lost and regained dependencies, failed tasks and entries that were left out. */
+import {type Clock} from '@mimosatack/clock';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
-import {type EventLogger} from '@mimosatack/logger';
+import {type EventLogger, RateLimitedEventLogger} from '@mimosatack/logger';
 
 /** Called when the state of a dependency changes. */
 export interface DependencyCallbacks {
@@ -8,8 +9,30 @@
   onRegained: () => void;
 }
 
+/** Called with the key of an entry that can't be used, and why. */
+export interface EntryCallbacks {
+  onLeftOut: (key: string, error: TypedError) => void;
+}
+
+/** Other writers decide how often entries that can't be used come. */
+const MAX_LEFT_OUT_LINES = 200;
+const LEFT_OUT_INTERVAL_MS = 60_000;
+const MAX_KEY_CHARS = 80;
+
 export class FaultLog {
-  constructor(private readonly logger: EventLogger) {}
+  private readonly limitedLogger: EventLogger;
+
+  constructor(
+    private readonly logger: EventLogger,
+    clock: Clock,
+  ) {
+    this.limitedLogger = new RateLimitedEventLogger(logger, {
+      clock,
+      limited: ['entry-left-out'],
+      maxPerInterval: MAX_LEFT_OUT_LINES,
+      intervalMs: LEFT_OUT_INTERVAL_MS,
+    });
+  }
 
   watchDependency(dependency: string): DependencyCallbacks {
     return {
@@ -26,4 +49,15 @@
       restartInMs: 0,
     });
   }
+
+  /** Logs entries that can't be used; the others of the list are followed. */
+  watchEntries(list: string): EntryCallbacks {
+    return {
+      onLeftOut: (key, error) =>
+        this.limitedLogger.log('entry-left-out', {
+          ...{list, error},
+          key: key.slice(0, MAX_KEY_CHARS),
+        }),
+    };
+  }
 }
--- a/packages/serving-node/src/server_follower.test.ts
+++ b/packages/serving-node/src/server_follower.test.ts
@@ -19,13 +19,13 @@
 } as unknown as PlatformAdapter;
 
 function makeFollower() {
-  const faults: unknown[] = [];
+  const leftOut: string[] = [];
   const follower = new ServerFollower({
     ...{clock: new ManualClock(), random: new SeededRandom(1)},
     platform: {...START_TIME_DECODER, serversTopic: new MemoryKeyedTopic()},
     ...{isReader: () => false, peerAgeMs: () => 0},
     ...{onChanges: () => undefined, onStateChange: () => undefined},
-    ...{onRead: () => undefined, onFault: error => faults.push(error)},
+    ...{onRead: () => undefined, onLeftOut: id => leftOut.push(id)},
     ...{onLost: () => undefined, onRegained: () => undefined},
   });
   let offset = 0;
@@ -33,12 +33,12 @@
     const value = Buffer.from(text);
     follower.applyFromPeer(offset, [{key, value, offset}], ++offset);
   };
-  return {follower, faults, write};
+  return {follower, leftOut, write};
 }
 
 // Guards against sending requests to a server whose entry was overwritten.
 test('an entry that can not be read names no server to use', () => {
-  const {follower, faults, write} = makeFollower();
+  const {follower, leftOut, write} = makeFollower();
   write('s1', '1000');
   write('s2', '1000');
   write('s1', 'junk');
@@ -46,7 +46,7 @@
   write('stranger', 'junk');
   const ready = follower.listReady('writers').map(({id}) => id);
   assert.equal(ready, ['s2']);
-  assert.is(faults.length, 2);
+  assert.equal(leftOut, ['s1', 'stranger']);
   write('s1', '1000');
   assert.is(follower.listReady('writers').length, 2);
 });
@@ -84,7 +84,7 @@
       broadcasts.push(
         reader.routingTable.listSince(fromOffset).map(({key}) => key),
       ),
-    ...{onFault: () => undefined, onLost: () => undefined},
+    ...{onLeftOut: () => undefined, onLost: () => undefined},
     onRegained: () => undefined,
   });
   const write = (key: string, value: object | null) =>
--- a/packages/serving-node/src/server_follower.ts
+++ b/packages/serving-node/src/server_follower.ts
@@ -40,7 +40,8 @@
   onStateChange: (change: ServerChange) => void;
   /** Called with the first offset of new records for peers. */
   onRead: (fromOffset: number) => void;
-  onFault: (error: unknown) => void;
+  /** Called with the first of consecutive entries of a server that can't be used. */
+  onLeftOut: (id: BackendServerId, error: TypedError) => void;
   onLost: (error: TypedError) => void;
   onRegained: () => void;
 }
@@ -294,7 +295,7 @@
    * overwritten: the server counts as draining until its next heartbeat.
    */
   private handleInvalid(id: string, offset: number, error: TypedError) {
-    if (!this.invalidIds.has(id)) this.options.onFault(error);
+    if (!this.invalidIds.has(id)) this.options.onLeftOut(id, error);
     if (this.invalidIds.size < MAX_INVALID_IDS) this.invalidIds.add(id);
     const known = this.entries.get(id);
     if (!known) return [];
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -87,7 +87,7 @@
   constructor(private readonly options: ServingNodeOptions) {
     const {clock, settings} = options;
     this.self = describeSelf(settings);
-    this.faults = new FaultLog(options.logger);
+    this.faults = new FaultLog(options.logger, options.clock);
     this.startedAtMs = clock.monotonicMs();
     this.connections = options.connections;
     this.configuration = this.makeConfiguration();
@@ -255,7 +255,7 @@
       findRank: () => this.links.findRank(),
       revokeMs: () => this.options.settings.revokeMs,
       onConfiguration: configuration => this.configure(configuration),
-      onFault: thrown => this.faults.logTaskFailure(thrown, 'configuration'),
+      ...this.faults.watchEntries('configuration'),
       ...this.faults.watchDependency('configuration'),
     });
   }
@@ -289,7 +289,7 @@
         logServerChange(options.logger, change, this.duty.isHeld),
       onRead: fromOffset =>
         this.sharedRecords.broadcastSince('servers', fromOffset),
-      onFault: thrown => this.faults.logTaskFailure(thrown, 'servers'),
+      ...this.faults.watchEntries('servers'),
       ...this.faults.watchDependency('servers'),
     });
   }
