Leave out an entry that fails when it is used, and only that one

What operators would see: after one entry that the scheduler can't handle, no entry of the same read is used until it is written again; the log says that the list of servers is out of reach. A configuration that fails while it is applied counts as the one in force: it stays half applied, and a repair under the same version is not taken.

Cause: changes were passed on as a batch, after the table had recorded them; the follower of the configuration set the version before it applied it. Ids of invalid entries were never forgotten, so after 1,000 odd keys each write of a further one was logged.

Evidence, on the code before: server_follower.test: 'an entry that fails when it is used' and 'a known server stays' ended with 'Out of range.'; 'an invalid entry that is removed' logged twice. configuration_follower.test: version 7 instead of 1 in force. The errors are made by the tests; no entry is known that makes the scheduler throw.

Change: a batch that fails is applied one entry at a time; the entry that fails leaves the one before it in force and is logged. A configuration that fails is replaced by the last.

Why it holds: both followers decide at the one place through which the entries of the store and those of other hosts pass. A fault that is not the entry's removes no known server.

--- a/packages/serving-node/src/configuration_follower.test.ts
+++ b/packages/serving-node/src/configuration_follower.test.ts
@@ -44,7 +44,12 @@
   }
 }
 
+/** A version that can be decoded, but not be applied. */
+const FAILING_VERSION = 7;
+
 function startFollower({isReader = false, rank = 0} = {}) {
+  const applied: number[] = [];
+  const leftOut: string[] = [];
   const clock = new ManualClock();
   const topic = new TimedTopic(clock);
   topic.put(KEY, '1');
@@ -57,8 +62,11 @@
     isReader: () => isReader,
     findRank: () => rank,
     revokeMs: () => REVOKE_MS,
-    onConfiguration: () => undefined,
-    onLeftOut: () => undefined,
+    onConfiguration: ({version}) => {
+      applied.push(version);
+      if (version === FAILING_VERSION) throw new RangeError('Out of range.');
+    },
+    onLeftOut: key => leftOut.push(key),
     onLost: () => undefined,
     onRegained: () => undefined,
   });
@@ -69,7 +77,7 @@
       await flushPendingCallbacks();
     }
   };
-  return {clock, topic, follower, advance};
+  return {clock, topic, follower, advance, applied, leftOut};
 }
 
 test('a read confirms the configuration as of the start of the read', async () => {
@@ -177,4 +185,18 @@
   assert.is(follower.version, 5);
 });
 
+// Guards against a configuration that is half applied, and that no later one replaces.
+test('the last configuration stays in force if the next fails when applied', async () => {
+  const {topic, follower, advance, applied, leftOut} = startFollower();
+  await advance(1_000);
+  topic.put(KEY, String(FAILING_VERSION));
+  await advance(1_000);
+  assert.is(follower.version, 1);
+  assert.is(follower.recordsInForce[0]?.offset, 0);
+  assert.equal(leftOut, [KEY]);
+  topic.put(KEY, '2');
+  await advance(1_000);
+  assert.equal(applied, [1, FAILING_VERSION, 1, 2]);
+});
+
 test.run();
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -232,7 +232,7 @@
     changes: readonly KeyedChange[],
     mayReplace: (record: KeyedChange, version: number) => boolean,
   ): boolean {
-    const {platform, onConfiguration, onLeftOut} = this.options;
+    const {platform, onLeftOut} = this.options;
     const newest = changes.findLast(
       ({key, value}) => key === platform.configurationKey && value !== null,
     );
@@ -240,11 +240,7 @@
     try {
       const decoded = platform.decodeConfiguration(newest.value);
       if (!mayReplace(newest, decoded.version)) return false;
-      this.current = decoded;
-      this.inForce = newest;
-      const pending = this.pendingConfirmation;
-      if (pending) this.noteConfirmed(pending.version, pending.asOfMs);
-      onConfiguration(decoded);
+      this.putInForce(decoded, newest);
       return true;
     } catch (thrown) {
       // The last valid configuration stays in effect.
@@ -252,4 +248,20 @@
       return false;
     }
   }
+
+  /** Puts the last configuration back in force and throws if the new one fails. */
+  private putInForce(decoded: ServingConfiguration, record: KeyedChange): void {
+    const {current} = this;
+    try {
+      this.current = decoded;
+      this.options.onConfiguration(decoded);
+    } catch (thrown) {
+      this.current = current;
+      if (current) this.options.onConfiguration(current);
+      throw thrown;
+    }
+    this.inForce = record;
+    const pending = this.pendingConfirmation;
+    if (pending) this.noteConfirmed(pending.version, pending.asOfMs);
+  }
 }
--- a/packages/serving-node/src/server_follower.test.ts
+++ b/packages/serving-node/src/server_follower.test.ts
@@ -3,6 +3,7 @@
 import {makeEngineEntry} from '@mimosatack/fakes';
 import {MemoryKeyedTopic} from '@mimosatack/keyed-store';
 import {SeededRandom} from '@mimosatack/random';
+import {type BackendServerEntry} from '@mimosatack/types';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {type PlatformAdapter} from './platform_adapter.js';
@@ -14,17 +15,32 @@
   decodeServer: (id: string, value: Uint8Array) => {
     const text = Buffer.from(value).toString('utf8');
     if (text === 'junk') throw new TypedError('record-invalid', 'Unreadable.');
-    return {...makeEngineEntry(id), startedAtMs: Number(text)};
+    const startedAtMs = text === 'fails' ? FAILING_START_MS : Number(text);
+    return {...makeEngineEntry(id), startedAtMs};
   },
 } as unknown as PlatformAdapter;
 
+/** What follows the changes can't handle an entry with this id or start. */
+const FAILING_ID = 'failing';
+const FAILING_START_MS = 2_000;
+
+function isFailing({id, startedAtMs}: BackendServerEntry): boolean {
+  return id === FAILING_ID || startedAtMs === FAILING_START_MS;
+}
+
 function makeFollower() {
+  const used = new Set<string>();
   const leftOut: string[] = [];
   const follower = new ServerFollower({
     ...{clock: new ManualClock(), random: new SeededRandom(1)},
     platform: {...START_TIME_DECODER, serversTopic: new MemoryKeyedTopic()},
     ...{isReader: () => false, peerAgeMs: () => 0},
-    ...{onChanges: () => undefined, onStateChange: () => undefined},
+    onChanges: changes =>
+      changes.forEach(({id, entry}) => {
+        if (entry && isFailing(entry)) throw new RangeError('Out of range.');
+        used.add(id);
+      }),
+    onStateChange: () => undefined,
     ...{onRead: () => undefined, onLeftOut: id => leftOut.push(id)},
     ...{onLost: () => undefined, onRegained: () => undefined},
   });
@@ -33,7 +49,14 @@
     const value = Buffer.from(text);
     follower.applyFromPeer(offset, [{key, value, offset}], ++offset);
   };
-  return {follower, leftOut, write};
+  const writeAll = (keys: readonly string[], text: string) => {
+    const value = Buffer.from(text);
+    const records = keys.map(key => ({key, value, offset: offset++}));
+    follower.applyFromPeer(0, records, offset);
+  };
+  const remove = (key: string) =>
+    follower.applyFromPeer(0, [{key, value: null, offset}], ++offset);
+  return {follower, leftOut, used, write, writeAll, remove};
 }
 
 // Guards against sending requests to a server whose entry was overwritten.
@@ -51,6 +74,41 @@
   assert.is(follower.listReady('writers').length, 2);
 });
 
+// Guards against one entry that keeps the others of the same read from being used.
+test('an entry that fails when it is used is left out alone', () => {
+  const {follower, leftOut, used, writeAll} = makeFollower();
+  writeAll(['s1', FAILING_ID, 's2'], '1000');
+  assert.equal([...used].sort(), ['s1', 's2']);
+  assert.equal(
+    follower.list().map(({id}) => id),
+    ['s1', 's2'],
+  );
+  assert.equal(leftOut, [FAILING_ID]);
+});
+
+// Guards against a fault elsewhere that removes all servers.
+test('a known server stays if its new entry fails when it is used', () => {
+  const {follower, leftOut, write} = makeFollower();
+  write('s1', '1000');
+  write('s1', 'fails');
+  assert.is(follower.find('s1')?.startedAtMs, 1_000);
+  assert.equal(leftOut, ['s1']);
+});
+
+// Guards against a log that is flooded by keys that come and go.
+test('an invalid entry that is removed is not remembered', () => {
+  const {leftOut, write, remove} = makeFollower();
+  const ids = Array.from({length: 1_100}, (_, at) => `odd-${at}`);
+  ids.forEach(id => {
+    write(id, 'junk');
+    remove(id);
+  });
+  leftOut.length = 0;
+  write('odd', 'junk');
+  write('odd', 'junk');
+  assert.equal(leftOut, ['odd']);
+});
+
 const JSON_DECODER = {
   decodeServer: (id: string, value: Uint8Array) => {
     const {state, holds, startedAtMs, softwareVersion} = JSON.parse(
--- a/packages/serving-node/src/server_follower.ts
+++ b/packages/serving-node/src/server_follower.ts
@@ -260,19 +260,49 @@
   }
 
   private apply(decoded: readonly ServerChange[]): void {
+    if (decoded.length === 0) return;
+    const known = new Map(decoded.map(({id}) => [id, this.entries.get(id)]));
     decoded.forEach(change => {
       const {id, entry} = change;
       if (this.entries.get(id)?.state !== entry?.state) {
         this.options.onStateChange(change);
       }
-      const known = this.entries.get(id);
-      if (known && !entry && !this.invalidIds.has(id)) {
-        this.departed.recordRemoved(known);
-      }
-      if (entry) this.entries.set(id, entry);
-      else this.entries.delete(id);
+      if (!entry) this.recordRemoved(id);
+      this.setEntry(id, entry);
     });
-    if (decoded.length > 0) this.options.onChanges(decoded);
+    try {
+      this.options.onChanges(decoded);
+    } catch {
+      decoded.forEach(({id}) => this.setEntry(id, known.get(id)));
+      decoded.forEach(change => this.applyAlone(change));
+    }
+  }
+
+  /** An entry that fails when it is used does not replace the one before. */
+  private applyAlone(change: ServerChange): void {
+    const {id, entry} = change;
+    const known = this.entries.get(id);
+    try {
+      this.setEntry(id, entry);
+      this.options.onChanges([change]);
+    } catch (thrown) {
+      this.setEntry(id, known);
+      this.options.onLeftOut(id, toTypedError(thrown));
+    }
+  }
+
+  private recordRemoved(id: BackendServerId): void {
+    const known = this.entries.get(id);
+    const wasInvalid = this.invalidIds.delete(id);
+    if (known && !wasInvalid) this.departed.recordRemoved(known);
+  }
+
+  private setEntry(
+    id: BackendServerId,
+    entry: BackendServerEntry | null | undefined,
+  ): void {
+    if (entry) this.entries.set(id, entry);
+    else this.entries.delete(id);
   }
 
   private isCurrent({id, entry}: ServerChange): boolean {
