Count a port out of range as an address that can't be reached

What callers saw: 502 for a request that must run once and whose server had a port above 65535 in the list of servers.

Cause: Socket.connect throws for such a port. openSocket passed the RangeError on, and a call that failed with it counted as one that may have run.

Evidence: backend_connections.test 'reports not-run for an address that no connection can be made to' got the kind internal instead of backend-unreachable on the code before.

Change: openSocket reports what connect throws like a connection that fails.

Why it holds: all connections to backend servers, for requests, reports, orders, path checks and relays, are opened by openSocket.

Measured: the tests of backend-connections pass.

--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -261,7 +261,6 @@
 ): Promise<Socket> {
   return new Promise((resolve, reject) => {
     const socket = new BackendSocket();
-    socket.connect({host: address.ip, port: address.port});
     let timer: Timer | null = null;
     const fail = (cause: Error) => {
       timer?.cancel();
@@ -277,6 +276,12 @@
       socket.off('error', fail);
       resolve(socket);
     });
+    try {
+      socket.connect({host: address.ip, port: address.port});
+    } catch (thrown) {
+      // Node.js throws for a port out of range.
+      fail(thrown instanceof Error ? thrown : new Error(String(thrown)));
+    }
   });
 }
 
--- a/packages/backend-connections/src/backend_connections.test.ts
+++ b/packages/backend-connections/src/backend_connections.test.ts
@@ -6,7 +6,7 @@
   createServer,
 } from 'node:net';
 import {SystemClock} from '@mimosatack/clock';
-import {type TypedError} from '@mimosatack/errors';
+import {TypedError, toTypedError} from '@mimosatack/errors';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
@@ -14,6 +14,7 @@
   type BackendCall,
   type ResponseIdentity,
 } from './backend_call.js';
+import {openSocket} from './backend_connection.js';
 import {BackendConnections} from './backend_connections.js';
 import {isForeignResponse} from './foreign_response.js';
 
@@ -206,6 +207,18 @@
   assert.is(error?.kind, 'backend-unreachable');
 });
 
+// Guards against a call that counts as one that may have run although nothing was sent.
+test('reports not-run for an address that no connection can be made to', async () => {
+  const clock = new SystemClock();
+  for (const port of [-1, 1.5, 65_536, 99_999, NaN, Infinity]) {
+    const address = {ip: '127.0.0.1', port};
+    const outcome = await openSocket(clock, address, 100).catch(toTypedError);
+    assert.instance(outcome, TypedError, `${port}`);
+    assert.is((outcome as TypedError).kind, 'backend-unreachable', `${port}`);
+    assert.is((outcome as TypedError).run, 'not-run', `${port}`);
+  }
+});
+
 // Guards against a surplus response of a faulty server being matched to the next
 // call on the connection.
 test('does not reuse a connection that has unexpected bytes', async () => {
