Leave out odd records in the topics of the nodes

What operators would see: the scheduling duty moves again and again, to a holder that no host can name to another; a host whose record another writer has overwritten is forgotten by the others until it starts again; callers are sent to addresses such as 999.1.1.1:99999.

Cause: the record of the duty was not validated but for three fields that must not be empty, so a number or an object became the name, the process or the address of the holder. The records of nodes took any text as an address, and any port. A record that could not be read deleted the node, and the node itself looked only for a record that is gone.

Change: the four records are read by parseJsonRecord with the shared schemas, which now include host:port. A record of a node that can't be used, or that names another node than its key, leaves the known node as it was; a node writes its own record again when what lies there can't be used. All are logged as entry-left-out. task-failed has the same limit of 200 lines a minute. The odd values for tests lie in packages/fakes. decodeNode and DutyHolderCodec.decode throw, so that the log says what is wrong. node_register.test had 127.0.0.1:n0 as an address, which is none; it is n0:1 now.

Why it holds: each record has one decoder, which the store and other hosts share.

--- a/packages/contain-requests/src/contained_record.test.ts
+++ b/packages/contain-requests/src/contained_record.test.ts
@@ -1,4 +1,5 @@
 /** Guards against losing or misreading contained requests after a restart. */
+import {ODD_NAMES, ODD_RECORDS, listOddRecords} from '@mimosatack/fakes';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {decodeContained, encodeContained} from './contained_record.js';
@@ -43,4 +44,36 @@
   );
 });
 
+const CUT = {serverLife: 'a', isTry: false, beforeLastMs: 1, recentUses: 2};
+const SUSPECT = {fingerprint: 'f', cuts: [CUT]};
+const DEEP = ODD_NAMES.slice(-1);
+
+// Guards against requests that are contained for a time, or by servers, that never was.
+test('an odd record of contained requests is left out', () => {
+  const odd = [
+    ...Object.entries(ODD_RECORDS),
+    ...listOddRecords(SUSPECT, [
+      ['fingerprint', ODD_NAMES],
+      ['cuts', ['7', '{}', '[7]', ...DEEP]],
+      ['not_known', DEEP],
+    ]).map(([name, text]): [string, string] => [name, `[${text}]`]),
+    ...listOddRecords(CUT, [
+      ['serverLife', ODD_NAMES],
+      ['isTry', ['7', 'null', ...DEEP]],
+      ['beforeLastMs', ['1e999', '1e308', '-1', '"7"', ...DEEP]],
+      ['recentUses', ['1e999', '1e308', '-1', '"7"', ...DEEP]],
+    ]).map(([name, text]): [string, string] => [
+      name,
+      `[{"fingerprint":"f","cuts":[${text}]}]`,
+    ]),
+  ];
+  const taken = odd.filter(([, text]) => decodeContained(Buffer.from(text), 9));
+  assert.equal(
+    taken.map(([name]) => name),
+    [],
+  );
+  const valid = Buffer.from(JSON.stringify([SUSPECT]));
+  assert.is(decodeContained(valid, 9)?.length, 1);
+});
+
 test.run();
--- a/packages/contain-requests/src/contained_record.ts
+++ b/packages/contain-requests/src/contained_record.ts
@@ -1,5 +1,10 @@
 /** Encodes and decodes the stored record of contained requests and prompt parts. */
-import {type Suspect} from '@mimosatack/types';
+import {
+  type Suspect,
+  amountSchema,
+  parseJsonRecord,
+  textSchema,
+} from '@mimosatack/types';
 import * as z from 'zod';
 import {
   type CrashFact,
@@ -9,17 +14,19 @@
 
 /** Limited by the record size; suspects with the latest cuts are kept. */
 const MAX_RECORDED_SUSPECTS = 500;
+/** Holds the cuts of all suspects. */
+const BOUNDS = {maxItems: 500_000};
 
 const recordSchema = z.array(
   z.object({
-    fingerprint: z.string(),
+    fingerprint: textSchema,
     cuts: z.array(
       z.object({
-        serverLife: z.string(),
+        serverLife: textSchema,
         isTry: z.boolean(),
         /** Time from this cut to the last one; the previous release writes none. */
-        beforeLastMs: z.number().nonnegative().default(0),
-        recentUses: z.number().nonnegative().default(0),
+        beforeLastMs: amountSchema.default(0),
+        recentUses: amountSchema.default(0),
       }),
     ),
   }),
@@ -57,8 +64,8 @@
   nowMs: number,
 ): CrashFact[] | null {
   try {
-    const text = Buffer.from(value).toString('utf8');
-    return recordSchema.parse(JSON.parse(text)).flatMap(({fingerprint, cuts}) =>
+    const suspects = parseJsonRecord(value, recordSchema, BOUNDS);
+    return suspects.flatMap(({fingerprint, cuts}) =>
       cuts.map(({beforeLastMs, ...cut}) => ({
         ...{kind: 'cut' as const, fingerprint, ...cut},
         atMs: nowMs - beforeLastMs,
--- a/platform/src/stand_ins/odd_values.ts
+++ b/packages/fakes/src/odd_values.ts
@@ -75,3 +75,16 @@
   );
   return `{${[...fields, `${JSON.stringify(field)}:${text}`].join(',')}}`;
 }
+
+/** Names and texts of a record with each of the odd values in its place. */
+export function listOddRecords(
+  record: object,
+  fields: readonly OddField[],
+): Array<[string, string]> {
+  return fields.flatMap(([field, values]) =>
+    values.map((text): [string, string] => [
+      `${field}: ${text.slice(0, 40)}`,
+      replaceField(record, field, text),
+    ]),
+  );
+}
--- a/packages/hold-duty/src/duty_fixture.ts
+++ b/packages/hold-duty/src/duty_fixture.ts
@@ -103,6 +103,7 @@
       leaseMs: LEASE_MS,
       isEligible: () => true,
       onHolder: () => undefined,
+      onLeftOut: () => undefined,
       onLost: () => undefined,
       onRegained: () => undefined,
     });
--- a/packages/hold-duty/src/duty_task.ts
+++ b/packages/hold-duty/src/duty_task.ts
@@ -15,6 +15,13 @@
   findEra,
 } from '@mimosatack/keyed-store';
 import {type RandomSource} from '@mimosatack/random';
+import {
+  hostPortSchema,
+  nameSchema,
+  ordinalSchema,
+  parseJsonRecord,
+} from '@mimosatack/types';
+import * as z from 'zod';
 import {type HolderContact, decideClaim} from './decide_claim.js';
 import {SuspensionWatch} from './suspension_watch.js';
 import {
@@ -38,6 +45,20 @@
   handedOverBy?: string | undefined;
 }
 
+const recordSchema = z.object({
+  nodeName: nameSchema.min(1),
+  incarnation: nameSchema.min(1),
+  address: hostPortSchema,
+  handedOverBy: nameSchema.min(1).optional(),
+  era: ordinalSchema.default(0),
+});
+
+export interface DutyRecord {
+  holder: DutyHolder;
+  /** Whether the store has come back from a copy since the record was written. */
+  isFromCopy: boolean;
+}
+
 /** Encodes a holder as the value of its record. */
 export class DutyHolderCodec {
   /** @param era in which the record is written; a copy of the store keeps an earlier one */
@@ -49,29 +70,13 @@
     return Buffer.from(JSON.stringify(record));
   }
 
-  /** Whether the store has come back from a copy since the record was written. */
-  static isFromCopy(value: Uint8Array, offset: number): boolean {
-    try {
-      const {era = 0} = JSON.parse(Buffer.from(value).toString('utf8')) as {
-        era?: number;
-      };
-      return era < findEra(offset);
-    } catch {
-      return true;
-    }
-  }
-
-  /** Returns null for a malformed value. */
-  static decode(value: Uint8Array, offset: number): DutyHolder | null {
-    try {
-      const {nodeName, incarnation, address, handedOverBy} = JSON.parse(
-        Buffer.from(value).toString('utf8'),
-      ) as Partial<DutyHolder>;
-      if (!nodeName || !incarnation || !address) return null;
-      return {nodeName, incarnation, address, token: offset + 1, handedOverBy};
-    } catch {
-      return null;
-    }
+  /** Throws `record-invalid` if the value is not a valid record. */
+  static decode(value: Uint8Array, offset: number): DutyRecord {
+    const {era, ...holder} = parseJsonRecord(value, recordSchema);
+    return {
+      holder: {...holder, token: offset + 1},
+      isFromCopy: era < findEra(offset),
+    };
   }
 }
 
@@ -111,6 +116,8 @@
   /** Whether this node may hold the duty at all. */
   isEligible: () => boolean;
   onHolder: (holder: DutyHolder | null) => void;
+  /** Called with a record that names no holder. */
+  onLeftOut: (key: string, error: TypedError) => void;
   /** Called when the store can't be reached or a write has failed. */
   onLost: (error: TypedError) => void;
   /** Called when the store can be reached again. */
@@ -393,18 +400,25 @@
   private applyChanges(changes: readonly KeyedChange[], kind: ReadKind): void {
     changes
       .filter(({key}) => key === this.options.key)
-      .forEach(({value, offset}) => {
-        const holder = value && DutyHolderCodec.decode(value, offset);
-        if (!holder) return;
+      .flatMap(change => this.decode(change))
+      .forEach(({holder, isFromCopy}) => {
         // A copy names an earlier holder than the one that is known.
         const isOutdated =
-          kind === 'restored' &&
-          this.current !== null &&
-          DutyHolderCodec.isFromCopy(value, offset);
+          kind === 'restored' && this.current !== null && isFromCopy;
         if (!isOutdated) this.noteHolder(holder);
       });
   }
 
+  private decode({key, value, offset}: KeyedChange): DutyRecord[] {
+    if (value === null) return [];
+    try {
+      return [DutyHolderCodec.decode(value, offset)];
+    } catch (thrown) {
+      this.options.onLeftOut(key, toTypedError(thrown));
+      return [];
+    }
+  }
+
   /**
    * The latest time at which the previous holder can have sent an order. Its
    * lease ends with the renewal of its newest record or with its grants, which
--- a/packages/node-links/src/registered_node.ts
+++ b/packages/node-links/src/registered_node.ts
@@ -1,16 +1,23 @@
 /** The record under which a node registers itself in the store. */
+import {
+  amountSchema,
+  hostPortSchema,
+  nameSchema,
+  parseJsonRecord,
+  socketAddressSchema,
+} from '@mimosatack/types';
 import * as z from 'zod';
 
 export const nodeSchema = z.object({
-  nodeName: z.string(),
-  incarnation: z.string(),
+  nodeName: nameSchema.min(1),
+  incarnation: nameSchema.min(1),
   /** Address for connections from other nodes, as `host:port`. */
-  peerAddress: z.string(),
+  peerAddress: hostPortSchema,
   /** Address at which callers send requests. */
-  callerAddress: z.object({ip: z.string(), port: z.number()}),
-  failureDomain: z.string(),
+  callerAddress: socketAddressSchema,
+  failureDomain: nameSchema,
   /** CPU limit of the node, in cores; 0 if unknown. */
-  cores: z.number().nonnegative().default(0),
+  cores: amountSchema.default(0),
 });
 
 /** A registered node. */
@@ -20,11 +27,7 @@
   return Buffer.from(JSON.stringify(node));
 }
 
-/** Decodes a registration record; returns null if the value is malformed. */
-export function decodeNode(value: Uint8Array): RegisteredNode | null {
-  try {
-    return nodeSchema.parse(JSON.parse(Buffer.from(value).toString('utf8')));
-  } catch {
-    return null;
-  }
+/** Throws `record-invalid` if the value is not a valid registration record. */
+export function decodeNode(value: Uint8Array): RegisteredNode {
+  return parseJsonRecord(value, nodeSchema);
 }
--- a/packages/serving-node/src/fault_log.ts
+++ b/packages/serving-node/src/fault_log.ts
@@ -15,8 +15,8 @@
 }
 
 /** Other writers decide how often entries that can't be used come. */
-const MAX_LEFT_OUT_LINES = 200;
-const LEFT_OUT_INTERVAL_MS = 60_000;
+const MAX_LINES = 200;
+const LINES_INTERVAL_MS = 60_000;
 const MAX_KEY_CHARS = 80;
 
 export class FaultLog {
@@ -28,9 +28,9 @@
   ) {
     this.limitedLogger = new RateLimitedEventLogger(logger, {
       clock,
-      limited: ['entry-left-out'],
-      maxPerInterval: MAX_LEFT_OUT_LINES,
-      intervalMs: LEFT_OUT_INTERVAL_MS,
+      limited: ['entry-left-out', 'task-failed'],
+      maxPerInterval: MAX_LINES,
+      intervalMs: LINES_INTERVAL_MS,
     });
   }
 
@@ -43,13 +43,20 @@
 
   /** Logs a failure after which the task continues. */
   logTaskFailure(thrown: unknown, task: string): void {
-    this.logger.log('task-failed', {
+    this.limitedLogger.log('task-failed', {
       task,
       error: toTypedError(thrown),
       restartInMs: 0,
     });
   }
 
+  /** Logs a record that can't be used, or a failure to read or write it. */
+  logRecordFault(thrown: unknown, task: string, key: string): void {
+    const error = toTypedError(thrown);
+    if (error.kind !== 'record-invalid') this.logTaskFailure(error, task);
+    else this.watchEntries(task).onLeftOut(key, error);
+  }
+
   /** Logs entries that can't be used; the others of the list are followed. */
   watchEntries(list: string): EntryCallbacks {
     return {
--- a/packages/serving-node/src/make_containment.ts
+++ b/packages/serving-node/src/make_containment.ts
@@ -1,6 +1,6 @@
 /** Connects the containment of crashing requests to one node's other parts. */
 import {type NodeLinks, type RegisteredNode} from '@mimosatack/node-links';
-import {ContainmentTask} from './containment_task.js';
+import {CONTAINED_KEY, ContainmentTask} from './containment_task.js';
 import {type FaultLog} from './fault_log.js';
 import {type ServingNodeOptions} from './serving_node_options.js';
 
@@ -9,7 +9,7 @@
   'clock' | 'logger' | 'platform'
 > {
   self: RegisteredNode;
-  faults: Pick<FaultLog, 'logTaskFailure'>;
+  faults: Pick<FaultLog, 'logRecordFault'>;
   /** Whether this node writes the record for all nodes. */
   isWriter: () => boolean;
   findLinks: () => Pick<NodeLinks, 'holderChannel'>;
@@ -23,6 +23,7 @@
     askHolder: (ask, timeoutMs) =>
       findLinks().holderChannel.askForLease(ask, timeoutMs),
     tellHolder: release => findLinks().holderChannel.releaseLease(release),
-    onFault: error => parts.faults.logTaskFailure(error, 'containment'),
+    onFault: error =>
+      parts.faults.logRecordFault(error, 'containment', CONTAINED_KEY),
   });
 }
--- a/packages/serving-node/src/make_duty_task_options.ts
+++ b/packages/serving-node/src/make_duty_task_options.ts
@@ -9,7 +9,7 @@
   'random' | 'platform' | 'settings'
 > {
   self: RegisteredNode;
-  faults: Pick<FaultLog, 'watchDependency'>;
+  faults: Pick<FaultLog, 'watchDependency' | 'watchEntries'>;
   /** Whether this node may claim the duty now. */
   isEligible: () => boolean;
   findLinks: () => NodeLinks;
@@ -36,5 +36,6 @@
     isFenced: settings.isFenced,
     leaseMs: settings.leaseMs,
     ...faults.watchDependency('duty'),
+    ...faults.watchEntries('duty'),
   };
 }
--- a/packages/serving-node/src/make_stream_versions.ts
+++ b/packages/serving-node/src/make_stream_versions.ts
@@ -3,7 +3,10 @@
 import {type FaultLog} from './fault_log.js';
 import {type ServerFollower} from './server_follower.js';
 import {type ServingNodeOptions} from './serving_node_options.js';
-import {StreamVersionsTask} from './stream_versions_task.js';
+import {
+  SERVICE_VERSIONS_KEY,
+  StreamVersionsTask,
+} from './stream_versions_task.js';
 
 export interface StreamVersionsParts extends Pick<
   ServingNodeOptions,
@@ -11,7 +14,7 @@
 > {
   self: RegisteredNode;
   servers: Pick<ServerFollower, 'list' | 'ageMs'>;
-  faults: Pick<FaultLog, 'logTaskFailure'>;
+  faults: Pick<FaultLog, 'logRecordFault'>;
   /** Whether this node writes the record for all nodes. */
   isWriter: () => boolean;
   listNodes: () => readonly RegisteredNode[];
@@ -39,6 +42,7 @@
     send: (address, message) => findLinks().sendStreamsBegun(address, message),
     ask: (address, ask) =>
       findLinks().askForStream(address, ask, ASK_TIMEOUT_MS),
-    onFault: error => parts.faults.logTaskFailure(error, 'streams'),
+    onFault: error =>
+      parts.faults.logRecordFault(error, 'streams', SERVICE_VERSIONS_KEY),
   });
 }
--- a/packages/serving-node/src/node_register.test.ts
+++ b/packages/serving-node/src/node_register.test.ts
@@ -19,7 +19,7 @@
       failureDomain: 'a',
       cores: 1,
     },
-    peerAddress: `127.0.0.1:${nodeName}`,
+    peerAddress: `${nodeName}:1`,
     callerAddress: {ip: '127.0.0.1', port: 1},
   };
 }
@@ -35,26 +35,28 @@
 ) {
   const {nodeName, isReader = false, isUpdatedByPeer} = options;
   const broadcastOffsets: number[] = [];
+  const leftOut: string[] = [];
   const nodeRegister = new NodeRegister({
     ...{clock, topic, random: new SeededRandom(1), self: makeNode(nodeName)},
     ...{isReader: () => isReader, isUpdatedByPeer},
     onRead: fromOffset => broadcastOffsets.push(fromOffset),
     recordReaders: new Map(),
     ...{onRemoved: () => undefined, onLost: () => undefined},
+    onLeftOut: key => leftOut.push(key),
     onRegained: () => undefined,
   });
-  return {register: nodeRegister, broadcastOffsets};
+  return {register: nodeRegister, broadcastOffsets, leftOut};
 }
 
 async function startFollower(isUpdatedByPeer: boolean) {
   const clock = new ManualClock();
   const topic = new MemoryKeyedTopic();
-  const {register: follower} = makeRegister(clock, topic, {
+  const {register: follower, leftOut} = makeRegister(clock, topic, {
     ...{nodeName: 'n0', isUpdatedByPeer: () => isUpdatedByPeer},
   });
   follower.start();
   await advance(clock, SETTLE_MS);
-  return {clock, topic, follower};
+  return {clock, topic, follower, leftOut};
 }
 
 async function registerNode(
@@ -201,4 +203,31 @@
   },
 );
 
+// Guards against a host that the others forget, or list twice, because of another writer.
+register(
+  'an odd record replaces no node, and the node writes its own again',
+  async () => {
+    const {clock, topic, follower, leftOut} = await startFollower(false);
+    await registerNode(topic, 'n1');
+    await advance(clock, SETTLE_MS);
+    const odd = Buffer.from('{"nodeName":"n1","peerAddress":"h:99999"}');
+    const other = encodeNode(makeNode('n2'));
+    await topic.append([
+      ...['n0', 'n1', '__proto__', 'x\u0000'].map(key => ({key, value: odd})),
+      {key: 'not-n2', value: other},
+    ]);
+    await registerNode(topic, 'n3');
+    await advance(clock, SETTLE_MS);
+    const names = follower.list().map(({nodeName}) => nodeName);
+    assert.equal(names.sort(), ['n0', 'n1', 'n3']);
+    assert.equal(leftOut, ['n0', 'n1', '__proto__', 'x\u0000', 'not-n2']);
+    const {records} = await topic.readSnapshot();
+    const own = records.find(({key}) => key === 'n0')?.value ?? null;
+    assert.equal(
+      own && Buffer.from(own),
+      Buffer.from(encodeNode(makeNode('n0'))),
+    );
+  },
+);
+
 register.run();
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -1,6 +1,6 @@
 /** Registers this node in the store and follows the other nodes. */
 import {type Clock} from '@mimosatack/clock';
-import {type TypedError, toTypedError} from '@mimosatack/errors';
+import {TypedError, toTypedError} from '@mimosatack/errors';
 import {
   type KeyedChange,
   KeyedFollower,
@@ -42,6 +42,8 @@
   recordReaders: ReadonlyMap<string, RecordReader>;
   /** Called at the node that has removed a lost one. */
   onRemoved: (node: RegisteredNode) => void;
+  /** Called with a record of a node that can't be used. */
+  onLeftOut: (key: string, error: TypedError) => void;
   onLost: (error: TypedError) => void;
   onRegained: () => void;
 }
@@ -240,12 +242,22 @@
     records
       .filter(({key}) => key !== self.nodeName && !recordReaders.has(key))
       .forEach(({key, value}) => {
-        const node = value && decodeNode(value);
-        if (node) this.nodes.set(key, node);
-        else this.nodes.delete(key);
+        if (value === null) this.nodes.delete(key);
+        else this.setNode(key, value);
       });
   }
 
+  /** A record that can't be used leaves the node known as it was. */
+  private setNode(key: string, value: Uint8Array): void {
+    try {
+      const node = decodeNode(value);
+      if (node.nodeName !== key) throw makeOtherNameError();
+      this.nodes.set(key, node);
+    } catch (thrown) {
+      this.options.onLeftOut(key, toTypedError(thrown));
+    }
+  }
+
   private async register(retryDelayMs = RETRY_DELAY_MS): Promise<void> {
     const {topic, self, clock, onLost} = this.options;
     if (this.isStopped) return;
@@ -260,20 +272,38 @@
     }
   }
 
+  private isUsable(key: string, value: Uint8Array | null): boolean {
+    if (value === null) return false;
+    try {
+      decodeNode(value);
+      return true;
+    } catch (thrown) {
+      this.options.onLeftOut(key, toTypedError(thrown));
+      return false;
+    }
+  }
+
   private applyChanges(changes: readonly KeyedChange[]): void {
     const {self, recordReaders} = this.options;
     changes.forEach(({key, value}) =>
       recordReaders.get(key)?.applyRecord(value),
     );
-    const wasRemoved = changes.some(
-      ({key, value}) => key === self.nodeName && value === null,
+    const isOwnRecordLost = changes.some(
+      ({key, value}) => key === self.nodeName && !this.isUsable(key, value),
     );
     // Another node may remove this one as lost after a long freeze.
-    if (wasRemoved) void this.register();
+    if (isOwnRecordLost) void this.register();
     this.setNodes(changes);
   }
 }
 
+function makeOtherNameError(): TypedError {
+  return new TypedError(
+    'record-invalid',
+    'The record of a node names another one than its key.',
+  );
+}
+
 function isRecordOf(node: RegisteredNode, value: Uint8Array): boolean {
   return Buffer.from(encodeNode(node)).equals(value);
 }
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -70,7 +70,7 @@
       findGrantsEndMs: () => -Infinity,
       ...{isFenced, leaseMs: 3_000},
       isEligible: () => true,
-      onLost: () => undefined,
+      ...{onLost: () => undefined, onLeftOut: () => undefined},
       onRegained: () => undefined,
     },
     quotas: {
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -312,6 +312,7 @@
         this.duty.endRequestsOf(incarnation);
       },
       ...this.faults.watchDependency('nodes'),
+      ...this.faults.watchEntries('nodes'),
     });
   }
 
--- a/packages/track-streams/src/version_record.ts
+++ b/packages/track-streams/src/version_record.ts
@@ -1,5 +1,10 @@
 /** Encodes and decodes the stored record of the software versions of each service. */
-import {type ServiceName} from '@mimosatack/types';
+import {
+  type ServiceName,
+  nameSchema,
+  ordinalSchema,
+  parseJsonRecord,
+} from '@mimosatack/types';
 import * as z from 'zod';
 
 /** The versions at which streams of each service may have begun. */
@@ -12,8 +17,8 @@
 }
 
 const recordSchema = z.object({
-  services: z.record(z.string(), z.array(z.string())),
-  era: z.number(),
+  services: z.record(nameSchema, z.array(nameSchema)),
+  era: ordinalSchema,
 });
 
 export function encodeVersionRecord({
@@ -28,8 +33,7 @@
 /** Null for a record with an invalid format, such as that of the previous release. */
 export function decodeVersionRecord(value: Uint8Array): VersionRecord | null {
   try {
-    const text = Buffer.from(value).toString('utf8');
-    const {services, era} = recordSchema.parse(JSON.parse(text));
+    const {services, era} = parseJsonRecord(value, recordSchema);
     return {services: new Map(Object.entries(services)), era};
   } catch {
     return null;
--- a/packages/types/src/value_schemas.ts
+++ b/packages/types/src/value_schemas.ts
@@ -15,6 +15,7 @@
 const MAX_AMOUNT = 1_000_000_000_000;
 const MAX_NAME_CHARS = 256;
 const MAX_TEXT_CHARS = 4_096;
+const HOST_PORT = /^[\w.-]+:([1-9]\d{0,4})$/;
 const ADDRESS = /^([\d.]{7,15}):([1-9]\d{0,4})$/;
 
 export const countSchema = z.int().nonnegative().max(MAX_COUNT);
@@ -40,6 +41,23 @@
   return z.NEVER;
 });
 
+/** An address as an object. */
+export const socketAddressSchema = z.object({
+  ip: z.string().refine(isIPv4, {error: 'expected an IPv4 address'}),
+  port: z.int().min(1).max(MAX_PORT),
+});
+
+/** A host and a port, as `host:port`. */
+export const hostPortSchema = z
+  .string()
+  .max(MAX_NAME_CHARS)
+  .refine(isHostPort, {error: 'expected HOST:PORT'});
+
+function isHostPort(text: string): boolean {
+  const digits = HOST_PORT.exec(text)?.[1];
+  return digits !== undefined && Number(digits) <= MAX_PORT;
+}
+
 /** Null if the text is no IPv4 address with a port from 1 to 65535. */
 function parseAddress(text: string): SocketAddress | null {
   const [, ip = '', digits = ''] = ADDRESS.exec(text) ?? [];
