Reject messages between hosts with offsets out of range

No such message was seen; all hosts share a secret, so only a host of another release or with a fault can send one.

Cause: offsets, tokens, versions and the length of a grant were any finite number. One odd node made a whole introduction invalid, which closes the connection.

A message that is nested 200,000 levels deep was rejected before too: msgpackr throws, the codec turns the error into peer-message-invalid and reads the next message; frame_codec_fuzz.test now says so.

Change: the fields use the shared schemas, with one for offsets (up to 10^15, above those of the latest era). Odd nodes are left out of an introduction. Numbers that come from callers, and ages, stay any finite number, since a host must not close the connection to another because of a caller.

Why it holds: every message between hosts passes messageSchema.

--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -17,21 +17,31 @@
   streamsBegunSchema,
 } from '@mimosatack/track-streams';
 import {quotaReplySchema, quotaReportSchema} from '@mimosatack/team-quotas';
+import {
+  durationMsSchema,
+  hostPortSchema,
+  nameSchema,
+  offsetSchema,
+  ordinalSchema,
+} from '@mimosatack/types';
 import * as z from 'zod';
 import {nodeSchema} from './registered_node.js';
 
+/** -1 before the first configuration. */
+const versionSchema = z.union([ordinalSchema, z.literal(-1)]);
+
 const statusSchema = z.object({
-  nodeName: z.string(),
-  incarnation: z.string(),
+  nodeName: nameSchema,
+  incarnation: nameSchema,
   /** Whether the node accepts requests from callers. */
   isServing: z.boolean(),
   uptimeMs: z.number(),
   /** Absent in messages of the previous release. */
   reachesServers: z.boolean().default(true),
-  configurationVersion: z.number(),
-  serversEndOffset: z.number(),
+  configurationVersion: versionSchema,
+  serversEndOffset: offsetSchema,
   /** Absent in messages of the previous release. */
-  nodesEndOffset: z.number().default(0),
+  nodesEndOffset: offsetSchema.default(0),
   /** Version of the serving list that the node holds; null if it has none. */
   servingListId: z.string().nullable().default(null),
   /** Servers that crashed under requests; null from the previous release. */
@@ -52,7 +62,11 @@
    * for `forMs` after `beatMs`, which the holder's last `welcome` carried.
    */
   promise: z
-    .object({token: z.number(), beatMs: z.number(), forMs: z.number()})
+    .object({
+      token: offsetSchema,
+      beatMs: z.number(),
+      forMs: durationMsSchema,
+    })
     .nullable(),
 });
 
@@ -63,22 +77,22 @@
 const recordSchema = z.object({
   key: z.string(),
   value: z.custom<Uint8Array>(isBytes).nullable(),
-  offset: z.number(),
+  offset: offsetSchema,
 });
 
 const recordsSchema = z.object({
   type: z.literal('records'),
   topic: z.enum(['configuration', 'servers', 'nodes']),
-  fromOffset: z.number(),
-  endOffset: z.number(),
+  fromOffset: offsetSchema,
+  endOffset: offsetSchema,
   records: z.array(recordSchema),
 });
 
 const holderSchema = z.object({
-  nodeName: z.string(),
-  incarnation: z.string(),
-  address: z.string(),
-  token: z.number(),
+  nodeName: nameSchema,
+  incarnation: nameSchema,
+  address: hostPortSchema,
+  token: offsetSchema,
   /** Absent if the holder claimed the duty, and in the previous release. */
   handedOverBy: z.string().optional(),
 });
@@ -101,9 +115,9 @@
     servingNodes: z.array(z.string()).nullable(),
     /** Time since the sender read the servers from the store; null for never. */
     serversAgeMs: z.number().nullable(),
-    configurationVersion: z.number(),
-    serversEndOffset: z.number(),
-    nodesEndOffset: z.number().default(0),
+    configurationVersion: versionSchema,
+    serversEndOffset: offsetSchema,
+    nodesEndOffset: offsetSchema.default(0),
     /** Whether the sender's list of nodes is current; false if unknown. */
     isNodeListConfirmed: z.boolean().default(false),
     crashes: crashReplySchema.nullable().default(null),
@@ -126,7 +140,9 @@
   z.object({
     type: z.literal('introduction'),
     holder: holderSchema,
-    nodes: z.array(nodeSchema),
+    nodes: z
+      .array(nodeSchema.nullable().catch(null))
+      .transform(nodes => nodes.filter(node => node !== null)),
   }),
   /** Sent by a holder that stops scheduling: the recent orders per engine. */
   z.object({
@@ -136,20 +152,20 @@
     /** Time since the last order to any engine, named or not; null for none. */
     anyEngineAgeMs: z.number().nullable().default(null),
     /** The token of the new holder; null if the process ends. */
-    successorToken: z.number().nullable().default(null),
+    successorToken: offsetSchema.nullable().default(null),
     /** Whether the orders of earlier holders are included; not in the previous release. */
     isComplete: z.boolean().default(false),
     /** True if the process exits, false if it only handed over the duty. */
     isEnding: z.boolean(),
   }),
   /** Asks whether the receiver is in contact with the holder of `token`. */
-  z.object({type: z.literal('ask-heard'), token: z.number()}),
+  z.object({type: z.literal('ask-heard'), token: offsetSchema}),
   z.object({type: z.literal('heard'), isHeard: z.boolean()}),
   /** Requests records from `fromOffset`; the reply is `records`. */
   z.object({
     type: z.literal('ask-records'),
     topic: z.enum(['configuration', 'servers', 'nodes']),
-    fromOffset: z.number(),
+    fromOffset: offsetSchema,
   }),
   recordsSchema,
   z.object({type: z.literal('to-holder'), body: toHolderMessageSchema}),
--- a/packages/peer-transport/src/frame_codec_fuzz.test.ts
+++ b/packages/peer-transport/src/frame_codec_fuzz.test.ts
@@ -66,4 +66,21 @@
   );
 });
 
+// Guards against a stack overflow that ends the process or harms the next message.
+test('a message that is nested very deeply is rejected, and the next is read', () => {
+  const ONE_ITEM_ARRAY = 0x91;
+  const deep = Buffer.alloc(200_000, ONE_ITEM_ARRAY);
+  const oneItemMap = Buffer.from([0x81, 0xa4, ...Buffer.from('body')]);
+  const body = {type: 'hint' as const, count: 1};
+  const next = codec.encode({kind: 'message', body});
+  [deep, Buffer.concat([oneItemMap, deep])].forEach(bytes => {
+    assert.throws(
+      () => codec.decode(bytes),
+      (error: unknown) =>
+        error instanceof TypedError && error.kind === 'peer-message-invalid',
+    );
+    assert.equal(codec.decode(next), {kind: 'message', body});
+  });
+});
+
 test.run();
--- a/packages/types/src/value_schemas.ts
+++ b/packages/types/src/value_schemas.ts
@@ -12,6 +12,8 @@
  * which no real one counts as later.
  */
 const MAX_ORDINAL = 4_102_444_800_000;
+/** Above the offsets of the latest era that a store can name. */
+const MAX_OFFSET = 1_000_000_000_000_000;
 const MAX_AMOUNT = 1_000_000_000_000;
 const MAX_NAME_CHARS = 256;
 const MAX_TEXT_CHARS = 4_096;
@@ -20,6 +22,9 @@
 
 export const countSchema = z.int().nonnegative().max(MAX_COUNT);
 
+/** Offsets of records and what is derived from them, such as fencing tokens. */
+export const offsetSchema = z.int().nonnegative().max(MAX_OFFSET);
+
 /** Sizes, rates and weights, in any unit. */
 export const amountSchema = z.number().nonnegative().max(MAX_AMOUNT);
 
