Hold an append of the log that is nested very deeply for unreadable

What operators would see: after such an append no host writes a checkpoint or answers with the digest of its state any more.

Cause: msgpackr reads and validation takes a document that is nested some thousand levels deep, but writing the state overflows the stack. The depth at which reading overflows depends on the space on the stack, so hosts could also decide unlike about an append. Operators could not write one: the interface allows 20 levels.

Change: an append nested more than 100 levels deep is no batch, as one at which reading overflows was before. The iterative measure of the interface lies in packages/records.

Why it holds: every append passes decodeBatch before the fold; at the bound no codec is near an overflow, so all hosts decide alike. During an upgrade, hosts of two releases decide unlike about an append of between 100 and about 6,000 levels.

--- a/packages/records/src/index.ts
+++ b/packages/records/src/index.ts
@@ -9,4 +9,5 @@
   type SlotPurpose,
   agreedRecordSchema,
 } from './record_schema.js';
+export {measureDepth} from './measure_depth.js';
 export {type DecodedRecord, decodeBatch, encodeBatch} from './record_codec.js';
--- a/packages/records/src/record_codec.ts
+++ b/packages/records/src/record_codec.ts
@@ -1,6 +1,7 @@
 /** The binary encoding of record batches; each log append holds one batch. */
 import {TypedError} from '@mimosatack/errors';
 import {pack, unpack} from 'msgpackr';
+import {measureDepth} from './measure_depth.js';
 import {type AgreedRecord, agreedRecordSchema} from './record_schema.js';
 
 /** Version of the batch format; other versions are rejected on decoding. */
@@ -14,6 +15,12 @@
   return pack([BATCH_FORMAT_VERSION, records]);
 }
 
+/**
+ * Above the depth of documents that operators may publish. Below the one at which the
+ * codec overflows the stack, which differs between hosts: all must decide alike.
+ */
+const MAX_DEPTH = 100;
+
 /**
  * Decodes one append. Never throws: data that is not a batch yields one error
  * entry, so that all nodes skip the same records.
@@ -44,7 +51,8 @@
 
 function unpackOrNull(data: Uint8Array): unknown {
   try {
-    return unpack(data);
+    const content: unknown = unpack(data);
+    return measureDepth(content, MAX_DEPTH) > MAX_DEPTH ? null : content;
   } catch {
     return null;
   }
--- a/packages/serve-operators/src/request_input.ts
+++ b/packages/serve-operators/src/request_input.ts
@@ -1,5 +1,6 @@
 /** Validates the body, query and path of a request. */
 import {TypedError} from '@mimosatack/errors';
+import {measureDepth} from '@mimosatack/records';
 import {z} from 'zod';
 
 const MAX_LIMIT = 500;
@@ -37,7 +38,7 @@
 /** The content of a document before validation against its kind's schema. */
 export const contentSchema = z
   .record(z.string(), z.unknown())
-  .refine(content => measureDepth(content) <= MAX_DEPTH, {
+  .refine(content => measureDepth(content, MAX_DEPTH) <= MAX_DEPTH, {
     error: `is nested deeper than ${MAX_DEPTH} levels`,
   });
 
@@ -54,18 +55,3 @@
 export function parseId(id: string): string {
   return parseInput(z.object({id: idSchema}), {id}).id;
 }
-
-/** Iterative, because recursion could overflow the stack. */
-function measureDepth(content: unknown): number {
-  let depth = 0;
-  let level = [content];
-  while (level.length > 0 && depth <= MAX_DEPTH) {
-    depth += 1;
-    level = level.flatMap(listChildren);
-  }
-  return depth;
-}
-
-function listChildren(node: unknown): unknown[] {
-  return typeof node === 'object' && node !== null ? Object.values(node) : [];
-}
