Fail a request whose unframed response is reset

What callers saw: a 200 with an empty or short body, framed as whole. The product's own program (calls to plain services, forwards to the node that owns a key) took a response without a length as complete when its connection was reset behind the head or in the body.

Cause: sendOnce gave the HTTP client a plain socket. The client ignores an error with the code ECONNRESET while it reads a response that ends with its connection, and takes the reset for that end. BackendSocket guards against this in backend-connections; sendOnce did not use it.

Evidence: the new tests cut such a response behind its head, in a short and in a long body, at once and 20 ms later.

Change: sendOnce opens a BackendSocket. The request is then "unknown": it is never sent again and never a success.

Why it holds: the socket is opened at one place for all requests of sendOnce and exchangeOnce. A response that ends with FIN is complete as before, which a test shows.

--- a/packages/dispatch-requests/src/own_connection.test.ts
+++ b/packages/dispatch-requests/src/own_connection.test.ts
@@ -21,6 +21,20 @@
   if (bytesRead < BODY.length) return;
   socket.write(RESPONSE.slice(0, -1), () => socket.resetAndDestroy());
 };
+const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n';
+/** The reset may come with the last bytes of the response, or after them. */
+const RESET_DELAY_MS = 20;
+
+/** Only the end of its connection delimits the response. */
+function resetBehind(text: string, delayMs: number): Behaviour {
+  return (socket, bytesRead) => {
+    if (bytesRead < BODY.length) return;
+    socket.write(text, () =>
+      setTimeout(() => socket.resetAndDestroy(), delayMs),
+    );
+  };
+}
+
 const respond: Behaviour = (socket, bytesRead) => {
   if (bytesRead >= BODY.length) socket.end(RESPONSE);
 };
@@ -83,6 +97,33 @@
   }),
 );
 
+// Guards against a response that a crash has cut, and that counts as complete since
+// it names no length: the caller would get a success with an empty or short body.
+[
+  {name: 'the head', text: UNFRAMED_HEAD},
+  {name: 'a part of the body', text: `${UNFRAMED_HEAD}half a bo`},
+  {name: 'a long part of the body', text: UNFRAMED_HEAD + 'x'.repeat(300_000)},
+].forEach(({name, text}) =>
+  [0, RESET_DELAY_MS].forEach(delayMs =>
+    test(`a reset ${delayMs} ms behind ${name} of a response without a length is unknown`, async () => {
+      const {server, baseUrl} = await createServerThat(
+        resetBehind(text, delayMs),
+      );
+      const run = await send(baseUrl, {maxAnswerBytes: 1_000_000});
+      server.close();
+      assert.is(run, 'unknown');
+    }),
+  ),
+);
+
+test('a response without a length is complete once its connection ends', async () => {
+  const {server, baseUrl} = await createServerThat((socket, bytesRead) => {
+    if (bytesRead >= BODY.length) socket.end(`${UNFRAMED_HEAD}the body`);
+  });
+  assert.is(await send(baseUrl), 'answered');
+  server.close();
+});
+
 test('a request is not resent after a reset before it was sent', async () => {
   // Guards against an HTTP client that reconnects for an unsent request.
   const {seen, server, baseUrl} = await createServerThat(resetOnConnect);
--- a/packages/dispatch-requests/src/own_connection.ts
+++ b/packages/dispatch-requests/src/own_connection.ts
@@ -3,8 +3,9 @@
  * while idle and a reset after the request look the same; on a new connection,
  * nothing can have run before the first byte is written.
  */
-import {type Socket, connect, isIP} from 'node:net';
+import {type Socket, isIP} from 'node:net';
 import {TLSSocket, connect as connectTls} from 'node:tls';
+import {BackendSocket} from '@mimosatack/backend-connections';
 import {TypedError} from '@mimosatack/errors';
 import {Client, type Dispatcher} from 'undici';
 
@@ -133,7 +134,10 @@
       servername: isIP(host) === 0 ? host : undefined,
     });
   }
-  return connect({host, port: Number(url.port || HTTP_PORT), noDelay: true});
+  return new BackendSocket().connect({
+    host,
+    port: Number(url.port || HTTP_PORT),
+  });
 }
 
 function isTls(socket: Socket): boolean {
