Test own connections and pools that end at each byte

The connection ends by FIN or by reset at each byte of a response with a length, for exchangeOnce and for BackendPools.

The check can fail: with a mutation, since reverted, that reports a broken connection as not run, both tests fail.

--- a/packages/dispatch-requests/src/own_connection.test.ts
+++ b/packages/dispatch-requests/src/own_connection.test.ts
@@ -1,9 +1,9 @@
 import {once} from 'node:events';
 import {type AddressInfo, type Socket, createServer} from 'node:net';
-import {type RunOutcome, type TypedError} from '@mimosatack/errors';
+import {type RunOutcome, TypedError} from '@mimosatack/errors';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {exchangeOnce} from './index.js';
+import {BackendPools, exchangeOnce} from './index.js';
 
 const BODY = Buffer.alloc(4 * 1024 * 1024, 'x');
 const RESPONSE = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
@@ -62,7 +62,7 @@
 /** Sends one request; resolves with its run outcome. */
 async function send(
   baseUrl: string,
-  extra: {signal?: AbortSignal; maxAnswerBytes?: number} = {},
+  extra: {signal?: AbortSignal; maxAnswerBytes?: number; body?: Buffer} = {},
 ): Promise<RunOutcome | 'answered' | undefined> {
   try {
     await exchangeOnce({
@@ -81,6 +81,24 @@
   }
 }
 
+/** Sends one request on a pooled connection and reads its response. */
+async function sendPooled(
+  pools: BackendPools,
+  baseUrl: string,
+  body: Buffer,
+): Promise<RunOutcome | 'answered' | undefined> {
+  try {
+    const {signal} = new AbortController();
+    const spec = {baseUrl, path: '/a', headers: {}, body, signal};
+    const response = await pools.send(spec);
+    await response.body.text();
+    return 'answered';
+  } catch (thrown) {
+    // A body that breaks off rejects with the error of the HTTP client.
+    return thrown instanceof TypedError ? thrown.run : 'unknown';
+  }
+}
+
 const test = suite('own connection');
 
 // Guards against an HTTP client that resends a request after a reset.
@@ -124,6 +142,34 @@
   server.close();
 });
 
+// Guards against a response that ends in its head or body and counts as complete, or as
+// one to a request that has not run.
+[
+  {name: 'end', cut: (socket: Socket) => socket.destroySoon()},
+  {name: 'reset', cut: (socket: Socket) => socket.resetAndDestroy()},
+].forEach(({name, cut}) =>
+  test(`${name} at each byte of a response is unknown`, async () => {
+    const pools = new BackendPools();
+    for (let sent = 0; sent < RESPONSE.length; sent += 1) {
+      const {seen, server, baseUrl} = await createServerThat(socket => {
+        socket.once('data', () => {
+          socket.write(RESPONSE.slice(0, sent));
+          setTimeout(() => cut(socket), 1);
+        });
+      });
+      const body = Buffer.from('body');
+      const runs = [
+        await send(baseUrl, {body}),
+        await sendPooled(pools, baseUrl, body),
+      ];
+      server.close();
+      assert.equal(runs, ['unknown', 'unknown'], `after ${sent} bytes`);
+      assert.is(seen.connections, 2, `after ${sent} bytes`);
+    }
+    await pools.close();
+  }),
+);
+
 test('a request is not resent after a reset before it was sent', async () => {
   // Guards against an HTTP client that reconnects for an unsent request.
   const {seen, server, baseUrl} = await createServerThat(resetOnConnect);
