Pass on a reset that comes with the last bytes

What callers saw: at a host that reaches servers only through another host, a 200 with an empty body (or the events so far), framed as whole, after a server sent a head without a length and reset the connection.

Cause: the event loop reports the end of a connection without a read when a hang-up comes in the same poll as the last bytes and the socket is reading. BackendSocket guards against this by a stop after each chunk, which relied on a full buffer. A flowing socket, such as the one that the relaying host pipes to the other host, passes a chunk on at once: its buffer stays empty and it went on reading. The reset became an end.

Change: BackendSocket.push reports no room, so that reading stops after each chunk, flowing or not.

Why it holds: Node stops reading in the callback of the read, before the event loop looks at the hang-up, and _read resumes after the poll, so that the next read returns the error. All sockets to servers, direct, relaying and relayed, are of this class.

--- a/packages/backend-connections/src/backend_socket.ts
+++ b/packages/backend-connections/src/backend_socket.ts
@@ -45,6 +45,15 @@
     return super.destroy(error ?? (isEnded ? undefined : makeClosedError()));
   }
 
+  /**
+   * Returns false, so that reading stops: a chunk that a flowing socket passes on at once,
+   * such as a piped one, leaves its buffer empty and would not stop it.
+   */
+  override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+    super.push(chunk, encoding);
+    return false;
+  }
+
   // eslint-disable-next-line @typescript-eslint/naming-convention -- Node's name.
   override _read(size: number): void {
     setImmediate(() => super._read(size));
--- a/packages/relay-connections/src/relay_server.test.ts
+++ b/packages/relay-connections/src/relay_server.test.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {type AddressInfo, Socket, createServer} from 'node:net';
+import {BackendSocket} from '@mimosatack/backend-connections';
 import {type SocketAddress} from '@mimosatack/types';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -9,9 +10,11 @@
 
 const OTHER_PORT = 9;
 
-function connect({port}: Pick<SocketAddress, 'port'>): Promise<Socket> {
+function connect(
+  {port}: Pick<SocketAddress, 'port'>,
+  socket: Socket = new BackendSocket(),
+): Promise<Socket> {
   return new Promise((resolve, reject) => {
-    const socket = new Socket();
     socket.once('error', reject);
     socket.connect({host: '127.0.0.1', port}, () => resolve(socket));
   });
@@ -24,6 +27,7 @@
     caller: Socket;
     server: Socket;
   }) => Promise<void>,
+  callerSocket = new Socket(),
 ): Promise<void> {
   const listeners = [createServer(), createServer()];
   listeners.forEach(listener => listener.listen(0, '127.0.0.1'));
@@ -37,9 +41,9 @@
   const relays = new RelayServer({
     mayRelay: () => true,
     listServers: () => [{ip: '127.0.0.1', port: serverPort}],
-    openDirect: connect,
+    openDirect: address => connect(address),
   });
-  const caller = await connect({port: relayPort});
+  const caller = await connect({port: relayPort}, callerSocket);
   const decision = await relays.open(`127.0.0.1:${serverPort}`);
   if (decision.status === 'open') decision.join((await atRelay!)[0]);
   const [server] = await atServer!;
@@ -73,6 +77,23 @@
   });
 });
 
+// Guards against a server crash that looks like the end of a response because the reset
+// comes in the same poll as the last bytes.
+test('a reset right behind the last bytes reaches the caller as a reset', async () => {
+  for (let plays = 0; plays < 20; plays += 1) {
+    await withRelay(async ({caller, server}) => {
+      caller.resume();
+      const ended = Promise.race([
+        once(caller, 'error').then(() => 'reset'),
+        once(caller, 'end').then(() => 'end'),
+      ]);
+      server.write('HTTP/1.1 200 OK\r\n\r\n');
+      server.resetAndDestroy();
+      assert.is(await ended, 'reset');
+    }, new BackendSocket());
+  }
+});
+
 // Guards against a server that goes on with a request that was given up on.
 test('a reset of the caller reaches the server', async () => {
   await withRelay(async ({relays, caller, server}) => {
