Contain the last of the prompt parts that were lost with the same servers

Cause: while no request with a part was served yet, parts that are lost with the same servers are equals, and the name decided: `0c0` and `0c1` came before `bad0`. Requests are routed to one engine by their shared first part, so sound requests are lost and retried beside the crashing one, with equal evidence. The wrong choice was corrected only by a further crash, and engines that come back get the requests that wait at once, so that up to four crashed together.

Change: a cut tells the place of the part in its prompt, and among equals the last one is contained.

Why it holds: a part that comes last is in the fewest requests. If it is not the cause, the next crash is without it, and the part that was lost there too has more cuts and is chosen. A part that all crashing requests share is never shown to be wrong, since nothing crashes while it is contained.

--- a/packages/contain-requests/src/contained_record.test.ts
+++ b/packages/contain-requests/src/contained_record.test.ts
@@ -12,7 +12,10 @@
   new Map(
     [...names].map((serverLife, atMs) => [
       serverLife,
-      {atMs: 10 * atMs, isTry: serverLife === 'c', recentUses: 4},
+      {
+        ...{atMs: 10 * atMs, isTry: serverLife === 'c'},
+        ...{recentUses: 4, promptIndex: 2},
+      },
     ]),
   );
 const cuts = new Map([
@@ -25,7 +28,8 @@
   assert.equal(
     value && decodeContained(value, 90),
     ['a', 'b', 'c'].map(serverLife => ({
-      ...{kind: 'cut', fingerprint: 'bad', serverLife, recentUses: 4},
+      ...{kind: 'cut', fingerprint: 'bad', serverLife},
+      ...{recentUses: 4, promptIndex: 2},
       ...{isTry: serverLife === 'c', atMs: AT_MS[serverLife]},
     })),
   );
--- a/packages/contain-requests/src/contained_record.ts
+++ b/packages/contain-requests/src/contained_record.ts
@@ -20,6 +20,7 @@
         /** Time from this cut to the last one; the previous release writes none. */
         beforeLastMs: z.number().nonnegative().default(0),
         recentUses: z.number().nonnegative().default(0),
+        promptIndex: z.number().nonnegative().default(0),
       }),
     ),
   }),
@@ -41,8 +42,8 @@
 function listCuts(cuts: CutsByIncarnation) {
   const lastMs = findLastCutMs(cuts);
   return [...cuts]
-    .map(([serverLife, {atMs, isTry, recentUses}]) => ({
-      ...{serverLife, isTry, recentUses},
+    .map(([serverLife, {atMs, ...cut}]) => ({
+      ...{serverLife, ...cut},
       beforeLastMs: Math.round(lastMs - atMs),
     }))
     .sort((a, b) => (a.serverLife < b.serverLife ? -1 : 1));
--- a/packages/contain-requests/src/crash_evidence.test.ts
+++ b/packages/contain-requests/src/crash_evidence.test.ts
@@ -23,7 +23,7 @@
 ): CrashFact {
   return {
     ...{kind: 'cut', fingerprint, serverLife, atMs, isTry},
-    recentUses: 0,
+    ...{recentUses: 0, promptIndex: 0},
   };
 }
 
@@ -48,6 +48,7 @@
     atMs: fc.integer({min: -50, max: 0}),
     isTry: fc.constant(false),
     recentUses: fc.constant(0),
+    promptIndex: fc.constant(0),
   }),
   fc.record({
     kind: fc.constant('served' as const),
--- a/packages/contain-requests/src/crash_evidence.ts
+++ b/packages/contain-requests/src/crash_evidence.ts
@@ -20,13 +20,15 @@
        * the first part of a prompt, which many requests share. 0 for a request.
        */
       recentUses: number;
+      /** The place of the part in its prompt, from 0. 0 for a request. */
+      promptIndex: number;
     }
   /** A server completed a request with the suspect with a success. */
   | {kind: 'served'; fingerprint: Suspect; atMs: number};
 
 export type Cut = Pick<
   Extract<CrashFact, {kind: 'cut'}>,
-  'atMs' | 'isTry' | 'recentUses'
+  'atMs' | 'isTry' | 'recentUses' | 'promptIndex'
 >;
 
 /** The server incarnations that lost their connection under a suspect. */
@@ -113,12 +115,13 @@
   }
 
   private addCut(fact: Extract<CrashFact, {kind: 'cut'}>): boolean {
-    const {fingerprint, serverLife, atMs, isTry, recentUses} = fact;
+    const {fingerprint, serverLife, atMs, isTry} = fact;
+    const {recentUses, promptIndex} = fact;
     if (atMs <= (this.servedAtMs.get(fingerprint) ?? -Infinity)) return false;
     const cuts =
       this.cuts.get(fingerprint) ?? new Map<ServerIncarnation, Cut>();
     if (cuts.has(serverLife) || !this.makeRoomForCut(fact)) return false;
-    cuts.set(serverLife, {atMs, isTry, recentUses});
+    cuts.set(serverLife, {atMs, isTry, recentUses, promptIndex});
     // Moves the suspect to the end, since eviction starts with the first.
     this.cuts.delete(fingerprint);
     this.cuts.set(fingerprint, cuts);
--- a/packages/contain-requests/src/crash_messages.ts
+++ b/packages/contain-requests/src/crash_messages.ts
@@ -12,6 +12,8 @@
     isTry: z.boolean(),
     /** The previous release sends none. */
     recentUses: z.number().nonnegative().default(0),
+    /** The previous release sends none. */
+    promptIndex: z.number().nonnegative().default(0),
   }),
   z.object({
     kind: z.literal('served'),
--- a/packages/contain-requests/src/decide_containment.test.ts
+++ b/packages/contain-requests/src/decide_containment.test.ts
@@ -7,11 +7,19 @@
 const test = suite('decision on containment');
 
 /** Cuts at the servers that the letters name, 200 ms apart in the order of the alphabet. */
-function makeCuts(servers: string, recentUses = 0, gapMs = 200) {
+function makeCuts(
+  servers: string,
+  recentUses = 0,
+  gapMs = 200,
+  promptIndex = 1,
+) {
   return new Map<string, Cut>(
     [...servers].map(life => [
       life,
-      {atMs: gapMs * life.charCodeAt(0), isTry: false, recentUses},
+      {
+        ...{atMs: gapMs * life.charCodeAt(0), isTry: false},
+        ...{recentUses, promptIndex},
+      },
     ]),
   );
 }
@@ -58,6 +66,17 @@
   assert.equal(decide(after), ['part:bad']);
 });
 
+// Guards against refusing all that begins with the same parts for what only follows on them.
+test('among equals the part that comes last in the prompt is contained', () => {
+  const cuts = {
+    'part:a': makeCuts('abc', 0, 200, 1),
+    'part:bad': makeCuts('abc', 0, 200, 2),
+  };
+  assert.equal(decide(cuts), ['part:bad']);
+  const moreWithFirst = {...cuts, 'part:a': makeCuts('abcd', 0, 200, 1)};
+  assert.equal(decide(moreWithFirst), ['part:a']);
+});
+
 test('two parts that crash servers are both contained', () => {
   const cuts = {
     ...{'part:5a': makeCuts('abcdef', 9)},
--- a/packages/contain-requests/src/decide_containment.ts
+++ b/packages/contain-requests/src/decide_containment.ts
@@ -37,6 +37,8 @@
   part: Suspect;
   cuts: CutsByIncarnation;
   recentUses: number;
+  /** The earliest place of the part in the prompts that were lost. */
+  promptIndex: number;
 }
 
 /** Contains each request that lost enough servers, and the fewest parts that explain the rest. */
@@ -48,7 +50,7 @@
   );
   const parts = suspects
     .filter(([suspect]) => isPartSuspect(suspect))
-    .map(([part, cuts]) => ({part, cuts, recentUses: findRecentUses(cuts)}));
+    .map(([part, cuts]) => describePart(part, cuts));
   const explained = new Set<ServerIncarnation>();
   const containedParts = explainCrashes(parts, explained);
   const requests = suspects
@@ -71,9 +73,11 @@
 
 /**
  * A part is contained only for crashes that no part before it explains. Parts that were
- * not served of late come first. Guards against containing what most prompts share, which
- * is lost with each server, or what was only beside the part that crashes servers. Adds the
- * crashes to `explained`.
+ * not served of late come first, and among equals the one that comes last in its prompts: it
+ * is in the fewest requests, and a crash without it would show that it is not the cause,
+ * whereas one that keeps all crashing requests from servers is never shown to be wrong.
+ * Guards against containing what most prompts share, which is lost with each server, or what
+ * was only beside the part that crashes servers. Adds the crashes to `explained`.
  */
 function explainCrashes(
   parts: readonly PartCuts[],
@@ -91,6 +95,7 @@
   return (
     one.recentUses - other.recentUses ||
     other.cuts.size - one.cuts.size ||
+    other.promptIndex - one.promptIndex ||
     (one.part < other.part ? -1 : 1)
   );
 }
@@ -122,6 +127,11 @@
   return crashesMs[CRASHES_TO_CONTAIN - 1] ?? Infinity;
 }
 
-function findRecentUses(cuts: CutsByIncarnation): number {
-  return Math.max(...[...cuts.values()].map(({recentUses}) => recentUses));
+function describePart(part: Suspect, cuts: CutsByIncarnation): PartCuts {
+  const uses = [...cuts.values()];
+  return {
+    ...{part, cuts},
+    recentUses: Math.max(...uses.map(({recentUses}) => recentUses)),
+    promptIndex: Math.min(...uses.map(({promptIndex}) => promptIndex)),
+  };
 }
--- a/packages/contain-requests/src/request_containment.ts
+++ b/packages/contain-requests/src/request_containment.ts
@@ -11,6 +11,7 @@
 import {
   type CrashFact,
   CrashEvidence,
+  type Cut,
   type CutsByIncarnation,
   type ServerIncarnation,
   findLastCutMs,
@@ -118,10 +119,11 @@
     serverLife: ServerIncarnation,
   ): void {
     const cuts = [
-      this.makeCut(fingerprint, serverLife, 0),
-      ...parts.map((part, at) =>
-        this.makeCut(part, serverLife, this.countUses(part, at === 0)),
-      ),
+      this.makeCut(fingerprint, serverLife, {recentUses: 0, promptIndex: 0}),
+      ...parts.map((part, promptIndex) => {
+        const recentUses = this.countUses(part, promptIndex === 0);
+        return this.makeCut(part, serverLife, {recentUses, promptIndex});
+      }),
     ];
     this.mergeFacts(cuts);
   }
@@ -133,11 +135,11 @@
   private makeCut(
     suspect: Suspect,
     serverLife: ServerIncarnation,
-    recentUses: number,
+    use: Pick<Cut, 'recentUses' | 'promptIndex'>,
   ): CrashFact {
     const atMs = this.nowMs();
     return {
-      ...{kind: 'cut', fingerprint: suspect, atMs, recentUses},
+      ...{kind: 'cut', fingerprint: suspect, atMs, ...use},
       serverLife: this.findIncarnation(suspect, serverLife, atMs),
       isTry: this.activeProbes.has(suspect),
     };
