Remember enough crashes of a prompt part to explain those of the parts beside it

Callers saw: requests with sound parts refused as contained until a probe, 30 s after the last crash at the earliest, beside a part that had crashed ten engines. A part that crashed many engines at once was released again.

Cause: of each suspect the newest eight lost servers were kept. A part explains only the crashes whose cuts it still has, so that what it was lost with before seemed unexplained and was contained too. Eight cuts of one moment count as one crash, so that they also released a part that was contained by the three before them.

The new tests, before the change: contained are `part:0d`, `part:0c` and `part:bad`, expected `part:bad`; after twelve crashes at once nothing, expected `part:bad`.

Change: 32 cuts of a part are kept; of a request, which explains no other suspect's crashes, eight as before. The stored record is bounded by the number of cuts, which also keeps it within 256 KiB: 500 suspects with eight cuts each, which it admitted, take 422 KB with long server ids.

Still open: beyond 32 crashes of one part the same comes back.

--- a/packages/contain-requests/src/contained_record.test.ts
+++ b/packages/contain-requests/src/contained_record.test.ts
@@ -5,6 +5,8 @@
 
 const test = suite('record of contained requests');
 
+const MAX_RECORD_BYTES = 262_144;
+
 /** The last cut is dated to 90 ms, when the record is read; the others keep their distance. */
 const AT_MS: Readonly<Record<string, number>> = {b: 70, a: 80, c: 90};
 
@@ -41,6 +43,32 @@
   assert.equal(encodeContained(['bad'], cuts), encodeContained(['bad'], other));
 });
 
+/* Guards against a record that is larger than the store accepts. */
+test('the suspects with the latest cuts are recorded', () => {
+  const names = Array.from({length: 100}, (_, at) => `part:${at}`);
+  const lives = Array.from(
+    {length: 32},
+    (_, at) => `i-server-${at}@1764900000000`,
+  );
+  const many = new Map(
+    names.map(name => [
+      name,
+      new Map(
+        lives.map((serverLife, atMs) => [
+          serverLife,
+          {...{atMs, isTry: false}, ...{recentUses: 0, promptIndex: 1}},
+        ]),
+      ),
+    ]),
+  );
+  const value = encodeContained(names, many);
+  const decoded = value && decodeContained(value, 90);
+  const recorded = [...new Set(decoded?.map(({fingerprint}) => fingerprint))];
+  assert.equal(recorded, names.slice(-46));
+  assert.is(decoded?.length, 46 * lives.length);
+  assert.ok((value?.length ?? 0) <= MAX_RECORD_BYTES, `${value?.length}`);
+});
+
 test('a record with an invalid format decodes to null', () => {
   ['', '{', '[1]', '{"bad":3}', '[{"fingerprint":1,"cuts":[]}]'].forEach(text =>
     assert.is(decodeContained(Buffer.from(text), 0), null, text),
--- a/packages/contain-requests/src/contained_record.ts
+++ b/packages/contain-requests/src/contained_record.ts
@@ -9,6 +9,8 @@
 
 /** Limited by the record size; suspects with the latest cuts are kept. */
 const MAX_RECORDED_SUSPECTS = 500;
+/** Keeps the record within 256 KiB; 500 suspects with the three cuts that contain them fit. */
+const MAX_RECORDED_CUTS = 1_500;
 
 const recordSchema = z.array(
   z.object({
@@ -32,13 +34,28 @@
   cuts: ReadonlyMap<Suspect, CutsByIncarnation>,
 ): Uint8Array | null {
   if (contained.length === 0) return null;
-  const entries = contained.slice(-MAX_RECORDED_SUSPECTS).map(fingerprint => ({
+  const entries = selectRecorded(contained, cuts).map(fingerprint => ({
     fingerprint,
     cuts: listCuts(cuts.get(fingerprint) ?? new Map()),
   }));
   return Buffer.from(JSON.stringify(entries));
 }
 
+function selectRecorded(
+  contained: readonly Suspect[],
+  cuts: ReadonlyMap<Suspect, CutsByIncarnation>,
+): Suspect[] {
+  let cutCount = 0;
+  return contained
+    .slice(-MAX_RECORDED_SUSPECTS)
+    .reverse()
+    .filter(suspect => {
+      cutCount += cuts.get(suspect)?.size ?? 0;
+      return cutCount <= MAX_RECORDED_CUTS;
+    })
+    .reverse();
+}
+
 function listCuts(cuts: CutsByIncarnation) {
   const lastMs = findLastCutMs(cuts);
   return [...cuts]
--- a/packages/contain-requests/src/crash_evidence.ts
+++ b/packages/contain-requests/src/crash_evidence.ts
@@ -1,6 +1,6 @@
 /** Evidence of which requests and prompt parts crash servers, collected from all nodes. */
 import {type Clock} from '@mimosatack/clock';
-import {type Suspect} from '@mimosatack/types';
+import {type Suspect, isPartSuspect} from '@mimosatack/types';
 
 /** Identifies a server process; a restarted server is another incarnation. */
 export type ServerIncarnation = string;
@@ -40,7 +40,12 @@
  */
 const MAX_SUSPECTS = 2_000;
 /** The newest cuts and those of probes are kept. */
-const MAX_CUTS_PER_SUSPECT = 8;
+const MAX_CUTS_PER_REQUEST = 8;
+/**
+ * More than a part makes until all nodes keep it from servers. A part no longer explains a
+ * crash whose cut was evicted, so that parts that only ran beside it seem to be the cause.
+ */
+const MAX_CUTS_PER_PART = 32;
 const FACT_MAX_AGE_MS = 24 * 3_600_000;
 
 interface SequencedFact {
@@ -136,7 +141,10 @@
     atMs,
   }: Extract<CrashFact, {kind: 'cut'}>): boolean {
     const cuts = [...(this.cuts.get(fingerprint) ?? [])];
-    if (cuts.length < MAX_CUTS_PER_SUSPECT) return true;
+    const maxCuts = isPartSuspect(fingerprint)
+      ? MAX_CUTS_PER_PART
+      : MAX_CUTS_PER_REQUEST;
+    if (cuts.length < maxCuts) return true;
     const evictable = cuts.filter(([, {isTry}]) => !isTry);
     const [oldest] = (evictable.length > 0 ? evictable : cuts).sort(
       ([, one], [, other]) => one.atMs - other.atMs,
--- a/packages/contain-requests/src/crashing_parts.test.ts
+++ b/packages/contain-requests/src/crashing_parts.test.ts
@@ -44,4 +44,31 @@
   assert.equal(node.containment.contained, ['part:bad']);
 });
 
+// Guards against containing what was beside a part of which the earlier crashes are forgotten.
+test('a part that crashed ten servers explains the losses of the parts beside it', () => {
+  const node = makeNode();
+  const crashAll = (servers: readonly string[], ...prompts: string[][]) =>
+    servers.forEach(server => {
+      node.crash(server, ...prompts);
+      node.clock.advance(150);
+    });
+  crashAll(['e1', 'e2', 'e3', 'e4', 'e5'], ['0c', CRASHING_PART], ['0d']);
+  crashAll(['e6'], ['0d', CRASHING_PART]);
+  crashAll(['e7', 'e8', 'e9', 'e10'], ['0c', CRASHING_PART]);
+  node.clock.advance(SETTLED_MS);
+  assert.equal(node.containment.contained, ['part:bad']);
+});
+
+// Guards against a release of a part by the crashes that come before all nodes know of it.
+test('a contained part stays contained when many servers crash at once', () => {
+  const {clock, containment, crash} = makeNode();
+  ['e1', 'e2', 'e3'].forEach(server => {
+    crash(server, [CRASHING_PART]);
+    clock.advance(150);
+  });
+  assert.equal(containment.contained, ['part:bad']);
+  Array.from({length: 12}, (_, at) => crash(`f${at}`, [CRASHING_PART]));
+  assert.equal(containment.contained, ['part:bad']);
+});
+
 test.run();
