Keep the cause of a failed connection for messages that wait to connect again

Callers saw: beside a team that floods, small teams' streams came late after the scheduling node was killed, since asks waited for its successor.

Cause: a host counts the scheduling node's process as gone when its address refuses a connection, which it learns from its heartbeat. While requests ask the scheduling node, one of these connects first, is refused, and starts the back-off of up to 2 s. A heartbeat during the back-off failed with "could not be reached a moment ago" and without the refusal as its cause, so that the node counted as alive until 800 ms without a reply, and then as silent, which waits for 1.2 s more. The first-ranked hosts were often among these, so that a host of a later rank claimed, after its stagger.

The new test of the transport, before the change: `Expected value to include "ECONNREFUSED"`.

Change: the error during a back-off names the failed attempt as its cause.

Why it holds: every message to the address then tells what the last attempt found, whichever message made it; a connection that opens clears it.

--- a/packages/peer-transport/src/peer_channel.ts
+++ b/packages/peer-transport/src/peer_channel.ts
@@ -34,6 +34,8 @@
   private isConnecting = false;
   private failureCount = 0;
   private backoffUntilMs = 0;
+  /** Why the last attempt to connect failed; null once there is a connection. */
+  private lastFailure: TypedError | null = null;
 
   constructor(
     private readonly address: string,
@@ -52,7 +54,7 @@
 
   send(frame: OutgoingFrame<M>): void {
     if (!this.hasConnection && this.isBackingOff()) {
-      this.context.onDropped(frame, this.createUnreachableError());
+      this.context.onDropped(frame, this.createBackoffError());
       return;
     }
     this.queue.push(frame);
@@ -66,6 +68,7 @@
     this.link = link;
     this.failureCount = 0;
     this.backoffUntilMs = 0;
+    this.lastFailure = null;
     this.flush();
   }
 
@@ -111,15 +114,17 @@
       const link = await this.context.connect(this.address);
       this.isConnecting = false;
       if (link.isOpen) this.attach(link);
-      else throw this.createUnreachableError();
+      else throw this.createClosedError();
     } catch (thrown) {
       this.isConnecting = false;
-      this.startBackoff();
-      if (!this.hasConnection) this.dropAll(toTypedError(thrown));
+      const error = toTypedError(thrown);
+      this.startBackoff(error);
+      if (!this.hasConnection) this.dropAll(error);
     }
   }
 
-  private startBackoff(): void {
+  private startBackoff(failure: TypedError): void {
+    this.lastFailure = failure;
     const delayMs = FIRST_BACKOFF_MS * 2 ** this.failureCount;
     this.failureCount++;
     this.backoffUntilMs =
@@ -148,10 +153,22 @@
     );
   }
 
-  private createUnreachableError(): TypedError {
+  /**
+   * Names the failed attempt as its cause. Guards against taking a peer that refuses
+   * connections for one that is slow, since messages of others tried to connect before.
+   */
+  private createBackoffError(): TypedError {
     return new TypedError(
       PEER_UNREACHABLE,
       `The peer ${this.address} could not be reached a moment ago.`,
+      this.lastFailure ? {cause: this.lastFailure} : {},
+    );
+  }
+
+  private createClosedError(): TypedError {
+    return new TypedError(
+      PEER_UNREACHABLE,
+      `The connection to ${this.address} closed as soon as it was open.`,
     );
   }
 }
--- a/packages/peer-transport/src/peer_failures.test.ts
+++ b/packages/peer-transport/src/peer_failures.test.ts
@@ -60,6 +60,27 @@
   assert.is(error.run, 'unknown');
 });
 
+// Guards against a peer that counts as silent although it refuses connections, since another
+// message had tried to connect a moment before.
+failures(
+  'names the refused connection also while it waits to connect again',
+  async () => {
+    const a = await startPeer('a');
+    const b = await startPeer('b');
+    await b.transport.stop();
+    const errors = [
+      await catchError(a.transport.request(b.address, {text: 'first'})),
+      await catchError(a.transport.request(b.address, {text: 'second'})),
+    ];
+    assert.is(a.transport.counters.connectFailures, 1);
+    errors.forEach(error => {
+      assert.is(error.kind, PEER_UNREACHABLE);
+      assert.is(error.run, 'not-run');
+      assert.match(error.message, 'ECONNREFUSED');
+    });
+  },
+);
+
 // Guards against a request that waits for its timeout after the peer stopped.
 failures('rejects requests when their connection closes', async () => {
   const a = await startPeer('a');
