Let a successor hear of all running requests before it assigns engines

Callers saw: beside a team that floods, small teams' streams were refused with 503 or served late just after the scheduling node was killed.

Cause: a host that takes over scheduling knows its own requests at once, and those of the others when their next heartbeat has found it, up to 250 ms later and more on a busy host. It decided at once, took the engines for empty but for its own requests, and gave their places to its own waiting ones. The engines rejected what was beyond their places, the retries ran into the bound on retries, and requests of small teams were refused although their shares were free.

Evidence: in five kills the successor assigned 16 to 26 requests to itself within 150 ms, while the first one of another host was assigned after 187 to 943 ms. In 16 kills (load average 13 to 25 on 8 cores) engines rejected 0 to 54 requests within 3 s, in 14 of them any, and in 9 of them 1 to 34 retries were held back; three refused requests of small teams were traced to it. The new tests, before the change: assigned is `a1`, expected nothing.

Change: a successor decides nothing until each registered node has told of its requests, or for 400 ms. A holder that was lost is not awaited; one that handed the duty over is.

Why it holds: what a node tells holds its running requests, with the engine of each, and its waiting ones, so that the first decision counts all places and all teams. 400 ms is a heartbeat and an allowance; after it, as before, a node that is gone holds nobody up. Requests that nodes send by their own choice while there is no holder are still not told.

--- a/packages/schedule-service/src/scheduling_service.test.ts
+++ b/packages/schedule-service/src/scheduling_service.test.ts
@@ -76,7 +76,7 @@
   };
 }
 
-function startHost(orders: EngineOrders, quotas = new FakeQuotas(100)) {
+function makeHost(orders: EngineOrders, quotas = new FakeQuotas(100)) {
   const sent: FromHolderMessage[] = [];
   const clock = new ManualClock();
   const logger = new MemoryEventLogger();
@@ -89,13 +89,71 @@
     send: (_address, message) => sent.push(message),
     onFenced: () => undefined,
   });
+  return {clock, logger, host, quotas, sent};
+}
+
+function startHost(orders: EngineOrders, quotas = new FakeQuotas(100)) {
+  const made = makeHost(orders, quotas);
+  const {host} = made;
   const engine = {...makeEngineEntry('e1'), residents: []};
   const near = {inHostMemory: [], onDisk: ['m0']};
   host.start([makeEngineService()], [{...engine, near}]);
   host.receive('n1', makeAsk('a1', null));
-  return {clock, logger, host, quotas, sent};
+  return made;
 }
 
+/** Starts with a loaded engine, and awaits what `n1` and `n2` have under way. */
+function startSuccessor() {
+  const orders = new FakeOrders();
+  const made = makeHost(orders);
+  const {host} = made;
+  const engine = makeEngineEntry('e1');
+  orders.report = {...REPORT, residents: engine.residents ?? []};
+  host.start([makeEngineService()], [engine], null, ['n1', 'n2']);
+  const tell = (node: string, asks: readonly ToHolderMessage[]) =>
+    host.receive(node, {
+      ...{type: 'under-way', incarnation: null, servers: [], runs: []},
+      asks: asks.flatMap(message =>
+        message.type === 'ask' ? [message.ask] : [],
+      ),
+    });
+  const listAssigned = () =>
+    made.sent.flatMap(message =>
+      message.type === 'assigned' ? [message.askId] : [],
+    );
+  return {...made, tell, listAssigned};
+}
+
+// Guards against giving places that other nodes' requests have to the successor's own ones.
+test('a successor assigns nothing before the other nodes have told of their requests', async () => {
+  const {host, tell, listAssigned} = startSuccessor();
+  tell('n1', [makeAsk('a1', null)]);
+  await flushPendingCallbacks();
+  assert.equal(listAssigned(), []);
+  tell('n2', []);
+  await flushPendingCallbacks();
+  assert.equal(listAssigned(), ['a1']);
+  host.stop();
+});
+
+// Guards against requests that wait for a node that is gone.
+test('a successor waits at most 400 ms for the other nodes', async () => {
+  const {clock, host, tell, listAssigned} = startSuccessor();
+  tell('n1', [makeAsk('a1', null)]);
+  await flushPendingCallbacks();
+  const passTime = async (steps: number) => {
+    for (let step = 0; step < steps; step += 1) {
+      clock.advance(50);
+      await flushPendingCallbacks();
+    }
+  };
+  await passTime(7);
+  assert.equal(listAssigned(), []);
+  await passTime(1);
+  assert.equal(listAssigned(), ['a1']);
+  host.stop();
+});
+
 // Guards against logging a failed order without the engine's reason.
 test('a failed order is logged with its cause', async () => {
   const orders = new FakeOrders();
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -66,6 +66,8 @@
 /** Longer than any lease; the next scheduling node needs no older orders. */
 const ORDER_HISTORY_MS = 60_000;
 const MAX_DECISION_INTERVAL_MS = 250;
+/** Nodes tell a new scheduling node of their requests after a heartbeat, of 250 ms. */
+const MAX_STATE_WAIT_MS = 400;
 /** Wait before the next attempt without a share of a server's limit. */
 const NO_SHARE_WAIT_MS = 250;
 
@@ -88,6 +90,9 @@
   private timer: Timer | null = null;
   private isDecisionScheduled = false;
   private isStopped = false;
+  /** The addresses of nodes whose running requests are not known yet. */
+  private readonly awaitedNodes = new Set<string>();
+  private stateWaitEndsAtMs = -Infinity;
 
   constructor(private readonly options: SchedulingServiceOptions) {
     this.scheduler = new ModelScheduler({
@@ -102,11 +107,20 @@
     });
   }
 
+  /**
+   * Decides nothing until the awaited nodes have told of their requests, or for 400 ms.
+   * Guards against assigning requests to engines that run as many of other nodes.
+   *
+   * @param awaitedNodes addresses of nodes that sent requests before this node held the duty
+   */
   start(
     services: readonly ServiceSpec[],
     servers: readonly BackendServerEntry[],
     teamWeights: TeamWeights = null,
+    awaitedNodes: readonly string[] = [],
   ): void {
+    awaitedNodes.forEach(address => this.awaitedNodes.add(address));
+    this.stateWaitEndsAtMs = this.nowMs() + MAX_STATE_WAIT_MS;
     this.configure(services, teamWeights);
     this.putServers(servers);
   }
@@ -182,6 +196,7 @@
       case 'permit':
         return this.answerPermit(message, nodeAddress);
       case 'under-way':
+        this.awaitedNodes.delete(nodeAddress);
         message.servers.forEach(report => {
           this.options.availability.applyReported(report);
           this.scheduler.recordPause(report, nodeAddress, nowMs);
@@ -285,24 +300,32 @@
 
   private decide(): void {
     const nowMs = this.nowMs();
-    const mayOrder = this.options.authority() !== null;
     this.abandoned.endOverdue(nowMs);
-    this.scheduler
-      .decide(nowMs, mayOrder)
-      .forEach(decision => this.executeDecision(decision));
+    if (!this.isAwaitingNodes(nowMs)) this.assignAndOrder(nowMs);
     this.scheduler
       .listEnginesToQuery(nowMs)
       .forEach(id => void this.readEngineReport(id));
     this.timer?.cancel();
-    const delayMs = Math.min(
-      MAX_DECISION_INTERVAL_MS,
-      this.scheduler.nextDecisionMs(nowMs) - nowMs,
-    );
+    const nextMs = this.isAwaitingNodes(nowMs)
+      ? this.stateWaitEndsAtMs
+      : this.scheduler.nextDecisionMs(nowMs);
+    const delayMs = Math.min(MAX_DECISION_INTERVAL_MS, nextMs - nowMs);
     this.timer = this.options.clock.setTimer(delayMs, () =>
       this.scheduleDecision(),
     );
   }
 
+  private isAwaitingNodes(nowMs: number): boolean {
+    return this.awaitedNodes.size > 0 && nowMs < this.stateWaitEndsAtMs;
+  }
+
+  private assignAndOrder(nowMs: number): void {
+    const mayOrder = this.options.authority() !== null;
+    this.scheduler
+      .decide(nowMs, mayOrder)
+      .forEach(decision => this.executeDecision(decision));
+  }
+
   private executeDecision(decision: Decision): void {
     if (decision.kind === 'order') {
       void this.sendOrder(decision.order);
--- a/packages/serving-node/src/scheduling_duty.test.ts
+++ b/packages/serving-node/src/scheduling_duty.test.ts
@@ -99,6 +99,7 @@
     listServers: () => [
       report ? {...makeEngineEntry('e1'), ...NEAR_ONLY} : makeEngineEntry('e1'),
     ],
+    listNodes: () => [],
     onHolder: () => undefined,
   });
   duty.start();
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -8,7 +8,7 @@
   type LastOrders,
 } from '@mimosatack/hold-duty';
 import {type EventLogger} from '@mimosatack/logger';
-import {type Successor} from '@mimosatack/node-links';
+import {type RegisteredNode, type Successor} from '@mimosatack/node-links';
 import {BatchWorthPolicy} from '@mimosatack/schedule-models';
 import {
   type EngineOrderAge,
@@ -72,6 +72,8 @@
   listServices: () => readonly ServiceSpec[];
   findTeamWeights: () => TeamWeights;
   listServers: () => readonly BackendServerEntry[];
+  /** All registered nodes, this one included. */
+  listNodes: () => ReadonlyArray<Pick<RegisteredNode, 'peerAddress'>>;
   /** Called when the holder of the scheduling duty has changed. */
   onHolder: (holder: DutyHolder | null, isSelf: boolean) => void;
 }
@@ -87,6 +89,8 @@
   private isHandingOver = false;
   /** The handover in progress, which further calls join. */
   private handover: Promise<void> | null = null;
+  /** The address of the last holder; empty before the first one. */
+  private lastHolderAddress = '';
   /** Stays set even if the handover fails. */
   private hasStoppedOrdering = false;
 
@@ -263,7 +267,8 @@
     });
     if (isSelf && this.scheduler) return;
     this.stopScheduler();
-    if (isSelf) this.scheduler = this.startScheduler();
+    if (isSelf) this.scheduler = this.startScheduler(this.listAwaited(holder));
+    this.lastHolderAddress = holder?.address ?? '';
     this.options.onHolder(holder, isSelf);
   }
 
@@ -274,7 +279,16 @@
     return Math.max(0, Math.round(untilMs - nowMs));
   }
 
-  private startScheduler(): SchedulingService {
+  /** The nodes that will tell of their requests: a holder that was lost won't. */
+  private listAwaited(holder: DutyHolder | null): readonly string[] {
+    const isHandedOver = holder?.handedOverBy !== undefined;
+    return this.options
+      .listNodes()
+      .map(({peerAddress}) => peerAddress)
+      .filter(address => isHandedOver || address !== this.lastHolderAddress);
+  }
+
+  private startScheduler(awaitedNodes: readonly string[]): SchedulingService {
     const {clock, logger, orders, quotas, send, listServices, listServers} =
       this.options;
     const {availability} = this.options;
@@ -298,6 +312,7 @@
       listServices(),
       listServers(),
       this.options.findTeamWeights(),
+      awaitedNodes,
     );
     this.placing = new PlacingService({...this.options, limiter});
     this.placing.start(
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -360,6 +360,7 @@
       listServices: () => this.configuration.configuration?.services ?? [],
       findTeamWeights: () => this.teamWeights.find(),
       listServers: () => this.servers.list(),
+      listNodes: () => this.register.list(),
       onHolder: (holder, isSelf) => {
         if (!isSelf) return;
         this.chooser.setCoordinated(this.duty.listCoordinated());
