--- a/packages/backend-connections/src/exchange_ends.test.ts
+++ b/packages/backend-connections/src/exchange_ends.test.ts
@@ -30,6 +30,7 @@
 
 const BODY_BYTES = 8 * 1024 * 1024;
 const SETTLE_MS = 30;
+const END_TIMEOUT_MS = 2_000;
 
 function makeHead(framing: Framing): string {
   const headers = {
@@ -106,6 +107,7 @@
   // What the receiver still does once the exchange has ended must be harmless.
   hasResumed = true;
   handle.resume();
+  if (ender !== 'caller') await waitForEnd(ends);
   await pause();
   handle.abort();
   await pause();
@@ -116,6 +118,12 @@
   return {ends, uncaught};
 }
 
+/** A busy machine may take longer than a pause. */
+async function waitForEnd(ends: readonly string[]): Promise<void> {
+  const timeoutAtMs = Date.now() + END_TIMEOUT_MS;
+  while (ends.length === 0 && Date.now() < timeoutAtMs) await pause();
+}
+
 function pause(): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, SETTLE_MS));
 }
