--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -50,6 +50,7 @@
 import {makeTeamTasks} from './team_tasks.js';
 import {TeamWeightsReader} from './team_weights.js';
 import {CLOSE_MARGIN_MS, KEEP_LISTENING_MS} from './stop_times.js';
+import {viewHosts} from './view_hosts.js';
 
 const MAINTENANCE_INTERVAL_MS = 1_000;
 
@@ -458,12 +459,7 @@
     return new SharedLimits({
       ...this.options,
       incarnation: this.self.incarnation,
-      viewHosts: () => ({
-        count: this.register.list().length,
-        isConfirmed:
-          this.register.isRegistered &&
-          this.links.viaHolder.isNodeListConfirmed,
-      }),
+      viewHosts: () => viewHosts(this.register, this.links),
     });
   }
 
