--- a/packages/backend-connections/src/backend_call.ts
+++ b/packages/backend-connections/src/backend_call.ts
@@ -36,7 +36,10 @@
 
 /** Tells the response to a call from copies of other responses. */
 export interface ResponseIdentity {
-  /** Whether responses to the call bear its id; else it gets a connection without such calls. */
+  /**
+   * Whether responses to the call bear its id. A call without an id gets a connection that has
+   * carried no other call without one.
+   */
   readonly isNamed: boolean;
   classify(head: AnswerHead): ResponseOrigin;
 }
