Open the connection before a request whose reply never comes is timed

Its 50 ms included the opening of the connection; a request that times out before its connection is open is rejected as not run, which is right, while the test expects unknown.

--- a/packages/peer-transport/src/peer_failures.test.ts
+++ b/packages/peer-transport/src/peer_failures.test.ts
@@ -52,7 +52,12 @@
 // Guards against a request that waits forever for a peer that never replies.
 failures('rejects a request without a reply after its timeout', async () => {
   const a = await startPeer('a');
-  const b = await startPeer('b', {onMessage: () => new Promise(() => {})});
+  const b = await startPeer('b', {
+    onMessage: (_from, {text}) =>
+      text === 'connect' ? {text: 'connected'} : new Promise(() => {}),
+  });
+  // A request that times out while the connection is opened is known not to have run.
+  await a.transport.request(b.address, {text: 'connect'});
   const error = await catchError(
     a.transport.request(b.address, {text: 'hello'}, 50),
   );
@@ -60,6 +65,20 @@
   assert.is(error.run, 'unknown');
 });
 
+// Guards against a request that counts as run though its connection was not open in time.
+failures(
+  'a request that times out before its connection opens has not run',
+  async () => {
+    const a = await startPeer('a');
+    const b = await startPeer('b', {onMessage: () => new Promise(() => {})});
+    const error = await catchError(
+      a.transport.request(b.address, {text: 'hello'}, 0),
+    );
+    assert.is(error.kind, PEER_UNREACHABLE);
+    assert.is(error.run, 'not-run');
+  },
+);
+
 // Guards against a peer that counts as silent although it refuses connections, since another
 // message had tried to connect a moment before.
 failures(
