Count the loss of a relaying host against no server

Attempts that broke since the relaying host was lost counted as failures of the servers, which then got less work from this host though they ran on. They are neutral now, as attempts that this host gave up. relay_loss.test fails without the change ('failed' where 'neutral' is expected); serve-requests 70 of 70 with it.

--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -57,6 +57,8 @@
       return outcome.reason;
     case 'aborted':
       return 'neutral';
+    case 'broken':
+      return isRelayLost(outcome.error) ? 'neutral' : 'failed';
     default:
       return 'failed';
   }
--- a/packages/serve-requests/src/relay_loss.test.ts
+++ b/packages/serve-requests/src/relay_loss.test.ts
@@ -7,7 +7,12 @@
 import {TypedError} from '@mimosatack/errors';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {Attempt, type AttemptOptions, type AttemptOutcome} from './attempt.js';
+import {
+  Attempt,
+  type AttemptOptions,
+  type AttemptOutcome,
+  toAttemptResult,
+} from './attempt.js';
 import {makeRequest, makeServer} from './test_fixtures.js';
 
 const test = suite('attempts over a relaying host');
@@ -47,4 +52,10 @@
   assert.ok(isConnectionLost(await breakAttempt()));
 });
 
+// Guards against servers that get less work since the hosts that relayed to them were lost.
+test('the loss of a relaying host is no failure of the server', async () => {
+  assert.is(toAttemptResult(await breakAttempt(RELAY_LOST)), 'neutral');
+  assert.is(toAttemptResult(await breakAttempt()), 'failed');
+});
+
 test.run();
