Reset the connection of an HTTP/1.0 response that is cut off

A caller that speaks HTTP/1.0 gets a response of unknown length without chunks, ended by its connection. When such a response was cut off, the caller got a part of it and then an orderly end, so it took the part for the whole.

Cause: Node's HTTP server and response end a connection with destroy(), which sends a FIN when nothing is unread. That holds for sink.abort() of a broken response or a fault, for cutOff() under memory pressure, for closeAllConnections() at the end of the grace time, and for the end() that Node answers to a caller that sends no more.

Change: reset_when_cut.ts turns a destroy of a connection with an unfinished HTTP/1.0 response into a reset, and resets one whose caller has ended before the response was ended.

Why it holds: all the ways above go through the destroy of that one socket. A response that is finished, or whose end is queued behind its bytes, still ends with a FIN. HTTP/1.1 is left as it was, so its callers keep unread bytes.

Not covered: a host that is killed; its kernel sends a FIN, and HTTP/1.0 without a length cannot tell it from an end.

--- a/packages/caller-edge/src/caller_edge.ts
+++ b/packages/caller-edge/src/caller_edge.ts
@@ -26,6 +26,7 @@
   makeBodyTooLargeError,
   readBody,
 } from './read_body.js';
+import {resetWhenCut} from './reset_when_cut.js';
 
 export interface CallerEdgeOptions {
   clock: Clock;
@@ -131,6 +132,7 @@
     const {clock, dialect, gate} = this.options;
     const work = gate.inFlight.begin(`${incoming.method} ${incoming.url}`);
     closeWithConnection(incoming, response);
+    resetWhenCut(incoming, response);
     const {socket} = incoming;
     this.countPending(socket, 1);
     response.once('close', () => this.countPending(socket, -1));
