Take a reset over TLS for a failure, not for the end of a response

A caller of a service over HTTPS got a part of a response without a length as a success when its server crashed and reset the connection.

Cause: the HTTP client takes an error with the code ECONNRESET for the end of such a response. BackendSocket renames the code for plain connections; own_connection.ts opens TLS connections with tls.connect, whose sockets kept it.

Why it holds: the listener is added before the client gets the socket, so that the client's own listener sees the new code.

Not covered: a FIN without a TLS close notification, which Node does not tell from an end.

--- a/packages/dispatch-requests/src/own_connection.test.ts
+++ b/packages/dispatch-requests/src/own_connection.test.ts
@@ -1,6 +1,8 @@
 import {once} from 'node:events';
 import {type AddressInfo, type Socket, createServer} from 'node:net';
+import {createServer as createTlsServer} from 'node:tls';
 import {type RunOutcome, TypedError} from '@mimosatack/errors';
+import {generate} from 'selfsigned';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {BackendPools, exchangeOnce} from './index.js';
@@ -134,6 +136,37 @@
   ),
 );
 
+// Guards against the same over TLS, where the HTTP client gets another kind of socket.
+[0, RESET_DELAY_MS].forEach(delayMs =>
+  [9, 300_000].forEach(bytes =>
+    test(`a reset over TLS ${delayMs} ms behind ${bytes} bytes without a length is unknown`, async () => {
+      const {cert, private: key} = await generate([
+        {name: 'commonName', value: 'h'},
+      ]);
+      const raw: Socket[] = [];
+      const server = createTlsServer({cert, key}, socket => {
+        socket.on('error', () => undefined);
+        socket.once('data', () =>
+          socket.write(UNFRAMED_HEAD + 'x'.repeat(bytes), () =>
+            setTimeout(() => raw[0]?.resetAndDestroy(), delayMs),
+          ),
+        );
+      });
+      server.on('connection', (socket: Socket) => raw.push(socket));
+      server.listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      const {port} = server.address() as AddressInfo;
+      process.env['NODE_TLS_REJECT_UNAUTHORIZED'] = '0';
+      const run = await send(`https://127.0.0.1:${port}`, {
+        ...{maxAnswerBytes: 1_000_000, body: Buffer.from('body')},
+      });
+      delete process.env['NODE_TLS_REJECT_UNAUTHORIZED'];
+      server.close();
+      assert.is(run, 'unknown');
+    }),
+  ),
+);
+
 test('a response without a length is complete once its connection ends', async () => {
   const {server, baseUrl} = await createServerThat((socket, bytesRead) => {
     if (bytesRead >= BODY.length) socket.end(`${UNFRAMED_HEAD}the body`);
--- a/packages/dispatch-requests/src/own_connection.ts
+++ b/packages/dispatch-requests/src/own_connection.ts
@@ -128,11 +128,13 @@
 function beginConnecting(url: URL): Socket {
   const host = url.hostname;
   if (url.protocol === 'https:') {
-    return connectTls({
+    const socket = connectTls({
       host,
       port: Number(url.port || HTTPS_PORT),
       servername: isIP(host) === 0 ? host : undefined,
     });
+    socket.on('error', renameReset);
+    return socket;
   }
   return new BackendSocket().connect({
     host,
@@ -140,6 +142,14 @@
   });
 }
 
+/**
+ * The HTTP client takes an error with the code of a reset for the end of a response without
+ * a length. A `BackendSocket` renames it itself.
+ */
+function renameReset(error: NodeJS.ErrnoException): void {
+  if (error.code === 'ECONNRESET') error.code = 'ECONNABORTED';
+}
+
 function isTls(socket: Socket): boolean {
   return socket instanceof TLSSocket;
 }
