Drop the length of a stream that may go on at another server

A caller of a resumable stream got a response that ended in the middle of an event and looked complete.

Cause: the head of the first server, with its Content-Length, was passed on. When the stream broke and went on at another server, the events of that server were counted against the first one's length; what was beyond it also went onto the connection behind the response.

Evidence: continued_lengths.test.js before the change: the caller's response, complete for Node's client, ended with "data: in " (Actual), "data: in other words" and an empty line (Expected).

Change: AnswerRelay passes a resumable stream on without Content-Length, so that it goes out in chunks.

Why it holds: begin() is the only place that writes a head of a response, and only these responses continue after they have begun (canResume). Other responses keep their lengths.

--- a/packages/serve-requests/src/answer_relay.ts
+++ b/packages/serve-requests/src/answer_relay.ts
@@ -101,6 +101,10 @@
     );
   }
 
+  private get mayGoOnElsewhere(): boolean {
+    return this.isEventStream && this.options.isResumable;
+  }
+
   private writeEvents(chunk: Uint8Array): boolean | TypedError {
     const completeEvents = this.boundary.push(chunk);
     if (this.boundary.isOutOfOrder) return makeOutOfOrderError();
@@ -129,10 +133,18 @@
     const {sink, onBegin} = this.options;
     if (sink.hasBegun || !this.head) return;
     onBegin();
-    sink.begin(this.head.status, this.head.headers);
+    const {status, headers} = this.head;
+    sink.begin(status, this.mayGoOnElsewhere ? dropLength(headers) : headers);
   }
 }
 
+/** The events of another server may be of another length. */
+function dropLength(headers: readonly string[]): string[] {
+  return headers.filter(
+    (_, at) => headers[at - (at % 2)]?.toLowerCase() !== 'content-length',
+  );
+}
+
 function makeOutOfOrderError(): TypedError {
   return new TypedError(
     'backend-failed',
