Outlive a server that ends its connection while its response is paused

What callers saw: all requests of a host broke, as its process ended.

Cause: the receiver of a response pauses while its caller is slow. Where the server then ended the connection behind its last bytes, without a length or with 'Connection: close', the HTTP client asserted that its parser was not paused; nobody catches that.

Change: the exchange resumes right before the client handles the end, and ignores the empty chunk that the client passes on then. Why it holds: an end is reported after all bytes were read, so that none is left to hold up.

--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -57,7 +57,8 @@
   private isClosed = false;
   private hasAmbiguousResponse = false;
   private hasCarriedUnnamed = false;
-  private isBusy = false;
+  /** The call that is under way. */
+  private exchange: Exchange | null = null;
   /** Whether the host that relays is about to stop. */
   private isRetiring = false;
   private callCount = 0;
@@ -72,6 +73,9 @@
     this.idleSinceMs = options.clock.monotonicMs();
     this.client = makeSingleUseClient(options.address, socket);
     socket.once('close', () => this.markClosed());
+    // Guards against an assertion of the HTTP client, which ends the process, where the end
+    // comes while its parser is paused. No bytes are left to pass on by then.
+    socket.prependOnceListener('end', () => this.exchange?.resume());
     socket.once('retire', () => this.retire());
   }
 
@@ -107,7 +111,7 @@
       onDone: () => this.release(),
     });
     this.callCount += 1;
-    this.isBusy = true;
+    this.exchange = exchange;
     this.client.dispatch(
       {
         path: call.path,
@@ -130,11 +134,11 @@
   /** A call that is under way ends as usual. */
   private retire(): void {
     this.isRetiring = true;
-    if (!this.isBusy) this.close();
+    if (!this.exchange) this.close();
   }
 
   private release(): void {
-    this.isBusy = false;
+    this.exchange = null;
     const nowMs = this.options.clock.monotonicMs();
     this.idleSinceMs = nowMs;
     this.expiresAtMs = nowMs + this.keepAliveMs - EXPIRY_MARGIN_MS;
@@ -244,7 +248,8 @@
   }
 
   onData(chunk: Buffer): boolean {
-    if (this.isAborted) return true;
+    // The HTTP client passes on an empty chunk when it resumes.
+    if (this.isAborted || chunk.length === 0) return true;
     this.isPaused = !this.receiver.onData(chunk);
     return !this.isPaused;
   }
--- a/packages/backend-connections/src/exchange_ends.test.ts
+++ b/packages/backend-connections/src/exchange_ends.test.ts
@@ -22,7 +22,14 @@
 type Framing = (typeof FRAMINGS)[number];
 
 /** How far the response has come when the exchange ends. */
-const MOMENTS = ['before-head', 'after-head', 'in-body', 'paused'] as const;
+const MOMENTS = [
+  'before-head',
+  'after-head',
+  'in-body',
+  'paused',
+  /** The receiver has paused, and no more has come. */
+  'paused-at-the-last',
+] as const;
 type Moment = (typeof MOMENTS)[number];
 
 const ENDERS = ['caller', 'shutdown', 'server-close', 'server-reset'] as const;
@@ -51,7 +58,9 @@
 function writeUpTo(socket: Socket, framing: Framing, moment: Moment): void {
   if (moment === 'before-head') return;
   socket.write(makeHead(framing));
-  if (moment === 'in-body') socket.write(makePart(framing, 100));
+  if (moment === 'in-body' || moment === 'paused-at-the-last') {
+    socket.write(makePart(framing, 100));
+  }
   if (moment === 'paused') socket.write(makePart(framing, BODY_BYTES / 2));
 }
 
@@ -93,7 +102,7 @@
     },
     {
       onHead: () => undefined,
-      onData: () => moment !== 'paused' || hasResumed,
+      onData: () => !moment.startsWith('paused') || hasResumed,
       onEnd: () => ends.push('end'),
       onFailure: () => ends.push('failure'),
     },
