Close the gaps in the planned stop of a relaying host, and keep bytes before a reset

Found by review, each shown by a run on the code before: - A relay that was being opened when the stop began was never asked to retire, and the stop waited for its idle connection. It is refused now. - A retire frame that came before the connection was in use was lost. The socket keeps it. - The stop waited for the server's end of a relay only; the last bytes for a host that reads slowly were cut. It waits until the other host's connection has closed, within the grace time, and such relays count towards the limit. - A reset that the relaying host states discarded bytes that a paused reader had not taken (5 of 20,005 arrived). It follows them now. - relay-ended named the server, or a reset, where the other host had closed first.

The loops of relay_server.test are bounded, so that they fail by name.

--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -15,6 +15,7 @@
   type CallHandle,
   type ResponseIdentity,
 } from './backend_call.js';
+import {type DialedSocket} from './connection_dialer.js';
 import {createForeignResponseError} from './foreign_response.js';
 import {RELAY_LOST, isRelayLostCause} from './relay_loss.js';
 
@@ -59,15 +60,16 @@
   private hasCarriedUnnamed = false;
   /** The call that is under way. */
   private exchange: Exchange | null = null;
-  /** Whether the host that relays is about to stop. */
-  private isRetiring = false;
+  /** Whether the host that relays is about to stop; the connection carries one call at most. */
+  isRetiring: boolean;
   private callCount = 0;
   private readonly carried = new WeakSet<ResponseIdentity>();
 
   constructor(
     private readonly options: ConnectionOptions,
-    private readonly socket: Socket,
+    private readonly socket: DialedSocket['socket'],
   ) {
+    this.isRetiring = socket.isRetiring ?? false;
     this.key = formatAddress(options.address);
     this.keepAliveMs = options.idleLimitMs;
     this.idleSinceMs = options.clock.monotonicMs();
@@ -145,8 +147,7 @@
     // The HTTP client closes a connection that is not reusable only after
     // `onComplete` has returned.
     setImmediate(() => {
-      const isReusable =
-        this.isUsable && !this.hasAmbiguousResponse && !this.isRetiring;
+      const isReusable = this.isUsable && !this.hasAmbiguousResponse;
       if (isReusable && this.expiresAtMs > nowMs) {
         this.options.listener.onIdle(this);
       } else {
--- a/packages/backend-connections/src/backend_connections.ts
+++ b/packages/backend-connections/src/backend_connections.ts
@@ -149,7 +149,7 @@
   }
 
   private addIdle(connection: BackendConnection): void {
-    if (this.isStopped) return connection.close();
+    if (this.isStopped || connection.isRetiring) return connection.close();
     const key = connection.key;
     const idle = this.idleByAddress.get(key);
     if (idle) idle.push(connection);
--- a/packages/backend-connections/src/connection_dialer.ts
+++ b/packages/backend-connections/src/connection_dialer.ts
@@ -11,7 +11,8 @@
 }
 
 export interface DialedSocket {
-  socket: Socket;
+  /** `isRetiring`: the host that relays is about to stop; a `retire` event says so later. */
+  socket: Socket & {readonly isRetiring?: boolean};
   /** Address of the host that passes the bytes on; null for a direct connection. */
   relayedBy: string | null;
 }
--- a/packages/relay-connections/src/relay.ts
+++ b/packages/relay-connections/src/relay.ts
@@ -30,10 +30,12 @@
     const {server} = this;
     // The requester may have left while the connection to the server was opened.
     if (requester.destroyed) {
+      this.end ??= 'requester';
       server.destroy();
       return;
     }
     requester.setNoDelay(true);
+    requester.once('end', () => (this.end ??= 'requester'));
     requester.pipe(server);
     onBroken(requester, () => this.abort());
     if (isFramed) this.passOnFramed(requester);
--- a/packages/relay-connections/src/relay_server.test.ts
+++ b/packages/relay-connections/src/relay_server.test.ts
@@ -20,6 +20,9 @@
 const CLOCK = new SystemClock();
 const work = {end: () => undefined};
 const OTHER_PORT = 9;
+const WAIT_MS = 3_000;
+/** More than the sockets between the hosts hold. */
+const LARGE_BYTES = 16_000_000;
 /** Time for bytes to pass the relay. */
 const PASS_MS = 20;
 
@@ -89,8 +92,14 @@
   }
 }
 
-async function waitForEnd(ended: readonly EndedRelay[]): Promise<void> {
-  while (ended.length === 0) await sleep(CLOCK, 1);
+async function waitUntil(holds: () => boolean): Promise<void> {
+  const untilMs = CLOCK.monotonicMs() + WAIT_MS;
+  while (!holds() && CLOCK.monotonicMs() < untilMs) await sleep(CLOCK, 1);
+  assert.ok(holds(), String(holds));
+}
+
+function waitForEnd(ended: readonly EndedRelay[]): Promise<void> {
+  return waitUntil(() => ended.length > 0);
 }
 
 test('bytes pass both ways, and an end is passed on as an end', async () => {
@@ -145,7 +154,7 @@
     caller.resetAndDestroy();
     const [cause] = (await failed) as [NodeJS.ErrnoException];
     assert.is(cause.code, 'ECONNRESET');
-    assert.is(relays.openRelays, 0);
+    await waitUntil(() => relays.openRelays === 0);
     assert.is(ended[0]?.endedBy, 'requester');
   });
 });
@@ -232,29 +241,36 @@
   assert.is(await collectUnframed(({server}) => server.end(), true), BODY);
 });
 
+function makeConnections(socket: Socket): BackendConnections {
+  const connections = new BackendConnections({
+    ...{clock: CLOCK, idleLimitMs: 5_000},
+  });
+  connections.useDialer({
+    connect: () => Promise.resolve({socket, relayedBy: 'relay'}),
+  });
+  return connections;
+}
+
+const WHOLE = `${WHOLE_HEAD}Content-Length: ${BODY.length}\r\n\r\n${BODY}`;
+
+function send(connections: BackendConnections) {
+  return collectAnswer(connections, CALL, {timeoutMs: 1_000}, CLOCK);
+}
+
 // Guards against a planned stop of a relaying host that cuts responses of other hosts, and one
 // that waits for connections that no call uses.
 test('a relaying host that stops waits for calls and not for idle connections', () =>
   withRelay(
     async ({relays, caller, server, countWork}) => {
-      const connections = new BackendConnections({
-        ...{clock: CLOCK, idleLimitMs: 5_000},
-      });
-      connections.useDialer({
-        connect: () => Promise.resolve({socket: caller, relayedBy: 'relay'}),
-      });
-      const send = () =>
-        collectAnswer(connections, CALL, {timeoutMs: 1_000}, CLOCK);
-      const first = send();
+      const connections = makeConnections(caller);
+      const first = send(connections);
       await once(server, 'data');
       relays.retireAll();
       await sleep(CLOCK, PASS_MS);
       assert.is(countWork(), 1);
-      server.write(
-        `${WHOLE_HEAD}Content-Length: ${BODY.length}\r\n\r\n${BODY}`,
-      );
+      server.write(WHOLE);
       assert.is(String((await first).body), BODY);
-      while (countWork() > 0) await sleep(CLOCK, 1);
+      await waitUntil(() => countWork() === 0);
       connections.stop();
     },
     new RelayedSocket(),
@@ -264,29 +280,99 @@
 // Guards against a stop that waits until the other host closes a connection that it keeps.
 test('an idle connection is closed once its relaying host is about to stop', () =>
   withRelay(
-    async ({relays, caller, server, countWork}) => {
-      const connections = new BackendConnections({
-        ...{clock: CLOCK, idleLimitMs: 5_000},
-      });
-      connections.useDialer({
-        connect: () => Promise.resolve({socket: caller, relayedBy: 'relay'}),
-      });
-      const first = collectAnswer(connections, CALL, {timeoutMs: 1_000}, CLOCK);
+    async ({relays, ended, caller, server, countWork}) => {
+      const connections = makeConnections(caller);
+      const first = send(connections);
       await once(server, 'data');
-      server.write(
-        `${WHOLE_HEAD}Content-Length: ${BODY.length}\r\n\r\n${BODY}`,
-      );
+      server.write(WHOLE);
       await first;
       await sleep(CLOCK, PASS_MS);
       assert.is(countWork(), 1);
       relays.retireAll();
-      while (countWork() > 0) await sleep(CLOCK, 1);
+      await waitUntil(() => countWork() === 0);
+      assert.is(ended[0]?.endedBy, 'requester');
+      connections.stop();
+    },
+    new RelayedSocket(),
+    true,
+  ));
+
+// Guards against a stop that waits for a connection which was asked for before it began.
+test('a connection that is told to retire as it opens carries one call', () =>
+  withRelay(
+    async ({relays, caller, server, countWork}) => {
+      relays.retireAll();
+      await sleep(CLOCK, PASS_MS);
+      caller.read(0);
+      await waitUntil(() => (caller as RelayedSocket).isRetiring);
+      const connections = makeConnections(caller);
+      const first = send(connections);
+      await once(server, 'data');
+      server.write(WHOLE);
+      await first;
+      await waitUntil(() => countWork() === 0);
       connections.stop();
     },
     new RelayedSocket(),
     true,
   ));
 
+// Guards against a stop that cuts the last bytes of a response from a host that reads slowly.
+test('a relaying host that stops waits until the other host has read all', () =>
+  withRelay(
+    async ({server, caller, atRelay, countWork}) => {
+      const received: Buffer[] = [];
+      server.end(Buffer.alloc(LARGE_BYTES));
+      await sleep(CLOCK, PASS_MS);
+      assert.is(countWork(), 1);
+      assert.not(atRelay.closed);
+      caller.on('data', chunk => received.push(chunk));
+      await once(caller, 'end');
+      assert.is(Buffer.concat(received).length, LARGE_BYTES);
+      await waitUntil(() => countWork() === 0);
+    },
+    new RelayedSocket(),
+    true,
+  ));
+
+// Guards against bytes that a reset behind them discards at a host that reads slowly.
+test('a reset is passed on behind the bytes before it', () =>
+  withRelay(
+    async ({server, caller}) => {
+      let bytes = 0;
+      server.write(BODY);
+      await sleep(CLOCK, PASS_MS);
+      server.resetAndDestroy();
+      await sleep(CLOCK, PASS_MS);
+      const failed = once(caller, 'error');
+      caller.on('data', chunk => (bytes += (chunk as Buffer).length));
+      await failed;
+      assert.is(bytes, BODY.length);
+    },
+    new RelayedSocket(),
+    true,
+  ));
+
+// Guards against a stop that waits for a connection which was opened as it began.
+test('a host that begins to stop while it reaches the server does not relay', async () => {
+  let mayRelay = true;
+  const server = new Socket();
+  const relays = new RelayServer({
+    ...{clock: CLOCK, onEnded: () => undefined, beginWork: () => work},
+    mayRelay: () => mayRelay,
+    listServers: () => [{ip: '127.0.0.1', port: OTHER_PORT}],
+    openDirect: () => {
+      mayRelay = false;
+      return Promise.resolve(server);
+    },
+  });
+  assert.equal(await relays.open(`127.0.0.1:${OTHER_PORT}`), {
+    ...{status: 'refused', reason: 'unavailable'},
+  });
+  assert.ok(server.destroyed);
+  assert.is(relays.openRelays, 0);
+});
+
 // Guards against a connection to a server that is kept for a host that has left.
 test('a caller that left before the server was reached keeps nothing open', async () => {
   const server = new Socket();
@@ -298,8 +384,7 @@
   });
   const decision = await relays.open(`127.0.0.1:${OTHER_PORT}`);
   if (decision.status === 'open') decision.join(new Socket().destroy(), true);
-  await once(server, 'close');
-  assert.is(relays.openRelays, 0);
+  await waitUntil(() => relays.openRelays === 0);
 });
 
 // Guards against a way through a node to other processes than servers.
--- a/packages/relay-connections/src/relay_server.ts
+++ b/packages/relay-connections/src/relay_server.ts
@@ -59,12 +59,18 @@
     this.relayCount += 1;
     try {
       const server = await openDirect(address, CONNECT_TIMEOUT_MS);
+      // The stop of this host may have begun meanwhile.
+      if (!mayRelay()) {
+        server.destroy();
+        this.relayCount -= 1;
+        return {status: 'refused', reason: 'unavailable'};
+      }
       const relay = this.begin(server, target);
       return {
         status: 'open',
         join: (requester, isFramed) => {
           relay.join(requester, isFramed);
-          if (isFramed) this.keepUpFor(server);
+          void this.keepUpFor([server, requester], isFramed);
         },
       };
     } catch {
@@ -81,10 +87,15 @@
     this.relays.forEach(relay => relay.retire());
   }
 
-  private keepUpFor(server: Socket): void {
-    if (server.destroyed) return;
-    const work = this.options.beginWork();
-    server.once('close', () => work.end());
+  /** The other host may read the last bytes long after the server has sent them. */
+  private async keepUpFor(
+    sockets: readonly Socket[],
+    isFramed: boolean,
+  ): Promise<void> {
+    const work = isFramed ? this.options.beginWork() : null;
+    await Promise.all(sockets.map(whenClosed));
+    this.relayCount -= 1;
+    work?.end();
   }
 
   private begin(server: Socket, backendServer: string): Relay {
@@ -93,7 +104,6 @@
     const relay = new Relay(server);
     this.relays.add(relay);
     server.once('close', () => {
-      this.relayCount -= 1;
       this.relays.delete(relay);
       onEnded({
         ...{backendServer, endedBy: relay.endedBy, bytes: server.bytesRead},
@@ -103,3 +113,10 @@
     return relay;
   }
 }
+
+function whenClosed(socket: Socket): Promise<void> {
+  return new Promise(resolve => {
+    if (socket.closed) resolve();
+    else socket.once('close', () => resolve());
+  });
+}
--- a/packages/relay-connections/src/relayed_socket.ts
+++ b/packages/relay-connections/src/relayed_socket.ts
@@ -16,12 +16,14 @@
  * Ends only by the relaying host's statement that the server has ended. Guards against a
  * response without a length that looks complete because the relaying host was lost.
  *
- * Emits `retire` when the relaying host is about to stop.
+ * Emits `retire` when the relaying host is about to stop; see `isRetiring`.
  */
 export class RelayedSocket extends BackendSocket {
   private mode: 'handshake' | 'raw' | 'framed' = 'handshake';
   private readonly decoder = new RelayFrameDecoder();
-  private isEnding = false;
+  private ending: 'end' | 'reset' | null = null;
+  /** Whether the relaying host is about to stop and asks for no further call. */
+  isRetiring = false;
 
   /**
    * Has to be called once the relaying host has accepted.
@@ -49,27 +51,37 @@
   }
 
   private handleEnd(): boolean {
-    if (!this.isEnding) this.destroy(makeRelayLostError());
+    if (!this.ending) this.destroy(makeRelayLostError());
     return false;
   }
 
   private pushFrames(chunk: Buffer): boolean {
-    if (this.isEnding) return false;
+    if (this.ending) return false;
     try {
       const {data, ending, isRetiring} = this.decoder.decode(chunk);
       // Without data, this lets the stream read on.
       super.push(data);
-      if (isRetiring) this.emit('retire');
-      this.isEnding = ending !== null;
+      if (isRetiring) this.retire();
+      this.ending = ending;
       if (ending === 'end') super.push(null);
-      // The reader takes the data first.
-      if (ending === 'reset') setImmediate(() => this.resetByServer());
     } catch (thrown) {
       this.destroy(makeRelayLostError(thrown));
     }
     return false;
   }
 
+  // eslint-disable-next-line @typescript-eslint/naming-convention -- Node's name.
+  override _read(size: number): void {
+    // A reset that the server sent behind its data does not discard it.
+    if (this.ending === 'reset') setImmediate(() => this.resetByServer());
+    else super._read(size);
+  }
+
+  private retire(): void {
+    this.isRetiring = true;
+    this.emit('retire');
+  }
+
   private resetByServer(): void {
     this.destroy(makeResetError());
   }
