Log how old the list of servers was when a stream's origin was looked for

OriginAnswer and the event carry serversAgeMs: the age of the list of servers, null where this host knows no only version.

--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -249,6 +249,8 @@
         'the version at which the stream began; null for unknown',
       askedHosts: 'how many other hosts were asked for the stream',
       answers: 'how many of them had answered',
+      serversAgeMs:
+        'age of the list of servers by which this host knows an only version of the service; null if it knows none, or has no list',
     },
   },
   'memory-pressure-began': {
--- a/packages/serve-requests/src/continue_stream.ts
+++ b/packages/serve-requests/src/continue_stream.ts
@@ -36,9 +36,10 @@
       resumedRequestId === null ? null : {requestId: resumedRequestId, team},
     service: service.name,
   });
-  const {origin, source, askedHosts, answers} = answer;
+  const {origin, source, askedHosts, answers, serversAgeMs} = answer;
   logger.log('stream-origin-found', {
     ...{requestId, resumedRequestId, source, askedHosts, answers},
+    serversAgeMs,
     service: origin?.service ?? service.name,
     softwareVersion: origin?.softwareVersion ?? null,
   });
--- a/packages/track-streams/src/stream_origins.test.ts
+++ b/packages/track-streams/src/stream_origins.test.ts
@@ -93,6 +93,19 @@
   assert.is(await fleet.findVersion(0, 'not asked before'), null);
 });
 
+// Guards against a log that does not tell how old the list was that a host believed.
+test('an answer tells the age of the list of servers', async () => {
+  const fleet = new OriginFleet(4, ['v1']);
+  fleet.setServersAge(0, 1_900);
+  assert.is((await fleet.resume(0, 'r1')).serversAgeMs, 1_900);
+  fleet.setServersAge(0, Infinity);
+  assert.is((await fleet.resume(0, 'r1')).serversAgeMs, null);
+  fleet.setServersAge(1, OLD_VIEW_MS);
+  assert.is((await fleet.resume(1, 'r1')).serversAgeMs, OLD_VIEW_MS);
+  fleet.setVersionsOf(2, BOTH);
+  assert.is((await fleet.resume(2, 'r1')).serversAgeMs, null);
+});
+
 // Guards against streams that are lost while the store is silent and nothing has changed.
 test('hosts with old lists that agree on one version go on', async () => {
   const fleet = new OriginFleet(8, ['v1']);
--- a/packages/track-streams/src/stream_origins.ts
+++ b/packages/track-streams/src/stream_origins.ts
@@ -55,6 +55,11 @@
   /** Hosts that were asked, and those that answered. */
   askedHosts: number;
   answers: number;
+  /**
+   * Age of the list of servers by which the service has an only version; null if it has
+   * none by this host's list, or that was not asked for.
+   */
+  serversAgeMs: number | null;
 }
 
 export interface StreamOriginsOptions {
@@ -167,11 +172,13 @@
     if (known) return makeAnswer(known, 'own');
     const softwareVersion = this.versions.findOnly(service);
     const only = softwareVersion === null ? null : {service, softwareVersion};
-    if (only && this.options.serversAgeMs() <= MAX_VIEW_AGE_MS) {
-      return makeAnswer(only, 'only-version');
+    const ageMs = only ? this.options.serversAgeMs() : Infinity;
+    const serversAgeMs = Number.isFinite(ageMs) ? ageMs : null;
+    if (only && ageMs <= MAX_VIEW_AGE_MS) {
+      return {...makeAnswer(only, 'only-version'), serversAgeMs};
     }
-    if (!id) return makeAnswer(null, 'unknown');
-    return this.askOthers(id, service, only);
+    if (!id) return {...makeAnswer(null, 'unknown'), serversAgeMs};
+    return {...(await this.askOthers(id, service, only)), serversAgeMs};
   }
 
   /** Called at the hosts that keep copies. */
@@ -203,11 +210,13 @@
     const counts = {askedHosts: hosts.length, answers: replies.length};
     if (origin) {
       this.copies.record(id, origin);
-      return {origin, source: 'other-host', ...counts};
+      return {...makeAnswer(origin, 'other-host'), ...counts};
     }
-    return only && isAgreed(only, hosts.length, replies)
-      ? {origin: only, source: 'only-version', ...counts}
-      : {origin: null, source: 'unknown', ...counts};
+    const isKnown = only && isAgreed(only, hosts.length, replies);
+    const answer = isKnown
+      ? makeAnswer(only, 'only-version')
+      : makeAnswer(null, 'unknown');
+    return {...answer, ...counts};
   }
 
   /** Resolves once a reply names the origin or all hosts have answered or failed. */
@@ -282,5 +291,5 @@
   origin: StreamOrigin | null,
   source: OriginSource,
 ): OriginAnswer {
-  return {origin, source, askedHosts: 0, answers: 0};
+  return {origin, source, askedHosts: 0, answers: 0, serversAgeMs: null};
 }
