Count the age of the list of servers from the start of its read

What callers saw: during a release, streams that had begun at servers of the new version were taken up at a host that had stood still, or whose read of the store was slow, and went on at the old version.

Cause: ServerFollower.ageMs counted from the end of the last read. A response that was written before the new servers came, and was read seconds later, made the list new, and a new list tells that a service has one version. Class: an age that is stamped at receipt.

Change: ageMs counts from the start of the read, as the configuration's age does. The check of an entry that says that its server leaves stays within 2 s (1.3 s and a check every 0.2 s).

Why it holds: the store wrote the response after the start of the read.

--- a/packages/serving-node/src/server_follower.test.ts
+++ b/packages/serving-node/src/server_follower.test.ts
@@ -177,6 +177,30 @@
   reader.stop();
 });
 
+// Guards against a read that lay in the socket while the process stood still, and whose
+// list then counts as new.
+test('the age of the list counts from the start of its read', async () => {
+  const {reader, topic, write, advance} = makeReader();
+  await write('s1', {state: 'ready', holds: 'm1'});
+  reader.start();
+  await advance(1_000);
+  const readFrom = topic.readFrom.bind(topic);
+  const late: Array<() => void> = [];
+  topic.readFrom = async (...terms) => {
+    const outcome = await readFrom(...terms);
+    await new Promise<void>(resolve => late.push(resolve));
+    return outcome;
+  };
+  await advance(1_000);
+  topic.readFrom = () => new Promise(() => undefined);
+  await advance(3_000);
+  late.forEach(resolve => resolve());
+  await advance(100);
+  assert.is(late.length, 1);
+  assert.ok(reader.ageMs >= 3_000, `${reader.ageMs}`);
+  reader.stop();
+});
+
 // Guards against peers that take a restarted server for one of its earlier version.
 test('a new software version under the same id is passed on', async () => {
   const {reader, broadcasts, write, advance} = makeReader();
--- a/packages/serving-node/src/server_follower.ts
+++ b/packages/serving-node/src/server_follower.ts
@@ -51,8 +51,12 @@
  * least twice within the 2 s after which a draining server may get no requests.
  */
 const READ_INTERVAL_MS = 700;
-/** A node reads the store itself when entries from the reader are older. */
-const MAX_PEER_AGE_MS = 1_200;
+/**
+ * A node reads the store itself when entries from the reader are older. They are read every
+ * 900 ms at most, confirmed with a heartbeat every 250 ms, and a read and the heartbeat
+ * itself take time.
+ */
+const MAX_PEER_AGE_MS = 1_300;
 /** How often a node checks whether it has to read the store. */
 const CHECK_INTERVAL_MS = 200;
 const RETRY_DELAY_MS = 200;
@@ -108,9 +112,12 @@
     });
   }
 
-  /** Time since this node last read the list from the store. */
+  /**
+   * Age of the list: the time since the start of the last read of the store. A response
+   * may be older than its receipt tells, such as after the process stood still.
+   */
   get ageMs(): number {
-    return this.options.clock.monotonicMs() - this.follower.lastSuccessMs;
+    return this.options.clock.monotonicMs() - this.follower.lastSuccessStartMs;
   }
 
   get count(): number {
