Count the age of the holder's list from the send time of the heartbeat

Cause, three faults of one class, an age that is stamped at receipt: 1. The age began when the reply to a heartbeat was handled. A reply that lay in the socket while the process stood still made the list new. 2. A holder counts as heard when its name becomes known. The age in the reply of the holder before then counted from that time. 3. The holder's age was taken for the age of this host's list, also where records of the holder had been lost on their way.

Change: LastWelcome keeps the send time of the heartbeat; the age counts from there, whichever holder has answered. What decides about versions is heldServersAgeMs, which is Infinity while this host has read less than the reply names. Whether this host has to read the store itself goes by the age alone, since a host that reads by itself may lag in the offsets that are passed on, and would go on to read for ever.

Why it holds: the holder states its age after the heartbeat was sent.

--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -301,7 +301,7 @@
         ...{type: 'hello', status: {...status, confirmedBeatMs}},
       });
       if (reply.type !== 'welcome') return;
-      this.handleWelcome(holder, reply);
+      this.handleWelcome(holder, reply, sentAtMs);
       this.handleCrashReply(crashes, reply);
       const isFromHolder = reply.incarnation === holder.incarnation;
       if (isFromHolder) {
@@ -328,13 +328,17 @@
     return welcome && this.grants.issue(holder, welcome, forMs);
   }
 
-  private handleWelcome(holder: DutyHolder, welcome: Welcome): void {
+  private handleWelcome(
+    holder: DutyHolder,
+    welcome: Welcome,
+    sentAtMs: number,
+  ): void {
     if (welcome.holder) this.options.onHolder(welcome.holder);
     if (welcome.incarnation !== holder.incarnation) {
       this.contacts.noteEnded(holder);
       return;
     }
-    this.lastWelcome.record(welcome);
+    this.lastWelcome.record(welcome, sentAtMs);
     this.contacts.noteHeard(holder);
     this.options.onFromHolder({
       type: 'coordinated-services',
--- a/packages/node-links/src/via_holder.test.ts
+++ b/packages/node-links/src/via_holder.test.ts
@@ -1,4 +1,5 @@
 import {ManualClock} from '@mimosatack/clock';
+import {type DutyHolder} from '@mimosatack/hold-duty';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {HolderContacts} from './holder_contacts.js';
@@ -24,15 +25,13 @@
 function makeView(selfName: string, holderName: string | null) {
   const clock = new ManualClock(1_000);
   const contacts = new HolderContacts(clock);
+  const own = {serversEndOffset: 1};
   const roster = new NodeRoster(clock);
   const lastWelcome = new LastWelcome();
-  const holder = holderName && {
-    ...{nodeName: holderName, incarnation: `${holderName}.1`},
-    ...{address: `${holderName}:1`, token: 1},
-  };
+  let holder = holderName ? makeHolder(holderName) : null;
   const view = new ViaHolder({
-    ...{contacts, roster, lastWelcome, self: makeNode(selfName)},
-    holder: () => holder || null,
+    ...{clock, contacts, roster, lastWelcome, self: makeNode(selfName)},
+    holder: () => holder,
     listNodes: () => NAMES.map(makeNode),
     readStatus: () => ({
       ...{
@@ -41,7 +40,7 @@
         uptimeMs: 0,
         configurationVersion: 1,
       },
-      ...{serversEndOffset: 1, nodesEndOffset: 1},
+      ...{...own, nodesEndOffset: 1},
     }),
   });
   const hear = (nodeName: string) =>
@@ -54,15 +53,29 @@
       },
       ...{uptimeMs: 0, promise: null},
     });
-  const welcome = (isNodeListConfirmed: boolean) => {
+  const welcome = (
+    isNodeListConfirmed: boolean,
+    {serversAgeMs = 100, serversEndOffset = 1, takesMs = 0} = {},
+  ) => {
     if (!holder) return;
+    const sentAtMs = clock.monotonicMs();
+    clock.advance(takesMs);
     contacts.noteHeard(holder);
-    lastWelcome.record({
+    const fields = {
       ...{incarnation: holder.incarnation, nodesEndOffset: 1},
-      isNodeListConfirmed,
-    } as Welcome);
+      ...{isNodeListConfirmed, serversAgeMs, serversEndOffset},
+    };
+    lastWelcome.record(fields as Welcome, sentAtMs);
+  };
+  const follow = (nodeName: string) => (holder = makeHolder(nodeName));
+  return {clock, contacts, view, own, hear, welcome, follow};
+}
+
+function makeHolder(nodeName: string): DutyHolder {
+  return {
+    ...{nodeName, incarnation: `${nodeName}.1`},
+    ...{address: `${nodeName}:1`, token: 1},
   };
-  return {clock, view, hear, welcome};
 }
 
 // Guards against a part of the nodes that is cut off and takes itself for all.
@@ -88,6 +101,36 @@
   assert.not(view.isNodeListConfirmed);
 });
 
+// Guards against a reply that lay in the socket while the process stood still, and whose
+// list then counts as new.
+test('the age of the list counts from the start of the heartbeat', () => {
+  const {clock, view, welcome} = makeView('b', 'a');
+  welcome(true, {takesMs: 4_000});
+  assert.is(view.serversAgeMs, 4_100);
+  clock.advance(200);
+  assert.is(view.serversAgeMs, 4_300);
+});
+
+// Guards against a list that counts as new since there is a holder who has not answered.
+test('a holder that has not answered makes the list no newer', () => {
+  const {clock, contacts, view, welcome, follow} = makeView('b', 'a');
+  welcome(true);
+  clock.advance(4_000);
+  follow('c');
+  contacts.find(makeHolder('c'));
+  assert.is(view.serversAgeMs, 4_100);
+});
+
+// Guards against a node that has lost records of its holder and counts its own list as new.
+test('a node that lacks records of the holder does not hold its list', () => {
+  const {view, own, welcome} = makeView('b', 'a');
+  welcome(true, {serversEndOffset: 2});
+  assert.is(view.serversAgeMs, 100);
+  assert.is(view.heldServersAgeMs, Infinity);
+  own.serversEndOffset = 2;
+  assert.is(view.heldServersAgeMs, 100);
+});
+
 test('without a holder a node does not know the nodes', () => {
   assert.not(makeView('b', null).view.isNodeListConfirmed);
 });
--- a/packages/node-links/src/via_holder.ts
+++ b/packages/node-links/src/via_holder.ts
@@ -7,7 +7,7 @@
 
 export interface ViaHolderOptions extends Pick<
   NodeLinksOptions,
-  'self' | 'holder' | 'listNodes' | 'readStatus'
+  'clock' | 'self' | 'holder' | 'listNodes' | 'readStatus'
 > {
   contacts: HolderContacts;
   lastWelcome: LastWelcome;
@@ -17,12 +17,25 @@
 export class ViaHolder {
   constructor(private readonly options: ViaHolderOptions) {}
 
-  /** Age of the holder's server records; Infinity without another holder. */
+  /**
+   * Age of the server records of the holder that answered last; Infinity without another
+   * holder. This node may lack some of them; see `heldServersAgeMs`.
+   */
   get serversAgeMs(): number {
-    const {contacts, lastWelcome} = this.options;
-    const holder = this.findOtherHolder();
-    if (!holder) return Infinity;
-    return contacts.sinceContactMs(holder) + lastWelcome.serversAgeMs;
+    const {clock, lastWelcome} = this.options;
+    if (!this.findOtherHolder()) return Infinity;
+    return lastWelcome.findServersAgeMs(clock.monotonicMs());
+  }
+
+  /**
+   * Age of this node's server records by the holder's; Infinity while it lacks some, since
+   * records may be lost on their way.
+   */
+  get heldServersAgeMs(): number {
+    const {lastWelcome, readStatus} = this.options;
+    const isBehind =
+      readStatus().serversEndOffset < lastWelcome.serversEndOffset;
+    return isBehind ? Infinity : this.serversAgeMs;
   }
 
   /** Whether a live holder forwards the registered nodes to this node. */
--- a/packages/serving-node/src/make_stream_versions.ts
+++ b/packages/serving-node/src/make_stream_versions.ts
@@ -38,7 +38,7 @@
     listServers: () => servers.list(),
     listHosts: () => parts.listNodes().filter(isOther),
     serversAgeMs: () =>
-      Math.min(servers.ageMs, findLinks().viaHolder.serversAgeMs),
+      Math.min(servers.ageMs, findLinks().viaHolder.heldServersAgeMs),
     send: (address, message) => findLinks().sendStreamsBegun(address, message),
     ask: (address, ask) =>
       findLinks().askForStream(address, ask, ASK_TIMEOUT_MS),
