Believe hosts with old lists only if all that were asked agree

What callers saw: a stream that had begun at the new version went on at the old one at a host that was cut off together with others.

Cause: a host with an old list asks others, and went on if half of those asked named the same only version. Those named it by lists of any age, so that hosts that were cut off together confirmed each other, and a host that knew no others confirmed itself (0 of 0).

Evidence, on the code before, stream_origins.test: "a host that can ask nobody does not believe an old list" and "hosts with old lists do not go on while others do not answer": null expected, v1 actual.

Change: a reply tells whether it is by a current list (isCurrent). Half of those asked are enough if one of them has a current list; otherwise all have to agree. Replies of the previous release have no current list. Nobody asked is no agreement.

Why it holds: a current list proves what the asking host needs. Where all agree by old lists it is no proof; it covers a silent store, where refusing would lose all streams that are taken up.

--- a/packages/track-streams/src/stream_messages.ts
+++ b/packages/track-streams/src/stream_messages.ts
@@ -25,6 +25,8 @@
   isMixed: z.boolean(),
   /** The only version of the service; null if it is mixed or none is known. */
   onlyVersion: z.string().nullable(),
+  /** Whether it is by a current list of servers; absent in the previous release. */
+  isCurrent: z.boolean().default(false),
 });
 
 export type StreamsBegun = z.infer<typeof streamsBegunSchema>;
--- a/packages/track-streams/src/stream_origins.test.ts
+++ b/packages/track-streams/src/stream_origins.test.ts
@@ -115,6 +115,32 @@
   assert.is(await fleet.findVersion(0, 'unknown'), 'v1');
 });
 
+// Guards against a host that knows no others and agrees with itself.
+test('a host that can ask nobody does not believe an old list', async () => {
+  const fleet = new OriginFleet(1, ['v1']);
+  fleet.setServersAge(0, OLD_VIEW_MS);
+  assert.is(await fleet.findVersion(0, 'unknown'), null);
+});
+
+// Guards against hosts that are cut off together and agree on what was before.
+test('hosts with old lists do not go on while others do not answer', async () => {
+  const fleet = new OriginFleet(8, ['v1']);
+  fleet.hosts.forEach((_, at) => fleet.setServersAge(at, OLD_VIEW_MS));
+  [5, 6, 7].forEach(at => {
+    fleet.setReachable(at, false);
+    fleet.setVersionsOf(at, BOTH);
+  });
+  assert.is(await fleet.findVersion(0, 'unknown'), null);
+});
+
+// Guards against streams that are lost while some hosts are away and nothing has changed.
+test('a host with an old list believes half of the others if one is current', async () => {
+  const fleet = new OriginFleet(8, ['v1']);
+  [0, 1, 2, 3].forEach(at => fleet.setServersAge(at, OLD_VIEW_MS));
+  [5, 6, 7].forEach(at => fleet.setReachable(at, false));
+  assert.is(await fleet.findVersion(0, 'unknown'), 'v1');
+});
+
 // Guards against unbounded memory for ids that are never asked for again.
 test('streams are forgotten after a minute', () => {
   const fleet = new OriginFleet(2, BOTH);
--- a/packages/track-streams/src/stream_origins.ts
+++ b/packages/track-streams/src/stream_origins.ts
@@ -190,7 +190,8 @@
     const origin = this.own.find(id) ?? this.copies.find(id);
     const isMixed = this.versions.isMixed(service);
     const onlyVersion = this.versions.findOnly(service);
-    return {type: 'stream-reply', origin, isMixed, onlyVersion};
+    const isCurrent = this.options.serversAgeMs() <= MAX_VIEW_AGE_MS;
+    return {type: 'stream-reply', origin, isMixed, onlyVersion, isCurrent};
   }
 
   /**
@@ -271,7 +272,11 @@
   }
 }
 
-/** Whether half of the asked hosts know the same only version, and none another. */
+/**
+ * Whether half of the asked hosts know the same only version, one of them by a current list,
+ * and none another. Without a current list all have to: those that do not answer may see
+ * what the others are cut off from.
+ */
 function isAgreed(
   {softwareVersion}: StreamOrigin,
   askedHosts: number,
@@ -284,7 +289,10 @@
     ({isMixed, onlyVersion}) =>
       isMixed || (onlyVersion !== null && onlyVersion !== softwareVersion),
   );
-  return !isOpposed && 2 * agreeing.length >= askedHosts;
+  if (isOpposed || agreeing.length === 0) return false;
+  const isAnyCurrent = agreeing.some(({isCurrent}) => isCurrent);
+  const neededHosts = isAnyCurrent ? askedHosts / 2 : askedHosts;
+  return agreeing.length >= neededHosts;
 }
 
 function makeAnswer(
