Let a version get streams once no host can believe a list from before it

What callers saw: a server of a new version came, began a stream and broke it within two seconds, and a host that had just been cut off went on at the old version.

Cause: a host believes for 2 s, without asking, a list by which a service has one version. Nothing kept streams from beginning at another version within that time: the record names a version some hundred ms after its first server was listed. Class: one side acts on a fact for a while, and nobody waits for that while before he changes it.

Change: a lease. The host that writes the record names a version that comes beside others 2.5 s after it has first listed it (2 s and 0.5 s of slack); streams begin at a version that the record names, as before. What the record names already has no lease, so that hosts that start wait for nothing. Versions that are listed together when a service comes are recorded at once; therefore a host that knows of other records believes an only version only if the record names it, and a service without a record gets streams at once only if it has one version. An unknown version in the record no longer lets streams begin at any version. During the lease a request goes to a server of another version without a wait; where none can be had it waits for the lease and the record, instead of being refused.

The fixture of request pipelines can refuse a request; two tests in stream_origins.test (serve-requests) need it.

Why it holds: a list without the version was read before the version was listed anywhere, so that nobody believes it 2 s later; all streams of the version begin later than that.

--- a/packages/serve-requests/src/continue_stream.ts
+++ b/packages/serve-requests/src/continue_stream.ts
@@ -9,7 +9,7 @@
 /** Knows at which software version streams began. */
 export type StreamLookup = Pick<
   StreamOrigins,
-  'record' | 'find' | 'mayBegin' | 'waitUntilRecorded'
+  'record' | 'find' | 'mayBegin' | 'mayBeginSoon' | 'waitUntilRecorded'
 >;
 
 /** Time for another host that is only late to tell of the stream. */
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -1,7 +1,7 @@
 /** A request pipeline with stand-ins for all that it depends on. */
 import {type BackendConnections} from '@mimosatack/backend-connections';
 import {ManualClock} from '@mimosatack/clock';
-import {type TypedError} from '@mimosatack/errors';
+import {TypedError} from '@mimosatack/errors';
 import {MemoryEventLogger} from '@mimosatack/logger';
 import {SeededRandom} from '@mimosatack/random';
 import {
@@ -14,7 +14,11 @@
 import {RequestPipeline} from './request_pipeline.js';
 import {ResponseHeadTimes} from './response_head_times.js';
 import {RetryAllowance} from './retry_allowance.js';
-import {type ChosenServer, type ServerAsk} from './server_chooser.js';
+import {
+  type ChosenServer,
+  type ServerAsk,
+  type ServerChoice,
+} from './server_chooser.js';
 import {makeServer, makeService} from './test_fixtures.js';
 
 export class RecordingSink implements AnswerSink {
@@ -45,7 +49,8 @@
 export interface PipelineFixtureOptions {
   routes: readonly ServiceRoute[];
   connections: BackendConnections;
-  choose: (ask: ServerAsk) => BackendServerEntry | undefined;
+  /** Null to refuse the request. */
+  choose: (ask: ServerAsk) => BackendServerEntry | null | undefined;
   /** Time until a server may get requests, by id; 0 by default. */
   waits?: Readonly<Record<BackendServerId, number>>;
   streams?: StreamLookup;
@@ -97,7 +102,7 @@
         }),
       },
       chooser: {
-        choose: ask => Promise.resolve(makeChoice(choose(ask))),
+        choose: ask => Promise.resolve(toServerChoice(choose(ask))),
         release: ({server}) => this.released.push(server.id),
         recordSent: () => undefined,
         recordLoad: () => undefined,
@@ -113,6 +118,7 @@
       streams: streams ?? {
         record: () => undefined,
         mayBegin: () => true,
+        mayBeginSoon: () => true,
         waitUntilRecorded: () => Promise.resolve(true),
         find: () => Promise.reject(new Error('No stream is resumed.')),
       },
@@ -142,6 +148,14 @@
   }
 }
 
+function toServerChoice(
+  server: BackendServerEntry | null | undefined,
+): ServerChoice {
+  if (server !== null) return makeChoice(server);
+  const error = new TypedError('not-warm', 'No server.', {run: 'not-run'});
+  return {status: 'refused', error};
+}
+
 export function makeChoice(server = makeServer()): ChosenServer {
   return {status: 'chosen', server, basis: {by: 'schedule'}, askId: 'a1'};
 }
--- a/packages/serve-requests/src/server_selection.ts
+++ b/packages/serve-requests/src/server_selection.ts
@@ -1,5 +1,5 @@
 /** Selects a server that a request may be sent to now. */
-import {type BackendServerId} from '@mimosatack/types';
+import {type BackendServerEntry, type BackendServerId} from '@mimosatack/types';
 import {type CrashGuard, makeContainedError} from './crash_guard.js';
 import {type SendGate} from './send_gate.js';
 import {
@@ -16,7 +16,10 @@
   guard: CrashGuard;
   lease: SuspectLease;
   gate: SendGate;
-  version: Pick<StreamVersion, 'mayBeginAt' | 'waitUntilRecorded'>;
+  version: Pick<
+    StreamVersion,
+    'mayBeginAt' | 'mayBeginSoonAt' | 'waitUntilRecorded'
+  >;
   /** Servers that must not be chosen for the request. */
   excludedServers: Set<BackendServerId>;
   makeAsk: () => ServerAsk;
@@ -27,6 +30,9 @@
 }
 
 export class ServerSelection {
+  /** Servers of new versions that were left for others; no stream may begin there yet. */
+  private deferred: BackendServerEntry[] = [];
+
   constructor(private readonly options: ServerSelectionOptions) {}
 
   /**
@@ -39,7 +45,10 @@
     let chosen = replacement;
     for (;;) {
       const choice: ServerChoice = chosen ?? (await this.choose());
-      if (choice.status === 'refused') return choice;
+      if (choice.status === 'refused') {
+        if (await this.restoreDeferred()) continue;
+        return choice;
+      }
       if ((await this.isRecorded(choice)) && this.maySend(choice)) {
         return choice;
       }
@@ -61,10 +70,26 @@
     return chooser.choose(makeAsk());
   }
 
+  /** Waits for the new versions where no server of another one can be had. */
+  private async restoreDeferred(): Promise<boolean> {
+    const {guard, version, excludedServers, signal} = this.options;
+    const [first, ...others] = this.deferred;
+    this.deferred = [];
+    if (!first || signal.aborted || guard.isContained) return false;
+    if (!(await version.waitUntilRecorded(first, signal))) return false;
+    [first, ...others].forEach(({id}) => excludedServers.delete(id));
+    return !signal.aborted;
+  }
+
   /** Excludes a server whose software version is not recorded in time. */
   private async isRecorded({server}: ChosenServer): Promise<boolean> {
     const {version, excludedServers, signal} = this.options;
     if (version.mayBeginAt(server)) return true;
+    if (!version.mayBeginSoonAt(server)) {
+      excludedServers.add(server.id);
+      this.deferred.push(server);
+      return false;
+    }
     const isRecorded = await version.waitUntilRecorded(server, signal);
     if (!isRecorded && !signal.aborted) excludedServers.add(server.id);
     return isRecorded || signal.aborted;
--- a/packages/serve-requests/src/stream_origins.test.ts
+++ b/packages/serve-requests/src/stream_origins.test.ts
@@ -55,6 +55,7 @@
       record: ({requestId}, origin) => recorded.push([requestId, origin]),
       find: () => Promise.reject(new Error('No stream is resumed.')),
       mayBegin: () => true,
+      mayBeginSoon: () => true,
       waitUntilRecorded: () => Promise.resolve(true),
     },
   });
@@ -74,6 +75,7 @@
       record: (_key, {softwareVersion}) => recorded.push(softwareVersion),
       find: () => Promise.reject(new Error('No stream is resumed.')),
       mayBegin: ({softwareVersion}) => softwareVersion !== 'v1',
+      mayBeginSoon: () => true,
       waitUntilRecorded: () => Promise.resolve(false),
     },
   });
@@ -83,4 +85,47 @@
   assert.equal(fixture.released, ['s1']);
 });
 
+/** Serves a stream while no stream may begin at one version until it is waited for. */
+async function serveWithNewVersion(newVersion: string, servers = SERVERS) {
+  const recorded: string[] = [];
+  let waits = 0;
+  const fixture = new PipelineFixture({
+    ...{routes: [ROUTE], connections: makeConnections(false)},
+    choose: ({excluded}) => servers.find(({id}) => !excluded.has(id)) ?? null,
+    streams: {
+      record: (_key, {softwareVersion}) => recorded.push(softwareVersion),
+      find: () => Promise.reject(new Error('No stream is resumed.')),
+      mayBegin: ({softwareVersion}) =>
+        waits > 0 || softwareVersion !== newVersion,
+      mayBeginSoon: ({softwareVersion}) =>
+        waits > 0 || softwareVersion !== newVersion,
+      waitUntilRecorded: () => {
+        waits += 1;
+        return Promise.resolve(true);
+      },
+    },
+  });
+  await fixture.serve(makeRequest());
+  return {recorded, status: fixture.sink.status, waits};
+}
+
+// Guards against streams that wait for a new version while servers of another are free.
+test('a stream does not wait for a new version where there is another', async () => {
+  const {recorded, status, waits} = await serveWithNewVersion('v1');
+  assert.is(status, 200);
+  assert.equal(recorded, ['v2']);
+  assert.is(waits, 0);
+});
+
+// Guards against streams that are refused though the new version takes them in seconds.
+test('a stream waits for a new version where there is no other', async () => {
+  const {recorded, status, waits} = await serveWithNewVersion(
+    'v1',
+    SERVERS.slice(0, 1),
+  );
+  assert.is(status, 200);
+  assert.equal(recorded, ['v1']);
+  assert.is(waits, 1);
+});
+
 test.run();
--- a/packages/serve-requests/src/stream_version.ts
+++ b/packages/serve-requests/src/stream_version.ts
@@ -28,6 +28,11 @@
     );
   }
 
+  /** False if another server should be asked for meanwhile. */
+  mayBeginSoonAt(server: BackendServerEntry): boolean {
+    return this.streams.mayBeginSoon(server);
+  }
+
   /** Resolves with whether the server may bring the first event after all. */
   waitUntilRecorded(
     server: BackendServerEntry,
--- a/packages/serving-node/src/stream_versions_task.ts
+++ b/packages/serving-node/src/stream_versions_task.ts
@@ -1,5 +1,5 @@
 /** Shares with other nodes at which software version streams began. */
-import {type Clock, SuspensionAwareClock} from '@mimosatack/clock';
+import {type Clock, type Timer, SuspensionAwareClock} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
 import {type KeyedTopic} from '@mimosatack/keyed-store';
 import {
@@ -37,6 +37,7 @@
   readonly origins: StreamOrigins;
   private readonly record: StoredRecord;
   private readonly awakeClock: SuspensionAwareClock;
+  private leaseTimer: Timer | null = null;
   private suspendedMs = 0;
   private resumedAtMs = -Infinity;
 
@@ -68,6 +69,17 @@
   /** Has to be called periodically, and after each change of the servers. */
   updateServers(): void {
     this.origins.updateServers(this.options.listServers());
+    this.syncAfterLease();
+  }
+
+  /** Writes the record when it may name a further version, as requests wait for that. */
+  private syncAfterLease(): void {
+    const {nextLeaseMs} = this.origins.versions;
+    if (nextLeaseMs === null || this.leaseTimer) return;
+    this.leaseTimer = this.options.clock.setTimer(nextLeaseMs, () => {
+      this.leaseTimer = null;
+      void this.syncRecord();
+    });
   }
 
   /** Takes the record as what the store holds, without believing it. */
--- a/packages/track-streams/src/service_versions.ts
+++ b/packages/track-streams/src/service_versions.ts
@@ -2,6 +2,7 @@
 import {type Clock} from '@mimosatack/clock';
 import {type BackendServerEntry, type ServiceName} from '@mimosatack/types';
 import {STREAM_MEMORY_MS} from './stream_origin_table.js';
+import {VERSION_LEASE_MS} from './version_lease.js';
 import {type RecordedVersions} from './version_record.js';
 
 type VersionedServer = Pick<BackendServerEntry, 'service' | 'softwareVersion'>;
@@ -9,6 +10,12 @@
 /** Stands for versions whose names are not known. */
 const UNKNOWN_VERSION = '';
 
+/** When a version was known to this process, on the monotonic clock. */
+interface KnownTimes {
+  firstMs: number;
+  lastMs: number;
+}
+
 export interface ServiceVersionsOptions {
   clock: Clock;
   /** Whether no stream can have begun before this process started. */
@@ -19,8 +26,8 @@
 
 /** A service counts as mixed until no stream of an earlier version can be resumed. */
 export class ServiceVersions {
-  /** When each version was last listed, by service. */
-  private readonly listedAtMs = new Map<ServiceName, Map<string, number>>();
+  /** The versions of each service that were listed, or recorded, lately. */
+  private readonly known = new Map<ServiceName, Map<string, KnownTimes>>();
   /** The record in the store, which outlives all hosts; null until it was read. */
   private recorded: RecordedVersions | null = null;
   private readonly startedAtMs: number;
@@ -46,7 +53,7 @@
     this.recorded = services;
     services.forEach((versions, service) =>
       [...versions, ...(isFromCopy ? [UNKNOWN_VERSION] : [])]
-        .filter(version => !this.listedAtMs.get(service)?.has(version))
+        .filter(version => !this.known.get(service)?.has(version))
         .forEach(version => this.noteVersion(service, version)),
     );
   }
@@ -61,32 +68,77 @@
    * record, so that it has to name a version before the first event of a stream.
    */
   mayBegin(service: ServiceName, version: string): boolean {
-    const versions = this.recorded?.get(service);
-    if (!versions) return this.recorded !== null;
-    return versions.includes(version) || versions.includes(UNKNOWN_VERSION);
+    if (!this.recorded) return false;
+    const names = this.recorded.get(service);
+    return names ? names.includes(version) : !this.isMixed(service);
+  }
+
+  /** Time until the record may name the version, by what this host knows. */
+  findLeaseMs(service: ServiceName, version: string): number {
+    const times = this.known.get(service)?.get(version);
+    if (!times || this.isNameable(service, version, times)) return 0;
+    const {clock} = this.options;
+    return times.firstMs + VERSION_LEASE_MS - clock.monotonicMs();
+  }
+
+  /** Time until the record may name a further version; null if none waits. */
+  get nextLeaseMs(): number | null {
+    const leases = [...this.known]
+      .flatMap(([service, versions]) =>
+        [...versions.keys()].map(name => this.findLeaseMs(service, name)),
+      )
+      .filter(leaseMs => leaseMs > 0);
+    return leases.length === 0 ? null : Math.min(...leases);
   }
 
   /** The record that should be in the store. */
   listForRecord(): RecordedVersions {
     return new Map(
-      [...this.listedAtMs]
+      [...this.known]
         .map(([service, versions]) => {
+          const nameable = [...versions]
+            .filter(([name, times]) => this.isNameable(service, name, times))
+            .map(([name]) => name);
           const unknown = this.isHistoryKnown(service) ? [] : [UNKNOWN_VERSION];
-          const names = new Set([...versions.keys(), ...unknown]);
+          const names = new Set([...nameable, ...unknown]);
           return [service, [...names].sort()] as const;
         })
+        .filter(([, names]) => names.length > 0)
         .sort(([one], [other]) => (one < other ? -1 : 1)),
     );
   }
 
+  /**
+   * Whether the record may name the version, so that streams begin at it. What comes beside
+   * another version has to wait until no host believes a list from before; see
+   * `VERSION_LEASE_MS`. No host believes an only version of a service that is not recorded.
+   */
+  private isNameable(
+    service: ServiceName,
+    version: string,
+    {firstMs}: KnownTimes,
+  ): boolean {
+    const names = this.recorded?.get(service);
+    if (version === UNKNOWN_VERSION || names?.includes(version)) return true;
+    const ageMs = this.options.clock.monotonicMs() - firstMs;
+    if (ageMs >= VERSION_LEASE_MS) return true;
+    return !names && firstMs === this.findFirstMs(service);
+  }
+
+  /** When the first of the known versions of a service became known. */
+  private findFirstMs(service: ServiceName): number {
+    const times = [...(this.known.get(service)?.values() ?? [])];
+    return Math.min(...times.map(({firstMs}) => firstMs));
+  }
+
   listMixed(): ServiceName[] {
-    return [...this.listedAtMs.keys()]
+    return [...this.known.keys()]
       .filter(service => this.isMixed(service))
       .sort();
   }
 
   isMixed(service: ServiceName): boolean {
-    const versions = this.listedAtMs.get(service);
+    const versions = this.known.get(service);
     if (!versions) return false;
     return versions.size > 1 || versions.has(UNKNOWN_VERSION);
   }
@@ -94,8 +146,20 @@
   /** The only version of a service; null if it is mixed or earlier ones are not known. */
   findOnly(service: ServiceName): string | null {
     if (this.isMixed(service) || !this.isHistoryKnown(service)) return null;
-    const [only = null] = this.listedAtMs.get(service)?.keys() ?? [];
-    return only;
+    const [only = null] = this.known.get(service)?.keys() ?? [];
+    return only !== null && this.isNamed(service, only) ? only : null;
+  }
+
+  /**
+   * Whether the record names the version, or no version of any service yet. Before it does,
+   * streams may have begun at another version that came at the same time.
+   */
+  private isNamed(service: ServiceName, version: string): boolean {
+    const {recorded} = this;
+    if (!recorded || (this.options.isFirstStart && recorded.size === 0)) {
+      return true;
+    }
+    return recorded.get(service)?.includes(version) ?? false;
   }
 
   /**
@@ -113,19 +177,21 @@
   private noteVersion(service: ServiceName, version: string): void {
     const {clock, onMixed} = this.options;
     const wasMixed = this.isMixed(service);
-    const versions = this.listedAtMs.get(service) ?? new Map<string, number>();
-    this.listedAtMs.set(service, versions);
-    versions.set(version, clock.monotonicMs());
+    const versions = this.known.get(service) ?? new Map<string, KnownTimes>();
+    this.known.set(service, versions);
+    const lastMs = clock.monotonicMs();
+    const firstMs = versions.get(version)?.firstMs ?? lastMs;
+    versions.set(version, {firstMs, lastMs});
     if (!wasMixed && this.isMixed(service)) onMixed(service);
   }
 
   private removeOld(): void {
     const oldestMs = this.options.clock.monotonicMs() - STREAM_MEMORY_MS;
-    this.listedAtMs.forEach((versions, service) => {
-      versions.forEach((listedMs, version) => {
-        if (listedMs <= oldestMs) versions.delete(version);
+    this.known.forEach((versions, service) => {
+      versions.forEach(({lastMs}, version) => {
+        if (lastMs <= oldestMs) versions.delete(version);
       });
-      if (versions.size === 0) this.listedAtMs.delete(service);
+      if (versions.size === 0) this.known.delete(service);
     });
   }
 }
--- a/packages/track-streams/src/stream_origins.ts
+++ b/packages/track-streams/src/stream_origins.ts
@@ -19,6 +19,7 @@
   makeStreamId,
 } from './stream_origin.js';
 import {StreamOriginTable} from './stream_origin_table.js';
+import {MAX_VIEW_AGE_MS} from './version_lease.js';
 import {type RecordedVersions} from './version_record.js';
 import {
   type AskStream,
@@ -77,8 +78,6 @@
 
 /** Longer than the record takes to be written and passed on. */
 const MAX_RECORD_WAIT_MS = 1_000;
-/** Within this time no server that is new can have begun a stream and lost it. */
-const MAX_VIEW_AGE_MS = 2_000;
 
 /**
  * Guards against a stream that goes on at a software version which did not begin it,
@@ -126,6 +125,11 @@
     return this.versions.mayBegin(service, softwareVersion);
   }
 
+  /** Whether a stream may begin at the software version, or may as soon as it is recorded. */
+  mayBeginSoon({service, softwareVersion}: StreamOrigin): boolean {
+    return this.versions.findLeaseMs(service, softwareVersion) <= 0;
+  }
+
   /**
    * Resolves once a stream may begin at the software version, or with false if that takes
    * too long. Guards against a version that is in no record when all hosts are lost, so
@@ -136,6 +140,8 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     if (this.mayBegin(origin)) return true;
+    const {service, softwareVersion} = origin;
+    const leaseMs = this.versions.findLeaseMs(service, softwareVersion);
     await new Promise<void>(resolve => {
       const finish = () => {
         timer.cancel();
@@ -146,7 +152,10 @@
       const check = () => {
         if (this.mayBegin(origin)) finish();
       };
-      const timer = this.options.clock.setTimer(MAX_RECORD_WAIT_MS, finish);
+      const timer = this.options.clock.setTimer(
+        MAX_RECORD_WAIT_MS + Math.max(0, leaseMs),
+        finish,
+      );
       signal.addEventListener('abort', finish, {once: true});
       this.recordWaiters.add(check);
       if (signal.aborted) finish();
