--- a/packages/serve-requests/src/continue_stream.ts
+++ b/packages/serve-requests/src/continue_stream.ts
@@ -9,7 +9,7 @@
 /** Knows at which software version streams began. */
 export type StreamLookup = Pick<
   StreamOrigins,
-  'record' | 'find' | 'mayBegin' | 'waitUntilRecorded'
+  'record' | 'find' | 'mayBegin' | 'mayBeginSoon' | 'waitUntilRecorded'
 >;
 
 /** Time for another host that is only late to tell of the stream. */
@@ -36,9 +36,10 @@
       resumedRequestId === null ? null : {requestId: resumedRequestId, team},
     service: service.name,
   });
-  const {origin, source, askedHosts, answers} = answer;
+  const {origin, source, askedHosts, answers, serversAgeMs} = answer;
   logger.log('stream-origin-found', {
     ...{requestId, resumedRequestId, source, askedHosts, answers},
+    serversAgeMs,
     service: origin?.service ?? service.name,
     softwareVersion: origin?.softwareVersion ?? null,
   });
--- a/packages/track-streams/src/stream_origins.test.ts
+++ b/packages/track-streams/src/stream_origins.test.ts
@@ -93,6 +93,19 @@
   assert.is(await fleet.findVersion(0, 'not asked before'), null);
 });
 
+// Guards against a log that does not tell how old the list was that a host believed.
+test('an answer tells the age of the list of servers', async () => {
+  const fleet = new OriginFleet(4, ['v1']);
+  fleet.setServersAge(0, 1_900);
+  assert.is((await fleet.resume(0, 'r1')).serversAgeMs, 1_900);
+  fleet.setServersAge(0, Infinity);
+  assert.is((await fleet.resume(0, 'r1')).serversAgeMs, null);
+  fleet.setServersAge(1, OLD_VIEW_MS);
+  assert.is((await fleet.resume(1, 'r1')).serversAgeMs, OLD_VIEW_MS);
+  fleet.setVersionsOf(2, BOTH);
+  assert.is((await fleet.resume(2, 'r1')).serversAgeMs, null);
+});
+
 // Guards against streams that are lost while the store is silent and nothing has changed.
 test('hosts with old lists that agree on one version go on', async () => {
   const fleet = new OriginFleet(8, ['v1']);
@@ -102,6 +115,32 @@
   assert.is(await fleet.findVersion(0, 'unknown'), 'v1');
 });
 
+// Guards against a host that knows no others and agrees with itself.
+test('a host that can ask nobody does not believe an old list', async () => {
+  const fleet = new OriginFleet(1, ['v1']);
+  fleet.setServersAge(0, OLD_VIEW_MS);
+  assert.is(await fleet.findVersion(0, 'unknown'), null);
+});
+
+// Guards against hosts that are cut off together and agree on what was before.
+test('hosts with old lists do not go on while others do not answer', async () => {
+  const fleet = new OriginFleet(8, ['v1']);
+  fleet.hosts.forEach((_, at) => fleet.setServersAge(at, OLD_VIEW_MS));
+  [5, 6, 7].forEach(at => {
+    fleet.setReachable(at, false);
+    fleet.setVersionsOf(at, BOTH);
+  });
+  assert.is(await fleet.findVersion(0, 'unknown'), null);
+});
+
+// Guards against streams that are lost while some hosts are away and nothing has changed.
+test('a host with an old list believes half of the others if one is current', async () => {
+  const fleet = new OriginFleet(8, ['v1']);
+  [0, 1, 2, 3].forEach(at => fleet.setServersAge(at, OLD_VIEW_MS));
+  [5, 6, 7].forEach(at => fleet.setReachable(at, false));
+  assert.is(await fleet.findVersion(0, 'unknown'), 'v1');
+});
+
 // Guards against unbounded memory for ids that are never asked for again.
 test('streams are forgotten after a minute', () => {
   const fleet = new OriginFleet(2, BOTH);
--- a/packages/track-streams/src/stream_origins.ts
+++ b/packages/track-streams/src/stream_origins.ts
@@ -19,6 +19,7 @@
   makeStreamId,
 } from './stream_origin.js';
 import {StreamOriginTable} from './stream_origin_table.js';
+import {MAX_VIEW_AGE_MS} from './version_lease.js';
 import {type RecordedVersions} from './version_record.js';
 import {
   type AskStream,
@@ -55,6 +56,11 @@
   /** Hosts that were asked, and those that answered. */
   askedHosts: number;
   answers: number;
+  /**
+   * Age of the list of servers by which the service has an only version; null if it has
+   * none by this host's list, or that was not asked for.
+   */
+  serversAgeMs: number | null;
 }
 
 export interface StreamOriginsOptions {
@@ -72,8 +78,6 @@
 
 /** Longer than the record takes to be written and passed on. */
 const MAX_RECORD_WAIT_MS = 1_000;
-/** Within this time no server that is new can have begun a stream and lost it. */
-const MAX_VIEW_AGE_MS = 2_000;
 
 /**
  * Guards against a stream that goes on at a software version which did not begin it,
@@ -121,6 +125,11 @@
     return this.versions.mayBegin(service, softwareVersion);
   }
 
+  /** Whether a stream may begin at the software version, or may as soon as it is recorded. */
+  mayBeginSoon({service, softwareVersion}: StreamOrigin): boolean {
+    return this.versions.findLeaseMs(service, softwareVersion) <= 0;
+  }
+
   /**
    * Resolves once a stream may begin at the software version, or with false if that takes
    * too long. Guards against a version that is in no record when all hosts are lost, so
@@ -131,6 +140,8 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     if (this.mayBegin(origin)) return true;
+    const {service, softwareVersion} = origin;
+    const leaseMs = this.versions.findLeaseMs(service, softwareVersion);
     await new Promise<void>(resolve => {
       const finish = () => {
         timer.cancel();
@@ -141,7 +152,10 @@
       const check = () => {
         if (this.mayBegin(origin)) finish();
       };
-      const timer = this.options.clock.setTimer(MAX_RECORD_WAIT_MS, finish);
+      const timer = this.options.clock.setTimer(
+        MAX_RECORD_WAIT_MS + Math.max(0, leaseMs),
+        finish,
+      );
       signal.addEventListener('abort', finish, {once: true});
       this.recordWaiters.add(check);
       if (signal.aborted) finish();
@@ -167,11 +181,13 @@
     if (known) return makeAnswer(known, 'own');
     const softwareVersion = this.versions.findOnly(service);
     const only = softwareVersion === null ? null : {service, softwareVersion};
-    if (only && this.options.serversAgeMs() <= MAX_VIEW_AGE_MS) {
-      return makeAnswer(only, 'only-version');
+    const ageMs = only ? this.options.serversAgeMs() : Infinity;
+    const serversAgeMs = Number.isFinite(ageMs) ? ageMs : null;
+    if (only && ageMs <= MAX_VIEW_AGE_MS) {
+      return {...makeAnswer(only, 'only-version'), serversAgeMs};
     }
-    if (!id) return makeAnswer(null, 'unknown');
-    return this.askOthers(id, service, only);
+    if (!id) return {...makeAnswer(null, 'unknown'), serversAgeMs};
+    return {...(await this.askOthers(id, service, only)), serversAgeMs};
   }
 
   /** Called at the hosts that keep copies. */
@@ -183,7 +199,8 @@
     const origin = this.own.find(id) ?? this.copies.find(id);
     const isMixed = this.versions.isMixed(service);
     const onlyVersion = this.versions.findOnly(service);
-    return {type: 'stream-reply', origin, isMixed, onlyVersion};
+    const isCurrent = this.options.serversAgeMs() <= MAX_VIEW_AGE_MS;
+    return {type: 'stream-reply', origin, isMixed, onlyVersion, isCurrent};
   }
 
   /**
@@ -203,11 +220,13 @@
     const counts = {askedHosts: hosts.length, answers: replies.length};
     if (origin) {
       this.copies.record(id, origin);
-      return {origin, source: 'other-host', ...counts};
+      return {...makeAnswer(origin, 'other-host'), ...counts};
     }
-    return only && isAgreed(only, hosts.length, replies)
-      ? {origin: only, source: 'only-version', ...counts}
-      : {origin: null, source: 'unknown', ...counts};
+    const isKnown = only && isAgreed(only, hosts.length, replies);
+    const answer = isKnown
+      ? makeAnswer(only, 'only-version')
+      : makeAnswer(null, 'unknown');
+    return {...answer, ...counts};
   }
 
   /** Resolves once a reply names the origin or all hosts have answered or failed. */
@@ -262,7 +281,11 @@
   }
 }
 
-/** Whether half of the asked hosts know the same only version, and none another. */
+/**
+ * Whether half of the asked hosts know the same only version, one of them by a current list,
+ * and none another. Without a current list all have to: those that do not answer may see
+ * what the others are cut off from.
+ */
 function isAgreed(
   {softwareVersion}: StreamOrigin,
   askedHosts: number,
@@ -275,12 +298,15 @@
     ({isMixed, onlyVersion}) =>
       isMixed || (onlyVersion !== null && onlyVersion !== softwareVersion),
   );
-  return !isOpposed && 2 * agreeing.length >= askedHosts;
+  if (isOpposed || agreeing.length === 0) return false;
+  const isAnyCurrent = agreeing.some(({isCurrent}) => isCurrent);
+  const neededHosts = isAnyCurrent ? askedHosts / 2 : askedHosts;
+  return agreeing.length >= neededHosts;
 }
 
 function makeAnswer(
   origin: StreamOrigin | null,
   source: OriginSource,
 ): OriginAnswer {
-  return {origin, source, askedHosts: 0, answers: 0};
+  return {origin, source, askedHosts: 0, answers: 0, serversAgeMs: null};
 }
