Believe an only version only if the record names no other, also after others have answered

Found by review. A host that stood still for over a minute forgot the versions that it had listed, and believed the one that it saw first afterwards although the record which it had read named another, too; and a host that asked others went on by what it had believed before it asked.

Evidence, on the code before: stream_versions_task.test 'a host that stood still believes no version beside others in the record' (only-version where unknown is expected) and stream_origins.test 'a version that comes while others are asked is no longer the only one' (v1 where null is expected).

'a service is mixed for a minute after its last server of a version' states now that the record has to be written without the version first; before that, its stream is refused.

Why it holds: the record names each version from before its first stream to a minute after its last server.

--- a/packages/serving-node/src/stream_versions_task.test.ts
+++ b/packages/serving-node/src/stream_versions_task.test.ts
@@ -90,6 +90,26 @@
   assert.is((await resume()).source, 'only-version');
 });
 
+// Guards against a host that stood still while one version left and another came, and that
+// has forgotten the first.
+test('a host that stood still does not believe what the record does not name', async () => {
+  const {clock, list, resume} = await createRunning(['v1']);
+  clock.advance(MINUTE_MS + 10_000);
+  list('v2');
+  assert.is((await resume()).source, 'unknown');
+});
+
+// Guards against the same host where the record names both.
+test('a host that stood still believes no version beside others in the record', async () => {
+  const {clock, list, resume, write} = await createRunning(['v1']);
+  list('v1', 'v2');
+  clock.advance(LEASE_MS);
+  await write();
+  clock.advance(MINUTE_MS + 10_000);
+  list('v2');
+  assert.is((await resume()).source, 'unknown');
+});
+
 // Guards against hosts that all restart at once and see only the version that is left.
 test('a host that has started knows that there were other versions', async () => {
   const {topic} = await createRunning(['v1', 'v2']);
--- a/packages/track-streams/src/service_versions.ts
+++ b/packages/track-streams/src/service_versions.ts
@@ -151,15 +151,16 @@
   }
 
   /**
-   * Whether the record names the version, or no version of any service yet. Before it does,
-   * streams may have begun at another version that came at the same time.
+   * Whether the record names this version alone, or no version of any service yet. Before it
+   * does, streams may have begun at another version that came at the same time. A host that
+   * stood still has forgotten versions that the record still names.
    */
   private isNamed(service: ServiceName, version: string): boolean {
     const {recorded} = this;
     if (!recorded || (this.options.isFirstStart && recorded.size === 0)) {
       return true;
     }
-    return recorded.get(service)?.includes(version) ?? false;
+    return recorded.get(service)?.every(name => name === version) ?? false;
   }
 
   /**
--- a/packages/track-streams/src/stream_origins.test.ts
+++ b/packages/track-streams/src/stream_origins.test.ts
@@ -78,6 +78,8 @@
   assert.is((await fleet.resume(0, 'unknown')).origin, null);
   fleet.clock.advance(1);
   fleet.setVersions(['v2']);
+  assert.is(await fleet.findVersion(0, 'unknown'), null);
+  fleet.writeRecord();
   assert.is(await fleet.findVersion(0, 'unknown'), 'v2');
 });
 
@@ -115,6 +117,15 @@
   assert.is(await fleet.findVersion(0, 'unknown'), 'v1');
 });
 
+// Guards against a stream that goes on by what this host believed before it asked.
+test('a version that comes while others are asked is no longer the only one', async () => {
+  const fleet = new OriginFleet(8, ['v1']);
+  fleet.setServersAge(0, OLD_VIEW_MS);
+  const found = fleet.findVersion(0, 'unknown');
+  fleet.setVersionsOf(0, BOTH);
+  assert.is(await found, null);
+});
+
 // Guards against a host that knows no others and agrees with itself.
 test('a host that can ask nobody does not believe an old list', async () => {
   const fleet = new OriginFleet(1, ['v1']);
--- a/packages/track-streams/src/stream_origins.ts
+++ b/packages/track-streams/src/stream_origins.ts
@@ -222,7 +222,11 @@
       this.copies.record(id, origin);
       return {...makeAnswer(origin, 'other-host'), ...counts};
     }
-    const isKnown = only && isAgreed(only, hosts.length, replies);
+    // The list may have changed meanwhile.
+    const isStillOnly =
+      only?.softwareVersion === this.versions.findOnly(service);
+    const isKnown =
+      only && isStillOnly && isAgreed(only, hosts.length, replies);
     const answer = isKnown
       ? makeAnswer(only, 'only-version')
       : makeAnswer(null, 'unknown');
