Tell other hosts the age of the list with the time of a suspension

A scheduling node whose machine had been suspended told the others that its list was as young as before, until it had read the store again, and they believed an only version by it. It states no age now until its list is current again, as it believes none itself; the others read the store.

--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -393,7 +393,7 @@
       ...{quotas: this.quotas, confirmation: this.configuration},
       limits: this.limits.exchange,
       streams: this.streams.origins,
-      serversAgeMs: () => this.servers.ageMs,
+      serversAgeMs: () => this.streams.serversAgeMs,
       readRecords: (topic, fromOffset) =>
         this.sharedRecords.read(topic, fromOffset),
       onRecords: message => this.sharedRecords.applyFromPeer(message),
--- a/packages/serving-node/src/stream_versions_task.test.ts
+++ b/packages/serving-node/src/stream_versions_task.test.ts
@@ -84,6 +84,8 @@
   await read();
   assert.is((await resume()).source, 'only-version');
   clock.suspend(10_000);
+  // What the host tells the others of the age.
+  assert.is(task.serversAgeMs, Infinity);
   assert.is((await resume()).source, 'unknown');
   clock.advance(3_000);
   task.updateServers();
--- a/packages/serving-node/src/stream_versions_task.ts
+++ b/packages/serving-node/src/stream_versions_task.ts
@@ -45,7 +45,7 @@
     this.awakeClock = new SuspensionAwareClock(options.clock);
     this.origins = new StreamOrigins({
       ...options,
-      serversAgeMs: () => this.findServersAgeMs(),
+      serversAgeMs: () => this.serversAgeMs,
     });
     const {versions} = this.origins;
     this.record = new StoredRecord({
@@ -102,8 +102,11 @@
     if (!origins.versions.isRecordKnown) origins.applyRecord(new Map(), false);
   }
 
-  /** Ages on the monotonic clock leave out the time of a suspension. */
-  private findServersAgeMs(): number {
+  /**
+   * Age of this host's list of servers; Infinity after a suspension until it is current again.
+   * Ages on the monotonic clock leave out the time of a suspension.
+   */
+  get serversAgeMs(): number {
     const {clock, serversAgeMs} = this.options;
     const suspendedMs = this.awakeClock.monotonicMs() - clock.monotonicMs();
     if (suspendedMs - this.suspendedMs > MIN_SUSPENSION_MS) {
