Log how responses are delimited, who relayed them and how relays end

A stream that ended early left nothing in the logs to tell the death of a relaying host from the end of the server's response: no line named the relaying host, whether the response had a length, chunks or neither, or what the relaying host saw.

Event 4011 attempt-ended has the fields framing and relayedBy. Event 4104 relay-ended at the relaying host, with the counter servers.relays_ended, says whether the server ended the connection, reset it, or the other host closed it.

--- a/packages/backend-connections/src/backend_call.ts
+++ b/packages/backend-connections/src/backend_call.ts
@@ -49,6 +49,8 @@
   origin: Exclude<ResponseOrigin, 'foreign'>;
   /** Calls that the connection carried before this one. */
   earlierCalls: number;
+  /** Address of the host that passed the response on; unset for a direct connection. */
+  relayedBy?: string;
 }
 
 /** Status and headers of a response. */
--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -40,8 +40,8 @@
   listener: ConnectionListener;
   /** Keep-alive time when the server announces no timeout. */
   idleLimitMs: number;
-  /** Whether another host passes the bytes on. */
-  isRelayed: boolean;
+  /** Address of the host that passes the bytes on; null for a direct connection. */
+  relayedBy: string | null;
 }
 
 /** An established connection. */
@@ -51,7 +51,6 @@
   /** Time after which the server may close the idle connection. */
   expiresAtMs = Infinity;
   idleSinceMs: number;
-  readonly isRelayed: boolean;
   private readonly client: Client;
   private keepAliveMs: number;
   private isClosed = false;
@@ -65,13 +64,17 @@
     private readonly socket: Socket,
   ) {
     this.key = formatAddress(options.address);
-    this.isRelayed = options.isRelayed;
     this.keepAliveMs = options.idleLimitMs;
     this.idleSinceMs = options.clock.monotonicMs();
     this.client = makeSingleUseClient(options.address, socket);
     socket.once('close', () => this.markClosed());
   }
 
+  /** Whether another host passes the bytes on. */
+  get isRelayed(): boolean {
+    return this.options.relayedBy !== null;
+  }
+
   get isUsable(): boolean {
     return !this.isClosed && !this.socket.destroyed && this.socket.writable;
   }
@@ -90,9 +93,10 @@
     const {identity} = call;
     if (identity) this.carried.add(identity);
     if (identity && !identity.isNamed) this.hasCarriedUnnamed = true;
+    const {relayedBy} = this.options;
     const exchange = new Exchange(this.socket, receiver, {
-      identity,
-      earlierCalls: this.callCount,
+      ...{identity, earlierCalls: this.callCount},
+      ...(relayedBy === null ? {} : {relayedBy}),
       onKeepAlive: keepAliveMs => (this.keepAliveMs = keepAliveMs),
       onAmbiguous: () => (this.hasAmbiguousResponse = true),
       onDone: () => this.release(),
@@ -144,6 +148,7 @@
 interface ExchangeOptions {
   identity: ResponseIdentity | undefined;
   earlierCalls: number;
+  relayedBy?: string;
   onKeepAlive: (keepAliveMs: number) => void;
   onAmbiguous: () => void;
   onDone: () => void;
@@ -208,13 +213,14 @@
 
   /** Nothing is read from a response before it is known to belong to the call. */
   private receiveHead(head: AnswerHead): void {
-    const {identity, earlierCalls, onKeepAlive, onAmbiguous} = this.options;
+    const {identity, onKeepAlive, onAmbiguous} = this.options;
+    const {earlierCalls, relayedBy} = this.options;
     const origin = identity?.classify(head) ?? 'own';
     if (origin === 'foreign') return this.rejectForeign(head.status);
     if (origin === 'ambiguous') onAmbiguous();
     const keepAliveMs = readKeepAliveMs(head.headers);
     if (keepAliveMs !== null) onKeepAlive(keepAliveMs);
-    this.receiver.onHead(head, {origin, earlierCalls});
+    this.receiver.onHead(head, {origin, earlierCalls, relayedBy});
   }
 
   /** The response to the call may follow, so the connection cannot be used again. */
--- a/packages/backend-connections/src/backend_connections.ts
+++ b/packages/backend-connections/src/backend_connections.ts
@@ -106,13 +106,13 @@
     const key = formatAddress(address);
     this.connectingCounts.set(key, (this.connectingCounts.get(key) ?? 0) + 1);
     try {
-      const {socket, isRelayed} = await this.dialer.connect(address, {
+      const {socket, relayedBy} = await this.dialer.connect(address, {
         timeoutMs: call.connectTimeoutMs,
         mustBeDirect: call.mustBeDirect ?? false,
       });
       const connection = new BackendConnection(
         {
-          ...{clock, address, idleLimitMs, isRelayed},
+          ...{clock, address, idleLimitMs, relayedBy},
           listener: {
             onIdle: released => this.addIdle(released),
             onClosed: closed => this.removeConnection(key, closed),
--- a/packages/backend-connections/src/connection_dialer.ts
+++ b/packages/backend-connections/src/connection_dialer.ts
@@ -12,8 +12,8 @@
 
 export interface DialedSocket {
   socket: Socket;
-  /** Whether another host passes the bytes on. */
-  isRelayed: boolean;
+  /** Address of the host that passes the bytes on; null for a direct connection. */
+  relayedBy: string | null;
 }
 
 export interface ConnectionDialer {
@@ -30,6 +30,6 @@
     {timeoutMs}: DialTerms,
   ): Promise<DialedSocket> {
     const socket = await openSocket(this.clock, address, timeoutMs);
-    return {socket, isRelayed: false};
+    return {socket, relayedBy: null};
   }
 }
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -66,6 +66,9 @@
       origin:
         'own if the answer bears the id of the request; ambiguous if it is a refusal, after which the connection is not used again',
       earlierCalls: 'how many calls the connection carried before',
+      framing:
+        'what delimits the response: length, chunks, or close for the end of its connection',
+      relayedBy: 'the host that passed the response on, if one did',
       pauseMs: 'for how long the server wants no request of this host',
       error: 'what failed, if something did',
       fingerprint:
@@ -295,6 +298,19 @@
     },
     remedy: 'Mend the network between this host and the backend servers.',
   },
+  'relay-ended': {
+    number: 4104,
+    level: 'info',
+    message:
+      'A connection to a backend server that this node relayed has ended.',
+    fields: {
+      backendServer: 'the address of the server',
+      endedBy:
+        'server: the server ended it; reset: the server reset it; requester: the other node closed it',
+      bytes: 'bytes of the server that were passed on',
+      tookMs: 'time since it was opened',
+    },
+  },
   'backend-suspected': {
     number: 4100,
     level: 'warn',
--- a/packages/measure-events/src/measuring_event_logger.ts
+++ b/packages/measure-events/src/measuring_event_logger.ts
@@ -20,6 +20,11 @@
   ['request-finished', recordFinished],
   ['request-sent', recordSent],
   ['attempt-ended', recordAttempt],
+  [
+    'relay-ended',
+    (metrics, {endedBy}) =>
+      metrics.count('servers.relays_ended', {endedBy: toTag(endedBy)}),
+  ],
   ['retry-decided', recordRetry],
   [
     'stream-origin-found',
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -204,6 +204,10 @@
     'Connections to backend servers that this node holds for other nodes.',
     {},
   ),
+  'servers.relays_ended': counter(
+    'Connections that this node relayed and that have ended.',
+    {endedBy: '`server`, `reset` or `requester`'},
+  ),
   'servers.age_ms': gauge('Time since the list was read from the store.', {}),
   'duties.held': gauge('1 while this node schedules, else 0.', {}),
   'memory.held_bytes': gauge(
--- a/packages/relay-connections/src/relay_server.test.ts
+++ b/packages/relay-connections/src/relay_server.test.ts
@@ -1,13 +1,15 @@
 import {once} from 'node:events';
 import {type AddressInfo, Socket, createServer} from 'node:net';
 import {BackendSocket} from '@mimosatack/backend-connections';
+import {SystemClock, sleep} from '@mimosatack/clock';
 import {type SocketAddress} from '@mimosatack/types';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {RelayServer} from './relay_server.js';
+import {type EndedRelay, RelayServer} from './relay_server.js';
 
 const test = suite('relaying for another host');
 
+const CLOCK = new SystemClock();
 const OTHER_PORT = 9;
 
 function connect(
@@ -24,6 +26,7 @@
 async function withRelay(
   run: (fixture: {
     relays: RelayServer;
+    ended: EndedRelay[];
     caller: Socket;
     server: Socket;
   }) => Promise<void>,
@@ -38,7 +41,9 @@
   const [atRelay, atServer] = listeners.map(
     listener => once(listener, 'connection') as Promise<[Socket]>,
   );
+  const ended: EndedRelay[] = [];
   const relays = new RelayServer({
+    ...{clock: CLOCK, onEnded: relay => ended.push(relay)},
     mayRelay: () => true,
     listServers: () => [{ip: '127.0.0.1', port: serverPort}],
     openDirect: address => connect(address),
@@ -49,31 +54,42 @@
   const [server] = await atServer!;
   [caller, server].forEach(socket => socket.on('error', () => undefined));
   try {
-    await run({relays, caller, server});
+    await run({relays, ended, caller, server});
   } finally {
     [caller, server].forEach(socket => socket.destroy());
     listeners.forEach(listener => listener.close());
   }
 }
 
+async function waitForEnd(ended: readonly EndedRelay[]): Promise<void> {
+  while (ended.length === 0) await sleep(CLOCK, 1);
+}
+
 test('bytes pass both ways, and an end is passed on as an end', async () => {
-  await withRelay(async ({relays, caller, server}) => {
+  await withRelay(async ({relays, ended, caller, server}) => {
     assert.is(relays.openRelays, 1);
     caller.write('ask');
     assert.is(String((await once(server, 'data'))[0]), 'ask');
     server.end('answer');
     assert.is(String((await once(caller, 'data'))[0]), 'answer');
     await once(caller, 'end');
+    await waitForEnd(ended);
+    assert.equal(
+      ended.map(({endedBy, bytes}) => ({endedBy, bytes})),
+      [{endedBy: 'server', bytes: 'answer'.length}],
+    );
   });
 });
 
 // Guards against a server crash that looks like the end of a response.
 test('a reset of the server reaches the caller as a reset', async () => {
-  await withRelay(async ({caller, server}) => {
+  await withRelay(async ({ended, caller, server}) => {
     const failed = once(caller, 'error');
     server.resetAndDestroy();
     const [cause] = (await failed) as [NodeJS.ErrnoException];
     assert.is(cause.code, 'ECONNRESET');
+    await waitForEnd(ended);
+    assert.is(ended[0]?.endedBy, 'reset');
   });
 });
 
@@ -96,12 +112,13 @@
 
 // Guards against a server that goes on with a request that was given up on.
 test('a reset of the caller reaches the server', async () => {
-  await withRelay(async ({relays, caller, server}) => {
+  await withRelay(async ({relays, ended, caller, server}) => {
     const failed = once(server, 'error');
     caller.resetAndDestroy();
     const [cause] = (await failed) as [NodeJS.ErrnoException];
     assert.is(cause.code, 'ECONNRESET');
     assert.is(relays.openRelays, 0);
+    assert.is(ended[0]?.endedBy, 'requester');
   });
 });
 
@@ -109,6 +126,7 @@
 test('a caller that left before the server was reached keeps nothing open', async () => {
   const server = new Socket();
   const relays = new RelayServer({
+    ...{clock: CLOCK, onEnded: () => undefined},
     mayRelay: () => true,
     listServers: () => [{ip: '127.0.0.1', port: OTHER_PORT}],
     openDirect: () => Promise.resolve(server),
@@ -123,6 +141,7 @@
 test('only registered servers are relayed to, and none by a host that is cut off or stops', async () => {
   const makeRelays = (mayRelay: boolean) =>
     new RelayServer({
+      ...{clock: CLOCK, onEnded: () => undefined},
       mayRelay: () => mayRelay,
       listServers: () => [{ip: '127.0.0.1', port: OTHER_PORT}],
       openDirect: () => Promise.reject(new Error('refused')),
--- a/packages/relay-connections/src/relay_server.ts
+++ b/packages/relay-connections/src/relay_server.ts
@@ -1,20 +1,34 @@
-/** Passes bytes between a host that reaches no backend server and a server. */
+/** Decides which connections this host relays to backend servers, and counts them. */
 import {type Socket} from 'node:net';
+import {type Clock} from '@mimosatack/clock';
 import {type SocketAddress, formatAddress} from '@mimosatack/types';
+import {Relay, type RelayEnd} from './relay.js';
+
+/** For the log. */
+export interface EndedRelay {
+  /** The server, as IP:PORT. */
+  backendServer: string;
+  endedBy: RelayEnd;
+  /** Bytes that the server sent. */
+  bytes: number;
+  tookMs: number;
+}
 
 export interface RelayServerOptions {
+  clock: Clock;
   /** False while this host is about to stop, or reaches no server itself. */
   mayRelay: () => boolean;
   /** Only registered servers are relayed to. */
   listServers: () => readonly SocketAddress[];
   openDirect: (address: SocketAddress, timeoutMs: number) => Promise<Socket>;
+  onEnded: (relay: EndedRelay) => void;
 }
 
 /** Outcome of a relay request, before any byte is passed on. */
 export type RelayDecision =
   | {status: 'refused'; reason: 'unknown-server' | 'busy' | 'unavailable'}
   | {status: 'unreachable'}
-  | {status: 'open'; join: (caller: Socket) => void};
+  | {status: 'open'; join: (requester: Socket) => void};
 
 /** Leaves most descriptors of a small host to its own callers. */
 const MAX_RELAYS = 500;
@@ -42,35 +56,25 @@
     this.relayCount += 1;
     try {
       const server = await openDirect(address, CONNECT_TIMEOUT_MS);
-      server.once('close', () => (this.relayCount -= 1));
-      return {status: 'open', join: caller => joinSockets(caller, server)};
+      const relay = this.begin(server, target);
+      return {status: 'open', join: requester => relay.join(requester)};
     } catch {
       this.relayCount -= 1;
       return {status: 'unreachable'};
     }
   }
-}
 
-/**
- * Passes on ends as ends and resets as resets. Guards against a server crash that looks
- * like the end of a response, and an aborted request that the server goes on with.
- */
-function joinSockets(caller: Socket, server: Socket): void {
-  // The caller may have left while the connection to the server was opened.
-  if (caller.destroyed) {
-    server.destroy();
-    return;
+  private begin(server: Socket, backendServer: string): Relay {
+    const {clock, onEnded} = this.options;
+    const openedAtMs = clock.monotonicMs();
+    const relay = new Relay(server);
+    server.once('close', () => {
+      this.relayCount -= 1;
+      onEnded({
+        ...{backendServer, endedBy: relay.endedBy, bytes: server.bytesRead},
+        tookMs: Math.round(clock.monotonicMs() - openedAtMs),
+      });
+    });
+    return relay;
   }
-  caller.setNoDelay(true);
-  caller.pipe(server);
-  server.pipe(caller);
-  link(caller, server);
-  link(server, caller);
-}
-
-function link(from: Socket, to: Socket): void {
-  from.once('error', () => to.resetAndDestroy());
-  from.once('close', () => {
-    if (!from.readableEnded) to.resetAndDestroy();
-  });
 }
--- a/packages/relay-connections/src/server_dialer.test.ts
+++ b/packages/relay-connections/src/server_dialer.test.ts
@@ -60,8 +60,8 @@
 // Guards against refusing callers of a host that reaches other hosts.
 test('a host that is cut off connects through one of another domain', async () => {
   const {dialer, asked, path} = await createFixture();
-  const {isRelayed} = await dialer.connect(ADDRESS, TERMS);
-  assert.ok(isRelayed);
+  const {relayedBy} = await dialer.connect(ADDRESS, TERMS);
+  assert.is(relayedBy, asked[0]);
   assert.ok(path.isCutOff);
   assert.match(asked.join(), /^far-\d$/);
 });
--- a/packages/relay-connections/src/server_dialer.ts
+++ b/packages/relay-connections/src/server_dialer.ts
@@ -52,7 +52,7 @@
       try {
         const socket = await openDirect(address, timeoutMs);
         path.recordSuccess();
-        return {socket, isRelayed: false};
+        return {socket, relayedBy: null};
       } catch (thrown) {
         await path.recordFailure(address);
         if (!path.isCutOff) throw thrown;
@@ -61,17 +61,20 @@
     if (mustBeDirect) {
       throw createUnreachableError('This host reaches no backend server.');
     }
-    return {socket: await this.relay(address, timeoutMs), isRelayed: true};
+    return this.relay(address, timeoutMs);
   }
 
   private async relay(
     address: SocketAddress,
     timeoutMs: number,
-  ): Promise<Socket> {
+  ): Promise<DialedSocket> {
     let lastError = createUnreachableError('No other host can relay.');
     for (const helper of this.pickHelpers()) {
       try {
-        return await this.options.openRelayed(helper, address, timeoutMs);
+        const socket = await this.options.openRelayed(
+          ...([helper, address, timeoutMs] as const),
+        );
+        return {socket, relayedBy: helper.peerAddress};
       } catch (thrown) {
         lastError = toTypedError(thrown);
         if (lastError.kind === 'backend-unreachable') break;
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -22,6 +22,9 @@
 import {type AvailabilityFacts} from '@mimosatack/track-availability';
 import {type AttemptResult} from './server_chooser.js';
 
+/** What delimits a response: `close` stands for the end of its connection. */
+export type ResponseFraming = 'length' | 'chunks' | 'close';
+
 export type NotRunReason = 'unreachable' | 'not-held' | 'not-taken';
 
 export type AttemptOutcome =
@@ -80,7 +83,11 @@
   maxIdleMs: number;
   onLoad: (load: ServerLoad) => void;
   /** Called with the status of each response of the call. */
-  onStatus: (status: number, source: ResponseSource) => void;
+  onStatus: (
+    status: number,
+    source: ResponseSource,
+    framing: ResponseFraming,
+  ) => void;
   /** Called with what each response says, unless another server responded. */
   onAvailability: (availability: AvailabilityFacts) => void;
   /** Called with the limit of each response of the chosen server. */
@@ -92,9 +99,9 @@
 const MAX_DROP_MS = 1_000;
 const STATUS_OK_MIN = 200;
 const STATUS_OK_MAX = 299;
-const DELIMITING_HEADERS: ReadonlySet<string> = new Set([
-  'content-length',
-  'transfer-encoding',
+const FRAMING_HEADERS: ReadonlyMap<string, ResponseFraming> = new Map([
+  ['transfer-encoding', 'chunks'],
+  ['content-length', 'length'],
 ]);
 
 export class Attempt implements AnswerReceiver {
@@ -153,9 +160,10 @@
     this.hasHead = true;
     const {dialect, consumer, onLoad, onStatus} = this.options;
     const facts = dialect.readHead(head);
-    onStatus(facts.status, source);
+    const framing = findFraming(head);
+    onStatus(facts.status, source, framing);
     this.isSuccess = isSuccess(facts.status);
-    this.isDelimited = isDelimited(head);
+    this.isDelimited = framing !== 'close';
     if (facts.load) onLoad(facts.load);
     const isOfChosenServer = facts.isNotRun || facts.isGenuine;
     if (isOfChosenServer && !facts.isMisdirected) {
@@ -258,10 +266,10 @@
   return status >= STATUS_OK_MIN && status <= STATUS_OK_MAX;
 }
 
-function isDelimited({headers}: AnswerHead): boolean {
-  return headers.some(
-    (name, at) => at % 2 === 0 && DELIMITING_HEADERS.has(name.toLowerCase()),
-  );
+function findFraming({headers}: AnswerHead): ResponseFraming {
+  const names = headers.filter((_, at) => at % 2 === 0);
+  const framings = names.map(name => FRAMING_HEADERS.get(name.toLowerCase()));
+  return framings.find(framing => framing !== undefined) ?? 'close';
 }
 
 /** An unparsable response is no sign of a crash: the server is running. */
--- a/packages/serve-requests/src/request_log.ts
+++ b/packages/serve-requests/src/request_log.ts
@@ -4,7 +4,7 @@
 import {type TypedError} from '@mimosatack/errors';
 import {type EventLogger} from '@mimosatack/logger';
 import {type ServiceName, type ServiceRoute} from '@mimosatack/types';
-import {type AttemptOutcome} from './attempt.js';
+import {type AttemptOutcome, type ResponseFraming} from './attempt.js';
 import {type CallerRequest} from './caller_request.js';
 import {type CrashGuard} from './crash_guard.js';
 import {type RetryUsage} from './retry_allowance.js';
@@ -43,6 +43,7 @@
   private longestGapMs = 0;
   private status: number | null = null;
   private source: ResponseSource | null = null;
+  private framing: ResponseFraming | null = null;
   private pauseMs: number | null = null;
   private backendServerId = '';
 
@@ -65,6 +66,7 @@
     this.longestGapMs = 0;
     this.status = null;
     this.source = null;
+    this.framing = null;
     this.pauseMs = null;
     this.backendServerId = choice.server.id;
     this.options.logger.log('request-sent', {
@@ -100,10 +102,15 @@
     });
   }
 
-  recordHead(status: number, source: ResponseSource): void {
+  recordHead(
+    status: number,
+    source: ResponseSource,
+    framing: ResponseFraming,
+  ): void {
     this.headAtMs = this.nowMs();
     this.status = status;
     this.source = source;
+    this.framing = framing;
   }
 
   /** Records for how long the server wants no request of this host. */
@@ -131,6 +138,8 @@
       status: this.status,
       origin: this.source?.origin,
       earlierCalls: this.source?.earlierCalls,
+      framing: this.framing ?? undefined,
+      relayedBy: this.source?.relayedBy,
       pauseMs: this.pauseMs,
       error: 'error' in outcome ? outcome.error.message : undefined,
       fingerprint: isConnectionLost(outcome)
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -240,8 +240,8 @@
         this.log.recordPause(facts.pauseMs);
         this.options.availability.recordResponse(server, facts);
       },
-      onStatus: (status, source) => {
-        this.log.recordHead(status, source);
+      onStatus: (status, source, framing) => {
+        this.log.recordHead(status, source, framing);
         this.stallFailover?.recordHead();
       },
     });
--- a/packages/serving-node/src/server_paths.ts
+++ b/packages/serving-node/src/server_paths.ts
@@ -50,7 +50,8 @@
       onPathChange: isCutOff => this.handlePathChange(isCutOff),
     });
     this.relays = new RelayServer({
-      ...{listServers, openDirect},
+      ...{clock, listServers, openDirect},
+      onEnded: relay => options.logger.log('relay-ended', {...relay}),
       mayRelay: () => !this.isCutOff && !options.isStopping(),
     });
     connections.useDialer(
