End relayed responses by a statement of the relaying host, not by its close

What callers saw: resumable streams, and plain responses, that were framed as complete (200, terminating chunk) without their last events or bytes.

Cause: a relaying host passed on the bytes of a server, and its end as an end. When the process of the relaying host was killed, the kernel closed its connections with a FIN as well. A response with neither a length nor chunks ends with its connection, so the other host took the FIN for the server's end.

Evidence: relay_server.test. On the code before, a response whose relaying host was lost by a close was collected as complete ('the body' where 'broken' was expected), after a reset it was broken.

Change: what the server sends is passed on in frames; its end and its reset are frames of their own. RelayedSocket ends only by such a frame; any other end is an error. Both hosts name the framing in the handshake. With a host of the previous release bytes are passed on as before, and no end of such a connection counts as the end of a response.

Why it holds: a process that is killed, stopped or cut can't write the frame, and the frame is written only behind the end that the server's socket has reported.

--- a/packages/peer-transport/src/options.ts
+++ b/packages/peer-transport/src/options.ts
@@ -17,8 +17,11 @@
 /** Whether this node relays a connection of a peer. */
 export type RelayDecision =
   | {status: 'refused' | 'unreachable'}
-  /** `join` passes the bytes of the peer's connection on. */
-  | {status: 'open'; join: (caller: Socket) => void};
+  /** `join` passes the bytes on; `isFramed`: the peer understands frames. */
+  | {
+      status: 'open';
+      join: (requester: Socket, isFramed: boolean) => void;
+    };
 
 /** Dependencies and options of a transport; `M` is the message type. */
 export interface PeerTransportOptions<M> {
--- a/packages/peer-transport/src/peer_server.ts
+++ b/packages/peer-transport/src/peer_server.ts
@@ -14,7 +14,11 @@
   createNodeNameHeader,
 } from './authentication.js';
 import {type PeerIdentity} from './options.js';
-import {RELAY_PROTOCOL, readRelayTarget} from './relay_handshake.js';
+import {
+  RELAY_PROTOCOL,
+  readRelayTarget,
+  understandsFrames,
+} from './relay_handshake.js';
 
 export interface PeerServerOptions {
   listenHost: string;
@@ -24,7 +28,7 @@
   verifier: ConnectionVerifier;
   onConnection(peer: PeerIdentity, socket: WebSocket): void;
   /** Called with the address of the server that a peer wants to be connected to. */
-  onRelay(target: string, socket: Socket): void;
+  onRelay(target: string, socket: Socket, isFramed: boolean): void;
   onFault(error: TypedError): void;
 }
 
@@ -83,7 +87,8 @@
       const peer = this.options.verifier.verify(request.headers);
       if (request.headers.upgrade === RELAY_PROTOCOL) {
         const target = readRelayTarget(request.headers);
-        this.options.onRelay(target, socket as Socket);
+        const isFramed = understandsFrames(request.headers);
+        this.options.onRelay(target, socket as Socket, isFramed);
         return;
       }
       this.webSocketServer.handleUpgrade(request, socket, head, webSocket =>
--- a/packages/peer-transport/src/peer_transport.ts
+++ b/packages/peer-transport/src/peer_transport.ts
@@ -23,7 +23,12 @@
 import {type OutgoingFrame, PeerChannel} from './peer_channel.js';
 import {type LinkContext, PeerLink} from './peer_link.js';
 import {PeerServer} from './peer_server.js';
-import {RELAY_ACCEPTED, RELAY_REFUSALS, openRelay} from './relay_handshake.js';
+import {
+  RELAY_REFUSALS,
+  type RelayedConnection,
+  formatAcceptance,
+  openRelay,
+} from './relay_handshake.js';
 import {PendingRequests} from './pending_requests.js';
 
 const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
@@ -55,7 +60,7 @@
       maxMessageBytes: options.maxMessageBytes,
       verifier: new ConnectionVerifier(clusterSecret, clock),
       onConnection: (peer, socket) => this.accept(peer, socket),
-      onRelay: (target, socket) => void this.relay(target, socket),
+      onRelay: (...terms) => void this.relay(...terms),
       onFault: error => this.reportFault(error),
     });
     this.linkContext = {
@@ -110,7 +115,7 @@
     target: string,
     timeoutMs: number,
     createSocket: () => Socket,
-  ): Promise<Socket> {
+  ): Promise<RelayedConnection> {
     if (this.stopping.signal.aborted) return Promise.reject(shutdownError());
     const {nodeName, clusterSecret, clock} = this.options;
     const self = {address: this.selfAddress, nodeName};
@@ -129,7 +134,11 @@
     await this.server.stop();
   }
 
-  private async relay(target: string, socket: Socket): Promise<void> {
+  private async relay(
+    target: string,
+    socket: Socket,
+    isFramed: boolean,
+  ): Promise<void> {
     const decision = (await this.options.onRelay?.(target)) ?? {
       ...{status: 'refused' as const},
     };
@@ -137,8 +146,8 @@
       socket.end(RELAY_REFUSALS[decision.status]);
       return;
     }
-    socket.write(RELAY_ACCEPTED);
-    decision.join(socket);
+    socket.write(formatAcceptance(isFramed));
+    decision.join(socket, isFramed);
   }
 
   private channelTo(address: string): PeerChannel<M> {
--- a/packages/peer-transport/src/relay_handshake.ts
+++ b/packages/peer-transport/src/relay_handshake.ts
@@ -7,14 +7,20 @@
 
 export const RELAY_PROTOCOL = 'mimosatack-relay';
 const TARGET_HEADER = 'x-relay-target';
+/** Both nodes name it if they understand frames; the previous release does not. */
+const FRAMING_HEADER = 'x-relay-framing';
+const FRAMING_VERSION = '1';
 const STATUS_BAD_GATEWAY = 502;
 
-export const RELAY_ACCEPTED = [
-  'HTTP/1.1 101 Switching Protocols',
-  'Connection: Upgrade',
-  `Upgrade: ${RELAY_PROTOCOL}`,
-  '\r\n',
-].join('\r\n');
+export function formatAcceptance(isFramed: boolean): string {
+  return [
+    'HTTP/1.1 101 Switching Protocols',
+    'Connection: Upgrade',
+    `Upgrade: ${RELAY_PROTOCOL}`,
+    ...(isFramed ? [`${FRAMING_HEADER}: ${FRAMING_VERSION}`] : []),
+    '\r\n',
+  ].join('\r\n');
+}
 
 /** The statuses with which a node answers a relay request that it does not accept. */
 export const RELAY_REFUSALS = {
@@ -29,6 +35,20 @@
   return typeof target === 'string' ? target : '';
 }
 
+/** Whether the other node understands frames. */
+export function understandsFrames(headers: IncomingHttpHeaders): boolean {
+  return headers[FRAMING_HEADER] === FRAMING_VERSION;
+}
+
+/** A connection that another node relays. */
+export interface RelayedConnection {
+  socket: Socket;
+  /** Whether the relaying node sends frames; otherwise the bytes of the server only. */
+  isFramed: boolean;
+  /** Bytes that were read behind the acceptance. */
+  head: Buffer;
+}
+
 export interface RelayRequest {
   /** The node that relays, as IP:PORT. */
   address: string;
@@ -44,7 +64,7 @@
  * Rejects with `backend-unreachable` if the node can't reach the server, else with
  * `peer-unreachable`.
  */
-export function openRelay(relay: RelayRequest): Promise<Socket> {
+export function openRelay(relay: RelayRequest): Promise<RelayedConnection> {
   const {address, target, headers, timeoutMs, clock, createSocket} = relay;
   const {hostname: host, port} = new URL(`http://${address}`);
   return new Promise((resolve, reject) => {
@@ -54,7 +74,7 @@
       headers: {
         ...headers,
         ...{Connection: 'Upgrade', Upgrade: RELAY_PROTOCOL},
-        [TARGET_HEADER]: target,
+        ...{[TARGET_HEADER]: target, [FRAMING_HEADER]: FRAMING_VERSION},
       },
       createConnection: () =>
         createSocket().connect({host, port: Number(port)}),
@@ -75,9 +95,9 @@
           : createRelayError(address, `status ${statusCode}`),
       ),
     );
-    call.once('upgrade', (_response, socket: Socket) => {
+    call.once('upgrade', ({headers: accepted}, socket: Socket, head) => {
       timer?.cancel();
-      resolve(socket);
+      resolve({socket, isFramed: understandsFrames(accepted), head});
     });
     call.end();
   });
--- a/packages/relay-connections/src/relay.ts
+++ b/packages/relay-connections/src/relay.ts
@@ -1,5 +1,6 @@
 /** One relayed connection between another host and a backend server. */
 import {type Socket} from 'node:net';
+import {RelayFrameEncoder} from './relay_frames.js';
 
 /** Who ended the connection: the server by its end or a reset, or the other host. */
 export type RelayEnd = 'server' | 'reset' | 'requester';
@@ -21,8 +22,10 @@
   /**
    * Passes on ends as ends and resets as resets. Guards against a server crash that looks
    * like the end of a response, and an aborted request that the server goes on with.
+   *
+   * @param isFramed false for a host of the previous release, which understands bytes only
    */
-  join(requester: Socket): void {
+  join(requester: Socket, isFramed: boolean): void {
     const {server} = this;
     // The requester may have left while the connection to the server was opened.
     if (requester.destroyed) {
@@ -31,9 +34,20 @@
     }
     requester.setNoDelay(true);
     requester.pipe(server);
-    server.pipe(requester);
     onBroken(requester, () => this.abort());
-    onBroken(server, () => requester.resetAndDestroy());
+    if (isFramed) this.passOnFramed(requester);
+    else this.passOnRaw(requester);
+  }
+
+  private passOnRaw(requester: Socket): void {
+    this.server.pipe(requester);
+    onBroken(this.server, () => requester.resetAndDestroy());
+  }
+
+  private passOnFramed(requester: Socket): void {
+    const frames = new RelayFrameEncoder();
+    this.server.pipe(frames).pipe(requester);
+    onBroken(this.server, () => frames.endAsReset());
   }
 
   private abort(): void {
--- a/packages/relay-connections/src/relay_server.test.ts
+++ b/packages/relay-connections/src/relay_server.test.ts
@@ -1,16 +1,23 @@
 import {once} from 'node:events';
 import {type AddressInfo, Socket, createServer} from 'node:net';
-import {BackendSocket} from '@mimosatack/backend-connections';
+import {
+  BackendConnections,
+  BackendSocket,
+  collectAnswer,
+} from '@mimosatack/backend-connections';
 import {SystemClock, sleep} from '@mimosatack/clock';
 import {type SocketAddress} from '@mimosatack/types';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {type EndedRelay, RelayServer} from './relay_server.js';
+import {RelayedSocket} from './relayed_socket.js';
 
 const test = suite('relaying for another host');
 
 const CLOCK = new SystemClock();
 const OTHER_PORT = 9;
+/** Time for bytes to pass the relay. */
+const PASS_MS = 20;
 
 function connect(
   {port}: Pick<SocketAddress, 'port'>,
@@ -29,8 +36,11 @@
     ended: EndedRelay[];
     caller: Socket;
     server: Socket;
+    /** The caller's connection at the relaying host. */
+    atRelay: Socket;
   }) => Promise<void>,
   callerSocket = new Socket(),
+  isFramed = false,
 ): Promise<void> {
   const listeners = [createServer(), createServer()];
   listeners.forEach(listener => listener.listen(0, '127.0.0.1'));
@@ -38,7 +48,7 @@
   const [relayPort = 0, serverPort = 0] = listeners.map(
     listener => (listener.address() as AddressInfo).port,
   );
-  const [atRelay, atServer] = listeners.map(
+  const [relayAccepted, serverAccepted] = listeners.map(
     listener => once(listener, 'connection') as Promise<[Socket]>,
   );
   const ended: EndedRelay[] = [];
@@ -50,11 +60,15 @@
   });
   const caller = await connect({port: relayPort}, callerSocket);
   const decision = await relays.open(`127.0.0.1:${serverPort}`);
-  if (decision.status === 'open') decision.join((await atRelay!)[0]);
-  const [server] = await atServer!;
+  const [atRelay] = await relayAccepted!;
+  if (decision.status === 'open') decision.join(atRelay, isFramed);
+  if (callerSocket instanceof RelayedSocket) {
+    callerSocket.beginRelay(isFramed, Buffer.alloc(0));
+  }
+  const [server] = await serverAccepted!;
   [caller, server].forEach(socket => socket.on('error', () => undefined));
   try {
-    await run({relays, ended, caller, server});
+    await run({relays, ended, caller, server, atRelay});
   } finally {
     [caller, server].forEach(socket => socket.destroy());
     listeners.forEach(listener => listener.close());
@@ -122,6 +136,85 @@
   });
 });
 
+const WHOLE_HEAD = 'HTTP/1.1 200 OK\r\n';
+const BODY = 'the body';
+
+/** How a response without a length or chunks ends for the host that requested it. */
+async function collectUnframed(
+  end: (sockets: {server: Socket; atRelay: Socket}) => void,
+  isFramed: boolean,
+): Promise<string> {
+  let result = '';
+  const play = async (terms: {
+    caller: Socket;
+    server: Socket;
+    atRelay: Socket;
+  }) => {
+    const connections = new BackendConnections({
+      ...{clock: CLOCK, idleLimitMs: 1_000},
+    });
+    connections.useDialer({
+      connect: () =>
+        Promise.resolve({socket: terms.caller, relayedBy: 'relay'}),
+    });
+    const collected = collectAnswer(
+      connections,
+      {
+        address: {ip: '127.0.0.1', port: OTHER_PORT},
+        ...{method: 'GET', path: '/', headers: [], body: null},
+        ...{maxIdleMs: 0, connectTimeoutMs: 1_000},
+      },
+      {timeoutMs: 1_000},
+      CLOCK,
+    );
+    await once(terms.server, 'data');
+    terms.server.write(`${WHOLE_HEAD}\r\n${BODY}`);
+    await sleep(CLOCK, PASS_MS);
+    end(terms);
+    result = await collected.then(
+      ({body}) => String(body),
+      () => 'broken',
+    );
+    connections.stop();
+  };
+  await withRelay(play, new RelayedSocket(), isFramed);
+  return result;
+}
+
+const FRAMINGS = [
+  {isFramed: true, release: 'this release'},
+  {isFramed: false, release: 'the previous release'},
+] as const;
+
+FRAMINGS.forEach(({isFramed, release}) => {
+  // Guards against a response without a length that looks complete because the process of
+  // the relaying host has ended.
+  test(`a lost relaying host of ${release} ends no response as complete`, async () => {
+    const ends = await Promise.all(
+      [
+        ({atRelay}: {atRelay: Socket}) => atRelay.destroy(),
+        ({atRelay}: {atRelay: Socket}) => atRelay.resetAndDestroy(),
+        ({atRelay}: {atRelay: Socket}) => atRelay.end(),
+      ].map(end => collectUnframed(end, isFramed)),
+    );
+    assert.equal(ends, ['broken', 'broken', 'broken']);
+  });
+
+  // Guards against a crash of the server that looks like the end of its response.
+  test(`a reset that a host of ${release} relays ends no response as complete`, async () => {
+    const result = await collectUnframed(
+      ({server}) => server.resetAndDestroy(),
+      isFramed,
+    );
+    assert.is(result, 'broken');
+  });
+});
+
+// Guards against responses without a length that fail though the server has ended them.
+test('a response ends as complete by the statement that its server has ended', async () => {
+  assert.is(await collectUnframed(({server}) => server.end(), true), BODY);
+});
+
 // Guards against a connection to a server that is kept for a host that has left.
 test('a caller that left before the server was reached keeps nothing open', async () => {
   const server = new Socket();
@@ -132,7 +225,7 @@
     openDirect: () => Promise.resolve(server),
   });
   const decision = await relays.open(`127.0.0.1:${OTHER_PORT}`);
-  if (decision.status === 'open') decision.join(new Socket().destroy());
+  if (decision.status === 'open') decision.join(new Socket().destroy(), true);
   await once(server, 'close');
   assert.is(relays.openRelays, 0);
 });
--- a/packages/relay-connections/src/relay_server.ts
+++ b/packages/relay-connections/src/relay_server.ts
@@ -28,7 +28,7 @@
 export type RelayDecision =
   | {status: 'refused'; reason: 'unknown-server' | 'busy' | 'unavailable'}
   | {status: 'unreachable'}
-  | {status: 'open'; join: (requester: Socket) => void};
+  | {status: 'open'; join: (requester: Socket, isFramed: boolean) => void};
 
 /** Leaves most descriptors of a small host to its own callers. */
 const MAX_RELAYS = 500;
@@ -57,7 +57,10 @@
     try {
       const server = await openDirect(address, CONNECT_TIMEOUT_MS);
       const relay = this.begin(server, target);
-      return {status: 'open', join: requester => relay.join(requester)};
+      return {
+        status: 'open',
+        join: (requester, isFramed) => relay.join(requester, isFramed),
+      };
     } catch {
       this.relayCount -= 1;
       return {status: 'unreachable'};
--- a/packages/serving-node/src/server_paths.ts
+++ b/packages/serving-node/src/server_paths.ts
@@ -1,12 +1,12 @@
 /** Reaches backend servers through other nodes while this node reaches none. */
 import {
   type BackendConnections,
-  BackendSocket,
   openSocket,
 } from '@mimosatack/backend-connections';
 import {type NodeLinks, type RegisteredNode} from '@mimosatack/node-links';
 import {
   RelayServer,
+  RelayedSocket,
   ServerDialer,
   ServerPath,
 } from '@mimosatack/relay-connections';
@@ -63,10 +63,7 @@
             .listNodes()
             .filter(({nodeName}) => nodeName !== self.nodeName),
         openRelayed: ({peerAddress}, address, timeoutMs) =>
-          options.openRelay(
-            ...([peerAddress, formatAddress(address), timeoutMs] as const),
-            () => new BackendSocket(),
-          ),
+          this.openRelayed(peerAddress, address, timeoutMs),
       }),
     );
   }
@@ -76,6 +73,20 @@
     return this.path.isCutOff;
   }
 
+  private async openRelayed(
+    peerAddress: string,
+    address: SocketAddress,
+    timeoutMs: number,
+  ): Promise<RelayedSocket> {
+    const socket = new RelayedSocket();
+    const {isFramed, head} = await this.options.openRelay(
+      ...([peerAddress, formatAddress(address), timeoutMs] as const),
+      () => socket,
+    );
+    socket.beginRelay(isFramed, head);
+    return socket;
+  }
+
   /** Idle connections on the path that was left may hang, or burden another node. */
   private handlePathChange(isCutOff: boolean): void {
     const {connections, logger, onCutOff} = this.options;
