Hold the loss of a relaying host against no request

What callers saw: requests that were relayed while relaying hosts were killed could be refused as contained, as if they had crashed three servers.

Cause: a lost connection counted as a crash of the server, also where the relaying host was lost.

Change: the error of a relayed connection that ended without a statement of the relaying host says so, and such an attempt is broken without a sign of a crash. A reset that the relaying host states counts as before.

Why it holds: the statement is the only thing that tells of the server. With a host of the previous release a reset still counts, as nothing tells the two apart.

--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -16,6 +16,7 @@
   type ResponseIdentity,
 } from './backend_call.js';
 import {createForeignResponseError} from './foreign_response.js';
+import {RELAY_LOST, isRelayLostCause} from './relay_loss.js';
 
 /** Keeps the HTTP client from closing idle connections; see `expiresAtMs`. */
 const CLIENT_KEEP_ALIVE_MS = 600_000;
@@ -260,7 +261,10 @@
     ? new TypedError(
         'backend-failed',
         'The connection broke after the call was begun.',
-        {run: 'unknown', cause},
+        {
+          ...{run: 'unknown', cause},
+          ...(isRelayLostCause(cause) ? {info: {reason: RELAY_LOST}} : {}),
+        },
       )
     : createUnreachableError('The connection broke before it was used.', cause);
 }
--- a/packages/backend-connections/src/index.ts
+++ b/packages/backend-connections/src/index.ts
@@ -14,6 +14,7 @@
 export {type CollectedAnswer, collectAnswer} from './collect_answer.js';
 export {createUnreachableError, openSocket} from './backend_connection.js';
 export {isForeignResponse} from './foreign_response.js';
+export {RELAY_LOST, isRelayLost, makeRelayLostError} from './relay_loss.js';
 export {BackendSocket} from './backend_socket.js';
 export {
   type ConnectionDialer,
--- a/packages/relay-connections/src/relay_server.test.ts
+++ b/packages/relay-connections/src/relay_server.test.ts
@@ -4,8 +4,10 @@
   BackendConnections,
   BackendSocket,
   collectAnswer,
+  isRelayLost,
 } from '@mimosatack/backend-connections';
 import {SystemClock, sleep} from '@mimosatack/clock';
+import {type TypedError} from '@mimosatack/errors';
 import {type SocketAddress} from '@mimosatack/types';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -173,7 +175,7 @@
     end(terms);
     result = await collected.then(
       ({body}) => String(body),
-      () => 'broken',
+      (error: TypedError) => (isRelayLost(error) ? 'relay lost' : 'reset'),
     );
     connections.stop();
   };
@@ -182,11 +184,12 @@
 }
 
 const FRAMINGS = [
-  {isFramed: true, release: 'this release'},
-  {isFramed: false, release: 'the previous release'},
+  {isFramed: true, release: 'this release', resetSays: 'relay lost'},
+  // Only bytes are passed on, so that the server may have sent the reset.
+  {isFramed: false, release: 'the previous release', resetSays: 'reset'},
 ] as const;
 
-FRAMINGS.forEach(({isFramed, release}) => {
+FRAMINGS.forEach(({isFramed, release, resetSays}) => {
   // Guards against a response without a length that looks complete because the process of
   // the relaying host has ended.
   test(`a lost relaying host of ${release} ends no response as complete`, async () => {
@@ -197,7 +200,7 @@
         ({atRelay}: {atRelay: Socket}) => atRelay.end(),
       ].map(end => collectUnframed(end, isFramed)),
     );
-    assert.equal(ends, ['broken', 'broken', 'broken']);
+    assert.equal(ends, ['relay lost', resetSays, 'relay lost']);
   });
 
   // Guards against a crash of the server that looks like the end of its response.
@@ -206,7 +209,7 @@
       ({server}) => server.resetAndDestroy(),
       isFramed,
     );
-    assert.is(result, 'broken');
+    assert.is(result, 'reset');
   });
 });
 
--- a/packages/relay-connections/src/relayed_socket.ts
+++ b/packages/relay-connections/src/relayed_socket.ts
@@ -1,18 +1,15 @@
 /** A connection to a backend server that another host relays. */
-import {BackendSocket} from '@mimosatack/backend-connections';
+import {
+  BackendSocket,
+  makeRelayLostError,
+} from '@mimosatack/backend-connections';
 import {RelayFrameDecoder} from './relay_frames.js';
 
 const RESET_CODE = 'ECONNRESET';
-/** Not `ECONNRESET`, which the HTTP client may take for the end of a response. */
-const RELAY_LOST_CODE = 'ERELAYLOST';
 
-function makeError(code: string, message: string, cause?: unknown): Error {
-  return Object.assign(new Error(message, {cause}), {code});
-}
-
-function makeRelayLostError(cause?: unknown): Error {
-  const message = 'The relaying host did not say that the server has ended.';
-  return makeError(RELAY_LOST_CODE, message, cause);
+function makeResetError(): Error {
+  const message = 'The server has reset the connection.';
+  return Object.assign(new Error(message), {code: RESET_CODE});
 }
 
 /**
@@ -71,6 +68,6 @@
   }
 
   private resetByServer(): void {
-    this.destroy(makeError(RESET_CODE, 'The server has reset the connection.'));
+    this.destroy(makeResetError());
   }
 }
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -7,6 +7,7 @@
   type ResponseIdentity,
   type ResponseSource,
   isForeignResponse,
+  isRelayLost,
 } from '@mimosatack/backend-connections';
 import {type Clock, type Timer} from '@mimosatack/clock';
 import {TypedError} from '@mimosatack/errors';
@@ -233,7 +234,10 @@
       this.finish({
         status: 'broken',
         error,
-        isConnectionLost: !isParseError(error) && !isForeignResponse(error),
+        isConnectionLost:
+          !isParseError(error) &&
+          !isForeignResponse(error) &&
+          !isRelayLost(error),
       });
     }
   }
