Let a relaying host end the responses that it relays before it stops

What callers saw: streams and plain responses of other hosts, relayed by a host that was stopped as planned, broke off (before the statement of the end: looked complete) as soon as that host had no requests of its own left.

Cause: a stop waited for the requests that the host had taken itself, not for those that it relayed.

Change: an open relay is work in flight, within the grace time. A frame asks the other host for no further call: it closes the connection at once if it is idle, else after the response.

Why it holds: the connection carries no call after the one that the relaying host waits for, so that the wait ends with that response, and idle connections don't prolong the stop. Hosts of the previous release don't know the frame; a stop does not wait for their connections.

--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -57,6 +57,9 @@
   private isClosed = false;
   private hasAmbiguousResponse = false;
   private hasCarriedUnnamed = false;
+  private isBusy = false;
+  /** Whether the host that relays is about to stop. */
+  private isRetiring = false;
   private callCount = 0;
   private readonly carried = new WeakSet<ResponseIdentity>();
 
@@ -69,6 +72,7 @@
     this.idleSinceMs = options.clock.monotonicMs();
     this.client = makeSingleUseClient(options.address, socket);
     socket.once('close', () => this.markClosed());
+    socket.once('retire', () => this.retire());
   }
 
   /** Whether another host passes the bytes on. */
@@ -103,6 +107,7 @@
       onDone: () => this.release(),
     });
     this.callCount += 1;
+    this.isBusy = true;
     this.client.dispatch(
       {
         path: call.path,
@@ -122,14 +127,22 @@
     void this.client.destroy().catch(() => undefined);
   }
 
+  /** A call that is under way ends as usual. */
+  private retire(): void {
+    this.isRetiring = true;
+    if (!this.isBusy) this.close();
+  }
+
   private release(): void {
+    this.isBusy = false;
     const nowMs = this.options.clock.monotonicMs();
     this.idleSinceMs = nowMs;
     this.expiresAtMs = nowMs + this.keepAliveMs - EXPIRY_MARGIN_MS;
     // The HTTP client closes a connection that is not reusable only after
     // `onComplete` has returned.
     setImmediate(() => {
-      const isReusable = this.isUsable && !this.hasAmbiguousResponse;
+      const isReusable =
+        this.isUsable && !this.hasAmbiguousResponse && !this.isRetiring;
       if (isReusable && this.expiresAtMs > nowMs) {
         this.options.listener.onIdle(this);
       } else {
--- a/packages/relay-connections/src/relay.ts
+++ b/packages/relay-connections/src/relay.ts
@@ -8,6 +8,7 @@
 /** Passes bytes between the host that requested the connection and the server. */
 export class Relay {
   private end: RelayEnd | null = null;
+  private frames: RelayFrameEncoder | null = null;
 
   constructor(private readonly server: Socket) {
     server.once('end', () => (this.end ??= 'server'));
@@ -39,6 +40,14 @@
     else this.passOnRaw(requester);
   }
 
+  /**
+   * Asks the other host for no further call. A host of the previous release does not
+   * understand it.
+   */
+  retire(): void {
+    this.frames?.retire();
+  }
+
   private passOnRaw(requester: Socket): void {
     this.server.pipe(requester);
     onBroken(this.server, () => requester.resetAndDestroy());
@@ -46,6 +55,7 @@
 
   private passOnFramed(requester: Socket): void {
     const frames = new RelayFrameEncoder();
+    this.frames = frames;
     this.server.pipe(frames).pipe(requester);
     onBroken(this.server, () => frames.endAsReset());
   }
--- a/packages/relay-connections/src/relay_frames.ts
+++ b/packages/relay-connections/src/relay_frames.ts
@@ -12,9 +12,11 @@
   /** The server ended its connection; nothing follows. */
   | 'end'
   /** The server reset its connection; nothing follows. */
-  | 'reset';
+  | 'reset'
+  /** The relaying host is about to stop; no further call should be sent. */
+  | 'retire';
 
-const FRAME_CODES = {data: 0, end: 1, reset: 2} as const;
+const FRAME_CODES = {data: 0, end: 1, reset: 2, retire: 3} as const;
 const FRAME_TYPES: ReadonlyMap<number, RelayFrameType> = new Map(
   Object.entries(FRAME_CODES).map(([type, code]) => [
     code,
@@ -42,6 +44,12 @@
     this.end();
   }
 
+  /** Announces that this host is about to stop. */
+  retire(): void {
+    if (this.writableEnded || this.destroyed) return;
+    this.push(encodeFrame('retire'));
+  }
+
   // eslint-disable-next-line @typescript-eslint/naming-convention -- Node's name.
   override _transform(
     chunk: Buffer,
@@ -63,6 +71,7 @@
   data: Buffer;
   /** Whether the server's end or reset follows the data. */
   ending: 'end' | 'reset' | null;
+  isRetiring: boolean;
 }
 
 /** Decodes frames from chunks that may hold parts of them. */
@@ -75,6 +84,7 @@
   decode(chunk: Buffer): DecodedFrames {
     const data: Buffer[] = [];
     let ending: DecodedFrames['ending'] = null;
+    let isRetiring = false;
     let rest = chunk;
     while (rest.length > 0 && !ending) {
       if (this.missingBytes > 0) {
@@ -89,9 +99,10 @@
       rest = rest.subarray(needed);
       if (this.header.length < HEADER_BYTES) break;
       const type = this.readHeader();
-      if (type !== 'data') ending = type;
+      if (type === 'retire') isRetiring = true;
+      else if (type !== 'data') ending = type;
     }
-    return {data: Buffer.concat(data), ending};
+    return {data: Buffer.concat(data), ending, isRetiring};
   }
 
   private readHeader(): RelayFrameType {
--- a/packages/relay-connections/src/relay_server.test.ts
+++ b/packages/relay-connections/src/relay_server.test.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {type AddressInfo, Socket, createServer} from 'node:net';
 import {
+  type BackendCall,
   BackendConnections,
   BackendSocket,
   collectAnswer,
@@ -17,6 +18,7 @@
 const test = suite('relaying for another host');
 
 const CLOCK = new SystemClock();
+const work = {end: () => undefined};
 const OTHER_PORT = 9;
 /** Time for bytes to pass the relay. */
 const PASS_MS = 20;
@@ -40,6 +42,8 @@
     server: Socket;
     /** The caller's connection at the relaying host. */
     atRelay: Socket;
+    /** What the relaying host waits for before it stops. */
+    countWork: () => number;
   }) => Promise<void>,
   callerSocket = new Socket(),
   isFramed = false,
@@ -54,8 +58,13 @@
     listener => once(listener, 'connection') as Promise<[Socket]>,
   );
   const ended: EndedRelay[] = [];
+  let openWork = 0;
   const relays = new RelayServer({
     ...{clock: CLOCK, onEnded: relay => ended.push(relay)},
+    beginWork: () => {
+      openWork += 1;
+      return {end: () => (openWork -= 1)};
+    },
     mayRelay: () => true,
     listServers: () => [{ip: '127.0.0.1', port: serverPort}],
     openDirect: address => connect(address),
@@ -70,7 +79,10 @@
   const [server] = await serverAccepted!;
   [caller, server].forEach(socket => socket.on('error', () => undefined));
   try {
-    await run({relays, ended, caller, server, atRelay});
+    await run({
+      ...{relays, ended, caller, server, atRelay},
+      countWork: () => openWork,
+    });
   } finally {
     [caller, server].forEach(socket => socket.destroy());
     listeners.forEach(listener => listener.close());
@@ -138,6 +150,12 @@
   });
 });
 
+const CALL: BackendCall = {
+  address: {ip: '127.0.0.1', port: OTHER_PORT},
+  ...{method: 'GET', path: '/', headers: [], body: null},
+  ...{maxIdleMs: 1_000, connectTimeoutMs: 1_000},
+};
+
 const WHOLE_HEAD = 'HTTP/1.1 200 OK\r\n';
 const BODY = 'the body';
 
@@ -161,11 +179,7 @@
     });
     const collected = collectAnswer(
       connections,
-      {
-        address: {ip: '127.0.0.1', port: OTHER_PORT},
-        ...{method: 'GET', path: '/', headers: [], body: null},
-        ...{maxIdleMs: 0, connectTimeoutMs: 1_000},
-      },
+      {...CALL, maxIdleMs: 0},
       {timeoutMs: 1_000},
       CLOCK,
     );
@@ -218,11 +232,66 @@
   assert.is(await collectUnframed(({server}) => server.end(), true), BODY);
 });
 
+// Guards against a planned stop of a relaying host that cuts responses of other hosts, and one
+// that waits for connections that no call uses.
+test('a relaying host that stops waits for calls and not for idle connections', () =>
+  withRelay(
+    async ({relays, caller, server, countWork}) => {
+      const connections = new BackendConnections({
+        ...{clock: CLOCK, idleLimitMs: 5_000},
+      });
+      connections.useDialer({
+        connect: () => Promise.resolve({socket: caller, relayedBy: 'relay'}),
+      });
+      const send = () =>
+        collectAnswer(connections, CALL, {timeoutMs: 1_000}, CLOCK);
+      const first = send();
+      await once(server, 'data');
+      relays.retireAll();
+      await sleep(CLOCK, PASS_MS);
+      assert.is(countWork(), 1);
+      server.write(
+        `${WHOLE_HEAD}Content-Length: ${BODY.length}\r\n\r\n${BODY}`,
+      );
+      assert.is(String((await first).body), BODY);
+      while (countWork() > 0) await sleep(CLOCK, 1);
+      connections.stop();
+    },
+    new RelayedSocket(),
+    true,
+  ));
+
+// Guards against a stop that waits until the other host closes a connection that it keeps.
+test('an idle connection is closed once its relaying host is about to stop', () =>
+  withRelay(
+    async ({relays, caller, server, countWork}) => {
+      const connections = new BackendConnections({
+        ...{clock: CLOCK, idleLimitMs: 5_000},
+      });
+      connections.useDialer({
+        connect: () => Promise.resolve({socket: caller, relayedBy: 'relay'}),
+      });
+      const first = collectAnswer(connections, CALL, {timeoutMs: 1_000}, CLOCK);
+      await once(server, 'data');
+      server.write(
+        `${WHOLE_HEAD}Content-Length: ${BODY.length}\r\n\r\n${BODY}`,
+      );
+      await first;
+      await sleep(CLOCK, PASS_MS);
+      assert.is(countWork(), 1);
+      relays.retireAll();
+      while (countWork() > 0) await sleep(CLOCK, 1);
+      connections.stop();
+    },
+    new RelayedSocket(),
+    true,
+  ));
+
 // Guards against a connection to a server that is kept for a host that has left.
 test('a caller that left before the server was reached keeps nothing open', async () => {
   const server = new Socket();
   const relays = new RelayServer({
-    ...{clock: CLOCK, onEnded: () => undefined},
+    ...{clock: CLOCK, onEnded: () => undefined, beginWork: () => work},
     mayRelay: () => true,
     listServers: () => [{ip: '127.0.0.1', port: OTHER_PORT}],
     openDirect: () => Promise.resolve(server),
@@ -237,7 +306,7 @@
 test('only registered servers are relayed to, and none by a host that is cut off or stops', async () => {
   const makeRelays = (mayRelay: boolean) =>
     new RelayServer({
-      ...{clock: CLOCK, onEnded: () => undefined},
+      ...{clock: CLOCK, onEnded: () => undefined, beginWork: () => work},
       mayRelay: () => mayRelay,
       listServers: () => [{ip: '127.0.0.1', port: OTHER_PORT}],
       openDirect: () => Promise.reject(new Error('refused')),
--- a/packages/relay-connections/src/relay_server.ts
+++ b/packages/relay-connections/src/relay_server.ts
@@ -22,6 +22,8 @@
   listServers: () => readonly SocketAddress[];
   openDirect: (address: SocketAddress, timeoutMs: number) => Promise<Socket>;
   onEnded: (relay: EndedRelay) => void;
+  /** Keeps this process up until `end` is called, within the time that its stop may take. */
+  beginWork: () => {end(): void};
 }
 
 /** Outcome of a relay request, before any byte is passed on. */
@@ -36,6 +38,7 @@
 
 export class RelayServer {
   private relayCount = 0;
+  private readonly relays = new Set<Relay>();
 
   constructor(private readonly options: RelayServerOptions) {}
 
@@ -59,7 +62,10 @@
       const relay = this.begin(server, target);
       return {
         status: 'open',
-        join: (requester, isFramed) => relay.join(requester, isFramed),
+        join: (requester, isFramed) => {
+          relay.join(requester, isFramed);
+          if (isFramed) this.keepUpFor(server);
+        },
       };
     } catch {
       this.relayCount -= 1;
@@ -67,12 +73,28 @@
     }
   }
 
+  /**
+   * Asks the other hosts for no further calls on their connections. Guards against a stop that
+   * cuts the responses of other hosts, and against one that waits for idle connections.
+   */
+  retireAll(): void {
+    this.relays.forEach(relay => relay.retire());
+  }
+
+  private keepUpFor(server: Socket): void {
+    if (server.destroyed) return;
+    const work = this.options.beginWork();
+    server.once('close', () => work.end());
+  }
+
   private begin(server: Socket, backendServer: string): Relay {
     const {clock, onEnded} = this.options;
     const openedAtMs = clock.monotonicMs();
     const relay = new Relay(server);
+    this.relays.add(relay);
     server.once('close', () => {
       this.relayCount -= 1;
+      this.relays.delete(relay);
       onEnded({
         ...{backendServer, endedBy: relay.endedBy, bytes: server.bytesRead},
         tookMs: Math.round(clock.monotonicMs() - openedAtMs),
--- a/packages/relay-connections/src/relayed_socket.ts
+++ b/packages/relay-connections/src/relayed_socket.ts
@@ -15,6 +15,8 @@
 /**
  * Ends only by the relaying host's statement that the server has ended. Guards against a
  * response without a length that looks complete because the relaying host was lost.
+ *
+ * Emits `retire` when the relaying host is about to stop.
  */
 export class RelayedSocket extends BackendSocket {
   private mode: 'handshake' | 'raw' | 'framed' = 'handshake';
@@ -54,9 +56,10 @@
   private pushFrames(chunk: Buffer): boolean {
     if (this.isEnding) return false;
     try {
-      const {data, ending} = this.decoder.decode(chunk);
+      const {data, ending, isRetiring} = this.decoder.decode(chunk);
       // Without data, this lets the stream read on.
       super.push(data);
+      if (isRetiring) this.emit('retire');
       this.isEnding = ending !== null;
       if (ending === 'end') super.push(null);
       // The reader takes the data first.
--- a/packages/serving-node/src/node_departure.ts
+++ b/packages/serving-node/src/node_departure.ts
@@ -2,6 +2,7 @@
 import {type CallerEdge} from '@mimosatack/caller-edge';
 import {type Clock, sleep} from '@mimosatack/clock';
 import {type NodeLinks} from '@mimosatack/node-links';
+import {type RelayServer} from '@mimosatack/relay-connections';
 import {type NodeRegister} from './node_register.js';
 import {type SchedulingDuty} from './scheduling_duty.js';
 import {
@@ -18,6 +19,7 @@
   duty: SchedulingDuty;
   links: NodeLinks;
   register: NodeRegister;
+  relays: Pick<RelayServer, 'retireAll'>;
 }
 
 /** The shutdown steps that concern callers and other nodes. */
@@ -33,8 +35,9 @@
 
   /** Closes idle caller connections and starts to hand the duty over. */
   announce(): void {
-    const {clock, edge, duty, links} = this.options;
+    const {clock, edge, duty, links, relays} = this.options;
     edge.closeIdle();
+    relays.retireAll();
     this.handover = duty.handOver(() => links.successors.find());
     clock.setTimer(KEEP_LISTENING_MS, () => edge.stopListening());
   }
--- a/packages/serving-node/src/server_paths.ts
+++ b/packages/serving-node/src/server_paths.ts
@@ -3,6 +3,7 @@
   type BackendConnections,
   openSocket,
 } from '@mimosatack/backend-connections';
+import {type InFlight} from '@mimosatack/drain-node';
 import {type NodeLinks, type RegisteredNode} from '@mimosatack/node-links';
 import {
   RelayServer,
@@ -27,6 +28,7 @@
   listNodes: () => readonly RegisteredNode[];
   openRelay: NodeLinks['openRelay'];
   isStopping: () => boolean;
+  inFlight: Pick<InFlight, 'begin'>;
   /** Called when this node has lost its path to all servers. */
   onCutOff: () => void;
 }
@@ -51,6 +53,7 @@
     });
     this.relays = new RelayServer({
       ...{clock, listServers, openDirect},
+      beginWork: () => options.inFlight.begin('relay'),
       onEnded: relay => options.logger.log('relay-ended', {...relay}),
       mayRelay: () => !this.isCutOff && !options.isStopping(),
     });
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -115,6 +115,7 @@
     });
     this.duty = this.makeDuty();
     this.links = this.makeLinks();
+    this.gate = new DrainGate(new InFlight(clock));
     this.paths = this.makePaths();
     this.chooser = this.makeChooser();
     this.pipeline = this.makePipeline();
@@ -123,7 +124,6 @@
       listNodes: () => this.register.list(),
       isServing: () => this.acceptsCallers,
     });
-    this.gate = new DrainGate(new InFlight(clock));
     this.shutdown = this.makeShutdown();
     this.memory = makeMemoryWatch(options);
     this.edge = new CallerEdge({
@@ -138,6 +138,7 @@
     this.departure = new NodeDeparture({
       ...{clock, graceMs: settings.graceMs, edge: this.edge},
       ...{duty: this.duty, links: this.links, register: this.register},
+      relays: this.paths.relays,
     });
     this.status = new StatusServer({
       platform: options.platform,
@@ -430,6 +431,7 @@
       listNodes: () => this.register.list(),
       openRelay: (...terms) => this.links.openRelay(...terms),
       isStopping: () => this.shutdown.isStopping,
+      inFlight: this.gate.inFlight,
       onCutOff: () => this.handOverIfCutOff(),
     });
   }
