--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -16,6 +16,7 @@
   type ResponseIdentity,
 } from './backend_call.js';
 import {createForeignResponseError} from './foreign_response.js';
+import {RELAY_LOST, isRelayLostCause} from './relay_loss.js';
 
 /** Keeps the HTTP client from closing idle connections; see `expiresAtMs`. */
 const CLIENT_KEEP_ALIVE_MS = 600_000;
@@ -40,8 +41,8 @@
   listener: ConnectionListener;
   /** Keep-alive time when the server announces no timeout. */
   idleLimitMs: number;
-  /** Whether another host passes the bytes on. */
-  isRelayed: boolean;
+  /** Address of the host that passes the bytes on; null for a direct connection. */
+  relayedBy: string | null;
 }
 
 /** An established connection. */
@@ -51,12 +52,14 @@
   /** Time after which the server may close the idle connection. */
   expiresAtMs = Infinity;
   idleSinceMs: number;
-  readonly isRelayed: boolean;
   private readonly client: Client;
   private keepAliveMs: number;
   private isClosed = false;
   private hasAmbiguousResponse = false;
   private hasCarriedUnnamed = false;
+  private isBusy = false;
+  /** Whether the host that relays is about to stop. */
+  private isRetiring = false;
   private callCount = 0;
   private readonly carried = new WeakSet<ResponseIdentity>();
 
@@ -65,11 +68,16 @@
     private readonly socket: Socket,
   ) {
     this.key = formatAddress(options.address);
-    this.isRelayed = options.isRelayed;
     this.keepAliveMs = options.idleLimitMs;
     this.idleSinceMs = options.clock.monotonicMs();
     this.client = makeSingleUseClient(options.address, socket);
     socket.once('close', () => this.markClosed());
+    socket.once('retire', () => this.retire());
+  }
+
+  /** Whether another host passes the bytes on. */
+  get isRelayed(): boolean {
+    return this.options.relayedBy !== null;
   }
 
   get isUsable(): boolean {
@@ -90,14 +98,16 @@
     const {identity} = call;
     if (identity) this.carried.add(identity);
     if (identity && !identity.isNamed) this.hasCarriedUnnamed = true;
+    const {relayedBy} = this.options;
     const exchange = new Exchange(this.socket, receiver, {
-      identity,
-      earlierCalls: this.callCount,
+      ...{identity, earlierCalls: this.callCount},
+      ...(relayedBy === null ? {} : {relayedBy}),
       onKeepAlive: keepAliveMs => (this.keepAliveMs = keepAliveMs),
       onAmbiguous: () => (this.hasAmbiguousResponse = true),
       onDone: () => this.release(),
     });
     this.callCount += 1;
+    this.isBusy = true;
     this.client.dispatch(
       {
         path: call.path,
@@ -117,14 +127,22 @@
     void this.client.destroy().catch(() => undefined);
   }
 
+  /** A call that is under way ends as usual. */
+  private retire(): void {
+    this.isRetiring = true;
+    if (!this.isBusy) this.close();
+  }
+
   private release(): void {
+    this.isBusy = false;
     const nowMs = this.options.clock.monotonicMs();
     this.idleSinceMs = nowMs;
     this.expiresAtMs = nowMs + this.keepAliveMs - EXPIRY_MARGIN_MS;
     // The HTTP client closes a connection that is not reusable only after
     // `onComplete` has returned.
     setImmediate(() => {
-      const isReusable = this.isUsable && !this.hasAmbiguousResponse;
+      const isReusable =
+        this.isUsable && !this.hasAmbiguousResponse && !this.isRetiring;
       if (isReusable && this.expiresAtMs > nowMs) {
         this.options.listener.onIdle(this);
       } else {
@@ -144,6 +162,7 @@
 interface ExchangeOptions {
   identity: ResponseIdentity | undefined;
   earlierCalls: number;
+  relayedBy?: string;
   onKeepAlive: (keepAliveMs: number) => void;
   onAmbiguous: () => void;
   onDone: () => void;
@@ -208,13 +227,14 @@
 
   /** Nothing is read from a response before it is known to belong to the call. */
   private receiveHead(head: AnswerHead): void {
-    const {identity, earlierCalls, onKeepAlive, onAmbiguous} = this.options;
+    const {identity, onKeepAlive, onAmbiguous} = this.options;
+    const {earlierCalls, relayedBy} = this.options;
     const origin = identity?.classify(head) ?? 'own';
     if (origin === 'foreign') return this.rejectForeign(head.status);
     if (origin === 'ambiguous') onAmbiguous();
     const keepAliveMs = readKeepAliveMs(head.headers);
     if (keepAliveMs !== null) onKeepAlive(keepAliveMs);
-    this.receiver.onHead(head, {origin, earlierCalls});
+    this.receiver.onHead(head, {origin, earlierCalls, relayedBy});
   }
 
   /** The response to the call may follow, so the connection cannot be used again. */
@@ -254,7 +274,10 @@
     ? new TypedError(
         'backend-failed',
         'The connection broke after the call was begun.',
-        {run: 'unknown', cause},
+        {
+          ...{run: 'unknown', cause},
+          ...(isRelayLostCause(cause) ? {info: {reason: RELAY_LOST}} : {}),
+        },
       )
     : createUnreachableError('The connection broke before it was used.', cause);
 }
--- a/packages/serving-node/src/server_paths.ts
+++ b/packages/serving-node/src/server_paths.ts
@@ -1,12 +1,13 @@
 /** Reaches backend servers through other nodes while this node reaches none. */
 import {
   type BackendConnections,
-  BackendSocket,
   openSocket,
 } from '@mimosatack/backend-connections';
+import {type InFlight} from '@mimosatack/drain-node';
 import {type NodeLinks, type RegisteredNode} from '@mimosatack/node-links';
 import {
   RelayServer,
+  RelayedSocket,
   ServerDialer,
   ServerPath,
 } from '@mimosatack/relay-connections';
@@ -27,6 +28,7 @@
   listNodes: () => readonly RegisteredNode[];
   openRelay: NodeLinks['openRelay'];
   isStopping: () => boolean;
+  inFlight: Pick<InFlight, 'begin'>;
   /** Called when this node has lost its path to all servers. */
   onCutOff: () => void;
 }
@@ -50,7 +52,9 @@
       onPathChange: isCutOff => this.handlePathChange(isCutOff),
     });
     this.relays = new RelayServer({
-      ...{listServers, openDirect},
+      ...{clock, listServers, openDirect},
+      beginWork: () => options.inFlight.begin('relay'),
+      onEnded: relay => options.logger.log('relay-ended', {...relay}),
       mayRelay: () => !this.isCutOff && !options.isStopping(),
     });
     connections.useDialer(
@@ -62,10 +66,7 @@
             .listNodes()
             .filter(({nodeName}) => nodeName !== self.nodeName),
         openRelayed: ({peerAddress}, address, timeoutMs) =>
-          options.openRelay(
-            ...([peerAddress, formatAddress(address), timeoutMs] as const),
-            () => new BackendSocket(),
-          ),
+          this.openRelayed(peerAddress, address, timeoutMs),
       }),
     );
   }
@@ -75,6 +76,20 @@
     return this.path.isCutOff;
   }
 
+  private async openRelayed(
+    peerAddress: string,
+    address: SocketAddress,
+    timeoutMs: number,
+  ): Promise<RelayedSocket> {
+    const socket = new RelayedSocket();
+    const {isFramed, head} = await this.options.openRelay(
+      ...([peerAddress, formatAddress(address), timeoutMs] as const),
+      () => socket,
+    );
+    socket.beginRelay(isFramed, head);
+    return socket;
+  }
+
   /** Idle connections on the path that was left may hang, or burden another node. */
   private handlePathChange(isCutOff: boolean): void {
     const {connections, logger, onCutOff} = this.options;
