Count only connections that carry a call of the play in cut_responses.test

The test counted every connection to its server, and failed where another process connected to the port: beside trials with real processes, six tests had 2 or 3 connections in place of 1. Ports of earlier servers are used again, and hosts of other runs go on trying them.

Each play has paths of its own, and the connections that bring a call with one of them are counted. A call that is sent twice still fails the test.

--- a/packages/backend-connections/src/cut_responses.test.ts
+++ b/packages/backend-connections/src/cut_responses.test.ts
@@ -138,6 +138,10 @@
 /** Plays at the same time. */
 const BATCH_SIZE = 60;
 
+type Paths = ReturnType<typeof makePaths>;
+
+let nextPlay = 0;
+
 async function writeAndCut(socket: Socket, play: Play): Promise<void> {
   const {response, sentBytes, cut, splitAt = 0} = play;
   const text = (response.head + response.body).slice(0, sentBytes);
@@ -152,30 +156,44 @@
   else socket.resetAndDestroy();
 }
 
-/** Gives a complete response to a call for `/whole`, and the played one to others. */
-function createPlayedServer(play: Play) {
+/** The paths of a play; other processes may connect to a port that was theirs before. */
+function makePaths(): {whole: string; cut: string} {
+  nextPlay += 1;
+  const play = `${process.pid}-${nextPlay}`;
+  return {whole: `/whole/${play}`, cut: `/cut/${play}`};
+}
+
+/** Gives a complete response to a call for `whole`, and the played one to a call for `cut`. */
+function createPlayedServer(play: Play, {whole, cut}: Paths) {
   const sockets = new Set<Socket>();
+  /** Connections that brought a call of the play. */
+  const carriers = new Set<Socket>();
   const server = createServer({allowHalfOpen: true}, socket => {
     sockets.add(socket);
     socket.on('error', () => undefined);
     socket.on('data', request => {
-      if (request.toString().startsWith('POST /whole')) {
-        socket.write(FRAMED_HEAD + BODY);
-      } else void writeAndCut(socket, play);
+      const [, path] = request.toString().split(' ');
+      if (path !== whole && path !== cut) return;
+      carriers.add(socket);
+      if (path === whole) socket.write(FRAMED_HEAD + BODY);
+      else void writeAndCut(socket, play);
     });
   });
-  return {server, sockets};
+  return {server, sockets, carriers};
 }
 
 async function playResponse(play: Play): Promise<Outcome> {
-  const {server, sockets} = createPlayedServer(play);
+  const paths = makePaths();
+  const {server, sockets, carriers} = createPlayedServer(play, paths);
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
   const clock = new SystemClock();
   const connections = new BackendConnections({clock, idleLimitMs: 4_000});
   if (play.isReused) {
-    await collectAnswer(connections, makeCall(port, '/whole'), LIMITS, clock);
+    await collectAnswer(
+      ...([connections, makeCall(port, paths.whole), LIMITS, clock] as const),
+    );
     await pause(SETTLE_MS);
   }
   const outcome = {statuses: [] as number[], body: '', ends: [] as string[]};
@@ -184,7 +202,7 @@
       outcome.ends.push(what);
       resolve();
     };
-    connections.send(makeCall(port, '/cut'), {
+    connections.send(makeCall(port, paths.cut), {
       onHead: ({status}) => outcome.statuses.push(status),
       onData: chunk => {
         outcome.body += Buffer.from(chunk).toString();
@@ -196,18 +214,18 @@
     setTimeout(resolve, TIMEOUT_MS).unref();
   });
   await pause(SETTLE_MS);
-  const connectionCount = sockets.size;
+  const connectionCount = carriers.size;
   connections.stop();
-  const collected = await collectPlayed(port);
+  const collected = await collectPlayed(port, paths.cut);
   sockets.forEach(socket => socket.destroy());
   server.close();
   return {...outcome, connectionCount, collected};
 }
 
-async function collectPlayed(port: number): Promise<string> {
+async function collectPlayed(port: number, path: string): Promise<string> {
   const clock = new SystemClock();
   const connections = new BackendConnections({clock, idleLimitMs: 4_000});
-  const call = makeCall(port, '/cut');
+  const call = makeCall(port, path);
   const collected = await collectAnswer(connections, call, LIMITS, clock).then(
     ({status, body}) => `${status} ${Buffer.from(body).toString()}`,
     (error: TypedError) => `failure, ${error.run}`,
