Log how a dependency was regained, and what a refused route was looked up in

A host that was the last to read the store again could not be told apart from one whose read hung: dependency-regained now has the time since the first failure, the failed reads, the last delay, what ended it, and how long the read took.

A 404 named no version: route-not-found (4026) names it, its age, and the node that knew it to be the newest. No logic is changed.

--- a/packages/hold-duty/src/duty_task.ts
+++ b/packages/hold-duty/src/duty_task.ts
@@ -12,6 +12,7 @@
   KeyedTable,
   type KeyedTopic,
   type ReadKind,
+  type ReadRecovery,
   findEra,
 } from '@mimosatack/keyed-store';
 import {type RandomSource} from '@mimosatack/random';
@@ -121,7 +122,7 @@
   /** Called when the store can't be reached or a write has failed. */
   onLost: (error: TypedError) => void;
   /** Called when the store can be reached again. */
-  onRegained: () => void;
+  onRegained: (recovery: ReadRecovery) => void;
 }
 
 /** The holder on whose behalf orders are sent, and its fencing token. */
@@ -189,7 +190,7 @@
           : MAX_RETRY_DELAY_MS,
       onChanges: (changes, kind) => this.applyChanges(changes, kind),
       onLost: error => options.onLost(error),
-      onRegained: () => options.onRegained(),
+      onRegained: recovery => options.onRegained(recovery),
     });
   }
 
--- a/packages/keyed-store/src/index.ts
+++ b/packages/keyed-store/src/index.ts
@@ -9,9 +9,11 @@
   type ReadOutcome,
 } from './keyed_topic.js';
 export {
+  type DelayEnd,
   KeyedFollower,
   type KeyedFollowerOptions,
   type ReadKind,
+  type ReadRecovery,
 } from './keyed_follower.js';
 export {KeyedTable} from './keyed_table.js';
 export {type AppendFault, MemoryKeyedTopic} from './memory_keyed_topic.js';
--- a/packages/keyed-store/src/keyed_follower.test.ts
+++ b/packages/keyed-store/src/keyed_follower.test.ts
@@ -3,7 +3,11 @@
 import {SeededRandom} from '@mimosatack/random';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {KeyedFollower, type KeyedFollowerOptions} from './keyed_follower.js';
+import {
+  KeyedFollower,
+  type KeyedFollowerOptions,
+  type ReadRecovery,
+} from './keyed_follower.js';
 import {KeyedTable} from './keyed_table.js';
 import {MemoryKeyedTopic} from './memory_keyed_topic.js';
 
@@ -71,6 +75,29 @@
   follower.stop();
 });
 
+// Guards against an outage whose log does not tell why a node was the last to read again.
+test('a recovery says how long the reads had failed and what was waited for', async () => {
+  const recoveries: ReadRecovery[] = [];
+  const {topic, follower, pass} = startFollower({
+    ...{waitMs: () => 0, maxRetryDelayMs: () => 2_000},
+    onRegained: recovery => recoveries.push(recovery),
+  });
+  follower.start();
+  await pass(100);
+  topic.isDown = true;
+  await pass(500);
+  topic.isDown = false;
+  await pass(2_000);
+  const [first, second] = recoveries;
+  assert.equal([first?.lostForMs, first?.failedReads], [null, 0]);
+  assert.ok(second);
+  assert.is(second.failedReads, 2);
+  assert.is(second.delayEnd, 'timer');
+  assert.ok(second.delayMs >= 400 && second.delayMs <= 600);
+  assert.ok(second.lostForMs !== null && second.lostForMs > second.delayMs);
+  follower.stop();
+});
+
 // Guards against keys that stay after their deletion records have expired in
 // the store.
 test('a snapshot is read when the offset has expired', async () => {
--- a/packages/keyed-store/src/keyed_follower.ts
+++ b/packages/keyed-store/src/keyed_follower.ts
@@ -17,6 +17,22 @@
  */
 export type ReadKind = 'increment' | 'snapshot' | 'restored';
 
+/** What ended the delay after a failed read: its end, or a request for a snapshot. */
+export type DelayEnd = 'timer' | 'reload';
+
+/** How a topic that could not be read was read again. */
+export interface ReadRecovery {
+  /** Time since the first of the consecutive failures; null for the first read. */
+  lostForMs: number | null;
+  /** Consecutive failures, each of one read. */
+  failedReads: number;
+  /** The delay before the read that succeeded, and what ended it. */
+  delayMs: number;
+  delayEnd: DelayEnd;
+  /** How long that read took. */
+  readMs: number;
+}
+
 export interface KeyedFollowerOptions {
   clock: Clock;
   random: RandomSource;
@@ -50,7 +66,7 @@
   /** Called on the first of consecutive failures. */
   onLost: (error: TypedError) => void;
   /** Called on the first success, and on the first after a failure. */
-  onRegained: () => void;
+  onRegained: (recovery: ReadRecovery) => void;
 }
 
 const RETRY_JITTER = 0.5;
@@ -72,6 +88,9 @@
   private succeededAtMs = -Infinity;
   private lastSuccessStartedAtMs = -Infinity;
   private consecutiveFailures = 0;
+  private lostAtMs = -Infinity;
+  private lastDelayMs = 0;
+  private lastDelayEnd: DelayEnd = 'timer';
 
   constructor(private readonly options: KeyedFollowerOptions) {
     options.topic.era.onRestored(() => this.reload());
@@ -113,7 +132,7 @@
   reload(): void {
     this.hasSnapshot = false;
     this.refresh();
-    this.pauseController?.abort();
+    this.endPause('reload');
   }
 
   stop(): void {
@@ -141,6 +160,22 @@
     this.pauseController = null;
   }
 
+  private endPause(reason: DelayEnd): void {
+    if (!this.pauseController) return;
+    this.lastDelayEnd = reason;
+    this.pauseController.abort();
+  }
+
+  private async delayRetry(): Promise<void> {
+    const {clock, random} = this.options;
+    const startedAtMs = clock.monotonicMs();
+    this.lastDelayEnd = 'timer';
+    await this.pause(
+      addJitter(random, this.computeRetryDelayMs(), RETRY_JITTER),
+    );
+    this.lastDelayMs = clock.monotonicMs() - startedAtMs;
+  }
+
   private get shouldRead(): boolean {
     return !this.hasSnapshot || (this.options.isNeeded?.() ?? true);
   }
@@ -158,7 +193,7 @@
         ? await this.loadIncrement()
         : await this.loadSnapshot();
       if (signal.aborted) return;
-      this.recordSuccess();
+      this.recordSuccess(startedAtMs);
       if (this.hasSnapshot) this.lastSuccessStartedAtMs = startedAtMs;
       if (changes.length > 0 || kind !== 'increment') {
         this.options.onChanges(changes, kind);
@@ -167,13 +202,7 @@
       if (signal.aborted) return;
       if (thrown instanceof ReadAbortedByRefresh) return;
       this.recordFailure(toTypedError(thrown));
-      const {random} = this.options;
-      const delayMs = addJitter(
-        random,
-        this.computeRetryDelayMs(),
-        RETRY_JITTER,
-      );
-      if (!this.stopping.signal.aborted) await this.pause(delayMs);
+      if (!this.stopping.signal.aborted) await this.delayRetry();
     }
   }
 
@@ -238,15 +267,25 @@
     return hasNeverRead ? Math.min(cappedMs, MAX_FIRST_RETRY_MS) : cappedMs;
   }
 
-  private recordSuccess(): void {
+  private recordSuccess(readStartedAtMs: number): void {
+    const failedReads = this.consecutiveFailures;
+    const nowMs = this.options.clock.monotonicMs();
     this.consecutiveFailures = 0;
-    this.succeededAtMs = this.options.clock.monotonicMs();
+    this.succeededAtMs = nowMs;
     if (this.isLastReadOk) return;
     this.isLastReadOk = true;
-    this.options.onRegained();
+    this.options.onRegained({
+      lostForMs: failedReads > 0 ? nowMs - this.lostAtMs : null,
+      failedReads,
+      ...{delayMs: this.lastDelayMs, delayEnd: this.lastDelayEnd},
+      readMs: nowMs - readStartedAtMs,
+    });
   }
 
   private recordFailure(error: TypedError): void {
+    if (this.consecutiveFailures === 0) {
+      this.lostAtMs = this.options.clock.monotonicMs();
+    }
     this.consecutiveFailures += 1;
     if (!this.isLastReadOk) return;
     this.isLastReadOk = false;
--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -123,6 +123,18 @@
       cuts: 'servers that ended under it and still count',
     },
   },
+  'route-not-found': {
+    number: 4026,
+    level: 'info',
+    message: 'A request was refused, as no route takes it.',
+    fields: {
+      requestId: 'the request',
+      configurationVersion: 'the configuration whose routes were looked at',
+      configurationAgeMs:
+        'how long ago that was known to be the newest; null for never',
+      confirmedBy: 'the node that knew it, or own-read',
+    },
+  },
   'key-refused': {
     number: 4015,
     level: 'info',
--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -18,6 +18,11 @@
     message: 'Something that this node depends on can be reached again.',
     fields: {
       dependency: 'what it is',
+      lostForMs: 'time since the first failed read; null for the first read',
+      failedReads: 'consecutive reads that failed',
+      delayMs: 'the delay before the read that succeeded',
+      delayEnd: 'what ended that delay: timer or reload',
+      readMs: 'how long that read took',
     },
   },
   'server-changed': {
--- a/packages/node-links/src/confirmation_exchange.ts
+++ b/packages/node-links/src/confirmation_exchange.ts
@@ -1,10 +1,11 @@
 /** Exchanges between nodes when a configuration was last known to be current. */
+import {type DutyHolder} from '@mimosatack/hold-duty';
 import {type HelloStatus, type Welcome} from './messages.js';
 import {type ConfigurationConfirmation} from './node_links_options.js';
 
 type HelloConfirmation = Pick<
   HelloStatus,
-  'configurationVersion' | 'confirmedBeatMs'
+  'nodeName' | 'configurationVersion' | 'confirmedBeatMs'
 >;
 type WelcomeConfirmation = Pick<
   Welcome,
@@ -40,7 +41,7 @@
 
   /** @param sentAtMs send time of the heartbeat that the welcome answers. */
   handleWelcome(
-    incarnation: string,
+    {incarnation, nodeName}: Pick<DutyHolder, 'incarnation' | 'nodeName'>,
     {configurationVersion, awakeBeatMs, confirmedAgeMs}: WelcomeConfirmation,
     sentAtMs: number,
   ): void {
@@ -50,17 +51,19 @@
       this.holderClock = {incarnation, beatMs: awakeBeatMs, receivedAtMs};
     }
     if (confirmedAgeMs === null) return;
-    confirmation.noteConfirmed(configurationVersion, sentAtMs - confirmedAgeMs);
+    const asOfMs = sentAtMs - confirmedAgeMs;
+    confirmation.noteConfirmed(configurationVersion, asOfMs, nodeName);
   }
 
   /** Called on the holder for each heartbeat. */
   handleHello({
+    nodeName,
     configurationVersion,
     confirmedBeatMs,
   }: HelloConfirmation): void {
     if (confirmedBeatMs === null) return;
     const asOfMs = Math.min(confirmedBeatMs, this.confirmation.nowMs);
-    this.confirmation.noteConfirmed(configurationVersion, asOfMs);
+    this.confirmation.noteConfirmed(configurationVersion, asOfMs, nodeName);
   }
 
   /** Returns the holder's part of a `welcome`. */
--- a/packages/node-links/src/confirmation_exchange_properties.test.ts
+++ b/packages/node-links/src/confirmation_exchange_properties.test.ts
@@ -98,7 +98,11 @@
             const sentAtMs = node.nowMs;
             const welcome = holder.describe();
             schedule(() =>
-              node.confirmation.handleWelcome(holderName, welcome, sentAtMs),
+              node.confirmation.handleWelcome(
+                {incarnation: holderName, nodeName: holderName},
+                welcome,
+                sentAtMs,
+              ),
             );
             break;
           }
--- a/packages/node-links/src/confirmation_fixture.ts
+++ b/packages/node-links/src/confirmation_fixture.ts
@@ -30,6 +30,7 @@
 
   hello(holder: string) {
     const confirmedBeatMs = this.confirmation.findConfirmedBeatMs(holder);
-    return {configurationVersion: this.version, confirmedBeatMs};
+    const {version: configurationVersion} = this;
+    return {nodeName: 'n', configurationVersion, confirmedBeatMs};
   }
 }
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -306,7 +306,7 @@
       const isFromHolder = reply.incarnation === holder.incarnation;
       if (isFromHolder) {
         this.confirmations.handleWelcome(
-          holder.incarnation,
+          holder,
           reply,
           sentAtSuspensionAwareMs,
         );
--- a/packages/node-links/src/node_links_options.ts
+++ b/packages/node-links/src/node_links_options.ts
@@ -46,7 +46,7 @@
   /** Time within which a node with access to the store reads a change itself. */
   readonly ownReadMs: number;
   /** Records that another node confirmed `version` as current at `asOfMs`. */
-  noteConfirmed(version: number, asOfMs: number): void;
+  noteConfirmed(version: number, asOfMs: number, nodeName: string): void;
 }
 
 export interface NodeLinksOptions {
--- a/packages/serve-requests/src/access_check.ts
+++ b/packages/serve-requests/src/access_check.ts
@@ -11,6 +11,15 @@
   team: TeamSpec | null;
 }
 
+/** How recent the configuration is. */
+export interface ConfigurationEvidence {
+  readonly version: number;
+  /** Time since it was known to be the newest; Infinity before that. */
+  readonly ageMs: number;
+  /** The node that confirmed it; null for a read of the store by this node. */
+  readonly confirmedBy: string | null;
+}
+
 /** Checks requests against the configured keys. */
 export interface AccessCheck {
   /** Whether the configuration is confirmed as recent enough. */
--- a/packages/serve-requests/src/index.ts
+++ b/packages/serve-requests/src/index.ts
@@ -1,6 +1,7 @@
 export {
   type AccessCheck,
   type AccessRequest,
+  type ConfigurationEvidence,
   type GrantedAccess,
 } from './access_check.js';
 export {
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -138,6 +138,7 @@
         acquire: () => Promise.resolve(true),
         release: () => undefined,
       },
+      configuration: {version: 1, ageMs: 0, confirmedBy: null},
       access: {isConfirmed: true, check: () => ({team: null})},
       limits: {recordResponse: () => undefined},
       availability: {
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -11,7 +11,11 @@
   type ServiceSpec,
   type ServingConfiguration,
 } from '@mimosatack/types';
-import {type AccessCheck, type GrantedAccess} from './access_check.js';
+import {
+  type AccessCheck,
+  type ConfigurationEvidence,
+  type GrantedAccess,
+} from './access_check.js';
 import {type BackendDialect} from './backend_dialect.js';
 import {type AnswerSink, type CallerRequest} from './caller_request.js';
 import {
@@ -42,6 +46,7 @@
   crashes: CrashWatch;
   suspects: SuspectLeaser;
   access: AccessCheck;
+  configuration: ConfigurationEvidence;
   limits: Pick<ServerLimits, 'recordResponse'>;
   availability: Pick<ServerAvailability, 'findWaitMs' | 'recordResponse'>;
   streams: StreamLookup;
@@ -153,6 +158,17 @@
       lastEventId: null,
       fingerprint: undefined,
     });
+    if (error.kind === 'not-found') this.logNoRoute(requestId);
+  }
+
+  private logNoRoute(requestId: string): void {
+    const {version, ageMs, confirmedBy} = this.options.configuration;
+    this.options.logger.log('route-not-found', {
+      requestId,
+      configurationVersion: version,
+      configurationAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : null,
+      confirmedBy: confirmedBy ?? 'own-read',
+    });
   }
 }
 
--- a/packages/serving-node/src/configuration_follower.test.ts
+++ b/packages/serving-node/src/configuration_follower.test.ts
@@ -123,9 +123,9 @@
   await advance(1_000);
   topic.isDown = true;
   await advance(6_000);
-  follower.noteConfirmed(1, follower.nowMs - 30);
+  follower.noteConfirmed(1, follower.nowMs - 30, 'peer');
   assert.is(follower.ageMs, 30);
-  follower.noteConfirmed(2, follower.nowMs);
+  follower.noteConfirmed(2, follower.nowMs, 'peer');
   assert.is(follower.ageMs, 30);
 });
 
@@ -135,7 +135,7 @@
   await advance(1_000);
   topic.isDown = true;
   await advance(6_000);
-  follower.noteConfirmed(2, follower.nowMs - 30);
+  follower.noteConfirmed(2, follower.nowMs - 30, 'peer');
   assert.ok(follower.ageMs > 5_000);
   const value = Buffer.from('2');
   follower.applyFromPeer([{key: KEY, value, offset: 5}]);
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -7,6 +7,7 @@
   type KeyedRecord,
   KeyedTable,
   type ReadKind,
+  type ReadRecovery,
   findEra,
 } from '@mimosatack/keyed-store';
 import {type RandomSource} from '@mimosatack/random';
@@ -31,13 +32,14 @@
   /** Called with a record that can't be used. */
   onLeftOut: (key: string, error: TypedError) => void;
   onLost: (error: TypedError) => void;
-  onRegained: () => void;
+  onRegained: (recovery: ReadRecovery) => void;
 }
 
 /** A version that another node knew to be the newest as of a time. */
 interface PeerConfirmation {
   version: number;
   asOfMs: number;
+  nodeName: string;
 }
 
 /** How long a read waits for the next change. */
@@ -81,6 +83,7 @@
   private isLatestWrite = false;
   /** Time as of which other nodes have confirmed the current version. */
   private peerConfirmedAsOfMs = -Infinity;
+  private confirmingPeer: string | null = null;
   /** Confirms a version that this node has not received yet. */
   private pendingConfirmation: PeerConfirmation | null = null;
   private confirmationCheck: PeriodicTimer | null = null;
@@ -98,7 +101,7 @@
         options.isReader() ? RETRY_DELAY_MS : MAX_RETRY_DELAY_MS,
       onChanges: (changes, kind) => this.applyRead(changes, kind),
       onLost: error => options.onLost(error),
-      onRegained: () => options.onRegained(),
+      onRegained: recovery => options.onRegained(recovery),
     });
   }
 
@@ -131,6 +134,12 @@
     return this.nowMs - this.asOfMs;
   }
 
+  /** The node that confirmed the configuration last; null for a read of this node. */
+  get confirmedBy(): string | null {
+    const isOwnRead = this.follower.lastSuccessStartMs >= this.asOfMs;
+    return isOwnRead ? null : this.confirmingPeer;
+  }
+
   /** Time within which a node that reaches the store has read a change. */
   get ownReadMs(): number {
     return this.boundByRevocation(OWN_READ_MS, OWN_READ_FRACTION);
@@ -143,9 +152,13 @@
    * @param asOfMs at or before the start of that node's read, on the clock of
    *     `nowMs`.
    */
-  noteConfirmed(version: number, asOfMs: number): void {
-    if (version > this.version) this.pendingConfirmation = {version, asOfMs};
-    else this.peerConfirmedAsOfMs = Math.max(this.peerConfirmedAsOfMs, asOfMs);
+  noteConfirmed(version: number, asOfMs: number, nodeName: string): void {
+    if (version > this.version) {
+      this.pendingConfirmation = {version, asOfMs, nodeName};
+    } else if (asOfMs > this.peerConfirmedAsOfMs) {
+      this.peerConfirmedAsOfMs = asOfMs;
+      this.confirmingPeer = nodeName;
+    }
   }
 
   start(): void {
@@ -262,6 +275,8 @@
     }
     this.inForce = record;
     const pending = this.pendingConfirmation;
-    if (pending) this.noteConfirmed(pending.version, pending.asOfMs);
+    if (!pending) return;
+    const {version, asOfMs, nodeName} = pending;
+    this.noteConfirmed(version, asOfMs, nodeName);
   }
 }
--- a/packages/serving-node/src/fault_log.ts
+++ b/packages/serving-node/src/fault_log.ts
@@ -1,12 +1,13 @@
 /** Logs lost and regained dependencies, failed tasks and entries that were left out. */
 import {type Clock} from '@mimosatack/clock';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
+import {type ReadRecovery} from '@mimosatack/keyed-store';
 import {type EventLogger, RateLimitedEventLogger} from '@mimosatack/logger';
 
 /** Called when the state of a dependency changes. */
 export interface DependencyCallbacks {
   onLost: (error: TypedError) => void;
-  onRegained: () => void;
+  onRegained: (recovery: ReadRecovery) => void;
 }
 
 /** Called with the key of an entry that can't be used, and why. */
@@ -37,7 +38,8 @@
   watchDependency(dependency: string): DependencyCallbacks {
     return {
       onLost: error => this.logger.log('dependency-lost', {dependency, error}),
-      onRegained: () => this.logger.log('dependency-regained', {dependency}),
+      onRegained: recovery =>
+        this.logger.log('dependency-regained', {dependency, ...recovery}),
     };
   }
 
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -8,6 +8,7 @@
   KeyedTable,
   type KeyedTopic,
   type ReadKind,
+  type ReadRecovery,
   findEra,
 } from '@mimosatack/keyed-store';
 import {
@@ -45,7 +46,7 @@
   /** Called with a record of a node that can't be used. */
   onLeftOut: (key: string, error: TypedError) => void;
   onLost: (error: TypedError) => void;
-  onRegained: () => void;
+  onRegained: (recovery: ReadRecovery) => void;
 }
 
 const WAIT_MS = 20_000;
@@ -91,7 +92,7 @@
       isNeeded: () => this.isReadDue(),
       onChanges: (changes, kind) => this.applyRead(changes, kind),
       onLost: error => options.onLost(error),
-      onRegained: () => options.onRegained(),
+      onRegained: recovery => options.onRegained(recovery),
     });
   }
 
--- a/packages/serving-node/src/server_follower.ts
+++ b/packages/serving-node/src/server_follower.ts
@@ -7,6 +7,7 @@
   type KeyedRecord,
   KeyedTable,
   type ReadKind,
+  type ReadRecovery,
 } from '@mimosatack/keyed-store';
 import {type RandomSource} from '@mimosatack/random';
 import {
@@ -43,7 +44,7 @@
   /** Called with the first of consecutive entries of a server that can't be used. */
   onLeftOut: (id: BackendServerId, error: TypedError) => void;
   onLost: (error: TypedError) => void;
-  onRegained: () => void;
+  onRegained: (recovery: ReadRecovery) => void;
 }
 
 /**
@@ -108,7 +109,7 @@
       isNeeded: () => this.isReadDue(),
       onChanges: (changes, kind) => this.applyRead(changes, kind),
       onLost: error => options.onLost(error),
-      onRegained: () => options.onRegained(),
+      onRegained: recovery => options.onRegained(recovery),
     });
   }
 
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -474,6 +474,7 @@
       crashes: this.containment.containment,
       suspects: this.containment.suspects,
       access: this.access,
+      configuration: this.configuration,
       limits: this.limits.servers,
       availability: this.availability,
       streams: this.streams.origins,
