Do not let the first read after an outage wait for a change

Callers of models: where the scheduling node is lost while the store is away, no node schedules for 20 s after the store is back, so that nothing is loaded, and the directory lists hosts from its register.

Cause: a read of the duty's record waits up to 20 s for a change, and whether the store can be reached was known only when it ended. A node claims the duty only while the store can be reached. Class: the state of a shared dependency known per read, and only when that read ends.

Evidence: duty_task.test "a holder that is lost in an outage is replaced once the store is back" failed before (the lost one still held the duty).

Change: the read that follows a failure has no wait, in the one place that all topics are followed by. Its response tells both what has changed and that the store is back. It is one more call for each topic and outage.

--- a/packages/hold-duty/src/duty_task.test.ts
+++ b/packages/hold-duty/src/duty_task.test.ts
@@ -59,6 +59,21 @@
   stop();
 });
 
+// Guards against a duty that stays vacant until the next change of its record.
+test('a holder that is lost in an outage is replaced once the store is back', async () => {
+  const {nodes, listHolders, passTime, stop} = startNodes(['a', 'b']);
+  await passTime(500);
+  const survivor = findNode(nodes, 'b');
+  survivor.storeLink.isCut = true;
+  survivor.contact = 'gone';
+  survivor.task.refresh();
+  await passTime(3_000);
+  survivor.storeLink.isCut = false;
+  await passTime(1_000);
+  assert.equal(listHolders(), ['b']);
+  stop();
+});
+
 // Guards against a second claim, or orders without the duty, when the answer to a
 // claim that was written is lost.
 test('a claim whose answer is lost takes effect when it is read back', async () => {
--- a/packages/keyed-store/src/keyed_follower.ts
+++ b/packages/keyed-store/src/keyed_follower.ts
@@ -221,7 +221,8 @@
   private async loadIncrement(): Promise<KeyedRead> {
     const {topic, table} = this.options;
     const fromOffset = table.endOffset;
-    const waitMs = this.options.waitMs();
+    // The response to a read that waits would tell only later that the store is back.
+    const waitMs = this.isLastReadOk ? this.options.waitMs() : 0;
     const outcome =
       waitMs > 0
         ? await this.longPollFrom(fromOffset, waitMs)
