Let every node read a configuration in time by its own reads after an outage

Callers: a request for a route that had been added was refused with 404, 2,073 ms after the version that added it was confirmed (2,000 ms allowed), shortly after the store had been away for 8 s.

Cause: a node that did not schedule waited up to 3 s after a failed read (2 s and half of it as jitter), and a read that the outage had swallowed was waited for, 1.5 s, or 2.4 s where it waited for a change. Nothing ended either before. Class: retry delays and time limits that add up to more than the bound in which their result is needed.

Change: the follower of the configuration waits 0.7 s at most, with its jitter 1.05 s, and sends a read again that has no response for 0.7 s, while the earlier one goes on. A response that has begun is neither repeated nor aborted, so that a large configuration on a slow link is read once.

Why it holds: at the store's return a node is either in a delay of at most 1.05 s, or has a read under way that was sent at most 0.7 s before. So it reads within 1.05 s by itself, whatever the node that schedules, the ranks or other nodes do.

Cost: at most 1.4 calls a second and node in an outage, for this topic.

--- a/packages/backend-connections/src/collect_answer.ts
+++ b/packages/backend-connections/src/collect_answer.ts
@@ -14,6 +14,8 @@
   timeoutMs: number;
   /** Aborts the call; the promise rejects. */
   signal?: AbortSignal;
+  /** Called with the head of the response. */
+  onHead?: () => void;
 }
 
 /** A page of the key-value store is up to 1.5 MB in its text encoding. */
@@ -26,7 +28,7 @@
   limits: CollectLimits,
   clock: Clock,
 ): Promise<CollectedAnswer> {
-  const {timeoutMs, signal} = limits;
+  const {timeoutMs, signal, onHead} = limits;
   return new Promise((resolve, reject) => {
     let head: AnswerHead | null = null;
     const chunks: Uint8Array[] = [];
@@ -37,7 +39,10 @@
       reject(error);
     };
     const handle = connections.send(call, {
-      onHead: received => (head = received),
+      onHead: received => {
+        head = received;
+        onHead?.();
+      },
       onData: chunk => {
         chunks.push(chunk);
         byteCount += chunk.length;
--- a/packages/hold-duty/src/duty_fixture.ts
+++ b/packages/hold-duty/src/duty_fixture.ts
@@ -6,6 +6,7 @@
   type KeyedTopic,
   type KeyedWrite,
   MemoryKeyedTopic,
+  type ReadTerms,
 } from '@mimosatack/keyed-store';
 import {SeededRandom} from '@mimosatack/random';
 import {DutyTask, type HolderContact} from './duty_task.js';
@@ -30,9 +31,9 @@
     return this.topic.readSnapshot();
   }
 
-  async readFrom(offset: number, waitMs: number, signal?: AbortSignal) {
+  async readFrom(offset: number, waitMs: number, terms?: ReadTerms) {
     this.failIfCut();
-    const outcome = await this.topic.readFrom(offset, waitMs, signal);
+    const outcome = await this.topic.readFrom(offset, waitMs, terms);
     this.failIfCut();
     return outcome;
   }
--- a/packages/keyed-store/src/index.ts
+++ b/packages/keyed-store/src/index.ts
@@ -7,14 +7,15 @@
   type KeyedTopic,
   type KeyedWrite,
   type ReadOutcome,
+  type ReadTerms,
 } from './keyed_topic.js';
 export {
-  type DelayEnd,
   KeyedFollower,
   type KeyedFollowerOptions,
   type ReadKind,
   type ReadRecovery,
 } from './keyed_follower.js';
+export {type DelayEnd} from './retry_delay.js';
 export {KeyedTable} from './keyed_table.js';
 export {type AppendFault, MemoryKeyedTopic} from './memory_keyed_topic.js';
 export {StoreEra, findEra, toGlobalOffset, toStoreOffset} from './store_era.js';
--- a/packages/keyed-store/src/keyed_follower.test.ts
+++ b/packages/keyed-store/src/keyed_follower.test.ts
@@ -208,7 +208,7 @@
   follower.start();
   await pass(100);
   const readFrom = topic.readFrom.bind(topic);
-  topic.readFrom = async (offset, waitMs, signal) => {
+  topic.readFrom = async (offset, waitMs, {signal} = {}) => {
     await sleep(clock, 600, signal);
     if (signal?.aborted) throw new Error('The read was aborted.');
     return readFrom(offset, waitMs);
--- a/packages/keyed-store/src/keyed_follower.ts
+++ b/packages/keyed-store/src/keyed_follower.ts
@@ -3,12 +3,10 @@
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {type RandomSource, addJitter} from '@mimosatack/random';
 import {type KeyedTable} from './keyed_table.js';
+import {ReadAttempt} from './read_attempt.js';
+import {type DelayEnd, RetryDelay} from './retry_delay.js';
 import {findEra} from './store_era.js';
-import {
-  type KeyedChange,
-  type KeyedTopic,
-  type ReadOutcome,
-} from './keyed_topic.js';
+import {type KeyedChange, type KeyedTopic} from './keyed_topic.js';
 
 /**
  * `increment`: records since the last read. `snapshot`: the newest record of each key.
@@ -17,16 +15,13 @@
  */
 export type ReadKind = 'increment' | 'snapshot' | 'restored';
 
-/** What ended the delay after a failed read: its end, or a request for a snapshot. */
-export type DelayEnd = 'timer' | 'reload';
-
 /** How a topic that could not be read was read again. */
 export interface ReadRecovery {
   /** Time since the first of the consecutive failures; null for the first read. */
   lostForMs: number | null;
   /** Consecutive failures, each of one read. */
   failedReads: number;
-  /** The delay before the read that succeeded, and what ended it. */
+  /** The last delay before the read that succeeded, and what ended it. */
   delayMs: number;
   delayEnd: DelayEnd;
   /** How long that read took. */
@@ -59,6 +54,12 @@
    * are billed too. Doubling reduces 37 calls in ten seconds to 7.
    */
   maxRetryDelayMs?: () => number;
+  /**
+   * A read that has no response after this time, beside its wait for a record, is sent
+   * again, and the earlier one goes on. Guards against a read that an outage or a dead
+   * connection has swallowed; if unset, the next read begins when it has failed.
+   */
+  repeatAfterMs?: number;
   /** False while the table is kept up to date by other means. */
   isNeeded?: () => boolean;
   /** Called for changes, and for each snapshot. */
@@ -76,12 +77,18 @@
  */
 const MAX_FIRST_RETRY_MS = 500;
 
+/** `overdue`: it may still be answered, but the next one is due. */
+type AttemptResult = 'ended' | 'failed' | 'overdue';
+
 /** Reads a topic until it is stopped. */
 export class KeyedFollower {
   private readonly stopping = new AbortController();
-  private longPollController: AbortController | null = null;
-  private pauseController: AbortController | null = null;
+  private readonly delay: RetryDelay;
+  private readonly interval: RetryDelay;
+  private lastAttempt: ReadAttempt | null = null;
   private isLastReadOk = false;
+  /** Whether the last read got no response in time. */
+  private isOverdue = false;
   private hasSnapshot = false;
   /** The era of the last snapshot; null before the first one. */
   private snapshotEra: number | null = null;
@@ -89,10 +96,10 @@
   private lastSuccessStartedAtMs = -Infinity;
   private consecutiveFailures = 0;
   private lostAtMs = -Infinity;
-  private lastDelayMs = 0;
-  private lastDelayEnd: DelayEnd = 'timer';
 
   constructor(private readonly options: KeyedFollowerOptions) {
+    this.delay = new RetryDelay(options.clock);
+    this.interval = new RetryDelay(options.clock);
     options.topic.era.onRestored(() => this.reload());
   }
 
@@ -125,20 +132,27 @@
    * repeated restarts would keep a large or slow response from completing.
    */
   refresh(): void {
-    this.longPollController?.abort();
+    this.lastAttempt?.abortWait();
+  }
+
+  /** Reads at once, also during the delay after a failed read. */
+  readNow(reason: DelayEnd): void {
+    this.refresh();
+    this.delay.end(reason);
   }
 
   /** Reads a snapshot at once. */
   reload(): void {
     this.hasSnapshot = false;
-    this.refresh();
-    this.endPause('reload');
+    this.readNow('reload');
+    this.interval.end('reload');
   }
 
   stop(): void {
     this.stopping.abort();
-    this.longPollController?.abort();
-    this.pauseController?.abort();
+    this.refresh();
+    this.delay.end('stop');
+    this.interval.end('stop');
   }
 
   private async run(): Promise<void> {
@@ -146,69 +160,82 @@
     const {signal} = this.stopping;
     while (!signal.aborted) {
       const startedAtMs = clock.monotonicMs();
-      if (this.shouldRead) await this.readOnce(signal);
-      const remainingMs = startedAtMs + minIntervalMs - clock.monotonicMs();
-      if (remainingMs > 0) await this.pause(remainingMs);
+      if (this.shouldRead) await this.readOnce();
+      if (signal.aborted) return;
+      await this.interval.wait(
+        startedAtMs + minIntervalMs - clock.monotonicMs(),
+      );
     }
   }
 
-  /** Ends early on `reload` and `stop`. */
-  private async pause(durationMs: number): Promise<void> {
-    const controller = new AbortController();
-    this.pauseController = controller;
-    await sleep(this.options.clock, durationMs, controller.signal);
-    this.pauseController = null;
+  private get shouldRead(): boolean {
+    return !this.hasSnapshot || (this.options.isNeeded?.() ?? true);
   }
 
-  private endPause(reason: DelayEnd): void {
-    if (!this.pauseController) return;
-    this.lastDelayEnd = reason;
-    this.pauseController.abort();
+  private get canReadIncrementally(): boolean {
+    const {clock, snapshotAfterMs = Infinity} = this.options;
+    const ageMs = clock.monotonicMs() - this.succeededAtMs;
+    return this.hasSnapshot && ageMs <= snapshotAfterMs;
   }
 
-  private async delayRetry(): Promise<void> {
-    const {clock, random} = this.options;
-    const startedAtMs = clock.monotonicMs();
-    this.lastDelayEnd = 'timer';
-    await this.pause(
+  /** Includes the delay after a failure. */
+  private async readOnce(): Promise<void> {
+    const attempt = new ReadAttempt(this.options.clock, this.findWaitMs());
+    this.lastAttempt = attempt;
+    const reading = this.attemptRead(attempt);
+    const result = await this.waitWhileDue(attempt, reading);
+    this.isOverdue = result === 'overdue';
+    if (result !== 'failed' || this.stopping.signal.aborted) return;
+    const {random} = this.options;
+    await this.delay.wait(
       addJitter(random, this.computeRetryDelayMs(), RETRY_JITTER),
     );
-    this.lastDelayMs = clock.monotonicMs() - startedAtMs;
   }
 
-  private get shouldRead(): boolean {
-    return !this.hasSnapshot || (this.options.isNeeded?.() ?? true);
+  /**
+   * The first read after a failure does not wait: its response would tell only later that
+   * the store is back.
+   */
+  private findWaitMs(): number {
+    const isSound = this.isLastReadOk && !this.isOverdue;
+    return isSound && this.canReadIncrementally ? this.options.waitMs() : 0;
   }
 
-  private get canReadIncrementally(): boolean {
-    const {clock, snapshotAfterMs = Infinity} = this.options;
-    const ageMs = clock.monotonicMs() - this.succeededAtMs;
-    return this.hasSnapshot && ageMs <= snapshotAfterMs;
+  private async waitWhileDue(
+    attempt: ReadAttempt,
+    reading: Promise<AttemptResult>,
+  ): Promise<AttemptResult> {
+    const {clock, repeatAfterMs} = this.options;
+    if (repeatAfterMs === undefined) return reading;
+    await sleep(clock, attempt.waitMs + repeatAfterMs, attempt.ended);
+    const isOverdue = !attempt.hasResponse && !attempt.ended.aborted;
+    return isOverdue ? 'overdue' : reading;
   }
 
-  private async readOnce(signal: AbortSignal): Promise<void> {
-    const startedAtMs = this.options.clock.monotonicMs();
+  private async attemptRead(attempt: ReadAttempt): Promise<AttemptResult> {
+    const {signal} = this.stopping;
     try {
       const {changes, kind} = this.canReadIncrementally
-        ? await this.loadIncrement()
-        : await this.loadSnapshot();
-      if (signal.aborted) return;
-      this.recordSuccess(startedAtMs);
-      if (this.hasSnapshot) this.lastSuccessStartedAtMs = startedAtMs;
+        ? await this.loadIncrement(attempt)
+        : await this.loadSnapshot(attempt);
+      if (signal.aborted) return 'ended';
+      this.recordSuccess(attempt);
       if (changes.length > 0 || kind !== 'increment') {
         this.options.onChanges(changes, kind);
       }
+      return 'ended';
     } catch (thrown) {
-      if (signal.aborted) return;
-      if (thrown instanceof ReadAbortedByRefresh) return;
-      this.recordFailure(toTypedError(thrown));
-      if (!this.stopping.signal.aborted) await this.delayRetry();
+      if (signal.aborted || attempt.isAborted) return 'ended';
+      this.recordFailure(attempt, toTypedError(thrown));
+      return 'failed';
+    } finally {
+      attempt.end();
     }
   }
 
-  private async loadSnapshot(): Promise<KeyedRead> {
+  private async loadSnapshot(attempt: ReadAttempt): Promise<KeyedRead> {
     const {topic, table} = this.options;
-    const snapshot = await topic.readSnapshot();
+    const snapshot = await topic.readSnapshot(attempt.terms);
     const era = findEra(snapshot.endOffset);
     const isRestored = this.snapshotEra !== null && era > this.snapshotEra;
     this.snapshotEra = era;
@@ -218,15 +245,14 @@
     return {changes, kind: isRestored ? 'restored' : 'snapshot'};
   }
 
-  private async loadIncrement(): Promise<KeyedRead> {
+  private async loadIncrement(attempt: ReadAttempt): Promise<KeyedRead> {
     const {topic, table} = this.options;
     const fromOffset = table.endOffset;
-    // The response to a read that waits would tell only later that the store is back.
-    const waitMs = this.isLastReadOk ? this.options.waitMs() : 0;
-    const outcome =
-      waitMs > 0
-        ? await this.longPollFrom(fromOffset, waitMs)
-        : await topic.readFrom(fromOffset, waitMs);
+    const outcome = await topic.readFrom(
+      fromOffset,
+      attempt.waitMs,
+      attempt.terms,
+    );
     if (outcome.status === 'expired') {
       this.hasSnapshot = false;
       return {changes: [], kind: 'increment'};
@@ -236,29 +262,6 @@
     return {changes, kind: 'increment'};
   }
 
-  /** Throws `ReadAbortedByRefresh` if `refresh` aborted the read. */
-  private async longPollFrom(
-    fromOffset: number,
-    waitMs: number,
-  ): Promise<ReadOutcome> {
-    const longPollController = new AbortController();
-    this.longPollController = longPollController;
-    try {
-      const {topic} = this.options;
-      return await topic.readFrom(
-        fromOffset,
-        waitMs,
-        longPollController.signal,
-      );
-    } catch (thrown) {
-      throw longPollController.signal.aborted
-        ? new ReadAbortedByRefresh()
-        : thrown;
-    } finally {
-      this.longPollController = null;
-    }
-  }
-
   private computeRetryDelayMs(): number {
     const {retryDelayMs, maxRetryDelayMs} = this.options;
     const backoffMs = retryDelayMs * 2 ** (this.consecutiveFailures - 1);
@@ -268,22 +271,30 @@
     return hasNeverRead ? Math.min(cappedMs, MAX_FIRST_RETRY_MS) : cappedMs;
   }
 
-  private recordSuccess(readStartedAtMs: number): void {
+  private recordSuccess({startedAtMs}: ReadAttempt): void {
     const failedReads = this.consecutiveFailures;
     const nowMs = this.options.clock.monotonicMs();
     this.consecutiveFailures = 0;
     this.succeededAtMs = nowMs;
+    if (this.hasSnapshot) {
+      this.lastSuccessStartedAtMs = Math.max(
+        this.lastSuccessStartedAtMs,
+        startedAtMs,
+      );
+    }
     if (this.isLastReadOk) return;
     this.isLastReadOk = true;
     this.options.onRegained({
       lostForMs: failedReads > 0 ? nowMs - this.lostAtMs : null,
       failedReads,
-      ...{delayMs: this.lastDelayMs, delayEnd: this.lastDelayEnd},
-      readMs: nowMs - readStartedAtMs,
+      ...{delayMs: this.delay.lastMs, delayEnd: this.delay.lastEnd},
+      readMs: nowMs - startedAtMs,
     });
   }
 
-  private recordFailure(error: TypedError): void {
+  /** A read that was sent again tells nothing once a later one has succeeded. */
+  private recordFailure({startedAtMs}: ReadAttempt, error: TypedError): void {
+    if (startedAtMs < this.lastSuccessStartedAtMs) return;
     if (this.consecutiveFailures === 0) {
       this.lostAtMs = this.options.clock.monotonicMs();
     }
@@ -298,5 +309,3 @@
   changes: KeyedChange[];
   kind: ReadKind;
 }
-
-class ReadAbortedByRefresh extends Error {}
--- a/packages/keyed-store/src/keyed_topic.ts
+++ b/packages/keyed-store/src/keyed_topic.ts
@@ -48,18 +48,25 @@
   offset: number;
 }
 
+export interface ReadTerms {
+  /** Aborts the read; it then rejects. */
+  signal?: AbortSignal;
+  /** Called once the store begins to respond; the rest may take time on a slow link. */
+  onResponse?: () => void;
+}
+
 /**
  * Access to one topic. Methods reject with `platform-unavailable` while the
  * store is unreachable.
  */
 export interface KeyedTopic {
   readonly era: StoreEra;
-  readSnapshot(): Promise<KeyedSnapshot>;
+  readSnapshot(terms?: ReadTerms): Promise<KeyedSnapshot>;
   /** Waits up to `waitMs` if there is no record at `offset` yet. */
   readFrom(
     offset: number,
     waitMs: number,
-    signal?: AbortSignal,
+    terms?: ReadTerms,
   ): Promise<ReadOutcome>;
   /**
    * The records may be appended even if the call rejects, because the response
--- a/packages/keyed-store/src/memory_keyed_topic.ts
+++ b/packages/keyed-store/src/memory_keyed_topic.ts
@@ -7,6 +7,7 @@
   type KeyedTopic,
   type KeyedWrite,
   type ReadOutcome,
+  type ReadTerms,
 } from './keyed_topic.js';
 import {StoreEra, findEra, toGlobalOffset, toStoreOffset} from './store_era.js';
 
@@ -49,7 +50,7 @@
   async readFrom(
     offset: number,
     waitMs: number,
-    signal?: AbortSignal,
+    {signal}: ReadTerms = {},
   ): Promise<ReadOutcome> {
     this.readCount += 1;
     this.failIfDown();
--- a/packages/serving-node/src/configuration_follower.test.ts
+++ b/packages/serving-node/src/configuration_follower.test.ts
@@ -1,6 +1,10 @@
 import {ManualClock} from '@mimosatack/clock';
 import {flushPendingCallbacks} from '@mimosatack/fakes';
-import {MemoryKeyedTopic, type ReadOutcome} from '@mimosatack/keyed-store';
+import {
+  MemoryKeyedTopic,
+  type ReadOutcome,
+  type ReadTerms,
+} from '@mimosatack/keyed-store';
 import {SeededRandom} from '@mimosatack/random';
 import {type ServingConfiguration} from '@mimosatack/types';
 import {suite} from 'uvu';
@@ -30,12 +34,14 @@
   override async readFrom(
     offset: number,
     waitMs: number,
-    signal?: AbortSignal,
+    {signal}: ReadTerms = {},
   ): Promise<ReadOutcome> {
     const ending = new AbortController();
     signal?.addEventListener('abort', () => ending.abort());
     const timer = this.clock.setTimer(waitMs, () => ending.abort());
-    const outcome = super.readFrom(offset, waitMs, ending.signal);
+    const outcome = super.readFrom(offset, waitMs, {
+      signal: ending.signal,
+    });
     return outcome.catch(thrown => {
       timer.cancel();
       if (signal?.aborted || this.isDown) throw thrown;
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -53,8 +53,12 @@
 const READER_WAIT_FRACTION = 0.1;
 const MIN_INTERVAL_MS = 50;
 const RETRY_DELAY_MS = 200;
-/** For nodes other than the reader, which retries faster and informs them. */
-const MAX_RETRY_DELAY_MS = 2_000;
+/**
+ * For nodes other than the reader. With its jitter it stays below the time in which a
+ * change has to be in force, so that each node keeps the bound by its own reads.
+ */
+const MAX_RETRY_DELAY_MS = 700;
+const REPEAT_AFTER_MS = 700;
 /** Covers a large change, which takes this long to reach all nodes. */
 const OWN_READ_MS = 1_000;
 const OWN_READ_FRACTION = 0.2;
@@ -96,7 +100,7 @@
       topic: platform.configurationTopic,
       waitMs: () => this.findWaitMs(),
       minIntervalMs: MIN_INTERVAL_MS,
-      retryDelayMs: RETRY_DELAY_MS,
+      ...{retryDelayMs: RETRY_DELAY_MS, repeatAfterMs: REPEAT_AFTER_MS},
       maxRetryDelayMs: () =>
         options.isReader() ? RETRY_DELAY_MS : MAX_RETRY_DELAY_MS,
       onChanges: (changes, kind) => this.applyRead(changes, kind),
--- a/packages/serving-node/src/outage_fixture.ts
+++ b/packages/serving-node/src/outage_fixture.ts
@@ -4,6 +4,7 @@
   type KeyedSnapshot,
   MemoryKeyedTopic,
   type ReadOutcome,
+  type ReadTerms,
 } from '@mimosatack/keyed-store';
 
 /** `busy`: calls are refused at once. `silent`: calls get no response. */
@@ -40,14 +41,16 @@
   override readFrom(
     offset: number,
     waitMs: number,
-    signal?: AbortSignal,
+    {signal}: ReadTerms = {},
   ): Promise<ReadOutcome> {
     return this.respond(waitMs, signal, async () => {
       const ending = new AbortController();
       signal?.addEventListener('abort', () => ending.abort());
       const timer = this.clock.setTimer(waitMs, () => ending.abort());
       try {
-        return await super.readFrom(offset, waitMs, ending.signal);
+        return await super.readFrom(offset, waitMs, {
+          signal: ending.signal,
+        });
       } catch (thrown) {
         if (signal?.aborted || this.isDown) throw thrown;
         return {status: 'read', records: [], endOffset: this.endOffset};
