Tell all readers of the store when it answers one of them after an outage

Callers: after an outage hosts went on for up to 4 s with old lists of servers and hosts, and for up to 3.6 s without being registered, while the store answered them on other topics.

Cause: each topic, and the registration, waited out its own delay (2.4 s and its jitter) or its own read that the outage had swallowed (1.5 s). Class: the state of a shared dependency known per reader.

Change: StoreContact counts answers and failures of all calls in the store's client. When the store answers after two failures in a row, each reader ends its delay, and sends again what has no response. A node also reads at once, and once for each version, when another node names a newer configuration. Reads that are sent again have a jitter, since an outage swallows those of all nodes at one moment.

Why it holds: one call that is answered wakes all. A topic that fails alone is woken at most once for two failures in a row, so that it keeps its delays (tested).

--- a/packages/hold-duty/src/duty_fixture.ts
+++ b/packages/hold-duty/src/duty_fixture.ts
@@ -7,6 +7,7 @@
   type KeyedWrite,
   MemoryKeyedTopic,
   type ReadTerms,
+  StoreContact,
 } from '@mimosatack/keyed-store';
 import {SeededRandom} from '@mimosatack/random';
 import {DutyTask, type HolderContact} from './duty_task.js';
@@ -26,6 +27,8 @@
     return this.topic.era;
   }
 
+  readonly contact = new StoreContact();
+
   async readSnapshot() {
     this.failIfCut();
     return this.topic.readSnapshot();
--- a/packages/keyed-store/src/index.ts
+++ b/packages/keyed-store/src/index.ts
@@ -15,7 +15,8 @@
   type ReadKind,
   type ReadRecovery,
 } from './keyed_follower.js';
-export {type DelayEnd} from './retry_delay.js';
+export {type DelayEnd, RetryDelay} from './retry_delay.js';
 export {KeyedTable} from './keyed_table.js';
 export {type AppendFault, MemoryKeyedTopic} from './memory_keyed_topic.js';
+export {StoreContact} from './store_contact.js';
 export {StoreEra, findEra, toGlobalOffset, toStoreOffset} from './store_era.js';
--- a/packages/keyed-store/src/keyed_follower.test.ts
+++ b/packages/keyed-store/src/keyed_follower.test.ts
@@ -10,12 +10,17 @@
 } from './keyed_follower.js';
 import {KeyedTable} from './keyed_table.js';
 import {MemoryKeyedTopic} from './memory_keyed_topic.js';
+import {StoreContact} from './store_contact.js';
 
 const test = suite('keyed follower');
 
-function startFollower(change: Partial<KeyedFollowerOptions> = {}) {
+interface FollowerChange extends Partial<KeyedFollowerOptions> {
+  topic?: MemoryKeyedTopic;
+}
+
+function startFollower(change: FollowerChange = {}) {
   const clock = new ManualClock();
-  const topic = new MemoryKeyedTopic();
+  const {topic = new MemoryKeyedTopic()} = change;
   const table = new KeyedTable();
   const changesSeen: string[] = [];
   const connectionEvents: string[] = [];
@@ -243,6 +248,72 @@
   assert.is(await countReads(true), await countReads(false));
 });
 
+// Guards against a topic that waits out its delay while the store answers for another one.
+test('once the store answers for one topic, all are read', async () => {
+  const contact = new StoreContact();
+  const slow = startFollower({
+    ...{topic: new MemoryKeyedTopic(contact), waitMs: () => 0},
+    maxRetryDelayMs: () => 2_000,
+  });
+  slow.topic.put('a', '1');
+  slow.follower.start();
+  await slow.pass(100);
+  slow.topic.isDown = true;
+  await slow.pass(10_000);
+  slow.topic.isDown = false;
+  slow.topic.put('a', '2');
+  await new MemoryKeyedTopic(contact).readSnapshot();
+  await slow.pass(50);
+  assert.equal(slow.changesSeen, ['a=1', 'a=2']);
+  slow.follower.stop();
+});
+
+// Guards against a read that an outage has swallowed and that the next one waits for.
+test('a read without a response is sent again once the store answers', async () => {
+  const contact = new StoreContact();
+  const topic = new MemoryKeyedTopic(contact);
+  const {clock, follower, changesSeen, pass} = startFollower({
+    ...{topic, waitMs: () => 0},
+  });
+  topic.put('a', '1');
+  follower.start();
+  await pass(100);
+  const readFrom = topic.readFrom.bind(topic);
+  topic.readFrom = async () => {
+    await sleep(clock, 1_500);
+    throw new Error('No response.');
+  };
+  [1, 2].forEach(() => contact.recordFailure());
+  await pass(200);
+  topic.readFrom = readFrom;
+  topic.put('a', '2');
+  contact.recordAnswer();
+  await pass(100);
+  assert.equal(changesSeen, ['a=1', 'a=2']);
+  follower.stop();
+});
+
+// Guards against a failing topic that each answer for another one makes read again.
+test('a topic that fails alone keeps its delays', async () => {
+  const contact = new StoreContact();
+  const {topic, follower, pass} = startFollower({
+    ...{topic: new MemoryKeyedTopic(contact), waitMs: () => 0},
+    maxRetryDelayMs: () => 2_000,
+  });
+  const other = new MemoryKeyedTopic(contact);
+  follower.start();
+  await pass(100);
+  topic.isDown = true;
+  const before = topic.readCount;
+  for (let elapsedMs = 0; elapsedMs < 10_000; elapsedMs += 100) {
+    await other.readSnapshot();
+    await pass(100);
+  }
+  const calls = topic.readCount - before;
+  assert.ok(calls <= 9, `${calls} calls`);
+  follower.stop();
+});
+
 // Guards against going on from an offset that the store gives out again.
 test('a topic that came back from a copy is read anew', async () => {
   const kinds: string[] = [];
--- a/packages/keyed-store/src/keyed_follower.ts
+++ b/packages/keyed-store/src/keyed_follower.ts
@@ -1,5 +1,5 @@
 /** Keeps a table up to date with its topic in the store. */
-import {type Clock, sleep} from '@mimosatack/clock';
+import {type Clock} from '@mimosatack/clock';
 import {type TypedError, toTypedError} from '@mimosatack/errors';
 import {type RandomSource, addJitter} from '@mimosatack/random';
 import {type KeyedTable} from './keyed_table.js';
@@ -55,9 +55,10 @@
    */
   maxRetryDelayMs?: () => number;
   /**
-   * A read that has no response after this time, beside its wait for a record, is sent
-   * again, and the earlier one goes on. Guards against a read that an outage or a dead
-   * connection has swallowed; if unset, the next read begins when it has failed.
+   * A read that has no response after this time and a jitter, beside its wait for a record,
+   * is sent again, and the earlier one goes on. Guards against a read that an outage or a dead
+   * connection has swallowed; if unset, it is sent again when it has failed, or when the
+   * store has answered another call after an outage.
    */
   repeatAfterMs?: number;
   /** False while the table is kept up to date by other means. */
@@ -71,6 +72,8 @@
 }
 
 const RETRY_JITTER = 0.5;
+/** Spreads the reads of nodes whose reads an outage swallows at the same moment. */
+const REPEAT_JITTER = 0.25;
 /**
  * The limit of the retry delay before the first successful read, while the node
  * may know no peer that has the records.
@@ -101,6 +104,7 @@
     this.delay = new RetryDelay(options.clock);
     this.interval = new RetryDelay(options.clock);
     options.topic.era.onRestored(() => this.reload());
+    options.topic.contact.onReturned(() => this.readAfterOutage());
   }
 
   /** Whether the last read succeeded. */
@@ -141,6 +145,12 @@
     this.delay.end(reason);
   }
 
+  /** The store answers others; a read sent before may never be answered. */
+  private readAfterOutage(): void {
+    this.lastAttempt?.supersede();
+    this.readNow('store-returned');
+  }
+
   /** Reads a snapshot at once. */
   reload(): void {
     this.hasSnapshot = false;
@@ -205,11 +215,11 @@
     attempt: ReadAttempt,
     reading: Promise<AttemptResult>,
   ): Promise<AttemptResult> {
-    const {clock, repeatAfterMs} = this.options;
-    if (repeatAfterMs === undefined) return reading;
-    await sleep(clock, attempt.waitMs + repeatAfterMs, attempt.ended);
-    const isOverdue = !attempt.hasResponse && !attempt.ended.aborted;
-    return isOverdue ? 'overdue' : reading;
+    const {random, repeatAfterMs} = this.options;
+    await attempt.waitWhileDue(
+      repeatAfterMs && addJitter(random, repeatAfterMs, REPEAT_JITTER),
+    );
+    return attempt.isWithoutResponse ? 'overdue' : reading;
   }
 
   private async attemptRead(attempt: ReadAttempt): Promise<AttemptResult> {
--- a/packages/keyed-store/src/keyed_topic.ts
+++ b/packages/keyed-store/src/keyed_topic.ts
@@ -4,6 +4,7 @@
  * key the higher offset was written later. A record of a later era may still hold an
  * older value, if the store came back from a copy.
  */
+import {type StoreContact} from './store_contact.js';
 import {type StoreEra} from './store_era.js';
 
 /** A record; a null value deletes the key. */
@@ -61,6 +62,8 @@
  */
 export interface KeyedTopic {
   readonly era: StoreEra;
+  /** Shared by all topics of the store. */
+  readonly contact: StoreContact;
   readSnapshot(terms?: ReadTerms): Promise<KeyedSnapshot>;
   /** Waits up to `waitMs` if there is no record at `offset` yet. */
   readFrom(
--- a/packages/keyed-store/src/memory_keyed_topic.ts
+++ b/packages/keyed-store/src/memory_keyed_topic.ts
@@ -9,6 +9,7 @@
   type ReadOutcome,
   type ReadTerms,
 } from './keyed_topic.js';
+import {StoreContact} from './store_contact.js';
 import {StoreEra, findEra, toGlobalOffset, toStoreOffset} from './store_era.js';
 
 /**
@@ -32,13 +33,16 @@
   private readonly delayed: Array<() => void> = [];
   private readonly waiters = new Set<() => void>();
 
+  constructor(readonly contact = new StoreContact()) {}
+
   get endOffset(): number {
     return toGlobalOffset(this.era.number, this.records.length);
   }
 
-  async readSnapshot(): Promise<KeyedSnapshot> {
+  async readSnapshot({onResponse}: ReadTerms = {}): Promise<KeyedSnapshot> {
     this.readCount += 1;
     this.failIfDown();
+    this.recordAnswer(onResponse);
     const newest = new Map(this.records.map(record => [record.key, record]));
     return {
       records: [...newest.values()].filter(({value}) => value !== null),
@@ -50,13 +54,14 @@
   async readFrom(
     offset: number,
     waitMs: number,
-    {signal}: ReadTerms = {},
+    {signal, onResponse}: ReadTerms = {},
   ): Promise<ReadOutcome> {
     this.readCount += 1;
     this.failIfDown();
-    if (this.lacks(offset)) return {status: 'expired'};
-    if (offset >= this.endOffset && waitMs > 0) await this.wait(signal);
+    const mayWait = waitMs > 0 && !this.lacks(offset);
+    if (mayWait && offset >= this.endOffset) await this.wait(signal);
     this.failIfDown();
+    this.recordAnswer(onResponse);
     if (this.lacks(offset)) return {status: 'expired'};
     return {
       status: 'read',
@@ -78,6 +83,7 @@
       throw makeUnavailable();
     }
     const outcome = this.apply(writes, condition);
+    this.recordAnswer();
     if (fault === 'lost') throw makeUnavailable();
     return outcome;
   }
@@ -145,7 +151,14 @@
   }
 
   private failIfDown(): void {
-    if (this.isDown) throw makeUnavailable();
+    if (!this.isDown) return;
+    this.contact.recordFailure();
+    throw makeUnavailable();
+  }
+
+  private recordAnswer(onResponse?: () => void): void {
+    onResponse?.();
+    this.contact.recordAnswer();
   }
 }
 
--- a/packages/keyed-store/src/retry_delay.ts
+++ b/packages/keyed-store/src/retry_delay.ts
@@ -2,7 +2,8 @@
 import {type Clock, sleep} from '@mimosatack/clock';
 
 /** What ended a delay: its time, or a reason to read before. */
-export type DelayEnd = 'timer' | 'reload' | 'newer-version' | 'stop';
+export type DelayEnd =
+  'timer' | 'reload' | 'store-returned' | 'newer-version' | 'stop';
 
 /** A delay that can be ended early. */
 export class RetryDelay {
--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -21,7 +21,8 @@
       lostForMs: 'time since the first failed read; null for the first read',
       failedReads: 'consecutive reads that failed',
       delayMs: 'the delay before the read that succeeded',
-      delayEnd: 'what ended that delay: timer or reload',
+      delayEnd:
+        'what ended that delay: timer, reload, store-returned or newer-version',
       readMs: 'how long that read took',
     },
   },
--- a/packages/serving-node/src/configuration_follower.test.ts
+++ b/packages/serving-node/src/configuration_follower.test.ts
@@ -205,4 +205,24 @@
   assert.equal(applied, [1, FAILING_VERSION, 1, 2]);
 });
 
+// Guards against a node that waits out its delay while others have a newer version.
+test('a version that another node names is read at once, and only once', async () => {
+  const {topic, follower, advance, applied} = startFollower();
+  await advance(1_000);
+  topic.isDown = true;
+  await advance(6_000);
+  const before = topic.readCount;
+  for (let elapsedMs = 0; elapsedMs < 6_000; elapsedMs += 250) {
+    follower.noteConfirmed(2, follower.nowMs, 'peer');
+    await advance(250);
+  }
+  const calls = topic.readCount - before;
+  assert.ok(calls <= 1 + Math.ceil(6_000 / 700), `${calls} calls`);
+  topic.isDown = false;
+  topic.put(KEY, '3');
+  follower.noteConfirmed(3, follower.nowMs, 'peer');
+  await advance(50);
+  assert.equal(applied, [1, 3]);
+});
+
 test.run();
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -58,7 +58,7 @@
  * change has to be in force, so that each node keeps the bound by its own reads.
  */
 const MAX_RETRY_DELAY_MS = 700;
-const REPEAT_AFTER_MS = 700;
+const REPEAT_AFTER_MS = 550;
 /** Covers a large change, which takes this long to reach all nodes. */
 const OWN_READ_MS = 1_000;
 const OWN_READ_FRACTION = 0.2;
@@ -158,7 +158,9 @@
    */
   noteConfirmed(version: number, asOfMs: number, nodeName: string): void {
     if (version > this.version) {
+      const knownVersion = this.pendingConfirmation?.version ?? -1;
       this.pendingConfirmation = {version, asOfMs, nodeName};
+      if (version > knownVersion) this.follower.readNow('newer-version');
     } else if (asOfMs > this.peerConfirmedAsOfMs) {
       this.peerConfirmedAsOfMs = asOfMs;
       this.confirmingPeer = nodeName;
--- a/packages/serving-node/src/node_register.test.ts
+++ b/packages/serving-node/src/node_register.test.ts
@@ -230,4 +230,24 @@
   },
 );
 
+// Guards against a node that stays unknown to the others after an outage.
+register('a node registers at once when the store is back', async () => {
+  const clock = new ManualClock();
+  const topic = new MemoryKeyedTopic();
+  topic.isDown = true;
+  const {register: added} = makeRegister(clock, topic, {
+    ...{nodeName: 'n0', isUpdatedByPeer: () => false},
+  });
+  added.start();
+  await advance(clock, 5_000);
+  topic.isDown = false;
+  topic.contact.recordAnswer();
+  await advance(clock, STEP_MS);
+  assert.equal(
+    topic.records.map(({key}) => key),
+    ['n0'],
+  );
+  added.stop();
+});
+
 register.run();
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -9,6 +9,7 @@
   type KeyedTopic,
   type ReadKind,
   type ReadRecovery,
+  RetryDelay,
   findEra,
 } from '@mimosatack/keyed-store';
 import {
@@ -79,9 +80,12 @@
   private isStopped = false;
   private isRemoving = false;
   private hasRegistered = false;
+  private readonly registerDelay: RetryDelay;
 
   constructor(private readonly options: NodeRegisterOptions) {
     const {clock, random, topic, self} = options;
+    this.registerDelay = new RetryDelay(clock);
+    topic.contact.onReturned(() => this.registerDelay.end('store-returned'));
     this.nodes.set(self.nodeName, self);
     this.follower = new KeyedFollower({
       ...{clock, random, topic, table: this.table},
@@ -260,7 +264,7 @@
   }
 
   private async register(retryDelayMs = RETRY_DELAY_MS): Promise<void> {
-    const {topic, self, clock, onLost} = this.options;
+    const {topic, self, onLost} = this.options;
     if (this.isStopped) return;
     this.hasRegistered = false;
     try {
@@ -268,8 +272,8 @@
       this.hasRegistered = true;
     } catch (thrown) {
       onLost(toTypedError(thrown));
-      const nextDelayMs = Math.min(2 * retryDelayMs, MAX_RETRY_DELAY_MS);
-      clock.setTimer(retryDelayMs, () => void this.register(nextDelayMs));
+      await this.registerDelay.wait(retryDelayMs);
+      void this.register(Math.min(2 * retryDelayMs, MAX_RETRY_DELAY_MS));
     }
   }
 
--- a/packages/serving-node/src/outage_fixture.ts
+++ b/packages/serving-node/src/outage_fixture.ts
@@ -1,10 +1,15 @@
 /** A topic whose store is away for a while, as a node sees it. */
 import {type ManualClock} from '@mimosatack/clock';
 import {
+  type AppendCondition,
+  type AppendOutcome,
   type KeyedSnapshot,
+  type KeyedTopic,
+  type KeyedWrite,
   MemoryKeyedTopic,
   type ReadOutcome,
   type ReadTerms,
+  StoreContact,
 } from '@mimosatack/keyed-store';
 
 /** `busy`: calls are refused at once. `silent`: calls get no response. */
@@ -13,73 +18,106 @@
 /** How long the store's client waits for a response, beside the wait for a record. */
 const RESPONSE_TIMEOUT_MS = 1_500;
 
-export class OutageTopic extends MemoryKeyedTopic {
+export class OutageTopic implements KeyedTopic {
+  private readonly topic = new MemoryKeyedTopic();
   private outage: OutageKind | null = null;
   private readonly silentCalls = new Set<() => void>();
 
-  constructor(private readonly clock: ManualClock) {
-    super();
+  constructor(
+    private readonly clock: ManualClock,
+    readonly contact = new StoreContact(),
+  ) {}
+
+  get era() {
+    return this.topic.era;
+  }
+
+  put(key: string, text: string): void {
+    this.topic.put(key, text);
   }
 
   /** Calls that wait for a record get no response either. */
   beginOutage(kind: OutageKind): void {
     this.outage = kind;
-    this.isDown = kind === 'busy';
     this.silentCalls.forEach(silence => silence());
   }
 
   /** What the outage has swallowed stays without a response. */
   endOutage(): void {
     this.outage = null;
-    this.isDown = false;
   }
 
-  override readSnapshot(): Promise<KeyedSnapshot> {
-    return this.respond(0, undefined, () => super.readSnapshot());
+  readSnapshot(terms?: ReadTerms): Promise<KeyedSnapshot> {
+    return this.respond(0, terms, () => this.topic.readSnapshot());
   }
 
-  override readFrom(
+  readFrom(
     offset: number,
     waitMs: number,
-    {signal}: ReadTerms = {},
+    terms: ReadTerms = {},
   ): Promise<ReadOutcome> {
-    return this.respond(waitMs, signal, async () => {
+    return this.respond(waitMs, terms, async () => {
       const ending = new AbortController();
-      signal?.addEventListener('abort', () => ending.abort());
+      terms.signal?.addEventListener('abort', () => ending.abort());
       const timer = this.clock.setTimer(waitMs, () => ending.abort());
+      const {signal} = ending;
       try {
-        return await super.readFrom(offset, waitMs, {
-          signal: ending.signal,
-        });
+        return await this.topic.readFrom(offset, waitMs, {signal});
       } catch (thrown) {
-        if (signal?.aborted || this.isDown) throw thrown;
-        return {status: 'read', records: [], endOffset: this.endOffset};
+        if (terms.signal?.aborted) throw thrown;
+        const {endOffset} = this.topic;
+        return {status: 'read', records: [], endOffset};
       } finally {
         timer.cancel();
       }
     });
   }
 
+  append(
+    writes: readonly KeyedWrite[],
+    condition?: AppendCondition,
+  ): Promise<AppendOutcome> {
+    return this.respond(0, {}, () => this.topic.append(writes, condition));
+  }
+
   private respond<T>(
     waitMs: number,
-    signal: AbortSignal | undefined,
-    read: () => Promise<T>,
+    {signal, onResponse}: ReadTerms = {},
+    call: () => Promise<T>,
   ): Promise<T> {
     return new Promise((resolve, reject) => {
       let isSilent = this.outage === 'silent';
+      let isSettled = false;
       const silence = () => (isSilent = true);
-      this.silentCalls.add(silence);
-      const fail = () => reject(new Error('No response came in time.'));
-      this.clock.setTimer(waitMs + RESPONSE_TIMEOUT_MS, fail);
-      signal?.addEventListener('abort', fail);
       const settle = (act: () => void) => {
+        if (isSettled) return;
+        isSettled = true;
         this.silentCalls.delete(silence);
-        if (!isSilent) act();
+        act();
       };
+      const fail = () =>
+        settle(() => {
+          this.contact.recordFailure();
+          reject(new Error('The store did not answer.'));
+        });
+      this.silentCalls.add(silence);
+      this.clock.setTimer(waitMs + RESPONSE_TIMEOUT_MS, fail);
+      signal?.addEventListener('abort', () =>
+        settle(() => reject(new Error('The answer is no longer wanted.'))),
+      );
+      if (this.outage === 'busy') return fail();
       if (isSilent) return;
-      read().then(
-        outcome => settle(() => resolve(outcome)),
-        (thrown: Error) => settle(() => reject(thrown)),
+      const answer = (act: () => void) => {
+        if (isSilent) return;
+        settle(() => {
+          onResponse?.();
+          this.contact.recordAnswer();
+          act();
+        });
+      };
+      call().then(
+        outcome => answer(() => resolve(outcome)),
+        () => undefined,
       );
     });
   }
