Do not refuse for good by a configuration that may be outdated

Callers: a route or a key that a newer version has added was refused with 404 or 401, which callers do not try again elsewhere, by hosts that knew they had not read the configuration for seconds.

Cause: a node answered not-found from whatever configuration it had; only where keys have a bound on their revocation did it look at the age, against 0.7 of that bound. Class: a final statement made from state whose age is known and not looked at.

Why it holds: a version that was confirmed longer ago than that time is in a configuration that was the newest within it. It does not hold for requests that an old version sends to another service: these are served by the last known configuration while the store is away.

--- a/packages/logger/src/events/request_events.ts
+++ b/packages/logger/src/events/request_events.ts
@@ -129,6 +129,7 @@
     message: 'A request was refused, as no route takes it.',
     fields: {
       requestId: 'the request',
+      kind: 'not-found, or platform-unavailable if there may be a newer one',
       configurationVersion: 'the configuration whose routes were looked at',
       configurationAgeMs:
         'how long ago that was known to be the newest; null for never',
--- a/packages/serve-requests/src/access_check.ts
+++ b/packages/serve-requests/src/access_check.ts
@@ -16,6 +16,11 @@
   readonly version: number;
   /** Time since it was known to be the newest; Infinity before that. */
   readonly ageMs: number;
+  /**
+   * Whether any newer one is too new to be in force everywhere yet, so that what it does not
+   * allow may be refused for good.
+   */
+  readonly isRecent: boolean;
   /** The node that confirmed it; null for a read of the store by this node. */
   readonly confirmedBy: string | null;
 }
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -54,6 +54,8 @@
   /** Time until a server may get requests, by id; 0 by default. */
   waits?: Readonly<Record<BackendServerId, number>>;
   streams?: StreamLookup;
+  /** Whether the configuration was known to be the newest a short time ago. */
+  isConfigurationRecent?: boolean;
 }
 
 export class PipelineFixture {
@@ -138,7 +140,10 @@
         acquire: () => Promise.resolve(true),
         release: () => undefined,
       },
-      configuration: {version: 1, ageMs: 0, confirmedBy: null},
+      configuration: {
+        ...{version: 1, ageMs: 11_000, confirmedBy: null},
+        isRecent: this.options.isConfigurationRecent ?? true,
+      },
       access: {isConfirmed: true, check: () => ({team: null})},
       limits: {recordResponse: () => undefined},
       availability: {
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -123,9 +123,10 @@
     if (!this.active) return makeNotConfiguredError();
     const route = this.active.routes.find(host, path);
     if (route) return route;
-    return this.options.access.isConfirmed
+    const {access, configuration} = this.options;
+    return access.isConfirmed && configuration.isRecent
       ? makeNoRouteError(host, path)
-      : makeNotConfiguredError();
+      : makeOutdatedError();
   }
 
   private findTarget(request: CallerRequest): RequestTarget | TypedError {
@@ -145,7 +146,8 @@
   }
 
   /** Logs a request that was refused before it was passed to `serve`, or by it. */
-  logRefused({requestId, receivedAtMs}: RequestHead, error: TypedError): void {
+  logRefused(head: RequestHead, error: TypedError): void {
+    const {requestId, receivedAtMs, host, path} = head;
     this.options.logger.log('request-finished', {
       requestId,
       result: 'refused',
@@ -158,13 +160,15 @@
       lastEventId: null,
       fingerprint: undefined,
     });
-    if (error.kind === 'not-found') this.logNoRoute(requestId);
+    if (!this.active) return;
+    const hasRoute = this.active.routes.find(host, path) !== undefined;
+    if (!hasRoute) this.logNoRoute(requestId, error.kind);
   }
 
-  private logNoRoute(requestId: string): void {
+  private logNoRoute(requestId: string, kind: TypedError['kind']): void {
     const {version, ageMs, confirmedBy} = this.options.configuration;
     this.options.logger.log('route-not-found', {
-      requestId,
+      ...{requestId, kind},
       configurationVersion: version,
       configurationAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : null,
       confirmedBy: confirmedBy ?? 'own-read',
@@ -187,12 +191,22 @@
   softwareVersion: string | null;
 }
 
+function makeNotConfiguredError(): TypedError {
+  return makeUnavailableError('Not configured yet.');
+}
+
 /**
  * Guards against `not-found` for a route that exists: a node without a current
  * configuration may not have received the route yet.
  */
-function makeNotConfiguredError(): TypedError {
-  return new TypedError('platform-unavailable', 'Not configured yet.', {
+function makeOutdatedError(): TypedError {
+  return makeUnavailableError(
+    'No route is known, and the configuration could not be confirmed lately.',
+  );
+}
+
+function makeUnavailableError(message: string): TypedError {
+  return new TypedError('platform-unavailable', message, {
     run: 'not-run',
     retryAfterMs: NOT_CONFIGURED_RETRY_MS,
   });
--- a/packages/serving-node/src/caller_access.test.ts
+++ b/packages/serving-node/src/caller_access.test.ts
@@ -26,6 +26,7 @@
     logger,
     configurationAgeMs: () => state.ageMs,
     revokeMs: () => revokeMs,
+    applyMs: () => 2_000,
   });
   access.configure(7, [TEAM]);
   const check = (keys: readonly string[], isPublic = false) => {
@@ -64,6 +65,16 @@
   assert.is(check([KEY]), 'link');
 });
 
+// Guards against a final refusal of a key that a newer configuration may hold.
+test('a key is not called unknown by a configuration that may be outdated', () => {
+  const {check, state} = startAccess(null);
+  state.ageMs = 2_001;
+  assert.is(check(['other']), 'platform-unavailable');
+  assert.is(check([KEY]), 'link');
+  state.ageMs = 2_000;
+  assert.is(check(['other']), 'unauthorized');
+});
+
 test('without a revocation limit or without keys, any age is accepted', () => {
   const unbounded = startAccess(null);
   unbounded.state.ageMs = Infinity;
--- a/packages/serving-node/src/caller_access.ts
+++ b/packages/serving-node/src/caller_access.ts
@@ -15,6 +15,8 @@
   configurationAgeMs: () => number;
   /** Longest time that a revoked key stays valid; null for no limit. */
   revokeMs: () => number | null;
+  /** Time within which a configuration has to be in force at all nodes. */
+  applyMs: () => number;
 }
 
 /** Leaves room for clock drift and for the interval between checks. */
@@ -54,7 +56,7 @@
     const {keys} = this;
     if (!keys) return {team: null};
     const found = this.isConfirmed
-      ? authenticateKey(request.keyHashes, keys)
+      ? this.findTeam(request, keys)
       : makeUnconfirmedError();
     if (!(found instanceof TypedError)) return {team: found};
     if (isPublic) return {team: null};
@@ -62,6 +64,19 @@
     return found;
   }
 
+  /** Guards against a final refusal of a key that a newer configuration holds. */
+  private findTeam(
+    {keyHashes}: AccessRequest,
+    keys: TeamKeys,
+  ): TeamSpec | TypedError {
+    const {configurationAgeMs, applyMs} = this.options;
+    const found = authenticateKey(keyHashes, keys);
+    const mayBeOutdated = configurationAgeMs() > applyMs();
+    return found instanceof TypedError && mayBeOutdated
+      ? makeUnconfirmedError()
+      : found;
+  }
+
   private logRefusal({requestId}: AccessRequest, error: TypedError): void {
     const ageMs = this.options.configurationAgeMs();
     this.options.logger.log('key-refused', {
--- a/packages/serving-node/src/configuration_follower.test.ts
+++ b/packages/serving-node/src/configuration_follower.test.ts
@@ -68,6 +68,7 @@
     isReader: () => isReader,
     findRank: () => rank,
     revokeMs: () => REVOKE_MS,
+    applyMs: () => 2_000,
     onConfiguration: ({version}) => {
       applied.push(version);
       if (version === FAILING_VERSION) throw new RangeError('Out of range.');
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -28,6 +28,8 @@
   findRank: () => number;
   /** Longest time that a revoked key stays valid; null for no limit. */
   revokeMs: () => number | null;
+  /** Time within which a configuration has to be in force at all nodes. */
+  applyMs: () => number;
   onConfiguration: (configuration: ServingConfiguration) => void;
   /** Called with a record that can't be used. */
   onLeftOut: (key: string, error: TypedError) => void;
@@ -138,6 +140,10 @@
     return this.nowMs - this.asOfMs;
   }
 
+  get isRecent(): boolean {
+    return this.ageMs <= this.options.applyMs();
+  }
+
   /** The node that confirmed the configuration last; null for a read of this node. */
   get confirmedBy(): string | null {
     const isOwnRead = this.follower.lastSuccessStartMs >= this.asOfMs;
--- a/packages/serving-node/src/node_settings.ts
+++ b/packages/serving-node/src/node_settings.ts
@@ -34,6 +34,8 @@
   retryBound: RetryLimit;
   /** Longest time that a revoked key stays valid; null for no limit. */
   revokeMs: number | null;
+  /** Time within which a configuration has to be in force at all nodes. */
+  configurationApplyMs: number;
   quotaBounds: QuotaBounds;
   /** Shares of teams in scarce capacity; 1 for teams that are not listed. */
   teamWeights: ReadonlyMap<TeamName, number>;
--- a/packages/serving-node/src/outage_reads.test.ts
+++ b/packages/serving-node/src/outage_reads.test.ts
@@ -55,6 +55,7 @@
     isReader: () => isReader,
     findRank: () => seed % 8,
     revokeMs: () => null,
+    applyMs: () => 2_000,
     onConfiguration: ({version}) =>
       appliedAtMs.set(version, clock.monotonicMs()),
     onLeftOut: () => assert.unreachable(),
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -256,6 +256,7 @@
       isReader: () => this.duty.isHeld,
       findRank: () => this.links.findRank(),
       revokeMs: () => this.options.settings.revokeMs,
+      applyMs: () => this.options.settings.configurationApplyMs,
       onConfiguration: configuration => this.configure(configuration),
       ...this.faults.watchEntries('configuration'),
       ...this.faults.watchDependency('configuration'),
--- a/packages/serving-node/src/settings_reload.test.ts
+++ b/packages/serving-node/src/settings_reload.test.ts
@@ -20,7 +20,7 @@
     ...{directoryAddress: ADDRESS, metricsAddress: null, seeds: []},
     ...{drainMs: 2_000, graceMs: 8_000, maxEntriesTtlMs: 5_000},
     retryBound: {ratio: 0.2, slack: 56, windowMs: 10_000},
-    revokeMs: 5_000,
+    ...{revokeMs: 5_000, configurationApplyMs: 2_000},
     quotaBounds: {windowMs: 8_000, overage: 0.1, slack: 17_000},
     ...{isFirstStart: true, isFenced: true, leaseMs: 3_000, clusterSecret: ''},
     teamWeights: new Map(),
--- a/packages/serving-node/src/settings_reload.ts
+++ b/packages/serving-node/src/settings_reload.ts
@@ -13,6 +13,7 @@
 const RELOADABLE_SETTINGS: ReadonlyArray<keyof NodeSettings> = [
   'retryBound',
   'revokeMs',
+  'configurationApplyMs',
   'quotaBounds',
   'maxEntriesTtlMs',
   'seeds',
--- a/packages/serving-node/src/team_tasks.ts
+++ b/packages/serving-node/src/team_tasks.ts
@@ -24,6 +24,7 @@
     access: new CallerAccess({
       ...{logger, configurationAgeMs},
       revokeMs: () => settings.revokeMs,
+      applyMs: () => settings.configurationApplyMs,
     }),
     quotas: new TeamQuotas({
       ...{clock, findShare: findQuotaShare},
