--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -19,11 +19,12 @@
 import {type ServerAvailability} from '@mimosatack/track-availability';
 import {type ServingConfiguration} from '@mimosatack/types';
 import {type CallerAccess} from './caller_access.js';
-import {ConfigurationFollower} from './configuration_follower.js';
+import {type ConfigurationFollower} from './configuration_follower.js';
 import {CONTAINED_KEY, type ContainmentTask} from './containment_task.js';
 import {describeSelf} from './describe_self.js';
 import {EntryPoints} from './entry_points.js';
 import {FaultLog} from './fault_log.js';
+import {makeConfiguration} from './make_configuration.js';
 import {makeContainment} from './make_containment.js';
 import {makeMemoryWatch} from './make_memory_watch.js';
 import {NodeDeparture} from './node_departure.js';
@@ -91,7 +92,12 @@
     this.faults = new FaultLog(options.logger, options.clock);
     this.startedAtMs = clock.monotonicMs();
     this.connections = options.connections;
-    this.configuration = this.makeConfiguration();
+    this.configuration = makeConfiguration({
+      ...{...options, faults: this.faults},
+      isReader: () => this.duty.isHeld,
+      findRank: () => this.links.findRank(),
+      onConfiguration: configuration => this.configure(configuration),
+    });
     this.teamWeights = new TeamWeightsReader(settings, this.configuration);
     this.servers = this.makeServers();
     this.containment = makeContainment(this.recordParts);
@@ -249,20 +255,6 @@
     };
   }
 
-  private makeConfiguration(): ConfigurationFollower {
-    const {clock, random, platform} = this.options;
-    return new ConfigurationFollower({
-      ...{clock, random, platform},
-      isReader: () => this.duty.isHeld,
-      findRank: () => this.links.findRank(),
-      revokeMs: () => this.options.settings.revokeMs,
-      applyMs: () => this.options.settings.configurationApplyMs,
-      onConfiguration: configuration => this.configure(configuration),
-      ...this.faults.watchEntries('configuration'),
-      ...this.faults.watchDependency('configuration'),
-    });
-  }
-
   private configure(configuration: ServingConfiguration): void {
     this.pipeline.configure(configuration);
     this.access.configure(configuration.version, configuration.teams);
