--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -75,6 +75,17 @@
     message: 'The nodes that callers are sent to have changed.',
     fields: {nodeNames: 'the nodes'},
   },
+  'named-hosts-changed': {
+    number: 3404,
+    level: 'info',
+    message: 'The hosts that the directory may name to callers have changed.',
+    fields: {
+      basis:
+        'report: the last one of the scheduling node; register: there is none lately',
+      reportAgeMs: 'the age of that report; null for none',
+      nodeNames: 'the nodes',
+    },
+  },
   'duty-holder-changed': {
     number: 3401,
     level: 'info',
--- a/packages/serving-node/src/entry_points.test.ts
+++ b/packages/serving-node/src/entry_points.test.ts
@@ -1,4 +1,5 @@
 import {ManualClock} from '@mimosatack/clock';
+import {MemoryEventLogger} from '@mimosatack/logger';
 import {type RegisteredNode} from '@mimosatack/node-links';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -27,7 +28,7 @@
   );
   const state = {registered: all};
   const entryPoints = new EntryPoints({
-    clock,
+    ...{clock, logger: new MemoryEventLogger()},
     settings: {maxEntriesTtlMs: 5_000, region: 'r'} as NodeSettings,
     self: makeNode(0, findCores(0)),
     listNodes: () => state.registered,
--- a/packages/serving-node/src/entry_points.ts
+++ b/packages/serving-node/src/entry_points.ts
@@ -1,5 +1,6 @@
 /** Lists the addresses at which callers can connect. */
 import {type Clock} from '@mimosatack/clock';
+import {type EventLogger} from '@mimosatack/logger';
 import {type RegisteredNode} from '@mimosatack/node-links';
 import {
   type EntryHost,
@@ -13,6 +14,7 @@
 
 export interface EntryPointsOptions {
   clock: Clock;
+  logger: EventLogger;
   settings: NodeSettings;
   self: RegisteredNode;
   listNodes: () => readonly RegisteredNode[];
@@ -29,6 +31,7 @@
   private servingNodes: readonly string[] = [];
   private servingNodesAtMs = -Infinity;
   private readonly departed = new DepartedNodes();
+  private loggedList = '';
 
   constructor(private readonly options: EntryPointsOptions) {}
 
@@ -62,7 +65,24 @@
         nodeName !== self.nodeName &&
         (!isFresh || this.servingNodes.includes(nodeName)),
     );
-    return isServing() || others.length === 0 ? [self, ...others] : others;
+    const named =
+      isServing() || others.length === 0 ? [self, ...others] : others;
+    this.logChange(isFresh ? 'report' : 'register', named);
+    return named;
+  }
+
+  private logChange(
+    basis: 'report' | 'register',
+    named: readonly RegisteredNode[],
+  ): void {
+    const {clock, logger} = this.options;
+    const nodeNames = named.map(({nodeName}) => nodeName).sort();
+    const list = [basis, ...nodeNames].join();
+    if (list === this.loggedList) return;
+    this.loggedList = list;
+    const ageMs = Math.round(clock.monotonicMs() - this.servingNodesAtMs);
+    const reportAgeMs = Number.isFinite(ageMs) ? ageMs : null;
+    logger.log('named-hosts-changed', {basis, reportAgeMs, nodeNames});
   }
 
   private selectFor(
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -126,7 +126,7 @@
     this.chooser = this.makeChooser();
     this.pipeline = this.makePipeline();
     this.entryPoints = new EntryPoints({
-      ...{clock, settings, self: this.self},
+      ...{...options, self: this.self},
       listNodes: () => this.register.list(),
       isServing: () => this.acceptsCallers,
     });
