Forget introduced nodes once the register is read without them

Callers: a node that starts while the store is away named a host that was long off, whenever no recent report of the scheduling node was there, for as long as its process lived.

Cause: the scheduling node introduces all nodes that it has registered. A node without a register kept them as if it had read them; the removal of a record that it never had is no change of its table. Class: what a peer names is kept like what the store holds, without a way to take it back.

Evidence: two tests of node_register failed before: the lost node stayed listed.

Change: introduced nodes are kept apart, and count only until the register was read, from the store or from a peer. After that, a node that others know comes with the register's records.

--- a/packages/serving-node/src/node_register.test.ts
+++ b/packages/serving-node/src/node_register.test.ts
@@ -230,6 +230,50 @@
   },
 );
 
+// Guards against a lost node that stays listed, as its removal changes no record here.
+register(
+  'an introduced node is forgotten once the register is read without it',
+  async () => {
+    const clock = new ManualClock();
+    const topic = new MemoryKeyedTopic();
+    await registerNode(topic, 'lost');
+    await topic.append([{key: 'lost', value: null}]);
+    await registerNode(topic, 'n1');
+    topic.isDown = true;
+    const {register: added} = makeRegister(clock, topic, {
+      ...{nodeName: 'n0', isUpdatedByPeer: () => false},
+    });
+    const listNames = () => added.list().map(({nodeName}) => nodeName);
+    added.start();
+    await advance(clock, 1_000);
+    added.addUnknown([makeNode('n1'), makeNode('lost')]);
+    assert.equal(listNames(), ['n0', 'n1', 'lost']);
+    topic.isDown = false;
+    await advance(clock, SETTLE_MS);
+    assert.equal(listNames(), ['n0', 'n1']);
+    added.addUnknown([makeNode('lost')]);
+    assert.equal(listNames(), ['n0', 'n1']);
+    added.stop();
+  },
+);
+
+// Guards against the same where a peer passes on the records.
+register('an introduced node is forgotten once a peer names all', async () => {
+  const clock = new ManualClock();
+  const topic = new MemoryKeyedTopic();
+  topic.isDown = true;
+  const {register: added} = makeRegister(clock, topic, {
+    ...{nodeName: 'n0', isUpdatedByPeer: () => true},
+  });
+  added.addUnknown([makeNode('n1'), makeNode('lost')]);
+  const value = encodeNode(makeNode('n1'));
+  added.applyFromPeer(0, [{key: 'n1', value, offset: 2}], 3);
+  assert.equal(
+    added.list().map(({nodeName}) => nodeName),
+    ['n0', 'n1'],
+  );
+});
+
 // Guards against a node that stays unknown to the others after an outage.
 register('a node registers at once when the store is back', async () => {
   const clock = new ManualClock();
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -71,6 +71,9 @@
 export class NodeRegister {
   private readonly follower: KeyedFollower;
   private readonly nodes = new Map<string, RegisteredNode>();
+  /** Nodes that another one has named, until the register is read. */
+  private readonly introduced = new Map<string, RegisteredNode>();
+  private hasLoaded = false;
   readonly table = new KeyedTable();
   private unknownSinceMs = Infinity;
   /** Whether the next snapshot replaces what was kept after the store was restored. */
@@ -106,7 +109,7 @@
   }
 
   list(): RegisteredNode[] {
-    return [...this.nodes.values()];
+    return [...new Map([...this.nodes, ...this.introduced]).values()];
   }
 
   start(): void {
@@ -125,11 +128,15 @@
     }
   }
 
-  /** Adds nodes that a peer knows; known nodes are not replaced. */
+  /**
+   * Adds nodes that a peer knows, until this node has read the register. Guards against a
+   * lost node that stays listed: its removal changes no record that this node has.
+   */
   addUnknown(nodes: readonly RegisteredNode[]): void {
+    if (this.hasLoaded) return;
     nodes
       .filter(({nodeName}) => !this.nodes.has(nodeName))
-      .forEach(node => this.nodes.set(node.nodeName, node));
+      .forEach(node => this.introduced.set(node.nodeName, node));
   }
 
   /**
@@ -167,12 +174,16 @@
   }
 
   private noteLoaded(): void {
+    this.hasLoaded = true;
+    this.introduced.clear();
     this.options.recordReaders.forEach(reader => reader.noteLoaded?.());
   }
 
   /** Reads the store when other nodes keep naming a node unknown here. */
   checkServingNames(nodeNames: readonly string[]): void {
-    const hasUnknown = nodeNames.some(name => !this.nodes.has(name));
+    const hasUnknown = nodeNames.some(
+      name => !this.nodes.has(name) && !this.introduced.has(name),
+    );
     const nowMs = this.options.clock.monotonicMs();
     this.unknownSinceMs = hasUnknown
       ? Math.min(this.unknownSinceMs, nowMs)
