End the long wait of a configuration read when the node becomes the reader

The age of the configuration at a new scheduling node grew to 20 s, so that a lone one refused keys, or a path that no route takes with 503 in place of 404, and all other nodes read the store on their own meanwhile.

Cause: a read that began before the node became the reader waits up to 20 s for a change, and a reader never counted as unconfirmed.

Evidence: configuration_follower.test "a node that becomes the reader ends the long wait of its read" failed before: 5,000 ms after 5 s. request_faults "an unknown path is refused" found it, since a lone node answered 503.

Change: the check that ends waits without a confirmation also ends one that is longer than a reader's.

--- a/packages/serving-node/src/configuration_follower.test.ts
+++ b/packages/serving-node/src/configuration_follower.test.ts
@@ -54,6 +54,7 @@
 const FAILING_VERSION = 7;
 
 function startFollower({isReader = false, rank = 0} = {}) {
+  const state = {isReader};
   const applied: number[] = [];
   const leftOut: string[] = [];
   const clock = new ManualClock();
@@ -65,7 +66,7 @@
       ...{configurationKey: KEY, configurationTopic: topic},
       decodeConfiguration: decode,
     },
-    isReader: () => isReader,
+    isReader: () => state.isReader,
     findRank: () => rank,
     revokeMs: () => REVOKE_MS,
     applyMs: () => 2_000,
@@ -84,7 +85,7 @@
       await flushPendingCallbacks();
     }
   };
-  return {clock, topic, follower, advance, applied, leftOut};
+  return {clock, topic, follower, advance, applied, leftOut, state};
 }
 
 test('a read confirms the configuration as of the start of the read', async () => {
@@ -94,6 +95,15 @@
   assert.ok(follower.ageMs <= 2 * 900 + 100, `${follower.ageMs}`);
 });
 
+// Guards against a new reader that confirms nothing until its long wait has ended.
+test('a node that becomes the reader ends the long wait of its read', async () => {
+  const {follower, advance, state} = startFollower();
+  await advance(500);
+  state.isReader = true;
+  await advance(4_500);
+  assert.ok(follower.ageMs <= 2_000, `${follower.ageMs}`);
+});
+
 // Guards against a node that never reads when confirmations stop.
 test('without confirmations a node reads by itself, delayed by its rank', async () => {
   const first = startFollower({rank: 0});
--- a/packages/serving-node/src/configuration_follower.ts
+++ b/packages/serving-node/src/configuration_follower.ts
@@ -93,6 +93,7 @@
   /** Confirms a version that this node has not received yet. */
   private pendingConfirmation: PeerConfirmation | null = null;
   private confirmationCheck: PeriodicTimer | null = null;
+  private lastWaitMs = 0;
 
   constructor(private readonly options: ConfigurationFollowerOptions) {
     const {random, platform} = options;
@@ -179,7 +180,7 @@
       this.options.clock,
       CHECK_INTERVAL_MS,
       () => {
-        if (this.isUnconfirmed) this.follower.refresh();
+        if (this.isUnconfirmed || this.waitsTooLong) this.follower.refresh();
       },
     );
   }
@@ -201,11 +202,19 @@
     );
   }
 
+  /** Whether the read under way began before this node became the reader. */
+  private get waitsTooLong(): boolean {
+    return this.options.isReader() && this.lastWaitMs > this.readerWaitMs;
+  }
+
+  private get readerWaitMs(): number {
+    return this.boundByRevocation(READER_WAIT_MS, READER_WAIT_FRACTION);
+  }
+
   private findWaitMs(): number {
-    if (this.options.isReader()) {
-      return this.boundByRevocation(READER_WAIT_MS, READER_WAIT_FRACTION);
-    }
-    return this.isUnconfirmed ? 0 : WAIT_MS;
+    const ownWaitMs = this.isUnconfirmed ? 0 : WAIT_MS;
+    this.lastWaitMs = this.options.isReader() ? this.readerWaitMs : ownWaitMs;
+    return this.lastWaitMs;
   }
 
   private boundByRevocation(maxMs: number, revokeFraction: number): number {
