Name only hosts that are known to live while no report of the scheduling node comes

Callers: the directory sent them to hosts that had been off for 9 s and more, and as long as the store was away to all hosts that had been lost in that time.

Cause: without a report of the last 2 s the directory named all registered hosts. A lost host stays in the register until a scheduling node has missed it for 6 s of its own term and the store takes the removal. Class: membership taken for life.

Change: LiveNodes keeps when each registered host was last known to live: by the scheduling node's report, by its own answer, or as it was listed for the first time. Without a report for 1.5 s, nodes ask eight others, spread over the fleet, as they do about a silent scheduling node; who gives no answer while another one does is not named. Otherwise a sign of life counts for 6 s, so that a host that is cut off from all others goes on naming them that long. The answer names its sender, since an address may have been another host's. Events 3409 and 'signs' tell on what each list rests.

Why it holds: a host is named only by a report, which is at most 2 s old and made of heartbeats of the last second, or by a sign of at most 6 s; none of it needs the store or a scheduling node. A host of the previous release answers as before and counts as serving.

--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -76,14 +76,16 @@
     fields: {nodeNames: 'the nodes'},
   },
   'named-hosts-changed': {
-    number: 3404,
+    number: 3409,
     level: 'info',
     message: 'The hosts that the directory may name to callers have changed.',
     fields: {
       basis:
-        'report: the last one of the scheduling node; register: there is none lately',
+        'report: the last one of the scheduling node; own-knowledge: there is none lately',
       reportAgeMs: 'the age of that report; null for none',
       nodeNames: 'the nodes',
+      signs:
+        'what told last that each of them lives: register, report or answer; null for none',
     },
   },
   'duty-holder-changed': {
--- a/packages/node-links/src/holder_inquiry.ts
+++ b/packages/node-links/src/holder_inquiry.ts
@@ -1,4 +1,4 @@
-/** Asks other nodes whether they are in contact with a silent duty holder. */
+/** Asks other nodes whether they live, and are in contact with a silent duty holder. */
 import {type DutyHolder} from '@mimosatack/hold-duty';
 import {type RegisteredNode} from './registered_node.js';
 import {type NodeMessage} from './messages.js';
@@ -24,13 +24,13 @@
  */
 export function chooseNodesToAsk(
   self: RegisteredNode,
-  holder: DutyHolder,
+  holder: DutyHolder | null,
   nodes: readonly RegisteredNode[],
 ): RegisteredNode[] {
   const others = nodes
     .filter(
       ({nodeName}) =>
-        nodeName !== self.nodeName && nodeName !== holder.nodeName,
+        nodeName !== self.nodeName && nodeName !== holder?.nodeName,
     )
     .sort((a, b) => (a.nodeName < b.nodeName ? -1 : 1));
   const count = Math.min(MAX_ASKED_NODES, others.length);
@@ -42,28 +42,39 @@
   }).flatMap(node => (node ? [node] : []));
 }
 
-/** Whether any of the nodes hears the holder; no answer counts as no. */
-export async function isHeardByAny(
-  addresses: readonly string[],
-  holder: DutyHolder,
+export interface NodeAnswer {
+  node: RegisteredNode;
+  /** Null if it did not answer, or another node did at its address. */
+  reply: {isHeard: boolean; isServing: boolean} | null;
+}
+
+/** Resolves when all nodes have answered or have had the time to. */
+export function askNodes(
+  nodes: readonly RegisteredNode[],
+  holder: DutyHolder | null,
   request: SendRequest,
-): Promise<boolean> {
-  const answers = await Promise.all(
-    addresses.map(address => isHeardBy(address, holder, request)),
+): Promise<NodeAnswer[]> {
+  return Promise.all(
+    nodes.map(async node => ({
+      node,
+      reply: await askNode(node, holder, request),
+    })),
   );
-  return answers.some(Boolean);
 }
 
-async function isHeardBy(
-  address: string,
-  {token}: DutyHolder,
+async function askNode(
+  {nodeName, peerAddress}: RegisteredNode,
+  holder: DutyHolder | null,
   request: SendRequest,
-): Promise<boolean> {
+): Promise<NodeAnswer['reply']> {
+  const token = holder?.token ?? 0;
   try {
-    const reply = await request(address, {type: 'ask-heard', token});
-    return reply.type === 'heard' && reply.isHeard;
+    const reply = await request(peerAddress, {type: 'ask-heard', token});
+    if (reply.type !== 'heard') return null;
+    const {isHeard, isServing, nodeName: answeringName = nodeName} = reply;
+    return answeringName === nodeName ? {isHeard, isServing} : null;
   } catch {
-    return false;
+    return null;
   }
 }
 
--- a/packages/node-links/src/index.ts
+++ b/packages/node-links/src/index.ts
@@ -4,6 +4,7 @@
   decodeNode,
 } from './registered_node.js';
 export {type RecordsMessage, type SharedTopic} from './messages.js';
+export {type LifeSign, LiveNodes} from './live_nodes.js';
 export {NodeLinks} from './node_links.js';
 export {type NodeStatus} from './node_status.js';
 export {
--- a/packages/node-links/src/messages.ts
+++ b/packages/node-links/src/messages.ts
@@ -160,7 +160,14 @@
   }),
   /** Asks whether the receiver is in contact with the holder of `token`. */
   z.object({type: z.literal('ask-heard'), token: offsetSchema}),
-  z.object({type: z.literal('heard'), isHeard: z.boolean()}),
+  z.object({
+    type: z.literal('heard'),
+    isHeard: z.boolean(),
+    /** The sender, as its address may have been another node's; absent in the previous release. */
+    nodeName: nameSchema.optional(),
+    /** Whether it accepts requests from callers; absent in the previous release. */
+    isServing: z.boolean().default(true),
+  }),
   /** Requests records from `fromOffset`; the reply is `records`. */
   z.object({
     type: z.literal('ask-records'),
--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -17,13 +17,9 @@
 import {HolderChannel} from './holder_channel.js';
 import {HolderContacts} from './holder_contacts.js';
 import {toLastOrders} from './last_orders.js';
-import {
-  chooseNodesToAsk,
-  findAskDelayMs,
-  isHeardByAny,
-} from './holder_inquiry.js';
 import {LastWelcome} from './last_welcome.js';
 import {findDutyRank} from './duty_order.js';
+import {LiveNodes} from './live_nodes.js';
 import {LeaseGrants, STARTUP_HOLD_OFF_MS} from './lease_grants.js';
 import {
   type HelloStatus,
@@ -39,6 +35,7 @@
 import {ViaHolder} from './via_holder.js';
 import {ReceivedServingList, ServingList} from './serving_list.js';
 import {SilentNodes} from './silent_nodes.js';
+import {PeerInquiry} from './peer_inquiry.js';
 import {SuccessorFinder} from './successor_finder.js';
 import {ConfirmationExchange} from './confirmation_exchange.js';
 
@@ -58,6 +55,7 @@
   private readonly grants: LeaseGrants;
   private readonly silentNodes: SilentNodes;
   private readonly confirmations: ConfirmationExchange;
+  private readonly inquiry: PeerInquiry;
   private readonly servingList: ServingList;
   private readonly receivedServingList = new ReceivedServingList();
   private readonly holdOffEndsAtMs: number;
@@ -66,12 +64,15 @@
   readonly viaHolder: ViaHolder;
   readonly holderChannel: HolderChannel;
   readonly successors: SuccessorFinder;
+  /** Which nodes are known to live, with or without a scheduling node. */
+  readonly liveNodes: LiveNodes;
   private wasAlive = false;
 
   constructor(private readonly options: NodeLinksOptions) {
     const {clock, self} = options;
     this.contacts = new HolderContacts(clock);
     this.roster = new NodeRoster(clock);
+    this.liveNodes = new LiveNodes(clock, options.listNodes);
     this.grants = new LeaseGrants(clock);
     this.silentNodes = new SilentNodes(clock);
     this.confirmations = new ConfirmationExchange(options.confirmation);
@@ -94,7 +95,12 @@
     this.transport = makeTransport(options, (from, message) =>
       this.receive(from, message),
     );
-    const {transport} = this;
+    const {transport, liveNodes} = this;
+    this.inquiry = new PeerInquiry({
+      ...{...options, contacts, liveNodes},
+      findRank: () => this.findRank(),
+      request: (address, message) => transport.request(address, message),
+    });
     this.holderChannel = new HolderChannel({
       ...{...options, contacts, transport},
       knowsPlaces: holder => lastWelcome.knowsPlaces(holder),
@@ -197,17 +203,24 @@
 
   private async tick(): Promise<void> {
     const holder = this.options.holder();
-    if (!holder) return;
+    this.liveNodes.update();
+    if (!holder) return this.inquiry.askIfDue(null);
     if (this.isSelf(holder)) {
       this.contacts.noteHeard(holder);
-      this.options.onServingNodes(this.servingList.names);
+      this.reportServingNodes(this.servingList.names);
       this.handleSilentNodes(holder);
     } else {
       this.silentNodes.clear();
       await this.sendHello(holder);
     }
     this.reportContactChange(holder);
-    if (this.findContact(holder) === 'silent') await this.askOthers(holder);
+    await this.inquiry.askIfDue(holder);
+  }
+
+  private reportServingNodes(nodeNames: readonly string[]): void {
+    this.inquiry.recordReport();
+    this.liveNodes.recordReport(nodeNames);
+    this.options.onServingNodes(nodeNames);
   }
 
   private reportContactChange(holder: DutyHolder): void {
@@ -344,7 +357,7 @@
       type: 'coordinated-services',
       services: welcome.coordinatedServices ?? [],
     });
-    this.options.onServingNodes(this.receivedServingList.apply(welcome));
+    this.reportServingNodes(this.receivedServingList.apply(welcome));
     this.catchUp.compare(holder.address, welcome);
   }
 
@@ -356,19 +369,6 @@
     this.options.crashes.handleReply(incarnation, report, crashes);
   }
 
-  private async askOthers(holder: DutyHolder): Promise<void> {
-    const {self, listNodes} = this.options;
-    const silentForMs = this.contacts.sinceContactMs(holder);
-    if (silentForMs < findAskDelayMs(this.findRank())) return;
-    const addresses = chooseNodesToAsk(self, holder, listNodes()).map(
-      ({peerAddress}) => peerAddress,
-    );
-    const isHeard = await isHeardByAny(addresses, holder, (address, message) =>
-      this.transport.request(address, message),
-    );
-    this.contacts.notePeerReports(holder, isHeard);
-  }
-
   private receive(from: string, message: NodeMessage): MessageReply {
     const {options} = this;
     switch (message.type) {
@@ -385,7 +385,7 @@
         this.handleLastOrders(message);
         return undefined;
       case 'ask-heard':
-        return {type: 'heard', isHeard: this.isHearing(message.token)};
+        return this.makeHeardReply(message.token);
       case 'ask-records':
         return options.readRecords(message.topic, message.fromOffset);
       case 'records':
@@ -435,9 +435,16 @@
     };
   }
 
-  private isHearing(token: number): boolean {
-    const holder = this.options.holder();
-    return holder?.token === token && this.findContact(holder) === 'alive';
+  private makeHeardReply(token: number): NodeMessage {
+    const {holder: findHolder, self, readStatus} = this.options;
+    const holder = findHolder();
+    const isHeard =
+      holder?.token === token && this.findContact(holder) === 'alive';
+    const {nodeName} = self;
+    return {
+      ...{type: 'heard', isHeard, nodeName},
+      isServing: readStatus().isServing,
+    };
   }
 
   private listServing(): string[] {
--- a/packages/serving-node/src/entry_points.test.ts
+++ b/packages/serving-node/src/entry_points.test.ts
@@ -1,6 +1,6 @@
 import {ManualClock} from '@mimosatack/clock';
 import {MemoryEventLogger} from '@mimosatack/logger';
-import {type RegisteredNode} from '@mimosatack/node-links';
+import {LiveNodes, type RegisteredNode} from '@mimosatack/node-links';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {type EntryQuery} from './entry_list.js';
@@ -27,11 +27,14 @@
     makeNode(index, findCores(index)),
   );
   const state = {registered: all};
+  const liveNodes = new LiveNodes(clock, () => state.registered);
+  liveNodes.update();
   const entryPoints = new EntryPoints({
     ...{clock, logger: new MemoryEventLogger()},
     settings: {maxEntriesTtlMs: 5_000, region: 'r'} as NodeSettings,
     self: makeNode(0, findCores(0)),
     listNodes: () => state.registered,
+    findLiveNodes: () => liveNodes,
     isServing: () => true,
   });
   const listPorts = (query: EntryQuery) =>
@@ -41,8 +44,9 @@
     state.registered = all.filter((_, index) => isKept(index));
     const names = state.registered.map(({nodeName}) => nodeName);
     entryPoints.updateServingNodes(names);
+    liveNodes.recordReport(names);
   };
-  return {clock, entryPoints, listPorts, keepOnly};
+  return {clock, entryPoints, liveNodes, listPorts, keepOnly};
 }
 
 // Guards against other answers where hosts are alike.
@@ -52,6 +56,20 @@
   assert.equal(listPorts(IN_EAST), [0, 3, 14]);
 });
 
+// Guards against callers who are sent to hosts that are off, as long as no report comes.
+test('without a report only hosts are named that lived lately', () => {
+  const {clock, entryPoints, liveNodes, listPorts} = makeEntryPoints(() => 1);
+  assert.is(listPorts(ANYWHERE).length, 20);
+  clock.advance(4_000);
+  const report = ['n0', 'n3', 'n14'];
+  entryPoints.updateServingNodes(report);
+  liveNodes.recordReport(report);
+  clock.advance(3_000);
+  assert.equal(listPorts(ANYWHERE), [0, 3, 14]);
+  clock.advance(3_000);
+  assert.equal(listPorts(ANYWHERE), [0]);
+});
+
 // Guards against an answer that ignores where the caller is.
 test('uneven nodes are listed by the domain of the caller', () => {
   const {listPorts} = makeEntryPoints(index => 0.3 + (index % 3) / 2);
@@ -70,6 +88,7 @@
   listPorts(IN_EAST);
   keepOnly(index => index < 3 || index >= 10);
   clock.advance(7_000);
+  keepOnly(index => index < 3 || index >= 10);
   assert.ok(listPorts(IN_EAST).some(port => port >= 10));
   keepOnly(index => index < 3 || index >= 10);
   clock.advance(700_000);
--- a/packages/serving-node/src/entry_points.ts
+++ b/packages/serving-node/src/entry_points.ts
@@ -1,7 +1,7 @@
 /** Lists the addresses at which callers can connect. */
 import {type Clock} from '@mimosatack/clock';
 import {type EventLogger} from '@mimosatack/logger';
-import {type RegisteredNode} from '@mimosatack/node-links';
+import {type LiveNodes, type RegisteredNode} from '@mimosatack/node-links';
 import {
   type EntryHost,
   hasUnevenHosts,
@@ -18,6 +18,8 @@
   settings: NodeSettings;
   self: RegisteredNode;
   listNodes: () => readonly RegisteredNode[];
+  /** What is known of other nodes while no report comes. */
+  findLiveNodes: () => Pick<LiveNodes, 'isLive' | 'findSign'>;
   isServing: () => boolean;
 }
 
@@ -55,34 +57,39 @@
     return {addresses, ttlMs};
   }
 
-  /** Includes all registered nodes when the last report is out of date. */
+  /** Names those that are known to live when the last report is out of date. */
   private listServing(): RegisteredNode[] {
-    const {clock, self, listNodes, isServing} = this.options;
+    const {clock, self, listNodes, findLiveNodes, isServing} = this.options;
     const isFresh =
       clock.monotonicMs() - this.servingNodesAtMs < SERVING_NODES_TTL_MS;
     const others = listNodes().filter(
       ({nodeName}) =>
         nodeName !== self.nodeName &&
-        (!isFresh || this.servingNodes.includes(nodeName)),
+        (isFresh
+          ? this.servingNodes.includes(nodeName)
+          : findLiveNodes().isLive(nodeName)),
     );
     const named =
       isServing() || others.length === 0 ? [self, ...others] : others;
-    this.logChange(isFresh ? 'report' : 'register', named);
+    this.logChange(isFresh ? 'report' : 'own-knowledge', named);
     return named;
   }
 
   private logChange(
-    basis: 'report' | 'register',
+    basis: 'report' | 'own-knowledge',
     named: readonly RegisteredNode[],
   ): void {
-    const {clock, logger} = this.options;
+    const {clock, logger, findLiveNodes} = this.options;
     const nodeNames = named.map(({nodeName}) => nodeName).sort();
     const list = [basis, ...nodeNames].join();
     if (list === this.loggedList) return;
     this.loggedList = list;
     const ageMs = Math.round(clock.monotonicMs() - this.servingNodesAtMs);
-    const reportAgeMs = Number.isFinite(ageMs) ? ageMs : null;
-    logger.log('named-hosts-changed', {basis, reportAgeMs, nodeNames});
+    logger.log('named-hosts-changed', {
+      ...{basis, nodeNames},
+      reportAgeMs: Number.isFinite(ageMs) ? ageMs : null,
+      signs: nodeNames.map(name => findLiveNodes().findSign(name)),
+    });
   }
 
   private selectFor(
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -128,6 +128,7 @@
     this.entryPoints = new EntryPoints({
       ...{...options, self: this.self},
       listNodes: () => this.register.list(),
+      findLiveNodes: () => this.links.liveNodes,
       isServing: () => this.acceptsCallers,
     });
     this.shutdown = this.makeShutdown();
