Count the time before its term when a scheduling node removes lost hosts

Callers: a host that was lost stayed in the register through a series of scheduling nodes that were lost in turn; a host that started in that time took it for registered.

Cause: each scheduling node counted 6 s of silence from the start of its own term.

Change: of a node that it has not heard in its term, a scheduling node counts from when it was last known to live. It removes nobody within 2 s, so that each can answer its introduction.

--- a/packages/node-links/src/node_links.ts
+++ b/packages/node-links/src/node_links.ts
@@ -239,9 +239,10 @@
     const {self, listNodes, onNodeLost} = this.options;
     const nodes = listNodes();
     const others = nodes.filter(({nodeName}) => nodeName !== self.nodeName);
-    const {introduce, remove} = this.silentNodes.update(others, nodeName =>
-      this.roster.heardAtMs(nodeName),
-    );
+    const {introduce, remove} = this.silentNodes.update(others, {
+      heardAtMs: nodeName => this.roster.heardAtMs(nodeName),
+      lastSeenMs: nodeName => this.liveNodes.lastSeenMs(nodeName),
+    });
     introduce.forEach(({peerAddress}) =>
       this.transport.send(peerAddress, {
         ...{type: 'introduction', holder},
--- a/packages/node-links/src/silent_nodes.ts
+++ b/packages/node-links/src/silent_nodes.ts
@@ -6,6 +6,8 @@
 const SILENT_AFTER_MS = 500;
 /** Longer than a usual pause of a host; a removed node has to register again. */
 const REMOVE_AFTER_MS = 6_000;
+/** Time for a node to answer the introduction of a new holder. */
+const REMOVE_IN_TERM_MS = 2_000;
 
 /** Silent nodes by the action to take. */
 export interface SilentNodeActions {
@@ -15,15 +17,21 @@
   remove: readonly RegisteredNode[];
 }
 
+export interface NodeSightings {
+  /** Time of a node's last heartbeat to this holder; -Infinity for never. */
+  heardAtMs: (nodeName: string) => number;
+  /** When a node was last known to live, also before this holder's term. */
+  lastSeenMs: (nodeName: string) => number;
+}
+
 export class SilentNodes {
   private readonly sinceMs = new Map<string, number>();
 
   constructor(private readonly clock: Clock) {}
 
-  /** @param heardAtMs time of a node's last heartbeat; -Infinity for never. */
   update(
     registered: readonly RegisteredNode[],
-    heardAtMs: (nodeName: string) => number,
+    {heardAtMs, lastSeenMs}: NodeSightings,
   ): SilentNodeActions {
     const nowMs = this.clock.monotonicMs();
     const silent = registered.filter(
@@ -41,9 +49,16 @@
         ({nodeName}) =>
           nowMs - (this.sinceMs.get(nodeName) ?? nowMs) > durationMs,
       );
+    // A node that was not heard in this term may have been lost before it.
+    const lastKnownMs = (nodeName: string) =>
+      heardAtMs(nodeName) === -Infinity
+        ? lastSeenMs(nodeName)
+        : heardAtMs(nodeName);
     return {
       introduce: listSilentFor(SILENT_AFTER_MS),
-      remove: listSilentFor(REMOVE_AFTER_MS),
+      remove: listSilentFor(REMOVE_IN_TERM_MS).filter(
+        ({nodeName}) => nowMs - lastKnownMs(nodeName) > REMOVE_AFTER_MS,
+      ),
     };
   }
 
