Take no host for live because it is registered

Callers: a host that has just started named hosts that had been off for more than 8 s, until its first report of the scheduling node.

Cause: LiveNodes gave each host that it found in the register the time of a sign of life. For a host that starts, all are new to it, also those that nobody has removed yet.

Change: only a report or an answer is a sign of life. For the removal of lost hosts the time since they were listed still counts, so that a scheduling node that has just started gives all others their time.

--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -85,7 +85,7 @@
       reportAgeMs: 'the age of that report; null for none',
       nodeNames: 'the nodes',
       signs:
-        'what told last that each of them lives: register, report or answer; null for none',
+        'what told last that each of them lives: report or answer; null for nothing',
     },
   },
   'duty-holder-changed': {
--- a/packages/node-links/src/live_nodes.ts
+++ b/packages/node-links/src/live_nodes.ts
@@ -4,31 +4,32 @@
 import {type RegisteredNode} from './registered_node.js';
 
 /**
- * What tells that a node lives: `register`, it was listed for the first time; `report`, the
- * scheduling node hears it; `answer`, it has answered this node.
+ * What tells that a node lives: `report`, the scheduling node hears it; `answer`, it has
+ * answered this node. That it is registered does not.
  */
-export type LifeSign = 'register' | 'report' | 'answer';
+export type LifeSign = 'report' | 'answer';
 
-interface Sighting {
+interface KnownNode {
   incarnation: string;
-  atMs: number;
-  sign: LifeSign;
-  /** Whether it was asked later, and gave no answer. */
-  isSilent: boolean;
+  /** When it was listed for the first time. */
+  listedAtMs: number;
+  /** The last sign of life; null for none, and once it gave no answer. */
+  sign: LifeSign | null;
+  signAtMs: number;
 }
 
 /**
  * Longer than the scheduling node is usually missing, and shorter than a lost node may be
  * named to callers.
  */
-const SIGHTING_TTL_MS = 6_000;
+const SIGN_TTL_MS = 6_000;
 
 /**
  * Guards against a lost node that counts as live as long as it is registered: nobody removes
  * it while no node schedules or the store is away.
  */
 export class LiveNodes {
-  private readonly sightings = new Map<string, Sighting>();
+  private readonly known = new Map<string, KnownNode>();
 
   /** @param listNodes the registered nodes */
   constructor(
@@ -40,24 +41,26 @@
   update(): void {
     const nodes = this.listNodes();
     const names = new Set(nodes.map(({nodeName}) => nodeName));
-    [...this.sightings.keys()]
+    [...this.known.keys()]
       .filter(nodeName => !names.has(nodeName))
-      .forEach(nodeName => this.sightings.delete(nodeName));
+      .forEach(nodeName => this.known.delete(nodeName));
+    const listedAtMs = this.clock.monotonicMs();
     nodes
       .filter(
         ({nodeName, incarnation}) =>
-          this.sightings.get(nodeName)?.incarnation !== incarnation,
+          this.known.get(nodeName)?.incarnation !== incarnation,
       )
-      .forEach(node => this.record(node, 'register'));
+      .forEach(({nodeName, incarnation}) =>
+        this.known.set(nodeName, {
+          ...{incarnation, listedAtMs, sign: null, signAtMs: -Infinity},
+        }),
+      );
   }
 
   /** Takes the names that the scheduling node hears. */
   recordReport(nodeNames: readonly string[]): void {
     this.update();
-    const named = new Set(nodeNames);
-    this.listNodes()
-      .filter(({nodeName}) => named.has(nodeName))
-      .forEach(node => this.record(node, 'report'));
+    nodeNames.forEach(nodeName => this.recordSign(nodeName, 'report'));
   }
 
   /**
@@ -67,41 +70,37 @@
   recordAnswers(answers: readonly NodeAnswer[]): void {
     this.update();
     if (answers.every(({reply}) => reply === null)) return;
-    answers.forEach(({node, reply}) => {
-      if (reply?.isServing) this.record(node, 'answer');
-      else this.recordSilence(node.nodeName);
+    answers.forEach(({node: {nodeName}, reply}) => {
+      const known = this.known.get(nodeName);
+      if (reply?.isServing) this.recordSign(nodeName, 'answer');
+      else if (known) known.sign = null;
     });
   }
 
   /** Whether callers may be sent to a node although no recent report names it. */
   isLive(nodeName: string): boolean {
-    const sighting = this.sightings.get(nodeName);
-    return (
-      sighting !== undefined &&
-      !sighting.isSilent &&
-      this.clock.monotonicMs() - sighting.atMs < SIGHTING_TTL_MS
-    );
+    const known = this.known.get(nodeName);
+    if (!known?.sign) return false;
+    return this.clock.monotonicMs() - known.signAtMs < SIGN_TTL_MS;
   }
 
-  /** When a node was last known to live; -Infinity if it is not registered. */
+  /**
+   * The latest time since which a node may have been lost: its last sign of life, or when it
+   * was listed. -Infinity if it is not registered.
+   */
   lastSeenMs(nodeName: string): number {
-    return this.sightings.get(nodeName)?.atMs ?? -Infinity;
+    const known = this.known.get(nodeName);
+    return known ? Math.max(known.listedAtMs, known.signAtMs) : -Infinity;
   }
 
   findSign(nodeName: string): LifeSign | null {
-    return this.sightings.get(nodeName)?.sign ?? null;
-  }
-
-  private record(
-    {nodeName, incarnation}: RegisteredNode,
-    sign: LifeSign,
-  ): void {
-    const atMs = this.clock.monotonicMs();
-    this.sightings.set(nodeName, {incarnation, atMs, sign, isSilent: false});
+    return this.known.get(nodeName)?.sign ?? null;
   }
 
-  private recordSilence(nodeName: string): void {
-    const sighting = this.sightings.get(nodeName);
-    if (sighting) sighting.isSilent = true;
+  private recordSign(nodeName: string, sign: LifeSign): void {
+    const known = this.known.get(nodeName);
+    if (!known) return;
+    known.sign = sign;
+    known.signAtMs = this.clock.monotonicMs();
   }
 }
