--- a/packages/explain-request/src/explain_request.test.ts
+++ b/packages/explain-request/src/explain_request.test.ts
@@ -200,6 +200,18 @@
     formatLogLine('entry-1', 1, 'request-finished', refused),
   );
   assert.match(unknownKey.verdict.cause, /configuration 7.* 310 ms.*not known/);
+  const unknownPath = explain(
+    'r1',
+    formatLogLine('entry-1', 0, 'route-not-found', {
+      ...{requestId: 'r1', kind: 'not-found', configurationVersion: 11},
+      ...{configurationAgeMs: 1_210, confirmedBy: 'entry-2'},
+    }),
+    formatLogLine('entry-1', 1, 'request-finished', refused),
+  );
+  assert.match(
+    unknownPath.verdict.cause,
+    /configuration 11.* 1210 ms.*entry-2/,
+  );
 });
 
 test('an unknown request has no explanation', () => {
--- a/packages/explain-request/src/find_verdict.ts
+++ b/packages/explain-request/src/find_verdict.ts
@@ -16,6 +16,7 @@
 const ADMISSION_REFUSAL_EVENTS: ReadonlySet<string> = new Set([
   'key-refused',
   'quota-refused',
+  'route-not-found',
 ]);
 
 /** Descriptions of the scheduling node's refusal reasons. */
@@ -126,7 +127,7 @@
   };
 }
 
-/** Explains a refusal for an invalid key or an exceeded quota. */
+/** Explains a refusal for an invalid key, an exceeded quota or a missing route. */
 function findAdmissionRefusalCause(
   own: readonly LogLine[],
 ): Omit<Verdict, 'result'> | null {
@@ -135,6 +136,13 @@
   );
   if (!line) return null;
   const {nodeName, fields} = line;
+  if (line.eventName === 'route-not-found') {
+    return {
+      cause: `${nodeName} has no route for it in configuration ${formatValue(fields['configurationVersion'])}, known to be the newest ${formatValue(fields['configurationAgeMs'])} ms before by ${formatValue(fields['confirmedBy'])}.`,
+      advice:
+        'If a newer version has the route, the lines dependency-lost and dependency-regained of that node tell why it did not read it.',
+    };
+  }
   if (line.eventName === 'key-refused') {
     return {
       cause: `${nodeName} refused its key by configuration ${formatValue(fields['configurationVersion'])}, known to be the newest ${formatValue(fields['configurationAgeMs'])} ms before: ${formatValue(fields['reason'])}`,
