End a pooled connection to an engine with each error response

Callers of the product's own program: a request that runs was reported as not run, and sent again, when a copy of an earlier refusal came on its connection.

Cause: error responses of engines name no request, and their connections were used again.

Change: the connections of the pools close once an error response has been read.

--- a/packages/dispatch-requests/src/backend_pools.ts
+++ b/packages/dispatch-requests/src/backend_pools.ts
@@ -4,6 +4,7 @@
  */
 import {TypedError} from '@mimosatack/errors';
 import {type Dispatcher, Pool} from 'undici';
+import {RefusalClosingClient} from './refusal_closing_client.js';
 
 /** A request that may be retried. */
 export interface PooledRequest {
@@ -94,6 +95,8 @@
     const pool = new Pool(baseUrl, {
       connections: maxConnections,
       pipelining: 1,
+      factory: (origin, options: object) =>
+        new RefusalClosingClient(origin, options),
       connect: {timeout: connectTimeoutMs},
       // The request's signal enforces its deadline.
       headersTimeout: 0,
