Write the record of contained requests with each heartbeat

Callers: a request that crashes servers reached them four times more after all nodes were killed within a second of containing it.

Cause: the record that new processes read was compared once a second, so that what was contained 0.4 s before all nodes were killed was in no record.

Change: the record is compared at each heartbeat, every 250 ms, at the node that schedules. While the store is known to be away nothing is written; the readers find out when it is back (containment_task.test).

--- a/.ci/summarize_main.js
+++ b/.ci/summarize_main.js
@@ -3,7 +3,8 @@
  *
  * Usage: summarize_main.js OUTPUT_FILE EXIT_CODE_OF_TESTS [FAILED_STEP...]
  */
-import {existsSync, readFileSync, readdirSync} from 'node:fs';
+import {existsSync, readFileSync} from 'node:fs';
+import {listTestFiles} from './list_test_files.js';
 import {summarize} from './summary.js';
 
 const [outputPath, status, ...failedSteps] = process.argv.slice(2);
@@ -21,15 +22,3 @@
 console.log(['== summary', ...notes].join('\n'));
 console.log(`${passed} passed, ${failed} failed`);
 process.exitCode = failed === 0 ? 0 : 1;
-
-/** The built files that uvu should run, as it names them. */
-function listTestFiles() {
-  const packages = readdirSync('packages').map(name => `packages/${name}`);
-  return [...packages, 'platform'].flatMap(folder => {
-    const directory = `${folder}/src`;
-    if (!existsSync(directory)) return [];
-    return readdirSync(directory, {recursive: true})
-      .filter(file => file.endsWith('.test.ts'))
-      .map(file => `${folder}/dist/${file.replace(/\.ts$/, '.js')}`);
-  });
-}
--- a/packages/serving-node/src/containment_task.test.ts
+++ b/packages/serving-node/src/containment_task.test.ts
@@ -56,6 +56,20 @@
   assert.is(topic.endOffset, 1);
 });
 
+// Guards against a call at each heartbeat while the store is away.
+test('nothing is written while the store is known to be away', async () => {
+  const topic = new MemoryKeyedTopic();
+  const {task} = makeTask(topic);
+  contain(task);
+  topic.isDown = true;
+  for (let beat = 0; beat < 20; beat += 1) await task.syncRecord();
+  assert.is(topic.appendCount, 2);
+  topic.isDown = false;
+  topic.contact.recordAnswer();
+  await task.syncRecord();
+  assert.is(topic.endOffset, 1);
+});
+
 test('only the writer writes the record', async () => {
   const topic = new MemoryKeyedTopic();
   const {task} = makeTask(topic, false);
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -411,6 +411,8 @@
   /** Called with each heartbeat. */
   private updateServingNodes(nodeNames: readonly string[]): void {
     this.limits.observeHosts();
+    // All nodes may be lost shortly after a request is contained.
+    void this.containment.syncRecord();
     this.reportOpenRequests(this.duty.holder);
     this.register.checkServingNames(nodeNames);
     if (this.entryPoints.updateServingNodes(nodeNames)) {
@@ -484,7 +486,6 @@
   private scheduleMaintenance(): void {
     this.options.clock.setTimer(MAINTENANCE_INTERVAL_MS, () => {
       this.connections.closeExpired();
-      void this.containment.syncRecord();
       this.streams.updateServers();
       void this.streams.syncRecord();
       this.handOverIfCutOff();
--- a/packages/serving-node/src/stored_record.ts
+++ b/packages/serving-node/src/stored_record.ts
@@ -31,7 +31,8 @@
   /** Writes the record if it has changed; has to be called periodically. */
   async sync(): Promise<void> {
     const {topic, key, isWriter, encode, onFault} = this.options;
-    if (this.isWriting || !isWriter()) return;
+    // Refused calls are billed; the readers of the store find out when it is back.
+    if (this.isWriting || !isWriter() || topic.contact.isLost) return;
     const value = encode();
     if (areEqual(value, this.stored)) return;
     this.isWriting = true;
