Name the delay of a topic's reader by what it does; await a read in one place

The delay also separates reads, and the registration waits with it. No behaviour is changed: the tests of keyed-store, serving-node, hold-duty and node-links pass (197).

--- a/packages/keyed-store/src/index.ts
+++ b/packages/keyed-store/src/index.ts
@@ -15,7 +15,7 @@
   type ReadKind,
   type ReadRecovery,
 } from './keyed_follower.js';
-export {type DelayEnd, RetryDelay} from './retry_delay.js';
+export {type DelayEnd, InterruptibleDelay} from './interruptible_delay.js';
 export {KeyedTable} from './keyed_table.js';
 export {type AppendFault, MemoryKeyedTopic} from './memory_keyed_topic.js';
 export {StoreContact} from './store_contact.js';
--- a/packages/keyed-store/src/retry_delay.ts
+++ b/packages/keyed-store/src/interruptible_delay.ts
@@ -1,12 +1,12 @@
-/** Waits between reads of the store. */
+/** Delays that can be ended early. */
 import {type Clock, sleep} from '@mimosatack/clock';
 
 /** What ended a delay: its time, or a reason to read before. */
 export type DelayEnd =
   'timer' | 'reload' | 'store-returned' | 'newer-version' | 'stop';
 
-/** A delay that can be ended early. */
-export class RetryDelay {
+/** Waits between calls to the store. */
+export class InterruptibleDelay {
   private controller: AbortController | null = null;
   private durationMs = 0;
   private reason: DelayEnd = 'timer';
--- a/packages/keyed-store/src/keyed_follower.ts
+++ b/packages/keyed-store/src/keyed_follower.ts
@@ -4,7 +4,7 @@
 import {type RandomSource, addJitter} from '@mimosatack/random';
 import {type KeyedTable} from './keyed_table.js';
 import {ReadAttempt} from './read_attempt.js';
-import {type DelayEnd, RetryDelay} from './retry_delay.js';
+import {type DelayEnd, InterruptibleDelay} from './interruptible_delay.js';
 import {findEra} from './store_era.js';
 import {type KeyedChange, type KeyedTopic} from './keyed_topic.js';
 
@@ -80,14 +80,13 @@
  */
 const MAX_FIRST_RETRY_MS = 500;
 
-/** `overdue`: it may still be answered, but the next one is due. */
-type AttemptResult = 'ended' | 'failed' | 'overdue';
+type AttemptResult = 'ended' | 'failed';
 
 /** Reads a topic until it is stopped. */
 export class KeyedFollower {
   private readonly stopping = new AbortController();
-  private readonly delay: RetryDelay;
-  private readonly interval: RetryDelay;
+  private readonly delay: InterruptibleDelay;
+  private readonly interval: InterruptibleDelay;
   private lastAttempt: ReadAttempt | null = null;
   private isLastReadOk = false;
   /** Whether the last read got no response in time. */
@@ -101,8 +100,8 @@
   private lostAtMs = -Infinity;
 
   constructor(private readonly options: KeyedFollowerOptions) {
-    this.delay = new RetryDelay(options.clock);
-    this.interval = new RetryDelay(options.clock);
+    this.delay = new InterruptibleDelay(options.clock);
+    this.interval = new InterruptibleDelay(options.clock);
     options.topic.era.onRestored(() => this.reload());
     options.topic.contact.onReturned(() => this.readAfterOutage());
   }
@@ -192,11 +191,14 @@
   private async readOnce(): Promise<void> {
     const attempt = new ReadAttempt(this.options.clock, this.findWaitMs());
     this.lastAttempt = attempt;
+    const {random, repeatAfterMs} = this.options;
     const reading = this.attemptRead(attempt);
-    const result = await this.waitWhileDue(attempt, reading);
+    await attempt.waitWhileDue(
+      repeatAfterMs && addJitter(random, repeatAfterMs, REPEAT_JITTER),
+    );
+    const result = attempt.isWithoutResponse ? 'overdue' : await reading;
     this.isOverdue = result === 'overdue';
     if (result !== 'failed' || this.stopping.signal.aborted) return;
-    const {random} = this.options;
     await this.delay.wait(
       addJitter(random, this.computeRetryDelayMs(), RETRY_JITTER),
     );
@@ -211,17 +213,6 @@
     return isSound && this.canReadIncrementally ? this.options.waitMs() : 0;
   }
 
-  private async waitWhileDue(
-    attempt: ReadAttempt,
-    reading: Promise<AttemptResult>,
-  ): Promise<AttemptResult> {
-    const {random, repeatAfterMs} = this.options;
-    await attempt.waitWhileDue(
-      repeatAfterMs && addJitter(random, repeatAfterMs, REPEAT_JITTER),
-    );
-    return attempt.isWithoutResponse ? 'overdue' : reading;
-  }
-
   private async attemptRead(attempt: ReadAttempt): Promise<AttemptResult> {
     const {signal} = this.stopping;
     try {
--- a/packages/serving-node/src/node_register.ts
+++ b/packages/serving-node/src/node_register.ts
@@ -9,7 +9,7 @@
   type KeyedTopic,
   type ReadKind,
   type ReadRecovery,
-  RetryDelay,
+  InterruptibleDelay,
   findEra,
 } from '@mimosatack/keyed-store';
 import {
@@ -83,11 +83,11 @@
   private isStopped = false;
   private isRemoving = false;
   private hasRegistered = false;
-  private readonly registerDelay: RetryDelay;
+  private readonly registerDelay: InterruptibleDelay;
 
   constructor(private readonly options: NodeRegisterOptions) {
     const {clock, random, topic, self} = options;
-    this.registerDelay = new RetryDelay(clock);
+    this.registerDelay = new InterruptibleDelay(clock);
     topic.contact.onReturned(() => this.registerDelay.end('store-returned'));
     this.nodes.set(self.nodeName, self);
     this.follower = new KeyedFollower({
