Bound what a server can make a host read and keep

Cause: parts of a response were bounded in time only. An event that does not end was kept whole, and copied and searched again with each chunk; unwanted responses were read at full speed; the HTTP client makes an error of each header beyond its limit in 64 KB.

Change: limits for informational responses, events, bodies and dropped responses; a rate for all large responses together; what is held back counts against the memory of requests, and large responses are given up first; sockets hand out pieces of 8 KB.

Why it holds: each byte passes BackendConnection, relayed or not, and each kind of byte has a bound there or behind it that does not depend on the server.

--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -17,6 +17,12 @@
 } from './backend_call.js';
 import {type DialedSocket} from './connection_dialer.js';
 import {createForeignResponseError} from './foreign_response.js';
+import {type BulkPace} from './bulk_pace.js';
+import {
+  MAX_INFORMATIONAL_RESPONSES,
+  MAX_RESPONSE_BODY_BYTES,
+  createMalformedResponseError,
+} from './malformed_response.js';
 import {RELAY_LOST, isRelayLostCause} from './relay_loss.js';
 
 /** Keeps the HTTP client from closing idle connections; see `expiresAtMs`. */
@@ -28,6 +34,8 @@
  */
 const EXPIRY_MARGIN_MS = 400;
 const MS_PER_SECOND = 1_000;
+/** Lower statuses are those of informational responses, which precede the response. */
+const STATUS_FINAL_MIN = 200;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
 /** Receives the state changes of a connection. */
@@ -44,6 +52,7 @@
   idleLimitMs: number;
   /** Address of the host that passes the bytes on; null for a direct connection. */
   relayedBy: string | null;
+  bulkPace: BulkPace;
 }
 
 /** An established connection. */
@@ -77,7 +86,7 @@
     socket.once('close', () => this.markClosed());
     // Guards against an assertion of the HTTP client, which ends the process, where the end
     // comes while its parser is paused. No bytes are left to pass on by then.
-    socket.prependOnceListener('end', () => this.exchange?.resume());
+    socket.prependOnceListener('end', () => this.exchange?.readToEnd());
     socket.once('retire', () => this.retire());
   }
 
@@ -107,6 +116,7 @@
     const {relayedBy} = this.options;
     const exchange = new Exchange(this.socket, receiver, {
       ...{identity, earlierCalls: this.callCount},
+      ...{clock: this.options.clock, bulkPace: this.options.bulkPace},
       ...(relayedBy === null ? {} : {relayedBy}),
       onKeepAlive: keepAliveMs => (this.keepAliveMs = keepAliveMs),
       onAmbiguous: () => (this.hasAmbiguousResponse = true),
@@ -165,6 +175,8 @@
 
 /** Identifies the response of an exchange and receives its events. */
 interface ExchangeOptions {
+  clock: Clock;
+  bulkPace: BulkPace;
   identity: ResponseIdentity | undefined;
   earlierCalls: number;
   relayedBy?: string;
@@ -180,7 +192,12 @@
   private isAborted = false;
   /** Whether the response is complete; the connection may carry another call since. */
   private isComplete = false;
+  /** Whether the receiver has paused the response. */
   private isPaused = false;
+  /** Set while the response is not read on because of its size. */
+  private paceTimer: Timer | null = null;
+  private informationalCount = 0;
+  private bodyBytes = 0;
   private initialBytesWritten = 0;
 
   constructor(
@@ -199,12 +216,22 @@
   resume(): void {
     if (!this.isPaused) return;
     this.isPaused = false;
+    if (!this.paceTimer) this.resumeReading?.();
+  }
+
+  /** Reads what has arrived, as the connection has ended. */
+  readToEnd(): void {
+    if (!this.isPaused && !this.paceTimer) return;
+    this.isPaused = false;
+    this.paceTimer?.cancel();
+    this.paceTimer = null;
     this.resumeReading?.();
   }
 
   abort(): void {
     if (this.isAborted || this.isComplete) return;
     this.isAborted = true;
+    this.paceTimer?.cancel();
     // A reset discards unsent bytes. After a close the kernel would still deliver them,
     // and the server would run a request that nobody waits for.
     this.socket.resetAndDestroy();
@@ -223,13 +250,28 @@
     resume: () => void,
   ): boolean {
     this.resumeReading = resume;
-    // Ignores informational responses.
-    if (status < 200) return true;
+    if (status < STATUS_FINAL_MIN) return this.countInformational();
     const headers = rawHeaders.map(part => part.toString('latin1'));
     if (!this.isAborted) this.receiveHead({status, headers});
     return true;
   }
 
+  private countInformational(): boolean {
+    this.informationalCount += 1;
+    if (this.informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+      this.rejectMalformed(
+        `More than ${MAX_INFORMATIONAL_RESPONSES} informational responses came.`,
+      );
+    }
+    return true;
+  }
+
+  private rejectMalformed(message: string): void {
+    if (this.isAborted) return;
+    this.abort();
+    this.receiver.onFailure(createMalformedResponseError(message));
+  }
+
   /** Nothing is read from a response before it is known to belong to the call. */
   private receiveHead(head: AnswerHead): void {
     const {identity, onKeepAlive, onAmbiguous} = this.options;
@@ -251,12 +293,28 @@
   onData(chunk: Buffer): boolean {
     // The HTTP client passes on an empty chunk when it resumes.
     if (this.isAborted || chunk.length === 0) return true;
+    this.bodyBytes += chunk.length;
     this.isPaused = !this.receiver.onData(chunk);
-    return !this.isPaused;
+    this.pace(chunk.length);
+    return !this.isPaused && !this.paceTimer;
+  }
+
+  private pace(bytes: number): void {
+    // Responses without an identity are those of the store, and whole pages of it are large.
+    const {identity, clock, bulkPace} = this.options;
+    if (!identity || this.isAborted) return;
+    const waitMs = bulkPace.count(bytes, this.bodyBytes);
+    if (waitMs <= 0) return;
+    this.paceTimer?.cancel();
+    this.paceTimer = clock.setTimer(waitMs, () => {
+      this.paceTimer = null;
+      if (!this.isPaused) this.resumeReading?.();
+    });
   }
 
   onComplete(): void {
     if (this.isAborted) return;
+    this.paceTimer?.cancel();
     this.isComplete = true;
     this.options.onDone();
     this.receiver.onEnd();
@@ -264,6 +322,7 @@
 
   onError(cause: Error): void {
     const {isSent} = this;
+    this.paceTimer?.cancel();
     this.socket.destroy();
     if (this.isAborted) return;
     this.isAborted = true;
@@ -337,6 +396,7 @@
     pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
+    maxResponseSize: MAX_RESPONSE_BODY_BYTES,
     keepAliveTimeout: CLIENT_KEEP_ALIVE_MS,
     keepAliveMaxTimeout: CLIENT_KEEP_ALIVE_MS,
     keepAliveTimeoutThreshold: 0,
--- a/packages/backend-connections/src/backend_connections.ts
+++ b/packages/backend-connections/src/backend_connections.ts
@@ -8,6 +8,7 @@
   type CallHandle,
 } from './backend_call.js';
 import {BackendConnection} from './backend_connection.js';
+import {BulkPace} from './bulk_pace.js';
 import {type ConnectionDialer, DirectDialer} from './connection_dialer.js';
 
 export interface BackendConnectionsOptions {
@@ -21,11 +22,13 @@
   private readonly idleByAddress = new Map<string, BackendConnection[]>();
   private readonly openByAddress = new Map<string, Set<BackendConnection>>();
   private readonly connectingCounts = new Map<string, number>();
+  private readonly bulkPace: BulkPace;
   private isStopped = false;
   private dialer: ConnectionDialer;
 
   constructor(private readonly options: BackendConnectionsOptions) {
     this.dialer = new DirectDialer(options.clock);
+    this.bulkPace = new BulkPace(options.clock);
   }
 
   /** Replaces how connections are opened; without it, from this host. */
@@ -113,6 +116,7 @@
       const connection = new BackendConnection(
         {
           ...{clock, address, idleLimitMs, relayedBy},
+          bulkPace: this.bulkPace,
           listener: {
             onIdle: released => this.addIdle(released),
             onClosed: closed => this.removeConnection(key, closed),
--- a/packages/backend-connections/src/backend_socket.ts
+++ b/packages/backend-connections/src/backend_socket.ts
@@ -4,6 +4,7 @@
 const RESET_CODE = 'ECONNRESET';
 /** Replaces the error code of a reset; see `BackendSocket`. */
 const ABORTED_CODE = 'ECONNABORTED';
+const MAX_PIECE_BYTES = 8_192;
 
 function makeClosedError(): Error {
   const error = new Error('This host has closed the connection.');
@@ -54,6 +55,17 @@
     return false;
   }
 
+  /**
+   * Hands out small pieces, and none once the connection is given up. Guards against the cost
+   * of a response with too many headers: the HTTP client makes an error of each further one
+   * in the piece.
+   */
+  override read(size?: number): unknown {
+    if (this.destroyed) return null;
+    const pieceBytes = Math.min(this.readableLength, MAX_PIECE_BYTES);
+    return super.read(size ?? (pieceBytes > 0 ? pieceBytes : undefined));
+  }
+
   // eslint-disable-next-line @typescript-eslint/naming-convention -- Node's name.
   override _read(size: number): void {
     setImmediate(() => super._read(size));
--- a/packages/bound-memory/src/memory_budget.test.ts
+++ b/packages/bound-memory/src/memory_budget.test.ts
@@ -117,6 +117,18 @@
   assert.not(budget.isExhausted);
 });
 
+// Guards against responses without end that fill the memory, and against small ones that are
+// given up for them.
+test('a response that holds back more than its share is given up at the limit', () => {
+  const budget = new MemoryBudget(4 * MB);
+  const [large, small] = [admit(budget), admit(budget)] as const;
+  assert.ok(budget.holdBack(large, 3.8 * MB, 0));
+  assert.not(budget.holdBack(large, 4 * MB, 0));
+  assert.ok(budget.holdBack(small, 0.5 * MB, 0));
+  assert.is(large.bytesOf('held-back'), 3.8 * MB);
+  assert.ok(budget.holdBack(large, 0, 0));
+});
+
 test('the limit is a quarter of the host, at least 16 MB', () => {
   assert.is(findMemoryLimitBytes(400), 100 * MB);
   assert.is(findMemoryLimitBytes(40), 16 * MB);
--- a/packages/bound-memory/src/memory_budget.ts
+++ b/packages/bound-memory/src/memory_budget.ts
@@ -71,6 +71,19 @@
     return null;
   }
 
+  /**
+   * Counts what is held back of a response. False if there is no room and it is more than an
+   * equal share of the limit, so that a large response is given up before small ones.
+   */
+  holdBack(holding: MemoryHolding, bytes: number, nowMs: number): boolean {
+    const addedBytes = bytes - holding.bytesOf('held-back');
+    const shareBytes = this.limitBytes / Math.max(1, this.holdings.size);
+    const hasRoom = addedBytes <= 0 || this.hasRoom(addedBytes);
+    if (!hasRoom && bytes > shareBytes) return false;
+    holding.set('held-back', bytes, nowMs);
+    return true;
+  }
+
   /** Decides again which requests are paused, and names the callers to cut off. */
   review(nowMs: number): MemoryReview {
     this.updateState(nowMs);
--- a/packages/caller-edge/src/http_answer_sink.ts
+++ b/packages/caller-edge/src/http_answer_sink.ts
@@ -84,8 +84,8 @@
     else this.onEmpty = callback;
   }
 
-  setHeldBack(bytes: number): void {
-    this.memory?.setHeldBack(bytes);
+  setHeldBack(bytes: number): boolean {
+    return this.memory?.holdBack(bytes) ?? true;
   }
 
   end(): void {
--- a/packages/caller-edge/src/memory_watch.ts
+++ b/packages/caller-edge/src/memory_watch.ts
@@ -147,8 +147,10 @@
     return refusal && refuse(refusal);
   }
 
-  setHeldBack(bytes: number): void {
-    this.options.holding.set('held-back', bytes, this.nowMs);
+  /** False if there is no memory for so many bytes of the response. */
+  holdBack(bytes: number): boolean {
+    const {budget, holding} = this.options;
+    return budget.holdBack(holding, bytes, this.nowMs);
   }
 
   setUnsent(bytes: number): void {
--- a/packages/serve-requests/src/answer_relay.ts
+++ b/packages/serve-requests/src/answer_relay.ts
@@ -3,6 +3,7 @@
 import {type AnswerConsumer} from './attempt.js';
 import {type AnswerFacts} from './backend_dialect.js';
 import {type AnswerSink} from './caller_request.js';
+import {ByteBuffer} from './byte_buffer.js';
 import {EventBoundary} from './event_boundary.js';
 
 export interface AnswerRelayOptions {
@@ -27,14 +28,15 @@
  * incomplete one can be replaced by a retry or an error.
  */
 const MAX_BUFFERED_BYTES = 65_536;
+/** An event is held back until it is complete, up to this size. */
+const MAX_EVENT_BYTES = 262_144;
 const STATUS_SUCCESS_MAX = 299;
 const STATUS_SERVER_ERROR_MIN = 500;
 
 /** Relays one response over all attempts of a request. */
 export class AnswerRelay implements AnswerConsumer {
   private head: AnswerFacts | null = null;
-  private buffered: Uint8Array[] = [];
-  private bufferedBytes = 0;
+  private readonly buffered = new ByteBuffer();
   private boundary: EventBoundary;
 
   constructor(private readonly options: AnswerRelayOptions) {
@@ -59,8 +61,7 @@
       this.boundary.lastEventId,
       isResumable || sink.hasBegun,
     );
-    this.buffered = [];
-    this.bufferedBytes = 0;
+    this.buffered.take();
     this.options.sink.setHeldBack(0);
     const isServerError = facts.status >= STATUS_SERVER_ERROR_MIN;
     if (isServerError && this.options.spendRetry()) return 'discard';
@@ -75,11 +76,9 @@
     this.options.onProgress();
     if (this.isEventStream) return this.writeEvents(chunk);
     if (this.options.sink.hasBegun) return this.write(chunk);
-    this.buffered.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes > MAX_BUFFERED_BYTES) return this.flush();
-    this.options.sink.setHeldBack(this.bufferedBytes);
-    return true;
+    this.buffered.append(chunk);
+    if (this.buffered.length > MAX_BUFFERED_BYTES) return this.flush();
+    return this.holdBack(this.buffered.length);
   }
 
   onEnd(): TypedError | null {
@@ -108,17 +107,22 @@
   private writeEvents(chunk: Uint8Array): boolean | TypedError {
     const completeEvents = this.boundary.push(chunk);
     if (this.boundary.isOutOfOrder) return makeOutOfOrderError();
-    this.options.sink.setHeldBack(this.boundary.partialBytes);
-    return completeEvents.length === 0 || this.write(completeEvents);
+    const {partialBytes} = this.boundary;
+    if (partialBytes > MAX_EVENT_BYTES) return makeEventTooLargeError();
+    const held = this.holdBack(partialBytes);
+    if (completeEvents.length === 0 || held !== true) return held;
+    return this.write(completeEvents);
+  }
+
+  private holdBack(bytes: number): true | TypedError {
+    return this.options.sink.setHeldBack(bytes) || makeNoMemoryError();
   }
 
   private flush(): boolean {
-    const {buffered} = this;
-    this.buffered = [];
-    this.bufferedBytes = 0;
+    const bytes = this.buffered.take();
     this.options.sink.setHeldBack(0);
     this.begin();
-    return buffered.map(chunk => this.write(chunk)).every(Boolean);
+    return bytes.length === 0 || this.write(bytes);
   }
 
   private write(chunk: Uint8Array): boolean {
@@ -152,3 +156,19 @@
     {run: 'unknown'},
   );
 }
+
+function makeEventTooLargeError(): TypedError {
+  return new TypedError(
+    'backend-failed',
+    `An event of the stream has more than ${MAX_EVENT_BYTES} bytes.`,
+    {run: 'unknown'},
+  );
+}
+
+function makeNoMemoryError(): TypedError {
+  return new TypedError(
+    'backend-failed',
+    'This node has no memory left for the response.',
+    {run: 'unknown'},
+  );
+}
--- a/packages/serve-requests/src/attempt.ts
+++ b/packages/serve-requests/src/attempt.ts
@@ -7,6 +7,7 @@
   type ResponseIdentity,
   type ResponseSource,
   isForeignResponse,
+  isMalformedResponse,
   isRelayLost,
 } from '@mimosatack/backend-connections';
 import {type Clock, type Timer} from '@mimosatack/clock';
@@ -100,6 +101,8 @@
 
 /** Time for the rest of a response that is not wanted. */
 const MAX_DROP_MS = 1_000;
+/** Size of the rest; a new connection is cheaper than to read more. */
+const MAX_DROPPED_BYTES = 65_536;
 const STATUS_OK_MIN = 200;
 const STATUS_OK_MAX = 299;
 const FRAMING_HEADERS: ReadonlyMap<string, ResponseFraming> = new Map([
@@ -116,6 +119,7 @@
   private dropTimer: Timer | null = null;
   private isSuccess = false;
   private isDelimited = false;
+  private droppedBytes = 0;
 
   constructor(private readonly options: AttemptOptions) {
     this.outcome = new Promise(resolve => (this.resolve = resolve));
@@ -207,13 +211,19 @@
   }
 
   onData(chunk: Uint8Array): boolean {
-    if (this.isFinished) return true;
+    if (this.isFinished) return this.drop(chunk);
     const result = this.options.consumer.onData(chunk);
     if (typeof result === 'boolean') return result;
     this.fail(result);
     return true;
   }
 
+  private drop(chunk: Uint8Array): boolean {
+    this.droppedBytes += chunk.length;
+    if (this.droppedBytes > MAX_DROPPED_BYTES) this.handle?.abort();
+    return true;
+  }
+
   onEnd(): void {
     this.dropTimer?.cancel();
     if (this.isFinished) return;
@@ -237,7 +247,7 @@
         status: 'broken',
         error,
         isConnectionLost:
-          !isParseError(error) &&
+          !isMalformedResponse(error) &&
           !isForeignResponse(error) &&
           !isRelayLost(error),
       });
@@ -278,11 +288,6 @@
   return framings.find(framing => framing !== undefined) ?? 'close';
 }
 
-/** An unparsable response is no sign of a crash: the server is running. */
-function isParseError({details}: TypedError): boolean {
-  return details.cause?.name === 'HTTPParserError';
-}
-
 function makeNotRunError(facts: AnswerFacts): TypedError {
   return new TypedError(
     'overloaded',
--- a/packages/serve-requests/src/caller_request.ts
+++ b/packages/serve-requests/src/caller_request.ts
@@ -57,8 +57,11 @@
   write(chunk: Uint8Array): boolean;
   /** Calls back once when more can be written. */
   onDrain(callback: () => void): void;
-  /** Says how many bytes of the response are held back for now. */
-  setHeldBack(bytes: number): void;
+  /**
+   * Says how many bytes of the response are held back for now. False when this host has no
+   * memory for them.
+   */
+  setHeldBack(bytes: number): boolean;
   end(): void;
   /** Ends a response so that the caller recognizes it as incomplete. */
   abort(): void;
--- a/packages/serve-requests/src/continued_lengths.test.ts
+++ b/packages/serve-requests/src/continued_lengths.test.ts
@@ -22,7 +22,7 @@
       response.writeHead(status, [...headers]),
     write: (chunk: Uint8Array) => response.write(chunk),
     end: () => response.end(),
-    setHeldBack: () => undefined,
+    setHeldBack: () => true,
   } as unknown as AnswerSink;
 }
 
--- a/packages/serve-requests/src/event_boundary.test.ts
+++ b/packages/serve-requests/src/event_boundary.test.ts
@@ -49,4 +49,18 @@
   assert.is(boundary.lastEventId, 1);
 });
 
+// Guards against an event without end that is copied and searched again with each chunk.
+test('an event in many chunks costs as much as in few', () => {
+  const boundary = new EventBoundary(null);
+  const chunk = Buffer.alloc(16, 'x');
+  const startMs = performance.now();
+  for (let pushed = 0; pushed < 65_536; pushed += 1) boundary.push(chunk);
+  assert.is(boundary.partialBytes, 65_536 * chunk.length);
+  assert.ok(performance.now() - startMs < 1_000);
+  assert.is(boundary.push(Buffer.from('\n')).length, 0);
+  const event = boundary.push(Buffer.from('\nid: 1'));
+  assert.is(event.length, 65_536 * chunk.length + 2);
+  assert.is(boundary.partialBytes, 5);
+});
+
 test.run();
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -41,7 +41,9 @@
   }
 
   onDrain(): void {}
-  setHeldBack(): void {}
+  setHeldBack(): boolean {
+    return true;
+  }
   end(): void {}
   abort(): void {}
 }
