Fail a call whose response has a status that is none

Seen by callers: 600 and 999 as the status of a response, on routes that may not be repeated. 000 and 099 did not reach callers.

Cause: the parser accepts any three digits, and nothing else looked at them. 000 and 099 ended in an assertion of the HTTP client, which counted as a crash of the server.

Change: Exchange.onHeaders fails the call; it may have run, and the server counts as running.

Why it holds: all responses of servers come through it, also relayed ones.

--- a/packages/backend-connections/src/backend_connection.ts
+++ b/packages/backend-connections/src/backend_connection.ts
@@ -22,6 +22,7 @@
   MAX_INFORMATIONAL_RESPONSES,
   MAX_RESPONSE_BODY_BYTES,
   createMalformedResponseError,
+  isInvalidStatus,
 } from './malformed_response.js';
 import {RELAY_LOST, isRelayLostCause} from './relay_loss.js';
 
@@ -250,6 +251,10 @@
     resume: () => void,
   ): boolean {
     this.resumeReading = resume;
+    if (isInvalidStatus(status)) {
+      this.rejectMalformed(`A response has the invalid status ${status}.`);
+      return true;
+    }
     if (status < STATUS_FINAL_MIN) return this.countInformational();
     const headers = rawHeaders.map(part => part.toString('latin1'));
     if (!this.isAborted) this.receiveHead({status, headers});
--- a/packages/backend-connections/src/malformed_response.ts
+++ b/packages/backend-connections/src/malformed_response.ts
@@ -2,6 +2,8 @@
 import {TypedError} from '@mimosatack/errors';
 
 const MALFORMED_RESPONSE = 'malformed-response';
+const STATUS_MIN = 100;
+const STATUS_MAX = 599;
 const PARSER_ERROR = 'HTTPParserError';
 /** The HTTP client's name for a body over `MAX_RESPONSE_BODY_BYTES`. */
 const BODY_TOO_LARGE_ERROR = 'ResponseExceededMaxSizeError';
@@ -11,6 +13,11 @@
 /** Bounds what a server that sends without end costs the host. */
 export const MAX_RESPONSE_BODY_BYTES = 16 * 1_024 * 1_024;
 
+/** Whether the status is none of HTTP; callers must not receive it as a response. */
+export function isInvalidStatus(status: number): boolean {
+  return !(status >= STATUS_MIN && status <= STATUS_MAX);
+}
+
 /** The call may have run. */
 export function createMalformedResponseError(message: string): TypedError {
   return new TypedError('backend-failed', message, {
--- a/packages/backend-connections/src/malformed_responses.test.ts
+++ b/packages/backend-connections/src/malformed_responses.test.ts
@@ -11,6 +11,17 @@
 const test = suite('malformed responses');
 
 const BLOCK = 'x'.repeat(65_536);
+const INVALID_STATUSES = [
+  ...['000', '099', '600', '999', '1000', '2x0', '-200', '+200', '20', 'abc'],
+  ...['', '２００'],
+];
+const BODIES: readonly (readonly [string, string])[] = [
+  ['a length', 'Content-Length: 2\r\n\r\nok'],
+  ['chunks', 'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'],
+  ['neither', 'Connection: close\r\n\r\nok'],
+  ['no body', 'Content-Length: 0\r\n\r\n'],
+];
+
 interface Received {
   statuses: readonly number[];
   /** Null for a response that is complete. */
@@ -64,6 +75,27 @@
   assert.ok(error && isMalformedResponse(error), seen);
 }
 
+// Guards against a caller that receives a status that is none, and against a call that waits
+// for another response after it.
+test('a status that is none fails the call, which may have run', async () => {
+  for (const status of INVALID_STATUSES) {
+    for (const [name, body] of BODIES) {
+      const received = await exchange(`HTTP/1.1 ${status} Odd\r\n${body}`);
+      const seen = `${status} with ${name}: ${JSON.stringify(received)}`;
+      assert.equal(received.statuses, [], seen);
+      expectMalformed(received, seen);
+    }
+  }
+});
+
+test('statuses that are not known are passed on', async () => {
+  for (const status of [200, 299, 418, 599]) {
+    const text = `HTTP/1.1 ${status} Odd\r\nContent-Length: 0\r\n\r\n`;
+    const received = await exchange(text);
+    assert.equal(received, {statuses: [status], error: null});
+  }
+});
+
 // Guards against a call that waits as long as a server sends informational responses.
 test('informational responses are limited', async () => {
   const informational = 'HTTP/1.1 102 Processing\r\n\r\n';
