Answer requests that a planned stop cuts off, and pass on none late

Seen by callers: requests in flight at the end of the grace saw their connection closed, also such as may not be repeated; a request whose body ended late in the grace was passed on and cut.

Cause: the request path did not listen to the signal of the shutdown, and asked for its state only when the head of a request was read.

Evidence: planned_stop.test failed on in both tests ('closed' instead of a response; no 503).

Change: a request that runs ends with 502 at the cut, one that has not run with 503. After new requests are refused, none is passed on whose time limit lies beyond the cut.

Why it holds: RequestRun decides before each choice of a server, so after waiting, for retries and continuations alike; a request that is not passed on can say that it has not run.

--- a/packages/caller-edge/src/caller_edge.ts
+++ b/packages/caller-edge/src/caller_edge.ts
@@ -16,6 +16,7 @@
   type AnswerSink,
   type CallerRequest,
   type RequestHead,
+  makeStoppingError,
 } from '@mimosatack/serve-requests';
 import {type CallerLimits, type SocketAddress} from '@mimosatack/types';
 import {type EdgeDialect} from './edge_dialect.js';
@@ -60,8 +61,6 @@
   HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
-/** Short, because other nodes can serve the request immediately. */
-const STOPPING_RETRY_MS = 50;
 
 /** Reads callers' requests and passes them to the request pipeline. */
 export class CallerEdge {
@@ -179,9 +178,7 @@
     sink: HttpAnswerSink,
   ): Promise<void> {
     if (parsed instanceof TypedError) return sink.refuse(parsed);
-    if (this.options.gate.state === 'refusing') {
-      return sink.refuse(makeShutdownError());
-    }
+    if (this.isRefusing) return sink.refuse(makeStoppingError());
     const rejection = this.options.checkHead(parsed);
     if (rejection) return sink.refuse(rejection);
     const excess = this.checkSize(incoming);
@@ -190,9 +187,15 @@
     if (memory instanceof TypedError) return sink.refuse(memory);
     const body = await this.readBody(incoming, memory);
     if (body instanceof TypedError) return sink.refuse(body);
+    // Guards against a request that is passed on late because its body was slow.
+    if (this.isRefusing) return sink.refuse(makeStoppingError());
     if (body) await this.options.serve({...parsed, body}, sink);
   }
 
+  private get isRefusing(): boolean {
+    return this.options.gate.state === 'refusing';
+  }
+
   private checkSize(incoming: IncomingMessage): TypedError | null {
     const {maxHeaderBytes, maxBodyBytes} = this.limits;
     if (countHeaderBytes(incoming) > maxHeaderBytes) {
@@ -252,13 +255,6 @@
   response.once('close', () => socket.off('close', close));
 }
 
-function makeShutdownError(): TypedError {
-  return new TypedError('shutting-down', 'This node is stopping.', {
-    run: 'not-run',
-    retryAfterMs: STOPPING_RETRY_MS,
-  });
-}
-
 /** Counts names and values plus four bytes of `: ` and CRLF per header. */
 function countHeaderBytes({rawHeaders}: IncomingMessage): number {
   return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
--- a/packages/drain-node/src/drain_gate.ts
+++ b/packages/drain-node/src/drain_gate.ts
@@ -12,18 +12,30 @@
 
 /** Shared by the shutdown and the servers of one node. */
 export class DrainGate {
+  private readonly refusalController = new AbortController();
   private readonly abortController = new AbortController();
+  private cutOffMs: number | null = null;
   private current: GateState = 'starting';
 
   constructor(readonly inFlight: InFlight) {
     // Each request in flight adds a listener; disables the leak warning.
-    setMaxListeners(0, this.abortController.signal);
+    setMaxListeners(0, this.refusalSignal, this.abortSignal);
   }
 
   get state(): GateState {
     return this.current;
   }
 
+  /** When work in flight is cut off; null while no shutdown is requested. */
+  get cutOffAtMs(): number | null {
+    return this.cutOffMs;
+  }
+
+  /** Aborts when new work is rejected. */
+  get refusalSignal(): AbortSignal {
+    return this.refusalController.signal;
+  }
+
   /** Aborts when work in flight is cut off; `reason` is a `TypedError`. */
   get abortSignal(): AbortSignal {
     return this.abortController.signal;
@@ -34,6 +46,11 @@
     const isOpen =
       phase === 'starting' || phase === 'serving' || phase === 'leaving';
     this.current = isOpen ? phase : 'refusing';
+    if (!isOpen) this.refusalController.abort();
+  }
+
+  scheduleCutOff(atMs: number): void {
+    this.cutOffMs = atMs;
   }
 
   /** Aborts the work in flight with an error that tells callers how to resume. */
--- a/packages/drain-node/src/shutdown_task.ts
+++ b/packages/drain-node/src/shutdown_task.ts
@@ -82,6 +82,7 @@
       requestsInFlight: gate.inFlight.count,
       graceMs,
     });
+    gate.scheduleCutOff(this.startedAtMs + graceMs);
     this.scheduleInput(graceMs, {type: 'cut', reason: 'grace-over'});
   }
 
--- a/packages/serve-requests/src/index.ts
+++ b/packages/serve-requests/src/index.ts
@@ -46,3 +46,4 @@
   type ServerChooser,
 } from './server_chooser.js';
 export {findWaitDeadlineMs} from './wait_deadline.js';
+export {type StopNotice, makeStoppingError} from './stop_notice.js';
--- a/packages/serve-requests/src/pipeline_fixture.ts
+++ b/packages/serve-requests/src/pipeline_fixture.ts
@@ -119,6 +119,10 @@
         findShare: () => 1,
       }),
       headTimes: new ResponseHeadTimes(),
+      stop: {
+        ...{cutOffAtMs: null, refusalSignal: new AbortController().signal},
+        abortSignal: new AbortController().signal,
+      },
       streams: streams ?? {
         record: () => undefined,
         mayBegin: () => true,
--- a/packages/serve-requests/src/request_pipeline.ts
+++ b/packages/serve-requests/src/request_pipeline.ts
@@ -32,6 +32,7 @@
 import {type RetryAllowance} from './retry_allowance.js';
 import {RouteTable} from './route_table.js';
 import {type ServerChooser} from './server_chooser.js';
+import {type StopNotice} from './stop_notice.js';
 import {type SuspectLeaser} from './suspect_lease.js';
 
 export interface PipelineOptions {
@@ -50,6 +51,7 @@
   limits: Pick<ServerLimits, 'recordResponse'>;
   availability: Pick<ServerAvailability, 'findWaitMs' | 'recordResponse'>;
   streams: StreamLookup;
+  stop: StopNotice;
 }
 
 const NOT_CONFIGURED_RETRY_MS = 500;
--- a/packages/serve-requests/src/request_run.ts
+++ b/packages/serve-requests/src/request_run.ts
@@ -28,6 +28,7 @@
 import {SendGate} from './send_gate.js';
 import {ServerSelection} from './server_selection.js';
 import {StallFailover} from './stall_failover.js';
+import {makeStoppingError} from './stop_notice.js';
 import {StreamVersion} from './stream_version.js';
 import {SuspectLease} from './suspect_lease.js';
 
@@ -45,7 +46,7 @@
 const MAX_NOT_HELD_RETRIES = 2;
 
 /** Why this node aborted the request. */
-type AbortCause = 'caller-gone' | 'timeout';
+type AbortCause = 'caller-gone' | 'timeout' | 'stopping';
 
 export class RequestRun {
   private readonly deadlineAtMs: number;
@@ -112,20 +113,45 @@
     const onCallerGone = () => this.abortRun('caller-gone');
     this.sink.gone.addEventListener('abort', onCallerGone, {once: true});
     if (this.sink.gone.aborted) onCallerGone();
+    const unwatchStop = this.watchStop();
     this.guard.openProbe();
     try {
       await this.runAttempts();
     } finally {
       timer.cancel();
+      unwatchStop();
       this.guard.endProbe();
       this.lease.release();
       this.sink.gone.removeEventListener('abort', onCallerGone);
     }
   }
 
+  /** Guards against requests that get no response when this node ends. */
+  private watchStop(): () => void {
+    const {refusalSignal, abortSignal} = this.options.stop;
+    const onRefusal = () => {
+      if (!this.attempt && this.isCutOffBeforeEnd) this.abortRun('stopping');
+    };
+    const onCutOff = () => this.abortRun('stopping');
+    refusalSignal.addEventListener('abort', onRefusal, {once: true});
+    abortSignal.addEventListener('abort', onCutOff, {once: true});
+    return () => {
+      refusalSignal.removeEventListener('abort', onRefusal);
+      abortSignal.removeEventListener('abort', onCutOff);
+    };
+  }
+
+  /** Whether a server that is chosen now may still be at work when this node ends. */
+  private get isCutOffBeforeEnd(): boolean {
+    const {cutOffAtMs, refusalSignal} = this.options.stop;
+    const isRefusing = refusalSignal.aborted && cutOffAtMs !== null;
+    return isRefusing && this.deadlineAtMs > cutOffAtMs;
+  }
+
   private async runAttempts(): Promise<void> {
     let next: ServerChoice | null = null;
     for (;;) {
+      if (this.isCutOffBeforeEnd) this.abortRun('stopping');
       const choice = await this.selection.select(next);
       if (this.abortCause) return this.finishAborted(choice);
       if (choice.status === 'refused') return this.finishFailed(choice.error);
@@ -360,7 +386,12 @@
     if (this.abortCause === 'caller-gone') {
       return this.logFinished('caller-gone', null);
     }
-    this.finishWithError(makeTimeoutError(this.record.mayHaveRun));
+    const {mayHaveRun} = this.record;
+    this.finishWithError(
+      this.abortCause === 'stopping'
+        ? makeFinalError(makeStoppingError(), mayHaveRun)
+        : makeTimeoutError(mayHaveRun),
+    );
   }
 
   private logFinished(result: FinalResult, error: TypedError | null): void {
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -474,6 +474,7 @@
       limits: this.limits.servers,
       availability: this.availability,
       streams: this.streams.origins,
+      stop: this.gate,
       chooser: this.chooser,
       retries: new RetryAllowance({
         clock: new SuspensionAwareClock(clock),
