Fail a request that runs once when its answer has a status that is none

Seen by callers: the product's own program passed on any status of three digits for requests that may run once only.

--- a/packages/backend-connections/src/index.ts
+++ b/packages/backend-connections/src/index.ts
@@ -13,7 +13,7 @@
 } from './backend_connections.js';
 export {type CollectedAnswer, collectAnswer} from './collect_answer.js';
 export {createUnreachableError, openSocket} from './backend_connection.js';
-export {isMalformedResponse} from './malformed_response.js';
+export {isInvalidStatus, isMalformedResponse} from './malformed_response.js';
 export {isForeignResponse} from './foreign_response.js';
 export {RELAY_LOST, isRelayLost, makeRelayLostError} from './relay_loss.js';
 export {BackendSocket} from './backend_socket.js';
--- a/packages/dispatch-requests/src/own_connection.test.ts
+++ b/packages/dispatch-requests/src/own_connection.test.ts
@@ -241,4 +241,16 @@
   server.close();
 });
 
+// Guards against a caller that receives a status that is none.
+test('a status that is none fails a request, which may have run', async () => {
+  for (const status of ['000', '099', '600', '999']) {
+    const {server, baseUrl} = await createServerThat((socket, bytesRead) => {
+      if (bytesRead < BODY.length) return;
+      socket.end(`HTTP/1.1 ${status} Odd\r\nconnection: close\r\n\r\nok`);
+    });
+    assert.is(await send(baseUrl), 'unknown', status);
+    server.close();
+  }
+});
+
 test.run();
--- a/packages/dispatch-requests/src/whole_answer.ts
+++ b/packages/dispatch-requests/src/whole_answer.ts
@@ -1,4 +1,5 @@
 /** Sends a request once and buffers its whole response. */
+import {isInvalidStatus} from '@mimosatack/backend-connections';
 import {TypedError} from '@mimosatack/errors';
 import {type Dispatcher} from 'undici';
 import {type OwnConnectionRequest, sendOnce} from './own_connection.js';
@@ -26,6 +27,9 @@
   const sent = await sendOnce(spec);
   const {response} = sent;
   try {
+    if (isInvalidStatus(response.statusCode)) {
+      throw makeStatusError(response.statusCode);
+    }
     return {
       statusCode: response.statusCode,
       headers: response.headers,
@@ -68,6 +72,14 @@
   );
 }
 
+function makeStatusError(statusCode: number): TypedError {
+  return new TypedError(
+    'outcome-unknown',
+    `The answer has the invalid status ${statusCode}.`,
+    {run: 'unknown'},
+  );
+}
+
 function readContentType(value: string | string[] | undefined): string {
   return String(value ?? 'application/octet-stream');
 }
