Tell of models and adapters that are asked for in vain

Nothing named a model of which each request is refused: operators had to add up the decisions of the scheduling node (events 3403 and 3404). Event 3413 and the metric schedule.unserved do, once a model or adapter was refused four times over 8 s without an assignment.

The tracked names are bounded, as callers choose them. unserved_models.test covers what is told and when, and the bound.

--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -181,6 +181,23 @@
       fencingToken: 'of the node that decided, which is the one that logs',
     },
   },
+  'model-unserved': {
+    number: 3413,
+    level: 'info',
+    message:
+      'A model or adapter is asked for again and again, and no request for it is served.',
+    fields: {
+      model: 'the model',
+      adapter: 'the adapter, if one was named',
+      refusals:
+        'requests that were refused since the last one that was assigned',
+      unservedMs: 'time since the first of these',
+      reason: 'why the last one was refused',
+    },
+    remedy:
+      'See in events 3403 and 3404 of the model whether it was ordered, and what refused it; ' +
+      'add engines if there is no room for it.',
+  },
   'share-refused': {
     number: 3407,
     level: 'info',
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -187,6 +187,10 @@
     'Backend servers that want no request of this host for some time.',
     {},
   ),
+  'schedule.unserved': gauge(
+    'Models and adapters that are asked for again and again and never served; at the node that schedules.',
+    {},
+  ),
   'places.services': gauge(
     'Plain services whose places this node assigns for all nodes.',
     {},
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -35,6 +35,7 @@
 } from './messages.js';
 import {logShareRefusal} from './share_log.js';
 import {type TrackedAsk, TrackedAsks} from './tracked_asks.js';
+import {UnservedModels} from './unserved_models.js';
 
 export interface SchedulingServiceOptions {
   clock: Clock;
@@ -85,6 +86,7 @@
   private readonly abandoned: AbandonedRequests;
   private readonly pendingReports = new Set<BackendServerId>();
   /** Engines whose state could not be read at the last attempt. */
+  private readonly unserved = new UnservedModels();
   private readonly unresponsive = new Set<BackendServerId>();
   private readonly lastOrderAtMs = new Map<BackendServerId, number>();
   private timer: Timer | null = null;
@@ -319,6 +321,11 @@
     return this.awaitedNodes.size > 0 && nowMs < this.stateWaitEndsAtMs;
   }
 
+  /** The models and adapters that callers ask for in vain. */
+  get unservedCount(): number {
+    return this.unserved.count;
+  }
+
   private assignAndOrder(nowMs: number): void {
     const mayOrder = this.options.authority() !== null;
     this.scheduler
@@ -334,6 +341,7 @@
     const known = this.asks.get(decision.askId);
     if (!known) return;
     this.logDecision(decision, known);
+    this.trackUnserved(decision, known);
     logShareRefusal(this.options.logger, decision, known, this.nowMs());
     const {nodeAddress} = known;
     if (decision.kind === 'assign') {
@@ -370,6 +378,19 @@
     });
   }
 
+  private trackUnserved(
+    decision: Exclude<Decision, {kind: 'order'}>,
+    {model, adapter}: TrackedAsk,
+  ): void {
+    const weights = {model, adapter};
+    if (decision.kind === 'assign') {
+      return this.unserved.recordAssigned(weights);
+    }
+    const {reason} = decision;
+    const told = this.unserved.recordRefused(weights, reason, this.nowMs());
+    if (told) this.options.logger.log('model-unserved', {...told});
+  }
+
   private async sendOrder(order: PlannedOrder): Promise<void> {
     const {orders, onFenced, logger} = this.options;
     const server = this.servers.get(order.engineId);
--- a/packages/serving-node/src/node_state_metrics.ts
+++ b/packages/serving-node/src/node_state_metrics.ts
@@ -9,6 +9,7 @@
   serversLimited: number;
   serversLeaving: number;
   serversPaused: number;
+  modelsUnserved: number;
   placesServices: number;
   placesLimit: number;
   placesTaken: number;
@@ -42,6 +43,7 @@
   metrics.gauge('servers.limited', figures.serversLimited, {});
   metrics.gauge('servers.leaving', figures.serversLeaving, {});
   metrics.gauge('servers.paused', figures.serversPaused, {});
+  metrics.gauge('schedule.unserved', figures.modelsUnserved, {});
   metrics.gauge('places.services', figures.placesServices, {});
   metrics.gauge('places.limit', figures.placesLimit, {});
   metrics.gauge('places.taken', figures.placesTaken, {});
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -247,10 +247,11 @@
     return this.placing?.listCoordinated() ?? [];
   }
 
-  /** Of the services whose places this node assigns. */
-  get placeGauges() {
+  /** Of what this node schedules; zero at others. */
+  get gauges() {
     const servers = this.placing?.describePlaces() ?? [];
     return {
+      modelsUnserved: this.scheduler?.unservedCount ?? 0,
       placesServices: this.listCoordinated().length,
       placesLimit: servers.reduce((sum, {limit}) => sum + limit, 0),
       placesTaken: servers.reduce((sum, {running}) => sum + running, 0),
--- a/packages/serving-node/src/serving_node.ts
+++ b/packages/serving-node/src/serving_node.ts
@@ -225,7 +225,7 @@
       retryShare: this.limits.retryShare.fraction,
       configurationAgeMs: this.configuration.ageMs,
       ...this.memory.gauges,
-      ...this.duty.placeGauges,
+      ...this.duty.gauges,
       teams: this.quotas.listLevels(),
       ...this.containment.gauges,
       ...this.streams.gauges,
