Rank first copies from the weight store by refusals, too

Cause: the store serves two loads at once, of 10 s each; which models are loaded was decided by the rate of the last 8 s alone, so that a model with a steady, low rate loses to each one that was asked for just now. Swaps from disks have a guard against this, loads had none.

Change: the worth of a first copy is multiplied by one plus its refusals, eight at most.

Loads are as many as before.

--- a/packages/schedule-models/src/find_store_load.test.ts
+++ b/packages/schedule-models/src/find_store_load.test.ts
@@ -52,4 +52,22 @@
   assert.equal(sim.loads, []);
 });
 
+// Guards against a model that is asked for throughout and never loaded, as the few loads that the
+// store serves all go to models that were asked for more recently.
+test('a model that was refused again and again is loaded before a new one', () => {
+  const sim = new SchedulerSimulation([]);
+  [0, 1, 2].forEach(() => {
+    sim.ask('rare');
+    sim.run(6_000, {});
+  });
+  sim.ask('rare');
+  sim.run(1_500, {});
+  sim.ask('other');
+  sim.ask('other');
+  sim.run(500, {});
+  sim.put(makeEngine('e1', []));
+  sim.run(400, {});
+  assert.is(sim.loads[0]?.model, 'rare');
+});
+
 test.run();
--- a/packages/schedule-models/src/find_store_load.ts
+++ b/packages/schedule-models/src/find_store_load.ts
@@ -149,17 +149,26 @@
   return rankLoads(needs, context.findTeamUse);
 }
 
+/**
+ * Weight of each refusal of a model that no engine holds or caches, up to a number. Guards
+ * against a model that is asked for throughout and never loaded: the store serves few loads, and
+ * by its rate alone a model that was asked for just now ranks higher.
+ */
+const REFUSAL_WEIGHT = 1;
+const MAX_COUNTED_REFUSALS = 8;
+
 /**
  * Demand for each copy. With shares, the first copy of a model is worth no more for many asks than
  * for two.
  */
 function findCopyWorth(
-  {rate, copies}: CopyNeed,
-  {findTeamUse}: SwapContext,
+  {service, model, rate, copies}: CopyNeed,
+  {findTeamUse, refusalsOf}: SwapContext,
 ): number {
-  const isLimited = findTeamUse !== null && copies === 0;
-  const countedRate = isLimited ? Math.min(FIRST_COPY_RATE, rate) : rate;
-  return countedRate / (1 + copies) ** 2;
+  if (copies > 0) return rate / (1 + copies) ** 2;
+  if (findTeamUse) return Math.min(FIRST_COPY_RATE, rate);
+  const refusals = Math.min(MAX_COUNTED_REFUSALS, refusalsOf(service, model));
+  return rate * (1 + REFUSAL_WEIGHT * refusals);
 }
 
 /** Whether a copy is worth evicting another model. */
