--- a/review/lib2/node.mjs
+++ b/review/lib2/node.mjs
@@ -7,21 +7,27 @@
 
 export const ROOT = path.resolve(fileURLToPath(import.meta.url), '../../..');
 
+/** Below the range from which the kernel takes ports for outgoing connections. */
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 19_000;
+const given = new Set();
+
+function canListen(port) {
+  return new Promise(resolve => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
 export async function findFreePorts(count) {
-  const servers = await Promise.all(
-    Array.from(
-      {length: count},
-      () =>
-        new Promise(resolve => {
-          const server = net.createServer();
-          server.listen(0, '127.0.0.1', () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map(server => server.address().port);
-  await Promise.all(
-    servers.map(server => new Promise(resolve => server.close(resolve))),
-  );
+  const ports = [];
+  while (ports.length < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (given.has(port) || !(await canListen(port))) continue;
+    given.add(port);
+    ports.push(port);
+  }
   return ports;
 }
 
