--- a/review/lib2/node.mjs
+++ b/review/lib2/node.mjs
@@ -43,7 +43,9 @@
   };
 }
 
-function makeSettings({name, zone, ports, seeds, storeAddress, requireFence}) {
+function makeSettings(settings) {
+  const {name, zone, ports, seeds, storeAddress, requireFence} = settings;
+  const {bounds = '', isFirstStart = true} = settings;
   const address = port => `"127.0.0.1:${port}"`;
   return `node_name = "${name}"
 role = "node"
@@ -54,7 +56,7 @@
 region = "guj-west"
 port_range = [${ports.spare}, ${ports.spare}]
 seeds = [${seeds.map(address).join(', ')}]
-bootstrap = true
+bootstrap = ${isFirstStart}
 counts_as_loss = true
 discovery = "platform"
 entry = "directory"
@@ -105,7 +107,7 @@
 ceiling_window_s = 5
 ceiling_overage = 1.1
 ttl_max_s = 5
-[platform]
+${bounds}[platform]
 address = "${storeAddress}"
 form = "log"
 writes_per_s = 400
@@ -128,6 +130,8 @@
   constructor(settings, directory) {
     const {command, env} = readDeployFile();
     const {name, ports} = settings;
+    this.settings = settings;
+    this.directory = directory;
     this.name = name;
     this.ports = ports;
     const settingsPath = path.join(directory, `${name}.toml`);
@@ -142,7 +146,9 @@
       },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
-    const log = createWriteStream(path.join(directory, `${name}.log`));
+    const log = createWriteStream(path.join(directory, `${name}.log`), {
+      flags: 'a',
+    });
     this.child.stdout.pipe(log);
     this.child.stderr.pipe(log);
     this.exited = new Promise(resolve =>
@@ -157,6 +163,11 @@
     if (!this.exit) this.child.kill(signal);
   }
 
+  /** Starts the process again after it has ended. */
+  startAgain() {
+    return new Node({...this.settings, isFirstStart: false}, this.directory);
+  }
+
   async isReady() {
     try {
       const url = `http://127.0.0.1:${this.ports.ready}/ready`;
@@ -169,6 +180,7 @@
 
 /** Starts nodes; rejects if they are not ready in time. */
 export async function startNodes(count, terms, directory) {
+  const {storeAddresses, ...shared} = terms;
   const allPorts = [];
   for (let at = 0; at < count; at += 1) {
     const [front, ready, control, directoryPort, metrics, spare] =
@@ -187,7 +199,8 @@
     (ports, at) =>
       new Node(
         {
-          ...{name: `front-${at + 1}`, ports, seeds, ...terms},
+          ...{name: `front-${at + 1}`, ports, seeds, ...shared},
+          ...(storeAddresses ? {storeAddress: storeAddresses[at]} : {}),
           zone: `guj-west-${'abcd'[at % 4]}`,
         },
         directory,
--- a/review/lib2/store.mjs
+++ b/review/lib2/store.mjs
@@ -35,21 +35,28 @@
 export class Store {
   topics = new Map();
   waiters = new Map();
-  server = http.createServer((request, response) =>
-    this.receive(request, response),
-  );
+  servers = [];
+  /** The machine that last wrote under a condition. */
+  lastWriter = null;
 
-  listen() {
+  /** Resolves with the address for one machine, or for all. */
+  listen(machine = null) {
+    const server = http.createServer((request, response) =>
+      this.receive(request, response, machine),
+    );
+    this.servers.push(server);
     return new Promise(resolve =>
-      this.server.listen(0, '127.0.0.1', () =>
-        resolve(`127.0.0.1:${this.server.address().port}`),
+      server.listen(0, '127.0.0.1', () =>
+        resolve(`127.0.0.1:${server.address().port}`),
       ),
     );
   }
 
   close() {
-    this.server.closeAllConnections();
-    this.server.close();
+    this.servers.forEach(server => {
+      server.closeAllConnections();
+      server.close();
+    });
   }
 
   /** What the operator and the servers write; a null value drops the key. */
@@ -71,14 +78,16 @@
     waiting.forEach(wake => wake());
   }
 
-  receive(request, response) {
+  receive(request, response, machine) {
     const url = new URL(request.url, 'http://store');
     const chunks = [];
     request.on('data', chunk => chunks.push(chunk));
-    request.on('end', () => this.answer(url, Buffer.concat(chunks), response));
+    request.on('end', () =>
+      this.answer(url, Buffer.concat(chunks), response, machine),
+    );
   }
 
-  answer({pathname, searchParams}, body, response) {
+  answer({pathname, searchParams}, body, response, machine) {
     const topic = searchParams.get('topic');
     const log = this.logOf(topic);
     const send = (status, content) => {
@@ -95,6 +104,8 @@
       if (at !== null && Number(at) !== log.length) {
         return send(412, {end: log.length});
       }
+      if (at !== null) this.lastWriter = machine;
+      if (at !== null) this.lastWriter = machine;
       const offset = log.length;
       this.append(topic, decodeRecords(body));
       return send(200, {offset, end: log.length});
