--- a/review/lib2/node.mjs
+++ b/review/lib2/node.mjs
@@ -124,6 +124,11 @@
 `;
 }
 
+const running = new Set();
+// No process outlives the script, also when its time is up.
+process.on('exit', () => running.forEach(child => child.kill('SIGKILL')));
+process.on('SIGTERM', () => process.exit(2));
+
 export class Node {
   exit = null;
 
@@ -146,6 +151,8 @@
       },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
+    running.add(this.child);
+    this.child.once('exit', () => running.delete(this.child));
     const log = createWriteStream(path.join(directory, `${name}.log`), {
       flags: 'a',
     });
