--- a/review/lib2/node.mjs
+++ b/review/node_2.mjs
@@ -5,7 +5,7 @@
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 
-export const ROOT = path.resolve(fileURLToPath(import.meta.url), '../../..');
+export const ROOT = path.resolve(fileURLToPath(import.meta.url), '../..');
 
 /** Below the range from which the kernel takes ports for outgoing connections. */
 const FIRST_PORT = 12_000;
