Close a caller's connection only when its response is written out

Cause: closeIdleConnections of Node's HTTP server takes a response for written out once the program has ended it, and close of the server calls it as well.

Change: CallerConnections decides when a connection is done, in place of the server's own closeIdleConnections; one that is not done at the stop closes as soon as it is. Requests behind others end with their connection there, too.

Why it holds: all ways of closing idle connections, that of the server's close included, now ask one place, which counts a response until the kernel has its last byte.

--- a/packages/caller-edge/src/caller_edge.ts
+++ b/packages/caller-edge/src/caller_edge.ts
@@ -10,7 +10,7 @@
 } from 'node:http';
 import {type Socket} from 'node:net';
 import {type Clock} from '@mimosatack/clock';
-import {type DrainGate} from '@mimosatack/drain-node';
+import {CallerConnections, type DrainGate} from '@mimosatack/drain-node';
 import {TypedError, toTypedError} from '@mimosatack/errors';
 import {
   type AnswerSink,
@@ -66,8 +66,7 @@
 export class CallerEdge {
   private limits = DEFAULT_LIMITS;
   private readonly server: Server;
-  /** Requests without a complete response, by connection. */
-  private readonly pendingCounts = new WeakMap<Socket, number>();
+  private readonly connections: CallerConnections;
 
   constructor(private readonly options: CallerEdgeOptions) {
     this.server = createServer(
@@ -78,6 +77,7 @@
       },
       (incoming, response) => void this.handle(incoming, response),
     );
+    this.connections = new CallerConnections(this.server);
     this.server.requestTimeout = 0;
     this.server.on('clientError', (error, socket) =>
       this.rejectUnread(error, socket as Socket),
@@ -100,15 +100,14 @@
     this.applyLimits();
   }
 
-  /** Closes idle connections; active ones close after their responses. */
+  /** Closes connections that are done; others close after their responses. */
   closeIdle(): void {
-    this.server.closeIdleConnections();
+    this.connections.closeDone();
   }
 
   /** Stops accepting connections; requests in flight continue. */
   stopListening(): void {
     this.server.close();
-    this.server.closeIdleConnections();
   }
 
   /**
@@ -129,12 +128,9 @@
     response: ServerResponse,
   ): Promise<void> {
     const {clock, dialect, gate} = this.options;
+    this.connections.add(incoming, response);
     const work = gate.inFlight.begin(`${incoming.method} ${incoming.url}`);
-    closeWithConnection(incoming, response);
     resetWhenCut(incoming, response);
-    const {socket} = incoming;
-    this.countPending(socket, 1);
-    response.once('close', () => this.countPending(socket, -1));
     response.once('close', () => work.end());
     const parsed = dialect.readRequest(incoming, clock.monotonicMs());
     const sink = new HttpAnswerSink({
@@ -154,18 +150,12 @@
     }
   }
 
-  private countPending(socket: Socket, change: number): void {
-    const count = this.pendingCounts.get(socket) ?? 0;
-    this.pendingCounts.set(socket, count + change);
-  }
-
   /**
    * Rejects a request that was not read. While an earlier request of the connection has no
    * complete response, the caller would take the rejection for that response.
    */
   private rejectUnread(error: NodeJS.ErrnoException, socket: Socket): void {
-    const isPending = (this.pendingCounts.get(socket) ?? 0) > 0;
-    if (!isPending && socket.writable) {
+    if (!this.connections.isPending(socket) && socket.writable) {
       const status = REJECTION_STATUSES[error.code ?? ''] ?? '400 Bad Request';
       socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
     }
@@ -242,19 +232,6 @@
   }
 }
 
-/**
- * Node emits no `close` for a response that is still queued behind another one when their
- * connection closes. What it holds would never be released.
- */
-function closeWithConnection(
-  {socket}: IncomingMessage,
-  response: ServerResponse,
-): void {
-  const close = () => response.emit('close');
-  socket.once('close', close);
-  response.once('close', () => socket.off('close', close));
-}
-
 /** Counts names and values plus four bytes of `: ` and CRLF per header. */
 function countHeaderBytes({rawHeaders}: IncomingMessage): number {
   return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
--- a/packages/caller-edge/src/cut_connections.test.ts
+++ b/packages/caller-edge/src/cut_connections.test.ts
@@ -1,24 +1,14 @@
 /** Responses that are cut off, as the callers' connections show it. */
-import {type IncomingMessage} from 'node:http';
-import {type AddressInfo, type Socket, connect, createServer} from 'node:net';
-import {once} from 'node:events';
-import {SystemClock} from '@mimosatack/clock';
-import {DrainGate, InFlight} from '@mimosatack/drain-node';
-import {type AnswerSink, type CallerRequest} from '@mimosatack/serve-requests';
+import {type Socket, connect} from 'node:net';
+import {type AnswerSink} from '@mimosatack/serve-requests';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {CallerEdge} from './caller_edge.js';
-import {type EdgeDialect} from './edge_dialect.js';
+import {type CallerEdge} from './caller_edge.js';
+import {startEdge} from './edge_fixture.js';
 import {type HttpAnswerSink} from './http_answer_sink.js';
-import {MemoryWatch} from './memory_watch.js';
 
 const test = suite('responses that are cut off');
 
-const DIALECT = {
-  readRequest: ({headers, url}: IncomingMessage) => ({
-    ...{requestId: url, headers: [], host: headers.host},
-  }),
-} as unknown as EdgeDialect;
 const TIMEOUT_MS = 3_000;
 const LAST_CHUNK = '0\r\n\r\n';
 
@@ -45,39 +35,6 @@
   'HTTP/1.1\r\nHost: h\r\n',
 ];
 
-async function findFreePort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  return port;
-}
-
-async function startEdge(
-  serve: (request: CallerRequest, sink: AnswerSink) => Promise<void>,
-) {
-  const clock = new SystemClock();
-  const edge = new CallerEdge({
-    ...{clock, dialect: DIALECT, serve},
-    memory: new MemoryWatch({
-      ...{clock, limitBytes: 1_048_576},
-      observer: {
-        onPressure: () => undefined,
-        onCutOff: () => undefined,
-        onRefused: () => undefined,
-      },
-      readSendQueues: () => Promise.resolve(null),
-    }),
-    gate: new DrainGate(new InFlight(clock)),
-    checkHead: () => null,
-    onNoMemory: () => undefined,
-    onFault: () => undefined,
-  });
-  const port = await findFreePort();
-  await edge.listen({ip: '127.0.0.1', port});
-  return {edge, port};
-}
-
 /** Resolves with what the caller received, and how its connection ended. */
 async function receive(
   version: string,
--- a/packages/drain-node/src/index.ts
+++ b/packages/drain-node/src/index.ts
@@ -1,3 +1,4 @@
+export {CallerConnections} from './caller_connections.js';
 export {DrainGate, type GateState} from './drain_gate.js';
 export {InFlight, type WorkHandle, type WorkInFlight} from './in_flight.js';
 export {
