Answer each request of a connection before a planned stop ends it

Cause: each response of a node that stops said Connection: close, also one behind which others waited, and Node's HTTP server ends the connection after it. In the product's own program requests behind others also counted as in flight for good once their caller had left.

Change: the response to the newest request that was read from a connection says so, decided when its head is sent. A request that is read behind it does not run. The product's own program uses the same CallerConnections.

Why it holds: requests are read in order; one that comes later than the head of the last response crosses the close that this head announced.

--- a/packages/caller-edge/src/caller_edge.ts
+++ b/packages/caller-edge/src/caller_edge.ts
@@ -128,7 +128,8 @@
     response: ServerResponse,
   ): Promise<void> {
     const {clock, dialect, gate} = this.options;
-    this.connections.add(incoming, response);
+    // The connection ends before a response to this request could be sent.
+    if (!this.connections.add(incoming, response)) return;
     const work = gate.inFlight.begin(`${incoming.method} ${incoming.url}`);
     resetWhenCut(incoming, response);
     response.once('close', () => work.end());
@@ -137,7 +138,7 @@
       response,
       dialect,
       requestId: parsed instanceof TypedError ? null : parsed.requestId,
-      closesConnection: () => gate.state !== 'serving' || !incoming.complete,
+      closesConnection: () => this.closesAfter(incoming, response),
     });
     if (!(parsed instanceof TypedError)) work.setRequestId(parsed.requestId);
     try {
@@ -150,6 +151,20 @@
     }
   }
 
+  /** Whether the response, whose head is sent now, is the last one of its connection. */
+  private closesAfter(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): boolean {
+    const {connections, options} = this;
+    const isLast =
+      options.gate.state !== 'serving' &&
+      connections.isNewest(incoming, response);
+    const closes = isLast || !incoming.complete;
+    if (closes) connections.endAfter(incoming, response);
+    return closes;
+  }
+
   /**
    * Rejects a request that was not read. While an earlier request of the connection has no
    * complete response, the caller would take the rejection for that response.
--- a/packages/caller-edge/src/stopped_connections.test.ts
+++ b/packages/caller-edge/src/stopped_connections.test.ts
@@ -14,6 +14,7 @@
 const LARGE_BYTES = 16 * 1024 * 1024;
 const SETTLE_MS = 100;
 const TIMEOUT_MS = 3_000;
+const CLOSE_HEADER = /^connection: close/gim;
 
 const edges: CallerEdge[] = [];
 
@@ -76,6 +77,42 @@
   assert.is(end, 'end');
 });
 
+// Guards against requests that have run and are never answered, as the response before
+// ends their connection.
+test('each of several requests on a connection is answered', async () => {
+  const {caller, sinks, stop} = await startStoppable();
+  send(caller, '/1', '/2', '/3');
+  await sleep(SETTLE_MS);
+  stop();
+  answer(sinks.get('/2'), 'second');
+  answer(sinks.get('/1'), 'first');
+  answer(sinks.get('/3'), 'third');
+  const {text, end} = await readAll(caller);
+  assert.match(text, /first[^]*second[^]*third$/);
+  assert.is(text.match(CLOSE_HEADER)?.length, 1);
+  assert.is(end, 'end');
+});
+
+// Guards against a request that runs although its connection ends before its response.
+test('a request behind the last response of a connection does not run', async () => {
+  const {caller, sinks, stop} = await startStoppable();
+  send(caller, '/1');
+  await sleep(SETTLE_MS);
+  stop();
+  const sink = sinks.get('/1');
+  sink?.begin(200, ['Content-Length', '5']);
+  sink?.write(Buffer.from('fir'));
+  await sleep(SETTLE_MS);
+  send(caller, '/2');
+  await sleep(SETTLE_MS);
+  sink?.write(Buffer.from('st'));
+  sink?.end();
+  const {text, end} = await readAll(caller);
+  assert.match(text, /first$/);
+  assert.is(end, 'end');
+  assert.equal([...sinks.keys()], ['/1']);
+});
+
 // Guards against a request that is lost because its head is read in part at the stop.
 test('a request that arrives in parts is answered', async () => {
   const {caller, sinks, stop} = await startStoppable();
--- a/packages/drain-node/src/caller_connections.ts
+++ b/packages/drain-node/src/caller_connections.ts
@@ -9,6 +9,8 @@
 interface ConnectionState {
   /** Responses that are not written out yet, in the order of their requests. */
   readonly pending: Set<ServerResponse>;
+  /** The response after which the connection ends; null if it stays open. */
+  lastResponse: ServerResponse | null;
   /** `bytesRead` of the socket when nothing was pending any more. */
   idleBytesRead: number;
 }
@@ -26,12 +28,17 @@
     server.closeIdleConnections = () => this.closeDone();
   }
 
-  /** Has to be called for each request as it is read. */
-  add({socket}: IncomingMessage, response: ServerResponse): void {
+  /**
+   * Has to be called for each request as it is read. Returns false for one that must not
+   * run: the connection ends after an earlier response.
+   */
+  add({socket}: IncomingMessage, response: ServerResponse): boolean {
     const state = this.states.get(socket) ?? this.watch(socket);
+    if (state.lastResponse !== null) return false;
     state.pending.add(response);
     closeWithConnection(socket, response);
     response.once('close', () => this.remove(socket, state, response));
+    return true;
   }
 
   /** Whether a request of the connection has no complete response. */
@@ -39,6 +46,17 @@
     return (this.states.get(socket)?.pending.size ?? 0) > 0;
   }
 
+  /** Whether no request was read behind the one of this response. */
+  isNewest({socket}: IncomingMessage, response: ServerResponse): boolean {
+    return [...(this.states.get(socket)?.pending ?? [])].at(-1) === response;
+  }
+
+  /** Has to be called for a response that tells the caller that the connection ends. */
+  endAfter({socket}: IncomingMessage, response: ServerResponse): void {
+    const state = this.states.get(socket);
+    if (state) state.lastResponse = response;
+  }
+
   /** Closes connections that are done, and from now on each one as soon as it is. */
   closeDone(): void {
     this.isStopping = true;
@@ -50,7 +68,7 @@
 
   private watch(socket: Socket): ConnectionState {
     const state: ConnectionState = {
-      ...{pending: new Set(), idleBytesRead: 0},
+      ...{pending: new Set(), lastResponse: null, idleBytesRead: 0},
     };
     this.states.set(socket, state);
     socket.once('close', () => this.states.delete(socket));
--- a/packages/serve-callers/src/drain.test.ts
+++ b/packages/serve-callers/src/drain.test.ts
@@ -1,3 +1,7 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {text as readText} from 'node:stream/consumers';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {ManualClock, SystemClock} from '@mimosatack/clock';
 import {DrainGate, InFlight, ShutdownTask} from '@mimosatack/drain-node';
 import {MemoryEventLogger} from '@mimosatack/logger';
@@ -5,6 +9,7 @@
 import * as assert from 'uvu/assert';
 import {request} from 'undici';
 import {
+  TOKENS,
   type Engine,
   type Entry,
   askForStream,
@@ -13,12 +18,14 @@
   receive,
   startEntry,
   startWarmEngine,
+  waitUntil,
 } from './caller_fixture.js';
 
 const test = suite('draining the server for callers');
 
 const TELL_CALLERS_MS = 1_000;
 const GRACE_MS = 60_000;
+const TIMEOUT_MS = 3_000;
 
 interface Fixture {
   engine: Engine;
@@ -80,6 +87,36 @@
     assert.is(await shutdown.exited, 0);
   }));
 
+test('each of several streams on a connection is answered after a stop', () =>
+  // Guards against requests that have run and are never answered, as the response before
+  // ends their connection.
+  withEntry(async ({engine, entry, shutdown}) => {
+    const count = 3;
+    const caller = connect(Number(new URL(entry.baseUrl).port), '127.0.0.1');
+    await once(caller, 'connect');
+    caller.write(formatStreamRequest(makePrompt(50)).repeat(count));
+    await waitUntil(() => engine.core.observe().requests.length === count);
+    shutdown.requestStop('SIGTERM');
+    const text = await Promise.race([readText(caller), sleep(TIMEOUT_MS, '')]);
+    assert.is(text.match(/\[DONE\]/g)?.length, count);
+    assert.is(text.match(/^connection: close/gim)?.length, 1);
+  }));
+
+test('requests behind others end with their connection', () =>
+  // Guards against a stop that waits for requests whose caller has left.
+  withEntry(async ({engine, entry}) => {
+    const caller = connect(Number(new URL(entry.baseUrl).port), '127.0.0.1');
+    await once(caller, 'connect');
+    caller.write(formatStreamRequest(makePrompt(20_000)).repeat(2));
+    await waitUntil(() => engine.core.observe().requests.length === 2);
+    caller.destroy();
+    const inFlight = entry.gate.inFlight.whenIdle().then(() => 'none');
+    assert.is(
+      await Promise.race([inFlight, sleep(TIMEOUT_MS, 'some')]),
+      'none',
+    );
+  }));
+
 test('refuses later requests as not run, with other addresses', () =>
   withEntry(async ({engine, entry, clock, shutdown}) => {
     const running = await askForStream(entry, makePrompt(20_000));
@@ -120,6 +157,17 @@
 
 test.run();
 
+function formatStreamRequest(prompt: object): string {
+  const body = JSON.stringify({...prompt, stream: true});
+  return [
+    'POST /v1/chat/completions HTTP/1.1',
+    ...['Host: h', 'Content-Type: application/json'],
+    `Authorization: Bearer ${TOKENS.prairie}`,
+    `Content-Length: ${body.length}\r\n`,
+    body,
+  ].join('\r\n');
+}
+
 interface RefusalBody {
   error: {kind: string; run: string; info: {entries: {nodeName: string}[]}};
 }
--- a/packages/serve-callers/src/drain_hooks.ts
+++ b/packages/serve-callers/src/drain_hooks.ts
@@ -1,7 +1,12 @@
 /** Refuses new requests while the node starts or shuts down. */
-import {type WorkHandle} from '@mimosatack/drain-node';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+  CallerConnections,
+  type DrainGate,
+  type WorkHandle,
+} from '@mimosatack/drain-node';
 import {type RunOutcome, TypedError} from '@mimosatack/errors';
-import {type FastifyInstance, type FastifyReply} from 'fastify';
+import {type FastifyInstance} from 'fastify';
 import {type CallerContext} from './caller_context.js';
 import {findRunBeforeKeyLookup} from './unrepeatable_calls.js';
 
@@ -24,11 +29,13 @@
   context: CallerContext,
 ): void {
   const {drainGate} = context;
+  const connections = new CallerConnections(server.server);
   server.decorateRequest('workInFlight', null);
   server.addHook('onRequest', async (incoming, reply) => {
-    if (drainGate.state === 'leaving' || drainGate.state === 'refusing') {
-      setLeavingHeaders(reply);
-    }
+    // The connection ends before a response to this request could be sent.
+    if (!connections.add(incoming.raw, reply.raw)) return reply.hijack();
+    tellLastResponse(drainGate, connections, incoming.raw, reply.raw);
+    if (isLeaving(drainGate)) void reply.header(ENTRY_STATE_HEADER, 'leaving');
     if (ALWAYS_ANSWERED_PATHS.test(incoming.url)) return;
     refuseByState(context, findRunBeforeKeyLookup(incoming.headers));
     const route = incoming.routeOptions.url ?? 'unknown route';
@@ -44,11 +51,31 @@
   });
 }
 
-/** Makes the caller send its next request to another node. */
-function setLeavingHeaders(reply: FastifyReply): void {
-  void reply
-    .header('connection', 'close')
-    .header(ENTRY_STATE_HEADER, 'leaving');
+function isLeaving({state}: DrainGate): boolean {
+  return state === 'leaving' || state === 'refusing';
+}
+
+/**
+ * Makes the caller of a leaving node send its next request to another one. Decides when the
+ * head is sent, as further requests of the connection may have been read by then.
+ */
+function tellLastResponse(
+  gate: DrainGate,
+  connections: CallerConnections,
+  incoming: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const writeHead = response.writeHead.bind(response) as (
+    ...parameters: unknown[]
+  ) => ServerResponse;
+  response.writeHead = (...parameters: unknown[]) => {
+    if (isLeaving(gate) && connections.isNewest(incoming, response)) {
+      connections.endAfter(incoming, response);
+      // Node's HTTP server then sends `Connection: close`.
+      response.shouldKeepAlive = false;
+    }
+    return writeHead(...parameters);
+  };
 }
 
 function refuseByState(context: CallerContext, run: RunOutcome): void {
