--- a/packages/caller-edge/src/edge_fixture.ts
+++ b/packages/caller-edge/src/edge_fixture.ts
@@ -14,6 +14,7 @@
     ...{requestId: url, headers: [], host: headers.host},
   }),
 } as unknown as EdgeDialect;
+
 async function findFreePort(): Promise<number> {
   const server = createServer().listen(0, '127.0.0.1');
   await once(server, 'listening');
