Log each load from the weight store, and count models by their copies

Event 3403 did not say where a load came from, and nothing told why a load from the store began, how many models it had to choose from, how long it took and how many ran beside it. Events 3414 and 3415 do, event 3403 names the tier, and the gauges schedule.models_without_copy and schedule.models_with_one_copy count the configured models.

StoreLoader holds what the scheduler knew of such loads. No decision changes.

--- a/packages/logger/src/events/scheduling_events.ts
+++ b/packages/logger/src/events/scheduling_events.ts
@@ -143,6 +143,7 @@
       operation: 'load or unload',
       model: 'the model',
       adapter: 'the adapter, if one was meant',
+      tier: 'where a model is loaded from: host-memory, disk or store',
       expectedCount: 'how many orders it should have accepted before',
       outcome: 'what it answered',
       cause: 'what went wrong, if something did',
@@ -198,6 +199,42 @@
       'See in events 3403 and 3404 of the model whether it was ordered, and what refused it; ' +
       'add engines if there is no room for it.',
   },
+  'store-load-started': {
+    number: 3414,
+    level: 'info',
+    message: 'An engine is to load a model from the weight store.',
+    fields: {
+      model: 'the model',
+      backendServerId: 'the engine',
+      victim: 'the model that makes room for it, if one has to',
+      requestsPerSecond: 'the rate at which the model is asked for',
+      refusals: 'requests for it that were refused since it was last served',
+      copies: 'engines that hold the model or its weights',
+      modelsWithoutCopy:
+        'models that are asked for and that no engine holds or has the weights of, this one included',
+      configuredWithoutCopy:
+        'configured models that no engine holds or has the weights of',
+      configuredWithOneCopy:
+        'configured models that one engine alone holds or has the weights of',
+      concurrency: 'loads from the store under way, this one included',
+      limit: 'loads from the store that may run at once',
+    },
+  },
+  'store-load-ended': {
+    number: 3415,
+    level: 'info',
+    message: 'A load from the weight store no longer counts as under way.',
+    fields: {
+      model: 'the model',
+      backendServerId: 'the engine',
+      result:
+        'loaded; early: the engine listed the model before its load can have ended; lost: no report of it came; gone: the engine has left or has not carried out the order',
+      tookMs: 'time since the load was ordered, if it was loaded or lost',
+      expectedMs: 'the time it takes at full speed',
+      peakConcurrency: 'most loads from the store under way meanwhile',
+      limit: 'loads from the store that may run at once from now on',
+    },
+  },
   'share-refused': {
     number: 3407,
     level: 'info',
--- a/packages/metrics/src/catalogue.ts
+++ b/packages/metrics/src/catalogue.ts
@@ -191,6 +191,14 @@
     'Models and adapters that are asked for again and again and never served; at the node that schedules.',
     {},
   ),
+  'schedule.models_without_copy': gauge(
+    'Configured models that no engine holds or has the weights of, so that they come from the weight store; at the node that schedules.',
+    {},
+  ),
+  'schedule.models_with_one_copy': gauge(
+    'Configured models that one engine alone holds or has the weights of; at the node that schedules.',
+    {},
+  ),
   'places.services': gauge(
     'Plain services whose places this node assigns for all nodes.',
     {},
--- a/packages/schedule-models/src/engine_incarnations.test.ts
+++ b/packages/schedule-models/src/engine_incarnations.test.ts
@@ -110,7 +110,7 @@
   const sim = new SchedulerSimulation([old]);
   const order = {
     ...{engineId: 'e1', operation: 'load' as const, model: 'other'},
-    ...{adapter: null, expectedCount: 0},
+    ...{adapter: null, tier: null, expectedCount: 0},
   };
   sim.scheduler.recordOrderSent(order);
   sim.scheduler.putEngine(restarted, 1_000);
@@ -129,7 +129,7 @@
   const sim = new SchedulerSimulation([old]);
   const late = {
     ...{engineId: 'e1', operation: 'load' as const, model: 'other'},
-    ...{adapter: null, expectedCount: 2},
+    ...{adapter: null, tier: null, expectedCount: 2},
   };
   sim.scheduler.recordOrderSent(late);
   sim.scheduler.recordOrderOutcome(late, 'unknown', 500);
--- a/packages/schedule-models/src/engine_index.ts
+++ b/packages/schedule-models/src/engine_index.ts
@@ -8,6 +8,12 @@
 import {toModelKey} from './model_key.js';
 import {type ScheduledRequest} from './scheduled_request.js';
 
+/** Numbers of models without a copy and with a single one, loaded or cached. */
+export interface CopyTotals {
+  none: number;
+  one: number;
+}
+
 type EnginesByModel = Map<string, EngineView[]>;
 
 const NONE: readonly EngineView[] = [];
@@ -37,6 +43,20 @@
     return this.cachingEngines.get(toModelKey(service, model)) ?? NONE;
   }
 
+  /** Counts models by the number of engines that hold, load or cache them. */
+  countByCopies(
+    models: ReadonlyArray<{service: ServiceName; model: ModelName}>,
+  ): CopyTotals {
+    const counts = models.map(({service, model}) => {
+      const holders = this.listHolders(service, model);
+      return new Set([...holders, ...this.listCaching(service, model)]).size;
+    });
+    return {
+      none: counts.filter(count => count === 0).length,
+      one: counts.filter(count => count === 1).length,
+    };
+  }
+
   /**
    * Whether another engine of the same software version holds the model or can load it
    * without the weight store. Guards against streams that are lost with their engine since
--- a/packages/schedule-models/src/find_store_load.ts
+++ b/packages/schedule-models/src/find_store_load.ts
@@ -50,8 +50,14 @@
 const BLOCKED_SWAPS_COST = 0.02;
 
 export interface StoreLoad {
+  service: ServiceName;
   model: ModelName;
   choice: SwapChoice;
+  rate: number;
+  /** Number of engines that hold or cache the model. */
+  copies: number;
+  /** Number of models that are asked for and that no engine holds or caches. */
+  modelsWithoutCopy: number;
 }
 
 /** The engines that hold or cache a model, by their software version. */
@@ -113,9 +119,14 @@
 ): StoreLoad | null {
   const candidates = listCandidates(context);
   if (candidates.length === 0) return null;
-  for (const need of listCopyNeeds(context, candidates)) {
+  const needs = listCopyNeeds(context, candidates);
+  const modelsWithoutCopy = needs.filter(({copies}) => copies === 0).length;
+  for (const need of needs) {
     const choice = chooseEngine(need, candidates, load);
-    if (choice) return {model: need.model, choice};
+    const {service, model, rate, copies} = need;
+    if (choice) {
+      return {service, model, choice, rate, copies, modelsWithoutCopy};
+    }
   }
   return null;
 }
--- a/packages/schedule-models/src/index.ts
+++ b/packages/schedule-models/src/index.ts
@@ -19,5 +19,8 @@
   type ShareRefusal,
   isNotRun,
 } from './scheduled_request.js';
+export {type CopyTotals} from './engine_index.js';
 export {ModelScheduler, type ModelSchedulerOptions} from './scheduler.js';
+export {type StoreLoadObserver, type StoreLoadStart} from './store_loader.js';
+export {type StoreLoadEnd} from './store_loads.js';
 export {type SwapPolicy} from './swap_policy.js';
--- a/packages/schedule-models/src/scheduled_request.ts
+++ b/packages/schedule-models/src/scheduled_request.ts
@@ -9,6 +9,7 @@
   type TeamName,
   isVersionAllowed,
 } from '@mimosatack/types';
+import {type WeightTier} from './cached_weights.js';
 
 /** A request that waits for an engine. Times are on the monotonic clock. */
 export interface ScheduledRequest {
@@ -92,6 +93,8 @@
   model: ModelName;
   adapter: AdapterName | null;
   expectedCount: number;
+  /** Where a model is loaded from; null for adapters and unloads. */
+  tier: WeightTier | null;
 }
 
 /** What a request uses of the share of its team. */
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -18,15 +18,14 @@
   isVersionAllowed,
 } from '@mimosatack/types';
 import {EngineAccess} from './engine_access.js';
-import {findStoreLoad} from './find_store_load.js';
-import {StoreLoads} from './store_loads.js';
+import {StoreLoader, type StoreLoadObserver} from './store_loader.js';
 import {CopyCounts} from './copy_counts.js';
 import {planAdapter} from './adapter_plan.js';
 import {listReadyEngines} from './choose_engine.js';
 import {DemandRates} from './demand.js';
 import {EngineCompletion} from './engine_completion.js';
 import {EngineForecast} from './engine_forecast.js';
-import {EngineIndex} from './engine_index.js';
+import {type CopyTotals, EngineIndex} from './engine_index.js';
 import {type EngineView} from './engine_view.js';
 import {EngineViews} from './engine_views.js';
 import {DeferredRequests} from './deferred_requests.js';
@@ -58,12 +57,6 @@
 
 /** Interval of decisions while requests are deferred. */
 const PACING_POLL_MS = 15;
-/**
- * Interval between searches for a load from the weight store. Such a load takes
- * seconds, so a search for each request would find nothing more.
- */
-const STORE_CHECK_MS = 250;
-
 export interface ModelSchedulerOptions {
   policy: SwapPolicy;
   /** Spends the limits that engines name; none by default. */
@@ -72,6 +65,7 @@
   isLeaving?: (engine: ServerIncarnation) => boolean;
   /** No order may be sent to the engine before this time. */
   ordersBlockedUntilMs?: (engineId: BackendServerId) => number;
+  observer?: StoreLoadObserver;
   /** Makes the order between teams; virtual counters by default. */
   makeOrder?: () => FairOrder<RequestItem>;
 }
@@ -98,8 +92,10 @@
   private readonly index: EngineIndex = new EngineIndex(() =>
     this.engines.list(),
   );
-  private readonly storeLoads = new StoreLoads();
-  private nextStoreCheckMs = 0;
+  private readonly storeLoader = new StoreLoader({
+    findObserver: () => this.options.observer,
+    countModelsByCopies: () => this.countModelsByCopies(),
+  });
   /** The counts of the current decision. */
   private copies: CopyCounts | null = null;
   private readonly refusals = new RefusalCounts();
@@ -143,7 +139,7 @@
     nowMs: number,
   ): void {
     const models = residents.map(({model}) => model);
-    this.storeLoads.recordResidents(id, models, nowMs);
+    this.storeLoader.loads.recordResidents(id, models, nowMs);
   }
 
   removeEngine(id: BackendServerId): void {
@@ -151,7 +147,7 @@
   }
 
   private removeEngineState(id: BackendServerId): void {
-    this.storeLoads.recordEnd(id);
+    this.storeLoader.loads.recordEnd(id);
     this.access.remove(id);
     this.speed.remove(id);
     this.forecast.removeEngine(id);
@@ -249,7 +245,7 @@
     nowMs: number,
   ): void {
     this.engines.get(order.engineId)?.recordOutcome(order, outcome, nowMs);
-    if (outcome === 'refused') this.storeLoads.recordEnd(order.engineId);
+    if (outcome === 'refused') this.storeLoader.loads.recordEnd(order.engineId);
   }
 
   /** Engines whose state has to be queried before they receive orders. */
@@ -400,11 +396,16 @@
 
   /** Starts at most one load from the weight store. */
   private startStoreLoad(isBusy: boolean, context: SwapContext): Decision[] {
-    const {nowMs} = context;
-    if (nowMs < this.nextStoreCheckMs) return [];
-    this.nextStoreCheckMs = nowMs + STORE_CHECK_MS;
-    const load = findStoreLoad(context, isBusy ? 'busy' : 'idle');
-    return load ? [this.startSwap(load.model, load.choice, nowMs)] : [];
+    const load = this.storeLoader.findNext(isBusy, context);
+    if (!load) return [];
+    const {model, choice} = load;
+    const decision = this.startSwap(model, choice, context.nowMs);
+    this.storeLoader.reportStart(load, context);
+    return [decision];
+  }
+
+  countModelsByCopies(): CopyTotals {
+    return this.index.countByCopies(this.catalogue.listModels());
   }
 
   private startSwap(
@@ -413,8 +414,7 @@
     nowMs: number,
   ): Decision {
     if (engine.findTier(model) === 'store') {
-      const durationMs = engine.findLoadMs(model);
-      this.storeLoads.recordStart(engine.id, model, durationMs, nowMs);
+      this.storeLoader.recordStart(engine, model, nowMs);
     }
     engine.swap = {model, victim: victim?.model ?? null};
     this.index.invalidateHolders();
@@ -427,8 +427,8 @@
   private makeSwapContext(nowMs: number): SwapContext {
     const engines = this.listEngines();
     this.copies = new CopyCounts(engines, nowMs);
-    const {index, catalogue, demand, refusals, speed, storeLoads, copies} =
-      this;
+    const {index, catalogue, demand, refusals, speed, copies} = this;
+    const {loads: storeLoads} = this.storeLoader;
     const {pauses} = this.access;
     const {findTeamUse} = this.waiting;
     return makeSwapContext(nowMs, {
--- a/packages/schedule-models/src/store_loads.ts
+++ b/packages/schedule-models/src/store_loads.ts
@@ -43,6 +43,25 @@
   isReportedEarly: boolean;
 }
 
+/** How a load from the weight store has ended. */
+export interface StoreLoadEnd {
+  engineId: BackendServerId;
+  model: ModelName;
+  /**
+   * `loaded` if an engine reported it in time, `early` if it was reported before it can have
+   * finished, `lost` if no report came, `gone` if the engine has left or has refused it.
+   */
+  result: 'loaded' | 'early' | 'lost' | 'gone';
+  /** Null if the engine has left or has refused the load. */
+  tookMs: number | null;
+  /** Duration at full speed. */
+  expectedMs: number;
+  /** The highest number of concurrent loads during this one, itself included. */
+  peakConcurrency: number;
+  /** Number of concurrent loads that are allowed from now on. */
+  limit: number;
+}
+
 /**
  * Limits loads to the store's rate and learns how many concurrent loads it
  * supports, which is not configured.
@@ -59,6 +78,13 @@
   private overloadCount = Infinity;
   private overloadedAtMs = -Infinity;
 
+  /** @param onEnd called for each load that no longer counts as running. */
+  constructor(private readonly onEnd: (end: StoreLoadEnd) => void = () => {}) {}
+
+  get runningCount(): number {
+    return this.running.size;
+  }
+
   get concurrencyLimit(): number {
     return this.limit;
   }
@@ -104,13 +130,30 @@
       load.isReportedEarly = true;
       return;
     }
-    this.running.delete(engineId);
     if (!load.isReportedEarly) this.updateLimit(load, nowMs);
+    this.finish(engineId, load.isReportedEarly ? 'early' : 'loaded', nowMs);
   }
 
   /** Called when the engine has left or has refused the load. */
   recordEnd(engineId: BackendServerId): void {
+    this.finish(engineId, 'gone', null);
+  }
+
+  private finish(
+    engineId: BackendServerId,
+    result: StoreLoadEnd['result'],
+    nowMs: number | null,
+  ): void {
+    const load = this.running.get(engineId);
+    if (!load) return;
     this.running.delete(engineId);
+    const {model, startedAtMs, durationMs, peakConcurrency} = load;
+    this.onEnd({
+      ...{engineId, model, result, peakConcurrency},
+      ...{tookMs: nowMs === null ? null : nowMs - startedAtMs},
+      expectedMs: durationMs,
+      limit: this.limit,
+    });
   }
 
   private updateLimit(
@@ -143,7 +186,9 @@
       ({startedAtMs, durationMs, isReportedEarly}, engineId) => {
         const times = isReportedEarly ? 1 : LOST_LOAD_FACTOR;
         const isOver = nowMs - startedAtMs > times * durationMs;
-        if (isOver) this.running.delete(engineId);
+        if (isOver) {
+          this.finish(engineId, isReportedEarly ? 'early' : 'lost', nowMs);
+        }
       },
     );
   }
--- a/packages/schedule-service/src/scheduling_service.ts
+++ b/packages/schedule-service/src/scheduling_service.ts
@@ -3,9 +3,12 @@
 import {TypedError} from '@mimosatack/errors';
 import {type EventLogger} from '@mimosatack/logger';
 import {
+  type CopyTotals,
   type Decision,
   ModelScheduler,
   type PlannedOrder,
+  type StoreLoadEnd,
+  type StoreLoadStart,
   type SwapPolicy,
   isNotRun,
 } from '@mimosatack/schedule-models';
@@ -102,6 +105,10 @@
       limiter: options.limiter,
       isLeaving: engine => options.availability.isLeaving(engine),
       ordersBlockedUntilMs: options.ordersBlockedUntilMs,
+      observer: {
+        onStoreLoadStart: start => this.logStoreLoadStart(start),
+        onStoreLoadEnd: end => this.logStoreLoadEnd(end),
+      },
     });
     this.abandoned = new AbandonedRequests({
       ...{logger: options.logger, asks: this.asks, scheduler: this.scheduler},
@@ -326,6 +333,10 @@
     return this.unserved.count;
   }
 
+  countModelsByCopies(): CopyTotals {
+    return this.scheduler.countModelsByCopies();
+  }
+
   private assignAndOrder(nowMs: number): void {
     const mayOrder = this.options.authority() !== null;
     this.scheduler
@@ -391,6 +402,30 @@
     if (told) this.options.logger.log('model-unserved', {...told});
   }
 
+  private logStoreLoadStart({
+    engineId,
+    rate,
+    configured,
+    model,
+    victim,
+    ...counts
+  }: StoreLoadStart): void {
+    const {refusals, copies, modelsWithoutCopy, concurrency, limit} = counts;
+    this.options.logger.log('store-load-started', {
+      ...{model, backendServerId: engineId, victim: victim ?? undefined},
+      ...{requestsPerSecond: rate, refusals, copies, modelsWithoutCopy},
+      configuredWithoutCopy: configured.none,
+      configuredWithOneCopy: configured.one,
+      ...{concurrency, limit},
+    });
+  }
+
+  private logStoreLoadEnd({engineId, ...end}: StoreLoadEnd): void {
+    this.options.logger.log('store-load-ended', {
+      ...{...end, backendServerId: engineId},
+    });
+  }
+
   private async sendOrder(order: PlannedOrder): Promise<void> {
     const {orders, onFenced, logger} = this.options;
     const server = this.servers.get(order.engineId);
@@ -407,6 +442,7 @@
     logger.log('engine-ordered', {
       ...{backendServerId: order.engineId, operation: order.operation},
       ...{model: order.model, adapter: order.adapter, outcome},
+      tier: order.tier,
       ...{expectedCount: order.expectedCount, cause},
       tookMs: Math.round(this.nowMs() - sentAtMs),
     });
--- a/packages/serving-node/src/node_state_metrics.ts
+++ b/packages/serving-node/src/node_state_metrics.ts
@@ -10,6 +10,8 @@
   serversLeaving: number;
   serversPaused: number;
   modelsUnserved: number;
+  modelsWithoutCopy: number;
+  modelsWithOneCopy: number;
   placesServices: number;
   placesLimit: number;
   placesTaken: number;
@@ -44,6 +46,8 @@
   metrics.gauge('servers.leaving', figures.serversLeaving, {});
   metrics.gauge('servers.paused', figures.serversPaused, {});
   metrics.gauge('schedule.unserved', figures.modelsUnserved, {});
+  metrics.gauge('schedule.models_without_copy', figures.modelsWithoutCopy, {});
+  metrics.gauge('schedule.models_with_one_copy', figures.modelsWithOneCopy, {});
   metrics.gauge('places.services', figures.placesServices, {});
   metrics.gauge('places.limit', figures.placesLimit, {});
   metrics.gauge('places.taken', figures.placesTaken, {});
--- a/packages/serving-node/src/scheduling_duty.ts
+++ b/packages/serving-node/src/scheduling_duty.ts
@@ -250,7 +250,10 @@
   /** Of what this node schedules; zero at others. */
   get gauges() {
     const servers = this.placing?.describePlaces() ?? [];
+    const copies = this.scheduler?.countModelsByCopies();
     return {
+      modelsWithoutCopy: copies?.none ?? 0,
+      modelsWithOneCopy: copies?.one ?? 0,
       modelsUnserved: this.scheduler?.unservedCount ?? 0,
       placesServices: this.listCoordinated().length,
       placesLimit: servers.reduce((sum, {limit}) => sum + limit, 0),
