Hold no model at an engine that loads it from the store while another has it on its disk

What callers saw: requests for popular models were refused for lack of room for up to 15 s, although an engine had the weights on its disk and could have loaded them in 1.2 s.

Cause: an engine with a pending load counted as a holder of the model, whatever the load takes. A further copy from the weight store takes 10 s or more; when the engines that served the model restarted meanwhile, the batch counted as being loaded, the start estimate and the forecast of shares named the end of that load, and no engine was ordered to load it from its disk.

Change: EngineIndex.listHolders leaves out an engine whose pending load takes much longer than another engine would. All three decisions read that list.

Why it holds: the engine counts again as soon as the load is done or nearly so, and at once if no engine has the weights.

--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -269,7 +269,7 @@
    * `mayOrder`.
    */
   decide(nowMs: number, mayOrder = true): Decision[] {
-    this.index.invalidateHolders();
+    this.index.startDecision(nowMs);
     const assigned = this.assignWaiting(nowMs);
     if (!mayOrder) return [...assigned, ...this.refuseUnservable(nowMs)];
     const continued = this.continueSwaps(nowMs);
--- a/packages/schedule-models/src/scheduler_fixture.ts
+++ b/packages/schedule-models/src/scheduler_fixture.ts
@@ -66,6 +66,8 @@
 export class SchedulerSimulation {
   readonly scheduler = new ModelScheduler({policy: new BatchWorthPolicy()});
   readonly loads: Array<{engineId: string; model: string; atMs: number}> = [];
+  /** Number of refused requests. */
+  refused = 0;
   private nowMs = 0;
   private requestCount = 0;
   private runs: Run[] = [];
@@ -104,6 +106,7 @@
       if (decision.kind === 'assign') {
         this.begin(decision.askId, decision.engineId);
       }
+      if (decision.kind === 'refuse') this.refused += 1;
       if (decision.kind !== 'order') return;
       const {order} = decision;
       const {engineId, operation, model} = order;
--- a/packages/schedule-models/src/single_load.test.ts
+++ b/packages/schedule-models/src/single_load.test.ts
@@ -1,6 +1,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {SchedulerSimulation, makeEngine} from './scheduler_fixture.js';
+import {StoreSimulation} from './store_scenario_fixture.js';
 
 const test = suite('one load per batch');
 
@@ -38,4 +39,37 @@
   assert.is(new Set(used).size, 2);
 });
 
+// Guards against callers that are refused for the ten seconds that a load from the store takes,
+// although an engine has the weights on its disk.
+test('a model that is being loaded from the store is loaded from a disk meanwhile', () => {
+  const sim = new SchedulerSimulation([makeEngine('e1', RESIDENT)]);
+  sim.ask('rare');
+  sim.run(1_000, {});
+  sim.put(makeEngine('e2', RESIDENT, CACHED));
+  const {refused} = sim;
+  sim.ask('rare');
+  sim.run(400, {});
+  const used = sim.loads
+    .filter(({model}) => model === 'rare')
+    .map(({engineId}) => engineId);
+  assert.equal(used, ['e1', 'e2']);
+  sim.ask('rare');
+  sim.run(1_500, {});
+  assert.is(sim.refused, refused);
+});
+
+// Guards against the same where teams have shares and requests are refused by a forecast.
+test('a model that is being loaded from the store is served from the disk of an engine that is back', () => {
+  const sim = new StoreSimulation({
+    held: {e1: ['hot', 'other', 'warm'], e2: []},
+    everyMs: {hot: {north: 400}, other: {south: 400}, warm: {west: 400}},
+    ...{hasShares: true, fullSpeedLoads: 2, patienceMs: 12_000},
+    restartedAtMs: {e1: 2_000},
+  }).run(6_000);
+  const isPending = sim.ends.length === 0;
+  assert.equal([sim.listLoaded()[0], isPending], ['hot', true]);
+  const refused = sim.refusals.filter(({model}) => model === 'hot');
+  assert.equal(refused, []);
+});
+
 test.run();
