End loads from the weight store that their engines do not carry out

What callers saw: for up to ten times the duration of a load nothing was loaded from the weight store, or one load less at a time.

Cause: a load counts as under way from its first order. Where the order was not answered and the engine's report showed that it had not begun, or another engine had replaced it, the plan was dropped and the load still counted, until the engine was removed, had another load, or ten times its duration passed.

Evidence: first_copies.test.

Change: before each search, loads end whose engine neither holds the model nor has a load of it pending, once its state is known.

Why it holds: the state of an engine is queried after each order without an outcome, so no load that is under way ends early.

The property of first_copies.test bounds how long a model without a copy goes unserved, with engines that are lost, successors that know nothing, stores of one to four loads and unanswered orders.

--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -86,6 +86,8 @@
   swap: SwapPlan | null = null;
   /** The engine receives no work before this time. */
   cooldownUntilMs = 0;
+  /** Whether the server at the engine's address was another one at the last order. */
+  private isReplaced = false;
   readonly orders: OrderGate;
   readonly memory: EngineMemory;
   readonly limit: EngineLimit;
@@ -168,6 +170,16 @@
     return isAvailable && (this.swap?.model === model || isLoading);
   }
 
+  /**
+   * Whether no load of the model is pending or under way. False while the state of the engine is
+   * being queried, unless another engine has replaced it.
+   */
+  hasAbandoned(model: ModelName): boolean {
+    const isPending = this.swap?.model === model || this.residents.has(model);
+    const isUnknown = this.orders.sent !== null || this.orders.needsReport;
+    return !isPending && (!isUnknown || this.isReplaced);
+  }
+
   /** Fraction of the engine's slots in use. */
   get slotUtilization(): number {
     return this.runs.size / Math.max(1, this.spec.slots);
@@ -195,6 +207,7 @@
 
   applyReport(report: EngineReport, nowMs: number): void {
     if (!this.orders.applyReport(report, nowMs)) return;
+    this.isReplaced = false;
     this.syncResidents(report.residents, nowMs);
     if (report.isBusy) return;
     this.residents.forEach(resident => (resident.isUnloading = false));
@@ -339,6 +352,7 @@
   private markReplaced(nowMs: number): void {
     this.orders.notBeforeMs = nowMs + REPLACED_COOLDOWN_MS;
     this.cooldownUntilMs = nowMs + REPLACED_COOLDOWN_MS;
+    this.isReplaced = true;
     this.swap = null;
   }
 
--- a/packages/schedule-models/src/first_copies.test.ts
+++ b/packages/schedule-models/src/first_copies.test.ts
@@ -1,6 +1,11 @@
+import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {type StoreScenario, StoreSimulation} from './store_scenario_fixture.js';
+import {
+  STORE_LOAD_MS,
+  type StoreScenario,
+  StoreSimulation,
+} from './store_scenario_fixture.js';
 
 const test = suite('models without a copy');
 
@@ -32,4 +37,79 @@
   });
 });
 
+// Guards against loads that were never begun and count as under way for as long as ten of them take.
+test('a load that its engine has not begun frees its place', () => {
+  ['unknown' as const, 'replaced' as const].forEach(outcome => {
+    const sim = new StoreSimulation(
+      makeScenario({
+        everyMs: {r1: {north: 3_000}, r2: {south: 3_000}},
+        held: {e1: [], e2: []},
+        findOutcome: ({operation, engineId}) =>
+          operation === 'load' && ['e1', 'e2'].includes(engineId)
+            ? outcome
+            : null,
+        leavingAtMs: {e1: 3_500, e2: 3_500},
+        addedAtMs: {e3: 3_500, e4: 3_500},
+      }),
+    ).run(3 * STORE_LOAD_MS);
+    ['r1', 'r2'].forEach(model => {
+      const unservedMs = sim.findUnservedMs(model);
+      assert.ok(
+        unservedMs <= 1.5 * STORE_LOAD_MS,
+        `${outcome}, ${model}: ${unservedMs} ms`,
+      );
+    });
+  });
+});
+
+/** Models that an engine holds at a time. */
+const ENGINE_CAPACITY = 3;
+/** Until an end is known, the next load is chosen and a victim is unloaded. */
+const BETWEEN_LOADS_MS = 2_000;
+
+/** How long a model may go unserved that is asked for every `RARE_EVERY_MS`. */
+function findBoundMs({fullSpeedLoads, ...scenario}: StoreScenario): number {
+  const lost = Object.keys(scenario.lostAtMs ?? {}).length;
+  const restarts = (scenario.takeoversAtMs ?? []).length;
+  const models = RARE.length + lost * ENGINE_CAPACITY;
+  const rounds = Math.ceil(models / fullSpeedLoads) + 1 + lost + restarts;
+  return RARE_EVERY_MS + rounds * (STORE_LOAD_MS + BETWEEN_LOADS_MS);
+}
+
+const scenarios = fc.record({
+  hasShares: fc.boolean(),
+  fullSpeedLoads: fc.integer({min: 1, max: 4}),
+  lostAtMs: fc.constantFrom<Record<string, number>>(
+    {},
+    {e3: 14_000},
+    {e3: 21_000, e4: 32_000},
+  ),
+  takeoversAtMs: fc.constantFrom([], [9_000], [12_000, 27_000]),
+  unansweredUntilMs: fc.constantFrom(0, 9_000),
+});
+
+// Guards against models that are asked for throughout and never served, whatever other models do.
+test('each model without a copy is served within a bound', () => {
+  fc.assert(
+    fc.property(scenarios, ({unansweredUntilMs, ...drawn}) => {
+      const scenario = makeScenario({
+        ...drawn,
+        addedAtMs: {e5: 16_000, e6: 23_000},
+        // Every other load order in the first seconds is lost.
+        findOutcome: ({operation}, nowMs) =>
+          operation === 'load' && nowMs < unansweredUntilMs && nowMs % 20 === 0
+            ? 'unknown'
+            : null,
+      });
+      const boundMs = findBoundMs(scenario);
+      const sim = new StoreSimulation(scenario).run(boundMs + RARE_EVERY_MS);
+      RARE.forEach(model => {
+        const unservedMs = sim.findUnservedMs(model);
+        assert.ok(unservedMs <= boundMs, `${model}: ${unservedMs} ms`);
+      });
+    }),
+    {numRuns: 12, seed: 90},
+  );
+});
+
 test.run();
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -396,6 +396,7 @@
 
   /** Starts at most one load from the weight store. */
   private startStoreLoad(isBusy: boolean, context: SwapContext): Decision[] {
+    this.storeLoader.endAbandoned(id => this.engines.get(id));
     const load = this.storeLoader.findNext(isBusy, context);
     if (!load) return [];
     const {model, choice} = load;
--- a/packages/schedule-models/src/store_loader.ts
+++ b/packages/schedule-models/src/store_loader.ts
@@ -53,6 +53,19 @@
     return findStoreLoad(context, isBusy ? 'busy' : 'idle');
   }
 
+  /**
+   * Guards against loads that count as under way although their orders were dropped, as when an
+   * engine has not answered an order and its report shows that it has not begun.
+   */
+  endAbandoned(
+    findEngine: (id: BackendServerId) => EngineView | undefined,
+  ): void {
+    this.loads.endWhere((id, model) => {
+      const engine = findEngine(id);
+      return engine !== undefined && engine.hasAbandoned(model);
+    });
+  }
+
   recordStart(engine: EngineView, model: ModelName, nowMs: number): void {
     const durationMs = engine.findLoadMs(model);
     this.loads.recordStart(engine.id, model, durationMs, nowMs);
--- a/packages/schedule-models/src/store_loads.ts
+++ b/packages/schedule-models/src/store_loads.ts
@@ -134,7 +134,16 @@
     this.finish(engineId, load.isReportedEarly ? 'early' : 'loaded', nowMs);
   }
 
-  /** Called when the engine has left or has refused the load. */
+  /** Ends the loads that their engines are not carrying out. */
+  endWhere(
+    isAbandoned: (engineId: BackendServerId, model: ModelName) => boolean,
+  ): void {
+    this.running.forEach(({model}, engineId) => {
+      if (isAbandoned(engineId, model)) this.recordEnd(engineId);
+    });
+  }
+
+  /** Called when the engine has left or does not carry out the load. */
   recordEnd(engineId: BackendServerId): void {
     this.finish(engineId, 'gone', null);
   }
