Count loads of an earlier scheduling node, and learn nothing from them

Cause: a successor does not know the loads under way. It started as many beside them, took the time that all of them need for what the store serves at full speed, and lowered its limit to one for ten minutes. Loads that engines carry out late, by orders without an answer, do the same.

Change: an engine that reports an order which is not known here counts as loading if it was busy at its first report, or for longer than a load from a disk takes.

Why it holds: engines without a known state are queried at once, and busy ones every 150 ms; the report is all that the engines say of such orders.

--- a/packages/schedule-models/src/engine_memory.ts
+++ b/packages/schedule-models/src/engine_memory.ts
@@ -38,6 +38,11 @@
     return Math.floor(memoryMb / largestMb);
   }
 
+  get longestDiskLoadMs(): number {
+    const {models} = this.context.spec();
+    return Math.max(0, ...models.map(({diskLoadMs}) => diskLoadMs));
+  }
+
   get adapterCount(): number {
     const {residents, listLateLoads} = this.context;
     const reserved = listLateLoads().filter(({adapter}) => adapter !== null);
--- a/packages/schedule-models/src/engine_view.ts
+++ b/packages/schedule-models/src/engine_view.ts
@@ -47,6 +47,8 @@
 const REPLACED_COOLDOWN_MS = 5_000;
 /** Time until an engine that counts as lost is tried again. */
 const LOST_COOLDOWN_MS = 1_000;
+/** A busy engine reports its state several times in this time. */
+const MAX_BUSY_REPORT_AGE_MS = 1_000;
 /** Fraction of the cache capacity that requests may fill. */
 const USABLE_CACHE_FRACTION = 0.95;
 
@@ -88,6 +90,8 @@
   cooldownUntilMs = 0;
   /** Whether the server at the engine's address was another one at the last order. */
   private isReplaced = false;
+  /** When the engine reported first and last that it carries out an unknown order. */
+  private unknownWork: {sinceMs: number; lastMs: number} | null = null;
   readonly orders: OrderGate;
   readonly memory: EngineMemory;
   readonly limit: EngineLimit;
@@ -206,6 +210,9 @@
   }
 
   applyReport(report: EngineReport, nowMs: number): void {
+    const isUnknown = report.isBusy && !this.isLoadingAt(nowMs);
+    const sinceMs = this.unknownWork?.sinceMs ?? nowMs;
+    this.unknownWork = isUnknown ? {sinceMs, lastMs: nowMs} : null;
     if (!this.orders.applyReport(report, nowMs)) return;
     this.isReplaced = false;
     this.syncResidents(report.residents, nowMs);
@@ -309,14 +316,29 @@
     return this.cachedWeights.list();
   }
 
+  /**
+   * Whether the engine may be loading from the weight store by an order that is not known here: one
+   * of an earlier scheduling node, or one without an answer. Other orders take less time.
+   */
+  mayBeLoadingUnknown(nowMs: number): boolean {
+    if (!this.unknownWork) return false;
+    const {sinceMs, lastMs} = this.unknownWork;
+    const isRecent = nowMs - lastMs <= MAX_BUSY_REPORT_AGE_MS;
+    const isLong = nowMs - sinceMs > this.memory.longestDiskLoadMs;
+    const isInherited = sinceMs - this.createdAtMs <= MAX_RESPONSE_DELAY_MS;
+    return isRecent && (isLong || isInherited);
+  }
+
+  private isLoadingAt(nowMs: number): boolean {
+    return [...this.residents.values()].some(
+      ({isUnloading, readyAtMs}) => isUnloading || readyAtMs > nowMs,
+    );
+  }
+
   /** Whether an order is pending or a model is being loaded or unloaded. */
   hasOrderInProgress(nowMs: number): boolean {
     return (
-      this.orders.sent !== null ||
-      this.swap !== null ||
-      [...this.residents.values()].some(
-        ({isUnloading, readyAtMs}) => isUnloading || readyAtMs > nowMs,
-      )
+      this.orders.sent !== null || this.swap !== null || this.isLoadingAt(nowMs)
     );
   }
 
--- a/packages/schedule-models/src/first_copies.test.ts
+++ b/packages/schedule-models/src/first_copies.test.ts
@@ -62,6 +62,16 @@
   });
 });
 
+// Guards against a successor that takes the loads of its predecessor for a slow store, and that
+// loads the same models again.
+test('a successor waits for the loads that are under way', () => {
+  const scenario = makeScenario({takeoversAtMs: [9_000, 12_000]});
+  const sim = new StoreSimulation(scenario).run(40_000);
+  const loaded = sim.listLoaded();
+  assert.equal(loaded, [...new Set(loaded)]);
+  assert.ok(sim.ends.every(({limit}) => limit >= scenario.fullSpeedLoads));
+});
+
 /** Models that an engine holds at a time. */
 const ENGINE_CAPACITY = 3;
 /** Until an end is known, the next load is chosen and a victim is unloaded. */
--- a/packages/schedule-models/src/store_loader.ts
+++ b/packages/schedule-models/src/store_loader.ts
@@ -50,6 +50,7 @@
     const {nowMs} = context;
     if (nowMs < this.nextCheckMs) return null;
     this.nextCheckMs = nowMs + CHECK_INTERVAL_MS;
+    this.loads.setUnknownCount(this.countUnknown(context));
     return findStoreLoad(context, isBusy ? 'busy' : 'idle');
   }
 
@@ -66,6 +67,13 @@
     });
   }
 
+  private countUnknown({engines, nowMs}: SwapContext): number {
+    return engines.filter(
+      engine =>
+        engine.mayBeLoadingUnknown(nowMs) && !this.loads.isRunning(engine.id),
+    ).length;
+  }
+
   recordStart(engine: EngineView, model: ModelName, nowMs: number): void {
     const durationMs = engine.findLoadMs(model);
     this.loads.recordStart(engine.id, model, durationMs, nowMs);
--- a/packages/schedule-models/src/store_loads.ts
+++ b/packages/schedule-models/src/store_loads.ts
@@ -74,6 +74,8 @@
   private startTimesMs: number[] = [];
   private readonly running = new Map<BackendServerId, RunningLoad>();
   private limit = INITIAL_LIMIT;
+  /** Engines that may be loading by orders that are not known here. */
+  private unknownCount = 0;
   /** Number of concurrent loads that slowed each other down. */
   private overloadCount = Infinity;
   private overloadedAtMs = -Infinity;
@@ -85,6 +87,10 @@
     return this.running.size;
   }
 
+  isRunning(engineId: BackendServerId): boolean {
+    return this.running.has(engineId);
+  }
+
   get concurrencyLimit(): number {
     return this.limit;
   }
@@ -96,7 +102,7 @@
     );
     const maxLoads = (perSecond * WINDOW_MS * RATE_FRACTION) / MS_PER_SECOND;
     const isWithinRate = this.startTimesMs.length + 1 <= maxLoads;
-    return isWithinRate && this.running.size < this.limit;
+    return isWithinRate && this.concurrency < this.limit;
   }
 
   /** @param durationMs duration of the load at full speed. */
@@ -107,15 +113,11 @@
     nowMs: number,
   ): void {
     this.startTimesMs.push(nowMs);
-    this.running.delete(engineId);
-    const peakConcurrency = this.running.size + 1;
     this.running.set(engineId, {
-      ...{model, durationMs, peakConcurrency, startedAtMs: nowMs},
+      ...{model, durationMs, peakConcurrency: 0, startedAtMs: nowMs},
       isReportedEarly: false,
     });
-    this.running.forEach(load => {
-      load.peakConcurrency = Math.max(load.peakConcurrency, peakConcurrency);
-    });
+    this.updatePeaks();
   }
 
   /** Applies the list of models that an engine reports as resident. */
@@ -134,6 +136,25 @@
     this.finish(engineId, load.isReportedEarly ? 'early' : 'loaded', nowMs);
   }
 
+  /**
+   * Guards against a successor that starts as many loads as its predecessor has under way, and
+   * takes the time that they all need for what the store serves at full speed.
+   */
+  setUnknownCount(count: number): void {
+    this.unknownCount = count;
+    this.updatePeaks();
+  }
+
+  private get concurrency(): number {
+    return this.running.size + this.unknownCount;
+  }
+
+  private updatePeaks(): void {
+    this.running.forEach(load => {
+      load.peakConcurrency = Math.max(load.peakConcurrency, this.concurrency);
+    });
+  }
+
   /** Ends the loads that their engines are not carrying out. */
   endWhere(
     isAbandoned: (engineId: BackendServerId, model: ModelName) => boolean,
