Raise the limit on loads from the store only by loads that began at it

Cause: a load at full speed raised the limit if as many others ran beside it at any time, also if they began just before its end or were never carried out.

Change: a load raises the limit if it began as the last one that is allowed. A slow one marks the number at which it began as too many, not the highest number at its end.

Why it holds: such a load has run beside the others from its beginning, whether the store slows all loads down or only later ones.

--- a/packages/schedule-models/src/store_loads.test.ts
+++ b/packages/schedule-models/src/store_loads.test.ts
@@ -54,18 +54,21 @@
   mostAtOnce = 0;
   ended = 0;
   private started = 0;
+  /** Number of loads that took 1.5 times as long as at full speed or more. */
+  slowed = 0;
   private readonly leftMs = new Map<string, number>();
+  private readonly startedAtMs = new Map<string, number>();
 
   constructor(
     private readonly fullSpeedLoads: number,
     private readonly loadMs: number,
+    /** Whether later loads leave a load as slow as it began, or slow it down too. */
+    private readonly isFixedAtStart = false,
   ) {}
 
   run(forMs: number): this {
     for (let nowMs = 0; nowMs < forMs; nowMs += STEP_MS) {
-      const shareMs =
-        STEP_MS *
-        Math.min(1, this.fullSpeedLoads / Math.max(1, this.leftMs.size));
+      const shareMs = STEP_MS * (this.isFixedAtStart ? 1 : this.speed);
       this.leftMs.forEach((leftMs, id) =>
         this.leftMs.set(id, leftMs - shareMs),
       );
@@ -75,11 +78,18 @@
     return this;
   }
 
+  /** Fraction of the full speed at which each load proceeds. */
+  private get speed(): number {
+    return Math.min(1, this.fullSpeedLoads / Math.max(1, this.leftMs.size));
+  }
+
   private begin(nowMs: number): void {
     this.started += 1;
     const id = `e${this.started}`;
     this.loads.recordStart(id, 'm', this.loadMs, nowMs);
     this.leftMs.set(id, this.loadMs);
+    this.startedAtMs.set(id, nowMs);
+    if (this.isFixedAtStart) this.leftMs.set(id, this.loadMs / this.speed);
     this.mostAtOnce = Math.max(this.mostAtOnce, this.leftMs.size);
   }
 
@@ -89,6 +99,8 @@
       if (leftMs > 0) return this.loads.recordResidents(id, ['other'], nowMs);
       this.loads.recordResidents(id, ['other', 'm'], nowMs);
       this.leftMs.delete(id);
+      const tookMs = nowMs - (this.startedAtMs.get(id) ?? nowMs);
+      if (tookMs >= 1.5 * this.loadMs) this.slowed += 1;
       this.ended += 1;
     });
   }
@@ -114,6 +126,24 @@
   assert.ok(sim.mostAtOnce <= 6, `${sim.mostAtOnce}`);
 });
 
+// Guards against a limit above what the store serves, which makes each load take longer, and below.
+test('the limit settles at the concurrency that runs at full speed', () => {
+  [false, true].forEach(isFixedAtStart =>
+    [1, 2, 4, 8].forEach(fullSpeedLoads => {
+      const sim = new StoreSimulation(fullSpeedLoads, 10_000, isFixedAtStart);
+      sim.run(200_000);
+      const limit = sim.loads.concurrencyLimit;
+      const name = `${fullSpeedLoads}, ${isFixedAtStart}: ${limit}`;
+      assert.ok(
+        limit >= fullSpeedLoads && limit <= 1.25 * fullSpeedLoads,
+        name,
+      );
+      // Each step up is tried once.
+      assert.ok(sim.slowed <= fullSpeedLoads + 2, `${name}, ${sim.slowed}`);
+    }),
+  );
+});
+
 test('a load that is reported early or never does not change the limit', () => {
   const loads = new StoreLoads();
   loads.recordStart('e1', 'm', 6_000, 0);
--- a/packages/schedule-models/src/store_loads.ts
+++ b/packages/schedule-models/src/store_loads.ts
@@ -39,6 +39,8 @@
    * The highest number of concurrent loads during this one, itself included.
    */
   peakConcurrency: number;
+  /** The number of concurrent loads when this one began, itself included. */
+  startConcurrency: number;
   /** Whether the engine listed the model before its load can have finished. */
   isReportedEarly: boolean;
 }
@@ -116,6 +118,9 @@
     this.running.set(engineId, {
       ...{model, durationMs, peakConcurrency: 0, startedAtMs: nowMs},
       isReportedEarly: false,
+      startConcurrency: this.isRunning(engineId)
+        ? this.concurrency
+        : this.concurrency + 1,
     });
     this.updatePeaks();
   }
@@ -186,8 +191,12 @@
     });
   }
 
+  /**
+   * A load that others have joined later is no evidence that the store serves as many at full
+   * speed: it may have ended before they slowed it down.
+   */
   private updateLimit(
-    {startedAtMs, durationMs, peakConcurrency}: RunningLoad,
+    {startedAtMs, durationMs, peakConcurrency, startConcurrency}: RunningLoad,
     nowMs: number,
   ): void {
     const tookMs = nowMs - startedAtMs;
@@ -195,9 +204,9 @@
     if (factor > SLOWED_FACTOR) {
       const sustained = Math.max(1, Math.floor(peakConcurrency / factor));
       this.limit = Math.min(this.limit, sustained);
-      this.overloadCount = peakConcurrency;
+      this.overloadCount = Math.max(startConcurrency, sustained + 1);
       this.overloadedAtMs = nowMs;
-    } else if (peakConcurrency >= this.limit && this.mayRaiseLimit(nowMs)) {
+    } else if (startConcurrency >= this.limit && this.mayRaiseLimit(nowMs)) {
       this.limit += 1;
     }
   }
