Leave an engine out as holder only while it loads from the weight store

The rule of held for any pending load and asked for a load in a third of what is left: a load from a disk was ignored while one from the store had up to three times as long to go (3.9 s), longer than most callers wait. Seen in the scenario of refused_requests.test, where a model was refused for 2.5 s after its engine was free; half of what is left is enough, as only loads from the store are concerned.

--- a/packages/schedule-models/src/engine_index.ts
+++ b/packages/schedule-models/src/engine_index.ts
@@ -19,7 +19,7 @@
 const NONE: readonly EngineView[] = [];
 
 /** A second load is worthwhile if it takes less than this fraction of the time that is left. */
-const WORTHWHILE_FRACTION = 1 / 3;
+const WORTHWHILE_FRACTION = 1 / 2;
 
 /**
  * Guards against decisions whose cost grows with requests times engines.
@@ -51,12 +51,13 @@
     );
   }
 
-  /** Whether the pending load of an engine takes much longer than another engine would. */
+  /** Whether an engine loads from the weight store and another would be done long before. */
   private isSlow(
     loading: EngineView,
     service: ServiceName,
     model: ModelName,
   ): boolean {
+    if (loading.findTier(model) !== 'store') return false;
     const leftMs = loading.findReadyAtMs(model, this.nowMs) - this.nowMs;
     return this.listCaching(service, model).some(
       other =>
