Load a model from a disk for callers who are refused before its engine is free

What callers saw: a popular model was refused at each request for 4 to 16 s, although an engine had its weights on its disk and loaded other models from it meanwhile.

Cause: loads from disks follow the requests that wait at the time of a decision. Callers who wait for 2.4 s are refused after 0.14 s if a load of 1.3 s has not begun by then; when the engine is free, none of them may be waiting, or one that counts a fifth as it will be late.

Change: requests that were refused in the last 1.5 s for a model that no engine holds count with those that wait, as if they came when a load has ended.

Why it holds: as many requests come during a load as were refused in that time, so the load is ranked by what it will serve; it ends with the first assignment.

--- /dev/null
+++ b/packages/schedule-models/src/refused_requests.ts
@@ -0,0 +1,74 @@
+/** Counts refused requests, and remembers those that the next load may serve. */
+import {type ModelName, type ServiceName} from '@mimosatack/types';
+import {toModelKey} from './model_key.js';
+import {RefusalCounts} from './refusal_counts.js';
+import {
+  type RefusalReason,
+  type ScheduledRequest,
+} from './scheduled_request.js';
+
+/** About as many requests come during a load from a disk. */
+const WINDOW_MS = 1_500;
+/** When a load that begins now can be used. */
+const LOAD_MS = 1_000;
+/** Limits the memory for a model that is refused often. */
+const MAX_REQUESTS = 32;
+
+interface RefusedRequest {
+  request: ScheduledRequest;
+  refusedAtMs: number;
+}
+
+/**
+ * Guards against a popular model that is never loaded from a disk, since none of its callers waits
+ * for as long as the engine is busy with other loads: at the time of a decision nobody waits for
+ * it, and the next request is refused again.
+ */
+export class RefusedRequests {
+  readonly counts = new RefusalCounts();
+  private readonly refused = new Map<string, RefusedRequest[]>();
+
+  record(
+    request: ScheduledRequest,
+    reason: RefusalReason,
+    nowMs: number,
+  ): void {
+    if (reason === 'unknown-model') return;
+    const {service, model, team} = request;
+    this.counts.recordRefusal(service, model, team);
+    if (reason !== 'no-room') return;
+    const key = toModelKey(service, model);
+    const known = this.refused.get(key) ?? [];
+    const recent = [...known, {request, refusedAtMs: nowMs}];
+    this.refused.set(key, recent.slice(-MAX_REQUESTS));
+  }
+
+  /** Called when a request for the model is served. */
+  reset(service: ServiceName, model: ModelName): void {
+    this.counts.reset(service, model);
+    this.refused.delete(toModelKey(service, model));
+  }
+
+  /** The requests that were refused just now, as if they came when a load has ended. */
+  list(nowMs: number): ScheduledRequest[] {
+    return [...this.refused].flatMap(([key, known]) => {
+      const recent = known.filter(
+        ({refusedAtMs}) => nowMs - refusedAtMs <= WINDOW_MS,
+      );
+      if (recent.length === 0) this.refused.delete(key);
+      else this.refused.set(key, recent);
+      return recent.map(({request}) => postpone(request, nowMs));
+    });
+  }
+}
+
+/** The same request with its arrival at the end of a load. */
+function postpone(request: ScheduledRequest, nowMs: number): ScheduledRequest {
+  const delayMs = nowMs + LOAD_MS - request.arrivedAtMs;
+  return {
+    ...request,
+    arrivedAtMs: request.arrivedAtMs + delayMs,
+    dueAtMs: request.dueAtMs + delayMs,
+    endsAtMs: request.endsAtMs + delayMs,
+  };
+}
--- a/packages/schedule-models/src/scheduler.ts
+++ b/packages/schedule-models/src/scheduler.ts
@@ -29,7 +29,7 @@
 import {type EngineView} from './engine_view.js';
 import {EngineViews} from './engine_views.js';
 import {DeferredRequests} from './deferred_requests.js';
-import {RefusalCounts} from './refusal_counts.js';
+import {RefusedRequests} from './refused_requests.js';
 import {ModelCatalogue} from './model_catalogue.js';
 import {
   type Decision,
@@ -98,7 +98,7 @@
   });
   /** The counts of the current decision. */
   private copies: CopyCounts | null = null;
-  private readonly refusals = new RefusalCounts();
+  private readonly refusals = new RefusedRequests();
 
   constructor(private readonly options: ModelSchedulerOptions) {
     this.waiting = new WaitingRequests(options.makeOrder);
@@ -110,7 +110,7 @@
 
   /** The number of models with tracked demand or refusals. */
   get trackedModelCount(): number {
-    return Math.max(this.demand.modelCount, this.refusals.modelCount);
+    return Math.max(this.demand.modelCount, this.refusals.counts.modelCount);
   }
 
   listEngines(): readonly EngineView[] {
@@ -353,7 +353,8 @@
     const unserved = this.waiting
       .listInOrder(nowMs)
       .filter(request => !this.deferred.has(request));
-    const batches = groupBatches(unserved).filter(
+    const wanted = [...unserved, ...this.listRefused(nowMs)];
+    const batches = groupBatches(wanted).filter(
       batch => !this.isBeingLoaded(batch, context),
     );
     const swaps = policy.rank(batches, context).flatMap(batch => {
@@ -368,6 +369,13 @@
     ];
   }
 
+  /** Requests that were refused just now for models that no engine holds. */
+  private listRefused(nowMs: number): ScheduledRequest[] {
+    return this.refusals
+      .list(nowMs)
+      .filter(request => this.listHolders(request).length === 0);
+  }
+
   /** Whether the pauses of holders end before the model is loaded elsewhere. */
   private endsPauseBefore(
     {service, model, requests}: Batch,
@@ -428,7 +436,8 @@
   private makeSwapContext(nowMs: number): SwapContext {
     const engines = this.listEngines();
     this.copies = new CopyCounts(engines, nowMs);
-    const {index, catalogue, demand, refusals, speed, copies} = this;
+    const {index, catalogue, demand, speed, copies} = this;
+    const {counts: refusals} = this.refusals;
     const {loads: storeLoads} = this.storeLoader;
     const {pauses} = this.access;
     const {findTeamUse} = this.waiting;
@@ -462,12 +471,9 @@
     late.forEach(({request}) => this.forecast.recordRefused(request, nowMs));
     return [...refused, ...late].map(({request, refusal}): Decision => {
       this.dequeue(request.askId);
-      if (refusal.reason !== 'unknown-model') {
-        const {service, model, team} = request;
-        this.refusals.recordRefusal(service, model, team);
-      }
       const {askId} = request;
       const {reason, retryAfterMs} = refusal;
+      this.refusals.record(request, reason, nowMs);
       const shared = this.forecast.describeRefusal(request, refusal);
       return {kind: 'refuse', askId, reason, retryAfterMs, ...shared};
     });
--- a/packages/schedule-models/src/single_load.test.ts
+++ b/packages/schedule-models/src/single_load.test.ts
@@ -63,7 +63,8 @@
   const sim = new StoreSimulation({
     held: {e1: ['hot', 'other', 'warm'], e2: []},
     everyMs: {hot: {north: 400}, other: {south: 400}, warm: {west: 400}},
-    ...{hasShares: true, fullSpeedLoads: 2, patienceMs: 12_000},
+    ...{hasShares: true, fullSpeedLoads: 2},
+    patienceMs: {hot: 12_000},
     restartedAtMs: {e1: 2_000},
   }).run(6_000);
   const isPending = sim.ends.length === 0;
--- a/packages/schedule-models/src/store_scenario_fixture.ts
+++ b/packages/schedule-models/src/store_scenario_fixture.ts
@@ -13,15 +13,18 @@
 const STEP_MS = 20;
 const HEARTBEAT_MS = 1_200;
 const UNLOAD_MS = 40;
-const DISK_LOAD_MS = 1_200;
+const DISK_LOAD_MS = 1_300;
 const RUN_MS = 100;
 export const STORE_LOAD_MS = 10_000;
-/** How long callers wait if the scenario does not say it. */
 const PATIENCE_MS = 25_000;
+const DUE_MS = 6_000;
+const URGENT_DUE_MS = 250;
 
 export interface StoreScenario {
   /** Models that each engine holds and has on its disk at the start. */
   held: Readonly<Record<string, readonly string[]>>;
+  /** Further models on the disk of each engine. */
+  onDisk?: Readonly<Record<string, readonly string[]>>;
   /** Interval between the requests of each team, by model. */
   everyMs: Readonly<Record<string, Readonly<Record<string, number>>>>;
   hasShares: boolean;
@@ -29,8 +32,8 @@
   fullSpeedLoads: number;
   /** Engines that are lost with their disks. */
   lostAtMs?: Readonly<Record<string, number>>;
-  /** How long callers wait. */
-  patienceMs?: number;
+  /** How long callers wait, by model; 25 s by default. The others are urgent. */
+  patienceMs?: Readonly<Record<string, number>>;
   /** Engines that are lost and come back with their disks after some time. */
   restartedAtMs?: Readonly<Record<string, number>>;
   /** Engines that say that they are leaving. */
@@ -76,7 +79,7 @@
     this.service = makeStoreService(Object.keys(scenario.everyMs));
     this.scheduler = this.makeScheduler();
     Object.entries(scenario.held).forEach(([id, models]) =>
-      this.addEngine(id, models),
+      this.addEngine(id, models, [...models, ...(scenario.onDisk?.[id] ?? [])]),
     );
   }
 
@@ -199,10 +202,16 @@
   private sendRequest(model: string, team: string): void {
     const askId = `${model}.${team}.${this.nowMs}`;
     const request = makeRequest(askId, model, this.nowMs);
-    const endsAtMs = this.nowMs + (this.scenario.patienceMs ?? PATIENCE_MS);
+    const waitMs = this.scenario.patienceMs?.[model] ?? PATIENCE_MS;
+    const isUrgent = waitMs < PATIENCE_MS;
+    const times = {
+      dueAtMs: this.nowMs + (isUrgent ? URGENT_DUE_MS : DUE_MS),
+      endsAtMs: this.nowMs + waitMs,
+    };
     this.modelOf.set(askId, model);
     if (!this.askedAtMs.has(model)) this.askedAtMs.set(model, this.nowMs);
-    this.scheduler.enqueue({...request, team, endsAtMs}, this.nowMs);
+    const priority = isUrgent ? 0 : 2;
+    this.scheduler.enqueue({...request, ...times, team, priority}, this.nowMs);
   }
 
   private apply(decision: Decision): void {
