--- a/packages/schedule-models/src/store_loader.ts
+++ b/packages/schedule-models/src/store_loader.ts
@@ -89,7 +89,7 @@
       victim: choice.victim?.model ?? null,
       refusals: refusalsOf(load.service, load.model),
       configured: this.options.countModelsByCopies(),
-      concurrency: this.loads.runningCount,
+      concurrency: this.loads.concurrency,
       limit: this.loads.concurrencyLimit,
     });
   }
