--- a/packages/schedule-models/src/engine_index.test.ts
+++ b/packages/schedule-models/src/engine_index.test.ts
@@ -64,6 +64,7 @@
 ): boolean {
   return (
     engine.findTier(name) === 'store' &&
+    // A model that is not configured has no load time.
     engine.findLoadMs(name) > 0 &&
     all.some(other => other !== engine && other.findTier(name) !== 'store')
   );
--- a/packages/schedule-models/src/engine_index.ts
+++ b/packages/schedule-models/src/engine_index.ts
@@ -18,7 +18,7 @@
 
 const NONE: readonly EngineView[] = [];
 
-/** A second load is worthwhile if it takes less than this fraction of the time that is left. */
+/** A load from a disk is worthwhile if it takes less than this fraction of what is left. */
 const WORTHWHILE_FRACTION = 1 / 2;
 
 /**
@@ -43,16 +43,16 @@
   listHolders(service: ServiceName, model: ModelName): readonly EngineView[] {
     this.holders ??= this.indexBy(engine => engine.listResidentAndPending());
     const holders = this.holders.get(toModelKey(service, model)) ?? NONE;
-    const isSoon = (engine: EngineView) =>
+    const isReady = (engine: EngineView) =>
       engine.findReadyAtMs(model, this.nowMs) <= this.nowMs;
-    if (holders.every(isSoon)) return holders;
+    if (holders.every(isReady)) return holders;
     return holders.filter(
-      engine => isSoon(engine) || !this.isSlow(engine, service, model),
+      engine => isReady(engine) || !this.isSlowLoad(engine, service, model),
     );
   }
 
   /** Whether an engine loads from the weight store and another would be done long before. */
-  private isSlow(
+  private isSlowLoad(
     loading: EngineView,
     service: ServiceName,
     model: ModelName,
--- a/packages/schedule-models/src/refused_requests.ts
+++ b/packages/schedule-models/src/refused_requests.ts
@@ -7,11 +7,11 @@
   type ScheduledRequest,
 } from './scheduled_request.js';
 
-/** About as many requests come during a load from a disk. */
+/** A load from a disk takes about as long, so that as many requests come meanwhile. */
 const WINDOW_MS = 1_500;
-/** When a load that begins now can be used. */
+/** Time until a load that begins now can be used. */
 const LOAD_MS = 1_000;
-/** With fewer requests, as many are not to be expected during the load. */
+/** Fewer refusals may be chance; a load for them would go before requests that wait. */
 const MIN_REQUESTS = 3;
 /** Limits the memory for a model that is refused often. */
 const MAX_REQUESTS = 16;
--- a/packages/schedule-models/src/store_scenario_fixture.ts
+++ b/packages/schedule-models/src/store_scenario_fixture.ts
@@ -16,6 +16,7 @@
 const DISK_LOAD_MS = 1_300;
 const RUN_MS = 100;
 export const STORE_LOAD_MS = 10_000;
+/** How long callers wait, and until when a response is on time. */
 const PATIENCE_MS = 25_000;
 const DUE_MS = 6_000;
 const URGENT_DUE_MS = 250;
@@ -32,9 +33,9 @@
   fullSpeedLoads: number;
   /** Engines that are lost with their disks. */
   lostAtMs?: Readonly<Record<string, number>>;
-  /** How long callers wait, by model; 25 s by default. The others are urgent. */
+  /** How long callers wait, by model; 25 s by default. Those who wait for less are urgent. */
   patienceMs?: Readonly<Record<string, number>>;
-  /** Engines that are lost and come back with their disks after some time. */
+  /** Engines that restart at once, with their disks and under other ids. */
   restartedAtMs?: Readonly<Record<string, number>>;
   /** Engines that say that they are leaving. */
   leavingAtMs?: Readonly<Record<string, number>>;
