Load a model without a copy every other time, and by worth else

Cause: put all models without a copy before all others. New engines came up empty and loaded rare models; popular ones lost their last copies.

Change: every other load is for a model without a copy, the others go by worth, in which refusals of a model without a copy count too, with shares as well.

--- a/packages/schedule-models/src/find_store_load.ts
+++ b/packages/schedule-models/src/find_store_load.ts
@@ -23,6 +23,8 @@
  * caller has left.
  */
 const MIN_FETCH_RATE = 0.02;
+/** The rate that two requests within some seconds count as. */
+const FIRST_COPY_RATE = 0.25;
 /**
  * Minimum requests per second for a second copy, which keeps a popular model
  * available when an engine is lost. At this rate, an engine that is lost for 4 s
@@ -103,21 +105,22 @@
 /**
  * Guards against empty new engines that load a model only on its first request,
  * as when all engines of a service are replaced in turn: a load from the store
- * takes longer than callers wait. Models without any copy come first and may evict
- * another one; then those with the most demand for each copy, which use free memory
- * on engines with few available models. Null if no load is needed or
- * possible.
+ * takes longer than callers wait. Models without any copy, and those with the most
+ * demand for each copy, may evict another one; other copies use free memory on engines
+ * with few available models. Null if no load is needed or possible.
  *
  * @param load `busy` while requests wait for cached models; redundant copies
  *     then evict nothing.
+ * @param isFirstCopyDue whether models without a copy go before all others.
  */
 export function findStoreLoad(
   context: SwapContext,
   load: 'busy' | 'idle',
+  isFirstCopyDue: boolean,
 ): StoreLoad | null {
   const candidates = listCandidates(context);
   if (candidates.length === 0) return null;
-  const needs = listCopyNeeds(context, candidates);
+  const needs = listCopyNeeds(context, candidates, isFirstCopyDue);
   const modelsWithoutCopy = needs.filter(({copies}) => copies === 0).length;
   for (const need of needs) {
     const choice = chooseEngine(need, candidates, load);
@@ -130,12 +133,13 @@
 }
 
 /**
- * Models without a copy first, then the others by demand for each copy. Guards against models
- * that are never served, as the few loads of the store go to further copies of popular ones.
+ * By worth, and models without a copy before all others if that is due. Guards against models that are never served, as the few loads of the store go
+ * to further copies of popular ones, and against popular ones that lose their last copy.
  */
 function listCopyNeeds(
   context: SwapContext,
   candidates: readonly Candidate[],
+  isFirstCopyDue: boolean,
 ): CopyNeed[] {
   const copies = countCopies(context);
   const services = new Set(
@@ -157,19 +161,26 @@
       ),
     }))
     .filter(need => needsCopy(need) || hasFreeMemory(need, candidates))
-    .map(need => ({
-      ...need,
-      refusals: context.refusalsOf(need.service, need.model),
-      worth: need.rate / (1 + need.copies) ** 2,
-    }));
+    .map(need => {
+      const refusals = context.refusalsOf(need.service, need.model);
+      return {...need, refusals, worth: findCopyWorth(need, refusals, context)};
+    });
   const {findTeamUse} = context;
-  return [
-    ...rankUnserved(needs.filter(isFirstCopy), findTeamUse),
-    ...rankLoads(
-      needs.filter(need => !isFirstCopy(need)),
-      findTeamUse,
-    ),
-  ];
+  const byWorth = rankLoads(needs, findTeamUse);
+  if (!isFirstCopyDue) return byWorth;
+  const first = rankUnserved(needs.filter(isFirstCopy), findTeamUse);
+  return [...first, ...byWorth.filter(need => !isFirstCopy(need))];
+}
+
+/** With shares, the first copy of a model is worth no more for many asks of a team than for two. */
+function findCopyWorth(
+  {rate, copies}: CopyNeed,
+  refusals: number,
+  {findTeamUse}: SwapContext,
+): number {
+  if (copies > 0) return rate / (1 + copies) ** 2;
+  const counted = findTeamUse ? Math.min(FIRST_COPY_RATE, rate) : rate;
+  return counted * (1 + refusals);
 }
 
 function isFirstCopy({copies}: CopyNeed): boolean {
--- a/packages/schedule-models/src/store_loader.ts
+++ b/packages/schedule-models/src/store_loader.ts
@@ -42,6 +42,8 @@
     this.options.findObserver()?.onStoreLoadEnd(end),
   );
   private nextCheckMs = 0;
+  /** Whether the last load was for a model without a copy. */
+  private wasFirstCopy = false;
 
   constructor(private readonly options: StoreLoaderOptions) {}
 
@@ -51,7 +53,8 @@
     if (nowMs < this.nextCheckMs) return null;
     this.nextCheckMs = nowMs + CHECK_INTERVAL_MS;
     this.loads.setUnknownCount(this.countUnknown(context));
-    return findStoreLoad(context, isBusy ? 'busy' : 'idle');
+    const load = isBusy ? 'busy' : 'idle';
+    return findStoreLoad(context, load, !this.wasFirstCopy);
   }
 
   /**
@@ -79,10 +82,12 @@
     this.loads.recordStart(engine.id, model, durationMs, nowMs);
   }
 
+  /** Reports the load, and leaves the next one to the other kind. */
   reportStart(
     {choice, ...load}: StoreLoad,
     {refusalsOf}: Pick<SwapContext, 'refusalsOf'>,
   ): void {
+    this.wasFirstCopy = load.copies === 0;
     this.options.findObserver()?.onStoreLoadStart({
       ...load,
       engineId: choice.engine.id,
